Lay the frame: object service client and stand-in, declared objects, checks

Cause: the repository was empty. Every later part needs the object service's conditional update, the declared objects and one command that runs all checks.

--- /dev/null
+++ b/cmd/mothcart/version.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"runtime"
+)
+
+// version is the release that this program was built from.
+const version = "0.1.0"
+
+func versionCommand() command {
+	return command{name: "version", summary: "print the version", run: runVersion}
+}
+
+func runVersion(_ context.Context, args []string, out, errOut io.Writer) int {
+	fs := flag.NewFlagSet("version", flag.ContinueOnError)
+	if code, goOn := parseFlags(fs, args, out, errOut); !goOn {
+		return code
+	}
+	fmt.Fprintf(out, "mothcart %s %s\n", version, runtime.Version())
+	return exitOK
+}
--- /dev/null
+++ b/io/store/http.go
@@ -0,0 +1,202 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Paths and parameters of the object service's HTTP interface.
+const (
+	// ObjectsPath is followed by the object's key, or stands alone for a listing.
+	ObjectsPath = "/v1/objects/"
+	// ParamPrefix selects the keys of a listing.
+	ParamPrefix = "prefix"
+	// ParamAfter is the key that a listing starts after.
+	ParamAfter = "after"
+	// ParamLimit is the largest number of objects in a page of a listing.
+	ParamLimit = "limit"
+	// ParamWatchAfter makes a read wait for a version greater than this one.
+	ParamWatchAfter = "watchAfter"
+	// ParamWaitMillis bounds the wait, in milliseconds.
+	ParamWaitMillis = "waitMillis"
+)
+
+// callTimeout bounds one call that is not a watch.
+const callTimeout = 5 * time.Second
+
+// watchGrace is added to a watch's wait before the caller gives it up as silent.
+const watchGrace = 2 * time.Second
+
+// ListedObject is one element of a listing on the wire.
+type ListedObject struct {
+	Key     string  `json:"key"`
+	Version Version `json:"version"`
+}
+
+// ETag renders a version as an entity tag.
+func ETag(v Version) string { return fmt.Sprintf("%q", strconv.FormatUint(uint64(v), 10)) }
+
+// ParseETag reads a version from an entity tag.
+func ParseETag(tag string) (Version, error) {
+	s, err := strconv.Unquote(tag)
+	if err != nil {
+		return 0, merry.Errorf("entity tag %q: %w", tag, err)
+	}
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		return 0, merry.Errorf("entity tag %q: %w", tag, err)
+	}
+	return Version(n), nil
+}
+
+type httpClient struct {
+	base string
+	http *http.Client
+}
+
+// NewHTTP returns a Client for the service at base, such as http://10.0.0.9:7000.
+func NewHTTP(base string, hc *http.Client) Client {
+	h := &httpClient{base: base, http: hc}
+	return Client{Get: h.get, Put: h.put, Delete: h.remove, List: h.list, Watch: h.watch}
+}
+
+func (h *httpClient) get(ctx context.Context, key string) (Object, error) {
+	return h.read(ctx, key, "", callTimeout)
+}
+
+func (h *httpClient) watch(ctx context.Context, key string, after Version, wait time.Duration) (Object, error) {
+	q := url.Values{}
+	q.Set(ParamWatchAfter, strconv.FormatUint(uint64(after), 10))
+	q.Set(ParamWaitMillis, strconv.FormatInt(wait.Milliseconds(), 10))
+	return h.read(ctx, key, "?"+q.Encode(), wait+watchGrace)
+}
+
+func (h *httpClient) read(ctx context.Context, key, query string, timeout time.Duration) (Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+ObjectsPath+url.PathEscape(key)+query, nil)
+	if err != nil {
+		return Object{}, merry.Errorf("build read of %s: %w", key, err)
+	}
+	resp, err := h.http.Do(r)
+	if err != nil {
+		return Object{}, merry.Errorf("read %s: %w: %w", key, ErrUnavailable, err)
+	}
+	defer resp.Body.Close()
+	if err := statusError(resp.StatusCode); err != nil {
+		return Object{}, merry.Errorf("read %s: %w", key, err)
+	}
+	version, err := ParseETag(resp.Header.Get("ETag"))
+	if err != nil {
+		return Object{}, merry.Errorf("read %s: %w", key, err)
+	}
+	value, err := io.ReadAll(io.LimitReader(resp.Body, MaxValueBytes+1))
+	if err != nil {
+		return Object{}, merry.Errorf("read %s: %w: %w", key, ErrUnavailable, err)
+	}
+	return Object{Key: key, Version: version, Value: value}, nil
+}
+
+func (h *httpClient) put(ctx context.Context, key string, value []byte, expect Version) (Version, error) {
+	if len(value) > MaxValueBytes {
+		return 0, merry.Errorf("write %s: value of %d bytes is over %d", key, len(value), MaxValueBytes)
+	}
+	resp, err := h.write(ctx, http.MethodPut, key, value, expect)
+	if err != nil {
+		return 0, err
+	}
+	return ParseETag(resp.Header.Get("ETag"))
+}
+
+func (h *httpClient) remove(ctx context.Context, key string, expect Version) error {
+	_, err := h.write(ctx, http.MethodDelete, key, nil, expect)
+	return err
+}
+
+func (h *httpClient) write(ctx context.Context, method, key string, value []byte, expect Version) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, h.base+ObjectsPath+url.PathEscape(key), bytes.NewReader(value))
+	if err != nil {
+		return nil, merry.Errorf("build write of %s: %w", key, err)
+	}
+	if expect == Absent {
+		r.Header.Set("If-None-Match", "*")
+	} else {
+		r.Header.Set("If-Match", ETag(expect))
+	}
+	resp, err := h.http.Do(r)
+	if err != nil {
+		return nil, merry.Errorf("write %s: %w: %w", key, writeFailure(err), err)
+	}
+	defer resp.Body.Close()
+	if err := statusError(resp.StatusCode); err != nil {
+		return nil, merry.Errorf("write %s: %w", key, err)
+	}
+	return resp, nil
+}
+
+// writeFailure tells a write that never left from one whose answer was lost.
+func writeFailure(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrUnavailable
+	}
+	return ErrUnknown
+}
+
+func (h *httpClient) list(ctx context.Context, prefix, after string, limit int) ([]Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	q := url.Values{}
+	q.Set(ParamPrefix, prefix)
+	q.Set(ParamAfter, after)
+	q.Set(ParamLimit, strconv.Itoa(limit))
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+ObjectsPath+"?"+q.Encode(), nil)
+	if err != nil {
+		return nil, merry.Errorf("build listing of %s: %w", prefix, err)
+	}
+	resp, err := h.http.Do(r)
+	if err != nil {
+		return nil, merry.Errorf("list %s: %w: %w", prefix, ErrUnavailable, err)
+	}
+	defer resp.Body.Close()
+	if err := statusError(resp.StatusCode); err != nil {
+		return nil, merry.Errorf("list %s: %w", prefix, err)
+	}
+	var listed []ListedObject
+	if err := json.NewDecoder(resp.Body).Decode(&listed); err != nil {
+		return nil, merry.Errorf("list %s: %w: %w", prefix, ErrUnavailable, err)
+	}
+	objects := make([]Object, 0, len(listed))
+	for _, l := range listed {
+		objects = append(objects, Object{Key: l.Key, Version: l.Version})
+	}
+	return objects, nil
+}
+
+func statusError(status int) error {
+	switch {
+	case status < http.StatusBadRequest:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status == http.StatusPreconditionFailed:
+		return ErrConflict
+	case status == http.StatusGatewayTimeout:
+		return ErrUnknown
+	default:
+		return ErrUnavailable
+	}
+}
--- /dev/null
+++ b/io/store/store.go
@@ -0,0 +1,121 @@
+// Package store speaks to the platform's object service: versions, conditional updates, watches.
+//
+// The conditional update is the only fence of the system. A Client is a set of function fields,
+// so that tests and the stand-in can take the place of the HTTP client.
+//
+// Errors tell what is known of a write: ErrConflict and ErrUnavailable mean that it had no
+// effect; ErrUnknown means that the answer was lost and the write may have had effect. PutConfirmed
+// resolves ErrUnknown by reading back.
+//
+// Usage:
+//
+//	c := store.NewHTTP("http://127.0.0.1:7000", http.DefaultClient)
+//	version, err := store.PutConfirmed(ctx, c, "jobs/j1", value, store.Absent)
+//	object, err := c.Get(ctx, "jobs/j1")
+package store
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// MaxValueBytes is the largest value that the object service holds.
+const MaxValueBytes = 1 << 20
+
+// Absent as an expected version means that the object must not exist yet.
+const Absent Version = 0
+
+var (
+	// ErrConflict means that the object's version was not the expected one; nothing was written.
+	ErrConflict = merry.Sentinel("object version conflict")
+	// ErrNotFound means that the object does not exist.
+	ErrNotFound = merry.Sentinel("object not found")
+	// ErrUnavailable means that the service refused or could not be reached before the call was
+	// sent; nothing was written.
+	ErrUnavailable = merry.Sentinel("object service unavailable")
+	// ErrUnknown means that the answer of a write was lost; the write may have had effect.
+	ErrUnknown = merry.Sentinel("object write outcome unknown")
+)
+
+// Version is the version of an object; it grows with every write of the object and is never
+// reused for the same key.
+type Version uint64
+
+// Object is one object of the service.
+type Object struct {
+	Key     string
+	Version Version
+	// Value is nil in listings.
+	Value []byte
+}
+
+// Client is the calls of the object service. Every call counts against the service's rates.
+type Client struct {
+	// Get returns the object, or ErrNotFound.
+	Get func(ctx context.Context, key string) (Object, error)
+	// Put writes value if the object's version is expect, and returns the new version.
+	Put func(ctx context.Context, key string, value []byte, expect Version) (Version, error)
+	// Delete removes the object if its version is expect.
+	Delete func(ctx context.Context, key string, expect Version) error
+	// List returns up to limit objects without values whose keys start with prefix and are
+	// greater than after, in key order.
+	List func(ctx context.Context, prefix, after string, limit int) ([]Object, error)
+	// Watch returns the object as soon as its version is greater than after. It returns
+	// ErrNotFound or the unchanged object when wait has passed.
+	Watch func(ctx context.Context, key string, after Version, wait time.Duration) (Object, error)
+}
+
+// confirmAttempts bounds the reads that resolve a lost answer.
+const confirmAttempts = 5
+
+// confirmPause is the time between two of these reads.
+const confirmPause = 50 * time.Millisecond
+
+// PutConfirmed is c.Put with a lost answer resolved by reading back and comparing. The value must
+// be unique to the writer and the attempt (it holds a writer ID and a sequence number), so that an
+// equal value proves that the write had effect. It returns ErrUnknown only when reading back
+// failed too.
+func PutConfirmed(ctx context.Context, c Client, key string, value []byte, expect Version) (Version, error) {
+	version, err := c.Put(ctx, key, value, expect)
+	for i := 0; errors.Is(err, ErrUnknown) && i < confirmAttempts; i++ {
+		o, readErr := c.Get(ctx, key)
+		switch {
+		case readErr == nil && bytes.Equal(o.Value, value):
+			return o.Version, nil
+		case readErr == nil && o.Version != expect:
+			return 0, merry.Errorf("confirm write of %s: %w", key, ErrConflict)
+		case readErr == nil || errors.Is(readErr, ErrNotFound):
+			// A write in transit may still arrive, so the same conditional write is repeated:
+			// at most one of the two can take effect.
+			version, err = c.Put(ctx, key, value, expect)
+			if errors.Is(err, ErrConflict) {
+				err = ErrUnknown
+			}
+		}
+		if err == nil {
+			break
+		}
+		if waitErr := sleep(ctx, confirmPause); waitErr != nil {
+			return 0, merry.Errorf("confirm write of %s: %w", key, ErrUnknown)
+		}
+	}
+	if err != nil {
+		return 0, merry.Errorf("write %s: %w", key, err)
+	}
+	return version, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
