--- /dev/null
+++ b/core/route/rules.go
@@ -0,0 +1,56 @@
+package route
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"mothcart/core/config"
+)
+
+// Target is where a request goes after the traffic rules.
+type Target struct {
+	Service config.Service
+	// Name is the model, adapter or plain service that the upstream is asked for.
+	Name string
+	// Rule is the name of the rule that decided, or empty.
+	Rule string
+}
+
+// Resolve applies the traffic rules to a request for name. header reads a header of the request,
+// caller identifies the caller for sticky rules, random is a fresh random number. It reports false
+// when no service serves the name.
+func Resolve(s *config.Snapshot, name string, header func(string) string, caller string, random uint64) (Target, bool) {
+	target, rule := name, ""
+	for _, r := range s.Rules(name) {
+		if r.Header != "" && header(r.Header) != r.Value {
+			continue
+		}
+		if r.Sticky {
+			random = xxhash.Sum64String(r.Name + "\x00" + caller)
+		}
+		target, rule = split(r, random, name), r.Name
+		break
+	}
+	service, ok := s.ServiceOf(target)
+	if !ok {
+		return Target{}, false
+	}
+	return Target{Service: service, Name: target, Rule: rule}, true
+}
+
+// split chooses a destination of r by weight; a rule without weight keeps name.
+func split(r config.Rule, random uint64, name string) string {
+	total := 0
+	for _, s := range r.Splits {
+		total += max(0, s.Weight)
+	}
+	if total == 0 {
+		return name
+	}
+	at := int(random % uint64(total))
+	for _, s := range r.Splits {
+		if at -= max(0, s.Weight); at < 0 {
+			return s.Target
+		}
+	}
+	return name
+}
