Add clients of engines and plain services, and the router

Cause: decisions of core/route, core/retry and core/admit need a shell that sends requests and carries queues, retries and resumed streams.

Change: io/engine (streams with a progress watchdog, failures that say whether the request may have run), io/service (one attempt, never repeated by the transport), io/upstream (tables, queues, exchange with resume).

--- /dev/null
+++ b/io/engine/engine.go
@@ -0,0 +1,232 @@
+// Package engine speaks to the model engines: OpenAI's HTTP interface with streams, and the
+// engines' own calls for load, cancellation and orders.
+//
+// A Client keeps a pool of connections for each engine. Online and batch use separate clients, so
+// that neither waits for the other's connections. A stream without a byte for the progress timeout
+// is on a dead connection: the client closes it, drops the engine's idle connections and returns
+// a Failure of kind Silent; new calls go over new connections.
+//
+// Usage:
+//
+//	c := engine.New(engine.NewOptions())
+//	defer c.Close()
+//	err := c.Stream(ctx, engine.Call{Address: "10.0.0.4:8000", Path: engine.ChatPath, RequestID: id, Body: body},
+//		func(data string) error { return forward(data) })
+package engine
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/tmaxmax/go-sse"
+)
+
+// Paths of an engine's interface.
+const (
+	ChatPath       = "/v1/chat/completions"
+	CompletionPath = "/v1/completions"
+)
+
+// Headers of an engine's interface.
+const (
+	requestIDHeader  = "X-Request-Id"
+	resumeFromHeader = "X-Resume-From"
+	resumableHeader  = "X-Resumable"
+)
+
+// doneEvent is the last event of a whole stream.
+const doneEvent = "[DONE]"
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// maxAnswerBytes bounds an answer that is not a stream.
+const maxAnswerBytes = 64 << 20
+
+// Client calls engines. It is safe for concurrent use.
+type Client struct {
+	opts    Options
+	mu      sync.Mutex
+	pools   map[string]*http.Transport
+	foreign atomic.Int64
+	silent  atomic.Int64
+}
+
+// New returns a client without connections.
+func New(opts Options) *Client {
+	return &Client{opts: opts, pools: map[string]*http.Transport{}}
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		p.CloseIdleConnections()
+	}
+}
+
+// Foreign returns the number of answers dropped because they belonged to another request.
+func (c *Client) Foreign() int64 { return c.foreign.Load() }
+
+// SilentConnections returns the number of connections given up as silent.
+func (c *Client) SilentConnections() int64 { return c.silent.Load() }
+
+func (c *Client) pool(address string) *http.Transport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.pools[address]
+	if !ok {
+		p = &http.Transport{
+			DialContext:         c.opts.Dial,
+			MaxIdleConnsPerHost: c.opts.IdleConnections,
+			IdleConnTimeout:     c.opts.IdleTimeout,
+			DisableCompression:  true,
+			ReadBufferSize:      c.opts.ReadBufferBytes,
+		}
+		c.pools[address] = p
+	}
+	return p
+}
+
+// Forget drops the pool of an engine that is gone.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.pools[address]; ok {
+		p.CloseIdleConnections()
+		delete(c.pools, address)
+	}
+}
+
+// Call is one request to an engine.
+type Call struct {
+	// Address is host:port.
+	Address string
+	Path    string
+	// RequestID is unique; the engine repeats it in the answer.
+	RequestID string
+	Body      []byte
+	// ResumeFrom is the index of the first token wanted; above 0 it goes on with a broken stream.
+	ResumeFrom int
+	// Resumable asks the engine to keep the stream's state when the connection breaks.
+	Resumable bool
+	// Progress is the silence after which the connection is given up; 0 means no bound.
+	Progress time.Duration
+}
+
+// Stream sends the call and hands each event's data to onEvent, the final [DONE] included. It
+// returns nil only after [DONE]. An error of onEvent ends the stream and is returned as it is; all
+// other errors are of type *Failure.
+func (c *Client) Stream(ctx context.Context, call Call, onEvent func(data string) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := newWatchdog(call.Progress, func() { cancel(errSilent) })
+	defer watch.stop()
+	resp, err := c.send(ctx, call)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	whole := false
+	for event, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			return c.failure(ctx, call, Broken, true, err)
+		}
+		watch.touch()
+		if err := onEvent(event.Data); err != nil {
+			return err
+		}
+		if event.Data == doneEvent {
+			whole = true
+			break
+		}
+	}
+	if !whole {
+		return c.failure(ctx, call, Broken, true, io.ErrUnexpectedEOF)
+	}
+	drain(resp.Body)
+	return nil
+}
+
+// Whole sends the call and returns the whole answer's body. Errors are of type *Failure.
+func (c *Client) Whole(ctx context.Context, call Call) ([]byte, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := newWatchdog(call.Progress, func() { cancel(errSilent) })
+	defer watch.stop()
+	resp, err := c.send(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, c.failure(ctx, call, Broken, true, err)
+	}
+	return body, nil
+}
+
+// send returns the answer of an admitted request.
+func (c *Client) send(ctx context.Context, call Call) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+call.Address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, &Failure{Kind: NotSent, err: merry.Errorf("build request: %w", err)}
+	}
+	// Without GetBody the transport never sends a request again by itself.
+	r.GetBody = nil
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(requestIDHeader, call.RequestID)
+	if call.Resumable {
+		r.Header.Set(resumableHeader, "1")
+	}
+	if call.ResumeFrom > 0 {
+		r.Header.Set(resumeFromHeader, strconv.Itoa(call.ResumeFrom))
+	}
+	resp, err := c.pool(call.Address).RoundTrip(r)
+	if err != nil {
+		return nil, c.failure(ctx, call, Broken, !isDialError(err), err)
+	}
+	if got := resp.Header.Get(requestIDHeader); got != "" && got != call.RequestID {
+		resp.Body.Close()
+		c.foreign.Add(1)
+		return nil, &Failure{Kind: Foreign, Sent: true, err: merry.Errorf("answer to request %s, want %s", got, call.RequestID)}
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, refusal(resp)
+	}
+	return resp, nil
+}
+
+// failure classifies an error of the connection.
+func (c *Client) failure(ctx context.Context, call Call, kind Kind, sent bool, err error) *Failure {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errSilent):
+		c.silent.Add(1)
+		c.pool(call.Address).CloseIdleConnections()
+		return &Failure{Kind: Silent, Sent: true, err: merry.Errorf("no progress for %s: %w", call.Progress, err)}
+	case cause != nil:
+		return &Failure{Kind: Cancelled, Sent: sent, err: merry.Errorf("cancelled: %w", cause)}
+	case !sent:
+		return &Failure{Kind: NotSent, err: merry.Errorf("connect: %w", err)}
+	default:
+		return &Failure{Kind: kind, Sent: true, err: merry.Errorf("connection broke: %w", err)}
+	}
+}
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// drain reads what is left of a body that is at its end, so that the connection can be used again.
+func drain(r io.Reader) { _, _ = io.CopyN(io.Discard, r, 512) }
--- /dev/null
+++ b/io/engine/options.go
@@ -0,0 +1,43 @@
+package engine
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// Options are the settings of a client. Values are immutable.
+type Options struct {
+	// IdleConnections is the number of idle connections kept for each engine.
+	IdleConnections int
+	// IdleTimeout closes a connection that was not used for this time.
+	IdleTimeout time.Duration
+	// ReadBufferBytes is the size of each connection's read buffer.
+	ReadBufferBytes int
+	// Dial opens a connection.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+const (
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 2 * time.Second
+	// keepAlive is the time between probes of a connection that is otherwise quiet.
+	keepAlive = 10 * time.Second
+)
+
+// NewOptions returns the settings that serve a few hundred engines.
+func NewOptions() Options {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	return Options{
+		IdleConnections: 64,
+		IdleTimeout:     30 * time.Second,
+		ReadBufferBytes: 4 << 10,
+		Dial:            dialer.DialContext,
+	}
+}
+
+// WithDial returns a copy that opens connections with dial.
+func (o Options) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Options {
+	o.Dial = dial
+	return o
+}
--- /dev/null
+++ b/io/service/options.go
@@ -0,0 +1,34 @@
+package service
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// Options are the settings of a client. Values are immutable.
+type Options struct {
+	// IdleConnections is the number of idle connections kept for each upstream.
+	IdleConnections int
+	// IdleTimeout closes a connection that was not used for this time.
+	IdleTimeout time.Duration
+	// HeaderTimeout bounds the wait for the answer's headers after the request was written.
+	HeaderTimeout time.Duration
+	// Dial opens a connection.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = 2 * time.Second
+
+// NewOptions returns the settings that serve a few dozen upstreams.
+func NewOptions() Options {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return Options{IdleConnections: 64, IdleTimeout: 30 * time.Second, HeaderTimeout: 60 * time.Second, Dial: dialer.DialContext}
+}
+
+// WithHeaderTimeout returns a copy with the wait for headers bounded by d.
+func (o Options) WithHeaderTimeout(d time.Duration) Options {
+	o.HeaderTimeout = d
+	return o
+}
--- /dev/null
+++ b/io/service/service.go
@@ -0,0 +1,140 @@
+// Package service speaks to plain services: HTTP calls passed on with method, headers and body.
+//
+// One Do is one attempt. The transport never repeats a request by itself, so that a call that may
+// not be repeated is sent at most once; whether to try again is the caller's decision by the
+// Failure. A body that ends early is a Failure of the Body reader, never a short answer.
+//
+// Usage:
+//
+//	c := service.New(service.NewOptions())
+//	answer, err := c.Do(ctx, service.Call{Address: "10.0.0.7:8000", Method: "POST", Path: "/swap", Body: body})
+//	defer answer.Body.Close()
+package service
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"sync/atomic"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// requestIDHeader carries the request's ID to the upstream, which may repeat it in the answer.
+const requestIDHeader = "X-Request-Id"
+
+// Client calls plain services. It is safe for concurrent use.
+type Client struct {
+	transport *http.Transport
+	foreign   atomic.Int64
+}
+
+// New returns a client without connections.
+func New(opts Options) *Client {
+	return &Client{transport: &http.Transport{
+		DialContext:           opts.Dial,
+		MaxIdleConnsPerHost:   opts.IdleConnections,
+		IdleConnTimeout:       opts.IdleTimeout,
+		DisableCompression:    true,
+		ResponseHeaderTimeout: opts.HeaderTimeout,
+	}}
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Foreign returns the number of answers dropped because they belonged to another request.
+func (c *Client) Foreign() int64 { return c.foreign.Load() }
+
+// Call is one request to a plain service.
+type Call struct {
+	// Address is host:port.
+	Address string
+	Method  string
+	// Path holds the escaped path and the query.
+	Path      string
+	Header    http.Header
+	Body      []byte
+	RequestID string
+}
+
+// Answer is the upstream's answer; the caller closes Body.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// Length is the body's length in bytes, or -1 if it is not known.
+	Length int64
+}
+
+// Failure is the error of an attempt without an answer.
+type Failure struct {
+	// Sent reports that any part of the request may have reached the upstream.
+	Sent bool
+	err  error
+}
+
+// Error describes the failure.
+func (f *Failure) Error() string { return "service call: " + f.err.Error() }
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.err }
+
+// Do makes one attempt. Errors are of type *Failure.
+func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
+	r, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, onceReader(call.Body))
+	if err != nil {
+		return Answer{}, &Failure{err: merry.Errorf("build request: %w", err)}
+	}
+	r.ContentLength = int64(len(call.Body))
+	r.Header = EndToEnd(call.Header)
+	r.Header.Set(requestIDHeader, call.RequestID)
+	resp, err := c.transport.RoundTrip(r)
+	if err != nil {
+		c.transport.CloseIdleConnections()
+		return Answer{}, &Failure{Sent: !isDialError(err), err: merry.Errorf("round trip: %w", err)}
+	}
+	if got := resp.Header.Get(requestIDHeader); got != "" && got != call.RequestID {
+		resp.Body.Close()
+		c.foreign.Add(1)
+		return Answer{}, &Failure{Sent: true, err: merry.Errorf("answer to request %s, want %s", got, call.RequestID)}
+	}
+	return Answer{Status: resp.StatusCode, Header: EndToEnd(resp.Header), Body: resp.Body, Length: resp.ContentLength}, nil
+}
+
+// onceReader hides the type of the reader, so that the transport has no way to read a body twice
+// and thus never repeats the request.
+func onceReader(body []byte) io.Reader { return struct{ io.Reader }{bytes.NewReader(body)} }
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// hopByHop lists the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// EndToEnd returns a copy of h without the headers that concern one connection only.
+func EndToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	for _, named := range h.Values("Connection") {
+		for name := range strings.SplitSeq(named, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/io/upstream/options.go
@@ -0,0 +1,60 @@
+package upstream
+
+import (
+	"mothcart/core/config"
+	"mothcart/core/vm"
+	"mothcart/io/engine"
+)
+
+// Options are the router's seams. Values are immutable.
+type Options struct {
+	Self vm.VM
+	// Snapshot returns the configuration in force.
+	Snapshot func() *config.Snapshot
+	// Upstreams returns all upstream VMs and a revision that changes with them.
+	Upstreams func() (list []vm.VM, revision uint64)
+	// VMs returns the number of live entry VMs.
+	VMs func() int
+	// Counted is told each change of this VM's own requests in flight at an upstream; tokens is the
+	// prompt's length of a request that starts, 0 for one that ends. It must not block.
+	Counted func(service string, u vm.VM, inFlight, tokens int)
+	// Engines is the client for online requests.
+	Engines *engine.Client
+}
+
+// NewOptions returns options for one VM alone, without upstreams.
+func NewOptions(self vm.VM, engines *engine.Client) Options {
+	empty := config.NewSnapshot(0, config.Set{})
+	return Options{
+		Self:      self,
+		Snapshot:  func() *config.Snapshot { return empty },
+		Upstreams: func() ([]vm.VM, uint64) { return nil, 0 },
+		VMs:       func() int { return 1 },
+		Counted:   func(string, vm.VM, int, int) {},
+		Engines:   engines,
+	}
+}
+
+// WithSnapshot returns a copy with the source of the configuration set.
+func (o Options) WithSnapshot(f func() *config.Snapshot) Options {
+	o.Snapshot = f
+	return o
+}
+
+// WithUpstreams returns a copy with the source of the upstreams set.
+func (o Options) WithUpstreams(f func() ([]vm.VM, uint64)) Options {
+	o.Upstreams = f
+	return o
+}
+
+// WithVMs returns a copy with the count of entry VMs set.
+func (o Options) WithVMs(f func() int) Options {
+	o.VMs = f
+	return o
+}
+
+// WithCounted returns a copy with the listener to counts set.
+func (o Options) WithCounted(f func(service string, u vm.VM, inFlight, tokens int)) Options {
+	o.Counted = f
+	return o
+}
--- /dev/null
+++ b/io/upstream/router.go
@@ -0,0 +1,399 @@
+// Package upstream routes requests to upstreams: it keeps the tables of core/route, the queues of
+// core/admit and the retry budgets for each service, and carries their decisions out.
+//
+// A request goes on at once when an upstream has room; otherwise it waits in its team's queue on
+// this VM, or is refused early. Exchange runs one request at a model engine with safe retries and
+// resumed streams.
+//
+// Usage:
+//
+//	r := upstream.New(opts)
+//	defer r.Close()
+//	summary, err := r.Exchange(ctx, upstream.Request{ID: id, Service: service, Name: "scribe", …}, sink)
+package upstream
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"mothcart/core/admit"
+	"mothcart/core/config"
+	"mothcart/core/retry"
+	"mothcart/core/route"
+	"mothcart/core/vm"
+)
+
+// tickInterval is the time between two looks at the queues and the upstreams.
+const tickInterval = 25 * time.Millisecond
+
+// defaultConcurrency is an upstream's capacity until the settings or a report tell.
+const defaultConcurrency = 16
+
+// Router routes requests of this VM. It is safe for concurrent use.
+type Router struct {
+	opts     Options
+	mu       sync.Mutex
+	services map[string]*service
+	counters map[string]*route.Counter
+	// seen is the configuration and list of upstreams that the services were built from.
+	seenConfig   *config.Snapshot
+	seenRevision uint64
+	nextID       uint64
+	stop         chan struct{}
+	done         sync.WaitGroup
+}
+
+// service is the routing state of one service; the router's mu guards it.
+type service struct {
+	cfg    config.Service
+	table  route.Table
+	queues map[string]admit.Queue
+	shares []admit.Share
+	budget retry.Budget
+	// waiting holds the channels of the requests in the queues.
+	waiting map[uint64]*waiter
+}
+
+type waiter struct {
+	want   Want
+	grants chan grant
+}
+
+type grant struct {
+	lease   *Lease
+	refusal *Refusal
+}
+
+// New starts a router.
+func New(opts Options) *Router {
+	r := &Router{
+		opts:     opts,
+		services: map[string]*service{},
+		counters: map[string]*route.Counter{},
+		stop:     make(chan struct{}),
+	}
+	r.done.Go(func() {
+		ticker := time.NewTicker(tickInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-r.stop:
+				return
+			case <-ticker.C:
+				r.tick(time.Now())
+			}
+		}
+	})
+	return r
+}
+
+// Close stops the router's goroutine; requests in progress go on.
+func (r *Router) Close() {
+	close(r.stop)
+	r.done.Wait()
+}
+
+// tick refreshes the tables, refuses requests that are too late and lets others go on.
+func (r *Router) tick(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refresh(now)
+	for _, s := range r.services {
+		r.expire(now, s)
+		r.dispatch(now, s)
+	}
+}
+
+// refresh rebuilds the services after a change of configuration or upstreams; mu is held.
+func (r *Router) refresh(now time.Time) {
+	snapshot := r.opts.Snapshot()
+	upstreams, revision := r.opts.Upstreams()
+	if snapshot == r.seenConfig && revision == r.seenRevision && r.seenConfig != nil {
+		return
+	}
+	r.seenConfig, r.seenRevision = snapshot, revision
+	byService := map[string][]vm.VM{}
+	for _, u := range upstreams {
+		if g, ok := snapshot.UpstreamGroup(u.Group); ok {
+			byService[g.Service] = append(byService[g.Service], u)
+		}
+	}
+	kept := map[string]*service{}
+	for _, cfg := range snapshot.Set.Services {
+		s, ok := r.services[cfg.Name]
+		if !ok {
+			s = &service{queues: map[string]admit.Queue{}, budget: retry.NewBudget(cfg.RetryBudget), waiting: map[uint64]*waiter{}}
+		}
+		r.configure(now, s, cfg, byService[cfg.Name])
+		kept[cfg.Name] = s
+	}
+	for name, s := range r.services {
+		if kept[name] == nil {
+			s.refuseAll(Refusal{Code: CodeUnknownModel})
+		}
+	}
+	r.services = kept
+}
+
+func (r *Router) configure(now time.Time, s *service, cfg config.Service, upstreams []vm.VM) {
+	old := s.table
+	capacity := cfg.MaxConcurrency
+	if capacity <= 0 {
+		capacity = defaultConcurrency
+	}
+	subset := route.Subset(r.opts.Self, upstreams, route.SubsetSize)
+	names := namesOf(r.seenConfig, cfg.Name)
+	s.table = route.NewTable(r.opts.Self, r.opts.VMs(), subset, capacity, names, r.counter).WithStateOf(old)
+	for _, u := range subset {
+		if _, known := old.Find(u.ID); !known && old.Len() > 0 {
+			s.table = s.table.WithHealth(u.ID, route.Health{}.WithReturn(now))
+		}
+	}
+	s.cfg = cfg
+	s.budget = s.budget.WithShare(cfg.RetryBudget)
+	s.shares = sharesOf(r.seenConfig, cfg.Name)
+	for name, q := range s.queues {
+		s.queues[name] = q.WithLimit(cfg.QueueLimit).WithShares(s.shares)
+	}
+}
+
+func (r *Router) counter(id string) *route.Counter {
+	c, ok := r.counters[id]
+	if !ok {
+		c = &route.Counter{}
+		r.counters[id] = c
+	}
+	return c
+}
+
+// namesOf lists the models and adapters of a service.
+func namesOf(s *config.Snapshot, service string) []string {
+	var names []string
+	for _, m := range s.Set.Models {
+		if m.Service == service {
+			names = append(names, m.Name)
+		}
+	}
+	for _, a := range s.Set.Adapters {
+		if m, ok := s.Model(a.Model); ok && m.Service == service {
+			names = append(names, a.Name)
+		}
+	}
+	return names
+}
+
+func sharesOf(s *config.Snapshot, service string) []admit.Share {
+	var shares []admit.Share
+	for _, t := range s.Set.Teams {
+		for _, share := range t.Shares {
+			if share.Service == service {
+				shares = append(shares, admit.Share{Team: t.Name, Share: share.Share})
+			}
+		}
+	}
+	return shares
+}
+
+// WithDigest takes in a digest from an upstream's home.
+func (r *Router) WithDigest(now time.Time, service, id string, d route.Digest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.services[service]
+	if !ok {
+		return
+	}
+	d.At = now
+	s.table = s.table.WithDigest(id, d)
+	r.dispatch(now, s)
+}
+
+// InFlight returns this VM's own requests in flight at the upstream.
+func (r *Router) InFlight(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return int(r.counter(id).Load())
+}
+
+// Waiting returns the number of requests that wait in the queues of this VM.
+func (r *Router) Waiting() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, s := range r.services {
+		n += len(s.waiting)
+	}
+	return n
+}
+
+// Want says what a request needs.
+type Want struct {
+	Service string
+	// Name is the model, adapter or plain service.
+	Name string
+	Team string
+	// Prefix is the hash of the prompt's first part; 0 means none.
+	Prefix   uint64
+	Deadline time.Time
+	// Exclude is the ID of an upstream that failed the request, or empty.
+	Exclude string
+	// Tokens is the estimated length of the prompt.
+	Tokens int
+}
+
+// Lease is one place at an upstream; Done gives it back.
+type Lease struct {
+	Upstream vm.VM
+	router   *Router
+	service  string
+	name     string
+	team     string
+	once     sync.Once
+}
+
+// Acquire waits for a place at an upstream. Errors are of type *Refusal; a refused request did not
+// run.
+func (r *Router) Acquire(ctx context.Context, w Want) (*Lease, error) {
+	now := time.Now()
+	r.mu.Lock()
+	if r.seenConfig == nil {
+		r.refresh(now)
+	}
+	s, ok := r.services[w.Service]
+	if !ok {
+		r.mu.Unlock()
+		return nil, &Refusal{Code: CodeUnknownModel}
+	}
+	q := s.queue(w.Name)
+	if q.Len() == 0 {
+		if lease, ok := r.place(now, s, w); ok {
+			s.queues[w.Name] = q.Start(w.Team)
+			r.mu.Unlock()
+			return lease, nil
+		}
+	}
+	r.nextID++
+	request := admit.Request{ID: r.nextID, Team: w.Team, Deadline: w.Deadline}
+	q, verdict := q.Offer(now, request)
+	s.queues[w.Name] = q
+	if !verdict.Accepted {
+		r.mu.Unlock()
+		return nil, &Refusal{Code: codeOf(verdict.Reason), RetryAfter: verdict.RetryAfter}
+	}
+	wait := &waiter{want: w, grants: make(chan grant, 1)}
+	s.waiting[request.ID] = wait
+	r.mu.Unlock()
+	return r.await(ctx, s, request, wait)
+}
+
+func (r *Router) await(ctx context.Context, s *service, request admit.Request, wait *waiter) (*Lease, error) {
+	select {
+	case g := <-wait.grants:
+		return g.result()
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	q, waited := s.queues[wait.want.Name].Remove(request)
+	if waited {
+		s.queues[wait.want.Name] = q
+		delete(s.waiting, request.ID)
+	}
+	r.mu.Unlock()
+	if waited {
+		return nil, &Refusal{Code: CodeCancelled}
+	}
+	return (<-wait.grants).result()
+}
+
+func (g grant) result() (*Lease, error) {
+	if g.refusal != nil {
+		return nil, g.refusal
+	}
+	return g.lease, nil
+}
+
+// place picks an upstream with room and counts the request there; mu is held.
+func (r *Router) place(now time.Time, s *service, w Want) (*Lease, bool) {
+	want := route.Want{Bit: s.table.Bit(w.Name), Prefix: w.Prefix, Random: rand.Uint64(), NeedsRoom: true}
+	if i, ok := s.table.Find(w.Exclude); ok && s.table.Len() > 1 {
+		want.Exclude = i + 1
+	}
+	i, ok := s.table.Pick(now, want)
+	if !ok {
+		return nil, false
+	}
+	e := s.table.Entry(i)
+	n := e.Own.Add(1)
+	r.opts.Counted(s.cfg.Name, e.Upstream, int(n), w.Tokens)
+	return &Lease{Upstream: e.Upstream, router: r, service: s.cfg.Name, name: w.Name, team: w.Team}, true
+}
+
+// Done gives the place back; ok is false when the upstream failed by its own fault.
+func (l *Lease) Done(now time.Time, ok bool) {
+	l.once.Do(func() {
+		r := l.router
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		n := r.counter(l.Upstream.ID).Add(-1)
+		r.opts.Counted(l.service, l.Upstream, int(n), 0)
+		s, known := r.services[l.service]
+		if !known {
+			return
+		}
+		s.queues[l.name] = s.queue(l.name).End(now, l.team)
+		if i, found := s.table.Find(l.Upstream.ID); found {
+			health := s.table.Entry(i).Health
+			if next := health.WithResult(now, ok); next != health {
+				s.table = s.table.WithHealth(l.Upstream.ID, next)
+			}
+		}
+		r.dispatch(now, s)
+	})
+}
+
+// dispatch lets waiting requests go on while upstreams have room; mu is held.
+func (r *Router) dispatch(now time.Time, s *service) {
+	for name, q := range s.queues {
+		for q.Len() > 0 {
+			next, request, _ := q.Next(now)
+			wait := s.waiting[request.ID]
+			lease, ok := r.place(now, s, wait.want)
+			if !ok {
+				break
+			}
+			q = next
+			delete(s.waiting, request.ID)
+			wait.grants <- grant{lease: lease}
+		}
+		s.queues[name] = q
+	}
+}
+
+// expire refuses at once the requests whose deadline has passed; mu is held.
+func (r *Router) expire(now time.Time, s *service) {
+	for name, q := range s.queues {
+		q, expired := q.Expire(now)
+		s.queues[name] = q
+		for _, request := range expired {
+			s.waiting[request.ID].grants <- grant{refusal: &Refusal{Code: CodeDeadline}}
+			delete(s.waiting, request.ID)
+		}
+	}
+}
+
+func (s *service) queue(name string) admit.Queue {
+	q, ok := s.queues[name]
+	if !ok {
+		q = admit.NewQueue(max(1, s.cfg.QueueLimit)).WithShares(s.shares)
+		s.queues[name] = q
+	}
+	return q
+}
+
+func (s *service) refuseAll(refusal Refusal) {
+	for id, w := range s.waiting {
+		w.grants <- grant{refusal: &refusal}
+		delete(s.waiting, id)
+	}
+}
