--- /dev/null
+++ b/fake/engine/step.go
@@ -0,0 +1,177 @@
+package engine
+
+import "time"
+
+// Step ends the step that ends at or before now and starts the next one. It reports whether a
+// step ended; call it until it reports false.
+func (m *Model) Step(now time.Duration) bool {
+	if !m.busy || m.stepEnd > now {
+		return false
+	}
+	end := m.stepEnd
+	m.endStep(end)
+	m.startStep(end)
+	return true
+}
+
+// startStep admits what fits, shares out the prompt tokens of the step and sets its end.
+func (m *Model) startStep(now time.Duration) {
+	m.memory.expire(now)
+	m.admit(now)
+	m.recordLoad(now)
+	if len(m.running) == 0 {
+		m.busy = false
+		return
+	}
+	prefill, decoding := m.planStep()
+	m.busy = true
+	m.stepEnd = now + m.opts.StepBase +
+		time.Duration(decoding)*m.opts.StepPerSequence +
+		time.Duration(prefill)*m.opts.StepPerPrefill
+}
+
+// planStep gives the prompts of the oldest sequences first their part of the step's tokens.
+func (m *Model) planStep() (prefill, decoding int) {
+	left := m.opts.PrefillChunk
+	for _, s := range m.running {
+		s.prefillStep = min(left, s.prefillLeft)
+		left -= s.prefillStep
+		prefill += s.prefillStep
+		if s.prefillLeft == 0 {
+			decoding++
+		}
+	}
+	return prefill, decoding
+}
+
+// admit moves requests from the queue to the running ones in order of arrival.
+func (m *Model) admit(now time.Duration) {
+	for m.waiting.Len() > 0 && len(m.running) < m.opts.MaxRunning {
+		s := m.waiting.Front().Value.(*sequence)
+		if !s.req.Hopeless && !m.place(now, s) {
+			return
+		}
+		m.waiting.Remove(s.element)
+		s.element = nil
+		if !s.admitted && !s.req.Resume {
+			m.ran[s.req.ID]++
+			m.started++
+		}
+		if s.req.Hopeless {
+			delete(m.byID, s.req.ID)
+			m.emit(s, Failed, 0)
+			continue
+		}
+		if !s.admitted {
+			m.emit(s, Admitted, 0)
+		}
+		s.admitted = true
+		m.running = append(m.running, s)
+	}
+}
+
+// place takes the memory of a sequence and sets how much of its prompt must be computed.
+func (m *Model) place(now time.Duration, s *sequence) bool {
+	tokens := s.req.PromptTokens + s.next
+	if b := m.memory.blocks[stateKey(s.req.ID)]; b != nil {
+		m.memory.drop(b.key)
+		tokens = b.tokens
+		if !m.memory.take(tokens) {
+			return false
+		}
+		s.kv, s.prefillLeft = tokens, 0
+		return true
+	}
+	own := tokens
+	b := m.memory.blocks[prefixKey(s.req.Prefix)]
+	if s.req.Prefix != 0 {
+		own -= s.req.PrefixTokens
+	}
+	cached := b != nil
+	if cached {
+		m.memory.pin(b)
+	}
+	if !m.memory.take(own) {
+		if cached {
+			m.memory.unpin(b)
+		}
+		return false
+	}
+	s.kv, s.prefillLeft, s.prefix = own, max(own, 1), b
+	if s.req.Prefix != 0 && !cached {
+		m.cachePrefix(now, s)
+		s.prefillLeft = tokens
+	}
+	return true
+}
+
+// cachePrefix stores the prefix of a sequence that computes it; without room it is kept alone.
+func (m *Model) cachePrefix(now time.Duration, s *sequence) {
+	b := m.memory.store(prefixKey(s.req.Prefix), s.req.PrefixTokens, 0)
+	if b == nil {
+		return
+	}
+	b.prefix = s.req.Prefix
+	m.memory.pin(b)
+	s.prefix = b
+	m.recordCache(now, Stored, s.req.Prefix)
+}
+
+// endStep gives each sequence its progress.
+func (m *Model) endStep(now time.Duration) {
+	running := m.running
+	kept := make([]*sequence, 0, len(running))
+	for _, s := range running {
+		if m.byID[s.req.ID] != s {
+			continue
+		}
+		if m.advance(s) {
+			kept = append(kept, s)
+			continue
+		}
+		delete(m.byID, s.req.ID)
+		m.release(now, s, s.req.Resumable)
+		m.emit(s, Finished, s.next)
+	}
+	m.running = kept
+	m.makeRoom(now)
+	m.recordEvictions(now)
+}
+
+// advance computes the prompt part or the next token of s; it reports whether s goes on.
+func (m *Model) advance(s *sequence) bool {
+	if s.prefillLeft > 0 {
+		s.prefillLeft -= s.prefillStep
+		m.Computed += s.prefillStep
+		if s.prefillLeft > 0 || s.prefillStep == 0 {
+			return true
+		}
+	}
+	if s.next < s.req.MaxTokens {
+		m.emit(s, Token, s.next)
+		s.next++
+		m.Decoded++
+	}
+	return s.next < s.req.MaxTokens
+}
+
+// makeRoom takes a token of memory for each decoding sequence; the newest give way.
+func (m *Model) makeRoom(now time.Duration) {
+	for i := 0; i < len(m.running); i++ {
+		s := m.running[i]
+		if s.prefillLeft > 0 {
+			continue
+		}
+		for !m.memory.take(1) {
+			newest := m.running[len(m.running)-1]
+			m.running = m.running[:len(m.running)-1]
+			m.release(now, newest, false)
+			newest.element = m.waiting.PushFront(newest)
+			m.Preempted++
+			if newest == s {
+				return
+			}
+		}
+		s.kv++
+	}
+}
