Add the callers' port: completions, plain services, accepted requests

Cause: callers speak OpenAI's interface; nothing answered them.

Change: io/caller with authentication by key hash, limits on bodies and requests in progress, streams and whole answers, plain services passed on, durable requests by seams of the ledger; io/engine puts numbered tokens in order and drops late ones.

--- /dev/null
+++ b/io/caller/accepted.go
@@ -0,0 +1,110 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"mothcart/core/retry"
+)
+
+type acceptedBody struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+	State  string `json:"state"`
+	// Status and Body are the answer of a request that is done.
+	Status int             `json:"status,omitempty"`
+	Body   json.RawMessage `json:"body,omitempty"`
+	Text   string          `json:"text,omitempty"`
+}
+
+const (
+	requestObject = "mothcart.request"
+	requestsPath  = "/v1/requests/"
+	// pollAdvice is when to ask again for a request that runs.
+	pollAdvice = time.Second
+)
+
+// serveDurable runs a request through the ledger and answers with its one recorded outcome.
+func (h *Handler) serveDurable(w http.ResponseWriter, r *http.Request, c call, d DurableRequest) {
+	if h.opts.Durable == nil {
+		h.refuse(w, c, notDurable())
+		return
+	}
+	if respondAsync(r) {
+		h.accept(w, r, c, d)
+		return
+	}
+	answer, err := h.opts.Durable(r.Context(), d)
+	if err != nil {
+		h.refuse(w, c, durableProblem(err))
+		return
+	}
+	h.writeAnswer(w, c, answer)
+}
+
+func (h *Handler) accept(w http.ResponseWriter, r *http.Request, c call, d DurableRequest) {
+	id, err := h.opts.Accept(r.Context(), d)
+	if err != nil {
+		h.refuse(w, c, durableProblem(err))
+		return
+	}
+	w.Header().Set("Location", requestsPath+id)
+	w.Header().Set("Preference-Applied", "respond-async")
+	writeJSON(w, http.StatusAccepted, acceptedBody{ID: id, Object: requestObject, State: "running"})
+}
+
+// getRequest shows the state of an accepted request.
+func (h *Handler) getRequest(w http.ResponseWriter, r *http.Request, c call) {
+	if h.opts.Lookup == nil {
+		h.refuse(w, c, durableProblem(ErrNoRequest))
+		return
+	}
+	state, err := h.opts.Lookup(r.Context(), c.account.Team, r.PathValue("id"))
+	if err != nil {
+		h.refuse(w, c, durableProblem(err))
+		return
+	}
+	body := acceptedBody{ID: r.PathValue("id"), Object: requestObject, State: state.State, Status: state.Answer.Status}
+	if json.Valid(state.Answer.Body) {
+		body.Body = state.Answer.Body
+	} else {
+		body.Text = string(state.Answer.Body)
+	}
+	writeJSON(w, http.StatusOK, body)
+}
+
+func (h *Handler) writeAnswer(w http.ResponseWriter, c call, a DurableAnswer) {
+	if a.Unknown {
+		h.refuse(w, c, problem{status: http.StatusBadGateway, code: "outcome_unknown", ran: retry.RanMaybe, message: "the request may have run; it is not sent again"})
+		return
+	}
+	for name, values := range a.Header {
+		w.Header()[name] = values
+	}
+	if w.Header().Get(ranHeader) == "" {
+		w.Header().Set(ranHeader, string(retry.RanYes))
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+func notDurable() problem {
+	return problem{status: http.StatusServiceUnavailable, code: "not_durable", ran: retry.RanNo, message: ErrNotDurable.Error(), retryAfter: time.Second}
+}
+
+func durableProblem(err error) problem {
+	switch {
+	case errors.Is(err, ErrNotDurable):
+		return notDurable()
+	case errors.Is(err, ErrKeyReused):
+		return problem{status: http.StatusUnprocessableEntity, code: "idempotency_key_reused", ran: retry.RanNo, message: ErrKeyReused.Error()}
+	case errors.Is(err, ErrInProgress):
+		return problem{status: http.StatusConflict, code: "request_in_progress", ran: retry.RanMaybe, message: ErrInProgress.Error(), retryAfter: pollAdvice}
+	case errors.Is(err, ErrNoRequest):
+		return problem{status: http.StatusNotFound, code: "request_not_found", ran: retry.RanNo, message: ErrNoRequest.Error()}
+	default:
+		return problem{status: http.StatusBadGateway, code: "outcome_unknown", ran: retry.RanMaybe, message: err.Error()}
+	}
+}
--- /dev/null
+++ b/io/caller/assemble.go
@@ -0,0 +1,121 @@
+package caller
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// assembler puts a whole answer together from the events of its stream.
+type assembler struct {
+	chat   bool
+	events int
+	last   chunk
+	text   strings.Builder
+	role   string
+	finish *string
+	usage  json.RawMessage
+	whole  bool
+}
+
+// chunk is one event of a stream, of both kinds of completion.
+type chunk struct {
+	ID                string          `json:"id"`
+	Created           int64           `json:"created"`
+	Model             string          `json:"model"`
+	SystemFingerprint string          `json:"system_fingerprint,omitempty"`
+	Choices           []chunkChoice   `json:"choices"`
+	Usage             json.RawMessage `json:"usage,omitempty"`
+}
+
+type chunkChoice struct {
+	Delta        chunkDelta `json:"delta"`
+	Text         string     `json:"text"`
+	FinishReason *string    `json:"finish_reason"`
+}
+
+type chunkDelta struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type wholeAnswer struct {
+	ID                string          `json:"id"`
+	Object            string          `json:"object"`
+	Created           int64           `json:"created"`
+	Model             string          `json:"model"`
+	SystemFingerprint string          `json:"system_fingerprint,omitempty"`
+	Choices           []wholeChoice   `json:"choices"`
+	Usage             json.RawMessage `json:"usage,omitempty"`
+}
+
+type wholeChoice struct {
+	Index        int           `json:"index"`
+	Message      *wholeMessage `json:"message,omitempty"`
+	Text         *string       `json:"text,omitempty"`
+	Logprobs     *struct{}     `json:"logprobs"`
+	FinishReason *string       `json:"finish_reason"`
+}
+
+type wholeMessage struct {
+	Role    string  `json:"role"`
+	Content string  `json:"content"`
+	Refusal *string `json:"refusal"`
+}
+
+func newAssembler(chat bool) *assembler { return &assembler{chat: chat, role: "assistant"} }
+
+// add takes in the data of one event.
+func (a *assembler) add(data string) error {
+	a.events++
+	if data == "[DONE]" {
+		a.whole = true
+		return nil
+	}
+	var c chunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		return merry.Errorf("decode event of stream: %w", err)
+	}
+	if len(c.Usage) > 0 && string(c.Usage) != "null" {
+		a.usage = c.Usage
+	}
+	if c.ID != "" {
+		a.last = c
+	}
+	for _, choice := range c.Choices {
+		a.text.WriteString(choice.Delta.Content)
+		a.text.WriteString(choice.Text)
+		if choice.Delta.Role != "" {
+			a.role = choice.Delta.Role
+		}
+		if choice.FinishReason != nil {
+			a.finish = choice.FinishReason
+		}
+	}
+	return nil
+}
+
+// answer renders the whole answer; it fails if the stream was not whole.
+func (a *assembler) answer() ([]byte, error) {
+	if !a.whole {
+		return nil, merry.New("stream ended before [DONE]")
+	}
+	text := a.text.String()
+	choice := wholeChoice{FinishReason: a.finish}
+	object := "text_completion"
+	if a.chat {
+		object = "chat.completion"
+		choice.Message = &wholeMessage{Role: a.role, Content: text}
+	} else {
+		choice.Text = &text
+	}
+	data, err := json.Marshal(wholeAnswer{
+		ID: a.last.ID, Object: object, Created: a.last.Created, Model: a.last.Model,
+		SystemFingerprint: a.last.SystemFingerprint, Choices: []wholeChoice{choice}, Usage: a.usage,
+	})
+	if err != nil {
+		return nil, merry.Errorf("encode answer: %w", err)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/io/caller/caller.go
@@ -0,0 +1,124 @@
+// Package caller serves the callers: OpenAI's HTTP interface for model engines, plain services
+// under /services/, and the states of accepted requests.
+//
+// Each answer carries Mothcart-Request-Id. An error is in OpenAI's shape with a stable code, and
+// Mothcart-Ran says whether the request ran: no, yes or maybe. A refusal with Mothcart-Ran: no
+// never reached an upstream that ran it. A caller gets a whole answer or a clear error: a stream
+// is whole only if it ends with [DONE].
+//
+// Usage:
+//
+//	h := caller.New(caller.NewOptions(router).WithSnapshot(follower.Current))
+//	server := http.NewServer(…)
+//	server.HandlePrefix("/", h)
+package caller
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+
+	"mothcart/core/config"
+	"mothcart/core/retry"
+)
+
+// Headers of the callers' interface.
+const (
+	requestIDHeader  = "Mothcart-Request-Id"
+	ranHeader        = "Mothcart-Ran"
+	idempotentHeader = "Mothcart-Idempotent"
+	deadlineHeader   = "Mothcart-Deadline-Ms"
+	keyHeader        = "Idempotency-Key"
+)
+
+// Handler serves the callers. It is safe for concurrent use.
+type Handler struct {
+	opts     Options
+	mux      *http.ServeMux
+	inFlight atomic.Int64
+
+	requests metrics.Meter
+	refused  metrics.Meter
+	failed   metrics.Meter
+	first    metrics.Timer
+	total    metrics.Timer
+}
+
+// New returns the handler.
+func New(opts Options) *Handler {
+	h := &Handler{
+		opts:     opts,
+		mux:      http.NewServeMux(),
+		requests: metrics.GetOrRegisterMeter("caller.requests", opts.Registry),
+		refused:  metrics.GetOrRegisterMeter("caller.refused", opts.Registry),
+		failed:   metrics.GetOrRegisterMeter("caller.failed", opts.Registry),
+		first:    metrics.GetOrRegisterTimer("caller.firstToken", opts.Registry),
+		total:    metrics.GetOrRegisterTimer("caller.total", opts.Registry),
+	}
+	h.mux.HandleFunc("POST /v1/chat/completions", h.authorized(h.completion))
+	h.mux.HandleFunc("POST /v1/completions", h.authorized(h.completion))
+	h.mux.HandleFunc("GET /v1/models", h.authorized(h.listModels))
+	h.mux.HandleFunc("GET /v1/models/{model}", h.authorized(h.getModel))
+	h.mux.HandleFunc("GET /v1/requests/{id}", h.authorized(h.getRequest))
+	h.mux.HandleFunc("/services/{service}/{path...}", h.authorized(h.plain))
+	if opts.Batches != nil {
+		for _, pattern := range []string{"/v1/files", "/v1/files/", "/v1/batches", "/v1/batches/"} {
+			h.mux.Handle(pattern, opts.Batches)
+		}
+	}
+	h.mux.HandleFunc("/", h.notFound)
+	return h
+}
+
+// InFlight returns the number of requests in progress.
+func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
+
+// call is one request of a caller that was authorized.
+type call struct {
+	id       string
+	received time.Time
+	snapshot *config.Snapshot
+	account  config.Account
+}
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.inFlight.Add(1) > int64(h.opts.MaxInFlight) {
+		h.inFlight.Add(-1)
+		h.refused.Mark(1)
+		writeError(w, problem{status: http.StatusServiceUnavailable, code: "vm_overloaded", ran: retry.RanNo, message: "this VM holds as many requests as it may", retryAfter: time.Second})
+		return
+	}
+	defer h.inFlight.Add(-1)
+	h.requests.Mark(1)
+	h.mux.ServeHTTP(w, r)
+}
+
+// authorized finds the account of the request's API key and applies its limit.
+func (h *Handler) authorized(next func(http.ResponseWriter, *http.Request, call)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c := call{id: uuid.NewString(), received: time.Now(), snapshot: h.opts.Snapshot()}
+		w.Header().Set(requestIDHeader, c.id)
+		account, ok := Authenticate(c.snapshot, r)
+		if !ok {
+			h.refused.Mark(1)
+			writeError(w, problem{status: http.StatusUnauthorized, code: "invalid_api_key", ran: retry.RanNo, message: "the API key is missing or unknown"})
+			return
+		}
+		c.account = account
+		if wait, ok := h.opts.Allow(c.received, account); !ok {
+			h.refused.Mark(1)
+			writeError(w, problem{status: http.StatusTooManyRequests, code: "rate_limit_exceeded", ran: retry.RanNo, message: "the account's limit is reached", retryAfter: wait})
+			return
+		}
+		next(w, r, c)
+	}
+}
+
+func (h *Handler) notFound(w http.ResponseWriter, r *http.Request) {
+	h.refused.Mark(1)
+	writeError(w, problem{status: http.StatusNotFound, code: "unknown_url", ran: retry.RanNo, message: "no such path: " + r.Method + " " + r.URL.Path})
+}
--- /dev/null
+++ b/io/caller/plain.go
@@ -0,0 +1,264 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"mothcart/core/config"
+	"mothcart/core/retry"
+	"mothcart/core/route"
+	"mothcart/io/service"
+	"mothcart/io/upstream"
+)
+
+// servicesPrefix starts the paths of plain services.
+const servicesPrefix = "/services/"
+
+// maxHeldBytes is the size up to which an answer is held until it is whole, so that a broken one
+// can be asked for again.
+const maxHeldBytes = 256 << 10
+
+// plainTarget splits a plain service's URL into the service and the upstream's path with query.
+func plainTarget(u *url.URL) (name, path string, ok bool) {
+	rest, ok := strings.CutPrefix(u.EscapedPath(), servicesPrefix)
+	if !ok {
+		return "", "", false
+	}
+	name, path, _ = strings.Cut(rest, "/")
+	path = "/" + path
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
+	}
+	return name, path, true
+}
+
+// plainRun is a call to a plain service with all that was decided on it.
+type plainRun struct {
+	service    config.Service
+	call       service.Call
+	team       string
+	idempotent bool
+	deadline   time.Time
+}
+
+// plain passes a call on to a plain service.
+func (h *Handler) plain(w http.ResponseWriter, r *http.Request, c call) {
+	data, p := h.readBody(w, r)
+	if p != nil {
+		h.refuse(w, c, *p)
+		return
+	}
+	name, path, _ := plainTarget(r.URL)
+	run, p := planPlain(r, c, name, path, data)
+	if p != nil {
+		h.refuse(w, c, *p)
+		return
+	}
+	if key := r.Header.Get(keyHeader); key != "" || respondAsync(r) {
+		h.serveDurable(w, r, c, newDurableRequest(r, c, data, key, run.idempotent, run.deadline))
+		return
+	}
+	answer, err := h.exchangePlain(r.Context(), run)
+	if err != nil {
+		h.refuse(w, c, problemOf(err))
+		return
+	}
+	defer answer.Body.Close()
+	h.passAnswer(w, c, answer)
+}
+
+func planPlain(r *http.Request, c call, name, path string, data []byte) (plainRun, *problem) {
+	target, ok := route.Resolve(c.snapshot, name, r.Header.Get, c.account.Name, rand.Uint64())
+	if !ok || target.Service.Kind != config.KindPlain {
+		return plainRun{}, &problem{status: http.StatusNotFound, code: "service_not_found", ran: retry.RanNo, message: "no plain service is called " + name}
+	}
+	due, p := deadline(r, c.received, target.Service.RequestTimeout)
+	if p != nil {
+		return plainRun{}, p
+	}
+	safe := r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions
+	mayRepeat, p := idempotent(r, target.Service.Idempotent || safe)
+	if p != nil {
+		return plainRun{}, p
+	}
+	header := r.Header.Clone()
+	header.Del("Authorization")
+	return plainRun{
+		service: target.Service, team: c.account.Team, idempotent: mayRepeat, deadline: due,
+		call: service.Call{Method: r.Method, Path: path, Header: header, Body: data, RequestID: c.id},
+	}, nil
+}
+
+// exchangePlain makes attempts until one has an answer. Errors are as in upstream.Exchange.
+func (h *Handler) exchangePlain(ctx context.Context, run plainRun) (service.Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, run.deadline)
+	x := plainExchange{handler: h, run: run}
+	for {
+		answer, err := x.attempt(ctx)
+		if err == nil {
+			answer.Body = cancelOnClose{ReadCloser: answer.Body, cancel: cancel}
+			return answer, nil
+		}
+		if !x.goOn(err) {
+			cancel()
+			return service.Answer{}, x.final(err)
+		}
+	}
+}
+
+// plainExchange is the state of one call over its attempts.
+type plainExchange struct {
+	handler  *Handler
+	run      plainRun
+	attempts int
+	maybeRan bool
+	exclude  string
+}
+
+func (x *plainExchange) attempt(ctx context.Context) (service.Answer, error) {
+	lease, err := x.handler.opts.Router.Acquire(ctx, upstream.Want{
+		Service: x.run.service.Name, Name: x.run.service.Name, Team: x.run.team, Deadline: x.run.deadline, Exclude: x.exclude,
+	})
+	if err != nil {
+		return service.Answer{}, err
+	}
+	x.attempts++
+	x.exclude = lease.Upstream.ID
+	call := x.run.call
+	call.Address = lease.Upstream.Address
+	answer, err := x.handler.opts.Services.Do(ctx, call)
+	if err != nil {
+		lease.Done(time.Now(), ctx.Err() != nil)
+		return service.Answer{}, err
+	}
+	if answer, err = hold(answer); err != nil {
+		lease.Done(time.Now(), ctx.Err() != nil)
+		return service.Answer{}, err
+	}
+	if answer.Status == http.StatusServiceUnavailable && x.retryRefused() {
+		answer.Body.Close()
+		lease.Done(time.Now(), true)
+		return service.Answer{}, errUpstreamBusy
+	}
+	answer.Body = doneOnClose{ReadCloser: answer.Body, lease: lease}
+	return answer, nil
+}
+
+// errUpstreamBusy is a 503 of the upstream that another upstream may answer better.
+var errUpstreamBusy = errors.New("upstream answered 503")
+
+// retryRefused reports that a 503 may be tried again: the call is idempotent.
+func (x *plainExchange) retryRefused() bool {
+	return x.run.idempotent && x.attempts < retry.MaxAttempts
+}
+
+// hold reads a small answer whole, so that one that breaks is found before any of it is sent on.
+func hold(a service.Answer) (service.Answer, error) {
+	if a.Length < 0 || a.Length > maxHeldBytes {
+		return a, nil
+	}
+	body, err := io.ReadAll(a.Body)
+	a.Body.Close()
+	if err != nil {
+		return service.Answer{}, &service.Failure{Sent: true}
+	}
+	a.Body = io.NopCloser(strings.NewReader(string(body)))
+	return a, nil
+}
+
+func (x *plainExchange) goOn(err error) bool {
+	var refusal *upstream.Refusal
+	if errors.As(err, &refusal) {
+		return false
+	}
+	var failure *service.Failure
+	sent := true
+	if errors.As(err, &failure) {
+		sent = failure.Sent
+	}
+	x.maybeRan = x.maybeRan || sent
+	f := retry.Failure{Idempotent: x.run.idempotent, Sent: x.maybeRan, Attempts: x.attempts}
+	return x.handler.opts.Router.Decide(time.Now(), x.run.service.Name, x.run.deadline, f) != retry.Fail
+}
+
+func (x *plainExchange) final(err error) error {
+	if !x.maybeRan {
+		var refusal *upstream.Refusal
+		if errors.As(err, &refusal) {
+			return err
+		}
+		return upstream.NewExchangeError(upstream.CodeUpstream, retry.RanNo, err)
+	}
+	return upstream.NewExchangeError(upstream.CodeUpstream, retry.RanMaybe, err)
+}
+
+// passAnswer sends the upstream's answer on; a body that breaks breaks the caller's connection, so
+// that a part never looks like a whole.
+func (h *Handler) passAnswer(w http.ResponseWriter, c call, a service.Answer) {
+	for name, values := range a.Header {
+		if name != http.CanonicalHeaderKey(requestIDHeader) {
+			w.Header()[name] = values
+		}
+	}
+	w.Header().Set(ranHeader, string(retry.RanYes))
+	w.WriteHeader(a.Status)
+	if _, err := io.Copy(w, a.Body); err != nil {
+		h.failed.Mark(1)
+		h.opts.Log.Warn().Err(err).Str("request", c.id).Msg("answerBroken")
+		panic(http.ErrAbortHandler)
+	}
+	h.total.UpdateSince(c.received)
+	h.opts.Log.Info().Str("request", c.id).Str("account", c.account.Name).Int("status", a.Status).Dur("took", time.Since(c.received)).Msg("callDone")
+}
+
+// replayPlain runs a plain call of the ledger and returns its whole answer.
+func (h *Handler) replayPlain(ctx context.Context, r *http.Request, c call, name, path string, body []byte, d DurableRequest) (DurableAnswer, retry.Ran, error) {
+	run, p := planPlain(r, c, name, path, body)
+	if p != nil {
+		return p.answer(), p.ran, nil
+	}
+	run.idempotent = d.Idempotent
+	run.deadline = d.Deadline
+	answer, err := h.exchangePlain(ctx, run)
+	if err != nil {
+		p := problemOf(err)
+		return p.answer(), p.ran, err
+	}
+	defer answer.Body.Close()
+	whole, err := io.ReadAll(io.LimitReader(answer.Body, h.opts.MaxBodyBytes))
+	if err != nil {
+		p := problemOf(upstream.NewExchangeError(upstream.CodeUpstream, retry.RanMaybe, err))
+		return p.answer(), p.ran, err
+	}
+	return DurableAnswer{Status: answer.Status, Header: answer.Header, Body: whole}, retry.RanYes, nil
+}
+
+// cancelOnClose ends the context of a call once its answer was read.
+type cancelOnClose struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the body.
+func (c cancelOnClose) Close() error {
+	defer c.cancel()
+	return c.ReadCloser.Close()
+}
+
+// doneOnClose gives the upstream's place back once the answer was read.
+type doneOnClose struct {
+	io.ReadCloser
+	lease *upstream.Lease
+}
+
+// Close closes the body.
+func (d doneOnClose) Close() error {
+	defer d.lease.Done(time.Now(), true)
+	return d.ReadCloser.Close()
+}
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -11,7 +11,7 @@
 //	c := engine.New(engine.NewOptions())
 //	defer c.Close()
 //	err := c.Stream(ctx, engine.Call{Address: "10.0.0.4:8000", Path: engine.ChatPath, RequestID: id, Body: body},
-//		func(data string) error { return forward(data) })
+//		func(e engine.Event) error { return forward(e.Data) })
 package engine
 
 import (
@@ -58,6 +58,7 @@
 	mu      sync.Mutex
 	pools   map[string]*http.Transport
 	foreign atomic.Int64
+	late    atomic.Int64
 	silent  atomic.Int64
 }
 
@@ -78,6 +79,9 @@
 // Foreign returns the number of answers dropped because they belonged to another request.
 func (c *Client) Foreign() int64 { return c.foreign.Load() }
 
+// Late returns the number of tokens dropped because they had come before.
+func (c *Client) Late() int64 { return c.late.Load() }
+
 // SilentConnections returns the number of connections given up as silent.
 func (c *Client) SilentConnections() int64 { return c.silent.Load() }
 
@@ -124,10 +128,20 @@
 	Progress time.Duration
 }
 
-// Stream sends the call and hands each event's data to onEvent, the final [DONE] included. It
-// returns nil only after [DONE]. An error of onEvent ends the stream and is returned as it is; all
-// other errors are of type *Failure.
-func (c *Client) Stream(ctx context.Context, call Call, onEvent func(data string) error) error {
+// Event is one event of a stream.
+type Event struct {
+	// Index is the token's index in the answer, or NoIndex for an event that is not a token.
+	Index int
+	Data  string
+}
+
+// NoIndex is the index of an event without one: the usage and [DONE].
+const NoIndex = -1
+
+// Stream sends the call and hands each event to onEvent, tokens in order and once each, the final
+// [DONE] included. It returns nil only after [DONE]. An error of onEvent ends the stream and is
+// returned as it is; all other errors are of type *Failure.
+func (c *Client) Stream(ctx context.Context, call Call, onEvent func(Event) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := newWatchdog(call.Progress, func() { cancel(errSilent) })
@@ -138,12 +152,13 @@
 	}
 	defer resp.Body.Close()
 	whole := false
+	order := newSequencer(call.ResumeFrom, onEvent)
 	for event, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return c.failure(ctx, call, Broken, true, err)
 		}
 		watch.touch()
-		if err := onEvent(event.Data); err != nil {
+		if err := order.add(event.LastEventID, event.Data); err != nil {
 			return err
 		}
 		if event.Data == doneEvent {
@@ -151,7 +166,8 @@
 			break
 		}
 	}
-	if !whole {
+	c.late.Add(order.late)
+	if !whole || order.gaps() {
 		return c.failure(ctx, call, Broken, true, io.ErrUnexpectedEOF)
 	}
 	drain(resp.Body)
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -13,7 +13,7 @@
 
 const (
 	doneEvent = "[DONE]"
-	// usageMark is found in the last event before [DONE] and in no other.
+	// usageMark is found in the last event before [DONE] and in no token.
 	usageMark = `"usage":{`
 	// retryPause is the time before an attempt after a refusal; it doubles with each attempt.
 	retryPause = 20 * time.Millisecond
@@ -60,21 +60,37 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	x := &exchange{router: r, req: req, sink: sink}
-	r.count(req.Service.Name)
+	err := x.run(ctx)
+	return x.summary, err
+}
+
+// ExchangeWhole runs a request whose body asks for a whole answer, and returns the answer's body.
+// It can't be resumed; errors are as those of Exchange.
+func (r *Router) ExchangeWhole(ctx context.Context, req Request) ([]byte, Summary, error) {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	x := &exchange{router: r, req: req, whole: true}
+	err := x.run(ctx)
+	return x.answer, x.summary, err
+}
+
+// run makes attempts until one succeeds or no other is allowed.
+func (x *exchange) run(ctx context.Context) error {
+	x.router.count(x.req.Service.Name)
 	for {
 		err := x.attempt(ctx)
 		if err == nil {
-			return x.summary, nil
+			return nil
 		}
 		var f *engine.Failure
 		if !errors.As(err, &f) {
-			return x.summary, err
+			return err
 		}
 		if x.usageSeen {
-			return x.summary, x.deliver(doneEvent)
+			return x.deliver(engine.Event{Index: engine.NoIndex, Data: doneEvent})
 		}
 		if !x.goOn(ctx, f) {
-			return x.summary, x.final(f)
+			return x.final(f)
 		}
 	}
 }
@@ -90,6 +106,9 @@
 	progress  bool
 	usageSeen bool
 	sinkErr   error
+	// whole asks for the answer at once; answer is its body.
+	whole  bool
+	answer []byte
 	// maybeRan stays true once an attempt may have run.
 	maybeRan bool
 }
@@ -110,14 +129,7 @@
 	x.summary.Attempts++
 	x.summary.Upstream = lease.Upstream.ID
 	x.progress = false
-	call := engine.Call{
-		Address: lease.Upstream.Address, Path: x.req.Path, RequestID: x.req.ID, Body: x.req.Body,
-		Resumable: x.req.Idempotent, Progress: x.req.Service.ProgressTimeout,
-	}
-	if x.resume {
-		call.ResumeFrom = x.summary.Tokens
-	}
-	err = x.router.opts.Engines.Stream(ctx, call, x.deliver)
+	err = x.send(ctx, lease)
 	var f *engine.Failure
 	fault := errors.As(err, &f) && f.UpstreamFault()
 	lease.Done(time.Now(), !fault)
@@ -127,17 +139,32 @@
 	return err
 }
 
+// send makes the call at the leased upstream.
+func (x *exchange) send(ctx context.Context, lease *Lease) error {
+	call := engine.Call{Address: lease.Upstream.Address, Path: x.req.Path, RequestID: x.req.ID, Body: x.req.Body}
+	if x.whole {
+		body, err := x.router.opts.Engines.Whole(ctx, call)
+		x.answer = body
+		return err
+	}
+	call.Resumable = x.req.Idempotent
+	call.Progress = x.req.Service.ProgressTimeout
+	if x.resume {
+		call.ResumeFrom = x.summary.Tokens
+	}
+	return x.router.opts.Engines.Stream(ctx, call, x.deliver)
+}
+
 // deliver hands one event on and counts the tokens.
-func (x *exchange) deliver(data string) error {
+func (x *exchange) deliver(e engine.Event) error {
 	x.progress = true
-	if data != doneEvent {
-		if strings.Contains(data, usageMark) {
-			x.usageSeen = true
-		} else {
-			x.summary.Tokens++
-		}
+	switch {
+	case e.Index != engine.NoIndex && !strings.Contains(e.Data, usageMark):
+		x.summary.Tokens++
+	case e.Data != doneEvent:
+		x.usageSeen = true
 	}
-	x.sinkErr = x.sink(data)
+	x.sinkErr = x.sink(e.Data)
 	return x.sinkErr
 }
 
@@ -162,10 +189,10 @@
 		return false
 	}
 	failure := retry.Failure{
-		Idempotent: x.req.Idempotent, Sent: x.maybeRan, Refused: !x.maybeRan, Resumable: true,
+		Idempotent: x.req.Idempotent, Sent: x.maybeRan, Refused: !x.maybeRan, Resumable: !x.whole,
 		Delivered: x.summary.Tokens, Attempts: x.summary.Attempts, Progress: x.progress,
 	}
-	action := x.router.decide(time.Now(), x.req, failure)
+	action := x.router.Decide(time.Now(), x.req.Service.Name, x.req.Deadline, failure)
 	if action == retry.Fail {
 		return false
 	}
@@ -212,14 +239,15 @@
 	}
 }
 
-func (r *Router) decide(now time.Time, req Request, f retry.Failure) retry.Action {
+// Decide says what to do after a failed attempt, and spends the service's retry budget.
+func (r *Router) Decide(now time.Time, service string, deadline time.Time, f retry.Failure) retry.Action {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s, ok := r.services[req.Service.Name]
+	s, ok := r.services[service]
 	if !ok {
 		return retry.Fail
 	}
-	action, budget := retry.Decide(now, req.Deadline, f, s.budget)
+	action, budget := retry.Decide(now, deadline, f, s.budget)
 	s.budget = budget
 	return action
 }
--- a/io/upstream/refusal.go
+++ b/io/upstream/refusal.go
@@ -45,6 +45,11 @@
 	err        error
 }
 
+// NewExchangeError returns the error of a request that was tried and has no answer.
+func NewExchangeError(code Code, ran retry.Ran, err error) *ExchangeError {
+	return &ExchangeError{Code: code, Ran: ran, err: err}
+}
+
 // Error describes the failure.
 func (e *ExchangeError) Error() string {
 	return fmt.Sprintf("exchange %s, ran %s: %v", e.Code, e.Ran, e.err)
