Run durable requests through shards with group commit

Cause: accepted and non-idempotent online requests need one outcome over crashes, resends and outages; nothing recorded them.

Change: core/ledger decides the steps of one shard (immutable state, the head's conditional update as the only fence); io/ledger has a writer goroutine a shard, New, Do, Accept, Lookup, Drain, and seams for the calls between VMs.

--- /dev/null
+++ b/core/ledger/shard.go
@@ -0,0 +1,196 @@
+// Package ledger decides the steps of the durable online requests of one shard.
+//
+// A Shard is an immutable value. Each event gives a new value and the effects to carry out. The
+// shell reads the head object, hands it to Load, and writes what Commit returns conditionally on
+// the version that it read: that update is the only fence. A request is dispatched only by the
+// effects of a confirmed update, so an intent is durable before its request is sent.
+//
+// After a takeover, requests in state Accepted run here; a request in state Started belongs to
+// the previous home's attempt, whose result is waited for until the request's own timeout has
+// passed on this home's clock, and which then becomes Unknown.
+//
+// Usage:
+//
+//	s := ledger.NewShard(ledger.NewLimits(), writer)
+//	s, effects := s.Load(now, head, alive)
+//	s, verdict := s.Submit(now, request)
+//	s, head, ok := s.Commit(now)
+//	s, effects = s.Committed(now) // or Failed, or Fenced
+package ledger
+
+import "time"
+
+// Shard is the state of one shard at one VM.
+type Shard struct {
+	limits   Limits
+	writer   Writer
+	sequence uint64
+	attempts uint64
+	held     bool
+	// head is the last head read or confirmed, without its tail.
+	head    Head
+	entries idMap[entry]
+	// away are this VM's executions and results of requests whose shard another home has taken.
+	away      idMap[held]
+	dirty     idMap[struct{}]
+	flying    idMap[struct{}]
+	writing   Head
+	isWriting bool
+	open      int
+	openBytes int
+}
+
+// entry is one request of the head's tail, with the changes that are not durable yet.
+type entry struct {
+	record Record
+	// durable and flying are the states in the last confirmed head and in the head being written.
+	durable, flying State
+	// mine reports that this VM runs the request.
+	mine bool
+	// intent reports that the attempt of this VM is not durable yet.
+	intent bool
+	// executing reports that Execute has been called and has not returned.
+	executing bool
+	// withdrawn reports that the asker was told that the request did not run.
+	withdrawn bool
+	// since is when this VM first saw the request.
+	since time.Time
+	// dueAt is when Tick takes the next step, if it is set.
+	dueAt time.Time
+	// mayHaveRun reports that an earlier execution here ended in doubt.
+	mayHaveRun bool
+}
+
+// held is an execution or a result of this VM for a shard that it has lost.
+type held struct {
+	record    Record
+	executing bool
+	result    Result
+}
+
+// Request is a caller's request as the core sees it.
+type Request struct {
+	ID         ID
+	Team       string
+	BodyHash   Digest
+	Idempotent bool
+	// Async reports that the caller asks for acceptance and reads the result later.
+	Async        bool
+	Timeout      time.Duration
+	Payload      []byte
+	PayloadParts []string
+	AtSeconds    int64
+}
+
+// EffectKind says what the shell has to do.
+type EffectKind uint8
+
+const (
+	// Dispatch asks to execute the record's request; its intent is durable.
+	Dispatch EffectKind = iota + 1
+	// Durable tells the askers that the request is accepted durably.
+	Durable
+	// InHand tells the askers that an answer exists that is not durable yet.
+	InHand
+	// Recorded tells the askers the final outcome, which is durable.
+	Recorded
+	// NotRun tells the askers that the request did not run and that no outcome is recorded.
+	NotRun
+	// Uncertain tells the askers that the request may run and that its outcome is not known here.
+	Uncertain
+	// Reroute tells the askers to ask again, at the shard's present home.
+	Reroute
+	// Handoff asks to give the result to the shard's present home.
+	Handoff
+)
+
+// Effect is one thing to carry out.
+type Effect struct {
+	Kind   EffectKind
+	Record Record
+	// Result is set for Handoff.
+	Result Result
+}
+
+// NewShard returns the state of a VM that has not read the shard's head.
+func NewShard(limits Limits, writer Writer) Shard { return Shard{limits: limits, writer: writer} }
+
+// Held reports whether the head has been read and no other home is known to have taken it since.
+func (s Shard) Held() bool { return s.held }
+
+// Writing reports whether a head is being written.
+func (s Shard) Writing() bool { return s.isWriting }
+
+// Dirty reports whether there are changes to write.
+func (s Shard) Dirty() bool { return s.dirty.len() > 0 }
+
+// Open returns the number of requests without a recorded outcome.
+func (s Shard) Open() int { return s.open }
+
+// Idle reports whether nothing is open, being written or away.
+func (s Shard) Idle() bool {
+	return s.open == 0 && !s.Dirty() && !s.isWriting && s.away.len() == 0
+}
+
+// Release returns the state of a VM that has let the shard go; it must be Idle.
+func (s Shard) Release() Shard {
+	fresh := NewShard(s.limits, s.writer)
+	fresh.sequence, fresh.attempts = s.sequence, s.attempts
+	return fresh
+}
+
+// Record returns the request's record as far as it is durable.
+func (s Shard) Record(id ID) (Record, bool) {
+	e, ok := s.entries.get(id)
+	if !ok || e.durable == None {
+		return Record{}, false
+	}
+	r := e.record
+	if r.State.Final() && !e.durable.Final() {
+		r = r.WithFinal(e.durable, Answer{})
+	}
+	return r, true
+}
+
+// put stores the entry and keeps the counts of open requests.
+func (s Shard) put(e entry) Shard {
+	s = s.uncount(e.record.ID)
+	s.entries = s.entries.with(e.record.ID, e)
+	if !e.durable.Final() {
+		s.open++
+		s.openBytes += e.record.bytes()
+	}
+	return s
+}
+
+// drop removes the entry.
+func (s Shard) drop(id ID) Shard {
+	s = s.uncount(id)
+	s.entries = s.entries.without(id)
+	s.dirty = s.dirty.without(id)
+	return s
+}
+
+func (s Shard) uncount(id ID) Shard {
+	old, ok := s.entries.get(id)
+	if ok && !old.durable.Final() {
+		s.open--
+		s.openBytes -= old.record.bytes()
+	}
+	return s
+}
+
+// mark stores the entry as changed.
+func (s Shard) mark(e entry) Shard {
+	s = s.put(e)
+	s.dirty = s.dirty.with(e.record.ID, struct{}{})
+	return s
+}
+
+// withAttempt gives the entry a new attempt of this VM.
+func (s Shard) withAttempt(e entry) (Shard, entry) {
+	s.attempts++
+	e.record = e.record.WithAttempt(Attempt{Incarnation: s.writer.Incarnation, Number: s.attempts})
+	e.mine, e.intent = true, true
+	return s, e
+}
--- /dev/null
+++ b/core/ledger/takeover.go
@@ -0,0 +1,167 @@
+package ledger
+
+import "time"
+
+// Load takes in the shard's head as read from the store. PreviousAlive reports that the head's
+// last writer is believed to be live: its idempotent requests are then waited for before they run
+// here too. The takeover itself is the first head that Commit returns.
+func (s Shard) Load(now time.Time, head Head, previousAlive bool) (Shard, []Effect) {
+	fresh := s.Release()
+	fresh.held = true
+	fresh.head = withoutTail(head)
+	for _, r := range head.Tail {
+		e := entry{record: r, durable: r.State, since: now}
+		h, known := s.away.get(r.ID)
+		switch {
+		case r.State.Final():
+		case known && h.executing && h.record.Attempt == r.Attempt:
+			e.mine, e.executing = true, true
+		case r.State == Accepted && (!r.Idempotent || !previousAlive):
+			e.dueAt = now
+		default:
+			e.dueAt = now.Add(r.Timeout() + s.limits.HandoffGrace)
+		}
+		fresh = fresh.put(e)
+	}
+	fresh.away = s.away
+	var effects []Effect
+	for id, h := range s.away.all() {
+		if h.executing {
+			continue
+		}
+		var more []Effect
+		fresh, more = fresh.Result(now, id, h.result)
+		effects = append(effects, more...)
+	}
+	return fresh, effects
+}
+
+// Tick takes the steps that are due and returns the time of the next one, or zero.
+func (s Shard) Tick(now time.Time) (Shard, []Effect, time.Time) {
+	var effects []Effect
+	var next time.Time
+	if !s.held {
+		return s, nil, next
+	}
+	for _, e := range s.entries.all() {
+		if e.dueAt.IsZero() {
+			continue
+		}
+		if e.dueAt.After(now) {
+			if next.IsZero() || e.dueAt.Before(next) {
+				next = e.dueAt
+			}
+			continue
+		}
+		e.dueAt = time.Time{}
+		var more []Effect
+		s, more = s.due(now, e)
+		effects = append(effects, more...)
+	}
+	return s, effects, next
+}
+
+func (s Shard) due(now time.Time, e entry) (Shard, []Effect) {
+	late := !now.Before(e.since.Add(e.record.Timeout()))
+	switch {
+	case e.mine && late && e.mayHaveRun, !e.mine && e.record.State == Started:
+		return s.finish(e, Unknown)
+	case e.mine && late:
+		return s.finish(e, Expired)
+	case e.mine:
+		e.executing = true
+		return s.put(e), []Effect{{Kind: Dispatch, Record: e.record}}
+	case int(e.record.Tries) >= s.limits.MaxTries:
+		return s.finish(e, Unknown)
+	}
+	s, e = s.withAttempt(e)
+	return s.mark(e), nil
+}
+
+func (s Shard) finish(e entry, state State) (Shard, []Effect) {
+	e.record = e.record.WithFinal(state, Answer{})
+	return s.mark(e), []Effect{{Kind: InHand, Record: e.record}}
+}
+
+// ResultKind says how an execution ended.
+type ResultKind uint8
+
+const (
+	// Completed means that State and Answer are the outcome.
+	Completed ResultKind = iota + 1
+	// DidNotRun means that the request surely did not run.
+	DidNotRun
+	// MayHaveRun means that the execution failed after the request may have been sent.
+	MayHaveRun
+)
+
+// Result is how an execution ended.
+type Result struct {
+	Kind    ResultKind `msgpack:"k"`
+	State   State      `msgpack:"s"`
+	Answer  Answer     `msgpack:"e"`
+	Attempt Attempt    `msgpack:"a"`
+}
+
+// Result takes in how an execution ended, here or at a previous home. The first result counts;
+// one of a non-idempotent request counts only for the recorded attempt.
+func (s Shard) Result(now time.Time, id ID, result Result) (Shard, []Effect) {
+	h, wasAway := s.away.get(id)
+	if wasAway && !s.held {
+		h.executing, h.result = false, result
+		s.away = s.away.with(id, h)
+		return s, []Effect{{Kind: Handoff, Record: h.record, Result: result}}
+	}
+	s.away = s.away.without(id)
+	e, ok := s.entries.get(id)
+	switch {
+	case !ok:
+		return s, []Effect{{Kind: Uncertain, Record: Record{ID: id}}}
+	case e.durable.Final():
+		return s, []Effect{{Kind: Recorded, Record: e.record}}
+	case e.record.State.Final():
+		return s, nil
+	}
+	own := e.record.Attempt == result.Attempt
+	if !own && (!e.record.Idempotent || result.Kind != Completed) {
+		return s, nil
+	}
+	e.executing = false
+	return s.resolve(now, e, result)
+}
+
+func (s Shard) resolve(now time.Time, e entry, result Result) (Shard, []Effect) {
+	switch {
+	case result.Kind == Completed:
+		e.mine, e.intent, e.dueAt = true, false, time.Time{}
+		e.record = e.record.WithFinal(result.State, result.Answer)
+		return s.mark(e), []Effect{{Kind: InHand, Record: e.record}}
+	case result.Kind == MayHaveRun && !e.record.Idempotent:
+		e.mine, e.dueAt = true, time.Time{}
+		return s.finish(e, Unknown)
+	case e.record.Async && e.mine:
+		e.mayHaveRun = e.mayHaveRun || result.Kind == MayHaveRun
+		e.dueAt = now.Add(s.limits.RetryPause)
+		return s.put(e), nil
+	case e.record.Async:
+		e.dueAt = time.Time{}
+		s, e = s.withAttempt(e)
+		return s.mark(e), nil
+	}
+	kind := NotRun
+	if result.Kind == MayHaveRun {
+		kind = Uncertain
+	}
+	e.dueAt, e.intent = time.Time{}, false
+	record := e.record
+	e.record.State = None
+	return s.mark(e), []Effect{{Kind: kind, Record: record}}
+}
+
+// HandedOff takes in that the shard's present home has answered for the request.
+func (s Shard) HandedOff(id ID) Shard {
+	if h, ok := s.away.get(id); ok && !h.executing {
+		s.away = s.away.without(id)
+	}
+	return s
+}
--- /dev/null
+++ b/io/ledger/ledger.go
@@ -0,0 +1,209 @@
+// Package ledger keeps the durable online requests: accepted ones, whose answer is read later,
+// and ones with an idempotency key, of which a non-idempotent one runs at most once.
+//
+// A key belongs to one of the shards, and each shard to the VM that rendezvous hashing names. A
+// request goes to that VM, which writes the intents and results of many requests with one
+// conditional update. An intent is durable before its request is sent. Any VM may take a shard at
+// any time: the update's version fences the previous home.
+//
+// Do waits for the result to be durable up to Options.ResultWait. Past that, a non-idempotent
+// request is answered with Outcome.Recorded false: after a crash its outcome may be read as
+// unknown, never as another answer. An idempotent one fails with ErrMayHaveRun, since it can be
+// sent again. A request without a key is sent once by the VM that took it and is not recorded; a
+// resend of it is a new request.
+//
+// ErrDidNotRun means that the request did not run and will not. With the object service out, new
+// work is refused so; results in hand are kept and written when the service is back.
+//
+// Usage:
+//
+//	opts := ledger.NewOptions()
+//	opts.Self, opts.Members, opts.Store, opts.Execute = self, members, client, execute
+//	l := ledger.New(opts)
+//	defer l.Close()
+//	outcome, err := l.Do(ctx, ledger.Request{Team: "rota", Key: key, BodyHash: ledger.HashBody(body), Payload: body})
+//	id, err := l.Accept(ctx, request)
+//	record, err := l.Lookup(ctx, "rota", id)
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+
+	core "mothcart/core/ledger"
+	"mothcart/core/rendezvous"
+)
+
+// rolePause is the time between two looks at the owners of the shards.
+const rolePause = time.Second
+
+// Ledger is the part of the ledger at one VM. Its methods are safe for concurrent use.
+type Ledger struct {
+	opts   Options
+	writer core.Writer
+	shards []*shard
+	counts counts
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// New starts the ledger: a writer goroutine for each shard, and one that follows the members.
+func New(opts Options) *Ledger {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Ledger{
+		opts:   opts,
+		writer: core.Writer{VM: opts.Self, Incarnation: rand.Uint64()},
+		counts: newCounts(opts.Metrics),
+		ctx:    ctx,
+		cancel: cancel,
+	}
+	for i := range opts.Shards {
+		l.shards = append(l.shards, newShard(l, i))
+	}
+	for _, s := range l.shards {
+		l.wg.Go(func() { s.run(ctx) })
+	}
+	l.wg.Go(func() {
+		t := time.NewTicker(rolePause)
+		defer t.Stop()
+		for {
+			l.followRoles()
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+		}
+	})
+	return l
+}
+
+// Close ends the goroutines; executions are cancelled. Drain first for a graceful end.
+func (l *Ledger) Close() {
+	l.cancel()
+	l.wg.Wait()
+}
+
+// Drain waits until every request that this VM runs has a recorded outcome.
+func (l *Ledger) Drain(ctx context.Context) error {
+	t := time.NewTicker(10 * time.Millisecond)
+	defer t.Stop()
+	for !l.idle() {
+		select {
+		case <-ctx.Done():
+			return merry.Errorf("drain ledger: %w", ctx.Err())
+		case <-t.C:
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) idle() bool {
+	for _, s := range l.shards {
+		if !s.idle() {
+			return false
+		}
+	}
+	return true
+}
+
+// Do runs the request, or joins its earlier sending, and returns the one outcome.
+func (l *Ledger) Do(ctx context.Context, req Request) (Outcome, error) {
+	if req.Key == "" {
+		return l.runOnce(ctx, req)
+	}
+	reply, err := l.route(ctx, l.call(opRun, req))
+	if err != nil {
+		return Outcome{}, merry.Errorf("run durable request: %w", err)
+	}
+	return reply.Outcome, nil
+}
+
+// Accept makes the request durable and returns the ID to look it up with; it runs afterwards. A
+// request without a key gets one, so that a resend of it is a new request.
+func (l *Ledger) Accept(ctx context.Context, req Request) (string, error) {
+	if req.Key == "" {
+		req.Key = uuid.NewString()
+	}
+	reply, err := l.route(ctx, l.call(opAccept, req))
+	if err != nil {
+		return "", merry.Errorf("accept request: %w", err)
+	}
+	return reply.Outcome.ID, nil
+}
+
+// Lookup returns the team's request with the ID, or ErrNotFound.
+func (l *Ledger) Lookup(ctx context.Context, team, id string) (Record, error) {
+	parsed, err := core.ParseID(id)
+	if err != nil {
+		return Record{}, merry.Errorf("look up: %w: %w", ErrNotFound, err)
+	}
+	reply, err := l.route(ctx, Call{Op: opLookup, ID: parsed, Team: team})
+	if err != nil {
+		return Record{}, merry.Errorf("look up %s: %w", id, err)
+	}
+	return Record{Outcome: reply.Outcome, AcceptedAt: time.Unix(reply.AtSeconds, 0)}, nil
+}
+
+// runOnce sends a request that has no key.
+func (l *Ledger) runOnce(ctx context.Context, req Request) (Outcome, error) {
+	timeout := l.timeout(req)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answer, err := l.opts.Execute(ctx, req)
+	switch {
+	case err == nil:
+		return Outcome{State: core.Done, Answer: answer}, nil
+	case errors.Is(err, ErrDidNotRun):
+		return Outcome{}, merry.Errorf("run request without key: %w", err)
+	default:
+		return Outcome{}, merry.Errorf("run request without key: %w: %w", ErrMayHaveRun, err)
+	}
+}
+
+func (l *Ledger) timeout(req Request) time.Duration {
+	if req.Deadline.IsZero() {
+		return l.opts.DefaultTimeout
+	}
+	return max(time.Until(req.Deadline), time.Millisecond)
+}
+
+func (l *Ledger) call(op string, req Request) Call {
+	return Call{
+		Op: op, ID: core.NewID(req.Team, req.Key), Team: req.Team, BodyHash: req.BodyHash, Idempotent: req.Idempotent,
+		TimeoutMillis: l.timeout(req).Milliseconds(), Payload: req.Payload,
+	}
+}
+
+// owner returns the home of the shard as this VM sees it.
+func (l *Ledger) owner(number int) string {
+	id, ok := rendezvous.Owner(fmt.Sprintf("ledger/%d", number), l.opts.Members())
+	if !ok || l.opts.Call == nil {
+		return l.opts.Self
+	}
+	return id
+}
+
+func (l *Ledger) isLive(id string) bool {
+	for _, m := range l.opts.Members() {
+		if m == id {
+			return true
+		}
+	}
+	return false
+}
+
+// followRoles reads the heads of the shards that fell to this VM and lets go of idle others.
+func (l *Ledger) followRoles() {
+	for _, s := range l.shards {
+		s.follow(l.owner(s.number) == l.opts.Self)
+	}
+}
--- /dev/null
+++ b/io/ledger/options.go
@@ -0,0 +1,59 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	core "mothcart/core/ledger"
+	"mothcart/io/store"
+)
+
+// Options are the settings of a Ledger.
+type Options struct {
+	// Self is the ID of this VM.
+	Self string
+	// Members returns the IDs of the live entry VMs, this one included.
+	Members func() []string
+	// Store is the object service.
+	Store store.Client
+	// Call asks the ledger of another VM; its Serve answers. It fails with ErrUnreachable when
+	// nothing was sent. Without it every shard is taken by this VM.
+	Call func(ctx context.Context, to string, c Call) (Reply, error)
+	// Execute sends a request to its upstream. It wraps ErrDidNotRun when the request surely did
+	// not run; any other error means that it may have run.
+	Execute func(ctx context.Context, req Request) (Answer, error)
+	// Shards is the number of shards; all VMs must have the same.
+	Shards int
+	// Limits bound one shard.
+	Limits core.Limits
+	// WritesPerSecond is the steady rate of writes of one shard, and WriteBurst the number of
+	// writes that may follow one another without a pause.
+	WritesPerSecond float64
+	WriteBurst      int
+	// IntentWait bounds the wait for an intent to become durable.
+	IntentWait time.Duration
+	// ResultWait bounds the wait for a result in hand to become durable.
+	ResultWait time.Duration
+	// DefaultTimeout is the timeout of requests without a deadline.
+	DefaultTimeout time.Duration
+	Metrics        metrics.Registry
+	Log            zerolog.Logger
+}
+
+// NewOptions returns the default settings without the seams.
+func NewOptions() Options {
+	return Options{
+		Shards:          64,
+		Limits:          core.NewLimits(),
+		WritesPerSecond: 2,
+		WriteBurst:      4,
+		IntentWait:      2 * time.Second,
+		ResultWait:      2 * time.Second,
+		DefaultTimeout:  time.Minute,
+		Metrics:         metrics.NewRegistry(),
+		Log:             zerolog.Nop(),
+	}
+}
--- /dev/null
+++ b/io/ledger/route.go
@@ -0,0 +1,141 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	core "mothcart/core/ledger"
+)
+
+const (
+	// unreachableTries is the number of calls to a home that can't be reached before its shard is
+	// taken.
+	unreachableTries = 3
+	// unreachablePause is the time between two of these calls.
+	unreachablePause = 100 * time.Millisecond
+	// reroutePause is the time before a shard's home is looked for again.
+	reroutePause = 5 * time.Millisecond
+	// rerouteTries bounds the homes that one request is sent to.
+	rerouteTries = 50
+)
+
+// route sends the call to the home of its shard. Each call may be repeated: the ledger joins
+// resends of one ID.
+func (l *Ledger) route(ctx context.Context, c Call) (Reply, error) {
+	number := c.ID.Shard(l.opts.Shards)
+	unreachable := 0
+	sent := false
+	for range rerouteTries {
+		owner := l.owner(number)
+		var r Reply
+		var err error
+		if owner == l.opts.Self || unreachable >= unreachableTries {
+			r, err = l.answer(ctx, c)
+		} else {
+			r, err = l.forward(ctx, owner, c)
+		}
+		switch {
+		case errors.Is(err, errReroute):
+			sent = true
+			err = pause(ctx, reroutePause)
+		case errors.Is(err, ErrUnreachable):
+			unreachable++
+			err = pause(ctx, unreachablePause)
+		case errors.Is(err, errLost):
+			sent = true
+			unreachable++
+			err = pause(ctx, unreachablePause)
+		default:
+			return r, err
+		}
+		if err != nil {
+			return Reply{}, gaveUp(c, sent, err)
+		}
+	}
+	return Reply{}, gaveUp(c, sent, errReroute)
+}
+
+// errLost means that a call to a home was sent and not answered.
+var errLost = merry.Sentinel("call was not answered")
+
+// gaveUp is the error of a call that found no home. Work that was sent to a VM which did not
+// answer may be open there.
+func gaveUp(c Call, sent bool, cause error) error {
+	switch {
+	case c.Op == opLookup:
+		return merry.Errorf("find home: %w: %w", ErrUnavailable, cause)
+	case sent:
+		return merry.Errorf("find home: %w: %w", ErrMayHaveRun, cause)
+	default:
+		return merry.Errorf("find home: %w: %w", ErrDidNotRun, cause)
+	}
+}
+
+func (l *Ledger) forward(ctx context.Context, to string, c Call) (Reply, error) {
+	r, err := l.opts.Call(ctx, to, c)
+	switch {
+	case errors.Is(err, ErrUnreachable):
+		return Reply{}, merry.Errorf("forward to %s: %w", to, err)
+	case err != nil:
+		return Reply{}, merry.Errorf("forward to %s: %w: %w", to, errLost, err)
+	case int(r.Code) >= len(codeErrors):
+		return Reply{}, merry.Errorf("forward to %s: code %d: %w", to, r.Code, errLost)
+	case r.Code != codeOK:
+		return Reply{}, merry.Errorf("%s at %s: %w", r.Reason, to, codeErrors[r.Code])
+	}
+	return r, nil
+}
+
+// Serve answers a call of another VM, whether or not this VM believes to be the shard's home.
+func (l *Ledger) Serve(ctx context.Context, c Call) Reply {
+	r, err := l.answer(ctx, c)
+	if err == nil {
+		return r
+	}
+	if errors.Is(err, ErrMayHaveRun) {
+		return Reply{Code: codeMayHaveRun, Reason: err.Error()}
+	}
+	for code, sentinel := range codeErrors {
+		if sentinel != nil && errors.Is(err, sentinel) {
+			return Reply{Code: uint8(code), Reason: err.Error()}
+		}
+	}
+	return Reply{Code: codeMayHaveRun, Reason: err.Error()}
+}
+
+// answer carries the call out at this VM.
+func (l *Ledger) answer(ctx context.Context, c Call) (Reply, error) {
+	s := l.shards[c.ID.Shard(l.opts.Shards)]
+	switch c.Op {
+	case opRun, opAccept:
+		return s.ask(ctx, request(c), c.Op == opAccept)
+	case opLookup:
+		return s.lookup(ctx, c.ID, c.Team)
+	case opHandoff:
+		return s.takeResult(ctx, c.ID, c.Result)
+	default:
+		return Reply{}, merry.Errorf("operation %q: %w", c.Op, ErrDidNotRun)
+	}
+}
+
+func request(c Call) core.Request {
+	return core.Request{
+		ID: c.ID, Team: c.Team, BodyHash: c.BodyHash, Idempotent: c.Idempotent, Async: c.Op == opAccept,
+		Timeout: time.Duration(c.TimeoutMillis) * time.Millisecond, Payload: c.Payload,
+		AtSeconds: time.Now().Unix(),
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
