Add membership and the peer protocol

Cause: the other parts need calls, notices and a view of the live VMs. Change: core/member decides liveness by bounded probes, io/peer carries frames over two classes of connections with heartbeats.

--- /dev/null
+++ b/core/member/sync.go
@@ -0,0 +1,126 @@
+package member
+
+import (
+	"slices"
+	"time"
+)
+
+// greet synchronizes with a sender that the node does not hold as live under this incarnation.
+func (t *step) greet(from string, m Message) {
+	r, known := t.s.members[from]
+	if known && r.live() && r.incarnation >= m.Incarnation {
+		return
+	}
+	if t.now.Before(t.s.nextSync.Add(-t.s.params.SyncInterval + t.s.params.TickInterval)) {
+		return
+	}
+	t.sendSync(from)
+}
+
+// compare starts a synchronization when the digests of partners differ for long.
+func (t *step) compare(from string, m Message) {
+	if m.Digest == t.s.digest {
+		t.s.differSince = time.Time{}
+		return
+	}
+	if t.s.differSince.IsZero() {
+		t.s.differSince = t.now
+		return
+	}
+	if t.now.Sub(t.s.differSince) < t.s.params.SyncAfter || t.now.Before(t.s.nextSync) {
+		return
+	}
+	t.s.differSince = time.Time{}
+	t.sendSync(from)
+}
+
+// sendSync sends the node's own description and a summary of all that it holds.
+func (t *step) sendSync(to string) {
+	t.s.nextSync = t.now.Add(t.s.params.SyncInterval)
+	m := Message{Kind: Sync, Incarnation: t.s.incarnation, Updates: []Update{t.selfUpdate()}}
+	for id, r := range t.s.members {
+		m.Entries = append(m.Entries, Entry{ID: id, Status: r.status, Incarnation: r.incarnation})
+	}
+	for id, at := range t.s.marks {
+		if t.now.Sub(at) < t.s.params.MarkRetention/2 {
+			m.Entries = append(m.Entries, Entry{ID: id, Status: Leaving, Incarnation: uint64(t.now.Sub(at) / time.Second)})
+		}
+	}
+	slices.SortFunc(m.Entries, func(a, b Entry) int {
+		if a.ID < b.ID || (a.ID == b.ID && a.Status < b.Status) {
+			return -1
+		}
+		return 1
+	})
+	t.out = append(t.out, Out{To: to, Message: m})
+}
+
+// answerSync tells the sender of m what it lacks and asks for what the node itself lacks.
+func (t *step) answerSync(from string, m Message) {
+	reply := Message{Kind: SyncReply, Incarnation: t.s.incarnation, Updates: []Update{t.selfUpdate()}}
+	theirs := make(map[string]Entry, len(m.Entries))
+	theirMarks := map[string]bool{}
+	for _, e := range m.Entries {
+		if e.Status == Leaving {
+			theirMarks[e.ID] = true
+			t.mark(e.ID, time.Duration(e.Incarnation)*time.Second)
+			continue
+		}
+		theirs[e.ID] = e
+		reply.Want = t.weigh(e, reply.Want)
+	}
+	for id, r := range t.s.members {
+		e, ok := theirs[id]
+		if id != from && (!ok || newer(r.incarnation, r.status, record{incarnation: e.Incarnation, status: e.Status})) {
+			reply.Updates = append(reply.Updates, r.update())
+		}
+	}
+	if r, ok := t.s.members[from]; ok && r.status != Alive {
+		reply.Updates = append(reply.Updates, r.update())
+	}
+	for id, at := range t.s.marks {
+		age := t.now.Sub(at)
+		if !theirMarks[id] && age < t.s.params.MarkRetention/2 {
+			reply.Updates = append(reply.Updates, Update{ID: id, Status: Leaving, AgeSeconds: uint32(age / time.Second)})
+		}
+	}
+	slices.SortFunc(reply.Updates[1:], func(a, b Update) int {
+		if a.ID < b.ID || (a.ID == b.ID && a.Status < b.Status) {
+			return -1
+		}
+		return 1
+	})
+	t.out = append(t.out, Out{To: from, Message: reply})
+}
+
+// weigh takes over a claim of death or suspicion from a summary, and appends to want the member
+// whose newer description is lacking.
+func (t *step) weigh(e Entry, want []string) []string {
+	if e.ID == t.s.self.ID {
+		t.refute(Update{ID: e.ID, Status: e.Status, Incarnation: e.Incarnation})
+		return want
+	}
+	r, known := t.s.members[e.ID]
+	if known && !newer(e.Incarnation, e.Status, r) {
+		return want
+	}
+	if e.Status == Alive {
+		return append(want, e.ID)
+	}
+	t.apply(Update{ID: e.ID, Status: e.Status, Incarnation: e.Incarnation}, true)
+	return want
+}
+
+// pushWanted sends the updates that a SyncReply asked for.
+func (t *step) pushWanted(to string, m Message) {
+	if len(m.Want) == 0 {
+		return
+	}
+	push := Message{Kind: SyncPush, Incarnation: t.s.incarnation}
+	for _, id := range m.Want {
+		if r, ok := t.s.members[id]; ok {
+			push.Updates = append(push.Updates, r.update())
+		}
+	}
+	t.out = append(t.out, Out{To: to, Message: push})
+}
--- /dev/null
+++ b/io/peer/errors.go
@@ -0,0 +1,47 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/ansel1/merry/v2"
+)
+
+var (
+	// ErrUnreachable means that nothing was sent: the call or notice did not run.
+	ErrUnreachable = merry.Sentinel("peer unreachable")
+	// ErrLost means that the call was sent and its answer did not come: it may have run.
+	ErrLost = merry.Sentinel("answer of peer lost")
+	// ErrTooLarge means that a frame is over the limit of its class; nothing was sent.
+	ErrTooLarge = merry.Sentinel("frame over the limit of its class")
+	// ErrQueueFull means that a notice was dropped because too many wait.
+	ErrQueueFull = merry.Sentinel("queue of peer full")
+
+	errClosed   = merry.Sentinel("node closed")
+	errSilent   = merry.Sentinel("connection silent")
+	errIdle     = merry.Sentinel("connection idle")
+	errProtocol = merry.Sentinel("protocol error")
+)
+
+// Codes of a RemoteError that the protocol itself gives.
+const (
+	// CodeFailed is the code of an error of the handler without a code of its own.
+	CodeFailed = "failed"
+	// CodeNoMethod means that the peer has no such method; the call did not run.
+	CodeNoMethod = "noMethod"
+	// CodeOverloaded means that the peer has too many calls in progress; the call did not run.
+	CodeOverloaded = "overloaded"
+	// CodeBadRequest means that the peer could not decode the request; the call did not run.
+	CodeBadRequest = "badRequest"
+	// CodeTooLarge means that the call ran and its answer is over the limit of the class.
+	CodeTooLarge = "tooLarge"
+)
+
+// RemoteError is the error of a handler on the peer. A handler that returns a *RemoteError
+// chooses the code.
+type RemoteError struct {
+	Code    string
+	Message string
+}
+
+// Error implements error.
+func (e *RemoteError) Error() string { return fmt.Sprintf("peer: %s: %s", e.Code, e.Message) }
--- /dev/null
+++ b/io/peer/membership.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"mothcart/core/member"
+	"mothcart/core/vm"
+)
+
+// memberMethod is the method of membership messages, which bypass the queues of notices.
+const memberMethod = "member"
+
+// View returns the live entry VMs.
+func (n *Node) View() member.View { return n.state.Load().View() }
+
+// Changed returns a channel that is closed at the next change of the view, of the leaving marks or
+// of the VM list. Fetch it anew each time, before reading the state.
+func (n *Node) Changed() <-chan struct{} {
+	n.stateMu.Lock()
+	defer n.stateMu.Unlock()
+	return n.changed
+}
+
+// Joined reports whether the node has learned the members from another one, or found none.
+func (n *Node) Joined() bool { return n.state.Load().Joined() }
+
+// Leaving reports whether the VM, of any group, is marked as leaving; marks are sticky.
+func (n *Node) Leaving(id string) bool { return n.state.Load().Leaving(id) }
+
+// VMs returns the VMs of all groups in the last VM list by ID, with the leaving marks that were
+// heard from peers applied.
+func (n *Node) VMs() []vm.VM { return n.state.Load().Listed() }
+
+// SetList gives the node a new VM list.
+func (n *Node) SetList(vms []vm.VM) {
+	n.step(func(s member.State, now time.Time) (member.State, []member.Out) { return s.WithList(vms, now), nil })
+}
+
+// MarkLeaving marks a VM of any group as leaving and spreads the mark.
+func (n *Node) MarkLeaving(id string) {
+	n.step(func(s member.State, now time.Time) (member.State, []member.Out) { return s.WithMark(id, now), nil })
+}
+
+// Leave gives the node's roles away, for the rest of its run, while it keeps serving.
+func (n *Node) Leave() {
+	n.step(func(s member.State, now time.Time) (member.State, []member.Out) { return s.WithDraining(now), nil })
+}
+
+// depart tells peers that a draining node ends.
+func (n *Node) depart() {
+	if !n.View().Self.Leaving {
+		return
+	}
+	n.step(func(s member.State, now time.Time) (member.State, []member.Out) { return s.Depart(now) })
+}
+
+// step runs one event of membership and sends what comes of it.
+func (n *Node) step(event func(s member.State, now time.Time) (member.State, []member.Out)) {
+	n.stateMu.Lock()
+	before := n.state.Load()
+	after, out := event(*before, time.Now())
+	n.state.Store(&after)
+	if after.View().Version != before.View().Version || after.MarksVersion() != before.MarksVersion() {
+		close(n.changed)
+		n.changed = make(chan struct{})
+	}
+	n.stateMu.Unlock()
+	for _, o := range out {
+		n.sendMember(o)
+	}
+}
+
+func (n *Node) sendMember(o member.Out) {
+	var b bytes.Buffer
+	if err := encodeArrays(&b, o.Message); err != nil {
+		n.opts.Logger.Error().Str("event", "memberEncode").Err(err).Send()
+		return
+	}
+	// A dropped message is a lost probe or update; the protocol makes up for it.
+	_ = n.notify(o.To, memberMethod, Control, b.Bytes(), o.Fresh)
+}
+
+func (n *Node) receiveMember(from string, body []byte) {
+	var m member.Message
+	if err := msgpack.Unmarshal(body, &m); err != nil {
+		n.metrics.noticesDropped.Inc(1)
+		return
+	}
+	n.step(func(s member.State, now time.Time) (member.State, []member.Out) { return s.Receive(from, m, now) })
+}
+
+func (n *Node) runMembership() {
+	t := time.NewTicker(n.opts.Member.TickInterval)
+	defer t.Stop()
+	for ticks := 1; ; ticks++ {
+		select {
+		case <-n.closing:
+			return
+		case <-t.C:
+			n.step(member.State.Tick)
+			if ticks%sweepTicks == 0 {
+				n.sweep(time.Now())
+			}
+		}
+	}
+}
+
+// address resolves the address of an entry VM.
+func (n *Node) address(id string) (string, bool) { return n.state.Load().Address(id) }
