--- a/core/config/config.go
+++ b/core/config/config.go
@@ -142,6 +142,9 @@
 
 // Set is a whole configuration. Each slice is sorted by name.
 type Set struct {
+	// origins tells where the objects were read from; nil for a set that was not parsed.
+	origins map[fieldRef]origin
+
 	Services       []Service       `json:"services"`
 	UpstreamGroups []UpstreamGroup `json:"upstreamGroups"`
 	Models         []Model         `json:"models"`
--- /dev/null
+++ b/core/config/scan.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+)
+
+// section is a section header with the lines of its keys.
+type section struct {
+	// header is the kind and name; id is unique in the file, so that sections with one header
+	// stay apart.
+	header string
+	id     string
+	line   int
+	keys   []keyLine
+}
+
+type keyLine struct {
+	name string
+	line int
+}
+
+// scanned is a file's lines of sections and keys. The INI library keeps no line numbers and stops
+// at the first error, so that it is given only the lines that it can read.
+type scanned struct {
+	sections []section
+	problems []Problem
+	cleaned  []byte
+}
+
+func scan(f File) scanned {
+	var s scanned
+	var cleaned bytes.Buffer
+	line := 0
+	for raw := range bytes.Lines(f.Data) {
+		line++
+		text := strings.TrimSpace(strings.ToValidUTF8(string(raw), "?"))
+		if line == 1 {
+			text = strings.TrimPrefix(text, "\ufeff")
+		}
+		kept, reason := s.line(text, line)
+		if reason != "" {
+			s.problems = append(s.problems, Problem{File: f.Name, Line: line, Reason: reason})
+		}
+		cleaned.WriteString(kept)
+		cleaned.WriteByte('\n')
+	}
+	s.cleaned = cleaned.Bytes()
+	return s
+}
+
+// line takes in one line; it returns the line for the INI library and what is wrong with it.
+func (s *scanned) line(text string, line int) (kept, reason string) {
+	switch {
+	case text == "" || text[0] == '#' || text[0] == ';':
+		return "", ""
+	case text[0] == '[':
+		return s.header(text, line)
+	case len(s.sections) == 0:
+		return "", "key outside of a section; start with a header such as [service NAME]"
+	}
+	key, value, found := strings.Cut(text, "=")
+	key = strings.TrimSpace(key)
+	value = strings.TrimSpace(value)
+	switch {
+	case !found:
+		return "", fmt.Sprintf("%q is neither a section header nor key = value", text)
+	case key == "" || strings.ContainsAny(key, "\"'`#;-[") && !strings.HasPrefix(key, sharePrefix):
+		return "", fmt.Sprintf("%q is not a key", key)
+	case strings.ContainsAny(value, "`") || strings.HasPrefix(value, `"`) || strings.HasPrefix(value, "'"):
+		return "", fmt.Sprintf("the value of %s is quoted; write it without quotes on one line", key)
+	}
+	last := &s.sections[len(s.sections)-1]
+	last.keys = append(last.keys, keyLine{key, line})
+	return key + " = " + value, ""
+}
+
+func (s *scanned) header(text string, line int) (kept, reason string) {
+	inner, rest, found := strings.Cut(text[1:], "]")
+	rest = strings.TrimSpace(rest)
+	if !found || rest != "" && rest[0] != '#' && rest[0] != ';' {
+		return "", fmt.Sprintf("%q is not a section header such as [service NAME]", text)
+	}
+	header := strings.Join(strings.Fields(inner), " ")
+	id := fmt.Sprintf("section%d", line)
+	s.sections = append(s.sections, section{header: header, id: id, line: line})
+	return "[" + id + "]", ""
+}
--- a/core/config/snapshot.go
+++ b/core/config/snapshot.go
@@ -78,8 +78,8 @@
 	return s.Service(name)
 }
 
-func index[T any](values []T, key func(T) string) map[string]T {
-	m := make(map[string]T, len(values))
+func index[T any, K comparable](values []T, key func(T) K) map[K]T {
+	m := make(map[K]T, len(values))
 	for _, v := range values {
 		m[key(v)] = v
 	}
--- /dev/null
+++ b/core/publication/audit.go
@@ -0,0 +1,79 @@
+package publication
+
+import (
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/core/config"
+)
+
+const (
+	// maxRootEntries is the number of entries in the root above which older ones move to a block.
+	maxRootEntries = 16
+	// keptRootEntries is the number of entries that stay in the root then.
+	keptRootEntries = 4
+	// MaxEntryChanges and MaxEntryReasons bound what an entry holds itself.
+	MaxEntryChanges = 16
+	MaxEntryReasons = 16
+)
+
+// OldEntries is a block of the audit trail.
+type OldEntries struct {
+	// Entries are in order, oldest first.
+	Entries []Entry `json:"entries"`
+	// Older refers to the block before.
+	Older BlockRef `json:"older"`
+}
+
+// Overflow returns the root with its older entries moved into a block, and that block. It returns
+// ok false while the root holds few entries.
+func (r Root) Overflow(publication uint64) (next Root, block Part, ok bool, err error) {
+	if len(r.Entries) <= maxRootEntries {
+		return r, Part{}, false, nil
+	}
+	moved := len(r.Entries) - keptRootEntries
+	block, err = encodePart(OldEntries{Entries: r.Entries[:moved], Older: r.Older})
+	if err != nil {
+		return r, Part{}, false, merry.Errorf("audit entries: %w", err)
+	}
+	r.Entries = slices.Clone(r.Entries[moved:])
+	r.Older = BlockRef{Digest: block.Digest, Publication: publication}
+	return r, block, true, nil
+}
+
+// DecodeOldEntries decodes a block of the audit trail.
+func DecodeOldEntries(digest Digest, data []byte) (OldEntries, error) {
+	var old OldEntries
+	err := decodeBlock(digest, data, &old)
+	return old, err
+}
+
+// WithChanges returns the entry with the changes. If they are too many for the entry, it also
+// returns a block of all.
+func (e Entry) WithChanges(changes []config.Change, publication uint64) (Entry, []Part, error) {
+	e.ChangeCount = len(changes)
+	e.Changes = changes[:min(len(changes), MaxEntryChanges)]
+	if len(changes) <= MaxEntryChanges {
+		return e, nil, nil
+	}
+	block, err := encodePart(changes)
+	if err != nil {
+		return e, nil, merry.Errorf("changes: %w", err)
+	}
+	e.Details = BlockRef{Digest: block.Digest, Publication: publication}
+	return e, []Part{block}, nil
+}
+
+// DecodeChanges decodes the block of an entry's changes.
+func DecodeChanges(digest Digest, data []byte) ([]config.Change, error) {
+	var changes []config.Change
+	err := decodeBlock(digest, data, &changes)
+	return changes, err
+}
+
+// WithReasons returns the entry with the first reasons and the count of the rest.
+func (e Entry) WithReasons(reasons []string) Entry {
+	e.Reasons = reasons[:min(len(reasons), MaxEntryReasons)]
+	return e
+}
--- /dev/null
+++ b/core/publication/root.go
@@ -0,0 +1,168 @@
+package publication
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"mothcart/core/config"
+)
+
+// formatVersion is the version of the root's encoding.
+const formatVersion = 1
+
+// maxRootBytes bounds an encoded root.
+const maxRootBytes = 1 << 20
+
+// Outcomes of an apply.
+const (
+	OutcomeAccepted  = "accepted"
+	OutcomeUnchanged = "unchanged"
+	OutcomeRefused   = "refused"
+	OutcomeConflict  = "conflict"
+)
+
+// EntryID names one attempt to apply; it is unique for ever.
+type EntryID struct {
+	// Writer is the ID of the VM with its incarnation.
+	Writer   string `json:"writer" msgpack:"w"`
+	Sequence uint64 `json:"sequence" msgpack:"s"`
+}
+
+// Entry is one line of the audit trail.
+type Entry struct {
+	ID       EntryID `json:"id" msgpack:"i"`
+	Operator string  `json:"operator" msgpack:"o"`
+	// At is the wall clock of the VM that took the apply; it is for people only.
+	At      time.Time `json:"at" msgpack:"t"`
+	Outcome string    `json:"outcome" msgpack:"r"`
+	// From is the generation that the change was made on; Generation is the one in force after it.
+	From       uint64 `json:"from" msgpack:"f"`
+	Generation uint64 `json:"generation" msgpack:"g"`
+	// Rebased reports that the change was merged with one published since the operator read.
+	Rebased bool `json:"rebased,omitempty" msgpack:"b,omitempty"`
+	// Changes holds the first changes; ChangeCount counts all, and Details refers to a block with
+	// all of them if they are more.
+	Changes     []config.Change `json:"changes,omitempty" msgpack:"c,omitempty"`
+	ChangeCount int             `json:"changeCount" msgpack:"n"`
+	Details     BlockRef        `json:"details,omitzero" msgpack:"d"`
+	// Reasons holds the first reasons of a refusal or conflict.
+	Reasons []string `json:"reasons,omitempty" msgpack:"e,omitempty"`
+	// Dropped counts refusals before this entry that could not be kept.
+	Dropped int `json:"dropped,omitempty" msgpack:"x,omitempty"`
+}
+
+// Root is the one object that decides which configuration is published. Values are immutable.
+type Root struct {
+	Format int `msgpack:"v"`
+	// Generation counts published sets; Revision counts updates of the root, which also record
+	// refusals.
+	Generation uint64 `msgpack:"g"`
+	Revision   uint64 `msgpack:"r"`
+	// Objects and Accounts refer to the blocks of the set.
+	Objects  BlockRef   `msgpack:"o"`
+	Accounts []BlockRef `msgpack:"a"`
+	// Entries are the latest audit entries, oldest first.
+	Entries []Entry `msgpack:"e"`
+	// Older refers to the block of the entries before them, which refers to the next.
+	Older BlockRef `msgpack:"p"`
+	// Unused are the blocks that the latest publication no longer refers to; the next one deletes
+	// them.
+	Unused []BlockRef `msgpack:"u"`
+}
+
+// Encode returns the root's bytes.
+func (r Root) Encode() ([]byte, error) {
+	r.Format = formatVersion
+	data, err := msgpack.Marshal(&r)
+	if err != nil {
+		return nil, merry.Errorf("encode root: %w", err)
+	}
+	if len(data) > maxRootBytes {
+		return nil, merry.Errorf("root of %d bytes: %w", len(data), ErrTooLarge)
+	}
+	return data, nil
+}
+
+// DecodeRoot reads what Encode wrote. It returns ErrCorrupt for anything else.
+func DecodeRoot(data []byte) (Root, error) {
+	if len(data) > maxRootBytes {
+		return Root{}, merry.Errorf("root of %d bytes: %w", len(data), ErrCorrupt)
+	}
+	var r Root
+	dec := msgpack.NewDecoder(bytes.NewReader(data))
+	if err := dec.Decode(&r); err != nil {
+		return Root{}, merry.Errorf("decode root: %w: %w", ErrCorrupt, err)
+	}
+	shards := len(r.Accounts)
+	switch {
+	case r.Format != formatVersion:
+		return Root{}, merry.Errorf("root of format %d: %w", r.Format, ErrCorrupt)
+	case shards > maxShards || shards&(shards-1) != 0:
+		return Root{}, merry.Errorf("root of %d account blocks: %w", shards, ErrCorrupt)
+	case r.Generation > r.Revision:
+		return Root{}, merry.Errorf("root of generation %d at revision %d: %w", r.Generation, r.Revision, ErrCorrupt)
+	}
+	return r, nil
+}
+
+// Refs returns the blocks of the set.
+func (r Root) Refs() []BlockRef {
+	if r.Objects.IsZero() {
+		return nil
+	}
+	return append([]BlockRef{r.Objects}, r.Accounts...)
+}
+
+// WithPublished returns the root of the next generation with the blocks of parts and the entry.
+// Blocks that the root has already keep their keys; the others get the publication's.
+func (r Root) WithPublished(parts Parts, publication uint64, entry Entry) Root {
+	held := make(map[Digest]BlockRef, len(r.Accounts)+1)
+	for _, ref := range r.Refs() {
+		held[ref.Digest] = ref
+	}
+	refer := func(p Part) BlockRef {
+		if ref, ok := held[p.Digest]; ok {
+			return ref
+		}
+		return BlockRef{Digest: p.Digest, Publication: publication}
+	}
+	next := r
+	next.Generation++
+	next.Objects = refer(parts.Objects)
+	next.Accounts = make([]BlockRef, 0, len(parts.Accounts))
+	for _, p := range parts.Accounts {
+		next.Accounts = append(next.Accounts, refer(p))
+	}
+	next.Unused = missing(r.Refs(), next.Refs())
+	entry.Generation = next.Generation
+	return next.WithEntry(entry)
+}
+
+// WithEntry returns the root's next revision with the entry added.
+func (r Root) WithEntry(entry Entry) Root {
+	r.Revision++
+	r.Entries = append(slices.Clip(r.Entries), entry)
+	return r
+}
+
+// Find returns the entry with the ID among the latest.
+func (r Root) Find(id EntryID) (Entry, bool) {
+	i := slices.IndexFunc(r.Entries, func(e Entry) bool { return e.ID == id })
+	if i < 0 {
+		return Entry{}, false
+	}
+	return r.Entries[i], true
+}
+
+// missing returns the refs of before that after lacks.
+func missing(before, after []BlockRef) []BlockRef {
+	held := make(map[BlockRef]bool, len(after))
+	for _, ref := range after {
+		held[ref] = true
+	}
+	return slices.DeleteFunc(slices.Clone(before), func(ref BlockRef) bool { return held[ref] })
+}
