Publish and follow the configuration through the object service

Cause: a checked set has to be in force on every VM, and one write has to be the whole decision. Change: io/published applies a set by one conditional update of config/root, which holds the audit entry; it follows the root by a watch and takes only higher revisions. Calls to peers are function fields until io/peer is there.

--- a/core/config/rebase.go
+++ b/core/config/rebase.go
@@ -7,12 +7,18 @@
 
 // Conflict is one object on which two changes of the same base meet.
 type Conflict struct {
-	Object Ref    `json:"object"`
+	// Object is zero when the reason concerns the whole set.
+	Object Ref    `json:"object,omitzero"`
 	Reason string `json:"reason"`
 }
 
 // String returns the conflict on one line.
-func (c Conflict) String() string { return c.Object.String() + ": " + c.Reason }
+func (c Conflict) String() string {
+	if c.Object == (Ref{}) {
+		return c.Reason
+	}
+	return c.Object.String() + ": " + c.Reason
+}
 
 // Rebase applies the changes from base to mine on top of theirs. It is allowed only where the two
 // touch no common object and no object that the other's refers to, and where the merged set
--- a/core/publication/audit.go
+++ b/core/publication/audit.go
@@ -13,8 +13,9 @@
 	maxRootEntries = 16
 	// keptRootEntries is the number of entries that stay in the root then.
 	keptRootEntries = 4
-	// MaxEntryChanges and MaxEntryReasons bound what an entry holds itself.
+	// MaxEntryChanges bounds the changes that an entry holds itself.
 	MaxEntryChanges = 16
+	// MaxEntryReasons bounds the reasons that an entry holds.
 	MaxEntryReasons = 16
 )
 
--- a/core/publication/block.go
+++ b/core/publication/block.go
@@ -91,10 +91,21 @@
 func (r BlockRef) IsZero() bool { return r == BlockRef{} }
 
 var (
-	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(windowBytes), zstd.WithLowerEncoderMem(true))
+	encoder    = newEncoder()
 	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxPlainBytes))
 )
 
+// newEncoder returns a compressor that has set up its state.
+func newEncoder() *zstd.Encoder {
+	e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(windowBytes), zstd.WithLowerEncoderMem(true))
+	if err != nil {
+		panic(err)
+	}
+	// The first use makes a channel; made here, it belongs to no bubble of testing/synctest.
+	e.EncodeAll([]byte{0}, nil)
+	return e
+}
+
 // encodeBlock returns the compressed form of v and the digest of its content.
 func encodeBlock(v any) (Digest, []byte, error) {
 	plain, err := marshal(v)
--- /dev/null
+++ b/io/published/apply.go
@@ -0,0 +1,167 @@
+package published
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/core/config"
+	"mothcart/core/publication"
+	"mothcart/io/store"
+)
+
+const (
+	// maxAttempts bounds the updates of the root that one apply tries against racing ones.
+	maxAttempts = 10
+	// staleRetries bounds the reads of a root that is older than the one in force.
+	staleRetries = 20
+	// staleRetryPause is the time between two of them.
+	staleRetryPause = 50 * time.Millisecond
+)
+
+var (
+	// ErrUnavailable means that the object service could not be reached; nothing was published.
+	ErrUnavailable = merry.Sentinel("not published: the object service is unavailable")
+	// ErrOutcomeUnknown means that the update was sent and its outcome could not be read back;
+	// the audit trail tells it later, under the entry's ID in the Result.
+	ErrOutcomeUnknown = merry.Sentinel("outcome unknown: the object service is unavailable")
+	// ErrBusy means that racing updates won every attempt; nothing was published.
+	ErrBusy = merry.Sentinel("not published: too many racing updates")
+)
+
+// Result is the answer to an apply that was decided.
+type Result struct {
+	// ID names the apply in the audit trail; it is zero for an unchanged set.
+	ID publication.EntryID
+	// Outcome is one of the outcomes of package publication.
+	Outcome string
+	// From is the generation that the set was compared with, Generation the one in force after.
+	From, Generation uint64
+	// Rebased reports that the change was merged with others published since From.
+	Rebased bool
+	// Changes are what was published.
+	Changes []config.Change
+	// Problems are the reasons of a refusal.
+	Problems []config.Problem
+	// Conflicts are the reasons of a conflict.
+	Conflicts []config.Conflict
+}
+
+// publisher is the part of a Follower that publishes.
+type publisher struct {
+	writer   string
+	sequence atomic.Uint64
+	// applying admits one apply at a time on this VM.
+	applying sync.Mutex
+
+	refusing  sync.Mutex
+	refusals  []publication.Entry
+	dropped   int
+	flushedAt time.Time
+}
+
+// request is one apply on its way.
+type request struct {
+	id       publication.EntryID
+	now      time.Time
+	operator string
+	set      config.Set
+	// base is the set of generation from, on which the operator made the change.
+	from     uint64
+	base     config.Set
+	baseRead bool
+}
+
+// Apply checks the set and publishes it. The time now goes into the audit trail. With expect, the
+// change is taken as made on that generation; without it, on the one published now. A set that
+// was published since is merged where the two meet nowhere; else the outcome is a conflict.
+//
+// It returns ErrUnavailable, ErrOutcomeUnknown or ErrBusy; every decision is a Result.
+func (f *Follower) Apply(ctx context.Context, now time.Time, operator string, set config.Set, expect *uint64) (Result, error) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	req := &request{
+		id:       publication.EntryID{Writer: f.writer, Sequence: f.sequence.Add(1)},
+		now:      now,
+		operator: operator,
+		set:      set,
+	}
+	w := f.newBlockWriter(req.id)
+	for range maxAttempts {
+		result, done, err := f.attempt(ctx, req, w, expect)
+		if err != nil {
+			if !errors.Is(err, ErrOutcomeUnknown) {
+				f.discard(w, publication.Root{})
+			}
+			return Result{ID: req.id, From: req.from}, err
+		}
+		if done {
+			return result, nil
+		}
+	}
+	f.discard(w, publication.Root{})
+	return Result{ID: req.id, From: req.from}, merry.Errorf("%d attempts: %w", maxAttempts, ErrBusy)
+}
+
+// attempt reads the root, decides, and updates the root. It reports done unless another update
+// came between.
+func (f *Follower) attempt(ctx context.Context, req *request, w *blockWriter, expect *uint64) (Result, bool, error) {
+	root, version, err := f.freshRoot(ctx)
+	if err != nil {
+		return Result{}, false, err
+	}
+	theirs, err := f.loadLocked(ctx, root)
+	if err != nil {
+		return Result{}, false, merry.Errorf("load generation %d: %w: %w", root.Generation, ErrUnavailable, err)
+	}
+	candidate, result := f.decide(req, root, theirs, expect)
+	if result.Outcome != publication.OutcomeAccepted {
+		if result.Outcome != publication.OutcomeUnchanged {
+			f.recordRefusal(ctx, req, result)
+		}
+		f.discard(w, root)
+		return result, true, nil
+	}
+	refusals := f.waitingRefusals()
+	next, err := f.prepare(ctx, req, w, withEntries(root, refusals), candidate, &result)
+	if err != nil {
+		return Result{}, false, err
+	}
+	committed, err := f.commit(ctx, next, version, req.id, root)
+	if err != nil || !committed {
+		return Result{}, false, err
+	}
+	f.refusalsRecorded(refusals)
+	f.takeOwn(ctx, next, w)
+	f.discard(w, next)
+	f.deleteUnused(root)
+	return result, true, nil
+}
+
+// freshRoot reads the root and repeats stale reads.
+func (f *Follower) freshRoot(ctx context.Context) (publication.Root, store.Version, error) {
+	for range staleRetries {
+		root, data, version, err := f.readRoot(ctx)
+		if err != nil {
+			return root, 0, merry.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		if data == nil && f.announcement().Revision == 0 {
+			return root, version, nil
+		}
+		err = f.adopt(ctx, data, f.fromStore)
+		if err == nil {
+			return root, version, nil
+		}
+		if !errors.Is(err, ErrStale) && !errors.Is(err, publication.ErrCorrupt) {
+			return root, 0, merry.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		if sleep(ctx, staleRetryPause) != nil {
+			break
+		}
+	}
+	return publication.Root{}, 0, merry.Errorf("only stale reads: %w", ErrUnavailable)
+}
--- /dev/null
+++ b/io/published/commit.go
@@ -0,0 +1,134 @@
+package published
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/core/config"
+	"mothcart/core/publication"
+	"mothcart/io/store"
+)
+
+const (
+	// resolveTimeout bounds the reads that resolve a lost answer.
+	resolveTimeout = 10 * time.Second
+	// minResolvePause and maxResolvePause bound the time between two of them.
+	minResolvePause = 20 * time.Millisecond
+	maxResolvePause = time.Second
+)
+
+// prepare writes the blocks of the candidate and returns the root that publishes it.
+func (f *Follower) prepare(ctx context.Context, req *request, w *blockWriter, root publication.Root, candidate config.Set, result *Result) (publication.Root, error) {
+	parts, err := publication.Split(candidate)
+	if err != nil {
+		return root, err
+	}
+	entry := publication.Entry{
+		ID: req.id, Operator: req.operator, At: req.now, Outcome: publication.OutcomeAccepted,
+		From: req.from, Rebased: result.Rebased,
+	}
+	entry, details, err := entry.WithChanges(result.Changes, w.publication)
+	if err != nil {
+		return root, err
+	}
+	next := root.WithPublished(parts, w.publication, entry)
+	next, old, overflowed, err := next.Overflow(w.publication)
+	if err != nil {
+		return root, err
+	}
+	if overflowed {
+		details = append(details, old)
+	}
+	result.Generation = next.Generation
+	if err := w.writeMissing(ctx, root, parts, details); err != nil {
+		return root, err
+	}
+	return next, nil
+}
+
+// commit updates the root from the version to next. It reports false if another update came
+// between. A lost answer is resolved by looking for the entry.
+func (f *Follower) commit(ctx context.Context, next publication.Root, version store.Version, id publication.EntryID, base publication.Root) (bool, error) {
+	data, err := next.Encode()
+	if err != nil {
+		return false, err
+	}
+	_, err = f.opts.Store.Put(ctx, publication.RootKey, data, version)
+	if errors.Is(err, store.ErrUnknown) {
+		return f.resolve(ctx, data, version, id, base)
+	}
+	switch {
+	case err == nil:
+		return true, nil
+	case errors.Is(err, store.ErrConflict):
+		return false, nil
+	default:
+		return false, merry.Errorf("update root: %w: %w", ErrUnavailable, err)
+	}
+}
+
+// resolve finds out whether an update with a lost answer took effect. While the version stands as
+// it was, the same update is sent again: at most one of the two can take effect.
+func (f *Follower) resolve(ctx context.Context, data []byte, version store.Version, id publication.EntryID, base publication.Root) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
+	defer cancel()
+	for pause := minResolvePause; ; pause = min(2*pause, maxResolvePause) {
+		root, _, at, err := f.readRoot(ctx)
+		switch {
+		case err != nil || at < version:
+		case at == version:
+			if _, err := f.opts.Store.Put(ctx, publication.RootKey, data, version); err == nil {
+				return true, nil
+			}
+		default:
+			found, err := f.findEntry(ctx, root, id, base)
+			if err == nil {
+				return found, nil
+			}
+		}
+		if sleep(ctx, pause) != nil {
+			return false, merry.Errorf("entry %s %d: %w", id.Writer, id.Sequence, ErrOutcomeUnknown)
+		}
+	}
+}
+
+// findEntry looks for the entry in the trail of root, back to the latest entry of base.
+func (f *Follower) findEntry(ctx context.Context, root publication.Root, id publication.EntryID, base publication.Root) (bool, error) {
+	var last publication.EntryID
+	if n := len(base.Entries); n > 0 {
+		last = base.Entries[n-1].ID
+	}
+	entries, older := root.Entries, root.Older
+	for {
+		for i := len(entries) - 1; i >= 0; i-- {
+			if entries[i].ID == id {
+				return true, nil
+			}
+			if entries[i].ID == last {
+				return false, nil
+			}
+		}
+		if older.IsZero() {
+			return false, nil
+		}
+		block, err := f.readOldEntries(ctx, older)
+		if err != nil {
+			return false, err
+		}
+		entries, older = block.Entries, block.Older
+	}
+}
+
+// takeOwn installs the root that this VM published.
+func (f *Follower) takeOwn(ctx context.Context, next publication.Root, w *blockWriter) {
+	data, err := next.Encode()
+	if err != nil {
+		return
+	}
+	if err := f.adopt(ctx, data, w.fromParts); err != nil && !errors.Is(err, ErrStale) {
+		f.log.Warn().Err(err).Uint64("generation", next.Generation).Msg("published set not yet in force here")
+	}
+}
--- /dev/null
+++ b/io/published/follower.go
@@ -0,0 +1,218 @@
+// Package published follows and publishes the configuration.
+//
+// A Follower takes only higher revisions of the root, so that a stale read, an old push or an old
+// VM coming back never reverts it. A few VMs, chosen by rendezvous hashing, watch the root in the
+// object service; the others learn of it from peers. Each VM announces its revision to a random
+// peer at intervals, and pushes a new one to several at once.
+//
+// Apply publishes a set by one conditional update of the root, which holds its audit entry. A
+// lost answer is resolved by looking for that entry in the trail.
+//
+// Usage:
+//
+//	f := published.New(published.Options{Self: "e1", Store: client, Peers: peers})
+//	defer f.Close()
+//	snapshot := f.Current()
+//	result, err := f.Apply(ctx, time.Now(), "abebe", set, nil)
+package published
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"mothcart/core/config"
+	"mothcart/core/publication"
+)
+
+// historyLength is the number of past roots whose sets stay known for rebasing.
+const historyLength = 8
+
+// Follower holds the newest published configuration. Its methods are safe for concurrent use.
+type Follower struct {
+	opts  Options
+	log   zerolog.Logger
+	start time.Time
+	// ctx ends the background work.
+	ctx  context.Context
+	done context.CancelFunc
+	wg   sync.WaitGroup
+	// hints are announcements of higher revisions.
+	hints chan hint
+	save  chan struct{}
+
+	// loading admits one fetch of blocks at a time.
+	loading sync.Mutex
+	publisher
+
+	mu          sync.Mutex
+	root        publication.Root
+	rootData    []byte
+	snapshot    *config.Snapshot
+	blocks      map[publication.Digest]*block
+	history     []publication.Root
+	changed     chan struct{}
+	confirmedAt time.Time
+}
+
+// hint says that a peer has a revision.
+type hint struct {
+	from     string
+	revision uint64
+}
+
+// block is a block of the current set or a recent one.
+type block struct {
+	// data is compressed, for peers.
+	data     []byte
+	objects  config.Set
+	accounts []config.Account
+}
+
+// New returns a Follower of the empty set, or of the set in the data folder. It learns of newer
+// ones in the background until Close.
+func New(opts Options) *Follower {
+	opts = opts.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Follower{
+		opts:      opts,
+		log:       opts.Log,
+		start:     time.Now(),
+		ctx:       ctx,
+		done:      cancel,
+		hints:     make(chan hint, 1),
+		save:      make(chan struct{}, 1),
+		publisher: publisher{writer: opts.Self + "/" + opts.Incarnation},
+		snapshot:  config.NewSnapshot(0, config.Set{}),
+		blocks:    map[publication.Digest]*block{},
+		changed:   make(chan struct{}),
+	}
+	f.confirmedAt = f.start
+	f.loadCache()
+	if opts.Peers.Serve != nil {
+		opts.Peers.Serve(f.handlers())
+	}
+	f.run(f.watchLoop)
+	f.run(f.fetchLoop)
+	f.run(f.gossipLoop)
+	f.run(f.saveLoop)
+	return f
+}
+
+// run starts background work, unless the Follower is closed.
+func (f *Follower) run(work func(context.Context)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ctx.Err() == nil {
+		f.wg.Go(func() { work(f.ctx) })
+	}
+}
+
+// Close ends the background work. It waits until the copy in the data folder is written.
+func (f *Follower) Close() {
+	f.mu.Lock()
+	f.done()
+	f.mu.Unlock()
+	f.wg.Wait()
+}
+
+// Current returns the newest published set that this VM knows. It is never nil; generation 0 is
+// the empty set.
+func (f *Follower) Current() *config.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.snapshot
+}
+
+// Changed returns a channel that is closed at the next change of Current.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Confirmed returns the time since the generation was last confirmed with the platform or a peer.
+func (f *Follower) Confirmed(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(0, now.Sub(f.confirmedAt))
+}
+
+// confirm notes that the platform or a peer was reached and had nothing newer.
+func (f *Follower) confirm() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.confirmedAt = time.Now()
+}
+
+func (f *Follower) announcement() Announcement {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Announcement{Generation: f.root.Generation, Revision: f.root.Revision}
+}
+
+// install takes a root with its set if the revision is higher, and reports whether it did. The
+// snapshot is nil when the generation is the one in force.
+func (f *Follower) install(root publication.Root, data []byte, snapshot *config.Snapshot) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if root.Revision <= f.root.Revision || root.Generation < f.root.Generation {
+		return false
+	}
+	if root.Generation > f.root.Generation && snapshot == nil {
+		return false
+	}
+	advanced := root.Generation > f.root.Generation
+	f.root, f.rootData = root, data
+	f.confirmedAt = time.Now()
+	if advanced {
+		f.snapshot = snapshot
+		f.history = append(f.history, root)
+		f.history = f.history[max(0, len(f.history)-historyLength):]
+		f.dropOldBlocks()
+		close(f.changed)
+		f.changed = make(chan struct{})
+		f.log.Info().Uint64("generation", root.Generation).Msg("configuration in force")
+	}
+	select {
+	case f.save <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// dropOldBlocks forgets blocks that no root of the history refers to; the caller holds mu.
+func (f *Follower) dropOldBlocks() {
+	held := map[publication.Digest]bool{}
+	for _, root := range f.history {
+		for _, ref := range root.Refs() {
+			held[ref.Digest] = true
+		}
+	}
+	for digest := range f.blocks {
+		if !held[digest] {
+			delete(f.blocks, digest)
+		}
+	}
+}
+
+func newIncarnation() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/io/published/gossip.go
@@ -0,0 +1,152 @@
+package published
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/core/publication"
+)
+
+const (
+	// maxFetchBytes bounds the blocks of one answer to a peer, unless one block is larger.
+	maxFetchBytes = 256 << 10
+	// maxFetchDigests bounds the digests that one call is answered for.
+	maxFetchDigests = 512
+	// startPeers is the number of peers that a starting VM asks for their root.
+	startPeers = 3
+)
+
+func (f *Follower) handlers() Handlers {
+	return Handlers{Announce: f.onAnnounce, Query: f.announcement, FetchRoot: f.onFetchRoot, FetchBlocks: f.onFetchBlocks}
+}
+
+// onAnnounce takes a peer's announcement: a higher revision is fetched, a lower one is answered.
+func (f *Follower) onAnnounce(from string, a Announcement) {
+	own := f.announcement()
+	switch {
+	case a.Revision > own.Revision:
+		f.hint(hint{from: from, revision: a.Revision})
+	case a.Revision < own.Revision:
+		f.confirm()
+		_ = f.opts.Peers.Announce(from, own)
+	default:
+		f.confirm()
+	}
+}
+
+// hint hands a hint to the fetch loop; of several the one with the highest revision stays.
+func (f *Follower) hint(h hint) {
+	for {
+		select {
+		case f.hints <- h:
+			return
+		default:
+		}
+		select {
+		case waiting := <-f.hints:
+			if waiting.revision > h.revision {
+				h = waiting
+			}
+		default:
+		}
+	}
+}
+
+func (f *Follower) onFetchRoot() []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rootData
+}
+
+func (f *Follower) onFetchBlocks(digests []publication.Digest) [][]byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var blocks [][]byte
+	size := 0
+	for _, digest := range digests[:min(len(digests), maxFetchDigests)] {
+		var data []byte
+		if b := f.blocks[digest]; b != nil {
+			data = b.data
+		}
+		size += len(data)
+		if len(blocks) > 0 && size > maxFetchBytes {
+			break
+		}
+		blocks = append(blocks, data)
+	}
+	return blocks
+}
+
+// fetchLoop fetches the roots that peers announced. A random delay spreads the load when all VMs
+// learn of one generation.
+func (f *Follower) fetchLoop(ctx context.Context) {
+	f.askAtStart(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case h := <-f.hints:
+			if h.revision <= f.announcement().Revision {
+				continue
+			}
+			_ = sleep(ctx, rand.N(f.opts.FetchJitter))
+			if err := f.fetchFrom(ctx, h.from); err != nil {
+				f.log.Debug().Err(err).Str("peer", h.from).Msg("fetch of the configuration failed")
+			}
+		}
+	}
+}
+
+// askAtStart asks a few peers for their root.
+func (f *Follower) askAtStart(ctx context.Context) {
+	for _, id := range f.others(startPeers) {
+		if err := f.fetchFrom(ctx, id); err != nil {
+			f.log.Debug().Err(err).Str("peer", id).Msg("no configuration from this peer")
+		}
+	}
+}
+
+func (f *Follower) fetchFrom(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	data, err := f.opts.Peers.FetchRoot(ctx, id)
+	if err != nil {
+		return merry.Errorf("fetch root from %s: %w", id, err)
+	}
+	if len(data) == 0 {
+		return nil
+	}
+	if err := f.adopt(ctx, data, f.fromPeerOrStore(id)); err != nil {
+		return err
+	}
+	f.confirm()
+	return nil
+}
+
+// push announces the root in force to several peers; they push it on.
+func (f *Follower) push() {
+	if f.opts.Peers.Announce == nil {
+		return
+	}
+	a := f.announcement()
+	for _, id := range f.others(f.opts.Fanout) {
+		_ = f.opts.Peers.Announce(id, a)
+	}
+}
+
+// gossipLoop announces the root to a random peer at intervals, which repairs lost pushes, and
+// writes refusals that could not be recorded at once.
+func (f *Follower) gossipLoop(ctx context.Context) {
+	for {
+		jitter := rand.N(f.opts.GossipInterval / 2)
+		if sleep(ctx, f.opts.GossipInterval*3/4+jitter) != nil {
+			return
+		}
+		for _, id := range f.others(1) {
+			_ = f.opts.Peers.Announce(id, f.announcement())
+		}
+		f.flushRefusals(ctx)
+	}
+}
--- /dev/null
+++ b/io/published/load.go
@@ -0,0 +1,198 @@
+package published
+
+import (
+	"context"
+	"errors"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sync/errgroup"
+
+	"mothcart/core/config"
+	"mothcart/core/publication"
+	"mothcart/io/store"
+)
+
+// storeReaders bounds the concurrent reads of blocks from the object service.
+const storeReaders = 4
+
+// ErrStale means that a read gave a root older than the one in force.
+var ErrStale = merry.Sentinel("stale read of the configuration")
+
+// source returns the blocks of refs; it may leave out some, with nil.
+type source func(ctx context.Context, refs []publication.BlockRef) ([][]byte, error)
+
+// readRoot reads the root from the object service; without one it returns the zero root.
+func (f *Follower) readRoot(ctx context.Context) (publication.Root, []byte, store.Version, error) {
+	o, err := f.opts.Store.Get(ctx, publication.RootKey)
+	if errors.Is(err, store.ErrNotFound) {
+		return publication.Root{}, nil, store.Absent, nil
+	}
+	if err != nil {
+		return publication.Root{}, nil, 0, merry.Errorf("read root: %w", err)
+	}
+	root, err := publication.DecodeRoot(o.Value)
+	return root, o.Value, o.Version, err
+}
+
+// adopt installs the root in data with its blocks, if it is newer than the one in force. It
+// returns ErrStale for an older one.
+func (f *Follower) adopt(ctx context.Context, data []byte, from source) error {
+	root, err := publication.DecodeRoot(data)
+	if err != nil {
+		return err
+	}
+	f.loading.Lock()
+	defer f.loading.Unlock()
+	at := f.announcement()
+	switch {
+	case root.Revision < at.Revision:
+		return merry.Errorf("revision %d is before %d: %w", root.Revision, at.Revision, ErrStale)
+	case root.Revision == at.Revision:
+		return nil
+	}
+	var snapshot *config.Snapshot
+	if root.Generation > at.Generation {
+		set, err := f.load(ctx, root, from)
+		if err != nil {
+			return merry.Errorf("load generation %d: %w", root.Generation, err)
+		}
+		snapshot = config.NewSnapshot(root.Generation, set)
+	}
+	if f.install(root, data, snapshot) {
+		f.push()
+	}
+	return nil
+}
+
+// loadLocked is load from the object service, apart from other loads.
+func (f *Follower) loadLocked(ctx context.Context, root publication.Root) (config.Set, error) {
+	f.loading.Lock()
+	defer f.loading.Unlock()
+	return f.load(ctx, root, f.fromStore)
+}
+
+// load returns the set of the root; blocks that aren't held come from the source.
+func (f *Follower) load(ctx context.Context, root publication.Root, from source) (config.Set, error) {
+	if root.Generation == 0 {
+		return config.Set{}, nil
+	}
+	var wanted []publication.BlockRef
+	f.mu.Lock()
+	for _, ref := range root.Refs() {
+		if f.blocks[ref.Digest] == nil {
+			wanted = append(wanted, ref)
+		}
+	}
+	f.mu.Unlock()
+	for len(wanted) > 0 {
+		got, err := from(ctx, wanted)
+		if err != nil {
+			return config.Set{}, err
+		}
+		if len(got) == 0 || len(got) > len(wanted) {
+			return config.Set{}, merry.Errorf("%d blocks for %d: %w", len(got), len(wanted), publication.ErrCorrupt)
+		}
+		for i, data := range got {
+			if err := f.keep(root, wanted[i].Digest, data); err != nil {
+				return config.Set{}, err
+			}
+		}
+		wanted = wanted[len(got):]
+	}
+	return f.join(root)
+}
+
+// keep decodes a block and holds it.
+func (f *Follower) keep(root publication.Root, digest publication.Digest, data []byte) error {
+	if data == nil {
+		return merry.Errorf("block %s: %w", digest, store.ErrNotFound)
+	}
+	b := &block{data: data}
+	var err error
+	if digest == root.Objects.Digest {
+		b.objects, err = publication.DecodeObjects(digest, data)
+	} else {
+		b.accounts, err = publication.DecodeAccounts(digest, data)
+	}
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.blocks[digest] = b
+	return nil
+}
+
+// join puts the held blocks of the root together.
+func (f *Follower) join(root publication.Root) (config.Set, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	objects := f.blocks[root.Objects.Digest]
+	if objects == nil {
+		return config.Set{}, merry.Errorf("objects of generation %d: %w", root.Generation, store.ErrNotFound)
+	}
+	shards := make([][]config.Account, 0, len(root.Accounts))
+	for _, ref := range root.Accounts {
+		b := f.blocks[ref.Digest]
+		if b == nil {
+			return config.Set{}, merry.Errorf("accounts of generation %d: %w", root.Generation, store.ErrNotFound)
+		}
+		shards = append(shards, b.accounts)
+	}
+	return publication.Join(objects.objects, shards), nil
+}
+
+// fromStore reads blocks from the object service.
+func (f *Follower) fromStore(ctx context.Context, refs []publication.BlockRef) ([][]byte, error) {
+	blocks := make([][]byte, len(refs))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(storeReaders)
+	for i, ref := range refs {
+		g.Go(func() error {
+			o, err := f.opts.Store.Get(ctx, ref.Key())
+			if err != nil {
+				return merry.Errorf("read block: %w", err)
+			}
+			blocks[i] = o.Value
+			return nil
+		})
+	}
+	return blocks, g.Wait()
+}
+
+// fromPeer returns a source that asks the VM for blocks.
+func (f *Follower) fromPeer(id string) source {
+	return func(ctx context.Context, refs []publication.BlockRef) ([][]byte, error) {
+		digests := make([]publication.Digest, 0, len(refs))
+		for _, ref := range refs {
+			digests = append(digests, ref.Digest)
+		}
+		blocks, err := f.opts.Peers.FetchBlocks(ctx, id, digests)
+		if err != nil {
+			return nil, merry.Errorf("fetch blocks from %s: %w", id, err)
+		}
+		return blocks, nil
+	}
+}
+
+// fromPeerOrStore asks the VM first and the object service for what it lacks.
+func (f *Follower) fromPeerOrStore(id string) source {
+	peer := f.fromPeer(id)
+	return func(ctx context.Context, refs []publication.BlockRef) ([][]byte, error) {
+		blocks, err := peer(ctx, refs)
+		if err == nil && len(blocks) > 0 && blocks[0] != nil {
+			return blocks[:prefixLength(blocks)], nil
+		}
+		return f.fromStore(ctx, refs)
+	}
+}
+
+// prefixLength returns the number of blocks before the first that is missing.
+func prefixLength(blocks [][]byte) int {
+	for i, b := range blocks {
+		if b == nil {
+			return i
+		}
+	}
+	return len(blocks)
+}
--- /dev/null
+++ b/io/published/watch.go
@@ -0,0 +1,99 @@
+package published
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"mothcart/core/publication"
+	"mothcart/core/rendezvous"
+	"mothcart/io/store"
+)
+
+const (
+	// minRetryPause and maxRetryPause bound the pause after a failed read of the root.
+	minRetryPause = 100 * time.Millisecond
+	maxRetryPause = 2 * time.Second
+	// roleInterval is the time between two looks at whether this VM watches.
+	roleInterval = 500 * time.Millisecond
+	// loadTimeout bounds the fetch of a whole set.
+	loadTimeout = 20 * time.Second
+)
+
+// watchLoop watches the root while this VM is one of the watchers. A VM that isn't reads the root
+// at its start and when it could confirm its generation with no peer.
+func (f *Follower) watchLoop(ctx context.Context) {
+	var version store.Version
+	pause := minRetryPause
+	first := true
+	for ctx.Err() == nil {
+		watches := f.isWatcher()
+		if !watches && !first && f.Confirmed(time.Now()) < f.opts.ReadAfter {
+			_ = sleep(ctx, roleInterval)
+			continue
+		}
+		wait := f.opts.WatchWait
+		if first || !watches {
+			wait = 0
+		}
+		seen, err := f.watchOnce(ctx, version, wait)
+		if err != nil {
+			f.log.Debug().Err(err).Msg("watch of the configuration failed")
+			_ = sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, maxRetryPause)
+			first = first && f.Current().Generation == 0
+			continue
+		}
+		version, pause, first = seen, minRetryPause, false
+	}
+}
+
+// watchOnce waits for a root after version and adopts it. The deadline replaces a watch that went
+// silent by a new one.
+func (f *Follower) watchOnce(ctx context.Context, version store.Version, wait time.Duration) (store.Version, error) {
+	watchCtx, cancel := context.WithTimeout(ctx, wait+f.opts.WatchGrace)
+	defer cancel()
+	var o store.Object
+	var err error
+	if wait == 0 {
+		o, err = f.opts.Store.Get(watchCtx, publication.RootKey)
+	} else {
+		o, err = f.opts.Store.Watch(watchCtx, publication.RootKey, version, wait)
+	}
+	if errors.Is(err, store.ErrNotFound) && f.Current().Generation == 0 {
+		f.confirm()
+		return version, nil
+	}
+	if err != nil {
+		return version, err
+	}
+	loadCtx, cancelLoad := context.WithTimeout(ctx, loadTimeout)
+	defer cancelLoad()
+	if err := f.adopt(loadCtx, o.Value, f.fromStore); err != nil {
+		return version, err
+	}
+	f.confirm()
+	return max(version, o.Version), nil
+}
+
+func (f *Follower) isWatcher() bool {
+	ids := f.ids()
+	return len(ids) <= f.opts.Watchers || slices.Contains(rendezvous.Top(publication.RootKey, ids, f.opts.Watchers), f.opts.Self)
+}
+
+// ids returns the live VMs with this one.
+func (f *Follower) ids() []string {
+	if f.opts.Peers.IDs == nil {
+		return []string{f.opts.Self}
+	}
+	return f.opts.Peers.IDs()
+}
+
+// others returns up to n random other VMs.
+func (f *Follower) others(n int) []string {
+	ids := slices.DeleteFunc(slices.Clone(f.ids()), func(id string) bool { return id == f.opts.Self })
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids[:min(n, len(ids))]
+}
--- /dev/null
+++ b/io/published/write.go
@@ -0,0 +1,88 @@
+package published
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+
+	"mothcart/core/publication"
+	"mothcart/io/store"
+)
+
+// blockWriter writes the blocks of one apply, over all its attempts.
+type blockWriter struct {
+	f           *Follower
+	publication uint64
+	written     map[publication.BlockRef]bool
+	// parts holds the set that is about to be published, by digest.
+	parts map[publication.Digest][]byte
+}
+
+func (f *Follower) newBlockWriter(id publication.EntryID) *blockWriter {
+	key := fmt.Sprintf("%s %d", id.Writer, id.Sequence)
+	return &blockWriter{f: f, publication: xxhash.Sum64String(key), written: map[publication.BlockRef]bool{}}
+}
+
+// fromParts is a source of the set that was published. It needs no object service, so that this
+// VM can serve the set when the service fails right after.
+func (w *blockWriter) fromParts(ctx context.Context, refs []publication.BlockRef) ([][]byte, error) {
+	var blocks [][]byte
+	for _, ref := range refs {
+		data, ok := w.parts[ref.Digest]
+		if !ok {
+			return w.f.fromStore(ctx, refs)
+		}
+		blocks = append(blocks, data)
+	}
+	return blocks, nil
+}
+
+// writeMissing writes the blocks that root has no reference to.
+func (w *blockWriter) writeMissing(ctx context.Context, root publication.Root, parts publication.Parts, extra []publication.Part) error {
+	held := map[publication.Digest]bool{}
+	for _, ref := range root.Refs() {
+		held[ref.Digest] = true
+	}
+	missing := extra
+	w.parts = map[publication.Digest][]byte{}
+	for _, p := range append([]publication.Part{parts.Objects}, parts.Accounts...) {
+		w.parts[p.Digest] = p.Data
+		if !held[p.Digest] {
+			held[p.Digest] = true
+			missing = append(missing, p)
+		}
+	}
+	for _, p := range missing {
+		if err := w.write(ctx, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// write creates a block; its key is unique to the apply, so that an existing one is its own.
+func (w *blockWriter) write(ctx context.Context, p publication.Part) error {
+	ref := publication.BlockRef{Digest: p.Digest, Publication: w.publication}
+	if w.written[ref] {
+		return nil
+	}
+	w.written[ref] = true
+	pause := minResolvePause
+	for {
+		_, err := w.f.opts.Store.Put(ctx, ref.Key(), p.Data, store.Absent)
+		switch {
+		case err == nil || errors.Is(err, store.ErrConflict):
+			return nil
+		case !errors.Is(err, store.ErrUnknown):
+			delete(w.written, ref)
+			return merry.Errorf("write block: %w: %w", ErrUnavailable, err)
+		}
+		if sleep(ctx, pause) != nil {
+			return merry.Errorf("write block: %w", ErrUnavailable)
+		}
+		pause = min(2*pause, maxResolvePause)
+	}
+}
