--- a/io/caller/completion.go
+++ b/io/caller/completion.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
-	"math/rand/v2"
-
 	"mothcart/core/retry"
 	"mothcart/core/route"
 	"mothcart/io/engine"
@@ -150,17 +149,17 @@
 		run.request.Body = body
 		return h.opts.Router.ExchangeWhole(ctx, run.request)
 	}
-	a := newAssembler(run.path == engine.ChatPath)
+	a := engine.NewAssembler(run.path)
 	summary, err := h.opts.Router.Exchange(ctx, run.request, func(data string) error {
-		if summaryFirst := a.events == 0; summaryFirst {
+		if a.Events() == 0 {
 			h.first.UpdateSince(c.received)
 		}
-		return a.add(data)
+		return a.Add(data)
 	})
 	if err != nil {
 		return nil, summary, err
 	}
-	answer, err := a.answer()
+	answer, err := a.Answer()
 	return answer, summary, err
 }
 
--- a/io/caller/assemble.go
+++ b/io/engine/assemble.go
@@ -1,4 +1,4 @@
-package caller
+package engine
 
 import (
 	"encoding/json"
@@ -7,10 +7,11 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// assembler puts a whole answer together from the events of its stream.
-type assembler struct {
+// Assembler puts a whole answer together from the events of its stream.
+type Assembler struct {
 	chat   bool
 	events int
+	tokens int
 	last   chunk
 	text   strings.Builder
 	role   string
@@ -64,12 +65,21 @@
 	Refusal *string `json:"refusal"`
 }
 
-func newAssembler(chat bool) *assembler { return &assembler{chat: chat, role: "assistant"} }
+// NewAssembler returns an empty assembler for the answer of a call to path.
+func NewAssembler(path string) *Assembler {
+	return &Assembler{chat: path == ChatPath, role: "assistant"}
+}
+
+// Events returns the number of events taken in.
+func (a *Assembler) Events() int { return a.events }
 
-// add takes in the data of one event.
-func (a *assembler) add(data string) error {
+// Tokens returns the number of tokens taken in; a stream goes on from there.
+func (a *Assembler) Tokens() int { return a.tokens }
+
+// Add takes in the data of one event.
+func (a *Assembler) Add(data string) error {
 	a.events++
-	if data == "[DONE]" {
+	if data == doneEvent {
 		a.whole = true
 		return nil
 	}
@@ -79,6 +89,8 @@
 	}
 	if len(c.Usage) > 0 && string(c.Usage) != "null" {
 		a.usage = c.Usage
+	} else {
+		a.tokens++
 	}
 	if c.ID != "" {
 		a.last = c
@@ -96,8 +108,8 @@
 	return nil
 }
 
-// answer renders the whole answer; it fails if the stream was not whole.
-func (a *assembler) answer() ([]byte, error) {
+// Answer renders the whole answer; it fails if the stream was not whole.
+func (a *Assembler) Answer() ([]byte, error) {
 	if !a.whole {
 		return nil, merry.New("stream ended before [DONE]")
 	}
--- /dev/null
+++ b/io/upstream/engine_home.go
@@ -0,0 +1,281 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"mothcart/core/config"
+	"mothcart/core/fill"
+	"mothcart/core/vm"
+	"mothcart/io/engine"
+)
+
+const (
+	// fillInterval is the time between two decisions on an engine while nothing happens.
+	fillInterval = 10 * time.Millisecond
+	// loadInterval is the time between two load reports.
+	loadInterval = 250 * time.Millisecond
+	// assumedKVTokens holds for an engine that has not reported.
+	assumedKVTokens = 60000
+	// namesEvery is the number of digests after which the names are sent again.
+	namesEvery = 16
+	// namesRepeats is the number of digests that carry the names after a change.
+	namesRepeats = 2
+)
+
+// engineHome looks after one upstream. Its methods are safe for concurrent use.
+type engineHome struct {
+	opts   HomeOptions
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	wake   chan struct{}
+
+	mu       sync.Mutex
+	upstream vm.VM
+	service  config.Service
+	// names are all models and adapters of the service; loaded are those the engine reported.
+	names  []string
+	loaded []string
+	state  fill.State
+	// online holds the numbers of the requests in flight by VM.
+	online map[string][]string
+	unseen uint64
+	load   engine.Load
+	// loadAt is when the last report came; zero means never.
+	loadAt    time.Time
+	batch     map[string]*batchRun
+	progress  progressCache
+	digestAt  time.Time
+	digestSeq int
+	// namesLeft is the number of next digests that carry the names after a change.
+	namesLeft  int
+	nextModel  int
+	thrownAway int64
+}
+
+// EngineStatus is the state of one upstream at its home.
+type EngineStatus struct {
+	ID       string `json:"id"`
+	Service  string `json:"service"`
+	Online   int    `json:"online"`
+	Batch    int    `json:"batch"`
+	Capacity int    `json:"capacity"`
+	Leaving  bool   `json:"leaving"`
+	// ReportAgeMillis is the age of the last load report; -1 means none.
+	ReportAgeMillis int64    `json:"reportAgeMillis"`
+	Loaded          []string `json:"loaded"`
+}
+
+func newEngineHome(now time.Time, opts HomeOptions, u vm.VM, service config.Service, names []string) *engineHome {
+	ctx, cancel := context.WithCancel(context.Background())
+	capacity := service.MaxConcurrency
+	if capacity <= 0 {
+		capacity = defaultConcurrency
+	}
+	e := &engineHome{
+		opts: opts, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
+		upstream: u, service: service, names: names,
+		state:  fill.New(now, fill.NewParams(capacity, assumedKVTokens).WithWeight(service.HarmWeight)),
+		online: map[string][]string{}, batch: map[string]*batchRun{}, progress: newProgressCache(),
+	}
+	if service.Kind == config.KindEngine {
+		e.done.Go(e.fillLoop)
+	}
+	if service.ReportsLoad {
+		e.done.Go(e.loadLoop)
+	}
+	return e
+}
+
+// close stops the batch items, gives them back and ends the goroutines.
+func (e *engineHome) close() {
+	e.cancel()
+	e.done.Wait()
+}
+
+func (e *engineHome) id() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.upstream.ID
+}
+
+func (e *engineHome) configure(u vm.VM, service config.Service, names []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.upstream, e.service, e.names = u, service, names
+	e.state = e.state.WithParams(e.state.Params().WithWeight(service.HarmWeight))
+}
+
+// count takes in a VM's notice. The count is absolute: requests whose start or end was lost are
+// added or removed.
+func (e *engineHome) count(now time.Time, from string, n countNotice) {
+	e.mu.Lock()
+	id := fmt.Sprintf("%s/%d", from, n.Number)
+	switch {
+	case n.Number != 0 && n.Started:
+		e.start(now, from, id, n.Tokens)
+	case n.Number != 0:
+		e.end(now, from, id)
+	}
+	for len(e.online[from]) > n.InFlight {
+		e.end(now, from, e.online[from][0])
+	}
+	for len(e.online[from]) < n.InFlight {
+		e.unseen++
+		e.start(now, from, fmt.Sprintf("%s/unseen%d", from, e.unseen), 0)
+	}
+	e.mu.Unlock()
+	if n.Started {
+		e.poke()
+	}
+}
+
+// start and end change the count of online requests; mu is held.
+func (e *engineHome) start(now time.Time, from, id string, tokens int) {
+	if slices.Contains(e.online[from], id) {
+		return
+	}
+	e.online[from] = append(e.online[from], id)
+	e.state = e.state.WithOnlineStart(now, id, tokens)
+}
+
+func (e *engineHome) end(now time.Time, from, id string) {
+	i := slices.Index(e.online[from], id)
+	if i < 0 {
+		return
+	}
+	e.online[from] = slices.Delete(e.online[from], i, i+1)
+	e.state = e.state.WithOnlineEnd(now, id)
+}
+
+// keepVMs drops the counts of VMs that are gone; they ended with their VM.
+func (e *engineHome) keepVMs(ids []string) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for from, list := range e.online {
+		if slices.Contains(ids, from) {
+			continue
+		}
+		for _, id := range list {
+			e.state = e.state.WithOnlineEnd(now, id)
+		}
+		delete(e.online, from)
+	}
+}
+
+func (e *engineHome) poke() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// loadLoop reads the engine's load reports.
+func (e *engineHome) loadLoop() {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		e.mu.Lock()
+		address := e.upstream.Address
+		e.mu.Unlock()
+		load, err := e.opts.Control.Load(e.ctx, address)
+		if err != nil {
+			continue
+		}
+		e.takeLoad(time.Now(), load)
+	}
+}
+
+func (e *engineHome) takeLoad(now time.Time, load engine.Load) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.load, e.loadAt = load, now
+	if !slices.Equal(e.loaded, load.Models) {
+		e.loaded = load.Models
+		e.namesLeft = namesRepeats
+	}
+	e.state = e.state.WithReport(now, fill.Report{
+		Running: load.Running, Waiting: load.Waiting, KVUsedTokens: load.KVUsedTokens,
+		MaxRunning: load.MaxRunning, KVCapacityTokens: load.KVCapacityTokens,
+	})
+}
+
+// capacity returns the online requests that the upstream serves at once; mu is held.
+func (e *engineHome) capacity() int {
+	if e.load.MaxRunning > 0 {
+		return e.load.MaxRunning
+	}
+	if e.service.MaxConcurrency > 0 {
+		return e.service.MaxConcurrency
+	}
+	return defaultConcurrency
+}
+
+func (e *engineHome) onlineCount() int {
+	n := 0
+	for _, list := range e.online {
+		n += len(list)
+	}
+	return n
+}
+
+// digestDue reports that a digest is to be sent now, and notes it as sent.
+func (e *engineHome) digestDue(now time.Time, interval time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Sub(e.digestAt) < interval {
+		return false
+	}
+	e.digestAt = now
+	e.digestSeq++
+	e.namesLeft = max(0, e.namesLeft-1)
+	return true
+}
+
+// digest returns the upstream's digest for one VM.
+func (e *engineHome) digest(receiver string) digestNotice {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	d := digestNotice{
+		Upstream: e.upstream.ID, Service: e.service.Name, InFlight: int32(e.onlineCount()),
+		Yours: int32(len(e.online[receiver])), Waiting: e.waiting(), Capacity: int32(e.capacity()), All: true,
+	}
+	if e.loadAt.IsZero() || e.service.Kind != config.KindEngine {
+		return d
+	}
+	if e.digestSeq%namesEvery == 1 || e.namesLeft > 0 {
+		d.Names, d.All = e.loaded, false
+	}
+	return d
+}
+
+// waiting returns the requests queued inside the engine that the own counts don't explain.
+func (e *engineHome) waiting() int32 {
+	if time.Since(e.loadAt) > 4*loadInterval {
+		return 0
+	}
+	return int32(e.load.Waiting)
+}
+
+func (e *engineHome) status() EngineStatus {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := EngineStatus{
+		ID: e.upstream.ID, Service: e.service.Name, Online: e.onlineCount(), Batch: len(e.batch),
+		Capacity: e.capacity(), Leaving: e.upstream.Leaving, ReportAgeMillis: -1, Loaded: e.loaded,
+	}
+	if !e.loadAt.IsZero() {
+		s.ReportAgeMillis = time.Since(e.loadAt).Milliseconds()
+	}
+	return s
+}
--- /dev/null
+++ b/io/upstream/notice.go
@@ -0,0 +1,175 @@
+package upstream
+
+import (
+	"context"
+	"time"
+
+	"mothcart/core/route"
+	"mothcart/io/peer"
+)
+
+// countNotice tells a home of a VM's requests at one upstream. InFlight is absolute, so that a lost
+// notice is mended by the next.
+type countNotice struct {
+	Upstream string `msgpack:"u"`
+	InFlight int    `msgpack:"n"`
+	Number   uint64 `msgpack:"r,omitempty"`
+	Started  bool   `msgpack:"s,omitempty"`
+	Tokens   int    `msgpack:"t,omitempty"`
+}
+
+// countNotices is one frame to a home. Sequence grows with each frame of a VM to a home.
+type countNotices struct {
+	List []countNotice `msgpack:"l"`
+}
+
+// digestNotice tells a VM of one upstream.
+type digestNotice struct {
+	Upstream string   `msgpack:"u"`
+	Service  string   `msgpack:"s"`
+	InFlight int32    `msgpack:"n"`
+	Yours    int32    `msgpack:"y"`
+	Waiting  int32    `msgpack:"w"`
+	Capacity int32    `msgpack:"c"`
+	Names    []string `msgpack:"m,omitempty"`
+	// All means that the upstream serves every name, or that the names are as before.
+	All bool `msgpack:"a,omitempty"`
+}
+
+type digestNotices struct {
+	List []digestNotice `msgpack:"l"`
+}
+
+type noAnswer struct{}
+
+// Count takes in a start or end at this VM and tells the upstream's home: a start at once, an end
+// with the next flush.
+func (h *Home) Count(c Count) {
+	n := countNotice{Upstream: c.Upstream.ID, InFlight: c.InFlight, Number: c.Number, Started: c.Started, Tokens: c.Tokens}
+	h.mu.Lock()
+	home := h.homes[c.Upstream.ID]
+	if home == h.opts.Peers.Self().ID {
+		e := h.engines[c.Upstream.ID]
+		h.mu.Unlock()
+		if e != nil {
+			e.count(time.Now(), home, n)
+		}
+		return
+	}
+	if home != "" {
+		h.pending[home] = append(h.pending[home], n)
+	}
+	h.mu.Unlock()
+	if c.Started {
+		select {
+		case h.urgent <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// flushLoop sends the pending notices: at once after a start, else after flushInterval.
+func (h *Home) flushLoop(ctx context.Context) {
+	ticker := time.NewTicker(flushInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.urgent:
+		case <-ticker.C:
+		}
+		h.flush()
+	}
+}
+
+func (h *Home) flush() {
+	h.mu.Lock()
+	if len(h.pending) == 0 {
+		h.mu.Unlock()
+		return
+	}
+	pending := h.pending
+	h.pending = map[string][]countNotice{}
+	h.mu.Unlock()
+	for home, list := range pending {
+		// A notice that can't be sent is mended by resend.
+		_ = peer.Notify(h.opts.Peers, home, countMethod, peer.Control, countNotices{List: list})
+	}
+}
+
+// resend tells the homes all counts that are not zero.
+func (h *Home) resend(now time.Time) {
+	own := h.opts.Own()
+	self := h.opts.Peers.Self().ID
+	h.mu.Lock()
+	for id, n := range own {
+		home := h.homes[id]
+		if home == self {
+			if e := h.engines[id]; e != nil {
+				e.count(now, self, countNotice{Upstream: id, InFlight: n})
+			}
+		} else if home != "" {
+			h.pending[home] = append(h.pending[home], countNotice{Upstream: id, InFlight: n})
+		}
+	}
+	h.mu.Unlock()
+}
+
+func (h *Home) serveCount(_ context.Context, from string, msg countNotices) (noAnswer, error) {
+	now := time.Now()
+	for _, n := range msg.List {
+		if e, ok := h.engine(n.Upstream); ok {
+			e.count(now, from, n)
+		}
+	}
+	return noAnswer{}, nil
+}
+
+// publish sends the digests of the upstreams that this VM is home of to the VMs that route to them,
+// as often as the bound on their bytes allows.
+func (h *Home) publish(now time.Time) {
+	self := h.opts.Peers.Self().ID
+	engines := h.homeEngines()
+	h.mu.Lock()
+	subscribers := h.subscribers
+	h.mu.Unlock()
+	receivers := 0
+	for _, e := range engines {
+		receivers += len(subscribers[e.id()])
+	}
+	interval := max(digestInterval, time.Duration(receivers*digestBytes)*time.Second/digestBytesPerSecond)
+	frames := map[string][]digestNotice{}
+	for _, e := range engines {
+		if !e.digestDue(now, interval) {
+			continue
+		}
+		for _, v := range subscribers[e.id()] {
+			frames[v] = append(frames[v], e.digest(v))
+		}
+	}
+	for v, list := range frames {
+		if v == self {
+			h.takeDigests(now, list)
+			continue
+		}
+		_ = peer.Notify(h.opts.Peers, v, digestMethod, peer.Control, digestNotices{List: list})
+	}
+}
+
+func (h *Home) serveDigest(_ context.Context, _ string, msg digestNotices) (noAnswer, error) {
+	h.takeDigests(time.Now(), msg.List)
+	return noAnswer{}, nil
+}
+
+func (h *Home) takeDigests(now time.Time, list []digestNotice) {
+	for _, d := range list {
+		names := d.Names
+		if names == nil && !d.All {
+			names = []string{}
+		}
+		h.opts.TakeDigest(now, d.Service, d.Upstream, route.Digest{
+			InFlight: d.InFlight, Yours: d.Yours, Waiting: d.Waiting, Capacity: d.Capacity, Names: names,
+		})
+	}
+}
--- a/io/upstream/options.go
+++ b/io/upstream/options.go
@@ -15,13 +15,26 @@
 	Upstreams func() (list []vm.VM, revision uint64)
 	// VMs returns the number of live entry VMs.
 	VMs func() int
-	// Counted is told each change of this VM's own requests in flight at an upstream; tokens is the
-	// prompt's length of a request that starts, 0 for one that ends. It must not block.
-	Counted func(service string, u vm.VM, inFlight, tokens int)
+	// Counted is told each start and end of this VM's own requests at an upstream. It must not
+	// block.
+	Counted func(Count)
 	// Engines is the client for online requests.
 	Engines *engine.Client
 }
 
+// Count is one start or end of an online request at an upstream.
+type Count struct {
+	Upstream vm.VM
+	// Number is the request's number at this VM.
+	Number uint64
+	// Started is true for a start and false for an end.
+	Started bool
+	// InFlight is the number of this VM's requests at the upstream after the change.
+	InFlight int
+	// Tokens is the estimated length of the prompt of a request that starts.
+	Tokens int
+}
+
 // NewOptions returns options for one VM alone, without upstreams.
 func NewOptions(self vm.VM, engines *engine.Client) Options {
 	empty := config.NewSnapshot(0, config.Set{})
@@ -30,7 +43,7 @@
 		Snapshot:  func() *config.Snapshot { return empty },
 		Upstreams: func() ([]vm.VM, uint64) { return nil, 0 },
 		VMs:       func() int { return 1 },
-		Counted:   func(string, vm.VM, int, int) {},
+		Counted:   func(Count) {},
 		Engines:   engines,
 	}
 }
@@ -54,7 +67,7 @@
 }
 
 // WithCounted returns a copy with the listener to counts set.
-func (o Options) WithCounted(f func(service string, u vm.VM, inFlight, tokens int)) Options {
+func (o Options) WithCounted(f func(Count)) Options {
 	o.Counted = f
 	return o
 }
--- a/io/upstream/router.go
+++ b/io/upstream/router.go
@@ -196,8 +196,9 @@
 	return shares
 }
 
-// WithDigest takes in a digest from an upstream's home.
-func (r *Router) WithDigest(now time.Time, service, id string, d route.Digest) {
+// TakeDigest takes in a digest from an upstream's home. A digest without names leaves those that
+// are known.
+func (r *Router) TakeDigest(now time.Time, service, id string, d route.Digest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s, ok := r.services[service]
@@ -205,15 +206,24 @@
 		return
 	}
 	d.At = now
+	if i, found := s.table.Find(id); found && d.Names == nil {
+		d.Names = s.table.Entry(i).Digest.Names
+	}
 	s.table = s.table.WithDigest(id, d)
 	r.dispatch(now, s)
 }
 
-// InFlight returns this VM's own requests in flight at the upstream.
-func (r *Router) InFlight(id string) int {
+// Own returns this VM's own requests in flight at each upstream that has any.
+func (r *Router) Own() map[string]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return int(r.counter(id).Load())
+	own := map[string]int{}
+	for id, c := range r.counters {
+		if n := c.Load(); n > 0 {
+			own[id] = int(n)
+		}
+	}
+	return own
 }
 
 // Waiting returns the number of requests that wait in the queues of this VM.
@@ -249,6 +259,7 @@
 	service  string
 	name     string
 	team     string
+	number   uint64
 	once     sync.Once
 }
 
@@ -324,9 +335,10 @@
 		return nil, false
 	}
 	e := s.table.Entry(i)
-	n := e.Own.Add(1)
-	r.opts.Counted(s.cfg.Name, e.Upstream, int(n), w.Tokens)
-	return &Lease{Upstream: e.Upstream, router: r, service: s.cfg.Name, name: w.Name, team: w.Team}, true
+	r.nextID++
+	lease := &Lease{Upstream: e.Upstream, router: r, service: s.cfg.Name, name: w.Name, team: w.Team, number: r.nextID}
+	r.opts.Counted(Count{Upstream: e.Upstream, Number: lease.number, Started: true, InFlight: int(e.Own.Add(1)), Tokens: w.Tokens})
+	return lease, true
 }
 
 // Done gives the place back; ok is false when the upstream failed by its own fault.
@@ -335,8 +347,8 @@
 		r := l.router
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		n := r.counter(l.Upstream.ID).Add(-1)
-		r.opts.Counted(l.service, l.Upstream, int(n), 0)
+		left := r.counter(l.Upstream.ID).Add(-1)
+		r.opts.Counted(Count{Upstream: l.Upstream, Number: l.number, InFlight: int(left)})
 		s, known := r.services[l.service]
 		if !known {
 			return
