--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -211,18 +211,15 @@
 func (c *conn) read() {
 	r := bufio.NewReader(countingReader{c})
 	for {
-		b, err := readBytes(r, c.limit)
+		f, err := readFrame(r, c.limit)
 		if err != nil {
+			if errors.Is(err, errProtocol) {
+				c.node.metrics.refused.Inc(1)
+			}
 			c.close(err)
 			return
 		}
 		c.node.metrics.classes[c.class].framesIn.Inc(1)
-		f, err := decodeFrame(b)
-		if err != nil {
-			c.node.metrics.refused.Inc(1)
-			c.close(err)
-			return
-		}
 		c.handle(f)
 	}
 }
--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -127,11 +127,31 @@
 	return b, nil
 }
 
+// readFrame reads and decodes one frame after the hello.
+func readFrame(r io.Reader, limit int) (frame, error) {
+	b, err := readBytes(r, limit)
+	if err != nil {
+		return frame{}, err
+	}
+	return decodeFrame(b)
+}
+
+// decode decodes untrusted bytes.
+func decode(b []byte, v any) error {
+	if err := checkWellFormed(b); err != nil {
+		return err
+	}
+	if err := msgpack.Unmarshal(b, v); err != nil {
+		return merry.Errorf("%w: %w", errProtocol, err)
+	}
+	return nil
+}
+
 // decodeFrame decodes the bytes of a frame after the hello.
 func decodeFrame(b []byte) (frame, error) {
 	var f frame
-	if err := msgpack.Unmarshal(b, &f); err != nil {
-		return frame{}, merry.Errorf("decode frame: %w: %w", errProtocol, err)
+	if err := decode(b, &f); err != nil {
+		return frame{}, merry.Errorf("decode frame: %w", err)
 	}
 	if f.Kind < kindHeartbeat || f.Kind > kindCancel {
 		return frame{}, merry.Errorf("frame kind %d: %w", f.Kind, errProtocol)
@@ -142,8 +162,8 @@
 // decodeHello decodes the bytes of a hello and checks that this version can talk to it.
 func decodeHello(b []byte) (hello, error) {
 	var h hello
-	if err := msgpack.Unmarshal(b, &h); err != nil {
-		return hello{}, merry.Errorf("decode hello: %w: %w", errProtocol, err)
+	if err := decode(b, &h); err != nil {
+		return hello{}, merry.Errorf("decode hello: %w", err)
 	}
 	switch {
 	case h.Protocol != protocolName:
--- a/io/peer/handshake.go
+++ b/io/peer/handshake.go
@@ -52,7 +52,7 @@
 		if err := tc.HandshakeContext(ctx); err != nil {
 			return nil, merry.Errorf("TLS handshake: %w", err)
 		}
-		if err := checkRole(tc); err != nil {
+		if err := checkCertificate(tc, key.peer); err != nil {
 			return nil, err
 		}
 		c = tc
@@ -84,9 +84,6 @@
 		if err := tc.HandshakeContext(ctx); err != nil {
 			return nil, hello{}, merry.Errorf("TLS handshake: %w", err)
 		}
-		if err := checkRole(tc); err != nil {
-			return nil, hello{}, err
-		}
 		c = tc
 	}
 	theirs, err := h.readHello(c)
@@ -96,8 +93,8 @@
 		return nil, hello{}, err
 	}
 	if tc != nil {
-		if err := tc.ConnectionState().PeerCertificates[0].VerifyHostname(theirs.VM.ID); err != nil {
-			return nil, hello{}, merry.Errorf("certificate of VM %s: %w", theirs.VM.ID, err)
+		if err := checkCertificate(tc, theirs.VM.ID); err != nil {
+			return nil, hello{}, err
 		}
 	}
 	if theirs.VM.ID == h.opts.Self.ID {
@@ -128,10 +125,14 @@
 	return decodeHello(b)
 }
 
-func checkRole(c *tls.Conn) error {
+// checkCertificate checks that the verified certificate of the other end is a peer's and names id.
+func checkCertificate(c *tls.Conn, id string) error {
 	subject := c.ConnectionState().PeerCertificates[0].Subject
 	if !slices.Contains(subject.OrganizationalUnit, CertificateRole) {
 		return merry.Errorf("certificate of %s is not for peers: %w", subject.CommonName, errProtocol)
 	}
+	if subject.CommonName != id {
+		return merry.Errorf("certificate of %s used by VM %s: %w", subject.CommonName, id, errProtocol)
+	}
 	return nil
 }
--- a/io/peer/membership.go
+++ b/io/peer/membership.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"mothcart/core/member"
@@ -83,9 +84,17 @@
 	_ = n.notify(o.To, memberMethod, Control, b.Bytes(), o.Fresh)
 }
 
-func (n *Node) receiveMember(from string, body []byte) {
+func decodeMember(body []byte) (member.Message, error) {
 	var m member.Message
 	if err := msgpack.Unmarshal(body, &m); err != nil {
+		return member.Message{}, merry.Errorf("decode membership message: %w: %w", errProtocol, err)
+	}
+	return m, nil
+}
+
+func (n *Node) receiveMember(from string, body []byte) {
+	m, err := decodeMember(body)
+	if err != nil {
 		n.metrics.noticesDropped.Inc(1)
 		return
 	}
--- /dev/null
+++ b/io/vmlist/vmlist.go
@@ -0,0 +1,85 @@
+// Package vmlist speaks to the platform's VM list, which says which VMs live and which leave.
+//
+// The list lags and may be wrong: it gives candidates, and the peers decide which of them live. A
+// Watcher polls it with long polls, gives up a poll that went silent, and retries with jitter. While
+// the list is out, the last one stays in use.
+//
+// Usage:
+//
+//	c := vmlist.NewHTTP("http://127.0.0.1:7001", "e1", http.DefaultClient)
+//	w := vmlist.New(vmlist.NewOptions(c).WithOnList(node.SetList))
+//	defer w.Close()
+package vmlist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/core/vm"
+)
+
+// Path and parameters of the VM list's HTTP interface.
+const (
+	// Path serves the list.
+	Path = "/v1/vms"
+	// ParamAfter makes a read wait for a revision greater than this one.
+	ParamAfter = "after"
+	// ParamWaitMillis bounds the wait, in milliseconds.
+	ParamWaitMillis = "waitMillis"
+	// ParamReader names the VM that reads.
+	ParamReader = "reader"
+)
+
+// maxListBytes bounds the body of a list.
+const maxListBytes = 8 << 20
+
+// ErrUnavailable means that the list could not be read.
+var ErrUnavailable = merry.Sentinel("VM list unavailable")
+
+// List is one revision of the VM list.
+type List struct {
+	Revision uint64  `json:"revision"`
+	VMs      []vm.VM `json:"vms"`
+}
+
+// Client is the call of the VM list. Every call counts against the platform's rates.
+type Client struct {
+	// Read returns the list as soon as its revision is greater than after, or the present one when
+	// wait is over.
+	Read func(ctx context.Context, after uint64, wait time.Duration) (List, error)
+}
+
+// NewHTTP returns a Client for the list at base, such as http://10.0.0.9:7001, read by the VM
+// reader.
+func NewHTTP(base, reader string, hc *http.Client) Client {
+	return Client{Read: func(ctx context.Context, after uint64, wait time.Duration) (List, error) {
+		q := url.Values{}
+		q.Set(ParamAfter, strconv.FormatUint(after, 10))
+		q.Set(ParamWaitMillis, strconv.FormatInt(wait.Milliseconds(), 10))
+		q.Set(ParamReader, reader)
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, base+Path+"?"+q.Encode(), nil)
+		if err != nil {
+			return List{}, merry.Errorf("build read of VM list: %w", err)
+		}
+		resp, err := hc.Do(r)
+		if err != nil {
+			return List{}, merry.Errorf("read VM list: %w: %w", ErrUnavailable, err)
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return List{}, merry.Errorf("read VM list: status %d: %w", resp.StatusCode, ErrUnavailable)
+		}
+		var l List
+		if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&l); err != nil {
+			return List{}, merry.Errorf("decode VM list: %w: %w", ErrUnavailable, err)
+		}
+		return l, nil
+	}}
+}
