Add batch jobs: chunk leases under a fence, job homes, brokers

A batch of 51,000 items must end with one outcome an item while VMs die and the object service has outages. core/job decides: item states, intents counted before dispatch, leases judged by unchanged versions, groups of suspects that shrink to one. io/job carries it out over the object service and peers.

--- /dev/null
+++ b/core/job/hold.go
@@ -0,0 +1,320 @@
+package job
+
+import (
+	"slices"
+	"time"
+)
+
+// Lease durations. A holder renews well before it stops, and stops well before another VM may take
+// the chunk over.
+const (
+	// DefaultLease is the time after which an unchanged claim counts as lapsed.
+	DefaultLease = 2 * time.Minute
+	// stopShare is the part of the lease after which the holder stops.
+	stopShare = 0.8
+	// renewShare is the part of the lease after which the holder renews.
+	renewShare = 0.34
+)
+
+// StopAfter returns how long a holder may dispatch after it began its last successful write.
+func StopAfter(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) * stopShare)
+}
+
+// RenewAfter returns the time between two writes of a holder that has nothing urgent.
+func RenewAfter(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) * renewShare)
+}
+
+// liveState is the state of an item at the holder.
+type liveState uint8
+
+const (
+	// liveWaiting items have no durable intent.
+	liveWaiting liveState = iota
+	// liveReady items have a durable intent and may be dispatched.
+	liveReady
+	// liveOut items were handed to a dispatcher.
+	liveOut
+	// liveBegun items may have been sent.
+	liveBegun
+	// liveRetry items failed an attempt and need a new durable intent; liveLost items lost their
+	// worker with it.
+	liveRetry
+	liveLost
+	// liveDecided items have an outcome, perhaps not durable yet.
+	liveDecided
+)
+
+// Hold is the holder's state of one claimed chunk.
+type Hold struct {
+	// Durable is the record as last written.
+	Durable Chunk
+	terms   Terms
+	lease   time.Duration
+	// since is the time at which the last successful write began.
+	since    time.Time
+	live     [ChunkItems]liveState
+	outcomes [ChunkItems]ItemState
+	// ready, out and open count the items to hand out, with a dispatcher, and without an outcome.
+	ready, out, open int
+}
+
+// NewHold returns the hold of a chunk whose claim was written by a call that began at since.
+func NewHold(claimed Chunk, terms Terms, lease time.Duration, since time.Time) Hold {
+	h := Hold{terms: terms, lease: lease}
+	for i, s := range claimed.Items {
+		if s.Final() {
+			h.live[i] = liveDecided
+			h.outcomes[i] = s
+			continue
+		}
+		h.live[i] = liveWaiting
+		h.open++
+	}
+	h.Durable = NewChunk(len(claimed.Items))
+	return h.Wrote(claimed, since)
+}
+
+// Lapsed reports whether the holder must have stopped by its own clock.
+func (h Hold) Lapsed(now time.Time) bool { return now.Sub(h.since) >= StopAfter(h.lease) }
+
+// Ready returns the number of items that Take can give.
+func (h Hold) Ready() int { return h.ready }
+
+// Undecided returns the number of items without an outcome.
+func (h Hold) Undecided() int { return h.open }
+
+// Attempt returns the number of the present attempt of item i, from 1, and whether it is the last
+// one, which runs alone in its chunk.
+func (h Hold) Attempt(i int) (n int, last bool) {
+	n = int(h.Durable.Attempts[i])
+	return n, h.terms.Idempotent && n > 1 && n >= h.terms.attempts()
+}
+
+// Take hands out up to n items that may be dispatched now.
+func (h Hold) Take(now time.Time, n int) (Hold, []int) {
+	if h.ready == 0 || n <= 0 || h.Lapsed(now) {
+		return h, nil
+	}
+	taken := make([]int, 0, min(n, h.ready))
+	for i := range h.Durable.Items {
+		if len(taken) == n {
+			break
+		}
+		if h.live[i] == liveReady {
+			h.live[i] = liveOut
+			taken = append(taken, i)
+		}
+	}
+	h.ready -= len(taken)
+	h.out += len(taken)
+	return h, taken
+}
+
+// Begin records that item i is about to be sent. It reports false when it must not be: the lease
+// has lapsed, or the item was not handed out.
+func (h Hold) Begin(now time.Time, i int) (Hold, bool) {
+	if i >= len(h.Durable.Items) || h.live[i] != liveOut || h.Lapsed(now) {
+		return h, false
+	}
+	h.live[i] = liveBegun
+	return h, true
+}
+
+// Done records the outcome of item i. It reports false when no dispatcher has the item.
+func (h Hold) Done(i int, outcome ItemState) (Hold, bool) {
+	if !h.isOut(i) || !outcome.Final() {
+		return h, false
+	}
+	h.live[i] = liveDecided
+	h.outcomes[i] = outcome
+	h.out--
+	h.open--
+	return h, true
+}
+
+// Fail records a failed attempt of item i and returns the outcome that it leads to: Open when the
+// item will be tried again after its next attempt is counted. lost reports that the worker was lost
+// and that the item may be the cause.
+func (h Hold) Fail(i int, lost bool) (Hold, ItemState) {
+	if !h.isOut(i) {
+		return h, Open
+	}
+	outcome := afterFailure(h.Durable.Attempts[i], h.terms)
+	if outcome != Open {
+		h, _ = h.Done(i, outcome)
+		return h, outcome
+	}
+	h.live[i] = liveRetry
+	if lost {
+		h.live[i] = liveLost
+	}
+	h.out--
+	return h, Open
+}
+
+// Return gives back item i, which was not run or was stopped to give way. It returns Unknown when
+// the item is not idempotent and may have been sent: that is its outcome then.
+func (h Hold) Return(i int) (Hold, ItemState) {
+	if !h.isOut(i) {
+		return h, Open
+	}
+	if h.live[i] == liveBegun && !h.terms.Idempotent {
+		h, _ = h.Done(i, Unknown)
+		return h, Unknown
+	}
+	h.live[i] = liveReady
+	h.ready++
+	h.out--
+	return h, Open
+}
+
+func (h Hold) isOut(i int) bool {
+	return i >= 0 && i < len(h.Durable.Items) && (h.live[i] == liveOut || h.live[i] == liveBegun)
+}
+
+// Write is the next durable record of a held chunk.
+type Write struct {
+	Chunk Chunk
+	// Decided lists the items whose outcomes the write makes durable.
+	Decided []int
+}
+
+// NextWrite returns the write that is due at now, if one is: the chunk is finished, the lease needs
+// renewal, or items wait for a durable intent and the holder has nothing else to dispatch.
+func (h Hold) NextWrite(now time.Time) (Write, bool) {
+	if h.Durable.Closed {
+		return Write{}, false
+	}
+	if h.open == 0 || now.Sub(h.since) >= RenewAfter(h.lease) {
+		return h.write(), true
+	}
+	if !h.wantsIntents() {
+		return Write{}, false
+	}
+	w := h.write()
+	return w, h.newIntents(w.Chunk)
+}
+
+// lowWater is the number of non-idempotent items ready for dispatch at which more are intended.
+const lowWater = 16
+
+// wantsIntents reports whether further intents are worth a write. Failed attempts are gathered
+// until nothing is in flight, so that one write counts all of them.
+func (h Hold) wantsIntents() bool {
+	if h.terms.Idempotent {
+		return h.ready == 0 && h.out == 0
+	}
+	return h.ready <= lowWater
+}
+
+func (h Hold) newIntents(next Chunk) bool {
+	for i, s := range next.Items {
+		if s == Intended && next.Attempts[i] != h.Durable.Attempts[i] {
+			return true
+		}
+	}
+	return false
+}
+
+// write builds the record with all outcomes in hand and further intents.
+func (h Hold) write() Write {
+	c := h.Durable.clone()
+	var decided []int
+	for i := range c.Items {
+		switch {
+		case h.live[i] == liveDecided && !c.Items[i].Final():
+			c.Items[i] = h.outcomes[i]
+			decided = append(decided, i)
+		case h.failed(i):
+			c.Items[i] = Open
+			if h.live[i] == liveLost && h.Durable.Items[i] == Intended {
+				c.Losses[i]++
+			}
+		}
+	}
+	c.Renewals++
+	if h.wantsIntents() || h.terms.Idempotent {
+		c = c.intendMore(h.terms)
+	}
+	c.Closed = c.allFinal()
+	return Write{Chunk: c, Decided: decided}
+}
+
+// Release builds the record that gives the chunk up. Items that were not sent lose their intent
+// and its attempt; items that may have been sent keep it.
+func (h Hold) Release() Write {
+	w := h.write()
+	w.Chunk = h.Durable.clone()
+	for _, i := range w.Decided {
+		w.Chunk.Items[i] = h.outcomes[i]
+	}
+	for i, s := range w.Chunk.Items {
+		if s != Intended {
+			continue
+		}
+		switch h.live[i] {
+		case liveReady:
+			w.Chunk.Items[i] = Open
+			w.Chunk.Attempts[i]--
+		case liveLost:
+			w.Chunk.Items[i] = Open
+			w.Chunk.Losses[i]++
+		case liveRetry:
+			w.Chunk.Items[i] = Open
+		}
+	}
+	w.Chunk.Renewals++
+	w.Chunk.Owner = ""
+	w.Chunk.Closed = w.Chunk.allFinal()
+	return w
+}
+
+// Cancel builds the record that closes the chunk of a cancelled job, with the outcomes in hand. Items
+// that are not idempotent and may have been sent are unknown.
+func (h Hold) Cancel() Write {
+	w := h.write()
+	c := h.Durable.clone()
+	for i, s := range c.Items {
+		switch {
+		case s.Final():
+		case h.live[i] == liveDecided:
+			c.Items[i] = h.outcomes[i]
+		case h.live[i] == liveBegun && !h.terms.Idempotent:
+			c.Items[i] = Unknown
+		default:
+			c.Items[i] = CancelledItem
+		}
+	}
+	c.Renewals++
+	c.Closed = true
+	return Write{Chunk: c, Decided: w.Decided}
+}
+
+// Wrote returns the hold after written became durable by a call that began at since.
+func (h Hold) Wrote(written Chunk, since time.Time) Hold {
+	before := h.Durable
+	h.Durable = written
+	h.since = since
+	for i, s := range written.Items {
+		if s == Intended && (before.Items[i] != Intended || before.Attempts[i] != written.Attempts[i]) {
+			h.live[i] = liveReady
+			h.ready++
+		}
+	}
+	return h
+}
+
+func (h Hold) failed(i int) bool { return h.live[i] == liveRetry || h.live[i] == liveLost }
+
+// Out returns the items that a dispatcher has.
+func (h Hold) Out() []int {
+	var out []int
+	for i := range h.Durable.Items {
+		if h.isOut(i) {
+			out = append(out, i)
+		}
+	}
+	return slices.Clip(out)
+}
--- /dev/null
+++ b/io/job/api.go
@@ -0,0 +1,252 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/core/job"
+	"mothcart/io/store"
+)
+
+// Status is a job with its progress.
+type Status struct {
+	Head job.Head
+	// Counts are the outcomes so far: final for an ended job, else as far as the home has heard.
+	Counts job.Counts
+	// Held is the number of chunks that VMs hold.
+	Held int
+	// AtRisk reports that the job will miss its deadline at its present speed.
+	AtRisk bool
+	// Late reports that the deadline has passed and the job goes on.
+	Late bool
+}
+
+// Get returns a job of the team. Errors: ErrNotFound, ErrUnavailable.
+func (j *Jobs) Get(ctx context.Context, team, id string) (Status, error) {
+	head, _, err := j.teamHead(ctx, team, id)
+	if err != nil {
+		return Status{}, err
+	}
+	return j.status(ctx, head), nil
+}
+
+func (j *Jobs) teamHead(ctx context.Context, team, id string) (job.Head, store.Version, error) {
+	head, version, err := j.readHead(ctx, id)
+	if err != nil {
+		return head, 0, storeError(err)
+	}
+	if head.Team != team || head.State == job.Uploading || head.State == job.Aborted {
+		return head, 0, merry.Errorf("job %s of team %s: %w", id, team, ErrNotFound)
+	}
+	return head, version, nil
+}
+
+// status adds the progress that the job's home knows.
+func (j *Jobs) status(ctx context.Context, head job.Head) Status {
+	s := Status{Head: head, Counts: head.Counts}
+	if head.State.Terminal() {
+		return s
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	progress, err := ask[progressResponse](ctx, j.bus, j.homeOf(head.ID), methodProgress, jobMessage{Job: head.ID})
+	if err == nil && progress.Known {
+		s.Counts, s.Held = progress.Counts, progress.Held
+	}
+	now := time.Now()
+	s.Late = now.After(head.Deadline)
+	s.AtRisk = s.Late || job.AtRisk(now, job.Progress{
+		Created:  head.Created,
+		Deadline: head.Deadline,
+		Started:  progress.Started,
+		Items:    head.Items,
+		Done:     s.Counts.Total(),
+	})
+	return s
+}
+
+// Page is a part of a listing.
+type Page struct {
+	Jobs []Status
+	More bool
+}
+
+// List returns up to limit jobs of the team, newest first, after the job called after.
+func (j *Jobs) List(ctx context.Context, team, after string, limit int) (Page, error) {
+	start := ""
+	if after != "" {
+		head, _, err := j.teamHead(ctx, team, after)
+		if err != nil {
+			return Page{}, err
+		}
+		start = teamKey(team, head.Created, after)
+	}
+	objects, err := j.store.List(ctx, teamPrefix(team), start, limit+1)
+	if err != nil {
+		return Page{}, merry.Errorf("list jobs: %w", storeError(err))
+	}
+	page := Page{More: len(objects) > limit}
+	for _, o := range objects[:min(len(objects), limit)] {
+		id, _ := idOfIndex(o.Key)
+		s, err := j.Get(ctx, team, id)
+		if errors.Is(err, ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return Page{}, err
+		}
+		page.Jobs = append(page.Jobs, s)
+	}
+	return page, nil
+}
+
+// Cancel cancels a job by one conditional write. Once it returns without an error, no item of the
+// job is dispatched that was not in flight, and the job never runs on. ErrUnavailable means that
+// the job was not cancelled; ErrDoubtful that it may have been. job.ErrTerminal means that the job
+// has ended.
+func (j *Jobs) Cancel(ctx context.Context, team, id string) (Status, error) {
+	for range submitAttempts {
+		head, version, err := j.teamHead(ctx, team, id)
+		if err != nil {
+			return Status{}, err
+		}
+		next, err := head.Cancel(time.Now())
+		if err != nil {
+			return Status{}, merry.Errorf("cancel: %w", err)
+		}
+		if next.State == head.State {
+			j.pushCancel(id)
+			return j.status(ctx, head), nil
+		}
+		_, err = j.writeHead(ctx, next, version)
+		if errors.Is(err, store.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return Status{}, merry.Errorf("cancel: %w", storeError(err))
+		}
+		j.pushCancel(id)
+		j.opts.Log.Info().Str("job", id).Str("team", team).Msg("job cancelled")
+		return j.status(ctx, next), nil
+	}
+	return Status{}, merry.Errorf("cancel job %s: %w", id, ErrDoubtful)
+}
+
+// pushCancel tells every VM to stop the job.
+func (j *Jobs) pushCancel(id string) {
+	for _, member := range j.opts.Members() {
+		tell(j.bus, member, methodCancelled, jobMessage{Job: id})
+	}
+}
+
+// Results calls yield for every outcome that is durable, in order of chunks, until yield returns
+// false. It works while the job runs.
+func (j *Jobs) Results(ctx context.Context, team, id string, yield func(Outcome) bool) error {
+	head, _, err := j.teamHead(ctx, team, id)
+	if err != nil {
+		return err
+	}
+	unclaimed := map[int]bool{}
+	for _, i := range head.Unclaimed {
+		unclaimed[i] = true
+	}
+	for i := range head.Chunks {
+		outcomes, err := j.chunkResults(ctx, head, i, unclaimed[i])
+		if err != nil {
+			return merry.Errorf("results of %s: %w", id, storeError(err))
+		}
+		for _, o := range outcomes {
+			if !yield(o) {
+				return nil
+			}
+		}
+	}
+	return nil
+}
+
+// chunkResults returns the durable outcomes of one chunk in order of items.
+func (j *Jobs) chunkResults(ctx context.Context, head job.Head, i int, unclaimed bool) ([]Outcome, error) {
+	ref := head.Chunks[i]
+	record := job.NewChunk(ref.Items)
+	if unclaimed {
+		record, _ = record.Cancel("", head.Terms)
+	} else {
+		_, c, err := j.readChunk(ctx, head, i)
+		switch {
+		case errors.Is(err, store.ErrNotFound):
+			return nil, nil
+		case err != nil:
+			return nil, err
+		}
+		record = c
+	}
+	stored, err := j.storedOutcomes(ctx, record)
+	if err != nil {
+		return nil, err
+	}
+	return j.completeOutcomes(ctx, head, i, record, stored)
+}
+
+// storedOutcomes reads the outcomes of a record's segments by place.
+func (j *Jobs) storedOutcomes(ctx context.Context, record job.Chunk) (map[int]Outcome, error) {
+	stored := map[int]Outcome{}
+	for _, s := range record.Segments {
+		data := s.Data
+		if s.Key != "" {
+			o, err := j.store.Get(ctx, s.Key)
+			if err != nil {
+				return nil, merry.Errorf("read outcomes: %w", err)
+			}
+			data = o.Value
+		}
+		var outcomes []Outcome
+		if err := j.codec.unpack(data, &outcomes); err != nil {
+			return nil, err
+		}
+		for _, o := range outcomes {
+			stored[o.Place] = o
+		}
+	}
+	return stored, nil
+}
+
+// completeOutcomes puts the outcomes in order, and adds those that stand in the record alone: items
+// cancelled, lost or unknown.
+func (j *Jobs) completeOutcomes(ctx context.Context, head job.Head, i int, record job.Chunk, stored map[int]Outcome) ([]Outcome, error) {
+	var inputs []input
+	var list []Outcome
+	first := firstOf(head, i)
+	for place, state := range record.Items {
+		if !state.Final() {
+			continue
+		}
+		o, ok := stored[place]
+		if !ok && inputs == nil {
+			var err error
+			if inputs, err = j.loadInputs(ctx, head, i); err != nil {
+				return nil, err
+			}
+		}
+		if !ok {
+			o = Outcome{Place: place, CustomID: inputs[place].CustomID, Error: errorOf(state)}
+		}
+		o.Index, o.State = first+place, state
+		list = append(list, o)
+	}
+	return list, nil
+}
+
+// errorOf says why an item has no answer.
+func errorOf(state job.ItemState) string {
+	switch state {
+	case job.CancelledItem:
+		return "the job was cancelled before the item finished"
+	case job.Unknown:
+		return "unknown, may have run"
+	default:
+		return "the worker was lost at every attempt of the item"
+	}
+}
--- /dev/null
+++ b/io/job/fill.go
@@ -0,0 +1,339 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/core/job"
+	"mothcart/io/store"
+)
+
+// Times of the claiming of chunks.
+const (
+	// fillPeriod is the longest time between two looks at the demand.
+	fillPeriod = 250 * time.Millisecond
+	// emptyPause is the time to wait when a broker had no chunk to give.
+	emptyPause = 500 * time.Millisecond
+	// demandMemory is the time after the last Take in which chunks are claimed ahead.
+	demandMemory = 5 * time.Second
+	// askTimeout bounds a question to another VM.
+	askTimeout = 2 * time.Second
+)
+
+// claim is a claim of a chunk whose effect must be confirmed before its items are dispatched.
+type claim struct {
+	head  job.Head
+	chunk int
+	fence uint64
+	since time.Time
+}
+
+// fillLoop claims chunks for the models that Take is called for.
+func (j *Jobs) fillLoop() {
+	t := time.NewTicker(fillPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-j.done:
+			return
+		case <-j.wake:
+		case <-t.C:
+		}
+		for _, model := range j.hungryModels(time.Now()) {
+			if !j.acquire(j.ctx, model) {
+				j.mu.Lock()
+				j.demands[model].retryAt = time.Now().Add(emptyPause)
+				j.mu.Unlock()
+			}
+		}
+	}
+}
+
+// hungryModels returns the models with fewer ready items than Take is likely to ask for.
+func (j *Jobs) hungryModels(now time.Time) []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.holds.count()+len(j.pending) >= j.opts.MaxHolds {
+		return nil
+	}
+	var models []string
+	for model, d := range j.demands {
+		if now.Sub(d.at) > demandMemory {
+			delete(j.demands, model)
+			continue
+		}
+		if j.holds.ready(model) < d.target() && !now.Before(d.retryAt) {
+			models = append(models, model)
+		}
+	}
+	return models
+}
+
+// acquire claims one chunk for the model and reports whether it did.
+func (j *Jobs) acquire(ctx context.Context, model string) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	j.mu.Lock()
+	prefer := j.demands[model].lastJob
+	j.mu.Unlock()
+	for _, c := range j.askBroker(ctx, model, prefer) {
+		offer, err := j.askOffer(ctx, c.Home, c.ID)
+		if err != nil || !offer.OK {
+			continue
+		}
+		claimed, err := j.claimChunk(ctx, c.ID, offer)
+		if err != nil {
+			j.opts.Log.Debug().Str("job", c.ID).Int("chunk", offer.Chunk).Err(err).Msg("claim failed")
+			return false
+		}
+		if claimed {
+			j.mu.Lock()
+			if d := j.demands[model]; d != nil {
+				d.lastJob = c.ID
+			}
+			j.mu.Unlock()
+			j.wakeFill()
+			return true
+		}
+	}
+	return false
+}
+
+func (j *Jobs) askBroker(ctx context.Context, model, prefer string) []job.Candidate {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req := candidatesRequest{Model: model, Prefer: prefer}
+	resp, err := ask[candidatesResponse](ctx, j.bus, j.opts.Owner(brokerRole(model)), methodCandidates, req)
+	if err != nil {
+		return nil
+	}
+	return resp.Candidates
+}
+
+func (j *Jobs) askOffer(ctx context.Context, home, id string) (offerResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return ask[offerResponse](ctx, j.bus, home, methodOffer, offerRequest{Job: id})
+}
+
+// claimChunk claims an offered chunk and reports whether this VM holds it now.
+func (j *Jobs) claimChunk(ctx context.Context, id string, offer offerResponse) (bool, error) {
+	head, err := j.cachedHead(ctx, id)
+	if err != nil {
+		return false, err
+	}
+	if offer.Chunk >= len(head.Chunks) {
+		return false, merry.Errorf("chunk %d of %d: %w", offer.Chunk, len(head.Chunks), ErrCorrupt)
+	}
+	record, current, err := j.readOffered(ctx, head, offer)
+	if err != nil || !current {
+		return false, err
+	}
+	inputs, err := j.loadInputs(ctx, head, offer.Chunk)
+	if err != nil {
+		return false, err
+	}
+	next, _, err := job.Claim(record, j.writer, head.Terms)
+	if err != nil {
+		return false, err
+	}
+	since := time.Now()
+	raw, err := encode(next)
+	if err != nil {
+		return false, err
+	}
+	version, err := store.PutConfirmed(ctx, j.store, chunkKey(id, offer.Chunk), raw, store.Version(offer.Version))
+	c := claim{head: head, chunk: offer.Chunk, fence: next.Fence, since: since}
+	switch {
+	case err == nil:
+		return true, j.install(ctx, c, next, version, inputs)
+	case errors.Is(err, store.ErrUnknown):
+		j.postpone(c)
+		return true, nil
+	case errors.Is(err, store.ErrConflict):
+		_, _, err = j.readOffered(ctx, head, offer)
+		return false, err
+	default:
+		return false, err
+	}
+}
+
+// readOffered returns the record of an offered chunk. If it is closed or not at the version that the
+// home offered, it tells the home and reports false.
+func (j *Jobs) readOffered(ctx context.Context, head job.Head, offer offerResponse) (job.Chunk, bool, error) {
+	items := head.Chunks[offer.Chunk].Items
+	if offer.Version == 0 && !offer.Look {
+		return job.NewChunk(items), true, nil
+	}
+	o, err := j.store.Get(ctx, chunkKey(head.ID, offer.Chunk))
+	if err != nil {
+		return job.Chunk{}, false, merry.Errorf("read chunk: %w", err)
+	}
+	c, err := decodeChunk(o.Value, items)
+	if err != nil {
+		return c, false, err
+	}
+	if uint64(o.Version) == offer.Version && !c.Closed {
+		return c, true, nil
+	}
+	j.report(head.ID, job.ReportOf(offer.Chunk, uint64(o.Version), c))
+	return c, false, nil
+}
+
+// install adds a claimed chunk to the held ones, after a read of the job's state that follows the
+// claim: a job whose cancellation was accepted before gets no dispatch.
+func (j *Jobs) install(ctx context.Context, c claim, record job.Chunk, version store.Version, inputs []input) error {
+	head, _, err := j.readHead(ctx, c.head.ID)
+	if err != nil {
+		j.postpone(c)
+		return nil
+	}
+	j.report(head.ID, job.ReportOf(c.chunk, uint64(version), record))
+	if record.Closed {
+		return nil
+	}
+	h := &held{
+		head:     head,
+		chunk:    c.chunk,
+		first:    firstOf(head, c.chunk),
+		fence:    record.Fence,
+		inputs:   inputs,
+		hold:     job.NewHold(record, head.Terms, j.opts.Lease, c.since),
+		version:  version,
+		bodies:   map[int]Outcome{},
+		lastTake: time.Now(),
+	}
+	h.ctx, h.cancel = context.WithCancel(j.ctx)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.heads.put(head)
+	j.holds.add(h)
+	if head.State != job.Running {
+		j.stop(time.Now(), h)
+	}
+	return nil
+}
+
+// postpone leaves a claim to be confirmed at the next tick.
+func (j *Jobs) postpone(c claim) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.pending = append(j.pending, c)
+}
+
+// resolve confirms a claim whose answer was lost, or gives it up once its lease is over.
+func (j *Jobs) resolve(ctx context.Context, c claim) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o, err := j.store.Get(ctx, chunkKey(c.head.ID, c.chunk))
+	if err != nil {
+		if time.Since(c.since) < j.opts.Lease {
+			j.postpone(c)
+		}
+		return
+	}
+	record, err := decodeChunk(o.Value, c.head.Chunks[c.chunk].Items)
+	if err != nil || record.Owner != j.writer || record.Fence != c.fence {
+		return
+	}
+	inputs, err := j.loadInputs(ctx, c.head, c.chunk)
+	if err != nil {
+		j.postpone(c)
+		return
+	}
+	_ = j.install(ctx, c, record, o.Version, inputs)
+}
+
+func firstOf(head job.Head, chunk int) int {
+	first := 0
+	for _, ref := range head.Chunks[:chunk] {
+		first += ref.Items
+	}
+	return first
+}
+
+func (j *Jobs) cachedHead(ctx context.Context, id string) (job.Head, error) {
+	j.mu.Lock()
+	head, ok := j.heads.byID[id]
+	j.mu.Unlock()
+	if ok {
+		return head, nil
+	}
+	head, _, err := j.readHead(ctx, id)
+	if err != nil {
+		return head, err
+	}
+	j.mu.Lock()
+	j.heads.put(head)
+	j.mu.Unlock()
+	return head, nil
+}
+
+// loadInputs reads the items of a chunk.
+func (j *Jobs) loadInputs(ctx context.Context, head job.Head, chunk int) ([]input, error) {
+	ref := head.Chunks[chunk]
+	b, err := j.loadBlock(ctx, head.Blocks[ref.Block])
+	if err != nil {
+		return nil, err
+	}
+	if ref.At >= len(b.Chunks) {
+		return nil, merry.Errorf("place %d in block of %d: %w", ref.At, len(b.Chunks), ErrCorrupt)
+	}
+	var inputs []input
+	if err := j.codec.unpack(b.Chunks[ref.At], &inputs); err != nil {
+		return nil, err
+	}
+	if len(inputs) != ref.Items {
+		return nil, merry.Errorf("%d inputs for %d items: %w", len(inputs), ref.Items, ErrCorrupt)
+	}
+	return inputs, nil
+}
+
+// loadBlock reads a block of input; the last ones are kept, since a VM claims chunks in sequence.
+func (j *Jobs) loadBlock(ctx context.Context, key string) (block, error) {
+	j.mu.Lock()
+	b, ok := j.blocks.get(key)
+	j.mu.Unlock()
+	if ok {
+		return b, nil
+	}
+	o, err := j.store.Get(ctx, key)
+	if err != nil {
+		return block{}, merry.Errorf("read input: %w", err)
+	}
+	if err := decode(o.Value, &b); err != nil {
+		return block{}, merry.Errorf("read input %s: %w", key, err)
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.blocks = j.blocks.with(key, b)
+	return b, nil
+}
+
+// blockCache holds the last blocks of input that were read.
+type blockCache []cachedBlock
+
+type cachedBlock struct {
+	key   string
+	block block
+}
+
+// blockCacheSize bounds the cache; a block is below 1 MB.
+const blockCacheSize = 4
+
+func (c blockCache) get(key string) (block, bool) {
+	for _, e := range c {
+		if e.key == key {
+			return e.block, true
+		}
+	}
+	return block{}, false
+}
+
+func (c blockCache) with(key string, b block) blockCache {
+	next := blockCache{{key: key, block: b}}
+	return append(next, c[:min(len(c), blockCacheSize-1)]...)
+}
--- /dev/null
+++ b/io/job/job.go
@@ -0,0 +1,215 @@
+// Package job runs batch jobs over the object service and the other VMs.
+//
+// Any VM accepts a job, and acceptance is durable before Submit returns. The job's home, a soft
+// role by rendezvous hashing, keeps the table of its chunks and offers them; a broker for each
+// model, a soft role too, knows which jobs have open chunks. A VM that asks for work with Take
+// claims chunks by conditional updates and keeps their items ready, so that Take never blocks. Two
+// VMs that both believe they have a role cost calls and never a doubled outcome: the conditional
+// update of a chunk's record is the fence.
+//
+// Usage:
+//
+//	j, err := job.New(job.NewOptions(self, client).WithMembers(ids).WithPeers(peers))
+//	status, err := j.Submit(ctx, job.Spec{Team: "rota", Key: "lot-7", Model: "m", Items: items})
+//	for _, item := range j.Take("m", 16) {
+//		if !j.Begin(item) {
+//			continue // not to be sent any more, nothing to give back
+//		}
+//		answer, err := send(item.Context(), item.Endpoint, item.Body)
+//		j.Done(item, job.Result{Status: answer.Status, Body: answer.Body})
+//	}
+//	j.Close()
+package job
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+
+	"mothcart/core/job"
+	"mothcart/io/store"
+)
+
+// Errors of the calls on jobs. Each means that the call changed nothing, but for ErrDoubtful.
+var (
+	// ErrNotFound means that the team has no such job.
+	ErrNotFound = merry.Sentinel("job not found")
+	// ErrKeyReused means that the client key was used for a job with other content.
+	ErrKeyReused = merry.Sentinel("key was used for another job")
+	// ErrInvalid means that the job can't be accepted as it is.
+	ErrInvalid = merry.Sentinel("invalid job")
+	// ErrUnavailable means that the object service could not be reached.
+	ErrUnavailable = merry.Sentinel("jobs are unavailable")
+	// ErrDoubtful means that the answer of the deciding write was lost: it may have had effect.
+	// The same call again tells.
+	ErrDoubtful = merry.Sentinel("outcome of the call is unknown, repeat it")
+)
+
+// writerCount is the number of goroutines that write held chunks.
+const writerCount = 4
+
+// writeQueue bounds the chunks that wait for a writer; others are queued again at the next tick.
+const writeQueue = 256
+
+// Jobs is the batch jobs of one VM. Its methods are safe for concurrent use.
+type Jobs struct {
+	opts   Options
+	store  store.Client
+	codec  *codec
+	bus    *bus
+	writer string
+	done   chan struct{}
+	wg     sync.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+	wake   chan struct{}
+	writes chan *held
+
+	mu      sync.Mutex
+	holds   holdSet
+	demands map[string]*demand
+	heads   headCache
+	homes   homeSet
+	broker  brokerState
+	pending []claim
+	blocks  blockCache
+	closed  bool
+}
+
+// New starts the jobs of one VM. Close ends its goroutines.
+func New(opts Options) (*Jobs, error) {
+	c, err := newCodec()
+	if err != nil {
+		return nil, merry.Errorf("start jobs: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	j := &Jobs{
+		opts:    opts,
+		store:   limitedStore(opts),
+		codec:   c,
+		writer:  opts.Self + "#" + uuid.NewString(),
+		done:    make(chan struct{}),
+		ctx:     ctx,
+		cancel:  cancel,
+		wake:    make(chan struct{}, 1),
+		writes:  make(chan *held, writeQueue),
+		holds:   newHoldSet(),
+		demands: map[string]*demand{},
+		heads:   newHeadCache(),
+		homes:   newHomeSet(),
+		broker:  brokerState{},
+	}
+	j.bus = newBus(opts)
+	j.handle()
+	loop := func(run func()) {
+		j.wg.Add(1)
+		go func() {
+			defer j.wg.Done()
+			run()
+		}()
+	}
+	loop(func() { j.every(opts.Tick, j.tickHolds) })
+	loop(func() { j.every(opts.Tick, j.tickHome) })
+	loop(j.fillLoop)
+	for range writerCount {
+		loop(j.writeLoop)
+	}
+	return j, nil
+}
+
+// Close gives up the held chunks, so that other VMs go on with them at once, and ends all
+// goroutines. Results that the store doesn't take now are lost with the process, and their items
+// run again or are unknown.
+func (j *Jobs) Close() {
+	j.mu.Lock()
+	if j.closed {
+		j.mu.Unlock()
+		return
+	}
+	j.closed = true
+	j.mu.Unlock()
+	close(j.done)
+	j.cancel()
+	j.wg.Wait()
+	j.releaseAll()
+	j.codec.close()
+}
+
+// every runs f once a period, first after one period, until Close.
+func (j *Jobs) every(period time.Duration, f func(ctx context.Context)) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		select {
+		case <-j.done:
+			return
+		case <-t.C:
+			f(j.ctx)
+		}
+	}
+}
+
+// storeError turns an error of the store into one of this package.
+func storeError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, store.ErrUnknown):
+		return merry.Errorf("%w: %w", ErrDoubtful, err)
+	case errors.Is(err, store.ErrUnavailable):
+		return merry.Errorf("%w: %w", ErrUnavailable, err)
+	case errors.Is(err, store.ErrNotFound):
+		return merry.Errorf("%w: %w", ErrNotFound, err)
+	default:
+		return err
+	}
+}
+
+// readHead reads the head of a job.
+func (j *Jobs) readHead(ctx context.Context, id string) (job.Head, store.Version, error) {
+	o, err := j.store.Get(ctx, headKey(id))
+	if err != nil {
+		return job.Head{}, 0, merry.Errorf("read job %s: %w", id, err)
+	}
+	var h job.Head
+	if err := decode(o.Value, &h); err != nil {
+		return h, 0, merry.Errorf("read job %s: %w", id, err)
+	}
+	return h, o.Version, nil
+}
+
+// writeHead writes the head of a job if its version is expect.
+func (j *Jobs) writeHead(ctx context.Context, h job.Head, expect store.Version) (store.Version, error) {
+	h = h.WithWriter(j.writer + "/" + uuid.NewString())
+	raw, err := encode(h)
+	if err != nil {
+		return 0, err
+	}
+	v, err := store.PutConfirmed(ctx, j.store, headKey(h.ID), raw, expect)
+	if err != nil {
+		return 0, merry.Errorf("write job %s: %w", h.ID, err)
+	}
+	return v, nil
+}
+
+// headCache keeps the immutable parts of heads that this VM works with.
+type headCache struct{ byID map[string]job.Head }
+
+// headCacheSize bounds the cached heads.
+const headCacheSize = 256
+
+func newHeadCache() headCache { return headCache{byID: map[string]job.Head{}} }
+
+func (c headCache) put(h job.Head) {
+	for id := range c.byID {
+		if len(c.byID) < headCacheSize {
+			break
+		}
+		delete(c.byID, id)
+	}
+	c.byID[h.ID] = h
+}
--- /dev/null
+++ b/io/job/job_test.go
@@ -0,0 +1,244 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"mothcart/core/job"
+	fakestore "mothcart/fake/store"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fleet is several VMs in one process over one stand-in of the object service.
+type fleet struct {
+	t     *testing.T
+	store *fakestore.Store
+	mu    sync.Mutex
+	vms   map[string]*Jobs
+	dead  map[string]bool
+	serve map[string]map[string]handler
+}
+
+func newFleet(t *testing.T, s *fakestore.Store, ids ...string) *fleet {
+	f := &fleet{
+		t:     t,
+		store: s,
+		vms:   map[string]*Jobs{},
+		dead:  map[string]bool{},
+		serve: map[string]map[string]handler{},
+	}
+	for _, id := range ids {
+		f.serve[id] = map[string]handler{}
+		f.dead[id] = true
+	}
+	for _, id := range ids {
+		f.start(id, func(o Options) Options { return o })
+	}
+	return f
+}
+
+func (f *fleet) start(id string, change func(Options) Options) {
+	f.mu.Lock()
+	f.dead[id] = false
+	f.mu.Unlock()
+	opts := NewOptions(id, f.store.Client()).WithMembers(f.members).WithPeers(f.peers(id))
+	j, err := New(change(opts))
+	require.NoError(f.t, err)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms[id] = j
+}
+
+func (f *fleet) members() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ids []string
+	for id := range f.serve {
+		if !f.dead[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+var errCut = errors.New("peer unreachable")
+
+func (f *fleet) peers(id string) Peers {
+	find := func(to, method string) handler {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.dead[to] || f.dead[id] {
+			return nil
+		}
+		return f.serve[to][method]
+	}
+	return Peers{
+		Handle: func(method string, h func(context.Context, string, []byte) ([]byte, error)) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.serve[id][method] = h
+		},
+		Call: func(ctx context.Context, to, method string, body []byte) ([]byte, error) {
+			h := find(to, method)
+			if h == nil {
+				return nil, errCut
+			}
+			return h(ctx, id, body)
+		},
+		Notify: func(to, method string, body []byte) error {
+			h := find(to, method)
+			if h == nil {
+				return errCut
+			}
+			go func() { _, _ = h(context.Background(), id, body) }()
+			return nil
+		},
+	}
+}
+
+// kill ends a VM without any of its last words.
+func (f *fleet) kill(id string) {
+	f.mu.Lock()
+	f.dead[id] = true
+	j := f.vms[id]
+	delete(f.vms, id)
+	f.mu.Unlock()
+	j.mu.Lock()
+	j.closed = true
+	for _, h := range j.holds.all() {
+		j.drop(h)
+	}
+	j.mu.Unlock()
+	close(j.done)
+	j.cancel()
+	j.wg.Wait()
+	j.codec.close()
+}
+
+func (f *fleet) close() {
+	f.mu.Lock()
+	vms := f.vms
+	f.vms = map[string]*Jobs{}
+	f.mu.Unlock()
+	for _, j := range vms {
+		j.Close()
+	}
+}
+
+func items(n int) []ItemSpec {
+	list := make([]ItemSpec, n)
+	for i := range list {
+		list[i] = ItemSpec{CustomID: fmt.Sprintf("item-%d", i), Body: fmt.Appendf(nil, `{"prompt":"rota of parish %d"}`, i)}
+	}
+	return list
+}
+
+// dispatch runs a worker on a VM that takes items of model m until the VM's jobs are closed.
+func (f *fleet) dispatch(id string, concurrency int, run func(j *Jobs, item Item)) {
+	f.mu.Lock()
+	j := f.vms[id]
+	f.mu.Unlock()
+	go func() {
+		slots := make(chan struct{}, concurrency)
+		for {
+			select {
+			case <-j.done:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+			for _, item := range j.Take("m", concurrency-len(slots)) {
+				slots <- struct{}{}
+				go func() {
+					run(j, item)
+					<-slots
+				}()
+			}
+		}
+	}()
+}
+
+// answerItem is a worker that takes a tenth of a second for an item.
+func answerItem(j *Jobs, item Item) {
+	if j.Begin(item) {
+		finishItem(j, item)
+	}
+}
+
+func finishItem(j *Jobs, item Item) {
+	select {
+	case <-item.Context().Done():
+		j.Return(item)
+	case <-time.After(100 * time.Millisecond):
+		j.Done(item, Result{Status: 200, Body: []byte(`{"answer":"` + item.CustomID + `"}`)})
+	}
+}
+
+// finished waits until the job has ended and returns its outcomes, each of which must be there once.
+func finished(t *testing.T, j *Jobs, id string, limit time.Duration) (Status, []Outcome) {
+	t.Helper()
+	end := time.Now().Add(limit)
+	for {
+		s, err := j.Get(t.Context(), "team", id)
+		if err == nil && s.Head.State.Terminal() {
+			return s, outcomes(t, j, s)
+		}
+		require.True(t, time.Now().Before(end), "the job has not ended: %+v, %v", s.Counts, err)
+		time.Sleep(time.Second)
+	}
+}
+
+func outcomes(t *testing.T, j *Jobs, s Status) []Outcome {
+	t.Helper()
+	var list []Outcome
+	seen := map[int]bool{}
+	require.NoError(t, j.Results(t.Context(), "team", s.Head.ID, func(o Outcome) bool {
+		require.False(t, seen[o.Index], "two outcomes of item %d", o.Index)
+		seen[o.Index] = true
+		list = append(list, o)
+		return true
+	}))
+	if s.Head.State.Terminal() {
+		require.Len(t, list, s.Head.Items)
+	}
+	return list
+}
+
+func spec(n int) Spec {
+	return Spec{Team: "team", Key: "lot", Model: "m", Endpoint: "/v1/chat/completions", Items: items(n)}
+}
+
+func TestJobRunsOnSeveralVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fakestore.New(fakestore.NewOptions().WithLatency(2 * time.Millisecond))
+		f := newFleet(t, s, "e1", "e2", "e3")
+		defer f.close()
+		for _, id := range []string{"e1", "e2", "e3"} {
+			f.dispatch(id, 32, answerItem)
+		}
+		status, err := f.vms["e1"].Submit(t.Context(), spec(2000))
+		require.NoError(t, err)
+		again, err := f.vms["e2"].Submit(t.Context(), spec(2000))
+		require.NoError(t, err)
+		assert.Equal(t, status.Head.ID, again.Head.ID)
+		_, err = f.vms["e2"].Submit(t.Context(), spec(2001))
+		require.ErrorIs(t, err, ErrKeyReused)
+		end, list := finished(t, f.vms["e3"], status.Head.ID, 5*time.Minute)
+		assert.Equal(t, job.Completed, end.Head.State)
+		assert.Equal(t, job.Counts{Succeeded: 2000}, end.Counts)
+		assert.Equal(t, `{"answer":"item-7"}`, string(list[7].Body))
+		page, err := f.vms["e1"].List(t.Context(), "team", "", 10)
+		require.NoError(t, err)
+		assert.Len(t, page.Jobs, 1)
+		t.Logf("calls %+v, ended after %s", s.Calls(), end.Head.Ended.Sub(end.Head.Created))
+	})
+}
--- /dev/null
+++ b/io/job/retention.go
@@ -0,0 +1,89 @@
+package job
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/core/job"
+)
+
+// Limits of the deletion of expired jobs.
+const (
+	// expiredPage is the number of expired jobs that one sweep of a shard looks at.
+	expiredPage = 64
+	// shardsPerSweep is the number of shards swept in one tick.
+	shardsPerSweep = 1
+)
+
+// sweepShards deletes the jobs whose retention is over, a few shards at a time.
+func (j *Jobs) sweepShards(ctx context.Context, now time.Time) {
+	for _, shard := range j.shardsToSweep(now) {
+		objects, err := j.store.List(ctx, expiryPrefix(shard), "", expiredPage)
+		if err != nil {
+			return
+		}
+		for _, o := range objects {
+			id, unix := idOfIndex(o.Key)
+			if time.Unix(unix, 0).After(now) {
+				break
+			}
+			if err := j.deleteJob(ctx, id, o.Key); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (j *Jobs) shardsToSweep(now time.Time) []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var due []string
+	for shard, at := range j.homes.sweepAt {
+		if now.Before(at) || len(due) == shardsPerSweep {
+			continue
+		}
+		j.homes.sweepAt[shard] = now.Add(j.opts.SweepEvery)
+		due = append(due, shard)
+	}
+	return due
+}
+
+// deleteJob deletes all objects of an ended job, the one that names it last.
+func (j *Jobs) deleteJob(ctx context.Context, id, expiry string) error {
+	head, _, err := j.readHead(ctx, id)
+	if err == nil {
+		if !head.State.Terminal() {
+			return nil
+		}
+		if err := j.deleteParts(ctx, head); err != nil {
+			return err
+		}
+		j.count("jobs.expired", 1)
+	} else if !isNotFound(err) {
+		return err
+	}
+	return j.remove(ctx, expiry)
+}
+
+func (j *Jobs) deleteParts(ctx context.Context, head job.Head) error {
+	for _, prefix := range []string{chunkPrefix(head.ID), segmentPrefix(head.ID), blockPrefix(head.ID)} {
+		objects, err := listAll(ctx, j.store, prefix)
+		if err != nil {
+			return err
+		}
+		for _, o := range objects {
+			err := j.store.Delete(ctx, o.Key, o.Version)
+			if err != nil && !isNotFound(err) {
+				return merry.Errorf("delete %s: %w", o.Key, err)
+			}
+		}
+	}
+	for _, key := range []string{teamKey(head.Team, head.Created, head.ID), openKey(head.ID), headKey(head.ID)} {
+		if err := j.remove(ctx, key); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/job/write.go
@@ -0,0 +1,243 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/core/job"
+	"mothcart/io/store"
+)
+
+// writePause is the time between two tries of a write that the store refused.
+const writePause = time.Second
+
+func (j *Jobs) writeLoop() {
+	for {
+		select {
+		case <-j.done:
+			return
+		case h := <-j.writes:
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			j.writeHold(ctx, h)
+			cancel()
+		}
+	}
+}
+
+// writeHold writes the next record of a held chunk, if one is due.
+func (j *Jobs) writeHold(ctx context.Context, h *held) {
+	now := time.Now()
+	j.mu.Lock()
+	w, due := h.hold.NextWrite(now)
+	if h.stopping {
+		w, due = h.hold.Cancel(), true
+	}
+	if h.gone || !due {
+		h.queued = false
+		j.mu.Unlock()
+		return
+	}
+	outcomes := h.outcomes(w)
+	j.mu.Unlock()
+	err := j.writeChunk(ctx, h, w, outcomes, now)
+	if err == nil && !w.Chunk.Closed {
+		j.checkCancelled(ctx, h)
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	h.queued = false
+	if err != nil {
+		h.retryAt = time.Now().Add(writePause)
+		return
+	}
+	j.queueIfDue(time.Now(), h)
+}
+
+// outcomes returns the outcomes that w makes durable; the caller holds mu.
+func (h *held) outcomes(w job.Write) []Outcome {
+	list := make([]Outcome, 0, len(w.Decided))
+	for _, p := range w.Decided {
+		if o, ok := h.bodies[p]; ok {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// writeChunk writes w, which began at since, and takes over its effect.
+func (j *Jobs) writeChunk(ctx context.Context, h *held, w job.Write, outcomes []Outcome, since time.Time) error {
+	c, err := j.withOutcomes(ctx, h, w.Chunk, outcomes)
+	if err != nil {
+		return err
+	}
+	raw, err := encode(c)
+	if err != nil {
+		return err
+	}
+	version, err := store.PutConfirmed(ctx, j.store, chunkKey(h.head.ID, h.chunk), raw, h.version)
+	switch {
+	case err == nil:
+		j.wrote(h, c, version, since)
+		return nil
+	case errors.Is(err, store.ErrUnknown):
+		j.mu.Lock()
+		if h.unresolvedSince.IsZero() {
+			h.unresolvedSince = since
+		}
+		j.mu.Unlock()
+		return err
+	case errors.Is(err, store.ErrConflict):
+		return j.resync(ctx, h)
+	default:
+		return err
+	}
+}
+
+// wrote takes over a record that became durable by a write that began at since.
+func (j *Jobs) wrote(h *held, c job.Chunk, version store.Version, since time.Time) {
+	j.mu.Lock()
+	h.hold = h.hold.Wrote(c, since)
+	h.version = version
+	h.unresolvedSince = time.Time{}
+	for p, o := range h.bodies {
+		if c.Items[p].Final() {
+			h.handBytes -= len(o.Body)
+			delete(h.bodies, p)
+		}
+	}
+	if h.ctx.Err() != nil && !h.stopping {
+		h.ctx, h.cancel = context.WithCancel(j.ctx)
+	}
+	if c.Closed || c.Owner != j.writer {
+		j.drop(h)
+	}
+	j.mu.Unlock()
+	j.report(h.head.ID, job.ReportOf(h.chunk, uint64(version), c))
+}
+
+// resync reads a chunk whose version is not the expected one. An earlier write of this holder, whose
+// answer was lost, may have had effect; otherwise another VM has taken the chunk or closed it.
+func (j *Jobs) resync(ctx context.Context, h *held) error {
+	o, err := j.store.Get(ctx, chunkKey(h.head.ID, h.chunk))
+	if err != nil {
+		return merry.Errorf("read chunk back: %w", err)
+	}
+	c, err := decodeChunk(o.Value, h.head.Chunks[h.chunk].Items)
+	if err != nil {
+		return merry.Errorf("read chunk back: %w", err)
+	}
+	if c.Owner == j.writer && c.Fence == h.fence && !h.unresolvedSince.IsZero() {
+		j.wrote(h, c, o.Version, h.unresolvedSince)
+		return nil
+	}
+	j.mu.Lock()
+	j.drop(h)
+	j.mu.Unlock()
+	j.count("jobs.chunks.fenced", 1)
+	j.opts.Log.Info().Str("job", h.head.ID).Int("chunk", h.chunk).Str("owner", c.Owner).Msg("lost the claim of a chunk")
+	j.report(h.head.ID, job.ReportOf(h.chunk, uint64(o.Version), c))
+	return nil
+}
+
+// withOutcomes adds outcomes to the record, in objects of their own once the record grows large.
+func (j *Jobs) withOutcomes(ctx context.Context, h *held, c job.Chunk, outcomes []Outcome) (job.Chunk, error) {
+	pieces, err := j.packOutcomes(outcomes)
+	if err != nil {
+		return c, err
+	}
+	size := 0
+	for _, s := range c.Segments {
+		size += len(s.Data)
+	}
+	for n, data := range pieces {
+		size += len(data)
+		if size <= maxInlineBytes {
+			c = c.WithSegment(job.Segment{Data: data})
+			continue
+		}
+		key := segmentKey(h.head.ID, h.chunk, c, n)
+		key += "-" + hashOf(string(data))[:16]
+		if err := j.createOnce(ctx, key, data); err != nil {
+			return c, err
+		}
+		c = c.WithSegment(job.Segment{Key: key})
+		size -= len(data)
+	}
+	return c, nil
+}
+
+// packOutcomes compresses outcomes in pieces that each fit in an object.
+func (j *Jobs) packOutcomes(outcomes []Outcome) ([][]byte, error) {
+	if len(outcomes) == 0 {
+		return nil, nil
+	}
+	data, err := j.codec.pack(outcomes)
+	if err != nil {
+		return nil, err
+	}
+	if len(data) <= maxItemBytes || len(outcomes) == 1 {
+		return [][]byte{data}, nil
+	}
+	half := len(outcomes) / 2
+	left, err := j.packOutcomes(outcomes[:half])
+	if err != nil {
+		return nil, err
+	}
+	right, err := j.packOutcomes(outcomes[half:])
+	return append(left, right...), err
+}
+
+// checkCancelled reads the job's state at a renewal, in case a push was lost.
+func (j *Jobs) checkCancelled(ctx context.Context, h *held) {
+	head, _, err := j.readHead(ctx, h.head.ID)
+	if err != nil || head.State == job.Running {
+		return
+	}
+	j.stopJob(h.head.ID)
+}
+
+// stopJob stops the work on all chunks of a cancelled job.
+func (j *Jobs) stopJob(id string) {
+	now := time.Now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, h := range j.holds.all() {
+		if h.head.ID == id && !h.stopping {
+			j.stop(now, h)
+		}
+	}
+}
+
+// release gives a chunk up, so that another VM can go on at once. The caller has marked it queued.
+func (j *Jobs) release(ctx context.Context, h *held) {
+	now := time.Now()
+	j.mu.Lock()
+	w := h.hold.Release()
+	outcomes := h.outcomes(w)
+	h.stopping = true
+	j.mu.Unlock()
+	err := j.writeChunk(ctx, h, w, outcomes, now)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	h.queued, h.stopping = false, false
+	if err != nil {
+		h.retryAt = time.Now().Add(writePause)
+	}
+}
+
+// releaseTimeout bounds the last writes of a VM that closes.
+const releaseTimeout = 10 * time.Second
+
+func (j *Jobs) releaseAll() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	j.mu.Lock()
+	all := j.holds.all()
+	j.mu.Unlock()
+	for _, h := range all {
+		j.release(ctx, h)
+	}
+}
