--- a/io/job/home.go
+++ b/io/job/home.go
@@ -96,6 +96,7 @@
 func (j *Jobs) tickHome(ctx context.Context) {
 	now := time.Now()
 	j.placeShards(now)
+	j.announceUnheard(ctx)
 	j.sendSummaries(now)
 	j.listShards(ctx, now)
 	for _, id := range j.homeIDs() {
--- a/io/job/job.go
+++ b/io/job/job.go
@@ -77,6 +77,8 @@
 	broker  brokerState
 	pending []claim
 	blocks  blockCache
+	// unheard holds the accepted jobs whose home has not answered yet.
+	unheard map[string]bool
 	closed  bool
 }
 
@@ -102,6 +104,7 @@
 		heads:   newHeadCache(),
 		homes:   newHomeSet(),
 		broker:  brokerState{},
+		unheard: map[string]bool{},
 	}
 	j.bus = newBus(opts)
 	j.handle()
--- a/io/job/serve.go
+++ b/io/job/serve.go
@@ -106,16 +106,29 @@
 // announceTimeout bounds the wait for the home's word that it knows a new job.
 const announceTimeout = time.Second
 
-// announce tells the home about an accepted job. Should the home not hear of it, it finds the job
-// when it lists its shard: after the loss of a VM, or at the next sweep.
-func (j *Jobs) announce(ctx context.Context, head job.Head) {
-	if head.State.Terminal() {
-		return
-	}
+// announce tells the home about an accepted job, again at each tick until it answers. Should this VM
+// be lost before, the homes list their shards and find the job.
+func (j *Jobs) announce(ctx context.Context, id string) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	_, err := ask[nothing](ctx, j.bus, j.homeOf(head.ID), methodOpened, jobMessage{Job: head.ID})
+	_, err := ask[nothing](ctx, j.bus, j.homeOf(id), methodOpened, jobMessage{Job: id})
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	delete(j.unheard, id)
 	if err != nil {
-		tell(j.bus, j.homeOf(head.ID), methodOpened, jobMessage{Job: head.ID})
+		j.unheard[id] = true
+	}
+}
+
+// announceUnheard tells homes about the jobs that they have not answered for.
+func (j *Jobs) announceUnheard(ctx context.Context) {
+	j.mu.Lock()
+	ids := make([]string, 0, len(j.unheard))
+	for id := range j.unheard {
+		ids = append(ids, id)
+	}
+	j.mu.Unlock()
+	for _, id := range ids {
+		j.announce(ctx, id)
 	}
 }
--- a/io/job/submit.go
+++ b/io/job/submit.go
@@ -77,7 +77,9 @@
 	for range submitAttempts {
 		accepted, retry, err := j.tryAccept(ctx, now, head, blocks)
 		if err == nil {
-			j.announce(ctx, accepted)
+			if !accepted.State.Terminal() {
+				j.announce(ctx, accepted.ID)
+			}
 			return Status{Head: accepted}, nil
 		}
 		if !retry {
