--- a/fake/service/service.go
+++ b/fake/service/service.go
@@ -30,6 +30,7 @@
 
 	mu        sync.Mutex
 	ran       map[string]int
+	ranURL    map[string]int
 	total     int
 	running   int
 	closeNext int
@@ -41,7 +42,7 @@
 	if err != nil {
 		return nil, merry.Errorf("listen: %w", err)
 	}
-	s := &Service{opts: opts, listener: listener, ran: map[string]int{}}
+	s := &Service{opts: opts, listener: listener, ran: map[string]int{}, ranURL: map[string]int{}}
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: 5 * time.Second}
 	s.done.Go(func() { _ = s.server.Serve(listener) })
 	return s, nil
@@ -63,6 +64,13 @@
 	return s.ran[id]
 }
 
+// RanURL returns how often a call with this path and query arrived whole.
+func (s *Service) RanURL(url string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ranURL[url]
+}
+
 // Total returns the number of calls that arrived whole.
 func (s *Service) Total() int {
 	s.mu.Lock()
@@ -103,7 +111,7 @@
 	if err != nil {
 		return
 	}
-	number, cut := s.enter(r.Header.Get("X-Request-Id"))
+	number, cut := s.enter(r.Header.Get("X-Request-Id"), r.URL.RequestURI())
 	defer s.leave()
 	time.Sleep(s.opts.Latency)
 	if cut {
@@ -114,10 +122,11 @@
 	_ = json.NewEncoder(w).Encode(seen{Method: r.Method, URL: r.URL.RequestURI(), Body: string(body), Number: number})
 }
 
-func (s *Service) enter(id string) (number int, cut bool) {
+func (s *Service) enter(id, url string) (number int, cut bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ran[id]++
+	s.ranURL[url]++
 	s.total++
 	s.running++
 	if s.closeNext > 0 {
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -109,7 +109,7 @@
 			return
 		}
 		c.account = account
-		if wait, ok := h.opts.Allow(c.received, account); !ok {
+		if wait, ok := h.opts.Allow(r.Context(), account); !ok {
 			h.refused.Mark(1)
 			writeError(w, problem{status: http.StatusTooManyRequests, code: "rate_limit_exceeded", ran: retry.RanNo, message: "the account's limit is reached", retryAfter: wait})
 			return
--- a/io/caller/options.go
+++ b/io/caller/options.go
@@ -20,7 +20,7 @@
 	// Snapshot returns the configuration in force.
 	Snapshot func() *config.Snapshot
 	// Allow applies an account's limit; when it refuses it returns the time to wait.
-	Allow func(now time.Time, a config.Account) (time.Duration, bool)
+	Allow func(ctx context.Context, a config.Account) (time.Duration, bool)
 	// Durable runs a request once through the ledger; nil means that the VM keeps no ledger.
 	Durable func(ctx context.Context, d DurableRequest) (DurableAnswer, error)
 	// Accept makes a request durable and answers before it ran.
@@ -48,7 +48,7 @@
 		Router:       router,
 		Services:     service.New(service.NewOptions()),
 		Snapshot:     func() *config.Snapshot { return empty },
-		Allow:        func(time.Time, config.Account) (time.Duration, bool) { return 0, true },
+		Allow:        func(context.Context, config.Account) (time.Duration, bool) { return 0, true },
 		Log:          zerolog.Nop(),
 		Registry:     metrics.NewRegistry(),
 		MaxBodyBytes: 4 << 20,
@@ -64,6 +64,24 @@
 	return o
 }
 
+// WithAllow returns a copy with the limit of accounts set.
+func (o Options) WithAllow(f func(ctx context.Context, a config.Account) (time.Duration, bool)) Options {
+	o.Allow = f
+	return o
+}
+
+// WithLedger returns a copy with the seams of the ledger set.
+func (o Options) WithLedger(
+	durable func(ctx context.Context, d DurableRequest) (DurableAnswer, error),
+	accept func(ctx context.Context, d DurableRequest) (string, error),
+	lookup func(ctx context.Context, team, id string) (DurableState, error),
+) Options {
+	o.Durable = durable
+	o.Accept = accept
+	o.Lookup = lookup
+	return o
+}
+
 // WithLog returns a copy with the log set.
 func (o Options) WithLog(log zerolog.Logger) Options {
 	o.Log = log
--- /dev/null
+++ b/io/caller/upstream_body.go
@@ -0,0 +1,13 @@
+package caller
+
+import "github.com/ansel1/merry/v2"
+
+// UpstreamBody renders the body of a batch item for an engine: the model's name as given, a stream
+// with usage.
+func UpstreamBody(data []byte, name string) ([]byte, error) {
+	body, err := parseCompletion(data)
+	if err != nil {
+		return nil, merry.Errorf("batch item: %w", err)
+	}
+	return body.forUpstream(name, true)
+}
--- /dev/null
+++ b/io/serve/batch.go
@@ -0,0 +1,54 @@
+package serve
+
+import (
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/io/caller"
+	"mothcart/io/job"
+	"mothcart/io/store"
+	"mothcart/io/upstream"
+)
+
+// startJobs starts the batch jobs of this VM.
+func (s *Server) startJobs(c store.Client) error {
+	cfg := s.opts.Settings
+	jobs, err := job.New(job.NewOptions(cfg.VMID, c).WithNode(s.peers).WithSnapshot(s.follower.Current).
+		WithMetrics(s.opts.Registry).WithLog(s.opts.Log).WithStoreRates(cfg.StoreWritesPerSecond, cfg.StoreReadsPerSecond))
+	if err != nil {
+		return merry.Errorf("start jobs: %w", err)
+	}
+	s.jobs = jobs
+	return nil
+}
+
+// takeItems hands claimed items to the homes of engines.
+func (s *Server) takeItems(model string, n int) []upstream.BatchItem {
+	taken := s.jobs.Take(model, n)
+	items := make([]upstream.BatchItem, 0, len(taken))
+	for _, item := range taken {
+		body, err := caller.UpstreamBody(item.Body, item.Model)
+		if err != nil {
+			s.rejectItem(item, err)
+			continue
+		}
+		items = append(items, upstream.BatchItem{
+			ID: item.ID(), Model: item.Model, Path: item.Endpoint, Body: body, Idempotent: item.Idempotent,
+			Alone: item.Alone, Context: item.Context(),
+			Begin:  func() bool { return s.jobs.Begin(item) },
+			Return: func() { s.jobs.Return(item) },
+			Done: func(r upstream.BatchResult) {
+				s.jobs.Done(item, job.Result{Status: r.Status, Body: r.Body, Retry: r.Retry, Lost: r.Lost, Error: r.Error})
+			},
+		})
+	}
+	return items
+}
+
+// rejectItem ends an item whose body no engine would take.
+func (s *Server) rejectItem(item job.Item, err error) {
+	if s.jobs.Begin(item) {
+		s.jobs.Done(item, job.Result{Status: http.StatusBadRequest, Error: err.Error()})
+	}
+}
--- /dev/null
+++ b/io/serve/durable.go
@@ -0,0 +1,121 @@
+package serve
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+
+	core "mothcart/core/ledger"
+	"mothcart/core/retry"
+	"mothcart/io/caller"
+	"mothcart/io/ledger"
+	"mothcart/io/peer"
+	"mothcart/io/store"
+)
+
+// ledgerMethod carries the ledger's calls between VMs.
+const ledgerMethod = "ledger.call"
+
+// newLedger starts the ledger, connected to its peers.
+func (s *Server) newLedger(c store.Client) *ledger.Ledger {
+	opts := ledger.NewOptions()
+	opts.Self = s.opts.Settings.VMID
+	opts.Members = func() []string { return s.peers.View().IDs() }
+	opts.Store = c
+	opts.Execute = s.execute
+	opts.Metrics = s.opts.Registry
+	opts.Log = s.opts.Log
+	opts.Call = func(ctx context.Context, to string, call ledger.Call) (ledger.Reply, error) {
+		reply, err := peer.Call[ledger.Reply](ctx, s.peers, to, ledgerMethod, peer.Bulk, call)
+		if errors.Is(err, peer.ErrUnreachable) {
+			return reply, merry.Errorf("call ledger of %s: %w", to, ledger.ErrUnreachable)
+		}
+		return reply, err
+	}
+	l := ledger.New(opts)
+	peer.Handle(s.peers, ledgerMethod, func(ctx context.Context, _ string, call ledger.Call) (ledger.Reply, error) {
+		return l.Serve(ctx, call), nil
+	})
+	return l
+}
+
+// execute runs a request of the ledger at its upstream.
+func (s *Server) execute(ctx context.Context, req ledger.Request) (ledger.Answer, error) {
+	answer, ran, err := s.handler.Replay(ctx, caller.DurableRequest{
+		ID: req.ID, Team: req.Team, Idempotent: req.Idempotent, Deadline: req.Deadline, Payload: req.Payload,
+	})
+	if err != nil && ran == retry.RanNo {
+		return ledger.Answer{}, merry.Errorf("execute: %w: %w", ledger.ErrDidNotRun, err)
+	}
+	if err != nil {
+		return ledger.Answer{}, merry.Errorf("execute: %w", err)
+	}
+	return toLedgerAnswer(answer), nil
+}
+
+// durable runs a caller's request through the ledger.
+func (s *Server) durable(ctx context.Context, d caller.DurableRequest) (caller.DurableAnswer, error) {
+	outcome, err := s.ledger.Do(ctx, toLedgerRequest(d))
+	if err != nil {
+		return caller.DurableAnswer{}, ledgerError(err)
+	}
+	return toCallerAnswer(outcome), nil
+}
+
+func (s *Server) accept(ctx context.Context, d caller.DurableRequest) (string, error) {
+	id, err := s.ledger.Accept(ctx, toLedgerRequest(d))
+	if err != nil {
+		return "", ledgerError(err)
+	}
+	return id, nil
+}
+
+func (s *Server) lookup(ctx context.Context, team, id string) (caller.DurableState, error) {
+	record, err := s.ledger.Lookup(ctx, team, id)
+	if err != nil {
+		return caller.DurableState{}, ledgerError(err)
+	}
+	return caller.DurableState{State: string(record.State.String()), Answer: toCallerAnswer(record.Outcome)}, nil
+}
+
+func toLedgerRequest(d caller.DurableRequest) ledger.Request {
+	var hash [8]byte
+	binary.BigEndian.PutUint64(hash[:], d.BodyHash)
+	return ledger.Request{
+		Team: d.Team, Key: d.Key, BodyHash: ledger.HashBody(hash[:]), Idempotent: d.Idempotent, Deadline: d.Deadline, Payload: d.Payload,
+	}
+}
+
+func toLedgerAnswer(a caller.DurableAnswer) ledger.Answer {
+	answer := ledger.Answer{Status: a.Status, Body: a.Body}
+	for name, values := range a.Header {
+		for _, v := range values {
+			answer.Header = append(answer.Header, ledger.Field{Name: name, Value: v})
+		}
+	}
+	return answer
+}
+
+func toCallerAnswer(o ledger.Outcome) caller.DurableAnswer {
+	a := caller.DurableAnswer{Status: o.Answer.Status, Body: o.Answer.Body, Header: http.Header{}, Unknown: o.State == core.Unknown}
+	for _, f := range o.Answer.Header {
+		a.Header.Add(f.Name, f.Value)
+	}
+	return a
+}
+
+func ledgerError(err error) error {
+	switch {
+	case errors.Is(err, ledger.ErrDidNotRun):
+		return merry.Errorf("%w: %w", caller.ErrNotDurable, err)
+	case errors.Is(err, ledger.ErrBodyMismatch):
+		return merry.Errorf("%w: %w", caller.ErrKeyReused, err)
+	case errors.Is(err, ledger.ErrNotFound):
+		return merry.Errorf("%w: %w", caller.ErrNoRequest, err)
+	default:
+		return err
+	}
+}
--- /dev/null
+++ b/io/serve/operator.go
@@ -0,0 +1,148 @@
+package serve
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"mothcart/io/store"
+	"mothcart/io/upstream"
+)
+
+// statusBody is the state of one VM as operators see it.
+type statusBody struct {
+	VM         string `json:"vm"`
+	Ready      bool   `json:"ready"`
+	Reason     string `json:"reason,omitempty"`
+	Draining   bool   `json:"draining"`
+	Generation uint64 `json:"generation"`
+	// ConfirmedMillis is the time since the configuration was confirmed by the platform or a peer.
+	ConfirmedMillis int64                   `json:"confirmedMillis"`
+	Members         []string                `json:"members"`
+	InFlight        int                     `json:"inFlight"`
+	Waiting         int                     `json:"waiting"`
+	Engines         []upstream.EngineStatus `json:"engines"`
+}
+
+// operatorHandler serves the operators' port.
+func (s *Server) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("GET /readyz", s.serveReady)
+	mux.HandleFunc("GET /metrics", s.serveMetrics)
+	mux.HandleFunc("GET /v1/vm", s.serveStatus)
+	mux.HandleFunc("POST /v1/drain", s.serveDrain)
+	mux.HandleFunc("POST /v1/vms/{id}/leaving", s.serveLeaving)
+	return mux
+}
+
+// ready reports whether the balancer may send callers here, and if not why.
+func (s *Server) ready(now time.Time) (bool, string) {
+	switch {
+	case s.drain.isAsked():
+		return false, "draining"
+	case s.follower.Current().Generation == 0:
+		return false, "no configuration yet"
+	case s.follower.Confirmed(now) > s.opts.Settings.StaleConfigLimit:
+		return false, "configuration not confirmed by platform or peers"
+	default:
+		return true, ""
+	}
+}
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if ok, reason := s.ready(time.Now()); !ok {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+func (s *Server) status(now time.Time) statusBody {
+	ready, reason := s.ready(now)
+	b := statusBody{
+		VM: s.opts.Settings.VMID, Ready: ready, Reason: reason, Draining: s.drain.isAsked(),
+		Generation: s.follower.Current().Generation, ConfirmedMillis: s.follower.Confirmed(now).Milliseconds(),
+		Members: s.peers.View().IDs(), InFlight: s.handler.InFlight(), Waiting: s.router.Waiting(),
+		Engines: []upstream.EngineStatus{},
+	}
+	if home := s.home.Load(); home != nil {
+		b.Engines = home.Engines()
+		sort.Slice(b.Engines, func(i, j int) bool { return b.Engines[i].ID < b.Engines[j].ID })
+	}
+	return b
+}
+
+func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(s.status(time.Now()))
+}
+
+func (s *Server) serveDrain(w http.ResponseWriter, _ *http.Request) {
+	s.Drain()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// serveLeaving marks a VM of any group as leaving; the mark spreads to all VMs.
+func (s *Server) serveLeaving(w http.ResponseWriter, r *http.Request) {
+	s.peers.MarkLeaving(r.PathValue("id"))
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// serveMetrics writes the metrics in the text form that Prometheus scrapers read.
+func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	var lines []string
+	s.opts.Registry.Each(func(name string, metric any) { lines = append(lines, metricLines(name, metric)...) })
+	sort.Strings(lines)
+	var b bytes.Buffer
+	for _, line := range lines {
+		b.WriteString(line + "\n")
+	}
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	_, _ = w.Write(b.Bytes())
+}
+
+// quantiles are those that timers and histograms show.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// metricLines renders one metric; times are in seconds.
+func metricLines(name string, metric any) []string {
+	name = "mothcart_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+	switch m := metric.(type) {
+	case metrics.Counter:
+		return []string{fmt.Sprintf("%s_total %d", name, m.Count())}
+	case metrics.Gauge:
+		return []string{fmt.Sprintf("%s %d", name, m.Value())}
+	case metrics.GaugeFloat64:
+		return []string{fmt.Sprintf("%s %g", name, m.Value())}
+	case metrics.Meter:
+		return []string{fmt.Sprintf("%s_total %d", name, m.Count())}
+	case metrics.Timer:
+		snapshot := m.Snapshot()
+		return summaryLines(name+"_seconds", snapshot.Count(), snapshot.Percentiles(quantiles), float64(time.Second))
+	case metrics.Histogram:
+		snapshot := m.Snapshot()
+		return summaryLines(name, snapshot.Count(), snapshot.Percentiles(quantiles), 1)
+	default:
+		return nil
+	}
+}
+
+func summaryLines(name string, count int64, values []float64, unit float64) []string {
+	lines := []string{fmt.Sprintf("%s_count %d", name, count)}
+	for i, q := range quantiles {
+		lines = append(lines, fmt.Sprintf("%s{quantile=%q} %g", name, fmt.Sprint(q), values[i]/unit))
+	}
+	return lines
+}
+
+// countedStore counts the calls to the object service by kind.
+func countedStore(c store.Client, r metrics.Registry) store.Client {
+	return store.Counted(c, func(kind string) { metrics.GetOrRegisterCounter("store."+kind, r).Inc(1) })
+}
