Add the filling decision for one engine

Cause: nothing decides how much batch an engine may run beside its online requests.

Change: core/fill takes exact notices of online and batch, lagged load reports and online's latencies, and says how many batch sequences and KV tokens to admit or which streams to cancel, the newest first. The limit beside online is a share of lengthening of a step (2% at weight 1), with the lengthening by one sequence learned by a fit. New homes and unexplained sequences ramp with care.

--- /dev/null
+++ b/core/fill/fill_test.go
@@ -0,0 +1,217 @@
+package fill
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+const itemTokens = 400
+
+// known returns a home that has listened to idle reports past its careful ramp.
+func known(params Params) (State, time.Duration) {
+	s := New(start, params)
+	for d := time.Duration(0); d <= 3*time.Second; d += 100 * time.Millisecond {
+		s = s.WithReport(at(d), Report{})
+	}
+	return s, 3 * time.Second
+}
+
+// feed starts what the decision admits; prompts are computed at once.
+func feed(s State, now time.Time, next *int) (State, int) {
+	d := s.Decide(now)
+	n := 0
+	for tokens := d.AdmitTokens; n < d.Admit && tokens >= itemTokens; tokens -= itemTokens {
+		id := fmt.Sprint("b", *next)
+		*next++
+		n++
+		s = s.WithBatchStart(now, id, itemTokens).WithBatchFirstToken(now, id)
+	}
+	return s, n
+}
+
+// filled returns a home whose engine is full of batch.
+func filled(t *testing.T, params Params) (State, time.Duration) {
+	t.Helper()
+	s, now := known(params)
+	next := 0
+	for range 100 {
+		s, _ = feed(s, at(now), &next)
+		now += 5 * time.Millisecond
+	}
+	require.Equal(t, params.MaxSequences, s.Batch())
+	return s, now
+}
+
+func TestGapIsFilledWithinASecond(t *testing.T) {
+	s, now := known(NewParams(64, 60_000).WithWeight(1))
+	s = s.WithOnlineStart(at(now), "o", 400).WithOnlineEnd(at(now+time.Second), "o")
+	gap := now + time.Second
+	next := 0
+	for now = gap; s.Batch() < 60; now += 20 * time.Millisecond {
+		require.Less(t, now-gap, time.Second)
+		s, _ = feed(s, at(now), &next)
+	}
+}
+
+func TestOnlineStartMakesNewestBatchGiveWay(t *testing.T) {
+	tests := []struct {
+		weight      float64
+		least, most int
+	}{{1, 0, 4}, {0.75, 4, 12}, {0.5, 10, 30}, {0, 60, 63}}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.weight), func(t *testing.T) {
+			s, now := filled(t, NewParams(64, 60_000).WithWeight(tt.weight))
+			s = s.WithOnlineStart(at(now), "o", 400)
+			d := s.Decide(at(now))
+			require.Zero(t, d.Admit)
+			left := 64 - len(d.Cancel)
+			require.GreaterOrEqual(t, left, tt.least)
+			require.LessOrEqual(t, left, tt.most)
+			require.Equal(t, "b63", d.Cancel[0])
+			for _, id := range d.Cancel {
+				s = s.WithBatchPaused(at(now), id)
+			}
+			require.Empty(t, s.Decide(at(now)).Cancel, "only as many as needed")
+		})
+	}
+}
+
+func TestNewHomeDoesNotFlood(t *testing.T) {
+	params := NewParams(64, 60_000).WithWeight(0)
+	s := New(start, params)
+	require.Zero(t, s.Decide(at(time.Second)).Admit, "a home without a report only listens")
+	s = s.WithReport(at(0), Report{Running: 60})
+	require.LessOrEqual(t, s.Decide(at(0)).Admit, 4)
+	require.LessOrEqual(t, s.Decide(at(10*time.Second)).Admit, 4, "the reported sequences count as online")
+}
+
+func TestReportsCorrectLostNotices(t *testing.T) {
+	params := NewParams(64, 60_000)
+	s, now := known(params)
+	s = s.WithOnlineStart(at(now), "lost end", 400)
+	s = s.WithReport(at(now+10*time.Millisecond), Report{Running: 0})
+	require.Equal(t, 1, s.Online(), "a late report says nothing of a new request")
+	s = s.WithReport(at(now+time.Minute), Report{Running: 0})
+	require.Equal(t, 0, s.Online())
+	now += 2 * time.Minute
+	s = s.WithReport(at(now), Report{Running: 3})
+	require.Equal(t, 3, s.Online(), "lost starts count as online")
+	s = s.WithReport(at(now), Report{Running: 0})
+	require.Equal(t, 0, s.Online())
+	s = s.WithOnlineStart(at(now), "no reports", 400)
+	s = s.WithReport(at(now+time.Hour), Report{Running: 1})
+	require.Equal(t, 0, s.Online(), "the lease ends the request")
+	s = s.WithReport(at(now+time.Hour+5*time.Second), Report{Running: 1})
+	require.Equal(t, 1, s.Online(), "the report shows another one")
+}
+
+func TestRatioIsLearned(t *testing.T) {
+	h := newHarm()
+	for i := range 2000 {
+		n := float64(1 + i%20)
+		h = h.with(n, 0, time.Duration((10+0.2*n)*float64(time.Millisecond)))
+	}
+	require.InDelta(t, 0.02, h.ratio(), 0.002)
+}
+
+func TestStateProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		params := NewParams(16, 8_000).WithWeight(rapid.Float64Range(0, 1).Draw(t, "weight"))
+		s, now := known(params)
+		ids := 0
+		advance := func(t *rapid.T) {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "millis")) * time.Millisecond
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"onlineStart": func(t *rapid.T) {
+				ids++
+				s = s.WithOnlineStart(at(now), fmt.Sprint("o", ids), rapid.IntRange(1, 2000).Draw(t, "tokens"))
+			},
+			"onlineEnd": func(t *rapid.T) {
+				s = s.WithOnlineEnd(at(now), fmt.Sprint("o", rapid.IntRange(0, ids).Draw(t, "id")))
+			},
+			"batchEnd": func(t *rapid.T) {
+				s = s.WithBatchEnd(at(now), fmt.Sprint("b", rapid.IntRange(0, ids).Draw(t, "id")))
+			},
+			"report": func(t *rapid.T) {
+				s = s.WithReport(at(now), Report{Running: rapid.IntRange(0, 20).Draw(t, "running")})
+			},
+			"latency": func(t *rapid.T) {
+				s = s.WithOnlineLatency(at(now), time.Second, time.Duration(rapid.IntRange(0, 1e9).Draw(t, "inter")))
+			},
+			"wait": advance,
+			"decide": func(t *rapid.T) {
+				d := s.Decide(at(now))
+				require.True(t, len(d.Cancel) == 0 || d.Admit == 0, "admits and cancels at once")
+				for _, id := range d.Cancel {
+					s = s.WithBatchPaused(at(now), id)
+				}
+				require.Empty(t, s.Decide(at(now)).Cancel, "a second decision cancels more")
+				tokens := d.AdmitTokens
+				for i := 0; i < d.Admit && tokens >= itemTokens; i++ {
+					ids++
+					tokens -= itemTokens
+					s = s.WithBatchStart(at(now), fmt.Sprint("b", ids), itemTokens)
+				}
+				require.Empty(t, s.Decide(at(now)).Cancel, "what was admitted is cancelled at once")
+				require.LessOrEqual(t, s.Batch()+len(s.online), max(16, len(s.online)))
+				require.LessOrEqual(t, s.batchTokens+s.onlineTokens, max(8_000, s.onlineTokens))
+			},
+			"": func(t *rapid.T) {
+				online, batch := 0, 0
+				for _, o := range s.online {
+					online += o.tokens
+				}
+				for _, b := range s.batch {
+					batch += b.tokens
+				}
+				require.Equal(t, []int{online, batch}, []int{s.onlineTokens, s.batchTokens})
+			},
+		})
+		s, _ = known(params)
+		require.Positive(t, s.Decide(at(3*time.Second)).Admit, "an idle engine starves")
+	})
+}
+
+func BenchmarkDecide(b *testing.B) {
+	s, now := known(NewParams(64, 60_000))
+	next := 0
+	for range 50 {
+		s, _ = feed(s, at(now), &next)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Decide(at(now))
+	}
+}
+
+func BenchmarkOnlineStartAndEnd(b *testing.B) {
+	s, now := known(NewParams(64, 60_000))
+	for i := range 30 {
+		s = s.WithOnlineStart(at(now), fmt.Sprint("o", i), 400)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		t := s.WithOnlineStart(at(now), "x", 400)
+		t.Decide(at(now))
+		t.WithOnlineEnd(at(now), "x")
+	}
+}
--- a/fake/engine/model.go
+++ b/fake/engine/model.go
@@ -85,6 +85,10 @@
 	cacheSequence uint64
 	// Computed counts prompt tokens, Decoded answer tokens, Preempted sequences sent back.
 	Computed, Decoded, Preempted int
+	// Recomputed counts the tokens computed again for resumes whose state was gone.
+	Recomputed int
+	// Busy is the time spent in steps.
+	Busy time.Duration
 }
 
 // NewModel returns an idle engine.
--- a/fake/engine/step.go
+++ b/fake/engine/step.go
@@ -25,9 +25,11 @@
 	}
 	prefill, decoding := m.planStep()
 	m.busy = true
-	m.stepEnd = now + m.opts.StepBase +
+	step := m.opts.StepBase +
 		time.Duration(decoding)*m.opts.StepPerSequence +
 		time.Duration(prefill)*m.opts.StepPerPrefill
+	m.stepEnd = now + step
+	m.Busy += step
 }
 
 // planStep gives the prompts of the oldest sequences first their part of the step's tokens.
@@ -102,6 +104,9 @@
 		m.cachePrefix(now, s)
 		s.prefillLeft = tokens
 	}
+	if s.req.Resume {
+		m.Recomputed += s.prefillLeft
+	}
 	return true
 }
 
