Add the filling experiment

Cause: the policy has no measurement.

Change: experiment/filling plays one online trace for each of the two deployments over the engine model with each policy, in virtual time, and gives both bounds, latencies and yields.

--- /dev/null
+++ b/experiment/filling/home.go
@@ -0,0 +1,196 @@
+package filling
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"mothcart/core/fill"
+	"mothcart/fake/engine"
+)
+
+const (
+	// tick is the time between two decisions without an event.
+	tick = 10 * time.Millisecond
+)
+
+// home runs a policy for one engine, as the entry VM that is the engine's home does.
+type home struct {
+	upstream *upstream
+	rng      *rand.Rand
+	control  control
+	running  map[string]*item
+	paused   []*item
+	chunk    uint64
+	left     int
+	dead     bool
+}
+
+func newHome(u *upstream, number int) *home {
+	h := &home{
+		upstream: u,
+		rng:      rand.New(rand.NewPCG(u.sim.opts.Seed, uint64(u.index*100+number))),
+		running:  map[string]*item{},
+		control:  u.sim.policy.start(u.now(), u.sim.opts),
+	}
+	h.tick()
+	h.poll()
+	return h
+}
+
+func (u *upstream) addHomes() {
+	u.homes = append(u.homes, newHome(u, 0))
+	if u.sim.opts.Faults.TwoHomes {
+		u.homes = append(u.homes, newHome(u, 1))
+	}
+	u.scheduleFaults()
+}
+
+// now returns the virtual time as a time value.
+func (u *upstream) now() time.Time { return time.Unix(0, 0).Add(u.sim.now) }
+
+func (h *home) tick() {
+	if h.dead {
+		return
+	}
+	h.decide()
+	h.upstream.sim.after(tick, h.tick)
+}
+
+// poll reads the load report.
+func (h *home) poll() {
+	if h.dead {
+		return
+	}
+	s := h.upstream.sim
+	s.after(s.opts.ReportEvery, h.poll)
+	if h.control.report == nil || s.rng.Float64() < s.opts.Faults.LostReports {
+		return
+	}
+	l := h.upstream.model.Report(s.now)
+	s.after(localLatency, func() {
+		h.control.report(h.upstream.now(), fill.Report{
+			Running: l.Running, Waiting: l.Waiting, KVUsedTokens: l.KVUsedTokens,
+		})
+		h.decide()
+	})
+}
+
+func (h *home) onlineStart(id string, tokens int) {
+	if h.control.onlineStart != nil && !h.dead {
+		h.control.onlineStart(h.upstream.now(), id, tokens)
+		h.decide()
+	}
+}
+
+func (h *home) onlineEnd(id string, first, inter time.Duration) {
+	if h.control.onlineEnd != nil && !h.dead {
+		h.control.onlineEnd(h.upstream.now(), id, first, inter)
+		h.decide()
+	}
+}
+
+// decide carries out what the policy says.
+func (h *home) decide() {
+	if h.dead {
+		return
+	}
+	d := h.control.decide(h.upstream.now())
+	for _, id := range d.Cancel {
+		h.pause(id)
+	}
+	tokens := d.AdmitTokens
+	for range d.Admit {
+		if tokens <= 0 {
+			return
+		}
+		it := h.next()
+		tokens -= it.tokens()
+		h.send(it)
+	}
+}
+
+// next takes a paused item, or a new one of the present chunk.
+func (h *home) next() *item {
+	if n := len(h.paused); n > 0 {
+		it := h.paused[n-1]
+		h.paused = h.paused[:n-1]
+		return it
+	}
+	s := h.upstream.sim
+	if h.left == 0 {
+		s.chunks++
+		h.chunk = s.chunks
+		h.left = chunkItems
+	}
+	h.left--
+	s.items++
+	it := s.dep.item(h.rng, h.chunk)
+	it.id = "b" + strconv.Itoa(s.items)
+	return &it
+}
+
+func (h *home) send(it *item) {
+	u := h.upstream
+	h.running[it.id] = it
+	h.control.batchStart(u.now(), it.id, it.tokens())
+	req := engine.Request{
+		ID: it.id, PromptTokens: it.prompt, Prefix: it.prefix, PrefixTokens: it.prefixTokens,
+		MaxTokens: it.answer, Resumable: true, Resume: it.started, ResumeFrom: it.progress,
+	}
+	it.started, it.heard = true, false
+	u.sim.after(localLatency, func() {
+		u.owners[it.id] = h
+		u.model.Submit(u.sim.now, req)
+		u.schedule()
+	})
+}
+
+// pause closes the stream of an item; it goes on later.
+func (h *home) pause(id string) {
+	u := h.upstream
+	it := h.running[id]
+	delete(h.running, id)
+	h.paused = append(h.paused, it)
+	h.control.batchPaused(u.now(), id)
+	u.sim.result.paused++
+	u.sim.after(localLatency, func() {
+		u.model.Pause(u.sim.now, id)
+		u.schedule()
+	})
+}
+
+// engineEvent hears of an own batch stream. Tokens after the first are only counted.
+func (h *home) engineEvent(e engine.Event) {
+	it := h.running[e.ID]
+	if it == nil || h.dead || e.Kind == engine.Admitted {
+		return
+	}
+	if e.Kind == engine.Token {
+		h.upstream.sim.result.batchTokens++
+		it.progress = e.Index + 1
+		if it.heard {
+			return
+		}
+		it.heard = true
+	}
+	h.upstream.sim.after(localLatency, func() { h.hear(e) })
+}
+
+// hear tells the policy of a first token or an end.
+func (h *home) hear(e engine.Event) {
+	u := h.upstream
+	if h.dead || h.running[e.ID] == nil {
+		return
+	}
+	if e.Kind == engine.Token {
+		h.control.batchToken(u.now(), e.ID)
+		h.decide()
+		return
+	}
+	delete(h.running, e.ID)
+	delete(u.owners, e.ID)
+	u.sim.result.itemsDone++
+	h.control.batchEnd(u.now(), e.ID)
+	h.decide()
+}
--- /dev/null
+++ b/experiment/filling/sim.go
@@ -0,0 +1,227 @@
+package filling
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"mothcart/fake/engine"
+)
+
+// event is a thing to do at a virtual time.
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type queue []event
+
+func (q queue) Len() int      { return len(q) }
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q queue) Less(i, j int) bool {
+	if q[i].at != q[j].at {
+		return q[i].at < q[j].at
+	}
+	return q[i].order < q[j].order
+}
+func (q *queue) Push(x any) { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	(*q)[last] = event{}
+	*q = (*q)[:last]
+	return e
+}
+
+// sim is one run in virtual time.
+type sim struct {
+	opts    Options
+	dep     deployment
+	policy  policy
+	rng     *rand.Rand
+	now     time.Duration
+	events  queue
+	order   int
+	engines []*upstream
+	chunks  uint64
+	items   int
+	result  result
+}
+
+// result is what a run measures.
+type result struct {
+	firstToken, interToken *hdrhistogram.Histogram
+	yield, ramp            *hdrhistogram.Histogram
+	itemsDone, onlineDone  int
+	batchTokens            int
+	// slots is the integral of the slots that online takes; idle the time without a step.
+	slots, idle time.Duration
+	recomputed  int
+	paused      int
+}
+
+const (
+	// maxMicros is the greatest latency that a histogram holds.
+	maxMicros = int64(10 * time.Minute / time.Microsecond)
+	digits    = 3
+)
+
+func newResult() result {
+	return result{
+		firstToken: hdrhistogram.New(1, maxMicros, digits),
+		interToken: hdrhistogram.New(1, maxMicros, digits),
+		yield:      hdrhistogram.New(1, maxMicros, digits),
+		ramp:       hdrhistogram.New(1, maxMicros, digits),
+	}
+}
+
+// upstream is one engine with its homes.
+type upstream struct {
+	sim    *sim
+	index  int
+	model  *engine.Model
+	stepAt time.Duration
+	// lastStep is the end of the last step.
+	lastStep time.Duration
+	homes    []*home
+	online   map[string]*onlineCall
+	owners   map[string]*home
+	yield    yieldWatch
+}
+
+// onlineCall is an online request in progress.
+type onlineCall struct {
+	id      string
+	arrival arrival
+	first   time.Duration
+	last    time.Duration
+}
+
+func newSim(opts Options, dep deployment, p policy) *sim {
+	s := &sim{opts: opts, dep: dep, policy: p, rng: rand.New(rand.NewPCG(opts.Seed, 7)), result: newResult()}
+	eopts := opts.Engine.WithReportLag(opts.ReportLag)
+	for i := range opts.Engines {
+		u := &upstream{
+			sim: s, index: i, model: engine.NewModel(eopts.WithSeed(opts.Seed + uint64(i))),
+			stepAt: -1, online: map[string]*onlineCall{}, owners: map[string]*home{},
+		}
+		s.engines = append(s.engines, u)
+		if p.start != nil {
+			u.addHomes()
+		}
+	}
+	return s
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.order++
+	heap.Push(&s.events, event{at: s.now + d, order: s.order, do: do})
+}
+
+// run plays the arrivals to the end and returns what was measured.
+func (s *sim) run(arrivals []arrival) result {
+	for i, a := range arrivals {
+		s.after(a.at, func() { s.engines[a.engine].arrive("o"+strconv.Itoa(i), a) })
+	}
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(event)
+		if e.at > s.opts.Duration {
+			break
+		}
+		s.now = e.at
+		e.do()
+	}
+	for _, u := range s.engines {
+		s.result.idle += s.opts.Duration - u.model.Busy
+		s.result.recomputed += u.model.Recomputed
+	}
+	return s.result
+}
+
+// arrive sends an online request from its entry VM to the engine and a notice to the home.
+func (u *upstream) arrive(id string, a arrival) {
+	u.sim.after(a.delay, func() {
+		u.online[id] = &onlineCall{id: id, arrival: a}
+		u.model.Submit(u.sim.now, engine.Request{
+			ID: id, PromptTokens: a.prompt, Prefix: a.prefix, PrefixTokens: a.prefixTokens, MaxTokens: a.answer,
+		})
+		u.schedule()
+	})
+	u.yield.arrived(u)
+	u.notify(a.delay, func(h *home) { h.onlineStart(id, a.prompt) })
+}
+
+// notify sends a notice to the home that the entry VM believes in.
+func (u *upstream) notify(delay time.Duration, do func(*home)) {
+	if len(u.homes) == 0 || u.sim.rng.Float64() < u.sim.opts.Faults.LostNotices {
+		return
+	}
+	h := u.homes[u.sim.rng.IntN(len(u.homes))]
+	jitter := time.Duration(u.sim.rng.Int64N(int64(localLatency)))
+	u.sim.after(delay+jitter, func() { do(h) })
+}
+
+// schedule sets the event of the engine's next step end.
+func (u *upstream) schedule() {
+	end, busy := u.model.Next()
+	if !busy || end == u.stepAt {
+		return
+	}
+	u.stepAt = end
+	u.sim.after(end-u.sim.now, func() { u.step(end) })
+}
+
+func (u *upstream) step(end time.Duration) {
+	if next, busy := u.model.Next(); !busy || next != end {
+		return
+	}
+	u.stepAt = -1
+	u.sim.result.slots += time.Duration(len(u.online)) * (end - u.lastStep)
+	u.lastStep = end
+	u.model.Step(u.sim.now)
+	for _, e := range u.model.Events() {
+		if c := u.online[e.ID]; c != nil {
+			u.onlineEvent(c, e)
+			continue
+		}
+		if h := u.owners[e.ID]; h != nil {
+			h.engineEvent(e)
+		}
+	}
+	u.yield.stepped(u)
+	u.schedule()
+}
+
+func (u *upstream) onlineEvent(c *onlineCall, e engine.Event) {
+	s := u.sim
+	network := clientLatency + c.arrival.delay
+	switch e.Kind {
+	case engine.Token:
+		if e.Index == 0 {
+			c.first = s.now + network - c.arrival.at + clientLatency
+			_ = s.result.firstToken.RecordValue(c.first.Microseconds())
+		} else {
+			_ = s.result.interToken.RecordValue((s.now - c.last).Microseconds())
+		}
+		c.last = s.now
+	case engine.Finished:
+		s.result.onlineDone++
+		delete(u.online, c.id)
+		u.finishOnline(c)
+	}
+}
+
+// finishOnline sends the end notice with the latencies that the entry VM measured.
+func (u *upstream) finishOnline(c *onlineCall) {
+	var inter time.Duration
+	if n := c.arrival.answer - 1; n > 0 {
+		engineFirst := c.arrival.at + c.first - 2*clientLatency - c.arrival.delay
+		inter = (u.sim.now - engineFirst) / time.Duration(n)
+	}
+	first := c.first - 2*clientLatency
+	u.notify(2*c.arrival.delay, func(h *home) { h.onlineEnd(c.id, first, inter) })
+}
