Spread a generation over peers in outages

Cause: an accepted generation has to reach every VM when the store or the accepting VM fails. Change: a VM that heard from no peer for two gossip intervals asks one, so that only watchers read the root; failure tests for outage, lost VM, stale read, old push, restart, silent watch. Conclusion: each failure test passes within 3 s of virtual time for nine VMs.

--- a/io/published/gossip.go
+++ b/io/published/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -16,6 +17,9 @@
 	maxFetchDigests = 512
 	// startPeers is the number of peers that a starting VM asks for their root.
 	startPeers = 3
+	// askAfterIntervals is the number of gossip intervals without confirmation after which a VM
+	// asks a peer.
+	askAfterIntervals = 2
 )
 
 func (f *Follower) handlers() Handlers {
@@ -145,8 +149,28 @@
 			return
 		}
 		for _, id := range f.others(1) {
-			_ = f.opts.Peers.Announce(id, f.announcement())
+			f.exchange(ctx, id)
 		}
 		f.flushRefusals(ctx)
 	}
 }
+
+// exchange announces the root to the peer. A VM that heard from no peer for some intervals asks
+// the peer instead.
+func (f *Follower) exchange(ctx context.Context, id string) {
+	own := f.announcement()
+	if f.Confirmed(time.Now()) < askAfterIntervals*f.opts.GossipInterval {
+		_ = f.opts.Peers.Announce(id, own)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	a, err := f.opts.Peers.Query(ctx, id)
+	switch {
+	case err != nil:
+	case a.Revision > own.Revision:
+		f.hint(hint{from: id, revision: a.Revision})
+	default:
+		f.confirm()
+	}
+}
--- /dev/null
+++ b/io/published/network_test.go
@@ -0,0 +1,117 @@
+package published
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+
+	"mothcart/core/publication"
+	"mothcart/io/store"
+)
+
+var errCut = errors.New("peer unreachable")
+
+// network connects followers of one test; calls run directly.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]Handlers
+	cut   map[string]bool
+}
+
+func newNetwork() *network {
+	return &network{nodes: map[string]Handlers{}, cut: map[string]bool{}}
+}
+
+// setCut parts a VM from the others.
+func (n *network) setCut(id string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[id] = cut
+}
+
+func (n *network) remove(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.nodes, id)
+}
+
+func (n *network) reach(from, to string) (Handlers, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h, ok := n.nodes[to]
+	if !ok || n.cut[from] || n.cut[to] {
+		return Handlers{}, errCut
+	}
+	return h, nil
+}
+
+func (n *network) peers(id string) Peers {
+	return Peers{
+		IDs: func() []string {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return slices.Sorted(maps.Keys(n.nodes))
+		},
+		Announce: func(to string, a Announcement) error {
+			h, err := n.reach(id, to)
+			if err == nil {
+				go h.Announce(id, a)
+			}
+			return err
+		},
+		Query: func(_ context.Context, to string) (Announcement, error) {
+			h, err := n.reach(id, to)
+			if err != nil {
+				return Announcement{}, err
+			}
+			return h.Query(), nil
+		},
+		FetchRoot: func(_ context.Context, from string) ([]byte, error) {
+			h, err := n.reach(id, from)
+			if err != nil {
+				return nil, err
+			}
+			return h.FetchRoot(), nil
+		},
+		FetchBlocks: func(_ context.Context, from string, digests []publication.Digest) ([][]byte, error) {
+			h, err := n.reach(id, from)
+			if err != nil {
+				return nil, err
+			}
+			return h.FetchBlocks(digests), nil
+		},
+		Serve: func(h Handlers) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.nodes[id] = h
+		},
+	}
+}
+
+// staleClient returns calls whose reads of the root give old while it is set.
+type staleClient struct {
+	mu  sync.Mutex
+	old *store.Object
+}
+
+func (s *staleClient) set(o *store.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.old = o
+}
+
+func (s *staleClient) client(c store.Client) store.Client {
+	get := c.Get
+	c.Get = func(ctx context.Context, key string) (store.Object, error) {
+		s.mu.Lock()
+		old := s.old
+		s.mu.Unlock()
+		if old != nil && key == publication.RootKey {
+			return *old, nil
+		}
+		return get(ctx, key)
+	}
+	return c
+}
--- /dev/null
+++ b/io/published/spread_test.go
@@ -0,0 +1,194 @@
+package published
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mothcart/core/publication"
+	fakestore "mothcart/fake/store"
+	"mothcart/io/store"
+)
+
+// todayBound is the time within which nine VMs have an accepted generation in force.
+const todayBound = 3 * time.Second
+
+func fleet(t *testing.T, n int, s *fakestore.Store, net *network) []*Follower {
+	t.Helper()
+	var followers []*Follower
+	for i := range n {
+		id := fmt.Sprintf("e%d", i+1)
+		followers = append(followers, start(t, Options{Self: id, Store: s.Client(), Peers: net.peers(id)}))
+	}
+	return followers
+}
+
+func generations(followers []*Follower) []uint64 {
+	var gs []uint64
+	for _, f := range followers {
+		gs = append(gs, f.Current().Generation)
+	}
+	return gs
+}
+
+func TestOutageRightAfterAcceptanceStillReachesAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, net := newStore(), newNetwork()
+		followers := fleet(t, 9, s, net)
+		time.Sleep(time.Second)
+		apply(t, followers[4], site(t, "night"), nil)
+		s.SetOutage(true)
+		time.Sleep(todayBound)
+		assert.Equal(t, []uint64{1, 1, 1, 1, 1, 1, 1, 1, 1}, generations(followers))
+		time.Sleep(time.Minute)
+		spread := followers[0].Spread(context.Background())
+		assert.False(t, spread.AcceptedKnown)
+		n, of := spread.InForce(1)
+		assert.Equal(t, [2]int{9, 9}, [2]int{n, of})
+		for _, f := range followers {
+			assert.Less(t, f.Confirmed(time.Now()), 10*time.Second, "an outage of the store alone takes no VM out")
+		}
+	})
+}
+
+func TestAcceptingVMIsLostAfterItsWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, net := newStore(), newNetwork()
+		followers := fleet(t, 9, s, net)
+		time.Sleep(time.Second)
+		net.setCut("e5", true)
+		apply(t, followers[4], site(t, "night"), nil)
+		net.remove("e5")
+		followers[4].Close()
+		time.Sleep(todayBound)
+		assert.Equal(t, []uint64{1, 1, 1, 1, 1, 1, 1, 1, 1}, generations(followers), "the watchers see it")
+	})
+}
+
+func TestStaleReadNeitherRevertsNorConfirms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, stale := newStore(), &staleClient{}
+		c := stale.client(s.Client())
+		c.Watch = func(ctx context.Context, key string, _ store.Version, _ time.Duration) (store.Object, error) {
+			return c.Get(ctx, key)
+		}
+		f := start(t, Options{Self: "e1", Store: c})
+		apply(t, f, site(t, "night"), nil)
+		old, err := s.Client().Get(context.Background(), publication.RootKey)
+		require.NoError(t, err)
+		apply(t, f, site(t, "noon"), nil)
+		stale.set(&old)
+		time.Sleep(time.Minute)
+		assert.EqualValues(t, 2, f.Current().Generation)
+		assert.Greater(t, f.Confirmed(time.Now()), 50*time.Second)
+		_, err = f.Apply(context.Background(), time.Now(), "abebe", site(t, "dawn"), nil)
+		require.ErrorIs(t, err, ErrUnavailable)
+		stale.set(nil)
+		assert.EqualValues(t, 3, apply(t, f, site(t, "dawn"), nil).Generation)
+	})
+}
+
+func TestPushOutOfOrderAndOldVMComingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, net := newStore(), newNetwork()
+		followers := fleet(t, 3, s, net)
+		time.Sleep(time.Second)
+		apply(t, followers[0], site(t, "night"), nil)
+		time.Sleep(todayBound)
+		net.setCut("e3", true)
+		followers[2].Close()
+		oldRoot := followers[2].onFetchRoot()
+		apply(t, followers[0], site(t, "noon"), nil)
+		time.Sleep(todayBound)
+		require.ErrorIs(t, followers[1].adopt(context.Background(), oldRoot, followers[1].fromStore), ErrStale)
+		followers[1].onAnnounce("e3", Announcement{Generation: 1, Revision: 1})
+		net.setCut("e3", false)
+		time.Sleep(time.Minute)
+		assert.Equal(t, []uint64{2, 2}, generations(followers[:2]))
+	})
+}
+
+func TestRestartInAnOutage(t *testing.T) {
+	for _, tc := range []struct {
+		name             string
+		dataDir, hasPeer bool
+		want             uint64
+	}{
+		{"from peers", false, true, 1},
+		{"from the data folder", true, false, 1},
+		{"from nowhere until the store is back", false, false, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			dir := ""
+			if tc.dataDir {
+				dir = t.TempDir()
+			}
+			synctest.Test(t, func(t *testing.T) {
+				s, net := newStore(), newNetwork()
+				start(t, Options{Self: "e1", Store: s.Client(), Peers: net.peers("e1")})
+				f := New(Options{Self: "e2", Store: s.Client(), Peers: net.peers("e2"), DataDir: dir})
+				apply(t, f, site(t, "night"), nil)
+				time.Sleep(todayBound)
+				f.Close()
+				s.SetOutage(true)
+				net.setCut("e1", !tc.hasPeer)
+				f = start(t, Options{Self: "e2", Store: s.Client(), Peers: net.peers("e2"), DataDir: dir})
+				time.Sleep(todayBound)
+				assert.Equal(t, tc.want, f.Current().Generation)
+				if !tc.hasPeer {
+					assert.GreaterOrEqual(t, f.Confirmed(time.Now()), todayBound)
+				}
+				s.SetOutage(false)
+				time.Sleep(10 * time.Second)
+				assert.EqualValues(t, 1, f.Current().Generation)
+				assert.Less(t, f.Confirmed(time.Now()), 5*time.Second)
+			})
+		})
+	}
+}
+
+func TestSilentWatchIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		c := s.Client()
+		watch, silent := c.Watch, true
+		c.Watch = func(ctx context.Context, key string, after store.Version, wait time.Duration) (store.Object, error) {
+			if silent {
+				silent = false
+				<-ctx.Done()
+				return store.Object{}, store.ErrUnavailable
+			}
+			return watch(ctx, key, after, wait)
+		}
+		f := start(t, Options{Self: "e1", Store: c})
+		other := start(t, Options{Self: "e2", Store: s.Client()})
+		time.Sleep(10 * time.Millisecond)
+		apply(t, other, site(t, "night"), nil)
+		time.Sleep(todayBound)
+		assert.EqualValues(t, 1, f.Current().Generation)
+	})
+}
+
+func TestFewVMsWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, net := newStore(), newNetwork()
+		followers := fleet(t, 40, s, net)
+		time.Sleep(10 * time.Second)
+		apply(t, followers[7], site(t, "night"), nil)
+		time.Sleep(todayBound)
+		before := s.Calls()
+		time.Sleep(time.Minute)
+		after := s.Calls()
+		for _, f := range followers {
+			assert.EqualValues(t, 1, f.Current().Generation)
+		}
+		watches := after.Watches - before.Watches
+		assert.Equal(t, before.Reads, after.Reads, "VMs that don't watch read nothing")
+		assert.LessOrEqual(t, watches, uint64(3*60/2+3))
+	})
+}
