--- /dev/null
+++ b/io/published/peers_test.go
@@ -0,0 +1,57 @@
+package published
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mothcart/core/config"
+	"mothcart/core/vm"
+	"mothcart/io/peer"
+)
+
+// accounts returns the set with n accounts.
+func accounts(t testing.TB, n int) config.Set {
+	t.Helper()
+	set := config.Set{Services: []config.Service{}, Teams: []config.Team{{Name: "deacons"}}}
+	for i := range n {
+		set.Accounts = append(set.Accounts, config.Account{Name: fmt.Sprintf("c%05d", i), Team: "deacons", KeyHash: fmt.Sprintf("%064x", uint64(i+1)*0x9e3779b97f4a7c15)})
+	}
+	return set
+}
+
+// TestNineVMsOverLoopback applies on one VM of nine with the store failing right after.
+func TestNineVMsOverLoopback(t *testing.T) {
+	s := newStore()
+	var nodes []*peer.Node
+	var vms []vm.VM
+	for i := range 9 {
+		self := vm.VM{ID: fmt.Sprintf("e%d", i+1), Group: vm.EntryGroup, AvailabilityZone: "arada", Address: "127.0.0.1:0"}
+		node, err := peer.New(peer.NewOptions(self).WithIdentity(1, uint64(i+1)))
+		require.NoError(t, err)
+		t.Cleanup(node.Close)
+		nodes = append(nodes, node)
+		vms = append(vms, node.Self())
+	}
+	var followers []*Follower
+	for _, node := range nodes {
+		node.SetList(vms)
+		followers = append(followers, start(t, Options{Self: node.Self().ID, Store: s.Client(), Peers: NewPeers(node)}))
+	}
+	for _, node := range nodes {
+		require.Eventually(t, func() bool { return len(node.View().VMs) == 9 }, time.Minute, 5*time.Millisecond)
+	}
+	_, err := followers[4].Apply(context.Background(), time.Now(), "abebe", accounts(t, 3000), nil)
+	require.NoError(t, err)
+	s.SetOutage(true)
+	for _, f := range followers {
+		require.Eventually(t, func() bool { return f.Current().Generation == 1 }, time.Minute, 5*time.Millisecond)
+		assert.Len(t, f.Current().Set.Accounts, 3000)
+	}
+	n, of := followers[0].Spread(context.Background()).InForce(1)
+	assert.Equal(t, [2]int{9, 9}, [2]int{n, of})
+}
