Compare objects by their fields and normalise sets from JSON

Cause: a set read from JSON has objects in any order, and nil and empty lists compared as different. Change: Normalize sorts copies; objects are equal when their fields are; Count counts objects. Conclusion: sets from files, from JSON and from blocks compare alike.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -11,7 +11,11 @@
 //	service, ok := snapshot.Service("rota-scribe")
 package config
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Upstream kinds of a service.
 const (
@@ -154,3 +158,28 @@
 	Rules          []Rule          `json:"rules"`
 	BatchClasses   []BatchClass    `json:"batchClasses"`
 }
+
+// Normalize returns a copy with objects and shares in the order that Check, Diff and Rebase expect.
+func Normalize(set Set) Set {
+	for _, k := range kinds {
+		k.sort(&set)
+	}
+	for i, t := range set.Teams {
+		set.Teams[i].Shares = slices.Clone(t.Shares)
+		sortShares(set.Teams[i].Shares)
+	}
+	return set
+}
+
+func sortShares(shares []Share) {
+	slices.SortFunc(shares, func(a, b Share) int { return cmp.Compare(a.Service, b.Service) })
+}
+
+// Count returns the number of objects in the set.
+func Count(set Set) int {
+	n := 0
+	for _, k := range kinds {
+		n += len(k.names(&set))
+	}
+	return n
+}
--- a/core/config/diff.go
+++ b/core/config/diff.go
@@ -74,7 +74,7 @@
 			add(*s.name(&b[0]), ActionAdd, nil)
 			b = b[1:]
 		default:
-			if !equal(&a[0], &b[0]) {
+			if !s.equal(&a[0], &b[0]) {
 				add(*s.name(&b[0]), ActionUpdate, s.fieldChanges(&a[0], &b[0]))
 			}
 			a, b = a[1:], b[1:]
--- a/core/config/kind.go
+++ b/core/config/kind.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -44,7 +43,7 @@
 	values func(set *Set) []object
 	// names returns the names of the kind's objects.
 	names func(set *Set) []string
-	// sort orders the kind's objects by name.
+	// sort replaces the list of the kind's objects by one in the order of names.
 	sort func(set *Set)
 	// diff returns the changes from one set to another.
 	diff func(from, to *Set) []Change
@@ -186,9 +185,13 @@
 		parse:  s.parse,
 		values: s.values,
 		names:  s.names,
-		sort:   func(set *Set) { s.sort(*s.list(set)) },
-		diff:   s.diff,
-		take:   s.take,
+		sort: func(set *Set) {
+			list := s.list(set)
+			*list = slices.Clone(*list)
+			s.sort(*list)
+		},
+		diff: s.diff,
+		take: s.take,
 	}
 }
 
@@ -217,7 +220,7 @@
 			return err.Error()
 		}
 		team.Shares = append(team.Shares, Share{Service: strings.TrimPrefix(kv.key, sharePrefix), Share: share})
-		slices.SortFunc(team.Shares, func(a, b Share) int { return cmp.Compare(a.Service, b.Service) })
+		sortShares(team.Shares)
 		return ""
 	}
 	for _, f := range s.fields {
@@ -294,9 +297,10 @@
 	return changed
 }
 
-func equal[T any](a, b *T) bool {
+// equal reports whether two objects of one name have the same fields.
+func (s schema[T]) equal(a, b *T) bool {
 	if x, ok := any(a).(*Account); ok {
 		return *x == *any(b).(*Account)
 	}
-	return reflect.DeepEqual(a, b)
+	return len(s.changedFields(a, b)) == 0
 }
