--- a/cmd/mothcart/main.go
+++ b/cmd/mothcart/main.go
@@ -36,6 +36,11 @@
 // commands is set by registerCommands in the order of the help text.
 func commands() []command {
 	return []command{
+		checkCommand(),
+		applyCommand(),
+		getCommand(),
+		diffCommand(),
+		auditCommand(),
 		versionCommand(),
 	}
 }
