--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,170 @@
+// Package demo runs a small site in one process, loads it with online requests, calls that may not
+// be repeated and a batch job, injects one fault, and checks that nothing was lost or doubled.
+//
+// Usage:
+//
+//	report, err := demo.Run(ctx, demo.NewOptions().WithDuration(10*time.Second), os.Stdout)
+//	ok := report.OK()
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/fake/engine"
+	"mothcart/fake/fleet"
+)
+
+// Faults that can be injected in the middle of the run.
+const (
+	FaultNone              = ""
+	FaultEngineCrash       = "engineCrash"
+	FaultNodeKill          = "nodeKill"
+	FaultStoreOutage       = "storeOutage"
+	FaultSilentConnections = "silentConnections"
+)
+
+// Faults lists the faults by name.
+func Faults() []string {
+	return []string{FaultEngineCrash, FaultNodeKill, FaultStoreOutage, FaultSilentConnections}
+}
+
+const (
+	// readyTimeout bounds the start of the site.
+	readyTimeout = 20 * time.Second
+	// finishTimeout bounds the time after the load in which the batch job must end.
+	finishTimeout = 60 * time.Second
+	// hopelessEvery is the distance between two items that can never be completed.
+	hopelessEvery = 50
+	// hopelessMark makes the stand-in engine fail an item each time.
+	hopelessMark = "[hopeless]"
+)
+
+// Run runs the demo and writes its progress to w. The error tells that the site did not start; the
+// report tells whether an invariant broke.
+func Run(ctx context.Context, opts Options, w io.Writer) (Report, error) {
+	f, err := fleet.New(fleet.NewOptions().WithSeed(opts.Seed).WithVMs(opts.VMs).
+		WithEngines(opts.Engines, engine.NewOptions().WithCapacity(engineSequences, engineTokens)))
+	if err != nil {
+		return Report{}, merry.Errorf("start site: %w", err)
+	}
+	defer f.Close()
+	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.Ready(readyCtx); err != nil {
+		return Report{}, merry.Errorf("start site: %w", err)
+	}
+	fmt.Fprintf(w, "site is up: %d entry VMs, %d engines, generation %d in force everywhere\n", opts.VMs, opts.Engines, f.Server(0).Follower().Current().Generation)
+	r := &run{opts: opts, fleet: f, out: w}
+	return r.play(ctx)
+}
+
+// Capacity of one stand-in engine.
+const (
+	engineSequences = 16
+	engineTokens    = 30000
+)
+
+// run is one demo in progress.
+type run struct {
+	opts  Options
+	fleet *fleet.Fleet
+	out   io.Writer
+}
+
+// play goes through the phases: online alone, then online beside a batch job with the fault in the
+// middle, then the end of the job.
+func (r *run) play(ctx context.Context) (Report, error) {
+	alone := newOnline(r.fleet, r.opts.Seed)
+	phase := r.opts.Duration / 3
+	fmt.Fprintf(r.out, "online alone for %s\n", phase)
+	alone.play(ctx, phase)
+
+	job, err := submitJob(ctx, r.fleet, r.opts)
+	if err != nil {
+		return Report{}, merry.Errorf("submit job: %w", err)
+	}
+	fmt.Fprintf(r.out, "job %s accepted: %d items; online beside batch for %s\n", job.id, job.items, r.opts.Duration-phase)
+	beside := newOnline(r.fleet, r.opts.Seed+1)
+	calls := newCalls(r.fleet, r.opts.Seed+2)
+	faultDone := r.injectLater(ctx, (r.opts.Duration-phase)/3)
+	progress := job.watch(ctx, r.out)
+	callsDone := make(chan struct{})
+	go func() {
+		defer close(callsDone)
+		calls.play(ctx, r.opts.Duration-phase)
+	}()
+	before := job.done()
+	started := time.Now()
+	beside.play(ctx, r.opts.Duration-phase)
+	batchRate := float64(job.done()-before) / time.Since(started).Seconds()
+	<-callsDone
+	<-faultDone
+	fmt.Fprintln(r.out, "load ended; waiting for the job and for open calls")
+	calls.settle(ctx)
+	result := job.finish(ctx)
+	progress()
+	return r.report(alone, beside, calls, job, result, batchRate), nil
+}
+
+// injectLater injects the fault after a time and undoes it after the same time again.
+func (r *run) injectLater(ctx context.Context, after time.Duration) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if r.opts.Fault == FaultNone || !wait(ctx, after) {
+			return
+		}
+		fmt.Fprintf(r.out, "fault: %s\n", r.opts.Fault)
+		undo := r.inject()
+		wait(ctx, after)
+		undo()
+		fmt.Fprintf(r.out, "fault undone: %s\n", r.opts.Fault)
+	}()
+	return done
+}
+
+func (r *run) inject() (undo func()) {
+	f := r.fleet
+	switch r.opts.Fault {
+	case FaultEngineCrash:
+		f.Engines[0].Crash()
+		return func() { _ = f.Engines[0].Restart() }
+	case FaultNodeKill:
+		f.KillVM(0)
+		return func() { _ = f.StartVM(0) }
+	case FaultStoreOutage:
+		f.Store.SetOutage(true)
+		return func() { f.Store.SetOutage(false) }
+	case FaultSilentConnections:
+		for _, e := range f.Engines {
+			e.SetSilentShare(silentShare)
+		}
+		return func() {
+			for _, e := range f.Engines {
+				e.SetSilentShare(0)
+			}
+		}
+	default:
+		return func() {}
+	}
+}
+
+// silentShare is the share of streams whose connection goes silent under that fault.
+const silentShare = 0.1
+
+// wait sleeps; it reports false when ctx ended before.
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/io/serve/batch.go
+++ b/io/serve/batch.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/rcrowley/go-metrics"
 
 	"mothcart/io/caller"
 	"mothcart/io/job"
@@ -23,6 +24,11 @@
 	return nil
 }
 
+// BatchItemsDone returns the number of batch items that this process has run to an outcome.
+func (s *Server) BatchItemsDone() int {
+	return int(metrics.GetOrRegisterCounter("jobs.items.done", s.opts.Registry).Count())
+}
+
 // takeItems hands claimed items to the homes of engines.
 func (s *Server) takeItems(model string, n int) []upstream.BatchItem {
 	taken := s.jobs.Take(model, n)
--- a/io/upstream/batch.go
+++ b/io/upstream/batch.go
@@ -24,6 +24,12 @@
 	cancel context.CancelCauseFunc
 }
 
+// minBackOff and maxBackOff bound the time without filling after the engine took no requests.
+const (
+	minBackOff = 100 * time.Millisecond
+	maxBackOff = 5 * time.Second
+)
+
 // errGiveWay is the cause of the cancellation of a batch item that makes room for online.
 var errGiveWay = errors.New("batch gives way to online")
 
@@ -79,8 +85,9 @@
 		}
 	}
 	models, leaving := e.batchModels(), e.upstream.Leaving
+	away := now.Before(e.backUntil)
 	e.mu.Unlock()
-	if leaving || len(decision.Cancel) > 0 {
+	if leaving || away || len(decision.Cancel) > 0 {
 		return
 	}
 	e.admit(now, decision, models)
@@ -179,6 +186,9 @@
 	case err != nil && ctx.Err() != nil:
 		_ = e.opts.Control.Cancel(context.WithoutCancel(ctx), address, item.ID)
 		item.Return()
+	case err != nil && didNotRun(err):
+		e.backOff(time.Now())
+		item.Return()
 	case err != nil:
 		item.Done(failedResult(err))
 	default:
@@ -190,6 +200,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.state = e.state.WithBatchFirstToken(time.Now(), id)
+	e.backTime = 0
 }
 
 // ended takes the item out of the engine's state.
@@ -225,6 +236,24 @@
 	return BatchResult{Status: http.StatusOK, Body: body}
 }
 
+// didNotRun reports that the engine can't be reached or takes no requests now: the attempt does not
+// count for the item.
+func didNotRun(err error) bool {
+	var f *engine.Failure
+	return errors.As(err, &f) && (f.Kind == engine.NotSent || f.Kind == engine.Refused)
+}
+
+// backOff stops filling for a time that doubles while the engine takes no requests.
+func (e *engineHome) backOff(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Before(e.backUntil) {
+		return
+	}
+	e.backTime = min(max(2*e.backTime, minBackOff), maxBackOff)
+	e.backUntil = now.Add(e.backTime)
+}
+
 // failedResult tells a hopeless item from one that another attempt may mend.
 func failedResult(err error) BatchResult {
 	var f *engine.Failure
--- a/io/upstream/engine_home.go
+++ b/io/upstream/engine_home.go
@@ -52,9 +52,11 @@
 	digestAt  time.Time
 	digestSeq int
 	// namesLeft is the number of next digests that carry the names after a change.
-	namesLeft  int
-	nextModel  int
-	thrownAway int64
+	namesLeft int
+	nextModel int
+	// backUntil ends a time without filling; backTime is its length.
+	backUntil time.Time
+	backTime  time.Duration
 }
 
 // EngineStatus is the state of one upstream at its home.
