--- a/core/member/params.go
+++ b/core/member/params.go
@@ -34,8 +34,9 @@
 	JoinTimeout time.Duration
 	// ReprobeInterval is the time between two probes of listed VMs that are not live.
 	ReprobeInterval time.Duration
-	// SyncAfter is the time that digests must differ before a synchronization.
-	SyncAfter time.Duration
+	// DifferLimit is the number of differing digests, less the number of equal ones, that leads to
+	// a synchronization.
+	DifferLimit int
 	// SyncInterval is the least time between two synchronizations that a node starts.
 	SyncInterval time.Duration
 	// DeadRetention is the time that a dead member outside the VM list is remembered.
@@ -61,7 +62,7 @@
 		JoinRetry:        500 * time.Millisecond,
 		JoinTimeout:      3 * time.Second,
 		ReprobeInterval:  time.Second,
-		SyncAfter:        2 * time.Second,
+		DifferLimit:      8,
 		SyncInterval:     4 * time.Second,
 		DeadRetention:    10 * time.Minute,
 		MarkRetention:    time.Hour,
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -191,5 +190,4 @@
 	for _, to := range t.pick(candidates, t.s.params.Relays) {
 		t.sendSync(to)
 	}
-	t.s.nextSync = time.Time{}
 }
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -92,10 +92,10 @@
 	nextJoin    time.Time
 	nextRotate  time.Time
 	nextReprobe time.Time
-	nextSync    time.Time
+	lastSync    time.Time
 	nextCleanUp time.Time
-	// differSince is the time since when digests of partners differ; zero while they agree.
-	differSince time.Time
+	// differing counts digests of partners that differed, less those that agreed.
+	differing int
 
 	digest uint64
 	view   View
@@ -224,6 +224,8 @@
 	t.startProbe()
 	t.reprobe()
 	t.push()
+	// Leaving marks drop out of the digest with age.
+	t.digestDirty = len(t.s.marks) > 0
 	return t.end()
 }
 
--- a/core/member/step.go
+++ b/core/member/step.go
@@ -17,9 +17,10 @@
 	now time.Time
 	out []Out
 
-	ownMembers bool
-	ownMarks   bool
-	viewDirty  bool
+	ownMembers  bool
+	ownMarks    bool
+	viewDirty   bool
+	digestDirty bool
 }
 
 func (s State) begin(now time.Time) *step {
@@ -38,7 +39,7 @@
 func (t *step) forgive() {
 	t.s.probes = nil
 	t.s.relays = nil
-	t.s.differSince = time.Time{}
+	t.s.differing = 0
 	for id, r := range t.s.members {
 		if r.status == Suspect {
 			r.since = t.now
@@ -51,7 +52,7 @@
 	if t.viewDirty {
 		t.rebuildView()
 	}
-	if t.viewDirty || len(t.s.marks) > 0 {
+	if t.viewDirty || t.digestDirty {
 		t.s.digest = t.s.computeDigest(t.now)
 	}
 	for i := range t.out {
--- a/core/member/sync.go
+++ b/core/member/sync.go
@@ -11,32 +11,29 @@
 	if known && r.live() && r.incarnation >= m.Incarnation {
 		return
 	}
-	if t.now.Before(t.s.nextSync.Add(-t.s.params.SyncInterval + t.s.params.TickInterval)) {
-		return
+	if t.now.Sub(t.s.lastSync) >= t.s.params.TickInterval {
+		t.sendSync(from)
 	}
-	t.sendSync(from)
 }
 
-// compare starts a synchronization when the digests of partners differ for long.
+// compare starts a synchronization when the digests of partners keep differing. While an update
+// spreads, they differ for a moment.
 func (t *step) compare(from string, m Message) {
 	if m.Digest == t.s.digest {
-		t.s.differSince = time.Time{}
-		return
-	}
-	if t.s.differSince.IsZero() {
-		t.s.differSince = t.now
+		t.s.differing = max(0, t.s.differing-1)
 		return
 	}
-	if t.now.Sub(t.s.differSince) < t.s.params.SyncAfter || t.now.Before(t.s.nextSync) {
+	t.s.differing++
+	if t.s.differing < t.s.params.DifferLimit || t.now.Sub(t.s.lastSync) < t.s.params.SyncInterval {
 		return
 	}
-	t.s.differSince = time.Time{}
+	t.s.differing = 0
 	t.sendSync(from)
 }
 
 // sendSync sends the node's own description and a summary of all that it holds.
 func (t *step) sendSync(to string) {
-	t.s.nextSync = t.now.Add(t.s.params.SyncInterval)
+	t.s.lastSync = t.now
 	m := Message{Kind: Sync, Incarnation: t.s.incarnation, Updates: []Update{t.selfUpdate()}}
 	for id, r := range t.s.members {
 		m.Entries = append(m.Entries, Entry{ID: id, Status: r.status, Incarnation: r.incarnation})
--- a/io/peer/node_test.go
+++ b/io/peer/node_test.go
@@ -132,11 +132,11 @@
 
 func TestCloseTellsSentFromUnsent(t *testing.T) {
 	nodes := startNodes(t, 2, nil)
-	started := make(chan struct{})
-	Handle(nodes[1], "test.hang", func(ctx context.Context, _ string, _ int) (int, error) {
+	started, release := make(chan struct{}), make(chan struct{})
+	Handle(nodes[1], "test.hang", func(context.Context, string, int) (int, error) {
 		close(started)
-		<-ctx.Done()
-		return 0, ctx.Err()
+		<-release
+		return 0, nil
 	})
 	failed := make(chan error, 1)
 	go func() {
@@ -144,8 +144,14 @@
 		failed <- err
 	}()
 	<-started
-	nodes[1].Close()
+	closed := make(chan struct{})
+	go func() {
+		nodes[1].Close()
+		close(closed)
+	}()
 	require.ErrorIs(t, <-failed, ErrLost)
+	close(release)
+	<-closed
 	_, err := Call[int](context.Background(), nodes[0], "e2", "test.hang", Control, 1)
 	require.ErrorIs(t, err, ErrUnreachable)
 }
