Serve OpenAI's Files and Batches endpoints over batch jobs

Input errors are listed by line before acceptance; output and error files are read while the batch runs.

--- /dev/null
+++ b/io/caller/batches/batches.go
@@ -0,0 +1,203 @@
+// Package batches serves OpenAI's Files and Batches endpoints over the batch jobs of a VM.
+//
+// An input file is uploaded, then a batch is made of it; every line is checked before the batch is
+// accepted. The output file holds the answers and the error file all other outcomes; both can be
+// read while the batch runs and hold what is durable by then.
+//
+// A batch's metadata may name mothcart's own terms: "class" (a batch class), "key" (the client key
+// under which resends converge; the header Idempotency-Key does the same) and "idempotent" ("false"
+// for items that must run at most once). Without a key the content of the file is the key.
+//
+// Usage:
+//
+//	h := batches.New(batches.Options{Jobs: j, Authenticate: authenticate})
+//	mux.Handle("/v1/files", h)
+//	mux.Handle("/v1/files/", h)
+//	mux.Handle("/v1/batches", h)
+//	mux.Handle("/v1/batches/", h)
+package batches
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/zerolog"
+
+	corejob "mothcart/core/job"
+	"mothcart/io/job"
+)
+
+// Caller is who makes a request.
+type Caller struct {
+	Account string
+	Team    string
+}
+
+// ErrUnauthenticated means that the request carries no valid API key.
+var ErrUnauthenticated = merry.Sentinel("no valid API key")
+
+// Options are the settings of the endpoints.
+type Options struct {
+	Jobs *job.Jobs
+	// Authenticate returns the caller of a request, or ErrUnauthenticated.
+	Authenticate func(r *http.Request) (Caller, error)
+	// Serves reports whether a model is known; nil takes every model.
+	Serves func(model string) bool
+	Log    zerolog.Logger
+}
+
+type server struct {
+	jobs   *job.Jobs
+	auth   func(r *http.Request) (Caller, error)
+	serves func(model string) bool
+	log    zerolog.Logger
+}
+
+// New returns the handler of /v1/files and /v1/batches.
+func New(opts Options) http.Handler {
+	s := &server{jobs: opts.Jobs, auth: opts.Authenticate, serves: opts.Serves, log: opts.Log}
+	if s.serves == nil {
+		s.serves = func(string) bool { return true }
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/files", s.as(s.uploadFile))
+	mux.HandleFunc("GET /v1/files", s.as(s.listFiles))
+	mux.HandleFunc("GET /v1/files/{id}", s.as(s.getFile))
+	mux.HandleFunc("DELETE /v1/files/{id}", s.as(s.deleteFile))
+	mux.HandleFunc("GET /v1/files/{id}/content", s.as(s.fileContent))
+	mux.HandleFunc("POST /v1/batches", s.as(s.createBatch))
+	mux.HandleFunc("GET /v1/batches", s.as(s.listBatches))
+	mux.HandleFunc("GET /v1/batches/{id}", s.as(s.getBatch))
+	mux.HandleFunc("POST /v1/batches/{id}/cancel", s.as(s.cancelBatch))
+	return mux
+}
+
+// as wraps a handler that returns an error and needs the caller.
+func (s *server) as(h func(w http.ResponseWriter, r *http.Request, c Caller) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, err := s.auth(r)
+		if err == nil {
+			err = h(w, r, c)
+		}
+		if err != nil {
+			s.writeError(w, r, err)
+		}
+	}
+}
+
+// Headers of refusals.
+const (
+	// headerRan says whether the refused request had an effect: no or maybe.
+	headerRan = "Mothcart-Ran"
+	// retryAfterSeconds is the pause that a refusal for want of the object service asks for.
+	retryAfterSeconds = 2
+)
+
+// apiError is OpenAI's error object.
+type apiError struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+}
+
+type errorResponse struct {
+	Error apiError `json:"error"`
+	// Errors lists what is wrong with single lines of an input file.
+	Errors *lineErrorList `json:"errors,omitempty"`
+}
+
+// errBadRequest means that the request itself is wrong.
+var errBadRequest = merry.Sentinel("bad request")
+
+// refusal is how an error is shown to callers.
+type refusal struct {
+	status int
+	kind   string
+	code   string
+	ran    string
+}
+
+func refusalOf(err error) refusal {
+	switch {
+	case errors.Is(err, ErrUnauthenticated):
+		return refusal{http.StatusUnauthorized, "invalid_request_error", "invalid_api_key", "no"}
+	case errors.Is(err, job.ErrNotFound):
+		return refusal{http.StatusNotFound, "invalid_request_error", "not_found", "no"}
+	case errors.Is(err, job.ErrKeyReused):
+		return refusal{http.StatusUnprocessableEntity, "invalid_request_error", "key_reused", "no"}
+	case errors.Is(err, job.ErrTooLarge):
+		return refusal{http.StatusRequestEntityTooLarge, "invalid_request_error", "file_too_large", "no"}
+	case errors.Is(err, job.ErrInvalid), errors.Is(err, errBadRequest):
+		return refusal{http.StatusBadRequest, "invalid_request_error", "invalid_request", "no"}
+	case errors.Is(err, corejob.ErrTerminal):
+		return refusal{http.StatusConflict, "invalid_request_error", "batch_ended", "no"}
+	case errors.Is(err, job.ErrDoubtful):
+		return refusal{http.StatusServiceUnavailable, "server_error", "outcome_unknown", "maybe"}
+	case errors.Is(err, job.ErrUnavailable):
+		return refusal{http.StatusServiceUnavailable, "server_error", "unavailable", "no"}
+	default:
+		return refusal{http.StatusInternalServerError, "server_error", "internal_error", "maybe"}
+	}
+}
+
+func (s *server) writeError(w http.ResponseWriter, r *http.Request, err error) {
+	ref := refusalOf(err)
+	resp := errorResponse{Error: apiError{Message: err.Error(), Type: ref.kind, Code: ref.code}}
+	var lines *inputError
+	if errors.As(err, &lines) {
+		resp.Error.Code = "invalid_input_file"
+		resp.Errors = &lineErrorList{Object: "list", Data: lines.lines}
+	}
+	if ref.status >= http.StatusInternalServerError {
+		s.log.Warn().Str("path", r.URL.Path).Int("status", ref.status).Err(err).Msg("request refused")
+	}
+	w.Header().Set(headerRan, ref.ran)
+	if ref.status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+	}
+	writeJSON(w, ref.status, resp)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Page sizes of listings.
+const (
+	defaultLimit = 20
+	maxLimit     = 100
+)
+
+// pageOf reads the parameters after and limit.
+func pageOf(r *http.Request) (after string, limit int) {
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil || limit <= 0 {
+		limit = defaultLimit
+	}
+	return r.URL.Query().Get("after"), min(limit, maxLimit)
+}
+
+// listResponse is a page of a listing.
+type listResponse[T any] struct {
+	Object  string `json:"object"`
+	Data    []T    `json:"data"`
+	FirstID string `json:"first_id"`
+	LastID  string `json:"last_id"`
+	HasMore bool   `json:"has_more"`
+}
+
+func listOf[T any](data []T, more bool, id func(T) string) listResponse[T] {
+	resp := listResponse[T]{Object: "list", Data: data, HasMore: more}
+	if len(data) == 0 {
+		resp.Data = []T{}
+		return resp
+	}
+	resp.FirstID, resp.LastID = id(data[0]), id(data[len(data)-1])
+	return resp
+}
--- a/io/job/retention.go
+++ b/io/job/retention.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -29,7 +30,7 @@
 			if time.Unix(unix, 0).After(now) {
 				break
 			}
-			if err := j.deleteJob(ctx, id, o.Key); err != nil {
+			if err := j.deleteExpired(ctx, id, o.Key); err != nil {
 				return
 			}
 		}
@@ -50,6 +51,13 @@
 	return due
 }
 
+func (j *Jobs) deleteExpired(ctx context.Context, id, expiry string) error {
+	if strings.HasPrefix(id, filePrefix) {
+		return j.deleteExpiredFile(ctx, id, expiry)
+	}
+	return j.deleteJob(ctx, id, expiry)
+}
+
 // deleteJob deletes all objects of an ended job, the one that names it last.
 func (j *Jobs) deleteJob(ctx context.Context, id, expiry string) error {
 	head, _, err := j.readHead(ctx, id)
@@ -69,16 +77,9 @@
 
 func (j *Jobs) deleteParts(ctx context.Context, head job.Head) error {
 	for _, prefix := range []string{chunkPrefix(head.ID), segmentPrefix(head.ID), blockPrefix(head.ID)} {
-		objects, err := listAll(ctx, j.store, prefix)
-		if err != nil {
+		if err := j.deletePrefix(ctx, prefix); err != nil {
 			return err
 		}
-		for _, o := range objects {
-			err := j.store.Delete(ctx, o.Key, o.Version)
-			if err != nil && !isNotFound(err) {
-				return merry.Errorf("delete %s: %w", o.Key, err)
-			}
-		}
 	}
 	for _, key := range []string{teamKey(head.Team, head.Created, head.ID), openKey(head.ID), headKey(head.ID)} {
 		if err := j.remove(ctx, key); err != nil {
@@ -87,3 +88,18 @@
 	}
 	return nil
 }
+
+// deletePrefix deletes all objects with the prefix.
+func (j *Jobs) deletePrefix(ctx context.Context, prefix string) error {
+	objects, err := listAll(ctx, j.store, prefix)
+	if err != nil {
+		return err
+	}
+	for _, o := range objects {
+		err := j.store.Delete(ctx, o.Key, o.Version)
+		if err != nil && !isNotFound(err) {
+			return merry.Errorf("delete %s: %w", o.Key, err)
+		}
+	}
+	return nil
+}
--- a/io/job/submit.go
+++ b/io/job/submit.go
@@ -49,7 +49,8 @@
 	Class    string
 	Model    string
 	Endpoint string
-	// Window is the caller's name of the completion window, kept for the answer.
+	// Window is the caller's completion window, such as 24h. It sets the deadline of a job without a
+	// class.
 	Window    string
 	InputFile string
 	Metadata  map[string]string
@@ -80,7 +81,7 @@
 			if !accepted.State.Terminal() {
 				j.announce(ctx, accepted.ID)
 			}
-			return Status{Head: accepted}, nil
+			return j.status(ctx, accepted), nil
 		}
 		if !retry {
 			return Status{}, merry.Errorf("submit job %s: %w", head.ID, storeError(err))
@@ -155,6 +156,9 @@
 		}
 		class = c
 	}
+	if window, err := time.ParseDuration(spec.Window); err == nil && spec.Class == "" {
+		class.Window = max(window, 0)
+	}
 	class.Window = cmp.Or(class.Window, defaultWindow)
 	class.MaxAttempts = cmp.Or(class.MaxAttempts, defaultMaxAttempts)
 	class.Retention = cmp.Or(class.Retention, defaultRetention)
