Add mothcart job submit, status, results and cancel

They speak to the callers' port as the official client does; submit and status wait with a progress bar on a terminal, and wrong input lines are printed one a line.

--- a/cmd/mothcart/main.go
+++ b/cmd/mothcart/main.go
@@ -41,6 +41,7 @@
 		getCommand(),
 		diffCommand(),
 		auditCommand(),
+		jobCommand(),
 		versionCommand(),
 	}
 }
