--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -73,60 +73,71 @@
 	assert.Equal(t, uint64(2), r.ID)
 }
 
+// queueMachine drives a queue and remembers which requests are in it.
+type queueMachine struct {
+	q   Queue
+	now time.Time
+	in  map[uint64]Request
+	id  uint64
+}
+
+func (m *queueMachine) leave(t *rapid.T, r Request) {
+	if _, ok := m.in[r.ID]; !ok {
+		t.Fatalf("request %d left without having entered", r.ID)
+	}
+	delete(m.in, r.ID)
+}
+
+func (m *queueMachine) Offer(t *rapid.T) {
+	m.id++
+	deadline := m.now.Add(time.Duration(rapid.IntRange(1, 9).Draw(t, "seconds")) * time.Second)
+	r := Request{ID: m.id, Team: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"), Deadline: deadline}
+	var v Verdict
+	if m.q, v = m.q.Offer(m.now, r); v.Accepted {
+		m.in[r.ID] = r
+	}
+}
+
+func (m *queueMachine) Next(t *rapid.T) {
+	var r Request
+	var ok bool
+	if m.q, r, ok = m.q.Next(m.now); ok {
+		m.leave(t, r)
+		m.q = m.q.End(m.now, r.Team)
+	}
+}
+
+func (m *queueMachine) Expire(t *rapid.T) {
+	m.now = m.now.Add(time.Second)
+	var expired []Request
+	m.q, expired = m.q.Expire(m.now)
+	for _, r := range expired {
+		m.leave(t, r)
+	}
+}
+
+func (m *queueMachine) Remove(t *rapid.T) {
+	for _, r := range m.in {
+		var ok bool
+		if m.q, ok = m.q.Remove(r); !ok {
+			t.Fatalf("request %d could not be removed", r.ID)
+		}
+		m.leave(t, r)
+		return
+	}
+}
+
+func (m *queueMachine) Check(t *rapid.T) {
+	if m.q.Len() != len(m.in) {
+		t.Fatalf("queue holds %d, want %d", m.q.Len(), len(m.in))
+	}
+}
+
 // No request is lost or doubled between offer and exit, whatever happens in between.
 func TestQueueKeepsEveryRequestOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		q := NewQueue(rapid.IntRange(1, 5).Draw(t, "limit"))
-		now := start
-		in := map[uint64]Request{}
-		var id uint64
-		leave := func(r Request) {
-			if _, ok := in[r.ID]; !ok {
-				t.Fatalf("request %d left without having entered", r.ID)
-			}
-			delete(in, r.ID)
-		}
-		t.Repeat(map[string]func(*rapid.T){
-			"offer": func(t *rapid.T) {
-				id++
-				r := Request{ID: id, Team: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"), Deadline: now.Add(time.Duration(rapid.IntRange(1, 9).Draw(t, "s")) * time.Second)}
-				var v Verdict
-				if q, v = q.Offer(now, r); v.Accepted {
-					in[id] = r
-				}
-			},
-			"next": func(_ *rapid.T) {
-				var r Request
-				var ok bool
-				if q, r, ok = q.Next(now); ok {
-					leave(r)
-					q = q.End(now, r.Team)
-				}
-			},
-			"expire": func(_ *rapid.T) {
-				now = now.Add(time.Second)
-				var expired []Request
-				q, expired = q.Expire(now)
-				for _, r := range expired {
-					leave(r)
-				}
-			},
-			"remove": func(_ *rapid.T) {
-				for _, r := range in {
-					var ok bool
-					if q, ok = q.Remove(r); !ok {
-						t.Fatalf("request %d could not be removed", r.ID)
-					}
-					leave(r)
-					return
-				}
-			},
-			"": func(t *rapid.T) {
-				if q.Len() != len(in) {
-					t.Fatalf("queue holds %d, want %d", q.Len(), len(in))
-				}
-			},
-		})
+		m := &queueMachine{q: NewQueue(rapid.IntRange(1, 5).Draw(t, "limit")), now: start, in: map[uint64]Request{}}
+		t.Repeat(rapid.StateMachineActions(m))
 	})
 }
 
