Add serve, status, drain and fake; mount operators' and batches' handlers

Cause: the thin path ran in one process only; operators had no process to start and no port to call.

--- a/cmd/mothcart/configuration.go
+++ b/cmd/mothcart/configuration.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"os"
+	"os/user"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -35,12 +36,20 @@
 
 func (o *operatorFlags) register(fs *flag.FlagSet) {
 	fs.StringVar(&o.server, "server", defaultServer, "`URL` of the operators' port of any VM")
-	fs.StringVar(&o.operator, "operator", os.Getenv("USER"), "your `NAME` for the audit trail, on a port without TLS")
+	fs.StringVar(&o.operator, "operator", userName(), "your `NAME` for the audit trail, on a port without TLS")
 	fs.StringVar(&o.cert, "cert", "", "PEM `FILE` with your client certificate")
 	fs.StringVar(&o.key, "key", "", "PEM `FILE` with the certificate's key")
 	fs.StringVar(&o.ca, "ca", "", "PEM `FILE` with the authority of the server's certificate")
 }
 
+// userName is the name of who runs the command.
+func userName() string {
+	if u, err := user.Current(); err == nil && u.Username != "" {
+		return u.Username
+	}
+	return "unknown"
+}
+
 func (o *operatorFlags) client() (operator.Client, error) {
 	cfg := &tls.Config{MinVersion: tls.VersionTLS13}
 	if o.cert != "" || o.key != "" {
--- a/cmd/mothcart/demo.go
+++ b/cmd/mothcart/demo.go
@@ -23,7 +23,7 @@
 	seed := fs.Uint64("seed", 1, "seed of the load")
 	asJSON := fs.Bool("json", false, "print the result as one JSON object on the last line")
 	fault := fs.String("fault", "", "fault in the middle of the load: "+strings.Join(demo.Faults(), ", "))
-	if code, goOn := parseFlags(fs, args, out, errOut); !goOn {
+	if _, code, goOn := parseArguments(fs, "demo [-seconds N] [-seed N] [-fault NAME] [-json]", 0, args, out, errOut); !goOn {
 		return code
 	}
 	if *fault != "" && !slices.Contains(demo.Faults(), *fault) {
--- a/cmd/mothcart/main.go
+++ b/cmd/mothcart/main.go
@@ -10,8 +10,6 @@
 
 import (
 	"context"
-	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -33,9 +31,12 @@
 	run     func(ctx context.Context, args []string, out, errOut io.Writer) int
 }
 
-// commands is set by registerCommands in the order of the help text.
+// commands lists the subcommands in the order of the help text.
 func commands() []command {
 	return []command{
+		serveCommand(),
+		statusCommand(),
+		drainCommand(),
 		checkCommand(),
 		applyCommand(),
 		getCommand(),
@@ -43,6 +44,7 @@
 		auditCommand(),
 		jobCommand(),
 		demoCommand(),
+		fakeCommand(),
 		versionCommand(),
 	}
 }
@@ -77,18 +79,3 @@
 	fmt.Fprintln(w, "\nmothcart COMMAND -h lists the flags of a command.")
 	fmt.Fprintln(w, "exit codes: 0 success, 1 failure, 2 wrong command line or settings")
 }
-
-// parseFlags parses args and reports whether the command goes on; if not, the exit code holds.
-func parseFlags(fs *flag.FlagSet, args []string, out, errOut io.Writer) (code int, goOn bool) {
-	fs.SetOutput(errOut)
-	err := fs.Parse(args)
-	switch {
-	case errors.Is(err, flag.ErrHelp):
-		fs.SetOutput(out)
-		return exitOK, false
-	case err != nil:
-		return exitUsage, false
-	default:
-		return exitOK, true
-	}
-}
--- /dev/null
+++ b/cmd/mothcart/serve.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"mothcart/io/logs"
+	"mothcart/io/serve"
+	"mothcart/io/settings"
+)
+
+func serveCommand() command {
+	return command{name: "serve", summary: "run an entry VM's process", run: runServe}
+}
+
+func runServe(ctx context.Context, args []string, out, errOut io.Writer) int {
+	fs := flag.NewFlagSet("serve", flag.ContinueOnError)
+	path := fs.String("settings", "mothcart.ini", "settings `FILE` of the process")
+	only := fs.Bool("check", false, "check the settings and end")
+	reference := fs.Bool("reference", false, "print all settings as a table in Markdown and end")
+	if _, code, goOn := parseArguments(fs, "serve [-settings FILE] [-check] [-reference]", 0, args, out, errOut); !goOn {
+		return code
+	}
+	if *reference {
+		fmt.Fprint(out, settings.Reference())
+		return exitOK
+	}
+	cfg, err := settings.Load(*path)
+	if err != nil {
+		for line := range strings.SplitSeq(err.Error(), "\n") {
+			fmt.Fprintf(errOut, "mothcart serve: %s\n", line)
+		}
+		return exitUsage
+	}
+	if *only {
+		fmt.Fprintln(out, "settings are right")
+		return exitOK
+	}
+	log, err := logs.New(errOut, cfg.LogLevel)
+	if err != nil {
+		fmt.Fprintf(errOut, "mothcart serve: %v\n", err)
+		return exitUsage
+	}
+	s, err := serve.New(serve.NewOptions(cfg, log))
+	if err != nil {
+		fmt.Fprintf(errOut, "mothcart serve: %v\n", err)
+		return exitFailure
+	}
+	log.Info().Str("vm", cfg.VMID).Str("callers", s.CallerAddress()).Str("operators", s.OperatorAddress()).Str("peers", s.VM().Address).Msg("started")
+	if err := s.Run(ctx); err != nil {
+		fmt.Fprintf(errOut, "mothcart serve: %v\n", err)
+		return exitFailure
+	}
+	return exitOK
+}
--- a/cmd/mothcart/version.go
+++ b/cmd/mothcart/version.go
@@ -17,7 +17,7 @@
 
 func runVersion(_ context.Context, args []string, out, errOut io.Writer) int {
 	fs := flag.NewFlagSet("version", flag.ContinueOnError)
-	if code, goOn := parseFlags(fs, args, out, errOut); !goOn {
+	if _, code, goOn := parseArguments(fs, "version", 0, args, out, errOut); !goOn {
 		return code
 	}
 	fmt.Fprintf(out, "mothcart %s %s\n", version, runtime.Version())
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -90,6 +90,18 @@
 	}, err
 }
 
+// GetJSON reads another path of the port.
+func GetJSON[T any](ctx context.Context, c Client, path string) (T, error) {
+	var v T
+	err := c.call(ctx, http.MethodGet, path, nil, &v)
+	return v, err
+}
+
+// Post starts what another path of the port stands for.
+func Post(ctx context.Context, c Client, path string) error {
+	return c.call(ctx, http.MethodPost, path, nil, nil)
+}
+
 // call sends req as JSON and decodes a decision into resp.
 func (c Client) call(ctx context.Context, method, path string, req, resp any) error {
 	var body io.Reader
@@ -112,6 +124,8 @@
 	defer answer.Body.Close()
 	dec := json.NewDecoder(answer.Body)
 	switch answer.StatusCode {
+	case http.StatusAccepted:
+		return nil
 	case http.StatusOK, http.StatusConflict, http.StatusUnprocessableEntity:
 		if err := dec.Decode(resp); err != nil {
 			return merry.Errorf("read answer: %w", err)
--- a/io/serve/batch.go
+++ b/io/serve/batch.go
@@ -6,7 +6,9 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/rcrowley/go-metrics"
 
+	"mothcart/core/config"
 	"mothcart/io/caller"
+	"mothcart/io/caller/batches"
 	"mothcart/io/job"
 	"mothcart/io/store"
 	"mothcart/io/upstream"
@@ -58,3 +60,18 @@
 		s.jobs.Done(item, job.Result{Status: http.StatusBadRequest, Error: err.Error()})
 	}
 }
+
+// authenticateBatch finds the caller of a request to the files and batches.
+func (s *Server) authenticateBatch(r *http.Request) (batches.Caller, error) {
+	account, ok := caller.Authenticate(s.follower.Current(), r)
+	if !ok {
+		return batches.Caller{}, batches.ErrUnauthenticated
+	}
+	return batches.Caller{Account: account.Name, Team: account.Team}, nil
+}
+
+// serves reports whether a service of engines serves the model.
+func (s *Server) serves(model string) bool {
+	service, ok := s.follower.Current().ServiceOf(model)
+	return ok && service.Kind == config.KindEngine
+}
--- a/io/serve/operator.go
+++ b/io/serve/operator.go
@@ -11,12 +11,19 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"mothcart/io/operator"
 	"mothcart/io/store"
 	"mothcart/io/upstream"
 )
 
-// statusBody is the state of one VM as operators see it.
-type statusBody struct {
+// PathVM shows the state of one VM, and PathDrain starts its drain.
+const (
+	PathVM    = "/v1/vm"
+	PathDrain = "/v1/drain"
+)
+
+// Status is the state of one VM as operators see it.
+type Status struct {
 	VM         string `json:"vm"`
 	Ready      bool   `json:"ready"`
 	Reason     string `json:"reason,omitempty"`
@@ -33,11 +40,15 @@
 // operatorHandler serves the operators' port.
 func (s *Server) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
+	options := operator.NewOptions(s.follower)
+	options.Plain = s.opts.Settings.OperatorCert == ""
+	mux.Handle("/v1/configuration", operator.NewHandler(options))
+	mux.Handle("/v1/configuration/", operator.NewHandler(options))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.HandleFunc("GET /metrics", s.serveMetrics)
-	mux.HandleFunc("GET /v1/vm", s.serveStatus)
-	mux.HandleFunc("POST /v1/drain", s.serveDrain)
+	mux.HandleFunc("GET "+PathVM, s.serveStatus)
+	mux.HandleFunc("POST "+PathDrain, s.serveDrain)
 	mux.HandleFunc("POST /v1/vms/{id}/leaving", s.serveLeaving)
 	return mux
 }
@@ -64,9 +75,9 @@
 	fmt.Fprintln(w, "ready")
 }
 
-func (s *Server) status(now time.Time) statusBody {
+func (s *Server) status(now time.Time) Status {
 	ready, reason := s.ready(now)
-	b := statusBody{
+	b := Status{
 		VM: s.opts.Settings.VMID, Ready: ready, Reason: reason, Draining: s.drain.isAsked(),
 		Generation: s.follower.Current().Generation, ConfirmedMillis: s.follower.Confirmed(now).Milliseconds(),
 		Members: s.peers.View().IDs(), InFlight: s.handler.InFlight(), Waiting: s.router.Waiting(),
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -25,6 +25,7 @@
 	"mothcart/core/vm"
 	"mothcart/io/account"
 	"mothcart/io/caller"
+	"mothcart/io/caller/batches"
 	"mothcart/io/engine"
 	"mothcart/io/job"
 	"mothcart/io/ledger"
@@ -163,6 +164,7 @@
 		WithLimits(cfg.MaxBodyBytes, cfg.MaxInFlight, cfg.BodyTimeout).WithAllow(s.limiter.Allow).
 		WithLedger(s.durable, s.accept, s.lookup)
 	opts.Services = s.plain
+	opts.Batches = batches.New(batches.Options{Jobs: s.jobs, Authenticate: s.authenticateBatch, Serves: s.serves, Log: s.opts.Log})
 	return caller.New(opts)
 }
 
