--- a/io/caller/problem.go
+++ b/io/caller/problem.go
@@ -80,7 +80,6 @@
 		p.status, p.message = http.StatusTooManyRequests, "the team's queue is full; the request did not run"
 	case upstream.CodeDeadline:
 		p.message = "the deadline can't be met; the request did not run"
-		p.retryAfter = max(p.retryAfter, time.Second)
 	case upstream.CodeCancelled:
 		p.status, p.message = statusClientClosed, "the caller gave the request up; it did not run"
 	}
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -265,6 +265,17 @@
 // Members returns the number of entry VMs that this one sees, itself included.
 func (s *Server) Members() int { return len(s.peers.View().VMs) }
 
+// UpstreamLeaving reports whether this VM knows that the upstream is leaving.
+func (s *Server) UpstreamLeaving(id string) bool {
+	list, _ := s.upstreams.current()
+	for _, u := range list {
+		if u.ID == id {
+			return u.Leaving
+		}
+	}
+	return false
+}
+
 // Kill cuts all connections and ends the process's parts at once, as the loss of the VM would.
 func (s *Server) Kill() {
 	s.drain.ask()
--- a/io/upstream/router.go
+++ b/io/upstream/router.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -28,6 +29,9 @@
 // tickInterval is the time between two looks at the queues and the upstreams.
 const tickInterval = 25 * time.Millisecond
 
+// minRetryAfter is the advice to a request whose deadline passed while it waited.
+const minRetryAfter = time.Second
+
 // defaultConcurrency is an upstream's capacity until the settings or a report tell.
 const defaultConcurrency = 16
 
@@ -268,9 +272,7 @@
 func (r *Router) Acquire(ctx context.Context, w Want) (*Lease, error) {
 	now := time.Now()
 	r.mu.Lock()
-	if r.seenConfig == nil {
-		r.refresh(now)
-	}
+	r.refresh(now)
 	s, ok := r.services[w.Service]
 	if !ok {
 		r.mu.Unlock()
@@ -311,10 +313,14 @@
 		delete(s.waiting, request.ID)
 	}
 	r.mu.Unlock()
-	if waited {
+	switch {
+	case !waited:
+		return (<-wait.grants).result()
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return nil, &Refusal{Code: CodeDeadline, RetryAfter: minRetryAfter}
+	default:
 		return nil, &Refusal{Code: CodeCancelled}
 	}
-	return (<-wait.grants).result()
 }
 
 func (g grant) result() (*Lease, error) {
@@ -388,7 +394,7 @@
 		q, expired := q.Expire(now)
 		s.queues[name] = q
 		for _, request := range expired {
-			s.waiting[request.ID].grants <- grant{refusal: &Refusal{Code: CodeDeadline}}
+			s.waiting[request.ID].grants <- grant{refusal: &Refusal{Code: CodeDeadline, RetryAfter: minRetryAfter}}
 			delete(s.waiting, request.ID)
 		}
 	}
