Set kratos' log once for a process with several VMs

Cause: kratos keeps one global log; each VM of a fleet in one process set it while others read it. Change: the first VM sets it. The confirmations of a test carry a deadline of 2 s, since a takeover waits out a request's own deadline.

--- a/io/serve/log.go
+++ b/io/serve/log.go
@@ -2,11 +2,16 @@
 
 import (
 	"fmt"
+	"sync"
 
 	kratoslog "github.com/go-kratos/kratos/v2/log"
 	"github.com/rs/zerolog"
 )
 
+// kratosLogOnce sets kratos' log, which is one for the whole process; in a process with several VMs
+// the first one's log takes the events.
+var kratosLogOnce sync.Once
+
 // kratosLog writes kratos' events as debug events.
 type kratosLog struct{ log zerolog.Logger }
 
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -20,6 +20,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/go-kratos/kratos/v2"
+	kratoslog "github.com/go-kratos/kratos/v2/log"
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"mothcart/core/vm"
@@ -180,10 +181,10 @@
 	}
 	callers := newHTTPServer(s.callers, callerTLS, s.handler, cfg.ReadHeaderTimeout)
 	operators := newHTTPServer(s.ops, operatorTLS, s.operatorHandler(), cfg.ReadHeaderTimeout)
+	kratosLogOnce.Do(func() { kratoslog.SetLogger(kratosLog{log: s.opts.Log}) })
 	s.servers = []*kratoshttp.Server{callers, operators}
 	s.app = kratos.New(
 		kratos.ID(cfg.VMID), kratos.Name("mothcart"),
-		kratos.Logger(kratosLog{log: s.opts.Log}),
 		kratos.Server(callers, operators),
 		kratos.Signal(unusedSignal),
 		kratos.StopTimeout(time.Second),
--- a/io/serve/serve_test.go
+++ b/io/serve/serve_test.go
@@ -294,7 +294,7 @@
 }
 
 func confirm(s *serve.Server, n int) answer {
-	return post(s, "/services/"+fleet.PlainService+confirmPath(n), "widow 7", "Idempotency-Key", fmt.Sprintf("k%d", n), "Mothcart-Idempotent", "false")
+	return post(s, "/services/"+fleet.PlainService+confirmPath(n), "widow 7", "Idempotency-Key", fmt.Sprintf("k%d", n), "Mothcart-Idempotent", "false", "Mothcart-Deadline-Ms", "2000")
 }
 
 func confirmPath(n int) string { return fmt.Sprintf("/confirm/%d", n) }
