Model check the publishing of the configuration

Cause: racing operators, lost and late answers and stale reads meet in one protocol. Conclusion: in the bounds of the model each change takes effect at most once and the answer to the operator is true.

--- /dev/null
+++ b/spec/publish.pml
@@ -0,0 +1,208 @@
+// Publishing the configuration: racing operators, lost and delayed answers, stale reads, followers.
+//
+// The object service is a history of versions of the root. A read may give any earlier version.
+// An update takes effect if the version is the expected one; its answer may be lost, and the
+// update itself may arrive late. Each publisher has one change, a bit of the content.
+//
+// Checked: each change takes effect at most once; the operator is told the truth; an update keeps
+// the changes before it; generations grow; a follower never goes back.
+//
+// broken: REVERT_ON_STALE_READ   a follower takes whatever it reads
+// broken: UNCONDITIONAL_PUBLISH  an update ignores the expected version
+// broken: NO_REBASE              a loser publishes its first candidate again
+// broken: ASSUME_NOT_WRITTEN     a lost answer counts as not published
+// broken: ASSUME_WRITTEN         a lost answer counts as published
+// broken: NO_TRAIL_SEARCH        reading back looks at the newest entry only
+
+#define PUBLISHERS 2
+#define VERSIONS 6 /* versions 0 to 5 */
+#define ATTEMPTS 3
+
+byte version = 0;
+byte generation[VERSIONS];
+byte content[VERSIONS];
+byte author[VERSIONS]; /* the publisher whose entry the version has, plus 1 */
+
+byte effects[PUBLISHERS]; /* how often the change took effect */
+bool toldNot[PUBLISHERS]; /* the operator was told: not published */
+
+/* An update on its way; at most one a publisher. */
+bool transit[PUBLISHERS];
+byte transitExpect[PUBLISHERS];
+byte transitContent[PUBLISHERS];
+
+/* update sets done if it took effect. */
+inline update(who, expect, bits, done) {
+	done = false;
+	if
+#ifdef UNCONDITIONAL_PUBLISH
+	:: version < VERSIONS - 1 ->
+#else
+	:: version == expect && version < VERSIONS - 1 ->
+#endif
+		assert(effects[who] == 0);
+		assert(!toldNot[who]);
+		assert((bits & content[version]) == content[version]);
+		assert(expect + 1 > generation[version]);
+		version++;
+		generation[version] = expect + 1;
+		content[version] = bits;
+		author[version] = who + 1;
+		effects[who]++;
+		done = true
+	:: else
+	fi
+}
+
+/* read gives a version that was current at some time. */
+inline read(at) {
+	at = 0;
+	do
+	:: at < version -> at++
+	:: break
+	od
+}
+
+/* find looks for the publisher's entry after the version from, up to the version to. */
+inline find(who, from, to, found) {
+	found = false;
+	i = to;
+	do
+	:: i > from ->
+		if
+		:: author[i] == who + 1 -> found = true
+		:: else
+		fi;
+#ifdef NO_TRAIL_SEARCH
+		break;
+#endif
+		i--
+	:: else -> break
+	od;
+	i = 0
+}
+
+proctype Publisher(byte me) {
+	byte base, at, known, first, bits, attempts, i;
+	bool done, started;
+
+attempt:
+	if
+	:: attempts == ATTEMPTS ->
+		atomic { assert(effects[me] == 0); toldNot[me] = true };
+		goto end
+	:: else -> attempts++
+	fi;
+
+fresh:
+	atomic {
+		read(base);
+		if
+		:: base < known -> goto fresh /* a stale read is repeated */
+		:: else
+		fi;
+		known = base;
+		if
+		:: !started -> started = true; first = content[base]
+		:: else
+		fi;
+		bits = content[base] | (1 << me);
+#ifdef NO_REBASE
+		bits = first | (1 << me);
+#endif
+		at = 0
+	};
+
+	if
+	:: atomic { update(me, base, bits, done); /* answered */
+		if
+		:: done -> goto accepted
+		:: else -> goto attempt
+		fi }
+	:: atomic { update(me, base, bits, done); done = false } /* answer lost */
+	:: atomic { !transit[me] -> /* update late, answer lost */
+		transit[me] = true;
+		transitExpect[me] = base;
+		transitContent[me] = bits }
+	fi;
+
+#ifdef ASSUME_NOT_WRITTEN
+	goto attempt;
+#endif
+#ifdef ASSUME_WRITTEN
+	goto accepted;
+#endif
+
+resolve:
+	atomic {
+		read(at);
+		if
+		:: at < base -> at = 0; goto resolve
+		:: at == base -> at = 0; goto repeat
+		:: at > base -> find(me, base, at, done);
+			known = at;
+			at = 0;
+			if
+			:: done -> goto accepted
+			:: else -> goto attempt
+			fi
+		fi
+	};
+
+repeat:
+	atomic {
+		update(me, base, bits, done);
+		if
+		:: done -> done = false; goto accepted /* answered */
+		:: done -> done = false; goto resolve /* answer lost */
+		:: else -> goto resolve
+		fi
+	};
+
+accepted:
+	assert(effects[me] == 1);
+
+end:
+	skip
+}
+
+/* Network delivers updates that are on their way, at any time. */
+active proctype Network() {
+	byte who;
+	bool done;
+end:
+	do
+	:: atomic { transit[0] -> who = 0; transit[who] = false; update(who, transitExpect[who], transitContent[who], done) }
+	:: atomic { transit[1] -> who = 1; transit[who] = false; update(who, transitExpect[who], transitContent[who], done) }
+	od
+}
+
+/* Follower gets roots by reads and by pushes of peers, in any order and any age. */
+proctype Follower() {
+	byte have, got, highest;
+end:
+	do
+	:: atomic {
+		read(got);
+#ifdef REVERT_ON_STALE_READ
+		have = got;
+#else
+		if
+		:: got > have -> have = got
+		:: else
+		fi;
+#endif
+		assert(generation[have] >= highest);
+		highest = generation[have];
+		got = 0 }
+	od
+}
+
+init {
+	atomic {
+		run Publisher(0);
+		run Publisher(1);
+		run Follower();
+		run Follower()
+	}
+}
