Drive followers and publishers through random histories with faults

Cause: applies race under outages, lost answers, stale reads, cuts and restarts all at once. Change: a rapid test with a fixed seed checks answers, spreading and the audit trail; random choices take a seed; waiting for another apply or load ends with the context instead of holding a mutex.

--- a/io/published/apply.go
+++ b/io/published/apply.go
@@ -56,7 +56,7 @@
 	writer   string
 	sequence atomic.Uint64
 	// applying admits one apply at a time on this VM.
-	applying sync.Mutex
+	applying turn
 
 	refusing  sync.Mutex
 	refusals  []publication.Entry
@@ -82,8 +82,10 @@
 //
 // It returns ErrUnavailable, ErrOutcomeUnknown or ErrBusy; every decision is a Result.
 func (f *Follower) Apply(ctx context.Context, now time.Time, operator string, set config.Set, expect *uint64) (Result, error) {
-	f.applying.Lock()
-	defer f.applying.Unlock()
+	if err := f.applying.take(ctx); err != nil {
+		return Result{}, merry.Errorf("wait for another apply: %w: %w", ErrBusy, err)
+	}
+	defer f.applying.give()
 	req := &request{
 		id:       publication.EntryID{Writer: f.writer, Sequence: f.sequence.Add(1)},
 		now:      now,
--- a/io/published/follower.go
+++ b/io/published/follower.go
@@ -18,8 +18,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"sync"
 	"time"
 
@@ -45,8 +43,9 @@
 	hints chan hint
 	save  chan struct{}
 
+	random *random
 	// loading admits one fetch of blocks at a time.
-	loading sync.Mutex
+	loading turn
 	publisher
 
 	mu          sync.Mutex
@@ -85,8 +84,10 @@
 		ctx:       ctx,
 		done:      cancel,
 		hints:     make(chan hint, 1),
+		random:    newRandom(opts.Seed),
 		save:      make(chan struct{}, 1),
-		publisher: publisher{writer: opts.Self + "/" + opts.Incarnation},
+		loading:   newTurn(),
+		publisher: publisher{writer: opts.Self + "/" + opts.Incarnation, applying: newTurn()},
 		snapshot:  config.NewSnapshot(0, config.Set{}),
 		blocks:    map[publication.Digest]*block{},
 		changed:   make(chan struct{}),
@@ -199,20 +200,3 @@
 		}
 	}
 }
-
-func newIncarnation() string {
-	var b [8]byte
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/io/published/gossip.go
+++ b/io/published/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -95,7 +94,7 @@
 			if h.revision <= f.announcement().Revision {
 				continue
 			}
-			_ = sleep(ctx, rand.N(f.opts.FetchJitter))
+			_ = sleep(ctx, f.random.duration(f.opts.FetchJitter))
 			if err := f.fetchFrom(ctx, h.from); err != nil {
 				f.log.Debug().Err(err).Str("peer", h.from).Msg("fetch of the configuration failed")
 			}
@@ -144,7 +143,7 @@
 // writes refusals that could not be recorded at once.
 func (f *Follower) gossipLoop(ctx context.Context) {
 	for {
-		jitter := rand.N(f.opts.GossipInterval / 2)
+		jitter := f.random.duration(f.opts.GossipInterval / 2)
 		if sleep(ctx, f.opts.GossipInterval*3/4+jitter) != nil {
 			return
 		}
--- a/io/published/load.go
+++ b/io/published/load.go
@@ -41,8 +41,10 @@
 	if err != nil {
 		return err
 	}
-	f.loading.Lock()
-	defer f.loading.Unlock()
+	if err := f.loading.take(ctx); err != nil {
+		return merry.Errorf("wait for another load: %w", err)
+	}
+	defer f.loading.give()
 	at := f.announcement()
 	switch {
 	case root.Revision < at.Revision:
@@ -66,8 +68,10 @@
 
 // loadLocked is load from the object service, apart from other loads.
 func (f *Follower) loadLocked(ctx context.Context, root publication.Root) (config.Set, error) {
-	f.loading.Lock()
-	defer f.loading.Unlock()
+	if err := f.loading.take(ctx); err != nil {
+		return config.Set{}, merry.Errorf("wait for another load: %w", err)
+	}
+	defer f.loading.give()
 	return f.load(ctx, root, f.fromStore)
 }
 
--- a/io/published/options.go
+++ b/io/published/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -37,6 +38,8 @@
 	// ReadAfter is the time without confirmation after which a VM that doesn't watch reads the
 	// root itself.
 	ReadAfter time.Duration
+	// Seed makes the random choices of peers and delays repeatable; the default is random.
+	Seed uint64
 	// Log receives one line an event.
 	Log zerolog.Logger
 }
@@ -54,6 +57,7 @@
 
 func (o Options) withDefaults() Options {
 	o.Incarnation = orDefault(o.Incarnation, newIncarnation())
+	o.Seed = orDefault(o.Seed, rand.Uint64())
 	o.Watchers = orDefault(o.Watchers, defaultWatchers)
 	o.WatchWait = orDefault(o.WatchWait, defaultWatchWait)
 	o.WatchGrace = orDefault(o.WatchGrace, defaultWatchGrace)
--- a/io/published/refusal.go
+++ b/io/published/refusal.go
@@ -73,10 +73,10 @@
 
 // flushRefusals writes waiting refusals, unless an apply is on its way.
 func (f *Follower) flushRefusals(ctx context.Context) {
-	if len(f.waitingRefusals()) == 0 || !f.applying.TryLock() {
+	if len(f.waitingRefusals()) == 0 || !f.applying.tryTake() {
 		return
 	}
-	defer f.applying.Unlock()
+	defer f.applying.give()
 	f.flushLocked(ctx)
 }
 
--- a/io/published/watch.go
+++ b/io/published/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -41,7 +40,7 @@
 		seen, err := f.watchOnce(ctx, version, wait)
 		if err != nil {
 			f.log.Debug().Err(err).Msg("watch of the configuration failed")
-			_ = sleep(ctx, pause/2+rand.N(pause))
+			_ = sleep(ctx, pause/2+f.random.duration(pause))
 			pause = min(2*pause, maxRetryPause)
 			first = first && f.Current().Generation == 0
 			continue
@@ -94,6 +93,6 @@
 // others returns up to n random other VMs.
 func (f *Follower) others(n int) []string {
 	ids := slices.DeleteFunc(slices.Clone(f.ids()), func(id string) bool { return id == f.opts.Self })
-	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	f.random.shuffle(ids)
 	return ids[:min(n, len(ids))]
 }
