Answer unchanged when a rebased apply has nothing left to change

Cause: an operator whose own change was empty, on a generation that others had moved on from, got a new generation without changes (found by TestHistoriesWithFaults). Change: the outcome is unchanged when the merged set equals the published one; the test checks that each generation changes only what its apply asked for, and something.

--- a/io/published/decide.go
+++ b/io/published/decide.go
@@ -31,6 +31,10 @@
 		}
 		candidate, result.Rebased = merged, true
 		result.Changes = config.Diff(theirs, merged)
+		if len(result.Changes) == 0 {
+			result.ID, result.Outcome = publication.EntryID{}, publication.OutcomeUnchanged
+			return merged, result
+		}
 	}
 	if problems := config.CheckChange(theirs, candidate); len(problems) > 0 {
 		result.Outcome, result.Problems = publication.OutcomeRefused, problems
--- a/io/published/history_test.go
+++ b/io/published/history_test.go
@@ -47,6 +47,7 @@
 
 // told is what one apply answered.
 type told struct {
+	class  string
 	result Result
 	err    error
 }
@@ -180,7 +181,7 @@
 	result, err := f.Apply(context.Background(), time.Now(), "abebe", config.Normalize(set), &snapshot.Generation)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.told = append(h.told, told{result, err})
+	h.told = append(h.told, told{name, result, err})
 }
 
 func (h *history) heal() {
@@ -219,6 +220,10 @@
 		case errors.Is(told.err, ErrOutcomeUnknown):
 		case told.err == nil && told.result.Outcome == publication.OutcomeAccepted:
 			assert.Equal(h.t, told.result.Generation, got, "told accepted")
+			for _, c := range told.result.Changes {
+				assert.Equal(h.t, told.class, c.Object.Name, "an apply changes nothing of others")
+			}
+			assert.NotEmpty(h.t, told.result.Changes, "a generation changes something")
 		default:
 			assert.False(h.t, ok, "told not published: %v %v", told.result.Outcome, told.err)
 		}
