--- a/core/job/hold.go
+++ b/core/job/hold.go
@@ -85,13 +85,26 @@
 // Undecided returns the number of items without an outcome.
 func (h Hold) Undecided() int { return h.open }
 
-// Attempt returns the number of the present attempt of item i, from 1, and whether it is the last
-// one, which runs alone in its chunk.
-func (h Hold) Attempt(i int) (n int, last bool) {
-	n = int(h.Durable.Attempts[i])
-	return n, h.terms.Idempotent && n > 1 && n >= h.terms.attempts()
+// Attempt returns the number of the present attempt of item i, from 1, and whether it must run by
+// itself because the item may have killed workers.
+func (h Hold) Attempt(i int) (n int, alone bool) { return int(h.Durable.Attempts[i]), h.alone(i) }
+
+// OutCount returns the number of items that a dispatcher has.
+func (h Hold) OutCount() int { return h.out }
+
+// ReadyAlone reports whether the next item to hand out is one that must run alone.
+func (h Hold) ReadyAlone() bool {
+	for i := range h.Durable.Items {
+		if h.live[i] == liveReady {
+			return h.alone(i)
+		}
+	}
+	return false
 }
 
+// alone reports whether item i may have lost so many workers that it must run by itself.
+func (h Hold) alone(i int) bool { return h.terms.Idempotent && h.terms.groupLimit(h.Durable.Losses[i]) == 1 }
+
 // Take hands out up to n items that may be dispatched now.
 func (h Hold) Take(now time.Time, n int) (Hold, []int) {
 	if h.ready == 0 || n <= 0 || h.Lapsed(now) {
--- a/core/job/table.go
+++ b/core/job/table.go
@@ -149,6 +149,20 @@
 	return t.with(r.Chunk, e)
 }
 
+// Alive records that the holder of chunk i says that it holds version and could not renew. It
+// prolongs the lease at the home; a holder that has lost the claim names an older version.
+func (t Table) Alive(now time.Time, i int, version uint64) Table {
+	if i < 0 || i >= len(t.entries) {
+		return t
+	}
+	e := t.entries[i]
+	if e.place != placeHeld || e.Version != version {
+		return t
+	}
+	e.seen = now
+	return t.with(i, e)
+}
+
 // Unchecked returns a chunk whose record the home has only seen in a listing.
 func (t Table) Unchecked() (int, bool) {
 	for i, e := range t.entries {
--- a/io/job/bus.go
+++ b/io/job/bus.go
@@ -12,6 +12,7 @@
 	methodOpened     = "jobs.opened"
 	methodCancelled  = "jobs.cancelled"
 	methodReport     = "jobs.report"
+	methodAlive      = "jobs.alive"
 	methodOffer      = "jobs.offer"
 	methodCandidates = "jobs.candidates"
 	methodSummary    = "jobs.summary"
--- /dev/null
+++ b/io/job/cancel_test.go
@@ -0,0 +1,119 @@
+package job
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"mothcart/core/job"
+	fakestore "mothcart/fake/store"
+)
+
+func TestCancelStopsAllVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fakestore.New(fakestore.NewOptions().WithLatency(2 * time.Millisecond))
+		f := newFleet(t, s, "e1", "e2", "e3")
+		defer f.close()
+		var mu sync.Mutex
+		var last time.Time
+		work := func(j *Jobs, item Item) {
+			if !j.Begin(item) {
+				return
+			}
+			mu.Lock()
+			last = time.Now()
+			mu.Unlock()
+			finishItem(j, item)
+		}
+		for _, id := range []string{"e1", "e2", "e3"} {
+			f.dispatch(id, 8, work)
+		}
+		status, err := f.vms["e1"].Submit(t.Context(), spec(5000))
+		require.NoError(t, err)
+		time.Sleep(5 * time.Second)
+		cancelled := time.Now()
+		_, err = f.vms["e2"].Cancel(t.Context(), "team", status.Head.ID)
+		require.NoError(t, err)
+		end, list := finished(t, f.vms["e3"], status.Head.ID, time.Minute)
+		assert.Equal(t, job.Cancelled, end.Head.State)
+		assert.Equal(t, 5000, end.Counts.Succeeded+end.Counts.Cancelled)
+		assert.Positive(t, end.Counts.Succeeded)
+		assert.Less(t, last.Sub(cancelled), 3*time.Second)
+		time.Sleep(5 * time.Minute)
+		after, listAfter := finished(t, f.vms["e1"], status.Head.ID, time.Minute)
+		assert.Equal(t, end.Head, after.Head)
+		assert.Equal(t, list, listAfter)
+		t.Logf("%+v, last dispatch %s after the cancel", end.Counts, last.Sub(cancelled))
+	})
+}
+
+func TestCancelRacesCompletion(t *testing.T) {
+	ended := map[job.State]int{}
+	for i := range 24 {
+		synctest.Test(t, func(t *testing.T) {
+			s := fakestore.New(fakestore.NewOptions().WithLatency(2 * time.Millisecond))
+			f := newFleet(t, s, "e1", "e2")
+			defer f.close()
+			for _, id := range []string{"e1", "e2"} {
+				f.dispatch(id, 64, answerItem)
+			}
+			time.Sleep(5 * time.Second)
+			status, err := f.vms["e1"].Submit(t.Context(), spec(300))
+			require.NoError(t, err)
+			time.Sleep(time.Duration(i) * 400 * time.Millisecond)
+			_, cancelErr := f.vms["e2"].Cancel(t.Context(), "team", status.Head.ID)
+			end, list := finished(t, f.vms["e1"], status.Head.ID, time.Minute)
+			ended[end.Head.State]++
+			if cancelErr == nil {
+				assert.Equal(t, job.Cancelled, end.Head.State)
+			} else {
+				require.ErrorIs(t, cancelErr, job.ErrTerminal)
+				assert.Equal(t, job.Completed, end.Head.State)
+			}
+			assert.Equal(t, 300, end.Counts.Succeeded+end.Counts.Cancelled)
+			time.Sleep(5 * time.Minute)
+			after, listAfter := finished(t, f.vms["e2"], status.Head.ID, time.Minute)
+			assert.Equal(t, end.Head, after.Head)
+			assert.Equal(t, list, listAfter)
+		})
+	}
+	t.Logf("ends: %v", ended)
+	assert.Positive(t, ended[job.Cancelled])
+	assert.Positive(t, ended[job.Completed])
+}
+
+func TestCancelDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fakestore.New(fakestore.NewOptions().WithLatency(2 * time.Millisecond))
+		f := newFleet(t, s, "e1", "e2")
+		defer f.close()
+		count := newTally()
+		for _, id := range []string{"e1", "e2"} {
+			f.dispatch(id, 4, once(f, id, count, time.Second))
+		}
+		status, err := f.vms["e1"].Submit(t.Context(), spec(2000))
+		require.NoError(t, err)
+		time.Sleep(10 * time.Second)
+		s.SetOutage(true)
+		_, err = f.vms["e2"].Cancel(t.Context(), "team", status.Head.ID)
+		require.ErrorIs(t, err, ErrUnavailable)
+		s.SetOutage(false)
+		now, err := f.vms["e2"].Get(t.Context(), "team", status.Head.ID)
+		require.NoError(t, err)
+		assert.Equal(t, job.Running, now.Head.State)
+		_, err = f.vms["e2"].Cancel(t.Context(), "team", status.Head.ID)
+		require.NoError(t, err)
+		s.SetOutage(true)
+		time.Sleep(3 * time.Second)
+		before := count.total()
+		time.Sleep(10 * time.Minute)
+		assert.Equal(t, before, count.total(), "no dispatch after 3 s in an outage")
+		s.SetOutage(false)
+		end, _ := finished(t, f.vms["e1"], status.Head.ID, time.Minute)
+		assert.Equal(t, job.Cancelled, end.Head.State)
+	})
+}
--- a/io/job/codec.go
+++ b/io/job/codec.go
@@ -28,6 +28,9 @@
 // maxDecodedBytes bounds what one compressed block may expand to.
 const maxDecodedBytes = 64 << 20
 
+// windowBytes is the distance over which the compressor finds repetitions.
+const windowBytes = 1 << 20
+
 // maxInlineBytes is the size of a chunk's record above which outcomes go into objects of their own.
 const maxInlineBytes = store.MaxValueBytes * 3 / 4
 
@@ -118,11 +121,11 @@
 }
 
 func newCodec() (*codec, error) {
-	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(2), zstd.WithEncoderLevel(zstd.SpeedDefault))
+	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(windowBytes))
 	if err != nil {
 		return nil, merry.Errorf("create compressor: %w", err)
 	}
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(2), zstd.WithDecoderMaxMemory(maxDecodedBytes))
+	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxDecodedBytes))
 	if err != nil {
 		return nil, merry.Errorf("create decompressor: %w", err)
 	}
--- a/io/job/fault_test.go
+++ b/io/job/fault_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -28,6 +29,16 @@
 	return c.sent[item.Index]
 }
 
+func (c *tally) total() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, k := range c.sent {
+		n += k
+	}
+	return n
+}
+
 func (c *tally) most() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -38,6 +49,20 @@
 	return most
 }
 
+// once is a worker that counts its dispatches and takes d for an item.
+func once(f *fleet, id string, count *tally, d time.Duration) func(j *Jobs, item Item) {
+	return func(j *Jobs, item Item) {
+		f.pass(id)
+		if !j.Begin(item) {
+			return
+		}
+		count.add(item)
+		time.Sleep(d)
+		f.pass(id)
+		j.Done(item, Result{Status: 200})
+	}
+}
+
 func TestVMLostMidChunk(t *testing.T) {
 	for _, tc := range []struct {
 		name          string
@@ -80,40 +105,185 @@
 	}
 }
 
-func TestCancelStopsAllVMs(t *testing.T) {
+func TestPausedHolderDoesNoHarmAtEachAwait(t *testing.T) {
+	for _, nonIdempotent := range []bool{false, true} {
+		paused := 0
+		for n := 1; n <= 20; n++ {
+			for _, after := range []bool{false, true} {
+				t.Run(fmt.Sprintf("nonIdempotent %t call %d after %t", nonIdempotent, n, after), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						if pauseAt(t, n, after, nonIdempotent) {
+							paused++
+						}
+					})
+				})
+			}
+		}
+		assert.GreaterOrEqual(t, paused, 20)
+	}
+}
+
+// pauseAt runs a job while VM e1 is paused past its lease before or after its nth store call. It
+// reports whether there was an nth call while the job ran.
+func pauseAt(t *testing.T, n int, after, nonIdempotent bool) bool {
+	const lease = 20 * time.Second
+	s := fakestore.New(fakestore.NewOptions().WithLatency(2 * time.Millisecond))
+	f := newFleet(t, s)
+	for _, id := range []string{"e1", "e2"} {
+		f.add(id)
+		f.start(id, func(o Options) Options { return o.WithLease(lease) })
+	}
+	defer f.close()
+	time.Sleep(10 * time.Second)
+	paused := false
+	f.mu.Lock()
+	f.calls["e1"] = 0
+	f.await = func(id string, call int, done bool) {
+		if id == "e1" && call == n && done == after {
+			paused = true
+			f.pause("e1", 3*lease)
+		}
+	}
+	f.mu.Unlock()
+	count := newTally()
+	for _, id := range []string{"e1", "e2"} {
+		f.dispatch(id, 16, once(f, id, count, 500*time.Millisecond))
+	}
+	lot := spec(700)
+	lot.NonIdempotent = nonIdempotent
+	status, err := f.vms["e2"].Submit(t.Context(), lot)
+	require.NoError(t, err)
+	end, list := finished(t, f.vms["e2"], status.Head.ID, time.Hour)
+	during := paused
+	assert.Equal(t, 700, end.Counts.Succeeded+end.Counts.Unknown)
+	if nonIdempotent {
+		assert.Equal(t, 1, count.most())
+	} else {
+		assert.Zero(t, end.Counts.Unknown)
+	}
+	time.Sleep(5 * lease)
+	_, listAfter := finished(t, f.vms["e1"], status.Head.ID, time.Minute)
+	assert.Equal(t, list, listAfter)
+	return during
+}
+
+func TestLostAnswersAndOutages(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		lost   float64
+		outage time.Duration
+	}{
+		{"lost answers", 0.4, 0},
+		{"outage within the lease", 0, 30 * time.Second},
+		{"outage past the lease", 0, 10 * time.Minute},
+		{"both", 0.3, 4 * time.Minute},
+	} {
+		for _, nonIdempotent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s nonIdempotent %t", tc.name, nonIdempotent), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := fakestore.New(fakestore.NewOptions().WithLatency(2 * time.Millisecond).WithLostAnswerShare(tc.lost))
+					f := newFleet(t, s, "e1", "e2", "e3")
+					defer f.close()
+					count := newTally()
+					for _, id := range []string{"e1", "e2", "e3"} {
+						f.dispatch(id, 16, once(f, id, count, time.Second))
+					}
+					lot := spec(1500)
+					lot.NonIdempotent = nonIdempotent
+					status, err := f.vms["e1"].Submit(t.Context(), lot)
+					require.NoError(t, err)
+					time.Sleep(7 * time.Second)
+					if tc.outage > 0 {
+						s.SetOutage(true)
+						time.Sleep(tc.outage)
+						s.SetOutage(false)
+					}
+					end, _ := finished(t, f.vms["e2"], status.Head.ID, time.Hour)
+					assert.Equal(t, 1500, end.Counts.Succeeded+end.Counts.Unknown)
+					assert.Equal(t, 1, count.most())
+					assert.Zero(t, end.Counts.Unknown)
+					t.Logf("%+v after %s, most dispatches %d, calls %+v", end.Counts, end.Head.Ended.Sub(end.Head.Created), count.most(), s.Calls())
+				})
+			})
+		}
+	}
+}
+
+func TestItemThatKillsItsVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := fakestore.New(fakestore.NewOptions().WithLatency(2 * time.Millisecond))
+		ids := []string{"e1", "e2", "e3", "e4", "e5"}
+		f := newFleet(t, s, ids...)
+		defer f.close()
+		killed := make(chan string, len(ids))
+		for _, id := range ids {
+			f.dispatch(id, 16, func(j *Jobs, item Item) {
+				if !j.Begin(item) {
+					return
+				}
+				if item.Index == 300 {
+					f.kill(id)
+					killed <- id
+					return
+				}
+				time.Sleep(200 * time.Millisecond)
+				j.Done(item, Result{Status: 200})
+			})
+		}
+		status, err := f.vms["e1"].Submit(t.Context(), spec(600))
+		require.NoError(t, err)
+		for range defaultMaxAttempts {
+			id := <-killed
+			t.Logf("%s killed after %s", id, time.Since(status.Head.Created))
+		}
+		var left *Jobs
+		for _, j := range f.vms {
+			left = j
+		}
+		end, list := finished(t, left, status.Head.ID, time.Hour)
+		assert.Equal(t, job.Counts{Succeeded: 599, Failed: 1}, end.Counts)
+		assert.Equal(t, job.Failed, list[300].State)
+		assert.Equal(t, "item-300", list[300].CustomID)
+		assert.Empty(t, killed)
+	})
+}
+
+func TestItemsThatKillTheirEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := fakestore.New(fakestore.NewOptions().WithLatency(2 * time.Millisecond))
-		f := newFleet(t, s, "e1", "e2", "e3")
+		f := newFleet(t, s, "e1")
 		defer f.close()
+		deadly := func(item Item) bool { return item.Index%100 == 42 }
+		// An engine runs the items of one batch of calls; a deadly one takes the others with it.
 		var mu sync.Mutex
-		var last time.Time
-		work := func(j *Jobs, item Item) {
+		engine := make(chan struct{})
+		f.dispatch("e1", 32, func(j *Jobs, item Item) {
 			if !j.Begin(item) {
 				return
 			}
 			mu.Lock()
-			last = time.Now()
+			crash := engine
+			if deadly(item) {
+				close(engine)
+				engine = make(chan struct{})
+			}
 			mu.Unlock()
-			finishItem(j, item)
-		}
-		for _, id := range []string{"e1", "e2", "e3"} {
-			f.dispatch(id, 8, work)
-		}
-		status, err := f.vms["e1"].Submit(t.Context(), spec(5000))
-		require.NoError(t, err)
-		time.Sleep(5 * time.Second)
-		cancelled := time.Now()
-		_, err = f.vms["e2"].Cancel(t.Context(), "team", status.Head.ID)
+			select {
+			case <-crash:
+				j.Done(item, Result{Lost: true, Error: "engine lost"})
+			case <-time.After(200 * time.Millisecond):
+				j.Done(item, Result{Status: 200})
+			}
+		})
+		status, err := f.vms["e1"].Submit(t.Context(), spec(600))
 		require.NoError(t, err)
-		end, list := finished(t, f.vms["e3"], status.Head.ID, time.Minute)
-		assert.Equal(t, job.Cancelled, end.Head.State)
-		assert.Equal(t, 5000, end.Counts.Succeeded+end.Counts.Cancelled)
-		assert.Positive(t, end.Counts.Succeeded)
-		assert.Less(t, last.Sub(cancelled), 3*time.Second)
-		time.Sleep(5 * time.Minute)
-		after, listAfter := finished(t, f.vms["e1"], status.Head.ID, time.Minute)
-		assert.Equal(t, end.Head, after.Head)
-		assert.Equal(t, list, listAfter)
-		t.Logf("%+v, last dispatch %s after the cancel", end.Counts, last.Sub(cancelled))
+		end, list := finished(t, f.vms["e1"], status.Head.ID, time.Hour)
+		assert.Equal(t, job.Counts{Succeeded: 594, Failed: 6}, end.Counts)
+		for i, o := range list {
+			if i%100 == 42 {
+				assert.Equal(t, "engine lost", o.Error)
+			}
+		}
+		t.Logf("%+v after %s", end.Counts, end.Head.Ended.Sub(end.Head.Created))
 	})
 }
--- a/io/job/fill.go
+++ b/io/job/fill.go
@@ -128,7 +128,10 @@
 	if offer.Chunk >= len(head.Chunks) {
 		return false, merry.Errorf("chunk %d of %d: %w", offer.Chunk, len(head.Chunks), ErrCorrupt)
 	}
-	record, current, err := j.readOffered(ctx, head, offer)
+	record, current := job.NewChunk(head.Chunks[offer.Chunk].Items), true
+	if offer.Version != 0 {
+		record, current, err = j.readOffered(ctx, head, offer)
+	}
 	if err != nil || !current {
 		return false, err
 	}
@@ -164,15 +167,7 @@
 // readOffered returns the record of an offered chunk. If it is closed or not at the version that the
 // home offered, it tells the home and reports false.
 func (j *Jobs) readOffered(ctx context.Context, head job.Head, offer offerResponse) (job.Chunk, bool, error) {
-	items := head.Chunks[offer.Chunk].Items
-	if offer.Version == 0 && !offer.Look {
-		return job.NewChunk(items), true, nil
-	}
-	o, err := j.store.Get(ctx, chunkKey(head.ID, offer.Chunk))
-	if err != nil {
-		return job.Chunk{}, false, merry.Errorf("read chunk: %w", err)
-	}
-	c, err := decodeChunk(o.Value, items)
+	o, c, err := j.readChunk(ctx, head, offer.Chunk)
 	if err != nil {
 		return c, false, err
 	}
--- a/io/job/item.go
+++ b/io/job/item.go
@@ -95,6 +95,8 @@
 	// unresolvedSince is the start of the earliest write whose outcome is unknown; zero without.
 	unresolvedSince time.Time
 	queued          bool
+	// failing reports that the last write did not come through.
+	failing bool
 	// stopping reports that the job is cancelled; gone that the chunk is not held any more.
 	stopping, gone bool
 }
--- a/io/job/job_test.go
+++ b/io/job/job_test.go
@@ -15,6 +15,7 @@
 
 	"mothcart/core/job"
 	fakestore "mothcart/fake/store"
+	"mothcart/io/store"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -27,6 +28,15 @@
 	vms   map[string]*Jobs
 	dead  map[string]bool
 	serve map[string]map[string]handler
+	// view replaces the members that a VM sees.
+	view map[string][]string
+	// gates stop a VM at its calls to the store and to peers while they are not closed.
+	gates map[string]chan struct{}
+	// deaf VMs reach no peer and are reached by none, but stay in the view.
+	deaf map[string]bool
+	// await is called around each store call of a VM, if set.
+	await func(id string, n int, after bool)
+	calls map[string]int
 }
 
 func newFleet(t *testing.T, s *fakestore.Store, ids ...string) *fleet {
@@ -36,10 +46,13 @@
 		vms:   map[string]*Jobs{},
 		dead:  map[string]bool{},
 		serve: map[string]map[string]handler{},
+		view:  map[string][]string{},
+		gates: map[string]chan struct{}{},
+		calls: map[string]int{},
+		deaf:  map[string]bool{},
 	}
 	for _, id := range ids {
-		f.serve[id] = map[string]handler{}
-		f.dead[id] = true
+		f.add(id)
 	}
 	for _, id := range ids {
 		f.start(id, func(o Options) Options { return o })
@@ -47,11 +60,20 @@
 	return f
 }
 
+// add makes VM id known, so that it can be started.
+func (f *fleet) add(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.serve[id] = map[string]handler{}
+	f.dead[id] = true
+}
+
 func (f *fleet) start(id string, change func(Options) Options) {
 	f.mu.Lock()
 	f.dead[id] = false
 	f.mu.Unlock()
-	opts := NewOptions(id, f.store.Client()).WithMembers(f.members).WithPeers(f.peers(id))
+	members := func() []string { return f.members(id) }
+	opts := NewOptions(id, f.client(id)).WithMembers(members).WithPeers(f.peers(id))
 	j, err := New(change(opts))
 	require.NoError(f.t, err)
 	f.mu.Lock()
@@ -59,9 +81,74 @@
 	f.vms[id] = j
 }
 
-func (f *fleet) members() []string {
+// client is the store as VM id calls it.
+func (f *fleet) client(id string) store.Client {
+	c := f.store.Client()
+	around := func() func() {
+		f.mu.Lock()
+		f.calls[id]++
+		n, await := f.calls[id], f.await
+		f.mu.Unlock()
+		step := func(after bool) {
+			if await != nil {
+				await(id, n, after)
+			}
+			f.pass(id)
+		}
+		step(false)
+		return func() { step(true) }
+	}
+	return store.Client{
+		Get: func(ctx context.Context, key string) (store.Object, error) {
+			defer around()()
+			return c.Get(ctx, key)
+		},
+		Put: func(ctx context.Context, key string, value []byte, expect store.Version) (store.Version, error) {
+			defer around()()
+			return c.Put(ctx, key, value, expect)
+		},
+		Delete: func(ctx context.Context, key string, expect store.Version) error {
+			defer around()()
+			return c.Delete(ctx, key, expect)
+		},
+		List: func(ctx context.Context, prefix, after string, limit int) ([]store.Object, error) {
+			defer around()()
+			return c.List(ctx, prefix, after, limit)
+		},
+	}
+}
+
+// pass waits while VM id is paused.
+func (f *fleet) pass(id string) {
+	f.mu.Lock()
+	gate := f.gates[id]
+	f.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+}
+
+// pause stops VM id at its next call of the store or of a peer, and its workers, until d has passed.
+func (f *fleet) pause(id string, d time.Duration) {
+	gate := make(chan struct{})
+	f.mu.Lock()
+	f.gates[id] = gate
+	f.mu.Unlock()
+	time.AfterFunc(d, func() {
+		f.mu.Lock()
+		delete(f.gates, id)
+		f.mu.Unlock()
+		close(gate)
+	})
+}
+
+// members are the VMs that VM viewer sees.
+func (f *fleet) members(viewer string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if v := f.view[viewer]; v != nil {
+		return v
+	}
 	var ids []string
 	for id := range f.serve {
 		if !f.dead[id] {
@@ -77,7 +164,7 @@
 	find := func(to, method string) handler {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if f.dead[to] || f.dead[id] {
+		if f.dead[to] || f.dead[id] || f.deaf[to] || f.deaf[id] {
 			return nil
 		}
 		return f.serve[to][method]
@@ -89,10 +176,12 @@
 			f.serve[id][method] = h
 		},
 		Call: func(ctx context.Context, to, method string, body []byte) ([]byte, error) {
+			f.pass(id)
 			h := find(to, method)
 			if h == nil {
 				return nil, errCut
 			}
+			f.pass(to)
 			return h(ctx, id, body)
 		},
 		Notify: func(to, method string, body []byte) error {
@@ -100,7 +189,11 @@
 			if h == nil {
 				return errCut
 			}
-			go func() { _, _ = h(context.Background(), id, body) }()
+			go func() {
+				f.pass(id)
+				f.pass(to)
+				_, _ = h(context.Background(), id, body)
+			}()
 			return nil
 		},
 	}
@@ -143,19 +236,26 @@
 	return list
 }
 
-// dispatch runs a worker on a VM that takes items of model m until the VM's jobs are closed.
+// dispatch runs a worker on a VM that takes items of model m until the VM's jobs are closed. It looks
+// less often while there are none.
 func (f *fleet) dispatch(id string, concurrency int, run func(j *Jobs, item Item)) {
 	f.mu.Lock()
 	j := f.vms[id]
 	f.mu.Unlock()
 	go func() {
 		slots := make(chan struct{}, concurrency)
+		pause := time.Second
 		for {
 			select {
 			case <-j.done:
 				return
-			case <-time.After(20 * time.Millisecond):
+			case <-time.After(pause):
+			}
+			pause = time.Second
+			if len(slots) > 0 {
+				pause = 50 * time.Millisecond
 			}
+			f.pass(id)
 			for _, item := range j.Take("m", concurrency-len(slots)) {
 				slots <- struct{}{}
 				go func() {
--- a/io/job/serve.go
+++ b/io/job/serve.go
@@ -18,6 +18,13 @@
 	Report job.Report `msgpack:"r"`
 }
 
+// aliveMessage tells a job's home that the holder of a chunk is there and can't reach the store.
+type aliveMessage struct {
+	Job     string `msgpack:"j"`
+	Chunk   int    `msgpack:"c"`
+	Version uint64 `msgpack:"v"`
+}
+
 type offerRequest struct {
 	Job string `msgpack:"j"`
 }
@@ -27,8 +34,6 @@
 	OK      bool   `msgpack:"o"`
 	Chunk   int    `msgpack:"c"`
 	Version uint64 `msgpack:"v"`
-	// Look reports that the record must be read although no version is known.
-	Look bool `msgpack:"l"`
 }
 
 // progressResponse is what a job's home knows of its progress.
@@ -44,6 +49,7 @@
 	answer(j.bus, methodOpened, j.serveOpened)
 	answer(j.bus, methodCancelled, j.serveCancelled)
 	answer(j.bus, methodReport, j.serveReport)
+	answer(j.bus, methodAlive, j.serveAlive)
 	answer(j.bus, methodOffer, j.serveOffer)
 	answer(j.bus, methodCandidates, j.serveCandidates)
 	answer(j.bus, methodSummary, j.serveSummary)
@@ -73,6 +79,15 @@
 	return nothing{}, nil
 }
 
+func (j *Jobs) serveAlive(_ context.Context, _ string, msg aliveMessage) (nothing, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if hj := j.homes.jobs[msg.Job]; hj != nil {
+		hj.table = hj.table.Alive(time.Now(), msg.Chunk, msg.Version)
+	}
+	return nothing{}, nil
+}
+
 func (j *Jobs) serveOffer(_ context.Context, _ string, req offerRequest) (offerResponse, error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/io/job/take.go
+++ b/io/job/take.go
@@ -19,8 +19,15 @@
 	at      time.Time
 	retryAt time.Time
 	lastJob string
+	// aloneOut holds the chunk whose item runs alone at present.
+	aloneOut *held
+	// aloneSince is the time since which an item that must run alone has waited.
+	aloneSince time.Time
 }
 
+// aloneWait is the time for which an item that must run alone lets others go first.
+const aloneWait = 10 * time.Second
+
 // Take returns up to limit items of the model to dispatch now. It never blocks: items are claimed in
 // the background, for as long as Take is called. Each item must end in Done or Return, unless Begin
 // reported false.
@@ -32,12 +39,9 @@
 		return nil
 	}
 	j.want(now, model, limit)
-	var items []Item
-	for _, h := range j.holds.byModel[model] {
-		if len(items) == limit {
-			break
-		}
-		items = append(items, j.takeFrom(now, h, limit-len(items))...)
+	items := j.takeMany(now, model, limit)
+	if len(items) == 0 {
+		items = j.takeAlone(now, model)
 	}
 	if j.holds.ready(model) < j.demands[model].target() {
 		j.wakeFill()
@@ -45,6 +49,57 @@
 	return items
 }
 
+// takeMany hands out items that may run together. It hands out none while an item that must run
+// alone is out, or has waited for long.
+func (j *Jobs) takeMany(now time.Time, model string, limit int) []Item {
+	d := j.demands[model]
+	if d.aloneOut != nil || (!d.aloneSince.IsZero() && now.Sub(d.aloneSince) > aloneWait) {
+		return nil
+	}
+	var items []Item
+	for _, h := range j.holds.byModel[model] {
+		if h.hold.ReadyAlone() {
+			if d.aloneSince.IsZero() {
+				d.aloneSince = now
+			}
+			continue
+		}
+		if len(items) < limit {
+			items = append(items, j.takeFrom(now, h, limit-len(items))...)
+		}
+	}
+	return items
+}
+
+// takeAlone hands out one item that may have killed workers, once this VM has nothing else of the
+// model in flight. So an item that loses its worker alone is the cause, and no other item is blamed.
+func (j *Jobs) takeAlone(now time.Time, model string) []Item {
+	d := j.demands[model]
+	if d.aloneOut != nil && d.aloneOut.holdsAlone() {
+		return nil
+	}
+	d.aloneOut = nil
+	for _, h := range j.holds.byModel[model] {
+		if h.hold.OutCount() > 0 {
+			return nil
+		}
+	}
+	for _, h := range j.holds.byModel[model] {
+		if !h.hold.ReadyAlone() {
+			continue
+		}
+		if items := j.takeFrom(now, h, 1); len(items) > 0 {
+			d.aloneOut, d.aloneSince = h, time.Time{}
+			return items
+		}
+	}
+	d.aloneSince = time.Time{}
+	return nil
+}
+
+// holdsAlone reports whether the item that runs alone is still out.
+func (h *held) holdsAlone() bool { return !h.gone && h.hold.OutCount() > 0 }
+
 func (j *Jobs) want(now time.Time, model string, n int) {
 	d := j.demands[model]
 	if d == nil {
@@ -232,9 +287,13 @@
 func (j *Jobs) tickHolds(ctx context.Context) {
 	now := time.Now()
 	var idle []*held
+	var alive []aliveMessage
 	j.mu.Lock()
 	for _, h := range j.holds.all() {
 		j.queueIfDue(now, h)
+		if h.failing {
+			alive = append(alive, aliveMessage{Job: h.head.ID, Chunk: h.chunk, Version: uint64(h.version)})
+		}
 		if h.hold.Lapsed(now) && h.head.Terms.Idempotent {
 			h.cancel()
 		}
@@ -246,6 +305,9 @@
 	pending := j.pending
 	j.pending = nil
 	j.mu.Unlock()
+	for _, msg := range alive {
+		tell(j.bus, j.homeOf(msg.Job), methodAlive, msg)
+	}
 	for _, h := range idle {
 		j.release(ctx, h)
 	}
--- a/io/job/write.go
+++ b/io/job/write.go
@@ -49,7 +49,8 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	h.queued = false
-	if err != nil {
+	h.failing = err != nil
+	if h.failing {
 		h.retryAt = time.Now().Add(writePause)
 		return
 	}
