--- a/core/ledger/commit.go
+++ b/core/ledger/commit.go
@@ -13,14 +13,18 @@
 	}
 	s.sequence++
 	head := s.head.WithUpdate(s.writer, s.sequence)
-	for _, e := range s.entries.all() {
-		if e.record.State != None {
+	sealed := s.sealedIDs()
+	if s.history != nil {
+		head.Blocks, head.Indexes = s.history.Blocks, s.history.Indexes
+	}
+	for id, e := range s.entries.all() {
+		if e.record.State != None && !sealed[id] {
 			head.Tail = append(head.Tail, e.record.withoutUnusedPayload())
 		}
 	}
 	for id := range s.dirty.all() {
 		e, _ := s.entries.get(id)
-		e.flying = e.record.State
+		e.flying, e.flyingAsync = e.record.State, e.record.Async
 		s.entries = s.entries.with(id, e)
 	}
 	s.flying, s.dirty = s.dirty, idMap[struct{}]{}
@@ -33,6 +37,10 @@
 	var effects []Effect
 	flown := s.flying
 	s.head, s.isWriting, s.flying = withoutTail(s.writing), false, idMap[struct{}]{}
+	for id := range s.sealedIDs() {
+		s = s.drop(id)
+	}
+	s.history = nil
 	for id := range flown.all() {
 		e, ok := s.entries.get(id)
 		if !ok {
@@ -49,20 +57,22 @@
 
 // settle gives the effects of an entry whose state written has become durable.
 func (s Shard) settle(now time.Time, e entry, written State) (Shard, []Effect) {
-	before := e.durable
-	e.durable = written
+	news := e.durable == None || (e.flyingAsync && !e.durableAsync)
+	e.durable, e.durableAsync = written, e.flyingAsync
 	s = s.put(e)
 	switch {
 	case written == None && e.record.State == None:
-		return s.drop(e.record.ID), nil
+		return s.drop(e.record.ID), e.removal()
 	case written == None:
 		return s, nil
 	case written.Final():
 		return s, []Effect{{Kind: Recorded, Record: e.record}}
 	}
 	var effects []Effect
-	if before == None {
-		effects = append(effects, Effect{Kind: Durable, Record: e.record})
+	if news {
+		record := e.record
+		record.Async = e.durableAsync
+		effects = append(effects, Effect{Kind: Durable, Record: record})
 	}
 	if !e.mine || !e.intent || e.executing || e.record.State.Final() || e.record.State == None {
 		return s, effects
@@ -70,6 +80,14 @@
 	return s.proceed(now, e, effects)
 }
 
+// removal gives the effects of the durable removal of the entry.
+func (e entry) removal() []Effect {
+	if !e.tellNotRun {
+		return nil
+	}
+	return []Effect{{Kind: NotRun, Record: e.record}}
+}
+
 // proceed takes the next step of an intent of this VM that has become durable.
 func (s Shard) proceed(now time.Time, e entry, effects []Effect) (Shard, []Effect) {
 	switch {
@@ -100,7 +118,7 @@
 	s.isWriting, s.flying, s.writing = false, idMap[struct{}]{}, Head{}
 	for id := range s.dirty.all() {
 		e, _ := s.entries.get(id)
-		if !e.intent || e.durable == Accepted {
+		if !e.intent || e.durable == Accepted || e.durableAsync {
 			continue
 		}
 		effects = append(effects, Effect{Kind: NotRun, Record: e.record})
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -1,6 +1,9 @@
 package ledger
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // State is how far a request has come.
 type State uint8
@@ -78,10 +81,15 @@
 // WithFinal returns a copy with the final state and the answer; the payload is no longer needed.
 func (r Record) WithFinal(s State, a Answer) Record {
 	r.State, r.Answer = s, a
-	r.Payload, r.PayloadParts = nil, nil
+	r.Payload = nil
 	return r
 }
 
+// Parts returns the keys of the objects that belong to the record alone.
+func (r Record) Parts() []string {
+	return append(slices.Clone(r.PayloadParts), r.Answer.Parts...)
+}
+
 // WithAttempt returns a copy that the attempt is about to run.
 func (r Record) WithAttempt(a Attempt) Record {
 	r.Attempt = a
@@ -92,10 +100,19 @@
 	return r
 }
 
+// withAcceptance returns a copy that will run even when nobody waits for it.
+func (r Record) withAcceptance(q Request) Record {
+	r.Async = true
+	if len(r.Payload) == 0 && len(r.PayloadParts) == 0 {
+		r.Payload, r.PayloadParts = q.Payload, q.PayloadParts
+	}
+	return r
+}
+
 // withoutUnusedPayload returns a copy without the payload when no other home can need it.
 func (r Record) withoutUnusedPayload() Record {
 	if r.State == Started && !r.Async {
-		r.Payload, r.PayloadParts = nil, nil
+		r.Payload = nil
 	}
 	return r
 }
--- a/core/ledger/shard.go
+++ b/core/ledger/shard.go
@@ -36,6 +36,8 @@
 	flying    idMap[struct{}]
 	writing   Head
 	isWriting bool
+	// history replaces the head's references in the next head.
+	history   *History
 	open      int
 	openBytes int
 }
@@ -45,6 +47,8 @@
 	record Record
 	// durable and flying are the states in the last confirmed head and in the head being written.
 	durable, flying State
+	// durableAsync and flyingAsync report that acceptance is part of these.
+	durableAsync, flyingAsync bool
 	// mine reports that this VM runs the request.
 	mine bool
 	// intent reports that the attempt of this VM is not durable yet.
@@ -53,6 +57,8 @@
 	executing bool
 	// withdrawn reports that the asker was told that the request did not run.
 	withdrawn bool
+	// tellNotRun reports that the askers learn from the durable removal that it did not run.
+	tellNotRun bool
 	// since is when this VM first saw the request.
 	since time.Time
 	// dueAt is when Tick takes the next step, if it is set.
@@ -122,7 +128,7 @@
 func (s Shard) Writing() bool { return s.isWriting }
 
 // Dirty reports whether there are changes to write.
-func (s Shard) Dirty() bool { return s.dirty.len() > 0 }
+func (s Shard) Dirty() bool { return s.dirty.len() > 0 || s.history != nil }
 
 // Open returns the number of requests without a recorded outcome.
 func (s Shard) Open() int { return s.open }
--- a/core/ledger/submit.go
+++ b/core/ledger/submit.go
@@ -27,6 +27,8 @@
 type Verdict struct {
 	Kind   VerdictKind
 	Record Record
+	// Fresh reports that the submission made a new intent.
+	Fresh bool
 	// Durable is the request's durable state.
 	Durable State
 	// InHand reports that the record's outcome is known and not durable yet.
@@ -56,7 +58,7 @@
 	if !q.Async || q.Idempotent {
 		s, fresh = s.withAttempt(fresh)
 	}
-	return s.mark(fresh), Verdict{Kind: Wait, Record: fresh.record}
+	return s.mark(fresh), Verdict{Kind: Wait, Record: fresh.record, Fresh: true}
 }
 
 // Matches reports whether a record that was found in a sealed block answers the request.
@@ -77,11 +79,16 @@
 	if e.withdrawn {
 		return s, Verdict{Kind: Full}
 	}
-	if q.Async && !e.record.Async {
-		e.record.Async = true
-		s = s.put(e)
+	v := Verdict{Kind: Wait, Durable: e.durable, InHand: e.record.State.Final()}
+	if q.Async && !e.durableAsync {
+		v.Durable = None
 	}
-	return s, Verdict{Kind: Wait, Record: e.record, Durable: e.durable, InHand: e.record.State.Final()}
+	if q.Async && !e.record.Async && !v.InHand {
+		e.record = e.record.withAcceptance(q)
+		s = s.mark(e)
+	}
+	v.Record = e.record
+	return s, v
 }
 
 // Withdraw takes back an intent that has not become durable in time. It reports whether the
@@ -91,12 +98,12 @@
 	switch {
 	case !ok:
 		return s, false
-	case !e.intent || !e.mine || e.durable == Accepted:
+	case !e.intent || !e.mine || e.durable == Accepted || e.durableAsync:
 		return s, false
 	case e.flying != None && (e.record.Idempotent || e.record.Async):
 		return s, false
-	case e.flying == None && e.durable == None:
-		return s.drop(id), true
+	case e.flying == None:
+		return s.giveUp(e), true
 	}
 	e.withdrawn = true
 	return s.put(e), true
--- a/core/ledger/takeover.go
+++ b/core/ledger/takeover.go
@@ -10,7 +10,7 @@
 	fresh.held = true
 	fresh.head = withoutTail(head)
 	for _, r := range head.Tail {
-		e := entry{record: r, durable: r.State, since: now}
+		e := entry{record: r, durable: r.State, durableAsync: r.Async, since: now}
 		h, known := s.away.get(r.ID)
 		switch {
 		case r.State.Final():
@@ -148,14 +148,23 @@
 		s, e = s.withAttempt(e)
 		return s.mark(e), nil
 	}
-	kind := NotRun
-	if result.Kind == MayHaveRun {
-		kind = Uncertain
-	}
-	e.dueAt, e.intent = time.Time{}, false
+	return s.remove(e, result.Kind)
+}
+
+// remove takes out the record of a request that nobody waits for any more. Another home could run
+// an idempotent one until that is durable, so its askers are told later that it did not run.
+func (s Shard) remove(e entry, kind ResultKind) (Shard, []Effect) {
 	record := e.record
+	e.dueAt, e.intent = time.Time{}, false
 	e.record.State = None
-	return s.mark(e), []Effect{{Kind: kind, Record: record}}
+	switch {
+	case kind == MayHaveRun:
+		return s.mark(e), []Effect{{Kind: Uncertain, Record: record}}
+	case record.Idempotent:
+		e.tellNotRun = true
+		return s.mark(e), nil
+	}
+	return s.mark(e), []Effect{{Kind: NotRun, Record: record}}
 }
 
 // HandedOff takes in that the shard's present home has answered for the request.
--- a/io/ledger/ask.go
+++ b/io/ledger/ask.go
@@ -55,8 +55,10 @@
 	var searched []string
 	for {
 		if err := s.hold(ctx); err != nil {
-			s.l.counts.refused.Inc(1)
-			return Reply{}, merry.Errorf("shard %d: %w: %w", s.number, ErrDidNotRun, err)
+			return s.refuse(err)
+		}
+		if err := s.movePayload(ctx, &q); err != nil {
+			return s.refuse(err)
 		}
 		v, w := s.submit(q, searched)
 		switch v.Kind {
@@ -68,13 +70,11 @@
 		case core.Mismatch:
 			return Reply{}, merry.Errorf("shard %d: %w", s.number, ErrBodyMismatch)
 		case core.Full:
-			s.l.counts.refused.Inc(1)
-			return Reply{}, merry.Errorf("shard %d is full or its store is out: %w", s.number, ErrDidNotRun)
+			return s.refuse(merry.New("full, or the object service is out"))
 		case core.Search:
 			found, done, err := s.search(ctx, q.ID, v.Blocks)
 			if err != nil {
-				s.l.counts.refused.Inc(1)
-				return Reply{}, merry.Errorf("search shard %d: %w: %w", s.number, ErrDidNotRun, err)
+				return s.refuse(err)
 			}
 			if found == nil {
 				searched = append(searched, done...)
@@ -88,14 +88,19 @@
 	}
 }
 
+// refuse answers that the request did not run.
+func (s *shard) refuse(cause error) (Reply, error) {
+	s.l.counts.refused.Inc(1)
+	return Reply{}, merry.Errorf("shard %d: %w: %w", s.number, ErrDidNotRun, cause)
+}
+
 // submit hands the request to the state; the waiter is set when the verdict is Wait.
 func (s *shard) submit(q core.Request, searched []string) (core.Verdict, *waiter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	state, v := s.state.Submit(now, q, s.candidates(q.ID), searched)
-	fresh := v.Kind == core.Wait && v.Durable == core.None
-	if fresh && now.Before(s.refuseUntil) {
+	if v.Fresh && (now.Before(s.refuseUntil) || s.l.heldBytes.Load() > s.l.opts.MaxHeldBytes) {
 		return core.Verdict{Kind: core.Full}, nil
 	}
 	s.state = state
@@ -158,8 +163,8 @@
 func (a *waiting) take(ctx context.Context, e core.Effect, accept bool) (Reply, bool, error) {
 	switch e.Kind {
 	case core.Durable:
-		a.durable = true
-		if accept {
+		a.durable = a.durable || !accept || e.Record.Async
+		if accept && a.durable {
 			return reply(e.Record, false), true, nil
 		}
 	case core.InHand:
--- a/io/ledger/dispatch.go
+++ b/io/ledger/dispatch.go
@@ -38,7 +38,11 @@
 	})
 	switch {
 	case err == nil:
-		return core.Result{Kind: core.Completed, State: core.Done, Answer: s.writeParts(ctx, answer)}
+		answer, err = s.outsource(s.l.ctx, r, answer)
+		if err != nil {
+			return core.Result{Kind: core.MayHaveRun}
+		}
+		return core.Result{Kind: core.Completed, State: core.Done, Answer: answer}
 	case errors.Is(err, ErrDidNotRun):
 		return core.Result{Kind: core.DidNotRun}
 	default:
--- a/io/ledger/ledger.go
+++ b/io/ledger/ledger.go
@@ -32,6 +32,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -53,6 +54,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+	// objects numbers the objects beside the heads.
+	objects atomic.Uint64
+	// heldBytes is the size of the large answers that are being written.
+	heldBytes atomic.Int64
 }
 
 // New starts the ledger: a writer goroutine for each shard, and one that follows the members.
--- a/io/ledger/load.go
+++ b/io/ledger/load.go
@@ -35,6 +35,10 @@
 		return wait
 	}
 	head, version, err := s.readHead(ctx)
+	var filters []core.Filter
+	if err == nil {
+		filters, err = s.readFilters(ctx, head)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
@@ -44,6 +48,7 @@
 	}
 	s.backoff = 0
 	s.version = version
+	s.filters = filters
 	s.checked = true
 	s.countTakeover(head)
 	s.apply(s.state.Load(time.Now(), head, s.l.isPrevious(head.Last.Writer)))
--- a/io/ledger/lookup.go
+++ b/io/ledger/lookup.go
@@ -53,8 +53,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.version == version && !s.state.Writing() {
-		s.apply(s.state.Fenced(core.NotApplied))
-		s.checked = false
+		s.lose(core.NotApplied)
 	}
 	return merry.Errorf("shard %d: %w", s.number, errReroute)
 }
--- a/io/ledger/options.go
+++ b/io/ledger/options.go
@@ -37,6 +37,9 @@
 	IntentWait time.Duration
 	// ResultWait bounds the wait for a result in hand to become durable.
 	ResultWait time.Duration
+	// MaxHeldBytes is the size of large answers being written above which new work is refused, in
+	// bytes.
+	MaxHeldBytes int64
 	// DefaultTimeout is the timeout of requests without a deadline.
 	DefaultTimeout time.Duration
 	Metrics        metrics.Registry
@@ -52,6 +55,7 @@
 		WriteBurst:      4,
 		IntentWait:      2 * time.Second,
 		ResultWait:      2 * time.Second,
+		MaxHeldBytes:    32 << 20,
 		DefaultTimeout:  time.Minute,
 		Metrics:         metrics.NewRegistry(),
 		Log:             zerolog.Nop(),
--- a/io/ledger/shard.go
+++ b/io/ledger/shard.go
@@ -40,6 +40,11 @@
 	// backoff is the pause after the last failure, and refuseUntil its end.
 	backoff     time.Duration
 	refuseUntil time.Time
+	// filters find the sealed blocks that may hold an ID; nextFilters take their place when the
+	// head being written is durable.
+	filters, nextFilters []core.Filter
+	// garbage are the keys of objects that no head points to any more.
+	garbage, nextGarbage []string
 }
 
 func newShard(l *Ledger, number int) *shard {
@@ -90,6 +95,9 @@
 		if wait := s.loadIfWanted(ctx); wait > 0 {
 			return wait
 		}
+		if err := s.maintain(ctx); err != nil {
+			s.l.opts.Log.Info().Int("shard", s.number).Err(err).Msg("ledger upkeep put off")
+		}
 		head, version, wait, ok := s.prepare()
 		if !ok {
 			return wait
@@ -134,17 +142,24 @@
 	case committed:
 		s.version = w.version
 		s.backoff = 0
+		s.adoptHistory()
 		s.apply(s.state.Committed(time.Now()))
 	case refusedByStore:
 		s.fail()
 		s.apply(s.state.Failed())
 	case fenced:
 		s.l.counts.conflicts.Inc(1)
-		s.checked = false
-		s.apply(s.state.Fenced(w.applied))
+		s.lose(w.applied)
 	}
 }
 
+// lose gives the shard up; the caller holds mu.
+func (s *shard) lose(applied core.Applied) {
+	s.checked = false
+	s.filters, s.nextFilters, s.garbage, s.nextGarbage = nil, nil, nil, nil
+	s.apply(s.state.Fenced(applied))
+}
+
 // fail notes a failed call of the object service; the caller holds mu.
 func (s *shard) fail() {
 	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
@@ -180,6 +195,7 @@
 		s.requestLoad()
 	case !owned && s.state.Held() && s.state.Idle() && len(s.waiters) == 0:
 		s.state = s.state.Release()
+		s.filters, s.garbage = nil, nil
 		s.checked = false
 	case !owned && !s.state.Held():
 		s.checked = false
