Check an object's lengths before it is decoded

Cause: the fuzz target ended the process in 1.3 s: msgpack's Unmarshal allocates the length that an array of structures claims, 4 billion records in a value of 287 bytes.

Measured: go test ./core/ledger -fuzz FuzzDecoders -fuzztime 10s -fuzzminimizetime 10x -parallel 4 passes.

Conclusion: a damaged object fails to load and takes no memory.

--- a/core/ledger/head.go
+++ b/core/ledger/head.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"bytes"
 	"slices"
 
 	"github.com/ansel1/merry/v2"
@@ -124,6 +125,10 @@
 	if err != nil {
 		return merry.Errorf("decompress: %w", err)
 	}
+	// Skip walks the value without allocating what its arrays claim to hold, as Unmarshal would.
+	if err := msgpack.NewDecoder(bytes.NewReader(plain)).Skip(); err != nil {
+		return merry.Errorf("value is cut short: %w", err)
+	}
 	if err := msgpack.Unmarshal(plain, v); err != nil {
 		return merry.Errorf("unmarshal: %w", err)
 	}
