Pace batch prompts by whole items, so that a long one cannot starve

Cause: the bound of prompt tokens in progress was part of AdmitTokens, so an item longer than the bound could never start when the caller keeps to AdmitTokens.

Change: the bound limits Admit through the mean item length; one item may always run alone. The bound is 4,096 tokens at weight 0 and falls to 0.4 of it at weight 1.

--- a/core/fill/decide.go
+++ b/core/fill/decide.go
@@ -12,6 +12,8 @@
 	looseFactor = 60
 	// holdTime is how long batch waits after the last online request, at weight 1.
 	holdTime = 100 * time.Millisecond
+	// paceFactor multiplies the prompt tokens computed at once at weight 1.
+	paceFactor = 0.4
 	// prefillTime is how long a prompt is assumed to be computed when no first token is noted.
 	prefillTime = 500 * time.Millisecond
 	// listenTime is how long a new home without a report only listens.
@@ -43,14 +45,29 @@
 	if !s.mayAdmit(now) {
 		return Decision{}
 	}
-	tokens := min(tokenLimit-s.batchTokens, s.params.PrefillTokens-s.prefillTokens(now))
-	admit := limit - len(s.batch)
+	tokens := tokenLimit - s.batchTokens
+	admit := min(limit-len(s.batch), s.prompts(now))
 	if admit <= 0 || tokens <= 0 {
 		return Decision{}
 	}
 	return Decision{Admit: admit, AdmitTokens: tokens}
 }
 
+// prompts returns how many more prompts of batch the engine may compute at once: a long one may
+// always run alone.
+func (s State) prompts(now time.Time) int {
+	prefilling := s.prefillTokens(now)
+	if prefilling == 0 && s.meanItem == 0 {
+		return 1
+	}
+	pace := float64(s.params.PrefillTokens) * math.Pow(paceFactor, s.params.Weight)
+	more := int((pace - float64(prefilling)) / max(1, s.meanItem))
+	if prefilling == 0 {
+		return max(1, more)
+	}
+	return more
+}
+
 // limit returns the number of batch sequences that may run.
 func (s State) limit(now time.Time) int {
 	n := s.Online()
--- a/core/fill/fill.go
+++ b/core/fill/fill.go
@@ -56,6 +56,8 @@
 	paused []paused
 	// onlineTokens and batchTokens are the sums over the requests in progress.
 	onlineTokens, batchTokens int
+	// meanItem is the mean of the tokens of batch streams.
+	meanItem float64
 	// lastOnline is when an online request was last in progress.
 	lastOnline time.Time
 	lastCancel time.Time
@@ -149,6 +151,10 @@
 		id: id, tokens: tokens, prefilling: prefilling, start: now,
 	})
 	s.batchTokens += tokens
+	if s.meanItem == 0 {
+		s.meanItem = float64(tokens)
+	}
+	s.meanItem += (float64(tokens) - s.meanItem) * tokensShare
 	return s.counted(now)
 }
 
--- a/core/fill/options.go
+++ b/core/fill/options.go
@@ -14,7 +14,7 @@
 	Weight float64
 	// AnswerTokens is the memory assumed for the answer of an online request.
 	AnswerTokens int
-	// PrefillTokens bounds the tokens of batch sequences that have no first token yet.
+	// PrefillTokens bounds, at weight 0, the tokens of batch sequences without a first token.
 	PrefillTokens int
 	// KeepState is how long the engine keeps the state of a paused stream.
 	KeepState time.Duration
@@ -32,7 +32,7 @@
 		CacheTokens:   kvTokens / 8,
 		Weight:        0.75,
 		AnswerTokens:  200,
-		PrefillTokens: 2048,
+		PrefillTokens: 4096,
 		KeepState:     5 * time.Second,
 		ReportWindow:  3 * time.Second,
 		OnlineLease:   2 * time.Minute,
--- a/experiment/filling/filling_test.go
+++ b/experiment/filling/filling_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,7 +14,16 @@
 	if os.Getenv("FILLING_TABLE") == "" {
 		t.Skip()
 	}
-	r, err := Run(NewOptions().WithDuration(2 * time.Minute))
+	secs, _ := strconv.Atoi(os.Getenv("FILLING_TABLE"))
+	opts := NewOptions().WithDuration(time.Duration(secs) * time.Second)
+	if w := os.Getenv("FILLING_WEIGHTS"); w != "" {
+		opts = opts.WithProductOnly(true).WithWeights()
+		for _, v := range strings.Split(w, ",") {
+			f, _ := strconv.ParseFloat(v, 64)
+			opts.Weights = append(opts.Weights, f)
+		}
+	}
+	r, err := Run(opts)
 	require.NoError(t, err)
 	t.Log(r.Markdown())
 }
--- a/experiment/filling/options.go
+++ b/experiment/filling/options.go
@@ -22,6 +22,8 @@
 	Weights []float64
 	// Faults are injected in the product's runs.
 	Faults Faults
+	// ProductOnly leaves out the policies that the product is compared with.
+	ProductOnly bool
 }
 
 // Faults disturb the control. The zero value has none.
@@ -80,3 +82,9 @@
 	o.Faults = f
 	return o
 }
+
+// WithProductOnly returns a copy that leaves out, or not, the policies to compare with.
+func (o Options) WithProductOnly(only bool) Options {
+	o.ProductOnly = only
+	return o
+}
--- a/experiment/filling/run.go
+++ b/experiment/filling/run.go
@@ -53,7 +53,18 @@
 }
 
 func policies(opts Options) []policy {
-	list := []policy{
+	var list []policy
+	if !opts.ProductOnly {
+		list = baselines(opts)
+	}
+	for _, w := range opts.Weights {
+		list = append(list, product(w))
+	}
+	return list
+}
+
+func baselines(opts Options) []policy {
+	return []policy{
 		fixed("no control", noControlSequences),
 		reserved(opts.Engines*3/10, opts.Engine.MaxRunning),
 		reserved(opts.Engines/2, opts.Engine.MaxRunning),
@@ -61,10 +72,6 @@
 		fixed("fixed 16", 16),
 		fixed("fixed 48", 48),
 	}
-	for _, w := range opts.Weights {
-		list = append(list, product(w))
-	}
-	return list
 }
 
 func runDeployment(opts Options, dep deployment) (Deployment, error) {
