--- a/core/job/hold.go
+++ b/core/job/hold.go
@@ -103,7 +103,9 @@
 }
 
 // alone reports whether item i may have lost so many workers that it must run by itself.
-func (h Hold) alone(i int) bool { return h.terms.Idempotent && h.terms.groupLimit(h.Durable.Losses[i]) == 1 }
+func (h Hold) alone(i int) bool {
+	return h.terms.Idempotent && h.terms.groupLimit(h.Durable.Losses[i]) == 1
+}
 
 // Take hands out up to n items that may be dispatched now.
 func (h Hold) Take(now time.Time, n int) (Hold, []int) {
@@ -125,16 +127,27 @@
 	return h, taken
 }
 
-// Begin records that item i is about to be sent. It reports false when it must not be: the lease
-// has lapsed, or the item was not handed out.
+// Begin records that item i is about to be sent. It reports false when it must not be: the item was
+// not handed out, or the lease has lapsed, in which case the item is withdrawn.
 func (h Hold) Begin(now time.Time, i int) (Hold, bool) {
-	if i >= len(h.Durable.Items) || h.live[i] != liveOut || h.Lapsed(now) {
+	if !h.isOut(i) || h.live[i] != liveOut {
 		return h, false
 	}
+	if h.Lapsed(now) {
+		return h.Withdraw(i), false
+	}
 	h.live[i] = liveBegun
 	return h, true
 }
 
+// Withdraw takes back item i if it was handed out and not begun.
+func (h Hold) Withdraw(i int) Hold {
+	if h.isOut(i) && h.live[i] == liveOut {
+		h, _ = h.Return(i)
+	}
+	return h
+}
+
 // Done records the outcome of item i. It reports false when no dispatcher has the item.
 func (h Hold) Done(i int, outcome ItemState) (Hold, bool) {
 	if !h.isOut(i) || !outcome.Final() {
--- a/io/job/item.go
+++ b/io/job/item.go
@@ -97,8 +97,9 @@
 	queued          bool
 	// failing reports that the last write did not come through.
 	failing bool
-	// stopping reports that the job is cancelled; gone that the chunk is not held any more.
-	stopping, gone bool
+	// stopping reports that the job is cancelled, releasing that the chunk is being given up, gone
+	// that it is not held any more.
+	stopping, releasing, gone bool
 }
 
 // holdSet is the chunks that a VM holds, in order of their claims.
@@ -144,7 +145,7 @@
 func (s holdSet) ready(model string) int {
 	n := 0
 	for _, h := range s.byModel[model] {
-		if !h.stopping {
+		if !h.stopping && !h.releasing {
 			n += h.hold.Ready()
 		}
 	}
--- a/io/job/take.go
+++ b/io/job/take.go
@@ -114,7 +114,7 @@
 func (d *demand) target() int { return 2*d.most + 8 }
 
 func (j *Jobs) takeFrom(now time.Time, h *held, n int) []Item {
-	if h.stopping || h.gone || h.handBytes > maxHandBytes {
+	if h.stopping || h.releasing || h.gone || h.handBytes > maxHandBytes {
 		return nil
 	}
 	next, places := h.hold.Take(now, n)
@@ -156,10 +156,11 @@
 	if h.gone || h.stopping {
 		return false
 	}
-	next, ok := h.hold.Begin(now, item.place)
-	if !ok {
-		next, _ = h.hold.Return(item.place)
+	if h.releasing {
+		h.hold = h.hold.Withdraw(item.place)
+		return false
 	}
+	next, ok := h.hold.Begin(now, item.place)
 	h.hold = next
 	return ok
 }
@@ -298,7 +299,7 @@
 			h.cancel()
 		}
 		if j.isIdle(now, h) {
-			h.queued = true
+			h.queued, h.releasing = true, true
 			idle = append(idle, h)
 		}
 	}
--- a/io/job/write.go
+++ b/io/job/write.go
@@ -212,18 +212,19 @@
 	}
 }
 
-// release gives a chunk up, so that another VM can go on at once. The caller has marked it queued.
+// release gives a chunk up, so that another VM can go on at once. The caller has marked it queued and
+// releasing, so that no item is handed out or begun meanwhile.
 func (j *Jobs) release(ctx context.Context, h *held) {
 	now := time.Now()
 	j.mu.Lock()
 	w := h.hold.Release()
 	outcomes := h.outcomes(w)
-	h.stopping = true
 	j.mu.Unlock()
 	err := j.writeChunk(ctx, h, w, outcomes, now)
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	h.queued, h.stopping = false, false
+	h.queued, h.releasing = false, false
+	h.failing = err != nil
 	if err != nil {
 		h.retryAt = time.Now().Add(writePause)
 	}
@@ -237,6 +238,9 @@
 	defer cancel()
 	j.mu.Lock()
 	all := j.holds.all()
+	for _, h := range all {
+		h.queued, h.releasing = true, true
+	}
 	j.mu.Unlock()
 	for _, h := range all {
 		j.release(ctx, h)
