Play faults in the filling experiment

Cause: the policy was measured without disturbance only.

Change: each deployment is played with late and lost reports, lost notices, homes lost and taken over, two homes that share the notices, and engine crashes.

--- a/experiment/filling/fault.go
+++ b/experiment/filling/fault.go
@@ -1,13 +1,43 @@
 package filling
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+// scenario is a disturbance of the product's run.
+type scenario struct {
+	name string
+	// reportLag replaces the options' age of reports when it is not negative.
+	reportLag time.Duration
+	faults    Faults
+}
+
+func scenarios() []scenario {
+	const usual = -1
+	return []scenario{
+		{"none", usual, Faults{}},
+		{"reports without lag", 0, Faults{}},
+		{"reports 2 s late", 2 * time.Second, Faults{}},
+		{"all reports lost", usual, Faults{LostReports: 1}},
+		{"2% of notices lost", usual, Faults{LostNotices: 0.02}},
+		{"20% of notices lost", usual, Faults{LostNotices: 0.2}},
+		{"home lost each 20 s", usual, Faults{HomeLostEvery: 20 * time.Second}},
+		{"two homes", usual, Faults{TwoHomes: true}},
+		{"two homes, reports 2 s late", 2 * time.Second, Faults{TwoHomes: true}},
+		{"engine crash each 30 s", usual, Faults{CrashEvery: 30 * time.Second}},
+		{"notices lost, reports 2 s late, home lost", 2 * time.Second, Faults{
+			LostNotices: 0.02, LostReports: 0.2, HomeLostEvery: 20 * time.Second,
+		}},
+	}
+}
 
 // takeoverTime is the time in which an engine has no home after its home was lost.
 const takeoverTime = time.Second
 
 // scheduleFaults sets the faults of an engine, at times of its own.
 func (u *upstream) scheduleFaults() {
-	f := u.sim.opts.Faults
+	f := u.sim.opts.faults
 	offset := func(every time.Duration) time.Duration {
 		return every * time.Duration(u.index+1) / time.Duration(u.sim.opts.Engines)
 	}
@@ -24,7 +54,7 @@
 	s := u.sim
 	old := u.homes[0]
 	old.dead = true
-	for id := range old.running {
+	for _, id := range sortedKeys(old.running) {
 		delete(u.owners, id)
 		u.model.Pause(s.now, id)
 	}
@@ -34,39 +64,57 @@
 		h.paused = lost
 		u.homes[0] = h
 	})
-	s.after(s.opts.Faults.HomeLostEvery, u.loseHome)
+	s.after(s.opts.faults.HomeLostEvery, u.loseHome)
 }
 
 // lostItems returns the items that the next home runs anew.
 func (h *home) lostItems() []*item {
 	var lost []*item
-	for _, it := range h.running {
-		lost = append(lost, it)
+	for _, id := range sortedKeys(h.running) {
+		lost = append(lost, h.running[id])
 	}
 	lost = append(lost, h.paused...)
 	for _, it := range lost {
-		it.started = false
-		it.progress = 0
+		h.upstream.discard(it)
 	}
 	return lost
 }
 
+// discard forgets what is known of an item's answer; it runs anew.
+func (u *upstream) discard(it *item) {
+	u.sim.result.discarded += it.progress
+	it.started = false
+	it.progress = 0
+}
+
 // crash loses all state of the engine; online requests there are lost to this measurement.
 func (u *upstream) crash() {
 	s := u.sim
 	u.model.Crash()
 	u.stepAt = -1
-	for id, c := range u.online {
+	for _, id := range sortedKeys(u.online) {
+		c := u.online[id]
 		delete(u.online, id)
-		u.notify(2*c.arrival.delay, func(h *home) { h.onlineEnd(id, 0, 0) })
+		u.notify(id, 2*c.arrival.delay, func(h *home) { h.onlineEnd(id, 0, 0) })
 	}
 	for _, h := range u.homes {
-		for id, it := range h.running {
+		for _, id := range sortedKeys(h.running) {
+			it := h.running[id]
 			delete(h.running, id)
 			h.control.batchEnd(u.now(), id)
-			it.started, it.progress = false, 0
+			u.discard(it)
 			h.paused = append(h.paused, it)
 		}
 	}
-	s.after(s.opts.Faults.CrashEvery, u.crash)
+	s.after(s.opts.faults.CrashEvery, u.crash)
+}
+
+// sortedKeys makes the order of a map's entries repeatable.
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
 }
--- a/experiment/filling/filling_test.go
+++ b/experiment/filling/filling_test.go
@@ -15,7 +15,11 @@
 		t.Skip()
 	}
 	secs, _ := strconv.Atoi(os.Getenv("FILLING_TABLE"))
-	opts := NewOptions().WithDuration(time.Duration(secs) * time.Second)
+	fw := -1.0
+	if v := os.Getenv("FILLING_FAULTS"); v != "" {
+		fw, _ = strconv.ParseFloat(v, 64)
+	}
+	opts := NewOptions().WithFaultWeight(fw).WithDuration(time.Duration(secs) * time.Second)
 	if w := os.Getenv("FILLING_WEIGHTS"); w != "" {
 		opts = opts.WithProductOnly(true).WithWeights()
 		for _, v := range strings.Split(w, ",") {
--- a/experiment/filling/home.go
+++ b/experiment/filling/home.go
@@ -40,7 +40,7 @@
 
 func (u *upstream) addHomes() {
 	u.homes = append(u.homes, newHome(u, 0))
-	if u.sim.opts.Faults.TwoHomes {
+	if u.sim.opts.faults.TwoHomes {
 		u.homes = append(u.homes, newHome(u, 1))
 	}
 	u.scheduleFaults()
@@ -64,7 +64,7 @@
 	}
 	s := h.upstream.sim
 	s.after(s.opts.ReportEvery, h.poll)
-	if h.control.report == nil || s.rng.Float64() < s.opts.Faults.LostReports {
+	if h.control.report == nil || s.rng.Float64() < s.opts.faults.LostReports {
 		return
 	}
 	l := h.upstream.model.Report(s.now)
--- a/experiment/filling/options.go
+++ b/experiment/filling/options.go
@@ -20,8 +20,10 @@
 	ReportLag, ReportEvery time.Duration
 	// Weights are the product's weights to compare.
 	Weights []float64
-	// Faults are injected in the product's runs.
-	Faults Faults
+	// FaultWeight is the product's weight in the runs with faults; a negative one leaves them out.
+	FaultWeight float64
+	// faults disturb one run.
+	faults Faults
 	// ProductOnly leaves out the policies that the product is compared with.
 	ProductOnly bool
 }
@@ -50,6 +52,7 @@
 		ReportLag:   500 * time.Millisecond,
 		ReportEvery: 200 * time.Millisecond,
 		Weights:     []float64{1, 0.75, 0.5, 0.25, 0},
+		FaultWeight: 0.75,
 	}
 }
 
@@ -77,9 +80,9 @@
 	return o
 }
 
-// WithFaults returns a copy with the faults of the product's runs set.
-func (o Options) WithFaults(f Faults) Options {
-	o.Faults = f
+// WithFaultWeight returns a copy with the weight of the runs with faults set.
+func (o Options) WithFaultWeight(weight float64) Options {
+	o.FaultWeight = weight
 	return o
 }
 
--- a/experiment/filling/report.go
+++ b/experiment/filling/report.go
@@ -25,6 +25,8 @@
 	IdleShare    float64 `json:"idleShare"`
 	WithoutBatch Row     `json:"withoutBatch"`
 	Rows         []Row   `json:"rows"`
+	// Faults holds the product's runs with faults; Policy names the fault.
+	Faults []Row `json:"faults"`
 
 	seconds float64
 }
@@ -80,7 +82,7 @@
 		InterToken:       quantiles(r.interToken),
 		Yield:            quantiles(r.yield),
 		Ramp:             quantiles(r.ramp),
-		ThrownAwayTokens: r.recomputed,
+		ThrownAwayTokens: r.recomputed + r.discarded,
 		Pauses:           r.paused,
 	}
 	row.IdleBoundShare = row.ItemsPerSecond / d.IdleBound
@@ -88,7 +90,7 @@
 	row.FirstTokenHarm = row.FirstToken.over(d.WithoutBatch.FirstToken)
 	row.InterTokenHarm = row.InterToken.over(d.WithoutBatch.InterToken)
 	if r.batchTokens > 0 {
-		row.ThrownAwayShare = float64(r.recomputed) / float64(r.batchTokens+r.recomputed)
+		row.ThrownAwayShare = float64(row.ThrownAwayTokens) / float64(r.batchTokens+r.recomputed)
 	}
 	return row
 }
@@ -115,16 +117,23 @@
 	for _, d := range r.Deployments {
 		fmt.Fprintf(&b, "\n%s: engines full of batch %.1f items/s, idle %.0f%% of the time, idle bound %.1f items/s, slot bound %.1f items/s\n\n",
 			d.Name, d.FullRate, 100*d.IdleShare, d.IdleBound, d.SlotBound)
-		b.WriteString("| policy | items/s | of idle bound | of slot bound | first token p50/p95/p99 ms | growth p50/p95/p99 | inter-token p50/p95/p99 ms | growth p50/p95/p99 | thrown away | yield p99 ms | ramp p50/p95 ms |\n")
-		b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|\n")
-		writeRow(&b, d.WithoutBatch)
-		for _, row := range d.Rows {
-			writeRow(&b, row)
+		writeTable(&b, "policy", append([]Row{d.WithoutBatch}, d.Rows...))
+		if len(d.Faults) > 0 {
+			b.WriteString("\n")
+			writeTable(&b, "fault", d.Faults)
 		}
 	}
 	return b.String()
 }
 
+func writeTable(b *strings.Builder, first string, rows []Row) {
+	b.WriteString("| " + first + " | items/s | of idle bound | of slot bound | first token p50/p95/p99 ms | growth p50/p95/p99 | inter-token p50/p95/p99 ms | growth p50/p95/p99 | thrown away | yield p99 ms | ramp p50/p95 ms |\n")
+	b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|\n")
+	for _, row := range rows {
+		writeRow(b, row)
+	}
+}
+
 func writeRow(b *strings.Builder, r Row) {
 	fmt.Fprintf(b, "| %s | %.1f | %.0f%% | %.0f%% | %s | %s | %s | %s | %.1f%% | %.1f | %.0f / %.0f |\n",
 		r.Policy, r.ItemsPerSecond, 100*r.IdleBoundShare, 100*r.SlotBoundShare,
--- a/experiment/filling/run.go
+++ b/experiment/filling/run.go
@@ -76,38 +76,51 @@
 
 func runDeployment(opts Options, dep deployment) (Deployment, error) {
 	trace := dep.trace(rand.New(rand.NewPCG(opts.Seed, 11)), opts.Duration)
-	clean := opts
-	clean.Faults = Faults{}
-	baseTrace := assign(clean, dep, trace, 0)
-	base := newSim(clean, dep, withoutBatch()).run(baseTrace)
-	full := newSim(clean, dep, fixed("batch alone", opts.Engine.MaxRunning)).run(nil)
+	baseTrace := assign(opts, dep, trace, 0)
+	base := newSim(opts, dep, withoutBatch()).run(baseTrace)
+	full := newSim(opts, dep, fixed("batch alone", opts.Engine.MaxRunning)).run(nil)
 	d := newDeployment(opts, dep, base, full)
 	list := policies(opts)
-	rows := make([]Row, len(list))
+	d.Rows = make([]Row, len(list))
 	group := errgroup.Group{}
 	group.SetLimit(parallelRuns)
 	for i, p := range list {
 		group.Go(func() error {
-			runOpts := clean
-			if p.weight >= 0 {
-				runOpts = opts
-			}
 			runTrace := baseTrace
 			if p.reserved > 0 {
-				runTrace = assign(clean, dep, trace, p.reserved)
+				runTrace = assign(opts, dep, trace, p.reserved)
 			}
-			r := newReservedSim(runOpts, dep, p).run(runTrace)
-			rows[i] = d.row(p, r)
+			d.Rows[i] = d.row(p, newReservedSim(opts, dep, p).run(runTrace))
+			return nil
+		})
+	}
+	if opts.FaultWeight >= 0 {
+		d.Faults = make([]Row, len(scenarios()))
+	}
+	for i := range d.Faults {
+		group.Go(func() error {
+			d.Faults[i] = runScenario(opts, dep, d, baseTrace, scenarios()[i])
 			return nil
 		})
 	}
 	if err := group.Wait(); err != nil {
 		return Deployment{}, merry.Errorf("run policies: %w", err)
 	}
-	d.Rows = append(d.Rows, rows...)
 	return d, nil
 }
 
+// runScenario plays the product under a disturbance.
+func runScenario(opts Options, dep deployment, d Deployment, trace []arrival, sc scenario) Row {
+	opts.faults = sc.faults
+	if sc.reportLag >= 0 {
+		opts.ReportLag = sc.reportLag
+	}
+	p := product(opts.FaultWeight)
+	row := d.row(p, newSim(opts, dep, p).run(trace))
+	row.Policy = sc.name
+	return row
+}
+
 // newReservedSim takes the homes from the engines that serve online alone.
 func newReservedSim(opts Options, dep deployment, p policy) *sim {
 	s := newSim(opts, dep, p)
--- a/experiment/filling/sim.go
+++ b/experiment/filling/sim.go
@@ -60,8 +60,9 @@
 	batchTokens            int
 	// slots is the integral of the slots that online takes; idle the time without a step.
 	slots, idle time.Duration
-	recomputed  int
-	paused      int
+	// recomputed counts prompt tokens computed again, discarded answer tokens generated again.
+	recomputed, discarded int
+	paused                int
 }
 
 const (
@@ -152,15 +153,16 @@
 		u.schedule()
 	})
 	u.yield.arrived(u)
-	u.notify(a.delay, func(h *home) { h.onlineStart(id, a.prompt) })
+	u.notify(id, a.delay, func(h *home) { h.onlineStart(id, a.prompt) })
 }
 
-// notify sends a notice to the home that the entry VM believes in.
-func (u *upstream) notify(delay time.Duration, do func(*home)) {
-	if len(u.homes) == 0 || u.sim.rng.Float64() < u.sim.opts.Faults.LostNotices {
+// notify sends a notice of a request to the home that its entry VM believes in.
+func (u *upstream) notify(id string, delay time.Duration, do func(*home)) {
+	if len(u.homes) == 0 || u.sim.rng.Float64() < u.sim.opts.faults.LostNotices {
 		return
 	}
-	h := u.homes[u.sim.rng.IntN(len(u.homes))]
+	entry := int(id[len(id)-1])
+	h := u.homes[entry%len(u.homes)]
 	jitter := time.Duration(u.sim.rng.Int64N(int64(localLatency)))
 	u.sim.after(delay+jitter, func() { do(h) })
 }
@@ -223,5 +225,5 @@
 		inter = (u.sim.now - engineFirst) / time.Duration(n)
 	}
 	first := c.first - 2*clientLatency
-	u.notify(2*c.arrival.delay, func(h *home) { h.onlineEnd(c.id, first, inter) })
+	u.notify(c.id, 2*c.arrival.delay, func(h *home) { h.onlineEnd(c.id, first, inter) })
 }
