--- a/core/fill/decide.go
+++ b/core/fill/decide.go
@@ -70,7 +70,7 @@
 
 // limit returns the number of batch sequences that may run.
 func (s State) limit(now time.Time) int {
-	n := s.Online()
+	n := len(s.online) + s.unknown(now)
 	limit := s.params.MaxSequences - n - s.headroom(now)
 	if n > 0 {
 		limit = min(limit, int(s.budget()*(float64(n)+1/s.harm.ratio())))
@@ -108,7 +108,7 @@
 
 // tokenLimit returns the KV tokens that batch may hold.
 func (s State) tokenLimit(now time.Time) int {
-	expected := s.headroom(now) + s.reports.unknown
+	expected := s.headroom(now) + s.unknown(now)
 	each := int(s.arrivals.meanTokens) + s.params.AnswerTokens
 	online := s.onlineTokens + len(s.online)*s.params.AnswerTokens
 	return max(0, s.params.KVTokens-s.params.CacheTokens-online-expected*each)
@@ -142,7 +142,7 @@
 
 // mayAdmit reports whether enough time has passed since online was last there.
 func (s State) mayAdmit(now time.Time) bool {
-	if s.Online() > 0 {
+	if len(s.online)+s.unknown(now) > 0 {
 		return true
 	}
 	hold := time.Duration(float64(holdTime) * s.params.Weight)
