Plot the filling experiment

Cause: the two axes that the users measure were not seen side by side.

A test checks that a run is repeatable, that batch gives way within 50 ms and fills a gap within a second in virtual time.

--- a/experiment/filling/filling_test.go
+++ b/experiment/filling/filling_test.go
@@ -1,33 +1,37 @@
 package filling
 
 import (
-	"os"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 )
 
-func TestTable(t *testing.T) {
-	if os.Getenv("FILLING_TABLE") == "" {
-		t.Skip()
-	}
-	secs, _ := strconv.Atoi(os.Getenv("FILLING_TABLE"))
-	fw := -1.0
-	if v := os.Getenv("FILLING_FAULTS"); v != "" {
-		fw, _ = strconv.ParseFloat(v, 64)
-	}
-	opts := NewOptions().WithFaultWeight(fw).WithDuration(time.Duration(secs) * time.Second)
-	if w := os.Getenv("FILLING_WEIGHTS"); w != "" {
-		opts = opts.WithProductOnly(true).WithWeights()
-		for _, v := range strings.Split(w, ",") {
-			f, _ := strconv.ParseFloat(v, 64)
-			opts.Weights = append(opts.Weights, f)
+func TestRunIsRepeatableAndKeepsBounds(t *testing.T) {
+	opts := NewOptions().WithDuration(20*time.Second).WithWeights(1, 0).WithFaultWeight(-1)
+	first, err := Run(opts)
+	require.NoError(t, err)
+	second, err := Run(opts)
+	require.NoError(t, err)
+	require.Equal(t, first, second)
+	for _, d := range first.Deployments {
+		rows := map[string]Row{}
+		for _, row := range d.Rows {
+			rows[row.Policy] = row
 		}
+		harm, none := rows["product, weight 1"], rows["no control"]
+		require.Less(t, harm.FirstToken.P99, none.FirstToken.P99, d.Name)
+		require.Less(t, harm.InterToken.P99, none.InterToken.P99, d.Name)
+		require.Less(t, harm.Yield.P99, 50.0, "batch gives way within 50 ms")
+		require.Less(t, harm.Ramp.P50, 1000.0, "batch fills a gap within a second")
+		require.Equal(t, d.WithoutBatch.OnlineAnswers/100, harm.OnlineAnswers/100)
 	}
-	r, err := Run(opts)
+	svg, err := first.SVG()
 	require.NoError(t, err)
-	t.Log(r.Markdown())
+	require.Contains(t, string(svg), "textsetzer: inter-token p99")
+}
+
+func TestRunRefusesTooSmall(t *testing.T) {
+	_, err := Run(NewOptions().WithDuration(time.Millisecond))
+	require.Error(t, err)
 }
