Order engines to load what is declared

Cause: a declared model reached no engine; versions and roll-outs had no mechanism, and an old home could contradict a new one.

Change: core/order assigns models to engines by rendezvous within their memory, and decides leases with fencing numbers and slots that bound a roll-out and the reads of the weight store; io/order carries it out and writes only while something changes. The stand-in engine knows versions and counts orders and loads.

Conclusion: orders hold for engines that check numbers and for those that don't.

--- /dev/null
+++ b/core/order/slots.go
@@ -0,0 +1,94 @@
+package order
+
+import (
+	"slices"
+	"time"
+)
+
+// Slot is the right to change one engine, out of a bounded number.
+type Slot struct {
+	Engine string `msgpack:"e"`
+	Holder string `msgpack:"h"`
+	// Renewal grows while the holder lives.
+	Renewal uint64 `msgpack:"r"`
+}
+
+// Slots bounds how many engines change at once: those of a service, which keeps its capacity in a
+// roll-out, or those that read from the weight store, whose rate is limited. Values are immutable.
+type Slots struct {
+	Taken []Slot `msgpack:"t"`
+	// Sequence grows with each write, so that each write is unique.
+	Sequence uint64 `msgpack:"s"`
+	// Writer wrote the value.
+	Writer string `msgpack:"w"`
+}
+
+// Has reports that the engine has a slot of the holder.
+func (s Slots) Has(engine, holder string) bool {
+	return slices.ContainsFunc(s.Taken, func(t Slot) bool { return t.Engine == engine && t.Holder == holder })
+}
+
+// WithTaken returns the slots with one taken or renewed for the engine; it reports false when all
+// limit slots are taken. lapsed reports that a slot's holder has given no sign for the lease time.
+func (s Slots) WithTaken(engine, holder string, limit int, lapsed func(Slot) bool) (Slots, bool) {
+	kept := make([]Slot, 0, len(s.Taken)+1)
+	renewal := uint64(0)
+	for _, t := range s.Taken {
+		switch {
+		case t.Engine == engine:
+			renewal = t.Renewal
+		case !lapsed(t):
+			kept = append(kept, t)
+		}
+	}
+	if len(kept) >= limit {
+		return s, false
+	}
+	kept = append(kept, Slot{Engine: engine, Holder: holder, Renewal: renewal + 1})
+	return Slots{Taken: kept, Sequence: s.Sequence + 1, Writer: holder}, true
+}
+
+// WithFreed returns the slots without the engine's.
+func (s Slots) WithFreed(engine, holder string) Slots {
+	kept := slices.DeleteFunc(slices.Clone(s.Taken), func(t Slot) bool { return t.Engine == engine && t.Holder == holder })
+	return Slots{Taken: kept, Sequence: s.Sequence + 1, Writer: holder}
+}
+
+// SlotLimit returns how many engines of a service may change at once. maxUnavailable is a share
+// from 0 to 1; at least one engine may change, or nothing would ever.
+func SlotLimit(engines int, maxUnavailable float64) int {
+	return max(1, int(float64(engines)*maxUnavailable))
+}
+
+// SlotWatch remembers when each slot was seen first in its present renewal, by the own clock.
+type SlotWatch struct{ seen []seenSlot }
+
+type seenSlot struct {
+	slot Slot
+	at   time.Time
+}
+
+// WithRead returns the watch after a read of the slots.
+func (w SlotWatch) WithRead(now time.Time, s Slots) SlotWatch {
+	next := make([]seenSlot, 0, len(s.Taken))
+	for _, t := range s.Taken {
+		at := now
+		for _, old := range w.seen {
+			if old.slot == t {
+				at = old.at
+			}
+		}
+		next = append(next, seenSlot{slot: t, at: at})
+	}
+	return SlotWatch{seen: next}
+}
+
+// Lapsed reports that the slot has been seen in the same renewal for the lease time.
+func (w SlotWatch) Lapsed(now time.Time, t Slot) bool {
+	for _, s := range w.seen {
+		if s.slot == t {
+			return now.Sub(s.at) >= LeaseTime+OrderTimeout
+		}
+	}
+	return false
+}
--- a/fake/engine/orders.go
+++ b/fake/engine/orders.go
@@ -3,28 +3,47 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 )
 
+// firstVersion is the version of the models that are loaded at start.
+const firstVersion = "1"
+
 // orders is the desired state of the engine and what it has reached.
 type orders struct {
-	last   order
-	loaded []string
+	last order
+	// loaded are the models and adapters that serve now.
+	loaded []orderedModel
 	// wanted replaces loaded at readyAt.
-	wanted  []string
+	wanted  []orderedModel
 	readyAt time.Duration
+	// taken counts the orders that were followed; loads counts the loads they started.
+	taken, loads int
 }
 
 type orderState struct {
 	FencingNumber uint64         `json:"fencingNumber"`
 	Models        []orderedModel `json:"models"`
-	Adapters      []string       `json:"adapters"`
+	Adapters      []orderedModel `json:"adapters"`
 	Role          string         `json:"role"`
-	Loaded        []string       `json:"loaded"`
+	Loaded        []orderedModel `json:"loaded"`
 	Loading       bool           `json:"loading"`
 }
 
-func newOrders(opts Options) orders { return orders{loaded: opts.Models, wanted: opts.Models} }
+// newOrders returns the state at start. A model of the options may carry a version, as name@2.
+func newOrders(opts Options) orders {
+	var loaded []orderedModel
+	for _, m := range opts.Models {
+		name, version, found := strings.Cut(m, "@")
+		if !found {
+			version = firstVersion
+		}
+		loaded = append(loaded, orderedModel{Name: name, Version: version})
+	}
+	return orders{loaded: loaded, wanted: loaded}
+}
 
 // at returns the orders with a finished load applied.
 func (o orders) at(now time.Duration) orders {
@@ -38,17 +57,41 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders = e.orders.at(e.now())
-	return e.orders.loaded
+	names := make([]string, 0, len(e.orders.loaded))
+	for _, m := range e.orders.loaded {
+		names = append(names, m.Name)
+	}
+	return names
 }
 
-// holds reports whether a model is loaded.
-func (e *Engine) holds(name string) bool {
-	for _, m := range e.models() {
-		if m == name {
-			return true
-		}
+// holds reports whether a model or adapter is loaded.
+func (e *Engine) holds(name string) bool { return slices.Contains(e.models(), name) }
+
+// Loading reports whether a load is under way.
+func (e *Engine) Loading() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.now() < e.orders.readyAt
+}
+
+// Loaded returns the loaded models and adapters as name@version.
+func (e *Engine) Loaded() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = e.orders.at(e.now())
+	var list []string
+	for _, m := range e.orders.loaded {
+		list = append(list, m.Name+"@"+m.Version)
 	}
-	return false
+	return list
+}
+
+// Orders returns the number of orders that the engine followed and the number of loads that they
+// started.
+func (e *Engine) Orders() (taken, loads int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders.taken, e.orders.loads
 }
 
 func (e *Engine) servePostOrder(w http.ResponseWriter, r *http.Request) {
@@ -66,27 +109,27 @@
 		return
 	}
 	present.last = o
-	if len(o.Models) > 0 {
-		present = present.withModels(o.Models, now+e.opts.LoadDelay)
-	}
-	e.orders = present
+	present.taken++
+	e.orders = present.withWanted(append(slices.Clone(o.Models), o.Adapters...), now, now+e.opts.LoadDelay)
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// withModels returns the orders with a load started when a model is new.
-func (o orders) withModels(models []orderedModel, readyAt time.Duration) orders {
-	present := map[string]bool{}
-	for _, name := range o.loaded {
-		present[name] = true
+// withWanted returns the orders with a load started when something is new. The same order again
+// leaves a load under way as it is.
+func (o orders) withWanted(wanted []orderedModel, now, readyAt time.Duration) orders {
+	if len(wanted) == 0 || slices.Equal(wanted, o.wanted) {
+		return o
 	}
-	o.wanted = nil
-	o.readyAt = 0
-	for _, m := range models {
-		o.wanted = append(o.wanted, m.Name)
-		if !present[m.Name] {
+	o.wanted = wanted
+	o.readyAt = now
+	for _, m := range wanted {
+		if !slices.Contains(o.loaded, m) {
 			o.readyAt = readyAt
 		}
 	}
+	if o.readyAt > now {
+		o.loads++
+	}
 	return o
 }
 
--- a/fake/engine/wire.go
+++ b/fake/engine/wire.go
@@ -110,7 +110,7 @@
 	FencingNumber uint64         `json:"fencingNumber"`
 	LeaseMillis   int64          `json:"leaseMillis"`
 	Models        []orderedModel `json:"models"`
-	Adapters      []string       `json:"adapters"`
+	Adapters      []orderedModel `json:"adapters"`
 	Role          string         `json:"role"`
 }
 
--- a/fake/fleet/fleet.go
+++ b/fake/fleet/fleet.go
@@ -51,6 +51,12 @@
 
 const region = "addis"
 
+// Times between the looks of the engines' homes.
+const (
+	orderLook     = 100 * time.Millisecond
+	orderReadBack = 20 * time.Millisecond
+)
+
 // Fleet is a running site. Its methods are safe for concurrent use.
 type Fleet struct {
 	Store   *store.Store
@@ -136,6 +142,7 @@
 		return merry.Errorf("listen: %w", err)
 	}
 	opts := serve.NewOptions(n.settings, f.opts.Log).WithSignals(false).WithListeners(callers, operators).
+		WithOrderIntervals(orderLook, orderReadBack).
 		WithPlatform(f.Store.Client(), f.List.Client(n.settings.VMID))
 	server, err := serve.New(opts)
 	if err != nil {
@@ -201,6 +208,14 @@
 	}
 }
 
+// Apply publishes another configuration through VM i.
+func (f *Fleet) Apply(ctx context.Context, i int, set config.Set) error {
+	if _, err := f.Server(i).Follower().Apply(ctx, time.Now(), "fleet", set, nil); err != nil {
+		return merry.Errorf("publish configuration: %w", err)
+	}
+	return nil
+}
+
 // readyPoll is the time between two looks at whether the fleet is ready.
 const readyPoll = 20 * time.Millisecond
 
--- /dev/null
+++ b/io/order/order_test.go
@@ -0,0 +1,143 @@
+package order
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	core "mothcart/core/order"
+	"mothcart/core/vm"
+	fakeengine "mothcart/fake/engine"
+	fakestore "mothcart/fake/store"
+	"mothcart/io/engine"
+	"mothcart/io/store"
+)
+
+// patience bounds the wait for something that must happen; it is not a measure of speed.
+const patience = 30 * time.Second
+
+func desired(version string) core.Desired {
+	return core.Desired{Models: []core.Loaded{{Name: "scribe", Version: version}}}
+}
+
+func startEngines(t *testing.T, n int, checks bool) []*fakeengine.Engine {
+	var list []*fakeengine.Engine
+	for range n {
+		e, err := fakeengine.New(fakeengine.NewOptions().WithModels("scribe").WithCheckFencing(checks).WithLoadDelay(40 * time.Millisecond))
+		require.NoError(t, err)
+		t.Cleanup(e.Close)
+		list = append(list, e)
+	}
+	return list
+}
+
+func targets(engines []*fakeengine.Engine, checks bool, version string) func() []Target {
+	return func() []Target {
+		var list []Target
+		for i, e := range engines {
+			list = append(list, Target{
+				Engine: vm.VM{ID: fmt.Sprintf("e%d", i), Address: e.Address()}, Service: "s", ChecksFence: checks,
+				MaxUnavailable: 0.25, Engines: len(engines), Desired: desired(version),
+			})
+		}
+		return list
+	}
+}
+
+func startRunner(t *testing.T, holder string, c store.Client, f func() []Target) *Runner {
+	client := engine.New(engine.NewOptions())
+	t.Cleanup(client.Close)
+	r := New(NewOptions(holder, c, client).WithTargets(f).WithIntervals(5*time.Millisecond, 5*time.Millisecond))
+	t.Cleanup(r.Close)
+	return r
+}
+
+func allHold(engines []*fakeengine.Engine, want string) bool {
+	return !slices.ContainsFunc(engines, func(e *fakeengine.Engine) bool { return !slices.Contains(e.Loaded(), want) })
+}
+
+// Two VMs that both believe to be home roll a version out: capacity is kept, and each engine loads
+// the version once.
+func TestRollOutKeepsCapacity(t *testing.T) {
+	engines := startEngines(t, 8, true)
+	s := fakestore.New(fakestore.NewOptions().WithRates(1e6, 1e6))
+	startRunner(t, "v1", s.Client(), targets(engines, true, "2"))
+	startRunner(t, "v2", s.Client(), targets(engines, true, "2"))
+	require.Eventually(t, func() bool {
+		loading := 0
+		for _, e := range engines {
+			if e.Loading() {
+				loading++
+			}
+		}
+		assert.LessOrEqual(t, loading, 2, "8 engines, a quarter may change at once")
+		return allHold(engines, "scribe@2")
+	}, patience, time.Millisecond)
+	for _, e := range engines {
+		_, loads := e.Orders()
+		assert.Equal(t, 1, loads)
+	}
+}
+
+func TestNothingIsWrittenWhileEnginesHoldWhatTheyShould(t *testing.T) {
+	engines := startEngines(t, 2, true)
+	s := fakestore.New(fakestore.NewOptions())
+	r := startRunner(t, "v1", s.Client(), targets(engines, true, "1"))
+	time.Sleep(50 * time.Millisecond)
+	r.Close()
+	assert.Zero(t, s.Calls())
+}
+
+// A holder that was paused after it took the lease resumes when another has taken over.
+func TestPausedHolder(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		checks bool
+	}{{"engines that check fencing numbers", true}, {"engines that ignore them", false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			engines := startEngines(t, 1, tc.checks)
+			s := fakestore.New(fakestore.NewOptions())
+			client := engine.New(engine.NewOptions())
+			defer client.Close()
+			old := &Runner{opts: NewOptions("old", s.Client(), client), ctx: context.Background(), leases: map[string]core.Observed{}, watches: map[string]core.SlotWatch{}}
+			young := &Runner{opts: NewOptions("young", s.Client(), client), ctx: context.Background(), leases: map[string]core.Observed{}, watches: map[string]core.SlotWatch{}}
+			target := targets(engines, tc.checks, "2")()[0]
+			held, err := old.takeLease(target)
+			require.NoError(t, err)
+
+			second, err := young.takeLease(target)
+			if !tc.checks {
+				require.ErrorIs(t, err, errBusy, "the new holder waits the lease and the longest order out")
+				assert.False(t, held.MayOrder(time.Now().Add(core.LeaseTime-core.OrderTimeout)), "the old one stops before")
+				return
+			}
+			require.NoError(t, err)
+			require.NoError(t, client.Order(context.Background(), engines[0].Address(), second.Record.Fence, desired("2")))
+			err = client.Order(context.Background(), engines[0].Address(), held.Record.Fence, desired("1"))
+			require.ErrorIs(t, err, engine.ErrOldFence)
+			_, err = old.renewLease(target.Engine.ID, held)
+			require.ErrorIs(t, err, errBusy)
+			old.release(target.Engine.ID, held)
+			record, _, err := read[core.Record](context.Background(), s.Client(), leaseKey(target.Engine.ID))
+			require.NoError(t, err)
+			assert.Equal(t, "young", record.Holder, "the old holder's release changes nothing")
+		})
+	}
+}
+
+// Answers of writes that took effect are lost; the roll-out still ends, once.
+func TestRollOutWithLostAnswers(t *testing.T) {
+	engines := startEngines(t, 4, true)
+	s := fakestore.New(fakestore.NewOptions().WithRates(1e6, 1e6).WithLostAnswerShare(0.3))
+	startRunner(t, "v1", s.Client(), targets(engines, true, "2"))
+	require.Eventually(t, func() bool { return allHold(engines, "scribe@2") }, patience, 5*time.Millisecond)
+	for _, e := range engines {
+		_, loads := e.Orders()
+		assert.Equal(t, 1, loads)
+	}
+}
--- a/io/serve/options.go
+++ b/io/serve/options.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
@@ -24,6 +25,9 @@
 	// Callers and Operators are the listeners of the two HTTP ports; nil means that the process
 	// listens on the settings' addresses.
 	Callers, Operators net.Listener
+	// OrderLook is the time between two looks at the engines' models, and OrderReadBack that between
+	// two reads of an engine that loads.
+	OrderLook, OrderReadBack time.Duration
 	// Signals makes the process drain at SIGTERM or an interrupt.
 	Signals bool
 }
@@ -38,6 +42,9 @@
 		Store:    store.NewHTTP(cfg.StoreURL, hc),
 		VMList:   vmlist.NewHTTP(cfg.VMListURL, cfg.VMID, hc),
 		Signals:  true,
+
+		OrderLook:     2 * time.Second,
+		OrderReadBack: 200 * time.Millisecond,
 	}
 }
 
@@ -55,6 +62,13 @@
 	return o
 }
 
+// WithOrderIntervals returns a copy with the times of looks and reads of the engines' models set.
+func (o Options) WithOrderIntervals(look, readBack time.Duration) Options {
+	o.OrderLook = look
+	o.OrderReadBack = readBack
+	return o
+}
+
 // WithSignals returns a copy that drains at signals, or does not.
 func (o Options) WithSignals(on bool) Options {
 	o.Signals = on
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -30,6 +30,7 @@
 	"mothcart/io/engine"
 	"mothcart/io/job"
 	"mothcart/io/ledger"
+	"mothcart/io/order"
 	"mothcart/io/peer"
 	"mothcart/io/published"
 	"mothcart/io/service"
@@ -56,6 +57,8 @@
 	home     atomic.Pointer[upstream.Home]
 	ledger   *ledger.Ledger
 	jobs     *job.Jobs
+	orders   *order.Runner
+	assigned assignment
 	handler  *caller.Handler
 
 	upstreams upstreamList
@@ -156,6 +159,7 @@
 	s.handler = s.newHandler()
 	s.home.Store(upstream.NewHome(upstream.NewHomeOptions(s.peers, s.router, s.control, s.batch).
 		WithItems(upstream.ItemSource{Take: s.takeItems}).WithLog(s.opts.Log, s.opts.Registry)))
+	s.startOrders(counted)
 	return nil
 }
 
@@ -242,6 +246,9 @@
 	if home := s.home.Load(); home != nil {
 		home.Close()
 	}
+	if s.orders != nil {
+		s.orders.Close()
+	}
 	if s.jobs != nil {
 		s.jobs.Close()
 	}
--- a/io/serve/serve_test.go
+++ b/io/serve/serve_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"mothcart/core/config"
 	"mothcart/core/vm"
 	"mothcart/fake/engine"
 	"mothcart/fake/fleet"
@@ -380,3 +382,24 @@
 		}, patience, 50*time.Millisecond)
 	}
 }
+
+// A new model declared on one VM is loaded by the engines' homes and served by every VM, while
+// requests for the old one go on.
+func TestDeclaredModelIsLoadedAndServed(t *testing.T) {
+	f := site(t, fleet.NewOptions().WithVMs(3).WithEngines(4, fastEngine().WithLoadDelay(100*time.Millisecond)))
+	set := f.Config()
+	set.Models = append(set.Models, config.Model{Name: "scribe-next", Service: fleet.EngineService, Version: "2", MemoryMiB: 20000, Replicas: 2})
+	require.NoError(t, f.Apply(context.Background(), 1, set))
+	body := strings.Replace(chatBody("hello", 4), fleet.Model, "scribe-next", 1)
+	for _, s := range f.Servers() {
+		require.Eventually(t, func() bool { return post(s, chat, body).status == http.StatusOK }, patience, 20*time.Millisecond)
+	}
+	askMany(t, f, 9, 4)
+	holding := 0
+	for _, e := range f.Engines {
+		if slices.Contains(e.Loaded(), "scribe-next@2") {
+			holding++
+		}
+	}
+	assert.Equal(t, 2, holding)
+}
--- a/io/upstream/home.go
+++ b/io/upstream/home.go
@@ -189,6 +189,12 @@
 	return list
 }
 
+// IsHome reports whether this VM is home of the upstream.
+func (h *Home) IsHome(id string) bool {
+	_, ok := h.engine(id)
+	return ok
+}
+
 // engine returns the upstream that this VM is home of.
 func (h *Home) engine(id string) (*engineHome, bool) {
 	h.mu.Lock()
