Compare routing policies, mend the random choices, add load

The second draw was the first rotated; modulo 10 both agreed modulo 5, so an upstream competed with one other only.

Ruled out: own counts and digests; with the same draws both policies agree.

Change: draws by high bits of successive numbers; four choices; others are taken to do half as this VM did since the digest, against herds; prefix bonus 0.3. experiment/routing with the real table in virtual time, load with reports, mothcart load.

--- a/cmd/mothcart/main.go
+++ b/cmd/mothcart/main.go
@@ -44,6 +44,7 @@
 		auditCommand(),
 		jobCommand(),
 		demoCommand(),
+		loadCommand(),
 		fakeCommand(),
 		versionCommand(),
 	}
--- a/core/rendezvous/rendezvous.go
+++ b/core/rendezvous/rendezvous.go
@@ -61,11 +61,14 @@
 
 // Weight returns the pseudo-random weight of the member id for key.
 func Weight(key, id string) uint64 {
-	return Combine(xxhash.Sum64String(key), xxhash.Sum64String(id))
+	return Combine(xxhash.Sum64String(key), MemberHash(id))
 }
 
-// Combine returns the weight for the hashes of a key and of a member.
-func Combine(key, member uint64) uint64 { return mix(key ^ mix(member)) }
+// MemberHash returns the hash of a member for Combine.
+func MemberHash(id string) uint64 { return mix(xxhash.Sum64String(id)) }
+
+// Combine returns the weight for the hash of a key and the MemberHash of a member.
+func Combine(key, member uint64) uint64 { return mix(key ^ member) }
 
 // mix is the finalizer of the 64-bit Murmur hash; it spreads each input bit over the output.
 func mix(x uint64) uint64 {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -15,11 +15,10 @@
 package route
 
 import (
+	"math/bits"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"mothcart/core/rendezvous"
 	"mothcart/core/vm"
 )
@@ -32,7 +31,7 @@
 	// otherRegionPenalty is added for an upstream in another region.
 	otherRegionPenalty = 1
 	// prefixBonus is taken off for the upstream that the request's prefix prefers.
-	prefixBonus = 0.35
+	prefixBonus = 0.3
 	// waitingWeight counts a request that waits inside the upstream against one that runs.
 	waitingWeight = 2
 )
@@ -41,7 +40,14 @@
 const StaleAfter = 3 * time.Second
 
 // randomChoices is the number of upstreams drawn at random for a pick.
-const randomChoices = 2
+const randomChoices = 4
+
+// likeness is how much the other VMs are taken to do as this one did since the digest's time: all
+// saw the same digest. Without it they would all choose the upstream that looked idle.
+const likeness = 0.5
+
+// drawMultiplier makes the next random number from the last; its high bits choose the upstream.
+const drawMultiplier = 6364136223846793005
 
 // anyBit means that every name of the service is served.
 const anyBit = ^uint64(0)
@@ -80,7 +86,6 @@
 	Own *Counter
 
 	distance float64
-	hash     uint64
 	serves   uint64
 }
 
@@ -90,23 +95,26 @@
 	self    vm.VM
 	vms     int32
 	entries []*Entry
-	byID    map[string]int
-	names   []string
+	// hashes are the members' hashes for rendezvous, in the order of entries.
+	hashes []uint64
+	byID   map[string]int
+	names  []string
 }
 
-// NewTable returns a table for the VM self, one of vms that route to the service. capacity is the
+// NewTable returns a table for the VM self; vms is the mean number of VMs that route to one of the
+// upstreams. capacity is the
 // number of requests an upstream serves at once until a digest tells; names are the models and
 // adapters of the service, at most 64; counter returns the live counter of an upstream.
 func NewTable(self vm.VM, vms int, upstreams []vm.VM, capacity int, names []string, counter func(id string) *Counter) Table {
 	t := Table{self: self, vms: int32(max(1, vms)), byID: make(map[string]int, len(upstreams)), names: names}
 	for i, u := range upstreams {
 		t.byID[u.ID] = i
+		t.hashes = append(t.hashes, rendezvous.MemberHash(u.ID))
 		t.entries = append(t.entries, &Entry{
 			Upstream: u,
 			Digest:   Digest{Capacity: int32(max(1, capacity))},
 			Own:      counter(u.ID),
 			distance: distance(self, u),
-			hash:     xxhash.Sum64String(u.ID),
 			serves:   anyBit,
 		})
 	}
@@ -227,8 +235,9 @@
 	}
 	random := w.Random
 	for range randomChoices {
-		i := t.nextQualified(now, int(random%uint64(n)), w)
-		random = random>>32 | random<<32
+		var start int
+		start, random = draw(random, n)
+		i := t.nextQualified(now, start, w)
 		if i < 0 {
 			break
 		}
@@ -242,13 +251,19 @@
 	return best, best >= 0
 }
 
+// draw returns a number from 0 to n-1 and the next random number.
+func draw(random uint64, n int) (int, uint64) {
+	i, _ := bits.Mul64(random, uint64(n))
+	return int(i), random*drawMultiplier + 1
+}
+
 // preferred returns the upstream that holds the prefix with the greatest chance: the owner of the
 // prefix by rendezvous, which every VM computes alike without messages.
-func (t Table) preferred(now time.Time, w Want) int {
+func (t *Table) preferred(now time.Time, w Want) int {
 	best := -1
 	var bestWeight uint64
-	for i, e := range t.entries {
-		weight := rendezvous.Combine(w.Prefix, e.hash)
+	for i, hash := range t.hashes {
+		weight := rendezvous.Combine(w.Prefix, hash)
 		if (best < 0 || weight > bestWeight) && t.qualifies(now, i, w) {
 			best, bestWeight = i, weight
 		}
@@ -257,7 +272,7 @@
 }
 
 // nextQualified returns the first upstream from start on, round the table, that qualifies.
-func (t Table) nextQualified(now time.Time, start int, w Want) int {
+func (t *Table) nextQualified(now time.Time, start int, w Want) int {
 	n := len(t.entries)
 	for k := range n {
 		i := start + k
@@ -271,7 +286,7 @@
 	return -1
 }
 
-func (t Table) anyWithRoom(now time.Time, w Want) (int, bool) {
+func (t *Table) anyWithRoom(now time.Time, w Want) (int, bool) {
 	best, bestScore := -1, 0.0
 	for i := range t.entries {
 		if !t.qualifies(now, i, w) || !t.hasRoom(now, i) {
@@ -284,29 +299,31 @@
 	return best, best >= 0
 }
 
-func (t Table) qualifies(now time.Time, i int, w Want) bool {
+func (t *Table) qualifies(now time.Time, i int, w Want) bool {
 	e := t.entries[i]
 	return i != w.Exclude-1 && !e.Upstream.Leaving && e.serves&w.Bit != 0 && !e.Health.Ejected(now)
 }
 
-func (t Table) hasRoom(now time.Time, i int) bool {
+func (t *Table) hasRoom(now time.Time, i int) bool {
 	e := t.entries[i]
 	return t.load(now, e)*e.Health.Slowdown(now) < float64(e.Digest.Capacity)
 }
 
-func (t Table) score(now time.Time, i int) float64 {
+func (t *Table) score(now time.Time, i int) float64 {
 	e := t.entries[i]
 	load := t.load(now, e) + waitingWeight*float64(e.Digest.Waiting)
 	return (load+1)*e.Health.Slowdown(now)/float64(e.Digest.Capacity) + e.distance
 }
 
 // load estimates the requests in flight at the upstream: the VM's own, which are exact, and those
-// of others by the digest. Without a fresh digest the others are taken to send as this VM does.
-func (t Table) load(now time.Time, e *Entry) float64 {
+// of others by the digest and by what this VM did since. Without a fresh digest the others are
+// taken to send as this VM does.
+func (t *Table) load(now time.Time, e *Entry) float64 {
 	own := e.Own.Load()
-	others := max(0, e.Digest.InFlight-e.Digest.Yours)
 	if e.Digest.At.IsZero() || now.Sub(e.Digest.At) > StaleAfter {
-		others = max(own*(t.vms-1), 0)
+		return float64(own * t.vms)
 	}
-	return float64(own + others)
+	others := float64(max(0, e.Digest.InFlight-e.Digest.Yours))
+	since := float64(own - e.Digest.Yours)
+	return float64(own) + max(0, others+likeness*float64(t.vms-1)*since)
 }
--- a/demo/calls.go
+++ b/demo/calls.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"mothcart/fake/fleet"
+	"mothcart/load"
 )
 
 const (
@@ -45,7 +46,7 @@
 func (c *calls) play(ctx context.Context, d time.Duration) {
 	end := time.Now().Add(d)
 	for time.Now().Before(end) {
-		if !wait(ctx, time.Duration(c.rng.ExpFloat64()/callRate*float64(time.Second))) {
+		if !load.Wait(ctx, time.Duration(c.rng.ExpFloat64()/callRate*float64(time.Second))) {
 			return
 		}
 		c.mu.Lock()
@@ -79,7 +80,7 @@
 			c.check(ctx, n, unknown)
 			return
 		}
-		if !wait(ctx, callPause) {
+		if !load.Wait(ctx, callPause) {
 			break
 		}
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -17,6 +17,7 @@
 
 	"mothcart/fake/engine"
 	"mothcart/fake/fleet"
+	"mothcart/load"
 )
 
 // Faults that can be injected in the middle of the run.
@@ -116,12 +117,12 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if r.opts.Fault == FaultNone || !wait(ctx, after) {
+		if r.opts.Fault == FaultNone || !load.Wait(ctx, after) {
 			return
 		}
 		fmt.Fprintf(r.out, "fault: %s\n", r.opts.Fault)
 		undo := r.inject()
-		wait(ctx, after)
+		load.Wait(ctx, after)
 		undo()
 		fmt.Fprintf(r.out, "fault undone: %s\n", r.opts.Fault)
 	}()
@@ -156,15 +157,3 @@
 
 // silentShare is the share of streams whose connection goes silent under that fault.
 const silentShare = 0.1
-
-// wait sleeps; it reports false when ctx ended before.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/demo/job.go
+++ b/demo/job.go
@@ -12,6 +12,7 @@
 	"mothcart/fake/engine"
 	"mothcart/fake/fleet"
 	"mothcart/io/job"
+	"mothcart/load"
 )
 
 const (
@@ -41,7 +42,11 @@
 	b := &batchJob{fleet: f, items: opts.items()}
 	b.spec = job.Spec{Team: fleet.BatchTeam, Account: "roster", Key: fmt.Sprintf("roster-%d", opts.Seed), Class: "night", Model: fleet.Model, Endpoint: "/v1/chat/completions"}
 	for i := range b.items {
-		b.spec.Items = append(b.spec.Items, job.ItemSpec{CustomID: fmt.Sprintf("line%d", i), Body: chatBody(itemPrompt(i), batchTokens, false)})
+		body, err := load.ChatBody(fleet.Model, itemPrompt(i), batchTokens, false)
+		if err != nil {
+			return nil, merry.Errorf("item %d: %w", i, err)
+		}
+		b.spec.Items = append(b.spec.Items, job.ItemSpec{CustomID: fmt.Sprintf("line%d", i), Body: body})
 	}
 	first, err := f.Server(0).Jobs().Submit(ctx, b.spec)
 	if err != nil {
@@ -79,7 +84,7 @@
 func (b *batchJob) watch(ctx context.Context, w io.Writer) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
-		for wait(ctx, watchInterval) {
+		for load.Wait(ctx, watchInterval) {
 			if s, err := b.status(ctx); err == nil {
 				fmt.Fprintf(w, "batch: %d of %d items have an outcome\n", decided(s.Counts), b.items)
 			}
@@ -110,7 +115,7 @@
 			o.state = s.Head.State.String()
 			break
 		}
-		if !wait(ctx, 100*time.Millisecond) {
+		if !load.Wait(ctx, 100*time.Millisecond) {
 			break
 		}
 	}
--- a/demo/report.go
+++ b/demo/report.go
@@ -6,27 +6,19 @@
 	"io"
 	"text/tabwriter"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"mothcart/fake/engine"
+	"mothcart/load"
 )
 
-// Latency is the quantiles of a time, in milliseconds.
-type Latency struct {
-	P50 float64 `json:"p50Millis"`
-	P95 float64 `json:"p95Millis"`
-	P99 float64 `json:"p99Millis"`
-}
-
 // Online is the result of one phase of online requests.
 type Online struct {
-	Sent       int     `json:"sent"`
-	Whole      int     `json:"whole"`
-	Lost       int     `json:"lost"`
-	Wrong      int     `json:"wrong"`
-	Resent     int     `json:"resent"`
-	FirstToken Latency `json:"firstToken"`
-	InterToken Latency `json:"interToken"`
+	Sent       int            `json:"sent"`
+	Whole      int            `json:"whole"`
+	Lost       int            `json:"lost"`
+	Wrong      int            `json:"wrong"`
+	Resent     int            `json:"resent"`
+	FirstToken load.Quantiles `json:"firstToken"`
+	InterToken load.Quantiles `json:"interToken"`
 }
 
 // Batch is the result of the job.
@@ -88,7 +80,7 @@
 		Calls: Calls{Sent: c.sent, Done: c.done, Unknown: c.unknown, Open: c.open, Doubled: c.doubled(), Mismatch: c.mismatch},
 	}
 	besideSeconds := (r.opts.Duration - r.opts.Duration/3).Seconds()
-	report.Batch.IdleShare = batchRate / idleBound(r.opts.Engines, float64(beside.sent)/besideSeconds)
+	report.Batch.IdleShare = batchRate / idleBound(r.opts.Engines, float64(report.Beside.Sent)/besideSeconds)
 	report.Passed = report.OK()
 	return report
 }
@@ -102,18 +94,6 @@
 	return max(1, (tokens-onlinePerSecond*answerTokens)/batchTokens)
 }
 
-func (o *online) result() Online {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return Online{Sent: o.sent, Whole: o.whole, Lost: o.lost, Wrong: o.wrong, Resent: o.retries, FirstToken: latency(o.first), InterToken: latency(o.between)}
-}
-
-func latency(h *hdrhistogram.Histogram) Latency {
-	const microsPerMilli = 1000
-	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / microsPerMilli }
-	return Latency{P50: at(50), P95: at(95), P99: at(99)}
-}
-
 // WriteTable writes the report for people.
 func (r Report) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
@@ -141,12 +121,9 @@
 	return err
 }
 
-// String renders the quantiles for the table.
-func (l Latency) String() string { return fmt.Sprintf("%.1f / %.1f / %.1f", l.P50, l.P95, l.P99) }
-
 type wholeBody struct {
 	Choices []struct {
-		Message chatMessage `json:"message"`
+		Message load.Message `json:"message"`
 	} `json:"choices"`
 }
 
--- /dev/null
+++ b/experiment/routing/policy.go
@@ -0,0 +1,72 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"mothcart/core/route"
+)
+
+// policy picks an engine for a request that arrives at a VM.
+type policy struct {
+	name string
+	pick func(v *router, rng *rand.Rand, now time.Time, a arrival) (int, bool)
+}
+
+// policies lists the product's policy last.
+func policies() []policy {
+	return []policy{
+		{"random", pickRandom},
+		{"round robin", pickRoundRobin},
+		{"least reported", pickLeastReported},
+		{"two choices of reported", pickTwoReported},
+		{"product without prefix", pickProduct(false)},
+		{"product", pickProduct(true)},
+	}
+}
+
+func pickRandom(v *router, rng *rand.Rand, _ time.Time, _ arrival) (int, bool) {
+	return v.alive(rng.IntN(v.table.Len()))
+}
+
+func pickRoundRobin(v *router, _ *rand.Rand, _ time.Time, _ arrival) (int, bool) {
+	v.turn++
+	return v.alive(v.turn % v.table.Len())
+}
+
+// pickLeastReported takes the engine with the fewest requests in the last report.
+func pickLeastReported(v *router, rng *rand.Rand, _ time.Time, _ arrival) (int, bool) {
+	best, bestLoad := -1, int32(0)
+	start := rng.IntN(v.table.Len())
+	for k := range v.table.Len() {
+		i := (start + k) % v.table.Len()
+		if load := v.table.Entry(i).Digest.InFlight; !v.dead[i] && (best < 0 || load < bestLoad) {
+			best, bestLoad = i, load
+		}
+	}
+	return best, best >= 0
+}
+
+// pickTwoReported takes the better of two random engines by the last report.
+func pickTwoReported(v *router, rng *rand.Rand, _ time.Time, _ arrival) (int, bool) {
+	a, okA := v.alive(rng.IntN(v.table.Len()))
+	b, okB := v.alive(rng.IntN(v.table.Len()))
+	if okB && (!okA || v.table.Entry(b).Digest.InFlight < v.table.Entry(a).Digest.InFlight) {
+		return b, true
+	}
+	return a, okA
+}
+
+// pickProduct is the table of core/route.
+func pickProduct(usePrefix bool) func(*router, *rand.Rand, time.Time, arrival) (int, bool) {
+	return func(v *router, rng *rand.Rand, now time.Time, a arrival) (int, bool) {
+		w := route.Want{Bit: v.table.Bit(""), Random: rng.Uint64()}
+		if usePrefix {
+			w.Prefix = a.prefix * prefixSpread
+		}
+		return v.table.Pick(now, w)
+	}
+}
+
+// prefixSpread turns small prefix numbers into hashes.
+const prefixSpread = 0x9e3779b97f4a7c15
--- a/io/upstream/router.go
+++ b/io/upstream/router.go
@@ -149,7 +149,7 @@
 	}
 	subset := route.Subset(r.opts.Self, upstreams, route.SubsetSize)
 	names := namesOf(r.seenConfig, cfg.Name)
-	s.table = route.NewTable(r.opts.Self, r.opts.VMs(), subset, capacity, names, r.counter).WithStateOf(old)
+	s.table = route.NewTable(r.opts.Self, r.sharers(len(subset), len(upstreams)), subset, capacity, names, r.counter).WithStateOf(old)
 	for _, u := range subset {
 		if _, known := old.Find(u.ID); !known && old.Len() > 0 {
 			s.table = s.table.WithHealth(u.ID, route.Health{}.WithReturn(now))
@@ -163,6 +163,12 @@
 	}
 }
 
+// sharers returns the mean number of VMs that route to one upstream, when each VM routes to subset
+// of all upstreams.
+func (r *Router) sharers(subset, all int) int {
+	return max(1, r.opts.VMs()*subset/max(1, all))
+}
+
 func (r *Router) counter(id string) *route.Counter {
 	c, ok := r.counters[id]
 	if !ok {
