--- a/io/ledger/ledger.go
+++ b/io/ledger/ledger.go
@@ -12,7 +12,8 @@
 // sent again. A request without a key is sent once by the VM that took it and is not recorded; a
 // resend of it is a new request.
 //
-// ErrDidNotRun means that the request did not run and will not. With the object service out, new
+// ErrDidNotRun means that this sending of the request did not run and will not; an earlier sending
+// of the same key has its own answer, so send again with the same key, not with a new one. With the object service out, new
 // work is refused so; results in hand are kept and written when the service is back.
 //
 // Usage:
--- a/io/ledger/load.go
+++ b/io/ledger/load.go
@@ -47,7 +47,7 @@
 		return 0
 	}
 	s.backoff = 0
-	s.version = version
+	s.version, s.confirmedAt = version, time.Now()
 	s.filters = filters
 	s.checked = true
 	s.countTakeover(head)
--- a/io/ledger/lookup.go
+++ b/io/ledger/lookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -9,16 +10,24 @@
 	"mothcart/io/store"
 )
 
-// lookup returns the request with the ID. That there is none is said only after the head was
-// found to be unchanged, since another home may have taken the shard.
+// openStaleness is the time for which an open request is reported without asking the object
+// service whether another home has taken the shard.
+const openStaleness = time.Second
+
+// lookup returns the request with the ID. A final outcome never changes; that there is no request
+// is said only after the head was found to be unchanged.
 func (s *shard) lookup(ctx context.Context, id core.ID, team string) (Reply, error) {
 	if err := s.hold(ctx); err != nil {
 		return Reply{}, merry.Errorf("shard %d: %w: %w", s.number, ErrUnavailable, err)
 	}
 	s.mu.Lock()
+	if !s.state.Held() {
+		s.mu.Unlock()
+		return Reply{}, merry.Errorf("shard %d: %w", s.number, errReroute)
+	}
 	r, ok := s.state.Record(id)
 	blocks := s.candidates(id)
-	version := s.version
+	version, confirmed := s.version, s.confirmedAt
 	s.mu.Unlock()
 	if !ok && len(blocks) > 0 {
 		found, _, err := s.search(ctx, id, blocks)
@@ -30,7 +39,10 @@
 		}
 	}
 	if !ok {
-		return Reply{}, s.confirmAbsence(ctx, version)
+		if err := s.confirm(ctx, version); err != nil {
+			return Reply{}, err
+		}
+		return Reply{}, merry.Errorf("shard %d: %w", s.number, ErrNotFound)
 	}
 	if r.Team != team {
 		return Reply{}, merry.Errorf("shard %d: %w", s.number, ErrNotFound)
@@ -38,21 +50,27 @@
 	if r.State.Final() {
 		return s.recorded(ctx, r)
 	}
+	if time.Since(confirmed) > openStaleness {
+		if err := s.confirm(ctx, version); err != nil {
+			return Reply{}, err
+		}
+	}
 	return reply(r, false), nil
 }
 
-// confirmAbsence returns ErrNotFound if the head has the version, and errReroute otherwise.
-func (s *shard) confirmAbsence(ctx context.Context, version store.Version) error {
+// confirm reads the head and fails with errReroute unless it still has the version.
+func (s *shard) confirm(ctx context.Context, version store.Version) error {
 	_, current, err := s.readHead(ctx)
-	switch {
-	case err != nil:
+	if err != nil {
 		return merry.Errorf("shard %d: %w: %w", s.number, ErrUnavailable, err)
-	case current == version:
-		return merry.Errorf("shard %d: %w", s.number, ErrNotFound)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.version == version && !s.state.Writing() {
+	switch {
+	case current == version:
+		s.confirmedAt = time.Now()
+		return nil
+	case s.version == version && s.state.Held() && !s.state.Writing():
 		s.lose(core.NotApplied)
 	}
 	return merry.Errorf("shard %d: %w", s.number, errReroute)
--- a/io/ledger/shard.go
+++ b/io/ledger/shard.go
@@ -30,7 +30,9 @@
 	mu      sync.Mutex
 	state   core.Shard
 	version store.Version
-	waiters map[core.ID][]*waiter
+	// confirmedAt is when the head was last known to have the version.
+	confirmedAt time.Time
+	waiters     map[core.ID][]*waiter
 	// wantLoad asks the writer goroutine to read the head; loaded is closed when it has tried.
 	wantLoad bool
 	loaded   chan struct{}
@@ -140,7 +142,7 @@
 	defer s.mu.Unlock()
 	switch w.end {
 	case committed:
-		s.version = w.version
+		s.version, s.confirmedAt = w.version, time.Now()
 		s.backoff = 0
 		s.adoptHistory()
 		s.apply(s.state.Committed(time.Now()))
