--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -20,6 +20,7 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/go-kratos/kratos/v2"
+	kratoslog "github.com/go-kratos/kratos/v2/log"
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"mothcart/core/vm"
@@ -29,6 +30,7 @@
 	"mothcart/io/engine"
 	"mothcart/io/job"
 	"mothcart/io/ledger"
+	"mothcart/io/order"
 	"mothcart/io/peer"
 	"mothcart/io/published"
 	"mothcart/io/service"
@@ -55,6 +57,8 @@
 	home     atomic.Pointer[upstream.Home]
 	ledger   *ledger.Ledger
 	jobs     *job.Jobs
+	orders   *order.Runner
+	assigned assignment
 	handler  *caller.Handler
 
 	upstreams upstreamList
@@ -155,6 +159,7 @@
 	s.handler = s.newHandler()
 	s.home.Store(upstream.NewHome(upstream.NewHomeOptions(s.peers, s.router, s.control, s.batch).
 		WithItems(upstream.ItemSource{Take: s.takeItems}).WithLog(s.opts.Log, s.opts.Registry)))
+	s.startOrders(counted)
 	return nil
 }
 
@@ -180,10 +185,10 @@
 	}
 	callers := newHTTPServer(s.callers, callerTLS, s.handler, cfg.ReadHeaderTimeout)
 	operators := newHTTPServer(s.ops, operatorTLS, s.operatorHandler(), cfg.ReadHeaderTimeout)
+	kratosLogOnce.Do(func() { kratoslog.SetLogger(kratosLog{log: s.opts.Log}) })
 	s.servers = []*kratoshttp.Server{callers, operators}
 	s.app = kratos.New(
 		kratos.ID(cfg.VMID), kratos.Name("mothcart"),
-		kratos.Logger(kratosLog{log: s.opts.Log}),
 		kratos.Server(callers, operators),
 		kratos.Signal(unusedSignal),
 		kratos.StopTimeout(time.Second),
@@ -241,6 +246,9 @@
 	if home := s.home.Load(); home != nil {
 		home.Close()
 	}
+	if s.orders != nil {
+		s.orders.Close()
+	}
 	if s.jobs != nil {
 		s.jobs.Close()
 	}
@@ -265,6 +273,17 @@
 // Members returns the number of entry VMs that this one sees, itself included.
 func (s *Server) Members() int { return len(s.peers.View().VMs) }
 
+// UpstreamLeaving reports whether this VM knows that the upstream is leaving.
+func (s *Server) UpstreamLeaving(id string) bool {
+	list, _ := s.upstreams.current()
+	for _, u := range list {
+		if u.ID == id {
+			return u.Leaving
+		}
+	}
+	return false
+}
+
 // Kill cuts all connections and ends the process's parts at once, as the loss of the VM would.
 func (s *Server) Kill() {
 	s.drain.ask()
