Check histories of three ledgers for linearizability

Cause: single failures were tested one by one, not at random and together.

Change: six clients do Do, Accept and Lookup at random nodes while nodes crash, pause, see wrong members, and the object service is out or loses answers, in virtual time; porcupine checks each key's history.

--- a/io/ledger/cluster_test.go
+++ b/io/ledger/cluster_test.go
@@ -48,6 +48,8 @@
 	// strike is called once at the point.
 	at     point
 	strike func()
+	// seen takes the place of the cluster's members in the node's view.
+	seen []string
 }
 
 // cluster is several nodes over one stand-in of the object service.
@@ -77,7 +79,7 @@
 	opts := NewOptions()
 	opts.Shards = 2
 	opts.Self = id
-	opts.Members = c.live
+	opts.Members = n.view
 	opts.Store = n.client(c.store.Client())
 	opts.Call = n.call
 	opts.Execute = n.execute
@@ -100,6 +102,23 @@
 	return c.nodes[id]
 }
 
+// view returns the members that the node believes to be live.
+func (n *node) view() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.seen != nil {
+		return n.seen
+	}
+	return n.c.live()
+}
+
+// setView gives the node a view of its own; nil gives it the cluster's.
+func (n *node) setView(ids []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.seen = ids
+}
+
 // setLive makes all nodes believe that the node is live or not.
 func (c *cluster) setLive(id string, live bool) {
 	c.mu.Lock()
--- a/io/ledger/ledger_test.go
+++ b/io/ledger/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,6 +22,7 @@
 type upstream struct {
 	mu   sync.Mutex
 	runs map[string]int
+	all  int
 }
 
 func (u *upstream) execute(_ context.Context, req Request) (Answer, error) {
@@ -30,7 +32,9 @@
 		u.runs = map[string]int{}
 	}
 	u.runs[req.ID]++
-	return Answer{Status: 200, Body: append([]byte("answer to "), req.Payload...)}, nil
+	u.all++
+	header := []Field{{Name: "Run", Value: strconv.Itoa(u.all)}}
+	return Answer{Status: 200, Header: header, Body: append([]byte("answer to "), req.Payload...)}, nil
 }
 
 func (u *upstream) count(id string) int {
