Test sealed history, retention, large bodies and bounds

Cause: sealing, merging, retention, parts and the bounds had no test.

Change: tests in virtual time over the stand-in.

Measured: go test ./io/ledger -run 'Sealed|Retention|Large|Bounded|NotDurable' passes in 1.0 s: 400 sealed keys are found by another VM, a takeover and a resend there take under 40 reads.

Conclusion: history stays findable after a takeover.

--- /dev/null
+++ b/io/ledger/history_test.go
@@ -0,0 +1,186 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	core "mothcart/core/ledger"
+	fakestore "mothcart/fake/store"
+)
+
+// oneShard are options of one VM with one shard and no pace of writes.
+func oneShard(self string, s *fakestore.Store, u *upstream) Options {
+	opts := testOptions(self, s, u)
+	opts.Shards = 1
+	opts.WritesPerSecond, opts.WriteBurst = 1e6, 1e6
+	return opts
+}
+
+// keys returns the number of objects under the prefix.
+func keys(t *testing.T, s *fakestore.Store, prefix string) int {
+	listed, err := s.Client().List(t.Context(), prefix, "", 10000)
+	require.NoError(t, err)
+	return len(listed)
+}
+
+func TestResendFindsSealedKeyAfterTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{}
+		s := fakestore.New(fakestore.NewOptions().WithRates(1e6, 1e6))
+		opts := oneShard("e1", s, u)
+		opts.Limits = opts.Limits.WithSealBytes(1000)
+		l := New(opts)
+		const n = 400
+		var outcomes []Outcome
+		for i := range n {
+			o, err := l.Do(t.Context(), testRequest(fmt.Sprint(i)))
+			require.NoError(t, err)
+			outcomes = append(outcomes, o)
+		}
+		l.Close()
+		assert.Positive(t, keys(t, s, "ledger/000/index/"), "small blocks were merged")
+		assert.Less(t, keys(t, s, "ledger/000/block/"), 32, "merged blocks are deleted")
+
+		opts.Self = "e2"
+		opts.Members = func() []string { return []string{"e2"} }
+		opts.Store = s.Client()
+		l = New(opts)
+		defer l.Close()
+		before := s.Calls().Reads
+		o, err := l.Do(t.Context(), testRequest("0"))
+		require.NoError(t, err)
+		assert.Equal(t, outcomes[0], o)
+		assert.Less(t, s.Calls().Reads-before, uint64(40), "reads of a takeover and a resend")
+		for i := range n {
+			r, err := l.Lookup(t.Context(), "rota", outcomes[i].ID)
+			require.NoError(t, err)
+			assert.Equal(t, outcomes[i], r.Outcome)
+		}
+		assert.Equal(t, n, u.all)
+	})
+}
+
+func TestRetentionDropsBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{}
+		s := fakestore.New(fakestore.NewOptions().WithRates(1e6, 1e6))
+		opts := oneShard("e1", s, u)
+		opts.Limits = opts.Limits.WithSealBytes(1000).WithRetention(time.Hour)
+		l := New(opts)
+		defer l.Close()
+		for i := range 300 {
+			_, err := l.Do(t.Context(), testRequest(fmt.Sprint("old ", i)))
+			require.NoError(t, err)
+		}
+		old := keys(t, s, "ledger/000/")
+		time.Sleep(2 * time.Hour)
+		for i := range 60 {
+			_, err := l.Do(t.Context(), testRequest(fmt.Sprint("new ", i)))
+			require.NoError(t, err)
+			time.Sleep(time.Second)
+		}
+		_, err := l.Lookup(t.Context(), "rota", core.NewID("rota", "old 1").String())
+		require.ErrorIs(t, err, ErrNotFound)
+		_, err = l.Lookup(t.Context(), "rota", core.NewID("rota", "new 1").String())
+		require.NoError(t, err)
+		assert.Less(t, keys(t, s, "ledger/000/"), old)
+	})
+}
+
+func TestLargeBodies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{}
+		s := fakestore.New(fakestore.NewOptions().WithRates(1e6, 1e6))
+		l := New(oneShard("e1", s, u))
+		defer l.Close()
+		req := testRequest("large")
+		req.Idempotent = true
+		req.Payload = make([]byte, 3<<20)
+		rng := rand.NewChaCha8([32]byte{})
+		_, _ = rng.Read(req.Payload)
+		id, err := l.Accept(t.Context(), req)
+		require.NoError(t, err)
+		time.Sleep(time.Minute)
+		r, err := l.Lookup(t.Context(), "rota", id)
+		require.NoError(t, err)
+		assert.Equal(t, append([]byte("answer to "), req.Payload...), r.Answer.Body)
+		req = testRequest("too large")
+		req.Idempotent = true
+		req.Payload = make([]byte, maxPayloadBytes+1)
+		_, err = l.Accept(t.Context(), req)
+		require.ErrorIs(t, err, ErrDidNotRun)
+	})
+}
+
+func TestOpenRequestsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{}
+		s := fakestore.New(fakestore.NewOptions())
+		opts := oneShard("e1", s, u)
+		opts.Limits = opts.Limits.WithMaxOpen(10)
+		release := make(chan struct{})
+		opts.Execute = func(ctx context.Context, req Request) (Answer, error) {
+			<-release
+			return u.execute(ctx, req)
+		}
+		l := New(opts)
+		defer l.Close()
+		for i := range 10 {
+			_, err := l.Accept(t.Context(), testRequest(fmt.Sprint(i)))
+			require.NoError(t, err)
+		}
+		_, err := l.Accept(t.Context(), testRequest("one too many"))
+		require.ErrorIs(t, err, ErrDidNotRun)
+		s.SetOutage(true)
+		close(release)
+		time.Sleep(time.Minute)
+		s.SetOutage(false)
+		require.NoError(t, l.Drain(t.Context()))
+		for i := range 10 {
+			r, err := l.Lookup(t.Context(), "rota", core.NewID("rota", fmt.Sprint(i)).String())
+			require.NoError(t, err)
+			assert.Equal(t, core.Done, r.State, "results in hand were kept over the outage")
+		}
+	})
+}
+
+func TestAnswerThatIsNotDurableInTime(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			u := &upstream{}
+			s := fakestore.New(fakestore.NewOptions())
+			opts := oneShard("e1", s, u)
+			opts.Execute = func(ctx context.Context, req Request) (Answer, error) {
+				s.SetOutage(true)
+				return u.execute(ctx, req)
+			}
+			l := New(opts)
+			defer l.Close()
+			req := testRequest("swap")
+			req.Idempotent = idempotent
+			start := time.Now()
+			o, err := l.Do(t.Context(), req)
+			assert.Equal(t, opts.ResultWait, time.Since(start))
+			if idempotent {
+				require.ErrorIs(t, err, ErrMayHaveRun)
+			} else {
+				require.NoError(t, err)
+				assert.False(t, o.Recorded)
+				assert.Equal(t, 200, o.Answer.Status)
+			}
+			s.SetOutage(false)
+			time.Sleep(time.Minute)
+			again, err := l.Do(t.Context(), req)
+			require.NoError(t, err)
+			assert.True(t, again.Recorded)
+			assert.Equal(t, 1, u.all)
+		})
+	}
+}
