--- a/core/publication/audit.go
+++ b/core/publication/audit.go
@@ -1,6 +1,7 @@
 package publication
 
 import (
+	"errors"
 	"slices"
 
 	"github.com/ansel1/merry/v2"
@@ -51,7 +52,7 @@
 }
 
 // WithChanges returns the entry with the changes. If they are too many for the entry, it also
-// returns a block of all.
+// returns a block of all; old and new values are left out where they don't fit into one block.
 func (e Entry) WithChanges(changes []config.Change, publication uint64) (Entry, []Part, error) {
 	e.ChangeCount = len(changes)
 	e.Changes = changes[:min(len(changes), MaxEntryChanges)]
@@ -59,6 +60,9 @@
 		return e, nil, nil
 	}
 	block, err := encodePart(changes)
+	if errors.Is(err, ErrTooLarge) {
+		block, err = encodePart(withoutValues(changes))
+	}
 	if err != nil {
 		return e, nil, merry.Errorf("changes: %w", err)
 	}
@@ -66,6 +70,17 @@
 	return e, []Part{block}, nil
 }
 
+func withoutValues(changes []config.Change) []config.Change {
+	short := slices.Clone(changes)
+	for i, c := range short {
+		short[i].Fields = make([]config.FieldChange, 0, len(c.Fields))
+		for _, f := range c.Fields {
+			short[i].Fields = append(short[i].Fields, config.FieldChange{Field: f.Field})
+		}
+	}
+	return short
+}
+
 // DecodeChanges decodes the block of an entry's changes.
 func DecodeChanges(digest Digest, data []byte) ([]config.Change, error) {
 	var changes []config.Change
