Refuse damaged roots and copies before they are decoded

Change: roots and copies stand behind a checksum, and lengths are checked before decoding. Conclusion: a damaged root or copy can't end a VM.

--- a/core/publication/publication_test.go
+++ b/core/publication/publication_test.go
@@ -1,6 +1,7 @@
 package publication
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"testing"
 
@@ -146,10 +147,10 @@
 	root, _ := publish(f, Root{}, largeSet(600), 1)
 	data, err := root.Encode()
 	require.NoError(f, err)
-	f.Add(data)
+	f.Add(data[sha256.Size:])
 	f.Add([]byte{0x80})
-	f.Fuzz(func(t *testing.T, data []byte) {
-		root, err := DecodeRoot(data)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		root, err := DecodeRoot(Seal(body))
 		if err != nil {
 			require.ErrorIs(t, err, ErrCorrupt)
 			return
--- a/core/publication/root.go
+++ b/core/publication/root.go
@@ -81,6 +81,7 @@
 	if err != nil {
 		return nil, merry.Errorf("encode root: %w", err)
 	}
+	data = Seal(data)
 	if len(data) > maxRootBytes {
 		return nil, merry.Errorf("root of %d bytes: %w", len(data), ErrTooLarge)
 	}
@@ -92,8 +93,12 @@
 	if len(data) > maxRootBytes {
 		return Root{}, merry.Errorf("root of %d bytes: %w", len(data), ErrCorrupt)
 	}
+	body, err := Unseal(data)
+	if err != nil {
+		return Root{}, merry.Errorf("root: %w", err)
+	}
 	var r Root
-	dec := msgpack.NewDecoder(bytes.NewReader(data))
+	dec := msgpack.NewDecoder(bytes.NewReader(body))
 	if err := dec.Decode(&r); err != nil {
 		return Root{}, merry.Errorf("decode root: %w: %w", ErrCorrupt, err)
 	}
--- /dev/null
+++ b/core/publication/seal.go
@@ -0,0 +1,31 @@
+package publication
+
+import (
+	"bytes"
+	"crypto/sha256"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Seal returns the body behind its SHA-256.
+func Seal(body []byte) []byte {
+	sum := sha256.Sum256(body)
+	return append(sum[:], body...)
+}
+
+// Unseal returns the body that Seal was given, or ErrCorrupt. It also checks that every length in
+// the msgpack of the body is backed by bytes, as the decoder allocates by the lengths that it reads.
+func Unseal(data []byte) ([]byte, error) {
+	if len(data) < sha256.Size {
+		return nil, merry.Errorf("%d bytes: %w", len(data), ErrCorrupt)
+	}
+	sum, body := data[:sha256.Size], data[sha256.Size:]
+	if want := sha256.Sum256(body); !bytes.Equal(sum, want[:]) {
+		return nil, merry.Errorf("wrong checksum: %w", ErrCorrupt)
+	}
+	if err := msgpack.NewDecoder(bytes.NewReader(body)).Skip(); err != nil {
+		return nil, merry.Errorf("skip through body: %w: %w", ErrCorrupt, err)
+	}
+	return body, nil
+}
--- a/io/published/cache.go
+++ b/io/published/cache.go
@@ -38,8 +38,12 @@
 }
 
 func (f *Follower) installCached(data []byte) error {
+	body, err := publication.Unseal(data)
+	if err != nil {
+		return merry.Errorf("copy: %w", err)
+	}
 	var c cached
-	if err := msgpack.Unmarshal(data, &c); err != nil {
+	if err := msgpack.Unmarshal(body, &c); err != nil {
 		return merry.Errorf("decode copy: %w", err)
 	}
 	fromCopy := func(_ context.Context, refs []publication.BlockRef) ([][]byte, error) {
@@ -84,7 +88,7 @@
 		return merry.Errorf("create copy: %w", err)
 	}
 	defer os.Remove(temporary.Name())
-	_, err = temporary.Write(data)
+	_, err = temporary.Write(publication.Seal(data))
 	if err == nil {
 		err = temporary.Sync()
 	}
