--- a/io/published/peers_test.go
+++ b/io/published/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"testing"
 	"time"
@@ -19,7 +20,9 @@
 	t.Helper()
 	set := config.Set{Services: []config.Service{}, Teams: []config.Team{{Name: "deacons"}}}
 	for i := range n {
-		set.Accounts = append(set.Accounts, config.Account{Name: fmt.Sprintf("c%05d", i), Team: "deacons", KeyHash: fmt.Sprintf("%064x", uint64(i+1)*0x9e3779b97f4a7c15)})
+		name := fmt.Sprintf("c%05d", i)
+		hash := fmt.Sprintf("%x", sha256.Sum256([]byte(name)))
+		set.Accounts = append(set.Accounts, config.Account{Name: name, Team: "deacons", KeyHash: hash})
 	}
 	return set
 }
