Check and publish large sets without repeated work

Change: byte loops for patterns, no account index in the check, unchanged blocks are taken over, references are looked up among objects that can be referred to, and indexes point into the set.

--- a/core/config/check.go
+++ b/core/config/check.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"regexp"
 	"slices"
 	"strings"
 )
@@ -10,8 +9,6 @@
 // maxNameLength bounds the names of objects, in bytes.
 const maxNameLength = 63
 
-var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._/-]*$`)
-
 // Check returns every error of the whole set: names, ranges, references, cycles, shares, rules
 // and memory.
 func Check(set Set) []Problem {
@@ -56,13 +53,14 @@
 
 func (c *checker) names() {
 	for _, k := range kinds {
-		seen := map[string]bool{}
-		for _, name := range k.names(c.set) {
+		names := k.names(c.set)
+		seen := make(map[string]bool, len(names))
+		for _, name := range names {
 			object := Ref{k.name, name}
 			switch {
 			case len(name) > maxNameLength:
 				c.fail(object, "", "the name has %d bytes, at most %d are allowed", len(name), maxNameLength)
-			case !namePattern.MatchString(name):
+			case !isName(name):
 				c.fail(object, "", "the name may hold letters, digits and . _ - / and starts with a letter or digit")
 			case seen[name]:
 				c.fail(object, "", "duplicate name")
@@ -87,13 +85,18 @@
 // references reports fields that name nothing, name another kind, or are missing.
 func (c *checker) references(deleted map[Ref]bool) {
 	c.requiredReferences()
-	byName := kindsByName(c.set)
+	exists := referable(c.set)
+	var byName map[string][]string
 	users := map[Ref][]string{}
 	for _, r := range references(c.set) {
+		if exists[r.to] {
+			continue
+		}
+		if byName == nil {
+			byName = kindsByName(c.set)
+		}
 		others := byName[r.to.Name]
 		switch {
-		case slices.Contains(others, r.to.Kind):
-			continue
 		case deleted[r.to]:
 			users[r.to] = append(users[r.to], r.from.String())
 		case len(others) > 0:
--- a/core/config/check_field.go
+++ b/core/config/check_field.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"regexp"
+	"strings"
 	"time"
 )
 
@@ -25,11 +25,36 @@
 	maxBatchDuration = 366 * 24 * time.Hour
 )
 
-var (
-	keyHashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
-	headerPattern  = regexp.MustCompile(`^[A-Za-z0-9-]+$`)
-	textPattern    = regexp.MustCompile(`^[A-Za-z0-9._:/@+-]+$`)
-)
+// keyHashLength is the number of hexadecimal digits of a SHA-256.
+const keyHashLength = 64
+
+// isName reports whether an object may have this name.
+func isName(name string) bool {
+	return name != "" && isAlphanumeric(name[0]) && onlyHolds(name, "._/-")
+}
+
+func isKeyHash(hash string) bool {
+	for i := range len(hash) {
+		if c := hash[i]; (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return len(hash) == keyHashLength
+}
+
+// onlyHolds reports whether the text holds only letters, digits and the marks.
+func onlyHolds(text, marks string) bool {
+	for i := range len(text) {
+		if !isAlphanumeric(text[i]) && strings.IndexByte(marks, text[i]) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func isAlphanumeric(c byte) bool {
+	return c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+}
 
 // fields reports values outside their ranges.
 func (c *checker) fields() {
@@ -52,7 +77,7 @@
 	}
 	for _, a := range c.set.Accounts {
 		object := Ref{ObjectAccount, a.Name}
-		if !keyHashPattern.MatchString(a.KeyHash) {
+		if !isKeyHash(a.KeyHash) {
 			c.fail(object, "keyHash", "expected the SHA-256 of the key as 64 lower-case hexadecimal digits")
 		}
 		between(c, object, "requestsPerSecond", a.RequestsPerSecond, 0, maxRate)
@@ -88,7 +113,7 @@
 	for _, r := range c.set.Rules {
 		object := Ref{ObjectRule, r.Name}
 		between(c, object, "priority", r.Priority, -maxPriority, maxPriority)
-		if r.Header != "" && !headerPattern.MatchString(r.Header) {
+		if r.Header != "" && !onlyHolds(r.Header, "-") {
 			c.fail(object, "header", "%q is not a header name", r.Header)
 		}
 		if r.Header == "" && r.Value != "" {
@@ -130,7 +155,7 @@
 		c.fail(object, field, "is missing")
 	case len(value) > maxTextLength:
 		c.fail(object, field, "has %d bytes, at most %d are allowed", len(value), maxTextLength)
-	case !textPattern.MatchString(value):
+	case !onlyHolds(value, "._:/@+-"):
 		c.fail(object, field, "%q may hold letters, digits and . _ : / @ + -", value)
 	}
 }
--- a/core/config/check_rule.go
+++ b/core/config/check_rule.go
@@ -7,7 +7,9 @@
 
 // rules reports rules that reach the wrong kind of service, conflict, or are never used.
 func (c *checker) rules() {
-	snapshot := NewSnapshot(0, *c.set)
+	withoutAccounts := *c.set
+	withoutAccounts.Accounts = nil
+	snapshot := NewSnapshot(0, withoutAccounts)
 	for _, r := range c.set.Rules {
 		c.ruleServices(snapshot, r)
 	}
--- a/core/config/reference.go
+++ b/core/config/reference.go
@@ -77,6 +77,20 @@
 	return names
 }
 
+// referable returns the objects that others can refer to, which are all but accounts.
+func referable(set *Set) map[Ref]bool {
+	objects := map[Ref]bool{}
+	for _, k := range kinds {
+		if k.name == ObjectAccount {
+			continue
+		}
+		for _, name := range k.names(set) {
+			objects[Ref{k.name, name}] = true
+		}
+	}
+	return objects
+}
+
 // kindsByName returns the kinds that have an object of each name.
 func kindsByName(set *Set) map[string][]string {
 	names := map[string][]string{}
--- a/core/config/snapshot.go
+++ b/core/config/snapshot.go
@@ -10,8 +10,8 @@
 	models   map[string]Model
 	adapters map[string]Adapter
 	teams    map[string]Team
-	accounts map[string]Account
-	byHash   map[string]Account
+	accounts map[string]*Account
+	byHash   map[string]*Account
 	rules    map[string][]Rule
 	classes  map[string]BatchClass
 	groups   map[string]UpstreamGroup
@@ -26,8 +26,8 @@
 		models:     index(set.Models, func(m Model) string { return m.Name }),
 		adapters:   index(set.Adapters, func(a Adapter) string { return a.Name }),
 		teams:      index(set.Teams, func(t Team) string { return t.Name }),
-		accounts:   index(set.Accounts, func(a Account) string { return a.Name }),
-		byHash:     index(set.Accounts, func(a Account) string { return a.KeyHash }),
+		accounts:   indexPointers(set.Accounts, func(a *Account) string { return a.Name }),
+		byHash:     indexPointers(set.Accounts, func(a *Account) string { return a.KeyHash }),
 		rules:      rulesByMatch(set.Rules),
 		classes:    index(set.BatchClasses, func(c BatchClass) string { return c.Name }),
 		groups:     index(set.UpstreamGroups, func(g UpstreamGroup) string { return g.Label }),
@@ -47,12 +47,19 @@
 func (s *Snapshot) Team(name string) (Team, bool) { v, ok := s.teams[name]; return v, ok }
 
 // Account returns the account called name.
-func (s *Snapshot) Account(name string) (Account, bool) { v, ok := s.accounts[name]; return v, ok }
+func (s *Snapshot) Account(name string) (Account, bool) {
+	if a := s.accounts[name]; a != nil {
+		return *a, true
+	}
+	return Account{}, false
+}
 
 // AccountByKeyHash returns the account whose API key has this SHA-256 in hexadecimal.
 func (s *Snapshot) AccountByKeyHash(hash string) (Account, bool) {
-	v, ok := s.byHash[hash]
-	return v, ok
+	if a := s.byHash[hash]; a != nil {
+		return *a, true
+	}
+	return Account{}, false
 }
 
 // Rules returns the traffic rules for name, highest priority first.
@@ -86,6 +93,15 @@
 	return m
 }
 
+// indexPointers is index for long lists, of which it makes no copies.
+func indexPointers[T any](values []T, key func(*T) string) map[string]*T {
+	m := make(map[string]*T, len(values))
+	for i := range values {
+		m[key(&values[i])] = &values[i]
+	}
+	return m
+}
+
 func rulesByMatch(rules []Rule) map[string][]Rule {
 	m := map[string][]Rule{}
 	for _, r := range rules {
--- a/core/publication/block.go
+++ b/core/publication/block.go
@@ -11,7 +11,7 @@
 //
 // Usage:
 //
-//	parts, err := publication.Split(set)
+//	parts, err := publication.Split(set, nil)
 //	root := base.WithPublished(parts.Refs(base, suffix), entry)
 //	data, err := root.Encode()
 //	root, err = publication.DecodeRoot(data)
--- a/core/publication/publication_test.go
+++ b/core/publication/publication_test.go
@@ -33,7 +33,7 @@
 // publish returns the root that publishes the set on base, with the blocks by digest.
 func publish(t testing.TB, base Root, set config.Set, publication uint64) (Root, map[Digest][]byte) {
 	t.Helper()
-	parts, err := Split(set)
+	parts, err := Split(set, nil)
 	require.NoError(t, err)
 	blocks := map[Digest][]byte{}
 	for _, p := range append([]Part{parts.Objects}, parts.Accounts...) {
@@ -133,7 +133,7 @@
 }
 
 func TestDamagedBlocksAreRefused(t *testing.T) {
-	parts, err := Split(largeSet(10))
+	parts, err := Split(largeSet(10), nil)
 	require.NoError(t, err)
 	data := append([]byte{}, parts.Objects.Data...)
 	data[len(data)-1] ^= 1
--- a/core/publication/split.go
+++ b/core/publication/split.go
@@ -45,15 +45,26 @@
 	return int(xxhash.Sum64String(name) & uint64(shards-1))
 }
 
-// Split encodes the set. It returns ErrTooLarge if a part doesn't fit into one block.
-func Split(set config.Set) (Parts, error) {
+// Shard is a block of accounts with its content.
+type Shard struct {
+	Part
+	Accounts []config.Account
+}
+
+// Split encodes the set. Blocks of accounts that equal the one at their place in previous are
+// taken from there. It returns ErrTooLarge if a part doesn't fit into one block.
+func Split(set config.Set, previous []Shard) (Parts, error) {
 	var parts Parts
 	shards := make([][]config.Account, shardCount(len(set.Accounts)))
 	for _, a := range set.Accounts {
 		i := shardOf(a.Name, len(shards))
 		shards[i] = append(shards[i], a)
 	}
-	for _, accounts := range shards {
+	for i, accounts := range shards {
+		if len(previous) == len(shards) && slices.Equal(previous[i].Accounts, accounts) {
+			parts.Accounts = append(parts.Accounts, previous[i].Part)
+			continue
+		}
 		part, err := encodePart(accounts)
 		if err != nil {
 			return Parts{}, merry.Errorf("accounts: %w", err)
--- a/io/published/commit.go
+++ b/io/published/commit.go
@@ -22,7 +22,7 @@
 
 // prepare writes the blocks of the candidate and returns the root that publishes it.
 func (f *Follower) prepare(ctx context.Context, req *request, w *blockWriter, root publication.Root, candidate config.Set, result *Result) (publication.Root, error) {
-	parts, err := publication.Split(candidate)
+	parts, err := publication.Split(candidate, f.shards(root))
 	if err != nil {
 		return root, err
 	}
--- a/io/published/load.go
+++ b/io/published/load.go
@@ -146,6 +146,22 @@
 	return publication.Join(objects.objects, shards), nil
 }
 
+// shards returns the blocks of accounts of the root, or nil if one isn't held.
+func (f *Follower) shards(root publication.Root) []publication.Shard {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var shards []publication.Shard
+	for _, ref := range root.Accounts {
+		b := f.blocks[ref.Digest]
+		if b == nil {
+			return nil
+		}
+		part := publication.Part{Digest: ref.Digest, Data: b.data}
+		shards = append(shards, publication.Shard{Part: part, Accounts: b.accounts})
+	}
+	return shards
+}
+
 // fromStore reads blocks from the object service.
 func (f *Follower) fromStore(ctx context.Context, refs []publication.BlockRef) ([][]byte, error) {
 	blocks := make([][]byte, len(refs))
