Wait for both replicas in the test of a declared model

Cause: the first replica serves while the second still loads; the test looked once. Failed 1 of 3 runs on a busy machine. Change: it waits until two engines hold the model. Measured: passes with -count=5. Conclusion: as strict, without the race.

--- a/io/serve/serve_test.go
+++ b/io/serve/serve_test.go
@@ -395,11 +395,13 @@
 		require.Eventually(t, func() bool { return post(s, chat, body).status == http.StatusOK }, patience, 20*time.Millisecond)
 	}
 	askMany(t, f, 9, 4)
-	holding := 0
-	for _, e := range f.Engines {
-		if slices.Contains(e.Loaded(), "scribe-next@2") {
-			holding++
+	require.Eventually(t, func() bool {
+		holding := 0
+		for _, e := range f.Engines {
+			if slices.Contains(e.Loaded(), "scribe-next@2") {
+				holding++
+			}
 		}
-	}
-	assert.Equal(t, 2, holding)
+		return holding == 2
+	}, patience, 10*time.Millisecond)
 }
