Forget unexplained sequences slowly

Cause: with two homes at once each sees the other's streams only in some of the reports, and fills again after each report that shows none.

Change: the number of unexplained sequences falls by at most a tenth a report.

--- a/core/fill/report.go
+++ b/core/fill/report.go
@@ -29,6 +29,8 @@
 	ghostPerBatch = 0.04
 	// lagTolerance is the error, in sequences, by which a likely age may exceed the best one.
 	lagTolerance = 0.5
+	// unknownMemory is the share of the unexplained sequences that stays at each new report.
+	unknownMemory = 0.9
 	// unknownLease is how long unexplained sequences count after the last report.
 	unknownLease = 10 * time.Second
 )
@@ -165,7 +167,7 @@
 	s.reports, d = s.reports.compare(bucketNumber(now, window), s.counts, r.Running+r.Waiting)
 	s.reports, d = s.reports.confirmed(d, len(s.batch))
 	s.reports.last = now
-	s.reports.unknown = d.above
+	s.reports.unknown = max(d.above, int(float64(before)*unknownMemory))
 	if d.above > 0 && before == 0 {
 		s.rampFrom = now
 	}
