Keep the state of broken streams only in the stand-in engine

Cause: the stand-in kept the state of finished resumable streams too. With 24,000 KV tokens these pushed online's prefixes out of the cache.

Change: a finished stream frees its memory; a resume of it computes again.

--- a/fake/engine/step.go
+++ b/fake/engine/step.go
@@ -135,7 +135,7 @@
 			continue
 		}
 		delete(m.byID, s.req.ID)
-		m.release(now, s, s.req.Resumable)
+		m.release(now, s, false)
 		m.emit(s, Finished, s.next)
 	}
 	m.running = kept
