Let one item exceed the limit of tokens

Cause: a caller learns how long an item is once it has taken it, so it exceeds AdmitTokens by a part of one item. The next decision cancelled that item, the one after took it again, without end; each turn threw its prompt away.

Change: streams are cancelled for memory only while the rest without the newest one is above the limit. A test holds an item above the limit.

--- a/core/fill/decide.go
+++ b/core/fill/decide.go
@@ -125,17 +125,18 @@
 	return tokens
 }
 
-// excess returns the newest streams above the limits.
+// excess returns the newest streams above the limits. One item may exceed the limit of tokens: an
+// item is known to be too long only once it was taken, and ending it would take it again.
 func (s State) excess(limit, tokenLimit int) []string {
-	count, tokens := len(s.batch), s.batchTokens
-	if count <= limit && tokens <= tokenLimit {
-		return nil
-	}
 	var cancel []string
-	for count > limit || tokens > tokenLimit && count > 0 {
-		count--
-		tokens -= s.batch[count].tokens
-		cancel = append(cancel, s.batch[count].id)
+	tokens := s.batchTokens
+	for count := len(s.batch); count > 0; count-- {
+		newest := s.batch[count-1]
+		tokens -= newest.tokens
+		if count <= limit && tokens < tokenLimit {
+			break
+		}
+		cancel = append(cancel, newest.id)
 	}
 	return cancel
 }
--- a/core/fill/fill_test.go
+++ b/core/fill/fill_test.go
@@ -94,6 +94,17 @@
 	}
 }
 
+func TestItemAboveTheTokenLimitIsNotTakenAgain(t *testing.T) {
+	s, now := known(NewParams(64, 2_000))
+	d := s.Decide(at(now))
+	s = s.WithBatchStart(at(now), "long", d.AdmitTokens+500)
+	d = s.Decide(at(now + time.Second))
+	require.Empty(t, d.Cancel)
+	require.Zero(t, d.Admit)
+	s = s.WithOnlineStart(at(now+time.Second), "o", 2_000)
+	require.Equal(t, []string{"long"}, s.Decide(at(now+time.Second)).Cancel, "online needs the memory")
+}
+
 func TestNewHomeDoesNotFlood(t *testing.T) {
 	params := NewParams(64, 60_000).WithWeight(0)
 	s := New(start, params)
