--- a/io/peer/membership_test.go
+++ b/io/peer/membership_test.go
@@ -83,6 +83,19 @@
 	require.Equal(t, version, victim.state.View().Version, "the paused node dropped nobody")
 }
 
+func TestSuspicionDoesNotLapseInPause(t *testing.T) {
+	f := settledFleet(t, 9, 15)
+	victim, paused := f.ids[2], f.nodes[f.ids[5]]
+	version := paused.state.View().Version
+	f.cut = func(_, to string) bool { return to == victim }
+	f.run(1900 * time.Millisecond)
+	f.cut = nil
+	paused.pausedUntil = f.now.Add(10 * time.Second)
+	f.run(time.Minute)
+	require.Zero(t, f.deaths())
+	require.Equal(t, version, paused.state.View().Version, "the suspect refuted during the pause")
+}
+
 func TestMassRestart(t *testing.T) {
 	for _, down := range []time.Duration{time.Second, 20 * time.Second} {
 		f := settledFleet(t, 48, 7)
