--- a/io/ledger/ledger.go
+++ b/io/ledger/ledger.go
@@ -12,7 +12,8 @@
 // sent again. A request without a key is sent once by the VM that took it and is not recorded; a
 // resend of it is a new request.
 //
-// ErrDidNotRun means that the request did not run and will not. With the object service out, new
+// ErrDidNotRun means that this sending of the request did not run and will not; an earlier sending
+// of the same key has its own answer, so send again with the same key, not with a new one. With the object service out, new
 // work is refused so; results in hand are kept and written when the service is back.
 //
 // Usage:
@@ -32,6 +33,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -53,6 +55,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+	// objects numbers the objects beside the heads.
+	objects atomic.Uint64
+	// heldBytes is the size of the large answers that are being written.
+	heldBytes atomic.Int64
 }
 
 // New starts the ledger: a writer goroutine for each shard, and one that follows the members.
