--- a/io/published/load.go
+++ b/io/published/load.go
@@ -41,8 +41,10 @@
 	if err != nil {
 		return err
 	}
-	f.loading.Lock()
-	defer f.loading.Unlock()
+	if err := f.loading.take(ctx); err != nil {
+		return merry.Errorf("wait for another load: %w", err)
+	}
+	defer f.loading.give()
 	at := f.announcement()
 	switch {
 	case root.Revision < at.Revision:
@@ -66,8 +68,10 @@
 
 // loadLocked is load from the object service, apart from other loads.
 func (f *Follower) loadLocked(ctx context.Context, root publication.Root) (config.Set, error) {
-	f.loading.Lock()
-	defer f.loading.Unlock()
+	if err := f.loading.take(ctx); err != nil {
+		return config.Set{}, merry.Errorf("wait for another load: %w", err)
+	}
+	defer f.loading.give()
 	return f.load(ctx, root, f.fromStore)
 }
 
@@ -142,6 +146,22 @@
 	return publication.Join(objects.objects, shards), nil
 }
 
+// shards returns the blocks of accounts of the root, or nil if one isn't held.
+func (f *Follower) shards(root publication.Root) []publication.Shard {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var shards []publication.Shard
+	for _, ref := range root.Accounts {
+		b := f.blocks[ref.Digest]
+		if b == nil {
+			return nil
+		}
+		part := publication.Part{Digest: ref.Digest, Data: b.data}
+		shards = append(shards, publication.Shard{Part: part, Accounts: b.accounts})
+	}
+	return shards
+}
+
 // fromStore reads blocks from the object service.
 func (f *Follower) fromStore(ctx context.Context, refs []publication.BlockRef) ([][]byte, error) {
 	blocks := make([][]byte, len(refs))
