--- a/io/serve/operator.go
+++ b/io/serve/operator.go
@@ -90,6 +90,9 @@
 	return b
 }
 
+// Engines returns the state of the upstreams that this VM is home of.
+func (s *Server) Engines() []upstream.EngineStatus { return s.status(time.Now()).Engines }
+
 func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(s.status(time.Now()))
--- /dev/null
+++ b/io/upstream/home_test.go
@@ -0,0 +1,97 @@
+package upstream
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"mothcart/core/config"
+	"mothcart/core/vm"
+)
+
+func newTestHome() *engineHome {
+	return newEngineHome(time.Now(), HomeOptions{}, vm.VM{ID: "e1"}, config.Service{Name: "s", Kind: config.KindPlain, MaxConcurrency: 16}, nil)
+}
+
+// Whatever notices are lost, doubled or late, the next count sets the home right.
+func TestCountsMendThemselves(t *testing.T) {
+	now := time.Now()
+	for _, tc := range []struct {
+		name    string
+		notices []countNotice
+		want    int
+	}{
+		{"start and end", []countNotice{{Number: 1, Started: true, InFlight: 1}, {Number: 1, InFlight: 0}}, 0},
+		{"start lost", []countNotice{{Number: 2, Started: true, InFlight: 2}}, 2},
+		{"end lost", []countNotice{{Number: 1, Started: true, InFlight: 1}, {Number: 3, Started: true, InFlight: 1}}, 1},
+		{"start doubled", []countNotice{{Number: 1, Started: true, InFlight: 1}, {Number: 1, Started: true, InFlight: 1}}, 1},
+		{"end before start", []countNotice{{Number: 1, InFlight: 0}, {Number: 1, Started: true, InFlight: 1}, {InFlight: 0}}, 0},
+		{"resent count", []countNotice{{InFlight: 5}}, 5},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e := newTestHome()
+			defer e.close()
+			for _, n := range tc.notices {
+				e.count(now, "v1", n)
+			}
+			assert.Equal(t, tc.want, e.onlineCount())
+			assert.Equal(t, tc.want, e.state.Online())
+		})
+	}
+}
+
+// The requests of a VM that is gone don't count for ever.
+func TestCountsEndWithTheirVM(t *testing.T) {
+	e := newTestHome()
+	defer e.close()
+	e.count(time.Now(), "v1", countNotice{InFlight: 3})
+	e.count(time.Now(), "v2", countNotice{InFlight: 2})
+	e.keepVMs([]string{"v2"})
+	assert.Equal(t, 2, e.onlineCount())
+	d := e.digest("v2")
+	assert.EqualValues(t, 2, d.InFlight)
+	assert.EqualValues(t, 2, d.Yours)
+}
+
+// BenchmarkCount measures a start and an end notice at the home, and their size on the wire.
+func BenchmarkCount(b *testing.B) {
+	e := newTestHome()
+	defer e.close()
+	now := time.Now()
+	start := countNotice{Upstream: "engine-1234", Number: 1 << 40, Started: true, InFlight: 7, Tokens: 500}
+	frame, err := msgpack.Marshal(countNotices{List: []countNotice{start}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	more, err := msgpack.Marshal(start)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := uint64(1); b.Loop(); i++ {
+		e.count(now, "v1", countNotice{Number: i, Started: true, InFlight: 1, Tokens: 500})
+		e.count(now, "v1", countNotice{Number: i, InFlight: 0})
+	}
+	b.ReportMetric(float64(len(frame)), "bytes/frame")
+	b.ReportMetric(float64(len(more)), "bytes/notice")
+}
+
+// BenchmarkDigest measures a digest and its size.
+func BenchmarkDigest(b *testing.B) {
+	e := newTestHome()
+	defer e.close()
+	for v := range 16 {
+		e.count(time.Now(), fmt.Sprintf("v%d", v), countNotice{InFlight: 3})
+	}
+	var size int
+	for b.Loop() {
+		data, err := msgpack.Marshal(e.digest("v3"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(data)
+	}
+	b.ReportMetric(float64(size), "bytes/digest")
+}
