--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"os"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -35,3 +36,15 @@
 		})
 	}
 }
+
+// The settings table of the operators' page is made from the code.
+func TestReferenceStandsInTheOperationsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	assert.Contains(t, string(page), Reference())
+}
+
+func TestExampleFileWorks(t *testing.T) {
+	_, err := Load("../../examples/site/entry1.ini")
+	require.NoError(t, err)
+}
