Divide an engine's room among the VMs; keep a reserve from lending

Cause: under a flood of 2.8 times capacity a team within its share saw a first token p99 of 839 ms against 38 ms alone. The engines' own queues held up to 29 requests: after each digest every VM filled the same room, and lending left no place free.

Change: since a digest a VM takes its even part of the room, the rest drawn by digest, and refills the places its own requests freed; 8% of an engine is not lent to teams over their share; digests go out up to 20 times a second within the same bound on bytes.

--- a/cmd/mothcart/load.go
+++ b/cmd/mothcart/load.go
@@ -13,13 +13,14 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/experiment/filling"
+	"mothcart/experiment/overload"
 	"mothcart/experiment/relay"
 	"mothcart/experiment/routing"
 	"mothcart/load"
 )
 
 // experiments lists what load measures without a site of its own.
-var experiments = []string{"relay", "routing", "filling"}
+var experiments = []string{"relay", "overload", "routing", "filling"}
 
 func loadCommand() command {
 	return command{name: "load", summary: "send open-loop load and measure it, or run an experiment", run: runLoad}
@@ -73,6 +74,8 @@
 		err = f.runSite(ctx, out)
 	case "relay":
 		err = f.runRelay(ctx, out)
+	case "overload":
+		err = f.runOverload(ctx, out)
 	case "routing":
 		err = f.runRouting(out, given)
 	case "filling":
@@ -112,6 +115,15 @@
 	return f.print(out, results)
 }
 
+func (f *loadFlags) runOverload(ctx context.Context, out io.Writer) error {
+	report, err := overload.Run(ctx, overload.NewOptions().WithSeed(f.seed).WithDuration(f.duration()))
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "goodput: %.0f%% of the engines' capacity\n", 100*report.Goodput)
+	return f.print(out, report.Runs)
+}
+
 // print writes results of load as a table, a report and JSON.
 func (f *loadFlags) print(out io.Writer, results []load.Named) error {
 	if err := load.WriteTable(out, results); err != nil {
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -43,6 +43,15 @@
 	assert.Greater(t, got["deacons"], 100, "the lent share comes back with the next places")
 }
 
+func TestWithinShare(t *testing.T) {
+	q := NewQueue(10).WithShares([]Share{{"deacons", 0.5}})
+	for i := range 8 {
+		assert.Equal(t, i < 5, q.WithinShare("deacons", 10))
+		q = q.Start("deacons")
+	}
+	assert.False(t, q.WithinShare("unknown", 10))
+}
+
 func TestOfferRefuses(t *testing.T) {
 	q := offerMany(t, NewQueue(2), "a", 2, 0)
 	_, v := q.Offer(start, Request{ID: 9, Team: "a", Deadline: start.Add(time.Hour)})
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -118,6 +118,16 @@
 	return 0
 }
 
+// WithinShare reports that one more request keeps the team within its guaranteed share of capacity,
+// in requests at once.
+func (q Queue) WithinShare(name string, capacity float64) bool {
+	i, ok := q.find(name)
+	if !ok {
+		return capacity*defaultShare >= 1
+	}
+	return float64(q.teams[i].inFlight+1) <= q.teams[i].share*capacity
+}
+
 // Offer puts the request into its team's queue or refuses it.
 func (q Queue) Offer(now time.Time, r Request) (Queue, Verdict) {
 	q, i := q.withTeam(r.Team)
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -15,6 +15,7 @@
 package route
 
 import (
+	"math"
 	"math/bits"
 	"sync/atomic"
 	"time"
@@ -87,6 +88,8 @@
 
 	distance float64
 	serves   uint64
+	// remainder, from 0 to 1, is drawn with each digest.
+	remainder float64
 }
 
 // Table is the subset of a service's upstreams that a VM routes to. Values are immutable, but for
@@ -158,6 +161,7 @@
 			d.Capacity = e.Digest.Capacity
 		}
 		e.Digest = d
+		e.remainder = fraction(rendezvous.Combine(uint64(d.At.UnixNano()), t.hashes[t.byID[id]]))
 		e.serves = anyBit
 		if d.Names != nil {
 			e.serves = 0
@@ -218,6 +222,19 @@
 	Exclude int
 	// NeedsRoom restricts the pick to upstreams with fewer requests than their capacity.
 	NeedsRoom bool
+	// Reserve is the share of an upstream's capacity, from 0 to 1, that the request must leave free.
+	Reserve float64
+}
+
+// Capacity returns this VM's part of the upstreams' capacity, in requests at once.
+func (t Table) Capacity() float64 {
+	total := 0.0
+	for _, e := range t.entries {
+		if !e.Upstream.Leaving {
+			total += float64(e.Digest.Capacity)
+		}
+	}
+	return total / float64(t.vms)
 }
 
 // Pick returns the index of the upstream for a request; it reports false when none qualifies. It
@@ -245,7 +262,7 @@
 			best, bestScore = i, s
 		}
 	}
-	if best >= 0 && w.NeedsRoom && !t.hasRoom(now, best) {
+	if best >= 0 && w.NeedsRoom && !t.hasRoom(now, best, w.Reserve) {
 		return t.anyWithRoom(now, w)
 	}
 	return best, best >= 0
@@ -257,6 +274,9 @@
 	return int(i), random*drawMultiplier + 1
 }
 
+// fraction maps a random number to 0 up to 1.
+func fraction(random uint64) float64 { return float64(random>>11) / (1 << 53) }
+
 // preferred returns the upstream that holds the prefix with the greatest chance: the owner of the
 // prefix by rendezvous, which every VM computes alike without messages.
 func (t *Table) preferred(now time.Time, w Want) int {
@@ -289,7 +309,7 @@
 func (t *Table) anyWithRoom(now time.Time, w Want) (int, bool) {
 	best, bestScore := -1, 0.0
 	for i := range t.entries {
-		if !t.qualifies(now, i, w) || !t.hasRoom(now, i) {
+		if !t.qualifies(now, i, w) || !t.hasRoom(now, i, w.Reserve) {
 			continue
 		}
 		if s := t.score(now, i); best < 0 || s < bestScore {
@@ -304,9 +324,19 @@
 	return i != w.Exclude-1 && !e.Upstream.Leaving && e.serves&w.Bit != 0 && !e.Health.Ejected(now)
 }
 
-func (t *Table) hasRoom(now time.Time, i int) bool {
+// hasRoom reports whether this VM may send one more request. All VMs see the same room and may fill
+// it at once, so each takes its even part since the digest; the rest of the division goes to some of
+// them, drawn anew with each digest. A VM may always refill the places that its own requests freed,
+// unless the upstream is over its capacity.
+func (t *Table) hasRoom(now time.Time, i int, reserve float64) bool {
 	e := t.entries[i]
-	return t.load(now, e)*e.Health.Slowdown(now) < float64(e.Digest.Capacity)
+	limit := float64(e.Digest.Capacity) * (1 - reserve) / e.Health.Slowdown(now)
+	own := e.Own.Load()
+	if e.stale(now) {
+		return float64(own*t.vms) < limit
+	}
+	part := (limit - float64(e.Digest.InFlight)) / float64(t.vms)
+	return float64(own-e.Digest.Yours) < math.Floor(part+e.remainder)
 }
 
 func (t *Table) score(now time.Time, i int) float64 {
@@ -320,10 +350,14 @@
 // taken to send as this VM does.
 func (t *Table) load(now time.Time, e *Entry) float64 {
 	own := e.Own.Load()
-	if e.Digest.At.IsZero() || now.Sub(e.Digest.At) > StaleAfter {
+	if e.stale(now) {
 		return float64(own * t.vms)
 	}
 	others := float64(max(0, e.Digest.InFlight-e.Digest.Yours))
 	since := float64(own - e.Digest.Yours)
 	return float64(own) + max(0, others+likeness*float64(t.vms-1)*since)
 }
+
+func (e *Entry) stale(now time.Time) bool {
+	return e.Digest.At.IsZero() || now.Sub(e.Digest.At) > StaleAfter
+}
--- /dev/null
+++ b/experiment/overload/overload.go
@@ -0,0 +1,119 @@
+// Package overload measures a site that gets several times the load it can carry.
+//
+// One team stays within its share; another floods the site. Measured are the first team's times
+// with and without the flood, and the goodput as a share of what the engines can do. Everything runs
+// in one process over loopback in real time.
+//
+// Usage:
+//
+//	report, err := overload.Run(ctx, overload.NewOptions())
+package overload
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/fake/engine"
+	"mothcart/fake/fleet"
+	"mothcart/load"
+)
+
+// Options are the settings of the measurement. Values are immutable.
+type Options struct {
+	Seed     uint64
+	Duration time.Duration
+	// Calm is the load of the team within its share, Flood that of the other, as shares of what the
+	// engines can do.
+	Calm, Flood float64
+}
+
+// NewOptions returns 20% beside 280% for ten seconds.
+func NewOptions() Options {
+	return Options{Seed: 1, Duration: 10 * time.Second, Calm: 0.2, Flood: 2.8}
+}
+
+// WithDuration returns a copy with the time of each part set.
+func (o Options) WithDuration(d time.Duration) Options {
+	o.Duration = d
+	return o
+}
+
+// WithSeed returns a copy with the seed set.
+func (o Options) WithSeed(seed uint64) Options {
+	o.Seed = seed
+	return o
+}
+
+// Report is what the measurement found.
+type Report struct {
+	Runs []load.Named `json:"runs"`
+	// Goodput is the rate of whole answers under the flood as a share of the engines' capacity.
+	Goodput float64 `json:"goodput"`
+}
+
+const (
+	// answerTokens is the length of each answer.
+	answerTokens = 24
+	engines      = 4
+	sequences    = 16
+	// readyTimeout bounds the start of the site.
+	readyTimeout = 20 * time.Second
+)
+
+// Run measures the calm team alone, then beside the flood.
+func Run(ctx context.Context, opts Options) (Report, error) {
+	stand := engine.NewOptions().WithCapacity(sequences, 30000)
+	f, err := fleet.New(fleet.NewOptions().WithVMs(3).WithEngines(engines, stand))
+	if err != nil {
+		return Report{}, merry.Errorf("start site: %w", err)
+	}
+	defer f.Close()
+	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.Ready(readyCtx); err != nil {
+		return Report{}, merry.Errorf("start site: %w", err)
+	}
+	var urls []string
+	for _, s := range f.Servers() {
+		urls = append(urls, "http://"+s.CallerAddress())
+	}
+	step := stand.StepBase + sequences*stand.StepPerSequence
+	capacity := engines * sequences / step.Seconds() / answerTokens
+	target := func(key string, share float64, seed uint64) load.Options {
+		o := load.NewOptions(urls...).WithTarget(key, fleet.Model).WithSeed(seed).WithRate(share*capacity, opts.Duration)
+		o.Tokens = answerTokens
+		return o
+	}
+	calm := target(fleet.OnlineKey, opts.Calm, opts.Seed)
+	alone, err := load.Run(ctx, calm)
+	if err != nil {
+		return Report{}, merry.Errorf("calm team: %w", err)
+	}
+	var flood load.Result
+	var floodErr error
+	var done sync.WaitGroup
+	begun := time.Now()
+	done.Go(func() { flood, floodErr = load.Run(ctx, target(fleet.BatchKey, opts.Flood, opts.Seed+1)) })
+	beside, err := load.Run(ctx, calm)
+	done.Wait()
+	if err != nil || floodErr != nil {
+		return Report{}, merry.Errorf("flood: %w", firstError(err, floodErr))
+	}
+	seconds := time.Since(begun).Seconds()
+	return Report{
+		Runs:    []load.Named{{Name: "calm alone", Result: alone}, {Name: "calm in flood", Result: beside}, {Name: "flood", Result: flood}},
+		Goodput: float64(beside.Whole+flood.Whole) / seconds / capacity,
+	}, nil
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/io/upstream/home.go
+++ b/io/upstream/home.go
@@ -27,7 +27,7 @@
 	// flushInterval bounds the wait of a notice that is not urgent.
 	flushInterval = 20 * time.Millisecond
 	// digestInterval is the least time between two digests of an upstream.
-	digestInterval = 250 * time.Millisecond
+	digestInterval = 50 * time.Millisecond
 	// digestBytesPerSecond bounds what a home spends on digests.
 	digestBytesPerSecond = 6 << 10
 	// digestBytes is the size of one upstream's digest on the wire with its frame.
--- a/io/upstream/router.go
+++ b/io/upstream/router.go
@@ -32,6 +32,10 @@
 // minRetryAfter is the advice to a request whose deadline passed while it waited.
 const minRetryAfter = time.Second
 
+// lentReserve is the share of an upstream's capacity that is not lent to teams over their share, so
+// that a team within its share finds a place at once.
+const lentReserve = 0.08
+
 // defaultConcurrency is an upstream's capacity until the settings or a report tell.
 const defaultConcurrency = 16
 
@@ -286,7 +290,7 @@
 	}
 	q := s.queue(w.Name)
 	if q.Len() == 0 {
-		if lease, ok := r.place(now, s, w); ok {
+		if lease, ok := r.place(now, s, w, s.reserve(q, w.Team)); ok {
 			s.queues[w.Name] = q.Start(w.Team)
 			r.mu.Unlock()
 			return lease, nil
@@ -336,9 +340,9 @@
 	return g.lease, nil
 }
 
-// place picks an upstream with room and counts the request there; mu is held.
-func (r *Router) place(now time.Time, s *service, w Want) (*Lease, bool) {
-	want := route.Want{Bit: s.table.Bit(w.Name), Prefix: w.Prefix, Random: rand.Uint64(), NeedsRoom: true}
+// place picks an upstream with room beyond reserve and counts the request there; mu is held.
+func (r *Router) place(now time.Time, s *service, w Want, reserve float64) (*Lease, bool) {
+	want := route.Want{Bit: s.table.Bit(w.Name), Prefix: w.Prefix, Random: rand.Uint64(), NeedsRoom: true, Reserve: reserve}
 	if i, ok := s.table.Find(w.Exclude); ok && s.table.Len() > 1 {
 		want.Exclude = i + 1
 	}
@@ -382,7 +386,7 @@
 		for q.Len() > 0 {
 			next, request, _ := q.Next(now)
 			wait := s.waiting[request.ID]
-			lease, ok := r.place(now, s, wait.want)
+			lease, ok := r.place(now, s, wait.want, s.reserve(q, request.Team))
 			if !ok {
 				break
 			}
@@ -406,6 +410,15 @@
 	}
 }
 
+// reserve returns the share of each upstream's capacity that a request of the team leaves free for
+// teams within their shares; those leave none.
+func (s *service) reserve(q admit.Queue, team string) float64 {
+	if len(s.shares) == 0 || q.WithinShare(team, s.table.Capacity()) {
+		return 0
+	}
+	return lentReserve
+}
+
 func (s *service) queue(name string) admit.Queue {
 	q, ok := s.queues[name]
 	if !ok {
