Learn the harm of a sequence from batch streams too

Cause: the fit of step time over sequences hears only online's latencies, which need a notice from each entry VM; without them it stays at its first estimate.

Change: the home also learns from its own batch streams, whose tokens it sees: State.WithBatchLatency(now, id, tokens), called before the end or pause of a stream.

--- a/core/fill/fill.go
+++ b/core/fill/fill.go
@@ -22,6 +22,9 @@
 
 import "time"
 
+// minLatencyTokens is the least number of tokens that a latency is learned from.
+const minLatencyTokens = 8
+
 // online is a request that is in progress for a caller.
 type online struct {
 	id     string
@@ -38,6 +41,9 @@
 	// prefilling reports that no token has come yet.
 	prefilling bool
 	start      time.Time
+	// firstToken is when the first token came; sequenceTime is the integral of the sequences then.
+	firstToken   time.Time
+	sequenceTime float64
 }
 
 // paused is the state that the engine may still hold of an ended batch stream.
@@ -159,13 +165,34 @@
 }
 
 // WithBatchFirstToken notes that the prompt of a batch stream is computed.
-func (s State) WithBatchFirstToken(_ time.Time, id string) State {
+func (s State) WithBatchFirstToken(now time.Time, id string) State {
 	i := indexBatch(s.batch, id)
-	if i < 0 || !s.batch[i].prefilling {
+	if i < 0 || !s.batch[i].firstToken.IsZero() {
 		return s
 	}
+	s = s.measured(now)
 	s.batch = append([]batch(nil), s.batch...)
 	s.batch[i].prefilling = false
+	s.batch[i].firstToken = now
+	s.batch[i].sequenceTime = s.sequenceTime
+	return s
+}
+
+// WithBatchLatency learns from a batch stream that has sent a number of tokens by now. Call it
+// before WithBatchEnd or WithBatchPaused of the stream.
+func (s State) WithBatchLatency(now time.Time, id string, tokens int) State {
+	i := indexBatch(s.batch, id)
+	if i < 0 || s.batch[i].firstToken.IsZero() || tokens < minLatencyTokens {
+		return s
+	}
+	s = s.measured(now)
+	b := s.batch[i]
+	life := now.Sub(b.firstToken)
+	if life <= 0 {
+		return s
+	}
+	mean := (s.sequenceTime - b.sequenceTime) / life.Seconds()
+	s.harm = s.harm.with(mean, 0, life/time.Duration(tokens-1))
 	return s
 }
 
--- a/core/fill/fill_test.go
+++ b/core/fill/fill_test.go
@@ -155,6 +155,24 @@
 	require.InDelta(t, 0.02, h.ratio(), 0.002)
 }
 
+func TestRatioIsLearnedFromBatchStreams(t *testing.T) {
+	s := New(start, NewParams(64, 60_000))
+	now := time.Duration(0)
+	for round := range 300 {
+		n := 1 + round%30
+		for i := range n {
+			id := fmt.Sprint("b", i)
+			s = s.WithBatchStart(at(now), id, itemTokens).WithBatchFirstToken(at(now), id)
+		}
+		now += 100 * time.Duration((10+0.3*float64(n))*float64(time.Millisecond))
+		s = s.WithBatchLatency(at(now), "b0", 101)
+		for i := range n {
+			s = s.WithBatchEnd(at(now), fmt.Sprint("b", i))
+		}
+	}
+	require.InDelta(t, 0.03, s.harm.ratio(), 0.003)
+}
+
 func TestStateProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		params := NewParams(16, 8_000).WithWeight(rapid.Float64Range(0, 1).Draw(t, "weight"))
--- a/experiment/filling/fault.go
+++ b/experiment/filling/fault.go
@@ -101,7 +101,7 @@
 		for _, id := range sortedKeys(h.running) {
 			it := h.running[id]
 			delete(h.running, id)
-			h.control.batchEnd(u.now(), id)
+			h.control.batchEnd(u.now(), id, 0)
 			u.discard(it)
 			h.paused = append(h.paused, it)
 		}
--- a/experiment/filling/home.go
+++ b/experiment/filling/home.go
@@ -138,7 +138,7 @@
 		ID: it.id, PromptTokens: it.prompt, Prefix: it.prefix, PrefixTokens: it.prefixTokens,
 		MaxTokens: it.answer, Resumable: true, Resume: it.started, ResumeFrom: it.progress,
 	}
-	it.started, it.heard = true, false
+	it.started, it.heard, it.sentFrom = true, false, it.progress
 	u.sim.after(localLatency, func() {
 		u.owners[it.id] = h
 		u.model.Submit(u.sim.now, req)
@@ -152,7 +152,7 @@
 	it := h.running[id]
 	delete(h.running, id)
 	h.paused = append(h.paused, it)
-	h.control.batchPaused(u.now(), id)
+	h.control.batchPaused(u.now(), id, it.progress-it.sentFrom)
 	u.sim.result.paused++
 	u.sim.after(localLatency, func() {
 		u.model.Pause(u.sim.now, id)
@@ -188,9 +188,10 @@
 		h.decide()
 		return
 	}
+	it := h.running[e.ID]
 	delete(h.running, e.ID)
 	delete(u.owners, e.ID)
 	u.sim.result.itemsDone++
-	h.control.batchEnd(u.now(), e.ID)
+	h.control.batchEnd(u.now(), e.ID, it.progress-it.sentFrom)
 	h.decide()
 }
--- a/experiment/filling/policy.go
+++ b/experiment/filling/policy.go
@@ -8,15 +8,16 @@
 	"mothcart/core/fill"
 )
 
-// control is a policy's part in a home; report, onlineStart and onlineEnd may be nil.
+// control is a policy's part in a home; report, onlineStart and onlineEnd may be nil. The tokens of
+// an ended batch stream are those since its last dispatch.
 type control struct {
 	onlineStart func(now time.Time, id string, tokens int)
 	onlineEnd   func(now time.Time, id string, first, inter time.Duration)
 	report      func(now time.Time, r fill.Report)
 	batchStart  func(now time.Time, id string, tokens int)
 	batchToken  func(now time.Time, id string)
-	batchEnd    func(now time.Time, id string)
-	batchPaused func(now time.Time, id string)
+	batchEnd    func(now time.Time, id string, tokens int)
+	batchPaused func(now time.Time, id string, tokens int)
 	decide      func(now time.Time) fill.Decision
 }
 
@@ -46,8 +47,8 @@
 	return control{
 		batchStart:  func(time.Time, string, int) { running++ },
 		batchToken:  func(time.Time, string) {},
-		batchEnd:    func(time.Time, string) { running-- },
-		batchPaused: func(time.Time, string) { running-- },
+		batchEnd:    func(time.Time, string, int) { running-- },
+		batchPaused: func(time.Time, string, int) { running-- },
 		decide: func(time.Time) fill.Decision {
 			return fill.Decision{Admit: sequences - running, AdmitTokens: math.MaxInt}
 		},
@@ -78,11 +79,15 @@
 		onlineEnd: func(now time.Time, id string, first, inter time.Duration) {
 			s = s.WithOnlineEnd(now, id).WithOnlineLatency(now, first, inter)
 		},
-		report:      func(now time.Time, r fill.Report) { s = s.WithReport(now, r) },
-		batchStart:  func(now time.Time, id string, tokens int) { s = s.WithBatchStart(now, id, tokens) },
-		batchToken:  func(now time.Time, id string) { s = s.WithBatchFirstToken(now, id) },
-		batchEnd:    func(now time.Time, id string) { s = s.WithBatchEnd(now, id) },
-		batchPaused: func(now time.Time, id string) { s = s.WithBatchPaused(now, id) },
-		decide:      func(now time.Time) fill.Decision { return s.Decide(now) },
+		report:     func(now time.Time, r fill.Report) { s = s.WithReport(now, r) },
+		batchStart: func(now time.Time, id string, tokens int) { s = s.WithBatchStart(now, id, tokens) },
+		batchToken: func(now time.Time, id string) { s = s.WithBatchFirstToken(now, id) },
+		batchEnd: func(now time.Time, id string, tokens int) {
+			s = s.WithBatchLatency(now, id, tokens).WithBatchEnd(now, id)
+		},
+		batchPaused: func(now time.Time, id string, tokens int) {
+			s = s.WithBatchLatency(now, id, tokens).WithBatchPaused(now, id)
+		},
+		decide: func(now time.Time) fill.Decision { return s.Decide(now) },
 	}
 }
--- a/experiment/filling/trace.go
+++ b/experiment/filling/trace.go
@@ -126,6 +126,8 @@
 	answer       int
 	// progress counts the tokens received so far.
 	progress int
+	// sentFrom is the progress at the last dispatch.
+	sentFrom int
 	started  bool
 	// heard reports that the home knows of a token since the last dispatch.
 	heard bool
