Benchmark the stand-in engine's HTTP server

Cause: twelve engines in one process are to serve 5,000 requests a second in all; this was not measured.

Change: a benchmark sends short requests with client and engines in one process.

--- a/fake/engine/engine_test.go
+++ b/fake/engine/engine_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -170,3 +171,32 @@
 		})
 	}
 }
+
+// BenchmarkRequests sends short requests to 12 engines in one process.
+func BenchmarkRequests(b *testing.B) {
+	var engines []*Engine
+	for range 12 {
+		e, err := New(NewOptions().WithStep(time.Millisecond, time.Microsecond, 0).WithCapacity(512, 1_000_000))
+		require.NoError(b, err)
+		defer e.Close()
+		engines = append(engines, e)
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+	defer client.CloseIdleConnections()
+	body := `{"model":"rota-scribe","max_tokens":4,"prompt":"who"}`
+	b.SetParallelism(32)
+	next := atomic.Int64{}
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			e := engines[int(next.Add(1))%len(engines)]
+			res, err := client.Post("http://"+e.Address()+"/v1/completions", "application/json", strings.NewReader(body))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, res.Body)
+			_ = res.Body.Close()
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+}
