Test that filling does not oscillate

Cause: no test held the limit under steady or flapping online.

Change: tests for one online request that stays (no cancel and a steady level for 5 s at four weights) and for requests that come and go each 70 ms (no batch between them at weight 1).

--- a/core/fill/fill_test.go
+++ b/core/fill/fill_test.go
@@ -94,6 +94,39 @@
 	}
 }
 
+func TestSteadyOnlineMakesNoOscillation(t *testing.T) {
+	for _, weight := range []float64{1, 0.75, 0.5, 0} {
+		s, now := filled(t, NewParams(64, 60_000).WithWeight(weight))
+		s = s.WithOnlineStart(at(now), "o", 400)
+		for _, id := range s.Decide(at(now)).Cancel {
+			s = s.WithBatchPaused(at(now), id)
+		}
+		level, next := s.Batch(), 1000
+		for range 500 {
+			now += 10 * time.Millisecond
+			require.Empty(t, s.Decide(at(now)).Cancel, weight)
+			s, _ = feed(s, at(now), &next)
+			require.InDelta(t, level, s.Batch(), 2, weight)
+		}
+	}
+}
+
+func TestFlappingOnlineStartsNoBatch(t *testing.T) {
+	s, now := known(NewParams(64, 60_000).WithWeight(1))
+	admitted := 0
+	for i := range 100 {
+		id := fmt.Sprint("o", i)
+		s = s.WithOnlineStart(at(now), id, 400)
+		now += 20 * time.Millisecond
+		s = s.WithOnlineEnd(at(now), id)
+		for range 5 {
+			now += 10 * time.Millisecond
+			admitted += s.Decide(at(now)).Admit
+		}
+	}
+	require.Zero(t, admitted)
+}
+
 func TestItemAboveTheTokenLimitIsNotTakenAgain(t *testing.T) {
 	s, now := known(NewParams(64, 2_000))
 	d := s.Decide(at(now))
