--- a/io/job/home.go
+++ b/io/job/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -35,6 +36,8 @@
 	sweepAt map[string]time.Time
 	jobs    map[string]*homeJob
 	members []string
+	// placeAt is the time of the next look at the roles while the members stay.
+	placeAt time.Time
 	sent    map[string]sentSummary
 }
 
@@ -106,6 +109,10 @@
 	j.sweepShards(ctx, now)
 }
 
+// placeEvery is the time between two looks at the roles while the members stay the same: roles move
+// without it when a VM is leaving.
+const placeEvery = 2 * time.Second
+
 // relistSpread is the time over which the homes list their shards after a VM was lost.
 const relistSpread = 3 * time.Second
 
@@ -115,8 +122,12 @@
 	members := j.opts.Members()
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if now.Before(j.homes.placeAt) && slices.Equal(members, j.homes.members) {
+		return
+	}
 	lost := lostMember(j.homes.members, members)
 	j.homes.members = members
+	j.homes.placeAt = now.Add(placeEvery)
 	for n := range shardCount {
 		shard := shardName(n)
 		at, owned := j.homes.listAt[shard]
--- a/io/job/job_test.go
+++ b/io/job/job_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -155,6 +156,7 @@
 			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
 	return ids
 }
 
