--- a/io/job/fill.go
+++ b/io/job/fill.go
@@ -11,7 +11,7 @@
 	"mothcart/io/store"
 )
 
-// Times of the claiming of chunks.
+// Times and limits of the claiming of chunks.
 const (
 	// fillPeriod is the longest time between two looks at the demand.
 	fillPeriod = 250 * time.Millisecond
@@ -19,6 +19,8 @@
 	emptyPause = 500 * time.Millisecond
 	// demandMemory is the time after the last Take in which chunks are claimed ahead.
 	demandMemory = 5 * time.Second
+	// maxHeldBytes is the size of the held items above which no further chunk is claimed.
+	maxHeldBytes = 24 << 20
 	// askTimeout bounds a question to another VM.
 	askTimeout = 2 * time.Second
 )
@@ -56,7 +58,7 @@
 func (j *Jobs) hungryModels(now time.Time) []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.holds.count()+len(j.pending) >= j.opts.MaxHolds {
+	if j.holds.count()+len(j.pending) >= j.opts.MaxHolds || j.holds.inputBytes() >= maxHeldBytes {
 		return nil
 	}
 	var models []string
@@ -201,6 +203,9 @@
 		bodies:   map[int]Outcome{},
 		lastTake: time.Now(),
 	}
+	for _, in := range inputs {
+		h.inputBytes += len(in.Body)
+	}
 	h.ctx, h.cancel = context.WithCancel(j.ctx)
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/io/job/item.go
+++ b/io/job/item.go
@@ -82,6 +82,8 @@
 	first  int
 	fence  uint64
 	inputs []input
+	// inputBytes is the size of the items' bodies.
+	inputBytes int
 
 	hold    job.Hold
 	version store.Version
@@ -123,6 +125,17 @@
 	return n
 }
 
+// inputBytes returns the size of all items held.
+func (s holdSet) inputBytes() int {
+	n := 0
+	for _, list := range s.byModel {
+		for _, h := range list {
+			n += h.inputBytes
+		}
+	}
+	return n
+}
+
 func (s holdSet) add(h *held) {
 	model := h.head.Model
 	s.byModel[model] = append(s.byModel[model], h)
