Bound the records of one head

Cause: a commit took all results at hand; some hundred answers of 8 KB that don't compress make a head over the object's size, which the store refuses for ever, so that the shard stands still.

Change: a head takes as many changes as fit under 896 KB, the others wait for the next; open requests take half of it at most; bodies over 8 KB go into parts (before: 32 KB). Memory of open requests is bounded apart.

--- a/core/ledger/commit.go
+++ b/core/ledger/commit.go
@@ -5,31 +5,64 @@
 	"time"
 )
 
-// Commit returns the head that makes all changes durable; it reports false when there are none,
-// or while a head is being written.
+// Commit returns the head that makes the changes durable, as many as its size allows; it reports
+// false when there are none, or while a head is being written.
 func (s Shard) Commit() (Shard, Head, bool) {
 	if !s.held || s.isWriting || !s.Dirty() {
 		return s, Head{}, false
 	}
+	s = s.takeOff()
+	if s.flying.len() == 0 && s.history == nil {
+		return s, Head{}, false
+	}
 	s.sequence++
 	head := s.head.WithUpdate(s.writer, s.sequence)
-	sealed := s.sealedIDs()
 	if s.history != nil {
 		head.Blocks, head.Indexes = s.history.Blocks, s.history.Indexes
 	}
+	sealed := s.sealedIDs()
 	for id, e := range s.entries.all() {
-		if e.record.State != None && !sealed[id] {
-			head.Tail = append(head.Tail, e.record.withoutUnusedPayload())
+		r := e.before
+		if s.flying.has(id) {
+			r = e.sent
+		}
+		if r.State != None && !sealed[id] {
+			head.Tail = append(head.Tail, r)
+		}
+	}
+	s.writing, s.isWriting = head, true
+	return s, head, true
+}
+
+// takeOff moves changes from dirty to flying as long as the head's size allows.
+func (s Shard) takeOff() Shard {
+	size := 0
+	sealed := s.sealedIDs()
+	for id, e := range s.entries.all() {
+		if e.before.State != None && !sealed[id] {
+			size += e.before.headBytes()
 		}
 	}
 	for id := range s.dirty.all() {
 		e, _ := s.entries.get(id)
+		e.sent = e.record.withoutUnusedPayload()
+		more := 0
+		if e.record.State != None {
+			more = e.sent.bytes()
+		}
+		if e.before.State != None {
+			more -= e.before.headBytes()
+		}
+		if more > 0 && size+more > s.limits.MaxHeadBytes {
+			continue
+		}
+		size += more
 		e.flying, e.flyingAsync = e.record.State, e.record.Async
 		s.entries = s.entries.with(id, e)
+		s.flying = s.flying.with(id, struct{}{})
+		s.dirty = s.dirty.without(id)
 	}
-	s.flying, s.dirty = s.dirty, idMap[struct{}]{}
-	s.writing, s.isWriting = head, true
-	return s, head, true
+	return s
 }
 
 // Committed takes in that the head being written is durable.
@@ -59,6 +92,7 @@
 func (s Shard) settle(now time.Time, e entry, written State) (Shard, []Effect) {
 	news := e.durable == None || (e.flyingAsync && !e.durableAsync)
 	e.durable, e.durableAsync = written, e.flyingAsync
+	e.before = e.sent
 	s = s.put(e)
 	switch {
 	case written == None && e.record.State == None:
--- a/core/ledger/options.go
+++ b/core/ledger/options.go
@@ -8,6 +8,8 @@
 	MaxOpen int
 	// MaxOpenBytes bounds the payloads and unrecorded answers of these, in bytes.
 	MaxOpenBytes int
+	// MaxHeadBytes bounds the records of a head, in bytes; open requests take at most half of it.
+	MaxHeadBytes int
 	// MaxTries is the number of homes that may run one idempotent request.
 	MaxTries int
 	// SealBytes is the size of the finished records in a head above which they are sealed, in bytes.
@@ -24,7 +26,8 @@
 func NewLimits() Limits {
 	return Limits{
 		MaxOpen:      4096,
-		MaxOpenBytes: 4 << 20,
+		MaxOpenBytes: 8 << 20,
+		MaxHeadBytes: 896 << 10,
 		MaxTries:     5,
 		SealBytes:    128 << 10,
 		RetryPause:   time.Second,
@@ -45,6 +48,12 @@
 	return l
 }
 
+// WithMaxHeadBytes returns a copy with the size of a head's records set.
+func (l Limits) WithMaxHeadBytes(n int) Limits {
+	l.MaxHeadBytes = n
+	return l
+}
+
 // WithSealBytes returns a copy with the size above which finished records are sealed set.
 func (l Limits) WithSealBytes(n int) Limits {
 	l.SealBytes = n
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -117,8 +117,15 @@
 	return r
 }
 
-// bytes estimates the record's size in a head, in bytes.
+// bytes returns a bound of the record's size in memory and before compression, in bytes.
 func (r Record) bytes() int {
-	const fixed = 96
-	return fixed + len(r.Team) + len(r.Payload) + len(r.Answer.Body) + 32*len(r.Answer.Header) + 64*len(r.Answer.Parts)
+	const fixed, perField, perPart = 144, 12, 64
+	n := fixed + len(r.Team) + len(r.Payload) + len(r.Answer.Body)
+	for _, f := range r.Answer.Header {
+		n += perField + len(f.Name) + len(f.Value)
+	}
+	return n + perPart*(len(r.PayloadParts)+len(r.Answer.Parts))
 }
+
+// headBytes returns a bound of the record's size in a head, in bytes.
+func (r Record) headBytes() int { return r.withoutUnusedPayload().bytes() }
--- a/core/ledger/shard.go
+++ b/core/ledger/shard.go
@@ -40,11 +40,16 @@
 	history   *History
 	open      int
 	openBytes int
+	// headBytes is the size of the open records in a head.
+	headBytes int
 }
 
 // entry is one request of the head's tail, with the changes that are not durable yet.
 type entry struct {
 	record Record
+	// before is the record in the last confirmed head, if durable is not None, and sent the one in
+	// the head being written.
+	before, sent Record
 	// durable and flying are the states in the last confirmed head and in the head being written.
 	durable, flying State
 	// durableAsync and flyingAsync report that acceptance is part of these.
@@ -165,6 +170,7 @@
 	if !e.durable.Final() {
 		s.open++
 		s.openBytes += e.record.bytes()
+		s.headBytes += e.record.headBytes()
 	}
 	return s
 }
@@ -182,6 +188,7 @@
 	if ok && !old.durable.Final() {
 		s.open--
 		s.openBytes -= old.record.bytes()
+		s.headBytes -= old.record.headBytes()
 	}
 	return s
 }
--- a/core/ledger/submit.go
+++ b/core/ledger/submit.go
@@ -51,16 +51,22 @@
 		return s, Verdict{Kind: Search, Blocks: missing}
 	}
 	record := newRecord(q)
-	if s.open >= s.limits.MaxOpen || s.openBytes+record.bytes() > s.limits.MaxOpenBytes {
+	if s.isFull(record) {
 		return s, Verdict{Kind: Full}
 	}
-	fresh := entry{record: record, durable: e.durable, flying: e.flying, mine: true, intent: true, since: now}
+	fresh := entry{record: record, before: e.before, sent: e.sent, durable: e.durable, flying: e.flying, mine: true, intent: true, since: now}
 	if !q.Async || q.Idempotent {
 		s, fresh = s.withAttempt(fresh)
 	}
 	return s.mark(fresh), Verdict{Kind: Wait, Record: fresh.record, Fresh: true}
 }
 
+func (s Shard) isFull(r Record) bool {
+	return s.open >= s.limits.MaxOpen ||
+		s.openBytes+r.bytes() > s.limits.MaxOpenBytes ||
+		s.headBytes+r.headBytes() > s.limits.MaxHeadBytes/2
+}
+
 // Matches reports whether a record that was found in a sealed block answers the request.
 func Matches(r Record, q Request) Verdict {
 	if r.BodyHash != q.BodyHash {
--- a/core/ledger/takeover.go
+++ b/core/ledger/takeover.go
@@ -10,7 +10,7 @@
 	fresh.held = true
 	fresh.head = withoutTail(head)
 	for _, r := range head.Tail {
-		e := entry{record: r, durable: r.State, durableAsync: r.Async, since: now}
+		e := entry{record: r, before: r, durable: r.State, durableAsync: r.Async, since: now}
 		h, known := s.away.get(r.ID)
 		switch {
 		case r.State.Final():
--- a/io/ledger/history_test.go
+++ b/io/ledger/history_test.go
@@ -184,3 +184,32 @@
 		})
 	}
 }
+
+func TestHeadStaysUnderTheObjectSize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{}
+		s := fakestore.New(fakestore.NewOptions().WithRates(1e6, 1e6))
+		opts := oneShard("e1", s, u)
+		release := make(chan struct{})
+		opts.Execute = func(_ context.Context, req Request) (Answer, error) {
+			<-release
+			body := make([]byte, inlineBytes)
+			_, _ = rand.NewChaCha8([32]byte([]byte(req.ID))).Read(body)
+			return Answer{Status: 200, Body: body}, nil
+		}
+		l := New(opts)
+		defer l.Close()
+		const n = 400
+		for i := range n {
+			_, err := l.Accept(t.Context(), testRequest(fmt.Sprint(i)))
+			require.NoError(t, err)
+		}
+		close(release)
+		require.NoError(t, l.Drain(t.Context()))
+		for i := range n {
+			r, err := l.Lookup(t.Context(), "rota", core.NewID("rota", fmt.Sprint(i)).String())
+			require.NoError(t, err)
+			assert.Equal(t, core.Done, r.State)
+		}
+	})
+}
--- a/io/ledger/parts.go
+++ b/io/ledger/parts.go
@@ -10,7 +10,7 @@
 
 const (
 	// inlineBytes is the largest body that is kept in the record itself, in bytes.
-	inlineBytes = 32 << 10
+	inlineBytes = 8 << 10
 	// partBytes is the largest part of a body, in bytes; an object holds 1 MiB.
 	partBytes = 1000 << 10
 	// maxPayloadBytes is the largest payload that is made durable, in bytes.
