--- a/core/ledger/shard.go
+++ b/core/ledger/shard.go
@@ -132,6 +132,9 @@
 // Writing reports whether a head is being written.
 func (s Shard) Writing() bool { return s.isWriting }
 
+// Leads reports whether this VM has written the last confirmed head.
+func (s Shard) Leads() bool { return s.held && s.head.Last.Writer == s.writer }
+
 // Dirty reports whether there are changes to write.
 func (s Shard) Dirty() bool { return s.dirty.len() > 0 || s.history != nil }
 
--- a/io/ledger/history.go
+++ b/io/ledger/history.go
@@ -18,12 +18,22 @@
 	// historyReads is the number of reads of one shard's history in flight.
 	historyReads = 8
 	// garbageBatch is the number of unused objects that are deleted after one upkeep.
-	garbageBatch = 4
+	garbageBatch = 2
+	// garbagePause is the time between two deletions of a shard that has nothing to write.
+	garbagePause = time.Second
 )
 
-// newKey returns the key of an object that no other incarnation and no other call writes.
+// Kinds of objects beside the head.
+const (
+	blockKind = "block"
+	indexKind = "index"
+	partKind  = "part"
+)
+
+// newKey returns the key of an object that no other incarnation and no other call writes. It
+// starts with the wall time in Unix seconds.
 func (s *shard) newKey(kind string) string {
-	return fmt.Sprintf("%s%s/%016x-%d", s.prefix, kind, s.l.writer.Incarnation, s.l.objects.Add(1))
+	return fmt.Sprintf("%s%s/%d-%s%d", s.prefix, kind, time.Now().Unix(), incarnationName(s.l.writer), s.l.objects.Add(1))
 }
 
 // candidates returns the sealed blocks that may hold the request; the caller holds mu.
@@ -118,16 +128,20 @@
 	u := &upkeep{s: s, history: h, filters: slices.Clone(s.filters)}
 	out := time.Now().Before(s.refuseUntil)
 	s.mu.Unlock()
-	if plan.Empty() || out {
+	if out {
 		return nil
 	}
+	if plan.Empty() {
+		s.collectWhenIdle(ctx)
+		return s.sweepIfDue(ctx)
+	}
 	if err := u.carryOut(ctx, plan); err != nil {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.fail()
 		return merry.Errorf("upkeep of shard %d: %w", s.number, err)
 	}
-	s.collectGarbage(ctx)
+	s.collectGarbage(ctx, garbageBatch)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state = s.state.WithHistory(u.history)
@@ -145,11 +159,21 @@
 	s.nextGarbage = nil
 }
 
-// collectGarbage deletes some of the objects that no head points to. What a crash leaves behind is
-// found by sweep.
-func (s *shard) collectGarbage(ctx context.Context) {
+// collectWhenIdle deletes one unused object when no write is due and the shard's rate is unspent.
+func (s *shard) collectWhenIdle(ctx context.Context) {
+	s.mu.Lock()
+	idle := !s.state.Dirty()
+	s.mu.Unlock()
+	if idle && s.pacer.Tokens() >= float64(s.l.opts.WriteBurst-1) {
+		s.collectGarbage(ctx, 1)
+	}
+}
+
+// collectGarbage deletes up to most of the objects that no head points to. What a crash leaves
+// behind is found by sweepIfDue.
+func (s *shard) collectGarbage(ctx context.Context, most int) {
 	s.mu.Lock()
-	n := min(garbageBatch, len(s.garbage))
+	n := min(most, len(s.garbage))
 	keys := s.garbage[:n]
 	s.garbage = slices.Clone(s.garbage[n:])
 	s.mu.Unlock()
--- a/io/ledger/history_test.go
+++ b/io/ledger/history_test.go
@@ -213,3 +213,37 @@
 		}
 	})
 }
+
+func TestSweepDeletesWhatACrashLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &upstream{}
+		s := fakestore.New(fakestore.NewOptions().WithRates(1e6, 1e6))
+		opts := oneShard("e1", s, u)
+		opts.Limits = opts.Limits.WithSealBytes(1000)
+		crashed := New(opts)
+		for i := range 30 {
+			_, err := crashed.Do(t.Context(), testRequest(fmt.Sprint(i)))
+			require.NoError(t, err)
+		}
+		var orphans []string
+		for _, kind := range []string{blockKind, indexKind, partKind} {
+			key := crashed.shards[0].newKey(kind)
+			orphans = append(orphans, key)
+			require.NoError(t, crashed.shards[0].putObject(t.Context(), key, []byte("orphan")))
+		}
+		crashed.Close()
+		opts.Limits = opts.Limits.WithSealBytes(1 << 20)
+		l := New(opts)
+		defer l.Close()
+		_, err := l.Do(t.Context(), testRequest("first"))
+		require.NoError(t, err)
+		time.Sleep(sweepDelay + 3*idlePause)
+		for i, want := range []int{0, 0, 1} {
+			assert.Equal(t, want, keys(t, s, orphans[i]), "only the young part stays: %s", orphans[i])
+		}
+		for i := range 30 {
+			_, err := l.Lookup(t.Context(), "rota", core.NewID("rota", fmt.Sprint(i)).String())
+			require.NoError(t, err)
+		}
+	})
+}
--- a/io/ledger/ledger.go
+++ b/io/ledger/ledger.go
@@ -19,7 +19,7 @@
 // Usage:
 //
 //	opts := ledger.NewOptions()
-//	opts.Self, opts.Members, opts.Store, opts.Execute = self, members, client, execute
+//	opts.Self, opts.View, opts.Store, opts.Execute = self, node.View, client, execute
 //	l := ledger.New(opts)
 //	defer l.Close()
 //	outcome, err := l.Do(ctx, ledger.Request{Team: "rota", Key: key, BodyHash: ledger.HashBody(body), Payload: body})
@@ -28,10 +28,12 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -191,20 +193,22 @@
 
 // owner returns the home of the shard as this VM sees it.
 func (l *Ledger) owner(number int) string {
-	id, ok := rendezvous.Owner(fmt.Sprintf("ledger/%d", number), l.opts.Members())
-	if !ok || l.opts.Call == nil {
+	if l.opts.Call == nil {
 		return l.opts.Self
 	}
-	return id
+	role := fmt.Sprintf("ledger/%d", number)
+	if l.opts.View != nil {
+		return cmp.Or(l.opts.View().Owner(role), l.opts.Self)
+	}
+	id, _ := rendezvous.Owner(role, l.opts.Members())
+	return cmp.Or(id, l.opts.Self)
 }
 
 func (l *Ledger) isLive(id string) bool {
-	for _, m := range l.opts.Members() {
-		if m == id {
-			return true
-		}
+	if l.opts.View != nil {
+		return slices.Contains(l.opts.View().IDs(), id)
 	}
-	return false
+	return slices.Contains(l.opts.Members(), id)
 }
 
 // followRoles reads the heads of the shards that fell to this VM and lets go of idle others.
--- a/io/ledger/load.go
+++ b/io/ledger/load.go
@@ -49,6 +49,7 @@
 	s.backoff = 0
 	s.version, s.confirmedAt = version, time.Now()
 	s.filters = filters
+	s.sweepAt = time.Now().Add(sweepDelay)
 	s.checked = true
 	s.countTakeover(head)
 	s.apply(s.state.Load(time.Now(), head, s.l.isPrevious(head.Last.Writer)))
--- a/io/ledger/options.go
+++ b/io/ledger/options.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	core "mothcart/core/ledger"
+	"mothcart/core/member"
 	"mothcart/io/store"
 )
 
@@ -15,7 +16,9 @@
 type Options struct {
 	// Self is the ID of this VM.
 	Self string
-	// Members returns the IDs of the live entry VMs, this one included.
+	// View returns the live entry VMs; shards go to those that aren't leaving.
+	View func() member.View
+	// Members returns the IDs of the live entry VMs, this one included. It is used without View.
 	Members func() []string
 	// Store is the object service.
 	Store store.Client
--- a/io/ledger/parts.go
+++ b/io/ledger/parts.go
@@ -34,7 +34,7 @@
 	var parts []string
 	for len(body) > 0 {
 		n := min(len(body), partBytes)
-		key := s.newKey("part")
+		key := s.newKey(partKind)
 		if err := s.putObject(ctx, key, body[:n]); err != nil {
 			return nil, merry.Errorf("write part: %w", err)
 		}
--- a/io/ledger/shard.go
+++ b/io/ledger/shard.go
@@ -47,6 +47,8 @@
 	filters, nextFilters []core.Filter
 	// garbage are the keys of objects that no head points to any more.
 	garbage, nextGarbage []string
+	// sweepAt is when objects without a reference are looked for.
+	sweepAt time.Time
 }
 
 func newShard(l *Ledger, number int) *shard {
@@ -120,6 +122,9 @@
 	if !next.IsZero() {
 		wait = min(wait, time.Until(next))
 	}
+	if len(s.garbage) > 0 {
+		wait = min(wait, garbagePause)
+	}
 	if !s.state.Dirty() {
 		return core.Head{}, 0, max(wait, time.Millisecond), false
 	}
--- a/io/ledger/upkeep.go
+++ b/io/ledger/upkeep.go
@@ -90,7 +90,7 @@
 	var refs []core.BlockRef
 	var filters []core.Filter
 	for _, b := range blocks {
-		ref := b.Ref(u.s.newKey("block"))
+		ref := b.Ref(u.s.newKey(blockKind))
 		if err := u.s.putObject(ctx, ref.Key, b.Value); err != nil {
 			return nil, nil, err
 		}
@@ -136,7 +136,7 @@
 	if err != nil {
 		return merry.Errorf("encode index: %w", err)
 	}
-	ref := core.IndexRef{Key: u.s.newKey("index"), Blocks: uint32(len(filters))}
+	ref := core.IndexRef{Key: u.s.newKey(indexKind), Blocks: uint32(len(filters))}
 	for _, f := range filters {
 		ref.NewestSeconds = max(ref.NewestSeconds, f.Ref.NewestSeconds)
 	}
