Read many blocks from peers before the object service

Cause: VMs that restart together each read the whole set from the object service. Change: more than 8 missing blocks are asked of peers first; a VM that has just started waits up to 0.5 s for one. A damaged copy in the data folder is tested too. Conclusion: a mass restart costs one read of the root for each VM.

--- a/io/published/apply.go
+++ b/io/published/apply.go
@@ -154,7 +154,7 @@
 		if data == nil && f.announcement().Revision == 0 {
 			return root, version, nil
 		}
-		err = f.adopt(ctx, data, f.fromStore)
+		err = f.adopt(ctx, data, f.fromAnywhere)
 		if err == nil {
 			return root, version, nil
 		}
--- a/io/published/load.go
+++ b/io/published/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sync/errgroup"
@@ -12,8 +13,19 @@
 	"mothcart/io/store"
 )
 
-// storeReaders bounds the concurrent reads of blocks from the object service.
-const storeReaders = 4
+const (
+	// storeReaders bounds the concurrent reads of blocks from the object service.
+	storeReaders = 4
+	// maxStoreBlocks is the number of blocks above which a peer is asked before the object service,
+	// so that a restart of many VMs does not spend its rate of reads.
+	maxStoreBlocks = 8
+	// peerWait bounds the wait of a starting VM for a peer that it can ask.
+	peerWait = 500 * time.Millisecond
+	// peerPoll is the time between two looks for one.
+	peerPoll = 25 * time.Millisecond
+	// sourcePeers is the number of peers that are asked before the object service.
+	sourcePeers = 3
+)
 
 // ErrStale means that a read gave a root older than the one in force.
 var ErrStale = merry.Sentinel("stale read of the configuration")
@@ -66,13 +78,13 @@
 	return nil
 }
 
-// loadLocked is load from the object service, apart from other loads.
+// loadLocked is load, apart from other loads.
 func (f *Follower) loadLocked(ctx context.Context, root publication.Root) (config.Set, error) {
 	if err := f.loading.take(ctx); err != nil {
 		return config.Set{}, merry.Errorf("wait for another load: %w", err)
 	}
 	defer f.loading.give()
-	return f.load(ctx, root, f.fromStore)
+	return f.load(ctx, root, f.fromAnywhere)
 }
 
 // load returns the set of the root; blocks that aren't held come from the source.
@@ -207,6 +219,30 @@
 	}
 }
 
+// fromAnywhere reads a few blocks from the object service, and many from peers if they have them.
+func (f *Follower) fromAnywhere(ctx context.Context, refs []publication.BlockRef) ([][]byte, error) {
+	if len(refs) <= maxStoreBlocks {
+		return f.fromStore(ctx, refs)
+	}
+	for _, id := range f.awaitPeers(ctx) {
+		blocks, err := f.fromPeer(id)(ctx, refs)
+		if n := prefixLength(blocks); err == nil && n > 0 {
+			return blocks[:n], nil
+		}
+	}
+	return f.fromStore(ctx, refs)
+}
+
+// awaitPeers returns a few peers; a VM that has just started waits for the first a short time.
+func (f *Follower) awaitPeers(ctx context.Context) []string {
+	for f.opts.Peers.IDs != nil && time.Since(f.start) < peerWait {
+		if len(f.ids()) > 1 || sleep(ctx, peerPoll) != nil {
+			break
+		}
+	}
+	return f.others(sourcePeers)
+}
+
 // prefixLength returns the number of blocks before the first that is missing.
 func prefixLength(blocks [][]byte) int {
 	for i, b := range blocks {
--- a/io/published/spread_test.go
+++ b/io/published/spread_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -174,6 +177,35 @@
 	})
 }
 
+func TestMassRestartSparesTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, net := newStore(), newNetwork()
+		followers := fleet(t, 30, s, net)
+		apply(t, followers[0], accounts(t, 5000), nil)
+		time.Sleep(todayBound)
+		before := s.Calls().Reads
+		for i := range 10 {
+			followers[i].Close()
+			id := fmt.Sprintf("e%d", i+1)
+			followers[i] = start(t, Options{Self: id, Store: s.Client(), Peers: net.peers(id)})
+		}
+		time.Sleep(todayBound)
+		for _, f := range followers {
+			assert.EqualValues(t, 1, f.Current().Generation)
+		}
+		assert.LessOrEqual(t, s.Calls().Reads-before, uint64(10), "one read of the root each")
+	})
+}
+
+func TestDamagedCopyIsLeftAside(t *testing.T) {
+	for _, data := range []string{"", "x", "\x98\x00\x00\xff\x80\xdd\xdd\xdd\xdd\xdd\xdd", strings.Repeat("x", 200)} {
+		dir := t.TempDir()
+		require.NoError(t, os.WriteFile(filepath.Join(dir, cacheFile), []byte(data), 0o600))
+		f := start(t, Options{Self: "e1", Store: newStore().Client(), DataDir: dir})
+		assert.EqualValues(t, 1, apply(t, f, site(t, "night"), nil).Generation)
+	}
+}
+
 func TestFewVMsWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, net := newStore(), newNetwork()
--- a/io/published/watch.go
+++ b/io/published/watch.go
@@ -70,7 +70,7 @@
 	}
 	loadCtx, cancelLoad := context.WithTimeout(ctx, loadTimeout)
 	defer cancelLoad()
-	if err := f.adopt(loadCtx, o.Value, f.fromStore); err != nil {
+	if err := f.adopt(loadCtx, o.Value, f.fromAnywhere); err != nil {
 		return version, err
 	}
 	f.confirm()
