--- a/io/published/follower.go
+++ b/io/published/follower.go
@@ -44,6 +44,7 @@
 	save  chan struct{}
 
 	random *random
+	role   role
 	// loading admits one fetch of blocks at a time.
 	loading turn
 	publisher
--- a/io/published/network_test.go
+++ b/io/published/network_test.go
@@ -18,6 +18,8 @@
 	mu    sync.Mutex
 	nodes map[string]Handlers
 	cut   map[string]bool
+	// ids are the sorted keys of nodes; the slice is replaced, not modified.
+	ids []string
 }
 
 func newNetwork() *network {
@@ -35,6 +37,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.nodes, id)
+	n.ids = slices.Sorted(maps.Keys(n.nodes))
 }
 
 func (n *network) reach(from, to string) (Handlers, error) {
@@ -52,7 +55,7 @@
 		IDs: func() []string {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			return slices.Sorted(maps.Keys(n.nodes))
+			return n.ids
 		},
 		Announce: func(to string, a Announcement) error {
 			h, err := n.reach(id, to)
@@ -86,6 +89,7 @@
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.nodes[id] = h
+			n.ids = slices.Sorted(maps.Keys(n.nodes))
 		},
 	}
 }
--- a/io/published/watch.go
+++ b/io/published/watch.go
@@ -77,9 +77,23 @@
 	return max(version, o.Version), nil
 }
 
+// role remembers whether this VM watches, as ranking all VMs takes time.
+type role struct {
+	ids     []string
+	watches bool
+}
+
+// isWatcher reports whether this VM is one of the watchers; only the watch loop calls it.
 func (f *Follower) isWatcher() bool {
 	ids := f.ids()
-	return len(ids) <= f.opts.Watchers || slices.Contains(rendezvous.Top(publication.RootKey, ids, f.opts.Watchers), f.opts.Self)
+	if len(ids) <= f.opts.Watchers {
+		return true
+	}
+	if !slices.Equal(ids, f.role.ids) {
+		watchers := rendezvous.Top(publication.RootKey, ids, f.opts.Watchers)
+		f.role = role{ids: slices.Clone(ids), watches: slices.Contains(watchers, f.opts.Self)}
+	}
+	return f.role.watches
 }
 
 // ids returns the live VMs with this one.
