--- a/io/published/watch.go
+++ b/io/published/watch.go
@@ -70,16 +70,30 @@
 	}
 	loadCtx, cancelLoad := context.WithTimeout(ctx, loadTimeout)
 	defer cancelLoad()
-	if err := f.adopt(loadCtx, o.Value, f.fromStore); err != nil {
+	if err := f.adopt(loadCtx, o.Value, f.fromAnywhere); err != nil {
 		return version, err
 	}
 	f.confirm()
 	return max(version, o.Version), nil
 }
 
+// role remembers whether this VM watches, as ranking all VMs takes time.
+type role struct {
+	ids     []string
+	watches bool
+}
+
+// isWatcher reports whether this VM is one of the watchers; only the watch loop calls it.
 func (f *Follower) isWatcher() bool {
 	ids := f.ids()
-	return len(ids) <= f.opts.Watchers || slices.Contains(rendezvous.Top(publication.RootKey, ids, f.opts.Watchers), f.opts.Self)
+	if len(ids) <= f.opts.Watchers {
+		return true
+	}
+	if !slices.Equal(ids, f.role.ids) {
+		watchers := rendezvous.Top(publication.RootKey, ids, f.opts.Watchers)
+		f.role = role{ids: slices.Clone(ids), watches: slices.Contains(watchers, f.opts.Self)}
+	}
+	return f.role.watches
 }
 
 // ids returns the live VMs with this one.
