--- a/io/ledger/parts.go
+++ b/io/ledger/parts.go
@@ -10,7 +10,7 @@
 
 const (
 	// inlineBytes is the largest body that is kept in the record itself, in bytes.
-	inlineBytes = 32 << 10
+	inlineBytes = 8 << 10
 	// partBytes is the largest part of a body, in bytes; an object holds 1 MiB.
 	partBytes = 1000 << 10
 	// maxPayloadBytes is the largest payload that is made durable, in bytes.
@@ -34,7 +34,7 @@
 	var parts []string
 	for len(body) > 0 {
 		n := min(len(body), partBytes)
-		key := s.newKey("part")
+		key := s.newKey(partKind)
 		if err := s.putObject(ctx, key, body[:n]); err != nil {
 			return nil, merry.Errorf("write part: %w", err)
 		}
