Split engines between batch and online by a declared share

Change: a service may declare batchShare. Online uses that share of engines, the same for every VM by rendezvous, only when the others are busy; batch runs only there and gives way by core/fill.

--- a/core/config/check_field.go
+++ b/core/config/check_field.go
@@ -105,6 +105,7 @@
 		between(c, object, "maxConcurrency", s.MaxConcurrency, 1, maxConcurrency)
 		between(c, object, "queueLimit", s.QueueLimit, 0, maxQueueLimit)
 		between(c, object, "harmWeight", s.HarmWeight, 0, 1)
+		between(c, object, "batchShare", s.BatchShare, 0, 0.9)
 		between(c, object, "maxUnavailable", s.MaxUnavailable, 0, 1)
 	}
 }
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -49,6 +49,9 @@
 	// HarmWeight, from 0 to 1, weighs harm to online latency against batch throughput: 1 avoids
 	// all harm, 0 fills all capacity.
 	HarmWeight float64 `json:"harmWeight"`
+	// BatchShare, from 0 to 0.9, is the share of engines that batch uses first and online only when
+	// the others are busy; the others then run no batch. 0 lets batch fill the gaps of all engines.
+	BatchShare float64 `json:"batchShare"`
 	// MaxUnavailable is the largest share of upstreams, from 0 to 1, that a roll-out takes out.
 	MaxUnavailable float64 `json:"maxUnavailable"`
 }
--- a/core/config/kind.go
+++ b/core/config/kind.go
@@ -84,6 +84,7 @@
 			intField("maxConcurrency", func(v *Service) *int { return &v.MaxConcurrency }),
 			intField("queueLimit", func(v *Service) *int { return &v.QueueLimit }),
 			floatField("harmWeight", func(v *Service) *float64 { return &v.HarmWeight }),
+			floatField("batchShare", func(v *Service) *float64 { return &v.BatchShare }),
 			floatField("maxUnavailable", func(v *Service) *float64 { return &v.MaxUnavailable }),
 		},
 	}),
--- /dev/null
+++ b/core/route/batchfirst.go
@@ -0,0 +1,21 @@
+package route
+
+import (
+	"mothcart/core/rendezvous"
+	"mothcart/core/vm"
+)
+
+// BatchFirst returns the IDs of the upstreams of a service that are for batch first: the given share
+// of those that stay, the same for every VM.
+func BatchFirst(service string, share float64, upstreams []vm.VM) []string {
+	if share <= 0 {
+		return nil
+	}
+	var ids []string
+	for _, u := range upstreams {
+		if !u.Leaving {
+			ids = append(ids, u.ID)
+		}
+	}
+	return rendezvous.Top("batchFirst/"+service, ids, int(share*float64(len(ids))))
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -47,6 +47,10 @@
 // saw the same digest. Without it they would all choose the upstream that looked idle.
 const likeness = 0.5
 
+// spillScore is the score of the best of the other upstreams from which on online uses those that
+// are for batch first too.
+const spillScore = 0.25
+
 // drawMultiplier makes the next random number from the last; its high bits choose the upstream.
 const drawMultiplier = 6364136223846793005
 
@@ -86,6 +90,9 @@
 	// Own is the one live value of an entry; tables share it.
 	Own *Counter
 
+	// BatchFirst reports that online uses the upstream only when the others are busy.
+	BatchFirst bool
+
 	distance float64
 	serves   uint64
 	// remainder, from 0 to 1, is drawn with each digest.
@@ -102,6 +109,8 @@
 	hashes []uint64
 	byID   map[string]int
 	names  []string
+	// split reports that some upstreams are for batch first.
+	split bool
 }
 
 // NewTable returns a table for the VM self; vms is the mean number of VMs that route to one of the
@@ -154,6 +163,15 @@
 	return anyBit
 }
 
+// WithBatchFirst returns a table in which the named upstreams are for batch first.
+func (t Table) WithBatchFirst(ids []string) Table {
+	for _, id := range ids {
+		t = t.withEntry(id, func(e *Entry) { e.BatchFirst = true })
+		t.split = true
+	}
+	return t
+}
+
 // WithDigest returns a table with the digest of one upstream replaced.
 func (t Table) WithDigest(id string, d Digest) Table {
 	return t.withEntry(id, func(e *Entry) {
@@ -224,6 +242,9 @@
 	NeedsRoom bool
 	// Reserve is the share of an upstream's capacity, from 0 to 1, that the request must leave free.
 	Reserve float64
+
+	// onlineOnly leaves out the upstreams that are for batch first.
+	onlineOnly bool
 }
 
 // Capacity returns this VM's part of the upstreams' capacity, in requests at once.
@@ -240,6 +261,18 @@
 // Pick returns the index of the upstream for a request; it reports false when none qualifies. It
 // allocates nothing.
 func (t Table) Pick(now time.Time, w Want) (int, bool) {
+	if t.split {
+		w.onlineOnly = true
+		if i, ok := t.pick(now, w); ok && t.score(now, i) < spillScore {
+			return i, true
+		}
+		w.onlineOnly = false
+	}
+	return t.pick(now, w)
+}
+
+// pick chooses among all upstreams that qualify.
+func (t *Table) pick(now time.Time, w Want) (int, bool) {
 	n := len(t.entries)
 	if n == 0 {
 		return 0, false
@@ -321,7 +354,7 @@
 
 func (t *Table) qualifies(now time.Time, i int, w Want) bool {
 	e := t.entries[i]
-	return i != w.Exclude-1 && !e.Upstream.Leaving && e.serves&w.Bit != 0 && !e.Health.Ejected(now)
+	return i != w.Exclude-1 && !(w.onlineOnly && e.BatchFirst) && !e.Upstream.Leaving && e.serves&w.Bit != 0 && !e.Health.Ejected(now)
 }
 
 // hasRoom reports whether this VM may send one more request. All VMs see the same room and may fill
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -116,6 +116,29 @@
 	}
 }
 
+// Online uses the upstreams that are for batch first only when the others are busy.
+func TestBatchFirstUpstreamsGetOnlineLast(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	ids := BatchFirst("s", 0.4, upstreams(10))
+	assert.Len(t, ids, 4)
+	table := newTable(10).WithBatchFirst(ids)
+	spilled := 0
+	for sent := range 60 {
+		i, ok := table.Pick(start, Want{Bit: anyBit, Random: rng.Uint64(), Prefix: rng.Uint64()})
+		assert.True(t, ok)
+		e := table.Entry(i)
+		e.Own.Add(1)
+		if e.BatchFirst {
+			spilled++
+			assert.GreaterOrEqual(t, sent, 2, "the others are idle")
+		}
+	}
+	assert.Positive(t, spilled)
+	for i := range table.Len() {
+		assert.Positive(t, table.Entry(i).Own.Load())
+	}
+}
+
 // Full upstreams: a VM refills the places that its own requests freed, and no more.
 func TestVMRefillsItsOwnPlaces(t *testing.T) {
 	table := newTable(1).WithDigest("e0", Digest{InFlight: 16, Yours: 4, At: start})
--- a/experiment/filling/policy.go
+++ b/experiment/filling/policy.go
@@ -1,6 +1,7 @@
 package filling
 
 import (
+	"fmt"
 	"math"
 	"strconv"
 	"time"
@@ -28,6 +29,9 @@
 	weight float64
 	// reserved is the number of engines that serve batch alone.
 	reserved int
+	// spill is the number of online requests at an engine above which others go to the engines that
+	// are reserved too; 0 means never.
+	spill int
 	// start returns the control of one home; nil runs no batch.
 	start func(now time.Time, opts Options) control
 }
@@ -91,3 +95,13 @@
 		decide: func(now time.Time) fill.Decision { return s.Decide(now) },
 	}
 }
+
+// split gives engines to batch first and the others to online alone. Online goes to its own engines
+// until they have spill requests each; on the others batch gives way by core/fill.
+func split(engines, spill int, weight float64) policy {
+	p := product(weight)
+	p.name = fmt.Sprintf("split %d engines, spill at %d, weight %g", engines, spill, weight)
+	p.reserved = engines
+	p.spill = spill
+	return p
+}
--- a/experiment/filling/run.go
+++ b/experiment/filling/run.go
@@ -29,6 +29,10 @@
 const (
 	// noControlSequences is what an engine is given when everything is sent as it comes.
 	noControlSequences = 128
+	// spillOnline is the number of online requests at an engine from which on others go to the engines
+	// that are for batch first, and splitWeight the weight on those.
+	spillOnline = 12
+	splitWeight = 0.75
 	// parallelRuns bounds the runs at once.
 	parallelRuns = 4
 )
@@ -60,6 +64,9 @@
 	for _, w := range opts.Weights {
 		list = append(list, product(w))
 	}
+	if !opts.ProductOnly {
+		list = append(list, split(opts.Engines*2/5, spillOnline, splitWeight), split(opts.Engines/2, spillOnline, splitWeight))
+	}
 	return list
 }
 
@@ -76,7 +83,7 @@
 
 func runDeployment(opts Options, dep deployment) (Deployment, error) {
 	trace := dep.trace(rand.New(rand.NewPCG(opts.Seed, 11)), opts.Duration)
-	baseTrace := assign(opts, dep, trace, 0)
+	baseTrace := assign(opts, dep, trace, policy{})
 	base := newSim(opts, dep, withoutBatch()).run(baseTrace)
 	full := newSim(opts, dep, fixed("batch alone", opts.Engine.MaxRunning)).run(nil)
 	d := newDeployment(opts, dep, base, full)
@@ -88,7 +95,7 @@
 		group.Go(func() error {
 			runTrace := baseTrace
 			if p.reserved > 0 {
-				runTrace = assign(opts, dep, trace, p.reserved)
+				runTrace = assign(opts, dep, trace, p)
 			}
 			d.Rows[i] = d.row(p, newReservedSim(opts, dep, p).run(runTrace))
 			return nil
@@ -140,7 +147,9 @@
 }
 
 // assign gives each request the engine with fewer online requests of two, in a run without batch.
-func assign(opts Options, dep deployment, trace []arrival, without int) []arrival {
+// Engines that the policy reserves get online requests only when the two have p.spill of them.
+func assign(opts Options, dep deployment, trace []arrival, p policy) []arrival {
+	without := p.reserved
 	s := newSim(opts, dep, withoutBatch())
 	rng := rand.New(rand.NewPCG(opts.Seed, 13))
 	list := slices.Clone(trace)
@@ -152,6 +161,12 @@
 			if cmp.Compare(len(s.engines[b].online), len(s.engines[a].online)) < 0 {
 				a = b
 			}
+			if p.spill > 0 && len(s.engines[a].online) >= p.spill {
+				b = rng.IntN(opts.Engines)
+				if len(s.engines[b].online) < len(s.engines[a].online) {
+					a = b
+				}
+			}
 			list[i].engine = a
 			sent[a]++
 			s.engines[a].arrive("o"+time.Duration(i).String(), list[i])
--- a/io/upstream/batch.go
+++ b/io/upstream/batch.go
@@ -85,7 +85,12 @@
 		}
 	}
 	models, leaving := e.batchModels(), e.upstream.Leaving
-	away := now.Before(e.backUntil)
+	away := now.Before(e.backUntil) || !e.mayBatch
+	if !e.mayBatch {
+		for _, run := range e.batch {
+			run.cancel(errGiveWay)
+		}
+	}
 	e.mu.Unlock()
 	if leaving || away || len(decision.Cancel) > 0 {
 		return
--- a/io/upstream/engine_home.go
+++ b/io/upstream/engine_home.go
@@ -54,6 +54,8 @@
 	// namesLeft is the number of next digests that carry the names after a change.
 	namesLeft int
 	nextModel int
+	// mayBatch reports that the engine runs batch items.
+	mayBatch bool
 	// backUntil ends a time without filling; backTime is its length.
 	backUntil time.Time
 	backTime  time.Duration
@@ -105,10 +107,11 @@
 	return e.upstream.ID
 }
 
-func (e *engineHome) configure(u vm.VM, service config.Service, names []string) {
+// configure takes in a change; batch reports that the engine may run batch items.
+func (e *engineHome) configure(u vm.VM, service config.Service, names []string, batch bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.upstream, e.service, e.names = u, service, names
+	e.upstream, e.service, e.names, e.mayBatch = u, service, names, batch
 	e.state = e.state.WithParams(e.state.Params().WithWeight(service.HarmWeight))
 }
 
--- a/io/upstream/home.go
+++ b/io/upstream/home.go
@@ -120,6 +120,7 @@
 	h.mu.Lock()
 	h.seenView, h.seenList, h.seenConfig = view.Version, revision, snapshot
 	h.homes, h.subscribers = homes, subscribers
+	batch := batchEngines(list, snapshot)
 	mine := map[string]bool{}
 	for _, u := range list {
 		group, ok := snapshot.UpstreamGroup(u.Group)
@@ -129,10 +130,12 @@
 		}
 		mine[u.ID] = true
 		if e, ok := h.engines[u.ID]; ok {
-			e.configure(u, service, namesOf(snapshot, service.Name))
+			e.configure(u, service, namesOf(snapshot, service.Name), batch[u.ID])
 			continue
 		}
-		h.engines[u.ID] = newEngineHome(now, h.opts, u, service, namesOf(snapshot, service.Name))
+		e := newEngineHome(now, h.opts, u, service, namesOf(snapshot, service.Name))
+		e.configure(u, service, namesOf(snapshot, service.Name), batch[u.ID])
+		h.engines[u.ID] = e
 	}
 	for id, e := range h.engines {
 		if !mine[id] {
@@ -150,6 +153,36 @@
 	h.resend(now)
 }
 
+// batchEngines returns the engines that may run batch: all of a service without a batch share, else
+// those that are for batch first.
+func batchEngines(list []vm.VM, snapshot *config.Snapshot) map[string]bool {
+	may := map[string]bool{}
+	byService := upstreamsByService(list, snapshot)
+	for name, upstreams := range byService {
+		service, _ := snapshot.Service(name)
+		if service.BatchShare <= 0 {
+			for _, u := range upstreams {
+				may[u.ID] = true
+			}
+			continue
+		}
+		for _, id := range route.BatchFirst(name, service.BatchShare, upstreams) {
+			may[id] = true
+		}
+	}
+	return may
+}
+
+func upstreamsByService(list []vm.VM, snapshot *config.Snapshot) map[string][]vm.VM {
+	byService := map[string][]vm.VM{}
+	for _, u := range list {
+		if g, ok := snapshot.UpstreamGroup(u.Group); ok {
+			byService[g.Service] = append(byService[g.Service], u)
+		}
+	}
+	return byService
+}
+
 // homesOf computes the home of each upstream.
 func homesOf(view member.View, list []vm.VM) map[string]string {
 	homes := make(map[string]string, len(list))
@@ -161,12 +194,7 @@
 
 // subscribersOf computes which VMs route to each upstream.
 func subscribersOf(view member.View, list []vm.VM, snapshot *config.Snapshot) map[string][]string {
-	byService := map[string][]vm.VM{}
-	for _, u := range list {
-		if g, ok := snapshot.UpstreamGroup(u.Group); ok {
-			byService[g.Service] = append(byService[g.Service], u)
-		}
-	}
+	byService := upstreamsByService(list, snapshot)
 	subscribers := map[string][]string{}
 	for _, v := range view.VMs {
 		for _, upstreams := range byService {
--- a/io/upstream/router.go
+++ b/io/upstream/router.go
@@ -122,12 +122,7 @@
 		return
 	}
 	r.seenConfig, r.seenRevision = snapshot, revision
-	byService := map[string][]vm.VM{}
-	for _, u := range upstreams {
-		if g, ok := snapshot.UpstreamGroup(u.Group); ok {
-			byService[g.Service] = append(byService[g.Service], u)
-		}
-	}
+	byService := upstreamsByService(upstreams, snapshot)
 	kept := map[string]*service{}
 	for _, cfg := range snapshot.Set.Services {
 		s, ok := r.services[cfg.Name]
@@ -153,7 +148,8 @@
 	}
 	subset := route.Subset(r.opts.Self, upstreams, route.SubsetSize)
 	names := namesOf(r.seenConfig, cfg.Name)
-	s.table = route.NewTable(r.opts.Self, r.sharers(len(subset), len(upstreams)), subset, capacity, names, r.counter).WithStateOf(old)
+	s.table = route.NewTable(r.opts.Self, r.sharers(len(subset), len(upstreams)), subset, capacity, names, r.counter).WithStateOf(old).
+		WithBatchFirst(route.BatchFirst(cfg.Name, cfg.BatchShare, upstreams))
 	for _, u := range subset {
 		if _, known := old.Find(u.ID); !known && old.Len() > 0 {
 			s.table = s.table.WithHealth(u.ID, route.Health{}.WithReturn(now))
