Keep VMs not ready until the platform or a peer has confirmed their set

Cause: a VM started in an outage counted as confirmed from its start, and VMs without a set confirmed one another, so that they could take requests without a configuration. Change: Confirmed is NeverConfirmed until the first answer, except for a set from the data folder; a peer without a set confirms nothing. Tests of both and of bursts of refusals. Conclusion: a restart in an outage is ready only with a set.

--- a/io/published/apply_test.go
+++ b/io/published/apply_test.go
@@ -85,6 +85,30 @@
 	})
 }
 
+func TestManyRefusalsAreRecordedWithFewWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		f := start(t, Options{Self: "e1", Store: s.Client()})
+		broken := config.Set{Models: []config.Model{{Name: "m", Service: "gone", Version: "1"}}}
+		const refused = maxRefusals + 11
+		before := s.Calls().Writes
+		for range refused {
+			assert.Equal(t, publication.OutcomeRefused, apply(t, f, broken, nil).Outcome)
+		}
+		time.Sleep(5 * time.Second)
+		assert.LessOrEqual(t, s.Calls().Writes-before, uint64(5))
+		trail, err := f.Audit(context.Background(), 200)
+		require.NoError(t, err)
+		dropped := 0
+		for _, e := range trail {
+			assert.EqualValues(t, 0, e.Generation)
+			dropped += e.Dropped
+		}
+		assert.Equal(t, refused, len(trail)+dropped)
+		assert.EqualValues(t, 1, apply(t, f, site(t, "night"), nil).Generation)
+	})
+}
+
 func TestRacingAppliesMergeOrConflict(t *testing.T) {
 	for _, tc := range []struct {
 		name          string
--- a/io/published/follower.go
+++ b/io/published/follower.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -93,7 +94,6 @@
 		blocks:    map[publication.Digest]*block{},
 		changed:   make(chan struct{}),
 	}
-	f.confirmedAt = f.start
 	f.loadCache()
 	if opts.Peers.Serve != nil {
 		opts.Peers.Serve(f.handlers())
@@ -137,10 +137,17 @@
 	return f.changed
 }
 
+// NeverConfirmed is what Confirmed returns until the platform or a peer has answered.
+const NeverConfirmed time.Duration = math.MaxInt64
+
 // Confirmed returns the time since the generation was last confirmed with the platform or a peer.
+// For a set from the data folder it counts from the start.
 func (f *Follower) Confirmed(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.confirmedAt.IsZero() {
+		return NeverConfirmed
+	}
 	return max(0, now.Sub(f.confirmedAt))
 }
 
@@ -151,6 +158,14 @@
 	f.confirmedAt = time.Now()
 }
 
+// confirmByPeer notes that a peer was reached and had nothing newer. A peer of a VM without a set
+// has none either, which confirms nothing.
+func (f *Follower) confirmByPeer() {
+	if f.announcement().Revision > 0 {
+		f.confirm()
+	}
+}
+
 func (f *Follower) announcement() Announcement {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/published/gossip.go
+++ b/io/published/gossip.go
@@ -32,10 +32,10 @@
 	case a.Revision > own.Revision:
 		f.hint(hint{from: from, revision: a.Revision})
 	case a.Revision < own.Revision:
-		f.confirm()
+		f.confirmByPeer()
 		_ = f.opts.Peers.Announce(from, own)
 	default:
-		f.confirm()
+		f.confirmByPeer()
 	}
 }
 
@@ -124,7 +124,7 @@
 	if err := f.adopt(ctx, data, f.fromPeerFirst(id)); err != nil {
 		return err
 	}
-	f.confirm()
+	f.confirmByPeer()
 	return nil
 }
 
@@ -170,6 +170,6 @@
 	case a.Revision > own.Revision:
 		f.hint(hint{from: id, revision: a.Revision})
 	default:
-		f.confirm()
+		f.confirmByPeer()
 	}
 }
--- a/io/published/spread_test.go
+++ b/io/published/spread_test.go
@@ -143,8 +143,13 @@
 				f = start(t, Options{Self: "e2", Store: s.Client(), Peers: net.peers("e2"), DataDir: dir})
 				time.Sleep(todayBound)
 				assert.Equal(t, tc.want, f.Current().Generation)
-				if !tc.hasPeer {
-					assert.GreaterOrEqual(t, f.Confirmed(time.Now()), todayBound)
+				switch {
+				case tc.hasPeer:
+					assert.Less(t, f.Confirmed(time.Now()), todayBound)
+				case tc.dataDir:
+					assert.Equal(t, todayBound, f.Confirmed(time.Now()))
+				default:
+					assert.Equal(t, NeverConfirmed, f.Confirmed(time.Now()))
 				}
 				s.SetOutage(false)
 				time.Sleep(10 * time.Second)
@@ -177,6 +182,23 @@
 	})
 }
 
+func TestVMsWithoutASetConfirmNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, net := newStore(), newNetwork()
+		s.SetOutage(true)
+		followers := fleet(t, 4, s, net)
+		time.Sleep(time.Minute)
+		for _, f := range followers {
+			assert.Equal(t, NeverConfirmed, f.Confirmed(time.Now()))
+		}
+		s.SetOutage(false)
+		time.Sleep(10 * time.Second)
+		for _, f := range followers {
+			assert.Less(t, f.Confirmed(time.Now()), 10*time.Second, "the store says that there is no set")
+		}
+	})
+}
+
 func TestMassRestartSparesTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, net := newStore(), newNetwork()
