Bound the results in hand of a VM, hash content without copies

Answers in hand were bounded a chunk (16 MB of up to 64 chunks), now 32 MB a VM, and a chunk with 4 MB in hand writes early. A test with answers of 0.8 MB and an outage of a minute stays within the bound plus the items in flight, and loses none. A home that takes a running job over counts its speed from the submission, so that a job at risk is not taken for a fast one.

--- a/core/job/hold.go
+++ b/core/job/hold.go
@@ -223,6 +223,9 @@
 	return w, h.newIntents(w.Chunk)
 }
 
+// Checkpoint returns a write of all outcomes in hand, due or not.
+func (h Hold) Checkpoint() Write { return h.write() }
+
 // lowWater is the number of non-idempotent items ready for dispatch at which more are intended.
 const lowWater = 16
 
--- a/io/job/home.go
+++ b/io/job/home.go
@@ -226,6 +226,10 @@
 	if head.State == job.Cancelling {
 		hj.cancelSeen = now
 	}
+	if len(table.Unclaimed()) < table.Len() {
+		// The first claim is not known; the mean speed since the submission errs on the safe side.
+		hj.started = head.Created
+	}
 	j.homes.jobs[id] = hj
 	j.opts.Log.Info().Str("job", id).Str("state", head.State.String()).Int("items", head.Items).Msg("home of job")
 }
--- a/io/job/job.go
+++ b/io/job/job.go
@@ -79,7 +79,9 @@
 	blocks  blockCache
 	// unheard holds the accepted jobs whose home has not answered yet.
 	unheard map[string]bool
-	closed  bool
+	// handBytes is the size of all answers that wait for the store.
+	handBytes int
+	closed    bool
 }
 
 // New starts the jobs of one VM. Close ends its goroutines.
--- a/io/job/results_test.go
+++ b/io/job/results_test.go
@@ -78,6 +78,36 @@
 	})
 }
 
+func TestResultsInHandAreBoundedInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size, concurrency = 800 << 10, 8
+		s := fakestore.New(fakestore.NewOptions())
+		f := newFleet(t, s, "e1")
+		defer f.close()
+		j := f.vms["e1"]
+		f.dispatch("e1", concurrency, func(j *Jobs, item Item) {
+			if j.Begin(item) {
+				time.Sleep(time.Second)
+				j.Done(item, Result{Status: 200, Body: []byte(strings.Repeat(item.CustomID, size/len(item.CustomID)))})
+			}
+		})
+		status, err := j.Submit(t.Context(), spec(200))
+		require.NoError(t, err)
+		time.Sleep(5 * time.Second)
+		s.SetOutage(true)
+		time.Sleep(time.Minute)
+		j.mu.Lock()
+		inHand := j.handBytes
+		j.mu.Unlock()
+		assert.Greater(t, inHand, maxHandBytes)
+		assert.LessOrEqual(t, inHand, maxHandBytes+concurrency*size)
+		s.SetOutage(false)
+		end, _ := finished(t, j, status.Head.ID, time.Hour)
+		assert.Equal(t, job.Counts{Succeeded: 200}, end.Counts)
+		assert.Zero(t, j.handBytes)
+	})
+}
+
 // brokenReader fails after its text.
 type brokenReader struct{ text io.Reader }
 
--- a/io/job/submit.go
+++ b/io/job/submit.go
@@ -3,7 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -134,17 +137,15 @@
 	return content
 }
 
+// contentOf hashes what the items are and how they run.
 func contentOf(spec Spec) string {
-	parts := make([]string, 0, 4+2*len(spec.Items))
-	idempotent := "idempotent"
-	if spec.NonIdempotent {
-		idempotent = "once"
-	}
-	parts = append(parts, spec.Model, spec.Endpoint, spec.Class, idempotent)
+	h := sha256.New()
+	fmt.Fprintf(h, "%q %q %q %t\n", spec.Model, spec.Endpoint, spec.Class, spec.NonIdempotent)
 	for _, item := range spec.Items {
-		parts = append(parts, item.CustomID, string(item.Body))
+		fmt.Fprintf(h, "%q %d\n", item.CustomID, len(item.Body))
+		h.Write(item.Body)
 	}
-	return hashOf(parts...)
+	return hex.EncodeToString(h.Sum(nil))
 }
 
 func (j *Jobs) class(spec Spec) (config.BatchClass, error) {
--- a/io/job/take.go
+++ b/io/job/take.go
@@ -9,9 +9,13 @@
 	"mothcart/core/job"
 )
 
-// maxHandBytes bounds the results of one chunk that wait for the store; a chunk with more gives no
-// further items.
-const maxHandBytes = 16 << 20
+// Limits of the results that wait for the store.
+const (
+	// maxHandBytes is the size of the answers in hand on this VM above which no item is handed out.
+	maxHandBytes = 32 << 20
+	// flushBytes is the size of one chunk's answers in hand at which they are written early.
+	flushBytes = 4 << 20
+)
 
 // demand is what the callers of Take asked for lately.
 type demand struct {
@@ -39,6 +43,9 @@
 		return nil
 	}
 	j.want(now, model, limit)
+	if j.handBytes > maxHandBytes {
+		return nil
+	}
 	items := j.takeMany(now, model, limit)
 	if len(items) == 0 {
 		items = j.takeAlone(now, model)
@@ -114,7 +121,7 @@
 func (d *demand) target() int { return 2*d.most + 8 }
 
 func (j *Jobs) takeFrom(now time.Time, h *held, n int) []Item {
-	if h.stopping || h.releasing || h.gone || h.handBytes > maxHandBytes {
+	if h.stopping || h.releasing || h.gone {
 		return nil
 	}
 	next, places := h.hold.Take(now, n)
@@ -217,6 +224,7 @@
 		Error:    r.Error,
 	}
 	h.handBytes += len(r.Body)
+	j.handBytes += len(r.Body)
 	j.count("jobs.items.done", 1)
 }
 
@@ -255,7 +263,7 @@
 	if h.queued || h.gone || j.closed || now.Before(h.retryAt) {
 		return
 	}
-	if _, due := h.hold.NextWrite(now); !due && !h.stopping {
+	if _, due := h.nextWrite(now); !due {
 		return
 	}
 	select {
@@ -279,6 +287,7 @@
 	}
 	h.gone = true
 	h.cancel()
+	j.handBytes -= h.handBytes
 	h.bodies = nil
 	h.inputs = nil
 	j.holds.remove(h)
--- a/io/job/write.go
+++ b/io/job/write.go
@@ -31,10 +31,7 @@
 func (j *Jobs) writeHold(ctx context.Context, h *held) {
 	now := time.Now()
 	j.mu.Lock()
-	w, due := h.hold.NextWrite(now)
-	if h.stopping {
-		w, due = h.hold.Cancel(), true
-	}
+	w, due := h.nextWrite(now)
 	if h.gone || !due {
 		h.queued = false
 		j.mu.Unlock()
@@ -57,6 +54,21 @@
 	j.queueIfDue(time.Now(), h)
 }
 
+// nextWrite returns the write that is due: the last one of a cancelled job, the one that the hold
+// asks for, or an early one of many bytes. The caller holds mu.
+func (h *held) nextWrite(now time.Time) (job.Write, bool) {
+	if h.stopping {
+		return h.hold.Cancel(), true
+	}
+	if w, due := h.hold.NextWrite(now); due {
+		return w, true
+	}
+	if h.handBytes < flushBytes {
+		return job.Write{}, false
+	}
+	return h.hold.Checkpoint(), true
+}
+
 // outcomes returns the outcomes that w makes durable; the caller holds mu.
 func (h *held) outcomes(w job.Write) []Outcome {
 	list := make([]Outcome, 0, len(w.Decided))
@@ -106,6 +118,7 @@
 	for p, o := range h.bodies {
 		if c.Items[p].Final() {
 			h.handBytes -= len(o.Body)
+			j.handBytes -= len(o.Body)
 			delete(h.bodies, p)
 		}
 	}
