Pass an update of the root as one value

Cause: commit, resolve and findEntry took the same four arguments. Change: a type update holds them; the result's generation is set after the commit. Conclusion: behaviour is the same, signatures are short.

--- a/cmd/mothcart/apply.go
+++ b/cmd/mothcart/apply.go
@@ -69,14 +69,15 @@
 		return exitOK
 	case publication.OutcomeRefused:
 		printProblems(r.Problems, errOut)
-		fmt.Fprintf(errOut, "mothcart apply: refused: %d problems against generation %d; mend them and apply again\n", len(r.Problems), r.Generation)
+		fmt.Fprintf(errOut, "mothcart apply: refused: %d problems against generation %d; mend them and apply again\n",
+			len(r.Problems), r.Generation)
 		return exitFailure
 	default:
 		for _, c := range r.Conflicts {
 			fmt.Fprintln(errOut, c)
 		}
-		fmt.Fprintf(errOut, "mothcart apply: conflict: made on generation %d, generation %d is published; run mothcart diff, mend the files and apply with -expect %d\n",
-			r.From, r.Generation, r.Generation)
+		fmt.Fprintf(errOut, "mothcart apply: conflict: made on generation %d, generation %d is published; "+
+			"run mothcart diff, mend the files and apply with -expect %d\n", r.From, r.Generation, r.Generation)
 		return exitFailure
 	}
 }
--- a/io/published/apply.go
+++ b/io/published/apply.go
@@ -129,14 +129,15 @@
 		return result, true, nil
 	}
 	refusals := f.waitingRefusals()
-	next, err := f.prepare(ctx, req, w, withEntries(root, refusals), candidate, &result)
+	next, err := f.prepare(ctx, req, w, withEntries(root, refusals), candidate, result)
 	if err != nil {
 		return Result{}, false, err
 	}
-	committed, err := f.commit(ctx, next, version, req.id, root)
+	committed, err := f.commit(ctx, update{id: req.id, base: root, next: next, version: version})
 	if err != nil || !committed {
 		return Result{}, false, err
 	}
+	result.Generation = next.Generation
 	f.refusalsRecorded(refusals)
 	f.takeOwn(ctx, next, w)
 	f.discard(w, next)
--- a/io/published/commit.go
+++ b/io/published/commit.go
@@ -20,8 +20,19 @@
 	maxResolvePause = time.Second
 )
 
+// update is one conditional update of the root.
+type update struct {
+	// id names the entry that tells whether the update took effect.
+	id publication.EntryID
+	// base is the root that was read, at the version; next takes its place.
+	base, next publication.Root
+	version    store.Version
+}
+
 // prepare writes the blocks of the candidate and returns the root that publishes it.
-func (f *Follower) prepare(ctx context.Context, req *request, w *blockWriter, root publication.Root, candidate config.Set, result *Result) (publication.Root, error) {
+func (f *Follower) prepare(
+	ctx context.Context, req *request, w *blockWriter, root publication.Root, candidate config.Set, result Result,
+) (publication.Root, error) {
 	parts, err := publication.Split(candidate, f.shards(root))
 	if err != nil {
 		return root, err
@@ -42,23 +53,22 @@
 	if overflowed {
 		details = append(details, old)
 	}
-	result.Generation = next.Generation
 	if err := w.writeMissing(ctx, root, parts, details); err != nil {
 		return root, err
 	}
 	return next, nil
 }
 
-// commit updates the root from the version to next. It reports false if another update came
-// between. A lost answer is resolved by looking for the entry.
-func (f *Follower) commit(ctx context.Context, next publication.Root, version store.Version, id publication.EntryID, base publication.Root) (bool, error) {
-	data, err := next.Encode()
+// commit updates the root. It reports false if another update came between. A lost answer is
+// resolved by looking for the entry.
+func (f *Follower) commit(ctx context.Context, u update) (bool, error) {
+	data, err := u.next.Encode()
 	if err != nil {
 		return false, err
 	}
-	_, err = f.opts.Store.Put(ctx, publication.RootKey, data, version)
+	_, err = f.opts.Store.Put(ctx, publication.RootKey, data, u.version)
 	if errors.Is(err, store.ErrUnknown) {
-		return f.resolve(ctx, data, version, id, base)
+		return f.resolve(ctx, u, data)
 	}
 	switch {
 	case err == nil:
@@ -72,39 +82,39 @@
 
 // resolve finds out whether an update with a lost answer took effect. While the version stands as
 // it was, the same update is sent again: at most one of the two can take effect.
-func (f *Follower) resolve(ctx context.Context, data []byte, version store.Version, id publication.EntryID, base publication.Root) (bool, error) {
+func (f *Follower) resolve(ctx context.Context, u update, data []byte) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
 	for pause := minResolvePause; ; pause = min(2*pause, maxResolvePause) {
 		root, _, at, err := f.readRoot(ctx)
 		switch {
-		case err != nil || at < version:
-		case at == version:
-			if _, err := f.opts.Store.Put(ctx, publication.RootKey, data, version); err == nil {
+		case err != nil || at < u.version:
+		case at == u.version:
+			if _, err := f.opts.Store.Put(ctx, publication.RootKey, data, u.version); err == nil {
 				return true, nil
 			}
 		default:
-			found, err := f.findEntry(ctx, root, id, base)
+			found, err := f.findEntry(ctx, root, u)
 			if err == nil {
 				return found, nil
 			}
 		}
 		if sleep(ctx, pause) != nil {
-			return false, merry.Errorf("entry %s %d: %w", id.Writer, id.Sequence, ErrOutcomeUnknown)
+			return false, merry.Errorf("entry %s %d: %w", u.id.Writer, u.id.Sequence, ErrOutcomeUnknown)
 		}
 	}
 }
 
-// findEntry looks for the entry in the trail of root, back to the latest entry of base.
-func (f *Follower) findEntry(ctx context.Context, root publication.Root, id publication.EntryID, base publication.Root) (bool, error) {
+// findEntry looks for the update's entry in the trail of root, back to the latest entry of its base.
+func (f *Follower) findEntry(ctx context.Context, root publication.Root, u update) (bool, error) {
 	var last publication.EntryID
-	if n := len(base.Entries); n > 0 {
-		last = base.Entries[n-1].ID
+	if n := len(u.base.Entries); n > 0 {
+		last = u.base.Entries[n-1].ID
 	}
 	entries, older := root.Entries, root.Older
 	for {
 		for i := len(entries) - 1; i >= 0; i-- {
-			if entries[i].ID == id {
+			if entries[i].ID == u.id {
 				return true, nil
 			}
 			if entries[i].ID == last {
--- a/io/published/refusal.go
+++ b/io/published/refusal.go
@@ -130,7 +130,7 @@
 			return false, err
 		}
 	}
-	committed, err := f.commit(ctx, next, version, last, root)
+	committed, err := f.commit(ctx, update{id: last, base: root, next: next, version: version})
 	if err != nil || !committed {
 		return false, err
 	}
--- a/io/published/write.go
+++ b/io/published/write.go
@@ -41,7 +41,9 @@
 }
 
 // writeMissing writes the blocks that root has no reference to.
-func (w *blockWriter) writeMissing(ctx context.Context, root publication.Root, parts publication.Parts, extra []publication.Part) error {
+func (w *blockWriter) writeMissing(
+	ctx context.Context, root publication.Root, parts publication.Parts, extra []publication.Part,
+) error {
 	held := map[publication.Digest]bool{}
 	for _, ref := range root.Refs() {
 		held[ref.Digest] = true
