--- a/core/fill/fill_test.go
+++ b/core/fill/fill_test.go
@@ -94,6 +94,39 @@
 	}
 }
 
+func TestSteadyOnlineMakesNoOscillation(t *testing.T) {
+	for _, weight := range []float64{1, 0.75, 0.5, 0} {
+		s, now := filled(t, NewParams(64, 60_000).WithWeight(weight))
+		s = s.WithOnlineStart(at(now), "o", 400)
+		for _, id := range s.Decide(at(now)).Cancel {
+			s = s.WithBatchPaused(at(now), id)
+		}
+		level, next := s.Batch(), 1000
+		for range 500 {
+			now += 10 * time.Millisecond
+			require.Empty(t, s.Decide(at(now)).Cancel, weight)
+			s, _ = feed(s, at(now), &next)
+			require.InDelta(t, level, s.Batch(), 2, weight)
+		}
+	}
+}
+
+func TestFlappingOnlineStartsNoBatch(t *testing.T) {
+	s, now := known(NewParams(64, 60_000).WithWeight(1))
+	admitted := 0
+	for i := range 100 {
+		id := fmt.Sprint("o", i)
+		s = s.WithOnlineStart(at(now), id, 400)
+		now += 20 * time.Millisecond
+		s = s.WithOnlineEnd(at(now), id)
+		for range 5 {
+			now += 10 * time.Millisecond
+			admitted += s.Decide(at(now)).Admit
+		}
+	}
+	require.Zero(t, admitted)
+}
+
 func TestItemAboveTheTokenLimitIsNotTakenAgain(t *testing.T) {
 	s, now := known(NewParams(64, 2_000))
 	d := s.Decide(at(now))
@@ -155,6 +188,24 @@
 	require.InDelta(t, 0.02, h.ratio(), 0.002)
 }
 
+func TestRatioIsLearnedFromBatchStreams(t *testing.T) {
+	s := New(start, NewParams(64, 60_000))
+	now := time.Duration(0)
+	for round := range 300 {
+		n := 1 + round%30
+		for i := range n {
+			id := fmt.Sprint("b", i)
+			s = s.WithBatchStart(at(now), id, itemTokens).WithBatchFirstToken(at(now), id)
+		}
+		now += 100 * time.Duration((10+0.3*float64(n))*float64(time.Millisecond))
+		s = s.WithBatchLatency(at(now), "b0", 101)
+		for i := range n {
+			s = s.WithBatchEnd(at(now), fmt.Sprint("b", i))
+		}
+	}
+	require.InDelta(t, 0.03, s.harm.ratio(), 0.003)
+}
+
 func TestStateProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		params := NewParams(16, 8_000).WithWeight(rapid.Float64Range(0, 1).Draw(t, "weight"))
