--- a/core/fill/options.go
+++ b/core/fill/options.go
@@ -24,13 +24,13 @@
 	OnlineLease time.Duration
 }
 
-// NewParams returns the settings for an engine's capacity, with the weight at three quarters.
+// NewParams returns the settings for an engine's capacity, with a weight of 0.85.
 func NewParams(maxSequences, kvTokens int) Params {
 	return Params{
 		MaxSequences:  maxSequences,
 		KVTokens:      kvTokens,
 		CacheTokens:   kvTokens / 8,
-		Weight:        0.75,
+		Weight:        0.85,
 		AnswerTokens:  200,
 		PrefillTokens: 4096,
 		KeepState:     5 * time.Second,
--- a/experiment/filling/options.go
+++ b/experiment/filling/options.go
@@ -51,7 +51,7 @@
 		Engine:      engine.NewOptions(),
 		ReportLag:   500 * time.Millisecond,
 		ReportEvery: 200 * time.Millisecond,
-		Weights:     []float64{1, 0.75, 0.5, 0.25, 0},
+		Weights:     []float64{1, 0.85, 0.75, 0.5, 0.25, 0},
 		FaultWeight: 0.75,
 	}
 }
