--- a/io/job/item.go
+++ b/io/job/item.go
@@ -94,6 +94,8 @@
 	cancel    context.CancelFunc
 	lastTake  time.Time
 	retryAt   time.Time
+	// pause is the time between the last two tries of a write that failed.
+	pause time.Duration
 	// unresolvedSince is the start of the earliest write whose outcome is unknown; zero without.
 	unresolvedSince time.Time
 	queued          bool
--- a/io/job/write.go
+++ b/io/job/write.go
@@ -11,8 +11,23 @@
 	"mothcart/io/store"
 )
 
-// writePause is the time between two tries of a write that the store refused.
-const writePause = time.Second
+// Pauses between two tries of a write that the store refused: each packs the outcomes in hand anew,
+// so they double up to the largest.
+const (
+	firstWritePause = time.Second
+	lastWritePause  = 8 * time.Second
+)
+
+// settle records how the last write of a chunk went; the caller holds mu.
+func (h *held) settle(err error) {
+	h.failing = err != nil
+	if !h.failing {
+		h.pause = 0
+		return
+	}
+	h.pause = min(max(2*h.pause, firstWritePause), lastWritePause)
+	h.retryAt = time.Now().Add(h.pause)
+}
 
 func (j *Jobs) writeLoop() {
 	for {
@@ -46,11 +61,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	h.queued = false
-	h.failing = err != nil
-	if h.failing {
-		h.retryAt = time.Now().Add(writePause)
-		return
-	}
+	h.settle(err)
 	j.queueIfDue(time.Now(), h)
 }
 
@@ -237,10 +248,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	h.queued, h.releasing = false, false
-	h.failing = err != nil
-	if err != nil {
-		h.retryAt = time.Now().Add(writePause)
-	}
+	h.settle(err)
 }
 
 // releaseTimeout bounds the last writes of a VM that closes.
