Shrink the memory of a connection and allow one more silent interval

Cause: each connection held a queue of 256 frames by value; heartbeats may lie almost two intervals apart, so three silent intervals left a margin of one.

--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -105,7 +105,8 @@
 // probeIndirectly asks relays, and probes once more on a new connection.
 func (t *step) probeIndirectly(p probe) {
 	t.send(p.target, Message{Kind: Ping, Sequence: p.sequence})
-	t.out[len(t.out)-1].Fresh = true
+	// Under overload the connections are not at fault, and new ones would add to the load.
+	t.out[len(t.out)-1].Fresh = t.s.overload < t.s.params.MaxOverload
 	others := slices.DeleteFunc(t.liveIDs(), func(id string) bool { return id == p.target })
 	for _, to := range t.pick(others, t.s.params.Relays) {
 		t.send(to, Message{Kind: PingRequest, Sequence: p.sequence, Target: p.target})
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -46,7 +46,7 @@
 	openedAt time.Time
 
 	out     chan *item
-	notices chan frame
+	notices chan *frame
 	done    chan struct{}
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -71,7 +71,7 @@
 		limit:    n.opts.frameLimit(class),
 		openedAt: time.Now(),
 		out:      make(chan *item, n.opts.QueueFrames),
-		notices:  make(chan frame, n.opts.QueueFrames),
+		notices:  make(chan *frame, n.opts.QueueFrames),
 		done:     make(chan struct{}),
 		calls:    map[uint64]*call{},
 		served:   map[uint64]context.CancelFunc{},
@@ -250,7 +250,7 @@
 		return
 	}
 	select {
-	case c.notices <- f:
+	case c.notices <- &f:
 	default:
 		c.node.metrics.noticesDropped.Inc(1)
 	}
@@ -261,7 +261,7 @@
 	for {
 		select {
 		case f := <-c.notices:
-			c.node.handleNotice(c.peer, f)
+			c.node.handleNotice(c.peer, *f)
 		case <-c.done:
 			return
 		}
--- a/io/peer/options.go
+++ b/io/peer/options.go
@@ -70,7 +70,7 @@
 		Registry:          gometrics.NewRegistry(),
 		Logger:            zerolog.Nop(),
 		HeartbeatInterval: time.Second,
-		HeartbeatMisses:   3,
+		HeartbeatMisses:   4,
 		IdleTimeout:       time.Minute,
 		DialTimeout:       2 * time.Second,
 		CallTimeout:       30 * time.Second,
