Pace batch prompts less

Cause: at weights near 1 the ramp after long bursts took 1.2 to 1.5 s for 95% of the gaps, above the target of 1 s, since all prompts are computed again.

Change: the bound of prompt tokens in progress falls to 0.9 of its value at weight 1 instead of 0.4.

--- a/core/fill/decide.go
+++ b/core/fill/decide.go
@@ -13,7 +13,7 @@
 	// holdTime is how long batch waits after the last online request, at weight 1.
 	holdTime = 100 * time.Millisecond
 	// paceFactor multiplies the prompt tokens computed at once at weight 1.
-	paceFactor = 0.4
+	paceFactor = 0.9
 	// prefillTime is how long a prompt is assumed to be computed when no first token is noted.
 	prefillTime = 500 * time.Millisecond
 	// listenTime is how long a new home without a report only listens.
