--- a/core/config/kind.go
+++ b/core/config/kind.go
@@ -70,7 +70,7 @@
 			return Service{
 				Name: name, Kind: KindEngine, ReportsLoad: true, ProgressTimeout: 10 * time.Second,
 				RequestTimeout: time.Minute, RetryBudget: 0.1, MaxConcurrency: 32, QueueLimit: 256,
-				HarmWeight: 0.5, MaxUnavailable: 0.25,
+				HarmWeight: 0.85, MaxUnavailable: 0.25,
 			}
 		},
 		fields: []field[Service]{
--- a/io/serve/durable.go
+++ b/io/serve/durable.go
@@ -23,7 +23,7 @@
 func (s *Server) newLedger(c store.Client) *ledger.Ledger {
 	opts := ledger.NewOptions()
 	opts.Self = s.opts.Settings.VMID
-	opts.Members = func() []string { return s.peers.View().IDs() }
+	opts.View = s.peers.View
 	opts.Store = c
 	opts.Execute = s.execute
 	opts.Metrics = s.opts.Registry
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -78,7 +78,8 @@
 // PutConfirmed is c.Put with a lost answer resolved by reading back and comparing. The value must
 // be unique to the writer and the attempt (it holds a writer ID and a sequence number), so that an
 // equal value proves that the write had effect. It returns ErrUnknown only when reading back
-// failed too.
+// failed too. ErrConflict means that the object holds another value: after a lost answer the write
+// may have had effect and been overwritten since, so callers decide anew from what they read.
 func PutConfirmed(ctx context.Context, c Client, key string, value []byte, expect Version) (Version, error) {
 	version, err := c.Put(ctx, key, value, expect)
 	for i := 0; errors.Is(err, ErrUnknown) && i < confirmAttempts; i++ {
--- a/io/upstream/batch.go
+++ b/io/upstream/batch.go
@@ -12,12 +12,12 @@
 	"mothcart/io/engine"
 )
 
+// bytesPerToken is the usual length of a token, for estimates.
+const bytesPerToken = 4
+
 // assumedAnswerTokens is the length of a batch answer for the budget of memory.
 const assumedAnswerTokens = 128
 
-// maxProgress bounds the answers begun and given back that are kept for resuming.
-const maxProgress = 2048
-
 // batchRun is one batch item at the engine.
 type batchRun struct {
 	item   BatchItem
@@ -33,31 +33,36 @@
 // errGiveWay is the cause of the cancellation of a batch item that makes room for online.
 var errGiveWay = errors.New("batch gives way to online")
 
-// progressCache keeps the begun answers of items that were given back. The home's mu guards it.
-type progressCache struct {
-	byID  map[string]*engine.Assembler
-	order []string
-}
-
-func newProgressCache() progressCache {
-	return progressCache{byID: map[string]*engine.Assembler{}}
+// pausedItem is an item that gave way, with what it has of its answer. It goes on first at the same
+// engine, which keeps its state for some seconds.
+type pausedItem struct {
+	item   BatchItem
+	answer *engine.Assembler
+	until  time.Time
 }
 
-// take returns the begun answer of an item, or nil.
-func (c *progressCache) take(id string) *engine.Assembler {
-	a := c.byID[id]
-	delete(c.byID, id)
-	return a
-}
+// maxPause is how long an item waits to go on at its engine; then it is given back for others.
+const maxPause = 5 * time.Second
 
-// put keeps a begun answer; the oldest goes when there are too many.
-func (c *progressCache) put(id string, a *engine.Assembler) {
-	c.byID[id] = a
-	c.order = append(c.order, id)
-	if len(c.order) > maxProgress {
-		delete(c.byID, c.order[0])
-		c.order = c.order[1:]
+// takePaused takes up to n paused items to go on, and gives those back that waited too long; mu is
+// not held.
+func (e *engineHome) takePaused(now time.Time, n int) []pausedItem {
+	e.mu.Lock()
+	var ready, late []pausedItem
+	for len(e.paused) > 0 && (len(ready) < n || !now.Before(e.paused[0].until)) {
+		p := e.paused[0]
+		e.paused = e.paused[1:]
+		if p.item.Context.Err() != nil || !now.Before(p.until) || e.ctx.Err() != nil {
+			late = append(late, p)
+			continue
+		}
+		ready = append(ready, p)
+	}
+	e.mu.Unlock()
+	for _, p := range late {
+		p.item.Return()
 	}
+	return ready
 }
 
 // fillLoop keeps the engine filled with batch items as far as online leaves room.
@@ -115,13 +120,22 @@
 // admit starts as many items as the decision allows.
 func (e *engineHome) admit(now time.Time, d fill.Decision, models []string) {
 	room, tokens := d.Admit, d.AdmitTokens
+	for _, p := range e.takePaused(now, room) {
+		cost := costOf(p.item)
+		if tokens <= 0 || !e.begin(now, p.item, p.answer, cost) {
+			e.pause(p)
+			continue
+		}
+		room--
+		tokens -= cost
+	}
 	for _, model := range models {
 		if room <= 0 || tokens <= 0 {
 			return
 		}
 		for _, item := range e.opts.Items.Take(model, room) {
-			cost := len(item.Body)/4 + assumedAnswerTokens
-			if tokens <= 0 || !e.begin(now, item, cost) {
+			cost := costOf(item)
+			if tokens <= 0 || !e.begin(now, item, nil, cost) {
 				item.Return()
 				continue
 			}
@@ -131,8 +145,19 @@
 	}
 }
 
-// begin starts one item; it reports false when the item can't start now.
-func (e *engineHome) begin(now time.Time, item BatchItem, cost int) bool {
+// costOf estimates the KV tokens of an item.
+func costOf(item BatchItem) int { return len(item.Body)/bytesPerToken + assumedAnswerTokens }
+
+// pause keeps an item for going on.
+func (e *engineHome) pause(p pausedItem) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.paused = append(e.paused, p)
+}
+
+// begin starts one item, which goes on from answer unless that is nil; it reports false when the
+// item can't start now.
+func (e *engineHome) begin(now time.Time, item BatchItem, answer *engine.Assembler, cost int) bool {
 	ctx, cancel := context.WithCancelCause(item.Context)
 	e.mu.Lock()
 	if e.ctx.Err() != nil || (item.Alone && len(e.batch) > 0) || e.runsAlone() {
@@ -142,7 +167,6 @@
 	}
 	e.batch[item.ID] = &batchRun{item: item, cancel: cancel}
 	e.state = e.state.WithBatchStart(now, item.ID, cost)
-	answer := e.progress.take(item.ID)
 	address, progress := e.upstream.Address, e.service.ProgressTimeout
 	e.mu.Unlock()
 	stop := context.AfterFunc(e.ctx, func() { cancel(errGiveWay) })
@@ -164,16 +188,17 @@
 
 // run sends one item and records what became of it.
 func (e *engineHome) run(ctx context.Context, item BatchItem, answer *engine.Assembler, address string, progress time.Duration) {
-	if !item.Begin() {
-		e.ended(item.ID, false)
-		return
-	}
 	if answer == nil {
+		if !item.Begin() {
+			e.ended(item.ID, false, 0)
+			return
+		}
 		answer = engine.NewAssembler(item.Path)
 	}
+	from := answer.Tokens()
 	call := engine.Call{
 		Address: address, Path: item.Path, RequestID: item.ID, Body: item.Body,
-		ResumeFrom: answer.Tokens(), Resumable: item.Idempotent, Progress: progress,
+		ResumeFrom: from, Resumable: item.Idempotent, Progress: progress,
 	}
 	first := true
 	err := e.opts.Batch.Stream(ctx, call, func(ev engine.Event) error {
@@ -184,7 +209,7 @@
 		return answer.Add(ev.Data)
 	})
 	gaveWay := err != nil && errors.Is(context.Cause(ctx), errGiveWay)
-	e.ended(item.ID, gaveWay)
+	e.ended(item.ID, gaveWay, answer.Tokens()-from)
 	switch {
 	case gaveWay:
 		e.giveBack(item, answer)
@@ -208,11 +233,12 @@
 	e.backTime = 0
 }
 
-// ended takes the item out of the engine's state.
-func (e *engineHome) ended(id string, paused bool) {
+// ended takes the item out of the engine's state; tokens came since it was sent.
+func (e *engineHome) ended(id string, paused bool, tokens int) {
 	now := time.Now()
 	e.mu.Lock()
 	delete(e.batch, id)
+	e.state = e.state.WithBatchLatency(now, id, tokens)
 	if paused {
 		e.state = e.state.WithBatchPaused(now, id)
 	} else {
@@ -222,15 +248,14 @@
 	e.poke()
 }
 
-// giveBack returns an item that gave way; what it has of its answer is kept for going on.
+// giveBack keeps an item that gave way for going on, or returns it.
 func (e *engineHome) giveBack(item BatchItem, answer *engine.Assembler) {
 	metrics.GetOrRegisterCounter("batch.gaveWay", e.opts.Registry).Inc(1)
-	if item.Idempotent && answer.Tokens() > 0 {
-		e.mu.Lock()
-		e.progress.put(item.ID, answer)
-		e.mu.Unlock()
+	if !item.Idempotent || e.ctx.Err() != nil {
+		item.Return()
+		return
 	}
-	item.Return()
+	e.pause(pausedItem{item: item, answer: answer, until: time.Now().Add(maxPause)})
 }
 
 func wholeResult(a *engine.Assembler) BatchResult {
--- a/io/upstream/engine_home.go
+++ b/io/upstream/engine_home.go
@@ -48,7 +48,7 @@
 	// loadAt is when the last report came; zero means never.
 	loadAt    time.Time
 	batch     map[string]*batchRun
-	progress  progressCache
+	paused    []pausedItem
 	digestAt  time.Time
 	digestSeq int
 	// namesLeft is the number of next digests that carry the names after a change.
@@ -84,7 +84,7 @@
 		opts: opts, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		upstream: u, service: service, names: names,
 		state:  fill.New(now, fill.NewParams(capacity, assumedKVTokens).WithWeight(service.HarmWeight)),
-		online: map[string][]string{}, batch: map[string]*batchRun{}, progress: newProgressCache(),
+		online: map[string][]string{}, batch: map[string]*batchRun{},
 	}
 	if service.Kind == config.KindEngine {
 		e.done.Go(e.fillLoop)
@@ -99,6 +99,9 @@
 func (e *engineHome) close() {
 	e.cancel()
 	e.done.Wait()
+	for _, p := range e.takePaused(time.Now(), len(e.paused)) {
+		p.item.Return()
+	}
 }
 
 func (e *engineHome) id() string {
