Divide the room anew when VMs join; count refilled places as taken

Cause: under the flood engines still queued up to 11 requests. A trace of the picks showed one VM taking 6 places where its part was 2: the router computed the number of VMs that share an upstream only at a change of configuration or list, before the others had joined, so V was 1. Ruled out: late notices (own counts and digests agreed), the draws of the remainder.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -72,6 +72,9 @@
 	InFlight int32
 	// Yours is the part of InFlight that came from the receiving VM.
 	Yours int32
+	// Held is the greatest InFlight of the last moments: a place that its VM refills at once is not
+	// free for others.
+	Held int32
 	// Waiting is the number of online requests queued inside the upstream.
 	Waiting int32
 	// Capacity is the number of requests that the upstream serves at once.
@@ -368,7 +371,7 @@
 	if e.stale(now) {
 		return float64(own*t.vms) < limit
 	}
-	part := (limit - float64(e.Digest.InFlight)) / float64(t.vms)
+	part := (limit - float64(max(e.Digest.InFlight, e.Digest.Held))) / float64(t.vms)
 	return float64(own-e.Digest.Yours) < math.Floor(part+e.remainder)
 }
 
--- a/io/upstream/engine_home.go
+++ b/io/upstream/engine_home.go
@@ -51,6 +51,8 @@
 	paused    []pausedItem
 	digestAt  time.Time
 	digestSeq int
+	// held tells how many places were taken in the last moments.
+	held recentPeak
 	// namesLeft is the number of next digests that carry the names after a change.
 	namesLeft int
 	nextModel int
@@ -129,6 +131,7 @@
 	case n.Number != 0:
 		e.end(now, from, id)
 	}
+	e.held = e.held.with(now, e.onlineCount())
 	for len(e.online[from]) > n.InFlight {
 		e.end(now, from, e.online[from][0])
 	}
@@ -136,6 +139,7 @@
 		e.unseen++
 		e.start(now, from, fmt.Sprintf("%s/unseen%d", from, e.unseen), 0)
 	}
+	e.held = e.held.with(now, e.onlineCount())
 	e.mu.Unlock()
 	if n.Started {
 		e.poke()
@@ -256,7 +260,7 @@
 	defer e.mu.Unlock()
 	d := digestNotice{
 		Upstream: e.upstream.ID, Service: e.service.Name, InFlight: int32(e.onlineCount()),
-		Yours: int32(len(e.online[receiver])), Waiting: e.waiting(), Capacity: int32(e.capacity()), All: true,
+		Yours: int32(len(e.online[receiver])), Held: int32(e.held.at(time.Now(), e.onlineCount())), Waiting: e.waiting(), Capacity: int32(e.capacity()), All: true,
 	}
 	if e.loadAt.IsZero() || e.service.Kind != config.KindEngine {
 		return d
--- a/io/upstream/home_test.go
+++ b/io/upstream/home_test.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"mothcart/core/config"
+	"mothcart/core/route"
 	"mothcart/core/vm"
 )
 
@@ -56,6 +57,50 @@
 	assert.EqualValues(t, 2, d.Yours)
 }
 
+// A place that is refilled within the window never looks free; one that stays free does.
+func TestRecentPeak(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := recentPeak{}.with(now, 16).with(now.Add(10*time.Millisecond), 12)
+	assert.Equal(t, 16, p.at(now.Add(20*time.Millisecond), 12))
+	assert.Equal(t, 16, p.at(now.Add(peakWindow), 12))
+	assert.Equal(t, 12, p.at(now.Add(3*peakWindow), 12))
+}
+
+// A VM that joins takes its part of the room from the others.
+func TestRoomIsDividedAnewWhenVMsJoin(t *testing.T) {
+	set := config.Set{
+		Services:       []config.Service{{Name: "s", Kind: config.KindEngine, MaxConcurrency: 16, QueueLimit: 1}},
+		UpstreamGroups: []config.UpstreamGroup{{Name: "g", Service: "s", Label: "g"}},
+	}
+	snapshot := config.NewSnapshot(1, set)
+	vms := 1
+	r := &Router{
+		opts: NewOptions(vm.VM{ID: "v"}, nil).WithSnapshot(func() *config.Snapshot { return snapshot }).
+			WithUpstreams(func() ([]vm.VM, uint64) { return []vm.VM{{ID: "e", Group: "g"}}, 1 }).WithVMs(func() int { return vms }),
+		services: map[string]*service{}, counters: map[string]*route.Counter{},
+	}
+	for _, tc := range []struct{ vms, most int }{{1, 16}, {4, 5}} {
+		vms = tc.vms
+		now := time.Now()
+		r.refresh(now)
+		r.TakeDigest(now, "s", "e", route.Digest{Capacity: 16})
+		n := 0
+		for {
+			lease, ok := r.place(now, r.services["s"], Want{Service: "s"}, 0)
+			if !ok {
+				break
+			}
+			defer lease.Done(now, true)
+			n++
+		}
+		assert.LessOrEqual(t, n, tc.most)
+		assert.GreaterOrEqual(t, n, tc.most-1)
+		for range n {
+			r.counter("e").Add(-1)
+		}
+	}
+}
+
 // BenchmarkCount measures a start and an end notice at the home, and their size on the wire.
 func BenchmarkCount(b *testing.B) {
 	e := newTestHome()
--- a/io/upstream/notice.go
+++ b/io/upstream/notice.go
@@ -29,6 +29,7 @@
 	Service  string   `msgpack:"s"`
 	InFlight int32    `msgpack:"n"`
 	Yours    int32    `msgpack:"y"`
+	Held     int32    `msgpack:"h"`
 	Waiting  int32    `msgpack:"w"`
 	Capacity int32    `msgpack:"c"`
 	Names    []string `msgpack:"m,omitempty"`
@@ -169,7 +170,7 @@
 			names = []string{}
 		}
 		h.opts.TakeDigest(now, d.Service, d.Upstream, route.Digest{
-			InFlight: d.InFlight, Yours: d.Yours, Waiting: d.Waiting, Capacity: d.Capacity, Names: names,
+			InFlight: d.InFlight, Yours: d.Yours, Held: d.Held, Waiting: d.Waiting, Capacity: d.Capacity, Names: names,
 		})
 	}
 }
--- a/io/upstream/router.go
+++ b/io/upstream/router.go
@@ -48,6 +48,7 @@
 	// seen is the configuration and list of upstreams that the services were built from.
 	seenConfig   *config.Snapshot
 	seenRevision uint64
+	seenVMs      int
 	nextID       uint64
 	stop         chan struct{}
 	done         sync.WaitGroup
@@ -118,10 +119,11 @@
 func (r *Router) refresh(now time.Time) {
 	snapshot := r.opts.Snapshot()
 	upstreams, revision := r.opts.Upstreams()
-	if snapshot == r.seenConfig && revision == r.seenRevision && r.seenConfig != nil {
+	vms := r.opts.VMs()
+	if snapshot == r.seenConfig && revision == r.seenRevision && vms == r.seenVMs && r.seenConfig != nil {
 		return
 	}
-	r.seenConfig, r.seenRevision = snapshot, revision
+	r.seenConfig, r.seenRevision, r.seenVMs = snapshot, revision, vms
 	byService := upstreamsByService(upstreams, snapshot)
 	kept := map[string]*service{}
 	for _, cfg := range snapshot.Set.Services {
@@ -166,7 +168,7 @@
 // sharers returns the mean number of VMs that route to one upstream, when each VM routes to subset
 // of all upstreams.
 func (r *Router) sharers(subset, all int) int {
-	return max(1, r.opts.VMs()*subset/max(1, all))
+	return max(1, r.seenVMs*subset/max(1, all))
 }
 
 func (r *Router) counter(id string) *route.Counter {
