Let VMs tell the homes which upstreams they route to

Cause: at the two-year size each home computed the subsets of all 340 VMs at each change of members: 1.70 s (BenchmarkSubscribersAtSize). Measured: 26.7 ms for a change (BenchmarkPlaceAtSize), the subsets of one VM and the homes of 3,100 engines.

--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -68,6 +68,9 @@
 	// LimitedRequestShare is the share of requests, from 0 to 1, that need a grant of their own.
 	LimitedRequestShare          float64
 	AllowanceBytes, AccountsSeen float64
+	// SubscribedUpstreams is the number that one VM routes to, MemberChangesPerDay that of joins,
+	// leaves and deaths.
+	SubscribedUpstreams, MemberChangesPerDay float64
 }
 
 // TwoYears returns the size of the users' letter, with the assumptions that it leaves open.
@@ -79,6 +82,7 @@
 		CoreLimit: 0.038, BytesLimit: 27e3, MemoryLimit: 64e6, StoreWrites: 400, StoreReads: 2000,
 		LoadReportsPerSecond: 2, FillDecisionsPerSecond: 100, DigestBytesPerSecond: 6144,
 		AnnouncementsPerSecond: 1, LimitedRequestShare: 1, AllowanceBytes: 200, AccountsSeen: 26000,
+		SubscribedUpstreams: 150, MemberChangesPerDay: 3 * 308,
 	}
 }
 
@@ -95,6 +99,8 @@
 const (
 	nanosPerSecond = 1e9
 	secondsPerDay  = 86400
+	// subscribedBytes is an upstream's ID in a subscription.
+	subscribedBytes = 13
 )
 
 // Rows works the roles out.
@@ -116,6 +122,7 @@
 		{"entry: counts to homes", "start at once, end with the next frame; absolute counts", notices * (s.of("countFrameBytes") + frame), notices * perFrame / nanosPerSecond, 2e6, 0, 0},
 		{"home: counts of other VMs", "counts by VM, dropped with their VM", 0, (notices*perFrame + requests*s.of("countPairNanos")) / nanosPerSecond, 1e6, 0, 0},
 		{"home: digests", "a bound on bytes sets the interval", z.DigestBytesPerSecond, digests * (s.of("digestNanos") + perFrame) / nanosPerSecond, 0.5e6, 0, 0},
+		{"placing roles, subscriptions", "rendezvous at each change of members; each VM names its upstreams each 5 s", z.SubscribedUpstreams * (subscribedBytes + frame/2) / 5, z.MemberChangesPerDay / secondsPerDay * s.of("placeNanos") / nanosPerSecond, 1e6, 0, 0},
 		{"home: load reports", "one home polls an engine", homed * z.LoadReportsPerSecond * 150, homed * z.LoadReportsPerSecond * s.of("loadNanos") / nanosPerSecond, 1e6, 0, 0},
 		{"home: filling", "decision each 10 ms and at each start", 0, homed * z.FillDecisionsPerSecond * s.of("decideNanos") / nanosPerSecond, 0.5e6, 0, 0},
 		{"accounts", "tokens lent by the account's home", requests * z.LimitedRequestShare * (s.of("borrowBytes")/2 + frame), requests * z.LimitedRequestShare * (2*perFrame + s.of("borrowNanos")) / nanosPerSecond, z.AccountsSeen * z.AllowanceBytes, 0, 0},
--- a/io/upstream/engine_home.go
+++ b/io/upstream/engine_home.go
@@ -44,7 +44,9 @@
 	// online holds the numbers of the requests in flight by VM.
 	online map[string][]string
 	unseen uint64
-	load   engine.Load
+	// routers holds the VMs that route to the upstream, with the time of their last word.
+	routers map[string]time.Time
+	load    engine.Load
 	// loadAt is when the last report came; zero means never.
 	loadAt    time.Time
 	batch     map[string]*batchRun
@@ -86,7 +88,7 @@
 		opts: opts, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		upstream: u, service: service, names: names,
 		state:  fill.New(now, fill.NewParams(capacity, assumedKVTokens).WithWeight(service.HarmWeight)),
-		online: map[string][]string{}, batch: map[string]*batchRun{},
+		online: map[string][]string{}, routers: map[string]time.Time{}, batch: map[string]*batchRun{},
 	}
 	if service.Kind == config.KindEngine {
 		e.done.Go(e.fillLoop)
@@ -178,6 +180,33 @@
 		}
 		delete(e.online, from)
 	}
+	for from := range e.routers {
+		if !slices.Contains(ids, from) {
+			delete(e.routers, from)
+		}
+	}
+}
+
+// subscribe notes that a VM routes to the upstream.
+func (e *engineHome) subscribe(now time.Time, from string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.routers[from] = now
+}
+
+// subscribers returns the VMs that route to the upstream.
+func (e *engineHome) subscribers(now time.Time) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ids := make([]string, 0, len(e.routers))
+	for id, at := range e.routers {
+		if now.Sub(at) > 3*subscribeInterval {
+			delete(e.routers, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	return ids
 }
 
 func (e *engineHome) poke() {
--- a/io/upstream/home.go
+++ b/io/upstream/home.go
@@ -14,8 +14,9 @@
 
 // Methods of the peer protocol between entry VMs and the homes of upstreams.
 const (
-	countMethod  = "upstream.count"
-	digestMethod = "upstream.digest"
+	countMethod     = "upstream.count"
+	digestMethod    = "upstream.digest"
+	subscribeMethod = "upstream.subscribe"
 )
 
 const (
@@ -24,6 +25,9 @@
 	// resendInterval is the time after which the counts that are not zero are sent again, so that a
 	// new home learns them and a lost notice is mended.
 	resendInterval = time.Second
+	// subscribeInterval is the time after which a VM tells the homes again which upstreams it routes
+	// to; a home forgets a VM that has not told for three of them.
+	subscribeInterval = 5 * time.Second
 	// flushInterval bounds the wait of a notice that is not urgent.
 	flushInterval = 20 * time.Millisecond
 	// digestInterval is the least time between two digests of an upstream.
@@ -50,11 +54,11 @@
 	// pending holds the notices that wait for the next flush, by home.
 	pending map[string][]countNotice
 	urgent  chan struct{}
-	// subsets caches which VMs route to an upstream.
-	subscribers map[string][]string
-	seenView    uint64
-	seenList    uint64
-	seenConfig  *config.Snapshot
+	// routed lists the upstreams that this VM routes to.
+	routed     []string
+	seenView   uint64
+	seenList   uint64
+	seenConfig *config.Snapshot
 }
 
 // NewHome starts the home's goroutines.
@@ -67,9 +71,11 @@
 	}
 	peer.Handle(opts.Peers, countMethod, h.serveCount)
 	peer.Handle(opts.Peers, digestMethod, h.serveDigest)
+	peer.Handle(opts.Peers, subscribeMethod, h.serveSubscribe)
 	h.every(ctx, placeInterval, h.place)
 	h.every(ctx, resendInterval, h.resend)
 	h.every(ctx, digestInterval, h.publish)
+	h.every(ctx, subscribeInterval, h.subscribe)
 	h.done.Go(func() { h.flushLoop(ctx) })
 	return h
 }
@@ -115,11 +121,11 @@
 		return
 	}
 	homes := homesOf(view, list)
-	subscribers := subscribersOf(view, list, snapshot)
+	routed := routedUpstreams(h.opts.Peers.Self(), list, snapshot)
 	var gone []*engineHome
 	h.mu.Lock()
 	h.seenView, h.seenList, h.seenConfig = view.Version, revision, snapshot
-	h.homes, h.subscribers = homes, subscribers
+	h.homes, h.routed = homes, routed
 	batch := batchEngines(list, snapshot)
 	mine := map[string]bool{}
 	for _, u := range list {
@@ -192,18 +198,15 @@
 	return homes
 }
 
-// subscribersOf computes which VMs route to each upstream.
-func subscribersOf(view member.View, list []vm.VM, snapshot *config.Snapshot) map[string][]string {
-	byService := upstreamsByService(list, snapshot)
-	subscribers := map[string][]string{}
-	for _, v := range view.VMs {
-		for _, upstreams := range byService {
-			for _, u := range route.Subset(v, upstreams, route.SubsetSize) {
-				subscribers[u.ID] = append(subscribers[u.ID], v.ID)
-			}
+// routedUpstreams lists the upstreams that this VM routes to.
+func routedUpstreams(self vm.VM, list []vm.VM, snapshot *config.Snapshot) []string {
+	var ids []string
+	for _, upstreams := range upstreamsByService(list, snapshot) {
+		for _, u := range route.Subset(self, upstreams, route.SubsetSize) {
+			ids = append(ids, u.ID)
 		}
 	}
-	return subscribers
+	return ids
 }
 
 // Engines returns the state of the upstreams that this VM is home of.
--- a/io/upstream/home_test.go
+++ b/io/upstream/home_test.go
@@ -102,6 +102,19 @@
 	}
 }
 
+// A VM that no longer tells that it routes to an upstream gets no more digests.
+func TestSubscriptionsLapse(t *testing.T) {
+	e := newTestHome()
+	defer e.close()
+	now := time.Now()
+	e.subscribe(now, "v1")
+	e.subscribe(now.Add(2*subscribeInterval), "v2")
+	assert.ElementsMatch(t, []string{"v1", "v2"}, e.subscribers(now.Add(3*subscribeInterval)))
+	assert.Equal(t, []string{"v2"}, e.subscribers(now.Add(4*subscribeInterval)))
+	e.keepVMs(nil)
+	assert.Empty(t, e.subscribers(now))
+}
+
 // BenchmarkCount measures a start and an end notice at the home, and their size on the wire.
 func BenchmarkCount(b *testing.B) {
 	e := newTestHome()
@@ -142,9 +155,9 @@
 	b.ReportMetric(float64(size), "bytes/digest")
 }
 
-// BenchmarkSubscribersAtSize measures what a home computes at each change of members at the two-year
+// BenchmarkPlaceAtSize measures what a home computes at each change of members at the two-year
 // size: 340 VMs, 3,100 engines of 10 services.
-func BenchmarkSubscribersAtSize(b *testing.B) {
+func BenchmarkPlaceAtSize(b *testing.B) {
 	var set config.Set
 	var list []vm.VM
 	for s := range 10 {
@@ -162,6 +175,6 @@
 	snapshot := config.NewSnapshot(1, set)
 	for b.Loop() {
 		homesOf(view, list)
-		subscribersOf(view, list, snapshot)
+		routedUpstreams(view.Self, list, snapshot)
 	}
 }
--- a/io/upstream/notice.go
+++ b/io/upstream/notice.go
@@ -41,8 +41,44 @@
 	List []digestNotice `msgpack:"l"`
 }
 
+// subscription tells a home which of its upstreams a VM routes to.
+type subscription struct {
+	Upstreams []string `msgpack:"u"`
+}
+
 type noAnswer struct{}
 
+// subscribe tells the homes which of their upstreams this VM routes to.
+func (h *Home) subscribe(now time.Time) {
+	self := h.opts.Peers.Self().ID
+	byHome := map[string][]string{}
+	h.mu.Lock()
+	for _, id := range h.routed {
+		byHome[h.homes[id]] = append(byHome[h.homes[id]], id)
+	}
+	h.mu.Unlock()
+	for home, ids := range byHome {
+		if home == self {
+			h.takeSubscription(now, self, ids)
+		} else if home != "" {
+			_ = peer.Notify(h.opts.Peers, home, subscribeMethod, peer.Control, subscription{Upstreams: ids})
+		}
+	}
+}
+
+func (h *Home) serveSubscribe(_ context.Context, from string, msg subscription) (noAnswer, error) {
+	h.takeSubscription(time.Now(), from, msg.Upstreams)
+	return noAnswer{}, nil
+}
+
+func (h *Home) takeSubscription(now time.Time, from string, ids []string) {
+	for _, id := range ids {
+		if e, ok := h.engine(id); ok {
+			e.subscribe(now, from)
+		}
+	}
+}
+
 // Count takes in a start or end at this VM and tells the upstream's home: a start at once, an end
 // with the next flush.
 func (h *Home) Count(c Count) {
@@ -132,12 +168,9 @@
 func (h *Home) publish(now time.Time) {
 	self := h.opts.Peers.Self().ID
 	engines := h.homeEngines()
-	h.mu.Lock()
-	subscribers := h.subscribers
-	h.mu.Unlock()
 	receivers := 0
 	for _, e := range engines {
-		receivers += len(subscribers[e.id()])
+		receivers += len(e.subscribers(now))
 	}
 	interval := max(digestInterval, time.Duration(receivers*digestBytes)*time.Second/digestBytesPerSecond)
 	frames := map[string][]digestNotice{}
@@ -145,7 +178,7 @@
 		if !e.digestDue(now, interval) {
 			continue
 		}
-		for _, v := range subscribers[e.id()] {
+		for _, v := range e.subscribers(now) {
 			frames[v] = append(frames[v], e.digest(v))
 		}
 	}
