Tell the idle bound from all free slots in the demo

Cause: the demo's share took every place that online leaves as idle, which no schedule fills without harm; the experiment's idle bound is the time in which an engine has no online at all. Change: the demo samples idle engines while online runs alone and shows both. Conclusion: both shares stand in the table and the JSON.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -83,7 +83,9 @@
 	alone := newOnline(r.fleet, r.opts.Seed)
 	phase := r.opts.Duration / 3
 	fmt.Fprintf(r.out, "online alone for %s\n", phase)
+	idle := r.sampleIdle(ctx)
 	alone.play(ctx, phase)
+	idleShare := idle()
 
 	job, err := submitJob(ctx, r.fleet, r.opts)
 	if err != nil {
@@ -109,7 +111,33 @@
 	calls.settle(ctx)
 	result := job.finish(ctx)
 	progress()
-	return r.report(alone, beside, calls, job, result, batchRate), nil
+	return r.report(alone, beside, calls, job, result, batchRate, idleShare), nil
+}
+
+// idleSample is the time between two looks at whether engines are idle.
+const idleSample = 2 * time.Millisecond
+
+// sampleIdle looks at the engines until the returned function is called, which returns the share of
+// time in which an engine had no request.
+func (r *run) sampleIdle(ctx context.Context) func() float64 {
+	ctx, cancel := context.WithCancel(ctx)
+	share := make(chan float64)
+	go func() {
+		idle, looks := 0, 0
+		for load.Wait(ctx, idleSample) {
+			for _, e := range r.fleet.Engines {
+				looks++
+				if running, waiting := e.Running(); running+waiting == 0 {
+					idle++
+				}
+			}
+		}
+		share <- float64(idle) / float64(max(1, looks))
+	}()
+	return func() float64 {
+		cancel()
+		return <-share
+	}
 }
 
 // injectLater injects the fault after a time and undoes it after the same time again.
--- a/demo/report.go
+++ b/demo/report.go
@@ -32,8 +32,12 @@
 	Doubled        int     `json:"doubled"`
 	Wrong          int     `json:"wrong"`
 	ItemsPerSecond float64 `json:"itemsPerSecond"`
-	// IdleShare is the rate as a share of what the engines could do beside online.
+	// IdleShare is the rate as a share of the idle bound: engines full of batch in the time in which
+	// online alone left them idle. Above 1 batch ran beside online too.
 	IdleShare float64 `json:"idleShare"`
+	// SlotShare is the rate as a share of all places that online leaves, which no schedule reaches
+	// without harm.
+	SlotShare float64 `json:"slotShare"`
 }
 
 // Calls is the result of the confirmations, which may run at most once.
@@ -69,7 +73,7 @@
 	return b.State == "completed" && b.Lost+b.Doubled+b.Wrong+b.Unknown == 0 && b.Failed == b.Items/hopelessEvery
 }
 
-func (r *run) report(alone, beside *online, c *calls, b *batchJob, o outcome, batchRate float64) Report {
+func (r *run) report(alone, beside *online, c *calls, b *batchJob, o outcome, batchRate, idleShare float64) Report {
 	report := Report{
 		Seed: r.opts.Seed, Seconds: r.opts.Duration.Seconds(), Fault: r.opts.Fault,
 		Alone: alone.result(), Beside: beside.result(),
@@ -80,14 +84,15 @@
 		Calls: Calls{Sent: c.sent, Done: c.done, Unknown: c.unknown, Open: c.open, Doubled: c.doubled(), Mismatch: c.mismatch},
 	}
 	besideSeconds := (r.opts.Duration - r.opts.Duration/3).Seconds()
-	report.Batch.IdleShare = batchRate / idleBound(r.opts.Engines, float64(report.Beside.Sent)/besideSeconds)
+	report.Batch.SlotShare = batchRate / slotBound(r.opts.Engines, float64(report.Beside.Sent)/besideSeconds)
+	report.Batch.IdleShare = batchRate / max(1, idleShare*slotBound(r.opts.Engines, 0))
 	report.Passed = report.OK()
 	return report
 }
 
-// idleBound is the number of batch items a second that the engines could do beside online, if every
+// slotBound is the number of batch items a second that the engines could do beside online, if every
 // place was filled all the time.
-func idleBound(engines int, onlinePerSecond float64) float64 {
+func slotBound(engines int, onlinePerSecond float64) float64 {
 	o := engine.NewOptions()
 	step := o.StepBase + engineSequences*o.StepPerSequence
 	tokens := float64(engines*engineSequences) / step.Seconds()
@@ -104,9 +109,9 @@
 	}{{"alone", r.Alone}, {"beside batch", r.Beside}} {
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%s\t%s\n", row.name, row.o.Sent, row.o.Whole, row.o.Lost, row.o.Wrong, row.o.FirstToken, row.o.InterToken)
 	}
-	fmt.Fprintln(t, "\nbatch\titems\tsucceeded\tfailed\tunknown\tlost\tdoubled\titems/s\tof idle bound")
+	fmt.Fprintln(t, "\nbatch\titems\tsucceeded\tfailed\tunknown\tlost\tdoubled\titems/s\tof idle bound\tof free slots")
 	b := r.Batch
-	fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.0f%%\n", b.State, b.Items, b.Succeeded, b.Failed, b.Unknown, b.Lost, b.Doubled, b.ItemsPerSecond, 100*b.IdleShare)
+	fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.0f%%\t%.0f%%\n", b.State, b.Items, b.Succeeded, b.Failed, b.Unknown, b.Lost, b.Doubled, b.ItemsPerSecond, 100*b.IdleShare, 100*b.SlotShare)
 	fmt.Fprintln(t, "\nconfirmations\tsent\tdone\tunknown\topen\tdoubled\tmismatch")
 	c := r.Calls
 	fmt.Fprintf(t, "at most once\t%d\t%d\t%d\t%d\t%d\t%d\n", c.Sent, c.Done, c.Unknown, c.Open, c.Doubled, c.Mismatch)
