--- a/io/upstream/engine_home.go
+++ b/io/upstream/engine_home.go
@@ -108,12 +108,6 @@
 	}
 }
 
-func (e *engineHome) id() string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.upstream.ID
-}
-
 // configure takes in a change; batch reports that the engine may run batch items.
 func (e *engineHome) configure(u vm.VM, service config.Service, names []string, batch bool) {
 	e.mu.Lock()
