--- a/experiment/filling/fault.go
+++ b/experiment/filling/fault.go
@@ -56,11 +56,11 @@
 	old.dead = true
 	for _, id := range sortedKeys(old.running) {
 		delete(u.owners, id)
-		u.model.Pause(s.now, id)
+		u.model.Pause(s.clock.Now(), id)
 	}
 	lost := old.lostItems()
 	s.after(takeoverTime, func() {
-		h := newHome(u, int(s.now/time.Second))
+		h := newHome(u, int(s.clock.Now()/time.Second))
 		h.paused = lost
 		u.homes[0] = h
 	})
--- a/experiment/filling/home.go
+++ b/experiment/filling/home.go
@@ -47,7 +47,7 @@
 }
 
 // now returns the virtual time as a time value.
-func (u *upstream) now() time.Time { return time.Unix(0, 0).Add(u.sim.now) }
+func (u *upstream) now() time.Time { return time.Unix(0, 0).Add(u.sim.clock.Now()) }
 
 func (h *home) tick() {
 	if h.dead {
@@ -67,7 +67,7 @@
 	if h.control.report == nil || s.rng.Float64() < s.opts.faults.LostReports {
 		return
 	}
-	l := h.upstream.model.Report(s.now)
+	l := h.upstream.model.Report(s.clock.Now())
 	s.after(localLatency, func() {
 		h.control.report(h.upstream.now(), fill.Report{
 			Running: l.Running, Waiting: l.Waiting, KVUsedTokens: l.KVUsedTokens,
@@ -141,7 +141,7 @@
 	it.started, it.heard, it.sentFrom = true, false, it.progress
 	u.sim.after(localLatency, func() {
 		u.owners[it.id] = h
-		u.model.Submit(u.sim.now, req)
+		u.model.Submit(u.sim.clock.Now(), req)
 		u.schedule()
 	})
 }
@@ -155,7 +155,7 @@
 	h.control.batchPaused(u.now(), id, it.progress-it.sentFrom)
 	u.sim.result.paused++
 	u.sim.after(localLatency, func() {
-		u.model.Pause(u.sim.now, id)
+		u.model.Pause(u.sim.clock.Now(), id)
 		u.schedule()
 	})
 }
--- a/experiment/filling/sim.go
+++ b/experiment/filling/sim.go
@@ -1,51 +1,23 @@
 package filling
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"mothcart/experiment/clock"
 	"mothcart/fake/engine"
 )
 
-// event is a thing to do at a virtual time.
-type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type queue []event
-
-func (q queue) Len() int      { return len(q) }
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q queue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].order < q[j].order
-}
-func (q *queue) Push(x any) { *q = append(*q, x.(event)) }
-func (q *queue) Pop() any {
-	last := len(*q) - 1
-	e := (*q)[last]
-	(*q)[last] = event{}
-	*q = (*q)[:last]
-	return e
-}
-
 // sim is one run in virtual time.
 type sim struct {
 	opts    Options
 	dep     deployment
 	policy  policy
 	rng     *rand.Rand
-	now     time.Duration
-	events  queue
-	order   int
+	clock   *clock.Clock
 	engines []*upstream
 	chunks  uint64
 	items   int
@@ -103,7 +75,7 @@
 }
 
 func newSim(opts Options, dep deployment, p policy) *sim {
-	s := &sim{opts: opts, dep: dep, policy: p, rng: rand.New(rand.NewPCG(opts.Seed, 7)), result: newResult()}
+	s := &sim{clock: clock.New(), opts: opts, dep: dep, policy: p, rng: rand.New(rand.NewPCG(opts.Seed, 7)), result: newResult()}
 	eopts := opts.Engine.WithReportLag(opts.ReportLag)
 	for i := range opts.Engines {
 		u := &upstream{
@@ -119,8 +91,7 @@
 }
 
 func (s *sim) after(d time.Duration, do func()) {
-	s.order++
-	heap.Push(&s.events, event{at: s.now + d, order: s.order, do: do})
+	s.clock.After(d, do)
 }
 
 // run plays the arrivals to the end and returns what was measured.
@@ -128,14 +99,7 @@
 	for i, a := range arrivals {
 		s.after(a.at, func() { s.engines[a.engine].arrive("o"+strconv.Itoa(i), a) })
 	}
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(event)
-		if e.at > s.opts.Duration {
-			break
-		}
-		s.now = e.at
-		e.do()
-	}
+	s.clock.Run(s.opts.Duration)
 	for _, u := range s.engines {
 		s.result.idle += s.opts.Duration - u.model.Busy
 		s.result.recomputed += u.model.Recomputed
@@ -147,7 +111,7 @@
 func (u *upstream) arrive(id string, a arrival) {
 	u.sim.after(a.delay, func() {
 		u.online[id] = &onlineCall{id: id, arrival: a}
-		u.model.Submit(u.sim.now, engine.Request{
+		u.model.Submit(u.sim.clock.Now(), engine.Request{
 			ID: id, PromptTokens: a.prompt, Prefix: a.prefix, PrefixTokens: a.prefixTokens, MaxTokens: a.answer,
 		})
 		u.schedule()
@@ -174,7 +138,7 @@
 		return
 	}
 	u.stepAt = end
-	u.sim.after(end-u.sim.now, func() { u.step(end) })
+	u.sim.after(end-u.sim.clock.Now(), func() { u.step(end) })
 }
 
 func (u *upstream) step(end time.Duration) {
@@ -184,7 +148,7 @@
 	u.stepAt = -1
 	u.sim.result.slots += time.Duration(len(u.online)) * (end - u.lastStep)
 	u.lastStep = end
-	u.model.Step(u.sim.now)
+	u.model.Step(u.sim.clock.Now())
 	for _, e := range u.model.Events() {
 		if c := u.online[e.ID]; c != nil {
 			u.onlineEvent(c, e)
@@ -204,12 +168,12 @@
 	switch e.Kind {
 	case engine.Token:
 		if e.Index == 0 {
-			c.first = s.now + network - c.arrival.at + clientLatency
+			c.first = s.clock.Now() + network - c.arrival.at + clientLatency
 			_ = s.result.firstToken.RecordValue(c.first.Microseconds())
 		} else {
-			_ = s.result.interToken.RecordValue((s.now - c.last).Microseconds())
+			_ = s.result.interToken.RecordValue((s.clock.Now() - c.last).Microseconds())
 		}
-		c.last = s.now
+		c.last = s.clock.Now()
 	case engine.Finished:
 		s.result.onlineDone++
 		delete(u.online, c.id)
@@ -222,7 +186,7 @@
 	var inter time.Duration
 	if n := c.arrival.answer - 1; n > 0 {
 		engineFirst := c.arrival.at + c.first - 2*clientLatency - c.arrival.delay
-		inter = (u.sim.now - engineFirst) / time.Duration(n)
+		inter = (u.sim.clock.Now() - engineFirst) / time.Duration(n)
 	}
 	first := c.first - 2*clientLatency
 	u.notify(c.id, 2*c.arrival.delay, func(h *home) { h.onlineEnd(c.id, first, inter) })
--- a/experiment/filling/watch.go
+++ b/experiment/filling/watch.go
@@ -29,7 +29,7 @@
 func (y *yieldWatch) arrived(u *upstream) {
 	y.quietSince = 0
 	if len(u.online) == 0 && y.since == 0 && u.batchRunning() > 0 {
-		y.since = u.sim.now
+		y.since = u.sim.clock.Now()
 		y.before = u.batchRunning()
 		y.level = max(y.level*9/10, y.before)
 	}
@@ -37,7 +37,7 @@
 
 // stepped notes the start of a step.
 func (y *yieldWatch) stepped(u *upstream) {
-	now := u.sim.now
+	now := u.sim.clock.Now()
 	running := u.batchRunning()
 	if y.since > 0 && running < y.before && len(u.online) > 0 {
 		_ = u.sim.result.yield.RecordValue((now - y.since).Microseconds())
