--- a/io/upstream/notice.go
+++ b/io/upstream/notice.go
@@ -79,21 +79,12 @@
 	}
 }
 
-// Count takes in a start or end at this VM and tells the upstream's home: a start at once, an end
-// with the next flush.
+// Count takes in a start or end at this VM; the flush tells the upstream's home, at once after a
+// start. It only appends, since the router calls it under its lock.
 func (h *Home) Count(c Count) {
 	n := countNotice{Upstream: c.Upstream.ID, InFlight: c.InFlight, Number: c.Number, Started: c.Started, Tokens: c.Tokens}
 	h.mu.Lock()
-	home := h.homes[c.Upstream.ID]
-	if home == h.opts.Peers.Self().ID {
-		e := h.engines[c.Upstream.ID]
-		h.mu.Unlock()
-		if e != nil {
-			e.count(time.Now(), home, n)
-		}
-		return
-	}
-	if home != "" {
+	if home := h.homes[c.Upstream.ID]; home != "" {
 		h.pending[home] = append(h.pending[home], n)
 	}
 	h.mu.Unlock()
@@ -129,38 +120,40 @@
 	pending := h.pending
 	h.pending = map[string][]countNotice{}
 	h.mu.Unlock()
+	self := h.opts.Peers.Self().ID
 	for home, list := range pending {
+		if home == self {
+			h.takeCounts(time.Now(), self, list)
+			continue
+		}
 		// A notice that can't be sent is mended by resend.
 		_ = peer.Notify(h.opts.Peers, home, countMethod, peer.Control, countNotices{List: list})
 	}
 }
 
 // resend tells the homes all counts that are not zero.
-func (h *Home) resend(now time.Time) {
+func (h *Home) resend(time.Time) {
 	own := h.opts.Own()
-	self := h.opts.Peers.Self().ID
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	for id, n := range own {
-		home := h.homes[id]
-		if home == self {
-			if e := h.engines[id]; e != nil {
-				e.count(now, self, countNotice{Upstream: id, InFlight: n})
-			}
-		} else if home != "" {
+		if home := h.homes[id]; home != "" {
 			h.pending[home] = append(h.pending[home], countNotice{Upstream: id, InFlight: n})
 		}
 	}
-	h.mu.Unlock()
 }
 
 func (h *Home) serveCount(_ context.Context, from string, msg countNotices) (noAnswer, error) {
-	now := time.Now()
-	for _, n := range msg.List {
+	h.takeCounts(time.Now(), from, msg.List)
+	return noAnswer{}, nil
+}
+
+func (h *Home) takeCounts(now time.Time, from string, list []countNotice) {
+	for _, n := range list {
 		if e, ok := h.engine(n.Upstream); ok {
 			e.count(now, from, n)
 		}
 	}
-	return noAnswer{}, nil
 }
 
 // publish sends the digests of the upstreams that this VM is home of to the VMs that route to them,
