Drain to the end at the first signal

Cause: the command's own context ended at SIGTERM too; when the server saw that first, it took the same signal for a second one and cut the drain. Change: the command hands on a context without cancellation.

--- a/cmd/mothcart/serve.go
+++ b/cmd/mothcart/serve.go
@@ -50,7 +50,8 @@
 		return exitFailure
 	}
 	log.Info().Str("vm", cfg.VMID).Str("callers", s.CallerAddress()).Str("operators", s.OperatorAddress()).Str("peers", s.VM().Address).Msg("started")
-	if err := s.Run(ctx); err != nil {
+	// The server handles signals itself: the first one starts a drain, the second cuts it short.
+	if err := s.Run(context.WithoutCancel(ctx)); err != nil {
 		fmt.Fprintf(errOut, "mothcart serve: %v\n", err)
 		return exitFailure
 	}
