Read the API key from one variable in all commands

Cause: job read MOTHCART_API_KEY and load MOTHCART_KEY. Measured: by hand over processes, a job of 300 items submitted, completed and read. Conclusion: one name.

--- a/cmd/mothcart/load.go
+++ b/cmd/mothcart/load.go
@@ -45,7 +45,7 @@
 
 func (f *loadFlags) register(fs *flag.FlagSet) {
 	fs.StringVar(&f.urls, "url", "http://127.0.0.1:8080", "`URLS` of callers' ports or engines, separated by commas")
-	fs.StringVar(&f.key, "key", os.Getenv("MOTHCART_KEY"), "API `KEY`; the environment's MOTHCART_KEY by default")
+	fs.StringVar(&f.key, "key", os.Getenv("MOTHCART_API_KEY"), "API `KEY`; the environment's MOTHCART_API_KEY by default")
 	fs.StringVar(&f.model, "model", "scribe", "`MODEL` to ask for")
 	fs.Float64Var(&f.rate, "rate", 50, "mean of the Poisson arrivals, in requests a second")
 	fs.Float64Var(&f.seconds, "seconds", 10, "time of the load, in seconds; an experiment has its own default")
