Let non-idempotent batch items run to their end when online comes

Cause: giving way, and a home that moved, cancelled every batch stream; a non-idempotent item ended as unknown although nothing had failed. Change: only idempotent items give way; the others run to their end, and a closing home waits for them.

--- a/io/upstream/batch.go
+++ b/io/upstream/batch.go
@@ -30,6 +30,14 @@
 	maxBackOff = 5 * time.Second
 )
 
+// giveWay stops the item. One that is not idempotent goes on: it may have run, and could not be sent
+// again.
+func (r *batchRun) giveWay() {
+	if r.item.Idempotent {
+		r.cancel(errGiveWay)
+	}
+}
+
 // errGiveWay is the cause of the cancellation of a batch item that makes room for online.
 var errGiveWay = errors.New("batch gives way to online")
 
@@ -86,14 +94,14 @@
 	decision := e.state.Decide(now)
 	for _, id := range decision.Cancel {
 		if run, ok := e.batch[id]; ok {
-			run.cancel(errGiveWay)
+			run.giveWay()
 		}
 	}
 	models, leaving := e.batchModels(), e.upstream.Leaving
 	away := now.Before(e.backUntil) || !e.mayBatch
 	if !e.mayBatch {
 		for _, run := range e.batch {
-			run.cancel(errGiveWay)
+			run.giveWay()
 		}
 	}
 	e.mu.Unlock()
@@ -165,11 +173,12 @@
 		cancel(nil)
 		return false
 	}
-	e.batch[item.ID] = &batchRun{item: item, cancel: cancel}
+	run := &batchRun{item: item, cancel: cancel}
+	e.batch[item.ID] = run
 	e.state = e.state.WithBatchStart(now, item.ID, cost)
 	address, progress := e.upstream.Address, e.service.ProgressTimeout
 	e.mu.Unlock()
-	stop := context.AfterFunc(e.ctx, func() { cancel(errGiveWay) })
+	stop := context.AfterFunc(e.ctx, run.giveWay)
 	e.done.Go(func() {
 		defer stop()
 		defer cancel(nil)
