--- a/core/order/order.go
+++ b/core/order/order.go
@@ -15,7 +15,7 @@
 //	desired, unplaced := order.Assign(engines, models, adapters)
 //	if observed.MayTake(now, checksFence) { record := observed.Record.TakenBy(holder) }
 //	held := order.NewHeld(record, writtenAt)
-//	if held.MayOrder(time.Now()) { … }
+//	if held.MayOrder(now) { … }
 package order
 
 import (
--- a/fake/engine/engine.go
+++ b/fake/engine/engine.go
@@ -233,8 +233,8 @@
 	return false
 }
 
-// poke makes the loop look at the model again.
-func (e *Engine) poke() {
+// wakeLoop makes the loop look at the model again.
+func (e *Engine) wakeLoop() {
 	select {
 	case e.wake <- struct{}{}:
 	default:
--- a/fake/engine/stream.go
+++ b/fake/engine/stream.go
@@ -114,7 +114,7 @@
 		s.available = max(s.available, next)
 	}
 	e.model.Submit(e.now(), req)
-	e.poke()
+	e.wakeLoop()
 }
 
 // setFaults draws the faults of a stream.
--- a/io/job/fill.go
+++ b/io/job/fill.go
@@ -44,7 +44,7 @@
 		case <-j.wake:
 		case <-t.C:
 		}
-		for _, model := range j.hungryModels(time.Now()) {
+		for _, model := range j.modelsToRefill(time.Now()) {
 			if !j.acquire(j.ctx, model) {
 				j.mu.Lock()
 				j.demands[model].retryAt = time.Now().Add(emptyPause)
@@ -54,8 +54,8 @@
 	}
 }
 
-// hungryModels returns the models with fewer ready items than Take is likely to ask for.
-func (j *Jobs) hungryModels(now time.Time) []string {
+// modelsToRefill returns the models with fewer ready items than Take is likely to ask for.
+func (j *Jobs) modelsToRefill(now time.Time) []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.holds.count()+len(j.pending) >= j.opts.MaxHolds || j.holds.inputBytes() >= maxHeldBytes {
--- a/io/upstream/batch.go
+++ b/io/upstream/batch.go
@@ -254,7 +254,7 @@
 		e.state = e.state.WithBatchEnd(now, id)
 	}
 	e.mu.Unlock()
-	e.poke()
+	e.wakeLoop()
 }
 
 // giveBack keeps an item that gave way for going on, or returns it.
--- a/io/upstream/engine_home.go
+++ b/io/upstream/engine_home.go
@@ -138,7 +138,7 @@
 	e.held = e.held.with(now, e.onlineCount())
 	e.mu.Unlock()
 	if n.Started {
-		e.poke()
+		e.wakeLoop()
 	}
 }
 
@@ -203,7 +203,7 @@
 	return ids
 }
 
-func (e *engineHome) poke() {
+func (e *engineHome) wakeLoop() {
 	select {
 	case e.wake <- struct{}{}:
 	default:
