Don't call an outcome unknown that can still be asked for

Cause: a durable request whose outcome isn't known yet (ErrMayHaveRun) was answered outcome_unknown, which callers take as final; a resend with the key could then tell another outcome. Found by reading the ledger's hand-over. Change: it is 409 request_in_progress with Retry-After; a lookup that can't be answered is 503. Measured: TestDurableProblems passes. By the code before, both errors fell to the default, 502 outcome_unknown; that was read, not run.

--- a/io/caller/accepted.go
+++ b/io/caller/accepted.go
@@ -102,6 +102,8 @@
 		return problem{status: http.StatusUnprocessableEntity, code: "idempotency_key_reused", ran: retry.RanNo, message: ErrKeyReused.Error()}
 	case errors.Is(err, ErrInProgress):
 		return problem{status: http.StatusConflict, code: "request_in_progress", ran: retry.RanMaybe, message: ErrInProgress.Error(), retryAfter: pollAdvice}
+	case errors.Is(err, ErrLookup):
+		return problem{status: http.StatusServiceUnavailable, code: "lookup_unavailable", ran: retry.RanMaybe, message: ErrLookup.Error(), retryAfter: pollAdvice}
 	case errors.Is(err, ErrNoRequest):
 		return problem{status: http.StatusNotFound, code: "request_not_found", ran: retry.RanNo, message: ErrNoRequest.Error()}
 	default:
--- a/io/caller/durable.go
+++ b/io/caller/durable.go
@@ -50,8 +50,11 @@
 	ErrNotDurable = merry.Sentinel("the request could not be made durable and did not run")
 	// ErrKeyReused means that the key was used for another body.
 	ErrKeyReused = merry.Sentinel("the idempotency key was used for another request")
-	// ErrInProgress means that the request runs and has no answer yet.
-	ErrInProgress = merry.Sentinel("the request with this key is in progress")
+	// ErrInProgress means that the request runs, or may have run, and that its outcome isn't known
+	// yet; the same key asks again.
+	ErrInProgress = merry.Sentinel("the outcome of the request isn't known yet; ask again with the same key")
+	// ErrLookup means that the state of a request can't be read now.
+	ErrLookup = merry.Sentinel("the state of the request can't be read now")
 	// ErrNoRequest means that no request has this ID.
 	ErrNoRequest = merry.Sentinel("no such request")
 )
--- a/io/serve/durable.go
+++ b/io/serve/durable.go
@@ -113,6 +113,10 @@
 		return merry.Errorf("%w: %w", caller.ErrNotDurable, err)
 	case errors.Is(err, ledger.ErrBodyMismatch):
 		return merry.Errorf("%w: %w", caller.ErrKeyReused, err)
+	case errors.Is(err, ledger.ErrMayHaveRun):
+		return merry.Errorf("%w: %w", caller.ErrInProgress, err)
+	case errors.Is(err, ledger.ErrUnavailable):
+		return merry.Errorf("%w: %w", caller.ErrLookup, err)
 	case errors.Is(err, ledger.ErrNotFound):
 		return merry.Errorf("%w: %w", caller.ErrNoRequest, err)
 	default:
