Find why the ledger's tests crash under the race detector

Cause: the trace of the crash shows runtime.(*timer).maybeRunChan and modify inside a synctest bubble: Go 1.26 runs a bubbled timer that is due at once on the system stack, where the race detector has no context. The writer of each shard started with a timer of 0. Ruled out: the timer's channel (AfterFunc with 0 crashed alike, 2 of 2). Change: the timer is set to at least a nanosecond and only wakes the writer. Measured (go test -race -short -count=1 ./io/ledger): 4 of 4 runs crashed before, 2 of 2 pass after.

--- a/io/ledger/shard.go
+++ b/io/ledger/shard.go
@@ -74,18 +74,18 @@
 	}
 }
 
-// run is the writer goroutine.
+// run is the writer goroutine. Its timer is never due at once: in Go 1.26 such a timer in a synctest
+// bubble crashes the race detector.
 func (s *shard) run(ctx context.Context) {
-	t := time.NewTimer(0)
+	t := time.AfterFunc(time.Nanosecond, s.signal)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.wake:
-		case <-t.C:
 		}
-		t.Reset(s.step(ctx))
+		t.Reset(max(time.Nanosecond, s.step(ctx)))
 	}
 }
 
