--- a/experiment/overload/overload.go
+++ b/experiment/overload/overload.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -100,7 +101,7 @@
 	beside, err := load.Run(ctx, calm)
 	done.Wait()
 	if err != nil || floodErr != nil {
-		return Report{}, merry.Errorf("flood: %w", firstError(err, floodErr))
+		return Report{}, merry.Errorf("flood: %w", errors.Join(err, floodErr))
 	}
 	seconds := time.Since(begun).Seconds()
 	return Report{
@@ -108,12 +109,3 @@
 		Goodput: float64(beside.Whole+flood.Whole) / seconds / capacity,
 	}, nil
 }
-
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/io/caller/durable.go
+++ b/io/caller/durable.go
@@ -13,6 +13,7 @@
 
 	"mothcart/core/config"
 	"mothcart/core/retry"
+	"mothcart/io/engine"
 )
 
 // DurableRequest is a request that goes through the ledger.
@@ -144,7 +145,7 @@
 func asStream(body []byte) []byte {
 	streamed := bytes.Replace(body, []byte(`"object":"chat.completion"`), []byte(`"object":"chat.completion.chunk"`), 1)
 	streamed = bytes.Replace(streamed, []byte(`"message":`), []byte(`"delta":`), 1)
-	return append(eventBytes(string(streamed)), eventBytes("[DONE]")...)
+	return append(eventBytes(string(streamed)), eventBytes(engine.DoneEvent)...)
 }
 
 // answer renders a problem as a recorded answer.
--- /dev/null
+++ b/io/dial/dial.go
@@ -0,0 +1,17 @@
+// Package dial tells errors of opening a connection from errors on an open one.
+//
+// Usage:
+//
+//	sent := !dial.Failed(err) // nothing of a request was sent if the connection could not be opened
+package dial
+
+import (
+	"errors"
+	"net"
+)
+
+// Failed reports that a connection could not be opened, so that nothing was sent over it.
+func Failed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- a/io/engine/assemble.go
+++ b/io/engine/assemble.go
@@ -79,7 +79,7 @@
 // Add takes in the data of one event.
 func (a *Assembler) Add(data string) error {
 	a.events++
-	if data == doneEvent {
+	if data == DoneEvent {
 		a.whole = true
 		return nil
 	}
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -19,7 +19,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -28,6 +27,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/tmaxmax/go-sse"
+
+	"mothcart/io/dial"
 )
 
 // Paths of an engine's interface.
@@ -43,8 +44,8 @@
 	resumableHeader  = "X-Resumable"
 )
 
-// doneEvent is the last event of a whole stream.
-const doneEvent = "[DONE]"
+// DoneEvent is the last event of a whole stream.
+const DoneEvent = "[DONE]"
 
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
@@ -161,7 +162,7 @@
 		if err := order.add(event.LastEventID, event.Data); err != nil {
 			return err
 		}
-		if event.Data == doneEvent {
+		if event.Data == DoneEvent {
 			whole = true
 			break
 		}
@@ -210,7 +211,7 @@
 	}
 	resp, err := c.pool(call.Address).RoundTrip(r)
 	if err != nil {
-		return nil, c.failure(ctx, call, Broken, !isDialError(err), err)
+		return nil, c.failure(ctx, call, Broken, !dial.Failed(err), err)
 	}
 	if got := resp.Header.Get(requestIDHeader); got != "" && got != call.RequestID {
 		resp.Body.Close()
@@ -239,10 +240,5 @@
 	}
 }
 
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // drain reads what is left of a body that is at its end, so that the connection can be used again.
 func drain(r io.Reader) { _, _ = io.CopyN(io.Discard, r, 512) }
--- a/io/engine/sequencer.go
+++ b/io/engine/sequencer.go
@@ -31,7 +31,7 @@
 	fresh := id != "" && id != s.lastID
 	s.lastID = id
 	if !fresh {
-		if id == "" && data != doneEvent {
+		if id == "" && data != DoneEvent {
 			return s.emit(data)
 		}
 		return s.out(Event{Index: NoIndex, Data: data})
--- a/io/engine/sequencer_test.go
+++ b/io/engine/sequencer_test.go
@@ -16,10 +16,10 @@
 		want   []string
 		gaps   bool
 	}{
-		{"in order", 0, []event{{"0", "a"}, {"1", "b"}, {"1", "usage"}, {"1", doneEvent}}, []string{"a", "b", "usage", doneEvent}, false},
+		{"in order", 0, []event{{"0", "a"}, {"1", "b"}, {"1", "usage"}, {"1", DoneEvent}}, []string{"a", "b", "usage", DoneEvent}, false},
 		{"out of order", 0, []event{{"1", "b"}, {"0", "a"}, {"2", "c"}}, []string{"a", "b", "c"}, false},
 		{"late ones", 2, []event{{"0", "a"}, {"1", "b"}, {"2", "c"}}, []string{"c"}, false},
-		{"without numbers", 0, []event{{"", "a"}, {"", "b"}, {"", doneEvent}}, []string{"a", "b", doneEvent}, false},
+		{"without numbers", 0, []event{{"", "a"}, {"", "b"}, {"", DoneEvent}}, []string{"a", "b", DoneEvent}, false},
 		{"one missing", 0, []event{{"1", "b"}, {"2", "c"}}, nil, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -14,15 +14,15 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/textproto"
 	"strings"
 	"sync/atomic"
 
 	"github.com/ansel1/merry/v2"
+
+	"mothcart/io/dial"
 )
 
 // requestIDHeader carries the request's ID to the upstream, which may repeat it in the answer.
@@ -97,7 +97,7 @@
 	resp, err := c.transport.RoundTrip(r)
 	if err != nil {
 		c.transport.CloseIdleConnections()
-		return Answer{}, &Failure{Sent: !isDialError(err), err: merry.Errorf("round trip: %w", err)}
+		return Answer{}, &Failure{Sent: !dial.Failed(err), err: merry.Errorf("round trip: %w", err)}
 	}
 	if got := resp.Header.Get(requestIDHeader); got != "" && got != call.RequestID {
 		resp.Body.Close()
@@ -111,11 +111,6 @@
 // and thus never repeats the request.
 func onceReader(body []byte) io.Reader { return struct{ io.Reader }{bytes.NewReader(body)} }
 
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // hopByHop lists the headers that concern one connection only.
 var hopByHop = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- a/io/store/http.go
+++ b/io/store/http.go
@@ -4,16 +4,16 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"mothcart/io/dial"
 )
 
 // Paths and parameters of the object service's HTTP interface.
@@ -149,8 +149,7 @@
 
 // writeFailure tells a write that never left from one whose answer was lost.
 func writeFailure(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if dial.Failed(err) {
 		return ErrUnavailable
 	}
 	return ErrUnknown
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	doneEvent = "[DONE]"
 	// usageMark is found in the last event before [DONE] and in no token.
 	usageMark = `"usage":{`
 	// retryPause is the time before an attempt after a refusal; it doubles with each attempt.
@@ -87,7 +86,7 @@
 			return err
 		}
 		if x.usageSeen {
-			return x.deliver(engine.Event{Index: engine.NoIndex, Data: doneEvent})
+			return x.deliver(engine.Event{Index: engine.NoIndex, Data: engine.DoneEvent})
 		}
 		if !x.goOn(ctx, f) {
 			return x.final(f)
@@ -161,7 +160,7 @@
 	switch {
 	case e.Index != engine.NoIndex && !strings.Contains(e.Data, usageMark):
 		x.summary.Tokens++
-	case e.Data != doneEvent:
+	case e.Data != engine.DoneEvent:
 		x.usageSeen = true
 	}
 	x.sinkErr = x.sink(e.Data)
