Move the framing of messages out of io/peer

Cause: the processes of a site on the platform talk over connections without membership, and need the same frames. Change: io/msgframe holds encoding, bounds and the check for well-formed msgpack; io/peer calls it. No behaviour changes; tests moved with the code. Measured: go test ./io/peer ./io/msgframe passes.

--- /dev/null
+++ b/io/msgframe/msgframe.go
@@ -0,0 +1,96 @@
+// Package msgframe reads and writes msgpack frames behind a length, as the processes of a site send
+// them to each other.
+//
+// Usage:
+//
+//	b, err := msgframe.Encode(message, limit)
+//	_, err = conn.Write(b)
+//
+//	b, err := msgframe.ReadBytes(conn, limit)
+//	err = msgframe.Decode(b, &message)
+package msgframe
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// LengthBytes is the size of the length before each frame.
+const LengthBytes = 4
+
+var (
+	// ErrTooLarge means that a frame is over the limit of its connection; nothing was sent.
+	ErrTooLarge = merry.Sentinel("frame over the limit of its class")
+	// ErrProtocol means that the other side sent something else than a frame.
+	ErrProtocol = merry.Sentinel("protocol error")
+)
+
+// Encode returns v as a frame with its length before it.
+func Encode(v any, limit int) ([]byte, error) {
+	var b bytes.Buffer
+	b.Write(make([]byte, LengthBytes))
+	if err := EncodeArrays(&b, v); err != nil {
+		return nil, merry.Errorf("encode frame: %w", err)
+	}
+	n := b.Len() - LengthBytes
+	if n > limit {
+		return nil, merry.Errorf("frame of %d bytes over %d: %w", n, limit, ErrTooLarge)
+	}
+	binary.BigEndian.PutUint32(b.Bytes(), uint32(n))
+	return b.Bytes(), nil
+}
+
+// EncodeArrays encodes the structs of the protocol itself as arrays, without field names.
+func EncodeArrays(b *bytes.Buffer, v any) error {
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(b)
+	enc.UseCompactInts(true)
+	enc.UseArrayEncodedStructs(true)
+	return enc.Encode(v)
+}
+
+// EncodeBody encodes a message of a handler; its structs are maps, so that fields may come and go.
+func EncodeBody(v any) (msgpack.RawMessage, error) {
+	var b bytes.Buffer
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&b)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(v); err != nil {
+		return nil, merry.Errorf("encode body: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+// ReadBytes reads one frame of at most limit bytes.
+func ReadBytes(r io.Reader, limit int) ([]byte, error) {
+	var length [LengthBytes]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return nil, merry.Errorf("read frame length: %w", err)
+	}
+	n := binary.BigEndian.Uint32(length[:])
+	if n == 0 || n > uint32(limit) {
+		return nil, merry.Errorf("frame of %d bytes, limit %d: %w", n, limit, ErrProtocol)
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return nil, merry.Errorf("read frame: %w", err)
+	}
+	return b, nil
+}
+
+// Decode decodes untrusted bytes.
+func Decode(b []byte, v any) error {
+	if err := CheckWellFormed(b); err != nil {
+		return err
+	}
+	if err := msgpack.Unmarshal(b, v); err != nil {
+		return merry.Errorf("%w: %w", ErrProtocol, err)
+	}
+	return nil
+}
--- a/io/peer/wellformed.go
+++ b/io/msgframe/wellformed.go
@@ -1,4 +1,4 @@
-package peer
+package msgframe
 
 import (
 	"encoding/binary"
@@ -10,9 +10,9 @@
 // maxDepth bounds the nesting of a frame.
 const maxDepth = 64
 
-// checkWellFormed checks that b is one msgpack value whose arrays, maps and strings fit in b. The
+// CheckWellFormed checks that b is one msgpack value whose arrays, maps and strings fit in b. The
 // decoder allocates the length that an array claims, so a frame is checked before it is decoded.
-func checkWellFormed(b []byte) error {
+func CheckWellFormed(b []byte) error {
 	var open [maxDepth]uint64
 	depth := 0
 	open[0] = 1
@@ -26,7 +26,7 @@
 		open[depth]--
 		skip, children, ok := measure(b)
 		if !ok || skip > uint64(len(b)) || children > uint64(len(b))-skip {
-			return merry.Errorf("value of frame is cut short: %w", errProtocol)
+			return merry.Errorf("value of frame is cut short: %w", ErrProtocol)
 		}
 		b = b[skip:]
 		if children == 0 {
@@ -34,7 +34,7 @@
 		}
 		depth++
 		if depth == maxDepth {
-			return merry.Errorf("frame is nested more than %d deep: %w", maxDepth, errProtocol)
+			return merry.Errorf("frame is nested more than %d deep: %w", maxDepth, ErrProtocol)
 		}
 		open[depth] = children
 	}
@@ -42,7 +42,7 @@
 
 func excess(b []byte) error {
 	if len(b) > 0 {
-		return merry.Errorf("%d bytes after the value of a frame: %w", len(b), errProtocol)
+		return merry.Errorf("%d bytes after the value of a frame: %w", len(b), ErrProtocol)
 	}
 	return nil
 }
--- a/io/peer/wellformed_test.go
+++ b/io/msgframe/wellformed_test.go
@@ -1,4 +1,4 @@
-package peer
+package msgframe
 
 import (
 	"bytes"
@@ -19,9 +19,9 @@
 	} {
 		b, err := msgpack.Marshal(v)
 		require.NoError(t, err)
-		require.NoError(t, checkWellFormed(b))
-		require.ErrorIs(t, checkWellFormed(b[:len(b)-1]), errProtocol)
-		require.ErrorIs(t, checkWellFormed(append(b, 0)), errProtocol)
+		require.NoError(t, CheckWellFormed(b))
+		require.ErrorIs(t, CheckWellFormed(b[:len(b)-1]), ErrProtocol)
+		require.ErrorIs(t, CheckWellFormed(append(b, 0)), ErrProtocol)
 	}
 	for _, tc := range []struct {
 		name string
@@ -33,7 +33,7 @@
 		{"deep nesting", append(bytes.Repeat([]byte{0x91}, maxDepth), 0)},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			require.ErrorIs(t, checkWellFormed(tc.b), errProtocol)
+			require.ErrorIs(t, CheckWellFormed(tc.b), ErrProtocol)
 		})
 	}
 }
--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"mothcart/io/msgframe"
+
 	"github.com/ansel1/merry/v2"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -27,7 +29,7 @@
 		if err != nil {
 			return nil, remoteError(err)
 		}
-		b, err := encodeBody(resp)
+		b, err := msgframe.EncodeBody(resp)
 		if err != nil {
 			return nil, remoteError(err)
 		}
@@ -48,7 +50,7 @@
 // have run) and *RemoteError.
 func Call[Resp any](ctx context.Context, n *Node, to, method string, class Class, req any) (Resp, error) {
 	var resp Resp
-	body, err := encodeBody(req)
+	body, err := msgframe.EncodeBody(req)
 	if err != nil {
 		return resp, err
 	}
@@ -70,7 +72,7 @@
 // Notify sends a message without waiting for anything. An error means that it was dropped; no
 // error does not mean that it arrives.
 func Notify(n *Node, to, method string, class Class, msg any) error {
-	body, err := encodeBody(msg)
+	body, err := msgframe.EncodeBody(msg)
 	if err != nil {
 		return err
 	}
@@ -81,7 +83,7 @@
 }
 
 func (n *Node) notify(to, method string, class Class, body []byte, fresh bool) error {
-	data, err := encode(frame{Kind: kindNotice, Method: method, Body: body}, n.opts.frameLimit(class))
+	data, err := msgframe.Encode(frame{Kind: kindNotice, Method: method, Body: body}, n.opts.frameLimit(class))
 	if err != nil {
 		return err
 	}
@@ -142,7 +144,7 @@
 	}
 	id := l.node.callID.Add(1)
 	f := frame{Kind: kindRequest, ID: id, Method: method, TimeoutMillis: timeLeft(ctx), Body: body}
-	data, err := encode(f, c.limit)
+	data, err := msgframe.Encode(f, c.limit)
 	if err != nil {
 		return nil, err
 	}
@@ -172,7 +174,7 @@
 		return answerOf(r.frame)
 	case <-ctx.Done():
 		loss := lossOf(p.item)
-		if data, err := encode(frame{Kind: kindCancel, ID: id}, c.limit); err == nil && errors.Is(loss, ErrLost) {
+		if data, err := msgframe.Encode(frame{Kind: kindCancel, ID: id}, c.limit); err == nil && errors.Is(loss, ErrLost) {
 			c.enqueue(&item{data: data})
 		}
 		return nil, merry.Errorf("wait for response: %w: %w", loss, ctx.Err())
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"mothcart/io/msgframe"
 )
 
 // States of an item.
@@ -216,7 +218,7 @@
 	for {
 		f, err := readFrame(r, c.limit)
 		if err != nil {
-			if errors.Is(err, errProtocol) {
+			if errors.Is(err, msgframe.ErrProtocol) {
 				c.node.metrics.refused.Inc(1)
 			}
 			c.close(err)
--- a/io/peer/errors.go
+++ b/io/peer/errors.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"mothcart/io/msgframe"
+
 	"github.com/ansel1/merry/v2"
 )
 
@@ -12,14 +14,13 @@
 	// ErrLost means that the call was sent and its answer did not come: it may have run.
 	ErrLost = merry.Sentinel("answer of peer lost")
 	// ErrTooLarge means that a frame is over the limit of its class; nothing was sent.
-	ErrTooLarge = merry.Sentinel("frame over the limit of its class")
+	ErrTooLarge = msgframe.ErrTooLarge
 	// ErrQueueFull means that a notice was dropped because too many wait.
 	ErrQueueFull = merry.Sentinel("queue of peer full")
 
-	errClosed   = merry.Sentinel("node closed")
-	errSilent   = merry.Sentinel("connection silent")
-	errIdle     = merry.Sentinel("connection idle")
-	errProtocol = merry.Sentinel("protocol error")
+	errClosed = merry.Sentinel("node closed")
+	errSilent = merry.Sentinel("connection silent")
+	errIdle   = merry.Sentinel("connection idle")
 )
 
 // Codes of a RemoteError that the protocol itself gives.
--- a/io/peer/fleet_test.go
+++ b/io/peer/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"mothcart/core/member"
 	"mothcart/core/vm"
+	"mothcart/io/msgframe"
 )
 
 // fleetLatency is the one-way time of a message between two nodes of a fleet.
@@ -171,8 +172,8 @@
 
 func (f *fleet) send(from string, o member.Out) {
 	var body bytes.Buffer
-	require.NoError(f.tb, encodeArrays(&body, o.Message))
-	data, err := encode(frame{Kind: kindNotice, Method: memberMethod, Body: body.Bytes()}, 256<<10)
+	require.NoError(f.tb, msgframe.EncodeArrays(&body, o.Message))
+	data, err := msgframe.Encode(frame{Kind: kindNotice, Method: memberMethod, Body: body.Bytes()}, 256<<10)
 	require.NoError(f.tb, err)
 	f.messages++
 	f.bytes += len(data)
--- a/io/peer/handshake.go
+++ b/io/peer/handshake.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"mothcart/io/msgframe"
+
 	"github.com/ansel1/merry/v2"
 )
 
@@ -65,7 +67,7 @@
 		return nil, err
 	}
 	if theirs.VM.ID != key.peer || theirs.Class != key.class {
-		return nil, merry.Errorf("VM %s answers for %s: %w", theirs.VM.ID, key.peer, errProtocol)
+		return nil, merry.Errorf("VM %s answers for %s: %w", theirs.VM.ID, key.peer, msgframe.ErrProtocol)
 	}
 	return c, c.SetDeadline(time.Time{})
 }
@@ -98,7 +100,7 @@
 		}
 	}
 	if theirs.VM.ID == h.opts.Self.ID {
-		return nil, hello{}, merry.Errorf("hello under the own ID: %w", errProtocol)
+		return nil, hello{}, merry.Errorf("hello under the own ID: %w", msgframe.ErrProtocol)
 	}
 	if err := h.sendHello(c, theirs.Class); err != nil {
 		return nil, hello{}, err
@@ -107,7 +109,7 @@
 }
 
 func (h *handshaker) sendHello(c net.Conn, class Class) error {
-	b, err := encode(hello{Protocol: protocolName, Version: protocolVersion, Class: class, VM: h.opts.Self}, maxHelloFrame)
+	b, err := msgframe.Encode(hello{Protocol: protocolName, Version: protocolVersion, Class: class, VM: h.opts.Self}, maxHelloFrame)
 	if err != nil {
 		return err
 	}
@@ -118,7 +120,7 @@
 }
 
 func (h *handshaker) readHello(c net.Conn) (hello, error) {
-	b, err := readBytes(c, maxHelloFrame)
+	b, err := msgframe.ReadBytes(c, maxHelloFrame)
 	if err != nil {
 		return hello{}, merry.Errorf("read hello: %w", err)
 	}
@@ -129,10 +131,10 @@
 func checkCertificate(c *tls.Conn, id string) error {
 	subject := c.ConnectionState().PeerCertificates[0].Subject
 	if !slices.Contains(subject.OrganizationalUnit, CertificateRole) {
-		return merry.Errorf("certificate of %s is not for peers: %w", subject.CommonName, errProtocol)
+		return merry.Errorf("certificate of %s is not for peers: %w", subject.CommonName, msgframe.ErrProtocol)
 	}
 	if subject.CommonName != id {
-		return merry.Errorf("certificate of %s used by VM %s: %w", subject.CommonName, id, errProtocol)
+		return merry.Errorf("certificate of %s used by VM %s: %w", subject.CommonName, id, msgframe.ErrProtocol)
 	}
 	return nil
 }
--- a/io/peer/membership.go
+++ b/io/peer/membership.go
@@ -9,6 +9,7 @@
 
 	"mothcart/core/member"
 	"mothcart/core/vm"
+	"mothcart/io/msgframe"
 )
 
 // memberMethod is the method of membership messages, which bypass the queues of notices.
@@ -76,7 +77,7 @@
 
 func (n *Node) sendMember(o member.Out) {
 	var b bytes.Buffer
-	if err := encodeArrays(&b, o.Message); err != nil {
+	if err := msgframe.EncodeArrays(&b, o.Message); err != nil {
 		n.opts.Logger.Error().Str("event", "memberEncode").Err(err).Send()
 		return
 	}
@@ -87,7 +88,7 @@
 func decodeMember(body []byte) (member.Message, error) {
 	var m member.Message
 	if err := msgpack.Unmarshal(body, &m); err != nil {
-		return member.Message{}, merry.Errorf("decode membership message: %w: %w", errProtocol, err)
+		return member.Message{}, merry.Errorf("decode membership message: %w: %w", msgframe.ErrProtocol, err)
 	}
 	return m, nil
 }
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -28,6 +28,7 @@
 
 	"mothcart/core/member"
 	"mothcart/core/vm"
+	"mothcart/io/msgframe"
 )
 
 const (
@@ -85,7 +86,7 @@
 	if _, port, err := net.SplitHostPort(opts.Self.Address); err != nil || port == "0" {
 		opts.Self.Address = listener.Addr().String()
 	}
-	heartbeat, err := encode(frame{Kind: kindHeartbeat}, maxHelloFrame)
+	heartbeat, err := msgframe.Encode(frame{Kind: kindHeartbeat}, maxHelloFrame)
 	if err != nil {
 		return nil, err
 	}
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"mothcart/io/msgframe"
+
 	"github.com/rs/zerolog"
 )
 
@@ -53,7 +55,7 @@
 }
 
 func (c *conn) respondError(id uint64, re *RemoteError) {
-	body, err := encodeBody(re.Message)
+	body, err := msgframe.EncodeBody(re.Message)
 	if err != nil {
 		c.close(err)
 		return
@@ -64,7 +66,7 @@
 // respond queues a response. It waits for room in a handler's goroutine only; refusals made by the
 // reader are few and small.
 func (c *conn) respond(f frame) {
-	data, err := encode(f, c.limit)
+	data, err := msgframe.Encode(f, c.limit)
 	if errors.Is(err, ErrTooLarge) && f.Code == "" {
 		c.respondError(f.ID, &RemoteError{Code: CodeTooLarge, Message: "response over the limit of its class"})
 		return
--- a/io/peer/tls_test.go
+++ b/io/peer/tls_test.go
@@ -12,6 +12,7 @@
 
 	"mothcart/core/vm"
 	"mothcart/fake/ca"
+	"mothcart/io/msgframe"
 )
 
 func issue(t *testing.T, a *ca.Authority, role, id string) *tls.Config {
@@ -51,7 +52,7 @@
 
 func mustEncode(t *testing.T, v any) []byte {
 	t.Helper()
-	b, err := encode(v, 1<<20)
+	b, err := msgframe.Encode(v, 1<<20)
 	require.NoError(t, err)
 	return b
 }
@@ -78,7 +79,7 @@
 	}{
 		{name: "garbage for a hello", sends: []byte("GET / HTTP/1.1\r\n\r\n")},
 		{name: "oversized hello", sends: oversized},
-		{name: "empty frame", sends: make([]byte, lengthBytes)},
+		{name: "empty frame", sends: make([]byte, msgframe.LengthBytes)},
 		{name: "wrong version", sends: mustEncode(t, wrongVersion)},
 		{name: "other protocol", sends: mustEncode(t, otherProtocol)},
 		{name: "own ID", sends: mustEncode(t, ownID)},
@@ -119,24 +120,24 @@
 		frame{Kind: kindResponse, ID: 7, Code: CodeFailed, Body: []byte{0xa1, 'a'}},
 		frame{Kind: kindHeartbeat},
 	} {
-		b, err := encode(v, 1<<20)
+		b, err := msgframe.Encode(v, 1<<20)
 		if err != nil {
 			f.Fatal(err)
 		}
-		f.Add(b[lengthBytes:])
+		f.Add(b[msgframe.LengthBytes:])
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		if h, err := decodeHello(b); err == nil {
-			again, err := decodeHello(mustEncode(t, h)[lengthBytes:])
+			again, err := decodeHello(mustEncode(t, h)[msgframe.LengthBytes:])
 			require.NoError(t, err)
 			require.Equal(t, h, again)
 		}
 		if d, err := decodeFrame(b); err == nil {
-			again, err := decodeFrame(mustEncode(t, d)[lengthBytes:])
+			again, err := decodeFrame(mustEncode(t, d)[msgframe.LengthBytes:])
 			require.NoError(t, err)
 			require.Equal(t, d.ID, again.ID)
 		}
-		if checkWellFormed(b) == nil {
+		if msgframe.CheckWellFormed(b) == nil {
 			_, _ = decodeMember(b)
 		}
 	})
