--- a/cmd/mothcart/main.go
+++ b/cmd/mothcart/main.go
@@ -35,6 +35,8 @@
 func commands() []command {
 	return []command{
 		serveCommand(),
+		entryCommand(),
+		homeCommand(),
 		statusCommand(),
 		drainCommand(),
 		checkCommand(),
--- /dev/null
+++ b/cmd/mothcart/node.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+
+	"flag"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"mothcart/io/logs"
+	"mothcart/io/node"
+	"mothcart/platform"
+)
+
+const (
+	// queuedLogLines bounds the log lines that wait to be written.
+	queuedLogLines = 1000
+	// memoryShare is the part of the VM's memory that the process aims to stay under.
+	memoryShare = 0.7
+)
+
+func entryCommand() command {
+	return command{name: "entry", summary: "serve callers on a VM of the platform", run: func(ctx context.Context, args []string, out, errOut io.Writer) int {
+		return runNode(ctx, "entry", node.RunEntry, args, out, errOut)
+	}}
+}
+
+func homeCommand() command {
+	return command{name: "home", summary: "seek to be the home of slots and jobs on a VM of the platform", run: func(ctx context.Context, args []string, out, errOut io.Writer) int {
+		return runNode(ctx, "home", node.RunHome, args, out, errOut)
+	}}
+}
+
+func runNode(ctx context.Context, name string, run func(context.Context, node.Options) error, args []string, out, errOut io.Writer) int {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	path := fs.String("settings", os.Getenv(platform.SettingsVariable), "settings `FILE` of the platform; "+platform.SettingsVariable+" by default")
+	level := fs.String("log", "info", "lowest `LEVEL` of events that are logged")
+	only := fs.Bool("check", false, "check the settings and end")
+	if _, code, goOn := parseArguments(fs, name+" [-settings FILE] [-log LEVEL] [-check]", 0, args, out, errOut); !goOn {
+		return code
+	}
+	settings, err := platform.ReadSettings(*path)
+	if err != nil {
+		fmt.Fprintf(errOut, "mothcart %s: %v\n", name, err)
+		return exitUsage
+	}
+	if *only {
+		fmt.Fprintln(out, "settings are right")
+		return exitOK
+	}
+	registry := metrics.NewRegistry()
+	missed := metrics.GetOrRegisterCounter("log.missedLines", registry)
+	log, flush, err := logs.NewJSON(out, *level, queuedLogLines, func(n int) { missed.Inc(int64(n)) })
+	if err != nil {
+		fmt.Fprintf(errOut, "mothcart %s: %v\n", name, err)
+		return exitUsage
+	}
+	defer flush()
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
+	}
+	log = log.With().Str("node", settings.VMID).Logger()
+	if err := run(ctx, node.Options{Settings: settings, SettingsPath: *path, Log: log, Registry: registry}); err != nil {
+		log.WithLevel(zerolog.ErrorLevel).Err(err).Msg("nodeFailed")
+		fmt.Fprintf(errOut, "mothcart %s: %v\n", name, err)
+		return exitFailure
+	}
+	return exitOK
+}
--- /dev/null
+++ b/core/batch/batch.go
@@ -0,0 +1,187 @@
+// Package batch holds the state of a job of many items: what was accepted and what came of it.
+//
+// A Log is a job with its results in order. Results are only appended, in chunks that each name the
+// position of their first result; the store takes one chunk for a position, so that all VMs see the
+// same results at the same positions, whichever of them ran the items.
+//
+// Usage:
+//
+//	log := batch.NewLog(job)
+//	log, err := log.WithChunk(batch.Chunk{From: 0, Results: results})
+//	results, next := log.Page(0, 1<<20)
+package batch
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Item is one request of a job.
+type Item struct {
+	ID string `json:"id"`
+	// Path holds the escaped path and the query.
+	Path   string            `json:"path"`
+	Header map[string]string `json:"header,omitempty"`
+	Body   []byte            `json:"body"`
+	// Tokens is the size of the prompt and of the longest output together.
+	Tokens int64 `json:"tokens"`
+}
+
+// Job is a job as it was accepted. Values are immutable.
+type Job struct {
+	ID string `json:"-"`
+	// Host and Path select the route of the job.
+	Host  string `json:"host"`
+	Path  string `json:"path"`
+	Items []Item `json:"items"`
+	// AcceptedAt is the time of day of the acceptance. It orders jobs and tells when results may be
+	// removed; no lease or fence depends on it.
+	AcceptedAt time.Time `json:"acceptedAt"`
+}
+
+// Tokens returns the size of all items.
+func (j Job) Tokens() int64 {
+	var n int64
+	for _, i := range j.Items {
+		n += i.Tokens
+	}
+	return n
+}
+
+// Item returns the item with an ID.
+func (j Job) Item(id string) (Item, bool) {
+	i := slices.IndexFunc(j.Items, func(i Item) bool { return i.ID == id })
+	if i < 0 {
+		return Item{}, false
+	}
+	return j.Items[i], true
+}
+
+// State is how an item ended.
+type State string
+
+const (
+	// Completed items have their whole output as text.
+	Completed State = "completed"
+	// Failed items can't be done or were given up.
+	Failed State = "failed"
+)
+
+// Result is how one item ended.
+type Result struct {
+	Item  string `json:"item" msgpack:"i"`
+	State State  `json:"state" msgpack:"s"`
+	// Text is the data of all events of the output, joined by line feeds.
+	Text string `json:"text" msgpack:"t"`
+}
+
+// Chunk is a group of results that is written at once.
+type Chunk struct {
+	// From is the position of the first result, counted from 0.
+	From    int      `json:"from"`
+	Results []Result `json:"results"`
+}
+
+var (
+	// ErrPosition means that a chunk doesn't follow the results before it.
+	ErrPosition = errors.New("chunk is not at the end of the results")
+	// ErrItem means that a result names an item that the job doesn't have or that has a result.
+	ErrItem = errors.New("result of an item that is not open")
+)
+
+// Log is a job with its results. Values are immutable.
+type Log struct {
+	job     Job
+	results []Result
+	listed  map[string]struct{}
+	ended   bool
+}
+
+// NewLog returns the log of a job without results.
+func NewLog(job Job) Log { return Log{job: job, listed: map[string]struct{}{}} }
+
+// Job returns the job.
+func (l Log) Job() Job { return l.job }
+
+// Len returns the number of results.
+func (l Log) Len() int { return len(l.results) }
+
+// Ended reports that the job was ended by its owner.
+func (l Log) Ended() bool { return l.ended }
+
+// Done reports that nothing of the job is left to run.
+func (l Log) Done() bool { return l.ended || len(l.results) == len(l.job.Items) }
+
+// Listed reports that an item has a result.
+func (l Log) Listed(item string) bool {
+	_, ok := l.listed[item]
+	return ok
+}
+
+// WithChunk returns the log with a chunk appended. The error is ErrPosition or ErrItem.
+func (l Log) WithChunk(c Chunk) (Log, error) {
+	if c.From != len(l.results) {
+		return l, fmt.Errorf("job %s: chunk at %d of %d: %w", l.job.ID, c.From, len(l.results), ErrPosition)
+	}
+	listed := maps.Clone(l.listed)
+	for _, r := range c.Results {
+		_, known := l.job.Item(r.Item)
+		if _, twice := listed[r.Item]; twice || !known {
+			return l, fmt.Errorf("job %s: item %s: %w", l.job.ID, r.Item, ErrItem)
+		}
+		listed[r.Item] = struct{}{}
+	}
+	l.results = append(slices.Clip(l.results), c.Results...)
+	l.listed = listed
+	return l, nil
+}
+
+// WithEnded returns the log of a job that its owner has ended; its results stay.
+func (l Log) WithEnded() Log {
+	l.ended = true
+	return l
+}
+
+// Open returns the items without a result, in the order of the job; none once the job has ended.
+func (l Log) Open() []Item {
+	if l.ended {
+		return nil
+	}
+	var out []Item
+	for _, i := range l.job.Items {
+		if !l.Listed(i.ID) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// OpenTokens returns the size of the open items.
+func (l Log) OpenTokens() int64 {
+	var n int64
+	for _, i := range l.Open() {
+		n += i.Tokens
+	}
+	return n
+}
+
+// resultOverhead is the size of a result on the wire besides its text, in bytes.
+const resultOverhead = 100
+
+// Page returns the results from position after on, up to maxBytes but at least one, and the position
+// that follows them.
+func (l Log) Page(after, maxBytes int) ([]Result, int) {
+	after = min(max(after, 0), len(l.results))
+	next, size := after, 0
+	for next < len(l.results) {
+		size += len(l.results[next].Text) + resultOverhead
+		if next > after && size > maxBytes {
+			break
+		}
+		next++
+	}
+	return slices.Clip(l.results[after:next]), next
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -64,6 +64,9 @@
 	Attempts int
 	// Progress reports that the attempt brought at least one token.
 	Progress bool
+	// Runs is the number of attempts that may have run, and RunLimit its bound; 0 means no bound.
+	Runs     int
+	RunLimit int
 }
 
 // Action is what to do after a failure.
@@ -109,6 +112,9 @@
 	if f.Attempts >= MaxAttempts && !f.Progress {
 		return Fail, b
 	}
+	if f.RunLimit > 0 && f.Runs >= f.RunLimit {
+		return Fail, b
+	}
 	mayRun := f.Sent && !f.Refused
 	if mayRun && !f.Idempotent {
 		return Fail, b
--- /dev/null
+++ b/core/site/directory.go
@@ -0,0 +1,131 @@
+package site
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// goneGrace is how long an upstream whose entry has disappeared is still used, if nothing else
+	// is free; a leaving upstream serves longer than that, and an entry that lapsed while the object
+	// service was away comes back.
+	goneGrace = 1500 * time.Millisecond
+	// returnGrace is how long after the return of the object service a missing entry is not taken for
+	// an upstream that is gone.
+	returnGrace = 2 * time.Second
+)
+
+// Directory is the upstreams that entries in the object service name, through outages of that
+// service. Values are immutable.
+type Directory struct {
+	entries map[string]Upstream
+	// missing holds the upstreams whose entries have disappeared, and when.
+	missing map[string]missing
+	down    bool
+	// regained is when the object service answered again.
+	regained time.Time
+}
+
+type missing struct {
+	upstream Upstream
+	since    time.Time
+}
+
+// Listed returns the directory after all entries were read.
+func (d Directory) Listed(now time.Time, list []Upstream) Directory {
+	entries := make(map[string]Upstream, len(list))
+	for _, u := range list {
+		entries[u.ID] = u
+	}
+	out := d.clone()
+	for id, u := range d.entries {
+		if _, ok := entries[id]; !ok {
+			out.missing[id] = missing{upstream: u, since: now}
+		}
+	}
+	for id := range entries {
+		delete(out.missing, id)
+	}
+	out.entries = entries
+	return out
+}
+
+// WithUpstream returns the directory after an entry was written.
+func (d Directory) WithUpstream(u Upstream) Directory {
+	out := d.clone()
+	out.entries[u.ID] = u
+	delete(out.missing, u.ID)
+	return out
+}
+
+// WithoutUpstream returns the directory after an entry has disappeared or become unreadable.
+func (d Directory) WithoutUpstream(now time.Time, id string) Directory {
+	u, ok := d.entries[id]
+	if !ok {
+		return d
+	}
+	out := d.clone()
+	delete(out.entries, id)
+	out.missing[id] = missing{upstream: u, since: now}
+	return out
+}
+
+// WithDown returns the directory after the object service stopped or began to answer.
+func (d Directory) WithDown(now time.Time, down bool) Directory {
+	if d.down && !down {
+		d.regained = now
+	}
+	d.down = down
+	return d
+}
+
+// Upstreams returns the upstreams to use, by ID, and when the next missing one is given up; the time
+// is zero if none is missing.
+func (d Directory) Upstreams(now time.Time) ([]Upstream, time.Time) {
+	list := slices.Collect(maps.Values(d.entries))
+	var next time.Time
+	for _, m := range d.missing {
+		until := d.kept(now, m)
+		if !now.Before(until) {
+			continue
+		}
+		u := m.upstream
+		u.Doubtful = true
+		list = append(list, u)
+		if next.IsZero() || until.Before(next) {
+			next = until
+		}
+	}
+	slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return list, next
+}
+
+// kept returns until when a missing upstream is used.
+func (d Directory) kept(now time.Time, m missing) time.Time {
+	until := m.since.Add(goneGrace)
+	switch {
+	case m.upstream.Draining:
+		return m.since
+	case d.down:
+		return now.Add(returnGrace)
+	case !d.regained.IsZero() && m.since.Before(d.regained.Add(returnGrace)):
+		if returned := d.regained.Add(returnGrace); returned.After(until) {
+			return returned
+		}
+	}
+	return until
+}
+
+func (d Directory) clone() Directory {
+	d.entries = maps.Clone(d.entries)
+	if d.entries == nil {
+		d.entries = map[string]Upstream{}
+	}
+	d.missing = maps.Clone(d.missing)
+	if d.missing == nil {
+		d.missing = map[string]missing{}
+	}
+	return d
+}
--- /dev/null
+++ b/core/slot/pool.go
@@ -0,0 +1,344 @@
+package slot
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mothcart/core/site"
+)
+
+// Pool holds slots, grants and waiting requests. It is one live value, not safe for concurrent use.
+type Pool struct {
+	opts      Options
+	upstreams map[string]*upstream
+	services  map[string]*service
+	grants    map[Key]*grant
+}
+
+type service struct {
+	name      string
+	upstreams []*upstream
+	online    waitList
+	batch     waitList
+	// hold is the moving mean of the time that online requests hold a slot.
+	hold time.Duration
+}
+
+type grant struct {
+	request  Request
+	upstream *upstream
+	since    time.Time
+}
+
+// NewPool returns a pool without upstreams.
+func NewPool(opts Options) *Pool {
+	return &Pool{
+		opts:      opts,
+		upstreams: make(map[string]*upstream),
+		services:  make(map[string]*service),
+		grants:    make(map[Key]*grant),
+	}
+}
+
+func (p *Pool) service(name string) *service {
+	s := p.services[name]
+	if s == nil {
+		s = &service{name: name, hold: p.opts.HoldTime}
+		p.services[name] = s
+	}
+	return s
+}
+
+// SetUpstreams replaces the upstreams. A new incarnation of an upstream starts without grants; the
+// grants of one that is gone stay until they are released.
+func (p *Pool) SetUpstreams(now time.Time, list []site.Upstream) Outcome {
+	old := p.upstreams
+	p.upstreams = make(map[string]*upstream, len(list))
+	for _, s := range p.services {
+		s.upstreams = nil
+	}
+	for _, u := range list {
+		state := old[u.ID]
+		if state == nil || state.Upstream.Incarnation != u.Incarnation || state.Upstream.Address != u.Address {
+			state = &upstream{}
+		}
+		state.Upstream = u
+		p.upstreams[u.ID] = state
+		s := p.service(u.Service)
+		s.upstreams = append(s.upstreams, state)
+	}
+	for _, s := range p.services {
+		slices.SortFunc(s.upstreams, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return p.serveAll(now)
+}
+
+// Ask grants a slot, lets the request wait, or refuses it. A key that is known already is ignored.
+func (p *Pool) Ask(now time.Time, r Request) Outcome {
+	if p.known(r.Key) {
+		return Outcome{}
+	}
+	s := p.service(r.Service)
+	if r.Batch {
+		s.batch.push(r)
+		return p.serve(now, s)
+	}
+	s.online.push(r)
+	out := p.serve(now, s)
+	if s.online.has(r.Key) {
+		if refusal, ok := p.refuse(now, s, r); ok {
+			s.online.remove(r.Key)
+			out.Refused = append(out.Refused, refusal)
+		}
+	}
+	return out
+}
+
+func (p *Pool) known(k Key) bool {
+	if _, ok := p.grants[k]; ok {
+		return true
+	}
+	for _, s := range p.services {
+		if s.online.has(k) || s.batch.has(k) {
+			return true
+		}
+	}
+	return false
+}
+
+// Adopt counts a grant that was made elsewhere, such as by the home before this one.
+func (p *Pool) Adopt(now time.Time, r Request, upstreamID string) {
+	u := p.upstreams[upstreamID]
+	if u == nil || p.known(r.Key) {
+		return
+	}
+	p.hold(now, r, u)
+}
+
+// Release ends the use of a slot, or the wait for one.
+func (p *Pool) Release(now time.Time, k Key, result Result) Outcome {
+	g, ok := p.grants[k]
+	if !ok {
+		for _, s := range p.services {
+			s.online.remove(k)
+			s.batch.remove(k)
+		}
+		return Outcome{}
+	}
+	p.drop(now, g)
+	g.upstream.note(now, result, p.opts)
+	s := p.service(g.request.Service)
+	if !g.request.Batch && result == Served {
+		s.hold += (now.Sub(g.since) - s.hold) / holdWeight
+	}
+	return p.serve(now, s)
+}
+
+// holdWeight is the number of requests over which the mean hold time moves.
+const holdWeight = 32
+
+// DropOwner releases all that a VM has, since its process or the connection to it ended.
+func (p *Pool) DropOwner(now time.Time, owner string) Outcome {
+	for _, g := range p.grants {
+		if g.request.Key.Owner == owner {
+			p.drop(now, g)
+		}
+	}
+	for _, s := range p.services {
+		s.online.removeOwner(owner)
+		s.batch.removeOwner(owner)
+	}
+	return p.serveAll(now)
+}
+
+// Report counts what an upstream says of its load: running and waiting requests of all VMs.
+func (p *Pool) Report(now time.Time, upstreamID string, running, waiting int) {
+	if u := p.upstreams[upstreamID]; u != nil && p.opts.TrustReports {
+		u.others = max(running+waiting-u.used, 0)
+		u.reported = now
+	}
+}
+
+// Tick ends waits that are over and serves upstreams whose pause is over.
+func (p *Pool) Tick(now time.Time) Outcome {
+	out := p.serveAll(now)
+	for _, s := range p.services {
+		for _, r := range s.online.expired(now) {
+			out.Refused = append(out.Refused, Refusal{Request: r, Reason: ReasonWaited, RetryAfter: p.retryAfter(s, r, 0)})
+		}
+	}
+	return out
+}
+
+// Waiting reports that any request waits.
+func (p *Pool) Waiting() bool {
+	for _, s := range p.services {
+		if len(s.online.items)+len(s.batch.items) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Load is the use of a service's slots.
+type Load struct {
+	Slots, Online, Batch           int
+	WaitingOnline, WaitingBatch    int
+	Upstreams, PausedUpstreams     int
+	OldestReport, MeanHoldDuration time.Duration
+}
+
+// Load returns the use of a service's slots.
+func (p *Pool) Load(now time.Time, name string) Load {
+	s := p.service(name)
+	l := Load{WaitingOnline: len(s.online.items), WaitingBatch: len(s.batch.items), Upstreams: len(s.upstreams), MeanHoldDuration: s.hold}
+	for _, u := range s.upstreams {
+		l.Slots += u.Slots
+		if u.paused(now) {
+			l.PausedUpstreams++
+		}
+		if !u.reported.IsZero() {
+			l.OldestReport = max(l.OldestReport, now.Sub(u.reported))
+		}
+	}
+	for _, g := range p.grants {
+		switch {
+		case g.request.Service != name:
+		case g.request.Batch:
+			l.Batch++
+		default:
+			l.Online++
+		}
+	}
+	return l
+}
+
+func (p *Pool) hold(now time.Time, r Request, u *upstream) {
+	u.used++
+	p.grants[r.Key] = &grant{request: r, upstream: u, since: now}
+}
+
+func (p *Pool) drop(_ time.Time, g *grant) {
+	g.upstream.used--
+	delete(p.grants, g.request.Key)
+}
+
+func (p *Pool) serveAll(now time.Time) Outcome {
+	var out Outcome
+	names := make([]string, 0, len(p.services))
+	for name := range p.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		out.add(p.serve(now, p.services[name]))
+	}
+	return out
+}
+
+// serve gives free slots to waiting requests, and slots of batch to waiting online requests.
+func (p *Pool) serve(now time.Time, s *service) Outcome {
+	var out Outcome
+	s.online.take(func(r Request) bool {
+		u := p.pick(now, s, r)
+		if u == nil {
+			victim := p.victim(now, s, r)
+			if victim == nil {
+				return false
+			}
+			p.drop(now, victim)
+			out.Cut = append(out.Cut, Grant{Request: victim.request, Upstream: victim.upstream.Upstream})
+			u = victim.upstream
+		}
+		p.hold(now, r, u)
+		out.Granted = append(out.Granted, Grant{Request: r, Upstream: u.Upstream})
+		return true
+	})
+	s.batch.take(func(r Request) bool {
+		u := p.pick(now, s, r)
+		if u == nil {
+			return false
+		}
+		p.hold(now, r, u)
+		out.Granted = append(out.Granted, Grant{Request: r, Upstream: u.Upstream})
+		return true
+	})
+	return out
+}
+
+// pick returns the upstream with a free slot that suits the request best, or nil.
+func (p *Pool) pick(now time.Time, s *service, r Request) *upstream {
+	var best *upstream
+	for _, u := range s.upstreams {
+		if !u.takes(now, r, p.opts) {
+			continue
+		}
+		if best == nil || u.better(best, now, r, p.opts) {
+			best = u
+		}
+	}
+	return best
+}
+
+// victim returns the batch grant that is due last among those on upstreams that suit the request.
+func (p *Pool) victim(now time.Time, s *service, r Request) *grant {
+	var last *grant
+	for _, g := range p.grants {
+		if !g.request.Batch || g.request.Service != s.name || !g.upstream.suits(now, r) || p.upstreams[g.upstream.ID] != g.upstream {
+			continue
+		}
+		if last == nil || later(g.request, last.request) {
+			last = g
+		}
+	}
+	return last
+}
+
+// later reports that a is served after b.
+func later(a, b Request) bool { return compare(a, b) > 0 }
+
+func compare(a, b Request) int {
+	return cmp.Or(
+		cmp.Compare(a.Priority, b.Priority),
+		a.Order.Compare(b.Order),
+		cmp.Compare(a.Key.ID, b.Key.ID),
+		cmp.Compare(a.Key.Owner, b.Key.Owner),
+	)
+}
+
+// refuse decides whether a request that waits can't be served in time.
+func (p *Pool) refuse(now time.Time, s *service, r Request) (Refusal, bool) {
+	slots := 0
+	for _, u := range s.upstreams {
+		if !u.Draining && !slices.Contains(r.Exclude, u.ID) {
+			slots += u.Slots
+		}
+	}
+	if slots == 0 {
+		return Refusal{Request: r, Reason: ReasonNoUpstream, RetryAfter: p.retryAfter(s, r, 0)}, true
+	}
+	expected := s.hold * time.Duration(s.online.before(r)+1) / time.Duration(slots)
+	if now.Add(expected).After(r.Deadline) {
+		return Refusal{Request: r, Reason: ReasonFull, RetryAfter: p.retryAfter(s, r, expected-r.Deadline.Sub(now))}, true
+	}
+	return Refusal{}, false
+}
+
+// spreadSteps is the number of places that returning callers are spread over.
+const spreadSteps = 16
+
+// retryAfter adds to the expected time a part of the spread that differs between requests.
+func (p *Pool) retryAfter(_ *service, r Request, expected time.Duration) time.Duration {
+	step := time.Duration(r.Key.ID % spreadSteps)
+	return max(expected, 0) + p.opts.MinRetryAfter + p.opts.RetrySpread*step/spreadSteps
+}
+
+// Grants returns the grants that are in use, in no order.
+func (p *Pool) Grants() []Grant {
+	out := make([]Grant, 0, len(p.grants))
+	for _, g := range p.grants {
+		out = append(out, Grant{Request: g.request, Upstream: g.upstream.Upstream})
+	}
+	return out
+}
--- /dev/null
+++ b/core/slot/wait.go
@@ -0,0 +1,91 @@
+package slot
+
+import (
+	"slices"
+	"time"
+)
+
+// waitList holds waiting requests in the order in which they are served.
+type waitList struct {
+	items []Request
+	keys  map[Key]struct{}
+}
+
+func (l *waitList) has(k Key) bool {
+	_, ok := l.keys[k]
+	return ok
+}
+
+func (l *waitList) push(r Request) {
+	if l.keys == nil {
+		l.keys = make(map[Key]struct{})
+	}
+	l.keys[r.Key] = struct{}{}
+	i, _ := slices.BinarySearchFunc(l.items, r, compare)
+	l.items = slices.Insert(l.items, i, r)
+}
+
+func (l *waitList) remove(k Key) {
+	if !l.has(k) {
+		return
+	}
+	l.filter(func(r Request) bool { return r.Key != k })
+}
+
+func (l *waitList) removeOwner(owner string) {
+	l.filter(func(r Request) bool { return r.Key.Owner != owner })
+}
+
+// filter keeps the requests for which keep is true.
+func (l *waitList) filter(keep func(Request) bool) {
+	l.items = slices.DeleteFunc(l.items, func(r Request) bool {
+		if keep(r) {
+			return false
+		}
+		delete(l.keys, r.Key)
+		return true
+	})
+}
+
+// maxMisses bounds the requests that are looked at in one pass after one could not be served; only
+// requests that exclude upstreams differ from the one before.
+const maxMisses = 8
+
+// take removes the requests that serve takes, in order.
+func (l *waitList) take(serve func(Request) bool) {
+	misses := 0
+	kept := l.items[:0]
+	for i, r := range l.items {
+		if misses >= maxMisses {
+			kept = append(kept, l.items[i:]...)
+			break
+		}
+		if serve(r) {
+			delete(l.keys, r.Key)
+			continue
+		}
+		misses++
+		kept = append(kept, r)
+	}
+	clear(l.items[len(kept):])
+	l.items = kept
+}
+
+// before returns the number of requests that are served before r.
+func (l *waitList) before(r Request) int {
+	i, _ := slices.BinarySearchFunc(l.items, r, compare)
+	return i
+}
+
+// expired removes and returns the requests whose wait is over.
+func (l *waitList) expired(now time.Time) []Request {
+	var out []Request
+	l.filter(func(r Request) bool {
+		if now.Before(r.Deadline) {
+			return true
+		}
+		out = append(out, r)
+		return false
+	})
+	return out
+}
--- /dev/null
+++ b/io/entry/entry.go
@@ -0,0 +1,189 @@
+// Package entry serves callers: it takes their requests, finds the route, and answers them.
+//
+// Online requests go to an upstream by way of io/forward. Jobs are written to the object service
+// before they are accepted; reads of jobs are answered by the home, or from the object service where
+// the home can't be sure. A node that knows no configuration refuses everything.
+//
+// Usage:
+//
+//	h := entry.New(entry.Options{Codec: codec, Forward: forwarder, Home: client, Objects: objects})
+//	http.Handle("/", h)
+package entry
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"mothcart/core/batch"
+	"mothcart/core/site"
+	"mothcart/io/forward"
+	"mothcart/io/home"
+	"mothcart/io/object"
+)
+
+// JobCall is a call about a job that was submitted.
+type JobCall int
+
+const (
+	// NoJobCall is any other request.
+	NoJobCall JobCall = iota
+	// ReadResults asks for results from a position on.
+	ReadResults
+	// ReadItem asks for the body of an item.
+	ReadItem
+	// EndJob ends a job.
+	EndJob
+)
+
+// Call is a call about a job.
+type Call struct {
+	Kind JobCall
+	Job  string
+	// After is the position of the first result that is asked for, Wait how long to wait for it.
+	After int
+	Wait  time.Duration
+	Item  string
+}
+
+// Codec translates requests and answers of callers.
+type Codec struct {
+	RequestID   func(h http.Header) string
+	LastEventID func(h http.Header) string
+	// CallerWait returns how long the caller waits, and whether it says so.
+	CallerWait func(h http.Header) (time.Duration, bool)
+	// ParseCall returns the call about a job that a request is.
+	ParseCall func(r *http.Request) Call
+	// DecodeJob decodes a submitted job.
+	DecodeJob func(id, host, path string, acceptedAt time.Time, body []byte) (batch.Job, error)
+	// EncodeResults encodes a page of results.
+	EncodeResults func(total, next int, results []batch.Result) ([]byte, error)
+}
+
+// Options are the parts that a Handler works with; all are required.
+type Options struct {
+	Codec   Codec
+	Forward *forward.Forwarder
+	Home    *home.Client
+	Objects object.Client
+	// MaxJobBytes is the largest object that holds a job.
+	MaxJobBytes int
+	Now         func() time.Time
+	// TimeOfDay is the clock that all VMs share roughly.
+	TimeOfDay func() time.Time
+	Log       zerolog.Logger
+	Registry  metrics.Registry
+}
+
+// Handler serves callers. It is safe for concurrent use.
+type Handler struct {
+	opts     Options
+	config   atomic.Pointer[site.Config]
+	draining atomic.Bool
+	active   atomic.Int64
+
+	mu sync.Mutex
+	// open holds the size of what is open on a batch route, as the home said last.
+	open map[string]int64
+}
+
+// New returns a handler that has no configuration.
+func New(opts Options) *Handler { return &Handler{opts: opts, open: make(map[string]int64)} }
+
+// SetConfig puts a configuration in force.
+func (h *Handler) SetConfig(cfg site.Config) { h.config.Store(&cfg) }
+
+// Drain makes the handler ask callers to open new connections elsewhere.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
+// Active returns the number of requests in progress.
+func (h *Handler) Active() int64 { return h.active.Load() }
+
+const (
+	// defaultBodyBytes bounds a body while the configuration sets no limit.
+	defaultBodyBytes = 4 << 20
+	// defaultTimeout bounds a request whose route and caller set no limit.
+	defaultTimeout = 30 * time.Second
+	// startRetryAfter is when a node that has just started expects to know its configuration.
+	startRetryAfter = 300 * time.Millisecond
+)
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := h.opts.Now()
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	if h.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	cfg := h.config.Load()
+	id := h.opts.Codec.RequestID(r.Header)
+	if cfg == nil {
+		h.opts.Log.Info().Str("request", id).Str("outcome", "refused:noConfiguration").Msg("requestDone")
+		forward.Refuse(w, startRetryAfter)
+		return
+	}
+	if call := h.opts.Codec.ParseCall(r); call.Kind != NoJobCall {
+		h.serveJobCall(w, r, call)
+		return
+	}
+	route, ok := cfg.Match(r.Host, r.URL.Path)
+	if !ok {
+		h.opts.Log.Info().Str("request", id).Str("host", r.Host).Str("path", r.URL.Path).Int64("config", cfg.Version).
+			Str("outcome", "noRoute").Int("status", http.StatusNotFound).Msg("requestDone")
+		http.Error(w, "no route for this host and path", http.StatusNotFound)
+		return
+	}
+	body, ok := h.readBody(w, r, *cfg, id)
+	if !ok {
+		return
+	}
+	if route.Kind == site.Batch {
+		h.submit(w, r, route, body, arrived)
+		return
+	}
+	h.opts.Forward.Serve(w, r.Context(), forward.Request{
+		ID: id, Method: r.Method, Host: r.Host, Path: r.URL.RequestURI(), Header: r.Header, Body: body,
+		Route: route, Arrived: arrived, Deadline: h.deadline(r, route, arrived),
+		LastEventID: h.opts.Codec.LastEventID(r.Header),
+	}, rand.Uint64())
+}
+
+// deadline returns when the answer must be complete: the earlier of the caller's and the route's.
+func (h *Handler) deadline(r *http.Request, route site.Route, arrived time.Time) time.Time {
+	limit := route.Timeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	if wait, ok := h.opts.Codec.CallerWait(r.Header); ok && (wait < limit || route.Kind == site.Batch) {
+		limit = wait
+	}
+	return arrived.Add(limit)
+}
+
+// readBody reads the whole body; it answers the request itself if that fails.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, cfg site.Config, id string) ([]byte, bool) {
+	limit := cfg.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		return body, true
+	}
+	var tooLarge *http.MaxBytesError
+	status := http.StatusBadRequest
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	h.opts.Log.Info().Str("request", id).Int64("limit", limit).Int("status", status).Err(err).Str("outcome", "badBody").Msg("requestDone")
+	http.Error(w, "body can't be read", status)
+	return nil, false
+}
--- /dev/null
+++ b/io/entry/job.go
@@ -0,0 +1,204 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mothcart/core/batch"
+	"mothcart/core/site"
+	"mothcart/io/forward"
+	"mothcart/io/home"
+	"mothcart/io/store"
+)
+
+const (
+	// submitTimeout bounds the writing of a job.
+	submitTimeout = 2500 * time.Millisecond
+	// directTimeout bounds reads and writes of jobs in the object service.
+	directTimeout = 1500 * time.Millisecond
+	// directPoll is the time between two reads of the object service in one long poll.
+	directPoll = 400 * time.Millisecond
+	// maxPoll bounds a long poll.
+	maxPoll = time.Second
+	// pageBytes bounds the texts of one page of results.
+	pageBytes = 900 << 10
+	// unsureShare is the part of a route's cap up to which jobs are accepted while no home counts.
+	unsureShare = 0.5
+	// fullRetryAfter is when a job that found no room should come back.
+	fullRetryAfter = time.Second
+	// downRetryAfter is when a job that could not be written should come back.
+	downRetryAfter = 500 * time.Millisecond
+)
+
+// submit writes a job and accepts it.
+func (h *Handler) submit(w http.ResponseWriter, r *http.Request, route site.Route, body []byte, arrived time.Time) {
+	id := h.opts.Codec.RequestID(r.Header)
+	if r.Method != http.MethodPost {
+		http.Error(w, "jobs are submitted by POST", http.StatusMethodNotAllowed)
+		return
+	}
+	job, err := h.opts.Codec.DecodeJob(id, r.Host, r.URL.Path, h.opts.TimeOfDay(), body)
+	if err != nil {
+		h.logJob(id, "badJob", http.StatusBadRequest, arrived, err)
+		http.Error(w, "job can't be read", http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), min(submitTimeout, h.deadline(r, route, arrived).Sub(h.opts.Now())))
+	defer cancel()
+	if !h.hasRoom(ctx, route, job) {
+		h.logJob(id, "noRoom", http.StatusTooManyRequests, arrived, nil)
+		w.Header().Set("Retry-After", strconv.FormatFloat(fullRetryAfter.Seconds(), 'f', 1, 64))
+		http.Error(w, "too many tokens wait on this route", http.StatusTooManyRequests)
+		return
+	}
+	err = home.CreateJob(ctx, h.opts.Objects, job)
+	switch {
+	case err == nil:
+		h.logJob(id, "accepted", http.StatusAccepted, arrived, nil)
+		w.WriteHeader(http.StatusAccepted)
+	case errors.Is(err, store.ErrUnavailable):
+		h.logJob(id, "notWritten", http.StatusServiceUnavailable, arrived, err)
+		forward.Refuse(w, downRetryAfter)
+	default:
+		h.logJob(id, "outcomeUnknown", http.StatusGatewayTimeout, arrived, err)
+		http.Error(w, "not known whether the job was accepted; send it again", http.StatusGatewayTimeout)
+	}
+}
+
+// hasRoom asks the home whether a job fits. While no home can tell, jobs are accepted as long as the
+// route was far from its cap when a home said so last.
+func (h *Handler) hasRoom(ctx context.Context, route site.Route, job batch.Job) bool {
+	reservation, err := h.opts.Home.Reserve(ctx, job)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil {
+		h.open[route.Name] = reservation.Open
+		return reservation.OK
+	}
+	h.open[route.Name] += job.Tokens()
+	fits := route.TokenCap == 0 || float64(h.open[route.Name]) <= unsureShare*float64(route.TokenCap)
+	h.opts.Log.Warn().Str("job", job.ID).Int64("open", h.open[route.Name]).Int64("cap", route.TokenCap).Bool("fits", fits).Err(err).Msg("roomWithoutHome")
+	return fits
+}
+
+func (h *Handler) logJob(id, outcome string, status int, arrived time.Time, err error) {
+	h.opts.Log.Info().Str("job", id).Str("outcome", outcome).Int("status", status).
+		Dur("tookMillis", h.opts.Now().Sub(arrived)).AnErr("error", err).Msg("jobSubmitted")
+}
+
+func (h *Handler) serveJobCall(w http.ResponseWriter, r *http.Request, c Call) {
+	switch c.Kind {
+	case ReadResults:
+		h.readResults(w, r, c)
+	case ReadItem:
+		h.readItem(w, r, c)
+	default:
+		h.endJob(w, r, c)
+	}
+}
+
+func (h *Handler) readResults(w http.ResponseWriter, r *http.Request, c Call) {
+	wait := min(c.Wait, maxPoll)
+	page, err := h.opts.Home.Read(r.Context(), c.Job, c.After, wait)
+	basis := "home"
+	if err != nil {
+		basis = "objectService"
+		page, err = h.readDirect(r.Context(), c, wait)
+	}
+	if err != nil {
+		h.failJobCall(w, c, "resultsRead", err)
+		return
+	}
+	b, err := h.opts.Codec.EncodeResults(page.Total, page.Next, page.Results)
+	if err != nil {
+		h.failJobCall(w, c, "resultsRead", err)
+		return
+	}
+	h.opts.Log.Debug().Str("job", c.Job).Str("basis", basis).Int("after", c.After).Int("next", page.Next).Int("total", page.Total).Msg("resultsRead")
+	h.writeJSON(w, b)
+}
+
+func (h *Handler) writeJSON(w http.ResponseWriter, b []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	if _, err := w.Write(b); err != nil {
+		h.opts.Log.Debug().Err(err).Msg("callerGone")
+	}
+}
+
+// readDirect reads a job from the object service until there is a result or the wait ends.
+func (h *Handler) readDirect(ctx context.Context, c Call, wait time.Duration) (home.Page, error) {
+	until := h.opts.Now().Add(wait)
+	for {
+		log, err := h.loadJob(ctx, c.Job)
+		if err != nil {
+			return home.Page{}, err
+		}
+		results, next := log.Page(c.After, pageBytes)
+		if len(results) > 0 || log.Done() || !h.opts.Now().Add(directPoll).Before(until) {
+			return home.Page{Total: len(log.Job().Items), Next: next, Results: results}, nil
+		}
+		t := time.NewTimer(directPoll)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return home.Page{}, ctx.Err()
+		}
+	}
+}
+
+func (h *Handler) loadJob(ctx context.Context, id string) (batch.Log, error) {
+	ctx, cancel := context.WithTimeout(ctx, directTimeout)
+	defer cancel()
+	return home.LoadJob(ctx, h.opts.Objects, id)
+}
+
+func (h *Handler) readItem(w http.ResponseWriter, r *http.Request, c Call) {
+	item, err := h.opts.Home.Item(r.Context(), c.Job, c.Item)
+	if err != nil {
+		var log batch.Log
+		if log, err = h.loadJob(r.Context(), c.Job); err == nil {
+			known, found := log.Job().Item(c.Item)
+			item = home.ItemBody{Found: found && !log.Ended(), Body: known.Body}
+		}
+	}
+	if err == nil && !item.Found {
+		err = store.ErrNotFound
+	}
+	if err != nil {
+		h.failJobCall(w, c, "itemRead", err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(item.Body)))
+	if _, err := w.Write(item.Body); err != nil {
+		h.opts.Log.Debug().Str("job", c.Job).Err(err).Msg("callerGone")
+	}
+}
+
+func (h *Handler) endJob(w http.ResponseWriter, r *http.Request, c Call) {
+	ctx, cancel := context.WithTimeout(r.Context(), directTimeout)
+	defer cancel()
+	if err := home.EndJob(ctx, h.opts.Objects, c.Job); err != nil {
+		h.failJobCall(w, c, "jobEnd", err)
+		return
+	}
+	h.opts.Home.NotifyEnded(c.Job)
+	h.opts.Log.Info().Str("job", c.Job).Str("outcome", "ended").Msg("jobEnd")
+	w.WriteHeader(http.StatusOK)
+}
+
+// failJobCall answers 404 only if the object service says that there is no such job.
+func (h *Handler) failJobCall(w http.ResponseWriter, c Call, event string, err error) {
+	if errors.Is(err, store.ErrNotFound) {
+		h.opts.Log.Info().Str("job", c.Job).Str("item", c.Item).Int("status", http.StatusNotFound).Err(err).Msg(event)
+		http.Error(w, "no such job or item", http.StatusNotFound)
+		return
+	}
+	h.opts.Log.Warn().Str("job", c.Job).Str("item", c.Item).Int("status", http.StatusServiceUnavailable).Err(err).Msg(event)
+	forward.Refuse(w, downRetryAfter)
+}
--- /dev/null
+++ b/io/forward/forward.go
@@ -0,0 +1,144 @@
+// Package forward sends callers' requests to upstreams and their answers back.
+//
+// Each attempt has a slot of an upstream, and a connection of its own. What may be repeated is
+// decided by core/retry: a request that may have run is sent again only where its route allows,
+// and a stream that breaks off goes on at another upstream after its last event, inside the same
+// answer, where it can be resumed. An answer without the upstream's signature, or one that belongs
+// to another request, is no answer.
+//
+// A refusal with status 503 or 429 says that the request has not run; once it may have run, a
+// failure is a 502, a 504 or a broken connection.
+//
+// Usage:
+//
+//	f := forward.New(forward.Options{Client: client, Wire: wire, Acquire: acquire, Log: log})
+//	f.Serve(w, ctx, forward.Request{ID: id, Route: route, Deadline: deadline, Body: body})
+package forward
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"mothcart/core/retry"
+	"mothcart/core/site"
+	"mothcart/core/slot"
+	"mothcart/io/service"
+)
+
+// Marks is what the headers of an upstream's answer say.
+type Marks struct {
+	// NotRun reports that the upstream did not run the request.
+	NotRun bool
+	// Signed reports that the answer carries the upstream's signature.
+	Signed bool
+	// HasLoad reports that Running and Waiting are known.
+	HasLoad          bool
+	Running, Waiting int
+}
+
+// Attempt is what the headers of one attempt depend on.
+type Attempt struct {
+	Upstream site.Upstream
+	// Left is the time until the answer must be complete; 0 leaves it out.
+	Left time.Duration
+	// LastEventID asks for a stream from the event after it; empty leaves it as the caller sent it.
+	LastEventID string
+}
+
+// Wire translates headers between mothcart and the upstreams.
+type Wire struct {
+	// Outgoing returns the headers of an attempt at a request with headers h.
+	Outgoing func(h http.Header, a Attempt) http.Header
+	// Read returns what the headers of an answer say.
+	Read func(h http.Header) Marks
+}
+
+// Lease is the right to use one slot of an upstream.
+type Lease struct {
+	Upstream site.Upstream
+	// Basis says who granted the slot and how old its view was, for the log.
+	Basis string
+	// Release ends the use of the slot; it must be called once.
+	Release func(now time.Time, result slot.Result)
+	// Report passes on what the upstream said of its load.
+	Report func(now time.Time, running, waiting int)
+}
+
+// Request is one request of a caller. Values are immutable.
+type Request struct {
+	ID     string
+	Method string
+	Host   string
+	// Path holds the escaped path and the query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	Route  site.Route
+	// Arrived is when the request began to arrive, Deadline when its answer must be complete.
+	Arrived  time.Time
+	Deadline time.Time
+	// LastEventID is the last event that the caller has; empty means none.
+	LastEventID string
+}
+
+// Options are the parts that a Forwarder works with; all are required.
+type Options struct {
+	Client *service.Client
+	Wire   Wire
+	// Acquire waits for a slot. The refusal is set if there was none; the error is that of ctx.
+	Acquire func(ctx context.Context, r slot.Request) (Lease, *slot.Refusal, error)
+	// NextID returns a new ID for the request for a slot.
+	NextID func() uint64
+	// Now returns the present time.
+	Now              func() time.Time
+	AvailabilityZone string
+	Log              zerolog.Logger
+	Registry         metrics.Registry
+}
+
+// Forwarder forwards requests. It is safe for concurrent use.
+type Forwarder struct {
+	opts    Options
+	metrics forwardMetrics
+
+	mu      sync.Mutex
+	budgets map[string]retry.Budget
+}
+
+// New returns a forwarder.
+func New(opts Options) *Forwarder {
+	return &Forwarder{opts: opts, metrics: newMetrics(opts.Registry), budgets: make(map[string]retry.Budget)}
+}
+
+// retryShare bounds retries to this share of a service's requests, so that they can't multiply the
+// load of a service in trouble; losing one of nine upstreams breaks a ninth of the streams at once.
+const retryShare = 0.5
+
+// decide returns what to do after a failed attempt.
+func (f *Forwarder) decide(now, deadline time.Time, service string, failure retry.Failure) retry.Action {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	budget, ok := f.budgets[service]
+	if !ok {
+		budget = retry.NewBudget(retryShare)
+	}
+	action, budget := retry.Decide(now, deadline, failure, budget)
+	f.budgets[service] = budget
+	return action
+}
+
+// countRequest adds to the retry budget of a service.
+func (f *Forwarder) countRequest(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	budget, ok := f.budgets[service]
+	if !ok {
+		budget = retry.NewBudget(retryShare)
+	}
+	f.budgets[service] = budget.WithRequest()
+}
--- /dev/null
+++ b/io/home/client.go
@@ -0,0 +1,311 @@
+package home
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/zerolog"
+
+	"mothcart/core/site"
+	"mothcart/core/slot"
+	"mothcart/io/forward"
+	"mothcart/io/link"
+)
+
+// ErrNoHome means that no home can be reached or that it can't be sure of its state.
+var ErrNoHome = merry.Sentinel("no home")
+
+const (
+	// helloTimeout bounds the introduction to a home.
+	helloTimeout = 600 * time.Millisecond
+	// callTimeout bounds a call that needs no waiting at the home.
+	callTimeout = 500 * time.Millisecond
+	// askSlack is added to a request's wait before the home is taken to be silent.
+	askSlack = 60 * time.Millisecond
+	// firstReconnect and lastReconnect bound the pause between attempts to reach the home.
+	firstReconnect = 50 * time.Millisecond
+	lastReconnect  = 400 * time.Millisecond
+)
+
+// Announcement names the home.
+type Announcement struct {
+	// Term grows with each home.
+	Term int64  `json:"term"`
+	VM   string `json:"vm"`
+	// Address is host:port for connections of nodes.
+	Address string `json:"address"`
+}
+
+// ClientOptions are the parts that a Client works with; all are required.
+type ClientOptions struct {
+	VMID        string
+	Incarnation int64
+	Connect     func(ctx context.Context, network, address string) (net.Conn, error)
+	Now         func() time.Time
+	Log         zerolog.Logger
+}
+
+// Client is a node's side of the home: it asks the home for slots and jobs, and decides about slots
+// itself while there is no home. It is safe for concurrent use.
+type Client struct {
+	opts ClientOptions
+	// own decides while there is no home, and knows all slots in use by this node.
+	own    *Desk
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	wake   chan struct{}
+
+	mu        sync.Mutex
+	home      Announcement
+	conn      *link.Conn
+	upstreams map[string]site.Upstream
+	changedAt time.Time
+}
+
+// NewClient returns a client that waits for an announcement.
+func NewClient(opts ClientOptions) *Client {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Client{
+		opts: opts, cancel: cancel, wake: make(chan struct{}, 1),
+		own: NewDesk(slot.NewOptions().WithReports(true), opts.Now),
+	}
+	c.done.Go(func() { c.run(ctx) })
+	return c
+}
+
+// Close ends the client.
+func (c *Client) Close() {
+	c.cancel()
+	c.done.Wait()
+	c.own.Close()
+}
+
+// SetUpstreams tells the client of the upstreams.
+func (c *Client) SetUpstreams(list []site.Upstream) {
+	byID := make(map[string]site.Upstream, len(list))
+	for _, u := range list {
+		byID[u.ID] = u
+	}
+	c.mu.Lock()
+	c.upstreams = byID
+	c.changedAt = c.opts.Now()
+	c.mu.Unlock()
+	c.own.SetUpstreams(list)
+}
+
+// Announce tells the client of the home; one of an earlier term is ignored.
+func (c *Client) Announce(a Announcement) {
+	c.mu.Lock()
+	if a.Term <= c.home.Term {
+		c.mu.Unlock()
+		return
+	}
+	c.home = a
+	conn := c.conn
+	c.conn = nil
+	c.mu.Unlock()
+	c.opts.Log.Info().Str("home", a.VM).Str("address", a.Address).Int64("term", a.Term).Msg("homeAnnounced")
+	if conn != nil {
+		conn.Close()
+	}
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Connected reports that the home answers.
+func (c *Client) Connected() bool { return c.connection() != nil }
+
+// Home returns the home that was announced last.
+func (c *Client) Home() Announcement {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.home
+}
+
+func (c *Client) connection() *link.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn
+}
+
+// run keeps a connection to the home.
+func (c *Client) run(ctx context.Context) {
+	pause := firstReconnect
+	for ctx.Err() == nil {
+		a := c.Home()
+		if a.Address == "" {
+			c.sleep(ctx, time.Hour)
+			continue
+		}
+		conn, err := c.connect(ctx, a)
+		if err != nil {
+			c.opts.Log.Debug().Str("home", a.VM).Int64("term", a.Term).Err(err).Msg("homeNotReached")
+			c.sleep(ctx, pause)
+			pause = min(2*pause, lastReconnect)
+			continue
+		}
+		pause = firstReconnect
+		select {
+		case <-conn.Done():
+		case <-ctx.Done():
+			conn.Close()
+		}
+		c.lost(conn, a)
+	}
+}
+
+func (c *Client) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-c.wake:
+	case <-t.C:
+	}
+}
+
+func (c *Client) connect(ctx context.Context, a Announcement) (*link.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	conn, err := link.Dial(ctx, c.opts.Connect, a.Address, link.Options{Handle: func(_ *link.Conn, in link.Incoming) {
+		in.Fail(merry.Errorf("unknown method %s", in.Method))
+	}})
+	if err != nil {
+		return nil, err
+	}
+	var answer helloAnswer
+	if err := conn.Call(ctx, methodHello, c.hello(), &answer); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	c.mu.Lock()
+	current := c.home.Term == a.Term
+	if current {
+		c.conn = conn
+	}
+	c.mu.Unlock()
+	if !current || answer.Term != a.Term {
+		conn.Close()
+		return nil, merry.Errorf("node at %s has term %d, not %d: %w", a.Address, answer.Term, a.Term, ErrNoHome)
+	}
+	c.opts.Log.Info().Str("home", a.VM).Int64("term", a.Term).Msg("homeRegained")
+	return conn, nil
+}
+
+func (c *Client) hello() helloRequest {
+	h := helloRequest{VM: c.opts.VMID, Incarnation: c.opts.Incarnation}
+	for _, g := range c.own.Grants() {
+		h.Open = append(h.Open, openedSlot{ID: g.Request.Key.ID, Service: g.Request.Service, Upstream: g.Upstream.ID})
+	}
+	return h
+}
+
+func (c *Client) lost(conn *link.Conn, a Announcement) {
+	c.mu.Lock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	c.mu.Unlock()
+	c.opts.Log.Warn().Str("home", a.VM).Int64("term", a.Term).Msg("homeLost")
+}
+
+// Acquire waits for a slot: at the home, or by the node's own decision while no home answers.
+func (c *Client) Acquire(ctx context.Context, r slot.Request) (forward.Lease, *slot.Refusal, error) {
+	for conn := c.connection(); conn != nil; {
+		lease, refusal, err := c.askHome(ctx, conn, r)
+		if err == nil || ctx.Err() != nil {
+			if refusal == nil && err == nil && c.leaving(lease.Upstream) {
+				lease.Release(c.opts.Now(), slot.Moved)
+				r.Exclude = append(r.Exclude, lease.Upstream.ID)
+				continue
+			}
+			return lease, refusal, err
+		}
+		c.opts.Log.Warn().Uint64("ask", r.Key.ID).Str("service", r.Service).Err(err).Msg("askWithoutHome")
+		break
+	}
+	return c.decideAlone(ctx, r)
+}
+
+// leaving reports that the node itself knows that the upstream is leaving; the home may know later.
+func (c *Client) leaving(u site.Upstream) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known, ok := c.upstreams[u.ID]
+	return ok && known.Incarnation == u.Incarnation && known.Draining
+}
+
+func (c *Client) askHome(ctx context.Context, conn *link.Conn, r slot.Request) (forward.Lease, *slot.Refusal, error) {
+	now := c.opts.Now()
+	wait := max(r.Deadline.Sub(now), 0)
+	asked, cancel := context.WithTimeout(ctx, wait+askSlack)
+	defer cancel()
+	var answer askAnswer
+	err := conn.Call(asked, methodAsk, askRequest{
+		ID: r.Key.ID, Service: r.Service, Priority: r.Priority, Left: r.Order.Sub(now), Wait: wait,
+		Exclude: r.Exclude, Zone: r.AvailabilityZone,
+	}, &answer)
+	if err != nil {
+		conn.Notify(methodRelease, releaseNotice{ID: r.Key.ID, Result: slot.Abandoned})
+		return forward.Lease{}, nil, err
+	}
+	if answer.Upstream == nil {
+		return forward.Lease{}, &slot.Refusal{Request: r, Reason: answer.Reason, RetryAfter: answer.RetryAfter}, nil
+	}
+	u := *answer.Upstream
+	c.own.Adopt(r, u.ID)
+	return forward.Lease{
+		Upstream: u, Basis: "home",
+		Release: func(_ time.Time, result slot.Result) {
+			c.own.Release(r.Key, result)
+			c.notify(methodRelease, releaseNotice{ID: r.Key.ID, Result: result})
+		},
+		Report: func(_ time.Time, running, waiting int) { c.own.Report(u.ID, running, waiting) },
+	}, nil, nil
+}
+
+// notify tells the home that is connected now, which may be another one than the one that granted.
+func (c *Client) notify(method string, msg any) {
+	if conn := c.connection(); conn != nil {
+		conn.Notify(method, msg)
+	}
+}
+
+type decision struct {
+	grant   slot.Grant
+	refusal *slot.Refusal
+}
+
+func (c *Client) decideAlone(ctx context.Context, r slot.Request) (forward.Lease, *slot.Refusal, error) {
+	decided := make(chan decision, 1)
+	c.own.Ask(r, asker{
+		granted: func(g slot.Grant) { decided <- decision{grant: g} },
+		refused: func(refusal slot.Refusal) { decided <- decision{refusal: &refusal} },
+	})
+	select {
+	case d := <-decided:
+		if d.refusal != nil {
+			return forward.Lease{}, d.refusal, nil
+		}
+		return c.ownLease(r, d.grant.Upstream), nil, nil
+	case <-ctx.Done():
+		c.own.Release(r.Key, slot.Abandoned)
+		return forward.Lease{}, nil, merry.Errorf("wait for a slot: %w", ctx.Err())
+	}
+}
+
+func (c *Client) ownLease(r slot.Request, u site.Upstream) forward.Lease {
+	return forward.Lease{
+		Upstream: u, Basis: "alone",
+		Release: func(_ time.Time, result slot.Result) {
+			c.own.Release(r.Key, result)
+			c.notify(methodRelease, releaseNotice{ID: r.Key.ID, Result: result})
+		},
+		Report: func(_ time.Time, running, waiting int) { c.own.Report(u.ID, running, waiting) },
+	}
+}
--- /dev/null
+++ b/io/home/elector.go
@@ -0,0 +1,289 @@
+package home
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/zerolog"
+
+	"mothcart/io/object"
+	"mothcart/io/store"
+)
+
+const (
+	// renewInterval is the time between two renewals of the lease.
+	renewInterval = 500 * time.Millisecond
+	// leaseTime is how long a home is sure of its lease after the start of a renewal.
+	leaseTime = 2 * time.Second
+	// takeoverAfter is how long a lease must have stayed unchanged before a node that can't reach the
+	// home takes it: a renewal that was missed, and the time of a slow one.
+	takeoverAfter = 900 * time.Millisecond
+	// lookInterval is the time between two looks at the lease while the home can't be reached.
+	lookInterval = 200 * time.Millisecond
+	// idleInterval is the time between two looks while the home is reached.
+	idleInterval = 100 * time.Millisecond
+	// leaseCallTimeout bounds one call about the lease.
+	leaseCallTimeout = 1500 * time.Millisecond
+)
+
+// lease is the object that the home renews.
+type lease struct {
+	Term int64 `json:"term"`
+	// VM is the holder; empty if the last one has given the lease back.
+	VM          string `json:"vm"`
+	Incarnation int64  `json:"incarnation"`
+	// Renewal counts the renewals, so that each one changes the object.
+	Renewal int64 `json:"renewal"`
+}
+
+// ElectorOptions are the parts that an Elector works with; all are required.
+type ElectorOptions struct {
+	VMID        string
+	Incarnation int64
+	// Address is where nodes reach this one.
+	Address string
+	Objects object.Client
+	// Reached reports that this node is connected to the home of the announced term.
+	Reached func() bool
+	// Announced returns the home that was announced last.
+	Announced func() Announcement
+	// Start begins to be the home and returns what ends it.
+	Start func(term int64, valid func(now time.Time) bool) (stop func())
+	Now   func() time.Time
+	Log   zerolog.Logger
+}
+
+// Elector makes its node the home while it holds the lease.
+type Elector struct {
+	opts   ElectorOptions
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	// seen is the lease as it was read last, and since when it is unchanged.
+	seen      object.Object
+	seenSince time.Time
+	// sureUntil is until when the lease is surely held; sureFrom is since when no earlier home can be
+	// sure of its own. Both are in nanoseconds of the Unix epoch.
+	sureUntil atomic.Int64
+	sureFrom  atomic.Int64
+}
+
+// NewElector starts to seek the lease.
+func NewElector(opts ElectorOptions) *Elector {
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Elector{opts: opts, cancel: cancel}
+	e.done.Go(func() { e.run(ctx) })
+	return e
+}
+
+// Close gives the lease back, if this node holds it, and ends the elector.
+func (e *Elector) Close() {
+	e.cancel()
+	e.done.Wait()
+}
+
+func (e *Elector) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if e.opts.Reached() {
+			e.seenSince = time.Time{}
+			pause(ctx, idleInterval)
+			continue
+		}
+		if term, ok := e.seek(ctx); ok {
+			e.hold(ctx, term)
+			continue
+		}
+		pause(ctx, lookInterval)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// seek looks at the lease and takes it if nobody holds it any more.
+func (e *Elector) seek(ctx context.Context) (int64, bool) {
+	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+	defer cancel()
+	began := e.opts.Now()
+	o, err := e.opts.Objects.Get(ctx, KindLease, mainName)
+	if errors.Is(err, store.ErrNotFound) {
+		return e.take(ctx, began, lease{}, 0, true)
+	}
+	if err != nil {
+		e.opts.Log.Debug().Err(err).Msg("leaseNotRead")
+		return 0, false
+	}
+	var l lease
+	if err := json.Unmarshal(o.Spec, &l); err != nil {
+		e.opts.Log.Error().Int64("revision", int64(o.Revision)).Err(err).Msg("leaseUnreadable")
+	}
+	if o.Revision != e.seen.Revision || e.seenSince.IsZero() {
+		e.seen, e.seenSince = o, began
+	}
+	free := l.VM == "" || (l.VM == e.opts.VMID && l.Incarnation != e.opts.Incarnation)
+	if !free && e.opts.Now().Sub(e.seenSince) < takeoverAfter {
+		return 0, false
+	}
+	return e.take(ctx, began, l, o.Revision, l.VM == "")
+}
+
+// take writes a lease of the next term over the one that was read.
+func (e *Elector) take(ctx context.Context, began time.Time, old lease, revision object.Revision, released bool) (int64, bool) {
+	next := lease{Term: old.Term + 1, VM: e.opts.VMID, Incarnation: e.opts.Incarnation}
+	var o object.Object
+	var err error
+	if revision == 0 {
+		o, err = e.opts.Objects.Create(ctx, KindLease, mainName, next)
+	} else {
+		o, err = e.opts.Objects.Put(ctx, KindLease, mainName, next, revision)
+	}
+	if err != nil {
+		e.opts.Log.Info().Int64("term", next.Term).Str("holder", old.VM).Err(err).Msg("leaseNotTaken")
+		return 0, false
+	}
+	now := e.opts.Now()
+	e.seen = o
+	e.sureUntil.Store(began.Add(leaseTime).UnixNano())
+	e.sureFrom.Store(now.UnixNano())
+	if !released {
+		e.sureFrom.Store(now.Add(leaseTime).UnixNano())
+	}
+	e.opts.Log.Info().Int64("term", next.Term).Str("before", old.VM).Int64("revision", int64(o.Revision)).
+		Dur("unchangedMillis", now.Sub(e.seenSince)).Msg("leaseTaken")
+	return next.Term, true
+}
+
+// valid reports that this node surely holds the lease and no earlier holder can be sure of it.
+func (e *Elector) valid(now time.Time) bool {
+	n := now.UnixNano()
+	return n >= e.sureFrom.Load() && n < e.sureUntil.Load()
+}
+
+// hold is the home until the lease is lost or the context ends.
+func (e *Elector) hold(ctx context.Context, term int64) {
+	stop := sync.OnceFunc(e.opts.Start(term, e.valid))
+	defer stop()
+	announced := false
+	l := lease{Term: term, VM: e.opts.VMID, Incarnation: e.opts.Incarnation}
+	for {
+		if !announced {
+			announced = e.announce(ctx, term)
+		}
+		pause(ctx, renewInterval)
+		if ctx.Err() != nil {
+			stop()
+			e.giveBack(l)
+			return
+		}
+		l.Renewal++
+		if !e.renew(ctx, l) {
+			e.opts.Log.Warn().Int64("term", term).Msg("leaseLost")
+			e.seenSince = time.Time{}
+			return
+		}
+	}
+}
+
+// renew writes the lease anew. It reports false if another node has it; without an answer the lease
+// may still be held.
+func (e *Elector) renew(ctx context.Context, l lease) bool {
+	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+	defer cancel()
+	began := e.opts.Now()
+	o, err := e.opts.Objects.Put(ctx, KindLease, mainName, l, e.seen.Revision)
+	if errors.Is(err, store.ErrConflict) {
+		var other lease
+		if json.Unmarshal(o.Spec, &other) != nil || other.Term != l.Term || other.Incarnation != l.Incarnation {
+			return false
+		}
+		e.seen = o // an own renewal whose answer was lost
+		return true
+	}
+	if errors.Is(err, store.ErrNotFound) {
+		return false
+	}
+	if err != nil {
+		e.opts.Log.Warn().Int64("term", l.Term).Int64("renewal", l.Renewal).Err(err).Msg("leaseNotRenewed")
+		return true
+	}
+	e.seen = o
+	e.sureUntil.Store(began.Add(leaseTime).UnixNano())
+	return true
+}
+
+// giveBack frees the lease, so that another node can take it at once.
+func (e *Elector) giveBack(l lease) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaseCallTimeout)
+	defer cancel()
+	e.sureUntil.Store(0)
+	l.VM = ""
+	_, err := e.opts.Objects.Put(ctx, KindLease, mainName, l, e.seen.Revision)
+	e.opts.Log.Info().Int64("term", l.Term).AnErr("error", err).Msg("leaseGivenBack")
+}
+
+// announce names this node as the home, unless a later one is named.
+func (e *Elector) announce(ctx context.Context, term int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+	defer cancel()
+	a := Announcement{Term: term, VM: e.opts.VMID, Address: e.opts.Address}
+	err := e.writeAnnouncement(ctx, a)
+	if err != nil {
+		e.opts.Log.Warn().Int64("term", term).Err(err).Msg("homeNotAnnounced")
+		return false
+	}
+	return true
+}
+
+func (e *Elector) writeAnnouncement(ctx context.Context, a Announcement) error {
+	o, err := e.opts.Objects.Create(ctx, KindHomes, mainName, a)
+	if err == nil {
+		return nil
+	}
+	if !errors.Is(err, store.ErrConflict) {
+		return merry.Errorf("create announcement: %w", err)
+	}
+	old, err := decodeAnnouncement(o)
+	if err == nil && old.Term >= a.Term {
+		return nil
+	}
+	if _, err := e.opts.Objects.Put(ctx, KindHomes, mainName, a, o.Revision); err != nil {
+		return merry.Errorf("replace announcement of term %d: %w", old.Term, err)
+	}
+	return nil
+}
+
+func decodeAnnouncement(o object.Object) (Announcement, error) {
+	var a Announcement
+	if err := json.Unmarshal(o.Spec, &a); err != nil {
+		return a, merry.Errorf("decode announcement at revision %d: %w", o.Revision, err)
+	}
+	return a, nil
+}
+
+// ApplyAnnouncements passes changes of KindHomes on to a client.
+func ApplyAnnouncements(c *Client, change object.Change, log zerolog.Logger) {
+	for _, e := range change.Events {
+		if !e.Deleted {
+			change.Objects = append(change.Objects, e.Object)
+		}
+	}
+	for _, o := range change.Objects {
+		a, err := decodeAnnouncement(o)
+		if err != nil {
+			log.Error().Err(err).Msg("announcementSkipped")
+			continue
+		}
+		c.Announce(a)
+	}
+}
--- /dev/null
+++ b/io/home/home.go
@@ -0,0 +1,303 @@
+// Package home is where the nodes of a site act together: one of them, the home, decides who uses
+// which slot of an upstream and runs the items of batch jobs.
+//
+// The home is chosen by a conditional write to the object service, renewed in short intervals. It
+// keeps nothing that must last: jobs and results lie in the object service, and the slots in use are
+// told by the nodes that use them when they connect. A node that reaches no home decides about slots
+// itself, and reads jobs from the object service.
+//
+// A home answers reads of jobs only while its lease is valid, so that a home that was replaced
+// without noticing shows nothing old. It runs items on all the same: results have their position
+// from the object service, and an item that ran twice is listed once.
+//
+// Usage:
+//
+//	c := home.NewClient(home.ClientOptions{VMID: "e1", Connect: connect, Now: clock.Now})
+//	c.Announce(home.Announcement{Term: 3, VM: "s1", Address: "10.0.0.7:7660"})
+//	lease, refusal, err := c.Acquire(ctx, request)
+//
+//	e := home.NewElector(home.ElectorOptions{Objects: client, Client: c, Start: start})
+//	defer e.Close()
+package home
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"mothcart/core/site"
+	"mothcart/core/slot"
+	"mothcart/io/forward"
+	"mothcart/io/link"
+	"mothcart/io/object"
+	"mothcart/io/service"
+)
+
+// Options are the parts that a Home works with; all are required.
+type Options struct {
+	VMID             string
+	AvailabilityZone string
+	Term             int64
+	Objects          object.Client
+	Client           *service.Client
+	Wire             forward.Wire
+	// Config returns the configuration in force.
+	Config func() site.Config
+	// Valid reports that the lease of the home is valid and that no earlier one can be.
+	Valid func(now time.Time) bool
+	// ResultsKept is how long results stay after the acceptance of a job.
+	ResultsKept time.Duration
+	Now         func() time.Time
+	// TimeOfDay is the clock that all VMs share roughly.
+	TimeOfDay func() time.Time
+	Log       zerolog.Logger
+	Registry  metrics.Registry
+}
+
+// Home decides for all nodes. It is safe for concurrent use.
+type Home struct {
+	opts    Options
+	desk    *Desk
+	metrics homeMetrics
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	follow  *object.Follower
+	nextID  atomic.Uint64
+
+	mu       sync.Mutex
+	jobs     map[string]*job
+	reserved map[string]reservation
+	// loaded reports that the jobs of the object service are known.
+	loaded bool
+}
+
+type homeMetrics struct {
+	asks, refused, cuts, runs, results, chunks metrics.Counter
+}
+
+// New returns a home that loads the jobs and runs them.
+func New(opts Options) *Home {
+	ctx, cancel := context.WithCancel(context.Background())
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("home."+name, opts.Registry) }
+	h := &Home{
+		opts: opts, desk: NewDesk(slot.NewOptions(), opts.Now), ctx: ctx, cancel: cancel,
+		metrics: homeMetrics{
+			asks: counter("asks"), refused: counter("refused"), cuts: counter("cuts"),
+			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"),
+		},
+		jobs: make(map[string]*job), reserved: make(map[string]reservation),
+	}
+	h.follow = object.NewFollower(object.FollowerOptions{Client: opts.Objects, Kind: KindJobs, Apply: h.applyJobs, Log: opts.Log})
+	h.done.Go(h.sweep)
+	return h
+}
+
+// Close ends the home: items are cut, nodes are left to themselves.
+func (h *Home) Close() {
+	h.cancel()
+	h.follow.Close()
+	h.desk.Close()
+	h.done.Wait()
+}
+
+// SetUpstreams tells the home of the upstreams.
+func (h *Home) SetUpstreams(list []site.Upstream) { h.desk.SetUpstreams(list) }
+
+// Term returns the term of the home.
+func (h *Home) Term() int64 { return h.opts.Term }
+
+// owner names one connection of a node's process, so that the late end of one connection takes
+// nothing from the next one.
+func (h *Home) owner(vm string, incarnation int64) string {
+	return fmt.Sprintf("%s/%d/%d", vm, incarnation, h.nextID.Add(1))
+}
+
+// session is one node's connection.
+type session struct {
+	owner string
+}
+
+// Handle answers a message of a node; s is nil until the node has introduced itself.
+func (h *Home) handle(s *session, in link.Incoming) *session {
+	if in.Method == methodHello {
+		return h.hello(in)
+	}
+	if s == nil {
+		in.Fail(merry.Errorf("%s before hello", in.Method))
+		return nil
+	}
+	if err := h.dispatch(s, in); err != nil {
+		h.opts.Log.Warn().Str("node", s.owner).Str("method", in.Method).Err(err).Msg("badMessage")
+		in.Fail(err)
+	}
+	return s
+}
+
+func (h *Home) dispatch(s *session, in link.Incoming) error {
+	switch in.Method {
+	case methodAsk:
+		return h.ask(s, in)
+	case methodRelease:
+		var m releaseNotice
+		if err := in.Decode(&m); err != nil {
+			return err
+		}
+		h.desk.Release(slot.Key{Owner: s.owner, ID: m.ID}, m.Result)
+		return nil
+	case methodReserve:
+		return h.reserve(in)
+	case methodRead:
+		return h.read(in)
+	case methodItem:
+		return h.item(in)
+	case methodEnded:
+		var m endedNotice
+		if err := in.Decode(&m); err != nil {
+			return err
+		}
+		h.endJob(m.Job)
+		return nil
+	default:
+		return merry.Errorf("unknown method %s", in.Method)
+	}
+}
+
+func (h *Home) hello(in link.Incoming) *session {
+	var m helloRequest
+	if err := in.Decode(&m); err != nil {
+		in.Fail(err)
+		return nil
+	}
+	s := &session{owner: h.owner(m.VM, m.Incarnation)}
+	for _, o := range m.Open {
+		h.desk.Adopt(slot.Request{Key: slot.Key{Owner: s.owner, ID: o.ID}, Service: o.Service}, o.Upstream)
+	}
+	h.opts.Log.Info().Str("node", s.owner).Int("open", len(m.Open)).Int64("term", h.opts.Term).Msg("nodeConnected")
+	in.Answer(helloAnswer{VM: h.opts.VMID, Term: h.opts.Term})
+	return s
+}
+
+func (h *Home) ask(s *session, in link.Incoming) error {
+	var m askRequest
+	if err := in.Decode(&m); err != nil {
+		return err
+	}
+	h.metrics.asks.Inc(1)
+	h.desk.Ask(m.request(h.opts.Now(), s.owner), asker{
+		granted: func(g slot.Grant) { in.Answer(askAnswer{Upstream: &g.Upstream}) },
+		refused: func(r slot.Refusal) {
+			h.metrics.refused.Inc(1)
+			l := h.desk.Load(r.Request.Service)
+			h.opts.Log.Info().Str("node", s.owner).Uint64("ask", r.Request.Key.ID).Str("service", r.Request.Service).
+				Str("reason", string(r.Reason)).Dur("retryAfterMillis", r.RetryAfter).Int("slots", l.Slots).Int("online", l.Online).
+				Int("batch", l.Batch).Int("waiting", l.WaitingOnline).Int("paused", l.PausedUpstreams).Msg("slotRefused")
+			in.Answer(askAnswer{Reason: r.Reason, RetryAfter: r.RetryAfter})
+		},
+	})
+	return nil
+}
+
+// leave forgets a node whose connection has ended.
+func (h *Home) leave(s *session) {
+	if s == nil {
+		return
+	}
+	h.opts.Log.Info().Str("node", s.owner).Msg("nodeDisconnected")
+	h.desk.DropOwner(s.owner)
+}
+
+// sweepInterval is the time between looks at jobs that are to be given up or removed.
+const sweepInterval = time.Second
+
+func (h *Home) sweep() {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-t.C:
+			h.sweepJobs(h.opts.Now())
+		}
+	}
+}
+
+// pickService returns the service that runs a job's items now.
+func (h *Home) pickService(host, path string) (site.Route, string, bool) {
+	route, ok := h.opts.Config().Match(host, path)
+	if !ok || route.Kind != site.Batch {
+		return site.Route{}, "", false
+	}
+	return route, route.Service(rand.Uint64()), true
+}
+
+// errCut ends a run whose slot was given to an online request.
+var errCut = errors.New("slot given to an online request")
+
+// Server accepts the connections of nodes for the home that runs on its VM, if one does.
+type Server struct {
+	server *link.Server
+
+	mu       sync.Mutex
+	home     *Home
+	sessions map[*link.Conn]*session
+}
+
+// NewServer returns a server without a home; it closes the listener at its end.
+func NewServer(l net.Listener) *Server {
+	s := &Server{sessions: make(map[*link.Conn]*session)}
+	s.server = link.NewServer(l, link.Options{Handle: s.handle, Closed: s.closed})
+	return s
+}
+
+// SetHome gives the connections to a home; nil closes all of them.
+func (s *Server) SetHome(h *Home) {
+	s.mu.Lock()
+	s.home = h
+	s.mu.Unlock()
+	if h == nil {
+		s.server.Each(func(c *link.Conn) { c.Close() })
+	}
+}
+
+// Close ends all connections.
+func (s *Server) Close() { s.server.Close() }
+
+func (s *Server) handle(c *link.Conn, in link.Incoming) {
+	s.mu.Lock()
+	h, before := s.home, s.sessions[c]
+	s.mu.Unlock()
+	if h == nil {
+		in.Fail(ErrNoHome)
+		return
+	}
+	after := h.handle(before, in)
+	s.mu.Lock()
+	s.sessions[c] = after
+	s.mu.Unlock()
+	select {
+	case <-c.Done():
+		s.closed(c, nil) // the connection ended meanwhile; what the message took is given back
+	default:
+	}
+}
+
+func (s *Server) closed(c *link.Conn, _ error) {
+	s.mu.Lock()
+	h, session := s.home, s.sessions[c]
+	delete(s.sessions, c)
+	s.mu.Unlock()
+	if h != nil {
+		h.leave(session)
+	}
+}
--- /dev/null
+++ b/io/home/jobs.go
@@ -0,0 +1,379 @@
+package home
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"mothcart/core/batch"
+	"mothcart/io/link"
+	"mothcart/io/object"
+)
+
+const (
+	// pageBytes bounds the texts of one page of results; a caller gets at most 1 MB.
+	pageBytes = 900 << 10
+	// reservationAge is how long room is kept for a job that is being written.
+	reservationAge = 5 * time.Second
+	// routelessGrace is how long a job waits for its route, which the home may learn of later than the
+	// node that accepted the job.
+	routelessGrace = 6 * time.Second
+	// loadTimeout bounds the reading of all results.
+	loadTimeout = 10 * time.Second
+)
+
+// job is the live state of a job.
+type job struct {
+	log batch.Log
+	// changed is closed and replaced at each change of the log.
+	changed chan struct{}
+	// acceptedAt is when the job was accepted, by the clock of this VM.
+	acceptedAt time.Time
+	// removeAt is when the results may be removed.
+	removeAt time.Time
+	// routeless is since when the job has no route; zero if it has one.
+	routeless time.Time
+	maxRuns   int
+	runs      map[string]*run
+	// finished holds results that have no position yet.
+	finished []batch.Result
+	// writing reports that finished results are being written.
+	writing bool
+}
+
+type reservation struct {
+	host, path string
+	tokens     int64
+	until      time.Time
+}
+
+// applyJobs takes up jobs that were written or ended.
+func (h *Home) applyJobs(c object.Change) {
+	if c.Listed {
+		h.load(c.Objects)
+		return
+	}
+	for _, e := range c.Events {
+		if e.Deleted {
+			h.forget(e.Object.Name)
+			continue
+		}
+		h.take(e.Object, batch.Log{}, false)
+	}
+}
+
+// load takes up all jobs with their results.
+func (h *Home) load(objects []object.Object) {
+	ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
+	defer cancel()
+	chunks, _, err := object.ListAll(ctx, h.opts.Objects, KindResults)
+	for err != nil && h.ctx.Err() == nil {
+		h.opts.Log.Warn().Err(err).Msg("resultsNotRead")
+		time.Sleep(retryPause)
+		ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
+		chunks, _, err = object.ListAll(ctx, h.opts.Objects, KindResults)
+		cancel()
+	}
+	byJob := make(map[string][]object.Object)
+	for _, o := range chunks {
+		id, _, _ := strings.Cut(o.Name, "-")
+		byJob[id] = append(byJob[id], o)
+	}
+	open := 0
+	for _, o := range objects {
+		log, err := decodeJob(o)
+		if err != nil {
+			h.opts.Log.Error().Str("job", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("jobSkipped")
+			continue
+		}
+		for _, chunk := range byJob[o.Name] {
+			if log, err = withObject(log, chunk); err != nil {
+				h.opts.Log.Error().Str("job", o.Name).Str("chunk", chunk.Name).Err(err).Msg("chunkSkipped")
+				break
+			}
+		}
+		if !log.Done() {
+			open++
+		}
+		h.take(o, log, true)
+	}
+	h.mu.Lock()
+	h.loaded = true
+	h.mu.Unlock()
+	h.opts.Log.Info().Int("jobs", len(objects)).Int("open", open).Int("chunks", len(chunks)).Msg("jobsLoaded")
+}
+
+// take starts a job that is new, brings the results of a known one up to date, and ends one that was
+// ended.
+func (h *Home) take(o object.Object, log batch.Log, decoded bool) {
+	if !decoded {
+		h.mu.Lock()
+		known := h.jobs[o.Name] != nil
+		h.mu.Unlock()
+		if known {
+			if endedObject(o) {
+				h.endJob(o.Name)
+			}
+			return
+		}
+		var err error
+		if log, err = decodeJob(o); err != nil {
+			h.opts.Log.Error().Str("job", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("jobSkipped")
+			return
+		}
+	}
+	now := h.opts.Now()
+	age := max(h.opts.TimeOfDay().Sub(log.Job().AcceptedAt), 0)
+	h.mu.Lock()
+	if known := h.jobs[o.Name]; known != nil {
+		if log.Len() > known.log.Len() {
+			known.setLog(log)
+		}
+		h.mu.Unlock()
+		if log.Ended() {
+			h.endJob(o.Name)
+		}
+		return
+	}
+	j := &job{
+		log: log, changed: make(chan struct{}), runs: make(map[string]*run),
+		acceptedAt: now.Add(-age), removeAt: now.Add(h.opts.ResultsKept - age),
+	}
+	route, ok := h.opts.Config().Match(log.Job().Host, log.Job().Path)
+	if ok {
+		j.maxRuns = route.MaxAttempts
+	}
+	h.jobs[o.Name] = j
+	delete(h.reserved, o.Name)
+	h.mu.Unlock()
+	h.opts.Log.Info().Str("job", o.Name).Str("route", route.Name).Int("items", len(log.Job().Items)).Int("listed", log.Len()).
+		Int64("revision", int64(o.Revision)).Dur("ageMillis", age).Dur("dueInMillis", route.Completion-age).Bool("ended", log.Ended()).Msg("jobTaken")
+	h.startItems(o.Name)
+}
+
+// setLog replaces the log and wakes the readers; the home's mutex is held.
+func (j *job) setLog(log batch.Log) {
+	j.log = log
+	close(j.changed)
+	j.changed = make(chan struct{})
+	j.finished = slices.DeleteFunc(j.finished, func(r batch.Result) bool { return log.Listed(r.Item) })
+}
+
+func (h *Home) forget(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if j := h.jobs[id]; j != nil {
+		j.cutRuns()
+		delete(h.jobs, id)
+	}
+}
+
+// endJob stops a job that its owner has ended.
+func (h *Home) endJob(id string) {
+	h.mu.Lock()
+	j := h.jobs[id]
+	if j == nil || j.log.Ended() {
+		h.mu.Unlock()
+		return
+	}
+	open := len(j.log.Open())
+	j.setLog(j.log.WithEnded())
+	j.finished = nil
+	runs := j.cutRuns()
+	h.mu.Unlock()
+	h.opts.Log.Info().Str("job", id).Int("open", open).Int("running", runs).Msg("jobEnded")
+}
+
+// reserve answers whether a job's tokens have room on its route.
+func (h *Home) reserve(in link.Incoming) error {
+	var m reserveRequest
+	if err := in.Decode(&m); err != nil {
+		return err
+	}
+	now := h.opts.Now()
+	route, ok := h.opts.Config().Match(m.Host, m.Path)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !ok || !h.loaded {
+		in.Answer(reserveAnswer{Unsure: true})
+		return nil
+	}
+	open := h.openTokens(now, route.Host, route.Prefix)
+	if h.jobs[m.Job] != nil {
+		in.Answer(reserveAnswer{OK: true, Open: open})
+		return nil
+	}
+	if r, held := h.reserved[m.Job]; held {
+		open -= r.tokens
+	}
+	fits := route.TokenCap == 0 || open+m.Tokens <= route.TokenCap
+	if fits {
+		h.reserved[m.Job] = reservation{host: m.Host, path: m.Path, tokens: m.Tokens, until: now.Add(reservationAge)}
+	} else {
+		h.opts.Log.Info().Str("job", m.Job).Int64("tokens", m.Tokens).Int64("open", open).Int64("cap", route.TokenCap).Msg("jobDoesNotFit")
+	}
+	in.Answer(reserveAnswer{OK: fits, Open: open})
+	return nil
+}
+
+// openTokens returns the size of what is open on a route; the mutex is held.
+func (h *Home) openTokens(now time.Time, host, prefix string) int64 {
+	var n int64
+	for _, j := range h.jobs {
+		job := j.log.Job()
+		if job.Host != host || !strings.HasPrefix(job.Path, prefix) {
+			continue
+		}
+		n += j.log.OpenTokens()
+		for _, r := range j.finished {
+			item, _ := job.Item(r.Item)
+			n -= item.Tokens
+		}
+	}
+	for id, r := range h.reserved {
+		if now.After(r.until) {
+			delete(h.reserved, id)
+			continue
+		}
+		if r.host == host && strings.HasPrefix(r.path, prefix) {
+			n += r.tokens
+		}
+	}
+	return n
+}
+
+// read answers with results; it waits for the first one in a goroutine.
+func (h *Home) read(in link.Incoming) error {
+	var m readRequest
+	if err := in.Decode(&m); err != nil {
+		return err
+	}
+	if h.answerRead(in, m, m.Wait <= 0) {
+		return nil
+	}
+	go func() {
+		deadline := time.NewTimer(m.Wait)
+		defer deadline.Stop()
+		for {
+			h.mu.Lock()
+			j := h.jobs[m.Job]
+			var changed chan struct{}
+			if j != nil {
+				changed = j.changed
+			}
+			h.mu.Unlock()
+			if h.answerRead(in, m, j == nil) {
+				return
+			}
+			select {
+			case <-changed:
+			case <-deadline.C:
+				h.answerRead(in, m, true)
+				return
+			case <-h.ctx.Done():
+				in.Answer(readAnswer{})
+				return
+			}
+		}
+	}()
+	return nil
+}
+
+// answerRead answers if there is a result or final is set; it reports that it did.
+func (h *Home) answerRead(in link.Incoming, m readRequest, final bool) bool {
+	now := h.opts.Now()
+	h.mu.Lock()
+	j := h.jobs[m.Job]
+	if j == nil || !h.loaded || !h.opts.Valid(now) {
+		h.mu.Unlock()
+		in.Answer(readAnswer{})
+		return true
+	}
+	log := j.log
+	h.mu.Unlock()
+	results, next := log.Page(m.After, pageBytes)
+	if len(results) == 0 && !final && !log.Done() {
+		return false
+	}
+	in.Answer(readAnswer{Known: true, Total: len(log.Job().Items), Next: next, Results: results})
+	return true
+}
+
+func (h *Home) item(in link.Incoming) error {
+	var m itemRequest
+	if err := in.Decode(&m); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	j := h.jobs[m.Job]
+	if j == nil || !h.opts.Valid(h.opts.Now()) {
+		in.Answer(itemAnswer{})
+		return nil
+	}
+	item, ok := j.log.Job().Item(m.Item)
+	in.Answer(itemAnswer{Known: true, Ended: j.log.Ended(), Found: ok, Body: item.Body})
+	return nil
+}
+
+// sweepJobs gives up what can't be done any more and removes old jobs.
+func (h *Home) sweepJobs(now time.Time) {
+	h.mu.Lock()
+	var remove []string
+	for id, j := range h.jobs {
+		if j.log.Done() {
+			if now.After(j.removeAt) {
+				remove = append(remove, id)
+			}
+			continue
+		}
+		route, ok := h.opts.Config().Match(j.log.Job().Host, j.log.Job().Path)
+		switch {
+		case ok:
+			j.routeless = time.Time{}
+			j.maxRuns = route.MaxAttempts
+		case j.routeless.IsZero():
+			j.routeless = now
+		}
+		reason := ""
+		switch {
+		case ok && route.MaxWait > 0 && now.Sub(j.acceptedAt) > route.MaxWait:
+			reason = "maxWait"
+		case !j.routeless.IsZero() && now.Sub(j.routeless) > routelessGrace:
+			reason = "noRoute"
+		default:
+			continue
+		}
+		for _, item := range j.log.Open() {
+			h.giveUp(id, j, item.ID, reason)
+		}
+	}
+	h.mu.Unlock()
+	for _, id := range remove {
+		h.remove(id)
+	}
+}
+
+// remove deletes a job and its results, the results first, so that no result outlives its job.
+func (h *Home) remove(id string) {
+	h.mu.Lock()
+	j := h.jobs[id]
+	delete(h.jobs, id)
+	h.mu.Unlock()
+	if j == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
+	defer cancel()
+	chunks, _, _, err := h.opts.Objects.List(ctx, KindResults, id+"-")
+	for _, o := range chunks {
+		if err == nil && strings.HasPrefix(o.Name, id+"-") {
+			err = h.opts.Objects.Delete(ctx, KindResults, o.Name)
+		}
+	}
+	if err == nil {
+		err = h.opts.Objects.Delete(ctx, KindJobs, id)
+	}
+	h.opts.Log.Info().Str("job", id).AnErr("error", err).Msg("jobRemoved")
+}
--- /dev/null
+++ b/io/home/message.go
@@ -0,0 +1,122 @@
+package home
+
+import (
+	"time"
+
+	"mothcart/core/batch"
+	"mothcart/core/site"
+	"mothcart/core/slot"
+)
+
+// Methods between a node and the home.
+const (
+	methodHello   = "hello"
+	methodAsk     = "ask"
+	methodRelease = "release"
+	methodReport  = "report"
+	methodReserve = "reserve"
+	methodRead    = "read"
+	methodItem    = "item"
+	methodEnded   = "ended"
+)
+
+// helloRequest introduces a node with the slots that it uses.
+type helloRequest struct {
+	VM          string       `msgpack:"vm"`
+	Incarnation int64        `msgpack:"inc"`
+	Open        []openedSlot `msgpack:"open"`
+}
+
+type openedSlot struct {
+	ID       uint64 `msgpack:"id"`
+	Service  string `msgpack:"svc"`
+	Upstream string `msgpack:"up"`
+}
+
+type helloAnswer struct {
+	VM   string `msgpack:"vm"`
+	Term int64  `msgpack:"term"`
+}
+
+// askRequest asks for a slot. Times are durations from now, since clocks of VMs differ.
+type askRequest struct {
+	ID       uint64        `msgpack:"id"`
+	Service  string        `msgpack:"svc"`
+	Priority int           `msgpack:"prio"`
+	Left     time.Duration `msgpack:"left"`
+	Wait     time.Duration `msgpack:"wait"`
+	Exclude  []string      `msgpack:"excl,omitempty"`
+	Zone     string        `msgpack:"zone"`
+}
+
+func (a askRequest) request(now time.Time, owner string) slot.Request {
+	return slot.Request{
+		Key: slot.Key{Owner: owner, ID: a.ID}, Service: a.Service, Priority: a.Priority,
+		Order: now.Add(a.Left), Deadline: now.Add(a.Wait), Exclude: a.Exclude, AvailabilityZone: a.Zone,
+	}
+}
+
+type askAnswer struct {
+	// Upstream is set if a slot was granted.
+	Upstream   *site.Upstream `msgpack:"up,omitempty"`
+	Reason     slot.Reason    `msgpack:"why,omitempty"`
+	RetryAfter time.Duration  `msgpack:"retry,omitempty"`
+}
+
+type releaseNotice struct {
+	ID     uint64      `msgpack:"id"`
+	Result slot.Result `msgpack:"res"`
+}
+
+type reportNotice struct {
+	Upstream string `msgpack:"up"`
+	Running  int    `msgpack:"run"`
+	Waiting  int    `msgpack:"wait"`
+}
+
+// reserveRequest asks for room for a job's tokens.
+type reserveRequest struct {
+	Job    string `msgpack:"job"`
+	Host   string `msgpack:"host"`
+	Path   string `msgpack:"path"`
+	Tokens int64  `msgpack:"tok"`
+}
+
+type reserveAnswer struct {
+	// Unsure means that the home can't tell now.
+	Unsure bool `msgpack:"unsure,omitempty"`
+	OK     bool `msgpack:"ok"`
+	// Open is the size of all open items of the route.
+	Open int64 `msgpack:"open"`
+}
+
+type readRequest struct {
+	Job   string        `msgpack:"job"`
+	After int           `msgpack:"after"`
+	Wait  time.Duration `msgpack:"wait"`
+}
+
+type readAnswer struct {
+	// Known is false if the home does not have the job or can't be sure of its state.
+	Known   bool           `msgpack:"known"`
+	Total   int            `msgpack:"total"`
+	Next    int            `msgpack:"next"`
+	Results []batch.Result `msgpack:"res,omitempty"`
+}
+
+type itemRequest struct {
+	Job  string `msgpack:"job"`
+	Item string `msgpack:"item"`
+}
+
+type itemAnswer struct {
+	Known bool `msgpack:"known"`
+	// Ended reports that the job was ended by its owner.
+	Ended bool   `msgpack:"ended"`
+	Found bool   `msgpack:"found"`
+	Body  []byte `msgpack:"body,omitempty"`
+}
+
+type endedNotice struct {
+	Job string `msgpack:"job"`
+}
--- /dev/null
+++ b/io/link/link.go
@@ -0,0 +1,313 @@
+// Package link carries calls and notices over one connection between two processes of a site.
+//
+// Frames are msgpack behind a length, over TCP. Both sides may call; answers come in any order.
+// Each side sends heartbeats, and a connection without a byte for some intervals is closed. Writes
+// are queued; a connection whose queue is full is closed, since its other side doesn't read.
+//
+// Usage:
+//
+//	c, err := link.Dial(ctx, "10.0.0.7:7660", link.Options{Handle: handle})
+//	defer c.Close()
+//	err = c.Call(ctx, "ask", askRequest{Service: "scribe"}, &answer)
+//
+//	l := link.NewServer(listener, link.Options{Handle: handle, Closed: closed})
+//	defer l.Close()
+package link
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"mothcart/io/msgframe"
+)
+
+var (
+	// ErrClosed means that the connection ended before the answer came; the call may have run.
+	ErrClosed = merry.Sentinel("connection between nodes is closed")
+	// ErrRemote means that the other side could not run the call.
+	ErrRemote = merry.Sentinel("call between nodes failed")
+)
+
+const (
+	// heartbeat is the longest time without a frame from a side that lives.
+	heartbeat = 250 * time.Millisecond
+	// silence is the time without a byte after which a connection is closed.
+	silence = 900 * time.Millisecond
+	// maxFrame bounds a frame in bytes; the largest holds a page of results.
+	maxFrame = 4 << 20
+	// maxQueued bounds the frames that wait to be written.
+	maxQueued = 512
+	// writeBuffer is the size of the buffer that gathers frames, in bytes.
+	writeBuffer = 4 << 10
+)
+
+type kind uint8
+
+const (
+	kindHeartbeat kind = iota + 1
+	kindCall
+	kindAnswer
+	kindFailure
+	kindNotice
+)
+
+type frame struct {
+	Kind   kind
+	ID     uint64
+	Method string
+	Body   msgpack.RawMessage
+}
+
+// Incoming is a call or a notice from the other side.
+type Incoming struct {
+	Method string
+	body   msgpack.RawMessage
+	conn   *Conn
+	id     uint64
+}
+
+// Decode decodes the message.
+func (in Incoming) Decode(v any) error {
+	if err := msgpack.Unmarshal(in.body, v); err != nil {
+		return merry.Errorf("decode %s: %w", in.Method, err)
+	}
+	return nil
+}
+
+// Answer answers a call, now or later; for notices it does nothing.
+func (in Incoming) Answer(v any) {
+	if in.id != 0 {
+		in.conn.send(kindAnswer, in.id, "", v)
+	}
+}
+
+// Fail answers a call with an error.
+func (in Incoming) Fail(err error) {
+	if in.id != 0 {
+		in.conn.send(kindFailure, in.id, "", err.Error())
+	}
+}
+
+// Options are the handlers of a connection.
+type Options struct {
+	// Handle is called for each incoming message in order; it must not block.
+	Handle func(c *Conn, in Incoming)
+	// Closed is called once when a connection has ended; nil is allowed.
+	Closed func(c *Conn, err error)
+}
+
+// Conn is one connection. Its methods are safe for concurrent use.
+type Conn struct {
+	opts   Options
+	conn   net.Conn
+	queue  chan []byte
+	closed chan struct{}
+	once   sync.Once
+
+	mu     sync.Mutex
+	nextID uint64
+	calls  map[uint64]chan<- frame
+	err    error
+}
+
+// Dial opens a connection to another process.
+func Dial(ctx context.Context, connect func(ctx context.Context, network, address string) (net.Conn, error), address string, opts Options) (*Conn, error) {
+	nc, err := connect(ctx, "tcp", address)
+	if err != nil {
+		return nil, merry.Errorf("connect to node %s: %w", address, err)
+	}
+	return newConn(nc, opts), nil
+}
+
+func newConn(nc net.Conn, opts Options) *Conn {
+	c := &Conn{
+		opts:   opts,
+		conn:   nc,
+		queue:  make(chan []byte, maxQueued),
+		closed: make(chan struct{}),
+		calls:  make(map[uint64]chan<- frame),
+	}
+	go c.read()
+	go c.write()
+	return c
+}
+
+// RemoteAddr is host:port of the other side.
+func (c *Conn) RemoteAddr() string { return c.conn.RemoteAddr().String() }
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.closed }
+
+// Close ends the connection.
+func (c *Conn) Close() { c.fail(ErrClosed) }
+
+func (c *Conn) fail(err error) {
+	c.once.Do(func() {
+		c.mu.Lock()
+		c.err = err
+		c.mu.Unlock()
+		close(c.closed)
+		_ = c.conn.Close() // the connection is given up in any case
+		if c.opts.Closed != nil {
+			c.opts.Closed(c, err)
+		}
+	})
+}
+
+// Call sends a request and decodes its answer into resp.
+func (c *Conn) Call(ctx context.Context, method string, req, resp any) error {
+	answer := make(chan frame, 1)
+	id := c.register(answer)
+	defer c.unregister(id)
+	c.send(kindCall, id, method, req)
+	select {
+	case f := <-answer:
+		return decodeAnswer(method, f, resp)
+	case <-c.closed:
+		return merry.Errorf("call %s: %w", method, ErrClosed)
+	case <-ctx.Done():
+		return merry.Errorf("call %s: %w", method, ctx.Err())
+	}
+}
+
+func decodeAnswer(method string, f frame, resp any) error {
+	if f.Kind == kindFailure {
+		var text string
+		if err := msgpack.Unmarshal(f.Body, &text); err != nil {
+			return merry.Errorf("call %s: %w: %w", method, ErrRemote, err)
+		}
+		return merry.Errorf("call %s: %w: %s", method, ErrRemote, text)
+	}
+	if err := msgpack.Unmarshal(f.Body, resp); err != nil {
+		return merry.Errorf("decode answer of %s: %w", method, err)
+	}
+	return nil
+}
+
+// Notify sends a message that has no answer; it is lost if the connection ends.
+func (c *Conn) Notify(method string, msg any) { c.send(kindNotice, 0, method, msg) }
+
+func (c *Conn) register(answer chan<- frame) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nextID++
+	c.calls[c.nextID] = answer
+	return c.nextID
+}
+
+func (c *Conn) unregister(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.calls, id)
+}
+
+func (c *Conn) send(k kind, id uint64, method string, msg any) {
+	body, err := msgframe.EncodeBody(msg)
+	if err != nil {
+		c.fail(merry.Errorf("encode %s: %w", method, err))
+		return
+	}
+	b, err := msgframe.Encode(frame{Kind: k, ID: id, Method: method, Body: body}, maxFrame)
+	if err != nil {
+		c.fail(merry.Errorf("encode %s: %w", method, err))
+		return
+	}
+	select {
+	case c.queue <- b:
+	case <-c.closed:
+	default:
+		c.fail(merry.Errorf("%d frames wait to be written: %w", maxQueued, ErrClosed))
+	}
+}
+
+func (c *Conn) read() {
+	r := bufio.NewReader(c.conn)
+	for {
+		if err := c.conn.SetReadDeadline(time.Now().Add(silence)); err != nil {
+			c.fail(merry.Errorf("set read deadline: %w", err))
+			return
+		}
+		b, err := msgframe.ReadBytes(r, maxFrame)
+		if err != nil {
+			c.fail(merry.Errorf("read: %w", err))
+			return
+		}
+		var f frame
+		if err := msgframe.Decode(b, &f); err != nil {
+			c.fail(merry.Errorf("decode frame: %w", err))
+			return
+		}
+		c.receive(f)
+	}
+}
+
+func (c *Conn) receive(f frame) {
+	switch f.Kind {
+	case kindCall, kindNotice:
+		in := Incoming{Method: f.Method, body: f.Body, conn: c}
+		if f.Kind == kindCall {
+			in.id = f.ID
+		}
+		c.opts.Handle(c, in)
+	case kindAnswer, kindFailure:
+		c.mu.Lock()
+		answer := c.calls[f.ID]
+		delete(c.calls, f.ID)
+		c.mu.Unlock()
+		if answer != nil {
+			answer <- f
+		}
+	case kindHeartbeat:
+	}
+}
+
+func (c *Conn) write() {
+	w := bufio.NewWriterSize(c.conn, writeBuffer)
+	beat, err := msgframe.Encode(frame{Kind: kindHeartbeat}, maxFrame)
+	if err != nil {
+		c.fail(merry.Errorf("encode heartbeat: %w", err))
+		return
+	}
+	t := time.NewTimer(heartbeat)
+	defer t.Stop()
+	for {
+		b := beat
+		select {
+		case <-c.closed:
+			return
+		case b = <-c.queue:
+		case <-t.C:
+		}
+		t.Reset(heartbeat)
+		if err := c.writeAll(w, b); err != nil {
+			c.fail(merry.Errorf("write: %w", err))
+			return
+		}
+	}
+}
+
+// writeAll writes b and all frames that wait, with one flush.
+func (c *Conn) writeAll(w *bufio.Writer, b []byte) error {
+	if err := c.conn.SetWriteDeadline(time.Now().Add(silence)); err != nil {
+		return merry.Errorf("set write deadline: %w", err)
+	}
+	for {
+		if _, err := w.Write(b); err != nil {
+			return merry.Errorf("write frame: %w", err)
+		}
+		select {
+		case b = <-c.queue:
+		default:
+			if err := w.Flush(); err != nil {
+				return merry.Errorf("flush: %w", err)
+			}
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,287 @@
+// Package node runs the processes of a site on the platform: entry nodes, which callers reach, and
+// home nodes, one of which is the home.
+//
+// Usage:
+//
+//	settings, err := platform.ReadSettings(path)
+//	err = node.RunEntry(ctx, node.Options{Settings: settings, SettingsPath: path, Log: log})
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	kratoslog "github.com/go-kratos/kratos/v2/log"
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"mothcart/core/site"
+	"mothcart/io/clock"
+	"mothcart/io/dial"
+	"mothcart/io/home"
+	"mothcart/io/object"
+	"mothcart/io/service"
+	"mothcart/platform"
+)
+
+const (
+	// connectTimeout bounds the opening of a connection: some round trips across zones, and one
+	// opening packet that is sent again after a second has come too late.
+	connectTimeout = 300 * time.Millisecond
+	// storeConnectTimeout is the same for the object service, which may answer slowly.
+	storeConnectTimeout = 1200 * time.Millisecond
+)
+
+// Options are the parts that a node works with; all are required.
+type Options struct {
+	Settings     platform.Settings
+	SettingsPath string
+	Log          zerolog.Logger
+	Registry     metrics.Registry
+}
+
+// base is what entry nodes and home nodes have in common: the view of the configuration, of the
+// upstreams and of the home.
+type base struct {
+	opts        Options
+	incarnation int64
+	objects     object.Client
+	upstream    *service.Client
+	client      *home.Client
+	followers   []*object.Follower
+	// onConfig and onUpstreams are told of changes.
+	onConfig    func(site.Config)
+	onUpstreams func([]site.Upstream)
+
+	mu        sync.Mutex
+	config    site.Config
+	directory site.Directory
+	listed    bool
+	expiry    *time.Timer
+}
+
+func newBase(opts Options) *base {
+	s := opts.Settings
+	b := &base{
+		opts:        opts,
+		incarnation: time.Now().UnixNano(),
+		objects:     counted(platform.NewObjects(s.StoreAddress, dial.Connect(storeConnectTimeout)), opts.Registry),
+		upstream: service.New(service.NewOptions().WithRequestIDHeader(platform.RequestIDHeader).
+			WithOneCallPerConnection().WithDial(dial.Connect(connectTimeout))),
+	}
+	b.client = home.NewClient(home.ClientOptions{
+		VMID: s.VMID, Incarnation: b.incarnation, Connect: dial.Connect(connectTimeout), Now: clock.Now, Log: opts.Log,
+	})
+	return b
+}
+
+// follow starts to follow the object service; onConfig and onUpstreams must be set before.
+func (b *base) follow() {
+	start := func(kind string, apply func(object.Change), down func(bool)) {
+		b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
+			Client: b.objects, Kind: kind, Apply: apply, Down: down, Log: b.opts.Log,
+		}))
+	}
+	start(platform.KindConfig, b.applyConfig, nil)
+	start(platform.KindUpstreams, b.applyUpstreams, b.upstreamsDown)
+	start(home.KindHomes, func(c object.Change) { home.ApplyAnnouncements(b.client, c, b.opts.Log) }, nil)
+}
+
+func (b *base) close() {
+	for _, f := range b.followers {
+		f.Close()
+	}
+	b.client.Close()
+	b.upstream.Close()
+}
+
+func (b *base) currentConfig() site.Config {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.config
+}
+
+// known reports that the node has a configuration and has read the list of upstreams.
+func (b *base) known() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.config.Version > 0 && b.listed
+}
+
+// applyConfig takes up a configuration of a higher version.
+func (b *base) applyConfig(c object.Change) {
+	for _, e := range c.Events {
+		if !e.Deleted {
+			c.Objects = append(c.Objects, e.Object)
+		}
+	}
+	for _, o := range c.Objects {
+		if o.Name != platform.ConfigName {
+			continue
+		}
+		cfg, err := platform.DecodeConfig(o)
+		if err != nil {
+			b.opts.Log.Error().Int64("revision", int64(o.Revision)).Err(err).Msg("configurationSkipped")
+			continue
+		}
+		b.mu.Lock()
+		before := b.config.Version
+		newer := cfg.Version > before
+		if newer {
+			b.config = cfg
+		}
+		b.mu.Unlock()
+		if newer {
+			b.opts.Log.Info().Int64("version", cfg.Version).Int64("before", before).Int64("revision", int64(o.Revision)).Msg("configurationInForce")
+			b.onConfig(cfg)
+		}
+	}
+}
+
+func (b *base) applyUpstreams(c object.Change) {
+	now := clock.Now()
+	b.mu.Lock()
+	if c.Listed {
+		var list []site.Upstream
+		for _, o := range c.Objects {
+			if u, ok := b.decodeUpstream(o); ok {
+				list = append(list, u)
+			}
+		}
+		b.directory = b.directory.Listed(now, list)
+		b.listed = true
+	}
+	for _, e := range c.Events {
+		u, ok := site.Upstream{}, false
+		if !e.Deleted {
+			u, ok = b.decodeUpstream(e.Object)
+		}
+		if !ok {
+			b.opts.Log.Info().Str("upstream", e.Object.Name).Bool("deleted", e.Deleted).Int64("revision", int64(e.Object.Revision)).Msg("upstreamGone")
+			b.directory = b.directory.WithoutUpstream(now, e.Object.Name)
+			continue
+		}
+		b.opts.Log.Info().Str("upstream", u.ID).Int64("incarnation", u.Incarnation).Str("service", u.Service).Str("address", u.Address).
+			Bool("draining", u.Draining).Int64("revision", int64(e.Object.Revision)).Msg("upstreamChanged")
+		b.directory = b.directory.WithUpstream(u)
+	}
+	b.mu.Unlock()
+	b.publishUpstreams()
+}
+
+func (b *base) decodeUpstream(o object.Object) (site.Upstream, bool) {
+	u, err := platform.DecodeUpstream(o)
+	if err != nil {
+		b.opts.Log.Warn().Str("upstream", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("upstreamSkipped")
+		return site.Upstream{}, false
+	}
+	return u, true
+}
+
+func (b *base) upstreamsDown(down bool) {
+	b.mu.Lock()
+	b.directory = b.directory.WithDown(clock.Now(), down)
+	b.mu.Unlock()
+	b.publishUpstreams()
+}
+
+// publishUpstreams tells of the upstreams, and again when one that is missing is given up.
+func (b *base) publishUpstreams() {
+	now := clock.Now()
+	b.mu.Lock()
+	list, next := b.directory.Upstreams(now)
+	if b.expiry != nil {
+		b.expiry.Stop()
+		b.expiry = nil
+	}
+	if !next.IsZero() {
+		b.expiry = time.AfterFunc(next.Sub(now), b.publishUpstreams)
+	}
+	b.mu.Unlock()
+	b.client.SetUpstreams(list)
+	b.onUpstreams(list)
+}
+
+// serveHTTP serves one address with kratos' server until the returned function is called.
+func serveHTTP(ctx context.Context, address string, h http.Handler, log zerolog.Logger) (*kratoshttp.Server, error) {
+	l, err := dial.Listen(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	srv := kratoshttp.NewServer(kratoshttp.Listener(l), kratoshttp.Timeout(0))
+	srv.Handler = h
+	srv.ReadHeaderTimeout = readHeaderTimeout
+	srv.IdleTimeout = idleTimeout
+	srv.MaxHeaderBytes = maxHeaderBytes
+	go func() {
+		if err := srv.Server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			log.Error().Str("address", address).Err(err).Msg("serverEnded")
+		}
+	}()
+	return srv, nil
+}
+
+const (
+	// readHeaderTimeout bounds the time for the headers of a request.
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout closes a caller's connection without requests; callers give idle connections up
+	// sooner by themselves.
+	idleTimeout = 75 * time.Second
+	// maxHeaderBytes bounds the headers of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+// listenPeers opens the port for connections of nodes.
+func (b *base) listenPeers(ctx context.Context) (net.Listener, error) {
+	return dial.Listen(ctx, b.peerAddress())
+}
+
+func (b *base) peerAddress() string {
+	return net.JoinHostPort(b.opts.Settings.IP, strconv.Itoa(b.opts.Settings.PeerPort))
+}
+
+// quietKratos drops kratos' own log, which tells of its start and end only.
+func quietKratos() {
+	kratoslog.SetLogger(kratoslog.NewFilter(kratoslog.DefaultLogger, kratoslog.FilterLevel(kratoslog.LevelFatal)))
+}
+
+// counted counts the calls to the object service by kind of call.
+func counted(c object.Client, r metrics.Registry) object.Client {
+	count := func(name string) { metrics.GetOrRegisterCounter("store."+name, r).Inc(1) }
+	return object.Client{
+		List: func(ctx context.Context, kind, after string) ([]object.Object, object.Revision, bool, error) {
+			count("list")
+			return c.List(ctx, kind, after)
+		},
+		Watch: func(ctx context.Context, kind string, since object.Revision, wait time.Duration) ([]object.Event, object.Revision, error) {
+			count("watch")
+			return c.Watch(ctx, kind, since, wait)
+		},
+		Get: func(ctx context.Context, kind, name string) (object.Object, error) {
+			count("get")
+			return c.Get(ctx, kind, name)
+		},
+		Create: func(ctx context.Context, kind, name string, spec any) (object.Object, error) {
+			count("create")
+			return c.Create(ctx, kind, name, spec)
+		},
+		Put: func(ctx context.Context, kind, name string, spec any, expect object.Revision) (object.Object, error) {
+			count("put")
+			return c.Put(ctx, kind, name, spec, expect)
+		},
+		PutStatus: func(ctx context.Context, kind, name string, status any) (object.Object, error) {
+			count("putStatus")
+			return c.PutStatus(ctx, kind, name, status)
+		},
+		Delete: func(ctx context.Context, kind, name string) error {
+			count("delete")
+			return c.Delete(ctx, kind, name)
+		},
+	}
+}
--- /dev/null
+++ b/io/object/follow.go
@@ -0,0 +1,135 @@
+package object
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	// watchWait bounds one watch call; a longer wait saves calls, and keep-alive probes of the
+	// connection find a silent one sooner.
+	watchWait = 25 * time.Second
+	// watchGrace is added to watchWait before an unanswered watch is given up.
+	watchGrace = 2 * time.Second
+	// listTimeout bounds one page of a listing.
+	listTimeout = 3 * time.Second
+	// firstBackoff and lastBackoff bound the pause after failed calls, which doubles each time.
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = 800 * time.Millisecond
+)
+
+// Change is what a follower learned: the whole kind after a listing, or the events of a watch.
+type Change struct {
+	// Listed reports that Objects is the whole kind, as it is now.
+	Listed  bool
+	Objects []Object
+	Events  []Event
+}
+
+// FollowerOptions are the settings of a Follower; all but Down are required.
+type FollowerOptions struct {
+	Client Client
+	Kind   string
+	// Apply is called for each change, from one goroutine.
+	Apply func(Change)
+	// Down is called with true when the service stops answering and with false when it answers again.
+	Down func(down bool)
+	Log  zerolog.Logger
+}
+
+// Follower keeps a copy of a kind up to date.
+type Follower struct {
+	opts   FollowerOptions
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	down   bool
+	// at is the revision that the next watch starts from; 0 asks for a listing.
+	at Revision
+}
+
+// NewFollower starts to follow a kind.
+func NewFollower(opts FollowerOptions) *Follower {
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Follower{opts: opts, cancel: cancel}
+	f.done.Go(func() { f.run(ctx) })
+	return f
+}
+
+// Close ends the follower.
+func (f *Follower) Close() {
+	f.cancel()
+	f.done.Wait()
+}
+
+func (f *Follower) run(ctx context.Context) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		f.report(err)
+		if err == nil {
+			backoff = firstBackoff
+			continue
+		}
+		if errors.Is(err, ErrCompacted) {
+			f.at = 0
+			continue
+		}
+		_ = sleep(ctx, backoff/2+rand.N(backoff/2)) // ends early only with the context
+		backoff = min(2*backoff, lastBackoff)
+	}
+}
+
+// step makes one listing or one watch.
+func (f *Follower) step(ctx context.Context) error {
+	if f.at == 0 {
+		return f.list(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
+	defer cancel()
+	events, at, err := f.opts.Client.Watch(ctx, f.opts.Kind, f.at, watchWait)
+	if err != nil {
+		return err
+	}
+	f.at = at
+	if len(events) > 0 {
+		f.opts.Apply(Change{Events: events})
+	}
+	return nil
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	objects, at, err := ListAll(ctx, f.opts.Client, f.opts.Kind)
+	if err != nil {
+		return err
+	}
+	f.at = at
+	f.opts.Apply(Change{Listed: true, Objects: objects})
+	return nil
+}
+
+// report logs when the service is lost and regained.
+func (f *Follower) report(err error) {
+	lost := err != nil && !errors.Is(err, ErrCompacted)
+	switch {
+	case errors.Is(err, ErrCompacted):
+		f.opts.Log.Warn().Str("kind", f.opts.Kind).Int64("revision", int64(f.at)).Msg("watchHistoryGone")
+	case lost && !f.down:
+		f.opts.Log.Warn().Str("kind", f.opts.Kind).Int64("revision", int64(f.at)).Err(err).Msg("objectServiceLost")
+	case !lost && f.down:
+		f.opts.Log.Info().Str("kind", f.opts.Kind).Int64("revision", int64(f.at)).Msg("objectServiceRegained")
+	}
+	if lost != f.down && f.opts.Down != nil {
+		f.opts.Down(lost)
+	}
+	f.down = lost
+}
--- /dev/null
+++ b/io/object/object.go
@@ -0,0 +1,146 @@
+// Package object speaks to an object service that keeps objects by kind and name, with one revision
+// counter for all of them, conditional writes and watches of a whole kind.
+//
+// A Client is a set of function fields, so that adapters and stand-ins can take each other's place.
+// The errors are those of package store: ErrConflict, ErrNotFound and ErrUnavailable mean that a
+// write had no effect, ErrUnknown that its answer was lost.
+//
+// Usage:
+//
+//	o, err := object.CreateConfirmed(ctx, client, "jobs", "j1", spec)
+//	f := object.NewFollower(object.FollowerOptions{Client: client, Kind: "jobs", Apply: apply})
+//	defer f.Close()
+package object
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/io/store"
+)
+
+// ErrCompacted means that the history from the watched revision on is gone; the kind must be listed
+// again.
+var ErrCompacted = merry.Sentinel("history of the object service is gone")
+
+// Revision counts the changes of all objects of the service.
+type Revision int64
+
+// Object is one object of a kind.
+type Object struct {
+	Name string
+	// Revision is that of the object's last change.
+	Revision Revision
+	Spec     json.RawMessage
+	Status   json.RawMessage
+}
+
+// Event is one change of an object.
+type Event struct {
+	Object  Object
+	Deleted bool
+}
+
+// Client is the calls of the object service. Every call counts against the service's rates.
+type Client struct {
+	// List returns one page of a kind's objects with names greater than after, in order of name, the
+	// revision of the page, and whether there are more.
+	List func(ctx context.Context, kind, after string) (objects []Object, at Revision, more bool, err error)
+	// Watch returns the changes of a kind after the revision since, waiting up to wait for the first
+	// one, and the revision to go on from. It returns ErrCompacted if they are no longer known.
+	Watch func(ctx context.Context, kind string, since Revision, wait time.Duration) ([]Event, Revision, error)
+	// Get returns one object, or ErrNotFound.
+	Get func(ctx context.Context, kind, name string) (Object, error)
+	// Create writes a new object. With ErrConflict the returned object is the one that exists.
+	Create func(ctx context.Context, kind, name string, spec any) (Object, error)
+	// Put replaces the spec if the object has the given revision. With ErrConflict the returned
+	// object is the one that exists.
+	Put func(ctx context.Context, kind, name string, spec any, expect Revision) (Object, error)
+	// PutStatus replaces the status, whatever the revision.
+	PutStatus func(ctx context.Context, kind, name string, status any) (Object, error)
+	// Delete removes the object, whatever its revision.
+	Delete func(ctx context.Context, kind, name string) error
+}
+
+// confirmPause is the time between two attempts at a write with an unknown outcome.
+const confirmPause = 50 * time.Millisecond
+
+// CreateConfirmed is c.Create, repeated until its outcome is known or the context ends. An object
+// that exists with an equal spec counts as created. It returns ErrConflict with the object that
+// exists, ErrUnavailable if no attempt had effect, or ErrUnknown if one may have.
+func CreateConfirmed(ctx context.Context, c Client, kind, name string, spec any) (Object, error) {
+	want, err := json.Marshal(spec)
+	if err != nil {
+		return Object{}, merry.Errorf("encode %s/%s: %w", kind, name, err)
+	}
+	unknown := false
+	for {
+		o, err := c.Create(ctx, kind, name, json.RawMessage(want))
+		switch {
+		case err == nil:
+			return o, nil
+		case errors.Is(err, store.ErrConflict):
+			if sameJSON(o.Spec, want) {
+				return o, nil
+			}
+			return o, merry.Errorf("create %s/%s: %w", kind, name, err)
+		case errors.Is(err, store.ErrUnknown):
+			unknown = true
+		case !errors.Is(err, store.ErrUnavailable):
+			return Object{}, merry.Errorf("create %s/%s: %w", kind, name, err)
+		}
+		if waitErr := sleep(ctx, confirmPause); waitErr != nil {
+			if unknown {
+				return Object{}, merry.Errorf("create %s/%s: %w: %w", kind, name, store.ErrUnknown, err)
+			}
+			return Object{}, merry.Errorf("create %s/%s: %w", kind, name, err)
+		}
+	}
+}
+
+// sameJSON reports that two documents are equal up to white space.
+func sameJSON(a, b []byte) bool {
+	var x, y bytes.Buffer
+	if json.Compact(&x, a) != nil || json.Compact(&y, b) != nil {
+		return false
+	}
+	return bytes.Equal(x.Bytes(), y.Bytes())
+}
+
+// ListAll returns all objects of a kind, page by page, and the revision of the first page, from
+// which a watch misses nothing.
+func ListAll(ctx context.Context, c Client, kind string) ([]Object, Revision, error) {
+	var all []Object
+	var first Revision
+	after := ""
+	for {
+		page, at, more, err := c.List(ctx, kind, after)
+		if err != nil {
+			return nil, 0, merry.Errorf("list %s after %q: %w", kind, after, err)
+		}
+		if first == 0 {
+			first = at
+		}
+		all = append(all, page...)
+		if !more || len(page) == 0 {
+			return all, first, nil
+		}
+		after = page[len(page)-1].Name
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- a/io/service/options.go
+++ b/io/service/options.go
@@ -14,6 +14,11 @@
 	IdleTimeout time.Duration
 	// HeaderTimeout bounds the wait for the answer's headers after the request was written.
 	HeaderTimeout time.Duration
+	// RequestIDHeader carries the request's ID to the upstream, which may repeat it in the answer.
+	RequestIDHeader string
+	// OneCallPerConnection opens a connection for each call, so that no answer of one call can be
+	// taken for that of another and no call meets a connection that is about to close.
+	OneCallPerConnection bool
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -24,7 +29,8 @@
 // NewOptions returns the settings that serve a few dozen upstreams.
 func NewOptions() Options {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return Options{IdleConnections: 64, IdleTimeout: 30 * time.Second, HeaderTimeout: 60 * time.Second, Dial: dialer.DialContext}
+	return Options{IdleConnections: 64, IdleTimeout: 30 * time.Second, HeaderTimeout: 60 * time.Second,
+		RequestIDHeader: "X-Request-Id", Dial: dialer.DialContext}
 }
 
 // WithHeaderTimeout returns a copy with the wait for headers bounded by d.
@@ -32,3 +38,21 @@
 	o.HeaderTimeout = d
 	return o
 }
+
+// WithRequestIDHeader returns a copy with another header for the request's ID.
+func (o Options) WithRequestIDHeader(name string) Options {
+	o.RequestIDHeader = name
+	return o
+}
+
+// WithOneCallPerConnection returns a copy that opens a connection for each call.
+func (o Options) WithOneCallPerConnection() Options {
+	o.OneCallPerConnection = true
+	return o
+}
+
+// WithDial returns a copy that opens connections by dial.
+func (o Options) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Options {
+	o.Dial = dial
+	return o
+}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -25,22 +25,21 @@
 	"mothcart/io/dial"
 )
 
-// requestIDHeader carries the request's ID to the upstream, which may repeat it in the answer.
-const requestIDHeader = "X-Request-Id"
-
 // Client calls plain services. It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
-	foreign   atomic.Int64
+	transport       *http.Transport
+	requestIDHeader string
+	foreign         atomic.Int64
 }
 
 // New returns a client without connections.
 func New(opts Options) *Client {
-	return &Client{transport: &http.Transport{
+	return &Client{requestIDHeader: opts.RequestIDHeader, transport: &http.Transport{
 		DialContext:           opts.Dial,
 		MaxIdleConnsPerHost:   opts.IdleConnections,
 		IdleConnTimeout:       opts.IdleTimeout,
 		DisableCompression:    true,
+		DisableKeepAlives:     opts.OneCallPerConnection,
 		ResponseHeaderTimeout: opts.HeaderTimeout,
 	}}
 }
@@ -55,7 +54,9 @@
 type Call struct {
 	// Address is host:port.
 	Address string
-	Method  string
+	// Host is the host header; empty means Address.
+	Host   string
+	Method string
 	// Path holds the escaped path and the query.
 	Path      string
 	Header    http.Header
@@ -92,14 +93,15 @@
 		return Answer{}, &Failure{err: merry.Errorf("build request: %w", err)}
 	}
 	r.ContentLength = int64(len(call.Body))
+	r.Host = call.Host
 	r.Header = EndToEnd(call.Header)
-	r.Header.Set(requestIDHeader, call.RequestID)
+	r.Header.Set(c.requestIDHeader, call.RequestID)
 	resp, err := c.transport.RoundTrip(r)
 	if err != nil {
 		c.transport.CloseIdleConnections()
 		return Answer{}, &Failure{Sent: !dial.Failed(err), err: merry.Errorf("round trip: %w", err)}
 	}
-	if got := resp.Header.Get(requestIDHeader); got != "" && got != call.RequestID {
+	if got := resp.Header.Get(c.requestIDHeader); got != "" && got != call.RequestID {
 		resp.Body.Close()
 		c.foreign.Add(1)
 		return Answer{}, &Failure{Sent: true, err: merry.Errorf("answer to request %s, want %s", got, call.RequestID)}
--- a/io/service/service_test.go
+++ b/io/service/service_test.go
@@ -74,7 +74,7 @@
 		if err != nil {
 			return
 		}
-		if req.Header.Get(requestIDHeader) == "second" {
+		if req.Header.Get(NewOptions().RequestIDHeader) == "second" {
 			second.Add(1)
 			return
 		}
