Let the home verify its watches and tell the nodes of changes

Ruled out: stale reads (no call asks for them). Change: beside a watch, the home lists configuration and upstreams each 700 ms and pushes news over its connections; a node without a home verifies by itself. A mirror takes objects up by revision, so that sources may overlap.

--- a/core/site/directory.go
+++ b/core/site/directory.go
@@ -15,6 +15,8 @@
 	// returnGrace is how long after the return of the object service a missing entry is not taken for
 	// an upstream that is gone.
 	returnGrace = 2 * time.Second
+	// forgetAfter is when a missing upstream is forgotten; no outage that matters is longer.
+	forgetAfter = 2 * time.Minute
 )
 
 // Directory is the upstreams that entries in the object service name, through outages of that
@@ -33,25 +35,6 @@
 	since    time.Time
 }
 
-// Listed returns the directory after all entries were read.
-func (d Directory) Listed(now time.Time, list []Upstream) Directory {
-	entries := make(map[string]Upstream, len(list))
-	for _, u := range list {
-		entries[u.ID] = u
-	}
-	out := d.clone()
-	for id, u := range d.entries {
-		if _, ok := entries[id]; !ok {
-			out.missing[id] = missing{upstream: u, since: now}
-		}
-	}
-	for id := range entries {
-		delete(out.missing, id)
-	}
-	out.entries = entries
-	return out
-}
-
 // WithUpstream returns the directory after an entry was written.
 func (d Directory) WithUpstream(u Upstream) Directory {
 	out := d.clone()
@@ -67,6 +50,7 @@
 		return d
 	}
 	out := d.clone()
+	maps.DeleteFunc(out.missing, func(_ string, m missing) bool { return now.Sub(m.since) > forgetAfter })
 	delete(out.entries, id)
 	out.missing[id] = missing{upstream: u, since: now}
 	return out
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -13,6 +13,7 @@
 	"mothcart/core/slot"
 	"mothcart/io/forward"
 	"mothcart/io/link"
+	"mothcart/io/object"
 )
 
 // ErrNoHome means that no home can be reached or that it can't be sure of its state.
@@ -45,7 +46,9 @@
 	Incarnation int64
 	Connect     func(ctx context.Context, network, address string) (net.Conn, error)
 	Now         func() time.Time
-	Log         zerolog.Logger
+	// View is told what the home knows of a kind of objects.
+	View func(kind string, c object.Change)
+	Log  zerolog.Logger
 }
 
 // Client is a node's side of the home: it asks the home for slots and jobs, and decides about slots
@@ -172,9 +175,7 @@
 func (c *Client) connect(ctx context.Context, a Announcement) (*link.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	conn, err := link.Dial(ctx, c.opts.Connect, a.Address, link.Options{Handle: func(_ *link.Conn, in link.Incoming) {
-		in.Fail(merry.Errorf("unknown method %s", in.Method))
-	}})
+	conn, err := link.Dial(ctx, c.opts.Connect, a.Address, link.Options{Handle: c.handle})
 	if err != nil {
 		return nil, err
 	}
@@ -197,6 +198,16 @@
 	return conn, nil
 }
 
+// handle takes up what the home tells.
+func (c *Client) handle(_ *link.Conn, in link.Incoming) {
+	var m viewNotice
+	if err := in.Decode(&m); err != nil || in.Method != methodView {
+		c.opts.Log.Warn().Str("method", in.Method).AnErr("error", err).Msg("badMessage")
+		return
+	}
+	c.opts.View(m.Kind, m.Change)
+}
+
 func (c *Client) hello() helloRequest {
 	h := helloRequest{VM: c.opts.VMID, Incarnation: c.opts.Incarnation}
 	for _, g := range c.own.Grants() {
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -54,6 +54,8 @@
 	Config func() site.Config
 	// Valid reports that the lease of the home is valid and that no earlier one can be.
 	Valid func(now time.Time) bool
+	// Snapshots returns the kinds of objects that nodes learn from the home when they connect.
+	Snapshots func() map[string]object.Change
 	// ResultsKept is how long results stay after the acceptance of a job.
 	ResultsKept time.Duration
 	Now         func() time.Time
@@ -184,6 +186,9 @@
 	}
 	h.opts.Log.Info().Str("node", s.owner).Int("open", len(m.Open)).Int64("term", h.opts.Term).Msg("nodeConnected")
 	in.Answer(helloAnswer{VM: h.opts.VMID, Term: h.opts.Term})
+	for kind, c := range h.opts.Snapshots() {
+		in.Conn().Notify(methodView, viewNotice{Kind: kind, Change: c})
+	}
 	return s
 }
 
@@ -270,6 +275,17 @@
 	}
 }
 
+// PushNews tells all connected nodes what the home has learned of a kind of objects.
+func (s *Server) PushNews(kind string, news []object.Event) {
+	s.mu.Lock()
+	h := s.home
+	s.mu.Unlock()
+	if h == nil {
+		return
+	}
+	s.server.Each(func(c *link.Conn) { c.Notify(methodView, viewNotice{Kind: kind, Change: object.Change{Events: news}}) })
+}
+
 // Close ends all connections.
 func (s *Server) Close() { s.server.Close() }
 
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -6,6 +6,7 @@
 	"mothcart/core/batch"
 	"mothcart/core/site"
 	"mothcart/core/slot"
+	"mothcart/io/object"
 )
 
 // Methods between a node and the home.
@@ -18,6 +19,8 @@
 	methodRead    = "read"
 	methodItem    = "item"
 	methodEnded   = "ended"
+	// methodView goes from the home to the nodes.
+	methodView = "view"
 )
 
 // helloRequest introduces a node with the slots that it uses.
@@ -120,3 +123,9 @@
 type endedNotice struct {
 	Job string `msgpack:"job"`
 }
+
+// viewNotice tells a node what the home knows of a kind of objects.
+type viewNotice struct {
+	Kind   string        `msgpack:"kind"`
+	Change object.Change `msgpack:"change"`
+}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -80,6 +80,9 @@
 	return nil
 }
 
+// Conn returns the connection that the message came on.
+func (in Incoming) Conn() *Conn { return in.conn }
+
 // Answer answers a call, now or later; for notices it does nothing.
 func (in Incoming) Answer(v any) {
 	if in.id != 0 {
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -64,7 +64,7 @@
 		return err
 	}
 	defer readiness.Close()
-	b.follow()
+	b.follow(b.verifyWithoutHome)
 	opts.Log.Info().Str("vm", opts.Settings.VMID).Str("callers", opts.Settings.CallerAddress).Int64("incarnation", b.incarnation).Msg("entryStarted")
 	awaitStop(ctx, opts)
 	stopped := clock.Now()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -62,8 +62,12 @@
 	mu        sync.Mutex
 	config    site.Config
 	directory site.Directory
-	listed    bool
 	expiry    *time.Timer
+
+	// mirrors holds the kinds that nodes also learn from the home.
+	mirrors map[string]*object.Mirror
+	// onNews is told of what was new in the mirrors; nil on entry nodes.
+	onNews func(kind string, news []object.Event)
 }
 
 func newBase(opts Options) *base {
@@ -75,22 +79,56 @@
 		upstream: service.New(service.NewOptions().WithRequestIDHeader(platform.RequestIDHeader).
 			WithOneCallPerConnection().WithDial(dial.Connect(connectTimeout))),
 	}
+	b.mirrors = map[string]*object.Mirror{platform.KindConfig: object.NewMirror(), platform.KindUpstreams: object.NewMirror()}
 	b.client = home.NewClient(home.ClientOptions{
-		VMID: s.VMID, Incarnation: b.incarnation, Connect: dial.Connect(connectTimeout), Now: clock.Now, Log: opts.Log,
+		VMID: s.VMID, Incarnation: b.incarnation, Connect: dial.Connect(connectTimeout), Now: clock.Now,
+		View: b.receive, Log: opts.Log,
 	})
 	return b
 }
 
-// follow starts to follow the object service; onConfig and onUpstreams must be set before.
-func (b *base) follow() {
-	start := func(kind string, apply func(object.Change), down func(bool)) {
+// verifyInterval is the time between two listings beside a watch: a change that the watch has missed
+// must be in force within the platform's bound of 2 s.
+const verifyInterval = 700 * time.Millisecond
+
+// follow starts to follow the object service; onConfig and onUpstreams must be set before. verify
+// returns the time between listings that check a watch.
+func (b *base) follow(verify func() time.Duration) {
+	start := func(kind string, apply func(object.Change), down func(bool), verify func() time.Duration) {
 		b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
-			Client: b.objects, Kind: kind, Apply: apply, Down: down, Log: b.opts.Log,
+			Client: b.objects, Kind: kind, Apply: apply, Down: down, Verify: verify, Log: b.opts.Log,
 		}))
 	}
-	start(platform.KindConfig, b.applyConfig, nil)
-	start(platform.KindUpstreams, b.applyUpstreams, b.upstreamsDown)
-	start(home.KindHomes, func(c object.Change) { home.ApplyAnnouncements(b.client, c, b.opts.Log) }, nil)
+	start(platform.KindConfig, func(c object.Change) { b.receive(platform.KindConfig, c) }, nil, verify)
+	start(platform.KindUpstreams, func(c object.Change) { b.receive(platform.KindUpstreams, c) }, b.upstreamsDown, verify)
+	start(home.KindHomes, func(c object.Change) { home.ApplyAnnouncements(b.client, c, b.opts.Log) }, nil, b.verifyWithoutHome)
+}
+
+// verifyWithoutHome checks the watches only while no home answers, which would tell of changes.
+func (b *base) verifyWithoutHome() time.Duration {
+	if b.client.Connected() {
+		return 0
+	}
+	return verifyInterval
+}
+
+// receive takes up a change of a kind, from an own watch or from the home.
+func (b *base) receive(kind string, c object.Change) {
+	m := b.mirrors[kind]
+	if m == nil {
+		b.opts.Log.Warn().Str("kind", kind).Msg("unknownKind")
+		return
+	}
+	news := m.Apply(c)
+	switch kind {
+	case platform.KindConfig:
+		b.applyConfig(news)
+	case platform.KindUpstreams:
+		b.applyUpstreams(news)
+	}
+	if b.onNews != nil && len(news) > 0 {
+		b.onNews(kind, news)
+	}
 }
 
 func (b *base) close() {
@@ -111,18 +149,14 @@
 func (b *base) known() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.config.Version > 0 && b.listed
+	return b.config.Version > 0 && b.mirrors[platform.KindUpstreams].Listed()
 }
 
 // applyConfig takes up a configuration of a higher version.
-func (b *base) applyConfig(c object.Change) {
-	for _, e := range c.Events {
-		if !e.Deleted {
-			c.Objects = append(c.Objects, e.Object)
-		}
-	}
-	for _, o := range c.Objects {
-		if o.Name != platform.ConfigName {
+func (b *base) applyConfig(news []object.Event) {
+	for _, e := range news {
+		o := e.Object
+		if e.Deleted || o.Name != platform.ConfigName {
 			continue
 		}
 		cfg, err := platform.DecodeConfig(o)
@@ -135,29 +169,19 @@
 		newer := cfg.Version > before
 		if newer {
 			b.config = cfg
+			b.onConfig(cfg)
 		}
 		b.mu.Unlock()
 		if newer {
 			b.opts.Log.Info().Int64("version", cfg.Version).Int64("before", before).Int64("revision", int64(o.Revision)).Msg("configurationInForce")
-			b.onConfig(cfg)
 		}
 	}
 }
 
-func (b *base) applyUpstreams(c object.Change) {
+func (b *base) applyUpstreams(news []object.Event) {
 	now := clock.Now()
 	b.mu.Lock()
-	if c.Listed {
-		var list []site.Upstream
-		for _, o := range c.Objects {
-			if u, ok := b.decodeUpstream(o); ok {
-				list = append(list, u)
-			}
-		}
-		b.directory = b.directory.Listed(now, list)
-		b.listed = true
-	}
-	for _, e := range c.Events {
+	for _, e := range news {
 		u, ok := site.Upstream{}, false
 		if !e.Deleted {
 			u, ok = b.decodeUpstream(e.Object)
--- a/io/object/follow.go
+++ b/io/object/follow.go
@@ -1,6 +1,7 @@
 package object
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -25,8 +26,9 @@
 
 // Change is what a follower learned: the whole kind after a listing, or the events of a watch.
 type Change struct {
-	// Listed reports that Objects is the whole kind, as it is now.
+	// Listed reports that Objects is the whole kind, as it was at the revision At.
 	Listed  bool
+	At      Revision
 	Objects []Object
 	Events  []Event
 }
@@ -35,11 +37,14 @@
 type FollowerOptions struct {
 	Client Client
 	Kind   string
-	// Apply is called for each change, from one goroutine.
+	// Apply is called for each change; with Verify, an older listing may come after a newer one.
 	Apply func(Change)
 	// Down is called with true when the service stops answering and with false when it answers again.
 	Down func(down bool)
-	Log  zerolog.Logger
+	// Verify returns the time between listings beside a watch that waits, since a watch may miss
+	// changes without notice; nil or 0 means none.
+	Verify func() time.Duration
+	Log    zerolog.Logger
 }
 
 // Follower keeps a copy of a kind up to date.
@@ -94,6 +99,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
 	defer cancel()
+	var verify sync.WaitGroup
+	defer verify.Wait()
+	defer cancel()
+	verify.Go(func() { f.verify(ctx) })
 	events, at, err := f.opts.Client.Watch(ctx, f.opts.Kind, f.at, watchWait)
 	if err != nil {
 		return err
@@ -113,10 +122,32 @@
 		return err
 	}
 	f.at = at
-	f.opts.Apply(Change{Listed: true, Objects: objects})
+	f.opts.Apply(Change{Listed: true, At: at, Objects: objects})
 	return nil
 }
 
+// verifyIdle is the time between two looks whether to verify.
+const verifyIdle = 500 * time.Millisecond
+
+// verify lists the kind from time to time until the context ends.
+func (f *Follower) verify(ctx context.Context) {
+	for f.opts.Verify != nil {
+		interval := f.opts.Verify()
+		if sleep(ctx, cmp.Or(interval, verifyIdle)) != nil {
+			return
+		}
+		if interval == 0 || f.opts.Verify() == 0 {
+			continue
+		}
+		objects, at, err := ListAll(ctx, f.opts.Client, f.opts.Kind)
+		if err != nil {
+			f.opts.Log.Debug().Str("kind", f.opts.Kind).Err(err).Msg("notVerified")
+			continue
+		}
+		f.opts.Apply(Change{Listed: true, At: at, Objects: objects})
+	}
+}
+
 // report logs when the service is lost and regained.
 func (f *Follower) report(err error) {
 	lost := err != nil && !errors.Is(err, ErrCompacted)
