Let an entry reject grants of upstreams that it knows to be gone

Change: the client of the home remembers upstreams that left its own list and gives such grants back. A job's write starts no attempt that the end of the time would leave unknown.

--- a/cmd/mothcart/node.go
+++ b/cmd/mothcart/node.go
@@ -65,7 +65,7 @@
 		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
 	}
 	log = log.With().Str("node", settings.VMID).Logger()
-	if err := run(ctx, node.Options{Settings: settings, SettingsPath: *path, Log: log, Registry: registry}); err != nil {
+	if err := run(ctx, node.NewOptions(settings, *path, log, registry)); err != nil {
 		log.WithLevel(zerolog.ErrorLevel).Err(err).Msg("nodeFailed")
 		fmt.Fprintf(errOut, "mothcart %s: %v\n", name, err)
 		return exitFailure
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -318,13 +318,30 @@
 	if slots == 0 {
 		return Refusal{Request: r, Reason: ReasonNoUpstream, RetryAfter: p.retryAfter(s, r, 0)}, true
 	}
-	expected := s.hold * time.Duration(s.online.before(r)+1) / time.Duration(slots)
+	expected := p.expected(now, s, s.online.before(r))
 	if now.Add(expected).After(r.Deadline) {
 		return Refusal{Request: r, Reason: ReasonFull, RetryAfter: p.retryAfter(s, r, expected-r.Deadline.Sub(now))}, true
 	}
 	return Refusal{}, false
 }
 
+// expected returns the time until a slot is free for the request at a position of the queue, from the
+// ages of the online requests that hold slots now and the mean time for which one does.
+func (p *Pool) expected(now time.Time, s *service, position int) time.Duration {
+	left := make([]time.Duration, 0, len(p.grants))
+	for _, g := range p.grants {
+		if g.request.Service == s.name && !g.request.Batch {
+			left = append(left, max(s.hold-now.Sub(g.since), 0))
+		}
+	}
+	if len(left) == 0 {
+		return s.hold
+	}
+	slices.Sort(left)
+	rounds := time.Duration(position / len(left))
+	return rounds*s.hold + left[position%len(left)]
+}
+
 // spreadSteps is the number of places that returning callers are spread over.
 const spreadSteps = 16
 
--- a/io/forward/metrics.go
+++ b/io/forward/metrics.go
@@ -2,17 +2,19 @@
 
 import (
 	"github.com/rcrowley/go-metrics"
+
+	"mothcart/io/scrape"
 )
 
 type forwardMetrics struct {
 	answered, refused, failed, broken metrics.Counter
 	attempts, repeats, resumes        metrics.Counter
-	firstByte, wait, total            metrics.Timer
+	firstByte, wait, total            *scrape.Histogram
 }
 
 func newMetrics(r metrics.Registry) forwardMetrics {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("online."+name, r) }
-	timer := func(name string) metrics.Timer { return metrics.GetOrRegisterTimer("online."+name, r) }
+	timer := func(name string) *scrape.Histogram { return scrape.GetOrRegisterHistogram("online."+name, r) }
 	return forwardMetrics{
 		answered: counter("answered"), refused: counter("refused"), failed: counter("failed"), broken: counter("broken"),
 		attempts: counter("attempts"), repeats: counter("repeats"), resumes: counter("resumes"),
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -98,7 +98,7 @@
 	})
 	waited := x.f.opts.Now().Sub(now)
 	x.waited += waited
-	x.f.metrics.wait.Update(waited)
+	x.f.metrics.wait.Observe(waited)
 	return lease, refusal, err
 }
 
@@ -281,12 +281,12 @@
 }
 
 func (x *exchange) done(now time.Time, upstream, outcome string, status int) {
-	x.f.metrics.total.Update(now.Sub(x.req.Arrived))
+	x.f.metrics.total.Observe(now.Sub(x.req.Arrived))
 	e := x.log.Info().Str("outcome", outcome).Int("status", status).Str("upstream", upstream).Str("basis", x.basis).
 		Int("attempts", x.attempts).Int("runs", x.runs).Int("refusals", x.refusals).
 		Dur("waitedMillis", x.waited).Dur("tookMillis", now.Sub(x.req.Arrived)).Dur("leftMillis", x.req.Deadline.Sub(now))
 	if !x.first.IsZero() {
-		x.f.metrics.firstByte.Update(x.first.Sub(x.req.Arrived))
+		x.f.metrics.firstByte.Observe(x.first.Sub(x.req.Arrived))
 		e = e.Dur("firstMillis", x.first.Sub(x.req.Arrived)).Int("events", x.delivered)
 	}
 	e.Msg("requestDone")
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -65,14 +65,15 @@
 	home      Announcement
 	conn      *link.Conn
 	upstreams map[string]site.Upstream
-	changedAt time.Time
+	// gone holds the upstreams that this node knows to be gone.
+	gone map[site.Key]bool
 }
 
 // NewClient returns a client that waits for an announcement.
 func NewClient(opts ClientOptions) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Client{
-		opts: opts, cancel: cancel, wake: make(chan struct{}, 1),
+		opts: opts, cancel: cancel, wake: make(chan struct{}, 1), gone: make(map[site.Key]bool),
 		own: NewDesk(slot.NewOptions().WithReports(true), opts.Now),
 	}
 	c.done.Go(func() { c.run(ctx) })
@@ -93,8 +94,15 @@
 		byID[u.ID] = u
 	}
 	c.mu.Lock()
+	for id, u := range c.upstreams {
+		if now, ok := byID[id]; !ok || now.Incarnation != u.Incarnation {
+			c.gone[u.Key()] = true
+		}
+	}
+	for _, u := range list {
+		delete(c.gone, u.Key())
+	}
 	c.upstreams = byID
-	c.changedAt = c.opts.Now()
 	c.mu.Unlock()
 	c.own.SetUpstreams(list)
 }
@@ -243,12 +251,13 @@
 	return c.decideAlone(ctx, r)
 }
 
-// leaving reports that the node itself knows that the upstream is leaving; the home may know later.
+// leaving reports that the node itself knows that the upstream is leaving or gone; the home may know
+// later, when it is cut off from the object service.
 func (c *Client) leaving(u site.Upstream) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known, ok := c.upstreams[u.ID]
-	return ok && known.Incarnation == u.Incarnation && known.Draining
+	return c.gone[u.Key()] || (ok && known.Incarnation == u.Incarnation && known.Draining)
 }
 
 func (c *Client) askHome(ctx context.Context, conn *link.Conn, r slot.Request) (forward.Lease, *slot.Refusal, error) {
--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -50,8 +50,6 @@
 	Objects object.Client
 	// Reached reports that this node is connected to the home of the announced term.
 	Reached func() bool
-	// Announced returns the home that was announced last.
-	Announced func() Announcement
 	// Start begins to be the home and returns what ends it.
 	Start func(term int64, valid func(now time.Time) bool) (stop func())
 	Now   func() time.Time
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"mothcart/core/site"
-	"mothcart/io/clock"
 	"mothcart/io/entry"
 	"mothcart/io/forward"
 	"mothcart/platform"
@@ -24,59 +24,96 @@
 	leaveTime = 2500 * time.Millisecond
 	// exitMargin is the time before the end of the grace period at which what is left is cut.
 	exitMargin = 500 * time.Millisecond
-	// activePoll is the time between two looks for requests in progress.
-	activePoll = 50 * time.Millisecond
 )
 
-// RunEntry serves callers until SIGTERM or the end of the context, and then drains.
-func RunEntry(ctx context.Context, opts Options) error {
+// Entry is a node that callers reach.
+type Entry struct {
+	base      *base
+	handler   *entry.Handler
+	callers   *kratoshttp.Server
+	readiness *kratoshttp.Server
+	draining  atomic.Bool
+	askID     atomic.Uint64
+}
+
+// NewEntry starts an entry node.
+func NewEntry(ctx context.Context, opts Options) (*Entry, error) {
 	quietKratos()
 	if opts.Settings.CallerAddress == "" {
-		return merry.New("settings: no address for callers on this VM")
+		return nil, merry.New("settings: no address for callers on this VM")
 	}
 	b := newBase(opts)
-	defer b.close()
-	var askID atomic.Uint64
+	e := &Entry{base: b}
 	forwarder := forward.New(forward.Options{
 		Client: b.upstream, Wire: platform.Wire(), Acquire: b.client.Acquire,
-		NextID: func() uint64 { return askID.Add(1) }, Now: clock.Now,
+		NextID: func() uint64 { return e.askID.Add(1) }, Now: opts.Now,
 		AvailabilityZone: opts.Settings.AvailabilityZone, Log: opts.Log, Registry: opts.Registry,
 	})
-	handler := entry.New(entry.Options{
+	e.handler = entry.New(entry.Options{
 		Codec: platform.Codec(), Forward: forwarder, Home: b.client, Objects: b.objects, MaxJobBytes: opts.Settings.ValueBytes,
-		Now: clock.Now, TimeOfDay: time.Now, Log: opts.Log, Registry: opts.Registry,
+		Now: opts.Now, TimeOfDay: time.Now, Log: opts.Log, Registry: opts.Registry,
 	})
-	b.onConfig = handler.SetConfig
+	b.onConfig = e.handler.SetConfig
 	b.onUpstreams = func([]site.Upstream) {}
-	var draining atomic.Bool
-	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if draining.Load() || !b.known() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	callers, err := serveHTTP(ctx, opts.Settings.CallerAddress, handler, opts.Log)
-	if err != nil {
-		return err
+	var err error
+	if e.callers, err = serveHTTP(ctx, opts, opts.Settings.CallerAddress, e.handler); err != nil {
+		b.close()
+		return nil, err
 	}
-	defer callers.Close()
-	readiness, err := serveHTTP(ctx, opts.Settings.ReadyAddress, ready, opts.Log)
-	if err != nil {
-		return err
+	if e.readiness, err = serveHTTP(ctx, opts, opts.Settings.ReadyAddress, http.HandlerFunc(e.serveReady)); err != nil {
+		e.Close()
+		return nil, err
+	}
+	if b.metrics, err = serveMetrics(ctx, opts); err != nil {
+		e.Close()
+		return nil, err
 	}
-	defer readiness.Close()
 	b.follow(b.verifyWithoutHome)
 	opts.Log.Info().Str("vm", opts.Settings.VMID).Str("callers", opts.Settings.CallerAddress).Int64("incarnation", b.incarnation).Msg("entryStarted")
-	awaitStop(ctx, opts)
-	stopped := clock.Now()
-	draining.Store(true)
-	handler.Drain()
-	opts.Log.Info().Int64("active", handler.Active()).Msg("drainStarted")
-	end := stopped.Add(opts.Settings.Grace - exitMargin)
+	return e, nil
+}
+
+// Ready reports that the node can serve and is not about to stop.
+func (e *Entry) Ready() bool { return !e.draining.Load() && e.base.known() }
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Drain takes requests until the balancer has noticed that the node leaves, and waits for those in
+// progress until the grace period is about to end.
+func (e *Entry) Drain() {
+	opts := e.base.opts
+	end := opts.Now().Add(opts.Settings.Grace - exitMargin)
+	e.draining.Store(true)
+	e.handler.Drain()
+	opts.Log.Info().Int64("active", e.handler.Active()).Msg("drainStarted")
 	time.Sleep(leaveTime)
-	shutdown, cancel := context.WithTimeout(context.Background(), end.Sub(clock.Now()))
+	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(opts.Now()))
 	defer cancel()
-	err = callers.Server.Shutdown(shutdown)
-	opts.Log.Info().Int64("active", handler.Active()).AnErr("error", err).Msg("entryStopped")
+	err := e.callers.Server.Shutdown(ctx)
+	opts.Log.Info().Int64("active", e.handler.Active()).AnErr("error", err).Msg("drained")
+}
+
+// Close ends the node at once.
+func (e *Entry) Close() {
+	e.base.closeServer(e.callers)
+	e.base.closeServer(e.readiness)
+	e.base.close()
+}
+
+// RunEntry serves callers until SIGTERM or the end of the context, and then drains.
+func RunEntry(ctx context.Context, opts Options) error {
+	e, err := NewEntry(ctx, opts)
+	if err != nil {
+		return err
+	}
+	awaitStop(ctx, opts)
+	e.Drain()
+	e.Close()
+	opts.Log.Info().Msg("entryStopped")
 	return nil
 }
 
--- /dev/null
+++ b/io/node/fault_test.go
@@ -0,0 +1,288 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothcart/platform/fake"
+)
+
+// stream asks for a stream in the background.
+func (s *testSite) stream(n int, path, id string) <-chan reply {
+	done := make(chan reply, 1)
+	go func() { done <- s.call(s.t.Context(), n, http.MethodPost, path, id, "") }()
+	return done
+}
+
+// upstreamOf returns the engine that runs a request.
+func (s *testSite) upstreamOf(id string) *fake.Engine {
+	for _, e := range s.engines {
+		if e.Runs(id) > 0 {
+			return e
+		}
+	}
+	require.Fail(s.t, "no engine runs the request", id)
+	return nil
+}
+
+func TestStreamGoesOnAtAnotherUpstream(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault fake.EngineFaults
+	}{
+		{"ends inside an event", fake.EngineFaults{BreakAfter: 5}},
+		{"is silent", fake.EngineFaults{Silent: true}},
+		{"answers with another request's ID", fake.EngineFaults{Foreign: true}},
+		{"has no signature", fake.EngineFaults{Unsigned: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				s.engines[0].SetFaults(tc.fault)
+				for i := range 6 {
+					id := fmt.Sprintf("r%d", i)
+					r := s.call(t.Context(), 1, http.MethodPost, "/ask/stream/1", id, "")
+					require.Equal(t, http.StatusOK, r.status)
+					require.True(t, r.whole)
+					require.Equal(t, fake.WholeText(id, eventsOfStream), textOf(r.body))
+					require.LessOrEqual(t, s.runsOf(id), 2)
+				}
+			})
+		})
+	}
+}
+
+func TestStreamThatRunsOnceIsNeverSentTwice(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		fault  fake.EngineFaults
+		status int
+	}{
+		{"breaks off", fake.EngineFaults{BreakAfter: 5}, http.StatusOK},
+		{"answers with another request's ID", fake.EngineFaults{Foreign: true}, http.StatusBadGateway},
+		{"is silent", fake.EngineFaults{Silent: true}, http.StatusGatewayTimeout},
+		{"answers 503 without saying that it did not run", fake.EngineFaults{Status: http.StatusServiceUnavailable}, http.StatusBadGateway},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				for _, e := range s.engines {
+					e.SetFaults(tc.fault)
+				}
+				r := s.call(t.Context(), 1, http.MethodPost, "/once/stream/1", "r1", "")
+				require.Equal(t, tc.status, r.status)
+				require.False(t, r.whole && r.status == http.StatusOK, "a broken stream must not look complete")
+				require.Equal(t, 1, s.runsOf("r1"))
+			})
+		})
+	}
+}
+
+func TestCrashedUpstreamIsLeftAlone(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.engines[0].Crash()
+		for i := range 10 {
+			r := s.call(t.Context(), 1, http.MethodPost, "/once/stream/1", fmt.Sprintf("r%d", i), "")
+			require.Equal(t, http.StatusOK, r.status, "nothing was sent to the crashed upstream")
+		}
+	})
+}
+
+func TestEntryDecidesAloneWithoutHome(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.killHome(1)
+		s.killHome(2)
+		for i := range 4 {
+			r := s.call(t.Context(), 1+i%2, http.MethodPost, "/ask/stream/1", fmt.Sprintf("r%d", i), "")
+			require.Equal(t, http.StatusOK, r.status)
+			require.Less(t, r.took, (eventsOfStream+5)*pace)
+		}
+	})
+}
+
+func TestStreamsAndJobsOutliveTheHome(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 12).status)
+		time.Sleep(700 * time.Millisecond)
+		before, _ := s.readJob(2, "j1", 0)
+		done := s.stream(1, "/ask/stream/1", "r1")
+		time.Sleep(50 * time.Millisecond)
+		s.killHome(1)
+		r := <-done
+		require.True(t, r.whole)
+		p := s.awaitJob(2, "j1", 18*time.Second)
+		require.Equal(t, before.Results, p.Results[:len(before.Results)], "positions hold")
+		require.True(t, s.homes["s2"].IsHome())
+	})
+}
+
+func TestHomeThatStopsGivesTheLeaseBackAtOnce(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.homes["s1"].Close()
+		delete(s.homes, "s1")
+		time.Sleep(500 * time.Millisecond)
+		require.True(t, s.homes["s2"].IsHome())
+		require.True(t, s.entries["e1"].base.client.Connected())
+	})
+}
+
+func TestHomeCutOffFromItsPeersKeepsTheLease(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.network.Cut(homeIP(1), homeIP(2))
+		time.Sleep(5 * time.Second)
+		require.True(t, s.homes["s1"].IsHome(), "its renewals are seen in the object service")
+		require.False(t, s.homes["s2"].IsHome())
+	})
+}
+
+func TestHomeCutOffFromTheObjectServiceIsReplaced(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.submitJob(1, "j1", 6)
+		s.network.Cut(homeIP(1), storeIP)
+		s.network.Cut(homeIP(1), homeIP(2))
+		time.Sleep(3 * time.Second)
+		require.True(t, s.homes["s2"].IsHome())
+		p := s.awaitJob(1, "j1", 18*time.Second)
+		s.network.Heal(homeIP(1), storeIP)
+		s.network.Heal(homeIP(1), homeIP(2))
+		time.Sleep(3 * time.Second)
+		require.False(t, s.homes["s1"].IsHome())
+		after, _ := s.readJob(2, "j1", 0)
+		require.Equal(t, p, after)
+	})
+}
+
+// The home learns late that an upstream is gone, since it is cut off from the object service.
+func TestEntryRejectsAGrantOfAnUpstreamThatItKnowsToBeGone(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.network.Cut(homeIP(1), storeIP)
+		s.objects.Remove("servers", "i-1")
+		time.Sleep(2 * time.Second)
+		require.True(t, s.entries["e1"].base.client.Connected())
+		before := s.engines[0].Total()
+		for i := range 6 {
+			r := s.call(t.Context(), 1, http.MethodPost, "/ask/stream/1", fmt.Sprintf("r%d", i), "")
+			require.Equal(t, http.StatusOK, r.status)
+		}
+		require.Equal(t, before, s.engines[0].Total())
+	})
+}
+
+func TestDrainingUpstreamGetsNothingNew(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		done := s.stream(1, "/ask/stream/1", "r0")
+		time.Sleep(50 * time.Millisecond)
+		leaving := s.upstreamOf("r0")
+		leaving.SetState("draining")
+		time.Sleep(50 * time.Millisecond)
+		for i := 1; i < 6; i++ {
+			r := s.call(t.Context(), 1, http.MethodPost, "/ask/stream/1", fmt.Sprintf("r%d", i), "")
+			require.Equal(t, http.StatusOK, r.status)
+		}
+		require.True(t, (<-done).whole, "what it had is finished")
+		require.Equal(t, 1, leaving.Total())
+	})
+}
+
+func TestEntriesThatLapsedInAnOutageAreStillUsed(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.objects.SetFault(fake.Fault{Down: map[string]bool{"": true}})
+		s.objects.Compact()
+		time.Sleep(2 * time.Second)
+		for _, id := range []string{"i-1", "i-2", "i-3"} {
+			s.objects.Remove("servers", id)
+		}
+		time.Sleep(2 * time.Second)
+		s.objects.SetFault(fake.Fault{})
+		time.Sleep(time.Second)
+		require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodPost, "/ask/stream/1", "r1", "").status)
+		for _, e := range s.engines {
+			e.SetState("ready")
+		}
+		time.Sleep(3 * time.Second)
+		require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodPost, "/ask/stream/1", "r2", "").status)
+	})
+}
+
+func TestConfigurationIsInForceThoughWatchesAreMute(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.objects.SetFault(fake.Fault{Mute: true})
+		s.writeConfig(2, []map[string]any{{"name": "new", "host": "h.example", "path_prefix": "/new/", "kind": "idempotent", "service": "desk", "max_attempts": 2, "timeout_ms": 2000, "target_latency_ms": 150}})
+		time.Sleep(2 * time.Second)
+		for n := 1; n <= 2; n++ {
+			require.Equal(t, http.StatusOK, s.call(t.Context(), n, http.MethodPost, "/new/1", fmt.Sprintf("r%d", n), "").status)
+		}
+		s.writeConfig(1, nil)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodPost, "/new/1", "r3", "").status, "an older version is not taken up")
+	})
+}
+
+func TestLostAnswersOfWritesLoseAndDoubleNothing(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.objects.SetFault(fake.Fault{LoseAnswers: 3})
+		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 4).status)
+		s.objects.SetFault(fake.Fault{LoseAnswers: 5})
+		p := s.awaitJob(2, "j1", 18*time.Second)
+		require.Equal(t, 4, p.Next)
+	})
+}
+
+func TestJobsWaitOutAnOutageOfTheObjectService(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 12).status)
+		time.Sleep(600 * time.Millisecond)
+		s.objects.SetFault(fake.Fault{Down: map[string]bool{"": true}})
+		r := s.submitJob(1, "j2", 1)
+		require.Equal(t, http.StatusServiceUnavailable, r.status)
+		require.NotEmpty(t, r.header.Get("Retry-After"))
+		require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodPost, "/ask/stream/1", "r1", "").status, "online goes on")
+		time.Sleep(4 * time.Second)
+		_, status := s.readJob(1, "j1", 0)
+		require.Equal(t, http.StatusServiceUnavailable, status, "nobody can be sure of a job's state")
+		s.objects.SetFault(fake.Fault{})
+		s.awaitJob(1, "j1", 10*time.Second)
+		require.Zero(t, s.runsOf("j2.a0"), "a refused job never runs")
+	})
+}
+
+func TestJobsOutliveTheEndOfAllProcesses(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 12).status)
+		time.Sleep(600 * time.Millisecond)
+		s.killHome(1)
+		s.killHome(2)
+		for id, e := range s.entries {
+			e.Close()
+			delete(s.entries, id)
+		}
+		s.startHome(1)
+		s.startHome(2)
+		s.startEntry(1)
+		s.awaitJob(1, "j1", 18*time.Second)
+	})
+}
+
+func TestDrainCutsNothing(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		e := s.entries["e1"]
+		delete(s.entries, "e1")
+		done := s.stream(1, "/ask/stream/1", "r1")
+		time.Sleep(50 * time.Millisecond)
+		ended := make(chan struct{})
+		go func() {
+			e.Drain()
+			e.Close()
+			close(ended)
+		}()
+		time.Sleep(50 * time.Millisecond)
+		require.False(t, e.Ready())
+		late := s.call(t.Context(), 1, http.MethodPost, "/ask/stream/1", "r2", "")
+		require.True(t, late.whole, "requests that come before the balancer has noticed are served")
+		require.True(t, late.closes)
+		require.True(t, (<-done).whole)
+		<-ended
+	})
+}
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -6,50 +6,76 @@
 	"time"
 
 	"mothcart/core/site"
-	"mothcart/io/clock"
 	"mothcart/io/home"
 	"mothcart/io/object"
 	"mothcart/platform"
 )
 
-// RunHome seeks to be the home until SIGTERM or the end of the context, and then gives it away.
-func RunHome(ctx context.Context, opts Options) error {
+// HomeNode is a node that may be the home.
+type HomeNode struct {
+	base    *base
+	server  *home.Server
+	elector *home.Elector
+
+	mu        sync.Mutex
+	home      *home.Home
+	upstreams []site.Upstream
+}
+
+// NewHomeNode starts a node that seeks to be the home.
+func NewHomeNode(ctx context.Context, opts Options) (*HomeNode, error) {
 	quietKratos()
 	b := newBase(opts)
-	defer b.close()
 	l, err := b.listenPeers(ctx)
 	if err != nil {
-		return err
+		b.close()
+		return nil, err
+	}
+	n := &HomeNode{base: b, server: home.NewServer(l)}
+	if b.metrics, err = serveMetrics(ctx, opts); err != nil {
+		n.server.Close()
+		b.close()
+		return nil, err
 	}
-	server := home.NewServer(l)
-	defer server.Close()
-	n := &homeNode{base: b, server: server}
 	b.onConfig = func(site.Config) {}
 	b.onUpstreams = n.setUpstreams
-	b.onNews = server.PushNews
+	b.onNews = n.server.PushNews
 	b.follow(n.verify)
-	e := home.NewElector(home.ElectorOptions{
+	n.elector = home.NewElector(home.ElectorOptions{
 		VMID: opts.Settings.VMID, Incarnation: b.incarnation, Address: b.peerAddress(), Objects: b.objects,
-		Reached: b.client.Connected, Announced: b.client.Home, Start: n.start, Now: clock.Now, Log: opts.Log,
+		Reached: b.client.Connected, Start: n.start, Now: opts.Now, Log: opts.Log,
 	})
 	opts.Log.Info().Str("vm", opts.Settings.VMID).Str("peers", b.peerAddress()).Int64("incarnation", b.incarnation).Msg("homeNodeStarted")
-	awaitStop(ctx, opts)
-	e.Close()
-	opts.Log.Info().Msg("homeNodeStopped")
-	return nil
+	return n, nil
 }
 
-// homeNode is a node that may be the home.
-type homeNode struct {
-	base   *base
-	server *home.Server
+// IsHome reports that the node is the home.
+func (n *HomeNode) IsHome() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.home != nil
+}
 
-	mu        sync.Mutex
-	home      *home.Home
-	upstreams []site.Upstream
+// Close gives the home away, if this node is it, and ends the node.
+func (n *HomeNode) Close() {
+	n.elector.Close()
+	n.server.Close()
+	n.base.close()
+}
+
+// RunHome seeks to be the home until SIGTERM or the end of the context, and then gives it away.
+func RunHome(ctx context.Context, opts Options) error {
+	n, err := NewHomeNode(ctx, opts)
+	if err != nil {
+		return err
+	}
+	awaitStop(ctx, opts)
+	n.Close()
+	opts.Log.Info().Msg("homeNodeStopped")
+	return nil
 }
 
-func (n *homeNode) setUpstreams(list []site.Upstream) {
+func (n *HomeNode) setUpstreams(list []site.Upstream) {
 	n.mu.Lock()
 	n.upstreams = list
 	h := n.home
@@ -60,7 +86,7 @@
 }
 
 // verify checks the watches of the home, which tells the other nodes, and of a node without a home.
-func (n *homeNode) verify() time.Duration {
+func (n *HomeNode) verify() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.home != nil {
@@ -70,7 +96,7 @@
 }
 
 // snapshots returns the kinds that the home tells a node that connects.
-func (n *homeNode) snapshots() map[string]object.Change {
+func (n *HomeNode) snapshots() map[string]object.Change {
 	out := make(map[string]object.Change, len(n.base.mirrors))
 	for kind, m := range n.base.mirrors {
 		out[kind] = m.Snapshot()
@@ -79,13 +105,13 @@
 }
 
 // start begins to be the home.
-func (n *homeNode) start(term int64, valid func(now time.Time) bool) func() {
+func (n *HomeNode) start(term int64, valid func(now time.Time) bool) func() {
 	o := n.base.opts
 	h := home.New(home.Options{
 		VMID: o.Settings.VMID, AvailabilityZone: o.Settings.AvailabilityZone, Term: term, Objects: n.base.objects,
 		Client: n.base.upstream, Wire: platform.Wire(), Config: n.base.currentConfig, Valid: valid,
 		Snapshots:   n.snapshots,
-		ResultsKept: o.Settings.ResultsKept, Now: clock.Now, TimeOfDay: time.Now, Log: o.Log, Registry: o.Registry,
+		ResultsKept: o.Settings.ResultsKept, Now: o.Now, TimeOfDay: time.Now, Log: o.Log, Registry: o.Registry,
 	})
 	n.mu.Lock()
 	n.home = h
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -26,6 +26,7 @@
 	"mothcart/io/dial"
 	"mothcart/io/home"
 	"mothcart/io/object"
+	"mothcart/io/scrape"
 	"mothcart/io/service"
 	"mothcart/platform"
 )
@@ -38,12 +39,26 @@
 	storeConnectTimeout = 1200 * time.Millisecond
 )
 
-// Options are the parts that a node works with; all are required.
+// Options are the parts that a node works with.
 type Options struct {
 	Settings     platform.Settings
 	SettingsPath string
 	Log          zerolog.Logger
 	Registry     metrics.Registry
+	// Connect returns a function that opens connections within a timeout, and Listen opens a
+	// listener; NewOptions sets those of the system.
+	Connect func(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error)
+	Listen  func(ctx context.Context, address string) (net.Listener, error)
+	// Now tells the time that decisions are made by; NewOptions sets the system's.
+	Now func() time.Time
+}
+
+// NewOptions returns options that use the system's network and clock.
+func NewOptions(settings platform.Settings, path string, log zerolog.Logger, registry metrics.Registry) Options {
+	return Options{
+		Settings: settings, SettingsPath: path, Log: log, Registry: registry,
+		Connect: dial.Connect, Listen: dial.Listen, Now: clock.Now,
+	}
 }
 
 // base is what entry nodes and home nodes have in common: the view of the configuration, of the
@@ -55,6 +70,7 @@
 	upstream    *service.Client
 	client      *home.Client
 	followers   []*object.Follower
+	metrics     *kratoshttp.Server
 	// onConfig and onUpstreams are told of changes.
 	onConfig    func(site.Config)
 	onUpstreams func([]site.Upstream)
@@ -75,13 +91,13 @@
 	b := &base{
 		opts:        opts,
 		incarnation: time.Now().UnixNano(),
-		objects:     counted(platform.NewObjects(s.StoreAddress, dial.Connect(storeConnectTimeout)), opts.Registry),
+		objects:     counted(platform.NewObjects(s.StoreAddress, opts.Connect(storeConnectTimeout)), opts.Registry),
 		upstream: service.New(service.NewOptions().WithRequestIDHeader(platform.RequestIDHeader).
-			WithOneCallPerConnection().WithDial(dial.Connect(connectTimeout))),
+			WithOneCallPerConnection().WithDial(opts.Connect(connectTimeout))),
 	}
 	b.mirrors = map[string]*object.Mirror{platform.KindConfig: object.NewMirror(), platform.KindUpstreams: object.NewMirror()}
 	b.client = home.NewClient(home.ClientOptions{
-		VMID: s.VMID, Incarnation: b.incarnation, Connect: dial.Connect(connectTimeout), Now: clock.Now,
+		VMID: s.VMID, Incarnation: b.incarnation, Connect: opts.Connect(connectTimeout), Now: opts.Now,
 		View: b.receive, Log: opts.Log,
 	})
 	return b
@@ -132,6 +148,7 @@
 }
 
 func (b *base) close() {
+	b.closeServer(b.metrics)
 	for _, f := range b.followers {
 		f.Close()
 	}
@@ -139,6 +156,15 @@
 	b.upstream.Close()
 }
 
+func (b *base) closeServer(s *kratoshttp.Server) {
+	if s == nil {
+		return
+	}
+	if err := s.Server.Close(); err != nil {
+		b.opts.Log.Warn().Err(err).Msg("serverNotClosed")
+	}
+}
+
 func (b *base) currentConfig() site.Config {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -179,7 +205,7 @@
 }
 
 func (b *base) applyUpstreams(news []object.Event) {
-	now := clock.Now()
+	now := b.opts.Now()
 	b.mu.Lock()
 	for _, e := range news {
 		u, ok := site.Upstream{}, false
@@ -210,14 +236,14 @@
 
 func (b *base) upstreamsDown(down bool) {
 	b.mu.Lock()
-	b.directory = b.directory.WithDown(clock.Now(), down)
+	b.directory = b.directory.WithDown(b.opts.Now(), down)
 	b.mu.Unlock()
 	b.publishUpstreams()
 }
 
 // publishUpstreams tells of the upstreams, and again when one that is missing is given up.
 func (b *base) publishUpstreams() {
-	now := clock.Now()
+	now := b.opts.Now()
 	b.mu.Lock()
 	list, next := b.directory.Upstreams(now)
 	if b.expiry != nil {
@@ -232,9 +258,9 @@
 	b.onUpstreams(list)
 }
 
-// serveHTTP serves one address with kratos' server until the returned function is called.
-func serveHTTP(ctx context.Context, address string, h http.Handler, log zerolog.Logger) (*kratoshttp.Server, error) {
-	l, err := dial.Listen(ctx, address)
+// serveHTTP serves one address with kratos' server until it is closed.
+func serveHTTP(ctx context.Context, opts Options, address string, h http.Handler) (*kratoshttp.Server, error) {
+	l, err := opts.Listen(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -245,7 +271,7 @@
 	srv.MaxHeaderBytes = maxHeaderBytes
 	go func() {
 		if err := srv.Server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			log.Error().Str("address", address).Err(err).Msg("serverEnded")
+			opts.Log.Error().Str("address", address).Err(err).Msg("serverEnded")
 		}
 	}()
 	return srv, nil
@@ -263,7 +289,7 @@
 
 // listenPeers opens the port for connections of nodes.
 func (b *base) listenPeers(ctx context.Context) (net.Listener, error) {
-	return dial.Listen(ctx, b.peerAddress())
+	return b.opts.Listen(ctx, b.peerAddress())
 }
 
 func (b *base) peerAddress() string {
@@ -309,3 +335,13 @@
 		},
 	}
 }
+
+// metricsPort is where every node serves its metrics.
+const metricsPort = 9091
+
+// serveMetrics serves the metrics on the VM's address until the server is closed.
+func serveMetrics(ctx context.Context, opts Options) (*kratoshttp.Server, error) {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", scrape.Handler(opts.Registry))
+	return serveHTTP(ctx, opts, net.JoinHostPort(opts.Settings.IP, strconv.Itoa(metricsPort)), mux)
+}
--- /dev/null
+++ b/io/node/site_test.go
@@ -0,0 +1,263 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mothcart/platform"
+	"mothcart/platform/fake"
+)
+
+const (
+	storeIP = "10.9.0.1"
+	pace    = 20 * time.Millisecond
+	// eventsOfStream is the length of the streams of the stand-in.
+	eventsOfStream = 20
+)
+
+// testSite is a whole site in virtual time: entry nodes e1 and e2, home nodes s1 and s2, three model
+// engines and one plain service.
+type testSite struct {
+	t       *testing.T
+	network *fake.Network
+	objects *fake.Objects
+	engines []*fake.Engine
+	desk    *fake.Engine
+	entries map[string]*Entry
+	homes   map[string]*HomeNode
+}
+
+// entryIP and homeIP are the addresses of the nodes.
+func entryIP(n int) string { return fmt.Sprintf("10.1.0.%d", n) }
+func homeIP(n int) string  { return fmt.Sprintf("10.2.0.%d", n) }
+func engineIP(n int) string {
+	return fmt.Sprintf("10.3.0.%d", n)
+}
+
+// runSite runs a test with a site that has a home.
+func runSite(t *testing.T, test func(t *testing.T, s *testSite)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &testSite{t: t, network: fake.NewNetwork(), entries: map[string]*Entry{}, homes: map[string]*HomeNode{}}
+		s.objects = fake.NewObjects(s.network, storeIP+":80")
+		s.writeConfig(1, nil)
+		for n := 1; n <= 3; n++ {
+			s.engines = append(s.engines, fake.NewEngine(s.network, fake.EngineOptions{
+				ID: fmt.Sprintf("i-%d", n), Service: "scribe", Address: engineIP(n) + ":80", Zone: "z1", Slots: 2, Born: 1,
+				Events: eventsOfStream, Pace: pace, Objects: s.objects,
+			}))
+		}
+		s.desk = fake.NewEngine(s.network, fake.EngineOptions{
+			ID: "i-9", Service: "desk", Address: engineIP(9) + ":80", Zone: "z1", Slots: 4, Born: 1, Pace: pace, Objects: s.objects,
+		})
+		s.startHome(1)
+		time.Sleep(time.Second)
+		s.startHome(2)
+		s.startEntry(1)
+		s.startEntry(2)
+		time.Sleep(time.Second)
+		defer s.close()
+		test(t, s)
+	})
+}
+
+func (s *testSite) close() {
+	for _, e := range s.entries {
+		e.Close()
+	}
+	for _, h := range s.homes {
+		h.Close()
+	}
+	for _, e := range append(s.engines, s.desk) {
+		e.Crash()
+	}
+	s.objects.Close()
+	time.Sleep(time.Minute) // timers of what was closed
+}
+
+// routes are those of the test's configurations; more are appended by tests.
+func routes() []map[string]any {
+	return []map[string]any{
+		{"name": "ask", "host": "h.example", "path_prefix": "/ask/", "kind": "streaming", "service": "scribe", "max_attempts": 2, "resumable": true, "timeout_ms": 5000, "target_latency_ms": 300, "gap_aim_ms": 600},
+		{"name": "once", "host": "h.example", "path_prefix": "/once/", "kind": "streaming", "service": "scribe", "max_attempts": 1, "timeout_ms": 5000, "target_latency_ms": 300, "gap_aim_ms": 600},
+		{"name": "fetch", "host": "h.example", "path_prefix": "/fetch/", "kind": "idempotent", "service": "desk", "max_attempts": 2, "timeout_ms": 2000, "target_latency_ms": 150},
+		{"name": "swap", "host": "h.example", "path_prefix": "/swap/", "kind": "non_idempotent", "service": "desk", "max_attempts": 1, "timeout_ms": 2000, "target_latency_ms": 150},
+		{"name": "lot", "host": "h.example", "path_prefix": "/lot/", "kind": "batch", "service": "scribe", "max_attempts": 3, "timeout_ms": 15000, "target_latency_ms": 400, "completion_target_ms": 18000, "max_wait_s": 60, "cap": 10000},
+	}
+}
+
+func (s *testSite) writeConfig(version int, more []map[string]any) {
+	s.objects.Write("config", "main", map[string]any{
+		"version": version, "routes": append(routes(), more...),
+		"services": []map[string]any{{"name": "scribe", "max_conns": 100, "engine": map[string]any{"slots": 2}}, {"name": "desk", "max_conns": 100}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
+
+func (s *testSite) options(id, ip string) Options {
+	log := zerolog.Nop()
+	if testing.Verbose() {
+		log = zerolog.New(s.t.Output()).With().Str("node", id).Logger()
+	}
+	o := NewOptions(platform.Settings{
+		VMID: id, AvailabilityZone: "z1", IP: ip, PeerPort: 7000, StoreAddress: storeIP + ":80", ValueBytes: 1 << 20,
+		Heartbeat: 1200 * time.Millisecond, Grace: 8 * time.Second, Drain: 2 * time.Second, ResultsKept: 2 * time.Minute,
+	}, "", log, metrics.NewRegistry())
+	o.Listen = s.network.Listen
+	o.Now = time.Now
+	o.Connect = func(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+		return func(ctx context.Context, _, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			return s.network.Dial(ctx, ip, address)
+		}
+	}
+	return o
+}
+
+func (s *testSite) startEntry(n int) {
+	o := s.options(fmt.Sprintf("e%d", n), entryIP(n))
+	o.Settings.CallerAddress, o.Settings.ReadyAddress = entryIP(n)+":80", entryIP(n)+":81"
+	e, err := NewEntry(s.t.Context(), o)
+	require.NoError(s.t, err)
+	s.entries[o.Settings.VMID] = e
+}
+
+func (s *testSite) startHome(n int) {
+	o := s.options(fmt.Sprintf("s%d", n), homeIP(n))
+	h, err := NewHomeNode(s.t.Context(), o)
+	require.NoError(s.t, err)
+	s.homes[o.Settings.VMID] = h
+}
+
+// killHome ends the process of a home node without any farewell.
+func (s *testSite) killHome(n int) {
+	id := fmt.Sprintf("s%d", n)
+	h := s.homes[id]
+	delete(s.homes, id)
+	s.network.Cut(homeIP(n), storeIP) // no last word to the object service
+	s.network.CloseHost(homeIP(n))
+	h.Close()
+	s.network.Heal(homeIP(n), storeIP)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// whole reports that the answer did not break off, closes that the connection ends with it.
+	whole, closes bool
+	took          time.Duration
+}
+
+// call sends one request to entry node n and reads the whole answer.
+func (s *testSite) call(ctx context.Context, n int, method, path, id, body string) reply {
+	began := time.Now()
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+		return s.network.Dial(ctx, "10.8.0.1", address)
+	}}}
+	defer client.CloseIdleConnections()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+entryIP(n)+":80"+path, strings.NewReader(body))
+	require.NoError(s.t, err)
+	r.Host = "h.example"
+	r.Header.Set(platform.RequestIDHeader, id)
+	resp, err := client.Do(r)
+	if err != nil {
+		return reply{took: time.Since(began)}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(bufio.NewReader(resp.Body))
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(b), whole: err == nil, closes: resp.Close, took: time.Since(began)}
+}
+
+// textOf joins the data of the events of a stream.
+func textOf(body string) string {
+	var lines []string
+	for line := range strings.SplitSeq(body, "\n") {
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			lines = append(lines, data)
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+// runsOf returns how often a request was run by all upstreams.
+func (s *testSite) runsOf(id string) int {
+	n := 0
+	for _, e := range append(s.engines, s.desk) {
+		n += e.Runs(id)
+	}
+	return n
+}
+
+// submitJob submits a job with items a0, a1, … of 100 tokens each.
+func (s *testSite) submitJob(n int, id string, items int) reply {
+	type item struct {
+		ID      string            `json:"id"`
+		Path    string            `json:"path"`
+		Headers map[string]string `json:"headers"`
+		Body    []byte            `json:"body"`
+		Tokens  int64             `json:"tokens"`
+	}
+	var list []item
+	for i := range items {
+		list = append(list, item{ID: fmt.Sprintf("%s.a%d", id, i), Path: "/lot/stream/1", Body: []byte("draft"), Tokens: 100})
+	}
+	b, err := json.Marshal(map[string]any{"items": list})
+	require.NoError(s.t, err)
+	return s.call(s.t.Context(), n, http.MethodPost, "/lot/1", id, string(b))
+}
+
+type resultsPage struct {
+	Total   int `json:"total"`
+	Next    int `json:"next"`
+	Results []struct {
+		ID    string `json:"id"`
+		State string `json:"state"`
+		Text  string `json:"text"`
+	} `json:"results"`
+}
+
+// readJob reads the results of a job from a position on.
+func (s *testSite) readJob(n int, id string, after int) (resultsPage, int) {
+	r := s.call(s.t.Context(), n, http.MethodGet, fmt.Sprintf("/lots/%s?after=%d", id, after), "r", "")
+	var p resultsPage
+	if r.status == http.StatusOK {
+		require.NoError(s.t, json.Unmarshal([]byte(r.body), &p))
+	}
+	return p, r.status
+}
+
+// awaitJob reads a job at a node until it is complete, and checks each result.
+func (s *testSite) awaitJob(n int, id string, within time.Duration) resultsPage {
+	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
+		p, status := s.readJob(n, id, 0)
+		if status != http.StatusOK || p.Next < p.Total {
+			continue
+		}
+		seen := map[string]bool{}
+		for _, r := range p.Results {
+			require.False(s.t, seen[r.ID], "item %s is listed twice", r.ID)
+			seen[r.ID] = true
+			if r.State == "completed" {
+				require.Equal(s.t, fake.WholeText(r.ID, eventsOfStream), r.Text)
+			}
+		}
+		return p
+	}
+	require.Fail(s.t, "job is not complete", "job %s after %s", id, within)
+	return resultsPage{}
+}
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -70,7 +70,17 @@
 // confirmPause is the time between two attempts at a write with an unknown outcome.
 const confirmPause = 50 * time.Millisecond
 
-// CreateConfirmed is c.Create, repeated until its outcome is known or the context ends. An object
+// confirmMargin is the time before the end of the context at which no further attempt is made, since
+// the end would leave its outcome unknown.
+const confirmMargin = 500 * time.Millisecond
+
+// endsWithin reports that the context ends within a time.
+func endsWithin(ctx context.Context, d time.Duration) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && time.Until(deadline) < d
+}
+
+// CreateConfirmed is c.Create, repeated until its outcome is known or the context is about to end. An object
 // that exists with an equal spec counts as created. It returns ErrConflict with the object that
 // exists, ErrUnavailable if no attempt had effect, or ErrUnknown if one may have.
 func CreateConfirmed(ctx context.Context, c Client, kind, name string, spec any) (Object, error) {
@@ -94,7 +104,7 @@
 		case !errors.Is(err, store.ErrUnavailable):
 			return Object{}, merry.Errorf("create %s/%s: %w", kind, name, err)
 		}
-		if waitErr := sleep(ctx, confirmPause); waitErr != nil {
+		if sleep(ctx, confirmPause) != nil || endsWithin(ctx, confirmMargin) {
 			if unknown {
 				return Object{}, merry.Errorf("create %s/%s: %w: %w", kind, name, store.ErrUnknown, err)
 			}
--- a/io/serve/operator.go
+++ b/io/serve/operator.go
@@ -1,17 +1,16 @@
 package serve
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"sort"
-	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"mothcart/io/operator"
+	"mothcart/io/scrape"
 	"mothcart/io/store"
 	"mothcart/io/upstream"
 )
@@ -46,7 +45,7 @@
 	mux.Handle("/v1/configuration/", operator.NewHandler(options))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	mux.HandleFunc("GET /readyz", s.serveReady)
-	mux.HandleFunc("GET /metrics", s.serveMetrics)
+	mux.HandleFunc("GET /metrics", scrape.Handler(s.opts.Registry).ServeHTTP)
 	mux.HandleFunc("GET "+PathVM, s.serveStatus)
 	mux.HandleFunc("POST "+PathDrain, s.serveDrain)
 	mux.HandleFunc("POST /v1/vms/{id}/leaving", s.serveLeaving)
@@ -109,53 +108,6 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
-// serveMetrics writes the metrics in the text form that Prometheus scrapers read.
-func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	var lines []string
-	s.opts.Registry.Each(func(name string, metric any) { lines = append(lines, metricLines(name, metric)...) })
-	sort.Strings(lines)
-	var b bytes.Buffer
-	for _, line := range lines {
-		b.WriteString(line + "\n")
-	}
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	_, _ = w.Write(b.Bytes())
-}
-
-// quantiles are those that timers and histograms show.
-var quantiles = []float64{0.5, 0.95, 0.99}
-
-// metricLines renders one metric; times are in seconds.
-func metricLines(name string, metric any) []string {
-	name = "mothcart_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
-	switch m := metric.(type) {
-	case metrics.Counter:
-		return []string{fmt.Sprintf("%s_total %d", name, m.Count())}
-	case metrics.Gauge:
-		return []string{fmt.Sprintf("%s %d", name, m.Value())}
-	case metrics.GaugeFloat64:
-		return []string{fmt.Sprintf("%s %g", name, m.Value())}
-	case metrics.Meter:
-		return []string{fmt.Sprintf("%s_total %d", name, m.Count())}
-	case metrics.Timer:
-		snapshot := m.Snapshot()
-		return summaryLines(name+"_seconds", snapshot.Count(), snapshot.Percentiles(quantiles), float64(time.Second))
-	case metrics.Histogram:
-		snapshot := m.Snapshot()
-		return summaryLines(name, snapshot.Count(), snapshot.Percentiles(quantiles), 1)
-	default:
-		return nil
-	}
-}
-
-func summaryLines(name string, count int64, values []float64, unit float64) []string {
-	lines := []string{fmt.Sprintf("%s_count %d", name, count)}
-	for i, q := range quantiles {
-		lines = append(lines, fmt.Sprintf("%s{quantile=%q} %g", name, fmt.Sprint(q), values[i]/unit))
-	}
-	return lines
-}
-
 // countedStore counts the calls to the object service by kind.
 func countedStore(c store.Client, r metrics.Registry) store.Client {
 	return store.Counted(c, func(kind string) { metrics.GetOrRegisterCounter("store."+kind, r).Inc(1) })
