Reach the home through another node when the own path is cut

Change: entry nodes pass connections on to the home; the home tells nodes of relays, writes and ends jobs for nodes without the object service, and says when it can't renew its lease, so that another one takes it. A call that got no connection counts as not sent.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -73,6 +73,8 @@
 	Forward *forward.Forwarder
 	Home    *home.Client
 	Objects object.Client
+	// ObjectsDown reports that this node doesn't reach the object service, though the home may.
+	ObjectsDown func() bool
 	// MaxJobBytes is the largest object that holds a job.
 	MaxJobBytes int
 	Now         func() time.Time
--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -16,7 +16,7 @@
 
 const (
 	// submitTimeout bounds the writing of a job.
-	submitTimeout = 2500 * time.Millisecond
+	submitTimeout = 1800 * time.Millisecond
 	// directTimeout bounds reads and writes of jobs in the object service.
 	directTimeout = 1500 * time.Millisecond
 	// directPoll is the time between two reads of the object service in one long poll.
@@ -54,7 +54,7 @@
 		http.Error(w, "too many tokens wait on this route", http.StatusTooManyRequests)
 		return
 	}
-	err = home.CreateJob(ctx, h.opts.Objects, job)
+	err = h.writeJob(ctx, job)
 	switch {
 	case err == nil:
 		h.logJob(id, "accepted", http.StatusAccepted, arrived, nil)
@@ -68,6 +68,18 @@
 	}
 }
 
+// writeJob writes a job: by the home if this node doesn't reach the object service, or by itself.
+func (h *Handler) writeJob(ctx context.Context, job batch.Job) error {
+	if !h.opts.ObjectsDown() {
+		return home.CreateJob(ctx, h.opts.Objects, job)
+	}
+	err := h.opts.Home.Submit(ctx, job)
+	if errors.Is(err, store.ErrUnavailable) && ctx.Err() == nil {
+		err = home.CreateJob(ctx, h.opts.Objects, job)
+	}
+	return err
+}
+
 // hasRoom asks the home whether a job fits. While no home can tell, jobs are accepted as long as the
 // route was far from its cap when a home said so last.
 func (h *Handler) hasRoom(ctx context.Context, route site.Route, job batch.Job) bool {
@@ -183,7 +195,11 @@
 func (h *Handler) endJob(w http.ResponseWriter, r *http.Request, c Call) {
 	ctx, cancel := context.WithTimeout(r.Context(), directTimeout)
 	defer cancel()
-	if err := home.EndJob(ctx, h.opts.Objects, c.Job); err != nil {
+	err := home.EndJob(ctx, h.opts.Objects, c.Job)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		err = h.opts.Home.EndJob(r.Context(), c.Job)
+	}
+	if err != nil {
 		h.failJobCall(w, c, "jobEnd", err)
 		return
 	}
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,8 +46,10 @@
 type ClientOptions struct {
 	VMID        string
 	Incarnation int64
-	Connect     func(ctx context.Context, network, address string) (net.Conn, error)
-	Now         func() time.Time
+	// Relay is where this node passes connections of others on to the home; empty if it doesn't.
+	Relay   string
+	Connect func(ctx context.Context, network, address string) (net.Conn, error)
+	Now     func() time.Time
 	// View is told what the home knows of a kind of objects.
 	View func(kind string, c object.Change)
 	Log  zerolog.Logger
@@ -61,9 +65,15 @@
 	done   sync.WaitGroup
 	wake   chan struct{}
 
-	mu        sync.Mutex
-	home      Announcement
-	conn      *link.Conn
+	mu   sync.Mutex
+	home Announcement
+	conn *link.Conn
+	// relayed reports that conn goes through another node.
+	relayed bool
+	// unsure reports that the home can't renew its lease.
+	unsure bool
+	// relays lists the nodes that pass connections on.
+	relays    []string
 	upstreams map[string]site.Upstream
 	// gone holds the upstreams that this node knows to be gone.
 	gone map[site.Key]bool
@@ -131,6 +141,13 @@
 // Connected reports that the home answers.
 func (c *Client) Connected() bool { return c.connection() != nil }
 
+// Sound reports that the home answers and can renew its lease.
+func (c *Client) Sound() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn != nil && !c.unsure
+}
+
 // Home returns the home that was announced last.
 func (c *Client) Home() Announcement {
 	c.mu.Lock()
@@ -153,7 +170,7 @@
 			c.sleep(ctx, time.Hour)
 			continue
 		}
-		conn, err := c.connect(ctx, a)
+		conn, err := c.connectAny(ctx, a)
 		if err != nil {
 			c.opts.Log.Debug().Str("home", a.VM).Int64("term", a.Term).Err(err).Msg("homeNotReached")
 			c.sleep(ctx, pause)
@@ -161,13 +178,70 @@
 			continue
 		}
 		pause = firstReconnect
+		c.stay(ctx, conn, a)
+		c.lost(conn, a)
+	}
+}
+
+// directInterval is the time between two attempts to replace a path through another node.
+const directInterval = 5 * time.Second
+
+// stay waits for the end of a connection. A path through another node is left as soon as the home can
+// be reached directly.
+func (c *Client) stay(ctx context.Context, conn *link.Conn, a Announcement) {
+	t := time.NewTicker(directInterval)
+	defer t.Stop()
+	for {
 		select {
 		case <-conn.Done():
+			return
 		case <-ctx.Done():
 			conn.Close()
+			return
+		case <-t.C:
+		}
+		if !c.isRelayed() {
+			continue
+		}
+		if probe, err := c.opts.Connect(ctx, "tcp", a.Address); err == nil {
+			_ = probe.Close() // it only shows that there is a path
+			conn.Close()
+			return
+		}
+	}
+}
+
+func (c *Client) isRelayed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relayed
+}
+
+// relayAttempts is the number of relays that are tried after the direct path.
+const relayAttempts = 2
+
+// connectAny opens a connection to the home: directly, or through another node.
+func (c *Client) connectAny(ctx context.Context, a Announcement) (*link.Conn, error) {
+	conn, err := c.connect(ctx, a, a.Address)
+	if err == nil {
+		return conn, nil
+	}
+	c.mu.Lock()
+	relays := slices.Clone(c.relays)
+	c.mu.Unlock()
+	rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
+	tried := 0
+	for _, relay := range relays {
+		if relay == c.opts.Relay || tried == relayAttempts || ctx.Err() != nil {
+			continue
+		}
+		tried++
+		if conn, relayErr := c.connect(ctx, a, relay); relayErr == nil {
+			c.opts.Log.Warn().Str("home", a.VM).Str("relay", relay).AnErr("direct", err).Msg("homeReachedByRelay")
+			return conn, nil
 		}
-		c.lost(conn, a)
 	}
+	return nil, err
 }
 
 func (c *Client) sleep(ctx context.Context, d time.Duration) {
@@ -180,10 +254,11 @@
 	}
 }
 
-func (c *Client) connect(ctx context.Context, a Announcement) (*link.Conn, error) {
+// connect opens a connection to the home at its own address or at that of a relay.
+func (c *Client) connect(ctx context.Context, a Announcement, address string) (*link.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	conn, err := link.Dial(ctx, c.opts.Connect, a.Address, link.Options{Handle: c.handle})
+	conn, err := link.Dial(ctx, c.opts.Connect, address, link.Options{Handle: c.handle})
 	if err != nil {
 		return nil, err
 	}
@@ -195,12 +270,12 @@
 	c.mu.Lock()
 	current := c.home.Term == a.Term
 	if current {
-		c.conn = conn
+		c.conn, c.relayed, c.unsure = conn, address != a.Address, false
 	}
 	c.mu.Unlock()
 	if !current || answer.Term != a.Term {
 		conn.Close()
-		return nil, merry.Errorf("node at %s has term %d, not %d: %w", a.Address, answer.Term, a.Term, ErrNoHome)
+		return nil, merry.Errorf("node at %s has term %d, not %d: %w", address, answer.Term, a.Term, ErrNoHome)
 	}
 	c.opts.Log.Info().Str("home", a.VM).Int64("term", a.Term).Msg("homeRegained")
 	return conn, nil
@@ -208,16 +283,37 @@
 
 // handle takes up what the home tells.
 func (c *Client) handle(_ *link.Conn, in link.Incoming) {
-	var m viewNotice
-	if err := in.Decode(&m); err != nil || in.Method != methodView {
-		c.opts.Log.Warn().Str("method", in.Method).AnErr("error", err).Msg("badMessage")
-		return
+	var err error
+	switch in.Method {
+	case methodView:
+		var m viewNotice
+		if err = in.Decode(&m); err == nil {
+			c.opts.View(m.Kind, m.Change)
+		}
+	case methodPeers:
+		var m peersNotice
+		if err = in.Decode(&m); err == nil {
+			c.mu.Lock()
+			c.relays = m.Relays
+			c.mu.Unlock()
+		}
+	case methodUnsure:
+		var m unsureNotice
+		if err = in.Decode(&m); err == nil {
+			c.mu.Lock()
+			c.unsure = m.Unsure
+			c.mu.Unlock()
+		}
+	default:
+		err = merry.New("unknown method")
+	}
+	if err != nil {
+		c.opts.Log.Warn().Str("method", in.Method).Err(err).Msg("badMessage")
 	}
-	c.opts.View(m.Kind, m.Change)
 }
 
 func (c *Client) hello() helloRequest {
-	h := helloRequest{VM: c.opts.VMID, Incarnation: c.opts.Incarnation}
+	h := helloRequest{VM: c.opts.VMID, Incarnation: c.opts.Incarnation, Relay: c.opts.Relay}
 	for _, g := range c.own.Grants() {
 		h.Open = append(h.Open, openedSlot{ID: g.Request.Key.ID, Service: g.Request.Service, Upstream: g.Upstream.ID})
 	}
--- a/io/home/clientjobs.go
+++ b/io/home/clientjobs.go
@@ -7,6 +7,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/batch"
+	"mothcart/io/store"
 )
 
 // Reservation is the home's word on room for a job.
@@ -71,6 +72,40 @@
 // NotifyEnded tells the home that a job was ended, ahead of the object service.
 func (c *Client) NotifyEnded(job string) { c.notify(methodEnded, endedNotice{Job: job}) }
 
+// writeCallTimeout bounds a write that the home makes for a node.
+const writeCallTimeout = 2 * time.Second
+
+// Submit lets the home write a job, for a node that doesn't reach the object service. Errors are
+// those of CreateJob; without a home it is store.ErrUnavailable.
+func (c *Client) Submit(ctx context.Context, job batch.Job) error {
+	return c.write(ctx, methodSubmit, submitRequest{ID: job.ID, Job: job})
+}
+
+// EndJob lets the home mark a job as ended. Errors are those of the function EndJob.
+func (c *Client) EndJob(ctx context.Context, job string) error {
+	return c.write(ctx, methodEnd, endRequest{Job: job})
+}
+
+func (c *Client) write(ctx context.Context, method string, req any) error {
+	if !c.Connected() {
+		return merry.Errorf("%s: %w: %w", method, ErrNoHome, store.ErrUnavailable)
+	}
+	var a writeAnswer
+	if err := c.call(ctx, writeCallTimeout, method, req, &a); err != nil {
+		return merry.Errorf("%s: %w: %w", method, store.ErrUnknown, err)
+	}
+	switch a.Outcome {
+	case writeDone:
+		return nil
+	case writeNotDone:
+		return merry.Errorf("%s at the home: %w", method, store.ErrUnavailable)
+	case writeNotFound:
+		return merry.Errorf("%s at the home: %w", method, store.ErrNotFound)
+	default:
+		return merry.Errorf("%s at the home: %w", method, store.ErrUnknown)
+	}
+}
+
 func (c *Client) call(ctx context.Context, timeout time.Duration, method string, req, resp any) error {
 	conn := c.connection()
 	if conn == nil {
--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -48,7 +48,7 @@
 	// Address is where nodes reach this one.
 	Address string
 	Objects object.Client
-	// Reached reports that this node is connected to the home of the announced term.
+	// Reached reports that this node is connected to a home that can renew its lease.
 	Reached func() bool
 	// Start begins to be the home and returns what ends it.
 	Start func(term int64, valid func(now time.Time) bool) (stop func())
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -40,6 +40,7 @@
 	"mothcart/io/link"
 	"mothcart/io/object"
 	"mothcart/io/service"
+	"mothcart/io/store"
 )
 
 // Options are the parts that a Home works with; all are required.
@@ -127,6 +128,8 @@
 // session is one node's connection.
 type session struct {
 	owner string
+	// relay is where the node passes connections on; empty if it doesn't.
+	relay string
 }
 
 // Handle answers a message of a node; s is nil until the node has introduced itself.
@@ -169,18 +172,51 @@
 		}
 		h.endJob(m.Job)
 		return nil
+	case methodSubmit:
+		var m submitRequest
+		if err := in.Decode(&m); err != nil {
+			return err
+		}
+		m.Job.ID = m.ID
+		go h.write(in, func(ctx context.Context) error { return CreateJob(ctx, h.opts.Objects, m.Job) })
+		return nil
+	case methodEnd:
+		var m endRequest
+		if err := in.Decode(&m); err != nil {
+			return err
+		}
+		go h.write(in, func(ctx context.Context) error { return EndJob(ctx, h.opts.Objects, m.Job) })
+		return nil
 	default:
 		return merry.Errorf("unknown method %s", in.Method)
 	}
 }
 
+// write makes a write for a node and answers its outcome.
+func (h *Home) write(in link.Incoming, write func(ctx context.Context) error) {
+	ctx, cancel := context.WithTimeout(h.ctx, writeCallTimeout)
+	defer cancel()
+	err := write(ctx)
+	outcome := writeUnknown
+	switch {
+	case err == nil:
+		outcome = writeDone
+	case errors.Is(err, store.ErrNotFound):
+		outcome = writeNotFound
+	case errors.Is(err, store.ErrUnavailable):
+		outcome = writeNotDone
+	}
+	h.opts.Log.Info().Str("method", in.Method).Int("outcome", int(outcome)).AnErr("error", err).Msg("writtenForNode")
+	in.Answer(writeAnswer{Outcome: outcome})
+}
+
 func (h *Home) hello(in link.Incoming) *session {
 	var m helloRequest
 	if err := in.Decode(&m); err != nil {
 		in.Fail(err)
 		return nil
 	}
-	s := &session{owner: h.owner(m.VM, m.Incarnation)}
+	s := &session{owner: h.owner(m.VM, m.Incarnation), relay: m.Relay}
 	for _, o := range m.Open {
 		h.desk.Adopt(slot.Request{Key: slot.Key{Owner: s.owner, ID: o.ID}, Service: o.Service}, o.Upstream)
 	}
@@ -286,6 +322,30 @@
 	s.server.Each(func(c *link.Conn) { c.Notify(methodView, viewNotice{Kind: kind, Change: object.Change{Events: news}}) })
 }
 
+// TellUnsure tells all nodes whether the home can renew its lease.
+func (s *Server) TellUnsure(unsure bool) {
+	s.server.Each(func(c *link.Conn) { c.Notify(methodUnsure, unsureNotice{Unsure: unsure}) })
+}
+
+// maxRelays is the number of relays that a node is told of.
+const maxRelays = 6
+
+// TellRelays tells each node of some others that pass connections on to the home.
+func (s *Server) TellRelays() {
+	s.mu.Lock()
+	var relays []string
+	for _, session := range s.sessions {
+		if session != nil && session.relay != "" {
+			relays = append(relays, session.relay)
+		}
+	}
+	s.mu.Unlock()
+	s.server.Each(func(c *link.Conn) {
+		rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
+		c.Notify(methodPeers, peersNotice{Relays: relays[:min(len(relays), maxRelays)]})
+	})
+}
+
 // Close ends all connections.
 func (s *Server) Close() { s.server.Close() }
 
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -19,15 +19,22 @@
 	methodRead    = "read"
 	methodItem    = "item"
 	methodEnded   = "ended"
-	// methodView goes from the home to the nodes.
-	methodView = "view"
+	methodSubmit  = "submit"
+	methodEnd     = "end"
+	// methodView and methodPeers go from the home to the nodes.
+	methodView  = "view"
+	methodPeers = "peers"
+	// methodUnsure tells that the home can't renew its lease, or that it can again.
+	methodUnsure = "unsure"
 )
 
 // helloRequest introduces a node with the slots that it uses.
 type helloRequest struct {
-	VM          string       `msgpack:"vm"`
-	Incarnation int64        `msgpack:"inc"`
-	Open        []openedSlot `msgpack:"open"`
+	VM          string `msgpack:"vm"`
+	Incarnation int64  `msgpack:"inc"`
+	// Relay is where the node passes connections on to the home; empty if it doesn't.
+	Relay string       `msgpack:"relay,omitempty"`
+	Open  []openedSlot `msgpack:"open"`
 }
 
 type openedSlot struct {
@@ -129,3 +136,38 @@
 	Kind   string        `msgpack:"kind"`
 	Change object.Change `msgpack:"change"`
 }
+
+// peersNotice tells a node where it may find a path to the home when its own is cut.
+type peersNotice struct {
+	Relays []string `msgpack:"relays"`
+}
+
+// submitRequest asks the home to write a job, for a node that doesn't reach the object service.
+type submitRequest struct {
+	ID  string    `msgpack:"id"`
+	Job batch.Job `msgpack:"job"`
+}
+
+// endRequest asks the home to mark a job as ended.
+type endRequest struct {
+	Job string `msgpack:"job"`
+}
+
+// writeAnswer tells what became of a write.
+type writeAnswer struct {
+	Outcome writeOutcome `msgpack:"out"`
+}
+
+type writeOutcome int
+
+const (
+	writeDone writeOutcome = iota + 1
+	// writeNotDone means that the write had no effect.
+	writeNotDone
+	writeUnknown
+	writeNotFound
+)
+
+type unsureNotice struct {
+	Unsure bool `msgpack:"unsure"`
+}
--- /dev/null
+++ b/io/home/relay.go
@@ -0,0 +1,102 @@
+package home
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// relayBuffer is the size of the buffer of each direction of a relayed connection, in bytes.
+const relayBuffer = 4 << 10
+
+// Relay passes connections of nodes on to the home, for nodes whose own path to it is cut. It passes
+// on only while its own client reaches the home directly, so that relays never form a chain.
+type Relay struct {
+	client   *Client
+	listener net.Listener
+	done     sync.WaitGroup
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// NewRelay starts to pass connections on and closes the listener at its end.
+func NewRelay(l net.Listener, c *Client) *Relay {
+	r := &Relay{client: c, listener: l, conns: make(map[net.Conn]struct{})}
+	r.done.Go(r.accept)
+	return r
+}
+
+// Close ends the relay and all relayed connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+	r.mu.Unlock()
+	r.done.Wait()
+}
+
+func (r *Relay) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return // the listener was closed
+		}
+		r.done.Go(func() { r.serve(c) })
+	}
+}
+
+func (r *Relay) serve(near net.Conn) {
+	defer near.Close()
+	if !r.client.Connected() || r.client.isRelayed() {
+		return
+	}
+	home := r.client.Home()
+	ctx, cancel := context.WithTimeout(context.Background(), helloTimeout)
+	defer cancel()
+	far, err := r.client.opts.Connect(ctx, "tcp", home.Address)
+	if err != nil {
+		r.client.opts.Log.Warn().Str("home", home.VM).Err(err).Msg("relayFailed")
+		return
+	}
+	defer far.Close()
+	r.client.opts.Log.Info().Str("node", near.RemoteAddr().String()).Str("home", home.VM).Msg("relayOpened")
+	r.mu.Lock()
+	r.conns[near], r.conns[far] = struct{}{}, struct{}{}
+	r.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { passOn(far, near) })
+	both.Go(func() { passOn(near, far) })
+	both.Wait()
+	r.mu.Lock()
+	delete(r.conns, near)
+	delete(r.conns, far)
+	r.mu.Unlock()
+}
+
+// passOn copies from one connection to another until either ends or is silent, and closes both.
+func passOn(dst, src net.Conn) {
+	defer dst.Close()
+	defer src.Close()
+	buf := make([]byte, relayBuffer)
+	for {
+		if src.SetReadDeadline(time.Now().Add(relaySilence)) != nil {
+			return
+		}
+		n, err := src.Read(buf)
+		if n > 0 {
+			if _, writeErr := dst.Write(buf[:n]); writeErr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// relaySilence ends a relayed connection without a byte, whose ends send heartbeats more often.
+const relaySilence = 2 * time.Second
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -15,6 +15,7 @@
 	"mothcart/core/site"
 	"mothcart/io/entry"
 	"mothcart/io/forward"
+	"mothcart/io/home"
 	"mothcart/platform"
 )
 
@@ -32,6 +33,7 @@
 	handler   *entry.Handler
 	callers   *kratoshttp.Server
 	readiness *kratoshttp.Server
+	relay     *home.Relay
 	draining  atomic.Bool
 	askID     atomic.Uint64
 }
@@ -42,7 +44,7 @@
 	if opts.Settings.CallerAddress == "" {
 		return nil, merry.New("settings: no address for callers on this VM")
 	}
-	b := newBase(opts)
+	b := newBase(opts, true)
 	e := &Entry{base: b}
 	forwarder := forward.New(forward.Options{
 		Client: b.upstream, Wire: platform.Wire(), Acquire: b.client.Acquire,
@@ -50,7 +52,7 @@
 		AvailabilityZone: opts.Settings.AvailabilityZone, Log: opts.Log, Registry: opts.Registry,
 	})
 	e.handler = entry.New(entry.Options{
-		Codec: platform.Codec(), Forward: forwarder, Home: b.client, Objects: b.objects, MaxJobBytes: opts.Settings.ValueBytes,
+		Codec: platform.Codec(), Forward: forwarder, Home: b.client, Objects: b.objects, ObjectsDown: b.objectsDown, MaxJobBytes: opts.Settings.ValueBytes,
 		Now: opts.Now, TimeOfDay: time.Now, Log: opts.Log, Registry: opts.Registry,
 	})
 	b.onConfig = e.handler.SetConfig
@@ -64,6 +66,12 @@
 		e.Close()
 		return nil, err
 	}
+	l, err := b.listenPeers(ctx)
+	if err != nil {
+		e.Close()
+		return nil, err
+	}
+	e.relay = home.NewRelay(l, b.client)
 	if b.metrics, err = serveMetrics(ctx, opts); err != nil {
 		e.Close()
 		return nil, err
@@ -101,6 +109,9 @@
 func (e *Entry) Close() {
 	e.base.closeServer(e.callers)
 	e.base.closeServer(e.readiness)
+	if e.relay != nil {
+		e.relay.Close()
+	}
 	e.base.close()
 }
 
--- a/io/node/fault_test.go
+++ b/io/node/fault_test.go
@@ -286,3 +286,27 @@
 		<-ended
 	})
 }
+
+// A zone of entry nodes loses its path to the home, but not that to other entry nodes.
+func TestEntryCutOffFromTheHomeFindsItThroughAnother(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		time.Sleep(3 * time.Second)
+		s.submitJob(2, "j1", 40)
+		for n := 1; n <= 2; n++ {
+			s.network.Cut(entryIP(1), homeIP(n))
+		}
+		s.network.Cut(entryIP(1), storeIP)
+		time.Sleep(2 * time.Second)
+		require.True(t, s.entries["e1"].base.client.Connected())
+		for i := range 4 {
+			r := s.call(t.Context(), 1, http.MethodPost, "/ask/stream/1", fmt.Sprintf("r%d", i), "")
+			require.Equal(t, http.StatusOK, r.status)
+			require.Less(t, r.took, (eventsOfStream+3)*pace, "batch gave its slot")
+		}
+		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j2", 2).status, "the home writes the job")
+		s.awaitJob(1, "j2", 18*time.Second)
+		s.writeConfig(2, []map[string]any{{"name": "new", "host": "h.example", "path_prefix": "/new/", "kind": "idempotent", "service": "desk", "max_attempts": 2, "timeout_ms": 2000, "target_latency_ms": 150}})
+		time.Sleep(2 * time.Second)
+		require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodPost, "/new/1", "r9", "").status)
+	})
+}
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -25,7 +25,7 @@
 // NewHomeNode starts a node that seeks to be the home.
 func NewHomeNode(ctx context.Context, opts Options) (*HomeNode, error) {
 	quietKratos()
-	b := newBase(opts)
+	b := newBase(opts, false)
 	l, err := b.listenPeers(ctx)
 	if err != nil {
 		b.close()
@@ -43,7 +43,7 @@
 	b.follow(n.verify)
 	n.elector = home.NewElector(home.ElectorOptions{
 		VMID: opts.Settings.VMID, Incarnation: b.incarnation, Address: b.peerAddress(), Objects: b.objects,
-		Reached: b.client.Connected, Start: n.start, Now: opts.Now, Log: opts.Log,
+		Reached: b.client.Sound, Start: n.start, Now: opts.Now, Log: opts.Log,
 	})
 	opts.Log.Info().Str("vm", opts.Settings.VMID).Str("peers", b.peerAddress()).Int64("incarnation", b.incarnation).Msg("homeNodeStarted")
 	return n, nil
@@ -104,6 +104,38 @@
 	return out
 }
 
+const (
+	// relaysInterval is the time between two notices of the nodes that pass connections on.
+	relaysInterval = 2 * time.Second
+	// unsureInterval is the time between two notices whether the lease can be renewed.
+	unsureInterval = 500 * time.Millisecond
+	// unsureMargin is how long before the end of its lease a home says that it can't renew it, so that
+	// another one is ready to take it.
+	unsureMargin = time.Second
+)
+
+// tell tells the nodes of relays and of the state of the lease until the home has ended.
+func (n *HomeNode) tell(valid func(now time.Time) bool, ended <-chan struct{}) {
+	relays, unsure := time.NewTicker(relaysInterval), time.NewTicker(unsureInterval)
+	defer relays.Stop()
+	defer unsure.Stop()
+	wasUnsure := false
+	for {
+		select {
+		case <-ended:
+			return
+		case <-relays.C:
+			n.server.TellRelays()
+		case <-unsure.C:
+			isUnsure := !valid(n.base.opts.Now().Add(unsureMargin))
+			if isUnsure || wasUnsure {
+				n.server.TellUnsure(isUnsure)
+			}
+			wasUnsure = isUnsure
+		}
+	}
+}
+
 // start begins to be the home.
 func (n *HomeNode) start(term int64, valid func(now time.Time) bool) func() {
 	o := n.base.opts
@@ -119,7 +151,10 @@
 	n.mu.Unlock()
 	h.SetUpstreams(list)
 	n.server.SetHome(h)
+	ended := make(chan struct{})
+	go n.tell(valid, ended)
 	return func() {
+		close(ended)
 		n.mu.Lock()
 		n.home = nil
 		n.mu.Unlock()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -78,7 +78,9 @@
 	mu        sync.Mutex
 	config    site.Config
 	directory site.Directory
-	expiry    *time.Timer
+	// down reports that the object service doesn't answer this node.
+	down   bool
+	expiry *time.Timer
 
 	// mirrors holds the kinds that nodes also learn from the home.
 	mirrors map[string]*object.Mirror
@@ -86,7 +88,9 @@
 	onNews func(kind string, news []object.Event)
 }
 
-func newBase(opts Options) *base {
+// newBase returns the common part of a node; relays tells that the node passes connections on to the
+// home.
+func newBase(opts Options, relays bool) *base {
 	s := opts.Settings
 	b := &base{
 		opts:        opts,
@@ -96,8 +100,12 @@
 			WithOneCallPerConnection().WithDial(opts.Connect(connectTimeout))),
 	}
 	b.mirrors = map[string]*object.Mirror{platform.KindConfig: object.NewMirror(), platform.KindUpstreams: object.NewMirror()}
+	relay := ""
+	if relays {
+		relay = b.peerAddress()
+	}
 	b.client = home.NewClient(home.ClientOptions{
-		VMID: s.VMID, Incarnation: b.incarnation, Connect: opts.Connect(connectTimeout), Now: opts.Now,
+		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, Connect: opts.Connect(connectTimeout), Now: opts.Now,
 		View: b.receive, Log: opts.Log,
 	})
 	return b
@@ -225,6 +233,12 @@
 	b.publishUpstreams()
 }
 
+func (b *base) objectsDown() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.down
+}
+
 func (b *base) decodeUpstream(o object.Object) (site.Upstream, bool) {
 	u, err := platform.DecodeUpstream(o)
 	if err != nil {
@@ -236,6 +250,7 @@
 
 func (b *base) upstreamsDown(down bool) {
 	b.mu.Lock()
+	b.down = down
 	b.directory = b.directory.WithDown(b.opts.Now(), down)
 	b.mu.Unlock()
 	b.publishUpstreams()
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -16,13 +16,12 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/textproto"
 	"strings"
 	"sync/atomic"
 
 	"github.com/ansel1/merry/v2"
-
-	"mothcart/io/dial"
 )
 
 // Client calls plain services. It is safe for concurrent use.
@@ -96,10 +95,12 @@
 	r.Host = call.Host
 	r.Header = EndToEnd(call.Header)
 	r.Header.Set(c.requestIDHeader, call.RequestID)
-	resp, err := c.transport.RoundTrip(r)
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := c.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		c.transport.CloseIdleConnections()
-		return Answer{}, &Failure{Sent: !dial.Failed(err), err: merry.Errorf("round trip: %w", err)}
+		return Answer{}, &Failure{Sent: connected.Load(), err: merry.Errorf("round trip: %w", err)}
 	}
 	if got := resp.Header.Get(c.requestIDHeader); got != "" && got != call.RequestID {
 		resp.Body.Close()
