Take a lost home's place sooner and accept jobs at cut-off nodes

Change: a job's write is hedged by the home after 120 ms; a quiet home's lease is looked at before its connection is given up, renewals come each 400 ms; an upstream that reports waiting requests counts as used by others for a while.

--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -152,12 +152,17 @@
 	return p.serveAll(now)
 }
 
-// Report counts what an upstream says of its load: running and waiting requests of all VMs.
+// Report counts what an upstream says of its load: running and waiting requests of all VMs. Unless
+// all reports are trusted, only one with waiting requests counts: where a pool knows all requests
+// nothing waits inside an upstream, so that others use its slots, such as requests of a process that
+// has vanished.
 func (p *Pool) Report(now time.Time, upstreamID string, running, waiting int) {
-	if u := p.upstreams[upstreamID]; u != nil && p.opts.TrustReports {
-		u.others = max(running+waiting-u.used, 0)
-		u.reported = now
+	u := p.upstreams[upstreamID]
+	if u == nil || (!p.opts.TrustReports && waiting == 0) {
+		return
 	}
+	u.others = max(running+waiting-u.used, 0)
+	u.reported = now
 }
 
 // Tick ends waits that are over and serves upstreams whose pause is over.
--- a/core/slot/upstream.go
+++ b/core/slot/upstream.go
@@ -48,7 +48,7 @@
 const trialFailures = 2
 
 func (u *upstream) load(now time.Time, opts Options) int {
-	if opts.TrustReports && now.Sub(u.reported) < opts.ReportAge {
+	if now.Sub(u.reported) < opts.ReportAge {
 		return u.used + u.others
 	}
 	return u.used
--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -17,6 +17,8 @@
 const (
 	// submitTimeout bounds the writing of a job.
 	submitTimeout = 1800 * time.Millisecond
+	// reserveTimeout bounds the question whether a job has room, which the home answers from memory.
+	reserveTimeout = 100 * time.Millisecond
 	// directTimeout bounds reads and writes of jobs in the object service.
 	directTimeout = 1500 * time.Millisecond
 	// directPoll is the time between two reads of the object service in one long poll.
@@ -68,22 +70,61 @@
 	}
 }
 
-// writeJob writes a job: by the home if this node doesn't reach the object service, or by itself.
+// hedgeAfter is how long a write of a job may take before the home is asked to make the same write; a
+// calm object service answers in a few milliseconds.
+const hedgeAfter = 120 * time.Millisecond
+
+// writeJob writes a job by itself and, if that takes long or fails, by the home, which may reach the
+// object service when this node doesn't. The same job written twice is one job. The error is
+// ErrUnavailable only if neither write had effect.
 func (h *Handler) writeJob(ctx context.Context, job batch.Job) error {
-	if !h.opts.ObjectsDown() {
-		return home.CreateJob(ctx, h.opts.Objects, job)
+	results := make(chan error, 2)
+	pending := 1
+	start := func(write func(context.Context, batch.Job) error) { go func() { results <- write(ctx, job) }() }
+	direct := func(ctx context.Context, job batch.Job) error { return home.CreateJob(ctx, h.opts.Objects, job) }
+	hedge := time.NewTimer(hedgeAfter)
+	defer hedge.Stop()
+	if h.opts.ObjectsDown() {
+		start(h.opts.Home.Submit)
+	} else {
+		start(direct)
 	}
-	err := h.opts.Home.Submit(ctx, job)
-	if errors.Is(err, store.ErrUnavailable) && ctx.Err() == nil {
-		err = home.CreateJob(ctx, h.opts.Objects, job)
+	hedged := false
+	var last error
+	for pending > 0 {
+		fire := false
+		select {
+		case err := <-results:
+			pending--
+			if err == nil {
+				return nil
+			}
+			if last == nil || !errors.Is(err, store.ErrUnavailable) {
+				last = err
+			}
+			fire = !hedged
+		case <-hedge.C:
+			fire = !hedged
+		}
+		if fire && ctx.Err() == nil {
+			hedged = true
+			pending++
+			if h.opts.ObjectsDown() {
+				start(direct)
+			} else {
+				start(h.opts.Home.Submit)
+			}
+		}
 	}
-	return err
+	return last
 }
 
 // hasRoom asks the home whether a job fits. While no home can tell, jobs are accepted as long as the
 // route was far from its cap when a home said so last.
 func (h *Handler) hasRoom(ctx context.Context, route site.Route, job batch.Job) bool {
-	reservation, err := h.opts.Home.Reserve(ctx, job)
+	reserve, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	reservation, err := h.opts.Home.Reserve(reserve, job)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err == nil {
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -35,6 +35,8 @@
 	Attempt
 	// Silence is the longest time without a byte; 0 means no bound.
 	Silence time.Duration
+	// Loaded is told of the upstream's load as soon as the headers of its answer say it.
+	Loaded func(m Marks)
 }
 
 // Answer is what an attempt brought. Status is 0 if there was no answer; Err is then set.
@@ -92,6 +94,9 @@
 	defer resp.Body.Close()
 	guard.reset()
 	a := Answer{Status: resp.Status, Header: resp.Header, Marks: wire.Read(resp.Header), Sent: true}
+	if a.Marks.HasLoad {
+		call.Loaded(a.Marks)
+	}
 	if a.Success() && !a.Marks.Signed {
 		return Answer{Sent: true, Err: merry.Errorf("status %d: %w", a.Status, errUnsigned)}
 	}
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -142,6 +142,7 @@
 		ID: x.req.ID, Method: x.req.Method, Host: x.req.Host, Path: x.req.Path, Header: x.req.Header, Body: x.req.Body,
 		Attempt: Attempt{Upstream: lease.Upstream, Left: x.req.Deadline.Sub(x.f.opts.Now()), LastEventID: lastID},
 		Silence: x.silence(),
+		Loaded:  func(m Marks) { lease.Report(x.f.opts.Now(), m.Running, m.Waiting) },
 	}
 	var sink *Sink
 	if x.req.Route.Kind == site.Streaming {
@@ -153,9 +154,6 @@
 // finish releases the slot and answers the caller, or returns false if another attempt follows.
 func (x *exchange) finish(ctx context.Context, lease Lease, a Answer) bool {
 	now := x.f.opts.Now()
-	if a.Marks.HasLoad {
-		lease.Report(now, a.Marks.Running, a.Marks.Waiting)
-	}
 	result := a.Result(ctx)
 	lease.Release(now, result)
 	refused := a.Marks.NotRun || a.Status == http.StatusMisdirectedRequest
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -141,11 +141,14 @@
 // Connected reports that the home answers.
 func (c *Client) Connected() bool { return c.connection() != nil }
 
+// quietLimit is the time without a heartbeat of the home after which a node looks at its lease.
+const quietLimit = 400 * time.Millisecond
+
 // Sound reports that the home answers and can renew its lease.
 func (c *Client) Sound() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.conn != nil && !c.unsure
+	return c.conn != nil && !c.unsure && c.conn.Quiet() < quietLimit
 }
 
 // Home returns the home that was announced last.
@@ -381,10 +384,19 @@
 			c.own.Release(r.Key, result)
 			c.notify(methodRelease, releaseNotice{ID: r.Key.ID, Result: result})
 		},
-		Report: func(_ time.Time, running, waiting int) { c.own.Report(u.ID, running, waiting) },
+		Report: func(_ time.Time, running, waiting int) { c.report(u.ID, running, waiting) },
 	}, nil, nil
 }
 
+// report counts what an upstream says of its load. Requests that wait inside an upstream show that
+// slots are in use that the home doesn't know of.
+func (c *Client) report(upstream string, running, waiting int) {
+	c.own.Report(upstream, running, waiting)
+	if waiting > 0 {
+		c.notify(methodReport, reportNotice{Upstream: upstream, Running: running, Waiting: waiting})
+	}
+}
+
 // notify tells the home that is connected now, which may be another one than the one that granted.
 func (c *Client) notify(method string, msg any) {
 	if conn := c.connection(); conn != nil {
@@ -422,6 +434,6 @@
 			c.own.Release(r.Key, result)
 			c.notify(methodRelease, releaseNotice{ID: r.Key.ID, Result: result})
 		},
-		Report: func(_ time.Time, running, waiting int) { c.own.Report(u.ID, running, waiting) },
+		Report: func(_ time.Time, running, waiting int) { c.report(u.ID, running, waiting) },
 	}
 }
--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -17,15 +17,15 @@
 
 const (
 	// renewInterval is the time between two renewals of the lease.
-	renewInterval = 500 * time.Millisecond
+	renewInterval = 400 * time.Millisecond
 	// leaseTime is how long a home is sure of its lease after the start of a renewal.
 	leaseTime = 2 * time.Second
 	// takeoverAfter is how long a lease must have stayed unchanged before a node that can't reach the
 	// home takes it: a renewal that was missed, and the time of a slow one.
-	takeoverAfter = 900 * time.Millisecond
-	// lookInterval is the time between two looks at the lease while the home can't be reached.
+	takeoverAfter = 750 * time.Millisecond
+	// lookInterval is the time between two looks at the lease while the home does not seem sound.
 	lookInterval = 200 * time.Millisecond
-	// idleInterval is the time between two looks while the home is reached.
+	// idleInterval is the time between two looks at the home while it is sound.
 	idleInterval = 100 * time.Millisecond
 	// leaseCallTimeout bounds one call about the lease.
 	leaseCallTimeout = 1500 * time.Millisecond
@@ -48,8 +48,8 @@
 	// Address is where nodes reach this one.
 	Address string
 	Objects object.Client
-	// Reached reports that this node is connected to a home that can renew its lease.
-	Reached func() bool
+	// Sound reports that this node is connected to a home that can renew its lease.
+	Sound func() bool
 	// Start begins to be the home and returns what ends it.
 	Start func(term int64, valid func(now time.Time) bool) (stop func())
 	Now   func() time.Time
@@ -87,7 +87,7 @@
 
 func (e *Elector) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if e.opts.Reached() {
+		if e.opts.Sound() {
 			e.seenSince = time.Time{}
 			pause(ctx, idleInterval)
 			continue
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -159,6 +159,13 @@
 		}
 		h.desk.Release(slot.Key{Owner: s.owner, ID: m.ID}, m.Result)
 		return nil
+	case methodReport:
+		var m reportNotice
+		if err := in.Decode(&m); err != nil {
+			return err
+		}
+		h.desk.Report(m.Upstream, m.Running, m.Waiting)
+		return nil
 	case methodReserve:
 		return h.reserve(in)
 	case methodRead:
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -153,6 +153,7 @@
 	a := forward.Do(ctx, h.opts.Client, h.opts.Wire, forward.Call{
 		ID: r.item.ID, Method: http.MethodPost, Host: host, Path: r.item.Path, Header: header, Body: r.item.Body,
 		Attempt: forward.Attempt{Upstream: g.Upstream, LastEventID: r.lastID}, Silence: itemSilence,
+		Loaded: func(m forward.Marks) { h.desk.Report(g.Upstream.ID, m.Running, m.Waiting) },
 	}, &forward.Sink{
 		Start: func(int, http.Header) error { return nil },
 		Event: func(e forward.Event, _ bool) error { r.add(e); return nil },
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -19,6 +19,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -36,9 +37,9 @@
 
 const (
 	// heartbeat is the longest time without a frame from a side that lives.
-	heartbeat = 250 * time.Millisecond
+	heartbeat = 200 * time.Millisecond
 	// silence is the time without a byte after which a connection is closed.
-	silence = 900 * time.Millisecond
+	silence = 650 * time.Millisecond
 	// maxFrame bounds a frame in bytes; the largest holds a page of results.
 	maxFrame = 4 << 20
 	// maxQueued bounds the frames that wait to be written.
@@ -112,6 +113,8 @@
 	queue  chan []byte
 	closed chan struct{}
 	once   sync.Once
+	// heard is when the last byte came, in nanoseconds of the Unix epoch.
+	heard atomic.Int64
 
 	mu     sync.Mutex
 	nextID uint64
@@ -136,6 +139,7 @@
 		closed: make(chan struct{}),
 		calls:  make(map[uint64]chan<- frame),
 	}
+	c.heard.Store(time.Now().UnixNano())
 	go c.read()
 	go c.write()
 	return c
@@ -144,6 +148,9 @@
 // RemoteAddr is host:port of the other side.
 func (c *Conn) RemoteAddr() string { return c.conn.RemoteAddr().String() }
 
+// Quiet returns how long nothing has come from the other side.
+func (c *Conn) Quiet() time.Duration { return time.Duration(time.Now().UnixNano() - c.heard.Load()) }
+
 // Done is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.closed }
 
@@ -241,6 +248,7 @@
 			c.fail(merry.Errorf("read: %w", err))
 			return
 		}
+		c.heard.Store(time.Now().UnixNano())
 		var f frame
 		if err := msgframe.Decode(b, &f); err != nil {
 			c.fail(merry.Errorf("decode frame: %w", err))
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -43,7 +43,7 @@
 	b.follow(n.verify)
 	n.elector = home.NewElector(home.ElectorOptions{
 		VMID: opts.Settings.VMID, Incarnation: b.incarnation, Address: b.peerAddress(), Objects: b.objects,
-		Reached: b.client.Sound, Start: n.start, Now: opts.Now, Log: opts.Log,
+		Sound: b.client.Sound, Start: n.start, Now: opts.Now, Log: opts.Log,
 	})
 	opts.Log.Info().Str("vm", opts.Settings.VMID).Str("peers", b.peerAddress()).Int64("incarnation", b.incarnation).Msg("homeNodeStarted")
 	return n, nil
