--- /dev/null
+++ b/core/site/site_test.go
@@ -0,0 +1,77 @@
+package site
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	cfg := NewConfig(1, []Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/"},
+	}, nil, Limits{})
+	for _, tc := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.Example:8080", "/x/yy", "short"},
+		{"a.example", "/x", ""},
+		{"b.example", "/x/y/", "other"},
+		{"c.example", "/x/", ""},
+	} {
+		r, ok := cfg.Match(tc.host, tc.path)
+		require.Equal(t, tc.want != "", ok, tc)
+		require.Equal(t, tc.want, r.Name, tc)
+	}
+}
+
+func TestServiceFollowsWeights(t *testing.T) {
+	r := Route{Targets: []Target{{"a", 90}, {"b", 10}, {"c", 0}}}
+	counts := map[string]int{}
+	for i := range uint64(100) {
+		counts[r.Service(i)]++
+	}
+	require.Equal(t, map[string]int{"a": 90, "b": 10}, counts)
+	require.Equal(t, "a", Route{Targets: []Target{{"a", 0}}}.Service(7))
+}
+
+var start = time.Unix(1000, 0)
+
+func ids(list []Upstream) []string {
+	var out []string
+	for _, u := range list {
+		id := u.ID
+		if u.Doubtful {
+			id += "?"
+		}
+		out = append(out, id)
+	}
+	return out
+}
+
+func TestDirectoryKeepsMissingUpstreams(t *testing.T) {
+	d := Directory{}.WithUpstream(Upstream{ID: "a"}).WithUpstream(Upstream{ID: "b"})
+	for _, tc := range []struct {
+		name string
+		d    Directory
+		at   time.Duration
+		want []string
+	}{
+		{"calm, just gone", d.WithoutUpstream(start, "a"), time.Second, []string{"a?", "b"}},
+		{"calm, gone for longer", d.WithoutUpstream(start, "a"), 1500 * time.Millisecond, []string{"b"}},
+		{"leaving upstreams are not kept", d.WithUpstream(Upstream{ID: "a", Draining: true}).WithoutUpstream(start, "a"), 0, []string{"b"}},
+		{"service down", d.WithoutUpstream(start, "a").WithDown(start, true), time.Minute, []string{"a?", "b"}},
+		{"just returned", d.WithDown(start, true).WithDown(start, false).WithoutUpstream(start, "a"), 1900 * time.Millisecond, []string{"a?", "b"}},
+		{"returned for longer", d.WithDown(start, true).WithDown(start, false).WithoutUpstream(start, "a"), 2 * time.Second, []string{"b"}},
+		{"back", d.WithoutUpstream(start, "a").WithUpstream(Upstream{ID: "a"}), time.Minute, []string{"a", "b"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			list, _ := tc.d.Upstreams(start.Add(tc.at))
+			require.Equal(t, tc.want, ids(list))
+		})
+	}
+	_, next := d.WithoutUpstream(start, "a").Upstreams(start)
+	require.Equal(t, start.Add(1500*time.Millisecond), next)
+}
--- /dev/null
+++ b/core/slot/pool_test.go
@@ -0,0 +1,261 @@
+package slot
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"mothcart/core/site"
+)
+
+var start = time.Unix(1000, 0)
+
+func upstreams(n, slots int) []site.Upstream {
+	var list []site.Upstream
+	for i := range n {
+		list = append(list, site.Upstream{ID: fmt.Sprintf("u%d", i), Service: "scribe", Zone: fmt.Sprintf("z%d", i%3), Slots: slots})
+	}
+	return list
+}
+
+func online(id uint64) Request {
+	return Request{Key: Key{Owner: "e1", ID: id}, Service: "scribe", Order: start.Add(5 * time.Second), Deadline: start.Add(200 * time.Millisecond), AvailabilityZone: "z0"}
+}
+
+func item(id uint64, due time.Duration) Request {
+	return Request{Key: Key{Owner: "batch", ID: id}, Service: "scribe", Batch: true, Priority: 2, Order: start.Add(due), AvailabilityZone: "z0"}
+}
+
+func newPool(n, slots int) *Pool {
+	p := NewPool(NewOptions())
+	p.SetUpstreams(start, upstreams(n, slots))
+	return p
+}
+
+func TestOnlinePrefersItsZoneAndSpreads(t *testing.T) {
+	p := newPool(6, 2)
+	seen := map[string]int{}
+	for i := range uint64(4) {
+		out := p.Ask(start, online(i))
+		require.Len(t, out.Granted, 1)
+		require.Equal(t, "z0", out.Granted[0].Upstream.Zone)
+		seen[out.Granted[0].Upstream.ID]++
+	}
+	require.Equal(t, map[string]int{"u0": 2, "u3": 2}, seen)
+}
+
+func TestBatchTakesAllThatIsLeftAndGivesItUp(t *testing.T) {
+	p := newPool(2, 2)
+	for i := range uint64(6) {
+		p.Ask(start, item(i, time.Duration(i)*time.Second))
+	}
+	l := p.Load(start, "scribe")
+	require.Equal(t, 4, l.Batch)
+	require.Equal(t, 2, l.WaitingBatch)
+	out := p.Ask(start, online(100))
+	require.Len(t, out.Cut, 1)
+	require.Equal(t, uint64(3), out.Cut[0].Request.Key.ID, "the item that is due last of those that run")
+	require.Equal(t, out.Cut[0].Upstream.ID, out.Granted[0].Upstream.ID, "its slot went to the online request")
+	out = p.Release(start, online(100).Key, Served)
+	require.Equal(t, uint64(4), out.Granted[0].Request.Key.ID, "the waiting item that is due first")
+}
+
+func TestFullServiceRefusesAtOnceOrLetsWait(t *testing.T) {
+	p := newPool(1, 2)
+	p.Ask(start, online(1))
+	p.Ask(start, online(2))
+	out := p.Ask(start, online(3))
+	require.Equal(t, ReasonFull, out.Refused[0].Reason, "slots that were just taken are not free in 200 ms")
+	require.GreaterOrEqual(t, out.Refused[0].RetryAfter, 500*time.Millisecond)
+
+	later := start.Add(600 * time.Millisecond)
+	r := online(4)
+	r.Deadline = later.Add(200 * time.Millisecond)
+	require.Empty(t, p.Ask(later, r).Refused, "a slot is expected within the wait")
+	require.Equal(t, r.Key, p.Release(later.Add(50*time.Millisecond), online(1).Key, Served).Granted[0].Request.Key)
+}
+
+func TestWaitThatIsOverIsRefused(t *testing.T) {
+	p := newPool(1, 1)
+	p.Ask(start, online(1))
+	now := start.Add(650 * time.Millisecond)
+	r := online(2)
+	r.Deadline = now.Add(100 * time.Millisecond)
+	require.Empty(t, p.Ask(now, r).Refused)
+	require.Empty(t, p.Tick(now.Add(99*time.Millisecond)).Refused)
+	out := p.Tick(now.Add(100 * time.Millisecond))
+	require.Equal(t, ReasonWaited, out.Refused[0].Reason)
+	require.Empty(t, p.Release(now, online(1).Key, Served).Granted)
+}
+
+func TestUrgentGoesFirstThenTheEarlierDeadline(t *testing.T) {
+	p := newPool(1, 1)
+	p.Ask(start, online(1))
+	now := start.Add(690 * time.Millisecond)
+	ask := func(id uint64, priority int, deadline time.Duration) {
+		r := online(id)
+		r.Priority, r.Order, r.Deadline = priority, start.Add(deadline), now.Add(10*time.Second)
+		require.Empty(t, p.Ask(now, r).Refused)
+	}
+	ask(2, 1, time.Second)
+	ask(3, 0, 5*time.Second)
+	ask(4, 0, 3*time.Second) // returned after a refusal: less of its time is left
+	var order []uint64
+	for k := uint64(1); len(order) < 3; {
+		out := p.Release(now, Key{Owner: "e1", ID: k}, Served)
+		k = out.Granted[0].Request.Key.ID
+		order = append(order, k)
+	}
+	require.Equal(t, []uint64{4, 3, 2}, order)
+}
+
+func TestNoUpstreamIsRefusedAtOnce(t *testing.T) {
+	p := NewPool(NewOptions())
+	require.Equal(t, ReasonNoUpstream, p.Ask(start, online(1)).Refused[0].Reason)
+	list := upstreams(1, 1)
+	list[0].Draining = true
+	p.SetUpstreams(start, list)
+	require.Equal(t, ReasonNoUpstream, p.Ask(start, online(2)).Refused[0].Reason)
+}
+
+func TestExcludedUpstreamIsNotGranted(t *testing.T) {
+	p := newPool(2, 1)
+	r := online(1)
+	r.Exclude = []string{"u0"}
+	require.Equal(t, "u1", p.Ask(start, r).Granted[0].Upstream.ID)
+	r = online(2)
+	r.Exclude = []string{"u0", "u1"}
+	require.Equal(t, ReasonNoUpstream, p.Ask(start, r).Refused[0].Reason)
+}
+
+func TestFailingUpstreamIsPausedThenOnTrialWithBatch(t *testing.T) {
+	p := newPool(2, 2)
+	now := start
+	for i := range uint64(2) {
+		r := online(i)
+		r.Exclude = []string{"u1"}
+		p.Ask(now, r)
+		p.Release(now, r.Key, Broken)
+	}
+	for i := range uint64(2) {
+		require.Equal(t, "u1", p.Ask(now, online(10+i)).Granted[0].Upstream.ID)
+	}
+	require.Empty(t, p.Ask(now, item(20, time.Second)).Granted, "u0 is paused")
+	now = now.Add(300 * time.Millisecond)
+	out := p.Tick(now)
+	require.Equal(t, "u0", out.Granted[0].Upstream.ID, "an item tries it")
+	require.Empty(t, p.Ask(now, item(21, time.Second)).Granted, "one at a time")
+	p.Release(now, item(20, time.Second).Key, Served)
+	require.Equal(t, 2, p.Load(now, "scribe").Batch+p.Load(now, "scribe").WaitingBatch+1)
+}
+
+func TestReportOfWaitingRequestsTakesSlots(t *testing.T) {
+	for _, tc := range []struct {
+		name             string
+		trust            bool
+		running, waiting int
+		granted          bool
+	}{
+		{"the home ignores a report without waiting requests", false, 2, 0, true},
+		{"the home believes waiting requests", false, 2, 1, false},
+		{"a node alone believes running requests", true, 2, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := NewPool(NewOptions().WithReports(tc.trust))
+			p.SetUpstreams(start, upstreams(1, 2))
+			p.Report(start, "u0", tc.running, tc.waiting)
+			require.Equal(t, tc.granted, len(p.Ask(start, online(1)).Granted) == 1)
+			require.Len(t, p.Ask(start.Add(NewOptions().ReportAge), online(2)).Granted, 1, "the report is too old")
+		})
+	}
+}
+
+func TestNewIncarnationStartsFree(t *testing.T) {
+	p := newPool(1, 1)
+	p.Ask(start, online(1))
+	list := upstreams(1, 1)
+	list[0].Incarnation = 2
+	p.SetUpstreams(start, list)
+	require.Len(t, p.Ask(start, online(2)).Granted, 1)
+	p.Release(start, online(1).Key, Served)
+	require.Empty(t, p.Ask(start, item(3, time.Second)).Granted, "the end of the old run frees nothing of the new one")
+}
+
+func TestDroppedOwnerFreesItsSlots(t *testing.T) {
+	p := newPool(1, 1)
+	p.Ask(start, online(1))
+	p.Ask(start, item(2, time.Second))
+	require.Len(t, p.DropOwner(start, "e1").Granted, 1)
+}
+
+func TestAdoptedGrantsCount(t *testing.T) {
+	p := newPool(1, 1)
+	p.Adopt(start, online(1), "u0")
+	require.Empty(t, p.Ask(start, item(2, time.Second)).Granted)
+	require.Len(t, p.Release(start, online(1).Key, Served).Granted, 1)
+}
+
+func TestReturnTimesAreSpread(t *testing.T) {
+	p := NewPool(NewOptions())
+	seen := map[time.Duration]bool{}
+	for i := range uint64(16) {
+		seen[p.Ask(start, online(i)).Refused[0].RetryAfter] = true
+	}
+	require.Len(t, seen, 16)
+}
+
+// TestNeverOverfillsNorIdles drives a pool with random events and checks it against its promises.
+func TestNeverOverfillsNorIdles(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n, slots := rapid.IntRange(1, 4).Draw(rt, "upstreams"), rapid.IntRange(1, 3).Draw(rt, "slots")
+		p := newPool(n, slots)
+		now, next := start, uint64(0)
+		held := map[Key]Grant{}
+		apply := func(out Outcome) {
+			for _, g := range out.Cut {
+				require.True(rt, g.Request.Batch, "only batch is cut")
+				delete(held, g.Request.Key)
+			}
+			for _, g := range out.Granted {
+				held[g.Request.Key] = g
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(rt, "pause")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(rt, "event") {
+			case 0:
+				next++
+				r := online(next)
+				r.Deadline = now.Add(200 * time.Millisecond)
+				apply(p.Ask(now, r))
+			case 1:
+				next++
+				apply(p.Ask(now, item(next, time.Duration(rapid.IntRange(0, 20).Draw(rt, "due"))*time.Second)))
+			case 2:
+				for _, g := range p.Grants() {
+					delete(held, g.Request.Key)
+					apply(p.Release(now, g.Request.Key, Served))
+					break
+				}
+			default:
+				apply(p.Tick(now))
+			}
+			used := map[string]int{}
+			for _, g := range held {
+				used[g.Upstream.ID]++
+				require.LessOrEqual(rt, used[g.Upstream.ID], slots)
+			}
+			l := p.Load(now, "scribe")
+			require.Equal(rt, len(held), l.Online+l.Batch)
+			if l.WaitingOnline+l.WaitingBatch > 0 {
+				require.Equal(rt, n*slots, l.Online+l.Batch, "no slot is free while a request waits")
+			}
+			if l.WaitingOnline > 0 {
+				require.Zero(rt, l.Batch, "no online request waits behind batch")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/io/object/object_test.go
@@ -0,0 +1,77 @@
+package object
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothcart/io/store"
+)
+
+func named(name string, revision Revision) Object { return Object{Name: name, Revision: revision} }
+
+func TestMirrorTakesEachObjectUpByItsRevision(t *testing.T) {
+	m := NewMirror()
+	require.False(t, m.Listed())
+	for _, step := range []struct {
+		name   string
+		change Change
+		news   []Event
+	}{
+		{"listing", Change{Listed: true, At: 5, Objects: []Object{named("a", 3), named("b", 4)}}, []Event{{Object: named("a", 3)}, {Object: named("b", 4)}}},
+		{"same listing again", Change{Listed: true, At: 5, Objects: []Object{named("a", 3), named("b", 4)}}, nil},
+		{"event", Change{Events: []Event{{Object: named("a", 7)}}}, []Event{{Object: named("a", 7)}}},
+		{"same event of another source", Change{Events: []Event{{Object: named("a", 7)}}}, nil},
+		{"event from before the listing", Change{Events: []Event{{Object: named("b", 2)}}}, nil},
+		{"older listing", Change{Listed: true, At: 4}, nil},
+		{"listing without an object that is newer", Change{Listed: true, At: 6, Objects: []Object{named("b", 4)}}, nil},
+		{"listing without an object", Change{Listed: true, At: 8, Objects: []Object{named("a", 7)}}, []Event{{Object: named("b", 4), Deleted: true}}},
+		{"late event of the object that is gone", Change{Events: []Event{{Object: named("b", 4)}}}, nil},
+		{"removal", Change{Events: []Event{{Object: named("a", 9), Deleted: true}}}, []Event{{Object: named("a", 9), Deleted: true}}},
+		{"removal again", Change{Events: []Event{{Object: named("a", 9), Deleted: true}}}, nil},
+		{"created again", Change{Events: []Event{{Object: named("a", 10)}}}, []Event{{Object: named("a", 10)}}},
+	} {
+		require.Equal(t, step.news, m.Apply(step.change), step.name)
+	}
+	require.Equal(t, []Object{named("a", 10)}, m.Snapshot().Objects)
+}
+
+func TestCreateConfirmed(t *testing.T) {
+	spec := map[string]int{"x": 1}
+	same := Object{Name: "j", Spec: json.RawMessage(`{ "x": 1 }`)}
+	for _, tc := range []struct {
+		name    string
+		answers []error
+		exists  Object
+		want    error
+	}{
+		{"written", []error{nil}, Object{}, nil},
+		{"answer lost, written", []error{store.ErrUnknown, store.ErrConflict}, same, nil},
+		{"answer lost, not written", []error{store.ErrUnknown, nil}, Object{}, nil},
+		{"exists with another content", []error{store.ErrConflict}, Object{Spec: json.RawMessage(`{"x":2}`)}, store.ErrConflict},
+		{"never available", []error{store.ErrUnavailable}, Object{}, store.ErrUnavailable},
+		{"one answer lost, then not available", []error{store.ErrUnknown, store.ErrUnavailable}, Object{}, store.ErrUnknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				calls := 0
+				c := Client{Create: func(context.Context, string, string, any) (Object, error) {
+					err := tc.answers[min(calls, len(tc.answers)-1)]
+					calls++
+					return tc.exists, err
+				}}
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				_, err := CreateConfirmed(ctx, c, "jobs", "j", spec)
+				require.ErrorIs(t, err, tc.want)
+				if tc.want == nil {
+					require.NoError(t, err)
+				}
+			})
+		})
+	}
+}
