--- a/core/site/directory.go
+++ b/core/site/directory.go
@@ -9,12 +9,16 @@
 
 const (
 	// goneGrace is how long an upstream whose entry has disappeared is still used, if nothing else
-	// is free; a leaving upstream serves longer than that, and an entry that lapsed while the object
-	// service was away comes back.
-	goneGrace = 1500 * time.Millisecond
+	// is free. Together with the time until a disappearance is learned it stays below the 2 s for which
+	// a leaving upstream surely serves.
+	goneGrace = 800 * time.Millisecond
 	// returnGrace is how long after the return of the object service a missing entry is not taken for
 	// an upstream that is gone.
 	returnGrace = 2 * time.Second
+	// lapseWindow is the time within which entries that lapse in one outage disappear, minLapsed the
+	// number of them that shows one.
+	lapseWindow = time.Second
+	minLapsed   = 2
 	// forgetAfter is when a missing upstream is forgotten; no outage that matters is longer.
 	forgetAfter = 2 * time.Minute
 )
@@ -94,6 +98,8 @@
 		return m.since
 	case d.down:
 		return now.Add(returnGrace)
+	case d.lapsed(m):
+		return m.since.Add(returnGrace)
 	case !d.regained.IsZero() && m.since.Before(d.regained.Add(returnGrace)):
 		if returned := d.regained.Add(returnGrace); returned.After(until) {
 			return returned
@@ -102,6 +108,23 @@
 	return until
 }
 
+// lapsed reports that half of a service's entries disappeared together, which shows an outage of the
+// object service that this node has not noticed, rather than upstreams that leave.
+func (d Directory) lapsed(m missing) bool {
+	together, left := 0, 0
+	for _, other := range d.missing {
+		if other.upstream.Service == m.upstream.Service && other.since.Sub(m.since).Abs() < lapseWindow {
+			together++
+		}
+	}
+	for _, u := range d.entries {
+		if u.Service == m.upstream.Service {
+			left++
+		}
+	}
+	return together >= minLapsed && together >= left
+}
+
 func (d Directory) clone() Directory {
 	d.entries = maps.Clone(d.entries)
 	if d.entries == nil {
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -54,6 +54,8 @@
 	Runner *Runner
 	// View is told what the home knows of a kind of objects.
 	View func(kind string, c object.Change)
+	// Down is told whether the home reaches the object service.
+	Down func(down bool)
 	Log  zerolog.Logger
 }
 
@@ -153,6 +155,13 @@
 	return c.conn != nil && !c.unsure && c.conn.Quiet() < quietLimit
 }
 
+// Informed reports that a home that reaches the object service tells this node what it learns there.
+func (c *Client) Informed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn != nil && !c.unsure
+}
+
 // Home returns the home that was announced last.
 func (c *Client) Home() Announcement {
 	c.mu.Lock()
@@ -302,6 +311,11 @@
 			c.relays = m.Relays
 			c.mu.Unlock()
 		}
+	case methodDown:
+		var m downNotice
+		if err = in.Decode(&m); err == nil {
+			c.opts.Down(m.Down)
+		}
 	case methodUnsure:
 		var m unsureNotice
 		if err = in.Decode(&m); err == nil {
--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -198,13 +198,13 @@
 // renew writes the lease anew. It reports false if another node has it; without an answer the lease
 // may still be held.
 func (e *Elector) renew(ctx context.Context, l lease) bool {
-	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+	// A renewal that has begun is awaited, so that the lease can be given back at its revision.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaseCallTimeout)
 	defer cancel()
 	began := e.opts.Now()
 	o, err := e.opts.Objects.Put(ctx, KindLease, mainName, l, e.seen.Revision)
 	if errors.Is(err, store.ErrConflict) {
-		var other lease
-		if json.Unmarshal(o.Spec, &other) != nil || other.Term != l.Term || other.Incarnation != l.Incarnation {
+		if !e.ownLease(o, l) {
 			return false
 		}
 		e.seen = o // an own renewal whose answer was lost
@@ -222,13 +222,27 @@
 	return true
 }
 
+// ownLease reports that an object is the lease of this node's present term.
+func (e *Elector) ownLease(o object.Object, l lease) bool {
+	var found lease
+	if err := json.Unmarshal(o.Spec, &found); err != nil {
+		e.opts.Log.Error().Int64("revision", int64(o.Revision)).Err(err).Msg("leaseUnreadable")
+		return false
+	}
+	return found.Term == l.Term && found.VM == e.opts.VMID && found.Incarnation == l.Incarnation
+}
+
 // giveBack frees the lease, so that another node can take it at once.
 func (e *Elector) giveBack(l lease) {
 	ctx, cancel := context.WithTimeout(context.Background(), leaseCallTimeout)
 	defer cancel()
 	e.sureUntil.Store(0)
 	l.VM = ""
-	_, err := e.opts.Objects.Put(ctx, KindLease, mainName, l, e.seen.Revision)
+	o, err := e.opts.Objects.Put(ctx, KindLease, mainName, l, e.seen.Revision)
+	if errors.Is(err, store.ErrConflict) && e.ownLease(o, l) {
+		// The answer of the last renewal was lost.
+		_, err = e.opts.Objects.Put(ctx, KindLease, mainName, l, o.Revision)
+	}
 	e.opts.Log.Info().Int64("term", l.Term).AnErr("error", err).Msg("leaseGivenBack")
 }
 
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -57,6 +57,8 @@
 	Valid func(now time.Time) bool
 	// Snapshots returns the kinds of objects that nodes learn from the home when they connect.
 	Snapshots func() map[string]object.Change
+	// ObjectsDown reports that the home doesn't reach the object service.
+	ObjectsDown func() bool
 	// ResultsKept is how long results stay after the acceptance of a job.
 	ResultsKept time.Duration
 	Now         func() time.Time
@@ -237,6 +239,7 @@
 	}
 	h.opts.Log.Info().Str("peer", s.owner).Int("open", len(m.Open)).Int64("term", h.opts.Term).Msg("nodeConnected")
 	in.Answer(helloAnswer{VM: h.opts.VMID, Term: h.opts.Term})
+	in.Conn().Notify(methodDown, downNotice{Down: h.opts.ObjectsDown()})
 	for kind, c := range h.opts.Snapshots() {
 		in.Conn().Notify(methodView, viewNotice{Kind: kind, Change: c})
 	}
@@ -340,6 +343,16 @@
 	s.server.Each(func(c *link.Conn) { c.Notify(methodView, viewNotice{Kind: kind, Change: object.Change{Events: news}}) })
 }
 
+// PushDown tells all nodes whether the home reaches the object service.
+func (s *Server) PushDown(down bool) {
+	s.mu.Lock()
+	h := s.home
+	s.mu.Unlock()
+	if h != nil {
+		s.server.Each(func(c *link.Conn) { c.Notify(methodDown, downNotice{Down: down}) })
+	}
+}
+
 // TellUnsure tells all nodes whether the home can renew its lease.
 func (s *Server) TellUnsure(unsure bool) {
 	s.server.Each(func(c *link.Conn) { c.Notify(methodUnsure, unsureNotice{Unsure: unsure}) })
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -24,6 +24,8 @@
 	// methodView and methodPeers go from the home to the nodes.
 	methodView  = "view"
 	methodPeers = "peers"
+	// methodDown tells that the home doesn't reach the object service, or that it does again.
+	methodDown = "down"
 	// methodUnsure tells that the home can't renew its lease, or that it can again.
 	methodUnsure = "unsure"
 	// methodRun and methodCancelRun go from the home to the nodes that run items for it.
@@ -176,3 +178,7 @@
 type unsureNotice struct {
 	Unsure bool `msgpack:"unsure"`
 }
+
+type downNotice struct {
+	Down bool `msgpack:"down"`
+}
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -21,9 +21,9 @@
 	KindHomes = "mothcart-homes"
 	// KindJobs holds an object for each job; its status tells that the job was ended.
 	KindJobs = "mothcart-jobs"
-	// resultsPrefix and the ID of a job make the kind that holds the chunks of its results, so that
+	// ResultsPrefix and the ID of a job make the kind that holds the chunks of its results, so that
 	// they can be read without those of others.
-	resultsPrefix = "mothcart-results-"
+	ResultsPrefix = "mothcart-results-"
 	// mainName names the only object of a kind.
 	mainName = "main"
 )
@@ -43,7 +43,7 @@
 	return s
 }
 
-func resultsKind(job string) string { return resultsPrefix + job }
+func resultsKind(job string) string { return ResultsPrefix + job }
 
 // chunkName is the name of the chunk at a position; names sort by position.
 func chunkName(from int) string { return fmt.Sprintf("%06d", from) }
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -76,7 +76,7 @@
 		e.Close()
 		return nil, err
 	}
-	b.follow(b.verifyWithoutHome)
+	b.follow(func() bool { return false })
 	opts.Log.Info().Str("vm", opts.Settings.VMID).Str("callers", opts.Settings.CallerAddress).Int64("incarnation", b.incarnation).Msg("entryStarted")
 	return e, nil
 }
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -39,7 +39,8 @@
 	b.onConfig = func(site.Config) {}
 	b.onUpstreams = n.setUpstreams
 	b.onNews = n.server.PushNews
-	b.follow(n.verify)
+	b.onDown = n.server.PushDown
+	b.follow(n.IsHome)
 	n.elector = home.NewElector(home.ElectorOptions{
 		VMID: opts.Settings.VMID, Incarnation: b.incarnation, Address: b.peerAddress(), Objects: b.objects,
 		Sound: b.client.Sound, Start: n.start, Now: opts.Now, Log: opts.Log,
@@ -84,16 +85,6 @@
 	}
 }
 
-// verify checks the watches of the home, which tells the other nodes, and of a node without a home.
-func (n *HomeNode) verify() time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.home != nil {
-		return verifyInterval
-	}
-	return n.base.verifyWithoutHome()
-}
-
 // snapshots returns the kinds that the home tells a node that connects.
 func (n *HomeNode) snapshots() map[string]object.Change {
 	out := make(map[string]object.Change, len(n.base.mirrors))
@@ -141,7 +132,7 @@
 	h := home.New(home.Options{
 		VMID: o.Settings.VMID, AvailabilityZone: o.Settings.AvailabilityZone, Term: term, Objects: n.base.objects,
 		Runner: n.base.runner, OwnRuns: o.OwnRuns, Config: n.base.currentConfig, Valid: valid,
-		Snapshots:   n.snapshots,
+		Snapshots: n.snapshots, ObjectsDown: n.base.objectsDown,
 		ResultsKept: o.Settings.ResultsKept, Now: o.Now, TimeOfDay: time.Now, Log: o.Log, Registry: o.Registry,
 	})
 	n.mu.Lock()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -76,6 +77,7 @@
 	runner    *home.Runner
 	followers []*object.Follower
 	metrics   *kratoshttp.Server
+	counts    *time.Timer
 	// onConfig and onUpstreams are told of changes.
 	onConfig    func(site.Config)
 	onUpstreams func([]site.Upstream)
@@ -91,6 +93,8 @@
 	mirrors map[string]*object.Mirror
 	// onNews is told of what was new in the mirrors; nil on entry nodes.
 	onNews func(kind string, news []object.Event)
+	// onDown is told when the object service is lost or regained; nil on entry nodes.
+	onDown func(down bool)
 }
 
 // newBase returns the common part of a node. An entry node passes connections on to the home; a home
@@ -105,6 +109,10 @@
 			WithOneCallPerConnection().WithDial(opts.Connect(connectTimeout))),
 	}
 	b.mirrors = map[string]*object.Mirror{platform.KindConfig: object.NewMirror(), platform.KindUpstreams: object.NewMirror()}
+	b.counts = time.AfterFunc(countsInterval, func() {
+		b.logCounts()
+		b.counts.Reset(countsInterval)
+	})
 	relay := ""
 	if isEntry {
 		relay = b.peerAddress()
@@ -113,29 +121,36 @@
 	}
 	b.client = home.NewClient(home.ClientOptions{
 		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, Connect: opts.Connect(connectTimeout), Now: opts.Now,
-		View: b.receive, Runner: b.runner, Log: opts.Log,
+		View: b.receive, Down: b.upstreamsDown, Runner: b.runner, Log: opts.Log,
 	})
 	return b
 }
 
 // verifyInterval is the time between two listings beside a watch: a change that the watch has missed
-// must be in force within the platform's bound of 2 s.
+// must be in force within the platform's bound of 2 s, the grace for missing upstreams included.
 const verifyInterval = 700 * time.Millisecond
 
-// follow starts to follow the object service; onConfig and onUpstreams must be set before. verify
-// returns the time between listings that check a watch.
-func (b *base) follow(verify func() time.Duration) {
-	start := func(kind string, apply func(object.Change), down func(bool), verify func() time.Duration) {
+// follow starts to follow the object service; onConfig and onUpstreams must be set before. isHome
+// reports that this node is the home, which follows for all others.
+func (b *base) follow(isHome func() bool) {
+	paused := func() bool { return !isHome() && b.client.Informed() && b.known() }
+	verify := func() time.Duration { return verifyInterval }
+	start := func(kind string, down func(bool)) {
 		b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
-			Client: b.objects, Kind: kind, Apply: apply, Down: down, Verify: verify, Log: b.opts.Log,
+			Client: b.objects, Kind: kind, Apply: func(c object.Change) { b.receive(kind, c) }, Down: down,
+			Verify: verify, Paused: paused, Log: b.opts.Log,
 		}))
 	}
-	start(platform.KindConfig, func(c object.Change) { b.receive(platform.KindConfig, c) }, nil, verify)
-	start(platform.KindUpstreams, func(c object.Change) { b.receive(platform.KindUpstreams, c) }, b.upstreamsDown, verify)
-	start(home.KindHomes, func(c object.Change) { home.ApplyAnnouncements(b.client, c, b.opts.Log) }, nil, b.verifyWithoutHome)
+	start(platform.KindConfig, nil)
+	start(platform.KindUpstreams, b.upstreamsDown)
+	b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
+		Client: b.objects, Kind: home.KindHomes, Apply: func(c object.Change) { home.ApplyAnnouncements(b.client, c, b.opts.Log) },
+		Verify: b.verifyWithoutHome, Log: b.opts.Log,
+	}))
 }
 
-// verifyWithoutHome checks the watches only while no home answers, which would tell of changes.
+// verifyWithoutHome checks the watch of the homes only while none answers, since it may have missed
+// the next one.
 func (b *base) verifyWithoutHome() time.Duration {
 	if b.client.Connected() {
 		return 0
@@ -162,7 +177,22 @@
 	}
 }
 
+// countsInterval is the time between two log lines with the counters of a node.
+const countsInterval = 10 * time.Second
+
+// logCounts logs the counters from time to time, for times of which no scrape is left.
+func (b *base) logCounts() {
+	counts := zerolog.Dict()
+	b.opts.Registry.Each(func(name string, metric any) {
+		if c, ok := metric.(metrics.Counter); ok && c.Count() > 0 {
+			counts = counts.Int64(name, c.Count())
+		}
+	})
+	b.opts.Log.Info().Dict("counts", counts).Msg("counters")
+}
+
 func (b *base) close() {
+	b.counts.Stop()
 	b.closeServer(b.metrics)
 	for _, f := range b.followers {
 		f.Close()
@@ -257,6 +287,9 @@
 
 func (b *base) upstreamsDown(down bool) {
 	b.mu.Lock()
+	if b.down != down && b.onDown != nil {
+		b.onDown(down)
+	}
 	b.down = down
 	b.directory = b.directory.WithDown(b.opts.Now(), down)
 	b.mu.Unlock()
@@ -325,34 +358,34 @@
 
 // counted counts the calls to the object service by kind of call.
 func counted(c object.Client, r metrics.Registry) object.Client {
-	count := func(name string) { metrics.GetOrRegisterCounter("store."+name, r).Inc(1) }
+	count := func(call string) { metrics.GetOrRegisterCounter("store."+call, r).Inc(1) }
 	return object.Client{
 		List: func(ctx context.Context, kind, after string) ([]object.Object, object.Revision, bool, error) {
-			count("list")
+			count("list." + shortKind(kind))
 			return c.List(ctx, kind, after)
 		},
 		Watch: func(ctx context.Context, kind string, since object.Revision, wait time.Duration) ([]object.Event, object.Revision, error) {
-			count("watch")
+			count("watch." + shortKind(kind))
 			return c.Watch(ctx, kind, since, wait)
 		},
 		Get: func(ctx context.Context, kind, name string) (object.Object, error) {
-			count("get")
+			count("get." + shortKind(kind))
 			return c.Get(ctx, kind, name)
 		},
 		Create: func(ctx context.Context, kind, name string, spec any) (object.Object, error) {
-			count("create")
+			count("create." + shortKind(kind))
 			return c.Create(ctx, kind, name, spec)
 		},
 		Put: func(ctx context.Context, kind, name string, spec any, expect object.Revision) (object.Object, error) {
-			count("put")
+			count("put." + shortKind(kind))
 			return c.Put(ctx, kind, name, spec, expect)
 		},
 		PutStatus: func(ctx context.Context, kind, name string, status any) (object.Object, error) {
-			count("putStatus")
+			count("putStatus." + shortKind(kind))
 			return c.PutStatus(ctx, kind, name, status)
 		},
 		Delete: func(ctx context.Context, kind, name string) error {
-			count("delete")
+			count("delete." + shortKind(kind))
 			return c.Delete(ctx, kind, name)
 		},
 	}
@@ -367,3 +400,11 @@
 	mux.Handle("GET /metrics", scrape.Handler(opts.Registry))
 	return serveHTTP(ctx, opts, net.JoinHostPort(opts.Settings.IP, strconv.Itoa(metricsPort)), mux)
 }
+
+// shortKind is the name of a kind in metrics; the kinds of all jobs' results count as one.
+func shortKind(kind string) string {
+	if strings.HasPrefix(kind, home.ResultsPrefix) {
+		return "results"
+	}
+	return kind
+}
--- a/io/object/follow.go
+++ b/io/object/follow.go
@@ -44,6 +44,8 @@
 	// Verify returns the time between listings beside a watch that waits, since a watch may miss
 	// changes without notice; nil or 0 means none.
 	Verify func() time.Duration
+	// Paused reports that the kind is known from elsewhere and need not be followed; nil means never.
+	Paused func() bool
 	Log    zerolog.Logger
 }
 
@@ -74,10 +76,18 @@
 func (f *Follower) run(ctx context.Context) {
 	backoff := firstBackoff
 	for ctx.Err() == nil {
+		if f.paused() {
+			f.at = 0 // what happens meanwhile is listed afterwards
+			_ = sleep(ctx, pausePoll)
+			continue
+		}
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		if f.paused() {
+			continue // the watch was ended by the pause
+		}
 		f.report(err)
 		if err == nil {
 			backoff = firstBackoff
@@ -92,6 +102,24 @@
 	}
 }
 
+// pausePoll is the time between two looks whether a pause has begun or ended.
+const pausePoll = 200 * time.Millisecond
+
+func (f *Follower) paused() bool { return f.opts.Paused != nil && f.opts.Paused() }
+
+// endAtPause cancels a watch when a pause begins.
+func (f *Follower) endAtPause(ctx context.Context, cancel context.CancelFunc) {
+	for f.opts.Paused != nil {
+		if sleep(ctx, pausePoll) != nil {
+			return
+		}
+		if f.paused() {
+			cancel()
+			return
+		}
+	}
+}
+
 // step makes one listing or one watch.
 func (f *Follower) step(ctx context.Context) error {
 	if f.at == 0 {
@@ -103,6 +131,7 @@
 	defer verify.Wait()
 	defer cancel()
 	verify.Go(func() { f.verify(ctx) })
+	verify.Go(func() { f.endAtPause(ctx, cancel) })
 	events, at, err := f.opts.Client.Watch(ctx, f.opts.Kind, f.at, watchWait)
 	if err != nil {
 		return err
