Judge the outage of the own source of changes

Change: a node tells its own state from that of the home and uses the one that it learns changes from.

--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -57,6 +57,7 @@
 	})
 	b.onConfig = e.handler.SetConfig
 	b.onUpstreams = func([]site.Upstream) {}
+	b.isHome = func() bool { return false }
 	var err error
 	if e.callers, err = serveHTTP(ctx, opts, opts.Settings.CallerAddress, e.handler); err != nil {
 		b.close()
@@ -76,7 +77,7 @@
 		e.Close()
 		return nil, err
 	}
-	b.follow(func() bool { return false })
+	b.follow()
 	opts.Log.Info().Str("vm", opts.Settings.VMID).Str("callers", opts.Settings.CallerAddress).Int64("incarnation", b.incarnation).Msg("entryStarted")
 	return e, nil
 }
--- a/io/node/fault_test.go
+++ b/io/node/fault_test.go
@@ -338,3 +338,24 @@
 		})
 	}
 }
+
+// A home that was cut off from the object service told the others so; the one that follows it must
+// not go on believing that.
+func TestNextHomeForgetsTheOutageOfTheLast(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.network.Cut(homeIP(1), storeIP)
+		time.Sleep(6 * time.Second)
+		require.True(t, s.homes["s2"].IsHome())
+		s.objects.Remove("servers", "i-1")
+		time.Sleep(2 * time.Second)
+		before := s.engines[0].Total()
+		var streams []<-chan reply
+		for i := range 6 {
+			streams = append(streams, s.stream(1+i%2, "/ask/stream/1", fmt.Sprintf("r%d", i)))
+		}
+		for _, done := range streams {
+			<-done
+		}
+		require.Equal(t, before, s.engines[0].Total(), "an upstream that left 2 s ago gets nothing, though all others are full")
+	})
+}
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -40,7 +40,8 @@
 	b.onUpstreams = n.setUpstreams
 	b.onNews = n.server.PushNews
 	b.onDown = n.server.PushDown
-	b.follow(n.IsHome)
+	b.isHome = n.IsHome
+	b.follow()
 	n.elector = home.NewElector(home.ElectorOptions{
 		VMID: opts.Settings.VMID, Incarnation: b.incarnation, Address: b.peerAddress(), Objects: b.objects,
 		Sound: b.client.Sound, Start: n.start, Now: opts.Now, Log: opts.Log,
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -85,14 +85,17 @@
 	mu        sync.Mutex
 	config    site.Config
 	directory site.Directory
-	// down reports that the object service doesn't answer this node.
-	down   bool
+	// down tells whether the object service answers this node and the home, and what follows for the
+	// directory.
+	down   struct{ own, home, effective bool }
 	expiry *time.Timer
 
 	// mirrors holds the kinds that nodes also learn from the home.
 	mirrors map[string]*object.Mirror
 	// onNews is told of what was new in the mirrors; nil on entry nodes.
 	onNews func(kind string, news []object.Event)
+	// isHome reports that this node is the home, which follows for all others.
+	isHome func() bool
 	// onDown is told when the object service is lost or regained; nil on entry nodes.
 	onDown func(down bool)
 }
@@ -121,7 +124,7 @@
 	}
 	b.client = home.NewClient(home.ClientOptions{
 		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, Connect: opts.Connect(connectTimeout), Now: opts.Now,
-		View: b.receive, Down: b.upstreamsDown, Runner: b.runner, Log: opts.Log,
+		View: b.receive, Down: b.homeDown, Runner: b.runner, Log: opts.Log,
 	})
 	return b
 }
@@ -130,10 +133,10 @@
 // must be in force within the platform's bound of 2 s, the grace for missing upstreams included.
 const verifyInterval = 700 * time.Millisecond
 
-// follow starts to follow the object service; onConfig and onUpstreams must be set before. isHome
-// reports that this node is the home, which follows for all others.
-func (b *base) follow(isHome func() bool) {
-	paused := func() bool { return !isHome() && b.client.Informed() && b.known() }
+// follow starts to follow the object service, unless a home tells this node of changes; onConfig,
+// onUpstreams and isHome must be set before.
+func (b *base) follow() {
+	paused := func() bool { return !b.isHome() && b.client.Informed() && b.known() }
 	verify := func() time.Duration { return verifyInterval }
 	start := func(kind string, down func(bool)) {
 		b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
@@ -142,7 +145,7 @@
 		}))
 	}
 	start(platform.KindConfig, nil)
-	start(platform.KindUpstreams, b.upstreamsDown)
+	start(platform.KindUpstreams, b.ownDown)
 	b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
 		Client: b.objects, Kind: home.KindHomes, Apply: func(c object.Change) { home.ApplyAnnouncements(b.client, c, b.opts.Log) },
 		Verify: b.verifyWithoutHome, Log: b.opts.Log,
@@ -273,7 +276,7 @@
 func (b *base) objectsDown() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.down
+	return b.down.effective
 }
 
 func (b *base) decodeUpstream(o object.Object) (site.Upstream, bool) {
@@ -285,14 +288,43 @@
 	return u, true
 }
 
-func (b *base) upstreamsDown(down bool) {
+// ownDown takes up whether this node's own calls to the object service are answered.
+func (b *base) ownDown(down bool) {
 	b.mu.Lock()
-	if b.down != down && b.onDown != nil {
-		b.onDown(down)
+	b.down.own = down
+	b.mu.Unlock()
+	b.updateDown()
+}
+
+// homeDown takes up whether the home's calls to the object service are answered.
+func (b *base) homeDown(down bool) {
+	b.mu.Lock()
+	b.down.home = down
+	b.mu.Unlock()
+	b.updateDown()
+}
+
+// updateDown judges anew whether the source of this node's view is cut off from the object service:
+// the home where it tells this node of changes, or the node itself.
+func (b *base) updateDown() {
+	informed := !b.isHome() && b.client.Informed()
+	b.mu.Lock()
+	down := b.down.own
+	if informed {
+		down = b.down.home
+	}
+	changed := down != b.down.effective
+	b.down.effective = down
+	if changed {
+		b.directory = b.directory.WithDown(b.opts.Now(), down)
 	}
-	b.down = down
-	b.directory = b.directory.WithDown(b.opts.Now(), down)
 	b.mu.Unlock()
+	if !changed {
+		return
+	}
+	if b.onDown != nil {
+		b.onDown(down)
+	}
 	b.publishUpstreams()
 }
 
