Empty VMs that are to go; keep large jobs in parts; explain a request

Cause: retirements were ignored, a job over 1 MB could not be written, settings that change without a signal were not taken up, and the way from a request's ID to its cause was grep over many logs. Change: the home takes items from a VM that is to go and says that it is empty, and steps down first if it is that VM; jobs over 700 KB lie in parts, the head last; the settings file is looked at each 2 s; mothcart explain joins logs of nodes by request, job or item, with the refusals of the home. Log lines carry milliseconds and the ask that the home's line names.

--- a/cmd/mothcart/main.go
+++ b/cmd/mothcart/main.go
@@ -37,6 +37,7 @@
 		serveCommand(),
 		entryCommand(),
 		homeCommand(),
+		explainCommand(),
 		statusCommand(),
 		drainCommand(),
 		checkCommand(),
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -37,11 +37,47 @@
 	Host  string `json:"host"`
 	Path  string `json:"path"`
 	Items []Item `json:"items"`
+	// Parts is the number of objects that hold the items of a job that is too large for one object.
+	Parts int `json:"parts,omitempty"`
 	// AcceptedAt is the time of day of the acceptance. It orders jobs and tells when results may be
 	// removed; no lease or fence depends on it.
 	AcceptedAt time.Time `json:"acceptedAt"`
 }
 
+// WithItems returns the job with other items, all in one part.
+func (j Job) WithItems(items []Item) Job {
+	j.Items, j.Parts = items, 0
+	return j
+}
+
+// Split returns the items in groups of at most maxBytes of bodies and paths each, but at least one item.
+func (j Job) Split(maxBytes int) [][]Item {
+	var groups [][]Item
+	size := 0
+	for _, i := range j.Items {
+		n := i.size()
+		if len(groups) == 0 || size+n > maxBytes {
+			groups = append(groups, nil)
+			size = 0
+		}
+		size += n
+		groups[len(groups)-1] = append(groups[len(groups)-1], i)
+	}
+	return groups
+}
+
+// itemOverhead is the size of an item besides its texts, in bytes.
+const itemOverhead = 100
+
+// size returns about how many bytes the item takes in an object, where its body is base64.
+func (i Item) size() int {
+	n := itemOverhead + len(i.ID) + len(i.Path) + len(i.Body)*4/3
+	for name, value := range i.Header {
+		n += len(name) + len(value)
+	}
+	return n
+}
+
 // Tokens returns the size of all items.
 func (j Job) Tokens() int64 {
 	var n int64
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -47,9 +47,11 @@
 	lastID    string
 	// fallback is the last failure of an upstream that the caller may get.
 	fallback *Answer
-	waited   time.Duration
-	first    time.Time
-	basis    string
+	// ask is the last request for a slot, by which the home's log names this one.
+	ask    uint64
+	waited time.Duration
+	first  time.Time
+	basis  string
 }
 
 // Serve answers one request. It ends the connection by panic(http.ErrAbortHandler) if a stream that
@@ -87,8 +89,9 @@
 // acquire waits for a slot.
 func (x *exchange) acquire(ctx context.Context) (Lease, *slot.Refusal, error) {
 	now := x.f.opts.Now()
+	x.ask = x.f.opts.NextID()
 	lease, refusal, err := x.f.opts.Acquire(ctx, slot.Request{
-		Key:              slot.Key{ID: x.f.opts.NextID()},
+		Key:              slot.Key{ID: x.ask},
 		Service:          x.service,
 		Priority:         x.req.Route.Priority,
 		Order:            x.req.Deadline,
@@ -175,7 +178,7 @@
 	x.exclude = append(x.exclude, lease.Upstream.ID)
 	action := x.next(now, a, refused)
 	x.log.Info().Str("upstream", lease.Upstream.ID).Int64("incarnation", lease.Upstream.Incarnation).Str("basis", lease.Basis).
-		Int("attempt", x.attempts).Int("runs", x.runs).Int("status", a.Status).Bool("notRun", refused).Bool("sent", a.Sent).
+		Uint64("ask", x.ask).Int("attempt", x.attempts).Int("runs", x.runs).Int("status", a.Status).Bool("notRun", refused).Bool("sent", a.Sent).
 		Int("delivered", x.delivered).AnErr("error", a.Err).Bool("again", action != retry.Fail).Msg("attemptFailed")
 	if action == retry.Fail || ctx.Err() != nil {
 		x.giveUp(ctx, "attemptsFailed", now, slot.Refusal{RetryAfter: minRetryAfter})
@@ -281,7 +284,7 @@
 func (x *exchange) done(now time.Time, upstream, outcome string, status int) {
 	x.f.metrics.total.Observe(now.Sub(x.req.Arrived))
 	e := x.log.Info().Str("outcome", outcome).Int("status", status).Str("upstream", upstream).Str("basis", x.basis).
-		Int("attempts", x.attempts).Int("runs", x.runs).Int("refusals", x.refusals).
+		Uint64("ask", x.ask).Int("attempts", x.attempts).Int("runs", x.runs).Int("refusals", x.refusals).
 		Dur("waitedMillis", x.waited).Dur("tookMillis", now.Sub(x.req.Arrived)).Dur("leftMillis", x.req.Deadline.Sub(now))
 	if !x.first.IsZero() {
 		x.f.metrics.firstByte.Observe(x.first.Sub(x.req.Arrived))
--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -69,6 +69,8 @@
 	// sure of its own. Both are in nanoseconds of the Unix epoch.
 	sureUntil atomic.Int64
 	sureFrom  atomic.Int64
+	// retired reports that the node must not be the home any more.
+	retired atomic.Bool
 }
 
 // NewElector starts to seek the lease.
@@ -79,6 +81,9 @@
 	return e
 }
 
+// Retire gives the lease back, if this node holds it, and never seeks it again.
+func (e *Elector) Retire() { e.retired.Store(true) }
+
 // Close gives the lease back, if this node holds it, and ends the elector.
 func (e *Elector) Close() {
 	e.cancel()
@@ -87,7 +92,7 @@
 
 func (e *Elector) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if e.opts.Sound() {
+		if e.retired.Load() || e.opts.Sound() {
 			e.seenSince = time.Time{}
 			pause(ctx, idleInterval)
 			continue
@@ -181,7 +186,7 @@
 			announced = e.announce(ctx, term)
 		}
 		pause(ctx, renewInterval)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || e.retired.Load() {
 			stop()
 			e.giveBack(l)
 			return
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -59,6 +59,9 @@
 	Snapshots func() map[string]object.Change
 	// ObjectsDown reports that the home doesn't reach the object service.
 	ObjectsDown func() bool
+	// Retirements tells of VMs that are to be emptied, and StepDown makes another node the home.
+	Retirements Retirements
+	StepDown    func()
 	// ResultsKept is how long results stay after the acceptance of a job.
 	ResultsKept time.Duration
 	Now         func() time.Time
@@ -77,6 +80,7 @@
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 	follow  *object.Follower
+	retire  *object.Follower
 	nextID  atomic.Uint64
 
 	mu       sync.Mutex
@@ -106,6 +110,9 @@
 		jobs: make(map[string]*job), reserved: make(map[string]reservation), runners: make(map[string]*runnerNode),
 	}
 	h.follow = object.NewFollower(object.FollowerOptions{Client: opts.Objects, Kind: KindJobs, Apply: h.applyJobs, Log: opts.Log})
+	h.retire = object.NewFollower(object.FollowerOptions{
+		Client: opts.Objects, Kind: opts.Retirements.Kind, Apply: h.applyRetirements, Log: opts.Log,
+	})
 	h.done.Go(h.sweep)
 	return h
 }
@@ -114,6 +121,7 @@
 func (h *Home) Close() {
 	h.cancel()
 	h.follow.Close()
+	h.retire.Close()
 	h.desk.Close()
 	h.done.Wait()
 }
@@ -231,7 +239,7 @@
 	s := &session{owner: h.owner(m.VM, m.Incarnation), relay: m.Relay}
 	if m.Runs && m.VM != h.opts.VMID {
 		h.mu.Lock()
-		h.runners[s.owner] = &runnerNode{conn: in.Conn(), name: m.VM}
+		h.runners[s.owner] = &runnerNode{conn: in.Conn(), name: m.VM, left: make(chan struct{})}
 		h.mu.Unlock()
 	}
 	for _, o := range m.Open {
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"mothcart/core/batch"
 	"mothcart/io/link"
 	"mothcart/io/object"
+	"mothcart/io/store"
 )
 
 const (
@@ -94,26 +98,24 @@
 // takeWithResults takes a job up that may have results of an earlier home. One that needs no more runs
 // is left to the object service.
 func (h *Home) takeWithResults(o object.Object) {
-	log, err := decodeJob(o)
-	if err != nil {
-		h.opts.Log.Error().Str("job", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("jobSkipped")
-		return
-	}
 	if s := decodeStatus(o); s.Listed || s.Ended {
 		return
 	}
-	for {
+	for h.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
-		loaded, err := loadChunks(ctx, h.opts.Objects, log)
+		log, err := decodeJob(ctx, h.opts.Objects, o)
+		if err == nil {
+			log, err = loadChunks(ctx, h.opts.Objects, log)
+		}
 		cancel()
 		if err == nil {
-			h.start(o, loaded)
+			h.start(o, log)
 			return
 		}
-		if h.ctx.Err() != nil {
+		h.opts.Log.Warn().Str("job", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("jobNotRead")
+		if errors.Is(err, errUnreadable) {
 			return
 		}
-		h.opts.Log.Warn().Str("job", o.Name).Err(err).Msg("resultsNotRead")
 		time.Sleep(retryPause)
 	}
 }
@@ -129,7 +131,9 @@
 		h.endJob(o.Name)
 	case known || status.Ended || status.Listed:
 	default:
-		log, err := decodeJob(o)
+		ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
+		defer cancel()
+		log, err := decodeJob(ctx, h.opts.Objects, o)
 		if err != nil {
 			h.opts.Log.Error().Str("job", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("jobSkipped")
 			return
@@ -378,16 +382,29 @@
 	if j == nil {
 		return
 	}
+	large := len(j.log.Job().Split(jobBytes)) > 1
 	ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
 	defer cancel()
-	chunks, _, err := object.ListAll(ctx, h.opts.Objects, resultsKind(id))
-	for _, o := range chunks {
-		if err == nil {
-			err = h.opts.Objects.Delete(ctx, resultsKind(id), o.Name)
-		}
+	err := h.removeAll(ctx, resultsKind(id))
+	if err == nil && large {
+		err = h.removeAll(ctx, partsPrefix+id)
 	}
 	if err == nil {
 		err = h.opts.Objects.Delete(ctx, KindJobs, id)
 	}
 	h.opts.Log.Info().Str("job", id).AnErr("error", err).Msg("jobRemoved")
 }
+
+// removeAll deletes all objects of a kind.
+func (h *Home) removeAll(ctx context.Context, kind string) error {
+	objects, _, err := object.ListAll(ctx, h.opts.Objects, kind)
+	if err != nil {
+		return merry.Errorf("list %s to remove it: %w", kind, err)
+	}
+	for _, o := range objects {
+		if err := h.opts.Objects.Delete(ctx, kind, o.Name); err != nil && !errors.Is(err, store.ErrNotFound) {
+			return merry.Errorf("remove %s/%s: %w", kind, o.Name, err)
+		}
+	}
+	return nil
+}
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -24,10 +24,16 @@
 	// ResultsPrefix and the ID of a job make the kind that holds the chunks of its results, so that
 	// they can be read without those of others.
 	ResultsPrefix = "mothcart-results-"
+	// partsPrefix and the ID of a job make the kind that holds the items of a job that is too large
+	// for one object.
+	partsPrefix = "mothcart-parts-"
 	// mainName names the only object of a kind.
 	mainName = "main"
 )
 
+// errUnreadable means that an object is not what a home or an entry node writes, now or later.
+var errUnreadable = merry.Sentinel("object can't be read")
+
 // jobStatus is the status of a job's object.
 type jobStatus struct {
 	Ended bool `json:"ended"`
@@ -48,9 +54,27 @@
 // chunkName is the name of the chunk at a position; names sort by position.
 func chunkName(from int) string { return fmt.Sprintf("%06d", from) }
 
-// CreateJob writes a job. A job that exists already counts as written. Errors are those of
-// object.CreateConfirmed without ErrConflict.
+// jobBytes bounds the items in one object; an object holds 1 MB.
+const jobBytes = 700 << 10
+
+// part is a group of items of a large job.
+type part struct {
+	Items []batch.Item `json:"items"`
+}
+
+// CreateJob writes a job; of a large one the items first, so that it exists only as a whole. A job
+// that exists already counts as written. Errors are those of object.CreateConfirmed without
+// ErrConflict.
 func CreateJob(ctx context.Context, c object.Client, job batch.Job) error {
+	if groups := job.Split(jobBytes); len(groups) > 1 {
+		for i, items := range groups {
+			_, err := object.CreateConfirmed(ctx, c, partsPrefix+job.ID, chunkName(i), part{Items: items})
+			if err != nil && !errors.Is(err, store.ErrConflict) {
+				return merry.Errorf("write part %d of job %s: %w", i, job.ID, err)
+			}
+		}
+		job.Items, job.Parts = nil, len(groups)
+	}
 	_, err := object.CreateConfirmed(ctx, c, KindJobs, job.ID, job)
 	if errors.Is(err, store.ErrConflict) {
 		return nil
@@ -58,6 +82,29 @@
 	return err
 }
 
+// loadParts returns a job with the items that lie in other objects.
+func loadParts(ctx context.Context, c object.Client, job batch.Job) (batch.Job, error) {
+	if job.Parts == 0 {
+		return job, nil
+	}
+	objects, _, err := object.ListAll(ctx, c, partsPrefix+job.ID)
+	if err != nil {
+		return job, merry.Errorf("list parts of job %s: %w", job.ID, err)
+	}
+	var items []batch.Item
+	for _, o := range objects {
+		var p part
+		if err := json.Unmarshal(o.Spec, &p); err != nil {
+			return job, merry.Errorf("decode part %s of job %s: %w: %w", o.Name, job.ID, errUnreadable, err)
+		}
+		items = append(items, p.Items...)
+	}
+	if len(objects) != job.Parts {
+		return job, merry.Errorf("job %s has %d of %d parts", job.ID, len(objects), job.Parts)
+	}
+	return job.WithItems(items), nil
+}
+
 // EndJob marks a job as ended. It returns store.ErrNotFound if there is no such job.
 func EndJob(ctx context.Context, c object.Client, id string) error {
 	_, err := c.PutStatus(ctx, KindJobs, id, jobStatus{Ended: true})
@@ -70,7 +117,7 @@
 	if err != nil {
 		return batch.Log{}, merry.Errorf("read job %s: %w", id, err)
 	}
-	log, err := decodeJob(o)
+	log, err := decodeJob(ctx, c, o)
 	if err != nil {
 		return batch.Log{}, err
 	}
@@ -92,12 +139,16 @@
 	return log, nil
 }
 
-func decodeJob(o object.Object) (batch.Log, error) {
+func decodeJob(ctx context.Context, c object.Client, o object.Object) (batch.Log, error) {
 	var job batch.Job
 	if err := json.Unmarshal(o.Spec, &job); err != nil {
-		return batch.Log{}, merry.Errorf("decode job %s: %w", o.Name, err)
+		return batch.Log{}, merry.Errorf("decode job %s: %w: %w", o.Name, errUnreadable, err)
 	}
 	job.ID = o.Name
+	job, err := loadParts(ctx, c, job)
+	if err != nil {
+		return batch.Log{}, err
+	}
 	log := batch.NewLog(job)
 	if decodeStatus(o).Ended {
 		log = log.WithEnded()
@@ -108,14 +159,14 @@
 func withObject(log batch.Log, o object.Object) (batch.Log, error) {
 	var chunk batch.Chunk
 	if err := json.Unmarshal(o.Spec, &chunk); err != nil {
-		return log, merry.Errorf("decode results %s: %w", o.Name, err)
+		return log, merry.Errorf("decode results %s: %w: %w", o.Name, errUnreadable, err)
 	}
 	if chunk.From < log.Len() {
 		return log, nil // known already
 	}
 	next, err := log.WithChunk(chunk)
 	if err != nil {
-		return log, merry.Errorf("results %s: %w", o.Name, err)
+		return log, merry.Errorf("results %s: %w: %w", o.Name, errUnreadable, err)
 	}
 	return next, nil
 }
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -147,8 +147,12 @@
 	conn    *link.Conn
 	name    string
 	running int
+	// left is closed when the node gets no more items and those that it runs are to end.
+	left chan struct{}
 }
 
+func (n *runnerNode) stop() { close(n.left) }
+
 // execute makes an attempt here, or at the least busy runner if the home has enough of its own.
 func (h *Home) execute(ctx context.Context, c itemCall) (itemOutcome, string) {
 	node := h.pickRunner()
@@ -162,11 +166,18 @@
 	// The call outlives the cut, so that the progress is not lost.
 	call, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() {
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-ended:
+			return
+		case <-ctx.Done():
+		case <-node.left:
+		}
 		node.conn.Notify(methodCancelRun, cancelRunNotice{Run: c.Run})
 		time.AfterFunc(progressWait, cancel)
-	})
-	defer stop()
+	}()
 	var out itemOutcome
 	if err := node.conn.Call(call, methodRun, c, &out); err != nil {
 		return itemOutcome{Result: slot.Abandoned, LastEventID: c.LastEventID, Err: err.Error()}, node.name
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -70,6 +70,7 @@
 	if err != nil || level == "" {
 		return zerolog.Nop(), nil, merry.Errorf("log level %q: not one of %s", level, strings.Join(Levels(), ", "))
 	}
+	zerolog.TimeFieldFormat = timeFormat
 	out := &gatheringWriter{w: bufio.NewWriterSize(w, gatherBytes)}
 	ring := diode.NewWriter(out, queued, pollInterval, missed)
 	end := func() {
@@ -79,6 +80,9 @@
 	return zerolog.New(ring).Level(parsed).With().Timestamp().Logger(), end, nil
 }
 
+// timeFormat shows times to the millisecond, to which the clocks of VMs agree at best.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 const (
 	// pollInterval is the time between two looks for lines to write.
 	pollInterval = 50 * time.Millisecond
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"io"
+	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -26,3 +29,35 @@
 	_, err := New(&bytes.Buffer{}, "loud")
 	assert.ErrorContains(t, err, "not one of debug")
 }
+
+// blockingWriter is a reader of the log that has stopped reading.
+type blockingWriter struct{ release chan struct{} }
+
+func (b blockingWriter) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+func TestLogThatNobodyReadsCostsLinesNotTime(t *testing.T) {
+	const lines, queued = 5000, 100
+	w := blockingWriter{release: make(chan struct{})}
+	var missed atomic.Int64
+	log, end, err := NewJSON(w, "info", queued, func(n int) { missed.Add(int64(n)) })
+	require.NoError(t, err)
+	text := strings.Repeat("x", 200)
+	for range lines {
+		log.Info().Str("text", text).Msg("line") // would hang here if it waited for the reader
+	}
+	close(w.release)
+	end()
+	require.Positive(t, missed.Load(), "what was left out is counted")
+}
+
+func BenchmarkJSONLine(b *testing.B) {
+	log, end, err := NewJSON(io.Discard, "info", 1000, func(int) {})
+	require.NoError(b, err)
+	defer end()
+	for b.Loop() {
+		log.Info().Str("request", "9c41d07be2a35f68").Str("route", "r1").Str("upstream", "i-7f3a91c2").Int("status", 200).Msg("requestDone")
+	}
+}
--- a/io/node/calm_test.go
+++ b/io/node/calm_test.go
@@ -38,7 +38,7 @@
 
 func TestBodyOverLimitIsRefused(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
-		r := s.call(t.Context(), 1, http.MethodPost, "/swap/1", "r1", string(make([]byte, 100001)))
+		r := s.call(t.Context(), 1, http.MethodPost, "/swap/1", "r1", string(make([]byte, 4000001)))
 		require.Equal(t, http.StatusRequestEntityTooLarge, r.status)
 		require.Zero(t, s.runsOf("r1"))
 	})
@@ -60,6 +60,19 @@
 	})
 }
 
+// A job of 1.5 MB doesn't fit one object.
+func TestLargeJobIsKeptInParts(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		body := make([]byte, 100<<10)
+		require.Equal(t, http.StatusAccepted, s.submitBodies(1, "j1", 15, body).status)
+		require.Equal(t, http.StatusAccepted, s.submitBodies(2, "j1", 15, body).status, "the same job again")
+		time.Sleep(300 * time.Millisecond)
+		s.killHome(1)
+		p := s.awaitJob(2, "j1", 18*time.Second)
+		require.Equal(t, 15, p.Total)
+	})
+}
+
 func TestItemBodyIsReadUntilTheJobEnds(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
 		s.submitJob(1, "j1", 60)
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -129,15 +129,36 @@
 	return nil
 }
 
-// awaitStop waits for SIGTERM or the end of the context; SIGHUP reads the settings again.
+// settingsInterval is the time between two looks whether the settings file has changed.
+const settingsInterval = 2 * time.Second
+
+// modTime returns when a file was changed last; the zero time if that is not known.
+func modTime(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// awaitStop waits for SIGTERM or the end of the context. The settings are read again at SIGHUP and
+// when their file has changed.
 func awaitStop(ctx context.Context, opts Options) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
+	changes := time.NewTicker(settingsInterval)
+	defer changes.Stop()
+	modified := modTime(opts.SettingsPath)
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-changes.C:
+			if at := modTime(opts.SettingsPath); !at.Equal(modified) {
+				modified = at
+				reload(opts)
+			}
 		case s := <-signals:
 			if s != syscall.SIGHUP {
 				opts.Log.Info().Str("signal", s.String()).Msg("stopAsked")
--- a/io/node/fault_test.go
+++ b/io/node/fault_test.go
@@ -359,3 +359,24 @@
 		require.Equal(t, before, s.engines[0].Total(), "an upstream that left 2 s ago gets nothing, though all others are full")
 	})
 }
+
+func TestRetiredVMsAreEmptied(t *testing.T) {
+	for _, tc := range []struct {
+		name, vm string
+	}{
+		{"the home", "s1"},
+		{"a node that runs items", "s2"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSiteOf(t, 1, func(t *testing.T, s *testSite) {
+				s.submitJob(1, "j1", 12)
+				time.Sleep(300 * time.Millisecond)
+				s.objects.Write("retirements", tc.vm, map[string]any{"duration_s": 10})
+				time.Sleep(2 * time.Second)
+				require.JSONEq(t, `{"state":"completed"}`, string(s.objects.Status("retirements", tc.vm)))
+				require.False(t, s.homes[tc.vm].IsHome())
+				s.awaitJob(1, "j1", 18*time.Second)
+			})
+		})
+	}
+}
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -8,6 +8,7 @@
 	"mothcart/core/site"
 	"mothcart/io/home"
 	"mothcart/io/object"
+	"mothcart/platform"
 )
 
 // HomeNode is a node that may be the home.
@@ -16,7 +17,9 @@
 	server  *home.Server
 	elector *home.Elector
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// retired reports that the VM is to be emptied.
+	retired   bool
 	home      *home.Home
 	upstreams []site.Upstream
 }
@@ -42,10 +45,16 @@
 	b.onDown = n.server.PushDown
 	b.isHome = n.IsHome
 	b.follow()
-	n.elector = home.NewElector(home.ElectorOptions{
+	elector := home.NewElector(home.ElectorOptions{
 		VMID: opts.Settings.VMID, Incarnation: b.incarnation, Address: b.peerAddress(), Objects: b.objects,
 		Sound: b.client.Sound, Start: n.start, Now: opts.Now, Log: opts.Log,
 	})
+	n.mu.Lock()
+	n.elector = elector
+	if n.retired {
+		elector.Retire()
+	}
+	n.mu.Unlock()
 	opts.Log.Info().Str("vm", opts.Settings.VMID).Str("peers", b.peerAddress()).Int64("incarnation", b.incarnation).Msg("homeNodeStarted")
 	return n, nil
 }
@@ -57,6 +66,16 @@
 	return n.home != nil
 }
 
+// stepDown makes another node the home.
+func (n *HomeNode) stepDown() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.retired = true
+	if n.elector != nil {
+		n.elector.Retire()
+	}
+}
+
 // Close gives the home away, if this node is it, and ends the node.
 func (n *HomeNode) Close() {
 	n.elector.Close()
@@ -134,6 +153,7 @@
 		VMID: o.Settings.VMID, AvailabilityZone: o.Settings.AvailabilityZone, Term: term, Objects: n.base.objects,
 		Runner: n.base.runner, OwnRuns: o.OwnRuns, Config: n.base.currentConfig, Valid: valid,
 		Snapshots: n.snapshots, ObjectsDown: n.base.objectsDown,
+		Retirements: platform.Retirements(), StepDown: n.stepDown,
 		ResultsKept: o.Settings.ResultsKept, Now: o.Now, TimeOfDay: time.Now, Log: o.Log, Registry: o.Registry,
 	})
 	n.mu.Lock()
--- a/io/node/site_test.go
+++ b/io/node/site_test.go
@@ -107,7 +107,7 @@
 	s.objects.Write("config", "main", map[string]any{
 		"version": version, "routes": append(routes(), more...),
 		"services": []map[string]any{{"name": "scribe", "max_conns": 100, "engine": map[string]any{"slots": 2}}, {"name": "desk", "max_conns": 100}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4000000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 }
 
@@ -211,6 +211,11 @@
 
 // submitJob submits a job with items a0, a1, … of 100 tokens each.
 func (s *testSite) submitJob(n int, id string, items int) reply {
+	return s.submitBodies(n, id, items, []byte("draft"))
+}
+
+// submitBodies submits a job whose items have a given body.
+func (s *testSite) submitBodies(n int, id string, items int, body []byte) reply {
 	type item struct {
 		ID      string            `json:"id"`
 		Path    string            `json:"path"`
@@ -220,7 +225,7 @@
 	}
 	var list []item
 	for i := range items {
-		list = append(list, item{ID: fmt.Sprintf("%s.a%d", id, i), Path: "/lot/stream/1", Body: []byte("draft"), Tokens: 100})
+		list = append(list, item{ID: fmt.Sprintf("%s.a%d", id, i), Path: "/lot/stream/1", Body: body, Tokens: 100})
 	}
 	b, err := json.Marshal(map[string]any{"items": list})
 	require.NoError(s.t, err)
