Seal the results of a job when a home takes it up

Cause, found while modelling the protocol: a home that was replaced without noticing could append a chunk after its successor had read the results; readers of the object service saw it, readers of the new home did not until its own next write. Change: chunks are numbered; a new home writes an empty one first, so that the older home's append meets a conflict, sees a later term and stops. Test: TestReplacedHomeListsNothing fails without the seal (6 results listed, 0 known to the home).

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -114,11 +114,14 @@
 	Text string `json:"text" msgpack:"t"`
 }
 
-// Chunk is a group of results that is written at once.
+// Chunk is a group of results that is written at once. One without results is a seal: it takes the
+// place that an earlier writer would append at.
 type Chunk struct {
 	// From is the position of the first result, counted from 0.
-	From    int      `json:"from"`
-	Results []Result `json:"results"`
+	From int `json:"from"`
+	// Term is that of the home that wrote the chunk.
+	Term    int64    `json:"term"`
+	Results []Result `json:"results,omitempty"`
 }
 
 var (
@@ -133,6 +136,7 @@
 	job     Job
 	results []Result
 	listed  map[string]struct{}
+	chunks  int
 	ended   bool
 }
 
@@ -145,6 +149,9 @@
 // Len returns the number of results.
 func (l Log) Len() int { return len(l.results) }
 
+// Chunks returns the number of chunks; the next one is written under this number.
+func (l Log) Chunks() int { return l.chunks }
+
 // Ended reports that the job was ended by its owner.
 func (l Log) Ended() bool { return l.ended }
 
@@ -172,6 +179,7 @@
 	}
 	l.results = append(slices.Clip(l.results), c.Results...)
 	l.listed = listed
+	l.chunks++
 	return l, nil
 }
 
--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -63,7 +63,7 @@
 		stored := map[int]Chunk{}
 		logs := [2]Log{NewLog(job(items)), NewLog(job(items))}
 		catchUp := func(i int) {
-			for c, ok := stored[logs[i].Len()]; ok; c, ok = stored[logs[i].Len()] {
+			for c, ok := stored[logs[i].Chunks()]; ok; c, ok = stored[logs[i].Chunks()] {
 				next, err := logs[i].WithChunk(c)
 				require.NoError(rt, err)
 				logs[i] = next
@@ -75,16 +75,16 @@
 			if len(open) == 0 {
 				continue
 			}
-			n := rapid.IntRange(1, len(open)).Draw(rt, "results")
+			n := rapid.IntRange(0, len(open)).Draw(rt, "results")
 			c := Chunk{From: logs[i].Len()}
 			for _, item := range open[:n] {
 				c.Results = append(c.Results, Result{Item: item.ID, State: Completed, Text: fmt.Sprint("home ", i)})
 			}
-			if _, taken := stored[c.From]; taken {
+			if _, taken := stored[logs[i].Chunks()]; taken {
 				catchUp(i)
 				continue
 			}
-			stored[c.From] = c
+			stored[logs[i].Chunks()] = c
 			if rapid.Bool().Draw(rt, "answered") {
 				catchUp(i)
 			}
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -107,6 +107,9 @@
 		if err == nil {
 			log, err = loadChunks(ctx, h.opts.Objects, log)
 		}
+		if err == nil {
+			log, err = h.seal(ctx, log)
+		}
 		cancel()
 		if err == nil {
 			h.start(o, log)
@@ -120,6 +123,18 @@
 	}
 }
 
+// seal takes the place that an earlier home would append the next results at, so that nothing is listed
+// that this home doesn't know of.
+func (h *Home) seal(ctx context.Context, log batch.Log) (batch.Log, error) {
+	c := batch.Chunk{From: log.Len(), Term: h.opts.Term}
+	id := log.Job().ID
+	_, err := object.CreateConfirmed(ctx, h.opts.Objects, resultsKind(id), chunkName(log.Chunks()), c)
+	if err != nil {
+		return log, merry.Errorf("seal results of job %s: %w", id, err)
+	}
+	return log.WithChunk(c)
+}
+
 // take takes up the change of a job: a new one has no results yet.
 func (h *Home) take(o object.Object) {
 	h.mu.Lock()
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -51,8 +51,8 @@
 
 func resultsKind(job string) string { return ResultsPrefix + job }
 
-// chunkName is the name of the chunk at a position; names sort by position.
-func chunkName(from int) string { return fmt.Sprintf("%06d", from) }
+// chunkName is the name of the chunk with a number; names sort by number.
+func chunkName(number int) string { return fmt.Sprintf("%06d", number) }
 
 // jobBytes bounds the items in one object; an object holds 1 MB.
 const jobBytes = 700 << 10
@@ -156,12 +156,13 @@
 	return log, nil
 }
 
+// withObject returns the log with the chunk of an object.
 func withObject(log batch.Log, o object.Object) (batch.Log, error) {
 	var chunk batch.Chunk
 	if err := json.Unmarshal(o.Spec, &chunk); err != nil {
 		return log, merry.Errorf("decode results %s: %w: %w", o.Name, errUnreadable, err)
 	}
-	if chunk.From < log.Len() {
+	if o.Name < chunkName(log.Chunks()) {
 		return log, nil // known already
 	}
 	next, err := log.WithChunk(chunk)
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
@@ -243,6 +244,8 @@
 			return
 		}
 		chunk := j.nextChunk()
+		chunk.Term = h.opts.Term
+		number := j.log.Chunks()
 		if len(chunk.Results) == 0 || j.log.Ended() {
 			j.writing = false
 			listed := j.log.Len() == len(j.log.Job().Items)
@@ -253,7 +256,7 @@
 			return
 		}
 		h.mu.Unlock()
-		if !h.writeChunk(id, chunk) {
+		if !h.writeChunk(id, number, chunk) {
 			return
 		}
 	}
@@ -283,12 +286,12 @@
 	return c
 }
 
-// writeChunk writes one chunk, repeated until its position is taken by it or by another one. It
-// reports false when the home has ended.
-func (h *Home) writeChunk(id string, chunk batch.Chunk) bool {
+// writeChunk writes one chunk, repeated until its number is taken by it or by another one. It reports
+// false when the home has ended or was replaced.
+func (h *Home) writeChunk(id string, number int, chunk batch.Chunk) bool {
 	for h.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(h.ctx, writeTimeout)
-		o, err := object.CreateConfirmed(ctx, h.opts.Objects, resultsKind(id), chunkName(chunk.From), chunk)
+		o, err := object.CreateConfirmed(ctx, h.opts.Objects, resultsKind(id), chunkName(number), chunk)
 		cancel()
 		switch {
 		case err == nil:
@@ -297,8 +300,7 @@
 			return true
 		case errors.Is(err, store.ErrConflict):
 			h.opts.Log.Warn().Str("job", id).Int("from", chunk.From).Int64("revision", int64(o.Revision)).Msg("chunkOfAnotherHome")
-			h.appendObject(id, o)
-			return true
+			return h.appendObject(id, o)
 		}
 		h.opts.Log.Warn().Str("job", id).Int("from", chunk.From).Int("results", len(chunk.Results)).Err(err).Msg("chunkNotWritten")
 		time.Sleep(retryPause)
@@ -323,18 +325,26 @@
 		Dur("ageMillis", h.opts.Now().Sub(j.acceptedAt)).Msg("resultsListed")
 }
 
-// appendObject takes up a chunk that another home wrote.
-func (h *Home) appendObject(id string, o object.Object) {
+// appendObject takes up a chunk that another home wrote. It reports false if that home follows this
+// one, whose results are then no longer listed.
+func (h *Home) appendObject(id string, o object.Object) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	j := h.jobs[id]
 	if j == nil {
-		return
+		return true
+	}
+	var chunk batch.Chunk
+	if err := json.Unmarshal(o.Spec, &chunk); err == nil && chunk.Term > h.opts.Term {
+		h.opts.Log.Warn().Str("job", id).Int64("term", h.opts.Term).Int64("sealedBy", chunk.Term).Msg("homeReplaced")
+		j.finished = nil
+		j.cutRuns()
+		return false
 	}
 	log, err := withObject(j.log, o)
 	if err != nil {
 		h.opts.Log.Error().Str("job", id).Str("chunk", o.Name).Err(err).Msg("chunkSkipped")
-		return
+		return false
 	}
 	j.setLog(log)
 	for item, r := range j.runs {
@@ -346,4 +356,5 @@
 			delete(j.runs, item)
 		}
 	}
+	return true
 }
--- a/io/node/fault_test.go
+++ b/io/node/fault_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mothcart/io/home"
 	"mothcart/platform/fake"
 )
 
@@ -380,3 +381,30 @@
 		})
 	}
 }
+
+// A home that was replaced without noticing finishes items and then reaches the object service again.
+func TestReplacedHomeListsNothing(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.submitJob(1, "j1", 6)
+		time.Sleep(50 * time.Millisecond)
+		s.network.Cut(homeIP(1), storeIP)
+		s.network.Cut(homeIP(1), homeIP(2))
+		for n := 1; n <= 3; n++ {
+			s.network.Cut(homeIP(2), engineIP(n))
+		}
+		time.Sleep(4 * time.Second)
+		require.True(t, s.homes["s2"].IsHome())
+		require.Equal(t, 6, s.runsOf("j1.a0")+s.runsOf("j1.a1")+s.runsOf("j1.a2")+s.runsOf("j1.a3")+s.runsOf("j1.a4")+s.runsOf("j1.a5"))
+		s.network.Heal(homeIP(1), storeIP)
+		time.Sleep(time.Second)
+		log, err := home.LoadJob(t.Context(), s.entries["e1"].base.objects, "j1")
+		require.NoError(t, err)
+		p, _ := s.readJob(1, "j1", 0)
+		require.Equal(t, log.Len(), p.Next, "the home knows all that is listed")
+		s.network.Heal(homeIP(1), homeIP(2))
+		for n := 1; n <= 3; n++ {
+			s.network.Heal(homeIP(2), engineIP(n))
+		}
+		s.awaitJob(1, "j1", 18*time.Second)
+	})
+}
