--- a/core/site/directory.go
+++ b/core/site/directory.go
@@ -30,8 +30,8 @@
 	// missing holds the upstreams whose entries have disappeared, and when.
 	missing map[string]missing
 	down    bool
-	// regained is when the object service answered again.
-	regained time.Time
+	// lost is when the object service stopped to answer last, regained when it answered again.
+	lost, regained time.Time
 }
 
 type missing struct {
@@ -65,6 +65,9 @@
 	if d.down && !down {
 		d.regained = now
 	}
+	if !d.down && down {
+		d.lost = now
+	}
 	d.down = down
 	return d
 }
@@ -90,22 +93,24 @@
 	return list, next
 }
 
-// kept returns until when a missing upstream is used.
+// kept returns until when a missing upstream is used. An outage that came after its entry had
+// disappeared doesn't count for it.
 func (d Directory) kept(now time.Time, m missing) time.Time {
 	until := m.since.Add(goneGrace)
+	inOutage := !d.lost.IsZero() && !m.since.Before(d.lost)
+	returned := d.regained.Add(returnGrace)
 	switch {
 	case m.upstream.Draining:
 		return m.since
-	case d.down:
+	case inOutage && d.down:
 		return now.Add(returnGrace)
+	case inOutage && m.since.Before(returned) && returned.After(until):
+		return returned
 	case d.lapsed(m):
 		return m.since.Add(returnGrace)
-	case !d.regained.IsZero() && m.since.Before(d.regained.Add(returnGrace)):
-		if returned := d.regained.Add(returnGrace); returned.After(until) {
-			return returned
-		}
+	default:
+		return until
 	}
-	return until
 }
 
 // lapsed reports that half of a service's entries disappeared together, which shows an outage of the
