--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -137,7 +137,9 @@
 	results []Result
 	listed  map[string]struct{}
 	chunks  int
-	ended   bool
+	// term is the latest term of a chunk.
+	term  int64
+	ended bool
 }
 
 // NewLog returns the log of a job without results.
@@ -152,6 +154,9 @@
 // Chunks returns the number of chunks; the next one is written under this number.
 func (l Log) Chunks() int { return l.chunks }
 
+// Term returns the latest term of the homes that wrote the chunks.
+func (l Log) Term() int64 { return l.term }
+
 // Ended reports that the job was ended by its owner.
 func (l Log) Ended() bool { return l.ended }
 
@@ -180,6 +185,7 @@
 	l.results = append(slices.Clip(l.results), c.Results...)
 	l.listed = listed
 	l.chunks++
+	l.term = max(l.term, c.Term)
 	return l, nil
 }
 
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -45,6 +45,17 @@
 	finished []batch.Result
 	// writing reports that finished results are being written.
 	writing bool
+	// chunkSince is when the write of a chunk began whose outcome is not known; zero if there is none.
+	chunkSince time.Time
+}
+
+// unresolvedLimit is how long a chunk may be on its way before the home is no longer sure of a job:
+// the object service may show it already.
+const unresolvedLimit = 400 * time.Millisecond
+
+// unresolved reports that the object service may hold more of the job than the home knows.
+func (j *job) unresolved(now time.Time) bool {
+	return !j.chunkSince.IsZero() && now.Sub(j.chunkSince) > unresolvedLimit
 }
 
 type reservation struct {
@@ -116,7 +127,7 @@
 			return
 		}
 		h.opts.Log.Warn().Str("job", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("jobNotRead")
-		if errors.Is(err, errUnreadable) {
+		if errors.Is(err, errUnreadable) || errors.Is(err, errReplaced) {
 			return
 		}
 		time.Sleep(retryPause)
@@ -126,8 +137,11 @@
 // seal takes the place that an earlier home would append the next results at, so that nothing is listed
 // that this home doesn't know of.
 func (h *Home) seal(ctx context.Context, log batch.Log) (batch.Log, error) {
-	c := batch.Chunk{From: log.Len(), Term: h.opts.Term}
 	id := log.Job().ID
+	if log.Term() > h.opts.Term {
+		return log, merry.Errorf("job %s is at the home of term %d: %w", id, log.Term(), errReplaced)
+	}
+	c := batch.Chunk{From: log.Len(), Term: h.opts.Term}
 	_, err := object.CreateConfirmed(ctx, h.opts.Objects, resultsKind(id), chunkName(log.Chunks()), c)
 	if err != nil {
 		return log, merry.Errorf("seal results of job %s: %w", id, err)
@@ -318,7 +332,7 @@
 	now := h.opts.Now()
 	h.mu.Lock()
 	j := h.jobs[m.Job]
-	if j == nil || !h.loaded || !h.opts.Valid(now) {
+	if j == nil || !h.loaded || !h.opts.Valid(now) || j.unresolved(now) {
 		h.mu.Unlock()
 		in.Answer(readAnswer{})
 		return true
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -34,6 +34,9 @@
 // errUnreadable means that an object is not what a home or an entry node writes, now or later.
 var errUnreadable = merry.Sentinel("object can't be read")
 
+// errReplaced means that a home of a later term has taken a job up.
+var errReplaced = merry.Sentinel("replaced by a later home")
+
 // jobStatus is the status of a job's object.
 type jobStatus struct {
 	Ended bool `json:"ended"`
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -246,6 +246,9 @@
 		chunk := j.nextChunk()
 		chunk.Term = h.opts.Term
 		number := j.log.Chunks()
+		if len(chunk.Results) > 0 {
+			j.chunkSince = h.opts.Now()
+		}
 		if len(chunk.Results) == 0 || j.log.Ended() {
 			j.writing = false
 			listed := j.log.Len() == len(j.log.Job().Items)
@@ -320,6 +323,7 @@
 		h.opts.Log.Error().Str("job", id).Int("from", chunk.From).Err(err).Msg("chunkSkipped")
 		return
 	}
+	j.chunkSince = time.Time{}
 	j.setLog(log)
 	h.opts.Log.Info().Str("job", id).Int("from", chunk.From).Int("results", len(chunk.Results)).Int("of", len(log.Job().Items)).
 		Dur("ageMillis", h.opts.Now().Sub(j.acceptedAt)).Msg("resultsListed")
@@ -346,6 +350,7 @@
 		h.opts.Log.Error().Str("job", id).Str("chunk", o.Name).Err(err).Msg("chunkSkipped")
 		return false
 	}
+	j.chunkSince = time.Time{}
 	j.setLog(log)
 	for item, r := range j.runs {
 		if log.Listed(item) {
