Hand the items of a home over to the next one

Change: a new home asks the one before it for the progress of its items, which stops them and names its successor to its nodes; a home that gives the lease back waits to be asked. Tests: TestNextHomeGoesOnWhereTheLastOneWas, TestEntryWithoutObjectServiceFollowsToTheNextHome.

--- a/io/home/client.go
+++ b/io/home/client.go
@@ -311,6 +311,11 @@
 			c.relays = m.Relays
 			c.mu.Unlock()
 		}
+	case methodAnnounce:
+		var a Announcement
+		if err = in.Decode(&a); err == nil {
+			go c.Announce(a) // it closes this connection
+		}
 	case methodDown:
 		var m downNotice
 		if err = in.Decode(&m); err == nil {
--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -50,8 +50,9 @@
 	Objects object.Client
 	// Sound reports that this node is connected to a home that can renew its lease.
 	Sound func() bool
-	// Start begins to be the home and returns what ends it.
-	Start func(term int64, valid func(now time.Time) bool) (stop func())
+	// Start begins to be the home and returns what ends it, and what waits for the next home to take
+	// over.
+	Start func(term int64, valid func(now time.Time) bool) (stop, awaitHandover func())
 	Now   func() time.Time
 	Log   zerolog.Logger
 }
@@ -177,7 +178,7 @@
 
 // hold is the home until the lease is lost or the context ends.
 func (e *Elector) hold(ctx context.Context, term int64) {
-	stop := sync.OnceFunc(e.opts.Start(term, e.valid))
+	stop, awaitHandover := e.opts.Start(term, e.valid)
 	defer stop()
 	announced := false
 	l := lease{Term: term, VM: e.opts.VMID, Incarnation: e.opts.Incarnation}
@@ -187,8 +188,9 @@
 		}
 		pause(ctx, renewInterval)
 		if ctx.Err() != nil || e.retired.Load() {
-			stop()
-			e.giveBack(l)
+			if e.giveBack(l) {
+				awaitHandover()
+			}
 			return
 		}
 		l.Renewal++
@@ -237,8 +239,8 @@
 	return found.Term == l.Term && found.VM == e.opts.VMID && found.Incarnation == l.Incarnation
 }
 
-// giveBack frees the lease, so that another node can take it at once.
-func (e *Elector) giveBack(l lease) {
+// giveBack frees the lease, so that another node can take it at once. It reports that it did.
+func (e *Elector) giveBack(l lease) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), leaseCallTimeout)
 	defer cancel()
 	e.sureUntil.Store(0)
@@ -249,6 +251,7 @@
 		_, err = e.opts.Objects.Put(ctx, KindLease, mainName, l, o.Revision)
 	}
 	e.opts.Log.Info().Int64("term", l.Term).AnErr("error", err).Msg("leaseGivenBack")
+	return err == nil
 }
 
 // announce names this node as the home, unless a later one is named.
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -59,6 +59,10 @@
 	Snapshots func() map[string]object.Change
 	// ObjectsDown reports that the home doesn't reach the object service.
 	ObjectsDown func() bool
+	// Announce tells the nodes of the home that has taken over.
+	Announce func(a Announcement)
+	// Handover asks the home before this one for the progress of its items.
+	Handover func(ctx context.Context) ([]ItemProgress, error)
 	// Retirements tells of VMs that are to be emptied, and StepDown makes another node the home.
 	Retirements Retirements
 	StepDown    func()
@@ -82,12 +86,21 @@
 	follow  *object.Follower
 	retire  *object.Follower
 	nextID  atomic.Uint64
+	// progressTaken is closed when the home before this one has been asked for progress.
+	progressTaken chan struct{}
+	// given is closed when a later home has taken over.
+	given     chan struct{}
+	givenOnce sync.Once
 
 	mu       sync.Mutex
 	jobs     map[string]*job
 	reserved map[string]reservation
 	// loaded reports that the jobs of the object service are known.
 	loaded bool
+	// replaced reports that a later home has taken the items.
+	replaced bool
+	// progress holds what the home before this one had done of items.
+	progress map[[2]string]ItemProgress
 	// runners are the nodes that run items for the home, ownRunning the items that it runs itself.
 	runners    map[string]*runnerNode
 	ownRunning int
@@ -107,8 +120,10 @@
 			asks: counter("asks"), refused: counter("refused"), cuts: counter("cuts"),
 			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"),
 		},
+		progressTaken: make(chan struct{}), given: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
 		jobs: make(map[string]*job), reserved: make(map[string]reservation), runners: make(map[string]*runnerNode),
 	}
+	h.done.Go(h.takeProgress)
 	h.follow = object.NewFollower(object.FollowerOptions{Client: opts.Objects, Kind: KindJobs, Apply: h.applyJobs, Log: opts.Log})
 	h.retire = object.NewFollower(object.FollowerOptions{
 		Client: opts.Objects, Kind: opts.Retirements.Kind, Apply: h.applyRetirements, Log: opts.Log,
@@ -129,8 +144,17 @@
 // SetUpstreams tells the home of the upstreams.
 func (h *Home) SetUpstreams(list []site.Upstream) { h.desk.SetUpstreams(list) }
 
-// Term returns the term of the home.
-func (h *Home) Term() int64 { return h.opts.Term }
+// AwaitHandover waits until a later home has taken over, for a while.
+func (h *Home) AwaitHandover() {
+	t := time.NewTimer(handoverWait)
+	defer t.Stop()
+	select {
+	case <-h.given:
+	case <-t.C:
+	}
+}
+
+func (h *Home) handedOver() { h.givenOnce.Do(func() { close(h.given) }) }
 
 // owner names one connection of a node's process, so that the late end of one connection takes
 // nothing from the next one.
@@ -147,8 +171,14 @@
 
 // Handle answers a message of a node; s is nil until the node has introduced itself.
 func (h *Home) handle(s *session, in link.Incoming) *session {
-	if in.Method == methodHello {
+	switch in.Method {
+	case methodHello:
 		return h.hello(in)
+	case methodHandover:
+		if err := h.handOver(in); err != nil {
+			in.Fail(err)
+		}
+		return s
 	}
 	if s == nil {
 		in.Fail(merry.Errorf("%s before hello", in.Method))
@@ -231,6 +261,13 @@
 }
 
 func (h *Home) hello(in link.Incoming) *session {
+	h.mu.Lock()
+	replaced := h.replaced
+	h.mu.Unlock()
+	if replaced {
+		in.Fail(ErrNoHome)
+		return nil
+	}
 	var m helloRequest
 	if err := in.Decode(&m); err != nil {
 		in.Fail(err)
@@ -351,6 +388,11 @@
 	s.server.Each(func(c *link.Conn) { c.Notify(methodView, viewNotice{Kind: kind, Change: object.Change{Events: news}}) })
 }
 
+// PushAnnouncement tells all nodes of the home that has taken over.
+func (s *Server) PushAnnouncement(a Announcement) {
+	s.server.Each(func(c *link.Conn) { c.Notify(methodAnnounce, a) })
+}
+
 // PushDown tells all nodes whether the home reaches the object service.
 func (s *Server) PushDown(down bool) {
 	s.mu.Lock()
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -21,9 +21,13 @@
 	methodEnded   = "ended"
 	methodSubmit  = "submit"
 	methodEnd     = "end"
+	// methodHandover comes from the home of a later term.
+	methodHandover = "handover"
 	// methodView and methodPeers go from the home to the nodes.
 	methodView  = "view"
 	methodPeers = "peers"
+	// methodAnnounce names the home that has taken over, to nodes that can't read it themselves.
+	methodAnnounce = "announce"
 	// methodDown tells that the home doesn't reach the object service, or that it does again.
 	methodDown = "down"
 	// methodUnsure tells that the home can't renew its lease, or that it can again.
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -44,6 +44,11 @@
 
 // startItems asks for a slot for each open item that has no run.
 func (h *Home) startItems(id string) {
+	select {
+	case <-h.progressTaken:
+	case <-h.ctx.Done():
+		return
+	}
 	h.mu.Lock()
 	j := h.jobs[id]
 	var started []*run
@@ -51,6 +56,7 @@
 		for _, item := range j.log.Open() {
 			if j.runs[item.ID] == nil {
 				r := &run{job: id, item: item}
+				h.resume(r)
 				j.runs[item.ID] = r
 				started = append(started, r)
 			}
@@ -66,7 +72,7 @@
 func (h *Home) askSlot(r *run) {
 	h.mu.Lock()
 	j := h.jobs[r.job]
-	if j == nil || r.over || h.ctx.Err() != nil {
+	if j == nil || r.over || h.replaced || h.ctx.Err() != nil {
 		h.mu.Unlock()
 		return
 	}
@@ -92,7 +98,7 @@
 func (h *Home) startRun(r *run, g slot.Grant) {
 	ctx, cancel := context.WithCancelCause(h.ctx)
 	h.mu.Lock()
-	over := r.over
+	over := r.over || h.replaced
 	r.cancel = cancel
 	h.mu.Unlock()
 	if over {
--- a/io/node/fault_test.go
+++ b/io/node/fault_test.go
@@ -408,3 +408,47 @@
 		s.awaitJob(1, "j1", 18*time.Second)
 	})
 }
+
+// What the items of a lost home had done goes to the next one, where the old one can still be asked.
+func TestNextHomeGoesOnWhereTheLastOneWas(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		end  func(s *testSite)
+	}{
+		{"the home stops", func(s *testSite) {
+			h := s.homes["s1"]
+			delete(s.homes, "s1")
+			h.Close()
+		}},
+		{"the home doesn't reach the object service", func(s *testSite) {
+			s.objects.SetFault(fake.Fault{Down: map[string]bool{homeIP(1): true}})
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				for _, e := range s.engines {
+					e.SetPace(200 * time.Millisecond)
+				}
+				s.submitJob(1, "j1", 6)
+				time.Sleep(time.Second)
+				tc.end(s)
+				time.Sleep(2500 * time.Millisecond)
+				require.True(t, s.homes["s2"].IsHome())
+				for _, e := range s.engines {
+					require.LessOrEqual(t, e.Running(), 2, "the old runs have ended")
+				}
+				s.awaitJob(1, "j1", 6*time.Second)
+			})
+		})
+	}
+}
+
+func TestEntryWithoutObjectServiceFollowsToTheNextHome(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.objects.SetFault(fake.Fault{Down: map[string]bool{homeIP(1): true, entryIP(1): true}})
+		time.Sleep(4 * time.Second)
+		require.True(t, s.homes["s2"].IsHome())
+		require.Equal(t, "s2", s.entries["e1"].base.client.Home().VM)
+		require.True(t, s.entries["e1"].base.client.Connected())
+	})
+}
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -147,12 +147,21 @@
 }
 
 // start begins to be the home.
-func (n *HomeNode) start(term int64, valid func(now time.Time) bool) func() {
+func (n *HomeNode) start(term int64, valid func(now time.Time) bool) (stop, awaitHandover func()) {
 	o := n.base.opts
+	before := n.base.client.Home()
 	h := home.New(home.Options{
 		VMID: o.Settings.VMID, AvailabilityZone: o.Settings.AvailabilityZone, Term: term, Objects: n.base.objects,
 		Runner: n.base.runner, OwnRuns: o.OwnRuns, Config: n.base.currentConfig, Valid: valid,
 		Snapshots: n.snapshots, ObjectsDown: n.base.objectsDown,
+		Handover: func(ctx context.Context) ([]home.ItemProgress, error) {
+			if before.Address == "" || before.Address == n.base.peerAddress() {
+				return nil, nil
+			}
+			by := home.Announcement{Term: term, VM: o.Settings.VMID, Address: n.base.peerAddress()}
+			return home.FetchProgress(ctx, o.Connect(connectTimeout), before, by)
+		},
+		Announce:    n.server.PushAnnouncement,
 		Retirements: platform.Retirements(), StepDown: n.stepDown,
 		ResultsKept: o.Settings.ResultsKept, Now: o.Now, TimeOfDay: time.Now, Log: o.Log, Registry: o.Registry,
 	})
@@ -164,7 +173,7 @@
 	n.server.SetHome(h)
 	ended := make(chan struct{})
 	go n.tell(valid, ended)
-	return func() {
+	stop = func() {
 		close(ended)
 		n.mu.Lock()
 		n.home = nil
@@ -172,4 +181,5 @@
 		n.server.SetHome(nil)
 		h.Close()
 	}
+	return stop, h.AwaitHandover
 }
