Learn of the next home from another entry

Change: a home of a later term that a relay leads to is taken as the home. Test: TestEntryLearnsOfTheNextHomeFromAnotherEntry fails without it.

--- a/io/home/client.go
+++ b/io/home/client.go
@@ -192,7 +192,7 @@
 			continue
 		}
 		pause = firstReconnect
-		c.stay(ctx, conn, a)
+		c.stay(ctx, conn)
 		c.lost(conn, a)
 	}
 }
@@ -202,7 +202,7 @@
 
 // stay waits for the end of a connection. A path through another node is left as soon as the home can
 // be reached directly.
-func (c *Client) stay(ctx context.Context, conn *link.Conn, a Announcement) {
+func (c *Client) stay(ctx context.Context, conn *link.Conn) {
 	t := time.NewTicker(directInterval)
 	defer t.Stop()
 	for {
@@ -217,7 +217,7 @@
 		if !c.isRelayed() {
 			continue
 		}
-		if probe, err := c.opts.Connect(ctx, "tcp", a.Address); err == nil {
+		if probe, err := c.opts.Connect(ctx, "tcp", c.Home().Address); err == nil {
 			_ = probe.Close() // it only shows that there is a path
 			conn.Close()
 			return
@@ -281,20 +281,28 @@
 		conn.Close()
 		return nil, err
 	}
-	c.mu.Lock()
-	current := c.home.Term == a.Term
-	if current {
-		c.conn, c.relayed, c.unsure = conn, address != a.Address, false
-	}
-	c.mu.Unlock()
-	if !current || answer.Term != a.Term {
+	if !c.adopt(conn, a, answer.Home, address) {
 		conn.Close()
-		return nil, merry.Errorf("node at %s has term %d, not %d: %w", address, answer.Term, a.Term, ErrNoHome)
+		return nil, merry.Errorf("node at %s has term %d, not %d: %w", address, answer.Home.Term, a.Term, ErrNoHome)
 	}
+	a = answer.Home
 	c.opts.Log.Info().Str("home", a.VM).Int64("term", a.Term).Msg("homeRegained")
 	return conn, nil
 }
 
+// adopt takes a connection into use if it leads to the home that was announced last or to a later one,
+// of which a relay may know before this node.
+func (c *Client) adopt(conn *link.Conn, announced, found Announcement, address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.home.Term != announced.Term || found.Term < announced.Term {
+		return false
+	}
+	c.home = found
+	c.conn, c.relayed, c.unsure = conn, address != found.Address, false
+	return true
+}
+
 // handle takes up what the home tells.
 func (c *Client) handle(_ *link.Conn, in link.Incoming) {
 	var err error
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -45,9 +45,11 @@
 type Options struct {
 	VMID             string
 	AvailabilityZone string
-	Term             int64
-	Objects          object.Client
-	Runner           *Runner
+	// Address is where nodes reach this one.
+	Address string
+	Term    int64
+	Objects object.Client
+	Runner  *Runner
 	// OwnRuns is the number of items that the home runs itself at the same time before it gives some
 	// to other nodes.
 	OwnRuns int
@@ -283,7 +285,7 @@
 		h.desk.Adopt(slot.Request{Key: slot.Key{Owner: s.owner, ID: o.ID}, Service: o.Service}, o.Upstream)
 	}
 	h.opts.Log.Info().Str("peer", s.owner).Int("open", len(m.Open)).Int64("term", h.opts.Term).Msg("nodeConnected")
-	in.Answer(helloAnswer{VM: h.opts.VMID, Term: h.opts.Term})
+	in.Answer(helloAnswer{Home: Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}})
 	in.Conn().Notify(methodDown, downNotice{Down: h.opts.ObjectsDown()})
 	for kind, c := range h.opts.Snapshots() {
 		in.Conn().Notify(methodView, viewNotice{Kind: kind, Change: c})
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -55,8 +55,7 @@
 }
 
 type helloAnswer struct {
-	VM   string `msgpack:"vm"`
-	Term int64  `msgpack:"term"`
+	Home Announcement `msgpack:"home"`
 }
 
 // askRequest asks for a slot. Times are durations from now, since clocks of VMs differ.
--- a/io/node/fault_test.go
+++ b/io/node/fault_test.go
@@ -452,3 +452,16 @@
 		require.True(t, s.entries["e1"].base.client.Connected())
 	})
 }
+
+// The home is lost while the object service turns an entry away, so that it can't read who follows.
+func TestEntryLearnsOfTheNextHomeFromAnotherEntry(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		time.Sleep(3 * time.Second)
+		s.network.Cut(entryIP(1), storeIP)
+		s.killHome(1)
+		time.Sleep(3 * time.Second)
+		require.True(t, s.homes["s2"].IsHome())
+		require.Equal(t, "s2", s.entries["e1"].base.client.Home().VM)
+		require.True(t, s.entries["e1"].base.client.Connected())
+	})
+}
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -151,7 +151,7 @@
 	o := n.base.opts
 	before := n.base.client.Home()
 	h := home.New(home.Options{
-		VMID: o.Settings.VMID, AvailabilityZone: o.Settings.AvailabilityZone, Term: term, Objects: n.base.objects,
+		VMID: o.Settings.VMID, AvailabilityZone: o.Settings.AvailabilityZone, Address: n.base.peerAddress(), Term: term, Objects: n.base.objects,
 		Runner: n.base.runner, OwnRuns: o.OwnRuns, Config: n.base.currentConfig, Valid: valid,
 		Snapshots: n.snapshots, ObjectsDown: n.base.objectsDown,
 		Handover: func(ctx context.Context) ([]home.ItemProgress, error) {
