--- a/core/slot/pool_test.go
+++ b/core/slot/pool_test.go
@@ -277,22 +277,27 @@
 			default:
 				apply(p.Tick(now))
 			}
-			used := map[string]int{}
-			for _, g := range held {
-				used[g.Upstream.ID]++
-				require.LessOrEqual(rt, used[g.Upstream.ID], slots)
-			}
-			l := p.Load(now, "scribe")
-			require.Equal(rt, len(held), l.Online+l.Batch)
-			if l.WaitingOnline > 0 {
-				require.Equal(rt, n*slots, l.Online+l.Batch, "no slot is free while an online request waits")
-			}
-			if l.WaitingBatch > 0 {
-				require.GreaterOrEqual(rt, l.Online+l.Batch+l.Reserve, n*slots, "batch leaves no more than the reserve")
-			}
-			if l.WaitingOnline > 0 {
-				require.Zero(rt, l.Batch, "no online request waits behind batch")
-			}
+			checkPromises(rt, p, now, held, n, slots)
 		}
 	})
 }
+
+// checkPromises checks the grants that are held against the promises of a pool.
+func checkPromises(rt *rapid.T, p *Pool, now time.Time, held map[Key]Grant, n, slots int) {
+	used := map[string]int{}
+	for _, g := range held {
+		used[g.Upstream.ID]++
+		require.LessOrEqual(rt, used[g.Upstream.ID], slots)
+	}
+	l := p.Load(now, "scribe")
+	require.Equal(rt, len(held), l.Online+l.Batch)
+	if l.WaitingOnline > 0 {
+		require.Equal(rt, n*slots, l.Online+l.Batch, "no slot is free while an online request waits")
+	}
+	if l.WaitingBatch > 0 {
+		require.GreaterOrEqual(rt, l.Online+l.Batch+l.Reserve, n*slots, "batch leaves no more than the reserve")
+	}
+	if l.WaitingOnline > 0 {
+		require.Zero(rt, l.Batch, "no online request waits behind batch")
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -151,7 +151,7 @@
 		h.submit(w, r, route, body, arrived)
 		return
 	}
-	h.opts.Forward.Serve(w, r.Context(), forward.Request{
+	h.opts.Forward.Serve(r.Context(), w, forward.Request{
 		ID: id, Method: r.Method, Host: r.Host, Path: r.URL.RequestURI(), Header: r.Header, Body: body,
 		Route: route, Arrived: arrived, Deadline: h.deadline(r, route, arrived),
 		LastEventID: h.opts.Codec.LastEventID(r.Header),
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -12,7 +12,7 @@
 // Usage:
 //
 //	f := forward.New(forward.Options{Client: client, Wire: wire, Acquire: acquire, Log: log})
-//	f.Serve(w, ctx, forward.Request{ID: id, Route: route, Deadline: deadline, Body: body})
+//	f.Serve(ctx, w, forward.Request{ID: id, Route: route, Deadline: deadline, Body: body})
 package forward
 
 import (
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -56,7 +56,7 @@
 
 // Serve answers one request. It ends the connection by panic(http.ErrAbortHandler) if a stream that
 // has started can't be completed.
-func (f *Forwarder) Serve(w http.ResponseWriter, ctx context.Context, req Request, random uint64) {
+func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, req Request, random uint64) {
 	x := &exchange{f: f, w: w, req: req, service: req.Route.Service(random), lastID: req.LastEventID}
 	x.log = f.opts.Log.With().Str("request", req.ID).Str("route", req.Route.Name).Str("service", x.service).Logger()
 	f.countRequest(x.service)
--- /dev/null
+++ b/io/home/connect.go
@@ -0,0 +1,209 @@
+package home
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/io/link"
+)
+
+// run keeps a connection to the home.
+func (c *Client) run(ctx context.Context) {
+	pause := firstReconnect
+	for ctx.Err() == nil {
+		a := c.Home()
+		if a.Address == "" {
+			c.sleep(ctx, time.Hour)
+			continue
+		}
+		conn, err := c.connectAny(ctx, a)
+		if err != nil {
+			c.opts.Log.Debug().Str("home", a.VM).Int64("term", a.Term).Err(err).Msg("homeNotReached")
+			c.sleep(ctx, pause)
+			pause = min(2*pause, lastReconnect)
+			continue
+		}
+		pause = firstReconnect
+		c.stay(ctx, conn)
+		c.lost(conn, a)
+	}
+}
+
+// directInterval is the time between two attempts to replace a path through another node.
+const directInterval = 5 * time.Second
+
+// stay waits for the end of a connection. A path through another node is left as soon as the home can
+// be reached directly.
+func (c *Client) stay(ctx context.Context, conn *link.Conn) {
+	t := time.NewTicker(directInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-conn.Done():
+			return
+		case <-ctx.Done():
+			conn.Close()
+			return
+		case <-t.C:
+		}
+		if !c.isRelayed() {
+			continue
+		}
+		if probe, err := c.opts.Connect(ctx, "tcp", c.Home().Address); err == nil {
+			_ = probe.Close() // it only shows that there is a path
+			conn.Close()
+			return
+		}
+	}
+}
+
+func (c *Client) isRelayed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relayed
+}
+
+// relayAttempts is the number of relays that are tried after the direct path.
+const relayAttempts = 2
+
+// connectAny opens a connection to the home: directly, or through another node.
+func (c *Client) connectAny(ctx context.Context, a Announcement) (*link.Conn, error) {
+	conn, err := c.connect(ctx, a, a.Address)
+	if err == nil {
+		return conn, nil
+	}
+	c.mu.Lock()
+	relays := slices.Clone(c.relays)
+	c.mu.Unlock()
+	rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
+	tried := 0
+	for _, relay := range relays {
+		if relay == c.opts.Relay || tried == relayAttempts || ctx.Err() != nil {
+			continue
+		}
+		tried++
+		if conn, relayErr := c.connect(ctx, a, relay); relayErr == nil {
+			c.opts.Log.Warn().Str("home", a.VM).Str("relay", relay).AnErr("direct", err).Msg("homeReachedByRelay")
+			return conn, nil
+		}
+	}
+	return nil, err
+}
+
+func (c *Client) sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-c.wake:
+	case <-t.C:
+	}
+}
+
+// connect opens a connection to the home at its own address or at that of a relay.
+func (c *Client) connect(ctx context.Context, a Announcement, address string) (*link.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	conn, err := link.Dial(ctx, c.opts.Connect, address, link.Options{Handle: c.handle})
+	if err != nil {
+		return nil, err
+	}
+	var answer helloAnswer
+	if err := conn.Call(ctx, methodHello, c.hello(), &answer); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	if !c.adopt(conn, a, answer.Home, address) {
+		conn.Close()
+		return nil, merry.Errorf("node at %s has term %d, not %d: %w", address, answer.Home.Term, a.Term, ErrNoHome)
+	}
+	a = answer.Home
+	c.opts.Log.Info().Str("home", a.VM).Int64("term", a.Term).Msg("homeRegained")
+	return conn, nil
+}
+
+// adopt takes a connection into use if it leads to the home that was announced last or to a later one,
+// of which a relay may know before this node.
+func (c *Client) adopt(conn *link.Conn, announced, found Announcement, address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.home.Term != announced.Term || found.Term < announced.Term {
+		return false
+	}
+	c.home = found
+	c.conn, c.relayed, c.unsure = conn, address != found.Address, false
+	return true
+}
+
+// handle takes up what the home tells.
+func (c *Client) handle(_ *link.Conn, in link.Incoming) {
+	var err error
+	switch in.Method {
+	case methodView:
+		var m viewNotice
+		if err = in.Decode(&m); err == nil {
+			c.opts.View(m.Kind, m.Change)
+		}
+	case methodPeers:
+		var m peersNotice
+		if err = in.Decode(&m); err == nil {
+			c.mu.Lock()
+			c.relays = m.Relays
+			c.mu.Unlock()
+		}
+	case methodAnnounce:
+		var a Announcement
+		if err = in.Decode(&a); err == nil {
+			go c.Announce(a) // it closes this connection
+		}
+	case methodDown:
+		var m downNotice
+		if err = in.Decode(&m); err == nil {
+			c.opts.Down(m.Down)
+		}
+	case methodUnsure:
+		var m unsureNotice
+		if err = in.Decode(&m); err == nil {
+			c.mu.Lock()
+			c.unsure = m.Unsure
+			c.mu.Unlock()
+		}
+	case methodRun:
+		if c.opts.Runner != nil {
+			err = c.opts.Runner.serve(in, c.report)
+			break
+		}
+		in.Fail(merry.New("this node runs no items"))
+	case methodCancelRun:
+		var m cancelRunNotice
+		if err = in.Decode(&m); err == nil && c.opts.Runner != nil {
+			c.opts.Runner.cancel(m.Run)
+		}
+	default:
+		err = merry.New("unknown method")
+	}
+	if err != nil {
+		c.opts.Log.Warn().Str("method", in.Method).Err(err).Msg("badMessage")
+	}
+}
+
+func (c *Client) hello() helloRequest {
+	h := helloRequest{VM: c.opts.VMID, Incarnation: c.opts.Incarnation, Relay: c.opts.Relay, Runs: c.opts.Runner != nil}
+	for _, g := range c.own.Grants() {
+		h.Open = append(h.Open, openedSlot{ID: g.Request.Key.ID, Service: g.Request.Service, Upstream: g.Upstream.ID})
+	}
+	return h
+}
+
+func (c *Client) lost(conn *link.Conn, a Announcement) {
+	c.mu.Lock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	c.mu.Unlock()
+	c.opts.Log.Warn().Str("home", a.VM).Int64("term", a.Term).Msg("homeLost")
+}
--- /dev/null
+++ b/io/node/view.go
@@ -0,0 +1,193 @@
+package node
+
+import (
+	"time"
+
+	"mothcart/core/site"
+	"mothcart/io/home"
+	"mothcart/io/object"
+	"mothcart/platform"
+)
+
+// verifyInterval is the time between two listings beside a watch: a change that the watch has missed
+// must be in force within the platform's bound of 2 s, the grace for missing upstreams included.
+const verifyInterval = 700 * time.Millisecond
+
+// follow starts to follow the object service, unless a home tells this node of changes; onConfig,
+// onUpstreams and isHome must be set before.
+func (b *base) follow() {
+	paused := func() bool { return !b.isHome() && b.client.Informed() && b.known() }
+	verify := func() time.Duration { return verifyInterval }
+	start := func(kind string, down func(bool)) {
+		b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
+			Client: b.objects, Kind: kind, Apply: func(c object.Change) { b.receive(kind, c) }, Down: down,
+			Verify: verify, Paused: paused, Log: b.opts.Log,
+		}))
+	}
+	start(platform.KindConfig, nil)
+	start(platform.KindUpstreams, b.ownDown)
+	b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
+		Client: b.objects, Kind: home.KindHomes, Apply: func(c object.Change) { home.ApplyAnnouncements(b.client, c, b.opts.Log) },
+		Verify: b.verifyWithoutHome, Log: b.opts.Log,
+	}))
+}
+
+// verifyWithoutHome checks the watch of the homes only while none answers, since it may have missed
+// the next one.
+func (b *base) verifyWithoutHome() time.Duration {
+	if b.client.Connected() {
+		return 0
+	}
+	return verifyInterval
+}
+
+// receive takes up a change of a kind, from an own watch or from the home.
+func (b *base) receive(kind string, c object.Change) {
+	m := b.mirrors[kind]
+	if m == nil {
+		b.opts.Log.Warn().Str("kind", kind).Msg("unknownKind")
+		return
+	}
+	news := m.Apply(c)
+	switch kind {
+	case platform.KindConfig:
+		b.applyConfig(news)
+	case platform.KindUpstreams:
+		b.applyUpstreams(news)
+	}
+	if b.onNews != nil && len(news) > 0 {
+		b.onNews(kind, news)
+	}
+}
+
+func (b *base) currentConfig() site.Config {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.config
+}
+
+// known reports that the node has a configuration and has read the list of upstreams.
+func (b *base) known() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.config.Version > 0 && b.mirrors[platform.KindUpstreams].Listed()
+}
+
+// applyConfig takes up a configuration of a higher version.
+func (b *base) applyConfig(news []object.Event) {
+	for _, e := range news {
+		o := e.Object
+		if e.Deleted || o.Name != platform.ConfigName {
+			continue
+		}
+		cfg, err := platform.DecodeConfig(o)
+		if err != nil {
+			b.opts.Log.Error().Int64("revision", int64(o.Revision)).Err(err).Msg("configurationSkipped")
+			continue
+		}
+		b.mu.Lock()
+		before := b.config.Version
+		newer := cfg.Version > before
+		if newer {
+			b.config = cfg
+			b.onConfig(cfg)
+		}
+		b.mu.Unlock()
+		if newer {
+			b.opts.Log.Info().Int64("version", cfg.Version).Int64("before", before).Int64("revision", int64(o.Revision)).Msg("configurationInForce")
+		}
+	}
+}
+
+func (b *base) applyUpstreams(news []object.Event) {
+	now := b.opts.Now()
+	b.mu.Lock()
+	for _, e := range news {
+		u, ok := site.Upstream{}, false
+		if !e.Deleted {
+			u, ok = b.decodeUpstream(e.Object)
+		}
+		if !ok {
+			b.opts.Log.Info().Str("upstream", e.Object.Name).Bool("deleted", e.Deleted).Int64("revision", int64(e.Object.Revision)).Msg("upstreamGone")
+			b.directory = b.directory.WithoutUpstream(now, e.Object.Name)
+			continue
+		}
+		b.opts.Log.Info().Str("upstream", u.ID).Int64("incarnation", u.Incarnation).Str("service", u.Service).Str("address", u.Address).
+			Bool("draining", u.Draining).Int64("revision", int64(e.Object.Revision)).Msg("upstreamChanged")
+		b.directory = b.directory.WithUpstream(u)
+	}
+	b.mu.Unlock()
+	b.publishUpstreams()
+}
+
+func (b *base) objectsDown() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.down.effective
+}
+
+func (b *base) decodeUpstream(o object.Object) (site.Upstream, bool) {
+	u, err := platform.DecodeUpstream(o)
+	if err != nil {
+		b.opts.Log.Warn().Str("upstream", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("upstreamSkipped")
+		return site.Upstream{}, false
+	}
+	return u, true
+}
+
+// ownDown takes up whether this node's own calls to the object service are answered.
+func (b *base) ownDown(down bool) {
+	b.mu.Lock()
+	b.down.own = down
+	b.mu.Unlock()
+	b.updateDown()
+}
+
+// homeDown takes up whether the home's calls to the object service are answered.
+func (b *base) homeDown(down bool) {
+	b.mu.Lock()
+	b.down.home = down
+	b.mu.Unlock()
+	b.updateDown()
+}
+
+// updateDown judges anew whether the source of this node's view is cut off from the object service:
+// the home where it tells this node of changes, or the node itself.
+func (b *base) updateDown() {
+	informed := !b.isHome() && b.client.Informed()
+	b.mu.Lock()
+	down := b.down.own
+	if informed {
+		down = b.down.home
+	}
+	changed := down != b.down.effective
+	b.down.effective = down
+	if changed {
+		b.directory = b.directory.WithDown(b.opts.Now(), down)
+	}
+	b.mu.Unlock()
+	if !changed {
+		return
+	}
+	if b.onDown != nil {
+		b.onDown(down)
+	}
+	b.publishUpstreams()
+}
+
+// publishUpstreams tells of the upstreams, and again when one that is missing is given up.
+func (b *base) publishUpstreams() {
+	now := b.opts.Now()
+	b.mu.Lock()
+	list, next := b.directory.Upstreams(now)
+	if b.expiry != nil {
+		b.expiry.Stop()
+		b.expiry = nil
+	}
+	if !next.IsZero() {
+		b.expiry = time.AfterFunc(next.Sub(now), b.publishUpstreams)
+	}
+	b.mu.Unlock()
+	b.client.SetUpstreams(list)
+	b.onUpstreams(list)
+}
