--- a/io/clock/clock.go
+++ b/io/clock/clock.go
@@ -10,6 +10,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -27,3 +28,15 @@
 
 // start is the origin of the monotonic time.
 var start = time.Now()
+
+// Sleep waits for a time or until the context ends, whose error it then returns.
+func Sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(max(d, time.Nanosecond)) // the race detector of Go 1.26 crashes on a timer that is due at once in virtual time
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 
+	"mothcart/io/clock"
 	"mothcart/io/object"
 	"mothcart/io/store"
 )
@@ -95,23 +96,14 @@
 	for ctx.Err() == nil {
 		if e.retired.Load() || e.opts.Sound() {
 			e.seenSince = time.Time{}
-			pause(ctx, idleInterval)
+			_ = clock.Sleep(ctx, idleInterval) // ends early only with the context
 			continue
 		}
 		if term, ok := e.seek(ctx); ok {
 			e.hold(ctx, term)
 			continue
 		}
-		pause(ctx, lookInterval)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
+		_ = clock.Sleep(ctx, lookInterval) // ends early only with the context
 	}
 }
 
@@ -186,7 +178,7 @@
 		if !announced {
 			announced = e.announce(ctx, term)
 		}
-		pause(ctx, renewInterval)
+		_ = clock.Sleep(ctx, renewInterval) // ends early only with the context
 		if ctx.Err() != nil || e.retired.Load() {
 			if e.giveBack(l) {
 				awaitHandover()
--- a/io/ledger/handoff.go
+++ b/io/ledger/handoff.go
@@ -7,6 +7,7 @@
 	"github.com/ansel1/merry/v2"
 
 	core "mothcart/core/ledger"
+	"mothcart/io/clock"
 )
 
 const (
@@ -34,7 +35,7 @@
 			s.l.counts.handoffs.Inc(1)
 			return e
 		}
-		if pause(ctx, wait) != nil {
+		if clock.Sleep(ctx, wait) != nil {
 			break
 		}
 		wait = min(2*wait, maxBackoff)
--- a/io/ledger/linear_test.go
+++ b/io/ledger/linear_test.go
@@ -15,6 +15,7 @@
 
 	core "mothcart/core/ledger"
 	fakestore "mothcart/fake/store"
+	"mothcart/io/clock"
 )
 
 // event is what one operation on a key gave.
@@ -120,7 +121,7 @@
 
 // disturb strikes the cluster with random faults until the context ends.
 func disturb(ctx context.Context, c *cluster, rng *rand.Rand) {
-	for pause(ctx, time.Duration(rng.IntN(3000))*time.Millisecond) == nil {
+	for clock.Sleep(ctx, time.Duration(rng.IntN(3000))*time.Millisecond) == nil {
 		n := c.node(fmt.Sprintf("e%d", 1+rng.IntN(3)))
 		switch rng.IntN(7) {
 		case 0:
--- a/io/ledger/parts.go
+++ b/io/ledger/parts.go
@@ -6,6 +6,7 @@
 	"github.com/ansel1/merry/v2"
 
 	core "mothcart/core/ledger"
+	"mothcart/io/clock"
 )
 
 const (
@@ -83,7 +84,7 @@
 			a.Body, a.Parts = nil, parts
 			return a, nil
 		}
-		if err := pause(ctx, wait); err != nil {
+		if err := clock.Sleep(ctx, wait); err != nil {
 			return core.Answer{}, merry.Errorf("keep answer: %w", err)
 		}
 	}
--- a/io/ledger/route.go
+++ b/io/ledger/route.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 
 	core "mothcart/core/ledger"
+	"mothcart/io/clock"
 )
 
 const (
@@ -40,14 +41,14 @@
 		switch {
 		case errors.Is(err, errReroute):
 			sent = true
-			err = pause(ctx, reroutePause)
+			err = clock.Sleep(ctx, reroutePause)
 		case errors.Is(err, ErrUnreachable):
 			unreachable++
-			err = pause(ctx, unreachablePause)
+			err = clock.Sleep(ctx, unreachablePause)
 		case errors.Is(err, errLost):
 			sent = true
 			unreachable++
-			err = pause(ctx, unreachablePause)
+			err = clock.Sleep(ctx, unreachablePause)
 		default:
 			return r, err
 		}
@@ -128,14 +129,3 @@
 		AtSeconds: time.Now().Unix(),
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(max(d, time.Nanosecond)) // the race detector of Go 1.26 crashes on a timer that is due at once in virtual time
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/io/ledger/write.go
+++ b/io/ledger/write.go
@@ -6,6 +6,7 @@
 	"time"
 
 	core "mothcart/core/ledger"
+	"mothcart/io/clock"
 	"mothcart/io/store"
 )
 
@@ -56,7 +57,7 @@
 		if w, ok := s.readBack(ctx, head.Last, expect, uncertain); ok {
 			return w
 		}
-		if pause(ctx, resolvePause) != nil {
+		if clock.Sleep(ctx, resolvePause) != nil {
 			break
 		}
 	}
--- a/io/object/follow.go
+++ b/io/object/follow.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"mothcart/io/clock"
+
 	"github.com/rs/zerolog"
 )
 
@@ -78,7 +80,7 @@
 	for ctx.Err() == nil {
 		if f.paused() {
 			f.at = 0 // what happens meanwhile is listed afterwards
-			_ = sleep(ctx, pausePoll)
+			_ = clock.Sleep(ctx, pausePoll)
 			continue
 		}
 		err := f.step(ctx)
@@ -97,7 +99,7 @@
 			f.at = 0
 			continue
 		}
-		_ = sleep(ctx, backoff/2+rand.N(backoff/2)) // ends early only with the context
+		_ = clock.Sleep(ctx, backoff/2+rand.N(backoff/2)) // ends early only with the context
 		backoff = min(2*backoff, lastBackoff)
 	}
 }
@@ -110,7 +112,7 @@
 // endAtPause cancels a watch when a pause begins.
 func (f *Follower) endAtPause(ctx context.Context, cancel context.CancelFunc) {
 	for f.opts.Paused != nil {
-		if sleep(ctx, pausePoll) != nil {
+		if clock.Sleep(ctx, pausePoll) != nil {
 			return
 		}
 		if f.paused() {
@@ -162,7 +164,7 @@
 func (f *Follower) verify(ctx context.Context) {
 	for f.opts.Verify != nil {
 		interval := f.opts.Verify()
-		if sleep(ctx, cmp.Or(interval, verifyIdle)) != nil {
+		if clock.Sleep(ctx, cmp.Or(interval, verifyIdle)) != nil {
 			return
 		}
 		if interval == 0 || f.opts.Verify() == 0 {
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -21,6 +21,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"mothcart/io/clock"
 	"mothcart/io/store"
 )
 
@@ -104,7 +105,7 @@
 		case !errors.Is(err, store.ErrUnavailable):
 			return Object{}, merry.Errorf("create %s/%s: %w", kind, name, err)
 		}
-		if sleep(ctx, confirmPause) != nil || endsWithin(ctx, confirmMargin) {
+		if clock.Sleep(ctx, confirmPause) != nil || endsWithin(ctx, confirmMargin) {
 			if unknown {
 				return Object{}, merry.Errorf("create %s/%s: %w: %w", kind, name, store.ErrUnknown, err)
 			}
@@ -143,14 +144,3 @@
 		after = page[len(page)-1].Name
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/io/order/order.go
+++ b/io/order/order.go
@@ -24,6 +24,7 @@
 
 	core "mothcart/core/order"
 	"mothcart/core/vm"
+	"mothcart/io/clock"
 	"mothcart/io/store"
 )
 
@@ -165,7 +166,7 @@
 			metrics.GetOrRegisterCounter("orders.given", r.opts.Registry).Inc(1)
 			r.opts.Log.Info().Str("upstream", t.Engine.ID).Uint64("fence", held.Record.Fence).Msg("orderGiven")
 		}
-		if err := sleep(r.ctx, r.opts.ReadBack); err != nil {
+		if err := clock.Sleep(r.ctx, r.opts.ReadBack); err != nil {
 			return err
 		}
 		reached, err := r.reached(t)
@@ -192,17 +193,6 @@
 	return held, r.takeSlot(weightSlots, t.Engine.ID, r.opts.WeightSlots)
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // storeError keeps what callers tell apart.
 func storeError(what string, err error) error {
 	if errors.Is(err, store.ErrConflict) {
--- a/io/published/apply.go
+++ b/io/published/apply.go
@@ -11,6 +11,7 @@
 
 	"mothcart/core/config"
 	"mothcart/core/publication"
+	"mothcart/io/clock"
 	"mothcart/io/store"
 )
 
@@ -162,7 +163,7 @@
 		if !errors.Is(err, ErrStale) && !errors.Is(err, publication.ErrCorrupt) {
 			return root, 0, merry.Errorf("%w: %w", ErrUnavailable, err)
 		}
-		if sleep(ctx, staleRetryPause) != nil {
+		if clock.Sleep(ctx, staleRetryPause) != nil {
 			break
 		}
 	}
--- a/io/published/commit.go
+++ b/io/published/commit.go
@@ -9,6 +9,7 @@
 
 	"mothcart/core/config"
 	"mothcart/core/publication"
+	"mothcart/io/clock"
 	"mothcart/io/store"
 )
 
@@ -99,7 +100,7 @@
 				return found, nil
 			}
 		}
-		if sleep(ctx, pause) != nil {
+		if clock.Sleep(ctx, pause) != nil {
 			return false, merry.Errorf("entry %s %d: %w", u.id.Writer, u.id.Sequence, ErrOutcomeUnknown)
 		}
 	}
--- a/io/published/gossip.go
+++ b/io/published/gossip.go
@@ -7,6 +7,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/publication"
+	"mothcart/io/clock"
 )
 
 const (
@@ -94,7 +95,7 @@
 			if h.revision <= f.announcement().Revision {
 				continue
 			}
-			_ = sleep(ctx, f.random.duration(f.opts.FetchJitter))
+			_ = clock.Sleep(ctx, f.random.duration(f.opts.FetchJitter))
 			if err := f.fetchFrom(ctx, h.from); err != nil {
 				f.log.Debug().Err(err).Str("peer", h.from).Msg("fetch of the configuration failed")
 			}
@@ -144,7 +145,7 @@
 func (f *Follower) gossipLoop(ctx context.Context) {
 	for {
 		jitter := f.random.duration(f.opts.GossipInterval / 2)
-		if sleep(ctx, f.opts.GossipInterval*3/4+jitter) != nil {
+		if clock.Sleep(ctx, f.opts.GossipInterval*3/4+jitter) != nil {
 			return
 		}
 		for _, id := range f.others(1) {
--- a/io/published/load.go
+++ b/io/published/load.go
@@ -10,6 +10,7 @@
 
 	"mothcart/core/config"
 	"mothcart/core/publication"
+	"mothcart/io/clock"
 	"mothcart/io/store"
 )
 
@@ -241,7 +242,7 @@
 // awaitPeers returns a few peers; a VM that has just started waits for the first a short time.
 func (f *Follower) awaitPeers(ctx context.Context) []string {
 	for f.opts.Peers.IDs != nil && time.Since(f.start) < peerWait {
-		if len(f.ids()) > 1 || sleep(ctx, peerPoll) != nil {
+		if len(f.ids()) > 1 || clock.Sleep(ctx, peerPoll) != nil {
 			break
 		}
 	}
--- a/io/published/random.go
+++ b/io/published/random.go
@@ -1,7 +1,6 @@
 package published
 
 import (
-	"context"
 	crand "crypto/rand"
 	"encoding/hex"
 	"math/rand/v2"
@@ -37,14 +36,3 @@
 	_, _ = crand.Read(b[:])
 	return hex.EncodeToString(b[:])
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
--- a/io/published/watch.go
+++ b/io/published/watch.go
@@ -8,6 +8,7 @@
 
 	"mothcart/core/publication"
 	"mothcart/core/rendezvous"
+	"mothcart/io/clock"
 	"mothcart/io/store"
 )
 
@@ -30,7 +31,7 @@
 	for ctx.Err() == nil {
 		watches := f.isWatcher()
 		if !watches && !first && f.Confirmed(time.Now()) < f.opts.ReadAfter {
-			_ = sleep(ctx, roleInterval)
+			_ = clock.Sleep(ctx, roleInterval)
 			continue
 		}
 		wait := f.opts.WatchWait
@@ -40,7 +41,7 @@
 		seen, err := f.watchOnce(ctx, version, wait)
 		if err != nil {
 			f.log.Debug().Err(err).Msg("watch of the configuration failed")
-			_ = sleep(ctx, pause/2+f.random.duration(pause))
+			_ = clock.Sleep(ctx, pause/2+f.random.duration(pause))
 			pause = min(2*pause, maxRetryPause)
 			first = first && f.Current().Generation == 0
 			continue
--- a/io/published/write.go
+++ b/io/published/write.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"mothcart/core/publication"
+	"mothcart/io/clock"
 	"mothcart/io/store"
 )
 
@@ -82,7 +83,7 @@
 			delete(w.written, ref)
 			return merry.Errorf("write block: %w: %w", ErrUnavailable, err)
 		}
-		if sleep(ctx, pause) != nil {
+		if clock.Sleep(ctx, pause) != nil {
 			return merry.Errorf("write block: %w", ErrUnavailable)
 		}
 		pause = min(2*pause, maxResolvePause)
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -20,6 +20,8 @@
 	"errors"
 	"time"
 
+	"mothcart/io/clock"
+
 	"github.com/ansel1/merry/v2"
 )
 
@@ -100,7 +102,7 @@
 		if err == nil {
 			break
 		}
-		if waitErr := sleep(ctx, confirmPause); waitErr != nil {
+		if waitErr := clock.Sleep(ctx, confirmPause); waitErr != nil {
 			return 0, merry.Errorf("confirm write of %s: %w", key, ErrUnknown)
 		}
 	}
@@ -109,14 +111,3 @@
 	}
 	return version, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
