Don't take up jobs again that the home already runs

Ruled out: processor time (0.09 of 0.48 cores), the runners (all idle). Change: a job that the home knows is only looked at for its end. Test: TestJobsListedAgainAreNotTakenUpAgain fails without the change.

--- a/io/home/load.go
+++ b/io/home/load.go
@@ -35,6 +35,10 @@
 	var group sync.WaitGroup
 	limit := make(chan struct{}, loaders)
 	for _, o := range objects {
+		if h.knows(o.Name) {
+			h.take(o) // a watch was lost and the kind is listed again; the job's state is here
+			continue
+		}
 		limit <- struct{}{}
 		group.Go(func() {
 			defer func() { <-limit }()
@@ -97,11 +101,16 @@
 	return log.WithChunk(c)
 }
 
+// knows reports that a job has been taken up.
+func (h *Home) knows(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.jobs[id] != nil
+}
+
 // take takes up the change of a job: a new one has no results yet.
 func (h *Home) take(o object.Object) {
-	h.mu.Lock()
-	known := h.jobs[o.Name] != nil
-	h.mu.Unlock()
+	known := h.knows(o.Name)
 	status := decodeStatus(o)
 	switch {
 	case known && status.Ended:
--- a/io/node/fault_test.go
+++ b/io/node/fault_test.go
@@ -465,3 +465,18 @@
 		require.True(t, s.entries["e1"].base.client.Connected())
 	})
 }
+
+// The history that a watch needs is gone, and the jobs are listed again while they run.
+func TestJobsListedAgainAreNotTakenUpAgain(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.submitJob(1, "j1", 24)
+		time.Sleep(600 * time.Millisecond)
+		before := s.objects.Calls()["GET mothcart-results-j1"]
+		s.objects.Compact()
+		time.Sleep(600 * time.Millisecond)
+		require.Equal(t, before, s.objects.Calls()["GET mothcart-results-j1"], "the home knows its results")
+		s.submitJob(1, "j2", 2)
+		s.awaitJob(1, "j1", 10*time.Second)
+		s.awaitJob(1, "j2", 2*time.Second)
+	})
+}
