--- a/io/node/calm_test.go
+++ b/io/node/calm_test.go
@@ -24,7 +24,7 @@
 			r := s.call(t.Context(), 1, http.MethodPost, tc.path, tc.id, "hello")
 			require.Equal(t, http.StatusOK, r.status, tc.name)
 			require.True(t, r.whole, tc.name)
-			require.Equal(t, "stamp-"+tc.id, r.header.Get("Mothcart-Response-Stamp"), tc.name)
+			require.Equal(t, fake.Signature(tc.id), fake.SignatureOf(r.header), tc.name)
 			require.Equal(t, 1, s.runsOf(tc.id), tc.name)
 		}
 	})
@@ -38,7 +38,7 @@
 
 func TestBodyOverLimitIsRefused(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
-		r := s.call(t.Context(), 1, http.MethodPost, "/swap/1", "r1", string(make([]byte, 4000001)))
+		r := s.call(t.Context(), 1, http.MethodPost, "/swap/1", "r1", string(make([]byte, fake.MaxBodyBytes+1)))
 		require.Equal(t, http.StatusRequestEntityTooLarge, r.status)
 		require.Zero(t, s.runsOf("r1"))
 	})
@@ -76,15 +76,15 @@
 func TestItemBodyIsReadUntilTheJobEnds(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
 		s.submitJob(1, "j1", 60)
-		r := s.call(t.Context(), 2, http.MethodGet, "/items/j1?id=j1.a59", "r", "")
+		r := s.call(t.Context(), 2, http.MethodGet, fake.ItemPath("j1", "j1.59"), "r", "")
 		require.Equal(t, "draft", r.body)
-		require.Equal(t, http.StatusOK, s.call(t.Context(), 2, http.MethodDelete, "/lots/j1", "r", "").status)
+		require.Equal(t, http.StatusOK, s.call(t.Context(), 2, http.MethodDelete, fake.EndPath("j1"), "r", "").status)
 		time.Sleep(time.Second)
-		require.Equal(t, http.StatusNotFound, s.call(t.Context(), 1, http.MethodGet, "/items/j1?id=j1.a59", "r", "").status)
+		require.Equal(t, http.StatusNotFound, s.call(t.Context(), 1, http.MethodGet, fake.ItemPath("j1", "j1.59"), "r", "").status)
 		for _, e := range s.engines {
 			require.Zero(t, e.Running())
 		}
-		require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodDelete, "/lots/j1", "r", "").status, "the end again")
+		require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodDelete, fake.EndPath("j1"), "r", "").status, "the end again")
 	})
 }
 
@@ -94,7 +94,7 @@
 		require.Equal(t, http.StatusTooManyRequests, s.submitJob(2, "j2", 60).status)
 		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 60).status, "the accepted job again")
 		time.Sleep(time.Second)
-		require.Zero(t, s.runsOf("j2.a0"))
+		require.Zero(t, s.runsOf("j2.0"))
 	})
 }
 
@@ -114,8 +114,8 @@
 				}
 				s.submitJob(1, "j1", 1)
 				p := s.awaitJob(1, "j1", 10*time.Second)
-				require.Equal(t, "errored", p.Results[0].State)
-				require.Equal(t, tc.runs, s.runsOf("j1.a0"))
+				require.True(t, p.Results[0].Failed())
+				require.Equal(t, tc.runs, s.runsOf("j1.0"))
 			})
 		})
 	}
--- a/io/node/fault_test.go
+++ b/io/node/fault_test.go
@@ -48,7 +48,7 @@
 					r := s.call(t.Context(), 1, http.MethodPost, "/ask/stream/1", id, "")
 					require.Equal(t, http.StatusOK, r.status)
 					require.True(t, r.whole)
-					require.Equal(t, fake.WholeText(id, eventsOfStream), textOf(r.body))
+					require.Equal(t, fake.WholeText(id, eventsOfStream), fake.TextOf(r.body))
 					require.LessOrEqual(t, s.runsOf(id), 2)
 				}
 			})
@@ -159,7 +159,7 @@
 func TestEntryRejectsAGrantOfAnUpstreamThatItKnowsToBeGone(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
 		s.network.Cut(homeIP(1), storeIP)
-		s.objects.Remove("servers", "i-1")
+		s.objects.RemoveUpstream("i-1")
 		time.Sleep(2 * time.Second)
 		require.True(t, s.entries["e1"].base.client.Connected())
 		before := s.engines[0].Total()
@@ -193,7 +193,7 @@
 		s.objects.Compact()
 		time.Sleep(2 * time.Second)
 		for _, id := range []string{"i-1", "i-2", "i-3"} {
-			s.objects.Remove("servers", id)
+			s.objects.RemoveUpstream(id)
 		}
 		time.Sleep(2 * time.Second)
 		s.objects.SetFault(fake.Fault{})
@@ -210,12 +210,12 @@
 func TestConfigurationIsInForceThoughWatchesAreMute(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
 		s.objects.SetFault(fake.Fault{Mute: true})
-		s.writeConfig(2, []map[string]any{{"name": "new", "host": "h.example", "path_prefix": "/new/", "kind": "idempotent", "service": "desk", "max_attempts": 2, "timeout_ms": 2000, "target_latency_ms": 150}})
+		s.writeConfig(2, newRoute)
 		time.Sleep(2 * time.Second)
 		for n := 1; n <= 2; n++ {
 			require.Equal(t, http.StatusOK, s.call(t.Context(), n, http.MethodPost, "/new/1", fmt.Sprintf("r%d", n), "").status)
 		}
-		s.writeConfig(1, nil)
+		s.writeConfig(1)
 		time.Sleep(2 * time.Second)
 		require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodPost, "/new/1", "r3", "").status, "an older version is not taken up")
 	})
@@ -245,7 +245,7 @@
 		require.Equal(t, http.StatusServiceUnavailable, status, "nobody can be sure of a job's state")
 		s.objects.SetFault(fake.Fault{})
 		s.awaitJob(1, "j1", 10*time.Second)
-		require.Zero(t, s.runsOf("j2.a0"), "a refused job never runs")
+		require.Zero(t, s.runsOf("j2.0"), "a refused job never runs")
 	})
 }
 
@@ -306,7 +306,7 @@
 		}
 		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j2", 2).status, "the home writes the job")
 		s.awaitJob(1, "j2", 18*time.Second)
-		s.writeConfig(2, []map[string]any{{"name": "new", "host": "h.example", "path_prefix": "/new/", "kind": "idempotent", "service": "desk", "max_attempts": 2, "timeout_ms": 2000, "target_latency_ms": 150}})
+		s.writeConfig(2, newRoute)
 		time.Sleep(2 * time.Second)
 		require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodPost, "/new/1", "r9", "").status)
 	})
@@ -333,7 +333,7 @@
 				tc.fault(s)
 				p := s.awaitJob(2, "j1", 18*time.Second)
 				for _, r := range p.Results {
-					require.Equal(t, "completed", r.State)
+					require.True(t, r.Completed())
 				}
 			})
 		})
@@ -347,7 +347,7 @@
 		s.network.Cut(homeIP(1), storeIP)
 		time.Sleep(6 * time.Second)
 		require.True(t, s.homes["s2"].IsHome())
-		s.objects.Remove("servers", "i-1")
+		s.objects.RemoveUpstream("i-1")
 		time.Sleep(2 * time.Second)
 		before := s.engines[0].Total()
 		var streams []<-chan reply
@@ -372,9 +372,9 @@
 			runSiteOf(t, 1, func(t *testing.T, s *testSite) {
 				s.submitJob(1, "j1", 12)
 				time.Sleep(300 * time.Millisecond)
-				s.objects.Write("retirements", tc.vm, map[string]any{"duration_s": 10})
+				s.objects.Retire(tc.vm)
 				time.Sleep(2 * time.Second)
-				require.JSONEq(t, `{"state":"completed"}`, string(s.objects.Status("retirements", tc.vm)))
+				require.True(t, s.objects.Retired(tc.vm))
 				require.False(t, s.homes[tc.vm].IsHome())
 				s.awaitJob(1, "j1", 18*time.Second)
 			})
@@ -394,7 +394,7 @@
 		}
 		time.Sleep(4 * time.Second)
 		require.True(t, s.homes["s2"].IsHome())
-		require.Equal(t, 6, s.runsOf("j1.a0")+s.runsOf("j1.a1")+s.runsOf("j1.a2")+s.runsOf("j1.a3")+s.runsOf("j1.a4")+s.runsOf("j1.a5"))
+		require.Equal(t, 6, s.runsOf("j1.0")+s.runsOf("j1.1")+s.runsOf("j1.2")+s.runsOf("j1.3")+s.runsOf("j1.4")+s.runsOf("j1.5"))
 		s.network.Heal(homeIP(1), storeIP)
 		time.Sleep(time.Second)
 		log, err := home.LoadJob(t.Context(), s.entries["e1"].base.objects, "j1")
--- a/io/node/site_test.go
+++ b/io/node/site_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -57,7 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &testSite{t: t, ownRuns: ownRuns, network: fake.NewNetwork(), entries: map[string]*Entry{}, homes: map[string]*HomeNode{}}
 		s.objects = fake.NewObjects(s.network, storeIP+":80")
-		s.writeConfig(1, nil)
+		s.writeConfig(1)
 		for n := 1; n <= 3; n++ {
 			s.engines = append(s.engines, fake.NewEngine(s.network, fake.EngineOptions{
 				ID: fmt.Sprintf("i-%d", n), Service: "scribe", Address: engineIP(n) + ":80", Zone: "z1", Slots: 2, Born: 1,
@@ -93,22 +92,21 @@
 }
 
 // routes are those of the test's configurations; more are appended by tests.
-func routes() []map[string]any {
-	return []map[string]any{
-		{"name": "ask", "host": "h.example", "path_prefix": "/ask/", "kind": "streaming", "service": "scribe", "max_attempts": 2, "resumable": true, "timeout_ms": 5000, "target_latency_ms": 300, "gap_aim_ms": 600},
-		{"name": "once", "host": "h.example", "path_prefix": "/once/", "kind": "streaming", "service": "scribe", "max_attempts": 1, "timeout_ms": 5000, "target_latency_ms": 300, "gap_aim_ms": 600},
-		{"name": "fetch", "host": "h.example", "path_prefix": "/fetch/", "kind": "idempotent", "service": "desk", "max_attempts": 2, "timeout_ms": 2000, "target_latency_ms": 150},
-		{"name": "swap", "host": "h.example", "path_prefix": "/swap/", "kind": "non_idempotent", "service": "desk", "max_attempts": 1, "timeout_ms": 2000, "target_latency_ms": 150},
-		{"name": "lot", "host": "h.example", "path_prefix": "/lot/", "kind": "batch", "service": "scribe", "max_attempts": 3, "timeout_ms": 15000, "target_latency_ms": 400, "completion_target_ms": 18000, "max_wait_s": 60, "cap": 10000},
+func routes() []fake.Route {
+	return []fake.Route{
+		{Name: "ask", Kind: fake.Streaming, Service: "scribe", Attempts: 2, Resumable: true, Timeout: 5 * time.Second, Objective: 300 * time.Millisecond},
+		{Name: "once", Kind: fake.Streaming, Service: "scribe", Attempts: 1, Timeout: 5 * time.Second, Objective: 300 * time.Millisecond},
+		{Name: "fetch", Kind: fake.Idempotent, Service: "desk", Attempts: 2, Timeout: 2 * time.Second, Objective: 150 * time.Millisecond},
+		{Name: "swap", Kind: fake.NonIdempotent, Service: "desk", Attempts: 1, Timeout: 2 * time.Second, Objective: 150 * time.Millisecond},
+		{Name: "lot", Kind: fake.Batch, Service: "scribe", Attempts: 3, Timeout: 15 * time.Second, Objective: 400 * time.Millisecond, TokenCap: 10000},
 	}
 }
 
-func (s *testSite) writeConfig(version int, more []map[string]any) {
-	s.objects.Write("config", "main", map[string]any{
-		"version": version, "routes": append(routes(), more...),
-		"services": []map[string]any{{"name": "scribe", "max_conns": 100, "engine": map[string]any{"slots": 2}}, {"name": "desk", "max_conns": 100}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4000000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+// newRoute is one that tests add later.
+var newRoute = fake.Route{Name: "new", Kind: fake.Idempotent, Service: "desk", Attempts: 2, Timeout: 2 * time.Second, Objective: 150 * time.Millisecond}
+
+func (s *testSite) writeConfig(version int, more ...fake.Route) {
+	s.objects.Configure(version, append(routes(), more...))
 }
 
 func (s *testSite) options(id, ip string) Options {
@@ -178,7 +176,7 @@
 	defer client.CloseIdleConnections()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+entryIP(n)+":80"+path, strings.NewReader(body))
 	require.NoError(s.t, err)
-	r.Host = "h.example"
+	r.Host = fake.Host
 	r.Header.Set(platform.RequestIDHeader, id)
 	resp, err := client.Do(r)
 	if err != nil {
@@ -189,17 +187,6 @@
 	return reply{status: resp.StatusCode, header: resp.Header, body: string(b), whole: err == nil, closes: resp.Close, took: time.Since(began)}
 }
 
-// textOf joins the data of the events of a stream.
-func textOf(body string) string {
-	var lines []string
-	for line := range strings.SplitSeq(body, "\n") {
-		if data, ok := strings.CutPrefix(line, "data: "); ok {
-			lines = append(lines, data)
-		}
-	}
-	return strings.Join(lines, "\n")
-}
-
 // runsOf returns how often a request was run by all upstreams.
 func (s *testSite) runsOf(id string) int {
 	n := 0
@@ -209,51 +196,30 @@
 	return n
 }
 
-// submitJob submits a job with items a0, a1, … of 100 tokens each.
+// submitJob submits a job with items ID.0, ID.1, … of 100 tokens each.
 func (s *testSite) submitJob(n int, id string, items int) reply {
 	return s.submitBodies(n, id, items, []byte("draft"))
 }
 
 // submitBodies submits a job whose items have a given body.
 func (s *testSite) submitBodies(n int, id string, items int, body []byte) reply {
-	type item struct {
-		ID      string            `json:"id"`
-		Path    string            `json:"path"`
-		Headers map[string]string `json:"headers"`
-		Body    []byte            `json:"body"`
-		Tokens  int64             `json:"tokens"`
-	}
-	var list []item
-	for i := range items {
-		list = append(list, item{ID: fmt.Sprintf("%s.a%d", id, i), Path: "/lot/stream/1", Body: body, Tokens: 100})
-	}
-	b, err := json.Marshal(map[string]any{"items": list})
-	require.NoError(s.t, err)
-	return s.call(s.t.Context(), n, http.MethodPost, "/lot/1", id, string(b))
-}
-
-type resultsPage struct {
-	Total   int `json:"total"`
-	Next    int `json:"next"`
-	Results []struct {
-		ID    string `json:"id"`
-		State string `json:"state"`
-		Text  string `json:"text"`
-	} `json:"results"`
+	return s.call(s.t.Context(), n, http.MethodPost, "/lot/1", id, string(fake.JobBody(id, items, body)))
 }
 
 // readJob reads the results of a job from a position on.
-func (s *testSite) readJob(n int, id string, after int) (resultsPage, int) {
-	r := s.call(s.t.Context(), n, http.MethodGet, fmt.Sprintf("/lots/%s?after=%d", id, after), "r", "")
-	var p resultsPage
+func (s *testSite) readJob(n int, id string, after int) (fake.Results, int) {
+	r := s.call(s.t.Context(), n, http.MethodGet, fake.ResultsPath(id, after), "r", "")
+	var p fake.Results
 	if r.status == http.StatusOK {
-		require.NoError(s.t, json.Unmarshal([]byte(r.body), &p))
+		var err error
+		p, err = fake.DecodeResults(r.body)
+		require.NoError(s.t, err)
 	}
 	return p, r.status
 }
 
 // awaitJob reads a job at a node until it is complete, and checks each result.
-func (s *testSite) awaitJob(n int, id string, within time.Duration) resultsPage {
+func (s *testSite) awaitJob(n int, id string, within time.Duration) fake.Results {
 	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
 		p, status := s.readJob(n, id, 0)
 		if status != http.StatusOK || p.Next < p.Total {
@@ -263,12 +229,12 @@
 		for _, r := range p.Results {
 			require.False(s.t, seen[r.ID], "item %s is listed twice", r.ID)
 			seen[r.ID] = true
-			if r.State == "completed" {
+			if r.Completed() {
 				require.Equal(s.t, fake.WholeText(r.ID, eventsOfStream), r.Text)
 			}
 		}
 		return p
 	}
 	require.Fail(s.t, "job is not complete", "job %s after %s", id, within)
-	return resultsPage{}
+	return fake.Results{}
 }
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -99,41 +98,24 @@
 }
 
 func (s *site) writeSettings(pr *process, ip, store string) {
-	m := map[string]any{
-		"node_name": pr.id, "ip": ip, "zone": "z1", "internal_ports": []int{7300, 7310}, "heartbeat_ms": 1200,
-		"limits": map[string]any{"memory_mb": 200}, "bounds": map[string]any{"grace_s": 8, "drain_ms": 2000, "status_s": 120},
-		"platform": map[string]any{"address": store, "form": "objects", "value_bytes": 1 << 20},
-	}
+	callers, ready := "", ""
 	if pr.role == "entry" {
-		m["listen"] = map[string]string{"front": ip + ":7400", "ready": ip + ":7401"}
+		callers, ready = ip+":7400", ip+":7401"
 	}
-	b, err := json.Marshal(m)
-	require.NoError(s.t, err)
+	b := fake.SettingsFile(pr.id, ip, 7300, store, callers, ready)
 	require.NoError(s.t, os.WriteFile(pr.settings, b, 0o600))
 }
 
 // configure writes the next configuration.
 func (s *site) configure() {
 	s.version++
-	route := func(name, kind, service string, attempts int, more map[string]any) map[string]any {
-		r := map[string]any{"name": name, "host": "h.example", "path_prefix": "/" + name + "/", "kind": kind, "service": service,
-			"max_attempts": attempts, "timeout_ms": 4000, "target_latency_ms": 300, "gap_aim_ms": 600}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
-	}
-	s.objects.Write("config", "main", map[string]any{
-		"version": s.version,
-		"routes": []map[string]any{
-			route("ask", "streaming", "scribe", 2, map[string]any{"resumable": true}),
-			route("once", "streaming", "scribe", 1, nil),
-			route("fetch", "idempotent", "desk", 2, nil),
-			route("swap", "non_idempotent", "desk", 1, nil),
-			route("lot", "batch", "scribe", 3, map[string]any{"completion_target_ms": 18000, "max_wait_s": 120, "cap": 100000}),
-		},
-		"services": []map[string]any{{"name": "scribe", "max_conns": 100, "engine": map[string]any{"slots": 3}}, {"name": "desk", "max_conns": 100}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4000000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	const timeout, objective = 4 * time.Second, 300 * time.Millisecond
+	s.objects.Configure(s.version, []fake.Route{
+		{Name: "ask", Kind: fake.Streaming, Service: "scribe", Attempts: 2, Resumable: true, Timeout: timeout, Objective: objective},
+		{Name: "once", Kind: fake.Streaming, Service: "scribe", Attempts: 1, Timeout: timeout, Objective: objective},
+		{Name: "fetch", Kind: fake.Idempotent, Service: "desk", Attempts: 2, Timeout: timeout, Objective: objective},
+		{Name: "swap", Kind: fake.NonIdempotent, Service: "desk", Attempts: 1, Timeout: timeout, Objective: objective},
+		{Name: "lot", Kind: fake.Batch, Service: "scribe", Attempts: 3, Timeout: timeout, Objective: objective, TokenCap: 100000},
 	})
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,7 +9,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -18,7 +17,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -168,7 +166,7 @@
 		return nil, "", err
 	}
 	r.ContentLength = int64(len(body))
-	r.Host = "h.example"
+	r.Host = fake.Host
 	r.Header.Set(platform.RequestIDHeader, id)
 	resp, err := client.Do(r)
 	if err != nil {
@@ -208,35 +206,23 @@
 			continue
 		}
 		if resp.StatusCode == http.StatusOK {
-			assert.Equal(t, "stamp-"+id, resp.Header.Get("Mothcart-Response-Stamp"), "answer of another request")
+			assert.Equal(t, fake.Signature(id), fake.SignatureOf(resp.Header), "answer of another request")
 			if kind < 2 {
-				assert.Equal(t, fake.WholeText(id, eventsOfStream), dataOf(body), "stream of %s", id)
+				assert.Equal(t, fake.WholeText(id, eventsOfStream), fake.TextOf(body), "stream of %s", id)
 			}
 		}
 		assert.NotEqual(t, http.StatusNotFound, resp.StatusCode, "%s is routed", paths[kind])
 	}
 }
 
-func dataOf(body string) string {
-	var lines []string
-	for line := range strings.SplitSeq(body, "\n") {
-		if data, ok := strings.CutPrefix(line, "data: "); ok {
-			lines = append(lines, data)
-		}
-	}
-	return strings.Join(lines, "\n")
-}
+// itemsOfJob is the number of items of each job.
+const itemsOfJob = 4
 
 // jobs submits jobs, each until an entry accepts it.
 func (c *checker) jobs(rng *rand.Rand, stop <-chan struct{}, seed uint64) {
 	for i := 0; ; i++ {
 		id := fmt.Sprintf("%dx%d", seed, i)
-		var items []map[string]any
-		for n := range 4 {
-			items = append(items, map[string]any{"id": fmt.Sprintf("%s.%d", id, n), "path": "/lot/stream/1", "body": []byte("draft"), "tokens": 100})
-		}
-		body, err := json.Marshal(map[string]any{"items": items})
-		assert.NoError(c.s.t, err)
+		body := fake.JobBody(id, itemsOfJob, []byte("draft"))
 		for {
 			resp, _, err := c.call(http.MethodPost, 1+rng.IntN(entries), "/lot/1", id, body)
 			if err == nil && resp.StatusCode == http.StatusAccepted {
@@ -275,9 +261,13 @@
 		for n := 1; n <= entries; n++ {
 			var body string
 			require.Eventually(t, func() bool {
-				resp, b, err := c.call(http.MethodGet, n, "/lots/"+id+"?after=0", "r", nil)
+				resp, b, err := c.call(http.MethodGet, n, fake.ResultsPath(id, 0), "r", nil)
 				body = b
-				return err == nil && resp.StatusCode == http.StatusOK && strings.Contains(b, `"total":4,"next":4`)
+				if err != nil || resp.StatusCode != http.StatusOK {
+					return false
+				}
+				p, err := fake.DecodeResults(b)
+				return err == nil && p.Total == itemsOfJob && p.Next == itemsOfJob
 			}, 30*time.Second, 100*time.Millisecond, "job %s is done and read at entry %d", id, n)
 			if n == 1 {
 				first = body
@@ -297,15 +287,13 @@
 }
 
 func (c *checker) checkResults(id, body string) {
-	var p struct {
-		Results []struct{ ID, State, Text string }
-	}
-	require.NoError(c.s.t, json.Unmarshal([]byte(body), &p))
+	p, err := fake.DecodeResults(body)
+	require.NoError(c.s.t, err)
 	seen := map[string]bool{}
 	for _, r := range p.Results {
 		assert.False(c.s.t, seen[r.ID], "item %s is listed twice", r.ID)
 		seen[r.ID] = true
-		if r.State == "completed" {
+		if r.Completed() {
 			assert.Equal(c.s.t, fake.WholeText(r.ID, eventsOfStream), r.Text)
 		}
 	}
