Bound the time for a body and test bad input

Cause: a caller that never sends the rest of a body held its connection and memory without end. A first trial hung the whole-site tests for 600 s: the HTTP server waits for the rest of a body before it sends the answer, unless the answer closes the connection. Change: a body has 10 s; one that can't be read is answered with a closed connection: 408 when it is late, which is true, since nothing was passed on. Test: TestBadInputIsAnsweredAndNotPassedOn (seven cases).

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -15,6 +15,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,6 +114,9 @@
 	defaultBodyBytes = 4 << 20
 	// defaultTimeout bounds a request whose route and caller set no limit.
 	defaultTimeout = 30 * time.Second
+	// bodyTimeout bounds the time for a body after its headers, longer than any caller waits for an
+	// online answer, so that slow senders don't hold memory without end.
+	bodyTimeout = 10 * time.Second
 	// startRetryAfter is when a node that has just started expects to know its configuration.
 	startRetryAfter = 300 * time.Millisecond
 )
@@ -176,14 +180,26 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	conn := http.NewResponseController(w)
+	if err := conn.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		h.opts.Log.Debug().Str("request", id).Err(err).Msg("noBodyTimeout")
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		err = conn.SetReadDeadline(time.Time{})
+	}
 	if err == nil {
 		return body, true
 	}
+	// The rest of the body is not waited for.
+	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	status := http.StatusBadRequest
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status = http.StatusRequestTimeout
 	}
 	h.opts.Log.Info().Str("request", id).Int64("limit", limit).Int("status", status).Err(err).Str("outcome", "badBody").Msg("requestDone")
 	http.Error(w, "body can't be read", status)
--- a/io/node/calm_test.go
+++ b/io/node/calm_test.go
@@ -1,13 +1,16 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"mothcart/platform"
 	"mothcart/platform/fake"
 )
 
@@ -44,6 +47,35 @@
 	})
 }
 
+func TestBadInputIsAnsweredAndNotPassedOn(t *testing.T) {
+	for _, tc := range []struct {
+		name, sent string
+		status     int
+	}{
+		{"body that never comes whole", "POST /swap/1 HTTP/1.1\r\nHost: " + fake.Host + "\r\nContent-Length: 10\r\n\r\nabc", http.StatusRequestTimeout},
+		{"two lengths", "POST /swap/1 HTTP/1.1\r\nHost: " + fake.Host + "\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", http.StatusBadRequest},
+		{"broken chunk", "POST /swap/1 HTTP/1.1\r\nHost: " + fake.Host + "\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n", http.StatusBadRequest},
+		{"no host", "POST /swap/1 HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		{"unknown host", "POST /swap/1 HTTP/1.1\r\nHost: other.example\r\nContent-Length: 0\r\n\r\n", http.StatusNotFound},
+		{"job that is no JSON", "POST /lot/1 HTTP/1.1\r\nHost: " + fake.Host + "\r\n" + platform.RequestIDHeader + ": j1\r\nContent-Length: 1\r\n\r\n{", http.StatusBadRequest},
+		{"huge header", "POST /swap/1 HTTP/1.1\r\nHost: " + fake.Host + "\r\nX: " + strings.Repeat("x", 100<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				conn, err := s.network.Dial(t.Context(), "10.8.0.1", entryIP(1)+":80")
+				require.NoError(t, err)
+				defer conn.Close()
+				go func() { _, _ = conn.Write([]byte(tc.sent)) }() // the node may answer before all is sent
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				require.NoError(t, err)
+				resp.Body.Close()
+				require.Equal(t, tc.status, resp.StatusCode)
+				require.Zero(t, s.desk.Total())
+			})
+		})
+	}
+}
+
 func TestJobIsAcceptedOnceAndRead(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
 		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 9).status)
