--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -145,7 +145,7 @@
 		}
 		return Outcome{}
 	}
-	p.drop(now, g)
+	p.drop(g)
 	g.upstream.note(now, result, p.opts)
 	s := p.service(g.request.Service)
 	if !g.request.Batch && result == Served {
@@ -161,7 +161,7 @@
 func (p *Pool) DropOwner(now time.Time, owner string) Outcome {
 	for _, g := range p.grants {
 		if g.request.Key.Owner == owner {
-			p.drop(now, g)
+			p.drop(g)
 		}
 	}
 	for _, s := range p.services {
@@ -189,7 +189,7 @@
 	out := p.serveAll(now)
 	for _, s := range p.services {
 		for _, r := range s.online.expired(now) {
-			out.Refused = append(out.Refused, Refusal{Request: r, Reason: ReasonWaited, RetryAfter: p.retryAfter(s, r, 0)})
+			out.Refused = append(out.Refused, Refusal{Request: r, Reason: ReasonWaited, RetryAfter: p.retryAfter(r, 0)})
 		}
 	}
 	return out
@@ -211,22 +211,18 @@
 	WaitingOnline, WaitingBatch int
 	Upstreams, PausedUpstreams  int
 	// Reserve is the number of free slots that batch leaves.
-	Reserve                        int
-	OldestReport, MeanHoldDuration time.Duration
+	Reserve int
 }
 
 // Load returns the use of a service's slots.
 func (p *Pool) Load(now time.Time, name string) Load {
 	s := p.service(name)
-	l := Load{WaitingOnline: len(s.online.items), WaitingBatch: len(s.batch.items), Upstreams: len(s.upstreams), MeanHoldDuration: s.hold, Reserve: p.reserve(now, s)}
+	l := Load{WaitingOnline: len(s.online.items), WaitingBatch: len(s.batch.items), Upstreams: len(s.upstreams), Reserve: p.reserve(now, s)}
 	for _, u := range s.upstreams {
 		l.Slots += u.Slots
 		if u.paused(now) {
 			l.PausedUpstreams++
 		}
-		if !u.reported.IsZero() {
-			l.OldestReport = max(l.OldestReport, now.Sub(u.reported))
-		}
 	}
 	for _, g := range p.grants {
 		switch {
@@ -245,7 +241,7 @@
 	p.grants[r.Key] = &grant{request: r, upstream: u, since: now}
 }
 
-func (p *Pool) drop(_ time.Time, g *grant) {
+func (p *Pool) drop(g *grant) {
 	g.upstream.used--
 	delete(p.grants, g.request.Key)
 }
@@ -273,7 +269,7 @@
 			if victim == nil {
 				return false
 			}
-			p.drop(now, victim)
+			p.drop(victim)
 			out.Cut = append(out.Cut, Grant{Request: victim.request, Upstream: victim.upstream.Upstream})
 			u = victim.upstream
 		}
--- a/core/slot/refuse.go
+++ b/core/slot/refuse.go
@@ -14,11 +14,11 @@
 		}
 	}
 	if slots == 0 {
-		return Refusal{Request: r, Reason: ReasonNoUpstream, RetryAfter: p.retryAfter(s, r, 0)}, true
+		return Refusal{Request: r, Reason: ReasonNoUpstream, RetryAfter: p.retryAfter(r, 0)}, true
 	}
 	expected := p.expected(now, s, s.online.before(r))
 	if now.Add(expected).After(r.Deadline) {
-		return Refusal{Request: r, Reason: ReasonFull, RetryAfter: p.retryAfter(s, r, expected-r.Deadline.Sub(now))}, true
+		return Refusal{Request: r, Reason: ReasonFull, RetryAfter: p.retryAfter(r, expected-r.Deadline.Sub(now))}, true
 	}
 	return Refusal{}, false
 }
@@ -44,7 +44,7 @@
 const spreadSteps = 16
 
 // retryAfter adds to the expected time a part of the spread that differs between requests.
-func (p *Pool) retryAfter(_ *service, r Request, expected time.Duration) time.Duration {
+func (p *Pool) retryAfter(r Request, expected time.Duration) time.Duration {
 	step := time.Duration(r.Key.ID % spreadSteps)
 	return max(expected, 0) + p.opts.MinRetryAfter + p.opts.RetrySpread*step/spreadSteps
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -76,8 +76,6 @@
 	Objects object.Client
 	// ObjectsDown reports that this node doesn't reach the object service, though the home may.
 	ObjectsDown func() bool
-	// MaxJobBytes is the largest object that holds a job.
-	MaxJobBytes int
 	Now         func() time.Time
 	// TimeOfDay is the clock that all VMs share roughly.
 	TimeOfDay func() time.Time
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -238,7 +239,7 @@
 // pass sends an upstream's whole answer to the caller.
 func (x *exchange) pass(now time.Time, lease Lease, a Answer, outcome string) {
 	x.first = now
-	copyHeader(x.w.Header(), a.Header)
+	maps.Copy(x.w.Header(), a.Header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
 	x.w.WriteHeader(a.Status)
 	if _, err := x.w.Write(a.Body); err != nil {
@@ -299,7 +300,7 @@
 		return nil
 	}
 	x.started = true
-	copyHeader(x.w.Header(), h)
+	maps.Copy(x.w.Header(), h)
 	x.w.Header().Del("Content-Length")
 	x.w.WriteHeader(status)
 	return nil
@@ -322,9 +323,3 @@
 	}
 	return http.NewResponseController(x.w).Flush()
 }
-
-func copyHeader(dst, src http.Header) {
-	for name, values := range src {
-		dst[name] = values
-	}
-}
--- a/io/home/server.go
+++ b/io/home/server.go
@@ -37,33 +37,32 @@
 
 // PushNews tells all connected nodes what the home has learned of a kind of objects.
 func (s *Server) PushNews(kind string, news []object.Event) {
-	s.mu.Lock()
-	h := s.home
-	s.mu.Unlock()
-	if h == nil {
-		return
+	if s.hasHome() {
+		s.tellAll(methodView, viewNotice{Kind: kind, Change: object.Change{Events: news}})
 	}
-	s.server.Each(func(c *link.Conn) { c.Notify(methodView, viewNotice{Kind: kind, Change: object.Change{Events: news}}) })
 }
 
 // PushAnnouncement tells all nodes of the home that has taken over.
-func (s *Server) PushAnnouncement(a Announcement) {
-	s.server.Each(func(c *link.Conn) { c.Notify(methodAnnounce, a) })
-}
+func (s *Server) PushAnnouncement(a Announcement) { s.tellAll(methodAnnounce, a) }
 
 // PushDown tells all nodes whether the home reaches the object service.
 func (s *Server) PushDown(down bool) {
-	s.mu.Lock()
-	h := s.home
-	s.mu.Unlock()
-	if h != nil {
-		s.server.Each(func(c *link.Conn) { c.Notify(methodDown, downNotice{Down: down}) })
+	if s.hasHome() {
+		s.tellAll(methodDown, downNotice{Down: down})
 	}
 }
 
 // TellUnsure tells all nodes whether the home can renew its lease.
-func (s *Server) TellUnsure(unsure bool) {
-	s.server.Each(func(c *link.Conn) { c.Notify(methodUnsure, unsureNotice{Unsure: unsure}) })
+func (s *Server) TellUnsure(unsure bool) { s.tellAll(methodUnsure, unsureNotice{Unsure: unsure}) }
+
+func (s *Server) hasHome() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.home != nil
+}
+
+func (s *Server) tellAll(method string, msg any) {
+	s.server.Each(func(c *link.Conn) { c.Notify(method, msg) })
 }
 
 // maxRelays is the number of relays that a node is told of.
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -145,9 +145,6 @@
 	return c
 }
 
-// RemoteAddr is host:port of the other side.
-func (c *Conn) RemoteAddr() string { return c.conn.RemoteAddr().String() }
-
 // Quiet returns how long nothing has come from the other side.
 func (c *Conn) Quiet() time.Duration { return time.Duration(time.Now().UnixNano() - c.heard.Load()) }
 
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -52,7 +52,7 @@
 		AvailabilityZone: opts.Settings.AvailabilityZone, Log: opts.Log, Registry: opts.Registry,
 	})
 	e.handler = entry.New(entry.Options{
-		Codec: platform.Codec(), Forward: forwarder, Home: b.client, Objects: b.objects, ObjectsDown: b.objectsDown, MaxJobBytes: opts.Settings.ValueBytes,
+		Codec: platform.Codec(), Forward: forwarder, Home: b.client, Objects: b.objects, ObjectsDown: b.objectsDown,
 		Now: opts.Now, TimeOfDay: time.Now, Log: opts.Log, Registry: opts.Registry,
 	})
 	b.onConfig = e.handler.SetConfig
