Tell the home of accepted jobs, whose watch may be silent

From 6.1 s to 33.2 s the home's watch of the jobs waited at a service that told it nothing and only then answered that its history was gone. 135 jobs accepted meanwhile were unknown to the home: none ran, and each reader polled the object service itself. Retirements have the same kind of watch.

Change: a node that accepted a job, or that read an open one past the home, tells the home. While the watch owes such a job for 300 ms the home lists the kind. Retirements are listed every 2 s beside their watch. Reads past the home leave a line with the reason.

Tests: TestJobsRunThoughTheirWatchIsMute and the mute case of TestRetiredVMsAreEmptied, in virtual time; both fail before, 60 of 60 pass after.

--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -59,6 +59,7 @@
 	err = h.writeJob(ctx, job)
 	switch {
 	case err == nil:
+		h.opts.Home.NotifyKept(id)
 		h.logJob(id, "accepted", http.StatusAccepted, arrived, nil)
 		w.WriteHeader(http.StatusAccepted)
 	case errors.Is(err, store.ErrUnavailable):
@@ -155,11 +156,13 @@
 
 func (h *Handler) readResults(w http.ResponseWriter, r *http.Request, c Call) {
 	wait := min(c.Wait, maxPoll)
-	page, err := h.opts.Home.Read(r.Context(), c.Job, c.After, wait)
-	basis := "home"
-	if err != nil {
-		basis = "objectService"
+	began := h.opts.Now()
+	page, homeErr := h.opts.Home.Read(r.Context(), c.Job, c.After, wait)
+	err := homeErr
+	if homeErr != nil {
 		page, err = h.readDirect(r.Context(), c, wait)
+		h.opts.Log.Info().Str("job", c.Job).Int("after", c.After).Int("next", page.Next).Int("total", page.Total).
+			AnErr("home", homeErr).AnErr("error", err).Dur("tookMillis", h.opts.Now().Sub(began)).Msg("resultsReadDirect")
 	}
 	if err != nil {
 		h.failJobCall(w, c, "resultsRead", err)
@@ -170,7 +173,7 @@
 		h.failJobCall(w, c, "resultsRead", err)
 		return
 	}
-	h.opts.Log.Debug().Str("job", c.Job).Str("basis", basis).Int("after", c.After).Int("next", page.Next).Int("total", page.Total).Msg("resultsRead")
+	h.opts.Log.Debug().Str("job", c.Job).Int("after", c.After).Int("next", page.Next).Int("total", page.Total).Msg("resultsRead")
 	h.writeJSON(w, b)
 }
 
@@ -182,7 +185,8 @@
 	}
 }
 
-// readDirect reads a job from the object service until there is a result or the wait ends.
+// readDirect reads a job from the object service until there is a result or the wait ends. The home
+// is told of an open job, which it may not know of.
 func (h *Handler) readDirect(ctx context.Context, c Call, wait time.Duration) (home.Page, error) {
 	until := h.opts.Now().Add(wait)
 	for {
@@ -190,6 +194,9 @@
 		if err != nil {
 			return home.Page{}, err
 		}
+		if !log.Done() {
+			h.opts.Home.NotifyKept(c.Job)
+		}
 		results, next := log.Page(c.After, pageBytes)
 		if len(results) > 0 || log.Done() || !h.opts.Now().Add(directPoll).Before(until) {
 			return home.Page{Total: len(log.Job().Items), Next: next, Results: results}, nil
--- a/io/home/clientjobs.go
+++ b/io/home/clientjobs.go
@@ -72,6 +72,9 @@
 // NotifyEnded tells the home that a job was ended, ahead of the object service.
 func (c *Client) NotifyEnded(job string) { c.notify(methodEnded, endedNotice{Job: job}) }
 
+// NotifyKept tells the home that the object service holds a job, in case its watch missed the job.
+func (c *Client) NotifyKept(job string) { c.notify(methodKept, keptNotice{Job: job}) }
+
 // writeCallTimeout bounds a write that the home makes for a node.
 const writeCallTimeout = 2 * time.Second
 
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -96,6 +96,8 @@
 	mu       sync.Mutex
 	jobs     map[string]*job
 	reserved map[string]reservation
+	// awaited holds since when the watch owes a job that the object service holds.
+	awaited map[string]time.Time
 	// loaded reports that the jobs of the object service are known.
 	loaded bool
 	// replaced reports that a later home has taken the items.
@@ -122,12 +124,16 @@
 			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"),
 		},
 		progressTaken: make(chan struct{}), given: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
-		jobs: make(map[string]*job), reserved: make(map[string]reservation), runners: make(map[string]*runnerNode),
+		jobs: make(map[string]*job), reserved: make(map[string]reservation),
+		awaited: make(map[string]time.Time), runners: make(map[string]*runnerNode),
 	}
 	h.done.Go(h.takeProgress)
-	h.follow = object.NewFollower(object.FollowerOptions{Client: opts.Objects, Kind: KindJobs, Apply: h.applyJobs, Log: opts.Log})
+	h.follow = object.NewFollower(object.FollowerOptions{
+		Client: opts.Objects, Kind: KindJobs, Apply: h.applyJobs, Verify: h.verifyJobs, Log: opts.Log,
+	})
 	h.retire = object.NewFollower(object.FollowerOptions{
-		Client: opts.Objects, Kind: opts.Retirements.Kind, Apply: h.applyRetirements, Log: opts.Log,
+		Client: opts.Objects, Kind: opts.Retirements.Kind, Apply: h.applyRetirements,
+		Verify: func() time.Duration { return verifyRetirements }, Log: opts.Log,
 	})
 	h.done.Go(h.sweep)
 	return h
@@ -223,6 +229,13 @@
 		}
 		h.endJob(m.Job)
 		return nil
+	case methodKept:
+		var m keptNotice
+		if err := in.Decode(&m); err != nil {
+			return err
+		}
+		h.awaitJob(m.Job)
+		return nil
 	case methodSubmit:
 		var m submitRequest
 		if err := in.Decode(&m); err != nil {
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -14,6 +14,14 @@
 
 // applyJobs takes up jobs that were written or ended.
 func (h *Home) applyJobs(c object.Change) {
+	h.mu.Lock()
+	for _, o := range c.Objects {
+		delete(h.awaited, o.Name)
+	}
+	for _, e := range c.Events {
+		delete(h.awaited, e.Object.Name)
+	}
+	h.mu.Unlock()
 	if c.Listed {
 		h.load(c.Objects)
 		return
@@ -108,6 +116,44 @@
 	return h.jobs[id] != nil
 }
 
+const (
+	// watchLag is how long the watch may owe a job before the kind is listed; a calm object service
+	// tells of a change within a few milliseconds.
+	watchLag = 300 * time.Millisecond
+	// awaitLimit bounds the listings for a job that isn't there after all.
+	awaitLimit = 5 * time.Second
+)
+
+// awaitJob notes that the object service holds a job.
+func (h *Home) awaitJob(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, noted := h.awaited[id]; !noted && h.jobs[id] == nil {
+		h.awaited[id] = h.opts.Now()
+	}
+}
+
+// verifyJobs asks for listings while the watch owes a job.
+func (h *Home) verifyJobs() time.Duration {
+	now := h.opts.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	late := false
+	for id, since := range h.awaited {
+		age := now.Sub(since)
+		if age > awaitLimit || h.jobs[id] != nil {
+			delete(h.awaited, id)
+			continue
+		}
+		late = late || age >= watchLag
+	}
+	if !late {
+		return 0
+	}
+	h.opts.Log.Warn().Int("jobs", len(h.awaited)).Msg("watchOwesJobs")
+	return watchLag
+}
+
 // take takes up the change of a job: a new one has no results yet.
 func (h *Home) take(o object.Object) {
 	known := h.knows(o.Name)
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -19,6 +19,7 @@
 	methodRead    = "read"
 	methodItem    = "item"
 	methodEnded   = "ended"
+	methodKept    = "kept"
 	methodSubmit  = "submit"
 	methodEnd     = "end"
 	// methodHandover comes from the home of a later term.
@@ -137,6 +138,11 @@
 	Body  []byte `msgpack:"body,omitempty"`
 }
 
+// keptNotice tells of a job that the object service holds.
+type keptNotice struct {
+	Job string `msgpack:"job"`
+}
+
 type endedNotice struct {
 	Job string `msgpack:"job"`
 }
--- a/io/home/retire.go
+++ b/io/home/retire.go
@@ -22,6 +22,10 @@
 	Done any
 }
 
+// verifyRetirements is the time between two listings beside the watch, which may miss a retirement; it
+// is a small part of the seconds that a VM is given.
+const verifyRetirements = 2 * time.Second
+
 // moveWait is how long a home waits for the progress of items that it takes from a VM.
 const moveWait = 2 * progressWait
 
--- a/io/node/fault_test.go
+++ b/io/node/fault_test.go
@@ -221,6 +221,23 @@
 	})
 }
 
+// Jobs accepted while the home's watch of them is silent, told by the accepting node or by one that
+// is asked for results.
+func TestJobsRunThoughTheirWatchIsMute(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.objects.SetFault(fake.Fault{Mute: true})
+		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 4).status)
+		s.awaitJob(2, "j1", 4*time.Second)
+		listed := s.objects.Calls()["GET "+home.KindJobs]
+		for range 10 {
+			_, status := s.readJob(1, "j1", 0)
+			require.Equal(t, http.StatusOK, status)
+			time.Sleep(400 * time.Millisecond)
+		}
+		require.Equal(t, listed, s.objects.Calls()["GET "+home.KindJobs], "a home that knows its jobs reads none of them again")
+	})
+}
+
 func TestLostAnswersOfWritesLoseAndDoubleNothing(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
 		s.objects.SetFault(fake.Fault{LoseAnswers: 3})
@@ -364,16 +381,22 @@
 func TestRetiredVMsAreEmptied(t *testing.T) {
 	for _, tc := range []struct {
 		name, vm string
+		mute     bool
 	}{
-		{"the home", "s1"},
-		{"a node that runs items", "s2"},
+		{"the home", "s1", false},
+		{"a node that runs items", "s2", false},
+		{"a node that runs items, while watches are mute", "s2", true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			runSiteOf(t, 1, func(t *testing.T, s *testSite) {
 				s.submitJob(1, "j1", 12)
 				time.Sleep(300 * time.Millisecond)
+				s.objects.SetFault(fake.Fault{Mute: tc.mute})
 				s.objects.Retire(tc.vm)
 				time.Sleep(2 * time.Second)
+				if tc.mute {
+					time.Sleep(2 * time.Second)
+				}
 				require.True(t, s.objects.Retired(tc.vm))
 				require.False(t, s.homes[tc.vm].IsHome())
 				s.awaitJob(1, "j1", 18*time.Second)
