Log each refusal once, as JSON without waiting, and keep histograms

Cause: the logs of `mothcart serve` named an event twice or by a sentence, left no line for a refused key or path, told no age of what was decided on, and went to standard error through a writer that waits for its reader. The new test of the metrics page showed a second fault: the registry keeps only its own kinds of metric, so that the latency histograms of all nodes were counted into objects that nobody could read.

Ruled out: a second form of log for people; `mothcart explain` then could not read it, and the waiting writer would stay.

Change: one form of log for all processes, bounded and never blocking; one word as event; requestRefused for keys, limits, paths and full VMs, with the configuration's generation; requestDone with the age of the load that was decided on; the operators' refusals too. Histograms are kinds that the registry keeps, the callers' latencies among them. `mothcart explain ID -logs FILE...`.

--- a/cmd/mothcart/configuration.go
+++ b/cmd/mothcart/configuration.go
@@ -73,6 +73,9 @@
 	return operator.NewClient(strings.TrimSuffix(o.server, "/"), hc).WithOperator(o.operator), nil
 }
 
+// anyNumber lets parseArguments take any number of positional arguments.
+const anyNumber = -1
+
 // parseArguments parses flags before and after exactly n positional arguments. If the command
 // doesn't go on, the exit code holds.
 func parseArguments(fs *flag.FlagSet, usage string, n int, args []string, out, errOut io.Writer) (positional []string, code int, goOn bool) {
@@ -96,7 +99,7 @@
 		positional = append(positional, fs.Arg(0))
 		args = fs.Args()[1:]
 	}
-	if len(positional) != n {
+	if n != anyNumber && len(positional) != n {
 		fmt.Fprintf(errOut, "mothcart %s: %d arguments, expected %d; usage: mothcart %s\n", fs.Name(), len(positional), n, usage)
 		return nil, exitUsage, false
 	}
--- a/cmd/mothcart/explain.go
+++ b/cmd/mothcart/explain.go
@@ -10,22 +10,26 @@
 	"mothcart/io/explain"
 )
 
+const explainUsage = "explain ID -logs FILE..."
+
 func explainCommand() command {
 	return command{name: "explain", summary: "tell the story of a request, job or item from logs", run: runExplain}
 }
 
 func runExplain(_ context.Context, args []string, out, errOut io.Writer) int {
 	fs := flag.NewFlagSet("explain", flag.ContinueOnError)
-	id := fs.String("id", "", "`ID` of the request, job or item")
-	if err := fs.Parse(args); err != nil {
-		return exitUsage
+	first := fs.String("logs", "", "`FILE...` with the logs of the nodes")
+	positional, code, goOn := parseArguments(fs, explainUsage, anyNumber, args, out, errOut)
+	if !goOn {
+		return code
 	}
-	if *id == "" || fs.NArg() == 0 {
-		fmt.Fprintln(errOut, "usage: mothcart explain -id ID LOG...")
+	if len(positional) == 0 || *first == "" {
+		fmt.Fprintf(errOut, "mothcart explain: usage: mothcart %s\n", explainUsage)
 		return exitUsage
 	}
+	id, paths := positional[0], append([]string{*first}, positional[1:]...)
 	var events []explain.Event
-	for _, path := range fs.Args() {
+	for _, path := range paths {
 		read, err := readLog(path)
 		if err != nil {
 			fmt.Fprintf(errOut, "mothcart explain: %v\n", err)
@@ -33,9 +37,9 @@
 		}
 		events = append(events, read...)
 	}
-	story := explain.Story(events, *id)
+	story := explain.Story(events, id)
 	if len(story) == 0 {
-		fmt.Fprintf(errOut, "mothcart explain: no event names %s in %d events\n", *id, len(events))
+		fmt.Fprintf(errOut, "mothcart explain: no event names %s in %d events\n", id, len(events))
 		return exitFailure
 	}
 	for _, e := range story {
--- a/cmd/mothcart/node.go
+++ b/cmd/mothcart/node.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// queuedLogLines bounds the log lines that wait to be written.
-	queuedLogLines = 1000
 	// memoryShare is the part of the VM's memory that the process aims to stay under.
 	memoryShare = 0.7
 )
@@ -55,7 +53,7 @@
 	}
 	registry := metrics.NewRegistry()
 	missed := metrics.GetOrRegisterCounter("log.missedLines", registry)
-	log, flush, err := logs.NewJSON(out, *level, queuedLogLines, func(n int) { missed.Inc(int64(n)) })
+	log, flush, err := logs.New(out, *level, logs.QueuedLines, func(n int) { missed.Inc(int64(n)) })
 	if err != nil {
 		fmt.Fprintf(errOut, "mothcart %s: %v\n", name, err)
 		return exitUsage
--- a/cmd/mothcart/serve.go
+++ b/cmd/mothcart/serve.go
@@ -7,6 +7,8 @@
 	"io"
 	"strings"
 
+	"github.com/rcrowley/go-metrics"
+
 	"mothcart/io/logs"
 	"mothcart/io/serve"
 	"mothcart/io/settings"
@@ -39,17 +41,21 @@
 		fmt.Fprintln(out, "settings are right")
 		return exitOK
 	}
-	log, err := logs.New(errOut, cfg.LogLevel)
+	registry := metrics.NewRegistry()
+	missed := metrics.GetOrRegisterCounter("log.missedLines", registry)
+	log, flush, err := logs.New(out, cfg.LogLevel, logs.QueuedLines, func(n int) { missed.Inc(int64(n)) })
 	if err != nil {
 		fmt.Fprintf(errOut, "mothcart serve: %v\n", err)
 		return exitUsage
 	}
-	s, err := serve.New(serve.NewOptions(cfg, log))
+	defer flush()
+	log = log.With().Str("node", cfg.VMID).Logger()
+	s, err := serve.New(serve.NewOptions(cfg, log).WithRegistry(registry))
 	if err != nil {
 		fmt.Fprintf(errOut, "mothcart serve: %v\n", err)
 		return exitFailure
 	}
-	log.Info().Str("vm", cfg.VMID).Str("callers", s.CallerAddress()).Str("operators", s.OperatorAddress()).Str("peers", s.VM().Address).Msg("started")
+	log.Info().Str("callers", s.CallerAddress()).Str("operators", s.OperatorAddress()).Str("peers", s.VM().Address).Msg("started")
 	// The server handles signals itself: the first one starts a drain, the second cuts it short.
 	if err := s.Run(context.WithoutCancel(ctx)); err != nil {
 		fmt.Fprintf(errOut, "mothcart serve: %v\n", err)
--- a/io/caller/batches/batches.go
+++ b/io/caller/batches/batches.go
@@ -152,9 +152,12 @@
 		resp.Error.Code = "invalid_input_file"
 		resp.Errors = &lineErrorList{Object: "list", Data: lines.lines}
 	}
+	level := zerolog.InfoLevel
 	if ref.status >= http.StatusInternalServerError {
-		s.log.Warn().Str("path", r.URL.Path).Int("status", ref.status).Err(err).Msg("request refused")
+		level = zerolog.WarnLevel
 	}
+	s.log.WithLevel(level).Str("method", r.Method).Str("path", r.URL.Path).Int("status", ref.status).
+		Str("code", resp.Error.Code).Str("ran", ref.ran).Err(err).Msg("requestRefused")
 	w.Header().Set(headerRan, ref.ran)
 	if ref.status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds))
--- a/io/caller/batches/files.go
+++ b/io/caller/batches/files.go
@@ -188,6 +188,6 @@
 
 // abort ends an answer whose body is not whole, so that it can't be taken for a whole one.
 func (s *server) abort(r *http.Request, err error) {
-	s.log.Warn().Str("path", r.URL.Path).Err(err).Msg("answer broken off")
+	s.log.Warn().Str("path", r.URL.Path).Err(err).Msg("answerBrokenOff")
 	panic(http.ErrAbortHandler)
 }
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -23,6 +23,7 @@
 
 	"mothcart/core/config"
 	"mothcart/core/retry"
+	"mothcart/io/scrape"
 )
 
 // Headers of the callers' interface.
@@ -43,8 +44,8 @@
 	requests metrics.Meter
 	refused  metrics.Meter
 	failed   metrics.Meter
-	first    metrics.Timer
-	total    metrics.Timer
+	first    *scrape.Histogram
+	total    *scrape.Histogram
 }
 
 // New returns the handler.
@@ -55,8 +56,8 @@
 		requests: metrics.GetOrRegisterMeter("caller.requests", opts.Registry),
 		refused:  metrics.GetOrRegisterMeter("caller.refused", opts.Registry),
 		failed:   metrics.GetOrRegisterMeter("caller.failed", opts.Registry),
-		first:    metrics.GetOrRegisterTimer("caller.firstToken", opts.Registry),
-		total:    metrics.GetOrRegisterTimer("caller.total", opts.Registry),
+		first:    scrape.GetOrRegisterHistogram("caller.firstToken", opts.Registry),
+		total:    scrape.GetOrRegisterHistogram("caller.total", opts.Registry),
 	}
 	h.mux.HandleFunc("POST /v1/chat/completions", h.authorized(h.completion))
 	h.mux.HandleFunc("POST /v1/completions", h.authorized(h.completion))
@@ -88,8 +89,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if h.inFlight.Add(1) > int64(h.opts.MaxInFlight) {
 		h.inFlight.Add(-1)
-		h.refused.Mark(1)
-		writeError(w, problem{status: http.StatusServiceUnavailable, code: "vm_overloaded", ran: retry.RanNo, message: "this VM holds as many requests as it may", retryAfter: time.Second})
+		h.refuse(w, h.newCall(w), problem{status: http.StatusServiceUnavailable, code: "vm_overloaded", ran: retry.RanNo, message: "this VM holds as many requests as it may", retryAfter: time.Second})
 		return
 	}
 	defer h.inFlight.Add(-1)
@@ -97,21 +97,25 @@
 	h.mux.ServeHTTP(w, r)
 }
 
+// newCall numbers a request and tells the caller its ID.
+func (h *Handler) newCall(w http.ResponseWriter) call {
+	c := call{id: uuid.NewString(), received: time.Now(), snapshot: h.opts.Snapshot()}
+	w.Header().Set(requestIDHeader, c.id)
+	return c
+}
+
 // authorized finds the account of the request's API key and applies its limit.
 func (h *Handler) authorized(next func(http.ResponseWriter, *http.Request, call)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		c := call{id: uuid.NewString(), received: time.Now(), snapshot: h.opts.Snapshot()}
-		w.Header().Set(requestIDHeader, c.id)
+		c := h.newCall(w)
 		account, ok := Authenticate(c.snapshot, r)
 		if !ok {
-			h.refused.Mark(1)
-			writeError(w, problem{status: http.StatusUnauthorized, code: "invalid_api_key", ran: retry.RanNo, message: "the API key is missing or unknown"})
+			h.refuse(w, c, problem{status: http.StatusUnauthorized, code: "invalid_api_key", ran: retry.RanNo, message: "the API key is missing or unknown"})
 			return
 		}
 		c.account = account
 		if wait, ok := h.opts.Allow(r.Context(), account); !ok {
-			h.refused.Mark(1)
-			writeError(w, problem{status: http.StatusTooManyRequests, code: "rate_limit_exceeded", ran: retry.RanNo, message: "the account's limit is reached", retryAfter: wait})
+			h.refuse(w, c, problem{status: http.StatusTooManyRequests, code: "rate_limit_exceeded", ran: retry.RanNo, message: "the account's limit is reached", retryAfter: wait})
 			return
 		}
 		next(w, r, c)
@@ -119,6 +123,5 @@
 }
 
 func (h *Handler) notFound(w http.ResponseWriter, r *http.Request) {
-	h.refused.Mark(1)
-	writeError(w, problem{status: http.StatusNotFound, code: "unknown_url", ran: retry.RanNo, message: "no such path: " + r.Method + " " + r.URL.Path})
+	h.refuse(w, h.newCall(w), problem{status: http.StatusNotFound, code: "unknown_url", ran: retry.RanNo, message: "no such path: " + r.Method + " " + r.URL.Path})
 }
--- a/io/caller/completion.go
+++ b/io/caller/completion.go
@@ -89,7 +89,7 @@
 	sink := func(data string) error {
 		if !started {
 			started = true
-			h.first.UpdateSince(c.received)
+			h.first.Observe(time.Since(c.received))
 			header := w.Header()
 			header.Set("Content-Type", "text/event-stream")
 			header.Set("Cache-Control", "no-store")
@@ -152,7 +152,7 @@
 	a := engine.NewAssembler(run.path)
 	summary, err := h.opts.Router.Exchange(ctx, run.request, func(data string) error {
 		if a.Events() == 0 {
-			h.first.UpdateSince(c.received)
+			h.first.Observe(time.Since(c.received))
 		}
 		return a.Add(data)
 	})
@@ -171,17 +171,19 @@
 		h.failed.Mark(1)
 	}
 	h.opts.Log.Info().Str("request", c.id).Str("account", c.account.Name).Int("status", p.status).
-		Str("code", p.code).Str("ran", string(p.ran)).Msg("requestRefused")
+		Str("code", p.code).Str("ran", string(p.ran)).Uint64("configuration", c.snapshot.Generation).
+		Dur("retryAfterMillis", p.retryAfter).Dur("tookMillis", time.Since(c.received)).Msg("requestRefused")
 	writeError(w, p)
 }
 
 func (h *Handler) logEnd(c call, run completionRun, s upstream.Summary, err error) {
-	h.total.UpdateSince(c.received)
+	h.total.Observe(time.Since(c.received))
 	e := h.opts.Log.Info()
 	if err != nil {
 		e = h.opts.Log.Warn().Err(err)
 	}
 	e.Str("request", c.id).Str("account", c.account.Name).Str("model", run.request.Name).Str("upstream", s.Upstream).
 		Int("attempts", s.Attempts).Int("resumed", s.Resumed).Int("tokens", s.Tokens).
-		Dur("waited", s.Waited).Dur("took", time.Since(c.received)).Msg("requestDone")
+		Uint64("configuration", c.snapshot.Generation).Dur("loadAgeMillis", s.LoadAge).
+		Dur("waitedMillis", s.Waited).Dur("tookMillis", time.Since(c.received)).Msg("requestDone")
 }
--- a/io/caller/plain.go
+++ b/io/caller/plain.go
@@ -213,7 +213,7 @@
 		h.opts.Log.Warn().Err(err).Str("request", c.id).Msg("answerBroken")
 		panic(http.ErrAbortHandler)
 	}
-	h.total.UpdateSince(c.received)
+	h.total.Observe(time.Since(c.received))
 	h.opts.Log.Info().Str("request", c.id).Str("account", c.account.Name).Int("status", a.Status).Dur("took", time.Since(c.received)).Msg("callDone")
 }
 
--- a/io/job/api.go
+++ b/io/job/api.go
@@ -129,7 +129,7 @@
 			return Status{}, merry.Errorf("cancel: %w", storeError(err))
 		}
 		j.pushCancel(id)
-		j.opts.Log.Info().Str("job", id).Str("team", team).Msg("job cancelled")
+		j.opts.Log.Info().Str("job", id).Str("team", team).Msg("jobCancelled")
 		return j.status(ctx, next), nil
 	}
 	return Status{}, merry.Errorf("cancel job %s: %w", id, ErrDoubtful)
--- a/io/job/fill.go
+++ b/io/job/fill.go
@@ -88,7 +88,7 @@
 		}
 		claimed, err := j.claimChunk(ctx, c.ID, offer)
 		if err != nil {
-			j.opts.Log.Debug().Str("job", c.ID).Int("chunk", offer.Chunk).Err(err).Msg("claim failed")
+			j.opts.Log.Debug().Str("job", c.ID).Int("chunk", offer.Chunk).Err(err).Msg("chunkNotClaimed")
 			return false
 		}
 		if claimed {
--- a/io/job/home.go
+++ b/io/job/home.go
@@ -231,7 +231,7 @@
 		hj.started = head.Created
 	}
 	j.homes.jobs[id] = hj
-	j.opts.Log.Info().Str("job", id).Str("state", head.State.String()).Int("items", head.Items).Msg("home of job")
+	j.opts.Log.Info().Str("job", id).Str("state", head.State.String()).Int("items", head.Items).Msg("jobTaken")
 }
 
 func (j *Jobs) isHomeOf(id string) bool {
--- a/io/job/step.go
+++ b/io/job/step.go
@@ -152,14 +152,14 @@
 	}
 	head, ok := hj.head.Finish(time.Now(), counts, unclaimed)
 	if !ok {
-		j.opts.Log.Error().Str("job", hj.head.ID).Int("outcomes", counts.Total()).Msg("counts do not match")
+		j.opts.Log.Error().Str("job", hj.head.ID).Int("outcomes", counts.Total()).Msg("jobCountsWrong")
 		return
 	}
 	if _, err := j.writeHead(ctx, head, hj.version); err != nil {
 		j.markStale(hj.head.ID)
 		return
 	}
-	j.opts.Log.Info().Str("job", head.ID).Str("state", head.State.String()).Msg("job ended")
+	j.opts.Log.Info().Str("job", head.ID).Str("state", head.State.String()).Msg("jobEnded")
 	j.count("jobs.ended", 1)
 	j.clearOpen(ctx, head)
 }
--- a/io/job/write.go
+++ b/io/job/write.go
@@ -162,7 +162,7 @@
 	j.drop(h)
 	j.mu.Unlock()
 	j.count("jobs.chunks.fenced", 1)
-	j.opts.Log.Info().Str("job", h.head.ID).Int("chunk", h.chunk).Str("owner", c.Owner).Msg("lost the claim of a chunk")
+	j.opts.Log.Info().Str("job", h.head.ID).Int("chunk", h.chunk).Str("owner", c.Owner).Msg("chunkClaimLost")
 	j.report(h.head.ID, job.ReportOf(h.chunk, uint64(o.Version), c))
 	return nil
 }
--- a/io/ledger/dispatch.go
+++ b/io/ledger/dispatch.go
@@ -46,7 +46,7 @@
 	case errors.Is(err, ErrDidNotRun):
 		return core.Result{Kind: core.DidNotRun}
 	default:
-		s.l.opts.Log.Info().Str("request", r.ID.String()).Err(err).Msg("execution ended in doubt")
+		s.l.opts.Log.Info().Str("request", r.ID.String()).Err(err).Msg("executionInDoubt")
 		return core.Result{Kind: core.MayHaveRun}
 	}
 }
--- a/io/ledger/load.go
+++ b/io/ledger/load.go
@@ -83,7 +83,7 @@
 		return
 	}
 	s.l.counts.takeovers.Inc(1)
-	s.l.opts.Log.Info().Int("shard", s.number).Str("from", head.Last.Writer.VM).Int("tail", len(head.Tail)).Msg("ledger shard read")
+	s.l.opts.Log.Info().Int("shard", s.number).Str("from", head.Last.Writer.VM).Int("tail", len(head.Tail)).Msg("ledgerShardRead")
 }
 
 // finishLoad tells those who wait for the head; the caller holds mu.
--- a/io/ledger/shard.go
+++ b/io/ledger/shard.go
@@ -100,7 +100,7 @@
 			return wait
 		}
 		if err := s.maintain(ctx); err != nil {
-			s.l.opts.Log.Info().Int("shard", s.number).Err(err).Msg("ledger upkeep put off")
+			s.l.opts.Log.Info().Int("shard", s.number).Err(err).Msg("ledgerUpkeepPutOff")
 		}
 		head, version, wait, ok := s.prepare()
 		if !ok {
--- a/io/ledger/write.go
+++ b/io/ledger/write.go
@@ -38,7 +38,7 @@
 func (s *shard) write(ctx context.Context, head core.Head, expect store.Version) written {
 	value, err := core.EncodeHead(head)
 	if err != nil || len(value) > store.MaxValueBytes {
-		s.l.opts.Log.Error().Err(err).Int("shard", s.number).Int("bytes", len(value)).Msg("ledger head can't be written")
+		s.l.opts.Log.Error().Err(err).Int("shard", s.number).Int("bytes", len(value)).Msg("ledgerHeadNotWritten")
 		return written{end: refusedByStore}
 	}
 	uncertain := false
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -1,16 +1,15 @@
-// Package logs writes one line of key=value pairs an event.
+// Package logs writes one JSON object a line for each event, without ever waiting for a reader.
 //
 // Usage:
 //
-//	log, err := logs.New(os.Stderr, "info")
+//	log, flush, err := logs.New(os.Stdout, "info", logs.QueuedLines, func(n int) { missed.Inc(int64(n)) })
+//	defer flush()
 //	log.Info().Str("request", id).Msg("requestDone")
 package logs
 
 import (
 	"bufio"
-	"fmt"
 	"io"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -20,52 +19,16 @@
 	"github.com/rs/zerolog/diode"
 )
 
+// QueuedLines is the number of lines that may wait for a reader of the log, about 400 KB.
+const QueuedLines = 1000
+
 // Levels lists the accepted names of levels.
 func Levels() []string { return []string{"debug", "info", "warn", "error", "disabled"} }
 
-// New returns a logger that writes the events of level and above to w. It fails on an unknown
-// level.
-func New(w io.Writer, level string) (zerolog.Logger, error) {
-	parsed, err := zerolog.ParseLevel(level)
-	if err != nil || level == "" {
-		return zerolog.Nop(), merry.Errorf("log level %q: not one of %s", level, strings.Join(Levels(), ", "))
-	}
-	out := zerolog.ConsoleWriter{
-		Out:              w,
-		NoColor:          true,
-		TimeFormat:       time.RFC3339Nano,
-		FormatTimestamp:  labelled("time"),
-		FormatLevel:      labelled("level"),
-		FormatMessage:    labelled("event"),
-		FormatFieldName:  func(i any) string { return fmt.Sprintf("%s=", i) },
-		FormatFieldValue: quoted,
-	}
-	return zerolog.New(out).Level(parsed).With().Timestamp().Logger(), nil
-}
-
-func labelled(name string) zerolog.Formatter {
-	return func(i any) string { return name + "=" + quoted(i) }
-}
-
-// quoted renders a value; text with spaces, quotes or equal signs is quoted.
-func quoted(i any) string {
-	if i == nil {
-		return ""
-	}
-	s := fmt.Sprintf("%s", i)
-	if unquoted, err := strconv.Unquote(s); err == nil {
-		s = unquoted
-	}
-	if strings.ContainsAny(s, " \t\n\"=") {
-		return strconv.Quote(s)
-	}
-	return s
-}
-
-// NewJSON returns a logger that writes the events of level and above to w, one JSON object a line.
+// New returns a logger that writes the events of level and above to w, one JSON object a line.
 // Lines are gathered and written by a goroutine; if w doesn't take them, the oldest of more than
 // queued lines are dropped, and missed is called with their number. The function flushes and ends it.
-func NewJSON(w io.Writer, level string, queued int, missed func(lines int)) (zerolog.Logger, func(), error) {
+func New(w io.Writer, level string, queued int, missed func(lines int)) (zerolog.Logger, func(), error) {
 	parsed, err := zerolog.ParseLevel(level)
 	if err != nil || level == "" {
 		return zerolog.Nop(), nil, merry.Errorf("log level %q: not one of %s", level, strings.Join(Levels(), ", "))
--- a/io/logs/logs_test.go
+++ b/io/logs/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"strings"
 	"sync/atomic"
@@ -11,22 +12,25 @@
 	"github.com/stretchr/testify/require"
 )
 
-func TestOneLineOfPairs(t *testing.T) {
+func TestOneObjectALine(t *testing.T) {
 	var b bytes.Buffer
-	log, err := New(&b, "info")
+	log, flush, err := New(&b, "info", 10, func(int) {})
 	require.NoError(t, err)
 	log.Debug().Msg("hidden")
 	log.Info().Str("request", "r1").Str("reason", "a = b\nc").Int("status", 200).Msg("requestDone")
-	line := b.String()
-	assert.Regexp(t, `^time=\S+ level=info event=requestDone `, line)
-	assert.Contains(t, line, ` request=r1`)
-	assert.Contains(t, line, ` reason="a = b\nc"`)
-	assert.Contains(t, line, ` status=200`)
-	assert.Equal(t, 1, bytes.Count(b.Bytes(), []byte("\n")))
+	flush()
+	require.Equal(t, 1, bytes.Count(b.Bytes(), []byte("\n")))
+	var line map[string]any
+	require.NoError(t, json.Unmarshal(b.Bytes(), &line))
+	assert.Regexp(t, `^\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}`, line["time"])
+	delete(line, "time")
+	assert.Equal(t, map[string]any{
+		"level": "info", "message": "requestDone", "request": "r1", "reason": "a = b\nc", "status": 200.0,
+	}, line)
 }
 
 func TestUnknownLevel(t *testing.T) {
-	_, err := New(&bytes.Buffer{}, "loud")
+	_, _, err := New(&bytes.Buffer{}, "loud", 10, func(int) {})
 	assert.ErrorContains(t, err, "not one of debug")
 }
 
@@ -42,7 +46,7 @@
 	const lines, queued = 5000, 100
 	w := blockingWriter{release: make(chan struct{})}
 	var missed atomic.Int64
-	log, end, err := NewJSON(w, "info", queued, func(n int) { missed.Add(int64(n)) })
+	log, end, err := New(w, "info", queued, func(n int) { missed.Add(int64(n)) })
 	require.NoError(t, err)
 	text := strings.Repeat("x", 200)
 	for range lines {
@@ -54,7 +58,7 @@
 }
 
 func BenchmarkJSONLine(b *testing.B) {
-	log, end, err := NewJSON(io.Discard, "info", 1000, func(int) {})
+	log, end, err := New(io.Discard, "info", 1000, func(int) {})
 	require.NoError(b, err)
 	defer end()
 	for b.Loop() {
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -68,8 +68,10 @@
 		name, err := h.operatorOf(r)
 		switch {
 		case err != nil:
+			h.opts.Log.Info().Str("path", r.URL.Path).Int("status", http.StatusUnauthorized).Err(err).Msg("operatorRefused")
 			writeError(w, http.StatusUnauthorized, err)
 		case h.opts.Allow != nil && !h.opts.Allow(name):
+			h.opts.Log.Info().Str("path", r.URL.Path).Int("status", http.StatusForbidden).Str("operator", name).Msg("operatorRefused")
 			writeError(w, http.StatusForbidden, merry.Errorf("operator %q is not allowed here", name))
 		default:
 			next(w, r, name)
@@ -118,7 +120,7 @@
 	result, err := h.opts.Follower.Apply(ctx, h.opts.Now(), operator, config.Normalize(req.Set), req.Expect)
 	event := h.opts.Log.Info().Str("operator", operator).Str("outcome", result.Outcome).Uint64("generation", result.Generation)
 	if err != nil {
-		event.Err(err).Msg("apply failed")
+		event.Err(err).Msg("applyFailed")
 		writeError(w, statusOf(err), err)
 		return
 	}
--- a/io/peer/conn.go
+++ b/io/peer/conn.go
@@ -107,8 +107,8 @@
 	if errors.Is(err, errSilent) {
 		c.node.metrics.silent.Inc(1)
 	}
-	c.node.opts.Logger.Debug().Str("event", "peerClosed").Str("peer", c.peer).
-		Stringer("class", c.class).AnErr("reason", err).Send()
+	c.node.opts.Logger.Debug().Str("peer", c.peer).
+		Stringer("class", c.class).AnErr("reason", err).Msg("peerClosed")
 }
 
 // lossOf tells a request that was never written from one that may have run.
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -124,8 +124,8 @@
 	l.dialErr = err
 	if err != nil {
 		l.node.metrics.dialErrors.Inc(1)
-		l.node.opts.Logger.Debug().Str("event", "peerDialFailed").Str("peer", l.key.peer).
-			Stringer("class", l.key.class).Err(err).Send()
+		l.node.opts.Logger.Debug().Str("peer", l.key.peer).
+			Stringer("class", l.key.class).Err(err).Msg("peerDialFailed")
 		l.failures++
 		backoff := min(maxBackoff, minBackoff<<min(l.failures, 8))
 		l.retryAt = time.Now().Add(backoff/2 + rand.N(backoff/2))
--- a/io/peer/membership.go
+++ b/io/peer/membership.go
@@ -78,7 +78,7 @@
 func (n *Node) sendMember(o member.Out) {
 	var b bytes.Buffer
 	if err := msgframe.EncodeArrays(&b, o.Message); err != nil {
-		n.opts.Logger.Error().Str("event", "memberEncode").Err(err).Send()
+		n.opts.Logger.Error().Err(err).Msg("memberEncode")
 		return
 	}
 	// A dropped message is a lost probe or update; the protocol makes up for it.
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -205,7 +205,7 @@
 	if err != nil {
 		_ = raw.Close()
 		n.metrics.refused.Inc(1)
-		n.opts.Logger.Debug().Str("event", "peerRefused").Str("address", raw.RemoteAddr().String()).Err(err).Send()
+		n.opts.Logger.Debug().Str("address", raw.RemoteAddr().String()).Err(err).Msg("peerRefused")
 		return
 	}
 	l, err := n.link(linkKey{theirs.VM.ID, theirs.Class})
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -95,5 +95,5 @@
 }
 
 func (n *Node) logNotice(e *zerolog.Event, from, method string, err error) {
-	e.Str("event", "noticeFailed").Str("peer", from).Str("method", method).Err(err).Send()
+	e.Str("peer", from).Str("method", method).Err(err).Msg("noticeFailed")
 }
--- a/io/published/cache.go
+++ b/io/published/cache.go
@@ -33,7 +33,7 @@
 		err = f.installCached(data)
 	}
 	if err != nil {
-		f.log.Warn().Err(err).Msg("copy of the configuration not readable")
+		f.log.Warn().Err(err).Msg("configurationCopyUnreadable")
 	}
 }
 
@@ -74,7 +74,7 @@
 		return
 	}
 	if err := f.writeCache(); err != nil {
-		f.log.Warn().Err(err).Msg("copy of the configuration not written")
+		f.log.Warn().Err(err).Msg("configurationCopyNotWritten")
 	}
 }
 
--- a/io/published/cleanup.go
+++ b/io/published/cleanup.go
@@ -48,7 +48,7 @@
 				continue
 			}
 			if err := f.opts.Store.Delete(ctx, ref.Key(), listed[0].Version); err != nil {
-				f.log.Debug().Err(err).Msg("unused block stays")
+				f.log.Debug().Err(err).Msg("blockNotRemoved")
 			}
 		}
 	})
--- a/io/published/commit.go
+++ b/io/published/commit.go
@@ -140,6 +140,6 @@
 		return
 	}
 	if err := f.adopt(ctx, data, w.fromParts); err != nil && !errors.Is(err, ErrStale) {
-		f.log.Warn().Err(err).Uint64("generation", next.Generation).Msg("published set not yet in force here")
+		f.log.Warn().Err(err).Uint64("generation", next.Generation).Msg("configurationNotYetInForce")
 	}
 }
--- a/io/published/follower.go
+++ b/io/published/follower.go
@@ -193,7 +193,7 @@
 		f.dropOldBlocks()
 		close(f.changed)
 		f.changed = make(chan struct{})
-		f.log.Info().Uint64("generation", root.Generation).Msg("configuration in force")
+		f.log.Info().Uint64("generation", root.Generation).Msg("configurationInForce")
 	}
 	select {
 	case f.save <- struct{}{}:
--- a/io/published/gossip.go
+++ b/io/published/gossip.go
@@ -97,7 +97,7 @@
 			}
 			_ = clock.Sleep(ctx, f.random.duration(f.opts.FetchJitter))
 			if err := f.fetchFrom(ctx, h.from); err != nil {
-				f.log.Debug().Err(err).Str("peer", h.from).Msg("fetch of the configuration failed")
+				f.log.Debug().Err(err).Str("peer", h.from).Msg("configurationNotFetched")
 			}
 		}
 	}
@@ -107,7 +107,7 @@
 func (f *Follower) askAtStart(ctx context.Context) {
 	for _, id := range f.others(startPeers) {
 		if err := f.fetchFrom(ctx, id); err != nil {
-			f.log.Debug().Err(err).Str("peer", id).Msg("no configuration from this peer")
+			f.log.Debug().Err(err).Str("peer", id).Msg("peerConfigurationMissing")
 		}
 	}
 }
--- a/io/published/refusal.go
+++ b/io/published/refusal.go
@@ -92,7 +92,7 @@
 	for range maxAttempts {
 		done, err := f.flushOnce(ctx, waiting)
 		if err != nil {
-			f.log.Warn().Err(err).Int("waiting", len(waiting)).Msg("refusals not recorded yet")
+			f.log.Warn().Err(err).Int("waiting", len(waiting)).Msg("refusalsNotRecorded")
 			return
 		}
 		if done {
--- a/io/published/watch.go
+++ b/io/published/watch.go
@@ -40,7 +40,7 @@
 		}
 		seen, err := f.watchOnce(ctx, version, wait)
 		if err != nil {
-			f.log.Debug().Err(err).Msg("watch of the configuration failed")
+			f.log.Debug().Err(err).Msg("configurationWatchFailed")
 			_ = clock.Sleep(ctx, pause/2+f.random.duration(pause))
 			pause = min(2*pause, maxRetryPause)
 			first = first && f.Current().Generation == 0
--- a/io/scrape/scrape.go
+++ b/io/scrape/scrape.go
@@ -30,6 +30,8 @@
 // Histogram counts durations in buckets, so that the counts of nodes can be added up. It is safe for
 // concurrent use.
 type Histogram struct {
+	// NilHistogram makes it a histogram of go-metrics, whose registry keeps only its own kinds.
+	metrics.NilHistogram
 	counts [len(bounds) + 1]atomic.Int64
 	sum    atomic.Int64
 }
@@ -93,9 +95,6 @@
 		return []string{fmt.Sprintf("%s %g", name, m.Value())}
 	case metrics.Meter:
 		return []string{fmt.Sprintf("%s_total %d", name, m.Count())}
-	case metrics.Timer:
-		snapshot := m.Snapshot()
-		return summaryLines(name+"_seconds", snapshot.Count(), snapshot.Percentiles(quantiles), float64(time.Second))
 	case metrics.Histogram:
 		snapshot := m.Snapshot()
 		return summaryLines(name, snapshot.Count(), snapshot.Percentiles(quantiles), 1)
--- a/io/serve/options.go
+++ b/io/serve/options.go
@@ -48,6 +48,12 @@
 	}
 }
 
+// WithRegistry returns a copy with the registry of metrics set.
+func (o Options) WithRegistry(r metrics.Registry) Options {
+	o.Registry = r
+	return o
+}
+
 // WithPlatform returns a copy with the platform's services replaced.
 func (o Options) WithPlatform(s store.Client, l vmlist.Client) Options {
 	o.Store = s
--- a/io/serve/signal_test.go
+++ b/io/serve/signal_test.go
@@ -29,15 +29,15 @@
 		name, lag, want string
 		signals         int
 	}{
-		{"one", "20ms", "event=drainDone", 1},
-		{"two", "1h", "event=drainCut", 2},
+		{"one", "20ms", "\"message\":\"drainDone\"", 1},
+		{"two", "1h", "\"message\":\"drainCut\"", 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			cfg, err := settings.Parse("test", []byte("[vm]\nid = v1\n[listen]\ncallers = 127.0.0.1:0\noperators = 127.0.0.1:0\npeers = 127.0.0.1:0\n"+
 				"[platform]\nstore = http://127.0.0.1:1\nvmList = http://127.0.0.1:1\n[limits]\ndrainLag = "+tc.lag+"\n"))
 			require.NoError(t, err)
 			var out bytes.Buffer
-			log, err := logs.New(&out, "info")
+			log, flush, err := logs.New(&out, "info", logs.QueuedLines, func(int) {})
 			require.NoError(t, err)
 			s, err := serve.New(serve.NewOptions(cfg, log).WithPlatform(store.New(store.NewOptions()).Client(), vmlist.New().Client("v1")))
 			require.NoError(t, err)
@@ -53,6 +53,7 @@
 			case <-time.After(patience):
 				t.Fatal("the process did not end")
 			}
+			flush()
 			assert.Contains(t, out.String(), tc.want)
 		})
 	}
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -50,6 +50,9 @@
 	Resumed int
 	// Waited is the time until the first place at an upstream.
 	Waited time.Duration
+	// LoadAge is the age of what was known of the last upstream's load when it was chosen; negative if
+	// nothing was.
+	LoadAge time.Duration
 }
 
 // Exchange runs the request and hands each event of the stream to sink, each token once and in
@@ -127,6 +130,7 @@
 	}
 	x.summary.Attempts++
 	x.summary.Upstream = lease.Upstream.ID
+	x.summary.LoadAge = lease.LoadAge
 	x.progress = false
 	err = x.send(ctx, lease)
 	var f *engine.Failure
--- a/io/upstream/router.go
+++ b/io/upstream/router.go
@@ -174,12 +174,15 @@
 // Lease is one place at an upstream; Done gives it back.
 type Lease struct {
 	Upstream vm.VM
-	router   *Router
-	service  string
-	name     string
-	team     string
-	number   uint64
-	once     sync.Once
+	// LoadAge is the age of what was known of the upstream's load when it was chosen; negative if
+	// nothing was.
+	LoadAge time.Duration
+	router  *Router
+	service string
+	name    string
+	team    string
+	number  uint64
+	once    sync.Once
 }
 
 // Acquire waits for a place at an upstream. Errors are of type *Refusal; a refused request did not
@@ -257,11 +260,19 @@
 	}
 	e := s.table.Entry(i)
 	r.nextID++
-	lease := &Lease{Upstream: e.Upstream, router: r, service: s.cfg.Name, name: w.Name, team: w.Team, number: r.nextID}
+	lease := &Lease{Upstream: e.Upstream, LoadAge: loadAge(now, e), router: r, service: s.cfg.Name, name: w.Name, team: w.Team, number: r.nextID}
 	r.opts.Counted(Count{Upstream: e.Upstream, Number: lease.number, Started: true, InFlight: int(e.Own.Add(1)), Tokens: w.Tokens})
 	return lease, true
 }
 
+// loadAge is the age of an upstream's load; negative if it is not known.
+func loadAge(now time.Time, e route.Entry) time.Duration {
+	if e.Digest.At.IsZero() {
+		return -1
+	}
+	return now.Sub(e.Digest.At)
+}
+
 // Done gives the place back; ok is false when the upstream failed by its own fault.
 func (l *Lease) Done(now time.Time, ok bool) {
 	l.once.Do(func() {
--- a/io/vmlist/watcher.go
+++ b/io/vmlist/watcher.go
@@ -55,7 +55,7 @@
 			return
 		}
 		w.errors.Inc(1)
-		w.opts.Logger.Warn().Str("event", "vmListUnavailable").Err(err).Send()
+		w.opts.Logger.Warn().Err(err).Msg("vmListUnavailable")
 		sleep(ctx, retry/2+rand.N(retry/2+1))
 		retry = min(2*retry, w.opts.MaxRetry)
 	}
