Serve first who can still meet its objective, and play the patterns

Cause: under overload a caller that returned after a refusal went before all others, though it had missed its latency objective; each slot given to it made a new caller miss its own, and so on until all were late. Likewise items past their due time went first, and made the next ones late.

Change: core/slot orders online requests of a priority by whether they can still meet their objective, counted from the first try, which it remembers for refused requests for 10 s; those that miss it while they wait yield. Batch items that can't end by their due time yield, and are cut first. The question to the home carries the request's ID and objective. experiment/ pattern plays seven patterns in three ways, beside a bound that no schedule passes; `mothcart load -experiment pattern` prints the table.

Tests: four in core/slot, which fail before; experiment/pattern: a grant for each attempt is best in each pattern, its worst seconds at least half of its mean, the bound holds.

--- a/cmd/mothcart/load.go
+++ b/cmd/mothcart/load.go
@@ -14,13 +14,14 @@
 
 	"mothcart/experiment/filling"
 	"mothcart/experiment/overload"
+	"mothcart/experiment/pattern"
 	"mothcart/experiment/relay"
 	"mothcart/experiment/routing"
 	"mothcart/load"
 )
 
 // experiments lists what load measures without a site of its own.
-var experiments = []string{"relay", "overload", "routing", "filling"}
+var experiments = []string{"relay", "overload", "routing", "filling", "pattern"}
 
 func loadCommand() command {
 	return command{name: "load", summary: "send open-loop load and measure it, or run an experiment", run: runLoad}
@@ -80,6 +81,8 @@
 		err = f.runRouting(out, given)
 	case "filling":
 		err = f.runFilling(out, given)
+	case "pattern":
+		err = pattern.Run(pattern.NewOptions().WithSeed(f.seed)).Write(out)
 	default:
 		fmt.Fprintf(errOut, "mothcart load: unknown experiment %q; give one of %s\n", f.experiment, strings.Join(experiments, ", "))
 		return exitUsage
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -15,6 +15,7 @@
 	upstreams map[string]*upstream
 	services  map[string]*service
 	grants    map[Key]*grant
+	refused   refusedList
 }
 
 type service struct {
@@ -24,6 +25,8 @@
 	batch     waitList
 	// hold is the moving mean of the time that online requests hold a slot.
 	hold time.Duration
+	// batchHold is the same of batch items that run as a whole; 0 until one did.
+	batchHold time.Duration
 	// rate is the moving mean of online requests a second, as of rateAt.
 	rate   float64
 	rateAt time.Time
@@ -103,12 +106,15 @@
 		return p.serve(now, s)
 	}
 	s.countArrival(now)
+	r.asked = now
+	r.Objective = p.refused.objective(now, r)
+	r.late = r.missesObjective(now)
 	s.online.push(r)
 	out := p.serve(now, s)
 	if s.online.has(r.Key) {
 		if refusal, ok := p.refuse(now, s, r); ok {
 			s.online.remove(r.Key)
-			out.Refused = append(out.Refused, refusal)
+			out.Refused = append(out.Refused, p.noted(now, refusal))
 		}
 	}
 	return out
@@ -148,8 +154,14 @@
 	p.drop(g)
 	g.upstream.note(now, result, p.opts)
 	s := p.service(g.request.Service)
-	if !g.request.Batch && result == Served {
-		s.hold += (now.Sub(g.since) - s.hold) / holdWeight
+	switch held := now.Sub(g.since); {
+	case result != Served || g.request.Resumed:
+	case !g.request.Batch:
+		s.hold += (held - s.hold) / holdWeight
+	case s.batchHold == 0:
+		s.batchHold = held
+	default:
+		s.batchHold += (held - s.batchHold) / holdWeight
 	}
 	return p.serve(now, s)
 }
@@ -188,8 +200,9 @@
 func (p *Pool) Tick(now time.Time) Outcome {
 	out := p.serveAll(now)
 	for _, s := range p.services {
+		s.online.demoteAll(func(r Request) bool { return r.missesObjective(now) })
 		for _, r := range s.online.expired(now) {
-			out.Refused = append(out.Refused, Refusal{Request: r, Reason: ReasonWaited, RetryAfter: p.retryAfter(r, 0)})
+			out.Refused = append(out.Refused, p.noted(now, Refusal{Request: r, Reason: ReasonWaited, RetryAfter: p.retryAfter(r, 0)}))
 		}
 	}
 	return out
@@ -280,6 +293,7 @@
 	if len(s.batch.items) == 0 {
 		return out
 	}
+	s.batch.demote(func(r Request) bool { return s.missesDue(now, r, 0) })
 	spare := p.free(now, s) - p.reserve(now, s)
 	s.batch.take(func(r Request) bool {
 		if spare <= 0 {
@@ -326,32 +340,55 @@
 	return best
 }
 
-// victim returns the batch grant that is due last among those on upstreams that suit the request.
+// missesDue reports that a batch item that has run for a while can't end by its due time.
+func (s *service) missesDue(now time.Time, r Request, ran time.Duration) bool {
+	left := s.batchHold - ran
+	if r.Resumed {
+		left = 0 // less than a whole run, but how much is not known
+	}
+	return now.Add(max(left, 0)).After(r.Order)
+}
+
+// victim returns the batch grant that yields first among those on upstreams that suit the request:
+// one that will be late in any case, or the one that is due last.
 func (p *Pool) victim(now time.Time, s *service, r Request) *grant {
 	var last *grant
+	var lastRequest Request
 	for _, g := range p.grants {
 		if !g.request.Batch || g.request.Service != s.name || !g.upstream.suits(now, r) || p.upstreams[g.upstream.ID] != g.upstream {
 			continue
 		}
-		if last == nil || later(g.request, last.request) {
-			last = g
+		r := g.request
+		r.late = s.missesDue(now, r, now.Sub(g.since))
+		if last == nil || compare(r, lastRequest) > 0 {
+			last, lastRequest = g, r
 		}
 	}
 	return last
 }
 
-// later reports that a is served after b.
-func later(a, b Request) bool { return compare(a, b) > 0 }
-
+// compare puts those first that are served first.
 func compare(a, b Request) int {
 	return cmp.Or(
 		cmp.Compare(a.Priority, b.Priority),
+		compareLate(a.late, b.late),
 		a.Order.Compare(b.Order),
 		cmp.Compare(a.Key.ID, b.Key.ID),
 		cmp.Compare(a.Key.Owner, b.Key.Owner),
 	)
 }
 
+func compareLate(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // Grants returns the grants that are in use, in no order.
 func (p *Pool) Grants() []Grant {
 	out := make([]Grant, 0, len(p.grants))
--- a/core/slot/pool_test.go
+++ b/core/slot/pool_test.go
@@ -91,6 +91,94 @@
 	require.Empty(t, p.Release(now, online(1).Key, Served).Granted)
 }
 
+// Overload: a slot given to a caller that has missed its objective makes another one miss it too.
+func TestWhoCanMeetItsObjectiveGoesBeforeWhoHasMissedIt(t *testing.T) {
+	p := newPool(1, 1)
+	p.Ask(start, online(1))
+	request := func(now time.Time, id uint64, caller string) Request {
+		r := online(id)
+		r.RequestID, r.Objective, r.Order, r.Deadline = caller, now.Add(200*time.Millisecond), start.Add(5*time.Second), now.Add(200*time.Millisecond)
+		return r
+	}
+	out := p.Ask(start.Add(100*time.Millisecond), request(start.Add(100*time.Millisecond), 2, "a"))
+	require.Equal(t, ReasonFull, out.Refused[0].Reason)
+	now := start.Add(690 * time.Millisecond)
+	ask := func(r Request) {
+		r.Deadline = now.Add(10 * time.Second)
+		require.Empty(t, p.Ask(now, r).Refused)
+	}
+	ask(request(now, 3, "a"))
+	fresh := request(now, 4, "b")
+	fresh.Order = fresh.Order.Add(time.Second)
+	ask(fresh)
+	other := request(now, 5, "c")
+	other.Priority = 1
+	ask(other)
+	order := served(p, now, Key{Owner: "e1", ID: 1}, 3, 0)
+	require.Equal(t, []uint64{4, 3, 5}, order, "a more urgent kind stays first, late or not")
+}
+
+// Flood: a caller that returns with a little of its objective left goes first while it can meet it,
+// and last once it can't.
+func TestWhoMissesItsObjectiveWhileItWaitsYields(t *testing.T) {
+	p := newPool(1, 1)
+	p.Ask(start, online(1))
+	now := start.Add(690 * time.Millisecond)
+	for id, objective := range map[uint64]time.Duration{2: 30 * time.Millisecond, 3: 200 * time.Millisecond} {
+		r := online(id)
+		r.Objective, r.Order, r.Deadline = now.Add(objective), start.Add(time.Duration(id)*time.Second), now.Add(time.Second)
+		require.Empty(t, p.Ask(now, r).Refused)
+	}
+	now = now.Add(30 * time.Millisecond)
+	p.Tick(now)
+	require.Equal(t, []uint64{3, 2}, served(p, now, Key{Owner: "e1", ID: 1}, 2, 0))
+}
+
+func TestRefusedRequestsAreForgotten(t *testing.T) {
+	p := newPool(1, 1)
+	p.Ask(start, online(1))
+	for i := range uint64(1000) {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		r := online(2 + i)
+		r.RequestID, r.Deadline = fmt.Sprint(i), now
+		r.Exclude = []string{"u0"}
+		require.Len(t, p.Ask(now, r).Refused, 1)
+	}
+	require.LessOrEqual(t, len(p.refused.first), 102, "one every 100 ms, remembered for 10 s")
+	require.Len(t, p.refused.order, len(p.refused.first))
+}
+
+// served ends one request after another and returns the next n that get the slot.
+func served(p *Pool, now time.Time, first Key, n int, each time.Duration) []uint64 {
+	var order []uint64
+	for k := first; len(order) < n; now = now.Add(each) {
+		k = p.Release(now, k, Served).Granted[0].Request.Key
+		order = append(order, k.ID)
+	}
+	return order
+}
+
+// Burst of jobs: with more items than can be done in time, those that can't make it any more yield,
+// and are the first to give their slots up.
+func TestItemsThatCanNotMakeTheirDueTimeYield(t *testing.T) {
+	p := newPool(1, 1)
+	p.Ask(start, item(1, time.Minute))
+	now := start.Add(3 * time.Second)
+	for id, due := range map[uint64]time.Duration{2: 5 * time.Second, 3: 7 * time.Second, 4: 12 * time.Second} {
+		p.Ask(now, item(id, due))
+	}
+	require.Equal(t, []uint64{3, 4, 2}, served(p, now, item(1, 0).Key, 3, 3*time.Second), "items take 3 s each")
+
+	p = newPool(1, 2)
+	p.Ask(start, item(1, time.Minute))
+	p.Release(start.Add(3*time.Second), item(1, 0).Key, Served)
+	now = start.Add(3 * time.Second)
+	p.Ask(now, item(2, 5*time.Second))
+	p.Ask(now, item(3, time.Minute))
+	out := p.Ask(now, online(10))
+	require.Equal(t, uint64(2), out.Cut[0].Request.Key.ID, "it will be late in any case")
+}
+
 func TestUrgentGoesFirstThenTheEarlierDeadline(t *testing.T) {
 	p := newPool(1, 1)
 	p.Ask(start, online(1))
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -3,8 +3,10 @@
 // Upstreams admit requests in order of arrival and know no priorities, so nothing is sent to one
 // but what starts at once; the queue is here. A Pool holds the slots of the upstreams that it is
 // told of, the grants that use them, and the requests that wait. Online requests go first, by
-// priority and then by deadline. Batch takes every slot that is left, the earliest due first, and
-// the item that is due last gives its slot up when an online request finds none. A request that
+// priority, those that can still meet their objective before those that have missed it, then by
+// deadline. Batch takes every slot that is left, the earliest due first of those that can end by
+// then. When an online request finds no slot, an item that will be late gives its own up, or else
+// the one that is due last. A request that
 // can't get a slot before its wait ends is refused at once, with the time at which to come back.
 //
 // One Pool decides for all VMs at the home of the slots; a VM that is cut off from the home decides
@@ -41,6 +43,13 @@
 	Batch bool
 	// Priority is the rank among online requests; 0 is the most urgent.
 	Priority int
+	// RequestID names an online request over all attempts of its caller; empty if it is not known.
+	RequestID string
+	// Objective is the last moment at which a slot lets an online request meet its latency objective,
+	// counted from the present attempt of its caller; zero means that it has none.
+	Objective time.Time
+	// Resumed batch items have done a part of their work before.
+	Resumed bool
 	// Order sorts requests of the same priority, earlier first: the caller's deadline of an online
 	// request, the due time of a batch item.
 	Order time.Time
@@ -50,6 +59,11 @@
 	Exclude []string
 	// AvailabilityZone is that of the VM that asked.
 	AvailabilityZone string
+
+	// late requests miss their objective or due time in any case; others of their priority go first.
+	late bool
+	// asked is when an online request asked.
+	asked time.Time
 }
 
 // Grant gives a slot of an upstream to a request.
--- a/core/slot/wait.go
+++ b/core/slot/wait.go
@@ -47,6 +47,32 @@
 	})
 }
 
+// demote marks the requests at the head that are late, which puts them behind the others.
+func (l *waitList) demote(late func(Request) bool) {
+	for len(l.items) > 0 && !l.items[0].late && late(l.items[0]) {
+		r := l.items[0]
+		l.items = slices.Delete(l.items, 0, 1)
+		r.late = true
+		l.push(r)
+	}
+}
+
+// demoteAll does the same for all requests.
+func (l *waitList) demoteAll(late func(Request) bool) {
+	var demoted []Request
+	l.filter(func(r Request) bool {
+		if r.late || !late(r) {
+			return true
+		}
+		r.late = true
+		demoted = append(demoted, r)
+		return false
+	})
+	for _, r := range demoted {
+		l.push(r)
+	}
+}
+
 // maxMisses bounds the requests that are looked at in one pass after one could not be served; only
 // requests that exclude upstreams differ from the one before.
 const maxMisses = 8
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -99,6 +99,8 @@
 		Deadline:         x.waitUntil(now),
 		Exclude:          x.exclude,
 		AvailabilityZone: x.f.opts.AvailabilityZone,
+		RequestID:        x.req.ID,
+		Objective:        x.objective(),
 	})
 	waited := x.f.opts.Now().Sub(now)
 	x.waited += waited
@@ -106,10 +108,24 @@
 	return lease, refusal, err
 }
 
+// objective returns until when a slot lets the request meet its latency objective; zero if it has
+// none, or if its answer has begun.
+func (x *exchange) objective() time.Time {
+	if x.delivered > 0 || x.req.Route.Objective == 0 {
+		return time.Time{}
+	}
+	return x.req.Arrived.Add(x.waitForObjective())
+}
+
+// waitForObjective is how long a request may wait for a slot and still meet its objective.
+func (x *exchange) waitForObjective() time.Duration {
+	return time.Duration(float64(x.req.Route.Objective) * waitShare)
+}
+
 // waitUntil returns how long the request may wait: as long as it can meet its objective, and if it
 // can't any more, as long as half of its time.
 func (x *exchange) waitUntil(now time.Time) time.Time {
-	objective := time.Duration(float64(x.req.Route.Objective) * waitShare)
+	objective := x.waitForObjective()
 	until := x.req.Arrived.Add(objective)
 	if x.attempts > 0 || until.Before(now) {
 		left := time.Duration(float64(x.req.Deadline.Sub(now)) * lateWaitShare)
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -208,7 +208,7 @@
 	var answer askAnswer
 	err := conn.Call(asked, methodAsk, askRequest{
 		ID: r.Key.ID, Service: r.Service, Priority: r.Priority, Left: r.Order.Sub(now), Wait: wait,
-		Exclude: r.Exclude, Zone: r.AvailabilityZone,
+		Exclude: r.Exclude, Zone: r.AvailabilityZone, Request: r.RequestID, Objective: objectiveLeft(now, r),
 	}, &answer)
 	if err != nil {
 		conn.Notify(methodRelease, releaseNotice{ID: r.Key.ID, Result: slot.Abandoned})
@@ -245,6 +245,17 @@
 	}
 }
 
+// objectiveLeft is what is left of a request's latency objective, 0 if it has none.
+func objectiveLeft(now time.Time, r slot.Request) time.Duration {
+	if r.Objective.IsZero() {
+		return 0
+	}
+	if left := r.Objective.Sub(now); left != 0 {
+		return left
+	}
+	return -1
+}
+
 type decision struct {
 	grant   slot.Grant
 	refusal *slot.Refusal
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -78,7 +78,7 @@
 	}
 	host, path, acceptedAt := j.log.Job().Host, j.log.Job().Path, j.acceptedAt
 	r.key = slot.Key{Owner: batchOwner, ID: h.nextID.Add(1)}
-	key := r.key
+	key, resumed := r.key, r.text.Len() > 0
 	h.mu.Unlock()
 	route, service, ok := h.pickService(host, path)
 	if !ok {
@@ -86,7 +86,8 @@
 		return
 	}
 	h.desk.Ask(slot.Request{
-		Key: key, Service: service, Batch: true, Priority: route.Priority, Order: acceptedAt.Add(route.Completion), AvailabilityZone: h.opts.AvailabilityZone,
+		Key: key, Service: service, Batch: true, Priority: route.Priority, Order: acceptedAt.Add(route.Completion),
+		Resumed: resumed, AvailabilityZone: h.opts.AvailabilityZone,
 	}, asker{
 		granted: func(g slot.Grant) { h.startRun(r, g) },
 		refused: func(slot.Refusal) { time.AfterFunc(retryPause, func() { h.askSlot(r) }) },
