Name the idle rate of batch a baseline, since it can be passed

Batch also runs beside online, so that no bound is broken.

Change: "idle baseline" in filling, the demo, their pages and JSON.

Test: those of filling and pattern pass; no figure changes.

Conclusion: what can be passed is called a baseline.

--- a/demo/report.go
+++ b/demo/report.go
@@ -32,7 +32,7 @@
 	Doubled        int     `json:"doubled"`
 	Wrong          int     `json:"wrong"`
 	ItemsPerSecond float64 `json:"itemsPerSecond"`
-	// IdleShare is the rate as a share of the idle bound: engines full of batch in the time in which
+	// IdleShare is the rate as a share of the idle baseline: engines full of batch in the time in which
 	// online alone left them idle. Above 1 batch ran beside online too.
 	IdleShare float64 `json:"idleShare"`
 	// SlotShare is the rate as a share of all places that online leaves, which no schedule reaches
@@ -109,7 +109,7 @@
 	}{{"alone", r.Alone}, {"beside batch", r.Beside}} {
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%s\t%s\n", row.name, row.o.Sent, row.o.Whole, row.o.Lost, row.o.Wrong, row.o.FirstToken, row.o.InterToken)
 	}
-	fmt.Fprintln(t, "\nbatch\titems\tsucceeded\tfailed\tunknown\tlost\tdoubled\titems/s\tof idle bound\tof free slots")
+	fmt.Fprintln(t, "\nbatch\titems\tsucceeded\tfailed\tunknown\tlost\tdoubled\titems/s\tof idle baseline\tof free slots")
 	b := r.Batch
 	fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.0f%%\t%.0f%%\n", b.State, b.Items, b.Succeeded, b.Failed, b.Unknown, b.Lost, b.Doubled, b.ItemsPerSecond, 100*b.IdleShare, 100*b.SlotShare)
 	fmt.Fprintln(t, "\nconfirmations\tsent\tdone\tunknown\topen\tdoubled\tmismatch")
--- a/experiment/filling/plot.go
+++ b/experiment/filling/plot.go
@@ -63,7 +63,7 @@
 func (d Deployment) panel(title string, harm func(Row) float64) (*plot.Plot, error) {
 	p := plot.New()
 	p.Title.Text = d.Name + ": " + title
-	p.X.Label.Text = "batch items/s, % of the idle bound"
+	p.X.Label.Text = "batch items/s, % of the idle baseline"
 	p.Y.Label.Text = "growth over the run without batch, %"
 	p.X.Min, p.X.Max = 0, 320
 	p.Y.Min, p.Y.Max = leastHarm, mostHarm
@@ -72,7 +72,7 @@
 	var product, others plotter.XYs
 	var productLabels, otherLabels []string
 	for _, row := range d.Rows {
-		at := plotter.XY{X: 100 * row.IdleBoundShare, Y: min(mostHarm, max(leastHarm, 100*harm(row)))}
+		at := plotter.XY{X: 100 * row.IdleBaselineShare, Y: min(mostHarm, max(leastHarm, 100*harm(row)))}
 		if row.Weight >= 0 {
 			product = append(product, at)
 			productLabels = append(productLabels, row.Policy)
--- a/experiment/filling/report.go
+++ b/experiment/filling/report.go
@@ -19,7 +19,7 @@
 // Deployment holds the figures of one user's service. Rates are items a second.
 type Deployment struct {
 	Name         string  `json:"name"`
-	IdleBound    float64 `json:"idleBound"`
+	IdleBaseline float64 `json:"idleBaseline"`
 	SlotBound    float64 `json:"slotBound"`
 	FullRate     float64 `json:"fullRate"`
 	IdleShare    float64 `json:"idleShare"`
@@ -42,13 +42,13 @@
 type Row struct {
 	Policy string `json:"policy"`
 	// Weight is the product's weight, or -1.
-	Weight         float64   `json:"weight"`
-	ItemsPerSecond float64   `json:"itemsPerSecond"`
-	IdleBoundShare float64   `json:"idleBoundShare"`
-	SlotBoundShare float64   `json:"slotBoundShare"`
-	OnlineAnswers  int       `json:"onlineAnswers"`
-	FirstToken     Quantiles `json:"firstTokenMillis"`
-	InterToken     Quantiles `json:"interTokenMillis"`
+	Weight            float64   `json:"weight"`
+	ItemsPerSecond    float64   `json:"itemsPerSecond"`
+	IdleBaselineShare float64   `json:"idleBaselineShare"`
+	SlotBoundShare    float64   `json:"slotBoundShare"`
+	OnlineAnswers     int       `json:"onlineAnswers"`
+	FirstToken        Quantiles `json:"firstTokenMillis"`
+	InterToken        Quantiles `json:"interTokenMillis"`
 	// FirstTokenHarm and InterTokenHarm are the growth over the run without batch, as shares.
 	FirstTokenHarm Quantiles `json:"firstTokenHarm"`
 	InterTokenHarm Quantiles `json:"interTokenHarm"`
@@ -66,7 +66,7 @@
 	d := Deployment{Name: dep.name, seconds: seconds}
 	d.FullRate = float64(full.itemsDone) / seconds
 	d.IdleShare = base.idle.Seconds() / total
-	d.IdleBound = d.FullRate * d.IdleShare
+	d.IdleBaseline = d.FullRate * d.IdleShare
 	d.SlotBound = d.FullRate * (1 - base.slots.Seconds()/total/float64(opts.Engine.MaxRunning))
 	d.WithoutBatch = d.row(withoutBatch(), base)
 	return d
@@ -85,7 +85,7 @@
 		ThrownAwayTokens: r.recomputed + r.discarded,
 		Pauses:           r.paused,
 	}
-	row.IdleBoundShare = row.ItemsPerSecond / d.IdleBound
+	row.IdleBaselineShare = row.ItemsPerSecond / d.IdleBaseline
 	row.SlotBoundShare = row.ItemsPerSecond / d.SlotBound
 	row.FirstTokenHarm = row.FirstToken.over(d.WithoutBatch.FirstToken)
 	row.InterTokenHarm = row.InterToken.over(d.WithoutBatch.InterToken)
@@ -115,8 +115,8 @@
 func (r Report) Markdown() string {
 	b := strings.Builder{}
 	for _, d := range r.Deployments {
-		fmt.Fprintf(&b, "\n%s: engines full of batch %.1f items/s, idle %.0f%% of the time, idle bound %.1f items/s, slot bound %.1f items/s\n\n",
-			d.Name, d.FullRate, 100*d.IdleShare, d.IdleBound, d.SlotBound)
+		fmt.Fprintf(&b, "\n%s: engines full of batch %.1f items/s, idle %.0f%% of the time, idle baseline %.1f items/s, slot bound %.1f items/s\n\n",
+			d.Name, d.FullRate, 100*d.IdleShare, d.IdleBaseline, d.SlotBound)
 		writeTable(&b, "policy", append([]Row{d.WithoutBatch}, d.Rows...))
 		if len(d.Faults) > 0 {
 			b.WriteString("\n")
@@ -127,7 +127,7 @@
 }
 
 func writeTable(b *strings.Builder, first string, rows []Row) {
-	b.WriteString("| " + first + " | items/s | of idle bound | of slot bound | first token p50/p95/p99 ms | growth p50/p95/p99 | inter-token p50/p95/p99 ms | growth p50/p95/p99 | thrown away | yield p99 ms | ramp p50/p95 ms |\n")
+	b.WriteString("| " + first + " | items/s | of idle baseline | of slot bound | first token p50/p95/p99 ms | growth p50/p95/p99 | inter-token p50/p95/p99 ms | growth p50/p95/p99 | thrown away | yield p99 ms | ramp p50/p95 ms |\n")
 	b.WriteString("|---|---|---|---|---|---|---|---|---|---|---|\n")
 	for _, row := range rows {
 		writeRow(b, row)
@@ -136,7 +136,7 @@
 
 func writeRow(b *strings.Builder, r Row) {
 	fmt.Fprintf(b, "| %s | %.1f | %.0f%% | %.0f%% | %s | %s | %s | %s | %.1f%% | %.1f | %.0f / %.0f |\n",
-		r.Policy, r.ItemsPerSecond, 100*r.IdleBoundShare, 100*r.SlotBoundShare,
+		r.Policy, r.ItemsPerSecond, 100*r.IdleBaselineShare, 100*r.SlotBoundShare,
 		r.FirstToken.text("%.1f", 1), r.FirstTokenHarm.text("%+.1f%%", 100),
 		r.InterToken.text("%.1f", 1), r.InterTokenHarm.text("%+.1f%%", 100),
 		100*r.ThrownAwayShare, r.Yield.P99, r.Ramp.P50, r.Ramp.P95)
--- a/experiment/filling/run.go
+++ b/experiment/filling/run.go
@@ -5,10 +5,10 @@
 // Online requests keep the engine that they had in the run without batch. Notices, reports and
 // cancels take the network's time.
 //
-// Two bounds are given. The idle bound is the rate of an engine full of batch, times the share of
-// time in which online leaves the engine without any step: a schedule that never meets online. The
-// slot bound counts each free slot of each step, also beside online, where batch always lengthens
-// the step.
+// A baseline and a bound are given. The idle baseline is the rate of an engine full of batch, times
+// the share of time in which online leaves the engine without any step: that of a schedule that
+// never meets online, passed where batch runs beside online. The slot bound counts each free slot of
+// each step, also beside online, where batch always lengthens the step.
 //
 // Usage:
 //
--- a/experiment/pattern/pattern.go
+++ b/experiment/pattern/pattern.go
@@ -53,7 +53,6 @@
 	ask   = kind{name: "ask", value: 2, late: 0.3, hold: 700 * time.Millisecond, objective: 300 * time.Millisecond, deadline: 5 * time.Second}
 	check = kind{name: "check", value: 1, late: 0.1, priority: 1, hold: 500 * time.Millisecond, objective: 300 * time.Millisecond, deadline: 5 * time.Second}
 	item  = kind{name: "item", value: 6, late: 0.6, priority: 2, batch: true, hold: 3400 * time.Millisecond, objective: 18 * time.Second, deadline: time.Hour}
-	kinds = []kind{ask, check, item}
 )
 
 // checkShare is the share of online requests that are checks, unless the pattern has its own.
