--- a/core/site/site.go
+++ b/core/site/site.go
@@ -73,6 +73,21 @@
 	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
 }
 
+// returnWindow is the time after its first attempt within which a caller returns; it is four times the
+// latency objective and the longest advice after a refusal in a wave.
+const returnWindow = 2 * time.Second
+
+// Waited returns how long a caller that still waits for a while has been at it before. A caller that
+// returns gives itself what is left of its time, and its first attempt had the route's. One that has
+// far less is taken to be in a hurry, not to have returned.
+func (r Route) Waited(left time.Duration) time.Duration {
+	waited := r.Timeout - left
+	if left <= 0 || waited < 0 || waited > returnWindow {
+		return 0
+	}
+	return waited
+}
+
 // Service returns the target that the random number selects by weight.
 func (r Route) Service(random uint64) string {
 	total := 0
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -15,7 +15,6 @@
 	upstreams map[string]*upstream
 	services  map[string]*service
 	grants    map[Key]*grant
-	refused   refusedList
 }
 
 type service struct {
@@ -23,8 +22,12 @@
 	upstreams []*upstream
 	online    waitList
 	batch     waitList
+	// requests and items are the grants of online requests and of batch items, oldest first.
+	requests, items []*grant
 	// hold is the moving mean of the time that online requests hold a slot.
 	hold time.Duration
+	// lateClosedUntil is until when requests that missed their objective are refused at once.
+	lateClosedUntil time.Time
 	// batchHold is the same of batch items that run as a whole; 0 until one did.
 	batchHold time.Duration
 	// rate is the moving mean of online requests a second, as of rateAt.
@@ -46,12 +49,6 @@
 	return s.rate * math.Exp(-now.Sub(s.rateAt).Seconds()/rateWindow.Seconds())
 }
 
-type grant struct {
-	request  Request
-	upstream *upstream
-	since    time.Time
-}
-
 // NewPool returns a pool without upstreams.
 func NewPool(opts Options) *Pool {
 	return &Pool{
@@ -106,15 +103,13 @@
 		return p.serve(now, s)
 	}
 	s.countArrival(now)
-	r.asked = now
-	r.Objective = p.refused.objective(now, r)
 	r.late = r.missesObjective(now)
 	s.online.push(r)
 	out := p.serve(now, s)
 	if s.online.has(r.Key) {
 		if refusal, ok := p.refuse(now, s, r); ok {
 			s.online.remove(r.Key)
-			out.Refused = append(out.Refused, p.noted(now, refusal))
+			out.Refused = append(out.Refused, refusal)
 		}
 	}
 	return out
@@ -202,12 +197,19 @@
 	for _, s := range p.services {
 		s.online.demoteAll(func(r Request) bool { return r.missesObjective(now) })
 		for _, r := range s.online.expired(now) {
-			out.Refused = append(out.Refused, p.noted(now, Refusal{Request: r, Reason: ReasonWaited, RetryAfter: p.retryAfter(r, 0)}))
+			if r.late && r.Deadline.After(r.Objective) {
+				s.lateClosedUntil = now.Add(lateClosure)
+			}
+			out.Refused = append(out.Refused, Refusal{Request: r, Reason: ReasonWaited, RetryAfter: p.retryAfter(r, 0)})
 		}
 	}
 	return out
 }
 
+// lateClosure is how long late requests are refused at once after one has waited in vain; it is twice
+// the time that they wait.
+const lateClosure = 4 * time.Second
+
 // Waiting reports that any request waits.
 func (p *Pool) Waiting() bool {
 	for _, s := range p.services {
@@ -230,35 +232,19 @@
 // Load returns the use of a service's slots.
 func (p *Pool) Load(now time.Time, name string) Load {
 	s := p.service(name)
-	l := Load{WaitingOnline: len(s.online.items), WaitingBatch: len(s.batch.items), Upstreams: len(s.upstreams), Reserve: p.reserve(now, s)}
+	l := Load{
+		Online: len(s.requests), Batch: len(s.items),
+		WaitingOnline: len(s.online.items), WaitingBatch: len(s.batch.items), Upstreams: len(s.upstreams), Reserve: p.reserve(now, s),
+	}
 	for _, u := range s.upstreams {
 		l.Slots += u.Slots
 		if u.paused(now) {
 			l.PausedUpstreams++
 		}
 	}
-	for _, g := range p.grants {
-		switch {
-		case g.request.Service != name:
-		case g.request.Batch:
-			l.Batch++
-		default:
-			l.Online++
-		}
-	}
 	return l
 }
 
-func (p *Pool) hold(now time.Time, r Request, u *upstream) {
-	u.used++
-	p.grants[r.Key] = &grant{request: r, upstream: u, since: now}
-}
-
-func (p *Pool) drop(g *grant) {
-	g.upstream.used--
-	delete(p.grants, g.request.Key)
-}
-
 func (p *Pool) serveAll(now time.Time) Outcome {
 	var out Outcome
 	names := make([]string, 0, len(p.services))
@@ -275,9 +261,18 @@
 // serve gives free slots to waiting requests, and slots of batch to waiting online requests.
 func (p *Pool) serve(now time.Time, s *service) Outcome {
 	var out Outcome
+	free := 0
+	if len(s.online.items)+len(s.batch.items) > 0 {
+		free = p.free(now, s)
+	}
 	s.online.take(func(r Request) bool {
-		u := p.pick(now, s, r)
-		if u == nil {
+		var u *upstream
+		if free > 0 {
+			u = p.pick(now, s, r)
+		}
+		if u != nil {
+			free--
+		} else {
 			victim := p.victim(now, s, r)
 			if victim == nil {
 				return false
@@ -294,7 +289,7 @@
 		return out
 	}
 	s.batch.demote(func(r Request) bool { return s.missesDue(now, r, 0) })
-	spare := p.free(now, s) - p.reserve(now, s)
+	spare := free - p.reserve(now, s)
 	s.batch.take(func(r Request) bool {
 		if spare <= 0 {
 			return false
@@ -340,33 +335,6 @@
 	return best
 }
 
-// missesDue reports that a batch item that has run for a while can't end by its due time.
-func (s *service) missesDue(now time.Time, r Request, ran time.Duration) bool {
-	left := s.batchHold - ran
-	if r.Resumed {
-		left = 0 // less than a whole run, but how much is not known
-	}
-	return now.Add(max(left, 0)).After(r.Order)
-}
-
-// victim returns the batch grant that yields first among those on upstreams that suit the request:
-// one that will be late in any case, or the one that is due last.
-func (p *Pool) victim(now time.Time, s *service, r Request) *grant {
-	var last *grant
-	var lastRequest Request
-	for _, g := range p.grants {
-		if !g.request.Batch || g.request.Service != s.name || !g.upstream.suits(now, r) || p.upstreams[g.upstream.ID] != g.upstream {
-			continue
-		}
-		r := g.request
-		r.late = s.missesDue(now, r, now.Sub(g.since))
-		if last == nil || compare(r, lastRequest) > 0 {
-			last, lastRequest = g, r
-		}
-	}
-	return last
-}
-
 // compare puts those first that are served first.
 func compare(a, b Request) int {
 	return cmp.Or(
@@ -388,12 +356,3 @@
 		return 1
 	}
 }
-
-// Grants returns the grants that are in use, in no order.
-func (p *Pool) Grants() []Grant {
-	out := make([]Grant, 0, len(p.grants))
-	for _, g := range p.grants {
-		out = append(out, Grant{Request: g.request, Upstream: g.upstream.Upstream})
-	}
-	return out
-}
--- a/core/slot/refuse.go
+++ b/core/slot/refuse.go
@@ -17,7 +17,7 @@
 		return Refusal{Request: r, Reason: ReasonNoUpstream, RetryAfter: p.retryAfter(r, 0)}, true
 	}
 	expected := p.expected(now, s, s.online.before(r))
-	if now.Add(expected).After(r.Deadline) {
+	if now.Add(expected).After(r.Deadline) || (r.late && now.Before(s.lateClosedUntil)) {
 		return Refusal{Request: r, Reason: ReasonFull, RetryAfter: p.retryAfter(r, expected-r.Deadline.Sub(now))}, true
 	}
 	return Refusal{}, false
@@ -26,18 +26,13 @@
 // expected returns the time until a slot is free for the request at a position of the queue, from the
 // ages of the online requests that hold slots now and the mean time for which one does.
 func (p *Pool) expected(now time.Time, s *service, position int) time.Duration {
-	left := make([]time.Duration, 0, len(p.grants))
-	for _, g := range p.grants {
-		if g.request.Service == s.name && !g.request.Batch {
-			left = append(left, max(s.hold-now.Sub(g.since), 0))
-		}
-	}
-	if len(left) == 0 {
+	n := len(s.requests)
+	if n == 0 {
 		return s.hold
 	}
-	slices.Sort(left)
-	rounds := time.Duration(position / len(left))
-	return rounds*s.hold + left[position%len(left)]
+	rounds := time.Duration(position / n)
+	left := s.hold - now.Sub(s.requests[position%n].since) // the oldest ends first
+	return rounds*s.hold + max(left, 0)
 }
 
 // spreadSteps is the number of places that returning callers are spread over.
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -43,10 +43,8 @@
 	Batch bool
 	// Priority is the rank among online requests; 0 is the most urgent.
 	Priority int
-	// RequestID names an online request over all attempts of its caller; empty if it is not known.
-	RequestID string
 	// Objective is the last moment at which a slot lets an online request meet its latency objective,
-	// counted from the present attempt of its caller; zero means that it has none.
+	// counted from the first attempt of its caller; zero means that it has none.
 	Objective time.Time
 	// Resumed batch items have done a part of their work before.
 	Resumed bool
@@ -62,8 +60,11 @@
 
 	// late requests miss their objective or due time in any case; others of their priority go first.
 	late bool
-	// asked is when an online request asked.
-	asked time.Time
+}
+
+// missesObjective reports that an online request can't meet its objective any more.
+func (r Request) missesObjective(now time.Time) bool {
+	return !r.Objective.IsZero() && !now.Before(r.Objective)
 }
 
 // Grant gives a slot of an upstream to a request.
--- a/core/slot/wait.go
+++ b/core/slot/wait.go
@@ -80,21 +80,16 @@
 // take removes the requests that serve takes, in order.
 func (l *waitList) take(serve func(Request) bool) {
 	misses := 0
-	kept := l.items[:0]
-	for i, r := range l.items {
-		if misses >= maxMisses {
-			kept = append(kept, l.items[i:]...)
-			break
-		}
-		if serve(r) {
-			delete(l.keys, r.Key)
+	for i := 0; i < len(l.items) && misses < maxMisses; {
+		r := l.items[i]
+		if !serve(r) {
+			misses++
+			i++
 			continue
 		}
-		misses++
-		kept = append(kept, r)
+		delete(l.keys, r.Key)
+		l.items = slices.Delete(l.items, i, i+1)
 	}
-	clear(l.items[len(kept):])
-	l.items = kept
 }
 
 // before returns the number of requests that are served before r.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -153,9 +153,10 @@
 		h.submit(w, r, route, body, arrived)
 		return
 	}
+	left, _ := h.opts.Codec.CallerWait(r.Header)
 	h.opts.Forward.Serve(r.Context(), w, forward.Request{
 		ID: id, Method: r.Method, Host: r.Host, Path: r.URL.RequestURI(), Header: r.Header, Body: body,
-		Route: route, Arrived: arrived, Deadline: h.deadline(r, route, arrived),
+		Route: route, Arrived: arrived, Deadline: h.deadline(r, route, arrived), Waited: route.Waited(left),
 		LastEventID: h.opts.Codec.LastEventID(r.Header),
 	}, rand.Uint64())
 }
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -82,6 +82,8 @@
 	// Arrived is when the request began to arrive, Deadline when its answer must be complete.
 	Arrived  time.Time
 	Deadline time.Time
+	// Waited is how long the caller has been at it before, in earlier attempts.
+	Waited time.Duration
 	// LastEventID is the last event that the caller has; empty means none.
 	LastEventID string
 }
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -23,6 +23,8 @@
 	waitShare = 0.7
 	// lateWaitShare is the part of the time left that a request may wait that is late in any case.
 	lateWaitShare = 0.5
+	// againWaitShare is the same of a request that ran before.
+	againWaitShare = 0.8
 	// minSilence and maxSilence bound the time without a byte after which a request that may be
 	// repeated goes on elsewhere.
 	minSilence = 250 * time.Millisecond
@@ -99,7 +101,6 @@
 		Deadline:         x.waitUntil(now),
 		Exclude:          x.exclude,
 		AvailabilityZone: x.f.opts.AvailabilityZone,
-		RequestID:        x.req.ID,
 		Objective:        x.objective(),
 	})
 	waited := x.f.opts.Now().Sub(now)
@@ -109,12 +110,12 @@
 }
 
 // objective returns until when a slot lets the request meet its latency objective; zero if it has
-// none, or if its answer has begun.
+// none, or if it ran before, which leaves it no refusal that is true.
 func (x *exchange) objective() time.Time {
-	if x.delivered > 0 || x.req.Route.Objective == 0 {
+	if x.runs > 0 || x.req.Route.Objective == 0 {
 		return time.Time{}
 	}
-	return x.req.Arrived.Add(x.waitForObjective())
+	return x.req.Arrived.Add(x.waitForObjective() - x.req.Waited)
 }
 
 // waitForObjective is how long a request may wait for a slot and still meet its objective.
@@ -122,14 +123,18 @@
 	return time.Duration(float64(x.req.Route.Objective) * waitShare)
 }
 
-// waitUntil returns how long the request may wait: as long as it can meet its objective, and if it
-// can't any more, as long as half of its time.
+// waitUntil returns how long the request may wait: as long as it can meet its objective; if it can't any
+// more, a little longer, within half of its time; most of its time if it ran before, since it can only
+// fail then.
 func (x *exchange) waitUntil(now time.Time) time.Time {
 	objective := x.waitForObjective()
-	until := x.req.Arrived.Add(objective)
-	if x.attempts > 0 || until.Before(now) {
-		left := time.Duration(float64(x.req.Deadline.Sub(now)) * lateWaitShare)
-		until = now.Add(min(left, max(objective, minSilence)))
+	until := x.req.Arrived.Add(objective - x.req.Waited)
+	if x.attempts > 0 || !now.Before(until) {
+		left := x.req.Deadline.Sub(now)
+		until = now.Add(min(time.Duration(float64(left)*lateWaitShare), max(objective, minSilence)))
+		if x.runs > 0 {
+			until = now.Add(time.Duration(float64(left) * againWaitShare))
+		}
 	}
 	if until.After(x.req.Deadline) {
 		until = x.req.Deadline
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -208,7 +208,7 @@
 	var answer askAnswer
 	err := conn.Call(asked, methodAsk, askRequest{
 		ID: r.Key.ID, Service: r.Service, Priority: r.Priority, Left: r.Order.Sub(now), Wait: wait,
-		Exclude: r.Exclude, Zone: r.AvailabilityZone, Request: r.RequestID, Objective: objectiveLeft(now, r),
+		Exclude: r.Exclude, Zone: r.AvailabilityZone, Objective: objectiveLeft(now, r),
 	}, &answer)
 	if err != nil {
 		conn.Notify(methodRelease, releaseNotice{ID: r.Key.ID, Result: slot.Abandoned})
--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -28,6 +28,9 @@
 	lookInterval = 200 * time.Millisecond
 	// idleInterval is the time between two looks at the home while it is sound.
 	idleInterval = 100 * time.Millisecond
+	// leaseHedge is how long a write of the lease may stay unanswered before it is sent again beside the
+	// first, so that several may be lost before the home is no longer sure.
+	leaseHedge = 150 * time.Millisecond
 	// leaseCallTimeout bounds one call about the lease.
 	leaseCallTimeout = 1500 * time.Millisecond
 )
@@ -144,7 +147,7 @@
 // more from sureFrom on.
 func (e *Elector) take(ctx context.Context, began time.Time, old lease, revision object.Revision, sureFrom time.Time) (int64, bool) {
 	next := lease{Term: old.Term + 1, VM: e.opts.VMID, Incarnation: e.opts.Incarnation}
-	o, err := object.Hedged(ctx, func(ctx context.Context) (object.Object, error) {
+	o, err := object.Hedged(ctx, leaseHedge, func(ctx context.Context) (object.Object, error) {
 		if revision == 0 {
 			return e.opts.Objects.Create(ctx, KindLease, mainName, next)
 		}
@@ -211,7 +214,7 @@
 	defer cancel()
 	for {
 		revision := e.seen.Revision
-		r, err := object.Hedged(ctx, func(ctx context.Context) (renewal, error) {
+		r, err := object.Hedged(ctx, leaseHedge, func(ctx context.Context) (renewal, error) {
 			next := l
 			next.Renewal = e.renewals.Add(1)
 			began := e.opts.Now()
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -68,9 +68,7 @@
 	Wait     time.Duration `msgpack:"wait"`
 	Exclude  []string      `msgpack:"excl,omitempty"`
 	Zone     string        `msgpack:"zone"`
-	// Request is the ID of the caller's request; Objective is what is left of its latency objective,
-	// or 0 if it has none.
-	Request   string        `msgpack:"req,omitempty"`
+	// Objective is what is left of the latency objective, or 0 if the request has none.
 	Objective time.Duration `msgpack:"aim,omitempty"`
 }
 
@@ -78,7 +76,6 @@
 	r := slot.Request{
 		Key: slot.Key{Owner: owner, ID: a.ID}, Service: a.Service, Priority: a.Priority,
 		Order: now.Add(a.Left), Deadline: now.Add(a.Wait), Exclude: a.Exclude, AvailabilityZone: a.Zone,
-		RequestID: a.Request,
 	}
 	if a.Objective != 0 {
 		r.Objective = now.Add(a.Objective)
--- /dev/null
+++ b/io/node/store_test.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothcart/io/home"
+	"mothcart/platform/fake"
+)
+
+func TestConfigurationIsInForceThoughWatchesAreMute(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.objects.SetFault(fake.Fault{Mute: true})
+		s.writeConfig(2, newRoute)
+		time.Sleep(2 * time.Second)
+		for n := 1; n <= 2; n++ {
+			require.Equal(t, http.StatusOK, s.call(t.Context(), n, http.MethodPost, "/new/1", fmt.Sprintf("r%d", n), "").status)
+		}
+		s.writeConfig(1)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodPost, "/new/1", "r3", "").status, "an older version is not taken up")
+	})
+}
+
+// Jobs accepted while the home's watch of them is silent, told by the accepting node or by one that
+// is asked for results.
+func TestJobsRunThoughTheirWatchIsMute(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.objects.SetFault(fake.Fault{Mute: true})
+		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 4).status)
+		s.awaitJob(2, "j1", 4*time.Second)
+		listed := s.objects.Calls()["GET "+home.KindJobs]
+		for range 10 {
+			_, status := s.readJob(1, "j1", 0)
+			require.Equal(t, http.StatusOK, status)
+			time.Sleep(400 * time.Millisecond)
+		}
+		require.Equal(t, listed, s.objects.Calls()["GET "+home.KindJobs], "a home that knows its jobs reads none of them again")
+	})
+}
+
+// Every third write is executed 2 s late and never answered: the home stays sure of its lease, so
+// that no reader goes past it, and jobs are accepted and listed.
+func TestLateWritesMoveNoHome(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j", 2).status)
+		s.awaitJob(1, "j", 2*time.Second)
+		read := s.objects.Calls()["GET mothcart-results-j"]
+		s.objects.SetFault(fake.Fault{LateEvery: 3})
+		for i := range 50 {
+			if i%10 == 0 {
+				require.Equal(t, http.StatusAccepted, s.submitJob(1+i%2, fmt.Sprintf("j%d", i), 2).status)
+			}
+			time.Sleep(100 * time.Millisecond)
+			_, status := s.readJob(1+i%2, "j", 0)
+			require.Equal(t, http.StatusOK, status)
+			require.True(t, s.homes["s1"].IsHome())
+		}
+		require.Equal(t, read, s.objects.Calls()["GET mothcart-results-j"], "reads past the home")
+		for i := range 5 {
+			s.awaitJob(1, fmt.Sprintf("j%d", 10*i), 5*time.Second)
+		}
+	})
+}
+
+func TestLostAnswersOfWritesLoseAndDoubleNothing(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.objects.SetFault(fake.Fault{LoseAnswers: 3})
+		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 4).status)
+		s.objects.SetFault(fake.Fault{LoseAnswers: 5})
+		p := s.awaitJob(2, "j1", 18*time.Second)
+		require.Equal(t, 4, p.Next)
+	})
+}
+
+func TestJobsWaitOutAnOutageOfTheObjectService(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 12).status)
+		time.Sleep(600 * time.Millisecond)
+		s.objects.SetFault(fake.Fault{Down: map[string]bool{"": true}})
+		r := s.submitJob(1, "j2", 1)
+		require.Equal(t, http.StatusServiceUnavailable, r.status)
+		require.NotEmpty(t, r.header.Get("Retry-After"))
+		require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodPost, "/ask/stream/1", "r1", "").status, "online goes on")
+		time.Sleep(4 * time.Second)
+		_, status := s.readJob(1, "j1", 0)
+		require.Equal(t, http.StatusServiceUnavailable, status, "nobody can be sure of a job's state")
+		s.objects.SetFault(fake.Fault{})
+		s.awaitJob(1, "j1", 10*time.Second)
+		require.Zero(t, s.runsOf("j2.0"), "a refused job never runs")
+	})
+}
--- a/io/object/hedge.go
+++ b/io/object/hedge.go
@@ -8,19 +8,14 @@
 	"mothcart/io/store"
 )
 
-const (
-	// hedgePause is how long a write may stay unanswered before the same write is sent again; a calm
-	// object service answers in a few milliseconds.
-	hedgePause = 300 * time.Millisecond
-	// hedgeLimit bounds the writes that are on their way at the same time.
-	hedgeLimit = 4
-)
+// hedgeLimit bounds the writes that are on their way at the same time.
+const hedgeLimit = 6
 
-// Hedged makes an attempt at a write and, while none is answered, another after each hedgePause, for
-// an object service that loses answers or takes writes late. It returns the first answer that tells
+// Hedged makes an attempt at a write and, while none is answered, another after each pause, for an
+// object service that loses answers or takes writes late. It returns the first answer that tells
 // the outcome; without one ErrUnknown if an attempt may have had effect, else ErrUnavailable. Attempts
 // must exclude each other, such as by the name or the revision of the object.
-func Hedged[T any](ctx context.Context, attempt func(ctx context.Context) (T, error)) (T, error) {
+func Hedged[T any](ctx context.Context, pause time.Duration, attempt func(ctx context.Context) (T, error)) (T, error) {
 	type answer struct {
 		value T
 		err   error
@@ -37,7 +32,7 @@
 		}()
 	}
 	send()
-	again := time.NewTicker(hedgePause)
+	again := time.NewTicker(pause)
 	defer again.Stop()
 	var last answer
 	for pending > 0 {
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -71,6 +71,10 @@
 // confirmPause is the time between two attempts at a write with an unknown outcome.
 const confirmPause = 50 * time.Millisecond
 
+// createHedge is how long a creation may stay unanswered before it is sent again beside the first; a
+// calm object service answers in a few milliseconds.
+const createHedge = 300 * time.Millisecond
+
 // confirmMargin is the time before the end of the context at which no further attempt is made, since
 // the end would leave its outcome unknown.
 const confirmMargin = 500 * time.Millisecond
@@ -91,7 +95,7 @@
 	}
 	unknown := false
 	for {
-		o, err := Hedged(ctx, func(ctx context.Context) (Object, error) { return c.Create(ctx, kind, name, json.RawMessage(want)) })
+		o, err := Hedged(ctx, createHedge, func(ctx context.Context) (Object, error) { return c.Create(ctx, kind, name, json.RawMessage(want)) })
 		switch {
 		case err == nil:
 			return o, nil
