Name the pool's grants apart from its waiting items

Cause: a reading of the change as a newcomer: the pool held `items` that run beside a list `batch.items` that waits, and a field's comment said "the same" of one that no longer stood above it.

Ruled out: moving them to types of their own; each is used in three places.

Change: onlineGrants, batchGrants; the comment of Route.Waited says what is inferred from what. No behaviour changes.

Test: those of core pass.

--- a/core/site/site.go
+++ b/core/site/site.go
@@ -77,9 +77,9 @@
 // latency objective and the longest advice after a refusal in a wave.
 const returnWindow = 2 * time.Second
 
-// Waited returns how long a caller that still waits for a while has been at it before. A caller that
-// returns gives itself what is left of its time, and its first attempt had the route's. One that has
-// far less is taken to be in a hurry, not to have returned.
+// Waited returns how long a caller has been at it, in earlier attempts, that now gives itself the time
+// left: a first attempt has the route's time, and one that returns has what is left of it. A caller
+// with far less is taken to be in a hurry, not to have returned.
 func (r Route) Waited(left time.Duration) time.Duration {
 	waited := r.Timeout - left
 	if left <= 0 || waited < 0 || waited > returnWindow {
--- a/core/slot/grants.go
+++ b/core/slot/grants.go
@@ -37,9 +37,9 @@
 // grantsLike returns the service's grants of batch items, or those of online requests.
 func (s *service) grantsLike(r Request) *[]*grant {
 	if r.Batch {
-		return &s.items
+		return &s.batchGrants
 	}
-	return &s.requests
+	return &s.onlineGrants
 }
 
 // victim returns the batch grant that yields first among those on upstreams that suit the request:
@@ -47,7 +47,7 @@
 func (p *Pool) victim(now time.Time, s *service, r Request) *grant {
 	var last *grant
 	var lastRequest Request
-	for _, g := range s.items {
+	for _, g := range s.batchGrants {
 		if !g.upstream.suits(now, r) || p.upstreams[g.upstream.ID] != g.upstream {
 			continue
 		}
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -22,14 +22,14 @@
 	upstreams []*upstream
 	online    waitList
 	batch     waitList
-	// requests and items are the grants of online requests and of batch items, oldest first.
-	requests, items []*grant
+	// onlineGrants and batchGrants are the slots in use, oldest first.
+	onlineGrants, batchGrants []*grant
 	// hold is the moving mean of the time that online requests hold a slot.
 	hold time.Duration
-	// lateClosedUntil is until when requests that missed their objective are refused at once.
-	lateClosedUntil time.Time
 	// batchHold is the same of batch items that run as a whole; 0 until one did.
 	batchHold time.Duration
+	// lateClosedUntil is until when requests that missed their objective are refused at once.
+	lateClosedUntil time.Time
 	// rate is the moving mean of online requests a second, as of rateAt.
 	rate   float64
 	rateAt time.Time
@@ -233,7 +233,7 @@
 func (p *Pool) Load(now time.Time, name string) Load {
 	s := p.service(name)
 	l := Load{
-		Online: len(s.requests), Batch: len(s.items),
+		Online: len(s.onlineGrants), Batch: len(s.batchGrants),
 		WaitingOnline: len(s.online.items), WaitingBatch: len(s.batch.items), Upstreams: len(s.upstreams), Reserve: p.reserve(now, s),
 	}
 	for _, u := range s.upstreams {
--- a/core/slot/refuse.go
+++ b/core/slot/refuse.go
@@ -26,12 +26,12 @@
 // expected returns the time until a slot is free for the request at a position of the queue, from the
 // ages of the online requests that hold slots now and the mean time for which one does.
 func (p *Pool) expected(now time.Time, s *service, position int) time.Duration {
-	n := len(s.requests)
+	n := len(s.onlineGrants)
 	if n == 0 {
 		return s.hold
 	}
 	rounds := time.Duration(position / n)
-	left := s.hold - now.Sub(s.requests[position%n].since) // the oldest ends first
+	left := s.hold - now.Sub(s.onlineGrants[position%n].since) // the oldest ends first
 	return rounds*s.hold + max(left, 0)
 }
 
