Take a silent watch for no outage, and renew the lease on time

A watch that the service never answered (its history had been dropped) ended after 27 s, the moment the upstream left; the home took that for an outage of the object service, in which missing upstreams stay usable until 2 s after it.

Ruled out: a shorter grace after outages, which would drop upstreams whose entries lapsed in a true one; the load itself: the trace holds in virtual time.

Change: a watch that times out while listings beside it are answered is logged as silent and is no outage.

Tests: TestSilentWatchIsNoOutageWhileListingsAreAnswered fails before.

--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -181,11 +181,13 @@
 	defer stop()
 	announced := false
 	l := lease{Term: term, VM: e.opts.VMID, Incarnation: e.opts.Incarnation}
+	began := e.opts.Now()
 	for {
 		if !announced {
 			announced = e.announce(ctx, term)
 		}
-		_ = clock.Sleep(ctx, renewInterval) // ends early only with the context
+		_ = clock.Sleep(ctx, renewInterval-e.opts.Now().Sub(began)) // ends early only with the context
+		began = e.opts.Now()
 		if ctx.Err() != nil || e.retired.Load() {
 			if e.giveBack(l) {
 				awaitHandover()
--- a/io/object/follow.go
+++ b/io/object/follow.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"mothcart/io/clock"
@@ -57,6 +58,8 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 	down   bool
+	// listedAt is when a listing beside the watch was answered last, in nanoseconds of the Unix epoch.
+	listedAt atomic.Int64
 	// at is the revision that the next watch starts from; 0 asks for a listing.
 	at Revision
 }
@@ -175,12 +178,25 @@
 			f.opts.Log.Debug().Str("kind", f.opts.Kind).Err(err).Msg("notVerified")
 			continue
 		}
+		f.listedAt.Store(time.Now().UnixNano())
 		f.opts.Apply(Change{Listed: true, At: at, Objects: objects})
 	}
 }
 
+// listedFor is how long a listing shows that the service answers.
+const listedFor = 2 * time.Second
+
+// silent reports that a watch was not answered though the service answers listings.
+func (f *Follower) silent(err error) bool {
+	return errors.Is(err, context.DeadlineExceeded) && time.Since(time.Unix(0, f.listedAt.Load())) < listedFor
+}
+
 // report logs when the service is lost and regained.
 func (f *Follower) report(err error) {
+	if f.silent(err) {
+		f.opts.Log.Warn().Str("kind", f.opts.Kind).Int64("revision", int64(f.at)).Msg("watchSilent")
+		return
+	}
 	lost := err != nil && !errors.Is(err, ErrCompacted)
 	switch {
 	case errors.Is(err, ErrCompacted):
--- /dev/null
+++ b/io/object/follow_test.go
@@ -0,0 +1,58 @@
+package object
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+
+	"mothcart/io/store"
+)
+
+// silentClient answers no watch, and listings after the first one only if listed is set.
+func silentClient(listed bool) Client {
+	calls := 0
+	return Client{
+		List: func(context.Context, string, string) ([]Object, Revision, bool, error) {
+			calls++
+			if calls > 1 && !listed {
+				return nil, 0, false, store.ErrUnavailable
+			}
+			return nil, 1, false, nil
+		},
+		Watch: func(ctx context.Context, _ string, _ Revision, _ time.Duration) ([]Event, Revision, error) {
+			<-ctx.Done()
+			return nil, 0, merry.Errorf("watch: %w: %w", store.ErrUnavailable, ctx.Err())
+		},
+	}
+}
+
+// A watch that is never answered is no outage while listings beside it are; one without listings is.
+func TestSilentWatchIsNoOutageWhileListingsAreAnswered(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		listed bool
+		lost   bool
+	}{
+		{"listings answered", true, false},
+		{"listings fail too", false, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lost := false
+				f := NewFollower(FollowerOptions{
+					Kind: "servers", Log: zerolog.Nop(), Apply: func(Change) {}, Client: silentClient(tc.listed),
+					Verify: func() time.Duration { return 700 * time.Millisecond },
+					Down:   func(down bool) { lost = lost || down },
+				})
+				time.Sleep(time.Minute)
+				f.Close()
+				assert.Equal(t, tc.lost, lost)
+			})
+		})
+	}
+}
