Write once what the last reading of the change found twice

Cause: the change had pieces written again: two ways of the experiment each kept pools of the fronts with the same ask and release; the wait list took requests out by two loops alike; two commands opened their log by the same lines. The home logged jobs that its watch owes at each look, twice for a listing.

Change: frontDesks, waitList.extract, newLog; watchOwesJobs is one line for each listing that found owed jobs, with its revision.

Conclusion: no decision changes.

--- a/cmd/mothcart/node.go
+++ b/cmd/mothcart/node.go
@@ -34,6 +34,12 @@
 	}}
 }
 
+// newLog returns the log of a process, which counts the lines that are dropped.
+func newLog(out io.Writer, level string, registry metrics.Registry) (log zerolog.Logger, flush func(), err error) {
+	missed := metrics.GetOrRegisterCounter("log.missedLines", registry)
+	return logs.New(out, level, logs.QueuedLines, func(n int) { missed.Inc(int64(n)) })
+}
+
 func runNode(ctx context.Context, name string, run func(context.Context, node.Options) error, args []string, out, errOut io.Writer) int {
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
 	path := fs.String("settings", os.Getenv(platform.SettingsVariable), "settings `FILE` of the platform; "+platform.SettingsVariable+" by default")
@@ -52,8 +58,7 @@
 		return exitOK
 	}
 	registry := metrics.NewRegistry()
-	missed := metrics.GetOrRegisterCounter("log.missedLines", registry)
-	log, flush, err := logs.New(out, *level, logs.QueuedLines, func(n int) { missed.Inc(int64(n)) })
+	log, flush, err := newLog(out, *level, registry)
 	if err != nil {
 		fmt.Fprintf(errOut, "mothcart %s: %v\n", name, err)
 		return exitUsage
--- a/cmd/mothcart/serve.go
+++ b/cmd/mothcart/serve.go
@@ -9,7 +9,6 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"mothcart/io/logs"
 	"mothcart/io/serve"
 	"mothcart/io/settings"
 )
@@ -42,8 +41,7 @@
 		return exitOK
 	}
 	registry := metrics.NewRegistry()
-	missed := metrics.GetOrRegisterCounter("log.missedLines", registry)
-	log, flush, err := logs.New(out, cfg.LogLevel, logs.QueuedLines, func(n int) { missed.Inc(int64(n)) })
+	log, flush, err := newLog(out, cfg.LogLevel, registry)
 	if err != nil {
 		fmt.Fprintf(errOut, "mothcart serve: %v\n", err)
 		return exitUsage
--- a/core/site/site_test.go
+++ b/core/site/site_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -80,3 +81,19 @@
 	_, next := d.WithoutUpstream(start, "a").Upstreams(start)
 	require.Equal(t, start.Add(800*time.Millisecond), next)
 }
+
+func TestWaited(t *testing.T) {
+	r := Route{Timeout: 5 * time.Second}
+	for _, tc := range []struct {
+		name         string
+		left, waited time.Duration
+	}{
+		{"first attempt", 5 * time.Second, 0},
+		{"returned after a refusal", 4600 * time.Millisecond, 400 * time.Millisecond},
+		{"a caller in a hurry", time.Second, 0},
+		{"more time than the route has", 8 * time.Second, 0},
+		{"time not told", 0, 0},
+	} {
+		assert.Equal(t, tc.waited, r.Waited(tc.left), tc.name)
+	}
+}
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -206,8 +206,8 @@
 	return out
 }
 
-// lateClosure is how long late requests are refused at once after one has waited in vain; it is twice
-// the time that they wait.
+// lateClosure is how long late requests are refused at once after one has waited in vain; a wave of
+// callers lasts a few seconds.
 const lateClosure = 4 * time.Second
 
 // Waiting reports that any request waits.
--- a/core/slot/wait.go
+++ b/core/slot/wait.go
@@ -59,16 +59,8 @@
 
 // demoteAll does the same for all requests.
 func (l *waitList) demoteAll(late func(Request) bool) {
-	var demoted []Request
-	l.filter(func(r Request) bool {
-		if r.late || !late(r) {
-			return true
-		}
+	for _, r := range l.extract(func(r Request) bool { return !r.late && late(r) }) {
 		r.late = true
-		demoted = append(demoted, r)
-		return false
-	})
-	for _, r := range demoted {
 		l.push(r)
 	}
 }
@@ -100,9 +92,14 @@
 
 // expired removes and returns the requests whose wait is over.
 func (l *waitList) expired(now time.Time) []Request {
+	return l.extract(func(r Request) bool { return !now.Before(r.Deadline) })
+}
+
+// extract removes and returns the requests for which which is true.
+func (l *waitList) extract(which func(Request) bool) []Request {
 	var out []Request
 	l.filter(func(r Request) bool {
-		if now.Before(r.Deadline) {
+		if !which(r) {
 			return true
 		}
 		out = append(out, r)
--- a/experiment/pattern/lent.go
+++ b/experiment/pattern/lent.go
@@ -18,8 +18,7 @@
 
 // lender is the home of the way that lends slots.
 type lender struct {
-	s         *sim
-	desks     []*desk
+	frontDesks
 	upstreams []site.Upstream
 	// lent holds how many slots of an upstream a front has.
 	lent []map[string]int
@@ -28,10 +27,8 @@
 
 // lends lets a home divide the slots among the fronts by what they have to do.
 func (s *sim) lends() way {
-	l := &lender{s: s, desks: make([]*desk, s.opts.Fronts), lent: make([]map[string]int, s.opts.Fronts)}
-	owner := map[slot.Key]int{}
-	for i := range l.desks {
-		l.desks[i] = s.newDesk(false, 0)
+	l := &lender{frontDesks: s.newFrontDesks(false), lent: make([]map[string]int, s.opts.Fronts)}
+	for i := range l.lent {
 		l.lent[i] = map[string]int{}
 	}
 	var round func()
@@ -48,15 +45,7 @@
 			l.upstreams = list
 			l.divide()
 		},
-		ask: func(front int, r slot.Request) {
-			owner[r.Key] = front
-			l.desks[front].tell(l.desks[front].pool.Ask(s.now(), r))
-		},
-		release: func(k slot.Key, result slot.Result) {
-			d := l.desks[owner[k]]
-			delete(owner, k)
-			d.tell(d.pool.Release(s.now(), k, result))
-		},
+		ask: l.ask, release: l.release,
 		report:   func(int, string, int, int) {},
 		loseHome: func() { l.lost = true }, regainHome: func() { l.lost = false },
 	}
--- a/experiment/pattern/way.go
+++ b/experiment/pattern/way.go
@@ -63,37 +63,52 @@
 	d.s.clock.After(d.delay, do)
 }
 
+// frontDesks are pools of the fronts' own.
+type frontDesks struct {
+	s     *sim
+	desks []*desk
+	// owner holds the front of each request.
+	owner map[slot.Key]int
+}
+
+func (s *sim) newFrontDesks(trust bool) frontDesks {
+	f := frontDesks{s: s, desks: make([]*desk, s.opts.Fronts), owner: map[slot.Key]int{}}
+	for i := range f.desks {
+		f.desks[i] = s.newDesk(trust, 0)
+	}
+	return f
+}
+
+func (f frontDesks) ask(front int, r slot.Request) {
+	f.owner[r.Key] = front
+	f.desks[front].tell(f.desks[front].pool.Ask(f.s.now(), r))
+}
+
+func (f frontDesks) release(k slot.Key, result slot.Result) {
+	d := f.desks[f.owner[k]]
+	delete(f.owner, k)
+	d.tell(d.pool.Release(f.s.now(), k, result))
+}
+
 // alone lets each front decide by what it does itself and what upstreams report.
 func (s *sim) alone() way {
-	desks := make([]*desk, s.opts.Fronts)
-	owner := map[slot.Key]int{}
-	for i := range desks {
-		desks[i] = s.newDesk(true, 0)
-	}
+	f := s.newFrontDesks(true)
 	return way{
 		name: "alone",
 		setUpstreams: func(list []site.Upstream) {
-			for _, d := range desks {
+			for _, d := range f.desks {
 				d.tell(d.pool.SetUpstreams(s.now(), list))
 			}
 		},
-		ask: func(front int, r slot.Request) {
-			owner[r.Key] = front
-			desks[front].tell(desks[front].pool.Ask(s.now(), r))
-		},
-		release: func(k slot.Key, result slot.Result) {
-			d := desks[owner[k]]
-			delete(owner, k)
-			d.tell(d.pool.Release(s.now(), k, result))
-		},
+		ask: f.ask, release: f.release,
 		report: func(front int, id string, running, waiting int) {
-			desks[front].pool.Report(s.now(), id, running, waiting)
+			f.desks[front].pool.Report(s.now(), id, running, waiting)
 		},
 		loseHome: func() {}, regainHome: func() {},
 	}
 }
 
-// granted lets a home decide for all; without one the fronts decide alone.
+// grants lets a home decide for all; without one the fronts decide alone.
 func (s *sim) grants() way {
 	home, alone := s.newDesk(false, hop), s.alone()
 	var upstreams []site.Upstream
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -15,13 +15,18 @@
 // applyJobs takes up jobs that were written or ended.
 func (h *Home) applyJobs(c object.Change) {
 	h.mu.Lock()
+	owed := len(h.awaited)
 	for _, o := range c.Objects {
 		delete(h.awaited, o.Name)
 	}
+	owed -= len(h.awaited)
 	for _, e := range c.Events {
 		delete(h.awaited, e.Object.Name)
 	}
 	h.mu.Unlock()
+	if owed > 0 {
+		h.opts.Log.Warn().Int("jobs", owed).Int64("revision", int64(c.At)).Msg("watchOwesJobs")
+	}
 	if c.Listed {
 		h.load(c.Objects)
 		return
@@ -150,7 +155,6 @@
 	if !late {
 		return 0
 	}
-	h.opts.Log.Warn().Int("jobs", len(h.awaited)).Msg("watchOwesJobs")
 	return watchLag
 }
 
