Start nodes while the object service is away

Cause: a process that starts while the object service is down knows no configuration and no upstreams, so it answers 503 until the service is back; entry nodes did not find the living home either. Ruled out: a cache on entry nodes (no disk); serving jobs meanwhile (they can't be kept). Change: home nodes serve as seeds (role control) and tell any node what they know: configuration, upstreams, home. The soak kills all during an outage and empties, tears and blocks disks; a process is no longer started twice by two faults at once. Tests that fail without it: TestEntryStartsDuringAnOutage, TestSiteStartsDuringAnOutage.

--- /dev/null
+++ b/io/disk/disk.go
@@ -0,0 +1,62 @@
+// Package disk keeps values in files of a data folder that outlive a process, such as a copy of the
+// configuration for the next start.
+//
+// A file is replaced whole: after a crash or a loss of power it holds the value before or the value
+// after. It bears a checksum, so that one that was damaged is not taken for a value.
+//
+// Usage:
+//
+//	err := disk.Save("/data/mothcart", "configuration", copy)
+//	found, err := disk.Load("/data/mothcart", "configuration", &copy)
+package disk
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/google/renameio/v2"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"mothcart/core/publication"
+)
+
+// mode lets only the owner read a file.
+const mode = 0o600
+
+// Save replaces the file name in dir by v, encoded with msgpack.
+func Save(dir, name string, v any) error {
+	data, err := msgpack.Marshal(v)
+	if err != nil {
+		return merry.Errorf("encode %s: %w", name, err)
+	}
+	if err := renameio.WriteFile(filepath.Join(dir, name), publication.Seal(data), mode, renameio.WithTempDir(dir)); err != nil {
+		return merry.Errorf("write %s: %w", name, err)
+	}
+	return nil
+}
+
+// Load decodes the file name in dir into v, a pointer. It reports false if there is no such file or dir
+// is empty.
+func Load(dir, name string, v any) (bool, error) {
+	if dir == "" {
+		return false, nil
+	}
+	data, err := os.ReadFile(filepath.Join(dir, name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, nil
+	}
+	if err != nil {
+		return false, merry.Errorf("read %s: %w", name, err)
+	}
+	body, err := publication.Unseal(data)
+	if err != nil {
+		return false, merry.Errorf("read %s: %w", name, err)
+	}
+	if err := msgpack.Unmarshal(body, v); err != nil {
+		return false, merry.Errorf("decode %s: %w", name, err)
+	}
+	return true, nil
+}
--- a/io/home/handover.go
+++ b/io/home/handover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -40,16 +39,11 @@
 
 // FetchProgress asks the home of an earlier term to stop and returns the progress of its items. A home
 // that is gone has none.
-func FetchProgress(ctx context.Context, connect func(ctx context.Context, network, address string) (net.Conn, error), before, by Announcement) ([]ItemProgress, error) {
+func FetchProgress(ctx context.Context, dial Dial, before, by Announcement) ([]ItemProgress, error) {
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	conn, err := link.Dial(ctx, connect, before.Address, link.Options{Handle: func(*link.Conn, link.Incoming) {}})
-	if err != nil {
-		return nil, merry.Errorf("ask home of term %d: %w", before.Term, err)
-	}
-	defer conn.Close()
 	var a handoverAnswer
-	if err := conn.Call(ctx, methodHandover, handoverRequest{By: by}, &a); err != nil {
+	if err := callOnce(ctx, dial, before.Address, methodHandover, handoverRequest{By: by}, &a); err != nil {
 		return nil, merry.Errorf("ask home of term %d: %w", before.Term, err)
 	}
 	return a.Items, nil
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -24,6 +24,8 @@
 	methodEnd     = "end"
 	// methodHandover comes from the home of a later term.
 	methodHandover = "handover"
+	// methodLearn asks a home node, whether it is the home or not, for its Knowledge.
+	methodLearn = "learn"
 	// methodView and methodPeers go from the home to the nodes.
 	methodView  = "view"
 	methodPeers = "peers"
--- a/io/home/server.go
+++ b/io/home/server.go
@@ -9,9 +9,11 @@
 	"mothcart/io/object"
 )
 
-// Server accepts the connections of nodes for the home that runs on its VM, if one does.
+// Server accepts the connections of nodes for the home that runs on its VM, if one does. Without a home
+// it still tells nodes what this one knows.
 type Server struct {
 	server *link.Server
+	knows  func() Knowledge
 
 	mu       sync.Mutex
 	home     *Home
@@ -19,8 +21,8 @@
 }
 
 // NewServer returns a server without a home; it closes the listener at its end.
-func NewServer(l net.Listener) *Server {
-	s := &Server{sessions: make(map[*link.Conn]*session)}
+func NewServer(l net.Listener, knows func() Knowledge) *Server {
+	s := &Server{knows: knows, sessions: make(map[*link.Conn]*session)}
 	s.server = link.NewServer(l, link.Options{Handle: s.handle, Closed: s.closed})
 	return s
 }
@@ -98,6 +100,10 @@
 func (s *Server) Close() { s.server.Close() }
 
 func (s *Server) handle(c *link.Conn, in link.Incoming) {
+	if in.Method == methodLearn {
+		in.Answer(s.knows())
+		return
+	}
 	s.mu.Lock()
 	h, before := s.home, s.sessions[c]
 	s.mu.Unlock()
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -177,5 +178,5 @@
 		opts.Log.Error().Err(err).Msg("settingsNotReloaded")
 		return
 	}
-	opts.Log.Info().Str("vm", s.VMID).Bool("changed", s != opts.Settings).Msg("settingsReloaded")
+	opts.Log.Info().Str("vm", s.VMID).Bool("changed", !reflect.DeepEqual(s, opts.Settings)).Msg("settingsReloaded")
 }
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -33,7 +33,7 @@
 		b.close()
 		return nil, err
 	}
-	n := &HomeNode{base: b, server: home.NewServer(l)}
+	n := &HomeNode{base: b, server: home.NewServer(l, b.knowledge)}
 	if b.metrics, err = serveMetrics(ctx, opts); err != nil {
 		n.server.Close()
 		b.close()
@@ -41,7 +41,11 @@
 	}
 	b.onConfig = func(site.Config) {}
 	b.onUpstreams = n.setUpstreams
-	b.onNews = n.server.PushNews
+	b.saver = newSaver(opts.Settings.DataDir, b.knowledge, opts.Log)
+	b.onNews = func(kind string, news []object.Event) {
+		n.server.PushNews(kind, news)
+		b.saver.changed()
+	}
 	b.onDown = n.server.PushDown
 	b.isHome = n.IsHome
 	b.follow()
@@ -105,15 +109,6 @@
 	}
 }
 
-// snapshots returns the kinds that the home tells a node that connects.
-func (n *HomeNode) snapshots() map[string]object.Change {
-	out := make(map[string]object.Change, len(n.base.mirrors))
-	for kind, m := range n.base.mirrors {
-		out[kind] = m.Snapshot()
-	}
-	return out
-}
-
 const (
 	// relaysInterval is the time between two notices of the nodes that pass connections on.
 	relaysInterval = 2 * time.Second
@@ -153,7 +148,7 @@
 	h := home.New(home.Options{
 		VMID: o.Settings.VMID, AvailabilityZone: o.Settings.AvailabilityZone, Address: n.base.peerAddress(), Term: term, Objects: n.base.objects,
 		Runner: n.base.runner, OwnRuns: o.OwnRuns, Config: n.base.currentConfig, Valid: valid,
-		Snapshots: n.snapshots, ObjectsDown: n.base.objectsDown,
+		Snapshots: n.base.snapshots, ObjectsDown: n.base.objectsDown,
 		Handover: func(ctx context.Context) ([]home.ItemProgress, error) {
 			if before.Address == "" || before.Address == n.base.peerAddress() {
 				return nil, nil
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	kratoslog "github.com/go-kratos/kratos/v2/log"
@@ -78,6 +79,13 @@
 	followers []*object.Follower
 	metrics   *kratoshttp.Server
 	counts    *time.Timer
+	// saver keeps the knowledge of a home node on its disk; nil on nodes without one.
+	saver *saver
+	// endStart ends what the node does to learn of its site at its start, and started waits for it.
+	endStart context.CancelFunc
+	started  sync.WaitGroup
+	// heardObjects reports that the object service has told this node of the configuration itself.
+	heardObjects atomic.Bool
 	// onConfig and onUpstreams are told of changes.
 	onConfig    func(site.Config)
 	onUpstreams func([]site.Upstream)
@@ -124,7 +132,7 @@
 	}
 	b.client = home.NewClient(home.ClientOptions{
 		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, Connect: opts.Connect(connectTimeout), Now: opts.Now,
-		View: b.receive, Down: b.homeDown, Runner: b.runner, Log: opts.Log,
+		View: func(kind string, c object.Change) { b.receive(kind, c) }, Down: b.homeDown, Runner: b.runner, Log: opts.Log,
 	})
 	return b
 }
@@ -146,6 +154,11 @@
 func (b *base) close() {
 	b.counts.Stop()
 	b.closeServer(b.metrics)
+	if b.endStart != nil {
+		b.endStart()
+		b.started.Wait()
+	}
+	b.saver.close()
 	for _, f := range b.followers {
 		f.Close()
 	}
--- /dev/null
+++ b/io/node/saved_test.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mothcart/io/home"
+	"mothcart/io/object"
+)
+
+func TestSavedKnowledgeIsLoadedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dir := t.TempDir()
+		want := home.Knowledge{
+			Views: map[string]object.Change{"colours": {Listed: true, At: 7, Objects: []object.Object{{Name: "red", Revision: 5, Spec: []byte(`{"a":1}`)}}}},
+			Home:  home.Announcement{Term: 3, VM: "s1", Address: "10.0.0.1:7000"},
+		}
+		s := newSaver(dir, func() home.Knowledge { return want }, zerolog.Nop())
+		s.changed()
+		s.changed()
+		time.Sleep(saveInterval)
+		synctest.Wait()
+		s.close()
+		got, ok := load(dir, zerolog.Nop())
+		require.True(t, ok)
+		require.Equal(t, want, got)
+	})
+}
+
+// A disk that refuses writes costs nothing but the file.
+func TestFullDiskLosesOnlyTheFile(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "gone")
+	s := newSaver(dir, func() home.Knowledge { return home.Knowledge{} }, zerolog.Nop())
+	s.save()
+	s.close()
+	_, ok := load(dir, zerolog.Nop())
+	require.False(t, ok)
+}
--- a/io/node/site_test.go
+++ b/io/node/site_test.go
@@ -40,6 +40,8 @@
 	homes   map[string]*HomeNode
 	// ownRuns is the number of items that a home runs itself; nodes that start later take it.
 	ownRuns int
+	// disks holds the data directory of each home node, which outlives its processes.
+	disks map[int]string
 }
 
 // entryIP and homeIP are the addresses of the nodes.
@@ -55,7 +57,7 @@
 // runSiteOf runs a test with a site whose home runs a number of items itself.
 func runSiteOf(t *testing.T, ownRuns int, test func(t *testing.T, s *testSite)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &testSite{t: t, ownRuns: ownRuns, network: fake.NewNetwork(), entries: map[string]*Entry{}, homes: map[string]*HomeNode{}}
+		s := &testSite{t: t, ownRuns: ownRuns, network: fake.NewNetwork(), entries: map[string]*Entry{}, homes: map[string]*HomeNode{}, disks: map[int]string{}}
 		s.objects = fake.NewObjects(s.network, storeIP+":80")
 		s.writeConfig(1)
 		for n := 1; n <= 3; n++ {
@@ -117,6 +119,7 @@
 	}
 	o := NewOptions(platform.Settings{
 		VMID: id, AvailabilityZone: "z1", IP: ip, PeerPort: 7000, StoreAddress: storeIP + ":80", ValueBytes: 1 << 20,
+		HomeNodes: []string{homeIP(1) + ":7000", homeIP(2) + ":7000"},
 		Heartbeat: 1200 * time.Millisecond, Grace: 8 * time.Second, Drain: 2 * time.Second, ResultsKept: 2 * time.Minute,
 	}, "", log, metrics.NewRegistry())
 	o.Listen = s.network.Listen
@@ -142,6 +145,10 @@
 
 func (s *testSite) startHome(n int) {
 	o := s.options(fmt.Sprintf("s%d", n), homeIP(n))
+	if s.disks[n] == "" {
+		s.disks[n] = s.t.TempDir()
+	}
+	o.Settings.DataDir = s.disks[n]
 	h, err := NewHomeNode(s.t.Context(), o)
 	require.NoError(s.t, err)
 	s.homes[o.Settings.VMID] = h
--- /dev/null
+++ b/io/node/start_test.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothcart/platform/fake"
+)
+
+// restartEntry ends an entry node's process and starts it anew.
+func (s *testSite) restartEntry(n int) {
+	id := fmt.Sprintf("e%d", n)
+	s.entries[id].Close()
+	s.network.CloseHost(entryIP(n))
+	s.startEntry(n)
+}
+
+// requireServed asks for a stream at an entry node.
+func (s *testSite) requireServed(n int, id string) {
+	r := s.call(s.t.Context(), n, http.MethodPost, "/ask/stream/1", id, "")
+	require.Equal(s.t, http.StatusOK, r.status)
+	require.Equal(s.t, fake.WholeText(id, eventsOfStream), fake.TextOf(r.body))
+}
+
+// An entry node that starts while the object service is away learns all it needs from a home node.
+func TestEntryStartsDuringAnOutage(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		begin func(s *testSite)
+	}{
+		{"refused", func(s *testSite) { s.objects.SetFault(fake.Fault{Down: map[string]bool{"": true}}) }},
+		{"cut off alone", func(s *testSite) { s.network.Cut(entryIP(1), storeIP) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				tc.begin(s)
+				s.restartEntry(1)
+				time.Sleep(time.Second)
+				require.True(t, s.entries["e1"].Ready())
+				require.True(t, s.entries["e1"].base.client.Connected(), "it knows the home")
+				s.requireServed(1, "r1")
+			})
+		})
+	}
+}
+
+// All processes end while the object service is away: home nodes keep their last view on disk.
+func TestSiteStartsDuringAnOutage(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.writeConfig(7, newRoute)
+		time.Sleep(2 * time.Second)
+		s.objects.SetFault(fake.Fault{Down: map[string]bool{"": true}})
+		s.killHome(1)
+		s.killHome(2)
+		s.startHome(1)
+		s.startHome(2)
+		s.restartEntry(1)
+		s.restartEntry(2)
+		time.Sleep(1500 * time.Millisecond)
+		for n := 1; n <= 2; n++ {
+			require.True(t, s.entries[fmt.Sprintf("e%d", n)].Ready())
+			s.requireServed(n, fmt.Sprintf("r%d", n))
+			require.Equal(t, http.StatusOK, s.call(t.Context(), n, http.MethodPost, "/new/1", fmt.Sprintf("new%d", n), "").status, "the newest configuration")
+		}
+		require.Equal(t, http.StatusServiceUnavailable, s.submitJob(1, "j1", 1).status, "a job can't be kept now")
+
+		// The entries lapse in the outage and are back a little later.
+		s.engines[0].Crash()
+		s.objects.SetFault(fake.Fault{})
+		time.Sleep(3 * time.Second)
+		s.requireServed(1, "r3")
+		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j2", 1).status)
+		s.awaitJob(2, "j2", 5*time.Second)
+	})
+}
+
+// What a home node kept on disk is used only while the object service is away.
+func TestStartPrefersTheObjectService(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.killHome(1)
+		s.killHome(2)
+		s.writeConfig(7, newRoute)
+		s.startHome(1)
+		s.startHome(2)
+		s.restartEntry(1)
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodPost, "/new/1", "r1", "").status)
+	})
+}
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -20,7 +20,10 @@
 	verify := func() time.Duration { return verifyInterval }
 	start := func(kind string, down func(bool)) {
 		b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
-			Client: b.objects, Kind: kind, Apply: func(c object.Change) { b.receive(kind, c) }, Down: down,
+			Client: b.objects, Kind: kind, Down: down, Apply: func(c object.Change) {
+				b.receive(kind, c)
+				b.heardObjects.Store(true)
+			},
 			Verify: verify, Paused: paused, Log: b.opts.Log,
 		}))
 	}
@@ -30,6 +33,7 @@
 		Client: b.objects, Kind: home.KindHomes, Apply: func(c object.Change) { home.ApplyAnnouncements(b.client, c, b.opts.Log) },
 		Verify: b.verifyWithoutHome, Log: b.opts.Log,
 	}))
+	b.learnAtStart()
 }
 
 // verifyWithoutHome checks the watch of the homes only while none answers, since it may have missed
@@ -41,12 +45,13 @@
 	return verifyInterval
 }
 
-// receive takes up a change of a kind, from an own watch or from the home.
-func (b *base) receive(kind string, c object.Change) {
+// receive takes up a change of a kind, from an own watch or from another node, and returns the number
+// of objects that were new or gone.
+func (b *base) receive(kind string, c object.Change) int {
 	m := b.mirrors[kind]
 	if m == nil {
 		b.opts.Log.Warn().Str("kind", kind).Msg("unknownKind")
-		return
+		return 0
 	}
 	news := m.Apply(c)
 	switch kind {
@@ -58,6 +63,7 @@
 	if b.onNews != nil && len(news) > 0 {
 		b.onNews(kind, news)
 	}
+	return len(news)
 }
 
 func (b *base) currentConfig() site.Config {
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -32,6 +32,11 @@
 // process is one program of the site; a stopped one is started again.
 type process struct {
 	role, id, settings, logs string
+	// disk is its data directory; empty on entries.
+	disk string
+
+	// restarting lets one restart end before the next begins.
+	restarting sync.Mutex
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -90,6 +95,10 @@
 		require.NoError(t, err)
 		s.storePaths = append(s.storePaths, p)
 		pr := &process{role: role, id: id, settings: filepath.Join(dir, id+".json"), logs: filepath.Join(dir, id+".log")}
+		if role == "home" {
+			pr.disk = filepath.Join(dir, id)
+			require.NoError(t, os.Mkdir(pr.disk, 0o700))
+		}
 		s.writeSettings(pr, s.ip(5, n), own)
 		s.processes = append(s.processes, pr)
 		s.start(pr)
@@ -102,7 +111,11 @@
 	if pr.role == "entry" {
 		callers, ready = ip+":7400", ip+":7401"
 	}
-	b := fake.SettingsFile(pr.id, ip, 7300, store, callers, ready)
+	vm := fake.VM{ID: pr.id, IP: ip, PeerPort: 7300, Store: store, Callers: callers, Ready: ready, DataDir: pr.disk}
+	for n := entries + 1; n <= entries+homes; n++ {
+		vm.HomeNodes = append(vm.HomeNodes, s.ip(5, n))
+	}
+	b := fake.SettingsFile(vm)
 	require.NoError(s.t, os.WriteFile(pr.settings, b, 0o600))
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -106,7 +106,7 @@
 	engine := s.engines[rng.IntN(len(s.engines))]
 	long := time.Duration(200+rng.IntN(2500)) * time.Millisecond
 	heal := func() { path.set(0, false, false) }
-	switch kind := rng.IntN(12); kind {
+	switch kind := rng.IntN(16); kind {
 	case 0: // killed and started again
 		return func() { s.restart(pr, syscall.SIGKILL, long/4) }
 	case 1: // stopped as planned
@@ -133,16 +133,59 @@
 	case 10:
 		f := []fake.EngineFaults{{BreakAfter: 5}, {Silent: true}, {Foreign: true}, {Unsigned: true}, {Status: 500}}[rng.IntN(5)]
 		return func() { engine.SetFaults(f); time.Sleep(long); engine.SetFaults(fake.EngineFaults{}) }
-	default:
+	case 11:
 		return func() { engine.SetState("draining"); time.Sleep(long); engine.SetState("ready") }
+	case 12: // all are killed and started while the object service is away
+		return func() {
+			s.objects.SetFault(fake.Fault{Down: map[string]bool{"": true}})
+			s.restartAll(long / 4)
+			time.Sleep(long)
+			s.objects.SetFault(fake.Fault{})
+		}
+	default:
+		home := s.processes[entries+rng.IntN(homes)]
+		return func() { s.restartAfter(home, syscall.SIGKILL, func() { s.harmDisk(home.disk, kind) }) }
+	}
+}
+
+// harmDisk empties, tears or blocks the data directory of a home node that is down.
+func (s *site) harmDisk(disk string, kind int) {
+	files, err := filepath.Glob(filepath.Join(disk, "*"))
+	require.NoError(s.t, err)
+	if kind == 14 {
+		for _, f := range files {
+			assert.NoError(s.t, os.Truncate(f, 10))
+		}
+		return
+	}
+	assert.NoError(s.t, os.RemoveAll(disk))
+	if kind == 13 {
+		assert.NoError(s.t, os.Mkdir(disk, 0o700))
+		return
+	}
+	assert.NoError(s.t, os.WriteFile(disk, nil, 0o600)) // writes are refused from now on
+}
+
+func (s *site) restartAll(pause time.Duration) {
+	var all sync.WaitGroup
+	for _, pr := range s.processes {
+		all.Go(func() { s.restart(pr, syscall.SIGKILL, pause) })
 	}
+	all.Wait()
 }
 
 func (s *site) restart(pr *process, sig syscall.Signal, pause time.Duration) {
+	s.restartAfter(pr, sig, func() { time.Sleep(pause) })
+}
+
+// restartAfter ends a process and starts it again after what is done between.
+func (s *site) restartAfter(pr *process, sig syscall.Signal, between func()) {
+	pr.restarting.Lock()
+	defer pr.restarting.Unlock()
 	pr.signal(sig)
 	pr.signal(syscall.SIGCONT) // a paused process must notice
 	pr.await()
-	time.Sleep(pause)
+	between()
 	s.start(pr)
 }
 
