Stop a home that its successor can't reach

Change: the next home asks the last one directly and, beside it, through two nodes that are connected. A home that all nodes have lost for 1 s gives way. A home says within 200 ms, not 500, that it is unsure. Tests that fail without it: TestNextHomeGoesOnWhereTheLastOneWas (third case), TestIsolatedHomeGivesWay.

--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -172,6 +172,8 @@
 			c.unsure = m.Unsure
 			c.mu.Unlock()
 		}
+	case methodFetchProgress:
+		err = c.fetchProgress(in)
 	case methodRun:
 		if c.opts.Runner != nil {
 			err = c.opts.Runner.serve(in, c.report)
--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -31,6 +31,9 @@
 	// leaseHedge is how long a write of the lease may stay unanswered before it is sent again beside the
 	// first, so that several may be lost before the home is no longer sure.
 	leaseHedge = 150 * time.Millisecond
+	// yieldTime is how long a home that gave way because no node reached it leaves the lease to others,
+	// who take it within lookInterval and the time of a slow call.
+	yieldTime = 1500 * time.Millisecond
 	// leaseCallTimeout bounds one call about the lease.
 	leaseCallTimeout = 1500 * time.Millisecond
 )
@@ -54,6 +57,8 @@
 	Objects object.Client
 	// Sound reports that this node is connected to a home that can renew its lease.
 	Sound func() bool
+	// Isolated reports that all nodes have lost the home that runs here.
+	Isolated func() bool
 	// Start begins to be the home and returns what ends it, and what waits for the next home to take
 	// over.
 	Start func(term int64, valid func(now time.Time) bool) (stop, awaitHandover func())
@@ -76,6 +81,8 @@
 	sureFrom  atomic.Int64
 	// renewals counts the attempts at renewals, so that each one changes the object.
 	renewals atomic.Int64
+	// yieldUntil is until when the lease is left to others.
+	yieldUntil time.Time
 	// retired reports that the node must not be the home any more.
 	retired atomic.Bool
 }
@@ -99,7 +106,7 @@
 
 func (e *Elector) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if e.retired.Load() || e.opts.Sound() {
+		if e.retired.Load() || e.opts.Sound() || e.opts.Now().Before(e.yieldUntil) {
 			e.seenSince = time.Time{}
 			_ = clock.Sleep(ctx, idleInterval) // ends early only with the context
 			continue
@@ -194,6 +201,14 @@
 			}
 			return
 		}
+		if e.opts.Isolated() {
+			e.opts.Log.Warn().Int64("term", term).Msg("homeIsolated")
+			if e.valid(e.opts.Now()) { // without a valid lease another node has it by now, or soon
+				e.giveBack(l)
+			}
+			e.yieldUntil = e.opts.Now().Add(yieldTime)
+			return
+		}
 		if !e.renew(ctx, l) {
 			e.opts.Log.Warn().Int64("term", term).Msg("leaseLost")
 			e.seenSince = time.Time{}
--- a/io/home/handover.go
+++ b/io/home/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -22,6 +21,12 @@
 	By Announcement `msgpack:"by"`
 }
 
+// fetchProgressRequest asks a node to make the handover request for the home that it is connected to.
+type fetchProgressRequest struct {
+	Before Announcement `msgpack:"before"`
+	By     Announcement `msgpack:"by"`
+}
+
 // handoverAnswer is the progress of the items that the home had in progress.
 type handoverAnswer struct {
 	Items []ItemProgress `msgpack:"items,omitempty"`
@@ -103,14 +108,15 @@
 	return out
 }
 
-// takeProgress asks the home before this one for the progress of its items.
+// takeProgress asks the home before this one to stop and for the progress of its items.
 func (h *Home) takeProgress() {
 	defer close(h.progressTaken)
-	items, err := h.opts.Handover(h.ctx)
-	if err != nil && !errors.Is(err, context.Canceled) {
-		h.opts.Log.Info().Int64("term", h.opts.Term).Err(err).Msg("noHandover")
+	if h.opts.Before.Address == "" || h.opts.Before.VM == h.opts.VMID {
+		return
 	}
-	if err != nil {
+	by := Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}
+	items, ok := h.fetchProgress(by)
+	if !ok {
 		return
 	}
 	h.mu.Lock()
@@ -121,6 +127,95 @@
 	h.opts.Log.Info().Int64("term", h.opts.Term).Int("items", len(items)).Msg("progressTaken")
 }
 
+const (
+	// handoverNodes is the number of nodes that are asked to reach the home before this one.
+	handoverNodes = 2
+	// nodesWait is how long the home waits for nodes to connect that it can ask; they learn of it in
+	// some round trips.
+	nodesWait = 100 * time.Millisecond
+)
+
+// fetchProgress asks the home before this one, directly and beside it through nodes: they may still
+// reach it when this one doesn't, and it would go on to use slots that this one gives away. It reports
+// false if nobody reaches it.
+func (h *Home) fetchProgress(by Announcement) ([]ItemProgress, bool) {
+	type outcome struct {
+		path  string
+		items []ItemProgress
+		err   error
+	}
+	ctx, cancel := context.WithCancel(h.ctx)
+	defer cancel()
+	outcomes := make(chan outcome, 1+handoverNodes)
+	try := func(path string, fetch func() ([]ItemProgress, error)) {
+		go func() {
+			items, err := fetch()
+			outcomes <- outcome{path: path, items: items, err: err}
+		}()
+	}
+	try("direct", func() ([]ItemProgress, error) { return FetchProgress(ctx, h.opts.Dial, h.opts.Before, by) })
+	pending := 1
+	for asked := time.After(nodesWait); pending > 0; {
+		select {
+		case <-asked:
+			asked = nil
+			for owner, conn := range h.someNodes(handoverNodes) {
+				pending++
+				try(owner, func() ([]ItemProgress, error) { return fetchThrough(ctx, conn, h.opts.Before, by) })
+			}
+		case o := <-outcomes:
+			pending--
+			if o.err == nil {
+				return o.items, true
+			}
+			h.opts.Log.Info().Int64("term", h.opts.Term).Str("path", o.path).Err(o.err).Msg("noHandover")
+		}
+	}
+	return nil, false
+}
+
+// someNodes returns the connections of at most n nodes, by owner.
+func (h *Home) someNodes(n int) map[string]*link.Conn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[string]*link.Conn, n)
+	for owner, conn := range h.nodes {
+		if len(out) < n {
+			out[owner] = conn
+		}
+	}
+	return out
+}
+
+// fetchThrough lets a node ask a home for its progress.
+func fetchThrough(ctx context.Context, conn *link.Conn, before, by Announcement) ([]ItemProgress, error) {
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	var a handoverAnswer
+	if err := conn.Call(ctx, methodFetchProgress, fetchProgressRequest{Before: before, By: by}, &a); err != nil {
+		return nil, merry.Errorf("ask home of term %d through a node: %w", before.Term, err)
+	}
+	return a.Items, nil
+}
+
+// fetchProgress asks an earlier home for the one that this node is connected to.
+func (c *Client) fetchProgress(in link.Incoming) error {
+	var m fetchProgressRequest
+	if err := in.Decode(&m); err != nil {
+		return err
+	}
+	go func() {
+		items, err := FetchProgress(context.Background(), c.opts.Connect, m.Before, m.By)
+		if err != nil {
+			in.Fail(err)
+			return
+		}
+		c.opts.Log.Info().Str("from", m.Before.VM).Str("to", m.By.VM).Int("items", len(items)).Msg("progressPassedOn")
+		in.Answer(handoverAnswer{Items: items})
+	}()
+	return nil
+}
+
 // resume gives a run the progress that an earlier home had made; the mutex is held.
 func (h *Home) resume(r *run) {
 	p, ok := h.progress[[2]string{r.job, r.item.ID}]
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -62,8 +62,9 @@
 	ObjectsDown func() bool
 	// Announce tells the nodes of the home that has taken over.
 	Announce func(a Announcement)
-	// Handover asks the home before this one for the progress of its items.
-	Handover func(ctx context.Context) ([]ItemProgress, error)
+	// Before is the home before this one, if it ran on another VM; Dial opens connections to it.
+	Before Announcement
+	Dial   Dial
 	// Retirements tells of VMs that are to be emptied, and StepDown makes another node the home.
 	Retirements Retirements
 	StepDown    func()
@@ -104,6 +105,10 @@
 	replaced bool
 	// progress holds what the home before this one had done of items.
 	progress map[[2]string]ItemProgress
+	// nodes are the connections of all nodes but the home's own, by owner.
+	nodes map[string]*link.Conn
+	// deserted is since when no node is connected; zero while one is and before the first.
+	deserted time.Time
 	// runners are the nodes that run items for the home, ownRunning the items that it runs itself.
 	runners    map[string]*runnerNode
 	ownRunning int
@@ -126,6 +131,7 @@
 		progressTaken: make(chan struct{}), given: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
 		jobs: make(map[string]*job), reserved: make(map[string]reservation),
 		awaited: make(map[string]time.Time), runners: make(map[string]*runnerNode),
+		nodes: make(map[string]*link.Conn),
 	}
 	h.done.Go(h.takeProgress)
 	h.follow = object.NewFollower(object.FollowerOptions{
@@ -288,9 +294,13 @@
 		return nil
 	}
 	s := &session{owner: h.owner(m.VM, m.Incarnation), relay: m.Relay}
-	if m.Runs && m.VM != h.opts.VMID {
+	if m.VM != h.opts.VMID {
 		h.mu.Lock()
-		h.runners[s.owner] = &runnerNode{conn: in.Conn(), name: m.VM, left: make(chan struct{})}
+		h.nodes[s.owner] = in.Conn()
+		h.deserted = time.Time{}
+		if m.Runs {
+			h.runners[s.owner] = &runnerNode{conn: in.Conn(), name: m.VM, left: make(chan struct{})}
+		}
 		h.mu.Unlock()
 	}
 	for _, o := range m.Open {
@@ -333,10 +343,26 @@
 	h.opts.Log.Info().Str("peer", s.owner).Msg("nodeDisconnected")
 	h.mu.Lock()
 	delete(h.runners, s.owner)
+	if _, ok := h.nodes[s.owner]; ok && len(h.nodes) == 1 {
+		h.deserted = h.opts.Now()
+	}
+	delete(h.nodes, s.owner)
 	h.mu.Unlock()
 	h.desk.DropOwner(s.owner)
 }
 
+// isolationTime is how long no node may be connected before the home is taken to be cut off; the nodes
+// look for it in intervals of at most 400 ms.
+const isolationTime = time.Second
+
+// Isolated reports that all nodes have lost the home for a while. It would let batch take the slots of
+// their requests, which it doesn't hear of.
+func (h *Home) Isolated(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.deserted.IsZero() && now.Sub(h.deserted) > isolationTime
+}
+
 // sweepInterval is the time between looks at jobs that are to be given up or removed.
 const sweepInterval = time.Second
 
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -26,6 +26,8 @@
 	methodHandover = "handover"
 	// methodLearn asks a home node, whether it is the home or not, for its Knowledge.
 	methodLearn = "learn"
+	// methodFetchProgress asks a node to make a handover for the home, which can't reach the one before.
+	methodFetchProgress = "fetchProgress"
 	// methodView and methodPeers go from the home to the nodes.
 	methodView  = "view"
 	methodPeers = "peers"
--- a/io/node/fault_test.go
+++ b/io/node/fault_test.go
@@ -387,6 +387,10 @@
 		{"the home doesn't reach the object service", func(s *testSite) {
 			s.objects.SetFault(fake.Fault{Down: map[string]bool{homeIP(1): true}})
 		}},
+		{"the home reaches neither the object service nor the next home", func(s *testSite) {
+			s.network.Cut(homeIP(1), storeIP)
+			s.network.Cut(homeIP(1), homeIP(2))
+		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			runSite(t, func(t *testing.T, s *testSite) {
@@ -407,6 +411,39 @@
 	}
 }
 
+// A home that no node reaches must not go on to fill the slots that the nodes use.
+func TestIsolatedHomeGivesWay(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		cut  func(s *testSite)
+	}{
+		{"it reaches the object service", func(*testSite) {}},
+		{"it doesn't", func(s *testSite) { s.network.Cut(homeIP(1), storeIP) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				for _, e := range s.engines {
+					e.SetPace(200 * time.Millisecond)
+				}
+				s.submitJob(1, "j1", 6)
+				time.Sleep(time.Second)
+				tc.cut(s)
+				for _, ip := range []string{homeIP(2), entryIP(1), entryIP(2)} {
+					s.network.Cut(homeIP(1), ip)
+				}
+				time.Sleep(3500 * time.Millisecond)
+				require.False(t, s.homes["s1"].IsHome())
+				require.True(t, s.homes["s2"].IsHome())
+				require.Equal(t, "s2", s.entries["e1"].base.client.Home().VM)
+				for _, e := range s.engines {
+					require.LessOrEqual(t, e.Running(), 2, "the old runs have ended")
+				}
+				s.awaitJob(1, "j1", 6*time.Second)
+			})
+		})
+	}
+}
+
 func TestEntryWithoutObjectServiceFollowsToTheNextHome(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
 		s.objects.SetFault(fake.Fault{Down: map[string]bool{homeIP(1): true, entryIP(1): true}})
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -51,7 +51,7 @@
 	b.follow()
 	elector := home.NewElector(home.ElectorOptions{
 		VMID: opts.Settings.VMID, Incarnation: b.incarnation, Address: b.peerAddress(), Objects: b.objects,
-		Sound: b.client.Sound, Start: n.start, Now: opts.Now, Log: opts.Log,
+		Sound: b.client.Sound, Isolated: n.isolated, Start: n.start, Now: opts.Now, Log: opts.Log,
 	})
 	n.mu.Lock()
 	n.elector = elector
@@ -70,6 +70,13 @@
 	return n.home != nil
 }
 
+func (n *HomeNode) isolated() bool {
+	n.mu.Lock()
+	h := n.home
+	n.mu.Unlock()
+	return h != nil && h.Isolated(n.base.opts.Now())
+}
+
 // stepDown makes another node the home.
 func (n *HomeNode) stepDown() {
 	n.mu.Lock()
@@ -113,7 +120,7 @@
 	// relaysInterval is the time between two notices of the nodes that pass connections on.
 	relaysInterval = 2 * time.Second
 	// unsureInterval is the time between two notices whether the lease can be renewed.
-	unsureInterval = 500 * time.Millisecond
+	unsureInterval = 200 * time.Millisecond
 	// unsureMargin is how long before the end of its lease a home says that it can't renew it, so that
 	// another one is ready to take it.
 	unsureMargin = time.Second
@@ -144,18 +151,11 @@
 // start begins to be the home.
 func (n *HomeNode) start(term int64, valid func(now time.Time) bool) (stop, awaitHandover func()) {
 	o := n.base.opts
-	before := n.base.client.Home()
 	h := home.New(home.Options{
 		VMID: o.Settings.VMID, AvailabilityZone: o.Settings.AvailabilityZone, Address: n.base.peerAddress(), Term: term, Objects: n.base.objects,
 		Runner: n.base.runner, OwnRuns: o.OwnRuns, Config: n.base.currentConfig, Valid: valid,
 		Snapshots: n.base.snapshots, ObjectsDown: n.base.objectsDown,
-		Handover: func(ctx context.Context) ([]home.ItemProgress, error) {
-			if before.Address == "" || before.Address == n.base.peerAddress() {
-				return nil, nil
-			}
-			by := home.Announcement{Term: term, VM: o.Settings.VMID, Address: n.base.peerAddress()}
-			return home.FetchProgress(ctx, o.Connect(connectTimeout), before, by)
-		},
+		Before: n.base.client.Home(), Dial: o.Connect(connectTimeout),
 		Announce:    n.server.PushAnnouncement,
 		Retirements: platform.Retirements(), StepDown: n.stepDown,
 		ResultsKept: o.Settings.ResultsKept, Now: o.Now, TimeOfDay: time.Now, Log: o.Log, Registry: o.Registry,
