Take signals until the process has ended

Cause: once SIGTERM had been seen nothing took SIGHUP any more, so that one in a drain ended the process at once and cut its streams. Change: one watch of signals from before the start to the end; what comes in a drain is logged, settings are still reread.

--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -3,11 +3,7 @@
 import (
 	"context"
 	"net/http"
-	"os"
-	"os/signal"
-	"reflect"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -119,64 +115,15 @@
 
 // RunEntry serves callers until SIGTERM or the end of the context, and then drains.
 func RunEntry(ctx context.Context, opts Options) error {
+	signals := watchSignals(opts)
+	defer signals.Close()
 	e, err := NewEntry(ctx, opts)
 	if err != nil {
 		return err
 	}
-	awaitStop(ctx, opts)
+	signals.AwaitStop(ctx)
 	e.Drain()
 	e.Close()
 	opts.Log.Info().Msg("entryStopped")
 	return nil
 }
-
-// settingsInterval is the time between two looks whether the settings file has changed.
-const settingsInterval = 2 * time.Second
-
-// modTime returns when a file was changed last; the zero time if that is not known.
-func modTime(path string) time.Time {
-	info, err := os.Stat(path)
-	if err != nil {
-		return time.Time{}
-	}
-	return info.ModTime()
-}
-
-// awaitStop waits for SIGTERM or the end of the context. The settings are read again at SIGHUP and
-// when their file has changed.
-func awaitStop(ctx context.Context, opts Options) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	changes := time.NewTicker(settingsInterval)
-	defer changes.Stop()
-	modified := modTime(opts.SettingsPath)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-changes.C:
-			if at := modTime(opts.SettingsPath); !at.Equal(modified) {
-				modified = at
-				reload(opts)
-			}
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				opts.Log.Info().Str("signal", s.String()).Msg("stopAsked")
-				return
-			}
-			reload(opts)
-		}
-	}
-}
-
-// reload reads the settings file again and reports what is in it; addresses hold for the life of the
-// process.
-func reload(opts Options) {
-	s, err := platform.ReadSettings(opts.SettingsPath)
-	if err != nil {
-		opts.Log.Error().Err(err).Msg("settingsNotReloaded")
-		return
-	}
-	opts.Log.Info().Str("vm", s.VMID).Bool("changed", !reflect.DeepEqual(s, opts.Settings)).Msg("settingsReloaded")
-}
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -96,11 +96,13 @@
 
 // RunHome seeks to be the home until SIGTERM or the end of the context, and then gives it away.
 func RunHome(ctx context.Context, opts Options) error {
+	signals := watchSignals(opts)
+	defer signals.Close()
 	n, err := NewHomeNode(ctx, opts)
 	if err != nil {
 		return err
 	}
-	awaitStop(ctx, opts)
+	signals.AwaitStop(ctx)
 	n.Close()
 	opts.Log.Info().Msg("homeNodeStopped")
 	return nil
--- /dev/null
+++ b/io/node/signals.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"sync"
+	"syscall"
+	"time"
+
+	"mothcart/platform"
+)
+
+// settingsInterval is the time between two looks whether the settings file has changed.
+const settingsInterval = 2 * time.Second
+
+// signalWatch takes the signals of a process from its start to its end: one that came while the process
+// drains would end it at once if nothing took it. The settings are read again at SIGHUP and when their
+// file has changed.
+type signalWatch struct {
+	opts    Options
+	signals chan os.Signal
+	// stop is closed by the first SIGTERM or SIGINT.
+	stop chan struct{}
+	end  chan struct{}
+	done sync.WaitGroup
+}
+
+// watchSignals starts to take signals.
+func watchSignals(opts Options) *signalWatch {
+	w := &signalWatch{opts: opts, signals: make(chan os.Signal, 4), stop: make(chan struct{}), end: make(chan struct{})}
+	signal.Notify(w.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	w.done.Go(w.run)
+	return w
+}
+
+// AwaitStop waits until the process is asked to stop or the context ends.
+func (w *signalWatch) AwaitStop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-w.stop:
+	}
+}
+
+// Close leaves signals to the system again.
+func (w *signalWatch) Close() {
+	signal.Stop(w.signals)
+	close(w.end)
+	w.done.Wait()
+}
+
+func (w *signalWatch) run() {
+	changes := time.NewTicker(settingsInterval)
+	defer changes.Stop()
+	modified := modTime(w.opts.SettingsPath)
+	stopping := false
+	for {
+		select {
+		case <-w.end:
+			return
+		case <-changes.C:
+			if at := modTime(w.opts.SettingsPath); !at.Equal(modified) {
+				modified = at
+				reload(w.opts)
+			}
+		case s := <-w.signals:
+			if s == syscall.SIGHUP {
+				reload(w.opts)
+				continue
+			}
+			w.opts.Log.Info().Str("signal", s.String()).Bool("again", stopping).Msg("stopAsked")
+			if !stopping {
+				stopping = true
+				close(w.stop)
+			}
+		}
+	}
+}
+
+// modTime returns when a file was changed last; the zero time if that is not known.
+func modTime(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload reads the settings file again and reports what is in it; addresses hold for the life of the
+// process.
+func reload(opts Options) {
+	s, err := platform.ReadSettings(opts.SettingsPath)
+	if err != nil {
+		opts.Log.Error().Err(err).Msg("settingsNotReloaded")
+		return
+	}
+	opts.Log.Info().Str("vm", s.VMID).Bool("changed", !reflect.DeepEqual(s, opts.Settings)).Msg("settingsReloaded")
+}
