Keep items' progress at standbys and plan which items end in time

Beside it, items that could not end in time kept slots until their due time had passed: resumed ones were taken to need nothing more. Ruled out: idle slots (64 of 64 in use from 13 s on). Change: the home tells two other home nodes each 0.5 s what its items have made; the next home takes it from there if the last one does not answer. core/slot plans by Moore and Hodgson's rule which items end in time.

--- a/core/slot/grants.go
+++ b/core/slot/grants.go
@@ -46,29 +46,17 @@
 // one that will be late in any case, or the one that is due last.
 func (p *Pool) victim(now time.Time, s *service, r Request) *grant {
 	var last *grant
-	var lastRequest Request
 	for _, g := range s.batchGrants {
 		if !g.upstream.suits(now, r) || p.upstreams[g.upstream.ID] != g.upstream {
 			continue
 		}
-		held := g.request
-		held.late = s.missesDue(now, held, now.Sub(g.since))
-		if last == nil || compare(held, lastRequest) > 0 {
-			last, lastRequest = g, held
+		if last == nil || compare(g.request, last.request) > 0 {
+			last = g
 		}
 	}
 	return last
 }
 
-// missesDue reports that a batch item that has run for a while can't end by its due time.
-func (s *service) missesDue(now time.Time, r Request, ran time.Duration) bool {
-	left := s.batchHold - ran
-	if r.Resumed {
-		left = 0 // less than a whole run, but how much is not known
-	}
-	return now.Add(max(left, 0)).After(r.Order)
-}
-
 // Grants returns the grants that are in use, in no order.
 func (p *Pool) Grants() []Grant {
 	out := make([]Grant, 0, len(p.grants))
--- /dev/null
+++ b/core/slot/plan_test.go
@@ -0,0 +1,112 @@
+package slot
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// planOf returns which items of a plan with one slot are late; each has what it still needs and its
+// due time, in seconds.
+func planOf(items [][2]int) []bool {
+	var list []*planned
+	for i, it := range items {
+		list = append(list, &planned{
+			request: Request{Key: Key{ID: uint64(i)}, Batch: true, Order: start.Add(time.Duration(it[1]) * time.Second)},
+			left:    time.Duration(it[0]) * time.Second,
+		})
+	}
+	planItems(start, list, 1)
+	late := make([]bool, len(items))
+	for _, p := range list {
+		late[p.request.Key.ID] = p.late
+	}
+	return late
+}
+
+// A burst of jobs that can't all end in time: those yield that cost the others most.
+func TestPlanOfABurst(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		items [][2]int
+		late  []bool
+	}{
+		{"all fit", [][2]int{{3, 3}, {3, 6}, {3, 9}}, []bool{false, false, false}},
+		{"one too many", [][2]int{{3, 5}, {3, 5}, {3, 9}}, []bool{false, true, false}},
+		{"who is nearly done stays", [][2]int{{3, 3}, {1, 3}}, []bool{true, false}},
+		{"who is past due is no reason for another to yield", [][2]int{{3, 1}, {3, 3}}, []bool{true, false}},
+		{"the long one yields though it is due first", [][2]int{{4, 4}, {3, 6}, {3, 6}}, []bool{true, false, false}},
+	} {
+		t.Run(tc.name, func(t *testing.T) { require.Equal(t, tc.late, planOf(tc.items)) })
+	}
+}
+
+// No choice of items lets more of them end in time than the plan does.
+func TestPlanKeepsTheMost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		items := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) [2]int {
+			return [2]int{rapid.IntRange(1, 5).Draw(t, "left"), rapid.IntRange(0, 12).Draw(t, "due")}
+		}), 0, 8).Draw(t, "items")
+		kept := 0
+		for _, late := range planOf(items) {
+			if !late {
+				kept++
+			}
+		}
+		best := 0
+		for set := range 1 << len(items) {
+			if n, ok := feasible(items, set); ok {
+				best = max(best, n)
+			}
+		}
+		require.Equal(t, best, kept)
+	})
+}
+
+// feasible reports that all items of a set can end in time one after the other, and their number.
+func feasible(items [][2]int, set int) (int, bool) {
+	n := 0
+	for due := 0; due <= 12; due++ {
+		work := 0
+		for i, it := range items {
+			if set&(1<<i) != 0 && it[1] <= due {
+				work += it[0]
+			}
+		}
+		if work > due {
+			return 0, false
+		}
+	}
+	for i := range items {
+		n += set >> i & 1
+	}
+	return n, true
+}
+
+// A backlog in waves of callers: an item that was cut goes on before one that would have to begin, if
+// only one of them can end in time.
+func TestBacklogInWavesEndsWhatHasBegun(t *testing.T) {
+	p := newPool(1, 1)
+	p.Ask(start, item(1, time.Minute))
+	now := start.Add(4 * time.Second)
+	p.Release(now, item(1, 0).Key, Served) // an item needs 4 s
+	p.Ask(now, online(10))
+	begun := item(2, 11*time.Second)
+	begun.Ran = 3 * time.Second
+	fresh := item(3, 9*time.Second)
+	p.Ask(now, begun)
+	p.Ask(now, fresh)
+	now = now.Add(time.Second)
+	out := p.Release(now, online(10).Key, Served)
+	require.Equal(t, uint64(3), out.Granted[0].Request.Key.ID, "both can end in time: the earlier due first")
+
+	p.Ask(now, online(11))
+	now = now.Add(time.Second)
+	late := fresh
+	late.Key.ID = 4
+	p.Ask(now, late) // due in 3 s, needs 4 s
+	out = p.Release(now, online(11).Key, Served)
+	require.Equal(t, uint64(2), out.Granted[0].Request.Key.ID, "it has 1 s left to run")
+}
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -33,6 +33,13 @@
 	// rate is the moving mean of online requests a second, as of rateAt.
 	rate   float64
 	rateAt time.Time
+	// onlineMean is the moving mean of the slots of online requests, as of observedAt; onlineCount is
+	// their number since then.
+	onlineMean  float64
+	onlineCount int
+	observedAt  time.Time
+	// plannedAt is when it was decided last which batch items will be late.
+	plannedAt time.Time
 }
 
 // rateWindow is the time over which the rate of online requests is averaged.
@@ -99,6 +106,7 @@
 	}
 	s := p.service(r.Service)
 	if r.Batch {
+		r.late = s.left(r, 0) > r.Order.Sub(now)
 		s.batch.push(r)
 		return p.serve(now, s)
 	}
@@ -150,11 +158,12 @@
 	g.upstream.note(now, result, p.opts)
 	s := p.service(g.request.Service)
 	switch held := now.Sub(g.since); {
-	case result != Served || g.request.Resumed:
+	case result != Served || g.request.Ran > 0:
 	case !g.request.Batch:
 		s.hold += (held - s.hold) / holdWeight
 	case s.batchHold == 0:
 		s.batchHold = held
+		s.plannedAt = time.Time{} // now there is something to plan by
 	default:
 		s.batchHold += (held - s.batchHold) / holdWeight
 	}
@@ -195,7 +204,7 @@
 func (p *Pool) Tick(now time.Time) Outcome {
 	out := p.serveAll(now)
 	for _, s := range p.services {
-		s.online.demoteAll(func(r Request) bool { return r.missesObjective(now) })
+		s.online.demote(func(r Request) bool { return r.missesObjective(now) })
 		for _, r := range s.online.expired(now) {
 			if r.late && r.Deadline.After(r.Objective) {
 				s.lateClosedUntil = now.Add(lateClosure)
@@ -261,6 +270,9 @@
 // serve gives free slots to waiting requests, and slots of batch to waiting online requests.
 func (p *Pool) serve(now time.Time, s *service) Outcome {
 	var out Outcome
+	s.observe(now)
+	defer s.observe(now)
+	p.plan(now, s)
 	free := 0
 	if len(s.online.items)+len(s.batch.items) > 0 {
 		free = p.free(now, s)
@@ -288,7 +300,6 @@
 	if len(s.batch.items) == 0 {
 		return out
 	}
-	s.batch.demote(func(r Request) bool { return s.missesDue(now, r, 0) })
 	spare := free - p.reserve(now, s)
 	s.batch.take(func(r Request) bool {
 		if spare <= 0 {
@@ -340,6 +351,14 @@
 	return cmp.Or(
 		cmp.Compare(a.Priority, b.Priority),
 		compareLate(a.late, b.late),
+		compareOnTime(a, b),
+	)
+}
+
+// compareOnTime is the order of requests of which none is late, or all are.
+func compareOnTime(a, b Request) int {
+	return cmp.Or(
+		cmp.Compare(a.Priority, b.Priority),
 		a.Order.Compare(b.Order),
 		cmp.Compare(a.Key.ID, b.Key.ID),
 		cmp.Compare(a.Key.Owner, b.Key.Owner),
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -46,8 +46,8 @@
 	// Objective is the last moment at which a slot lets an online request meet its latency objective,
 	// counted from the first attempt of its caller; zero means that it has none.
 	Objective time.Time
-	// Resumed batch items have done a part of their work before.
-	Resumed bool
+	// Ran is for how long a batch item has held slots before; it goes on where it was.
+	Ran time.Duration
 	// Order sorts requests of the same priority, earlier first: the caller's deadline of an online
 	// request, the due time of a batch item.
 	Order time.Time
--- a/core/slot/wait.go
+++ b/core/slot/wait.go
@@ -47,18 +47,22 @@
 	})
 }
 
-// demote marks the requests at the head that are late, which puts them behind the others.
-func (l *waitList) demote(late func(Request) bool) {
-	for len(l.items) > 0 && !l.items[0].late && late(l.items[0]) {
-		r := l.items[0]
-		l.items = slices.Delete(l.items, 0, 1)
-		r.late = true
-		l.push(r)
+// mark sets which requests are late and puts these behind the others.
+func (l *waitList) mark(late func(Request) bool) {
+	changed := false
+	for i, r := range l.items {
+		if is := late(r); is != r.late {
+			l.items[i].late = is
+			changed = true
+		}
+	}
+	if changed {
+		slices.SortFunc(l.items, compare)
 	}
 }
 
-// demoteAll does the same for all requests.
-func (l *waitList) demoteAll(late func(Request) bool) {
+// demote marks the requests that have become late.
+func (l *waitList) demote(late func(Request) bool) {
 	for _, r := range l.extract(func(r Request) bool { return !r.late && late(r) }) {
 		r.late = true
 		l.push(r)
--- a/experiment/pattern/pattern.go
+++ b/experiment/pattern/pattern.go
@@ -96,6 +96,16 @@
 	}
 }
 
+// waves returns a load that is high for 2.4 s of each 5.8 s, as the users' days are.
+func waves(low, high float64) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at%(5800*time.Millisecond) >= 3400*time.Millisecond {
+			return high
+		}
+		return low
+	}
+}
+
 const (
 	// burstAt is when a burst of jobs, or the loss of something, comes.
 	burstAt = 8 * time.Second
@@ -111,6 +121,7 @@
 	// The asks alone are 20% of the slots and within their share; the checks flood the site.
 	{name: "three times capacity", online: steady(3), checkShare: 1 - 0.2/3, retries: 1},
 	{name: "burst of jobs", online: steady(0.6), jobs: steady(0.1), burst: 60, retries: 1},
+	{name: "burst of jobs in waves", online: waves(0.2, 0.85), jobs: steady(0.5), burst: 60, retries: 1},
 	{name: "engines lost in a wave", online: wave(0.4, 0.9), jobs: steady(0.3), retries: 1, faults: func(s *sim) {
 		s.loseEngines(burstAt, 3*time.Second)
 	}},
--- a/experiment/pattern/sim.go
+++ b/experiment/pattern/sim.go
@@ -215,7 +215,7 @@
 	wait, objective := s.waitOf(r)
 	s.way.ask(r.front, slot.Request{
 		Key: r.key, Service: "s", Batch: r.kind.batch, Priority: r.kind.priority, Exclude: r.excluded,
-		Objective: objective, Resumed: r.kind.batch && r.runs > 0,
+		Objective: objective, Ran: r.hold - r.remaining,
 		Order: epoch.Add(r.arrived + min(r.kind.deadline, item.objective)), Deadline: s.now().Add(wait),
 		AvailabilityZone: zoneName(r.front % s.opts.Zones),
 	})
--- /dev/null
+++ b/io/home/checkpoint.go
@@ -0,0 +1,244 @@
+package home
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"mothcart/io/clock"
+	"mothcart/io/link"
+)
+
+const (
+	// checkpointInterval is the time between two notices of the items' progress: what a next home lets
+	// run again at most, a tenth of a long item.
+	checkpointInterval = 500 * time.Millisecond
+	// standbys is the number of home nodes that keep the progress: with two, one may be lost together
+	// with the home.
+	standbys = 2
+)
+
+// checkpointNotice tells a standby what items have made since the last notice.
+type checkpointNotice struct {
+	Term int64 `msgpack:"term"`
+	// Whole reports that what the standby has is replaced.
+	Whole bool        `msgpack:"whole,omitempty"`
+	Items []itemDelta `msgpack:"items,omitempty"`
+	// Over lists the items that need nothing more, each as job and item.
+	Over [][2]string `msgpack:"over,omitempty"`
+}
+
+// itemDelta is the progress of an item since the last notice; its Text is what follows the first From
+// bytes.
+type itemDelta struct {
+	ItemProgress
+	From int `msgpack:"from"`
+}
+
+// checkpointer sends the progress of a home's items to its standbys.
+type checkpointer struct {
+	home *Home
+	// kept are the items that the standbys know of.
+	kept map[[2]string]bool
+	to   map[*link.Conn]bool
+}
+
+// checkpoint tells standbys of the items' progress until the home ends.
+func (h *Home) checkpoint() {
+	c := &checkpointer{home: h, kept: make(map[[2]string]bool)}
+	for clock.Sleep(h.ctx, checkpointInterval) == nil {
+		c.send()
+	}
+}
+
+func (c *checkpointer) send() {
+	conns := c.home.standbys()
+	notice := checkpointNotice{Term: c.home.opts.Term}
+	for _, conn := range conns {
+		notice.Whole = notice.Whole || !c.to[conn]
+	}
+	c.to = make(map[*link.Conn]bool, len(conns))
+	for _, conn := range conns {
+		c.to[conn] = true
+	}
+	c.home.mu.Lock()
+	open := make(map[[2]string]bool, len(c.kept))
+	for id, j := range c.home.jobs {
+		for item, r := range j.runs {
+			if r.over {
+				continue
+			}
+			if notice.Whole {
+				r.saved = 0
+			}
+			key := [2]string{id, item}
+			d, changed := r.delta()
+			if changed {
+				notice.Items = append(notice.Items, d)
+			}
+			if changed || c.kept[key] {
+				open[key] = true
+			}
+		}
+	}
+	c.home.mu.Unlock()
+	for key := range c.kept {
+		if !open[key] {
+			notice.Over = append(notice.Over, key)
+		}
+	}
+	c.kept = open
+	if !notice.Whole && len(notice.Items)+len(notice.Over) == 0 {
+		return
+	}
+	for _, conn := range conns {
+		conn.Notify(methodCheckpoint, notice)
+	}
+}
+
+// standbys returns the connections of the home nodes that keep the progress.
+func (h *Home) standbys() []*link.Conn {
+	all := h.runnerConns()
+	return all[:min(len(all), standbys)]
+}
+
+// runnerConns returns the connections of the other home nodes, by their names.
+func (h *Home) runnerConns() []*link.Conn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	nodes := make([]*runnerNode, 0, len(h.runners))
+	for _, n := range h.runners {
+		nodes = append(nodes, n)
+	}
+	slices.SortFunc(nodes, func(a, b *runnerNode) int { return cmp.Compare(a.name, b.name) })
+	out := make([]*link.Conn, 0, len(nodes))
+	for _, n := range nodes {
+		out = append(out, n.conn)
+	}
+	return out
+}
+
+// progress returns how far an item has come, the attempt in progress included, with its text from a
+// position in bytes on; the home's mutex is held.
+func (r *run) progress(from int) ItemProgress {
+	p := ItemProgress{Job: r.job, Item: r.item.ID, Events: r.events, LastEventID: r.lastID, Failures: r.failures, Ran: r.ran}
+	var text strings.Builder
+	base := r.text.Bytes()
+	text.Write(base[min(from, len(base)):])
+	if r.got != nil {
+		r.got.mu.Lock()
+		defer r.got.mu.Unlock()
+	}
+	if r.got != nil && r.got.events > 0 {
+		if r.events > 0 && from <= len(base) {
+			text.WriteByte('\n')
+		}
+		more := r.got.text.Bytes()
+		text.Write(more[max(from-r.gotFrom(), 0):])
+		p.Events += r.got.events
+		p.LastEventID = r.got.lastEventID
+	}
+	p.Text = text.String()
+	return p
+}
+
+// gotFrom is the position in the whole text of that of the attempt in progress.
+func (r *run) gotFrom() int {
+	if r.events == 0 {
+		return 0
+	}
+	return r.text.Len() + 1 // after a line feed
+}
+
+// size is the length of the whole text in bytes; the home's mutex is held.
+func (r *run) size() int {
+	if r.got == nil {
+		return r.text.Len()
+	}
+	r.got.mu.Lock()
+	defer r.got.mu.Unlock()
+	if r.got.events == 0 {
+		return r.text.Len()
+	}
+	return r.gotFrom() + r.got.text.Len()
+}
+
+// delta returns the progress that the standbys don't have; the home's mutex is held.
+func (r *run) delta() (itemDelta, bool) {
+	if r.size() <= r.saved {
+		return itemDelta{}, false
+	}
+	d := itemDelta{ItemProgress: r.progress(r.saved), From: r.saved}
+	r.saved += len(d.Text)
+	return d, true
+}
+
+// Checkpoints is what a home node keeps of the progress of the items of the home, for the case that it
+// is the next one. It is safe for concurrent use.
+type Checkpoints struct {
+	mu    sync.Mutex
+	term  int64
+	items map[[2]string]*keptProgress
+}
+
+type keptProgress struct {
+	ItemProgress
+	text strings.Builder
+}
+
+// take adds a notice of the home. An item whose text does not follow what is kept is forgotten.
+func (c *Checkpoints) take(n checkpointNotice) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n.Term < c.term {
+		return
+	}
+	if n.Whole || n.Term > c.term || c.items == nil {
+		c.term, c.items = n.Term, make(map[[2]string]*keptProgress, len(n.Items))
+	}
+	for _, key := range n.Over {
+		delete(c.items, key)
+	}
+	for _, d := range n.Items {
+		key := [2]string{d.Job, d.Item}
+		kept := c.items[key]
+		if kept == nil {
+			kept = &keptProgress{}
+		}
+		if kept.text.Len() != d.From {
+			delete(c.items, key)
+			continue
+		}
+		kept.ItemProgress = d.ItemProgress
+		kept.text.WriteString(d.Text)
+		c.items[key] = kept
+	}
+}
+
+// Items returns what is kept.
+func (c *Checkpoints) Items() []ItemProgress {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.list()
+}
+
+// takeAll returns what is kept, and forgets it.
+func (c *Checkpoints) takeAll() []ItemProgress {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.list()
+	c.items = nil
+	return out
+}
+
+func (c *Checkpoints) list() []ItemProgress {
+	out := make([]ItemProgress, 0, len(c.items))
+	for _, kept := range c.items {
+		p := kept.ItemProgress
+		p.Text = kept.text.String()
+		out = append(out, p)
+	}
+	return out
+}
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -62,7 +62,9 @@
 type Client struct {
 	opts ClientOptions
 	// own decides while there is no home, and knows all slots in use by this node.
-	own    *Desk
+	own *Desk
+	// kept is the progress of items that the home lets this node keep.
+	kept   Checkpoints
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 	wake   chan struct{}
@@ -99,6 +101,9 @@
 	c.own.Close()
 }
 
+// TakeKept returns the progress of items that the last home let this node keep, and forgets it.
+func (c *Client) TakeKept() []ItemProgress { return c.kept.takeAll() }
+
 // SetUpstreams tells the client of the upstreams.
 func (c *Client) SetUpstreams(list []site.Upstream) {
 	byID := make(map[string]site.Upstream, len(list))
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -172,6 +172,13 @@
 			c.unsure = m.Unsure
 			c.mu.Unlock()
 		}
+	case methodCheckpoint:
+		var m checkpointNotice
+		if err = in.Decode(&m); err == nil {
+			c.kept.take(m)
+		}
+	case methodKeptProgress:
+		in.Answer(handoverAnswer{Items: c.kept.Items()})
 	case methodFetchProgress:
 		err = c.fetchProgress(in)
 	case methodRun:
--- a/io/home/handover.go
+++ b/io/home/handover.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
+	"mothcart/io/clock"
 	"mothcart/io/link"
 )
 
@@ -40,6 +42,8 @@
 	Events      int    `msgpack:"n"`
 	LastEventID string `msgpack:"last"`
 	Failures    int    `msgpack:"fail,omitempty"`
+	// Ran is for how long the attempts lasted that brought it so far.
+	Ran time.Duration `msgpack:"ran"`
 }
 
 // FetchProgress asks the home of an earlier term to stop and returns the progress of its items. A home
@@ -96,35 +100,65 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []ItemProgress
-	for id, j := range h.jobs {
-		for item, r := range j.runs {
-			if r.events > 0 && !r.over {
-				out = append(out, ItemProgress{
-					Job: id, Item: item, Text: r.text.String(), Events: r.events, LastEventID: r.lastID, Failures: r.failures,
-				})
+	for _, j := range h.jobs {
+		for _, r := range j.runs {
+			if p := r.progress(0); p.Events > 0 && !r.over {
+				out = append(out, p)
 			}
 		}
 	}
 	return out
 }
 
-// takeProgress asks the home before this one to stop and for the progress of its items.
+// takeProgress learns what the items of the home before this one had done: from that home, which is
+// asked to stop, or else from what it let home nodes keep.
 func (h *Home) takeProgress() {
 	defer close(h.progressTaken)
-	if h.opts.Before.Address == "" || h.opts.Before.VM == h.opts.VMID {
+	own := h.opts.TakeKept()
+	h.adopt("own", own)
+	if h.opts.Before.Address != "" && h.opts.Before.VM != h.opts.VMID {
+		by := Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}
+		if items, ok := h.fetchProgress(by); ok {
+			h.adopt("home", items)
+			return
+		}
+	}
+	if len(own) > 0 || clock.Sleep(h.ctx, nodesWait) != nil {
 		return
 	}
-	by := Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}
-	items, ok := h.fetchProgress(by)
-	if !ok {
+	var asked sync.WaitGroup
+	for _, conn := range h.runnerConns() {
+		asked.Go(func() {
+			ctx, cancel := context.WithTimeout(h.ctx, keptTimeout)
+			defer cancel()
+			var a handoverAnswer
+			if err := conn.Call(ctx, methodKeptProgress, struct{}{}, &a); err != nil {
+				h.opts.Log.Info().Int64("term", h.opts.Term).Err(err).Msg("noKeptProgress")
+				return
+			}
+			h.adopt("standby", a.Items)
+		})
+	}
+	asked.Wait()
+}
+
+// keptTimeout bounds the question to a home node for the progress that it keeps.
+const keptTimeout = 300 * time.Millisecond
+
+// adopt takes up the progress of items, unless more of an item is known.
+func (h *Home) adopt(source string, items []ItemProgress) {
+	if len(items) == 0 {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, p := range items {
-		h.progress[[2]string{p.Job, p.Item}] = p
+		key := [2]string{p.Job, p.Item}
+		if h.progress[key].Events < p.Events {
+			h.progress[key] = p
+		}
 	}
-	h.opts.Log.Info().Int64("term", h.opts.Term).Int("items", len(items)).Msg("progressTaken")
+	h.opts.Log.Info().Int64("term", h.opts.Term).Str("source", source).Int("items", len(items)).Msg("progressTaken")
 }
 
 const (
@@ -223,5 +257,5 @@
 		return
 	}
 	r.text.WriteString(p.Text)
-	r.events, r.lastID, r.failures = p.Events, p.LastEventID, p.Failures
+	r.events, r.lastID, r.failures, r.ran = p.Events, p.LastEventID, p.Failures, p.Ran
 }
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -65,6 +65,8 @@
 	// Before is the home before this one, if it ran on another VM; Dial opens connections to it.
 	Before Announcement
 	Dial   Dial
+	// TakeKept returns the progress of items that the home before this one let this node keep.
+	TakeKept func() []ItemProgress
 	// Retirements tells of VMs that are to be emptied, and StepDown makes another node the home.
 	Retirements Retirements
 	StepDown    func()
@@ -142,6 +144,7 @@
 		Verify: func() time.Duration { return verifyRetirements }, Log: opts.Log,
 	})
 	h.done.Go(h.sweep)
+	h.done.Go(h.checkpoint)
 	return h
 }
 
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -28,6 +28,9 @@
 	methodLearn = "learn"
 	// methodFetchProgress asks a node to make a handover for the home, which can't reach the one before.
 	methodFetchProgress = "fetchProgress"
+	// methodCheckpoint tells a home node how far items are, and methodKeptProgress asks for that.
+	methodCheckpoint   = "checkpoint"
+	methodKeptProgress = "keptProgress"
 	// methodView and methodPeers go from the home to the nodes.
 	methodView  = "view"
 	methodPeers = "peers"
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -39,7 +39,13 @@
 	events   int
 	lastID   string
 	failures int
-	over     bool
+	// ran is for how long the attempts lasted that brought the progress.
+	ran time.Duration
+	// got is what the attempt in progress has received; nil while the item waits.
+	got  *stream
+	over bool
+	// saved is how much of the text, in bytes, the standbys have.
+	saved int
 }
 
 // startItems asks for a slot for each open item that has no run.
@@ -78,7 +84,7 @@
 	}
 	host, path, acceptedAt := j.log.Job().Host, j.log.Job().Path, j.acceptedAt
 	r.key = slot.Key{Owner: batchOwner, ID: h.nextID.Add(1)}
-	key, resumed := r.key, r.text.Len() > 0
+	key, ran := r.key, r.ran
 	h.mu.Unlock()
 	route, service, ok := h.pickService(host, path)
 	if !ok {
@@ -87,7 +93,7 @@
 	}
 	h.desk.Ask(slot.Request{
 		Key: key, Service: service, Batch: true, Priority: route.Priority, Order: acceptedAt.Add(route.Completion),
-		Resumed: resumed, AvailabilityZone: h.opts.AvailabilityZone,
+		Ran: ran, AvailabilityZone: h.opts.AvailabilityZone,
 	}, asker{
 		granted: func(g slot.Grant) { h.startRun(r, g) },
 		refused: func(slot.Refusal) { time.AfterFunc(retryPause, func() { h.askSlot(r) }) },
@@ -154,20 +160,26 @@
 		ID: r.item.ID, Host: host, Path: r.item.Path, Header: r.item.Header, Body: r.item.Body,
 		Upstream: g.Upstream, LastEventID: r.lastID,
 	}
-	out, runner := h.execute(ctx, call)
+	got := new(stream)
+	h.mu.Lock()
+	r.got = got
+	h.mu.Unlock()
+	out, runner := h.execute(ctx, call, got)
+	took := h.opts.Now().Sub(began)
 	wasCut := errors.Is(context.Cause(ctx), errCut)
 	h.desk.Release(g.Request.Key, out.Result)
 	h.opts.Log.Info().Str("job", r.job).Str("item", r.item.ID).Str("upstream", g.Upstream.ID).Int64("incarnation", g.Upstream.Incarnation).
 		Str("runner", runner).Str("from", call.LastEventID).Str("to", out.LastEventID).Int("status", out.Status).Bool("cut", wasCut).
-		Int("failures", r.failures).Dur("tookMillis", h.opts.Now().Sub(began)).Str("error", out.Err).Msg("itemAttempt")
-	h.settle(r, out, wasCut)
+		Int("failures", r.failures).Dur("tookMillis", took).Str("error", out.Err).Msg("itemAttempt")
+	h.settle(r, out, took, wasCut)
 }
 
 // take adds the progress of an attempt.
-func (r *run) take(out itemOutcome) {
+func (r *run) take(out itemOutcome, took time.Duration) {
 	if out.Events == 0 {
 		return
 	}
+	r.ran += took
 	if r.events > 0 {
 		r.text.WriteByte('\n')
 	}
@@ -177,15 +189,15 @@
 }
 
 // settle decides what follows an attempt.
-func (h *Home) settle(r *run, out itemOutcome, wasCut bool) {
+func (h *Home) settle(r *run, out itemOutcome, took time.Duration, wasCut bool) {
 	h.mu.Lock()
 	j := h.jobs[r.job]
 	if j == nil || r.over || h.ctx.Err() != nil {
 		h.mu.Unlock()
 		return
 	}
-	r.cancel = nil
-	r.take(out)
+	r.cancel, r.got = nil, nil
+	r.take(out, took)
 	if !wasCut && out.Status == http.StatusInternalServerError && !out.NotRun {
 		r.failures++
 	}
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -71,14 +71,35 @@
 	return &Runner{client: client, wire: wire, runs: make(map[uint64]context.CancelFunc)}
 }
 
-// do makes one attempt. report is told of the upstream's load.
-func (rn *Runner) do(ctx context.Context, c itemCall, report func(running, waiting int)) itemOutcome {
+// stream is what an attempt at an item has received so far. It is safe for concurrent use.
+type stream struct {
+	mu sync.Mutex
+	// text is the data of the events, joined by line feeds.
+	text        bytes.Buffer
+	events      int
+	lastEventID string
+}
+
+func (s *stream) add(e forward.Event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.events > 0 {
+		s.text.WriteByte('\n')
+	}
+	s.events++
+	s.text.Write(e.Data())
+	if e.ID != "" {
+		s.lastEventID = e.ID
+	}
+}
+
+// do makes one attempt and adds its events to got. report is told of the upstream's load.
+func (rn *Runner) do(ctx context.Context, c itemCall, got *stream, report func(running, waiting int)) itemOutcome {
 	header := make(http.Header, len(c.Header))
 	for name, value := range c.Header {
 		header.Set(name, value)
 	}
-	out := itemOutcome{LastEventID: c.LastEventID}
-	var text bytes.Buffer
+	got.lastEventID = c.LastEventID
 	a := forward.Do(ctx, rn.client, rn.wire, forward.Call{
 		ID: c.ID, Method: http.MethodPost, Host: c.Host, Path: c.Path, Header: header, Body: c.Body,
 		Attempt: forward.Attempt{Upstream: c.Upstream, LastEventID: c.LastEventID}, Silence: itemSilence,
@@ -86,18 +107,14 @@
 	}, &forward.Sink{
 		Start: func(int, http.Header) error { return nil },
 		Event: func(e forward.Event, _ bool) error {
-			if out.Events > 0 {
-				text.WriteByte('\n')
-			}
-			out.Events++
-			text.Write(e.Data())
-			if e.ID != "" {
-				out.LastEventID = e.ID
-			}
+			got.add(e)
 			return nil
 		},
 	})
-	out.Result, out.Status, out.NotRun, out.Complete, out.Text = a.Result(ctx), a.Status, a.Marks.NotRun, a.Success(), text.String()
+	out := itemOutcome{
+		Result: a.Result(ctx), Status: a.Status, NotRun: a.Marks.NotRun, Complete: a.Success(),
+		Text: got.text.String(), Events: got.events, LastEventID: got.lastEventID,
+	}
 	if a.Err != nil {
 		out.Err = a.Err.Error()
 	}
@@ -123,7 +140,7 @@
 			case <-ctx.Done():
 			}
 		}()
-		out := rn.do(ctx, c, func(running, waiting int) { report(c.Upstream.ID, running, waiting) })
+		out := rn.do(ctx, c, new(stream), func(running, waiting int) { report(c.Upstream.ID, running, waiting) })
 		rn.mu.Lock()
 		delete(rn.runs, c.Run)
 		rn.mu.Unlock()
@@ -154,11 +171,11 @@
 func (n *runnerNode) stop() { close(n.left) }
 
 // execute makes an attempt here, or at the least busy runner if the home has enough of its own.
-func (h *Home) execute(ctx context.Context, c itemCall) (itemOutcome, string) {
+func (h *Home) execute(ctx context.Context, c itemCall, got *stream) (itemOutcome, string) {
 	node := h.pickRunner()
 	if node == nil {
 		defer h.endRun(nil)
-		out := h.opts.Runner.do(ctx, c, func(running, waiting int) { h.desk.Report(c.Upstream.ID, running, waiting) })
+		out := h.opts.Runner.do(ctx, c, got, func(running, waiting int) { h.desk.Report(c.Upstream.ID, running, waiting) })
 		return out, h.opts.VMID
 	}
 	defer h.endRun(node)
--- a/io/node/fault_test.go
+++ b/io/node/fault_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"testing"
@@ -378,19 +379,25 @@
 	for _, tc := range []struct {
 		name string
 		end  func(s *testSite)
+		// within is the time for what is left of the items, 0 for that of a whole one and the loss.
+		within time.Duration
 	}{
 		{"the home stops", func(s *testSite) {
 			h := s.homes["s1"]
 			delete(s.homes, "s1")
 			h.Close()
-		}},
+		}, 0},
 		{"the home doesn't reach the object service", func(s *testSite) {
 			s.objects.SetFault(fake.Fault{Down: map[string]bool{homeIP(1): true}})
-		}},
+		}, 0},
+		{"the home is killed", func(s *testSite) {
+			time.Sleep(2 * time.Second) // most of the items is done
+			s.killHome(1)
+		}, 2 * time.Second},
 		{"the home reaches neither the object service nor the next home", func(s *testSite) {
 			s.network.Cut(homeIP(1), storeIP)
 			s.network.Cut(homeIP(1), homeIP(2))
-		}},
+		}, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			runSite(t, func(t *testing.T, s *testSite) {
@@ -405,7 +412,7 @@
 				for _, e := range s.engines {
 					require.LessOrEqual(t, e.Running(), 2, "the old runs have ended")
 				}
-				s.awaitJob(1, "j1", 6*time.Second)
+				s.awaitJob(1, "j1", cmp.Or(tc.within, 6*time.Second))
 			})
 		})
 	}
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -157,7 +157,7 @@
 		VMID: o.Settings.VMID, AvailabilityZone: o.Settings.AvailabilityZone, Address: n.base.peerAddress(), Term: term, Objects: n.base.objects,
 		Runner: n.base.runner, OwnRuns: o.OwnRuns, Config: n.base.currentConfig, Valid: valid,
 		Snapshots: n.base.snapshots, ObjectsDown: n.base.objectsDown,
-		Before: n.base.client.Home(), Dial: o.Connect(connectTimeout),
+		Before: n.base.client.Home(), Dial: o.Connect(connectTimeout), TakeKept: n.base.client.TakeKept,
 		Announce:    n.server.PushAnnouncement,
 		Retirements: platform.Retirements(), StepDown: n.stepDown,
 		ResultsKept: o.Settings.ResultsKept, Now: o.Now, TimeOfDay: time.Now, Log: o.Log, Registry: o.Registry,
