--- a/io/home/checkpoint.go
+++ b/io/home/checkpoint.go
@@ -55,25 +55,48 @@
 
 func (c *checkpointer) send() {
 	conns := c.home.standbys()
-	notice := checkpointNotice{Term: c.home.opts.Term}
+	notice := checkpointNotice{Term: c.home.opts.Term, Whole: c.changed(conns)}
+	open := c.gather(&notice)
+	for key := range c.kept {
+		if !open[key] {
+			notice.Over = append(notice.Over, key)
+		}
+	}
+	c.kept = open
+	if !notice.Whole && len(notice.Items)+len(notice.Over) == 0 {
+		return
+	}
 	for _, conn := range conns {
-		notice.Whole = notice.Whole || !c.to[conn]
+		conn.Notify(methodCheckpoint, notice)
 	}
-	c.to = make(map[*link.Conn]bool, len(conns))
+}
+
+// changed takes up the standbys and reports that one of them is new.
+func (c *checkpointer) changed(conns []*link.Conn) bool {
+	isNew := false
+	to := make(map[*link.Conn]bool, len(conns))
 	for _, conn := range conns {
-		c.to[conn] = true
+		isNew = isNew || !c.to[conn]
+		to[conn] = true
 	}
+	c.to = to
+	return isNew
+}
+
+// gather adds what items have made to a notice and returns the items that the standbys know of then.
+func (c *checkpointer) gather(notice *checkpointNotice) map[[2]string]bool {
 	c.home.mu.Lock()
+	defer c.home.mu.Unlock()
 	open := make(map[[2]string]bool, len(c.kept))
-	for id, j := range c.home.jobs {
-		for item, r := range j.runs {
+	for _, j := range c.home.jobs {
+		for _, r := range j.runs {
 			if r.over {
 				continue
 			}
 			if notice.Whole {
 				r.saved = 0
 			}
-			key := [2]string{id, item}
+			key := [2]string{r.job, r.item.ID}
 			d, changed := r.delta()
 			if changed {
 				notice.Items = append(notice.Items, d)
@@ -83,19 +106,7 @@
 			}
 		}
 	}
-	c.home.mu.Unlock()
-	for key := range c.kept {
-		if !open[key] {
-			notice.Over = append(notice.Over, key)
-		}
-	}
-	c.kept = open
-	if !notice.Whole && len(notice.Items)+len(notice.Over) == 0 {
-		return
-	}
-	for _, conn := range conns {
-		conn.Notify(methodCheckpoint, notice)
-	}
+	return open
 }
 
 // standbys returns the connections of the home nodes that keep the progress.
--- a/io/home/checkpoint_test.go
+++ b/io/home/checkpoint_test.go
@@ -11,52 +11,71 @@
 	"mothcart/core/batch"
 )
 
+// player plays a run and its standby.
+type player struct {
+	run   *run
+	kept  Checkpoints
+	whole bool
+	// want are the data of all events.
+	want []string
+}
+
+func (p *player) begin() {
+	if p.run.got == nil {
+		p.run.got = new(stream)
+	}
+}
+
+func (p *player) event(text string) {
+	got := p.run.got
+	if got == nil {
+		return
+	}
+	p.want = append(p.want, text)
+	if got.events > 0 {
+		got.text.WriteByte('\n')
+	}
+	got.text.WriteString(text)
+	got.events++
+	got.lastEventID = fmt.Sprint(len(p.want))
+}
+
+func (p *player) end() {
+	got := p.run.got
+	if got == nil {
+		return
+	}
+	p.run.got = nil
+	p.run.take(itemOutcome{Text: got.text.String(), Events: got.events, LastEventID: got.lastEventID}, 0)
+}
+
+func (p *player) notify() {
+	d, changed := p.run.delta()
+	if !changed {
+		return
+	}
+	p.kept.take(checkpointNotice{Term: 1, Whole: !p.whole, Items: []itemDelta{d}})
+	p.whole = true
+}
+
 // A standby that gets each notice has what the home has, whatever the attempts bring and wherever the
 // notices come between.
 func TestCheckpointsFollowTheRun(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := &run{job: "j", item: batch.Item{ID: "i"}}
-		var kept Checkpoints
-		var want []string
-		whole := true
-		for range rapid.IntRange(0, 30).Draw(t, "steps") {
-			switch rapid.IntRange(0, 3).Draw(t, "step") {
-			case 0: // an attempt begins
-				if r.got == nil {
-					r.got = new(stream)
-				}
-			case 1: // an event arrives
-				if r.got != nil {
-					text := strings.Repeat("x", rapid.IntRange(0, 3).Draw(t, "length"))
-					want = append(want, text)
-					if r.got.events > 0 {
-						r.got.text.WriteByte('\n')
-					}
-					r.got.text.WriteString(text)
-					r.got.events++
-					r.got.lastEventID = fmt.Sprint(len(want))
-				}
-			case 2: // the attempt ends
-				if r.got != nil {
-					out := itemOutcome{Text: r.got.text.String(), Events: r.got.events, LastEventID: r.got.lastEventID}
-					r.got = nil
-					r.take(out, 0)
-				}
-			case 3: // a notice is sent
-				if d, changed := r.delta(); changed {
-					kept.take(checkpointNotice{Term: 1, Whole: whole, Items: []itemDelta{d}})
-					whole = false
-				}
-			}
-			p := r.progress(0)
-			require.Equal(t, strings.Join(want, "\n"), p.Text)
-			require.Equal(t, len(want), p.Events)
+		p := &player{run: &run{job: "j", item: batch.Item{ID: "i"}}}
+		steps := []func(){
+			p.begin, p.end, p.notify,
+			func() { p.event(strings.Repeat("x", rapid.IntRange(0, 3).Draw(t, "length"))) },
 		}
-		if d, changed := r.delta(); changed {
-			kept.take(checkpointNotice{Term: 1, Whole: whole, Items: []itemDelta{d}})
+		for range rapid.IntRange(0, 40).Draw(t, "steps") {
+			steps[rapid.IntRange(0, len(steps)-1).Draw(t, "step")]()
+			made := p.run.progress(0)
+			require.Equal(t, strings.Join(p.want, "\n"), made.Text)
+			require.Equal(t, len(p.want), made.Events)
 		}
-		if items := kept.Items(); len(items) > 0 {
-			require.Equal(t, r.progress(0).Text, items[0].Text)
+		p.notify()
+		for _, item := range p.kept.Items() {
+			require.Equal(t, strings.Join(p.want, "\n"), item.Text)
 		}
 	})
 }
