Keep results that are not listed yet, and progress on disk

Cause: items that had ended while the object service was away ran again as a whole when the home was lost, and when all processes end at once the standbys lost the progress in their memory. Change: the home tells standbys of results that wait to be listed, and hands them over as well; home nodes keep what they are told on their disks. Tests that fail without it: TestResultsOutliveTheHomeThatCouldNotListThem, TestItemsGoOnAfterTheEndOfAllProcesses.

--- a/io/home/checkpoint.go
+++ b/io/home/checkpoint.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"mothcart/io/clock"
 	"mothcart/io/link"
 )
@@ -31,7 +33,7 @@
 }
 
 // itemDelta is the progress of an item since the last notice; its Text is what follows the first From
-// bytes.
+// bytes, all of it if From is 0.
 type itemDelta struct {
 	ItemProgress
 	From int `msgpack:"from"`
@@ -83,26 +85,35 @@
 	return isNew
 }
 
-// gather adds what items have made to a notice and returns the items that the standbys know of then.
+// gather adds what items have made to a notice and returns the items that the standbys know of then:
+// all that have made anything and are not listed yet.
 func (c *checkpointer) gather(notice *checkpointNotice) map[[2]string]bool {
 	c.home.mu.Lock()
 	defer c.home.mu.Unlock()
 	open := make(map[[2]string]bool, len(c.kept))
-	for _, j := range c.home.jobs {
+	add := func(r *run, changed bool, d itemDelta) {
+		key := [2]string{r.job, r.item.ID}
+		if changed {
+			notice.Items = append(notice.Items, d)
+		}
+		if changed || c.kept[key] {
+			open[key] = true
+		}
+	}
+	for id, j := range c.home.jobs {
 		for _, r := range j.runs {
-			if r.over {
-				continue
-			}
 			if notice.Whole {
-				r.saved = 0
+				r.saved, r.resultSaved = 0, false
 			}
-			key := [2]string{r.job, r.item.ID}
-			d, changed := r.delta()
-			if changed {
-				notice.Items = append(notice.Items, d)
+			if !r.over {
+				d, changed := r.delta()
+				add(r, changed, d)
 			}
-			if changed || c.kept[key] {
-				open[key] = true
+		}
+		for _, result := range j.finished {
+			if r := j.runs[result.Item]; r != nil {
+				add(r, !r.resultSaved, itemDelta{ItemProgress: finishedProgress(id, result)})
+				r.resultSaved = true
 			}
 		}
 	}
@@ -189,6 +200,9 @@
 // Checkpoints is what a home node keeps of the progress of the items of the home, for the case that it
 // is the next one. It is safe for concurrent use.
 type Checkpoints struct {
+	// changed is told of each change.
+	changed func()
+
 	mu    sync.Mutex
 	term  int64
 	items map[[2]string]*keptProgress
@@ -199,8 +213,20 @@
 	text strings.Builder
 }
 
+// NewCheckpoints returns what an earlier process of this node kept. changed is told of each change.
+func NewCheckpoints(items []ItemProgress, changed func()) *Checkpoints {
+	c := &Checkpoints{changed: changed, items: make(map[[2]string]*keptProgress, len(items))}
+	for _, p := range items {
+		kept := &keptProgress{ItemProgress: p}
+		kept.text.WriteString(p.Text)
+		c.items[[2]string{p.Job, p.Item}] = kept
+	}
+	return c
+}
+
 // take adds a notice of the home. An item whose text does not follow what is kept is forgotten.
 func (c *Checkpoints) take(n checkpointNotice) {
+	defer c.changed()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n.Term < c.term {
@@ -215,7 +241,7 @@
 	for _, d := range n.Items {
 		key := [2]string{d.Job, d.Item}
 		kept := c.items[key]
-		if kept == nil {
+		if kept == nil || d.From == 0 {
 			kept = &keptProgress{}
 		}
 		if kept.text.Len() != d.From {
@@ -253,3 +279,20 @@
 	}
 	return out
 }
+
+// serveKept takes up the progress of items, or answers it.
+func (c *Client) serveKept(in link.Incoming) error {
+	switch {
+	case c.opts.Kept == nil:
+		in.Fail(merry.New("this node keeps no progress"))
+	case in.Method == methodKeptProgress:
+		in.Answer(handoverAnswer{Items: c.opts.Kept.Items()})
+	default:
+		var m checkpointNotice
+		if err := in.Decode(&m); err != nil {
+			return err
+		}
+		c.opts.Kept.take(m)
+	}
+	return nil
+}
--- a/io/home/checkpoint_test.go
+++ b/io/home/checkpoint_test.go
@@ -14,7 +14,7 @@
 // player plays a run and its standby.
 type player struct {
 	run   *run
-	kept  Checkpoints
+	kept  *Checkpoints
 	whole bool
 	// want are the data of all events.
 	want []string
@@ -62,7 +62,7 @@
 // notices come between.
 func TestCheckpointsFollowTheRun(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := &player{run: &run{job: "j", item: batch.Item{ID: "i"}}}
+		p := &player{run: &run{job: "j", item: batch.Item{ID: "i"}}, kept: NewCheckpoints(nil, func() {})}
 		steps := []func(){
 			p.begin, p.end, p.notify,
 			func() { p.event(strings.Repeat("x", rapid.IntRange(0, 3).Draw(t, "length"))) },
@@ -76,13 +76,14 @@
 		p.notify()
 		for _, item := range p.kept.Items() {
 			require.Equal(t, strings.Join(p.want, "\n"), item.Text)
+			require.Equal(t, p.kept.Items(), NewCheckpoints(p.kept.Items(), nil).Items(), "after a restart")
 		}
 	})
 }
 
 // A notice that was lost costs the progress of its items, never its order.
 func TestLostNoticeIsNoticed(t *testing.T) {
-	var c Checkpoints
+	c := NewCheckpoints(nil, func() {})
 	delta := func(from int, text string) checkpointNotice {
 		return checkpointNotice{Term: 2, Items: []itemDelta{{ItemProgress: ItemProgress{Job: "j", Item: "i", Text: text, Events: 1}, From: from}}}
 	}
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -50,6 +50,10 @@
 	Now     func() time.Time
 	// Runner runs items for the home; nil on nodes that don't.
 	Runner *Runner
+	// Kept holds the progress of items for the home; nil on nodes that run none.
+	Kept *Checkpoints
+	// Announced is told of each new home.
+	Announced func()
 	// View is told what the home knows of a kind of objects.
 	View func(kind string, c object.Change)
 	// Down is told whether the home reaches the object service.
@@ -62,9 +66,7 @@
 type Client struct {
 	opts ClientOptions
 	// own decides while there is no home, and knows all slots in use by this node.
-	own *Desk
-	// kept is the progress of items that the home lets this node keep.
-	kept   Checkpoints
+	own    *Desk
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 	wake   chan struct{}
@@ -102,7 +104,7 @@
 }
 
 // TakeKept returns the progress of items that the last home let this node keep, and forgets it.
-func (c *Client) TakeKept() []ItemProgress { return c.kept.takeAll() }
+func (c *Client) TakeKept() []ItemProgress { return c.opts.Kept.takeAll() }
 
 // SetUpstreams tells the client of the upstreams.
 func (c *Client) SetUpstreams(list []site.Upstream) {
@@ -136,6 +138,7 @@
 	c.conn = nil
 	c.mu.Unlock()
 	c.opts.Log.Info().Str("home", a.VM).Str("address", a.Address).Int64("term", a.Term).Msg("homeAnnounced")
+	c.opts.Announced()
 	if conn != nil {
 		conn.Close()
 	}
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -172,13 +172,8 @@
 			c.unsure = m.Unsure
 			c.mu.Unlock()
 		}
-	case methodCheckpoint:
-		var m checkpointNotice
-		if err = in.Decode(&m); err == nil {
-			c.kept.take(m)
-		}
-	case methodKeptProgress:
-		in.Answer(handoverAnswer{Items: c.kept.Items()})
+	case methodCheckpoint, methodKeptProgress:
+		err = c.serveKept(in)
 	case methodFetchProgress:
 		err = c.fetchProgress(in)
 	case methodRun:
--- a/io/home/handover.go
+++ b/io/home/handover.go
@@ -7,6 +7,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"mothcart/core/batch"
 	"mothcart/io/clock"
 	"mothcart/io/link"
 )
@@ -42,6 +43,8 @@
 	Events      int    `msgpack:"n"`
 	LastEventID string `msgpack:"last"`
 	Failures    int    `msgpack:"fail,omitempty"`
+	// State is set when the item needs no run any more and its result is not listed yet.
+	State batch.State `msgpack:"state,omitempty"`
 	// Ran is for how long the attempts lasted that brought it so far.
 	Ran time.Duration `msgpack:"ran"`
 }
@@ -100,12 +103,15 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []ItemProgress
-	for _, j := range h.jobs {
+	for id, j := range h.jobs {
 		for _, r := range j.runs {
 			if p := r.progress(0); p.Events > 0 && !r.over {
 				out = append(out, p)
 			}
 		}
+		for _, result := range j.finished {
+			out = append(out, finishedProgress(id, result))
+		}
 	}
 	return out
 }
@@ -154,7 +160,7 @@
 	defer h.mu.Unlock()
 	for _, p := range items {
 		key := [2]string{p.Job, p.Item}
-		if h.progress[key].Events < p.Events {
+		if known := h.progress[key]; known.State == "" && (p.State != "" || known.Events < p.Events) {
 			h.progress[key] = p
 		}
 	}
@@ -250,12 +256,24 @@
 	return nil
 }
 
-// resume gives a run the progress that an earlier home had made; the mutex is held.
-func (h *Home) resume(r *run) {
+// finishedProgress is the progress of an item whose result is not listed yet.
+func finishedProgress(job string, r batch.Result) ItemProgress {
+	return ItemProgress{Job: job, Item: r.Item, Text: r.Text, State: r.State}
+}
+
+// resume gives a run the progress that an earlier home had made. It reports true if the item needs no
+// run any more; the mutex is held.
+func (h *Home) resume(j *job, r *run) bool {
 	p, ok := h.progress[[2]string{r.job, r.item.ID}]
 	if !ok {
-		return
+		return false
+	}
+	delete(h.progress, [2]string{r.job, r.item.ID})
+	if p.State != "" {
+		h.finish(r.job, j, batch.Result{Item: p.Item, State: p.State, Text: p.Text})
+		return true
 	}
 	r.text.WriteString(p.Text)
 	r.events, r.lastID, r.failures, r.ran = p.Events, p.LastEventID, p.Failures, p.Ran
+	return false
 }
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -44,8 +44,10 @@
 	// got is what the attempt in progress has received; nil while the item waits.
 	got  *stream
 	over bool
-	// saved is how much of the text, in bytes, the standbys have.
-	saved int
+	// saved is how much of the text, in bytes, the standbys have; resultSaved reports that they have
+	// its result.
+	saved       int
+	resultSaved bool
 }
 
 // startItems asks for a slot for each open item that has no run.
@@ -62,9 +64,10 @@
 		for _, item := range j.log.Open() {
 			if j.runs[item.ID] == nil {
 				r := &run{job: id, item: item}
-				h.resume(r)
 				j.runs[item.ID] = r
-				started = append(started, r)
+				if !h.resume(j, r) {
+					started = append(started, r)
+				}
 			}
 		}
 	}
--- a/io/node/fault_test.go
+++ b/io/node/fault_test.go
@@ -418,6 +418,42 @@
 	}
 }
 
+// All processes end at once: items go on from what home nodes have on their disks.
+func TestItemsGoOnAfterTheEndOfAllProcesses(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		for _, e := range s.engines {
+			e.SetPace(200 * time.Millisecond) // an item takes 4 s
+		}
+		s.submitJob(1, "j1", 6)
+		time.Sleep(3 * time.Second)
+		s.killHome(1)
+		s.killHome(2)
+		s.startHome(1)
+		s.startHome(2)
+		s.restartEntry(1)
+		s.restartEntry(2)
+		s.awaitJob(1, "j1", 4*time.Second)
+	})
+}
+
+// Items have ended while the object service is away, and then the home is lost: their results are listed
+// without another run.
+func TestResultsOutliveTheHomeThatCouldNotListThem(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.submitJob(1, "j1", 6)
+		time.Sleep(100 * time.Millisecond)
+		s.objects.SetFault(fake.Fault{Down: map[string]bool{"": true}})
+		time.Sleep(1500 * time.Millisecond)
+		s.killHome(1)
+		s.objects.SetFault(fake.Fault{})
+		s.awaitJob(1, "j1", 5*time.Second)
+		for i := range 6 {
+			id := fmt.Sprintf("j1.%d", i)
+			require.Equal(t, 1, s.runsOf(id), id)
+		}
+	})
+}
+
 // A home that no node reaches must not go on to fill the slots that the nodes use.
 func TestIsolatedHomeGivesWay(t *testing.T) {
 	for _, tc := range []struct {
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -41,10 +41,9 @@
 	}
 	b.onConfig = func(site.Config) {}
 	b.onUpstreams = n.setUpstreams
-	b.saver = newSaver(opts.Settings.DataDir, b.knowledge, opts.Log)
 	b.onNews = func(kind string, news []object.Event) {
 		n.server.PushNews(kind, news)
-		b.saver.changed()
+		b.knowledgeChanged()
 	}
 	b.onDown = n.server.PushDown
 	b.isHome = n.IsHome
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -79,8 +79,10 @@
 	followers []*object.Follower
 	metrics   *kratoshttp.Server
 	counts    *time.Timer
-	// saver keeps the knowledge of a home node on its disk; nil on nodes without one.
-	saver *saver
+	// savers keep what home nodes need after a restart on their disks; knowledgeChanged tells of changes
+	// of what the node knows of the site.
+	savers           []*saver
+	knowledgeChanged func()
 	// endStart ends what the node does to learn of its site at its start, and started waits for it.
 	endStart context.CancelFunc
 	started  sync.WaitGroup
@@ -113,9 +115,10 @@
 func newBase(opts Options, isEntry bool) *base {
 	s := opts.Settings
 	b := &base{
-		opts:        opts,
-		incarnation: time.Now().UnixNano(),
-		objects:     counted(platform.NewObjects(s.StoreAddress, opts.Connect(storeConnectTimeout)), opts.Registry),
+		opts:             opts,
+		incarnation:      time.Now().UnixNano(),
+		objects:          counted(platform.NewObjects(s.StoreAddress, opts.Connect(storeConnectTimeout)), opts.Registry),
+		knowledgeChanged: func() {},
 		upstream: service.New(service.NewOptions().WithRequestIDHeader(platform.RequestIDHeader).
 			WithOneCallPerConnection().WithDial(opts.Connect(connectTimeout))),
 	}
@@ -125,13 +128,20 @@
 		b.counts.Reset(countsInterval)
 	})
 	relay := ""
+	var kept *home.Checkpoints
 	if isEntry {
 		relay = b.peerAddress()
 	} else {
 		b.runner = home.NewRunner(b.upstream, platform.Wire())
+		saved := newSaver(s.DataDir, progressFile, func() any { return kept.Items() }, opts.Log)
+		kept = home.NewCheckpoints(load[[]home.ItemProgress](s.DataDir, progressFile, opts.Log), saved.changed)
+		knowledge := newSaver(s.DataDir, knowledgeFile, func() any { return b.knowledge() }, opts.Log)
+		b.knowledgeChanged = knowledge.changed
+		b.savers = []*saver{saved, knowledge}
 	}
 	b.client = home.NewClient(home.ClientOptions{
 		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, Connect: opts.Connect(connectTimeout), Now: opts.Now,
+		Kept: kept, Announced: b.knowledgeChanged,
 		View: func(kind string, c object.Change) { b.receive(kind, c) }, Down: b.homeDown, Runner: b.runner, Log: opts.Log,
 	})
 	return b
@@ -158,7 +168,9 @@
 		b.endStart()
 		b.started.Wait()
 	}
-	b.saver.close()
+	for _, s := range b.savers {
+		s.close()
+	}
 	for _, f := range b.followers {
 		f.Close()
 	}
--- a/io/node/saved.go
+++ b/io/node/saved.go
@@ -7,33 +7,34 @@
 	"github.com/rs/zerolog"
 
 	"mothcart/io/disk"
-	"mothcart/io/home"
 )
 
 const (
-	// savedName is the file with the knowledge of a node in its data directory.
-	savedName = "knowledge"
+	// knowledgeFile holds what a node knows of the site, in its data directory.
+	knowledgeFile = "knowledge"
+	// progressFile holds the progress of items that the home lets the node keep.
+	progressFile = "progress"
 	// saveInterval is the time between a change and its write, so that changes in a row make one.
 	saveInterval = 200 * time.Millisecond
 )
 
-// saver keeps what a node knows in a file, for its next start. It is a cache: a node without the file
-// learns the same from the object service or another node.
+// saver keeps a value in a file, for the node's next start. It is a cache: a node without the file
+// learns the same from the object service or another node, or items run again.
 type saver struct {
-	dir   string
-	knows func() home.Knowledge
-	log   zerolog.Logger
-	wake  chan struct{}
-	end   chan struct{}
-	done  sync.WaitGroup
+	dir, name string
+	value     func() any
+	log       zerolog.Logger
+	wake      chan struct{}
+	end       chan struct{}
+	done      sync.WaitGroup
 }
 
 // newSaver starts to save in a directory; it returns nil, which saves nothing, if dir is empty.
-func newSaver(dir string, knows func() home.Knowledge, log zerolog.Logger) *saver {
+func newSaver(dir, name string, value func() any, log zerolog.Logger) *saver {
 	if dir == "" {
 		return nil
 	}
-	s := &saver{dir: dir, knows: knows, log: log, wake: make(chan struct{}, 1), end: make(chan struct{})}
+	s := &saver{dir: dir, name: name, value: value, log: log, wake: make(chan struct{}, 1), end: make(chan struct{})}
 	s.done.Go(func() {
 		for s.await() {
 			s.save()
@@ -81,17 +82,21 @@
 
 // save replaces the file. A disk that is full or slow delays nothing else.
 func (s *saver) save() {
-	if err := disk.Save(s.dir, savedName, s.knows()); err != nil {
-		s.log.Warn().Str("dir", s.dir).Err(err).Msg("knowledgeNotSaved")
+	if err := disk.Save(s.dir, s.name, s.value()); err != nil {
+		s.log.Warn().Str("dir", s.dir).Str("file", s.name).Err(err).Msg("notSaved")
 	}
 }
 
-// load reads what the node knew before its start. It reports false if there is nothing to read.
-func load(dir string, log zerolog.Logger) (home.Knowledge, bool) {
-	var k home.Knowledge
-	found, err := disk.Load(dir, savedName, &k)
+// load reads what a saver wrote before the start, or the zero value.
+func load[T any](dir, name string, log zerolog.Logger) T {
+	var v T
+	found, err := disk.Load(dir, name, &v)
 	if err != nil {
-		log.Warn().Str("dir", dir).Err(err).Msg("savedKnowledgeUnreadable")
+		log.Warn().Str("dir", dir).Str("file", name).Err(err).Msg("savedUnreadable")
 	}
-	return k, found
+	if !found {
+		var none T
+		return none
+	}
+	return v
 }
--- a/io/node/saved_test.go
+++ b/io/node/saved_test.go
@@ -20,24 +20,21 @@
 			Views: map[string]object.Change{"colours": {Listed: true, At: 7, Objects: []object.Object{{Name: "red", Revision: 5, Spec: []byte(`{"a":1}`)}}}},
 			Home:  home.Announcement{Term: 3, VM: "s1", Address: "10.0.0.1:7000"},
 		}
-		s := newSaver(dir, func() home.Knowledge { return want }, zerolog.Nop())
+		s := newSaver(dir, knowledgeFile, func() any { return want }, zerolog.Nop())
 		s.changed()
 		s.changed()
 		time.Sleep(saveInterval)
 		synctest.Wait()
 		s.close()
-		got, ok := load(dir, zerolog.Nop())
-		require.True(t, ok)
-		require.Equal(t, want, got)
+		require.Equal(t, want, load[home.Knowledge](dir, knowledgeFile, zerolog.Nop()))
 	})
 }
 
 // A disk that refuses writes costs nothing but the file.
 func TestFullDiskLosesOnlyTheFile(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "gone")
-	s := newSaver(dir, func() home.Knowledge { return home.Knowledge{} }, zerolog.Nop())
+	s := newSaver(dir, progressFile, func() any { return "some" }, zerolog.Nop())
 	s.save()
 	s.close()
-	_, ok := load(dir, zerolog.Nop())
-	require.False(t, ok)
+	require.Empty(t, load[string](dir, progressFile, zerolog.Nop()))
 }
--- a/io/node/start.go
+++ b/io/node/start.go
@@ -27,9 +27,7 @@
 		if clock.Sleep(ctx, startGrace) != nil || b.informed() {
 			return
 		}
-		if k, ok := load(b.opts.Settings.DataDir, b.opts.Log); ok {
-			b.learn("disk", k)
-		}
+		b.learn("disk", load[home.Knowledge](b.opts.Settings.DataDir, knowledgeFile, b.opts.Log))
 		for pause := firstLearn; !b.informed(); pause = min(2*pause, lastLearn) {
 			for _, address := range b.opts.Settings.HomeNodes {
 				b.ask(ctx, address)
