Let the last home stand in while the object service is away

Ruled out: a lease without the service (two homes could list results). Change: the VM that was the home last, by what nodes keep on disk, grants slots in the name of the last term, without jobs and reads, until the lease can be read or a later home is known. Tests that fail without it: TestSiteStartsDuringAnOutage, TestLastHomeStandsIn.

--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -62,8 +62,13 @@
 	// Start begins to be the home and returns what ends it, and what waits for the next home to take
 	// over.
 	Start func(term int64, valid func(now time.Time) bool) (stop, awaitHandover func())
-	Now   func() time.Time
-	Log   zerolog.Logger
+	// LastTerm returns the term in which this VM was the home last, as far as it knows, and false if
+	// another one was later.
+	LastTerm func() (int64, bool)
+	// StandIn begins to grant slots in the name of the home of a term and returns what ends it.
+	StandIn func(term int64) (stop func())
+	Now     func() time.Time
+	Log     zerolog.Logger
 }
 
 // Elector makes its node the home while it holds the lease.
@@ -81,6 +86,8 @@
 	sureFrom  atomic.Int64
 	// renewals counts the attempts at renewals, so that each one changes the object.
 	renewals atomic.Int64
+	// unreached reports that the lease could not be read last.
+	unreached bool
 	// yieldUntil is until when the lease is left to others.
 	yieldUntil time.Time
 	// retired reports that the node must not be the home any more.
@@ -115,7 +122,33 @@
 			e.hold(ctx, term)
 			continue
 		}
+		if last, ok := e.opts.LastTerm(); ok && e.unreached {
+			e.standIn(ctx, last)
+			continue
+		}
+		_ = clock.Sleep(ctx, lookInterval) // ends early only with the context
+	}
+}
+
+// standIn grants slots while the object service is away, as the VM that was the home last: all nodes look
+// for the home there. It ends as soon as the lease can be read or a later home is known.
+func (e *Elector) standIn(ctx context.Context, term int64) {
+	e.opts.Log.Warn().Int64("term", term).Msg("standInStarted")
+	stop := e.opts.StandIn(term)
+	defer stop()
+	for {
 		_ = clock.Sleep(ctx, lookInterval) // ends early only with the context
+		last, ok := e.opts.LastTerm()
+		if ctx.Err() != nil || e.retired.Load() || !ok || last != term {
+			return
+		}
+		readable, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+		_, err := e.opts.Objects.Get(readable, KindLease, mainName)
+		cancel()
+		if err == nil || errors.Is(err, store.ErrNotFound) {
+			e.opts.Log.Info().Int64("term", term).Msg("standInEnded")
+			return
+		}
 	}
 }
 
@@ -125,6 +158,7 @@
 	defer cancel()
 	began := e.opts.Now()
 	o, err := e.opts.Objects.Get(ctx, KindLease, mainName)
+	e.unreached = err != nil && !errors.Is(err, store.ErrNotFound)
 	if errors.Is(err, store.ErrNotFound) {
 		return e.take(ctx, began, lease{}, 0, began)
 	}
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -54,6 +54,8 @@
 	OwnRuns int
 	// Config returns the configuration in force.
 	Config func() site.Config
+	// SlotsOnly makes a home that only grants slots: it stands in while the object service is away.
+	SlotsOnly bool
 	// Valid reports that the lease of the home is valid and that no earlier one can be.
 	Valid func(now time.Time) bool
 	// Snapshots returns the kinds of objects that nodes learn from the home when they connect.
@@ -135,6 +137,9 @@
 		awaited: make(map[string]time.Time), runners: make(map[string]*runnerNode),
 		nodes: make(map[string]*link.Conn),
 	}
+	if opts.SlotsOnly {
+		return h
+	}
 	h.done.Go(h.takeProgress)
 	h.follow = object.NewFollower(object.FollowerOptions{
 		Client: opts.Objects, Kind: KindJobs, Apply: h.applyJobs, Verify: h.verifyJobs, Log: opts.Log,
@@ -151,8 +156,11 @@
 // Close ends the home: items are cut, nodes are left to themselves.
 func (h *Home) Close() {
 	h.cancel()
-	h.follow.Close()
-	h.retire.Close()
+	for _, f := range []*object.Follower{h.follow, h.retire} {
+		if f != nil {
+			f.Close()
+		}
+	}
 	h.desk.Close()
 	h.done.Wait()
 }
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -50,7 +50,7 @@
 	b.follow()
 	elector := home.NewElector(home.ElectorOptions{
 		VMID: opts.Settings.VMID, Incarnation: b.incarnation, Address: b.peerAddress(), Objects: b.objects,
-		Sound: b.client.Sound, Isolated: n.isolated, Start: n.start, Now: opts.Now, Log: opts.Log,
+		Sound: b.client.Sound, Isolated: n.isolated, Start: n.start, LastTerm: n.lastTerm, StandIn: n.standIn, Now: opts.Now, Log: opts.Log,
 	})
 	n.mu.Lock()
 	n.elector = elector
@@ -149,10 +149,29 @@
 	}
 }
 
+// lastTerm returns the term in which this VM was the home, unless another one was later.
+func (n *HomeNode) lastTerm() (int64, bool) {
+	last := n.base.client.Home()
+	return last.Term, last.VM == n.base.opts.Settings.VMID
+}
+
 // start begins to be the home.
 func (n *HomeNode) start(term int64, valid func(now time.Time) bool) (stop, awaitHandover func()) {
+	h, stop := n.run(n.homeOptions(term, valid))
+	return stop, h.AwaitHandover
+}
+
+// standIn begins to grant slots in the name of the home of a term.
+func (n *HomeNode) standIn(term int64) (stop func()) {
+	opts := n.homeOptions(term, func(time.Time) bool { return false })
+	opts.SlotsOnly = true
+	_, stop = n.run(opts)
+	return stop
+}
+
+func (n *HomeNode) homeOptions(term int64, valid func(now time.Time) bool) home.Options {
 	o := n.base.opts
-	h := home.New(home.Options{
+	return home.Options{
 		VMID: o.Settings.VMID, AvailabilityZone: o.Settings.AvailabilityZone, Address: n.base.peerAddress(), Term: term, Objects: n.base.objects,
 		Runner: n.base.runner, OwnRuns: o.OwnRuns, Config: n.base.currentConfig, Valid: valid,
 		Snapshots: n.base.snapshots, ObjectsDown: n.base.objectsDown,
@@ -160,7 +179,12 @@
 		Announce:    n.server.PushAnnouncement,
 		Retirements: platform.Retirements(), StepDown: n.stepDown,
 		ResultsKept: o.Settings.ResultsKept, Now: o.Now, TimeOfDay: time.Now, Log: o.Log, Registry: o.Registry,
-	})
+	}
+}
+
+// run begins to serve as the home and returns what ends it.
+func (n *HomeNode) run(opts home.Options) (h *home.Home, stop func()) {
+	h = home.New(opts)
 	n.mu.Lock()
 	n.home = h
 	list := n.upstreams
@@ -168,8 +192,8 @@
 	h.SetUpstreams(list)
 	n.server.SetHome(h)
 	ended := make(chan struct{})
-	go n.tell(valid, ended)
-	stop = func() {
+	go n.tell(opts.Valid, ended)
+	return h, func() {
 		close(ended)
 		n.mu.Lock()
 		n.home = nil
@@ -177,5 +201,4 @@
 		n.server.SetHome(nil)
 		h.Close()
 	}
-	return stop, h.AwaitHandover
 }
--- a/io/node/start_test.go
+++ b/io/node/start_test.go
@@ -63,6 +63,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		for n := 1; n <= 2; n++ {
 			require.True(t, s.entries[fmt.Sprintf("e%d", n)].Ready())
+			require.True(t, s.entries[fmt.Sprintf("e%d", n)].base.client.Connected(), "the last home stands in")
 			s.requireServed(n, fmt.Sprintf("r%d", n))
 			require.Equal(t, http.StatusOK, s.call(t.Context(), n, http.MethodPost, "/new/1", fmt.Sprintf("new%d", n), "").status, "the newest configuration")
 		}
@@ -73,11 +74,46 @@
 		s.objects.SetFault(fake.Fault{})
 		time.Sleep(3 * time.Second)
 		s.requireServed(1, "r3")
+		require.Greater(t, s.entries["e1"].base.client.Home().Term, int64(1), "there is a home with a lease")
 		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j2", 1).status)
 		s.awaitJob(2, "j2", 5*time.Second)
 	})
 }
 
+// The home ends while the object service is away: it stands in for itself until there is a lease, and
+// gives way to a home that another node has become.
+func TestLastHomeStandsIn(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// away reports which nodes the object service turns away.
+		away map[string]bool
+		next string
+	}{
+		{"all nodes are turned away", map[string]bool{"": true}, "s1"},
+		{"only the home is", map[string]bool{homeIP(1): true}, "s2"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				s.objects.SetFault(fake.Fault{Down: tc.away})
+				s.killHome(1)
+				s.startHome(1)
+				time.Sleep(3 * time.Second)
+				for n := 1; n <= 2; n++ {
+					require.Equal(t, tc.next, s.entries[fmt.Sprintf("e%d", n)].base.client.Home().VM)
+					require.True(t, s.entries[fmt.Sprintf("e%d", n)].base.client.Connected())
+				}
+				require.Equal(t, tc.next == "s1", s.homes["s1"].IsHome())
+				s.objects.SetFault(fake.Fault{})
+				time.Sleep(2 * time.Second)
+				require.NotEqual(t, s.homes["s1"].IsHome(), s.homes["s2"].IsHome(), "one is the home")
+				require.Greater(t, s.entries["e1"].base.client.Home().Term, int64(1))
+				require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 2).status)
+				s.awaitJob(2, "j1", 5*time.Second)
+			})
+		})
+	}
+}
+
 // What a home node kept on disk is used only while the object service is away.
 func TestStartPrefersTheObjectService(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
