Send no reads of jobs into a known outage, and say nil for no objective

Change: the entry answers 503 at once then. What is left of an objective travels as a pointer instead of a duration with -1 for none left.

--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"mothcart/core/batch"
 	"mothcart/core/site"
 	"mothcart/io/forward"
@@ -213,7 +215,11 @@
 	}
 }
 
+// loadJob reads a job from the object service; while that is known to be away it calls nobody.
 func (h *Handler) loadJob(ctx context.Context, id string) (batch.Log, error) {
+	if h.opts.ObjectsDown() {
+		return batch.Log{}, merry.Errorf("load job %s: %w", id, store.ErrUnavailable)
+	}
 	ctx, cancel := context.WithTimeout(ctx, directTimeout)
 	defer cancel()
 	return home.LoadJob(ctx, h.opts.Objects, id)
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -253,15 +253,13 @@
 	}
 }
 
-// objectiveLeft is what is left of a request's latency objective, 0 if it has none.
-func objectiveLeft(now time.Time, r slot.Request) time.Duration {
+// objectiveLeft is what is left of a request's latency objective, nil if it has none.
+func objectiveLeft(now time.Time, r slot.Request) *time.Duration {
 	if r.Objective.IsZero() {
-		return 0
+		return nil
 	}
-	if left := r.Objective.Sub(now); left != 0 {
-		return left
-	}
-	return -1
+	left := r.Objective.Sub(now)
+	return &left
 }
 
 type decision struct {
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -75,8 +75,8 @@
 	Wait     time.Duration `msgpack:"wait"`
 	Exclude  []string      `msgpack:"excl,omitempty"`
 	Zone     string        `msgpack:"zone"`
-	// Objective is what is left of the latency objective, or 0 if the request has none.
-	Objective time.Duration `msgpack:"aim,omitempty"`
+	// Objective is what is left of the latency objective; nil if the request has none.
+	Objective *time.Duration `msgpack:"aim,omitempty"`
 }
 
 func (a askRequest) request(now time.Time, owner string) slot.Request {
@@ -84,8 +84,8 @@
 		Key: slot.Key{Owner: owner, ID: a.ID}, Service: a.Service, Priority: a.Priority,
 		Order: now.Add(a.Left), Deadline: now.Add(a.Wait), Exclude: a.Exclude, AvailabilityZone: a.Zone,
 	}
-	if a.Objective != 0 {
-		r.Objective = now.Add(a.Objective)
+	if a.Objective != nil {
+		r.Objective = now.Add(*a.Objective)
 	}
 	return r
 }
--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -72,3 +72,26 @@
 		require.LessOrEqual(t, s.callsOf("GET mothcart-results-")-results, 2)
 	})
 }
+
+// Outage of the object service: readers of jobs are told at once to come back and cost no calls.
+func TestReadersCallNobodyDuringAnOutage(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 6).status)
+		s.awaitJob(1, "j1", 4*time.Second)
+		s.objects.SetFault(fake.Fault{Down: map[string]bool{"": true}})
+		time.Sleep(3 * time.Second) // the home is no longer sure of its lease
+		before := s.callsOf("GET " + home.KindJobs)
+		for range 10 {
+			for n := 1; n <= 2; n++ {
+				_, status := s.readJob(n, "j1", 0)
+				require.Equal(t, http.StatusServiceUnavailable, status)
+			}
+		}
+		require.Equal(t, before, s.callsOf("GET "+home.KindJobs))
+		s.objects.SetFault(fake.Fault{})
+		time.Sleep(2 * time.Second)
+		p, status := s.readJob(2, "j1", 0)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, 6, p.Next)
+	})
+}
