Let another home node stand in when the home's VM is gone

Ruled out: waiting for the new VM (it starts 4 s later). Change: the first home node by address that the settings name and that answers stands in, unless one serves; entries without a home try these nodes. The list is taken up again when settings change.

--- a/io/home/client.go
+++ b/io/home/client.go
@@ -45,9 +45,11 @@
 	VMID        string
 	Incarnation int64
 	// Relay is where this node passes connections of others on to the home; empty if it doesn't.
-	Relay   string
-	Connect func(ctx context.Context, network, address string) (net.Conn, error)
-	Now     func() time.Time
+	Relay string
+	// HomeNodes returns addresses of nodes that may stand in for the home.
+	HomeNodes func() []string
+	Connect   func(ctx context.Context, network, address string) (net.Conn, error)
+	Now       func() time.Time
 	// Runner runs items for the home; nil on nodes that don't.
 	Runner *Runner
 	// Kept holds the progress of items for the home; nil on nodes that run none.
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -70,7 +70,7 @@
 // relayAttempts is the number of relays that are tried after the direct path.
 const relayAttempts = 2
 
-// connectAny opens a connection to the home: directly, or through another node.
+// connectAny opens a connection to the home: directly, through another node, or to one that stands in.
 func (c *Client) connectAny(ctx context.Context, a Announcement) (*link.Conn, error) {
 	conn, err := c.connect(ctx, a, a.Address)
 	if err == nil {
@@ -91,6 +91,15 @@
 			return conn, nil
 		}
 	}
+	for _, node := range c.opts.HomeNodes() {
+		if node == a.Address || ctx.Err() != nil {
+			continue
+		}
+		if conn, nodeErr := c.connect(ctx, a, node); nodeErr == nil {
+			c.opts.Log.Warn().Str("home", c.Home().VM).Int64("term", a.Term).AnErr("direct", err).Msg("standInReached")
+			return conn, nil
+		}
+	}
 	return nil, err
 }
 
--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -62,9 +62,10 @@
 	// Start begins to be the home and returns what ends it, and what waits for the next home to take
 	// over.
 	Start func(term int64, valid func(now time.Time) bool) (stop, awaitHandover func())
-	// LastTerm returns the term in which this VM was the home last, as far as it knows, and false if
-	// another one was later.
-	LastTerm func() (int64, bool)
+	// LastTerm returns the term of the last home that this node knows of; 0 if it knows none.
+	LastTerm func() int64
+	// IsNext reports that this node is the one to stand in for the last home.
+	IsNext func(ctx context.Context) bool
 	// StandIn begins to grant slots in the name of the home of a term and returns what ends it.
 	StandIn func(term int64) (stop func())
 	Now     func() time.Time
@@ -122,7 +123,7 @@
 			e.hold(ctx, term)
 			continue
 		}
-		if last, ok := e.opts.LastTerm(); ok && e.unreached {
+		if last := e.opts.LastTerm(); e.unreached && last > 0 && e.opts.IsNext(ctx) {
 			e.standIn(ctx, last)
 			continue
 		}
@@ -130,16 +131,15 @@
 	}
 }
 
-// standIn grants slots while the object service is away, as the VM that was the home last: all nodes look
-// for the home there. It ends as soon as the lease can be read or a later home is known.
+// standIn grants slots in the name of the last home while the object service is away. It ends as soon as
+// the lease can be read or a later home is known.
 func (e *Elector) standIn(ctx context.Context, term int64) {
 	e.opts.Log.Warn().Int64("term", term).Msg("standInStarted")
 	stop := e.opts.StandIn(term)
 	defer stop()
 	for {
 		_ = clock.Sleep(ctx, lookInterval) // ends early only with the context
-		last, ok := e.opts.LastTerm()
-		if ctx.Err() != nil || e.retired.Load() || !ok || last != term {
+		if ctx.Err() != nil || e.retired.Load() || e.opts.LastTerm() != term {
 			return
 		}
 		readable, cancel := context.WithTimeout(ctx, leaseCallTimeout)
--- a/io/home/knowledge.go
+++ b/io/home/knowledge.go
@@ -21,6 +21,8 @@
 	Views map[string]object.Change `msgpack:"views"`
 	// Home is the home that was announced last; its term is 0 if none was.
 	Home Announcement `msgpack:"home"`
+	// Serves reports that the node serves as the home now, or stands in for it.
+	Serves bool `msgpack:"serves,omitempty"`
 }
 
 // Dial opens connections between nodes.
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,7 +34,9 @@
 		b.close()
 		return nil, err
 	}
-	n := &HomeNode{base: b, server: home.NewServer(l, b.knowledge)}
+	n := &HomeNode{base: b}
+	b.isHome = n.IsHome
+	n.server = home.NewServer(l, b.knowledge)
 	if b.metrics, err = serveMetrics(ctx, opts); err != nil {
 		n.server.Close()
 		b.close()
@@ -46,11 +49,10 @@
 		b.knowledgeChanged()
 	}
 	b.onDown = n.server.PushDown
-	b.isHome = n.IsHome
 	b.follow()
 	elector := home.NewElector(home.ElectorOptions{
 		VMID: opts.Settings.VMID, Incarnation: b.incarnation, Address: b.peerAddress(), Objects: b.objects,
-		Sound: b.client.Sound, Isolated: n.isolated, Start: n.start, LastTerm: n.lastTerm, StandIn: n.standIn, Now: opts.Now, Log: opts.Log,
+		Sound: b.client.Sound, Isolated: n.isolated, Start: n.start, LastTerm: func() int64 { return b.client.Home().Term }, IsNext: n.isNext, StandIn: n.standIn, Now: opts.Now, Log: opts.Log,
 	})
 	n.mu.Lock()
 	n.elector = elector
@@ -149,10 +151,34 @@
 	}
 }
 
-// lastTerm returns the term in which this VM was the home, unless another one was later.
-func (n *HomeNode) lastTerm() (int64, bool) {
-	last := n.base.client.Home()
-	return last.Term, last.VM == n.base.opts.Settings.VMID
+// standInWait bounds the question whether another node may stand in for the home.
+const standInWait = 300 * time.Millisecond
+
+// isNext reports that this node is to stand in for the last home, which it doesn't reach: if no other
+// does, as the VM that was it or else as the first of those home nodes that answer and that all nodes know.
+func (n *HomeNode) isNext(ctx context.Context) bool {
+	b := n.base
+	own, known := b.peerAddress(), b.opts.homeNodes()
+	wasLast := b.client.Home().VM == b.opts.Settings.VMID
+	if b.client.Connected() || !(wasLast || slices.Contains(known, own)) {
+		return false
+	}
+	first := own
+	for _, address := range known {
+		if address == own {
+			continue
+		}
+		asked, cancel := context.WithTimeout(ctx, standInWait)
+		k, err := home.FetchKnowledge(asked, b.opts.Connect(connectTimeout), address)
+		cancel()
+		if err == nil && k.Serves {
+			return false
+		}
+		if err == nil {
+			first = min(first, address)
+		}
+	}
+	return wasLast || first == own
 }
 
 // start begins to be the home.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -55,6 +55,16 @@
 	OwnRuns int
 	// Now tells the time that decisions are made by; NewOptions sets the system's.
 	Now func() time.Time
+	// reloaded holds the settings as they were read last, if they were read again.
+	reloaded *atomic.Pointer[platform.Settings]
+}
+
+// homeNodes returns the home nodes that the settings name now.
+func (o Options) homeNodes() []string {
+	if s := o.reloaded.Load(); s != nil {
+		return s.HomeNodes
+	}
+	return o.Settings.HomeNodes
 }
 
 // NewOptions returns options that use the system's network and clock.
@@ -62,7 +72,7 @@
 	return Options{
 		Settings: settings, SettingsPath: path, Log: log, Registry: registry,
 		Connect: dial.Connect, Listen: dial.Listen, Now: clock.Now,
-		OwnRuns: home.DefaultOwnRuns,
+		OwnRuns: home.DefaultOwnRuns, reloaded: new(atomic.Pointer[platform.Settings]),
 	}
 }
 
@@ -140,7 +150,7 @@
 		b.savers = []*saver{saved, knowledge}
 	}
 	b.client = home.NewClient(home.ClientOptions{
-		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, Connect: opts.Connect(connectTimeout), Now: opts.Now,
+		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, HomeNodes: opts.homeNodes, Connect: opts.Connect(connectTimeout), Now: opts.Now,
 		Kept: kept, Announced: b.knowledgeChanged,
 		View: func(kind string, c object.Change) { b.receive(kind, c) }, Down: b.homeDown, Runner: b.runner, Log: opts.Log,
 	})
--- a/io/node/signals.go
+++ b/io/node/signals.go
@@ -87,13 +87,14 @@
 	return info.ModTime()
 }
 
-// reload reads the settings file again and reports what is in it; addresses hold for the life of the
-// process.
+// reload reads the settings file again and reports what is in it. The home nodes that it names are taken
+// up; the process's own addresses hold for its life.
 func reload(opts Options) {
 	s, err := platform.ReadSettings(opts.SettingsPath)
 	if err != nil {
 		opts.Log.Error().Err(err).Msg("settingsNotReloaded")
 		return
 	}
-	opts.Log.Info().Str("vm", s.VMID).Bool("changed", !reflect.DeepEqual(s, opts.Settings)).Msg("settingsReloaded")
+	opts.reloaded.Store(&s)
+	opts.Log.Info().Str("vm", s.VMID).Strs("homeNodes", s.HomeNodes).Bool("changed", !reflect.DeepEqual(s, opts.Settings)).Msg("settingsReloaded")
 }
--- a/io/node/start.go
+++ b/io/node/start.go
@@ -29,7 +29,7 @@
 		}
 		b.learn("disk", load[home.Knowledge](b.opts.Settings.DataDir, knowledgeFile, b.opts.Log))
 		for pause := firstLearn; !b.informed(); pause = min(2*pause, lastLearn) {
-			for _, address := range b.opts.Settings.HomeNodes {
+			for _, address := range b.opts.homeNodes() {
 				b.ask(ctx, address)
 			}
 			if clock.Sleep(ctx, pause) != nil {
@@ -67,7 +67,7 @@
 
 // knowledge returns what this node knows of the site.
 func (b *base) knowledge() home.Knowledge {
-	k := home.Knowledge{Views: b.snapshots(), Home: b.client.Home()}
+	k := home.Knowledge{Views: b.snapshots(), Home: b.client.Home(), Serves: b.isHome()}
 	for kind, c := range k.Views {
 		if !c.Listed {
 			delete(k.Views, kind)
