Learn the time of items from all attempts, and keep progress at the home too

Ruled out: idle slots (64 of 64 in use but for the ends), slow upstreams (36 events/s as elsewhere). Change: the time of an item counts all attempts; the home keeps the progress on its own disk as well, and asks standbys for 0.4 s as they connect. Tests that fail without it: TestBacklogInWavesIsPlannedThoughNoItemRunsInOne, TestItemsGoOnAfterTheEndOfAllProcesses (only the home does).

--- a/core/slot/plan_test.go
+++ b/core/slot/plan_test.go
@@ -110,3 +110,16 @@
 	out = p.Release(now, online(11).Key, Served)
 	require.Equal(t, uint64(2), out.Granted[0].Request.Key.ID, "it has 1 s left to run")
 }
+
+// In waves of callers every item is cut before it ends: its time is learned from all its attempts.
+func TestBacklogInWavesIsPlannedThoughNoItemRunsInOne(t *testing.T) {
+	p := newPool(1, 1)
+	first := item(1, time.Minute)
+	first.Ran = 3 * time.Second // in earlier attempts
+	p.Ask(start, first)
+	now := start.Add(time.Second)
+	p.Ask(now, item(2, 4*time.Second))  // 3 s left for 4 s of work
+	p.Ask(now, item(3, 10*time.Second)) // 9 s left
+	out := p.Release(now, first.Key, Served)
+	require.Equal(t, uint64(3), out.Granted[0].Request.Key.ID, "the other one can't end in time")
+}
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -159,19 +159,26 @@
 	p.drop(g)
 	g.upstream.note(now, result, p.opts)
 	s := p.service(g.request.Service)
-	switch held := now.Sub(g.since); {
-	case result != Served || g.request.Ran > 0:
-	case !g.request.Batch:
-		s.hold += (held - s.hold) / holdWeight
-	case s.batchHold == 0:
-		s.batchHold = held
-		s.plannedAt = time.Time{} // now there is something to plan by
-	default:
-		s.batchHold += (held - s.batchHold) / holdWeight
+	if result == Served {
+		s.learnHold(g.request, now.Sub(g.since))
 	}
 	return p.serve(now, s)
 }
 
+// learnHold takes up for how long a request that was served has held slots. Of a batch item all attempts
+// count, since in waves of callers few items run in one; of an online request only a whole run does.
+func (s *service) learnHold(r Request, held time.Duration) {
+	switch {
+	case r.Batch && s.batchHold == 0:
+		s.batchHold = held + r.Ran
+		s.plannedAt = time.Time{} // now there is something to plan by
+	case r.Batch:
+		s.batchHold += (held + r.Ran - s.batchHold) / holdWeight
+	case r.Ran == 0:
+		s.hold += (held - s.hold) / holdWeight
+	}
+}
+
 // holdWeight is the number of requests over which the mean hold time moves.
 const holdWeight = 32
 
--- a/io/home/checkpoint.go
+++ b/io/home/checkpoint.go
@@ -45,19 +45,30 @@
 	// kept are the items that the standbys know of.
 	kept map[[2]string]bool
 	to   map[*link.Conn]bool
+	// begun reports that a first notice was made, which replaces what an earlier home let keep.
+	begun bool
 }
 
 // checkpoint tells standbys of the items' progress until the home ends.
 func (h *Home) checkpoint() {
 	c := &checkpointer{home: h, kept: make(map[[2]string]bool)}
 	for clock.Sleep(h.ctx, checkpointInterval) == nil {
-		c.send()
+		if h.isLoaded() { // until then the notice of the home before tells more
+			c.send()
+		}
 	}
 }
 
+func (h *Home) isLoaded() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.loaded
+}
+
 func (c *checkpointer) send() {
 	conns := c.home.standbys()
-	notice := checkpointNotice{Term: c.home.opts.Term, Whole: c.changed(conns)}
+	notice := checkpointNotice{Term: c.home.opts.Term, Whole: c.changed(conns) || !c.begun}
+	c.begun = true
 	open := c.gather(&notice)
 	for key := range c.kept {
 		if !open[key] {
@@ -68,6 +79,7 @@
 	if !notice.Whole && len(notice.Items)+len(notice.Over) == 0 {
 		return
 	}
+	c.home.opts.Kept.take(notice) // for the case that all processes end at once
 	for _, conn := range conns {
 		conn.Notify(methodCheckpoint, notice)
 	}
@@ -232,7 +244,7 @@
 	if n.Term < c.term {
 		return
 	}
-	if n.Whole || n.Term > c.term || c.items == nil {
+	if n.Whole || n.Term > c.term {
 		c.term, c.items = n.Term, make(map[[2]string]*keptProgress, len(n.Items))
 	}
 	for _, key := range n.Over {
@@ -258,19 +270,6 @@
 func (c *Checkpoints) Items() []ItemProgress {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.list()
-}
-
-// takeAll returns what is kept, and forgets it.
-func (c *Checkpoints) takeAll() []ItemProgress {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	out := c.list()
-	c.items = nil
-	return out
-}
-
-func (c *Checkpoints) list() []ItemProgress {
 	out := make([]ItemProgress, 0, len(c.items))
 	for _, kept := range c.items {
 		p := kept.ItemProgress
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -105,9 +105,6 @@
 	c.own.Close()
 }
 
-// TakeKept returns the progress of items that the last home let this node keep, and forgets it.
-func (c *Client) TakeKept() []ItemProgress { return c.opts.Kept.takeAll() }
-
 // SetUpstreams tells the client of the upstreams.
 func (c *Client) SetUpstreams(list []site.Upstream) {
 	byID := make(map[string]site.Upstream, len(list))
--- a/io/home/handover.go
+++ b/io/home/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -120,7 +121,7 @@
 // asked to stop, or else from what it let home nodes keep.
 func (h *Home) takeProgress() {
 	defer close(h.progressTaken)
-	own := h.opts.TakeKept()
+	own := h.opts.Kept.Items()
 	h.adopt("own", own)
 	if h.opts.Before.Address != "" && h.opts.Before.VM != h.opts.VMID {
 		by := Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}
@@ -129,27 +130,57 @@
 			return
 		}
 	}
-	if len(own) > 0 || clock.Sleep(h.ctx, nodesWait) != nil {
-		return
+	if len(own) == 0 {
+		h.askStandbys()
 	}
-	var asked sync.WaitGroup
-	for _, conn := range h.runnerConns() {
-		asked.Go(func() {
-			ctx, cancel := context.WithTimeout(h.ctx, keptTimeout)
-			defer cancel()
-			var a handoverAnswer
-			if err := conn.Call(ctx, methodKeptProgress, struct{}{}, &a); err != nil {
-				h.opts.Log.Info().Int64("term", h.opts.Term).Err(err).Msg("noKeptProgress")
-				return
+}
+
+const (
+	// keptTimeout bounds the question to a home node for the progress that it keeps.
+	keptTimeout = 300 * time.Millisecond
+	// standbysWait is how long the home waits for home nodes that keep progress: processes that start
+	// together connect within it.
+	standbysWait = 400 * time.Millisecond
+	// standbysPoll is the time between two looks at the home nodes that are connected.
+	standbysPoll = 50 * time.Millisecond
+)
+
+// askStandbys asks home nodes as they connect, until one has kept progress.
+func (h *Home) askStandbys() {
+	asked := make(map[*link.Conn]bool)
+	for end := h.opts.Now().Add(standbysWait); ; {
+		var found atomic.Bool
+		var group sync.WaitGroup
+		for _, conn := range h.runnerConns() {
+			if asked[conn] {
+				continue
 			}
-			h.adopt("standby", a.Items)
-		})
+			asked[conn] = true
+			group.Go(func() {
+				if h.askStandby(conn) {
+					found.Store(true)
+				}
+			})
+		}
+		group.Wait()
+		if found.Load() || !h.opts.Now().Before(end) || clock.Sleep(h.ctx, standbysPoll) != nil {
+			return
+		}
 	}
-	asked.Wait()
 }
 
-// keptTimeout bounds the question to a home node for the progress that it keeps.
-const keptTimeout = 300 * time.Millisecond
+// askStandby takes up what a home node has kept. It reports whether that is anything.
+func (h *Home) askStandby(conn *link.Conn) bool {
+	ctx, cancel := context.WithTimeout(h.ctx, keptTimeout)
+	defer cancel()
+	var a handoverAnswer
+	if err := conn.Call(ctx, methodKeptProgress, struct{}{}, &a); err != nil {
+		h.opts.Log.Info().Int64("term", h.opts.Term).Err(err).Msg("noKeptProgress")
+		return false
+	}
+	h.adopt("standby", a.Items)
+	return len(a.Items) > 0
+}
 
 // adopt takes up the progress of items, unless more of an item is known.
 func (h *Home) adopt(source string, items []ItemProgress) {
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -67,8 +67,8 @@
 	// Before is the home before this one, if it ran on another VM; Dial opens connections to it.
 	Before Announcement
 	Dial   Dial
-	// TakeKept returns the progress of items that the home before this one let this node keep.
-	TakeKept func() []ItemProgress
+	// Kept is what this node keeps of the progress of items: of the home before this one, then its own.
+	Kept *Checkpoints
 	// Retirements tells of VMs that are to be emptied, and StepDown makes another node the home.
 	Retirements Retirements
 	StepDown    func()
--- a/io/node/fault_test.go
+++ b/io/node/fault_test.go
@@ -420,20 +420,33 @@
 
 // All processes end at once: items go on from what home nodes have on their disks.
 func TestItemsGoOnAfterTheEndOfAllProcesses(t *testing.T) {
-	runSite(t, func(t *testing.T, s *testSite) {
-		for _, e := range s.engines {
-			e.SetPace(200 * time.Millisecond) // an item takes 4 s
-		}
-		s.submitJob(1, "j1", 6)
-		time.Sleep(3 * time.Second)
-		s.killHome(1)
-		s.killHome(2)
-		s.startHome(1)
-		s.startHome(2)
-		s.restartEntry(1)
-		s.restartEntry(2)
-		s.awaitJob(1, "j1", 4*time.Second)
-	})
+	for _, tc := range []struct {
+		name string
+		// back are the home nodes that come back.
+		back []int
+	}{
+		{"all come back", []int{1, 2}},
+		{"only the home does", []int{1}},
+		{"only its standby does", []int{2}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				for _, e := range s.engines {
+					e.SetPace(200 * time.Millisecond) // an item takes 4 s
+				}
+				s.submitJob(1, "j1", 6)
+				time.Sleep(3 * time.Second)
+				s.killHome(1)
+				s.killHome(2)
+				for _, n := range tc.back {
+					s.startHome(n)
+				}
+				s.restartEntry(1)
+				s.restartEntry(2)
+				s.awaitJob(1, "j1", 4*time.Second)
+			})
+		})
+	}
 }
 
 // Items have ended while the object service is away, and then the home is lost: their results are listed
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -201,7 +201,7 @@
 		VMID: o.Settings.VMID, AvailabilityZone: o.Settings.AvailabilityZone, Address: n.base.peerAddress(), Term: term, Objects: n.base.objects,
 		Runner: n.base.runner, OwnRuns: o.OwnRuns, Config: n.base.currentConfig, Valid: valid,
 		Snapshots: n.base.snapshots, ObjectsDown: n.base.objectsDown,
-		Before: n.base.client.Home(), Dial: o.Connect(connectTimeout), TakeKept: n.base.client.TakeKept,
+		Before: n.base.client.Home(), Dial: o.Connect(connectTimeout), Kept: n.base.kept,
 		Announce:    n.server.PushAnnouncement,
 		Retirements: platform.Retirements(), StepDown: n.stepDown,
 		ResultsKept: o.Settings.ResultsKept, Now: o.Now, TimeOfDay: time.Now, Log: o.Log, Registry: o.Registry,
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -84,8 +84,9 @@
 	objects     object.Client
 	upstream    *service.Client
 	client      *home.Client
-	// runner is nil on entry nodes.
+	// runner and kept are nil on entry nodes.
 	runner    *home.Runner
+	kept      *home.Checkpoints
 	followers []*object.Follower
 	metrics   *kratoshttp.Server
 	counts    *time.Timer
@@ -138,20 +139,19 @@
 		b.counts.Reset(countsInterval)
 	})
 	relay := ""
-	var kept *home.Checkpoints
 	if isEntry {
 		relay = b.peerAddress()
 	} else {
 		b.runner = home.NewRunner(b.upstream, platform.Wire())
-		saved := newSaver(s.DataDir, progressFile, func() any { return kept.Items() }, opts.Log)
-		kept = home.NewCheckpoints(load[[]home.ItemProgress](s.DataDir, progressFile, opts.Log), saved.changed)
+		saved := newSaver(s.DataDir, progressFile, func() any { return b.kept.Items() }, opts.Log)
+		b.kept = home.NewCheckpoints(load[[]home.ItemProgress](s.DataDir, progressFile, opts.Log), saved.changed)
 		knowledge := newSaver(s.DataDir, knowledgeFile, func() any { return b.knowledge() }, opts.Log)
 		b.knowledgeChanged = knowledge.changed
 		b.savers = []*saver{saved, knowledge}
 	}
 	b.client = home.NewClient(home.ClientOptions{
 		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, HomeNodes: opts.homeNodes, Connect: opts.Connect(connectTimeout), Now: opts.Now,
-		Kept: kept, Announced: b.knowledgeChanged,
+		Kept: b.kept, Announced: b.knowledgeChanged,
 		View: func(kind string, c object.Change) { b.receive(kind, c) }, Down: b.homeDown, Runner: b.runner, Log: opts.Log,
 	})
 	return b
