--- a/io/home/client.go
+++ b/io/home/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -48,7 +47,7 @@
 	Relay string
 	// HomeNodes returns addresses of nodes that may stand in for the home.
 	HomeNodes func() []string
-	Connect   func(ctx context.Context, network, address string) (net.Conn, error)
+	Connect   Dial
 	Now       func() time.Time
 	// Runner runs items for the home; nil on nodes that don't.
 	Runner *Runner
