Count the slots of a service in one place

Clean-up without a changed decision: the plan of items and the places of returning callers each counted the slots of the upstreams that don't leave.

--- a/core/slot/plan.go
+++ b/core/slot/plan.go
@@ -58,7 +58,7 @@
 	for _, g := range s.batchGrants {
 		items = append(items, &planned{request: g.request, left: s.left(g.request, now.Sub(g.since))})
 	}
-	planItems(now, items, p.batchSlots(s))
+	planItems(now, items, s.batchSlots())
 	late := make(map[Key]bool, len(items))
 	for _, i := range items {
 		late[i.request.Key] = i.late
@@ -70,15 +70,7 @@
 }
 
 // batchSlots returns the number of slots that online requests leave on average.
-func (p *Pool) batchSlots(s *service) float64 {
-	slots := 0
-	for _, u := range s.upstreams {
-		if !u.Draining {
-			slots += u.Slots
-		}
-	}
-	return max(float64(slots)-s.onlineMean, 1)
-}
+func (s *service) batchSlots() float64 { return max(float64(s.slots())-s.onlineMean, 1) }
 
 // planItems sets late for the items that yield.
 func planItems(now time.Time, items []*planned, slots float64) {
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -58,6 +58,17 @@
 	return s.rate * math.Exp(-now.Sub(s.rateAt).Seconds()/rateWindow.Seconds())
 }
 
+// slots returns the number of slots of the upstreams that don't leave.
+func (s *service) slots() int {
+	n := 0
+	for _, u := range s.upstreams {
+		if !u.Draining {
+			n += u.Slots
+		}
+	}
+	return n
+}
+
 // NewPool returns a pool without upstreams.
 func NewPool(opts Options) *Pool {
 	return &Pool{
--- a/core/slot/refuse.go
+++ b/core/slot/refuse.go
@@ -60,7 +60,7 @@
 	if s.returnsUntil.Before(now) {
 		s.returnsUntil = now
 	}
-	place := s.returnsUntil.Add(p.returnInterval(now, s))
+	place := s.returnsUntil.Add(s.returnInterval(now))
 	if place.Sub(now) > latest {
 		return max(after, time.Duration(float64(latest)*(1-latestSpread*step)))
 	}
@@ -69,14 +69,8 @@
 }
 
 // returnInterval is the time between two places for returning callers.
-func (p *Pool) returnInterval(now time.Time, s *service) time.Duration {
-	slots := 0
-	for _, u := range s.upstreams {
-		if !u.Draining {
-			slots += u.Slots
-		}
-	}
-	capacity := float64(max(slots, 1)) / max(s.hold, time.Millisecond).Seconds()
+func (s *service) returnInterval(now time.Time) time.Duration {
+	capacity := float64(max(s.slots(), 1)) / max(s.hold, time.Millisecond).Seconds()
 	spare := max(capacity-s.rateNow(now), leastSpare*capacity)
 	return time.Duration(float64(time.Second) / spare)
 }
