Correct a home's count of slots by each node's own account

Cause: a node lists its open slots in its hello, and a release is a notice to the home that is connected at that moment. Ruled out: a lost notice on a connection that lives; frames of one connection arrive in order. Change: each node keeps an account of the requests that wait for a slot of the home or use one, sends it when a connection is in use and each second, and the home releases what the account does not list and adopts what it does not know, slots that the node granted itself included. Grants on their way to the node are safe, since waiting requests are listed. Idle nodes send nothing.

--- a/core/slot/grants.go
+++ b/core/slot/grants.go
@@ -17,6 +17,12 @@
 	u.used++
 	g := &grant{request: r, upstream: u, since: now}
 	p.grants[r.Key] = g
+	owned := p.byOwner[r.Key.Owner]
+	if owned == nil {
+		owned = make(map[uint64]*grant)
+		p.byOwner[r.Key.Owner] = owned
+	}
+	owned[r.Key.ID] = g
 	s := p.service(r.Service)
 	list := s.grantsOf(r)
 	*list = append(*list, g)
@@ -27,7 +33,12 @@
 
 func (p *Pool) removeGrant(g *grant) {
 	g.upstream.used--
-	delete(p.grants, g.request.Key)
+	key := g.request.Key
+	delete(p.grants, key)
+	delete(p.byOwner[key.Owner], key.ID)
+	if len(p.byOwner[key.Owner]) == 0 {
+		delete(p.byOwner, key.Owner)
+	}
 	list := p.service(g.request.Service).grantsOf(g.request)
 	if i := slices.Index(*list, g); i >= 0 {
 		*list = slices.Delete(*list, i, i+1)
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -15,6 +15,8 @@
 	upstreams map[string]*upstream
 	services  map[string]*service
 	grants    map[Key]*grant
+	// byOwner holds the grants of each owner, by the ID of the request.
+	byOwner map[string]map[uint64]*grant
 }
 
 type service struct {
@@ -76,6 +78,7 @@
 		upstreams: make(map[string]*upstream),
 		services:  make(map[string]*service),
 		grants:    make(map[Key]*grant),
+		byOwner:   make(map[string]map[uint64]*grant),
 	}
 }
 
@@ -196,10 +199,8 @@
 
 // DropOwner releases all slots and waiting requests of a VM whose process or connection has ended.
 func (p *Pool) DropOwner(now time.Time, owner string) Outcome {
-	for _, g := range p.grants {
-		if g.request.Key.Owner == owner {
-			p.removeGrant(g)
-		}
+	for _, g := range p.byOwner[owner] {
+		p.removeGrant(g)
 	}
 	for _, s := range p.services {
 		s.online.removeOwner(owner)
@@ -208,6 +209,30 @@
 	return p.serveAll(now)
 }
 
+// Reconcile releases the grants of an owner whose requests are not open there, and removes such requests
+// from the queue. It returns the keys of both.
+func (p *Pool) Reconcile(now time.Time, owner string, open func(id uint64) bool) ([]Key, Outcome) {
+	var dropped []Key
+	for id, g := range p.byOwner[owner] {
+		if !open(id) {
+			dropped = append(dropped, g.request.Key)
+			p.removeGrant(g)
+		}
+	}
+	for _, s := range p.services {
+		for _, l := range []*waitList{&s.online, &s.batch} {
+			closed := l.removeIf(func(r Request) bool { return r.Key.Owner == owner && !open(r.Key.ID) })
+			for _, r := range closed {
+				dropped = append(dropped, r.Key)
+			}
+		}
+	}
+	if len(dropped) == 0 {
+		return nil, Outcome{}
+	}
+	return dropped, p.serveAll(now)
+}
+
 // Report applies an upstream's load report: its running and waiting requests of all VMs. Unless
 // Options.TrustReports is set, only a report with waiting requests counts. If the pool had granted all
 // requests, none would wait inside the upstream; a waiting one shows that slots are used by requests that
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -28,6 +28,7 @@
 			continue
 		}
 		pause = firstReconnect
+		c.done.Go(func() { c.sendAccounts(ctx, conn) })
 		c.awaitEnd(ctx, conn)
 		c.lost(conn, a)
 	}
@@ -207,11 +208,10 @@
 }
 
 func (c *Client) hello() helloRequest {
-	h := helloRequest{VM: c.opts.VMID, Incarnation: c.opts.Incarnation, Relay: c.opts.Relay, Runs: c.opts.Runner != nil}
-	for _, g := range c.localPool.Grants() {
-		h.Open = append(h.Open, openedSlot{ID: g.Request.Key.ID, Service: g.Request.Service, Upstream: g.Upstream.ID})
+	return helloRequest{
+		VM: c.opts.VMID, Incarnation: c.opts.Incarnation, Relay: c.opts.Relay, Runs: c.opts.Runner != nil,
+		Open: c.account.open(),
 	}
-	return h
 }
 
 func (c *Client) lost(conn *link.Conn, a Announcement) {
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -125,6 +125,8 @@
 
 type homeMetrics struct {
 	asks, refused, preemptions, runs, results, chunks metrics.Counter
+	// corrected counts the requests of nodes that had ended without the home's knowledge.
+	corrected metrics.Counter
 }
 
 // New returns a home that loads jobs from the object service and runs their items.
@@ -135,7 +137,7 @@
 		opts: opts, pool: NewSlotPool(slot.NewOptions(), opts.Now), ctx: ctx, cancel: cancel,
 		metrics: homeMetrics{
 			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"),
-			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"),
+			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"), corrected: counter("slotsCorrected"),
 		},
 		progressLoaded: make(chan struct{}), handoverDone: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
 		jobs: make(map[string]*job), reserved: make(map[string]reservation),
@@ -231,6 +233,13 @@
 		}
 		h.pool.Release(slot.Key{Owner: s.owner, ID: m.ID}, m.Result)
 		return nil
+	case methodAccount:
+		var m accountNotice
+		if err := in.Decode(&m); err != nil {
+			return err
+		}
+		h.reconcile(s, m)
+		return nil
 	case methodReport:
 		var m reportNotice
 		if err := in.Decode(&m); err != nil {
@@ -320,7 +329,7 @@
 		h.mu.Unlock()
 	}
 	for _, o := range m.Open {
-		h.pool.Adopt(slot.Request{Key: slot.Key{Owner: s.owner, ID: o.ID}, Service: o.Service}, o.Upstream)
+		h.adopt(s, o)
 	}
 	h.opts.Log.Info().Str("peer", s.owner).Int("open", len(m.Open)).Int64("term", h.opts.Term).Msg("nodeConnected")
 	in.Answer(helloAnswer{Home: Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}})
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -14,6 +14,8 @@
 	methodHello   = "hello"
 	methodAsk     = "ask"
 	methodRelease = "release"
+	// methodAccount lists all open requests of a node.
+	methodAccount = "account"
 	methodReport  = "report"
 	methodReserve = "reserve"
 	methodRead    = "read"
--- a/io/home/slotpool.go
+++ b/io/home/slotpool.go
@@ -85,6 +85,21 @@
 	})
 }
 
+// Reconcile releases the slots and ends the waits of an owner's requests that are not open there, and returns
+// how many there were.
+func (p *SlotPool) Reconcile(owner string, open func(id uint64) bool) int {
+	var dropped []slot.Key
+	p.change(func(now time.Time) slot.Outcome {
+		var out slot.Outcome
+		dropped, out = p.pool.Reconcile(now, owner, open)
+		for _, k := range dropped {
+			delete(p.askers, k)
+		}
+		return out
+	})
+	return len(dropped)
+}
+
 // Report records the load that an upstream reports.
 func (p *SlotPool) Report(upstreamID string, running, waiting int) {
 	p.mu.Lock()
