Send nothing new to upstreams whose answers say that they are leaving

Cause: an upstream that leaves says so in the headers of all its answers (Server-Leaving), also while its entry is still ready or when no node can read the entry. A node that sees it marks the run of the upstream (ID and incarnation) as draining in its directory at once, and tells the home, which tells all nodes. Nodes name their marks in the hello, so that the next home, a fallback home and nodes that decide alone have them. A mark stays until the entry has been gone for two minutes, so that a stale entry can't undo it; another incarnation is free of it. An answer with status 421 comes from another process and marks nothing. A runner refuses an item for an upstream that its node knows to be leaving or gone, as entries did already. Ruled out: waiting for drain_ms; a request could then meet the end of the upstream.

--- a/core/site/directory.go
+++ b/core/site/directory.go
@@ -29,6 +29,8 @@
 	entries map[string]Upstream
 	// missing holds the upstreams whose entries have disappeared, with the time of the disappearance.
 	missing map[string]missing
+	// leaving holds the upstreams whose answers said that they are leaving, with the time of the first one.
+	leaving map[Key]time.Time
 	down    bool
 	// lost is when the object service last stopped answering, regained when it last began to answer again.
 	lost, regained time.Time
@@ -60,6 +62,47 @@
 	return out
 }
 
+// WithLeaving returns the directory after answers of upstreams said that these are leaving, and the keys that
+// are new. Such an upstream counts as draining whatever its entry says, until the entry has been gone for
+// forgetAfter.
+func (d Directory) WithLeaving(now time.Time, keys []Key) (Directory, []Key) {
+	var fresh []Key
+	for _, k := range keys {
+		if _, ok := d.leaving[k]; !ok && !slices.Contains(fresh, k) {
+			fresh = append(fresh, k)
+		}
+	}
+	if len(fresh) == 0 {
+		return d, nil
+	}
+	leaving := make(map[Key]time.Time, len(d.leaving)+len(fresh))
+	for k, since := range d.leaving {
+		if d.has(k) || now.Sub(since) <= forgetAfter {
+			leaving[k] = since
+		}
+	}
+	for _, k := range fresh {
+		leaving[k] = now
+	}
+	d.leaving = leaving
+	return d, fresh
+}
+
+// Leaving returns the upstreams whose answers said that they are leaving, in no particular order.
+func (d Directory) Leaving() []Key { return slices.Collect(maps.Keys(d.leaving)) }
+
+// has reports whether an upstream has an entry.
+func (d Directory) has(k Key) bool {
+	u, ok := d.entries[k.ID]
+	return ok && u.Incarnation == k.Incarnation
+}
+
+// isDraining reports that an upstream accepts no new requests, by its entry or by its answers.
+func (d Directory) isDraining(u Upstream) bool {
+	_, leaving := d.leaving[u.Key()]
+	return leaving || u.Draining
+}
+
 // WithDown returns the directory after the object service stopped answering (down) or began to answer.
 func (d Directory) WithDown(now time.Time, down bool) Directory {
 	if d.down && !down {
@@ -75,7 +118,11 @@
 // Upstreams returns the upstreams to use, sorted by ID, and the time at which the next missing upstream
 // will no longer be used; the time is zero if no missing upstream is used.
 func (d Directory) Upstreams(now time.Time) ([]Upstream, time.Time) {
-	list := slices.Collect(maps.Values(d.entries))
+	list := make([]Upstream, 0, len(d.entries)+len(d.missing))
+	for _, u := range d.entries {
+		u.Draining = d.isDraining(u)
+		list = append(list, u)
+	}
 	var next time.Time
 	for _, m := range d.missing {
 		until := d.usableUntil(now, m)
@@ -100,7 +147,7 @@
 	inOutage := !d.lost.IsZero() && !m.since.Before(d.lost)
 	recoveryEnd := d.regained.Add(recoveryGrace)
 	switch {
-	case m.upstream.Draining:
+	case d.isDraining(m.upstream):
 		return m.since
 	case inOutage && d.down:
 		return now.Add(recoveryGrace)
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -36,8 +36,9 @@
 	// IdleTimeout bounds the time to the headers of the answer, from there to the complete body or the first
 	// event, and between events; 0 means no limit.
 	IdleTimeout time.Duration
-	// OnLoad is called with the upstream's load if the headers of its answer report it.
-	OnLoad func(m AnswerInfo)
+	// OnInfo is called with what the headers of the upstream's answer say about the upstream, before the
+	// answer is used.
+	OnInfo func(m AnswerInfo)
 }
 
 // Answer is the outcome of an attempt. Status is 0 if there was no answer; Err is then set.
@@ -96,8 +97,8 @@
 	defer resp.Body.Close()
 	idle.reset()
 	a := Answer{Status: resp.Status, Header: resp.Header, Info: codec.Read(resp.Header), Sent: true}
-	if a.Info.HasLoad {
-		call.OnLoad(a.Info)
+	if a.Status != http.StatusMisdirectedRequest { // with that status another process answers
+		call.OnInfo(a.Info)
 	}
 	if a.Success() && !a.Info.Signed {
 		return Answer{Sent: true, Err: merry.Errorf("status %d: %w", a.Status, errUnsigned)}
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -36,6 +36,8 @@
 	NotRun bool
 	// Signed reports that the answer carries the upstream's signature.
 	Signed bool
+	// Leaving reports that the upstream is about to stop and accepts no new requests.
+	Leaving bool
 	// HasLoad reports that Running and Waiting are valid.
 	HasLoad          bool
 	Running, Waiting int
@@ -67,6 +69,8 @@
 	Release func(now time.Time, result slot.Result)
 	// Report records the load that the upstream reported.
 	Report func(now time.Time, running, waiting int)
+	// Leaving records that the upstream's answer to a request said that it is leaving.
+	Leaving func(request string)
 }
 
 // Request is one request of a caller. Values are immutable.
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -59,6 +59,11 @@
 	Announced, OnReceivesChanges func()
 	// View is called with each change of a kind of objects that the home sends.
 	View func(kind string, c object.Change)
+	// Leaving is called when an upstream's answer to a request says that the upstream is leaving, and
+	// MarkLeaving when the home says so. LeavingUpstreams returns all such upstreams.
+	Leaving          func(u site.Upstream, request string)
+	MarkLeaving      func(from string, keys []site.Key)
+	LeavingUpstreams func() []site.Key
 	// Down is called with true when the home reports that it can't reach the object service, and with
 	// false when it can.
 	Down func(down bool)
@@ -191,7 +196,7 @@
 	for conn := c.connection(); conn != nil; {
 		lease, refusal, err := c.askHome(ctx, conn, r)
 		if err == nil || ctx.Err() != nil {
-			if refusal == nil && err == nil && c.drainingOrGone(lease.Upstream) {
+			if refusal == nil && err == nil && c.DrainingOrGone(lease.Upstream) {
 				lease.Release(c.opts.Now(), slot.Moved)
 				r.Exclude = append(r.Exclude, lease.Upstream.ID)
 				continue
@@ -204,9 +209,9 @@
 	return c.decideLocally(ctx, r)
 }
 
-// drainingOrGone reports that, in this node's own list, the upstream is draining or gone. The home may
+// DrainingOrGone reports that, in this node's own list, the upstream is draining or gone. The home may
 // learn of that later, when it can't reach the object service.
-func (c *Client) drainingOrGone(u site.Upstream) bool {
+func (c *Client) DrainingOrGone(u site.Upstream) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	current, ok := c.upstreams[u.ID]
@@ -247,7 +252,8 @@
 			// The home that is connected now may not be the one that granted the slot.
 			c.account.end(c.connection(), releaseNotice{ID: r.Key.ID, Result: result})
 		},
-		Report: func(_ time.Time, running, waiting int) { c.report(u.ID, running, waiting) },
+		Report:  func(_ time.Time, running, waiting int) { c.report(u.ID, running, waiting) },
+		Leaving: func(request string) { c.opts.Leaving(u, request) },
 	}
 }
 
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -171,6 +171,11 @@
 		if err = in.Decode(&a); err == nil {
 			go c.Announce(a) // Announce closes this connection
 		}
+	case methodLeaving:
+		var m leavingNotice
+		if err = in.Decode(&m); err == nil {
+			c.opts.MarkLeaving("home", siteKeys(m.Upstreams))
+		}
 	case methodObjectsDown:
 		var m objectsDownNotice
 		if err = in.Decode(&m); err == nil {
@@ -210,7 +215,7 @@
 func (c *Client) hello() helloRequest {
 	return helloRequest{
 		VM: c.opts.VMID, Incarnation: c.opts.Incarnation, Relay: c.opts.Relay, Runs: c.opts.Runner != nil,
-		Open: c.account.open(),
+		Open: c.account.open(), Leaving: upstreamKeys(c.opts.LeavingUpstreams()),
 	}
 }
 
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -65,6 +65,9 @@
 	ObjectsDown func() bool
 	// Announce notifies the nodes of the home that has taken over.
 	Announce func(a Announcement)
+	// MarkLeaving records upstreams that a node knows to be leaving; Leaving returns all such upstreams.
+	MarkLeaving func(from string, keys []site.Key)
+	Leaving     func() []site.Key
 	// Before is the previous home, if it ran on another VM; Dial opens connections to it.
 	Before Announcement
 	Dial   Dial
@@ -247,6 +250,13 @@
 		}
 		h.pool.Report(m.Upstream, m.Running, m.Waiting)
 		return nil
+	case methodLeaving:
+		var m leavingNotice
+		if err := in.Decode(&m); err != nil {
+			return err
+		}
+		h.opts.MarkLeaving(s.owner, siteKeys(m.Upstreams))
+		return nil
 	case methodReserve:
 		return h.reserve(in)
 	case methodRead:
@@ -328,12 +338,16 @@
 		}
 		h.mu.Unlock()
 	}
+	h.opts.MarkLeaving(s.owner, siteKeys(m.Leaving))
 	for _, o := range m.Open {
 		h.adopt(s, o)
 	}
 	h.opts.Log.Info().Str("peer", s.owner).Int("open", len(m.Open)).Int64("term", h.opts.Term).Msg("nodeConnected")
 	in.Answer(helloAnswer{Home: Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}})
 	in.Conn().Notify(methodObjectsDown, objectsDownNotice{Down: h.opts.ObjectsDown()})
+	if keys := h.opts.Leaving(); len(keys) > 0 {
+		in.Conn().Notify(methodLeaving, leavingNotice{Upstreams: upstreamKeys(keys)})
+	}
 	for kind, c := range h.opts.Snapshots() {
 		in.Conn().Notify(methodView, viewNotice{Kind: kind, Change: c})
 	}
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -34,6 +34,8 @@
 	// methodCheckpoint sends checkpoints of items to a home node, and methodFetchCheckpoints asks for them.
 	methodCheckpoint       = "checkpoint"
 	methodFetchCheckpoints = "keptProgress"
+	// methodLeaving names upstreams whose answers said that they are leaving, in both directions.
+	methodLeaving = "leaving"
 	// methodView sends object changes, and methodRelays the relay list, from the home to the nodes.
 	methodView   = "view"
 	methodRelays = "peers"
@@ -57,6 +59,8 @@
 	// Runs reports that the node runs items for the home.
 	Runs bool         `msgpack:"runs,omitempty"`
 	Open []openedSlot `msgpack:"open"`
+	// Leaving lists the upstreams of which the node knows that they are leaving.
+	Leaving []upstreamKey `msgpack:"leaving,omitempty"`
 }
 
 type openedSlot struct {
--- a/io/home/reconnect_test.go
+++ b/io/home/reconnect_test.go
@@ -67,6 +67,7 @@
 				return slowConn{conn}, nil
 			},
 			Announced: func() {}, OnReceivesChanges: func() {}, View: func(string, object.Change) {}, Down: func(bool) {}, Log: zerolog.Nop(),
+			LeavingUpstreams: func() []site.Key { return nil },
 		})
 		c.SetUpstreams(s.list)
 		s.clients = append(s.clients, c)
@@ -83,6 +84,7 @@
 	h := New(Options{
 		VMID: fmt.Sprintf("s%d", term), Address: ip + ":7660", Term: term, SlotsOnly: true,
 		Valid: func(time.Time) bool { return true }, Snapshots: func() map[string]object.Change { return nil },
+		MarkLeaving: func(string, []site.Key) {}, Leaving: func() []site.Key { return nil },
 		ObjectsDown: func() bool { return false }, Now: time.Now, Log: zerolog.Nop(), Registry: metrics.NewRegistry(),
 	})
 	h.SetUpstreams(s.list)
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -58,18 +58,27 @@
 	Run uint64 `msgpack:"run"`
 }
 
+// RunnerOptions are the dependencies of a Runner; all are required.
+type RunnerOptions struct {
+	Client *service.Client
+	Codec  forward.HeaderCodec
+	// Leaving is called when an upstream's answer to an item says that the upstream is leaving.
+	Leaving func(u site.Upstream, item string)
+	// Refuses reports that this node knows that the upstream accepts no new requests.
+	Refuses func(u site.Upstream) bool
+}
+
 // Runner makes attempts at items, for the home on this node or on another one. It is safe for concurrent use.
 type Runner struct {
-	client *service.Client
-	codec  forward.HeaderCodec
+	opts RunnerOptions
 
 	mu   sync.Mutex
 	runs map[uint64]context.CancelFunc
 }
 
 // NewRunner returns a runner.
-func NewRunner(client *service.Client, codec forward.HeaderCodec) *Runner {
-	return &Runner{client: client, codec: codec, runs: make(map[uint64]context.CancelFunc)}
+func NewRunner(opts RunnerOptions) *Runner {
+	return &Runner{opts: opts, runs: make(map[uint64]context.CancelFunc)}
 }
 
 // stream is what an attempt at an item has received so far. It is safe for concurrent use.
@@ -96,15 +105,25 @@
 
 // do makes one attempt and adds its events to got. It calls report with the upstream's load.
 func (rn *Runner) do(ctx context.Context, c itemCall, got *stream, report func(running, waiting int)) itemOutcome {
+	if rn.opts.Refuses(c.Upstream) {
+		return itemOutcome{Result: slot.Moved, LastEventID: c.LastEventID, Err: "upstream is leaving or gone"}
+	}
 	header := make(http.Header, len(c.Header))
 	for name, value := range c.Header {
 		header.Set(name, value)
 	}
 	got.lastEventID = c.LastEventID
-	a := forward.Do(ctx, rn.client, rn.codec, forward.Call{
+	a := forward.Do(ctx, rn.opts.Client, rn.opts.Codec, forward.Call{
 		ID: c.ID, Method: http.MethodPost, Host: c.Host, Path: c.Path, Header: header, Body: c.Body,
 		Attempt: forward.Attempt{Upstream: c.Upstream, LastEventID: c.LastEventID}, IdleTimeout: itemIdleTimeout,
-		OnLoad: func(m forward.AnswerInfo) { report(m.Running, m.Waiting) },
+		OnInfo: func(m forward.AnswerInfo) {
+			if m.HasLoad {
+				report(m.Running, m.Waiting)
+			}
+			if m.Leaving {
+				rn.opts.Leaving(c.Upstream, c.ID)
+			}
+		},
 	}, &forward.Sink{
 		Start: func(int, http.Header) error { return nil },
 		Event: func(e forward.Event, _ bool) error {
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -49,6 +49,7 @@
 		b.siteStateChanged()
 	}
 	b.onDown = n.server.PushDown
+	b.onLeaving = n.server.PushLeaving
 	b.follow()
 	elector := home.NewElector(home.ElectorOptions{
 		VMID: opts.Settings.VMID, Incarnation: b.incarnation, Address: b.peerAddress(), Objects: b.objects,
@@ -206,7 +207,7 @@
 		Runner: n.base.runner, OwnRuns: o.OwnRuns, Config: n.base.currentConfig, Valid: valid,
 		Snapshots: n.base.snapshots, ObjectsDown: n.base.objectsDown,
 		Before: n.base.client.Home(), Dial: o.Connect(connectTimeout), Checkpoints: n.base.checkpoints,
-		Announce:    n.server.PushAnnouncement,
+		Announce: n.server.PushAnnouncement, MarkLeaving: n.base.markLeaving, Leaving: n.base.leavingUpstreams,
 		Retirements: platform.Retirements(), StepDown: n.stepDown,
 		ResultRetention: o.Settings.ResultRetention, Now: o.Now, TimeOfDay: time.Now, Log: o.Log, Registry: o.Registry,
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -117,6 +117,8 @@
 	onEvents func(kind string, events []object.Event)
 	// isHome reports that this node is the home, which follows the object service on behalf of the others.
 	isHome func() bool
+	// onLeaving is called at the home with upstreams that are leaving; nil on entry nodes.
+	onLeaving func(keys []site.Key)
 	// onDown is called when the object service becomes unreachable or recovers; nil on entry nodes.
 	onDown func(down bool)
 }
@@ -142,7 +144,10 @@
 	if isEntry {
 		relay = b.peerAddress()
 	} else {
-		b.runner = home.NewRunner(b.upstream, platform.HeaderCodec())
+		b.runner = home.NewRunner(home.RunnerOptions{
+			Client: b.upstream, Codec: platform.HeaderCodec(), Leaving: b.answeredLeaving,
+			Refuses: func(u site.Upstream) bool { return b.client.DrainingOrGone(u) },
+		})
 		progressSaver := newSaver(s.DataDir, progressFile, func() any { return b.checkpoints.Items() }, opts.Log)
 		b.checkpoints = home.NewCheckpoints(load[[]home.ItemProgress](s.DataDir, progressFile, opts.Log), progressSaver.changed)
 		stateSaver := newSaver(s.DataDir, siteStateFile, func() any { return b.siteState() }, opts.Log)
@@ -153,6 +158,7 @@
 		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, HomeNodes: opts.homeNodes, Connect: opts.Connect(connectTimeout), Now: opts.Now,
 		Checkpoints: b.checkpoints, Announced: b.siteStateChanged, OnReceivesChanges: b.updateDown,
 		View: func(kind string, c object.Change) { b.receive(kind, c) }, Down: b.setHomeDown, Runner: b.runner, Log: opts.Log,
+		Leaving: b.answeredLeaving, MarkLeaving: b.markLeaving, LeavingUpstreams: b.leavingUpstreams,
 	})
 	return b
 }
