Send the site state compressed and encoded once for all nodes

Cause: a home encodes its whole view of the site for each node that connects, and each change once per node: with 3,000 upstreams about 1 MB a node, so 300 nodes that reconnect take 300 MB in its write queues and seconds of its processor. An entry that was written anew with the same content also cost each node a rebuild of its list, and a batch of n changes n copies of the directory. Entries that describe the same as before are dropped by the node that reads them. A batch of changes is one copy of the directory.

--- a/core/site/directory.go
+++ b/core/site/directory.go
@@ -41,24 +41,49 @@
 	since    time.Time
 }
 
-// WithUpstream returns the directory after an entry was written.
-func (d Directory) WithUpstream(u Upstream) Directory {
-	out := d.clone()
-	out.entries[u.ID] = u
-	delete(out.missing, u.ID)
-	return out
+// Entry is the state of an upstream's entry in the object service.
+type Entry struct {
+	ID string
+	// Upstream is what the entry describes; zero if it is gone.
+	Upstream Upstream
+	// Gone reports that the entry has disappeared or can't be read.
+	Gone bool
 }
 
-// WithoutUpstream returns the directory after an entry has disappeared or become unreadable.
-func (d Directory) WithoutUpstream(now time.Time, id string) Directory {
-	u, ok := d.entries[id]
-	if !ok {
-		return d
+// Changes returns the positions of the entries that differ from the directory's, or from an earlier one of the
+// list. An upstream writes its entry more often than what it describes changes.
+func (d Directory) Changes(entries []Entry) []int {
+	var positions []int
+	latest := make(map[string]Entry, len(entries))
+	for i, e := range entries {
+		before, ok := latest[e.ID]
+		if !ok {
+			u, found := d.entries[e.ID]
+			before = Entry{ID: e.ID, Upstream: u, Gone: !found}
+		}
+		if e != before {
+			positions = append(positions, i)
+			latest[e.ID] = e
+		}
 	}
+	return positions
+}
+
+// With returns the directory after entries were written or have disappeared.
+func (d Directory) With(now time.Time, entries ...Entry) Directory {
 	out := d.clone()
+	for _, e := range entries {
+		if !e.Gone {
+			out.entries[e.ID] = e.Upstream
+			delete(out.missing, e.ID)
+			continue
+		}
+		if u, ok := out.entries[e.ID]; ok {
+			delete(out.entries, e.ID)
+			out.missing[e.ID] = missing{upstream: u, since: now}
+		}
+	}
 	maps.DeleteFunc(out.missing, func(_ string, m missing) bool { return now.Sub(m.since) > forgetAfter })
-	delete(out.entries, id)
-	out.missing[id] = missing{upstream: u, since: now}
 	return out
 }
 
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -59,8 +59,8 @@
 	SlotsOnly bool
 	// Valid reports that the home's lease is valid and that no earlier home's lease can be.
 	Valid func(now time.Time) bool
-	// Snapshots returns the objects, by kind, that the home sends to a node when it connects.
-	Snapshots func() map[string]object.Change
+	// Views are the objects that the home sends to a node when it connects.
+	Views *Views
 	// ObjectsDown reports that the home can't reach the object service.
 	ObjectsDown func() bool
 	// Announce notifies the nodes of the home that has taken over.
@@ -348,9 +348,7 @@
 	if keys := h.opts.Leaving(); len(keys) > 0 {
 		in.Conn().Notify(methodLeaving, leavingNotice{Upstreams: upstreamKeys(keys)})
 	}
-	for kind, c := range h.opts.Snapshots() {
-		in.Conn().Notify(methodView, viewNotice{Kind: kind, Change: c})
-	}
+	h.opts.Views.sendTo(in.Conn())
 	return s
 }
 
--- a/io/home/reconnect_test.go
+++ b/io/home/reconnect_test.go
@@ -80,10 +80,11 @@
 	ip := fmt.Sprintf("10.2.0.%d", term)
 	l, err := s.network.Listen(context.Background(), ip+":7660")
 	require.NoError(s.t, err)
-	server := NewServer(l, func() SiteState { return SiteState{} })
+	views := NewViews(func() map[string]object.Change { return nil }, zerolog.Nop())
+	server := NewServer(l, func() SiteState { return SiteState{} }, views, zerolog.Nop())
 	h := New(Options{
 		VMID: fmt.Sprintf("s%d", term), Address: ip + ":7660", Term: term, SlotsOnly: true,
-		Valid: func(time.Time) bool { return true }, Snapshots: func() map[string]object.Change { return nil },
+		Valid: func(time.Time) bool { return true }, Views: views,
 		MarkLeaving: func(string, []site.Key) {}, Leaving: func() []site.Key { return nil },
 		ObjectsDown: func() bool { return false }, Now: time.Now, Log: zerolog.Nop(), Registry: metrics.NewRegistry(),
 	})
--- a/io/home/server.go
+++ b/io/home/server.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 
+	"github.com/rs/zerolog"
+
 	"mothcart/io/link"
 	"mothcart/io/object"
 )
@@ -14,6 +16,8 @@
 type Server struct {
 	server    *link.Server
 	siteState func() SiteState
+	views     *Views
+	log       zerolog.Logger
 
 	mu       sync.Mutex
 	home     *Home
@@ -21,8 +25,8 @@
 }
 
 // NewServer returns a server without a home; Close closes the listener.
-func NewServer(l net.Listener, siteState func() SiteState) *Server {
-	s := &Server{siteState: siteState, sessions: make(map[*link.Conn]*session)}
+func NewServer(l net.Listener, siteState func() SiteState, views *Views, log zerolog.Logger) *Server {
+	s := &Server{siteState: siteState, views: views, log: log, sessions: make(map[*link.Conn]*session)}
 	s.server = link.NewServer(l, link.Options{Handle: s.handle, Closed: s.closed})
 	return s
 }
@@ -33,12 +37,14 @@
 	s.home = h
 	s.mu.Unlock()
 	if h == nil {
+		s.views.reset()
 		s.server.Each(func(c *link.Conn) { c.Close() })
 	}
 }
 
 // PushChanges sends changes of a kind of objects to all connected nodes, if a home runs here.
 func (s *Server) PushChanges(kind string, events []object.Event) {
+	s.views.add(kind, events)
 	if s.hasHome() {
 		s.notifyAll(methodView, viewNotice{Kind: kind, Change: object.Change{Events: events}})
 	}
@@ -66,8 +72,14 @@
 	return s.home != nil
 }
 
+// notifyAll sends a message, which is encoded once, to all connected nodes.
 func (s *Server) notifyAll(method string, msg any) {
-	s.server.Each(func(c *link.Conn) { c.Notify(method, msg) })
+	n, err := link.NewNotice(method, msg)
+	if err != nil {
+		s.log.Error().Str("method", method).Err(err).Msg("noticeNotSent")
+		return
+	}
+	s.server.Each(func(c *link.Conn) { c.Send(n) })
 }
 
 // maxRelays bounds the number of relays that are sent to a node.
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -58,6 +58,8 @@
 	kindAnswer
 	kindFailure
 	kindNotice
+	// kindPackedNotice is a notice whose body is compressed.
+	kindPackedNotice
 )
 
 type frame struct {
@@ -227,6 +229,10 @@
 		c.fail(merry.Errorf("encode %s: %w", method, err))
 		return
 	}
+	c.enqueue(b)
+}
+
+func (c *Conn) enqueue(b []byte) {
 	select {
 	case c.queue <- b:
 	case <-c.closed:
@@ -265,6 +271,13 @@
 			in.id = f.ID
 		}
 		c.opts.Handle(c, in)
+	case kindPackedNotice:
+		body, err := unpack(f.Body)
+		if err != nil {
+			c.fail(merry.Errorf("notice %s: %w", f.Method, err))
+			return
+		}
+		c.opts.Handle(c, Incoming{Method: f.Method, body: body, conn: c})
 	case kindAnswer, kindFailure:
 		c.mu.Lock()
 		answer := c.calls[f.ID]
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -16,6 +16,7 @@
 type HomeNode struct {
 	base    *base
 	server  *home.Server
+	views   *home.Views
 	elector *home.Elector
 
 	mu sync.Mutex
@@ -36,7 +37,8 @@
 	}
 	n := &HomeNode{base: b}
 	b.isHome = n.IsHome
-	n.server = home.NewServer(l, b.siteState)
+	n.views = home.NewViews(b.snapshots, opts.Log)
+	n.server = home.NewServer(l, b.siteState, n.views, opts.Log)
 	if b.metrics, err = serveMetrics(ctx, opts); err != nil {
 		n.server.Close()
 		b.close()
@@ -205,7 +207,7 @@
 	return home.Options{
 		VMID: o.Settings.VMID, AvailabilityZone: o.Settings.AvailabilityZone, Address: n.base.peerAddress(), Term: term, Objects: n.base.objects,
 		Runner: n.base.runner, OwnRuns: o.OwnRuns, Config: n.base.currentConfig, Valid: valid,
-		Snapshots: n.base.snapshots, ObjectsDown: n.base.objectsDown,
+		Views: n.views, ObjectsDown: n.base.objectsDown,
 		Before: n.base.client.Home(), Dial: o.Connect(connectTimeout), Checkpoints: n.base.checkpoints,
 		Announce: n.server.PushAnnouncement, MarkLeaving: n.base.markLeaving, Leaving: n.base.leavingUpstreams,
 		Retirements: platform.Retirements(), StepDown: n.stepDown,
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -47,7 +47,7 @@
 }
 
 // receive applies a change of a kind, from this node's watch or from another node, and returns the number
-// of objects that were changed or deleted.
+// of objects that were changed or deleted. Entries of upstreams that describe the same as before don't count.
 func (b *base) receive(kind string, c object.Change) int {
 	m := b.mirrors[kind]
 	if m == nil {
@@ -59,7 +59,7 @@
 	case platform.KindConfig:
 		b.applyConfig(events)
 	case platform.KindUpstreams:
-		b.applyUpstreams(events)
+		events = b.applyUpstreams(events)
 	}
 	if b.onEvents != nil && len(events) > 0 {
 		b.onEvents(kind, events)
@@ -106,25 +106,42 @@
 	}
 }
 
-func (b *base) applyUpstreams(events []object.Event) {
+// applyUpstreams applies changes of the entries of upstreams and returns those that change the directory.
+func (b *base) applyUpstreams(events []object.Event) []object.Event {
+	if len(events) == 0 {
+		return nil
+	}
+	entries := make([]site.Entry, 0, len(events))
+	for _, e := range events {
+		entries = append(entries, b.decodeEntry(e))
+	}
 	now := b.opts.Now()
+	var changed []object.Event
+	var applied []site.Entry
 	b.mu.Lock()
-	for _, e := range events {
-		u, ok := site.Upstream{}, false
-		if !e.Deleted {
-			u, ok = b.decodeUpstream(e.Object)
-		}
-		if !ok {
-			b.opts.Log.Info().Str("upstream", e.Object.Name).Bool("deleted", e.Deleted).Int64("revision", int64(e.Object.Revision)).Msg("upstreamGone")
-			b.directory = b.directory.WithoutUpstream(now, e.Object.Name)
-			continue
-		}
-		b.opts.Log.Info().Str("upstream", u.ID).Int64("incarnation", u.Incarnation).Str("service", u.Service).Str("address", u.Address).
-			Bool("draining", u.Draining).Int64("revision", int64(e.Object.Revision)).Msg("upstreamChanged")
-		b.directory = b.directory.WithUpstream(u)
+	for _, i := range b.directory.Changes(entries) {
+		b.logEntry(entries[i], events[i])
+		changed = append(changed, events[i])
+		applied = append(applied, entries[i])
+	}
+	if len(applied) > 0 {
+		b.directory = b.directory.With(now, applied...)
 	}
 	b.mu.Unlock()
-	b.publishUpstreams()
+	if len(changed) > 0 {
+		b.publishUpstreams()
+	}
+	return changed
+}
+
+func (b *base) logEntry(entry site.Entry, e object.Event) {
+	if entry.Gone {
+		b.opts.Log.Info().Str("upstream", entry.ID).Bool("deleted", e.Deleted).Int64("revision", int64(e.Object.Revision)).Msg("upstreamGone")
+		return
+	}
+	u := entry.Upstream
+	b.opts.Log.Info().Str("upstream", u.ID).Int64("incarnation", u.Incarnation).Str("service", u.Service).Str("address", u.Address).
+		Bool("draining", u.Draining).Int64("revision", int64(e.Object.Revision)).Msg("upstreamChanged")
 }
 
 func (b *base) objectsDown() bool {
@@ -133,13 +150,17 @@
 	return b.down.effective
 }
 
-func (b *base) decodeUpstream(o object.Object) (site.Upstream, bool) {
-	u, err := platform.DecodeUpstream(o)
+// decodeEntry decodes an upstream's entry; one that can't be read counts as gone.
+func (b *base) decodeEntry(e object.Event) site.Entry {
+	if e.Deleted {
+		return site.Entry{ID: e.Object.Name, Gone: true}
+	}
+	u, err := platform.DecodeUpstream(e.Object)
 	if err != nil {
-		b.opts.Log.Warn().Str("upstream", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("upstreamSkipped")
-		return site.Upstream{}, false
+		b.opts.Log.Warn().Str("upstream", e.Object.Name).Int64("revision", int64(e.Object.Revision)).Err(err).Msg("upstreamSkipped")
+		return site.Entry{ID: e.Object.Name, Gone: true}
 	}
-	return u, true
+	return site.Entry{ID: u.ID, Upstream: u}
 }
 
 // setOwnDown records whether the object service fails to answer this node's own calls.
