Pass on bursts of changed upstreams together

Cause: each change of an entry rebuilt the list of upstreams at every node, in time that grows with the site, and two rebuilds could pass on their lists in the wrong order, which marks of leaving upstreams make likely. Change: lists follow each other by 50 ms at least (marks and outages are passed on at once) and never out of order; the entries of a service are counted once a list rather than once a missing upstream. Measured: tests of io/node and core/site.

--- a/core/site/directory.go
+++ b/core/site/directory.go
@@ -149,8 +149,9 @@
 		list = append(list, u)
 	}
 	var next time.Time
+	remaining := d.entriesByService()
 	for _, m := range d.missing {
-		until := d.usableUntil(now, m)
+		until := d.usableUntil(now, m, remaining[m.upstream.Service])
 		if !now.Before(until) {
 			continue
 		}
@@ -165,9 +166,21 @@
 	return list, next
 }
 
-// usableUntil returns the time until which a missing upstream is used. An outage that began after the
-// upstream's entry disappeared has no effect.
-func (d Directory) usableUntil(now time.Time, m missing) time.Time {
+// entriesByService returns the number of entries of each service; nil if no upstream is missing.
+func (d Directory) entriesByService() map[string]int {
+	if len(d.missing) == 0 {
+		return nil
+	}
+	out := make(map[string]int)
+	for _, u := range d.entries {
+		out[u.Service]++
+	}
+	return out
+}
+
+// usableUntil returns the time until which a missing upstream is used; remaining is the number of entries of its
+// service. An outage that began after the upstream's entry disappeared has no effect.
+func (d Directory) usableUntil(now time.Time, m missing, remaining int) time.Time {
 	until := m.since.Add(missingGrace)
 	inOutage := !d.lost.IsZero() && !m.since.Before(d.lost)
 	recoveryEnd := d.regained.Add(recoveryGrace)
@@ -178,7 +191,7 @@
 		return now.Add(recoveryGrace)
 	case inOutage && m.since.Before(recoveryEnd) && recoveryEnd.After(until):
 		return recoveryEnd
-	case d.lapsed(m):
+	case d.lapsed(m, remaining):
 		return m.since.Add(recoveryGrace)
 	default:
 		return until
@@ -187,18 +200,13 @@
 
 // lapsed reports whether at least half of a service's entries disappeared together. This indicates an
 // outage of the object service that this node has not noticed, rather than upstreams that are leaving.
-func (d Directory) lapsed(m missing) bool {
-	together, remaining := 0, 0
+func (d Directory) lapsed(m missing, remaining int) bool {
+	together := 0
 	for _, other := range d.missing {
 		if other.upstream.Service == m.upstream.Service && other.since.Sub(m.since).Abs() < lapseWindow {
 			together++
 		}
 	}
-	for _, u := range d.entries {
-		if u.Service == m.upstream.Service {
-			remaining++
-		}
-	}
 	return together >= minLapsed && together >= remaining
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -110,6 +110,11 @@
 	// applies to this node's directory is effective.
 	down   struct{ own, home, effective bool }
 	expiry *time.Timer
+	// publishedAt is when the upstreams were last passed on; publishPending reports that a timer will do so.
+	publishedAt    time.Time
+	publishPending bool
+	// publishing serializes the calls that pass the upstreams on.
+	publishing sync.Mutex
 
 	// mirrors holds the objects of the kinds that the home relays to the other nodes, by kind.
 	mirrors map[string]*object.Mirror
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -129,7 +129,7 @@
 	}
 	b.mu.Unlock()
 	if len(changed) > 0 {
-		b.publishUpstreams()
+		b.publishSoon()
 	}
 	return changed
 }
@@ -203,11 +203,34 @@
 	b.publishUpstreams()
 }
 
+// publishGap is the least time between two lists of upstreams after changes of entries. Each list takes time in
+// proportion to the size of the site, and entries change in bursts.
+const publishGap = 50 * time.Millisecond
+
+// publishSoon calls publishUpstreams, at the earliest publishGap after the last list.
+func (b *base) publishSoon() {
+	b.mu.Lock()
+	wait := publishGap - b.opts.Now().Sub(b.publishedAt)
+	if wait > 0 {
+		if !b.publishPending {
+			b.publishPending = true
+			time.AfterFunc(wait, b.publishUpstreams)
+		}
+		b.mu.Unlock()
+		return
+	}
+	b.mu.Unlock()
+	b.publishUpstreams()
+}
+
 // publishUpstreams passes the upstreams to the client and onUpstreams, and does so again when the grace
 // period of a missing upstream ends.
 func (b *base) publishUpstreams() {
+	b.publishing.Lock() // an older list must not follow a newer one
+	defer b.publishing.Unlock()
 	now := b.opts.Now()
 	b.mu.Lock()
+	b.publishedAt, b.publishPending = now, false
 	list, next := b.directory.Upstreams(now)
 	if b.expiry != nil {
 		b.expiry.Stop()
