Nodes make no calls to the object service while a home sends them its state

Cause: each node lists and watches the configuration, the upstreams and the announced homes at its start, and watches the homes for as long as it runs: six calls a start and one in 25 s for each of hundreds of nodes. Change: a node that starts reads only which home is announced, waits up to 1 s for that home to send its state, and follows the object service itself only if the home can't be reached, the object service fails or answers nothing within 300 ms, or the node becomes the home. The watch of the homes rests while a home with a confirmed lease is connected. A home sends its state to the connected nodes again when its own first listing is complete; views that are not complete are not sent. Ruled out: starting the followers paused; they look for the end of a pause every 200 ms, which a restart of the whole site would wait for.

--- a/io/home/client.go
+++ b/io/home/client.go
@@ -54,6 +54,8 @@
 	Runner *Runner
 	// Checkpoints holds checkpoints of items for the home; nil on nodes that run none.
 	Checkpoints *Checkpoints
+	// Unreached is called when the home can't be reached directly.
+	Unreached func()
 	// Announced is called for each new home. OnReceivesChanges is called when the result of
 	// Client.ReceivesChanges may have changed.
 	Announced, OnReceivesChanges func()
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -77,6 +77,7 @@
 	if err == nil {
 		return conn, nil
 	}
+	c.opts.Unreached()
 	c.mu.Lock()
 	relays := slices.Clone(c.relays)
 	c.mu.Unlock()
--- a/io/home/reconnect_test.go
+++ b/io/home/reconnect_test.go
@@ -66,7 +66,7 @@
 				}
 				return slowConn{conn}, nil
 			},
-			Announced: func() {}, OnReceivesChanges: func() {}, View: func(string, object.Change) {}, Down: func(bool) {}, Log: zerolog.Nop(),
+			Unreached: func() {}, Announced: func() {}, OnReceivesChanges: func() {}, View: func(string, object.Change) {}, Down: func(bool) {}, Log: zerolog.Nop(),
 			LeavingUpstreams: func() []site.Key { return nil },
 		})
 		c.SetUpstreams(s.list)
--- a/io/home/server.go
+++ b/io/home/server.go
@@ -50,6 +50,15 @@
 	}
 }
 
+// PushViews sends all views to all connected nodes, if a home runs here. It is called when the first listing of a
+// kind has completed a view.
+func (s *Server) PushViews() {
+	s.views.reset()
+	if s.hasHome() {
+		s.server.Each(s.views.sendTo)
+	}
+}
+
 // PushAnnouncement notifies all connected nodes of the home that has taken over.
 func (s *Server) PushAnnouncement(a Announcement) { s.notifyAll(methodAnnounce, a) }
 
--- a/io/home/views.go
+++ b/io/home/views.go
@@ -79,6 +79,9 @@
 	if v.encoded == nil {
 		v.encoded = make(map[string]*encodedView)
 		for kind, change := range v.snapshots() {
+			if !change.Listed {
+				continue // Server.PushViews sends it once it is complete
+			}
 			n, err := link.NewNotice(methodView, viewNotice{Kind: kind, Change: change})
 			if err != nil {
 				v.encoded = nil
--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -97,3 +98,33 @@
 		require.Equal(t, 6, p.Next)
 	})
 }
+
+// watchTime is more than the time for which a watch without events waits.
+const watchTime = 30 * time.Second
+
+// Guards against calls that grow with the number of nodes: while a home follows the object service, another node
+// makes none, and a node that starts then finds the home with one listing and one watch.
+func TestNodesBesideTheHomeMakeNoCalls(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		time.Sleep(5 * time.Second)
+		calls := func(of time.Duration) int {
+			before := s.callsOf("")
+			time.Sleep(of)
+			return s.callsOf("") - before
+		}
+		fewNodes, briefly := calls(time.Minute), calls(2*time.Second)
+		before := s.callsOf("")
+		for n := 3; n <= 22; n++ {
+			s.startEntry(n)
+		}
+		time.Sleep(2 * time.Second)
+		starts := s.callsOf("") - before - briefly
+		for n := 3; n <= 22; n++ {
+			require.True(t, s.entries[fmt.Sprintf("e%d", n)].Ready())
+		}
+		const slack = 5 // calls that fall into one interval or the next
+		require.LessOrEqual(t, starts, 20*2+slack)
+		time.Sleep(watchTime)
+		require.InDelta(t, fewNodes, calls(time.Minute), slack)
+	})
+}
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -50,6 +50,7 @@
 		n.server.PushChanges(kind, events)
 		b.siteStateChanged()
 	}
+	b.onListed = n.server.PushViews
 	b.onDown = n.server.PushDown
 	b.onLeaving = n.server.PushLeaving
 	b.follow()
@@ -218,6 +219,7 @@
 // run starts to serve as the home and returns the function that stops it.
 func (n *HomeNode) run(opts home.Options) (h *home.Home, stop func()) {
 	h = home.New(opts)
+	n.base.startWait.end()
 	n.mu.Lock()
 	n.home = h
 	list := n.upstreams
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -94,6 +94,7 @@
 	// change of the node's view of the site.
 	savers           []*saver
 	siteStateChanged func()
+	startWait        *startWait
 	// cancelStart cancels the fetch of the site state at the node's start, and startFetch waits for its end.
 	cancelStart context.CancelFunc
 	startFetch  sync.WaitGroup
@@ -122,6 +123,8 @@
 	onEvents func(kind string, events []object.Event)
 	// isHome reports that this node is the home, which follows the object service on behalf of the others.
 	isHome func() bool
+	// onListed is called when the node has the first complete listing of a kind; nil on entry nodes.
+	onListed func()
 	// onLeaving is called at the home with upstreams that are leaving; nil on entry nodes.
 	onLeaving func(keys []site.Key)
 	// onDown is called when the object service becomes unreachable or recovers; nil on entry nodes.
@@ -137,6 +140,7 @@
 		incarnation:      time.Now().UnixNano(),
 		objects:          countCalls(platform.NewObjects(s.StoreAddress, opts.Connect(storeConnectTimeout)), opts.Registry),
 		siteStateChanged: func() {},
+		startWait:        newStartWait(),
 		upstream: service.New(service.NewOptions().WithRequestIDHeader(platform.RequestIDHeader).
 			WithOneCallPerConnection().WithDial(opts.Connect(connectTimeout))),
 	}
@@ -161,7 +165,7 @@
 	}
 	b.client = home.NewClient(home.ClientOptions{
 		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, HomeNodes: opts.homeNodes, Connect: opts.Connect(connectTimeout), Now: opts.Now,
-		Checkpoints: b.checkpoints, Announced: b.siteStateChanged, OnReceivesChanges: b.updateDown,
+		Checkpoints: b.checkpoints, Unreached: b.startWait.end, Announced: b.siteStateChanged, OnReceivesChanges: b.updateDown,
 		View: func(kind string, c object.Change) { b.receive(kind, c) }, Down: b.setHomeDown, Runner: b.runner, Log: opts.Log,
 		Leaving: b.answeredLeaving, MarkLeaving: b.markLeaving, LeavingUpstreams: b.leavingUpstreams,
 	})
--- a/io/node/start.go
+++ b/io/node/start.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"mothcart/io/clock"
@@ -18,12 +20,52 @@
 	maxFetchPause = time.Second
 )
 
-// fetchAtStart starts to load the site state from the node's own disk and then from home nodes, until the
-// object service or a home provides it. The loaded state may be stale; newer state replaces it.
-func (b *base) fetchAtStart() {
+// homeWait is how long a starting node waits for the home that it expects to send it the site state. A site that
+// starts as a whole has a home within a few hundred milliseconds.
+const homeWait = time.Second
+
+// startWait is the time after the start in which a node doesn't follow the configuration and the upstreams at
+// the object service, since a home may be about to send them: hundreds of nodes may start together. It ends when
+// the home can't be reached, when the object service fails, and when the node becomes the home.
+type startWait struct {
+	// answered reports that the object service has told which home is announced, if any.
+	answered atomic.Bool
+	once     sync.Once
+	ended    chan struct{}
+}
+
+func newStartWait() *startWait { return &startWait{ended: make(chan struct{})} }
+
+func (s *startWait) end() { s.once.Do(func() { close(s.ended) }) }
+
+// await waits for the end, for homeWait if the object service answers, and for startGrace if not.
+func (s *startWait) await(ctx context.Context) {
+	t := time.NewTimer(startGrace)
+	defer t.Stop()
+	for waited := startGrace; ; waited = homeWait {
+		select {
+		case <-s.ended:
+			return
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if waited == homeWait || !s.answered.Load() {
+			return
+		}
+		t.Reset(homeWait - startGrace)
+	}
+}
+
+// followAfterStart starts to follow the configuration and the upstreams once the node's startWait is over. Until the
+// object service or a home provides them, the node then loads the site state from its own disk and from home
+// nodes. The loaded state may be stale; newer state replaces it.
+func (b *base) followAfterStart(follow func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancelStart = cancel
 	b.startFetch.Go(func() {
+		b.startWait.await(ctx)
+		follow()
 		if clock.Sleep(ctx, startGrace) != nil || b.receivesChanges() {
 			return
 		}
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -14,10 +14,11 @@
 // missing upstreams.
 const verifyInterval = 700 * time.Millisecond
 
-// follow starts to follow the object service; it pauses while a home sends this node changes. onConfig,
-// onUpstreams and isHome must be set before.
+// follow starts to follow the object service; it pauses while a home sends this node changes, and at the start
+// while one may be about to. onConfig, onUpstreams and isHome must be set before.
 func (b *base) follow() {
-	paused := func() bool { return !b.isHome() && b.client.ReceivesChanges() && b.synced() }
+	fromHome := func() bool { return !b.isHome() && b.client.ReceivesChanges() }
+	paused := func() bool { return fromHome() && b.synced() }
 	verify := func() time.Duration { return verifyInterval }
 	start := func(kind string, down func(bool)) {
 		b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
@@ -28,13 +29,17 @@
 			Verify: verify, Paused: paused, Log: b.opts.Log,
 		}))
 	}
-	start(platform.KindConfig, nil)
-	start(platform.KindUpstreams, b.setOwnDown)
 	b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
-		Client: b.objects, Kind: home.KindHomes, Apply: func(c object.Change) { home.ApplyAnnouncements(b.client, c, b.opts.Log) },
-		Verify: b.verifyWithoutHome, Log: b.opts.Log,
+		Client: b.objects, Kind: home.KindHomes, Apply: func(c object.Change) {
+			b.startWait.answered.Store(true)
+			home.ApplyAnnouncements(b.client, c, b.opts.Log)
+		},
+		Down: func(bool) { b.startWait.end() }, Paused: fromHome, Verify: b.verifyWithoutHome, Log: b.opts.Log,
 	}))
-	b.fetchAtStart()
+	b.followAfterStart(func() {
+		start(platform.KindConfig, nil)
+		start(platform.KindUpstreams, b.setOwnDown)
+	})
 }
 
 // verifyWithoutHome returns the verify interval of the watch for announced homes. The watch is verified
@@ -54,6 +59,7 @@
 		b.opts.Log.Warn().Str("kind", kind).Msg("unknownKind")
 		return 0
 	}
+	wasListed := m.Listed()
 	events := m.Apply(c)
 	switch kind {
 	case platform.KindConfig:
@@ -64,6 +70,9 @@
 	if b.onEvents != nil && len(events) > 0 {
 		b.onEvents(kind, events)
 	}
+	if b.onListed != nil && !wasListed && m.Listed() {
+		b.onListed()
+	}
 	return len(events)
 }
 
