Gather changes and results before they cost a call

Finished items wait for others for an eighth of the time that their job has left, 100 ms to 1.5 s, so results near their due time are written sooner than before (500 ms); the last item of a job flushes them. The interval of checks follows the time for which a draining upstream still serves (0.7 s at 2 s as before, 1.4 s on the large site).

--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -34,6 +34,8 @@
 	changed chan struct{}
 	// acceptedAt is when the job was accepted, by the clock of this VM.
 	acceptedAt time.Time
+	// dueAt is when all results are due; zero if no route matched when the job was loaded.
+	dueAt time.Time
 	// removeAt is the time after which the job and its results are removed, once the job is done.
 	removeAt time.Time
 	// noRouteSince is when the job was first found to have no route; zero if a route matches.
@@ -44,6 +46,8 @@
 	finished []batch.Result
 	// writing reports that a write of finished results is scheduled or in progress.
 	writing bool
+	// gathering starts the scheduled write.
+	gathering *time.Timer
 	// chunkStartedAt is when the write of the chunk with an unknown outcome started; zero if there is none.
 	chunkStartedAt time.Time
 }
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -122,9 +122,11 @@
 }
 
 const (
+	// jobsWatchGap gathers the jobs of a large site, which come many a second; they are due many seconds later.
+	jobsWatchGap = 200 * time.Millisecond
 	// watchLag is how long the watch may take to deliver a stored job before the kind is listed; an object
 	// service without load reports a change within a few milliseconds.
-	watchLag = 300 * time.Millisecond
+	watchLag = 300*time.Millisecond + jobsWatchGap
 	// undeliveredLimit is how long the kind is listed for a job that neither the watch nor the listings
 	// deliver.
 	undeliveredLimit = 5 * time.Second
@@ -199,6 +201,7 @@
 	route, ok := h.opts.Config().Match(log.Job().Host, log.Job().Path)
 	if ok {
 		j.maxRuns = route.MaxAttempts
+		j.dueAt = j.acceptedAt.Add(route.Completion)
 	}
 	h.jobs[o.Name] = j
 	delete(h.reserved, o.Name)
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -20,8 +20,13 @@
 	// retryPause is the time before a slot is asked for again for an item that failed or was refused, and
 	// before a write or a read is repeated.
 	retryPause = 100 * time.Millisecond
-	// gatherPause is how long finished items wait for others, so that one write lists them together.
-	gatherPause = 500 * time.Millisecond
+	// gatherShare is the share of the time until its due time for which a job's finished items wait for others,
+	// so that one write lists them together. minGather and maxGather bound that wait; items of a job that is late
+	// wait for lateGather.
+	gatherShare = 1.0 / 8
+	minGather   = 100 * time.Millisecond
+	maxGather   = 1500 * time.Millisecond
+	lateGather  = 500 * time.Millisecond
 	// chunkBytes bounds the texts of one chunk, in bytes; an object of the object service holds 1 MB.
 	chunkBytes = 600 << 10
 	// writeTimeout bounds the attempts at one write before the failure is logged; the writes of chunks and
@@ -254,15 +259,25 @@
 	}
 	h.metrics.results.Inc(1)
 	j.finished = append(j.finished, result)
-	if j.writing {
-		return
-	}
-	j.writing = true
-	pause := gatherPause
+	pause := gatherTime(j.dueAt.Sub(h.opts.Now()))
 	if len(j.finished)+j.log.Len() == len(j.log.Job().Items) {
 		pause = 0
 	}
-	time.AfterFunc(pause, func() { h.writeResults(id) })
+	switch {
+	case !j.writing:
+		j.writing = true
+		j.gathering = time.AfterFunc(pause, func() { h.writeResults(id) })
+	case pause == 0 && j.gathering.Stop():
+		j.gathering.Reset(0)
+	}
+}
+
+// gatherTime returns how long finished items of a job wait for others, by the time that the job has left.
+func gatherTime(remaining time.Duration) time.Duration {
+	if remaining <= 0 {
+		return lateGather
+	}
+	return min(max(time.Duration(float64(remaining)*gatherShare), minGather), maxGather)
 }
 
 // writeResults writes the finished items of a job in chunks until none is left.
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -9,24 +9,28 @@
 	"mothcart/platform"
 )
 
-// verifyInterval is the interval of listings that check a watch for missed changes. A change that the
-// watch has missed must be in force within the platform's bound of 2 s, including the grace period for
-// missing upstreams.
-const verifyInterval = 700 * time.Millisecond
+// verifyShare is the interval of listings that check a watch for missed changes, as a share of the time for which a
+// draining upstream still serves. A change that the watch has missed must be in force within that time, including
+// the grace period for missing upstreams.
+const verifyShare = 0.35
+
+// verifyInterval returns the interval of listings that check a watch.
+func (b *base) verifyInterval() time.Duration {
+	return time.Duration(float64(b.opts.Settings.Drain) * verifyShare)
+}
 
 // follow starts to follow the object service; it pauses while a home sends this node changes, and at the start
 // while one may be about to. onConfig, onUpstreams and isHome must be set before.
 func (b *base) follow() {
 	fromHome := func() bool { return !b.isHome() && b.client.ReceivesChanges() }
 	paused := func() bool { return fromHome() && b.synced() }
-	verify := func() time.Duration { return verifyInterval }
 	start := func(kind string, down func(bool)) {
 		b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
 			Client: b.objects, Kind: kind, Down: down, Apply: func(c object.Change) {
 				b.receive(kind, c)
 				b.objectsReceived.Store(true)
 			},
-			Verify: verify, Paused: paused, Log: b.opts.Log,
+			Verify: b.verifyInterval, Paused: paused, Log: b.opts.Log,
 		}))
 	}
 	b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
@@ -48,7 +52,7 @@
 	if b.client.Connected() {
 		return 0
 	}
-	return verifyInterval
+	return b.verifyInterval()
 }
 
 // receive applies a change of a kind, from this node's watch or from another node, and returns the number
--- a/io/object/follow.go
+++ b/io/object/follow.go
@@ -50,9 +50,15 @@
 	// Paused reports that changes of the kind arrive from another source, so that it need not be followed;
 	// nil means never.
 	Paused func() bool
-	Log    zerolog.Logger
+	// Gap is the least time between the starts of two watch calls, so that frequent changes share a call; 0 means
+	// DefaultWatchGap.
+	Gap time.Duration
+	Log zerolog.Logger
 }
 
+// DefaultWatchGap delays a change that follows another one by as much as some calls take.
+const DefaultWatchGap = 50 * time.Millisecond
+
 // Follower lists and watches a kind and passes its changes to FollowerOptions.Apply.
 type Follower struct {
 	opts   FollowerOptions
@@ -61,6 +67,8 @@
 	down   bool
 	// listedAt is the time of the last answered listing during a watch, in nanoseconds of the Unix epoch.
 	listedAt atomic.Int64
+	// watchedAt is when the last watch call started.
+	watchedAt time.Time
 	// at is the revision that the next watch starts from; 0 means that a listing comes first.
 	at Revision
 }
@@ -131,6 +139,10 @@
 	if f.at == 0 {
 		return f.list(ctx)
 	}
+	if err := clock.Sleep(ctx, cmp.Or(f.opts.Gap, DefaultWatchGap)-time.Since(f.watchedAt)); err != nil {
+		return err
+	}
+	f.watchedAt = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchGrace)
 	defer cancel()
 	var verify sync.WaitGroup
