One follower of a node calls during an outage, not three

The end of an outage is seen by a listing where a watch without events would hide it. A paused follower reports no outage.

--- a/io/home/client.go
+++ b/io/home/client.go
@@ -90,6 +90,8 @@
 	relayed bool
 	// leaseUnconfirmed reports that the home has said that it can't renew its lease.
 	leaseUnconfirmed bool
+	// unconfirmedSince is when it first said so.
+	unconfirmedSince time.Time
 	// relays lists the addresses of relays.
 	relays    []string
 	upstreams map[string]site.Upstream
@@ -180,6 +182,14 @@
 	return c.conn != nil && !c.leaseUnconfirmed
 }
 
+// ReceivedChanges reports that this node receives changes, or did so at most ago: the connection to the home
+// continues, but the home can't renew its lease.
+func (c *Client) ReceivedChanges(ago time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn != nil && (!c.leaseUnconfirmed || c.opts.Now().Sub(c.unconfirmedSince) < ago)
+}
+
 // Home returns the home that was announced last.
 func (c *Client) Home() Announcement {
 	c.mu.Lock()
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -186,6 +186,9 @@
 		var m leaseUnconfirmedNotice
 		if err = in.Decode(&m); err == nil {
 			c.mu.Lock()
+			if m.Unconfirmed && !c.leaseUnconfirmed {
+				c.unconfirmedSince = c.opts.Now()
+			}
 			c.leaseUnconfirmed = m.Unconfirmed
 			c.mu.Unlock()
 			c.opts.OnReceivesChanges()
--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -128,3 +128,27 @@
 		require.InDelta(t, fewNodes, calls(time.Minute), slack)
 	})
 }
+
+// Guards against hundreds of nodes that all try to reach an object service that is down: beside a connected home only
+// one follower of a node does.
+func TestOutageCostsFewCallsANode(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		const nodes, outage = 20, 3 * time.Second
+		for n := 3; n < 3+nodes; n++ {
+			s.startEntry(n)
+		}
+		time.Sleep(2 * time.Second)
+		before := s.objects.Calls()
+		s.objects.SetFault(fake.Fault{Down: map[string]bool{"": true}})
+		time.Sleep(outage)
+		after := s.objects.Calls()
+		s.objects.SetFault(fake.Fault{})
+		require.LessOrEqual(t, after["GET config"]-before["GET config"], nodes, "a try of the home nodes and one a node")
+		require.LessOrEqual(t, after["GET servers"]-before["GET servers"], nodes)
+		time.Sleep(2 * time.Second)
+		for id, e := range s.entries {
+			require.False(t, e.base.objectsDown(), id)
+			require.True(t, e.Ready(), id)
+		}
+	})
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -107,9 +107,9 @@
 	mu        sync.Mutex
 	config    site.Config
 	directory site.Directory
-	// down reports that the object service doesn't answer this node (own) or the home (home). The one that
-	// applies to this node's directory is effective.
-	down   struct{ own, home, effective bool }
+	// down reports that the object service doesn't answer this node's followers of the announced homes (homes) or
+	// of the upstreams, or the home (home). What applies to this node's directory is effective.
+	down   struct{ homes, upstreams, home, effective bool }
 	expiry *time.Timer
 	// publishedAt is when the upstreams were last passed on; publishPending reports that a timer will do so.
 	publishedAt    time.Time
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -22,15 +22,13 @@
 // follow starts to follow the object service; it pauses while a home sends this node changes, and at the start
 // while one may be about to. onConfig, onUpstreams and isHome must be set before.
 func (b *base) follow() {
-	fromHome := func() bool { return !b.isHome() && b.client.ReceivesChanges() }
-	paused := func() bool { return fromHome() && b.synced() }
 	start := func(kind string, down func(bool)) {
 		b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
 			Client: b.objects, Kind: kind, Down: down, Apply: func(c object.Change) {
 				b.receive(kind, c)
 				b.objectsReceived.Store(true)
 			},
-			Verify: b.verifyInterval, Paused: paused, Log: b.opts.Log,
+			Verify: b.verifyInterval, Paused: b.leavesFollowing, Log: b.opts.Log,
 		}))
 	}
 	b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
@@ -38,18 +36,48 @@
 			b.startWait.answered.Store(true)
 			home.ApplyAnnouncements(b.client, c, b.opts.Log)
 		},
-		Down: func(bool) { b.startWait.end() }, Paused: fromHome, Verify: b.verifyWithoutHome, Log: b.opts.Log,
+		Down: func(down bool) {
+			b.startWait.end()
+			b.setOwnDown(&b.down.homes, down)
+		},
+		Paused: func() bool { return !b.isHome() && b.client.ReceivesChanges() },
+		Verify: b.verifyWithoutHome, Log: b.opts.Log,
 	}))
 	b.followAfterStart(func() {
 		start(platform.KindConfig, nil)
-		start(platform.KindUpstreams, b.setOwnDown)
+		start(platform.KindUpstreams, func(down bool) { b.setOwnDown(&b.down.upstreams, down) })
 	})
 }
 
+// unconfirmedGrace is how long a node leaves the following to a connected home that can't renew its lease. By then
+// another home is announced, unless the object service is down for all. What this node learns late by it must
+// still be in force while a draining upstream serves, which leaves no time on sites with the shortest drain.
+func (b *base) unconfirmedGrace() time.Duration { return (b.opts.Settings.Drain - shortDrain) / 2 }
+
+// shortDrain is the shortest time for which draining upstreams of a site serve.
+const shortDrain = 2 * time.Second
+
+// leavesFollowing reports that this node need not follow the configuration and the upstreams: a home sends it
+// changes, or the object service doesn't answer it. In an outage only the follower of the announced homes calls,
+// so that hundreds of nodes don't try in vain three times as often.
+func (b *base) leavesFollowing() bool {
+	if b.isHome() || !b.synced() || !b.client.Connected() {
+		return false
+	}
+	b.mu.Lock()
+	down := b.down.homes
+	b.mu.Unlock()
+	return down || b.client.ReceivedChanges(b.unconfirmedGrace())
+}
+
 // verifyWithoutHome returns the verify interval of the watch for announced homes. The watch is verified
-// only while no home answers, since it may have missed the announcement of the next home.
+// only while no home answers, since it may have missed the announcement of the next home, and after an outage,
+// whose end a watch without events doesn't show.
 func (b *base) verifyWithoutHome() time.Duration {
-	if b.client.Connected() {
+	b.mu.Lock()
+	down := b.down.homes
+	b.mu.Unlock()
+	if b.client.Connected() && !down {
 		return 0
 	}
 	return b.verifyInterval()
@@ -176,10 +204,10 @@
 	return site.Entry{ID: u.ID, Upstream: u}
 }
 
-// setOwnDown records whether the object service fails to answer this node's own calls.
-func (b *base) setOwnDown(down bool) {
+// setOwnDown records whether the object service fails to answer a follower of this node.
+func (b *base) setOwnDown(follower *bool, down bool) {
 	b.mu.Lock()
-	b.down.own = down
+	*follower = down
 	b.mu.Unlock()
 	b.updateDown()
 }
@@ -197,7 +225,7 @@
 func (b *base) updateDown() {
 	fromHome := !b.isHome() && b.client.ReceivesChanges()
 	b.mu.Lock()
-	down := b.down.own
+	down := b.down.homes || b.down.upstreams
 	if fromHome {
 		down = b.down.home
 	}
--- a/io/object/follow.go
+++ b/io/object/follow.go
@@ -42,7 +42,8 @@
 	Kind   string
 	// Apply is called for each change; with Verify, an older listing may come after a newer one.
 	Apply func(Change)
-	// Down is called with true when the service stops answering and with false when it answers again.
+	// Down is called with true when the service stops answering, and with false when it answers again or the
+	// follower pauses.
 	Down func(down bool)
 	// Verify returns the interval of listings while a watch waits, since a watch may miss changes without
 	// an error; nil or 0 means no listings.
@@ -92,6 +93,7 @@
 	for ctx.Err() == nil {
 		if f.paused() {
 			f.at = 0 // a listing after the pause covers the changes during it
+			f.setDown(false)
 			_ = clock.Sleep(ctx, pausePollInterval)
 			continue
 		}
@@ -220,8 +222,13 @@
 	case !lost && f.down:
 		f.opts.Log.Info().Str("kind", f.opts.Kind).Int64("revision", int64(f.at)).Msg("objectServiceRegained")
 	}
-	if lost != f.down && f.opts.Down != nil {
-		f.opts.Down(lost)
+	f.setDown(lost)
+}
+
+func (f *Follower) setDown(down bool) {
+	changed := f.down != down
+	f.down = down
+	if changed && f.opts.Down != nil {
+		f.opts.Down(down)
 	}
-	f.down = lost
 }
