Mark complete jobs together, and let the preferred home nodes poll the lease first

Change: the home names complete jobs in one object, written every 2 s at most; it is a hint for the next home, which reads the results of jobs that it lacks. Home nodes that the settings don't name poll the lease every 800 ms, and wait as long at their start.

--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -25,8 +25,10 @@
 	// home acquires the lease: the time of one missed renewal and of a slow one.
 	takeoverAfter = 750 * time.Millisecond
 	// leasePollInterval is the polling interval of the lease while the connection to the home is not
-	// healthy.
-	leasePollInterval = 200 * time.Millisecond
+	// healthy. Nodes that are not preferred poll at lateLeasePollInterval, so that not all of dozens of home nodes
+	// compete for the lease.
+	leasePollInterval     = 200 * time.Millisecond
+	lateLeasePollInterval = 800 * time.Millisecond
 	// healthPollInterval is the polling interval of the health of the connection to the home while the lease
 	// is not polled.
 	healthPollInterval = 100 * time.Millisecond
@@ -61,6 +63,8 @@
 	Healthy func() bool
 	// Isolated reports that all nodes have lost their connection to the home that runs here.
 	Isolated func() bool
+	// IsPreferred reports that this node is to be the next home rather than others.
+	IsPreferred func() bool
 	// Start starts the home. It returns a function that stops the home, and one that waits until the next
 	// home has taken over.
 	Start func(term int64, valid func(now time.Time) bool) (stop, awaitHandover func())
@@ -117,6 +121,9 @@
 }
 
 func (e *Elector) run(ctx context.Context) {
+	if !e.opts.IsPreferred() {
+		_ = clock.Sleep(ctx, lateLeasePollInterval) // ends early only with the context
+	}
 	for ctx.Err() == nil {
 		if e.retired.Load() || e.opts.Healthy() || e.opts.Now().Before(e.yieldUntil) {
 			e.seenSince = time.Time{}
@@ -131,8 +138,15 @@
 			e.runFallback(ctx, last)
 			continue
 		}
-		_ = clock.Sleep(ctx, leasePollInterval) // ends early only with the context
+		_ = clock.Sleep(ctx, e.pollInterval()) // ends early only with the context
+	}
+}
+
+func (e *Elector) pollInterval() time.Duration {
+	if e.opts.IsPreferred() {
+		return leasePollInterval
 	}
+	return lateLeasePollInterval
 }
 
 // runFallback acts as fallback home in the term of the last home while the object service is unreachable. It
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -113,6 +113,7 @@
 	loaded bool
 	// replaced reports that a later home has taken over; no item starts any more.
 	replaced bool
+	listed   *listedJobs
 	// progress holds the progress of items at the previous home, by job and item.
 	progress map[[2]string]ItemProgress
 	// nodes are the connections of all nodes but the home's own, by owner.
@@ -145,7 +146,7 @@
 		progressLoaded: make(chan struct{}), handoverDone: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
 		jobs: make(map[string]*job), reserved: make(map[string]reservation),
 		undelivered: make(map[string]time.Time), runners: make(map[string]*runnerNode),
-		nodes: make(map[string]*link.Conn),
+		nodes: make(map[string]*link.Conn), listed: newListedJobs(),
 	}
 	if opts.SlotsOnly {
 		return h
@@ -401,6 +402,7 @@
 			return
 		case <-t.C:
 			h.sweepJobs(h.opts.Now())
+			h.writeListed(h.opts.Now())
 		}
 	}
 }
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -288,6 +288,7 @@
 	if err == nil {
 		err = h.opts.Objects.Delete(ctx, KindJobs, id)
 	}
+	h.listed.remove(id)
 	h.opts.Log.Info().Str("job", id).AnErr("error", err).Msg("jobRemoved")
 }
 
--- /dev/null
+++ b/io/home/listed.go
@@ -0,0 +1,137 @@
+package home
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"mothcart/io/object"
+	"mothcart/io/store"
+)
+
+// listedInterval is the least time between two writes of the listed jobs. What the last home did not write costs
+// the next one a read of results for each job.
+const listedInterval = 2 * time.Second
+
+// listedJobs names the jobs all of whose items have results, so that the next home need not read these. They share
+// one object: a mark on each job would cost a call and an event each. The object is a hint: a job that it lacks is
+// read, and a job that it names has all its results in the object service.
+type listedJobs struct {
+	mu  sync.Mutex
+	ids map[string]struct{}
+	// changed reports that ids has jobs that are not written; writing that a write is in progress.
+	changed, writing bool
+	writtenAt        time.Time
+}
+
+// listedRecord is the content of the object.
+type listedRecord struct {
+	Jobs []string `json:"jobs"`
+}
+
+func newListedJobs() *listedJobs { return &listedJobs{ids: make(map[string]struct{})} }
+
+func (l *listedJobs) has(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.ids[id]
+	return ok
+}
+
+func (l *listedJobs) add(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ids[id] = struct{}{}
+	l.changed = true
+}
+
+func (l *listedJobs) remove(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.ids, id)
+}
+
+// load reads the object and keeps the jobs that exist.
+func (l *listedJobs) load(ctx context.Context, c object.Client, exists func(id string) bool) error {
+	o, err := c.Get(ctx, KindListed, mainName)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return merry.Errorf("read listed jobs: %w", err)
+	}
+	var r listedRecord
+	if err := json.Unmarshal(o.Spec, &r); err != nil {
+		return merry.Errorf("decode listed jobs: %w", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range r.Jobs {
+		if exists(id) {
+			l.ids[id] = struct{}{}
+		}
+	}
+	return nil
+}
+
+// due returns the content to write, and true, if there is news and the last write is long enough ago.
+func (l *listedJobs) due(now time.Time) (listedRecord, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.changed || l.writing || now.Sub(l.writtenAt) < listedInterval {
+		return listedRecord{}, false
+	}
+	l.changed, l.writing, l.writtenAt = false, true, now
+	var r listedRecord
+	for id := range l.ids {
+		r.Jobs = append(r.Jobs, id)
+	}
+	slices.Sort(r.Jobs)
+	return r, true
+}
+
+// written records the end of a write; after a failure the jobs are written again.
+func (l *listedJobs) written(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.writing = false
+	l.changed = l.changed || err != nil
+}
+
+// writeListed writes the listed jobs if that is due.
+func (h *Home) writeListed(now time.Time) {
+	r, ok := h.listed.due(now)
+	if !ok {
+		return
+	}
+	h.done.Go(func() {
+		ctx, cancel := context.WithTimeout(h.ctx, writeTimeout)
+		defer cancel()
+		_, err := h.opts.Objects.Put(ctx, KindListed, mainName, r, 0)
+		if errors.Is(err, store.ErrNotFound) {
+			_, err = h.opts.Objects.Create(ctx, KindListed, mainName, r)
+		}
+		if err != nil {
+			h.opts.Log.Warn().Int("jobs", len(r.Jobs)).Err(err).Msg("listedJobsNotWritten")
+		}
+		h.listed.written(err)
+	})
+}
+
+// loadListed reads which of the jobs that exist have all their results.
+func (h *Home) loadListed(objects []object.Object) {
+	exists := make(map[string]bool, len(objects))
+	for _, o := range objects {
+		exists[o.Name] = true
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
+	defer cancel()
+	if err := h.listed.load(ctx, h.opts.Objects, func(id string) bool { return exists[id] }); err != nil {
+		h.opts.Log.Warn().Err(err).Msg("listedJobsNotRead") // the results of these jobs are read instead
+	}
+}
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -45,6 +45,12 @@
 
 // load loads all jobs, and the results of those that may have open items.
 func (h *Home) load(objects []object.Object) {
+	h.mu.Lock()
+	first := !h.loaded
+	h.mu.Unlock()
+	if first {
+		h.loadListed(objects)
+	}
 	var group sync.WaitGroup
 	limit := make(chan struct{}, loadConcurrency)
 	for _, o := range objects {
@@ -74,7 +80,7 @@
 // loadWithResults loads a job that may have results of an earlier home and starts its open items. A job that
 // needs no more runs is not loaded; readers get it from the object service.
 func (h *Home) loadWithResults(o object.Object) {
-	if s := decodeStatus(o); s.Listed || s.Ended {
+	if s := decodeStatus(o); s.Listed || s.Ended || h.listed.has(o.Name) {
 		return
 	}
 	for h.ctx.Err() == nil {
@@ -169,7 +175,7 @@
 	switch {
 	case exists && status.Ended:
 		h.endJob(o.Name)
-	case exists || status.Ended || status.Listed:
+	case exists || status.Ended || status.Listed || h.listed.has(o.Name):
 	default:
 		ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
 		defer cancel()
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -21,6 +21,8 @@
 	KindHomes = "mothcart-homes"
 	// KindJobs holds an object for each job; its status reports whether the job was ended.
 	KindJobs = "mothcart-jobs"
+	// KindListed holds one object that names the jobs whose results are complete.
+	KindListed = "mothcart-listed"
 	// ResultsPrefix and the ID of a job make the kind that holds the chunks of its results, so that
 	// they can be read without those of other jobs.
 	ResultsPrefix = "mothcart-results-"
@@ -41,7 +43,8 @@
 // jobStatus is the status of a job's object.
 type jobStatus struct {
 	Ended bool `json:"ended"`
-	// Listed reports that every item has its result, so that no item has to run.
+	// Listed reports that every item has its result, so that no item has to run. Earlier versions wrote it; it is
+	// now in KindListed.
 	Listed bool `json:"listed,omitempty"`
 }
 
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -300,7 +300,7 @@
 			listed := j.log.Len() == len(j.log.Job().Items)
 			h.mu.Unlock()
 			if listed {
-				h.markListed(id)
+				h.listed.add(id)
 			}
 			return
 		}
@@ -311,16 +311,6 @@
 	}
 }
 
-// markListed records in a job's object that every item has its result, so that the next home need not read
-// the results.
-func (h *Home) markListed(id string) {
-	ctx, cancel := context.WithTimeout(h.ctx, writeTimeout)
-	defer cancel()
-	if _, err := h.opts.Objects.PutStatus(ctx, KindJobs, id, jobStatus{Listed: true}); err != nil {
-		h.opts.Log.Warn().Str("job", id).Err(err).Msg("jobNotMarked")
-	}
-}
-
 // nextChunk returns the chunk of finished items that is written next; it has no results if there are none.
 func (j *job) nextChunk() batch.Chunk {
 	c := batch.Chunk{From: j.log.Len()}
--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -152,3 +152,28 @@
 		}
 	})
 }
+
+// Guards against a call for each job that is complete, and against a next home that reads the results of all jobs.
+func TestListedJobsCostNoCalls(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		const jobs = 8
+		for n := range jobs {
+			require.Equal(t, http.StatusAccepted, s.submitJob(1, fmt.Sprintf("j%d", n), 2).status)
+		}
+		for n := range jobs {
+			s.awaitJob(1, fmt.Sprintf("j%d", n), 18*time.Second)
+		}
+		time.Sleep(5 * time.Second)
+		require.LessOrEqual(t, s.callsOf("PUT mothcart-listed"), 4, "one in two seconds")
+		require.Zero(t, s.callsOf("PUT mothcart-jobs"))
+		reads := s.callsOf("GET mothcart-results-")
+		s.killHome(1)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, reads, s.callsOf("GET mothcart-results-"))
+		for n := range jobs {
+			p, status := s.readJob(2, fmt.Sprintf("j%d", n), 0)
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, 2, p.Next)
+		}
+	})
+}
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -56,7 +56,7 @@
 	b.follow()
 	elector := home.NewElector(home.ElectorOptions{
 		VMID: opts.Settings.VMID, Incarnation: b.incarnation, Address: b.peerAddress(), Objects: b.objects,
-		Healthy: b.client.Healthy, Isolated: n.isolated, Start: n.start, LastTerm: func() int64 { return b.client.Home().Term }, IsFallback: n.isFallback, StartFallback: n.startFallback, Now: opts.Now, Log: opts.Log,
+		Healthy: b.client.Healthy, Isolated: n.isolated, Start: n.start, IsPreferred: n.isPreferred, LastTerm: func() int64 { return b.client.Home().Term }, IsFallback: n.isFallback, StartFallback: n.startFallback, Now: opts.Now, Log: opts.Log,
 	})
 	n.mu.Lock()
 	n.elector = elector
@@ -75,6 +75,12 @@
 	return n.home != nil
 }
 
+// isPreferred reports that the settings name this node among the home nodes, or name none.
+func (n *HomeNode) isPreferred() bool {
+	nodes := n.base.opts.homeNodes()
+	return len(nodes) == 0 || slices.Contains(nodes, n.base.peerAddress())
+}
+
 func (n *HomeNode) isolated() bool {
 	n.mu.Lock()
 	h := n.home
