Drop the bodies of items that have results

Change: the bodies and headers of items go with the end of their run and with their results; the body of a listed item is not found, as the interface says. The home.bodyBytes gauge shows what is held. An attempt of an item that has ended meanwhile no longer starts.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -189,6 +189,19 @@
 	return l, nil
 }
 
+// WithoutListedBodies returns the log without the bodies and headers of the items that have results, which need
+// no further run.
+func (l Log) WithoutListedBodies() Log {
+	items := slices.Clone(l.job.Items)
+	for i := range items {
+		if l.Listed(items[i].ID) {
+			items[i].Body, items[i].Header = nil, nil
+		}
+	}
+	l.job.Items = items
+	return l
+}
+
 // WithEnded returns the log of a job that its owner has ended; the results so far remain.
 func (l Log) WithEnded() Log {
 	l.ended = true
--- a/core/batch/batch_test.go
+++ b/core/batch/batch_test.go
@@ -100,3 +100,13 @@
 		}
 	})
 }
+
+func TestListedItemsNeedNoBodies(t *testing.T) {
+	j := Job{ID: "j1", Items: []Item{{ID: "a0", Body: []byte("x"), Tokens: 10}, {ID: "a1", Body: []byte("y"), Tokens: 10}}}
+	log, err := NewLog(j).WithChunk(Chunk{Results: []Result{{Item: "a1", State: Completed}}})
+	require.NoError(t, err)
+	small := log.WithoutListedBodies()
+	require.Equal(t, []Item{j.Items[0]}, small.Open())
+	require.Equal(t, []Item{j.Items[0], {ID: "a1", Tokens: 10}}, small.Job().Items)
+	require.Equal(t, j.Items, log.Job().Items, "the log itself is unchanged")
+}
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -131,6 +131,8 @@
 	asks, refused, preemptions, runs, results, chunks metrics.Counter
 	// corrected counts the requests of nodes that had ended without the home's knowledge.
 	corrected metrics.Counter
+	// bodyBytes is the size of the bodies of open items.
+	bodyBytes metrics.Gauge
 }
 
 // New returns a home that loads jobs from the object service and runs their items.
@@ -142,6 +144,7 @@
 		metrics: homeMetrics{
 			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"),
 			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"), corrected: counter("slotsCorrected"),
+			bodyBytes: metrics.GetOrRegisterGauge("home.bodyBytes", opts.Registry),
 		},
 		progressLoaded: make(chan struct{}), handoverDone: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
 		jobs: make(map[string]*job), reserved: make(map[string]reservation),
@@ -403,6 +406,7 @@
 		case <-t.C:
 			h.sweepJobs(h.opts.Now())
 			h.writeListed(h.opts.Now())
+			h.metrics.bodyBytes.Update(int64(h.BodyBytes()))
 		}
 	}
 }
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -34,6 +34,8 @@
 	changed chan struct{}
 	// acceptedAt is when the job was accepted, by the clock of this VM.
 	acceptedAt time.Time
+	// parted reports that the items are stored in more than one object.
+	parted bool
 	// dueAt is when all results are due; zero if no route matched when the job was loaded.
 	dueAt time.Time
 	// removeAt is the time after which the job and its results are removed, once the job is done.
@@ -69,12 +71,25 @@
 
 // setLog replaces the log and wakes the readers; the home's mutex is held.
 func (j *job) setLog(log batch.Log) {
-	j.log = log
+	j.log = log.WithoutListedBodies()
 	close(j.changed)
 	j.changed = make(chan struct{})
 	j.finished = slices.DeleteFunc(j.finished, func(r batch.Result) bool { return log.Listed(r.Item) })
 }
 
+// BodyBytes returns the size of the bodies of all items that the home holds, in bytes.
+func (h *Home) BodyBytes() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, j := range h.jobs {
+		for _, i := range j.log.Job().Items {
+			n += len(i.Body)
+		}
+	}
+	return n
+}
+
 // endJob records that a job was ended and cancels its runs.
 func (h *Home) endJob(id string) {
 	h.mu.Lock()
@@ -226,7 +241,7 @@
 		return nil
 	}
 	item, ok := j.log.Job().Item(m.Item)
-	in.Answer(itemAnswer{Valid: true, Ended: j.log.Ended(), Found: ok, Body: item.Body})
+	in.Answer(itemAnswer{Valid: true, Ended: j.log.Ended(), Found: ok && !j.log.Listed(m.Item), Body: item.Body})
 	return nil
 }
 
@@ -278,11 +293,10 @@
 	if j == nil {
 		return
 	}
-	large := len(j.log.Job().Split(jobBytes)) > 1
 	ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
 	defer cancel()
 	err := h.removeAll(ctx, resultsKind(id))
-	if err == nil && large {
+	if err == nil && j.parted {
 		err = h.removeAll(ctx, partsPrefix+id)
 	}
 	if err == nil {
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -201,7 +201,7 @@
 		return
 	}
 	j := &job{
-		log: log, changed: make(chan struct{}), runs: make(map[string]*run),
+		log: log.WithoutListedBodies(), parted: len(log.Job().Split(jobBytes)) > 1, changed: make(chan struct{}), runs: make(map[string]*run),
 		acceptedAt: now.Add(-age), removeAt: now.Add(h.opts.ResultRetention - age),
 	}
 	route, ok := h.opts.Config().Match(log.Job().Host, log.Job().Path)
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -165,22 +165,19 @@
 func (h *Home) attempt(ctx context.Context, r *run, g slot.Grant) {
 	h.mu.Lock()
 	j := h.jobs[r.job]
-	if j == nil {
+	if j == nil || r.ended {
 		h.mu.Unlock()
 		h.pool.Release(g.Request.Key, slot.Abandoned)
 		return
 	}
-	host := j.log.Job().Host
-	h.mu.Unlock()
-	startedAt := h.opts.Now()
 	call := itemCall{
-		ID: r.item.ID, Host: host, Path: r.item.Path, Header: r.item.Header, Body: r.item.Body,
+		ID: r.item.ID, Host: j.log.Job().Host, Path: r.item.Path, Header: r.item.Header, Body: r.item.Body,
 		Upstream: g.Upstream, LastEventID: r.lastID,
 	}
 	got := new(stream)
-	h.mu.Lock()
 	r.received = got
 	h.mu.Unlock()
+	startedAt := h.opts.Now()
 	out, runner := h.execute(ctx, call, got)
 	took := h.opts.Now().Sub(startedAt)
 	cancelled := errors.Is(context.Cause(ctx), errCancelled)
@@ -253,7 +250,7 @@
 		if r.cancel != nil {
 			r.cancel(errCancelled)
 		}
-		r.text = bytes.Buffer{}
+		r.text, r.item.Body, r.item.Header = bytes.Buffer{}, nil, nil
 		key := r.key
 		time.AfterFunc(0, func() { h.pool.Release(key, slot.Abandoned) })
 	}
--- a/io/node/serve_test.go
+++ b/io/node/serve_test.go
@@ -209,3 +209,17 @@
 		}
 	})
 }
+
+func TestBodiesOfListedItemsAreDropped(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.submitJob(1, "j1", 2)
+		s.awaitJob(1, "j1", 18*time.Second)
+		body := s.call(t.Context(), 2, http.MethodGet, fake.ItemPath("j1", "j1.0"), "r", "")
+		require.Equal(t, http.StatusNotFound, body.status, "never another body")
+		for _, h := range s.homes {
+			if h.IsHome() {
+				require.Zero(t, h.home.BodyBytes())
+			}
+		}
+	})
+}
