--- a/core/slot/reconcile_test.go
+++ b/core/slot/reconcile_test.go
@@ -50,3 +50,26 @@
 		}
 	})
 }
+
+// An upstream on trial gets one request at a time. A slot of a request that ended without notice would keep it
+// from getting any, and so from ever leaving the trial.
+func TestReconcileEndsTrialBlockedByLostNotice(t *testing.T) {
+	p := newPool(1, 6)
+	lost, failing := online(1), []Request{online(2), online(3)}
+	p.Adopt(start, lost, "u0")
+	for _, r := range failing {
+		require.Len(t, p.Ask(start, r).Granted, 1)
+	}
+	for _, r := range failing {
+		p.Release(start, r.Key, Broken)
+	}
+	later := start.Add(time.Minute) // after any pause
+	r := online(4)
+	r.Order, r.Deadline = later.Add(5*time.Second), later.Add(time.Second)
+	require.Empty(t, p.Ask(later, r).Granted)
+	dropped, out := p.Reconcile(later, "e1", func(id uint64) bool { return id == r.Key.ID })
+	require.Equal(t, []Key{lost.Key}, dropped)
+	require.Len(t, out.Granted, 1)
+	p.Release(later, r.Key, Served)
+	require.Equal(t, 6, p.service("scribe").index.freeSlots(later, p.opts))
+}
