Lose no time on the VM of the last home

Change: a starting node waits 50 ms for a connection to the announced home before it follows the object service itself. The announcement of a later home ends an attempt at the last one. Measured: TestEntryStartsWhileTheHomeIsDown and TestAnnouncementEndsTheAttemptAtTheLastHome, which fail before.

--- a/io/home/client.go
+++ b/io/home/client.go
@@ -86,6 +86,8 @@
 	mu   sync.Mutex
 	home Announcement
 	conn *link.Conn
+	// cancelAttempt ends the last attempt to reach a home.
+	cancelAttempt context.CancelFunc
 	// relayed reports that conn goes through another node.
 	relayed bool
 	// leaseUnconfirmed reports that the home has said that it can't renew its lease.
@@ -104,7 +106,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Client{
 		opts: opts, cancel: cancel, wake: make(chan struct{}, 1), gone: make(map[site.Key]bool),
-		account:   newAccount(),
+		account: newAccount(), cancelAttempt: func() {},
 		localPool: NewSlotPool(slot.NewOptions().WithReports(true), opts.Now),
 	}
 	c.done.Go(func() { c.run(ctx) })
@@ -146,9 +148,10 @@
 		return
 	}
 	c.home = a
-	conn := c.conn
+	conn, cancelAttempt := c.conn, c.cancelAttempt
 	c.conn = nil
 	c.mu.Unlock()
+	cancelAttempt() // the last home's VM may not answer for as long as a connection may take
 	c.opts.Log.Info().Str("home", a.VM).Str("address", a.Address).Int64("term", a.Term).Msg("homeAnnounced")
 	c.opts.Announced()
 	if conn != nil {
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -15,12 +15,18 @@
 func (c *Client) run(ctx context.Context) {
 	pause := firstReconnect
 	for ctx.Err() == nil {
-		a := c.Home()
+		attempt, cancel := context.WithCancel(ctx)
+		a := c.beginAttempt(cancel)
 		if a.Address == "" {
+			cancel()
 			c.sleep(ctx, time.Hour)
 			continue
 		}
-		conn, err := c.connectAny(ctx, a)
+		conn, err := c.connectAny(attempt, a)
+		cancel()
+		if err != nil && c.Home().Term != a.Term {
+			continue
+		}
 		if err != nil {
 			c.opts.Log.Debug().Str("home", a.VM).Int64("term", a.Term).Err(err).Msg("homeNotReached")
 			c.sleep(ctx, pause)
@@ -34,6 +40,14 @@
 	}
 }
 
+// beginAttempt returns the home that was announced last; the announcement of a later one calls cancel.
+func (c *Client) beginAttempt(cancel context.CancelFunc) Announcement {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelAttempt = cancel
+	return c.home
+}
+
 // directInterval is the time between two attempts to replace a relayed connection by a direct one.
 const directInterval = 5 * time.Second
 
--- a/io/home/reconnect_test.go
+++ b/io/home/reconnect_test.go
@@ -185,3 +185,18 @@
 		h2.Close()
 	})
 }
+
+// A node that tries to reach a home whose VM is down connects to the next one as soon as that is announced.
+func TestAnnouncementEndsTheAttemptAtTheLastHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newReconnectSite(t)
+		s.network.Partition("10.1.0.0", "10.2.0.1")
+		s.announce(1)
+		time.Sleep(100 * time.Millisecond)
+		h2, server2 := s.startHome(2)
+		time.Sleep(20 * time.Millisecond)
+		require.True(t, s.clients[0].Connected())
+		s.close(server2)
+		h2.Close()
+	})
+}
--- a/io/node/start.go
+++ b/io/node/start.go
@@ -24,6 +24,10 @@
 // starts as a whole has a home within a few hundred milliseconds.
 const homeWait = time.Second
 
+// connectGrace is how long a starting node waits for a connection to the announced home, which takes some round
+// trips: the VM of that home may be down as well.
+const connectGrace = 50 * time.Millisecond
+
 // startWait is the time after the start in which a node doesn't follow the configuration and the upstreams at
 // the object service, since a home may be about to send them: hundreds of nodes may start together. It ends when
 // the home can't be reached, when the object service fails, and when the node becomes the home.
@@ -38,22 +42,26 @@
 
 func (s *startWait) end() { s.once.Do(func() { close(s.ended) }) }
 
-// await waits for the end, for homeWait if the object service answers, and for startGrace if not.
-func (s *startWait) await(ctx context.Context) {
-	t := time.NewTimer(startGrace)
+// awaitStart waits for the end of startWait: for homeWait if the site has no home yet, for startGrace if the object
+// service doesn't answer, and for connectGrace if the announced home doesn't.
+func (b *base) awaitStart(ctx context.Context) {
+	startedAt := b.opts.Now()
+	t := time.NewTicker(connectGrace)
 	defer t.Stop()
-	for waited := startGrace; ; waited = homeWait {
+	for wasAnswered := false; ; {
 		select {
-		case <-s.ended:
+		case <-b.startWait.ended:
 			return
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		if waited == homeWait || !s.answered.Load() {
+		age, answered := b.opts.Now().Sub(startedAt), b.startWait.answered.Load()
+		dark := wasAnswered && b.client.Home().Term > 0 && !b.client.Connected()
+		if age >= homeWait || dark || (!answered && age >= startGrace) {
 			return
 		}
-		t.Reset(homeWait - startGrace)
+		wasAnswered = answered
 	}
 }
 
@@ -64,7 +72,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b.cancelStart = cancel
 	b.startFetch.Go(func() {
-		b.startWait.await(ctx)
+		b.awaitStart(ctx)
 		follow()
 		if clock.Sleep(ctx, startGrace) != nil || b.receivesChanges() {
 			return
--- a/io/node/start_test.go
+++ b/io/node/start_test.go
@@ -157,3 +157,17 @@
 		require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodPost, "/new/1", "r1", "").status)
 	})
 }
+
+// Guards against waiting for the VM of the last home, which is down for longer than the starting node's own.
+func TestEntryStartsWhileTheHomeIsDown(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.killHome(2)
+		for n := 1; n <= 2; n++ {
+			s.network.Partition(entryIP(3), entryIP(n))
+			s.network.Partition(entryIP(3), homeIP(n))
+		}
+		s.startEntry(3)
+		time.Sleep(150 * time.Millisecond)
+		require.True(t, s.entries["e3"].Ready())
+	})
+}
