Spare the object service after a loss of the home

Change: readers that wait for results wait for the next home as long; a home says whether it has no such job or can't be sure. A node that is not the home starts its watches of a kind 0.15 of the drain time apart. Finished items wait 500 ms at most again: what waits is lost with a power loss, and runs again.

--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -11,6 +11,7 @@
 
 	"mothcart/core/batch"
 	"mothcart/core/site"
+	"mothcart/io/clock"
 	"mothcart/io/forward"
 	"mothcart/io/home"
 	"mothcart/io/store"
@@ -162,7 +163,7 @@
 func (h *Handler) readResults(w http.ResponseWriter, r *http.Request, c Call) {
 	wait := min(c.Wait, maxPoll)
 	began := h.opts.Now()
-	page, homeErr := h.opts.Home.Read(r.Context(), c.Job, c.After, wait)
+	page, homeErr := h.readFromHome(r.Context(), c, began.Add(wait))
 	err := homeErr
 	if homeErr != nil {
 		page, err = h.readDirect(r.Context(), c, began.Add(wait))
@@ -182,6 +183,22 @@
 	h.writeJSON(w, b)
 }
 
+// homePollInterval is the time between two attempts of a reader to reach a home.
+const homePollInterval = 100 * time.Millisecond
+
+// readFromHome reads a job from the home. Without one it waits for the next home for as long as the reader waits for
+// results: all readers of a site would otherwise turn to the object service together.
+func (h *Handler) readFromHome(ctx context.Context, c Call, until time.Time) (home.Page, error) {
+	for {
+		remaining := until.Sub(h.opts.Now())
+		page, err := h.opts.Home.Read(ctx, c.Job, c.After, max(remaining, 0))
+		remaining = until.Sub(h.opts.Now())
+		if err == nil || errors.Is(err, home.ErrUnknownJob) || remaining <= homePollInterval || clock.Sleep(ctx, homePollInterval) != nil {
+			return page, err
+		}
+	}
+}
+
 func (h *Handler) writeJSON(w http.ResponseWriter, b []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
--- a/io/home/clientjobs.go
+++ b/io/home/clientjobs.go
@@ -38,13 +38,19 @@
 	Results []batch.Result
 }
 
+// ErrUnknownJob means that the home has no such job that is open; a complete one may be in the object service.
+var ErrUnknownJob = merry.Sentinel("home has no such open job")
+
 // Read returns the results of a job from a position on, waiting for the first one. The error is
-// ErrNoHome if the home does not have the job or can't confirm its state.
+// ErrUnknownJob if the home does not have the job, and ErrNoHome if no home can confirm its state.
 func (c *Client) Read(ctx context.Context, job string, after int, wait time.Duration) (Page, error) {
 	var a readAnswer
 	if err := c.call(ctx, wait+callTimeout, methodRead, readRequest{Job: job, After: after, Wait: wait}, &a); err != nil {
 		return Page{}, err
 	}
+	if a.Unknown {
+		return Page{}, merry.Errorf("read job %s: %w", job, ErrUnknownJob)
+	}
 	if !a.Valid {
 		return Page{}, merry.Errorf("read job %s: %w", job, ErrNoHome)
 	}
--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -122,6 +122,9 @@
 
 func (e *Elector) run(ctx context.Context) {
 	if !e.opts.IsPreferred() {
+		if term, ok := e.tryAcquire(ctx, true); ok {
+			e.hold(ctx, term)
+		}
 		_ = clock.Sleep(ctx, lateLeasePollInterval) // ends early only with the context
 	}
 	for ctx.Err() == nil {
@@ -130,7 +133,7 @@
 			_ = clock.Sleep(ctx, healthPollInterval) // ends early only with the context
 			continue
 		}
-		if term, ok := e.tryAcquire(ctx); ok {
+		if term, ok := e.tryAcquire(ctx, false); ok {
 			e.hold(ctx, term)
 			continue
 		}
@@ -170,15 +173,15 @@
 	}
 }
 
-// tryAcquire reads the lease and acquires it if nobody holds it any more. It returns the new term and
-// whether the lease was acquired.
-func (e *Elector) tryAcquire(ctx context.Context) (int64, bool) {
+// tryAcquire reads the lease and acquires it if nobody holds it any more. With onlyOwn it does so only if an earlier
+// process of this VM held it. It returns the new term and whether the lease was acquired.
+func (e *Elector) tryAcquire(ctx context.Context, onlyOwn bool) (int64, bool) {
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
 	startedAt := e.opts.Now()
 	o, err := e.opts.Objects.Get(ctx, KindLease, mainName)
 	e.unreachable = err != nil && !errors.Is(err, store.ErrNotFound)
-	if errors.Is(err, store.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) && !onlyOwn {
 		return e.acquire(ctx, startedAt, lease{}, 0, startedAt)
 	}
 	if err != nil {
@@ -192,7 +195,11 @@
 	if o.Revision != e.seen.Revision || e.seenSince.IsZero() {
 		e.seen, e.seenSince = o, startedAt
 	}
-	free := l.VM == "" || (l.VM == e.opts.VMID && l.Incarnation != e.opts.Incarnation)
+	own := l.VM == e.opts.VMID && l.Incarnation != e.opts.Incarnation
+	if onlyOwn && !own {
+		return 0, false
+	}
+	free := l.VM == "" || own
 	if !free && e.opts.Now().Sub(e.seenSince) < takeoverAfter {
 		return 0, false
 	}
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -156,7 +156,8 @@
 	}
 	h.done.Go(h.loadProgress)
 	h.jobFollower = object.NewFollower(object.FollowerOptions{
-		Client: opts.Objects, Kind: KindJobs, Apply: h.applyJobs, Verify: h.verifyJobs, Gap: jobsWatchGap, Log: opts.Log,
+		Client: opts.Objects, Kind: KindJobs, Apply: h.applyJobs, Verify: h.verifyJobs,
+		Gap: func() time.Duration { return jobsWatchGap }, Log: opts.Log,
 	})
 	h.retirementFollower = object.NewFollower(object.FollowerOptions{
 		Client: opts.Objects, Kind: opts.Retirements.Kind, Apply: h.applyRetirements,
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -214,8 +214,9 @@
 		return false
 	}
 	if unconfirmed || unresolved {
+		unknown := j == nil && h.loaded && h.opts.Valid(now)
 		h.mu.Unlock()
-		in.Answer(readAnswer{})
+		in.Answer(readAnswer{Unknown: unknown})
 		return true
 	}
 	log := j.log
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -138,8 +138,9 @@
 }
 
 type readAnswer struct {
-	// Valid is false if the home does not have the job or can't confirm its state.
+	// Valid is false if the home does not have the job or can't confirm its state; Unknown tells these apart.
 	Valid   bool           `msgpack:"known"`
+	Unknown bool           `msgpack:"unknown,omitempty"`
 	Total   int            `msgpack:"total"`
 	Next    int            `msgpack:"next"`
 	Results []batch.Result `msgpack:"res,omitempty"`
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -25,7 +25,7 @@
 	// wait for lateGather.
 	gatherShare = 1.0 / 8
 	minGather   = 100 * time.Millisecond
-	maxGather   = 1500 * time.Millisecond
+	maxGather   = 500 * time.Millisecond
 	lateGather  = 500 * time.Millisecond
 	// chunkBytes bounds the texts of one chunk, in bytes; an object of the object service holds 1 MB.
 	chunkBytes = 600 << 10
--- a/io/node/calls_test.go
+++ b/io/node/calls_test.go
@@ -177,3 +177,28 @@
 		}
 	})
 }
+
+// Guards against all readers of a site that turn to the object service when the home is lost: those that wait for
+// results wait for the next home first, so that the seconds of a takeover cost each at most one direct read.
+func TestReadersWaitForTheNextHome(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		const readers, callsOfARead = 10, 2
+		for _, e := range s.engines {
+			e.SetPace(400 * time.Millisecond) // no result comes meanwhile
+		}
+		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 2).status)
+		time.Sleep(time.Second)
+		s.killHome(1)
+		before := s.callsOf("GET mothcart-jobs") + s.callsOf("GET mothcart-results-")
+		for range readers {
+			go func() {
+				for range 3 {
+					s.pollJob(1, "j1")
+				}
+			}()
+		}
+		time.Sleep(3 * time.Second)
+		const ofTheNextHome = 2
+		require.LessOrEqual(t, s.callsOf("GET mothcart-jobs")+s.callsOf("GET mothcart-results-")-before, readers*callsOfARead+ofTheNextHome)
+	})
+}
--- a/io/node/start.go
+++ b/io/node/start.go
@@ -26,16 +26,17 @@
 
 // connectGrace is how long a starting node waits for a connection to the announced home, which takes some round
 // trips: the VM of that home may be down as well.
-const connectGrace = 50 * time.Millisecond
+const connectGrace = 20 * time.Millisecond
 
 // startWait is the time after the start in which a node doesn't follow the configuration and the upstreams at
 // the object service, since a home may be about to send them: hundreds of nodes may start together. It ends when
 // the home can't be reached, when the object service fails, and when the node becomes the home.
 type startWait struct {
-	// answered reports that the object service has told which home is announced, if any.
-	answered atomic.Bool
-	once     sync.Once
-	ended    chan struct{}
+	// answered reports that the object service has told which home is announced, if any; hadHome that one was
+	// announced already, so that the site doesn't start as a whole for the first time.
+	answered, hadHome atomic.Bool
+	once              sync.Once
+	ended             chan struct{}
 }
 
 func newStartWait() *startWait { return &startWait{ended: make(chan struct{})} }
@@ -57,7 +58,7 @@
 		case <-t.C:
 		}
 		age, answered := b.opts.Now().Sub(startedAt), b.startWait.answered.Load()
-		dark := wasAnswered && b.client.Home().Term > 0 && !b.client.Connected()
+		dark := wasAnswered && b.startWait.hadHome.Load() && !b.client.Connected()
 		if age >= homeWait || dark || (!answered && age >= startGrace) {
 			return
 		}
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -28,13 +28,15 @@
 				b.receive(kind, c)
 				b.objectsReceived.Store(true)
 			},
-			Verify: b.verifyInterval, Paused: b.leavesFollowing, Log: b.opts.Log,
+			Verify: b.verifyInterval, Paused: b.leavesFollowing, Gap: b.watchGap, Log: b.opts.Log,
 		}))
 	}
 	b.followers = append(b.followers, object.NewFollower(object.FollowerOptions{
 		Client: b.objects, Kind: home.KindHomes, Apply: func(c object.Change) {
-			b.startWait.answered.Store(true)
 			home.ApplyAnnouncements(b.client, c, b.opts.Log)
+			if !b.startWait.answered.Swap(true) {
+				b.startWait.hadHome.Store(b.client.Home().Term > 0)
+			}
 		},
 		Down: func(down bool) {
 			b.startWait.end()
@@ -49,6 +51,19 @@
 	})
 }
 
+// watchGapShare is the least time between two watch calls of a node that is not the home, as a share of the time for
+// which a draining upstream still serves. After an outage hundreds of entries return within a second, and hundreds
+// of nodes may watch them.
+const watchGapShare = 0.15
+
+// watchGap returns the least time between two watch calls.
+func (b *base) watchGap() time.Duration {
+	if b.isHome() {
+		return object.DefaultWatchGap
+	}
+	return time.Duration(float64(b.opts.Settings.Drain) * watchGapShare)
+}
+
 // unconfirmedGrace is how long a node leaves the following to a connected home that can't renew its lease. By then
 // another home is announced, unless the object service is down for all. What this node learns late by it must
 // still be in force while a draining upstream serves, which leaves no time on sites with the shortest drain.
--- a/io/object/follow.go
+++ b/io/object/follow.go
@@ -51,9 +51,9 @@
 	// Paused reports that changes of the kind arrive from another source, so that it need not be followed;
 	// nil means never.
 	Paused func() bool
-	// Gap is the least time between the starts of two watch calls, so that frequent changes share a call; 0 means
-	// DefaultWatchGap.
-	Gap time.Duration
+	// Gap returns the least time between the starts of two watch calls, so that frequent changes share a call; nil
+	// means DefaultWatchGap.
+	Gap func() time.Duration
 	Log zerolog.Logger
 }
 
@@ -141,7 +141,11 @@
 	if f.at == 0 {
 		return f.list(ctx)
 	}
-	if err := clock.Sleep(ctx, cmp.Or(f.opts.Gap, DefaultWatchGap)-time.Since(f.watchedAt)); err != nil {
+	gap := DefaultWatchGap
+	if f.opts.Gap != nil {
+		gap = f.opts.Gap()
+	}
+	if err := clock.Sleep(ctx, gap-time.Since(f.watchedAt)); err != nil {
 		return err
 	}
 	f.watchedAt = time.Now()
