--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -8,6 +8,7 @@
 //
 //	slopes, err := capacity.Parse(data)
 //	fmt.Print(capacity.Page(slopes, capacity.TwoYears()))
+//	fmt.Print(capacity.SweepPage(slopes))
 package capacity
 
 import (
@@ -26,16 +27,25 @@
 	Command string  `json:"command"`
 }
 
-// Slopes are the measured costs by name.
-type Slopes struct{ list []Slope }
+// Slopes are the measured costs by name, and the sweep over sizes of the users' platform.
+type Slopes struct {
+	list  []Slope
+	sweep Sweep
+}
+
+// slopesFile is the format of docs/capacity.json.
+type slopesFile struct {
+	Slopes []Slope `json:"slopes"`
+	Sweep  Sweep   `json:"sweep"`
+}
 
 // Parse reads docs/capacity.json.
 func Parse(data []byte) (Slopes, error) {
-	var s Slopes
-	if err := json.Unmarshal(data, &s.list); err != nil {
-		return s, merry.Errorf("parse slopes: %w", err)
+	var f slopesFile
+	if err := json.Unmarshal(data, &f); err != nil {
+		return Slopes{}, merry.Errorf("parse slopes: %w", err)
 	}
-	return s, nil
+	return Slopes{list: f.Slopes, sweep: f.Sweep}, nil
 }
 
 // value returns the value of a slope. It panics for an unknown name, which is a bug in this package.
@@ -135,7 +145,10 @@
 	}
 }
 
-// Page returns the tables of docs/CAPACITY.md.
+// SweepPage returns the tables of docs/CAPACITY.md for the users' platform.
+func SweepPage(s Slopes) string { return s.sweep.page() }
+
+// Page returns the tables of docs/CAPACITY.md for the project's own world.
 func Page(s Slopes, z Size) string {
 	var b strings.Builder
 	b.WriteString("| Role on one VM | Mechanism | Sent bytes/s | Core | Memory MB | Writes/s (fleet) | Reads/s (fleet) |\n|---|---|---|---|---|---|---|\n")
--- a/cmd/mothcart/capacity.go
+++ b/cmd/mothcart/capacity.go
@@ -30,6 +30,6 @@
 		fmt.Fprintf(errOut, "mothcart capacity: %v\n", err)
 		return exitFailure
 	}
-	fmt.Fprint(out, capacity.Page(slopes, capacity.TwoYears()))
+	fmt.Fprint(out, capacity.Page(slopes, capacity.TwoYears()), "\n", capacity.SweepPage(slopes))
 	return exitOK
 }
--- a/io/home/views_test.go
+++ b/io/home/views_test.go
@@ -77,6 +77,7 @@
 	const nodes, linkBytesPerSecond = 300, 600e6 / 8
 	n, err := link.NewNotice(methodView, viewNotice{Kind: "servers", Change: largeView()["servers"]})
 	require.NoError(t, err)
+	t.Logf("%d upstreams: %d bytes", largeUpstreams, n.Size())
 	require.Less(t, float64(n.Size()*nodes), linkBytesPerSecond)
 }
 
