--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -299,6 +299,28 @@
 	}
 }
 
+// checkLeavingEngine makes an engine say in its answers that it is leaving, while its entry stays ready. The
+// platform's bound after the first such answer is 2 s.
+func (c *checker) checkLeavingEngine() {
+	t, engine := c.s.t, c.s.engines[0]
+	ask := func(i int) bool {
+		resp, _, err := c.call(http.MethodPost, 1+i%entries, "/ask/stream/1", fmt.Sprintf("leave.%d.%d", i, rand.Uint64()), nil)
+		return err == nil && resp.StatusCode == http.StatusOK
+	}
+	engine.SetFaults(fake.EngineFaults{Leaving: true})
+	before := engine.Total()
+	for i := 0; engine.Total() == before; i++ {
+		require.Less(t, i, 200, "the engine gets no request at all")
+		ask(i)
+	}
+	time.Sleep(2 * time.Second)
+	before = engine.Total()
+	for i := range 4 * entries {
+		assert.True(t, ask(i), "the other engines serve")
+	}
+	assert.Equal(t, before, engine.Total(), "a leaving engine gets nothing new")
+}
+
 // finish checks what can be checked only after the faults: all entries serve again, all accepted jobs are
 // done, no request ran more often than it may, and no refused request ran.
 func (c *checker) finish() {
@@ -330,6 +352,7 @@
 			assert.Equal(t, first, body, "all entries show the same results of job %s", id)
 		}
 	}
+	c.checkLeavingEngine()
 	for _, id := range c.atMostOnce {
 		assert.LessOrEqual(t, c.s.runCount(id), 1, "%s ran twice", id)
 	}
