--- /dev/null
+++ b/core/slot/service.go
@@ -0,0 +1,70 @@
+package slot
+
+import (
+	"math"
+	"time"
+)
+
+// service holds the upstreams, grants and waiting requests of a service.
+type service struct {
+	name      string
+	upstreams []*upstream
+	// index holds the upstreams that are not draining; slots is the number of their slots.
+	index  index
+	slots  int
+	online waitList
+	batch  waitList
+	// onlineGrants are the slots that online requests use, oldest first; batchGrants are those of batch
+	// items in the order of compare, so that the last one is preempted first.
+	onlineGrants, batchGrants []*grant
+	// meanHold is the moving mean of the time that online requests hold a slot.
+	meanHold time.Duration
+	// meanBatchHold is the same for batch items, over all attempts of each; 0 until one was served.
+	meanBatchHold time.Duration
+	// refuseLateUntil is the time until which requests that missed their objective are refused at once.
+	refuseLateUntil time.Time
+	// lastRetryAt is the latest retry time that was reserved for a refused caller.
+	lastRetryAt time.Time
+	// rate is the moving mean of online requests per second, as of rateAt.
+	rate   float64
+	rateAt time.Time
+	// onlineMean is the moving mean of the number of slots held by online requests, as of observedAt;
+	// onlineCount is that number since then.
+	onlineMean  float64
+	onlineCount int
+	observedAt  time.Time
+	// plannedAt is when the last plan of the batch items was made.
+	plannedAt time.Time
+}
+
+// rateWindow is the time over which the rate of online requests is averaged.
+const rateWindow = time.Second
+
+// countArrival adds an online request to the rate.
+func (s *service) countArrival(now time.Time) {
+	s.rate = s.rateNow(now) + 1/rateWindow.Seconds()
+	s.rateAt = now
+}
+
+// rateNow returns the rate, which decays while nothing arrives.
+func (s *service) rateNow(now time.Time) float64 {
+	return s.rate * math.Exp(-now.Sub(s.rateAt).Seconds()/rateWindow.Seconds())
+}
+
+// updateMeanHold adds the hold time of a served request to the mean. For a batch item the time of all
+// attempts counts, since few items run without preemption when callers come in waves. An online request
+// counts only if it ran in a single attempt.
+func (s *service) updateMeanHold(r Request, held time.Duration) {
+	switch {
+	case r.Batch && s.meanBatchHold == 0:
+		s.meanBatchHold = held + r.Ran
+		s.plannedAt = time.Time{} // the first hold time makes a plan possible
+	case r.Batch:
+		s.meanBatchHold += (held + r.Ran - s.meanBatchHold) / holdWeight
+	case r.Ran == 0:
+		s.meanHold += (held - s.meanHold) / holdWeight
+	}
+}
+
+// holdWeight is the number of requests over which the mean hold times are averaged.
+const holdWeight = 32
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -23,13 +23,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
@@ -37,7 +35,6 @@
 	"mothcart/core/slot"
 	"mothcart/io/link"
 	"mothcart/io/object"
-	"mothcart/io/store"
 )
 
 // Options are the dependencies and settings of a Home; all are required.
@@ -195,204 +192,6 @@
 
 func (h *Home) markHandedOver() { h.handoverOnce.Do(func() { close(h.handoverDone) }) }
 
-// owner returns a name for one connection of a node's process, so that the late end of a connection does
-// not release slots of the next one.
-func (h *Home) owner(vm string, incarnation int64) string {
-	return fmt.Sprintf("%s/%d/%d", vm, incarnation, h.nextID.Add(1))
-}
-
-// session is one node's connection.
-type session struct {
-	owner string
-	// relay is the address at which the node relays connections; empty if it doesn't.
-	relay string
-}
-
-// handle processes a message of a node; s is nil until the node has sent its hello.
-func (h *Home) handle(s *session, in link.Incoming) *session {
-	switch in.Method {
-	case methodHello:
-		return h.hello(in)
-	case methodHandover:
-		if err := h.handOver(in); err != nil {
-			in.Fail(err)
-		}
-		return s
-	}
-	if s == nil {
-		in.Fail(merry.Errorf("%s before hello", in.Method))
-		return nil
-	}
-	if err := h.dispatch(s, in); err != nil {
-		h.opts.Log.Warn().Str("peer", s.owner).Str("method", in.Method).Err(err).Msg("badMessage")
-		in.Fail(err)
-	}
-	return s
-}
-
-func (h *Home) dispatch(s *session, in link.Incoming) error {
-	switch in.Method {
-	case methodAsk:
-		return h.ask(s, in)
-	case methodRelease:
-		var m releaseNotice
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		h.pool.Release(slot.Key{Owner: s.owner, ID: m.ID}, m.Result)
-		return nil
-	case methodAccount:
-		var m accountNotice
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		h.reconcile(s, m)
-		return nil
-	case methodReport:
-		var m reportNotice
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		h.pool.Report(m.Upstream, m.Running, m.Waiting)
-		return nil
-	case methodLeaving:
-		var m leavingNotice
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		h.opts.MarkLeaving(s.owner, siteKeys(m.Upstreams))
-		return nil
-	case methodReserve:
-		return h.reserve(in)
-	case methodRead:
-		return h.read(in)
-	case methodItem:
-		return h.item(in)
-	case methodEnded:
-		var m endedNotice
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		h.endJob(m.Job)
-		return nil
-	case methodStored:
-		var m storedNotice
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		h.noteStored(m.Job)
-		return nil
-	case methodSubmit:
-		var m submitRequest
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		m.Job.ID = m.ID
-		go h.write(in, func(ctx context.Context) error { return CreateJob(ctx, h.opts.Objects, m.Job) })
-		return nil
-	case methodEnd:
-		var m endRequest
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		go h.write(in, func(ctx context.Context) error { return EndJob(ctx, h.opts.Objects, m.Job) })
-		return nil
-	default:
-		return merry.Errorf("unknown method %s", in.Method)
-	}
-}
-
-// write runs a write on behalf of a node and answers with its outcome.
-func (h *Home) write(in link.Incoming, write func(ctx context.Context) error) {
-	ctx, cancel := context.WithTimeout(h.ctx, writeCallTimeout)
-	defer cancel()
-	err := write(ctx)
-	outcome := writeUnknown
-	switch {
-	case err == nil:
-		outcome = writeDone
-	case errors.Is(err, store.ErrNotFound):
-		outcome = writeNotFound
-	case errors.Is(err, store.ErrUnavailable):
-		outcome = writeNotDone
-	}
-	h.opts.Log.Info().Str("method", in.Method).Int("outcome", int(outcome)).AnErr("error", err).Msg("writtenForNode")
-	in.Answer(writeAnswer{Outcome: outcome})
-}
-
-func (h *Home) hello(in link.Incoming) *session {
-	h.mu.Lock()
-	replaced := h.replaced
-	h.mu.Unlock()
-	if replaced {
-		in.Fail(ErrNoHome)
-		return nil
-	}
-	var m helloRequest
-	if err := in.Decode(&m); err != nil {
-		in.Fail(err)
-		return nil
-	}
-	s := &session{owner: h.owner(m.VM, m.Incarnation), relay: m.Relay}
-	if m.VM != h.opts.VMID {
-		h.mu.Lock()
-		h.nodes[s.owner] = in.Conn()
-		h.noNodesSince = time.Time{}
-		if m.Runs {
-			h.runners[s.owner] = &runnerNode{conn: in.Conn(), name: m.VM, stopped: make(chan struct{})}
-		}
-		h.mu.Unlock()
-	}
-	h.opts.MarkLeaving(s.owner, siteKeys(m.Leaving))
-	for _, o := range m.Open {
-		h.adopt(s, o)
-	}
-	h.opts.Log.Info().Str("peer", s.owner).Int("open", len(m.Open)).Int64("term", h.opts.Term).Msg("nodeConnected")
-	in.Answer(helloAnswer{Home: Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}})
-	in.Conn().Notify(methodObjectsDown, objectsDownNotice{Down: h.opts.ObjectsDown()})
-	if keys := h.opts.Leaving(); len(keys) > 0 {
-		in.Conn().Notify(methodLeaving, leavingNotice{Upstreams: upstreamKeys(keys)})
-	}
-	h.opts.Views.sendTo(in.Conn())
-	return s
-}
-
-func (h *Home) ask(s *session, in link.Incoming) error {
-	var m askRequest
-	if err := in.Decode(&m); err != nil {
-		return err
-	}
-	h.metrics.asks.Inc(1)
-	h.pool.Ask(m.request(h.opts.Now(), s.owner), asker{
-		granted: func(g slot.Grant) { in.Answer(askAnswer{Upstream: &g.Upstream}) },
-		refused: func(r slot.Refusal) {
-			h.metrics.refused.Inc(1)
-			l := h.pool.Load(r.Request.Service)
-			h.opts.Log.Info().Str("peer", s.owner).Uint64("ask", r.Request.Key.ID).Str("service", r.Request.Service).
-				Str("reason", string(r.Reason)).Dur("retryAfterMillis", r.RetryAfter).Int("slots", l.Slots).Int("online", l.Online).
-				Int("batch", l.Batch).Int("waiting", l.WaitingOnline).Int("paused", l.PausedUpstreams).Msg("slotRefused")
-			in.Answer(askAnswer{Reason: r.Reason, RetryAfter: r.RetryAfter})
-		},
-	})
-	return nil
-}
-
-// dropNode removes a node whose connection has ended and releases its slots.
-func (h *Home) dropNode(s *session) {
-	if s == nil {
-		return
-	}
-	h.opts.Log.Info().Str("peer", s.owner).Msg("nodeDisconnected")
-	h.mu.Lock()
-	delete(h.runners, s.owner)
-	if _, ok := h.nodes[s.owner]; ok && len(h.nodes) == 1 {
-		h.noNodesSince = h.opts.Now()
-	}
-	delete(h.nodes, s.owner)
-	h.mu.Unlock()
-	h.pool.DropOwner(s.owner)
-}
-
 // sweepInterval is the time between two sweeps for jobs whose items are to be failed or that are to be
 // removed.
 const sweepInterval = time.Second
