--- a/core/slot/reconcile_test.go
+++ b/core/slot/reconcile_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// Notices of ended requests are lost in any order. After the owners' accounts, the pool holds exactly their open
+// Notices of ended requests are lost in any order. After the owners' inventories, the pool holds exactly their open
 // requests, and no slot is free while a request waits.
 func TestReconcileAfterLostNotices(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -78,7 +78,7 @@
 	opts ClientOptions
 	// localPool grants slots while there is no home; it counts all slots in use by this node.
 	localPool *SlotPool
-	account   *account
+	inventory *inventory
 	cancel    context.CancelFunc
 	done      sync.WaitGroup
 	wake      chan struct{}
@@ -106,7 +106,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Client{
 		opts: opts, cancel: cancel, wake: make(chan struct{}, 1), gone: make(map[site.Key]bool),
-		account: newAccount(), cancelAttempt: func() {},
+		inventory: newInventory(), cancelAttempt: func() {},
 		localPool: NewSlotPool(slot.NewOptions().WithReports(true), opts.Now),
 	}
 	c.done.Go(func() { c.run(ctx) })
@@ -238,22 +238,22 @@
 	wait := max(r.Deadline.Sub(now), 0)
 	askCtx, cancel := context.WithTimeout(ctx, wait+askSlack)
 	defer cancel()
-	c.account.ask(r.Key.ID, r.Service)
+	c.inventory.ask(r.Key.ID, r.Service)
 	var answer askAnswer
 	err := conn.Call(askCtx, methodAsk, askRequest{
 		ID: r.Key.ID, Service: r.Service, Priority: r.Priority, Remaining: r.Order.Sub(now), Wait: wait,
 		Exclude: r.Exclude, Zone: r.AvailabilityZone, Objective: remainingObjective(now, r),
 	}, &answer)
 	if err != nil {
-		c.account.end(conn, releaseNotice{ID: r.Key.ID, Result: slot.Abandoned})
+		c.inventory.end(conn, releaseNotice{ID: r.Key.ID, Result: slot.Abandoned})
 		return forward.Lease{}, nil, err
 	}
 	if answer.Upstream == nil {
-		c.account.end(nil, releaseNotice{ID: r.Key.ID})
+		c.inventory.end(nil, releaseNotice{ID: r.Key.ID})
 		return forward.Lease{}, &slot.Refusal{Request: r, Reason: answer.Reason, RetryAfter: answer.RetryAfter}, nil
 	}
 	u := *answer.Upstream
-	c.account.hold(r.Key.ID, u.ID, conn)
+	c.inventory.hold(r.Key.ID, u.ID, conn)
 	c.localPool.Adopt(r, u.ID)
 	return c.lease(r, u, "home"), nil, nil
 }
@@ -265,7 +265,7 @@
 		Release: func(_ time.Time, result slot.Result) {
 			c.localPool.Release(r.Key, result)
 			// The home that is connected now may not be the one that granted the slot.
-			c.account.end(c.connection(), releaseNotice{ID: r.Key.ID, Result: result})
+			c.inventory.end(c.connection(), releaseNotice{ID: r.Key.ID, Result: result})
 		},
 		Report:  func(_ time.Time, running, waiting int) { c.report(u.ID, running, waiting) },
 		Leaving: func(request string) { c.opts.Leaving(u, request) },
@@ -313,8 +313,8 @@
 		if d.refusal != nil {
 			return forward.Lease{}, d.refusal, nil
 		}
-		c.account.ask(r.Key.ID, r.Service)
-		c.account.hold(r.Key.ID, d.grant.Upstream.ID, nil)
+		c.inventory.ask(r.Key.ID, r.Service)
+		c.inventory.hold(r.Key.ID, d.grant.Upstream.ID, nil)
 		return c.lease(r, d.grant.Upstream, "alone"), nil, nil
 	case <-ctx.Done():
 		c.localPool.Release(r.Key, slot.Abandoned)
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -34,7 +34,7 @@
 			continue
 		}
 		pause = firstReconnect
-		c.done.Go(func() { c.sendAccounts(ctx, conn) })
+		c.done.Go(func() { c.sendInventories(ctx, conn) })
 		c.awaitEnd(ctx, conn)
 		c.lost(conn, a)
 	}
@@ -233,7 +233,7 @@
 func (c *Client) hello() helloRequest {
 	return helloRequest{
 		VM: c.opts.VMID, Incarnation: c.opts.Incarnation, Relay: c.opts.Relay, Runs: c.opts.Runner != nil,
-		Open: c.account.open(), Leaving: upstreamKeys(c.opts.LeavingUpstreams()),
+		Open: c.inventory.open(), Leaving: upstreamKeys(c.opts.LeavingUpstreams()),
 	}
 }
 
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -14,16 +14,16 @@
 	methodHello   = "hello"
 	methodAsk     = "ask"
 	methodRelease = "release"
-	// methodAccount lists all open requests of a node.
-	methodAccount = "account"
-	methodReport  = "report"
-	methodReserve = "reserve"
-	methodRead    = "read"
-	methodItem    = "item"
-	methodEnded   = "ended"
-	methodStored  = "kept"
-	methodSubmit  = "submit"
-	methodEnd     = "end"
+	// methodInventory lists all open requests of a node.
+	methodInventory = "inventory"
+	methodReport    = "report"
+	methodReserve   = "reserve"
+	methodRead      = "read"
+	methodItem      = "item"
+	methodEnded     = "ended"
+	methodStored    = "kept"
+	methodSubmit    = "submit"
+	methodEnd       = "end"
 	// methodHandover is called by the home of a later term.
 	methodHandover = "handover"
 	// methodFetchSiteState asks a home node, whether it is the home or not, for its site state.
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -59,8 +59,8 @@
 		}
 		h.pool.Release(slot.Key{Owner: s.owner, ID: m.ID}, m.Result)
 		return nil
-	case methodAccount:
-		var m accountNotice
+	case methodInventory:
+		var m inventoryNotice
 		if err := in.Decode(&m); err != nil {
 			return err
 		}
