Order requests by the last moment for their objective, not by how long their caller waits

Change: requests that can meet their objective are ordered by its last moment, late ones by deadline as before; a request that may have run goes before those that arrived after it.

--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -334,7 +334,7 @@
 func compareOnTime(a, b Request) int {
 	return cmp.Or(
 		cmp.Compare(a.Priority, b.Priority),
-		a.Order.Compare(b.Order),
+		a.urgency().Compare(b.urgency()),
 		cmp.Compare(a.Key.ID, b.Key.ID),
 		cmp.Compare(a.Key.Owner, b.Key.Owner),
 	)
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -5,7 +5,7 @@
 // slots of the upstreams passed to SetUpstreams, the grants that use them, and the waiting requests.
 //
 // Online requests go first. They are ordered by priority, then those that can still meet their
-// objective before those that have missed it, then by deadline. Batch items get all remaining slots;
+// objective, by its last moment, before those that have missed it, by deadline. Batch items get all remaining slots;
 // of the items that can end by their due time, the one that is due first goes first. When an online
 // request finds no free slot, a batch item is preempted: one that will be late in any case, or else
 // the one that is due last. A request that can't get a slot before its wait ends is refused at once,
@@ -51,8 +51,8 @@
 	// Ran is the time for which a batch item has held slots in earlier attempts; it resumes where it
 	// stopped.
 	Ran time.Duration
-	// Order sorts requests of the same priority, earlier first: the caller's deadline of an online
-	// request, the due time of a batch item.
+	// Order sorts requests of the same priority that have no objective or miss it, earlier first: the caller's
+	// deadline of an online request, the arrival of one that may have run already, the due time of a batch item.
 	Order time.Time
 	// Deadline is the time at which an online request stops waiting.
 	Deadline time.Time
@@ -66,6 +66,16 @@
 	late bool
 }
 
+// urgency returns the time by which requests of the same priority are ordered, earlier first: the last moment for
+// the objective while that can be met, and otherwise Order. Callers that may wait longer would otherwise always
+// come after others with the same objective.
+func (r Request) urgency() time.Time {
+	if r.late || r.Objective.IsZero() {
+		return r.Order
+	}
+	return r.Objective
+}
+
 // missesObjective reports whether an online request can no longer meet its objective.
 func (r Request) missesObjective(now time.Time) bool {
 	return !r.Objective.IsZero() && !now.Before(r.Objective)
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -99,7 +99,7 @@
 		Key:              slot.Key{ID: x.ask},
 		Service:          x.service,
 		Priority:         x.req.Route.Priority,
-		Order:            x.req.Deadline,
+		Order:            x.order(),
 		Deadline:         x.waitUntil(now),
 		Exclude:          x.exclude,
 		AvailabilityZone: x.f.opts.AvailabilityZone,
@@ -111,6 +111,15 @@
 	return lease, refusal, err
 }
 
+// order returns the time by which requests without an objective are ordered. One that may have run already goes
+// before those that arrived after it, since without a slot it can only fail.
+func (x *exchange) order() time.Time {
+	if x.runs > 0 {
+		return x.req.Arrived
+	}
+	return x.req.Deadline
+}
+
 // objective returns the latest time at which a slot still lets the request meet its latency objective.
 // It is zero if the request has no objective, or if the request may have run already: a refusal would
 // then wrongly say that it has not run.
