Never take a cut answer for a whole one

Cause (found by reading): io/forward, io/engine and the replay of io/caller read at most a limit of an answer and took what they had for complete; a body that broke off while it was buffered became a failure without a cause, whose text panics. Change: service.ReadAnswer reads a bounded body, and fails for one that is longer or breaks off; it replaces the four readers.

--- a/io/caller/plain.go
+++ b/io/caller/plain.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -169,12 +170,12 @@
 	if a.Length < 0 || a.Length > maxBufferedBytes {
 		return a, nil
 	}
-	body, err := io.ReadAll(a.Body)
+	body, err := service.ReadAnswer(a.Body, maxBufferedBytes)
 	a.Body.Close()
 	if err != nil {
-		return service.Answer{}, &service.Failure{Sent: true}
+		return service.Answer{}, err
 	}
-	a.Body = io.NopCloser(strings.NewReader(string(body)))
+	a.Body = io.NopCloser(bytes.NewReader(body))
 	return a, nil
 }
 
@@ -226,8 +227,8 @@
 	h.opts.Log.Info().Str("request", c.id).Str("account", c.account.Name).Int("status", a.Status).Dur("took", time.Since(c.received)).Msg("callDone")
 }
 
-// replayPlain runs a call to a plain service stored in the ledger and returns its complete answer, of which
-// it reads at most MaxBodyBytes.
+// replayPlain runs a call to a plain service stored in the ledger and returns its complete answer; one of more
+// than MaxBodyBytes is an error.
 func (h *Handler) replayPlain(ctx context.Context, r *http.Request, c call, name, path string, body []byte, d DurableRequest) (DurableAnswer, retry.Ran, error) {
 	run, p := planPlain(r, c, name, path, body)
 	if p != nil {
@@ -241,7 +242,7 @@
 		return p.answer(), p.ran, err
 	}
 	defer answer.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(answer.Body, h.opts.MaxBodyBytes))
+	data, err := service.ReadAnswer(answer.Body, h.opts.MaxBodyBytes)
 	if err != nil {
 		p := problemOf(upstream.NewExchangeError(upstream.CodeUpstream, retry.RanMaybe, err))
 		return p.answer(), p.ran, err
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -29,6 +29,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"mothcart/io/dial"
+	"mothcart/io/service"
 )
 
 // Paths of an engine's interface.
@@ -189,7 +190,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	body, err := service.ReadAnswer(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return nil, c.failure(ctx, call, Broken, true, err)
 	}
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -107,9 +107,9 @@
 		a.Err = cause(ctx, stream.copy(resp, idle))
 		return a
 	}
-	a.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	a.Body, err = service.ReadAnswer(resp.Body, maxAnswerBytes)
 	if err != nil {
-		return Answer{Sent: true, Err: cause(ctx, merry.Errorf("read answer: %w", err))}
+		return Answer{Sent: true, Err: cause(ctx, err)}
 	}
 	return a
 }
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -85,6 +85,22 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.err }
 
+// ErrTooLarge means that an answer exceeds the limit of its reader.
+var ErrTooLarge = merry.Sentinel("answer is too large")
+
+// ReadAnswer reads a body of at most limit bytes. A longer one fails with ErrTooLarge: cut off, it would look whole.
+// Errors are of type *Failure.
+func ReadAnswer(body io.Reader, limit int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, &Failure{Sent: true, err: merry.Errorf("read answer: %w", err)}
+	}
+	if int64(len(b)) > limit {
+		return nil, &Failure{Sent: true, err: merry.Errorf("more than %d bytes: %w", limit, ErrTooLarge)}
+	}
+	return b, nil
+}
+
 // Do makes one attempt. Errors are of type *Failure.
 func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
 	r, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, onceReader(call.Body))
