One place passes on what an answer's headers say about the upstream

An unreadable length of a packed notice was reported as too large, without its cause; it has its own error now. SlotPool.Grants had no caller left since nodes keep an inventory. Ruled out: one encoder for Conn.send and NewNotice; they share two calls, and a node's hot path would branch. No decision changed.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -36,9 +36,10 @@
 	// IdleTimeout bounds the time to the headers of the answer, from there to the complete body or the first
 	// event, and between events; 0 means no limit.
 	IdleTimeout time.Duration
-	// OnInfo is called with what the headers of the upstream's answer say about the upstream, before the
-	// answer is used.
-	OnInfo func(m AnswerInfo)
+	// OnLoad is called with the upstream's load if the headers of its answer report it, and OnLeaving if they say
+	// that the upstream is leaving, both before the answer is used.
+	OnLoad    func(m AnswerInfo)
+	OnLeaving func()
 }
 
 // Answer is the outcome of an attempt. Status is 0 if there was no answer; Err is then set.
@@ -97,9 +98,7 @@
 	defer resp.Body.Close()
 	idle.reset()
 	a := Answer{Status: resp.Status, Header: resp.Header, Info: codec.Read(resp.Header), Sent: true}
-	if a.Status != http.StatusMisdirectedRequest { // with that status another process answers
-		call.OnInfo(a.Info)
-	}
+	call.observe(a)
 	if a.Success() && !a.Info.Signed {
 		return Answer{Sent: true, Err: merry.Errorf("status %d: %w", a.Status, errUnsigned)}
 	}
@@ -114,6 +113,19 @@
 	return a
 }
 
+// observe passes on what the headers of an answer say about the upstream.
+func (c Call) observe(a Answer) {
+	if a.Status == http.StatusMisdirectedRequest {
+		return // another process answers
+	}
+	if a.Info.HasLoad {
+		c.OnLoad(a.Info)
+	}
+	if a.Info.Leaving {
+		c.OnLeaving()
+	}
+}
+
 // cause wraps err in ErrSilent if the idle timeout cancelled ctx, and otherwise returns err.
 func cause(ctx context.Context, err error) error {
 	if err != nil && errors.Is(context.Cause(ctx), ErrSilent) {
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -181,7 +181,8 @@
 		ID: x.req.ID, Method: x.req.Method, Host: x.req.Host, Path: x.req.Path, Header: x.req.Header, Body: x.req.Body,
 		Attempt:     Attempt{Upstream: lease.Upstream, Remaining: x.req.Deadline.Sub(x.f.opts.Now()), LastEventID: lastID},
 		IdleTimeout: x.idleTimeout(),
-		OnInfo:      func(m AnswerInfo) { x.observe(lease, m) },
+		OnLoad:      func(m AnswerInfo) { lease.Report(x.f.opts.Now(), m.Running, m.Waiting) },
+		OnLeaving:   func() { lease.Leaving(x.req.ID) },
 	}
 	var sink *Sink
 	if x.req.Route.Kind == site.Streaming {
@@ -190,16 +191,6 @@
 	return Do(ctx, x.f.opts.Client, x.f.opts.Wire, call, sink)
 }
 
-// observe records what an upstream's answer says about the upstream.
-func (x *exchange) observe(lease Lease, m AnswerInfo) {
-	if m.HasLoad {
-		lease.Report(x.f.opts.Now(), m.Running, m.Waiting)
-	}
-	if m.Leaving {
-		lease.Leaving(x.req.ID)
-	}
-}
-
 // finish releases the slot and answers the caller, or returns false if another attempt is to follow.
 func (x *exchange) finish(ctx context.Context, lease Lease, a Answer) bool {
 	now := x.f.opts.Now()
--- a/io/home/listed.go
+++ b/io/home/listed.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -87,12 +88,7 @@
 		return listedRecord{}, false
 	}
 	l.changed, l.writing, l.writtenAt = false, true, now
-	var r listedRecord
-	for id := range l.ids {
-		r.Jobs = append(r.Jobs, id)
-	}
-	slices.Sort(r.Jobs)
-	return r, true
+	return listedRecord{Jobs: slices.Sorted(maps.Keys(l.ids))}, true
 }
 
 // written records the end of a write; after a failure the jobs are written again.
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -116,14 +116,8 @@
 	a := forward.Do(ctx, rn.opts.Client, rn.opts.Codec, forward.Call{
 		ID: c.ID, Method: http.MethodPost, Host: c.Host, Path: c.Path, Header: header, Body: c.Body,
 		Attempt: forward.Attempt{Upstream: c.Upstream, LastEventID: c.LastEventID}, IdleTimeout: itemIdleTimeout,
-		OnInfo: func(m forward.AnswerInfo) {
-			if m.HasLoad {
-				report(m.Running, m.Waiting)
-			}
-			if m.Leaving {
-				rn.opts.Leaving(c.Upstream, c.ID)
-			}
-		},
+		OnLoad:    func(m forward.AnswerInfo) { report(m.Running, m.Waiting) },
+		OnLeaving: func() { rn.opts.Leaving(c.Upstream, c.ID) },
 	}, &forward.Sink{
 		Start: func(int, http.Header) error { return nil },
 		Event: func(e forward.Event, _ bool) error {
--- a/io/home/slotpool.go
+++ b/io/home/slotpool.go
@@ -114,13 +114,6 @@
 	return p.pool.Load(p.now(), service)
 }
 
-// Grants returns the grants that are in use.
-func (p *SlotPool) Grants() []slot.Grant {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.pool.Grants()
-}
-
 // change applies an event and calls the askers with its outcome: preempted ones first, so that a slot is
 // free when its new request arrives.
 func (p *SlotPool) change(event func(now time.Time) slot.Outcome) {
--- a/io/link/notice.go
+++ b/io/link/notice.go
@@ -52,7 +52,11 @@
 	if err := msgpack.Unmarshal(packed, &b); err != nil {
 		return nil, merry.Errorf("read packed body: %w", err)
 	}
-	if n, err := s2.DecodedLen(b); err != nil || n > maxUnpacked {
+	n, err := s2.DecodedLen(b)
+	if err != nil {
+		return nil, merry.Errorf("read length of packed body: %w", err)
+	}
+	if n > maxUnpacked {
 		return nil, merry.Errorf("packed body of %d bytes, limit %d: %w", n, maxUnpacked, msgframe.ErrTooLarge)
 	}
 	body, err := s2.Decode(nil, b)
