The entry of an upstream names its software version

Cause: upstreams of several software versions serve side by side, and nothing reads the version in their entries, so no part of the system can tell which upstreams may go on with a stream.

--- a/core/site/site.go
+++ b/core/site/site.go
@@ -178,6 +178,9 @@
 	Address string
 	Zone    string
 	Slots   int
+	// Version is that of the software that the upstream runs, such as "v1.1". What two versions write doesn't fit
+	// together. It is neither the version of a model's weights nor that of a configuration.
+	Version string
 	// Draining upstreams finish their requests and accept no new ones.
 	Draining bool
 	// Doubtful upstreams lost their entry in the object service recently; they are used when no other is
