Logs name the software version of upstreams

Cause: upstreamChanged, attemptFailed, upstreamSilent and itemAttempt didn't say at which software version an attempt ran, so that a stream that mothcart resumed elsewhere can't be told from one that its caller took up. Change: the field version. No decision changed.

--- a/io/forward/race.go
+++ b/io/forward/race.go
@@ -255,6 +255,6 @@
 		event = "upstreamHeard"
 		e = e.Dur("silentMillis", now.Sub(at.silentSince))
 	}
-	e.Str("upstream", at.lease.Upstream.ID).Int64("incarnation", at.lease.Upstream.Incarnation).Int("attempt", x.attempts).
+	e.Str("upstream", at.lease.Upstream.ID).Int64("incarnation", at.lease.Upstream.Incarnation).Str("version", at.lease.Upstream.Version).Int("attempt", x.attempts).
 		Int("runs", x.runs).Int32("delivered", x.delivered.Load()).Dur("leftMillis", x.req.Deadline.Sub(now)).Msg(event)
 }
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -263,7 +263,7 @@
 }
 
 func (x *exchange) logFailure(lease Lease, a Answer, again bool) {
-	x.log.Info().Str("upstream", lease.Upstream.ID).Int64("incarnation", lease.Upstream.Incarnation).Str("basis", lease.Basis).
+	x.log.Info().Str("upstream", lease.Upstream.ID).Int64("incarnation", lease.Upstream.Incarnation).Str("version", lease.Upstream.Version).Str("basis", lease.Basis).
 		Uint64("ask", x.ask).Int("attempt", x.attempts).Int("runs", x.runs).Int("status", a.Status).Bool("notRun", a.refused()).Bool("sent", a.Sent).
 		Int32("delivered", x.delivered.Load()).AnErr("error", a.Err).Bool("again", again).Msg("attemptFailed")
 }
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -183,7 +183,7 @@
 	cancelled := errors.Is(context.Cause(ctx), errCancelled)
 	h.pool.Release(g.Request.Key, out.Result)
 	h.opts.Log.Info().Str("job", r.job).Str("item", r.item.ID).Str("upstream", g.Upstream.ID).Int64("incarnation", g.Upstream.Incarnation).
-		Str("runner", runner).Str("from", call.LastEventID).Str("to", out.LastEventID).Int("status", out.Status).Bool("cut", cancelled).
+		Str("version", g.Upstream.Version).Str("runner", runner).Str("from", call.LastEventID).Str("to", out.LastEventID).Int("status", out.Status).Bool("cut", cancelled).
 		Int("failures", r.failures).Dur("tookMillis", took).Str("error", out.Err).Msg("itemAttempt")
 	h.completeAttempt(r, out, took, cancelled)
 }
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -196,7 +196,7 @@
 		return
 	}
 	u := entry.Upstream
-	b.opts.Log.Info().Str("upstream", u.ID).Int64("incarnation", u.Incarnation).Str("service", u.Service).Str("address", u.Address).
+	b.opts.Log.Info().Str("upstream", u.ID).Int64("incarnation", u.Incarnation).Str("service", u.Service).Str("version", u.Version).Str("address", u.Address).
 		Bool("draining", u.Draining).Int64("revision", int64(e.Object.Revision)).Msg("upstreamChanged")
 }
 
