A request that runs at a silent upstream is never refused

What callers saw: 503 "not run" at the deadline of a plain request that was running at a silent upstream while a second attempt could not connect. Cause: the attempt that was never sent ended first and decided; the open one was not counted as a run. Change: attempts that are open at the end count as runs, since they may be.

--- a/io/forward/race.go
+++ b/io/forward/race.go
@@ -224,6 +224,7 @@
 	r.endSearch()
 	close(r.closed)
 	for _, at := range r.open {
+		r.x.runs++ // it may have run
 		at.cancel(errReplaced)
 		at.lease.Release(r.x.f.opts.Now(), slot.Abandoned)
 	}
--- /dev/null
+++ b/io/node/race_test.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothcart/platform/fake"
+)
+
+// addDesk starts another upstream of the service desk.
+func (s *testSite) addDesk(n, slots int) *fake.Engine {
+	e := fake.NewEngine(s.network, fake.EngineOptions{
+		ID: fmt.Sprintf("i-%d", n), Service: "desk", Address: engineIP(n) + ":80", Zone: "z1", Slots: slots, Born: 1, Pace: pace, Objects: s.objects,
+	})
+	s.engines = append(s.engines, e)
+	return e
+}
+
+// addRaw starts an upstream that answers each request with the bytes that serve writes, and then ends the connection.
+func (s *testSite) addRaw(n int, service string, serve func(c net.Conn, r *http.Request)) {
+	l, err := s.network.Listen(s.t.Context(), engineIP(n)+":80")
+	require.NoError(s.t, err)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					serve(c, r)
+				}
+			}()
+		}
+	}()
+	s.objects.Write("servers", fmt.Sprintf("i-%d", n), map[string]any{
+		"service": service, "address": engineIP(n) + ":80", "zone": "z1", "version": "v1", "slots": 4, "state": "ready", "born": 1,
+	})
+}
+
+// Guards against "not run" for a request that runs at a silent upstream while a second attempt can't connect.
+func TestRequestThatRunsIsNeverRefused(t *testing.T) {
+	for i := range 12 { // which attempt ends first at the deadline is up to the scheduler
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				s.desk.Silence(20 * time.Second)
+				done := s.stream(1, "/fetch/1", "r1")
+				time.Sleep(1700 * time.Millisecond)
+				s.network.Partition(entryIP(1), engineIP(10))
+				s.addDesk(10, 4)
+				r := <-done
+				require.Equal(t, 1, s.runsOf("r1"))
+				require.NotEqual(t, http.StatusServiceUnavailable, r.status)
+			})
+		})
+	}
+}
