The search for a slot goes on after a second attempt has failed

What callers saw: no answer until the deadline, though a sound upstream was idle, when the first upstream was silent and the second attempt failed late. Cause: nothing looked at the open attempts when one of them failed. Change: the race checks them then too. Measured: TestSearchGoesOnAfterTheSecondAttemptFailed failed before (an empty answer at 2 s) and passes after.

--- a/io/forward/race.go
+++ b/io/forward/race.go
@@ -110,6 +110,7 @@
 		return true
 	}
 	r.x.book(r.ctx, at.lease, at.answer)
+	r.check() // the attempts that are left may all be silent
 	return false
 }
 
--- a/io/node/race_test.go
+++ b/io/node/race_test.go
@@ -62,3 +62,30 @@
 		})
 	}
 }
+
+// Guards against a request that waits for a silent upstream until its deadline, since its second attempt failed late.
+func TestSearchGoesOnAfterTheSecondAttemptFailed(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		route := newRoute
+		route.Attempts = 4
+		s.writeConfig(2, route)
+		second := s.addDesk(10, 1)
+		time.Sleep(time.Second)
+		s.desk.Silence(20 * time.Second)
+		second.Silence(480 * time.Millisecond)
+		other := s.stream(2, "/swap/1", "other") // holds the slot of the second upstream until 500 ms
+		time.Sleep(5 * time.Millisecond)
+		require.Equal(t, 1, second.Running()+s.desk.Running())
+		done := s.stream(1, "/new/1", "r1")
+		time.Sleep(30 * time.Millisecond)
+		second.SetFaults(fake.EngineFaults{MismatchedID: true})
+		time.Sleep(455 * time.Millisecond)
+		second.Silence(210 * time.Millisecond) // its attempt fails at 700 ms
+		time.Sleep(140 * time.Millisecond)
+		s.addDesk(11, 4)
+		r := <-done
+		<-other
+		require.Equal(t, http.StatusOK, r.status)
+		require.Equal(t, "r1 by i-11", r.body)
+	})
+}
