A stream that left a silent upstream may return to it

What callers saw: streams cut, or 502 before their first event, when the next upstream refused, could not be reached or was gone, though the first one would have gone on. Cause: a silent upstream was left for a slot, and then excluded like one at which the request had failed. Change: it is asked again if no other upstream is to be had. Measured: TestSilentUpstreamIsAskedAgain failed before in 4 of 4 cases and passes after; never more runs than the route allows. Left: with two runs allowed the move uses up the last one, so that a stream is cut if its second upstream breaks.

--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -40,7 +41,10 @@
 	service string
 	log     zerolog.Logger
 
-	exclude  []string
+	// exclude are the upstreams at which an attempt failed; silent are those that were left because they were silent,
+	// and that are asked again if no other upstream is to be had.
+	exclude, silent []string
+
 	attempts int
 	refusals int
 	// runs counts the attempts that may have run.
@@ -96,8 +100,11 @@
 // acquire waits for a slot.
 func (x *exchange) acquire(ctx context.Context) (Lease, *slot.Refusal, error) {
 	now := x.f.opts.Now()
-	request := x.slotRequest(now, 0)
-	lease, refusal, err := x.f.opts.Acquire(ctx, request)
+	lease, refusal, err := x.f.opts.Acquire(ctx, x.slotRequest(now, 0))
+	if refusal != nil && len(x.silent) > 0 {
+		x.silent = nil
+		lease, refusal, err = x.f.opts.Acquire(ctx, x.slotRequest(x.f.opts.Now(), 0))
+	}
 	waited := x.f.opts.Now().Sub(now)
 	x.waited += waited
 	x.f.metrics.wait.Observe(waited)
@@ -114,7 +121,7 @@
 		Priority:         x.req.Route.Priority,
 		Order:            x.order(ran),
 		Deadline:         x.waitUntil(now, ran),
-		Exclude:          slices.Clone(x.exclude),
+		Exclude:          slices.Concat(x.exclude, x.silent),
 		AvailabilityZone: x.f.opts.AvailabilityZone,
 		Objective:        x.objective(ran),
 	}
@@ -253,6 +260,10 @@
 
 // recordFailure records what follows for later attempts from a failed one.
 func (x *exchange) recordFailure(lease Lease, a Answer) {
+	if errors.Is(a.Err, errReplaced) {
+		x.silent = append(x.silent, lease.Upstream.ID)
+		return
+	}
 	if a.refused() {
 		x.refusals++
 	}
--- a/io/node/race_test.go
+++ b/io/node/race_test.go
@@ -89,3 +89,61 @@
 		require.Equal(t, "r1 by i-11", r.body)
 	})
 }
+
+// Guards against giving up a silent upstream for good when the next one refuses, can't be reached or is gone.
+func TestSilentUpstreamIsAskedAgain(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// others makes the other upstreams unable to go on with the stream.
+		others func(s *testSite, others []*fake.Engine)
+		// started reports that the stream has begun before the silence.
+		started bool
+	}{
+		{"others refuse", func(_ *testSite, others []*fake.Engine) {
+			for _, e := range others {
+				e.SetFaults(fake.EngineFaults{Refusing: true})
+			}
+		}, true},
+		{"others refuse before the first event", func(_ *testSite, others []*fake.Engine) {
+			for _, e := range others {
+				e.SetFaults(fake.EngineFaults{Refusing: true})
+			}
+		}, false},
+		{"others have crashed", func(_ *testSite, others []*fake.Engine) {
+			for _, e := range others {
+				e.Crash()
+			}
+		}, true},
+		{"one other is left, which refuses", func(_ *testSite, others []*fake.Engine) {
+			others[0].SetState("draining")
+			others[1].SetFaults(fake.EngineFaults{Refusing: true})
+			time.Sleep(5 * pace)
+		}, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				if !tc.started {
+					s.silenceAll(silence)
+				}
+				done := s.stream(1, "/ask/stream/1", "r1")
+				time.Sleep(5*pace + pace/2)
+				silent := s.upstreamOf("r1")
+				var others []*fake.Engine
+				for _, e := range s.engines {
+					if e != silent {
+						others = append(others, e)
+					}
+				}
+				tc.others(s, others)
+				if tc.started {
+					silent.Silence(silence)
+				}
+				r := <-done
+				require.Equal(t, http.StatusOK, r.status)
+				require.True(t, r.complete)
+				require.Equal(t, fake.CompleteText("r1", eventsOfStream), fake.TextOf(r.body))
+				require.LessOrEqual(t, s.runsOf("r1"), 2)
+			})
+		})
+	}
+}
