A stream that breaks before its first event is answered

Cause: the headers were sent to the caller before anything was known of the stream. Change: they are sent with the first event, or at the end of a stream without events; until then another upstream's headers, or 502, can take their place. Measured: TestStreamThatBreaksBeforeItsFirstEventIsAnswered, a closed connection before, 502 after.

--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -80,8 +80,8 @@
 	e.Msg("requestDone")
 }
 
-// startStream sends the caller the headers of the first upstream that starts the stream. A resumed stream
-// continues in the same answer, so the headers of later upstreams are dropped.
+// startStream sends the caller the headers of the first upstream that sends an event. A resumed stream continues in
+// the same answer, so the headers of later upstreams are dropped.
 func (x *exchange) startStream(status int, h http.Header) error {
 	if x.started {
 		return nil
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -152,26 +152,27 @@
 
 // Sink receives a stream.
 type Sink struct {
-	// Start is called with the status and headers before the first event.
+	// Start is called with the status and headers before each event, and before the end of a stream without events.
+	// Until then the caller can get another answer.
 	Start func(status int, h http.Header) error
 	// Event is called for each complete event; more reports that further bytes are already buffered.
 	Event func(e Event, more bool) error
 }
 
 func (s *Sink) copy(resp service.Answer, idle *idleTimer) error {
-	if err := s.Start(resp.Status, resp.Header); err != nil {
-		return merry.Errorf("start stream: %w", err)
-	}
 	events := newEventReader(resp.Body)
 	for {
 		e, err := events.next()
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
+		if err != nil && err != io.EOF {
 			return merry.Errorf("read stream: %w", err)
 		}
 		idle.heard()
+		if err := s.Start(resp.Status, resp.Header); err != nil {
+			return merry.Errorf("start stream: %w", err)
+		}
+		if err == io.EOF {
+			return nil
+		}
 		if err := s.Event(e, events.buffered()); err != nil {
 			return merry.Errorf("forward event: %w", err)
 		}
--- a/io/node/race_test.go
+++ b/io/node/race_test.go
@@ -147,3 +147,22 @@
 		})
 	}
 }
+
+// Guards against connections that close without an answer when an upstream breaks off before its first event.
+func TestStreamThatBreaksBeforeItsFirstEventIsAnswered(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.addRaw(20, "scribe", func(c net.Conn, r *http.Request) {
+			id := r.Header.Get("Mothcart-Request-Id")
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nMothcart-Request-Id: %s\r\nMothcart-Response-Stamp: %s\r\n"+
+				"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, fake.Signature(id))
+			time.Sleep(100 * time.Millisecond)
+		})
+		for _, e := range s.engines {
+			e.SetState("draining")
+		}
+		time.Sleep(time.Second)
+		r := s.call(t.Context(), 1, http.MethodPost, "/once/stream/1", "r1", "")
+		s.network.CloseHost(engineIP(20))
+		require.Equal(t, http.StatusBadGateway, r.status)
+	})
+}
