An answer with an odd status is a failed attempt

What callers saw: the connection closed without an answer, and without a line requestDone, after an upstream answered with a status below 100; 101 was passed on to callers that had asked for no other protocol. Cause: net/http panics on such a status, and the server only closes the connection. Change: a status outside 200 to 599 counts as a failed attempt.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -16,9 +16,14 @@
 // maxAnswerBytes bounds the body of an answer that is not streamed.
 const maxAnswerBytes = 16 << 20
 
+// maxStatus is the first status after those of HTTP.
+const maxStatus = 600
+
 var (
 	// ErrSilent means that an upstream sent nothing within the idle timeout of a call.
 	ErrSilent = merry.Sentinel("upstream sent nothing within the time limit")
+	// errOddStatus means that the status of an answer can't be passed on.
+	errOddStatus = merry.Sentinel("answer has no status of a final answer")
 	// errReplaced means that an attempt was ended because another one has taken its place.
 	errReplaced = merry.Sentinel("another attempt took its place")
 	// errUnsigned means that an answer with a status of success lacks the upstream's signature.
@@ -112,6 +117,9 @@
 	idle.heard()
 	idle.await()
 	a := Answer{Status: resp.Status, Header: resp.Header, Info: codec.Read(resp.Header), Sent: true}
+	if a.Status < http.StatusOK || a.Status >= maxStatus {
+		return Answer{Sent: true, Err: merry.Errorf("status %d: %w", a.Status, errOddStatus)}
+	}
 	call.observe(a)
 	if a.Success() && !a.Info.Signed {
 		return Answer{Sent: true, Err: merry.Errorf("status %d: %w", a.Status, errUnsigned)}
--- a/io/node/race_test.go
+++ b/io/node/race_test.go
@@ -166,3 +166,22 @@
 		require.Equal(t, http.StatusBadGateway, r.status)
 	})
 }
+
+// Guards against connections that close without an answer, and against answers that are none, after an odd status.
+func TestOddStatusOfAnUpstreamIsAnswered(t *testing.T) {
+	for _, status := range []string{"099 Odd", "101 Odd", "199 Odd", "700 Odd"} {
+		t.Run(status, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				s.addRaw(20, "desk", func(c net.Conn, _ *http.Request) {
+					fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n", status)
+					time.Sleep(100 * time.Millisecond)
+				})
+				s.desk.SetState("draining")
+				time.Sleep(time.Second)
+				r := s.call(t.Context(), 1, http.MethodPost, "/swap/1", "r1", "")
+				s.network.CloseHost(engineIP(20))
+				require.Equal(t, http.StatusBadGateway, r.status)
+			})
+		})
+	}
+}
