Searches for a slot leave the budget of retries to those that retry

What callers saw: 502 for a request whose upstream broke off while ten others searched beside silent upstreams. Cause: a search held a retry of the budget while it only waited. Change: the budget is spent when the slot is used, and given back if the first attempt has ended well meanwhile; a final answer that arrives then is taken.

--- a/io/forward/race.go
+++ b/io/forward/race.go
@@ -150,6 +150,7 @@
 	if !x.mayRunBeside(now, len(r.open)) {
 		return
 	}
+	x.f.refund(x.service) // the budget is spent when the slot is used
 	request := x.slotRequest(now, len(r.open))
 	for _, at := range r.open {
 		request.Exclude = append(request.Exclude, at.lease.Upstream.ID)
@@ -176,7 +177,6 @@
 	if r.search != nil {
 		r.search.cancel()
 		r.search = nil
-		r.x.f.refund(r.x.service)
 	}
 }
 
@@ -195,8 +195,7 @@
 		return nil
 	}
 	r.search = nil
-	if f.lease == nil || !r.isSilent() {
-		r.x.f.refund(r.x.service)
+	if f.lease == nil || !r.isSilent() || !r.x.mayRunBeside(r.x.f.opts.Now(), len(r.open)) {
 		r.again.Reset(r.limit)
 		r.drop(f)
 		return nil
@@ -206,7 +205,8 @@
 		at.cancel(errReplaced)
 		<-r.ended
 		r.open = nil
-		if at.answer.Success() || r.ctx.Err() != nil {
+		if at.answer.Success() || r.x.isFinal(at.answer) || r.ctx.Err() != nil {
+			r.x.f.refund(r.x.service)
 			r.drop(f)
 			return at
 		}
--- a/io/node/race_test.go
+++ b/io/node/race_test.go
@@ -185,3 +185,27 @@
 		})
 	}
 }
+
+// Guards against searches that hold the budget of retries, so that requests at a breaking upstream can't be repeated.
+func TestSearchesLeaveRetriesToOthers(t *testing.T) {
+	for _, requests := range []int{4, 30} {
+		t.Run(fmt.Sprint(requests), func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				s.desk.SetState("draining")
+				breaking := s.addDesk(11, 1)
+				breaking.SetFaults(fake.EngineFaults{MismatchedID: true})
+				silent := s.addDesk(10, 60)
+				time.Sleep(time.Second)
+				breaking.Silence(580 * time.Millisecond)
+				silent.Silence(silence)
+				var done []<-chan reply
+				for i := range requests {
+					done = append(done, s.stream(1, "/fetch/1", fmt.Sprintf("r%d", i)))
+				}
+				for _, d := range done {
+					require.Equal(t, http.StatusOK, (<-d).status)
+				}
+			})
+		})
+	}
+}
