Items end at upstreams whose events are far apart

Cause: an attempt without data for 1.5 s ended, and the next one waited no longer, so that an upstream that is slow to its next event is never waited for; the same class as the silent upstream of a request. Change: the limit doubles with each attempt in a row that was idle without an event, up to 24 s.

--- a/io/home/run.go
+++ b/io/home/run.go
@@ -46,6 +46,8 @@
 	events   int
 	lastID   string
 	failures int
+	// silences counts the last attempts in a row that were idle for too long without an event.
+	silences int
 	// preemptedEarly reports that the slot went to an online request before the attempt started.
 	preemptedEarly bool
 	// ranFor is the total duration of the attempts that made the progress.
@@ -172,7 +174,7 @@
 	}
 	call := itemCall{
 		ID: r.item.ID, Host: j.log.Job().Host, Path: r.item.Path, Header: r.item.Header, Body: r.item.Body,
-		Upstream: g.Upstream, LastEventID: r.lastID,
+		Upstream: g.Upstream, LastEventID: r.lastID, IdleTimeout: min(itemIdleTimeout<<min(r.silences, 8), maxItemIdleTimeout),
 	}
 	got := new(stream)
 	r.received = got
@@ -216,6 +218,12 @@
 		r.failures++
 	}
 	switch {
+	case out.Events > 0:
+		r.silences = 0
+	case out.Silent:
+		r.silences++
+	}
+	switch {
 	case out.Complete:
 		h.finish(r.job, j, batch.Result{Item: r.item.ID, State: batch.Completed, Text: r.text.String()})
 	case out.Status == http.StatusUnprocessableEntity && !out.NotRun:
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -15,8 +17,10 @@
 )
 
 const (
-	// itemIdleTimeout is how long an item's stream may be idle before the attempt is considered failed.
-	itemIdleTimeout = 1500 * time.Millisecond
+	// itemIdleTimeout is how long an item's stream may be idle before the attempt is considered failed. It doubles
+	// with each attempt in a row that ended so without an event, up to maxItemIdleTimeout.
+	itemIdleTimeout    = 1500 * time.Millisecond
+	maxItemIdleTimeout = 24 * time.Second
 	// DefaultOwnRuns is the number of items that a home runs itself before it dispatches further ones to
 	// other nodes; each costs a wake-up for every event of its stream.
 	DefaultOwnRuns = 64
@@ -35,6 +39,7 @@
 	Body        []byte            `msgpack:"body,omitempty"`
 	Upstream    site.Upstream     `msgpack:"up"`
 	LastEventID string            `msgpack:"last,omitempty"`
+	IdleTimeout time.Duration     `msgpack:"idle,omitempty"`
 }
 
 // itemOutcome is the outcome of an attempt at an item.
@@ -51,6 +56,8 @@
 	Events      int    `msgpack:"n,omitempty"`
 	LastEventID string `msgpack:"last,omitempty"`
 	Err         string `msgpack:"err,omitempty"`
+	// Silent reports that the stream was idle for too long.
+	Silent bool `msgpack:"mute,omitempty"`
 }
 
 // cancelRunNotice cancels an attempt at a runner.
@@ -115,7 +122,7 @@
 	got.lastEventID = c.LastEventID
 	a := forward.Do(ctx, rn.opts.Client, rn.opts.Codec, forward.Call{
 		ID: c.ID, Method: http.MethodPost, Host: c.Host, Path: c.Path, Header: header, Body: c.Body,
-		Attempt: forward.Attempt{Upstream: c.Upstream, LastEventID: c.LastEventID}, IdleTimeout: itemIdleTimeout,
+		Attempt: forward.Attempt{Upstream: c.Upstream, LastEventID: c.LastEventID}, IdleTimeout: cmp.Or(c.IdleTimeout, itemIdleTimeout),
 		OnLoad:    func(m forward.AnswerInfo) { report(m.Running, m.Waiting) },
 		OnLeaving: func() { rn.opts.Leaving(c.Upstream, c.ID) },
 	}, &forward.Sink{
@@ -130,7 +137,7 @@
 		Text: got.text.String(), Events: got.events, LastEventID: got.lastEventID,
 	}
 	if a.Err != nil {
-		out.Err = a.Err.Error()
+		out.Err, out.Silent = a.Err.Error(), errors.Is(a.Err, forward.ErrSilent)
 	}
 	return out
 }
