Jobs that are refused without the home take no room

What callers saw: 429 for a job that fits, after larger ones were refused while no home answered. Cause: a refused job was added to the tokens of the open ones. Change: only an accepted one is.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -92,7 +92,7 @@
 
 	mu sync.Mutex
 	// open holds the tokens of open jobs by batch route: the home's last report, plus the jobs that were
-	// checked since then without the home.
+	// accepted since then without the home.
 	open map[string]int64
 }
 
--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -138,9 +138,12 @@
 		h.open[route.Name] = reservation.Open
 		return reservation.OK
 	}
-	h.open[route.Name] += job.Tokens()
-	fits := route.TokenCap == 0 || float64(h.open[route.Name]) <= noHomeShare*float64(route.TokenCap)
-	h.opts.Log.Warn().Str("job", job.ID).Int64("open", h.open[route.Name]).Int64("cap", route.TokenCap).Bool("fits", fits).Err(err).Msg("roomWithoutHome")
+	open := h.open[route.Name] + job.Tokens()
+	fits := route.TokenCap == 0 || float64(open) <= noHomeShare*float64(route.TokenCap)
+	if fits {
+		h.open[route.Name] = open
+	}
+	h.opts.Log.Warn().Str("job", job.ID).Int64("open", open).Int64("cap", route.TokenCap).Bool("fits", fits).Err(err).Msg("roomWithoutHome")
 	return fits
 }
 
