Requests that are bound to a software version go only to its upstreams

Cause: a stream that has begun may go on only at an upstream of the software version that began it, and the pool, which decides which upstreams a request may use, knew no versions. Ruled out: a list of excluded upstreams, which would have to name all of another version and become wrong with each new one; a pool for each version, since new requests and batch may use all and must see one order. Change: Request.Version binds a request. The index groups upstreams by version too; eligibility and preemption honour it. Requests that are not bound prefer the version with the most free slots. In a service of several versions, bound online requests go before others of their priority: with the order by objective alone, a bound request at the head of the queue ran out of time before one of its few slots was free. Requests whose version has no upstream that accepts them are refused with ReasonNoVersion: when they ask, batch items too, and when the last one leaves. A miss of a bound request ends the pass for its version only, and one of a request that may use any upstream ends it for all. Waiting requests are kept by pointer, compared without copies.

--- a/core/slot/bench_test.go
+++ b/core/slot/bench_test.go
@@ -63,3 +63,34 @@
 		})
 	}
 }
+
+// BenchmarkVersions is BenchmarkUpstreams for a service of two software versions, half of whose requests are bound to
+// one.
+func BenchmarkVersions(b *testing.B) {
+	for _, n := range []int{30, 300, 3100} {
+		b.Run(strconv.Itoa(n)+" upstreams", func(b *testing.B) {
+			list := upstreams(n, 7)
+			for i := range list {
+				list[i].Version = []string{"v1", "v1.1"}[i%2]
+			}
+			p := NewPool(NewOptions())
+			p.SetUpstreams(start, list)
+			now := start
+			for id := range uint64(n * 3) {
+				p.Ask(now, item(id, 18*time.Second))
+				p.Ask(now, online(id))
+			}
+			id := uint64(n * 3)
+			for b.Loop() {
+				id++
+				now = now.Add(time.Microsecond)
+				r := online(id)
+				if id%2 == 0 {
+					r.Version = "v1"
+				}
+				p.Ask(now, r)
+				p.Release(now, r.Key, Served)
+			}
+		})
+	}
+}
--- a/core/slot/grants.go
+++ b/core/slot/grants.go
@@ -5,17 +5,18 @@
 	"time"
 )
 
-// grant is a slot in use.
+// grant is a slot in use, or the place of a waiting request, which has no upstream yet.
 type grant struct {
 	request  Request
 	upstream *upstream
 	since    time.Time
 }
 
-// addGrant records that a request holds a slot of an upstream.
-func (p *Pool) addGrant(now time.Time, r Request, u *upstream) {
+// addGrant records that the request of g holds a slot of an upstream.
+func (p *Pool) addGrant(now time.Time, g *grant, u *upstream) {
 	p.update(now, u, func() { u.used++ })
-	g := &grant{request: r, upstream: u, since: now}
+	r := &g.request
+	g.upstream, g.since = u, now
 	p.grants[r.Key] = g
 	owned := p.byOwner[r.Key.Owner]
 	if owned == nil {
@@ -27,6 +28,7 @@
 	if r.Batch {
 		i, _ := slices.BinarySearchFunc(s.batchGrants, g, compareGrants)
 		s.batchGrants = slices.Insert(s.batchGrants, i, g)
+		s.countBatch(u.Version, 1)
 		return
 	}
 	if n := len(s.onlineGrants); n > 0 && s.onlineGrants[n-1].since.After(now) {
@@ -50,6 +52,7 @@
 	if g.request.Batch {
 		i, _ := slices.BinarySearchFunc(s.batchGrants, g, compareGrants)
 		s.batchGrants = slices.Delete(s.batchGrants, i, i+1)
+		s.countBatch(g.upstream.Version, -1)
 		return
 	}
 	i, _ := slices.BinarySearchFunc(s.onlineGrants, g, func(a, b *grant) int { return a.since.Compare(b.since) })
@@ -57,13 +60,24 @@
 	s.onlineGrants = slices.Delete(s.onlineGrants, i, i+1)
 }
 
+// countBatch adds to the number of slots that batch items use at upstreams of a version.
+func (s *service) countBatch(version string, n int) {
+	s.batchByVersion[version] += n
+	if s.batchByVersion[version] == 0 {
+		delete(s.batchByVersion, version)
+	}
+}
+
 // compareGrants orders grants of batch items; the last one is preempted first.
-func compareGrants(a, b *grant) int { return compare(a.request, b.request) }
+func compareGrants(a, b *grant) int { return compare(&a.request, &b.request) }
 
 // victim returns the batch grant to preempt for the request, or nil. It considers the upstreams that
 // the request may use, and chooses an item that will miss its due time in any case, or else the one
 // that is due last.
-func (p *Pool) victim(now time.Time, s *service, r Request) *grant {
+func (p *Pool) victim(now time.Time, s *service, r *Request) *grant {
+	if r.Version != "" && s.batchByVersion[r.Version] == 0 {
+		return nil
+	}
 	for _, g := range slices.Backward(s.batchGrants) {
 		if g.upstream.eligible(now, r) && p.upstreams[g.upstream.ID] == g.upstream {
 			return g
--- a/core/slot/index_test.go
+++ b/core/slot/index_test.go
@@ -18,6 +18,7 @@
 		list = append(list, site.Upstream{
 			ID: fmt.Sprintf("u%02d", i), Service: "scribe", Zone: fmt.Sprintf("z%d", rapid.IntRange(0, 2).Draw(rt, "zone")),
 			Slots: rapid.IntRange(1, 3).Draw(rt, "slots"), Incarnation: int64(rapid.IntRange(1, 2).Draw(rt, "incarnation")),
+			Version:  rapid.SampledFrom([]string{"v1", "v1.1"}).Draw(rt, "version"),
 			Draining: rapid.IntRange(0, 5).Draw(rt, "draining") == 0, Doubtful: rapid.IntRange(0, 5).Draw(rt, "doubtful") == 0,
 		})
 	}
@@ -54,6 +55,7 @@
 			if rapid.Bool().Draw(rt, "excludes") {
 				r.Exclude = []string{"u00", "u01"}
 			}
+			r.Version = rapid.SampledFrom([]string{"", "v1", "v1.1", "v2"}).Draw(rt, "bound to")
 			checkIndex(rt, p, now, r)
 		}
 	})
@@ -61,19 +63,25 @@
 
 func checkIndex(rt *rapid.T, p *Pool, now time.Time, r Request) {
 	s := p.service("scribe")
-	free := 0
+	free := map[string]int{}
+	total := 0
 	var candidates []*upstream
 	for _, u := range s.upstreams {
-		free += u.free(now, p.opts)
-		if u.hasFreeSlot(now, r, p.opts) {
+		free[u.Version] += u.free(now, p.opts)
+		total += u.free(now, p.opts)
+		if u.hasFreeSlot(now, &r, p.opts) {
 			candidates = append(candidates, u)
 		}
 	}
-	require.Equal(rt, free, s.index.freeSlots(now, p.opts))
-	best := s.index.best(now, r, p.opts)
+	require.Equal(rt, total, s.index.freeSlots(now, p.opts))
+	best := s.index.best(now, &r, p.opts)
 	require.Equal(rt, len(candidates) > 0, best != nil)
 	for _, u := range candidates {
 		require.Contains(rt, candidates, best)
-		require.False(rt, u.better(best, now, r, p.opts), "%s is better than %s", u.ID, best.ID)
+		better := u.better(best, now, &r, p.opts)
+		if u.Version != best.Version {
+			better = u.betterOfVersions(best, free[u.Version], free[best.Version], now, &r, p.opts)
+		}
+		require.False(rt, better, "%s is better than %s", u.ID, best.ID)
 	}
 }
--- a/core/slot/plan.go
+++ b/core/slot/plan.go
@@ -55,8 +55,8 @@
 	}
 	s.plannedAt = now
 	items := make([]*planItem, 0, len(s.batch.items)+len(s.batchGrants))
-	for _, r := range s.batch.items {
-		items = append(items, &planItem{request: r, remaining: s.remaining(r, 0)})
+	for _, g := range s.batch.items {
+		items = append(items, &planItem{request: g.request, remaining: s.remaining(g.request, 0)})
 	}
 	for _, g := range s.batchGrants {
 		items = append(items, &planItem{request: g.request, remaining: s.remaining(g.request, now.Sub(g.since))})
@@ -78,7 +78,7 @@
 
 // planItems sets late on the items that can't be on time, by the Moore-Hodgson algorithm.
 func planItems(now time.Time, items []*planItem, slots float64) {
-	slices.SortFunc(items, func(a, b *planItem) int { return compareOnTime(a.request, b.request) })
+	slices.SortFunc(items, func(a, b *planItem) int { return compareOnTime(&a.request, &b.request) })
 	var onTime longestFirst
 	var work time.Duration
 	for _, i := range items {
@@ -109,7 +109,7 @@
 	if l[i].remaining != l[j].remaining {
 		return l[i].remaining > l[j].remaining
 	}
-	return compareOnTime(l[i].request, l[j].request) > 0
+	return compareOnTime(&l[i].request, &l[j].request) > 0
 }
 
 // Swap implements heap.Interface.
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -32,14 +33,15 @@
 func (p *Pool) service(name string) *service {
 	s := p.services[name]
 	if s == nil {
-		s = &service{name: name, meanHold: p.opts.HoldTime}
+		s = &service{name: name, meanHold: p.opts.HoldTime, batchByVersion: make(map[string]int)}
 		p.services[name] = s
 	}
 	return s
 }
 
 // SetUpstreams replaces the upstreams. A new incarnation of an upstream starts without grants; the
-// grants of a removed upstream stay until they are released.
+// grants of a removed upstream stay until they are released. Waiting requests that are bound to a software
+// version of which no upstream is left are refused.
 func (p *Pool) SetUpstreams(now time.Time, list []site.Upstream) Outcome {
 	old := p.upstreams
 	p.upstreams = make(map[string]*upstream, len(list))
@@ -48,7 +50,7 @@
 	}
 	for _, u := range list {
 		state := old[u.ID]
-		if state == nil || state.Upstream.Incarnation != u.Incarnation || state.Upstream.Address != u.Address {
+		if state == nil || !state.sameRun(u) {
 			state = &upstream{}
 		}
 		state.Upstream = u
@@ -61,12 +63,16 @@
 		for _, u := range s.upstreams {
 			if !u.Draining {
 				s.index.insert(now, u, p.opts)
+				s.index.version(u.Version).slots += u.Slots
 				s.slots += u.Slots
 			}
 		}
-		s.index.sortGroups()
+		s.index.sort()
+		s.online.markScarce(s.isScarce)
 	}
-	return p.serveAll(now)
+	out := p.refuseAbandoned(now)
+	out.add(p.serveAll(now))
+	return out
 }
 
 // update changes the state of an upstream. An upstream that was removed or replaced has grants, but is in no
@@ -90,16 +96,20 @@
 	}
 	s := p.service(r.Service)
 	if r.Batch {
+		if refusal, ok := p.refuseVersion(now, s, &r); ok {
+			return Outcome{Refused: []Refusal{refusal}}
+		}
 		r.late = s.remaining(r, 0) > r.Order.Sub(now)
-		s.batch.push(r)
+		s.batch.push(&grant{request: r})
 		return p.serve(now, s)
 	}
 	s.countArrival(now)
-	r.late = r.missesObjective(now)
-	s.online.push(r)
+	r.late, r.scarce = r.missesObjective(now), s.isScarce(r)
+	g := &grant{request: r}
+	s.online.push(g)
 	out := p.serve(now, s)
 	if s.online.has(r.Key) {
-		if refusal, ok := p.refuse(now, s, r); ok {
+		if refusal, ok := p.refuse(now, s, g); ok {
 			s.online.remove(r.Key)
 			out.Refused = append(out.Refused, refusal)
 		}
@@ -125,7 +135,7 @@
 	if u == nil || p.has(r.Key) {
 		return
 	}
-	p.addGrant(now, r, u)
+	p.addGrant(now, &grant{request: r}, u)
 }
 
 // Release frees the slot that the request holds, or removes the request from the queue.
@@ -269,17 +279,17 @@
 
 func (p *Pool) serveAll(now time.Time) Outcome {
 	var out Outcome
-	names := make([]string, 0, len(p.services))
-	for name := range p.services {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		out.add(p.serve(now, p.services[name]))
+	for _, s := range p.sortedServices() {
+		out.add(p.serve(now, s))
 	}
 	return out
 }
 
+// sortedServices returns the services in a fixed order.
+func (p *Pool) sortedServices() []*service {
+	return slices.SortedFunc(maps.Values(p.services), func(a, b *service) int { return cmp.Compare(a.name, b.name) })
+}
+
 // serve grants free slots to waiting requests, and preempts batch items for waiting online requests.
 func (p *Pool) serve(now time.Time, s *service) Outcome {
 	var out Outcome
@@ -290,42 +300,42 @@
 	if len(s.online.items)+len(s.batch.items) > 0 {
 		free = s.index.freeSlots(now, p.opts)
 	}
-	s.online.serveEach(func(r Request) bool {
+	s.online.serveEach(func(g *grant) verdict {
 		var u *upstream
 		if free > 0 {
-			u = s.index.best(now, r, p.opts)
+			u = s.index.best(now, &g.request, p.opts)
 		}
 		if u != nil {
 			free--
 		} else {
-			victim := p.victim(now, s, r)
+			victim := p.victim(now, s, &g.request)
 			if victim == nil {
-				return false
+				return gotNone
 			}
 			p.removeGrant(now, victim)
 			out.Preempted = append(out.Preempted, Grant{Request: victim.request, Upstream: victim.upstream.Upstream})
 			u = victim.upstream
 		}
-		p.addGrant(now, r, u)
-		out.Granted = append(out.Granted, Grant{Request: r, Upstream: u.Upstream})
-		return true
+		p.addGrant(now, g, u)
+		out.Granted = append(out.Granted, Grant{Request: g.request, Upstream: u.Upstream})
+		return gotSlot
 	})
 	if len(s.batch.items) == 0 {
 		return out
 	}
 	spare := free - p.reserve(now, s)
-	s.batch.serveEach(func(r Request) bool {
+	s.batch.serveEach(func(g *grant) verdict {
 		if spare <= 0 {
-			return false
+			return endPass
 		}
-		u := s.index.best(now, r, p.opts)
+		u := s.index.best(now, &g.request, p.opts)
 		if u == nil {
-			return false
+			return gotNone
 		}
 		spare--
-		p.addGrant(now, r, u)
-		out.Granted = append(out.Granted, Grant{Request: r, Upstream: u.Upstream})
-		return true
+		p.addGrant(now, g, u)
+		out.Granted = append(out.Granted, Grant{Request: g.request, Upstream: u.Upstream})
+		return gotSlot
 	})
 	return out
 }
@@ -337,16 +347,21 @@
 }
 
 // compare orders requests by when they are served, the first one first.
-func compare(a, b Request) int {
-	return cmp.Or(
-		cmp.Compare(a.Priority, b.Priority),
-		compareLate(a.late, b.late),
-		compareOnTime(a, b),
-	)
+func compare(a, b *Request) int {
+	switch {
+	case a.Priority != b.Priority:
+		return cmp.Compare(a.Priority, b.Priority)
+	case a.late != b.late:
+		return falseFirst(a.late, b.late)
+	case a.scarce != b.scarce:
+		return falseFirst(b.scarce, a.scarce)
+	default:
+		return compareOnTime(a, b)
+	}
 }
 
 // compareOnTime orders requests that are all late or all on time.
-func compareOnTime(a, b Request) int {
+func compareOnTime(a, b *Request) int {
 	return cmp.Or(
 		cmp.Compare(a.Priority, b.Priority),
 		a.urgency().Compare(b.urgency()),
@@ -355,7 +370,7 @@
 	)
 }
 
-func compareLate(a, b bool) int {
+func falseFirst(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
--- a/core/slot/refuse.go
+++ b/core/slot/refuse.go
@@ -6,33 +6,107 @@
 )
 
 // refuse returns a refusal, and true, for a waiting request that can't get a slot in time.
-func (p *Pool) refuse(now time.Time, s *service, r Request) (Refusal, bool) {
+func (p *Pool) refuse(now time.Time, s *service, g *grant) (Refusal, bool) {
+	r := &g.request
+	if refusal, ok := p.refuseVersion(now, s, r); ok {
+		return refusal, true
+	}
+	if p.remainingSlots(s, r) == 0 {
+		return Refusal{Request: *r, Reason: ReasonNoUpstream, RetryAfter: p.retryAfter(now, s, *r, 0)}, true
+	}
+	expected := p.expectedWait(now, s, g)
+	if now.Add(expected).After(r.Deadline) || (r.late && now.Before(s.refuseLateUntil)) {
+		return Refusal{Request: *r, Reason: ReasonFull, RetryAfter: p.retryAfter(now, s, *r, expected-r.Deadline.Sub(now))}, true
+	}
+	return Refusal{}, false
+}
+
+// refuseVersion returns a refusal, and true, for a request that is bound to a version of which no upstream accepts
+// it. A batch item has no caller that retries.
+func (p *Pool) refuseVersion(now time.Time, s *service, r *Request) (Refusal, bool) {
+	if r.Version == "" || p.remainingSlots(s, r) > 0 {
+		return Refusal{}, false
+	}
+	refusal := Refusal{Request: *r, Reason: ReasonNoVersion}
+	if !r.Batch {
+		refusal.RetryAfter = p.retryAfter(now, s, *r, 0)
+	}
+	return refusal, true
+}
+
+// refuseAbandoned removes and refuses the waiting requests that are bound to a version of which no upstream is left.
+func (p *Pool) refuseAbandoned(now time.Time) Outcome {
+	var out Outcome
+	for _, s := range p.sortedServices() {
+		for _, l := range []*waitList{&s.online, &s.batch} {
+			if l.bound == 0 {
+				continue
+			}
+			for _, r := range l.removeIf(func(r Request) bool { return r.Version != "" && p.remainingSlots(s, &r) == 0 }) {
+				refusal, _ := p.refuseVersion(now, s, &r)
+				out.Refused = append(out.Refused, refusal)
+			}
+		}
+	}
+	return out
+}
+
+// remainingSlots returns the number of slots, free or not, of the upstreams that accept the request.
+func (p *Pool) remainingSlots(s *service, r *Request) int {
 	remaining := s.slots
+	if r.Version != "" {
+		remaining = s.index.slotsOf(r.Version)
+	}
 	for i, id := range r.Exclude {
 		u := p.upstreams[id]
-		if u != nil && u.Service == s.name && !u.Draining && !slices.Contains(r.Exclude[:i], id) {
+		if u != nil && u.Service == s.name && !u.Draining && r.accepts(u.Version) && !slices.Contains(r.Exclude[:i], id) {
 			remaining -= u.Slots
 		}
 	}
-	if remaining == 0 {
-		return Refusal{Request: r, Reason: ReasonNoUpstream, RetryAfter: p.retryAfter(now, s, r, 0)}, true
-	}
-	expected := p.expectedWait(now, s, s.online.before(r))
-	if now.Add(expected).After(r.Deadline) || (r.late && now.Before(s.refuseLateUntil)) {
-		return Refusal{Request: r, Reason: ReasonFull, RetryAfter: p.retryAfter(now, s, r, expected-r.Deadline.Sub(now))}, true
-	}
-	return Refusal{}, false
+	return remaining
 }
 
-// expectedWait estimates the time until a slot is free for the request at a position of the queue, from
-// how long the present online requests have held their slots and the mean hold time.
-func (p *Pool) expectedWait(now time.Time, s *service, position int) time.Duration {
+// expectedWait estimates the time until a slot is free for a waiting request, from how long the present online
+// requests have held their slots and the mean hold time. Where upstreams of several versions serve, requests that
+// are bound compete for the slots of their version only.
+func (p *Pool) expectedWait(now time.Time, s *service, g *grant) time.Duration {
+	position := s.online.before(g)
+	if len(s.index.versions) > 1 {
+		if g.request.Version != "" {
+			return p.expectedWaitAt(now, s, g)
+		}
+		position = max(position-s.online.bound, 0)
+	}
 	n := len(s.onlineGrants)
 	if n == 0 {
 		return s.meanHold
 	}
+	return s.waitFor(now, position, n, s.onlineGrants[position%n])
+}
+
+// expectedWaitAt is expectedWait for a request that is bound to one of several versions.
+func (p *Pool) expectedWaitAt(now time.Time, s *service, g *grant) time.Duration {
+	version := g.request.Version
+	var held []*grant
+	for _, h := range s.onlineGrants {
+		u := h.upstream
+		if u.Version == version && !u.Draining && p.upstreams[u.ID] == u {
+			held = append(held, h)
+		}
+	}
+	if len(held) == 0 {
+		return s.meanHold
+	}
+	bound, unbound := s.online.boundBefore(g)
+	position := bound + unbound*s.index.slotsOf(version)/s.slots
+	return s.waitFor(now, position, len(held), held[position%len(held)])
+}
+
+// waitFor returns the time until n requests that hold slots have ended as often as the position says; last is the
+// one that ends last.
+func (s *service) waitFor(now time.Time, position, n int, last *grant) time.Duration {
 	rounds := time.Duration(position / n)
-	remaining := s.meanHold - now.Sub(s.onlineGrants[position%n].since) // the oldest ends first
+	remaining := s.meanHold - now.Sub(last.since) // the oldest ends first
 	return rounds*s.meanHold + max(remaining, 0)
 }
 
--- a/core/slot/service.go
+++ b/core/slot/service.go
@@ -17,6 +17,8 @@
 	// onlineGrants are the slots that online requests use, oldest first; batchGrants are those of batch
 	// items in the order of compare, so that the last one is preempted first.
 	onlineGrants, batchGrants []*grant
+	// batchByVersion is the number of slots that batch items use, by the software version of the upstreams.
+	batchByVersion map[string]int
 	// meanHold is the moving mean of the time that online requests hold a slot.
 	meanHold time.Duration
 	// meanBatchHold is the same for batch items, over all attempts of each; 0 until one was served.
@@ -37,6 +39,12 @@
 	plannedAt time.Time
 }
 
+// isScarce reports whether an online request may use the slots of one of several versions only. Batch items wait until
+// they are the most urgent ones, so that they need no precedence.
+func (s *service) isScarce(r Request) bool {
+	return !r.Batch && r.Version != "" && len(s.index.versions) > 1
+}
+
 // rateWindow is the time over which the rate of online requests is averaged.
 const rateWindow = time.Second
 
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -11,6 +11,10 @@
 // the one that is due last. A request that can't get a slot before its wait ends is refused at once,
 // with the time after which to retry.
 //
+// Upstreams of several software versions may serve side by side. A stream goes on only at an upstream of the version
+// that began it: its request is bound to that version, and goes before other requests that are as urgent, which may
+// use any upstream. A request that is bound to a version without upstreams is refused at once.
+//
 // One Pool at the home of the slots decides for all VMs. A VM that can't reach the home decides for
 // itself with its own Pool, which then also counts the requests of others that upstreams report.
 //
@@ -43,6 +47,12 @@
 	Service string
 	// Batch requests wait without a time limit and are preempted by online requests.
 	Batch bool
+	// late reports that the request will miss its objective or due time in any case; others of its
+	// priority go first.
+	late bool
+	// scarce reports that the request may use the slots of one of several software versions only; such requests go
+	// before others that are as urgent, since they can't take the next slot that any upstream has free.
+	scarce bool
 	// Priority is the rank among online requests; 0 is the most urgent.
 	Priority int
 	// Objective is the last moment at which a slot lets an online request meet its latency objective,
@@ -58,24 +68,26 @@
 	Deadline time.Time
 	// Exclude lists the upstreams at which the request has failed.
 	Exclude []string
+	// Version is the software version of the upstreams that may take the request; empty means any. A stream that has
+	// begun is bound to the version that began it.
+	Version string
 	// AvailabilityZone is that of the VM that asked.
 	AvailabilityZone string
-
-	// late reports that the request will miss its objective or due time in any case; others of its
-	// priority go first.
-	late bool
 }
 
 // urgency returns the time by which requests of the same priority are ordered, earlier first: the last moment for
 // the objective while that can be met, and otherwise Order. Callers that may wait longer would otherwise always
 // come after others with the same objective.
-func (r Request) urgency() time.Time {
+func (r *Request) urgency() time.Time {
 	if r.late || r.Objective.IsZero() {
 		return r.Order
 	}
 	return r.Objective
 }
 
+// accepts reports whether an upstream of a software version may take the request.
+func (r *Request) accepts(version string) bool { return r.Version == "" || r.Version == version }
+
 // missesObjective reports whether an online request can no longer meet its objective.
 func (r Request) missesObjective(now time.Time) bool {
 	return !r.Objective.IsZero() && !now.Before(r.Objective)
@@ -93,6 +105,8 @@
 const (
 	// ReasonNoUpstream means that the service has no upstream that accepts the request.
 	ReasonNoUpstream Reason = "noUpstream"
+	// ReasonNoVersion means that no upstream of the software version to which the request is bound accepts it.
+	ReasonNoVersion Reason = "noUpstreamOfVersion"
 	// ReasonFull means that no slot will be free before the wait ends.
 	ReasonFull Reason = "full"
 	// ReasonWaited means that no slot became free before the wait ended.
--- a/core/slot/upstream.go
+++ b/core/slot/upstream.go
@@ -23,16 +23,21 @@
 	place place
 }
 
+// sameRun reports whether an entry describes the same run of the process with the same software.
+func (u *upstream) sameRun(entry site.Upstream) bool {
+	return u.Incarnation == entry.Incarnation && u.Address == entry.Address && u.Version == entry.Version
+}
+
 func (u *upstream) paused(now time.Time) bool { return now.Before(u.pausedUntil) }
 
 // eligible reports whether the request may go to the upstream once that has a free slot.
-func (u *upstream) eligible(now time.Time, r Request) bool {
-	return !u.Draining && !u.paused(now) && !slices.Contains(r.Exclude, u.ID)
+func (u *upstream) eligible(now time.Time, r *Request) bool {
+	return !u.Draining && !u.paused(now) && r.accepts(u.Version) && !slices.Contains(r.Exclude, u.ID)
 }
 
 // hasFreeSlot reports whether the upstream has a free slot for the request. An upstream that has failed
 // several times in a row gets one request at a time until a request is served.
-func (u *upstream) hasFreeSlot(now time.Time, r Request, opts Options) bool {
+func (u *upstream) hasFreeSlot(now time.Time, r *Request, opts Options) bool {
 	return u.eligible(now, r) && u.free(now, opts) > 0
 }
 
@@ -62,15 +67,11 @@
 	return u.used
 }
 
-// better reports whether u is better than v for the request. Online requests prefer an upstream that is
-// not on trial, batch items one that is. Then come upstreams whose entry exists, those in the availability
-// zone of the VM that asked, and those with the lower load.
-func (u *upstream) better(v *upstream, now time.Time, r Request, opts Options) bool {
-	if a, b := u.onTrial(), v.onTrial(); a != b {
-		return a == r.Batch
-	}
-	if u.Doubtful != v.Doubtful {
-		return v.Doubtful
+// better reports whether u is better than v, of the same software version, for the request: by its state, then in
+// the availability zone of the VM that asked, then with the lower load.
+func (u *upstream) better(v *upstream, now time.Time, r *Request, opts Options) bool {
+	if c := u.compareState(v, r); c != 0 {
+		return c < 0
 	}
 	a, b := u.load(now, opts)*v.Slots, v.load(now, opts)*u.Slots
 	uNear, vNear := u.Zone == r.AvailabilityZone, v.Zone == r.AvailabilityZone
@@ -80,6 +81,35 @@
 	return a < b
 }
 
+// betterOfVersions is better for upstreams of two software versions, of which uFree and vFree slots are free.
+func (u *upstream) betterOfVersions(v *upstream, uFree, vFree int, now time.Time, r *Request, opts Options) bool {
+	if c := u.compareState(v, r); c != 0 {
+		return c < 0
+	}
+	if uFree != vFree {
+		return uFree > vFree
+	}
+	return u.better(v, now, r, opts)
+}
+
+// compareState orders upstreams by their state, the better one first. Online requests prefer an upstream that is
+// not on trial, batch items one that is; then come upstreams whose entry exists.
+func (u *upstream) compareState(v *upstream, r *Request) int {
+	a, b := u.onTrial(), v.onTrial()
+	switch {
+	case a != b && a == r.Batch:
+		return -1
+	case a != b:
+		return 1
+	case u.Doubtful == v.Doubtful:
+		return 0
+	case v.Doubtful:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // recordResult updates failures and pause after a request has ended.
 func (u *upstream) recordResult(now time.Time, result Result, opts Options) {
 	switch result {
--- a/core/slot/wait.go
+++ b/core/slot/wait.go
@@ -7,8 +7,10 @@
 
 // waitList holds waiting requests in the order in which they are served.
 type waitList struct {
-	items []Request
+	items []*grant
 	keys  map[Key]struct{}
+	// bound is the number of requests that are bound to a software version.
+	bound int
 }
 
 func (l *waitList) has(k Key) bool {
@@ -16,33 +18,41 @@
 	return ok
 }
 
-func (l *waitList) push(r Request) {
+func (l *waitList) push(g *grant) {
 	if l.keys == nil {
 		l.keys = make(map[Key]struct{})
 	}
-	l.keys[r.Key] = struct{}{}
-	i, _ := slices.BinarySearchFunc(l.items, r, compare)
-	l.items = slices.Insert(l.items, i, r)
+	l.keys[g.request.Key] = struct{}{}
+	l.items = slices.Insert(l.items, l.before(g), g)
+	l.countBound(&g.request, 1)
+}
+
+// countBound adds to the number of bound requests if r is one.
+func (l *waitList) countBound(r *Request, n int) {
+	if r.Version != "" {
+		l.bound += n
+	}
 }
 
 func (l *waitList) remove(k Key) {
 	if !l.has(k) {
 		return
 	}
-	l.filter(func(r Request) bool { return r.Key != k })
+	l.filter(func(r *Request) bool { return r.Key != k })
 }
 
 func (l *waitList) removeOwner(owner string) {
-	l.filter(func(r Request) bool { return r.Key.Owner != owner })
+	l.filter(func(r *Request) bool { return r.Key.Owner != owner })
 }
 
 // filter keeps the requests for which keep is true.
-func (l *waitList) filter(keep func(Request) bool) {
-	l.items = slices.DeleteFunc(l.items, func(r Request) bool {
-		if keep(r) {
+func (l *waitList) filter(keep func(*Request) bool) {
+	l.items = slices.DeleteFunc(l.items, func(g *grant) bool {
+		if keep(&g.request) {
 			return false
 		}
-		delete(l.keys, r.Key)
+		delete(l.keys, g.request.Key)
+		l.countBound(&g.request, -1)
 		return true
 	})
 }
@@ -50,50 +60,92 @@
 // mark sets which requests are late and sorts them behind the others of their priority.
 func (l *waitList) mark(late func(Request) bool) {
 	changed := false
-	for i, r := range l.items {
-		if is := late(r); is != r.late {
-			l.items[i].late = is
+	for _, g := range l.items {
+		if is := late(g.request); is != g.request.late {
+			g.request.late = is
 			changed = true
 		}
 	}
 	if changed {
-		slices.SortFunc(l.items, compare)
+		slices.SortFunc(l.items, compareGrants)
 	}
 }
 
+// markScarce sets which requests are scarce and sorts them.
+func (l *waitList) markScarce(scarce func(Request) bool) {
+	if l.bound == 0 {
+		return
+	}
+	for _, g := range l.items {
+		g.request.scarce = scarce(g.request)
+	}
+	slices.SortFunc(l.items, compareGrants)
+}
+
 // demote marks the requests that have become late.
 func (l *waitList) demote(late func(Request) bool) {
 	for _, r := range l.removeIf(func(r Request) bool { return !r.late && late(r) }) {
 		r.late = true
-		l.push(r)
+		l.push(&grant{request: r})
 	}
 }
 
-// maxMisses bounds the requests that could not be served in one pass. Only requests that exclude
-// upstreams can fare differently from the one before them.
-const maxMisses = 8
-
-// serveEach calls serve for the requests in order and removes those for which it returns true.
-func (l *waitList) serveEach(serve func(Request) bool) {
-	misses := 0
-	for i := 0; i < len(l.items) && misses < maxMisses; {
-		r := l.items[i]
-		if !serve(r) {
-			misses++
+// verdict is what came of an attempt to serve a request.
+type verdict int
+
+const (
+	// gotSlot requests leave the list.
+	gotSlot verdict = iota
+	// gotNone requests found no slot that they may use.
+	gotNone
+	// endPass means that no request of the list can be served now.
+	endPass
+)
+
+// serveEach calls serve for the requests in order and removes those that are served. It passes over requests
+// that can't fare better than those that missed.
+func (l *waitList) serveEach(serve func(*grant) verdict) {
+	var m misses
+	for i := 0; i < len(l.items) && !m.all; {
+		g := l.items[i]
+		if m.covers(&g.request) {
 			i++
 			continue
 		}
-		delete(l.keys, r.Key)
-		l.items = slices.Delete(l.items, i, i+1)
+		switch serve(g) {
+		case gotSlot:
+			delete(l.keys, g.request.Key)
+			l.items = slices.Delete(l.items, i, i+1)
+			l.countBound(&g.request, -1)
+		case gotNone:
+			m.add(&g.request)
+			i++
+		case endPass:
+			return
+		}
 	}
 }
 
-// before returns the number of requests that are served before r.
-func (l *waitList) before(r Request) int {
-	i, _ := slices.BinarySearchFunc(l.items, r, compare)
+// before returns the number of requests that are served before that of g.
+func (l *waitList) before(g *grant) int {
+	i, _ := slices.BinarySearchFunc(l.items, g, compareGrants)
 	return i
 }
 
+// boundBefore returns how many of the requests that are served before that of g are bound to its version, and how
+// many to none.
+func (l *waitList) boundBefore(g *grant) (bound, unbound int) {
+	for _, other := range l.items[:l.before(g)] {
+		switch other.request.Version {
+		case g.request.Version:
+			bound++
+		case "":
+			unbound++
+		}
+	}
+	return bound, unbound
+}
+
 // expired removes and returns the requests whose wait has expired.
 func (l *waitList) expired(now time.Time) []Request {
 	return l.removeIf(func(r Request) bool { return !now.Before(r.Deadline) })
@@ -102,11 +154,11 @@
 // removeIf removes and returns the requests for which which is true.
 func (l *waitList) removeIf(which func(Request) bool) []Request {
 	var out []Request
-	l.filter(func(r Request) bool {
-		if !which(r) {
+	l.filter(func(r *Request) bool {
+		if !which(*r) {
 			return true
 		}
-		out = append(out, r)
+		out = append(out, *r)
 		return false
 	})
 	return out
