Remember at which software version streams began

Cause: a stream may go on only at the software version that began it, and a caller may take it up at any node, after the first one has ended; nothing remembers the version. Ruled out: a choice of version by a hash of the request's ID (versions come and go while streams last), asking the upstreams (they don't know ended streams), a write to the object service for each stream (27,000 a second at the peak).

--- a/core/site/directory.go
+++ b/core/site/directory.go
@@ -21,6 +21,9 @@
 	minLapsed   = 2
 	// forgetAfter is the age from which a missing upstream may be removed; longer outages don't matter.
 	forgetAfter = 2 * time.Minute
+	// versionHistory is how long the directory must have seen all entries to tell which software versions streams may
+	// have begun at; no stream is taken up later than that.
+	versionHistory = 15 * time.Second
 )
 
 // Directory holds the upstreams that have an entry in the object service. It keeps them during outages of
@@ -34,8 +37,17 @@
 	down    bool
 	// lost is when the object service last stopped answering, regained when it last began to answer again.
 	lost, regained time.Time
+	// completeSince is the time from which on the directory has seen all entries; zero if it does not see all now.
+	completeSince time.Time
+	// hasHistory reports that versions covers the time before the directory was complete.
+	hasHistory bool
+	// versions holds when an entry with a software version last changed or disappeared.
+	versions map[serviceVersion]time.Time
 }
 
+// serviceVersion is a software version of a service's upstreams.
+type serviceVersion struct{ service, version string }
+
 type missing struct {
 	upstream Upstream
 	since    time.Time
@@ -73,20 +85,71 @@
 func (d Directory) With(now time.Time, entries ...Entry) Directory {
 	out := d.clone()
 	for _, e := range entries {
+		u, ok := out.entries[e.ID]
+		if ok {
+			out.versions[serviceVersion{u.Service, u.Version}] = now
+		}
 		if !e.Gone {
 			out.entries[e.ID] = e.Upstream
 			delete(out.missing, e.ID)
 			continue
 		}
-		if u, ok := out.entries[e.ID]; ok {
+		if ok {
 			delete(out.entries, e.ID)
 			out.missing[e.ID] = missing{upstream: u, since: now}
 		}
 	}
 	maps.DeleteFunc(out.missing, func(_ string, m missing) bool { return now.Sub(m.since) > forgetAfter })
+	maps.DeleteFunc(out.versions, func(_ serviceVersion, seen time.Time) bool { return now.Sub(seen) > versionHistory })
 	return out
 }
 
+// WithComplete returns the directory after it has received all entries for the first time.
+func (d Directory) WithComplete(now time.Time) Directory {
+	if !d.completeSince.IsZero() || d.down {
+		return d
+	}
+	d.completeSince = now
+	if d.hasHistory {
+		d.completeSince = now.Add(-versionHistory)
+	}
+	return d
+}
+
+// WithHistory returns the directory of a node that starts, with the upstreams that its last process saw until its end.
+// Only versions that this or another process has seen can have begun streams.
+func (d Directory) WithHistory(now time.Time, upstreams []Upstream) Directory {
+	d = d.clone()
+	for _, u := range upstreams {
+		d.versions[serviceVersion{u.Service, u.Version}] = now
+	}
+	d.hasHistory = true
+	return d
+}
+
+// SoleVersion returns the only software version that a service's upstreams have had during versionHistory. It returns
+// false if they had several, or if the directory has not seen all entries during all of that time.
+func (d Directory) SoleVersion(now time.Time, service string) (string, bool) {
+	if d.down || d.completeSince.IsZero() || now.Sub(d.completeSince) < versionHistory {
+		return "", false
+	}
+	found := make(map[string]bool)
+	for _, u := range d.entries {
+		if u.Service == service {
+			found[u.Version] = true
+		}
+	}
+	for v, seen := range d.versions {
+		if v.service == service && now.Sub(seen) < versionHistory {
+			found[v.version] = true
+		}
+	}
+	for version := range found {
+		return version, len(found) == 1
+	}
+	return "", false
+}
+
 // WithLeaving returns the directory after answers of upstreams said that these are leaving, and the keys that
 // are new. Such an upstream counts as draining whatever its entry says, until the entry has been gone for
 // forgetAfter.
@@ -133,8 +196,12 @@
 	if d.down && !down {
 		d.regained = now
 	}
+	if d.down && !down {
+		d.completeSince = now
+	}
 	if !d.down && down {
 		d.lost = now
+		d.completeSince, d.hasHistory = time.Time{}, false
 	}
 	d.down = down
 	return d
@@ -219,5 +286,9 @@
 	if d.missing == nil {
 		d.missing = map[string]missing{}
 	}
+	d.versions = maps.Clone(d.versions)
+	if d.versions == nil {
+		d.versions = map[serviceVersion]time.Time{}
+	}
 	return d
 }
