Streams go on only at the software version that began them

What callers saw: streams that hold events of two software versions of a service, which don't fit together. Cause: neither own resumes nor callers' returns knew versions: any free slot would do. Class: an identity that is taken for granted when work moves between equals that are not equal. Change: the pool that grants a slot to a stream remembers its version (at the home, and at the entry node for its own streams), also for the caller's return with Resumes; it binds what continues a stream to that version, and refuses at once, as not run, what nobody knows while several versions serve, and what has no upstream of its version left. Left: an upstream that starts again under its ID with another version while the object service is down is not told apart.

--- a/core/slot/grants.go
+++ b/core/slot/grants.go
@@ -24,6 +24,9 @@
 		p.byOwner[r.Key.Owner] = owned
 	}
 	owned[r.Key.ID] = g
+	if r.Stream != "" {
+		p.opts.Began(r.Stream, u.Version)
+	}
 	s := p.service(r.Service)
 	if r.Batch {
 		i, _ := slices.BinarySearchFunc(s.batchGrants, g, compareGrants)
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -95,6 +95,10 @@
 		return Outcome{}
 	}
 	s := p.service(r.Service)
+	if !p.bind(now, &r) {
+		refusal := Refusal{Request: r, Reason: ReasonUnknownVersion, RetryAfter: p.retryAfter(now, s, r, 0)}
+		return Outcome{Refused: []Refusal{refusal}}
+	}
 	if r.Batch {
 		if refusal, ok := p.refuseVersion(now, s, &r); ok {
 			return Outcome{Refused: []Refusal{refusal}}
@@ -129,6 +133,23 @@
 	return false
 }
 
+// bind binds a request that continues a stream to the software version at which that began. It reports false if nobody
+// knows it: what two versions write doesn't fit together, so that a guess could spoil the stream.
+func (p *Pool) bind(now time.Time, r *Request) bool {
+	if !r.Continues || r.Version != "" {
+		return true
+	}
+	if version, ok := p.opts.Origin(r.Resumes); ok {
+		r.Version, r.BoundBy = version, BoundByPool
+		return true
+	}
+	version, ok := p.opts.SoleVersion(now, r.Service)
+	if ok {
+		r.Version, r.BoundBy = version, BoundBySoleVersion
+	}
+	return ok
+}
+
 // Adopt records a grant that another pool has made, such as that of the previous home.
 func (p *Pool) Adopt(now time.Time, r Request, upstreamID string) {
 	u := p.upstreams[upstreamID]
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -12,7 +12,7 @@
 // with the time after which to retry.
 //
 // Upstreams of several software versions may serve side by side. A stream goes on only at an upstream of the version
-// that began it: its request is bound to that version, and goes before other requests that are as urgent, which may
+// that began it: its request is bound to that version, which the Pool remembers from the grant, and goes before other requests that are as urgent, which may
 // use any upstream. A request that is bound to a version without upstreams is refused at once.
 //
 // One Pool at the home of the slots decides for all VMs. A VM that can't reach the home decides for
@@ -71,10 +71,31 @@
 	// Version is the software version of the upstreams that may take the request; empty means any. A stream that has
 	// begun is bound to the version that began it.
 	Version string
+	// BoundBy says who knew Version, for the log.
+	BoundBy BoundBy
+	// Stream is the ID under which the caller may take up the stream that the request begins or continues; empty if it
+	// can't be taken up.
+	Stream string
+	// Continues reports that the request continues a stream, and Resumes is the ID of the request that brought its first
+	// event. Without Version the pool finds out at which version that stream began.
+	Continues bool
+	Resumes   string
 	// AvailabilityZone is that of the VM that asked.
 	AvailabilityZone string
 }
 
+// BoundBy says who knew the software version at which a stream began.
+type BoundBy string
+
+const (
+	// BoundByNode means that the node that asked knew it.
+	BoundByNode BoundBy = "node"
+	// BoundByPool means that the pool, or the one of an earlier home, granted the slot at which it began.
+	BoundByPool BoundBy = "pool"
+	// BoundBySoleVersion means that the service has had no other version since.
+	BoundBySoleVersion BoundBy = "soleVersion"
+)
+
 // urgency returns the time by which requests of the same priority are ordered, earlier first: the last moment for
 // the objective while that can be met, and otherwise Order. Callers that may wait longer would otherwise always
 // come after others with the same objective.
@@ -107,6 +128,8 @@
 	ReasonNoUpstream Reason = "noUpstream"
 	// ReasonNoVersion means that no upstream of the software version to which the request is bound accepts it.
 	ReasonNoVersion Reason = "noUpstreamOfVersion"
+	// ReasonUnknownVersion means that nobody knows at which software version the stream began that the request continues.
+	ReasonUnknownVersion Reason = "unknownVersion"
 	// ReasonFull means that no slot will be free before the wait ends.
 	ReasonFull Reason = "full"
 	// ReasonWaited means that no slot became free before the wait ended.
@@ -175,6 +198,11 @@
 	// spread evenly over RetrySpread, so that callers don't retry all at once.
 	MinRetryAfter time.Duration
 	RetrySpread   time.Duration
+	// Began is called with the software version at which a stream begins. Origin returns that of a stream, and SoleVersion
+	// the only one that a service has had for as long as streams are taken up; both return false if it isn't known.
+	Began       func(stream, version string)
+	Origin      func(stream string) (string, bool)
+	SoleVersion func(now time.Time, service string) (string, bool)
 }
 
 // NewOptions returns the default parameters.
@@ -188,9 +216,18 @@
 		ArrivalReserve: 20 * time.Millisecond,  // an order of magnitude fewer preemptions at 470 requests/s, for 1.5% of 630 slots
 		MinRetryAfter:  100 * time.Millisecond, // a retry within less costs the caller more than waiting
 		RetrySpread:    300 * time.Millisecond, // the latency objective of the streams
+		Began:          func(string, string) {},
+		Origin:         func(string) (string, bool) { return "", false },
+		SoleVersion:    func(time.Time, string) (string, bool) { return "", false },
 	}
 }
 
+// WithOrigins returns the options with the functions that remember at which software versions streams began.
+func (o Options) WithOrigins(began func(stream, version string), origin func(stream string) (string, bool), soleVersion func(now time.Time, service string) (string, bool)) Options {
+	o.Began, o.Origin, o.SoleVersion = began, origin, soleVersion
+	return o
+}
+
 // WithReports returns the options with TrustReports set to trust.
 func (o Options) WithReports(trust bool) Options {
 	o.TrustReports = trust
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -58,6 +58,8 @@
 type Codec struct {
 	RequestID   func(h http.Header) string
 	LastEventID func(h http.Header) string
+	// Resumes returns the ID of the request that brought the first event of the stream that a request takes up.
+	Resumes func(h http.Header) string
 	// CallerWait returns how long the caller waits for the answer; false if the headers don't say.
 	CallerWait func(h http.Header) (time.Duration, bool)
 	// ParseCall returns the call about a job; its Kind is NoJobCall for any other request.
@@ -159,7 +161,7 @@
 	h.opts.Forward.Serve(r.Context(), w, forward.Request{
 		ID: id, Method: r.Method, Host: r.Host, Path: r.URL.RequestURI(), Header: r.Header, Body: body,
 		Route: route, Arrived: arrived, Deadline: h.deadline(r, route, arrived), Waited: route.Waited(callerWait),
-		LastEventID: h.opts.Codec.LastEventID(r.Header), Generates: cfg.Generates,
+		LastEventID: h.opts.Codec.LastEventID(r.Header), Resumes: h.opts.Codec.Resumes(r.Header), Generates: cfg.Generates,
 	}, rand.Uint64())
 }
 
--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -49,7 +49,7 @@
 		x.sendAnswer(now, Lease{}, *x.fallback, "failedAtUpstream")
 	case x.runs == 0:
 		x.f.metrics.refused.Inc(1)
-		Refuse(x.w, refusal.RetryAfter)
+		refuse(x.w, refusal.RetryAfter, refusalText(refusal.Reason))
 		x.done(now, "", "refused:"+reason, http.StatusServiceUnavailable)
 	case ctx.Err() != nil || !now.Before(x.req.Deadline):
 		x.f.metrics.failed.Inc(1)
@@ -63,9 +63,23 @@
 }
 
 // Refuse answers that a request has not run, and when the caller should retry.
-func Refuse(w http.ResponseWriter, retryAfter time.Duration) {
+func Refuse(w http.ResponseWriter, retryAfter time.Duration) { refuse(w, retryAfter, refusalText("")) }
+
+func refuse(w http.ResponseWriter, retryAfter time.Duration, text string) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(max(retryAfter, minRetryAfter).Seconds(), 'f', 3, 64))
-	http.Error(w, "not run; come back later", http.StatusServiceUnavailable)
+	http.Error(w, text, http.StatusServiceUnavailable)
+}
+
+// refusalText returns what a refused caller is told.
+func refusalText(reason slot.Reason) string {
+	switch reason {
+	case slot.ReasonNoVersion:
+		return "not run; no upstream is left at the software version that began this stream"
+	case slot.ReasonUnknownVersion:
+		return "not run; the software version that began this stream is not known here"
+	default:
+		return "not run; come back later"
+	}
 }
 
 func (x *exchange) done(now time.Time, upstream, outcome string, status int) {
@@ -77,6 +91,12 @@
 		x.f.metrics.firstByte.Observe(x.first.Sub(x.req.Arrived))
 		e = e.Dur("firstMillis", x.first.Sub(x.req.Arrived)).Int32("events", x.delivered.Load())
 	}
+	if version := x.boundVersion(); version != "" {
+		e = e.Str("version", version)
+	}
+	if x.req.LastEventID != "" {
+		e = e.Str("after", x.req.LastEventID).Str("resumes", x.req.Resumes).Str("boundBy", string(x.boundBy))
+	}
 	e.Msg("requestDone")
 }
 
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -65,12 +65,16 @@
 // Lease is the right to use one slot of an upstream.
 type Lease struct {
 	Upstream site.Upstream
-	// Basis names, for the log, who granted the slot and how old the granter's view was.
-	Basis string
+	// Basis names, for the log, who granted the slot. BoundBy names who knew the software version to which the request
+	// was bound; empty if it was not bound.
+	Basis   string
+	BoundBy slot.BoundBy
 	// Release ends the use of the slot; it must be called once.
 	Release func(now time.Time, result slot.Result)
 	// Report records the load that the upstream reported.
 	Report func(now time.Time, running, waiting int)
+	// Began records that the request's stream begins with this slot, where the request for the slot didn't name it.
+	Began func(stream string)
 	// Silence records that the upstream is silent, or that it goes on.
 	Silence func(silent bool)
 	// Leaving records that the upstream's answer to a request said that it is leaving.
@@ -94,6 +98,9 @@
 	Waited time.Duration
 	// LastEventID is the last event that the caller has received; empty means none.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of the stream that this request takes up; empty if
+	// the caller doesn't say.
+	Resumes string
 	// Generates reports whether a service's upstreams are model engines. Those run a request at one upstream at a
 	// time, since a generation that runs twice costs twice.
 	Generates func(service string) bool
--- a/io/forward/race.go
+++ b/io/forward/race.go
@@ -57,7 +57,7 @@
 func (x *exchange) attempt(ctx context.Context, lease Lease) (Lease, Answer) {
 	limit := x.idleTimeout(0)
 	if limit == 0 {
-		return lease, Do(ctx, x.f.opts.Client, x.f.opts.Wire, x.call(lease), x.sink())
+		return lease, Do(ctx, x.f.opts.Client, x.f.opts.Wire, x.call(lease), x.sink(lease))
 	}
 	r := &race{
 		x: x, ctx: ctx, limit: limit, ended: make(chan *attempt), changed: make(chan struct{}, 1), found: make(chan found),
@@ -87,7 +87,7 @@
 func (r *race) start(lease Lease) {
 	ctx, cancel := context.WithCancelCause(r.ctx)
 	at := &attempt{lease: lease, cancel: cancel}
-	call, sink := r.x.call(lease), r.x.sink()
+	call, sink := r.x.call(lease), r.x.sink(lease)
 	call.IdleTimeout = r.x.idleTimeout(len(r.open))
 	call.OnSilence = func(silent bool) {
 		at.silent.Store(silent)
@@ -220,13 +220,18 @@
 		at.cancel(errReplaced)
 		<-r.ended
 		r.open = nil
-		if at.answer.Success() || r.x.isFinal(at.answer) || r.ctx.Err() != nil {
+		bound := r.x.boundVersion()
+		moved := bound == "" || bound == f.lease.Upstream.Version // its first event may have come just before its end
+		if at.answer.Success() || r.x.isFinal(at.answer) || r.ctx.Err() != nil || !moved {
 			r.x.f.refund(r.x.service)
 			r.drop(f)
 			return at
 		}
 		r.x.book(r.ctx, at.lease, at.answer)
 	}
+	if r.x.isStream() {
+		f.lease.Began(r.x.req.ID)
+	}
 	r.x.f.metrics.replacements.Inc(1)
 	r.x.attempts++
 	r.x.basis = f.lease.Basis
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -54,6 +54,10 @@
 	started   bool
 	delivered atomic.Int32
 	lastID    string
+	// version is the software version that began the stream, valid once the request continues one; boundBy says who
+	// knew it.
+	version string
+	boundBy slot.BoundBy
 	// fallback is the last signed failure of an upstream that the caller may get as its answer.
 	fallback *Answer
 	// ask is the ID of the last request for a slot; the home's log identifies this exchange by it.
@@ -87,6 +91,7 @@
 		}
 		x.attempts++
 		x.basis = lease.Basis
+		x.bind(lease)
 		lease, a := x.attempt(ctx, lease)
 		if x.finish(ctx, lease, a) {
 			return
@@ -115,7 +120,7 @@
 func (x *exchange) slotRequest(now time.Time, open int) slot.Request {
 	x.ask = x.f.opts.NextID()
 	ran := x.runs+open > 0
-	return slot.Request{
+	r := slot.Request{
 		Key:              slot.Key{ID: x.ask},
 		Service:          x.service,
 		Priority:         x.req.Route.Priority,
@@ -125,6 +130,31 @@
 		AvailabilityZone: x.f.opts.AvailabilityZone,
 		Objective:        x.objective(ran),
 	}
+	if !x.isStream() {
+		return r
+	}
+	r.Version, r.BoundBy = x.boundVersion(), x.boundBy
+	r.Continues, r.Resumes = x.req.LastEventID != "", x.req.Resumes
+	if x.req.Route.Resumable && open == 0 {
+		r.Stream = x.req.ID // beside an open attempt it is not known yet which of the two begins the stream
+	}
+	return r
+}
+
+// boundVersion returns the software version at which the stream must go on; empty if it may begin at any, or if this
+// node doesn't know yet where it began.
+func (x *exchange) boundVersion() string {
+	if x.delivered.Load() == 0 && x.boundBy == "" {
+		return ""
+	}
+	return x.version
+}
+
+// bind records the software version of a stream that the caller takes up, which the granted slot shows.
+func (x *exchange) bind(lease Lease) {
+	if x.isStream() && x.req.LastEventID != "" && x.boundBy == "" {
+		x.version, x.boundBy = lease.Upstream.Version, lease.BoundBy
+	}
 }
 
 // order returns the time by which requests without an objective are ordered. One that may have run already goes
@@ -203,11 +233,16 @@
 }
 
 // sink returns what receives the answer of an attempt while it arrives; nil if the answer is not streamed.
-func (x *exchange) sink() *Sink {
+func (x *exchange) sink(lease Lease) *Sink {
 	if !x.isStream() {
 		return nil
 	}
-	return &Sink{Start: x.startStream, Event: x.sendEvent}
+	return &Sink{Start: x.startStream, Event: func(e Event, more bool) error {
+		if x.boundVersion() == "" {
+			x.version = lease.Upstream.Version
+		}
+		return x.sendEvent(e, more)
+	}}
 }
 
 // finish releases the slot and answers the caller, or returns false if another attempt is to follow.
--- a/io/home/checkpoint.go
+++ b/io/home/checkpoint.go
@@ -53,13 +53,28 @@
 // checkpoint sends the items' progress to the standbys until the home ends.
 func (h *Home) checkpoint() {
 	c := &checkpointer{home: h, sent: make(map[[2]string]bool)}
+	var informed []*link.Conn
 	for clock.Sleep(h.ctx, checkpointInterval) == nil {
+		informed = h.sendOrigins(informed)
 		if h.isLoaded() { // until then the standbys hold the fuller checkpoints of the previous home
 			c.send()
 		}
 	}
 }
 
+// sendOrigins sends the standbys at which versions streams began: all to a new standby, and to the others what is new.
+// It returns the standbys.
+func (h *Home) sendOrigins(informed []*link.Conn) []*link.Conn {
+	standbys := h.standbys()
+	for _, conn := range standbys {
+		if !slices.Contains(informed, conn) {
+			h.opts.Origins.sendAll(conn)
+		}
+	}
+	h.opts.Origins.sendFresh(standbys)
+	return standbys
+}
+
 func (h *Home) isLoaded() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -66,6 +67,10 @@
 	Leaving          func(u site.Upstream, request string)
 	MarkLeaving      func(from string, keys []site.Key)
 	LeavingUpstreams func() []site.Key
+	// Origins remembers at which software versions streams began. SoleVersion returns the only one that a service has
+	// had for long enough, if this node can tell.
+	Origins     *Origins
+	SoleVersion func(now time.Time, service string) (string, bool)
 	// Down is called with true when the home reports that it can't reach the object service, and with
 	// false when it can.
 	Down func(down bool)
@@ -107,7 +112,7 @@
 	c := &Client{
 		opts: opts, cancel: cancel, wake: make(chan struct{}, 1), gone: make(map[site.Key]bool),
 		inventory: newInventory(), cancelAttempt: func() {},
-		localPool: NewSlotPool(slot.NewOptions().WithReports(true), opts.Now),
+		localPool: NewSlotPool(opts.Origins.poolOptions(slot.NewOptions().WithReports(true), opts.SoleVersion), opts.Now),
 	}
 	c.done.Go(func() { c.run(ctx) })
 	return c
@@ -208,6 +213,9 @@
 
 // Acquire waits for a slot: from the home, or from the local pool while no home answers.
 func (c *Client) Acquire(ctx context.Context, r slot.Request) (forward.Lease, *slot.Refusal, error) {
+	if version, ok := c.opts.Origins.Version(r.Resumes); ok && r.Continues && r.Version == "" {
+		r.Version, r.BoundBy = version, slot.BoundByNode
+	}
 	for conn := c.connection(); conn != nil; {
 		lease, refusal, err := c.askHome(ctx, conn, r)
 		if err == nil || ctx.Err() != nil {
@@ -243,6 +251,7 @@
 	err := conn.Call(askCtx, methodAsk, askRequest{
 		ID: r.Key.ID, Service: r.Service, Priority: r.Priority, Remaining: r.Order.Sub(now), Wait: wait,
 		Exclude: r.Exclude, Zone: r.AvailabilityZone, Objective: remainingObjective(now, r),
+		Version: r.Version, Stream: r.Stream, Continues: r.Continues, Resumes: r.Resumes,
 	}, &answer)
 	if err != nil {
 		c.inventory.end(conn, releaseNotice{ID: r.Key.ID, Result: slot.Abandoned})
@@ -253,6 +262,10 @@
 		return forward.Lease{}, &slot.Refusal{Request: r, Reason: answer.Reason, RetryAfter: answer.RetryAfter}, nil
 	}
 	u := *answer.Upstream
+	r.BoundBy = cmp.Or(r.BoundBy, answer.BoundBy)
+	if r.Stream != "" {
+		c.opts.Origins.Record(r.Stream, u.Version) // the local pool may not know the upstream yet
+	}
 	c.inventory.hold(r.Key.ID, u.ID, conn)
 	c.localPool.Adopt(r, u.ID)
 	return c.lease(r, u, "home"), nil, nil
@@ -261,13 +274,17 @@
 // lease returns the lease of a granted slot.
 func (c *Client) lease(r slot.Request, u site.Upstream, basis string) forward.Lease {
 	return forward.Lease{
-		Upstream: u, Basis: basis,
+		Upstream: u, Basis: basis, BoundBy: r.BoundBy,
 		Release: func(_ time.Time, result slot.Result) {
 			c.localPool.Release(r.Key, result)
 			// The home that is connected now may not be the one that granted the slot.
 			c.inventory.end(c.connection(), releaseNotice{ID: r.Key.ID, Result: result})
 		},
 		Report: func(_ time.Time, running, waiting int) { c.report(u.ID, running, waiting) },
+		Began: func(stream string) {
+			c.opts.Origins.Record(stream, u.Version)
+			c.notify(methodBegan, beganNotice{Stream: stream, Version: u.Version})
+		},
 		Silence: func(silent bool) {
 			c.localPool.Silence(r.Key, silent)
 			c.notify(methodSilence, silenceNotice{ID: r.Key.ID, Silent: silent})
@@ -319,7 +336,7 @@
 		}
 		c.inventory.ask(r.Key.ID, r.Service)
 		c.inventory.hold(r.Key.ID, d.grant.Upstream.ID, nil)
-		return c.lease(r, d.grant.Upstream, "alone"), nil, nil
+		return c.lease(d.grant.Request, d.grant.Upstream, "alone"), nil, nil
 	case <-ctx.Done():
 		c.localPool.Release(r.Key, slot.Abandoned)
 		return forward.Lease{}, nil, merry.Errorf("wait for a slot: %w", ctx.Err())
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -147,6 +147,9 @@
 		return nil, merry.Errorf("node at %s has term %d, not %d: %w", address, answer.Home.Term, a.Term, ErrNoHome)
 	}
 	c.opts.OnReceivesChanges()
+	if answer.Home.VM != c.opts.VMID {
+		c.opts.Origins.sendAll(conn)
+	}
 	a = answer.Home
 	c.opts.Log.Info().Str("home", a.VM).Int64("term", a.Term).Msg("homeRegained")
 	return conn, nil
@@ -186,6 +189,11 @@
 		if err = in.Decode(&a); err == nil {
 			go c.Announce(a) // Announce closes this connection
 		}
+	case methodOrigins:
+		var m originsNotice
+		if err = in.Decode(&m); err == nil {
+			c.opts.Origins.merge(m)
+		}
 	case methodLeaving:
 		var m leavingNotice
 		if err = in.Decode(&m); err == nil {
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -68,6 +68,10 @@
 	// Before is the previous home, if it ran on another VM; Dial opens connections to it.
 	Before Announcement
 	Dial   Dial
+	// Origins remembers at which software versions streams began; SoleVersion returns the only one that a service has
+	// had for long enough, if this node can tell.
+	Origins     *Origins
+	SoleVersion func(now time.Time, service string) (string, bool)
 	// Checkpoints holds this node's checkpoints: of the previous home's items, then of its own.
 	Checkpoints *Checkpoints
 	// Retirements describes the objects that ask for a VM to be drained. StepDown is called when this VM is
@@ -137,7 +141,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("home."+name, opts.Registry) }
 	h := &Home{
-		opts: opts, pool: NewSlotPool(slot.NewOptions(), opts.Now), ctx: ctx, cancel: cancel,
+		opts: opts, pool: NewSlotPool(opts.Origins.poolOptions(slot.NewOptions(), opts.SoleVersion), opts.Now), ctx: ctx, cancel: cancel,
 		metrics: homeMetrics{
 			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"),
 			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"), corrected: counter("slotsCorrected"),
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -17,6 +17,10 @@
 	// methodInventory lists all open requests of a node.
 	methodInventory = "inventory"
 	methodReport    = "report"
+	// methodBegan reports at which upstream a stream begins, where the request for the slot didn't name it.
+	methodBegan = "began"
+	// methodOrigins names the software versions at which streams began, in both directions.
+	methodOrigins = "origins"
 	// methodSilence reports that the upstream of a slot in use is silent, or that it goes on.
 	methodSilence = "silence"
 	methodReserve = "reserve"
@@ -86,12 +90,18 @@
 	Zone      string        `msgpack:"zone"`
 	// Objective is the remaining time of the latency objective; nil if the request has none.
 	Objective *time.Duration `msgpack:"aim,omitempty"`
+	// Version, Stream, Continues and Resumes are those of slot.Request.
+	Version   string `msgpack:"ver,omitempty"`
+	Stream    string `msgpack:"stream,omitempty"`
+	Continues bool   `msgpack:"cont,omitempty"`
+	Resumes   string `msgpack:"from,omitempty"`
 }
 
 func (a askRequest) request(now time.Time, owner string) slot.Request {
 	r := slot.Request{
 		Key: slot.Key{Owner: owner, ID: a.ID}, Service: a.Service, Priority: a.Priority,
 		Order: now.Add(a.Remaining), Deadline: now.Add(a.Wait), Exclude: a.Exclude, AvailabilityZone: a.Zone,
+		Version: a.Version, Stream: a.Stream, Continues: a.Continues, Resumes: a.Resumes,
 	}
 	if a.Objective != nil {
 		r.Objective = now.Add(*a.Objective)
@@ -101,9 +111,11 @@
 
 type askAnswer struct {
 	// Upstream is set if a slot was granted.
-	Upstream   *site.Upstream `msgpack:"up,omitempty"`
-	Reason     slot.Reason    `msgpack:"why,omitempty"`
-	RetryAfter time.Duration  `msgpack:"retry,omitempty"`
+	Upstream *site.Upstream `msgpack:"up,omitempty"`
+	// BoundBy is that of slot.Request.
+	BoundBy    slot.BoundBy  `msgpack:"by,omitempty"`
+	Reason     slot.Reason   `msgpack:"why,omitempty"`
+	RetryAfter time.Duration `msgpack:"retry,omitempty"`
 }
 
 type releaseNotice struct {
@@ -111,6 +123,11 @@
 	Result slot.Result `msgpack:"res"`
 }
 
+type beganNotice struct {
+	Stream  string `msgpack:"stream"`
+	Version string `msgpack:"ver"`
+}
+
 type silenceNotice struct {
 	ID     uint64 `msgpack:"id"`
 	Silent bool   `msgpack:"mute,omitempty"`
--- a/io/home/reconnect_test.go
+++ b/io/home/reconnect_test.go
@@ -59,6 +59,7 @@
 		ip := fmt.Sprintf("10.1.%d.%d", n/200, n%200)
 		c := NewClient(ClientOptions{
 			VMID: fmt.Sprintf("e%d", n), Incarnation: 1, HomeNodes: func() []string { return nil }, Now: time.Now,
+			Origins: NewOrigins(time.Now, true, metrics.NewRegistry()), SoleVersion: noSoleVersion,
 			Connect: func(ctx context.Context, _, address string) (net.Conn, error) {
 				conn, err := s.network.Dial(ctx, ip, address)
 				if err != nil {
@@ -85,6 +86,7 @@
 	h := New(Options{
 		VMID: fmt.Sprintf("s%d", term), Address: ip + ":7660", Term: term, SlotsOnly: true,
 		Valid: func(time.Time) bool { return true }, Views: views,
+		Origins: NewOrigins(time.Now, false, metrics.NewRegistry()), SoleVersion: noSoleVersion,
 		MarkLeaving: func(string, []site.Key) {}, Leaving: func() []site.Key { return nil },
 		ObjectsDown: func() bool { return false }, Now: time.Now, Log: zerolog.Nop(), Registry: metrics.NewRegistry(),
 	})
@@ -200,3 +202,5 @@
 		h2.Close()
 	})
 }
+
+func noSoleVersion(time.Time, string) (string, bool) { return "", false }
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -53,40 +53,19 @@
 	case methodAsk:
 		return h.ask(s, in)
 	case methodRelease:
-		var m releaseNotice
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		h.pool.Release(slot.Key{Owner: s.owner, ID: m.ID}, m.Result)
-		return nil
+		return handleMessage(in, func(m releaseNotice) { h.pool.Release(slot.Key{Owner: s.owner, ID: m.ID}, m.Result) })
 	case methodInventory:
-		var m inventoryNotice
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		h.reconcile(s, m)
-		return nil
+		return handleMessage(in, func(m inventoryNotice) { h.reconcile(s, m) })
 	case methodReport:
-		var m reportNotice
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		h.pool.Report(m.Upstream, m.Running, m.Waiting)
-		return nil
+		return handleMessage(in, func(m reportNotice) { h.pool.Report(m.Upstream, m.Running, m.Waiting) })
+	case methodBegan:
+		return handleMessage(in, func(m beganNotice) { h.opts.Origins.Record(m.Stream, m.Version) })
+	case methodOrigins:
+		return handleMessage(in, h.opts.Origins.merge)
 	case methodSilence:
-		var m silenceNotice
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		h.pool.Silence(slot.Key{Owner: s.owner, ID: m.ID}, m.Silent)
-		return nil
+		return handleMessage(in, func(m silenceNotice) { h.pool.Silence(slot.Key{Owner: s.owner, ID: m.ID}, m.Silent) })
 	case methodLeaving:
-		var m leavingNotice
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		h.opts.MarkLeaving(s.owner, siteKeys(m.Upstreams))
-		return nil
+		return handleMessage(in, func(m leavingNotice) { h.opts.MarkLeaving(s.owner, siteKeys(m.Upstreams)) })
 	case methodReserve:
 		return h.reserve(in)
 	case methodRead:
@@ -94,39 +73,33 @@
 	case methodItem:
 		return h.item(in)
 	case methodEnded:
-		var m endedNotice
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		h.endJob(m.Job)
-		return nil
+		return handleMessage(in, func(m endedNotice) { h.endJob(m.Job) })
 	case methodStored:
-		var m storedNotice
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		h.noteStored(m.Job)
-		return nil
+		return handleMessage(in, func(m storedNotice) { h.noteStored(m.Job) })
 	case methodSubmit:
-		var m submitRequest
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		m.Job.ID = m.ID
-		go h.write(in, func(ctx context.Context) error { return CreateJob(ctx, h.opts.Objects, m.Job) })
-		return nil
+		return handleMessage(in, func(m submitRequest) {
+			m.Job.ID = m.ID
+			go h.write(in, func(ctx context.Context) error { return CreateJob(ctx, h.opts.Objects, m.Job) })
+		})
 	case methodEnd:
-		var m endRequest
-		if err := in.Decode(&m); err != nil {
-			return err
-		}
-		go h.write(in, func(ctx context.Context) error { return EndJob(ctx, h.opts.Objects, m.Job) })
-		return nil
+		return handleMessage(in, func(m endRequest) {
+			go h.write(in, func(ctx context.Context) error { return EndJob(ctx, h.opts.Objects, m.Job) })
+		})
 	default:
 		return merry.Errorf("unknown method %s", in.Method)
 	}
 }
 
+// handleMessage decodes a message and passes it to handle.
+func handleMessage[T any](in link.Incoming, handle func(m T)) error {
+	var m T
+	if err := in.Decode(&m); err != nil {
+		return err
+	}
+	handle(m)
+	return nil
+}
+
 // write runs a write on behalf of a node and answers with its outcome.
 func (h *Home) write(in link.Incoming, write func(ctx context.Context) error) {
 	ctx, cancel := context.WithTimeout(h.ctx, writeCallTimeout)
@@ -189,12 +162,12 @@
 	}
 	h.metrics.asks.Inc(1)
 	h.pool.Ask(m.request(h.opts.Now(), s.owner), asker{
-		granted: func(g slot.Grant) { in.Answer(askAnswer{Upstream: &g.Upstream}) },
+		granted: func(g slot.Grant) { in.Answer(askAnswer{Upstream: &g.Upstream, BoundBy: g.Request.BoundBy}) },
 		refused: func(r slot.Refusal) {
 			h.metrics.refused.Inc(1)
 			l := h.pool.Load(r.Request.Service)
 			h.opts.Log.Info().Str("peer", s.owner).Uint64("ask", r.Request.Key.ID).Str("service", r.Request.Service).
-				Str("reason", string(r.Reason)).Dur("retryAfterMillis", r.RetryAfter).Int("slots", l.Slots).Int("online", l.Online).
+				Str("version", r.Request.Version).Str("resumes", r.Request.Resumes).Str("reason", string(r.Reason)).Dur("retryAfterMillis", r.RetryAfter).Int("slots", l.Slots).Int("online", l.Online).
 				Int("batch", l.Batch).Int("waiting", l.WaitingOnline).Int("paused", l.PausedUpstreams).Msg("slotRefused")
 			in.Answer(askAnswer{Reason: r.Reason, RetryAfter: r.RetryAfter})
 		},
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -87,6 +87,7 @@
 	// runner and checkpoints are nil on entry nodes.
 	runner      *home.Runner
 	checkpoints *home.Checkpoints
+	origins     *home.Origins
 	followers   []*object.Follower
 	metrics     *kratoshttp.Server
 	counts      *time.Timer
@@ -149,6 +150,7 @@
 		b.logCounts()
 		b.counts.Reset(countsInterval)
 	})
+	b.origins = home.NewOrigins(opts.Now, isEntry, opts.Registry)
 	relay := ""
 	if isEntry {
 		relay = b.peerAddress()
@@ -161,11 +163,13 @@
 		b.checkpoints = home.NewCheckpoints(load[[]home.ItemProgress](s.DataDir, progressFile, opts.Log), progressSaver.changed)
 		stateSaver := newSaver(s.DataDir, siteStateFile, func() any { return b.siteState() }, opts.Log)
 		b.siteStateChanged = stateSaver.changed
+		b.loadHistory()
 		b.savers = []*saver{progressSaver, stateSaver}
 	}
 	b.client = home.NewClient(home.ClientOptions{
 		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, HomeNodes: opts.homeNodes, Connect: opts.Connect(connectTimeout), Now: opts.Now,
 		Checkpoints: b.checkpoints, Unreached: b.startWait.end, Announced: b.siteStateChanged, OnReceivesChanges: b.updateDown,
+		Origins: b.origins, SoleVersion: b.soleVersion,
 		View: func(kind string, c object.Change) { b.receive(kind, c) }, Down: b.setHomeDown, Runner: b.runner, Log: opts.Log,
 		Leaving: b.answeredLeaving, MarkLeaving: b.markLeaving, LeavingUpstreams: b.leavingUpstreams,
 	})
--- a/io/node/version_test.go
+++ b/io/node/version_test.go
@@ -173,40 +173,49 @@
 		t.Run(tc.name, func(t *testing.T) {
 			runSite(t, func(t *testing.T, s *testSite) {
 				s.addNewVersion()
-				for _, e := range s.engines {
-					e.SetFaults(fake.EngineFaults{BreakAfter: 5}) // of the first attempt and of the one that resumes it
-				}
 				const last = 10
-				for i := range 10 {
-					first := fmt.Sprintf("r%d", i)
-					r := s.call(t.Context(), 1, http.MethodPost, "/ask/stream/1", first, "")
-					require.False(t, r.complete)
-					require.Equal(t, last, strings.Count(r.body, "\n\n"))
-				}
-				for _, e := range s.engines {
-					e.SetFaults(fake.EngineFaults{})
-				}
+				s.breakStreams(10, last)
 				if tc.between != nil {
 					tc.between(s)
 				}
 				for i := range 10 {
-					first, second := fmt.Sprintf("r%d", i), fmt.Sprintf("s%d", i)
-					r := s.takeUp(tc.entry, second, first, last)
-					if tc.refused && r.status == http.StatusServiceUnavailable {
-						require.Zero(t, s.runsOf(second), "a refused request has not run")
-						require.Less(t, r.took, 100*time.Millisecond, "it is refused at once")
-						continue
-					}
-					require.Equal(t, http.StatusOK, r.status, second)
-					require.True(t, r.complete, second)
-					require.Equal(t, rest(second, last), fake.TextOf(r.body))
-					require.Len(t, s.versionsOf(first, second), 1, "%s and %s", first, second)
+					s.requireTakenUp(tc.entry, fmt.Sprintf("r%d", i), fmt.Sprintf("s%d", i), last, tc.refused)
 				}
 			})
 		})
 	}
 }
 
+// breakStreams lets a number of streams at entry 1, r0, r1 and so on, break off after the last event.
+func (s *testSite) breakStreams(count, last int) {
+	for _, e := range s.engines {
+		e.SetFaults(fake.EngineFaults{BreakAfter: last / 2}) // of the first attempt, and of the one that resumes it
+	}
+	for i := range count {
+		r := s.call(s.t.Context(), 1, http.MethodPost, "/ask/stream/1", fmt.Sprintf("r%d", i), "")
+		require.False(s.t, r.complete)
+		require.Equal(s.t, last, strings.Count(r.body, "\n\n"))
+	}
+	for _, e := range s.engines {
+		e.SetFaults(fake.EngineFaults{})
+	}
+}
+
+// requireTakenUp takes a stream up and requires that it goes on at the version that began it, or that it is refused at
+// once where that is allowed.
+func (s *testSite) requireTakenUp(entry int, first, second string, last int, mayRefuse bool) {
+	r := s.takeUp(entry, second, first, last)
+	if mayRefuse && r.status == http.StatusServiceUnavailable {
+		require.Zero(s.t, s.runsOf(second), "a refused request has not run")
+		require.Less(s.t, r.took, 100*time.Millisecond, "it is refused at once")
+		return
+	}
+	require.Equal(s.t, http.StatusOK, r.status, second)
+	require.True(s.t, r.complete, second)
+	require.Equal(s.t, rest(second, last), fake.TextOf(r.body))
+	require.Len(s.t, s.versionsOf(first, second), 1, "%s and %s", first, second)
+}
+
 // Guards against guesses where a request can't tell, or nobody knows, at which software version its stream began.
 func TestStreamOfUnknownOriginIsNotContinuedAtAGuess(t *testing.T) {
 	for _, tc := range []struct {
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -113,6 +113,9 @@
 		b.applyConfig(events)
 	case platform.KindUpstreams:
 		events = b.applyUpstreams(events)
+		if m.Listed() {
+			b.noteComplete()
+		}
 	}
 	if b.onEvents != nil && len(events) > 0 {
 		b.onEvents(kind, events)
@@ -190,6 +193,36 @@
 	return changed
 }
 
+// noteComplete records that the directory has received all entries.
+func (b *base) noteComplete() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.directory = b.directory.WithComplete(b.opts.Now())
+}
+
+// soleVersion returns the only software version that a service has had for long enough, if this node can tell.
+func (b *base) soleVersion(now time.Time, service string) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.directory.SoleVersion(now, service)
+}
+
+// loadHistory gives the directory the software versions that this node's last process saw, from its disk.
+func (b *base) loadHistory() {
+	state := load[home.SiteState](b.opts.Settings.DataDir, siteStateFile, b.opts.Log)
+	saved, ok := state.Views[platform.KindUpstreams]
+	if !ok || !saved.Listed {
+		return
+	}
+	var upstreams []site.Upstream
+	for _, e := range saved.Events {
+		if entry := b.decodeEntry(e); !entry.Gone {
+			upstreams = append(upstreams, entry.Upstream)
+		}
+	}
+	b.directory = b.directory.WithHistory(b.opts.Now(), upstreams)
+}
+
 func (b *base) logEntry(entry site.Entry, e object.Event) {
 	if entry.Gone {
 		b.opts.Log.Info().Str("upstream", entry.ID).Bool("deleted", e.Deleted).Int64("revision", int64(e.Object.Revision)).Msg("upstreamGone")
