Items of jobs go on only at the software version that began them

Cause: an item that was preempted, or whose upstream or home was lost, went on at any upstream. Change: a run knows the version of its progress; it crosses checkpoints, handover and restart, and an item whose version has no upstream left begins again (itemRestarted, home.restarts). Progress that an earlier release saved without a version is dropped.

--- a/io/home/checkpoint.go
+++ b/io/home/checkpoint.go
@@ -173,7 +173,7 @@
 // progress returns the progress of an item, including the attempt in progress, with its text from the
 // byte position from on; the home's mutex is held.
 func (r *run) progress(from int) ItemProgress {
-	p := ItemProgress{Job: r.job, Item: r.item.ID, Events: r.events, LastEventID: r.lastID, Failures: r.failures, Ran: r.ranFor}
+	p := ItemProgress{Job: r.job, Item: r.item.ID, Events: r.events, LastEventID: r.lastID, Version: r.version, Failures: r.failures, Ran: r.ranFor}
 	var text strings.Builder
 	base := r.text.Bytes()
 	text.Write(base[min(from, len(base)):])
@@ -187,6 +187,7 @@
 		}
 		more := r.received.text.Bytes()
 		text.Write(more[max(from-r.receivedFrom(), 0):])
+		p.Version = r.receivedVersion
 		p.Events += r.received.events
 		p.LastEventID = r.received.lastEventID
 	}
--- a/io/home/handover.go
+++ b/io/home/handover.go
@@ -44,7 +44,9 @@
 	Text        string `msgpack:"text"`
 	Events      int    `msgpack:"n"`
 	LastEventID string `msgpack:"last"`
-	Failures    int    `msgpack:"fail,omitempty"`
+	// Version is the software version of the upstreams that sent the text.
+	Version  string `msgpack:"ver,omitempty"`
+	Failures int    `msgpack:"fail,omitempty"`
 	// State is set if the item has finished and its result is not listed yet.
 	State batch.State `msgpack:"state,omitempty"`
 	// Ran is the total duration of the attempts that made the progress.
@@ -307,7 +309,11 @@
 		h.finish(r.job, j, batch.Result{Item: p.Item, State: p.State, Text: p.Text})
 		return true
 	}
+	r.failures = p.Failures
+	if p.Version == "" {
+		return false // saved by an earlier release, so that nobody knows which upstreams can go on with it
+	}
 	r.text.WriteString(p.Text)
-	r.events, r.lastID, r.failures, r.ranFor = p.Events, p.LastEventID, p.Failures, p.Ran
+	r.events, r.lastID, r.version, r.ranFor = p.Events, p.LastEventID, p.Version, p.Ran
 	return false
 }
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -130,6 +130,8 @@
 
 type homeMetrics struct {
 	asks, refused, preemptions, runs, results, chunks metrics.Counter
+	// restarts counts items whose progress was dropped, since no upstream could go on with it.
+	restarts metrics.Counter
 	// corrected counts the requests of nodes that had ended without the home's knowledge.
 	corrected metrics.Counter
 	// bodyBytes is the size of the bodies of open items.
@@ -143,7 +145,7 @@
 	h := &Home{
 		opts: opts, pool: NewSlotPool(opts.Origins.poolOptions(slot.NewOptions(), opts.SoleVersion), opts.Now), ctx: ctx, cancel: cancel,
 		metrics: homeMetrics{
-			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"),
+			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"), restarts: counter("restarts"),
 			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"), corrected: counter("slotsCorrected"),
 			bodyBytes: metrics.GetOrRegisterGauge("home.bodyBytes", opts.Registry),
 		},
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -26,10 +26,12 @@
 	key  slot.Key
 	// cancel ends the attempt in progress; nil while the item waits.
 	cancel context.CancelCauseFunc
-	// text, events and lastID are the progress of the stream that ended attempts made.
+	// text, events and lastID are the progress of the stream that ended attempts made. Only upstreams of its version
+	// can go on with it.
 	text     bytes.Buffer
 	events   int
 	lastID   string
+	version  string
 	failures int
 	// silences counts the last attempts in a row that were idle for too long without an event.
 	silences int
@@ -37,9 +39,11 @@
 	preemptedEarly bool
 	// ranFor is the total duration of the attempts that made the progress.
 	ranFor time.Duration
-	// received is what the attempt in progress has received; nil while the item waits.
-	received *stream
-	ended    bool
+	// received is what the attempt in progress has received, from an upstream of receivedVersion; nil while the item
+	// waits.
+	received        *stream
+	receivedVersion string
+	ended           bool
 	// sentBytes is how much of the text was sent to the standbys, in bytes; resultSent reports that the
 	// result was.
 	sentBytes  int
@@ -83,7 +87,7 @@
 	}
 	host, path, acceptedAt := j.log.Job().Host, j.log.Job().Path, j.acceptedAt
 	r.key = slot.Key{Owner: batchOwner, ID: h.nextID.Add(1)}
-	key, ran := r.key, r.ranFor
+	key, ran, version := r.key, r.ranFor, r.version
 	h.mu.Unlock()
 	route, service, ok := h.pickService(host, path)
 	if !ok {
@@ -92,14 +96,29 @@
 	}
 	h.pool.Ask(slot.Request{
 		Key: key, Service: service, Batch: true, Priority: route.Priority, Order: acceptedAt.Add(route.Completion),
-		Ran: ran, AvailabilityZone: h.opts.AvailabilityZone,
+		Ran: ran, AvailabilityZone: h.opts.AvailabilityZone, Version: version,
 	}, asker{
-		granted:   func(g slot.Grant) { h.startRun(r, g) },
-		refused:   func(slot.Refusal) { time.AfterFunc(retryPause, func() { h.askSlot(r) }) },
+		granted: func(g slot.Grant) { h.startRun(r, g) },
+		refused: func(refusal slot.Refusal) {
+			if refusal.Reason == slot.ReasonNoVersion {
+				h.restart(r)
+			}
+			time.AfterFunc(retryPause, func() { h.askSlot(r) })
+		},
 		preempted: func() { h.preempt(r) },
 	})
 }
 
+// restart drops the progress of an item, since no upstream of its software version is left to go on with it.
+func (h *Home) restart(r *run) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.opts.Log.Info().Str("job", r.job).Str("item", r.item.ID).Str("version", r.version).Int("events", r.events).Msg("itemRestarted")
+	h.metrics.restarts.Inc(1)
+	r.text.Reset()
+	r.events, r.lastID, r.version, r.ranFor, r.sentBytes = 0, "", "", 0, 0
+}
+
 // startRun starts an attempt with a granted slot.
 func (h *Home) startRun(r *run, g slot.Grant) {
 	ctx, cancel := context.WithCancelCause(h.ctx)
@@ -162,7 +181,7 @@
 		Upstream: g.Upstream, LastEventID: r.lastID, IdleTimeout: min(itemIdleTimeout<<min(r.silences, 8), maxItemIdleTimeout),
 	}
 	got := new(stream)
-	r.received = got
+	r.received, r.receivedVersion = got, g.Upstream.Version
 	h.mu.Unlock()
 	startedAt := h.opts.Now()
 	out, runner := h.execute(ctx, call, got)
@@ -175,11 +194,12 @@
 	h.completeAttempt(r, out, took, cancelled)
 }
 
-// addProgress adds the progress of an attempt.
+// addProgress adds the progress of the attempt that has ended.
 func (r *run) addProgress(out itemOutcome, took time.Duration) {
 	if out.Events == 0 {
 		return
 	}
+	r.version = r.receivedVersion
 	r.ranFor += took
 	if r.events > 0 {
 		r.text.WriteByte('\n')
