Soak: parts that more than one test uses stand by themselves

Cause: new phases of the soak need the build, the seeds of the flags, a new engine and the checks of runs.

--- a/soak/signal_test.go
+++ b/soak/signal_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"net/http"
-	"os/exec"
-	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -17,9 +15,7 @@
 // TestSignalsInADrain checks that a SIGHUP or a second SIGTERM during a drain does not cut off the stream in
 // progress.
 func TestSignalsInADrain(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "mothcart")
-	out, err := exec.Command("go", "build", "-o", program, "mothcart/cmd/mothcart").CombinedOutput()
-	require.NoError(t, err, string(out))
+	program := build(t)
 	for i, tc := range []struct {
 		name  string
 		later syscall.Signal
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -23,10 +24,15 @@
 	entries = 3
 	homes   = 3
 	engines = 3
+	// engineSlots are the slots of an engine of the service scribe, deskSlots those of the service desk.
+	engineSlots = 3
+	deskSlots   = 6
 	// A stream has eventsPerStream events, one each pace: it takes 0.3 s.
 	eventsPerStream = 15
 	pace            = 20 * time.Millisecond
 	storePort       = 7100
+	// routeTimeout is the time limit of all routes.
+	routeTimeout = 4 * time.Second
 )
 
 // process is one entry or home node of the site. It can be stopped and started again.
@@ -48,6 +54,7 @@
 	t       *testing.T
 	program string
 	netByte byte
+	network *fake.Network
 	objects *fake.Objects
 	engines []*fake.Engine
 	// desk is the engine of the service desk; engines serve the service scribe.
@@ -64,28 +71,14 @@
 func (s *site) ip(group, n int) string { return fmt.Sprintf("127.%d.%d.%d", s.netByte, group, n) }
 
 func newSite(t *testing.T, program string, seed uint64) *site {
-	s := &site{t: t, program: program, netByte: byte(20 + seed%200)}
-	network := fake.NewLoopback()
+	s := &site{t: t, program: program, netByte: byte(20 + seed%200), network: fake.NewLoopback()}
 	storeAddr := net.JoinHostPort(s.ip(1, 1), fmt.Sprint(storePort))
-	s.objects = fake.NewObjects(network, storeAddr)
+	s.objects = fake.NewObjects(s.network, storeAddr)
 	s.configure()
-	for n := 1; n <= engines+1; n++ {
-		addr, announced := s.ip(2, n)+":7200", s.ip(3, n)+":7200"
-		o := fake.EngineOptions{ID: fmt.Sprintf("i-%d", n), Service: "scribe", Address: addr, Announced: announced, Zone: "z1", Slots: 3, Born: 1,
-			Events: eventsPerStream, Pace: pace, Objects: s.objects}
-		if n > engines {
-			o.Service, o.Slots = "desk", 6
-		}
-		e := fake.NewEngine(network, o)
-		p, err := newProxy(announced, addr)
-		require.NoError(t, err)
-		s.engineProxies = append(s.engineProxies, p)
-		if n > engines {
-			s.desk = e
-		} else {
-			s.engines = append(s.engines, e)
-		}
+	for n := 1; n <= engines; n++ {
+		s.engines = append(s.engines, s.addEngine(n, "scribe", "v1", engineSlots))
 	}
+	s.desk = s.addEngine(engines+1, "desk", "v1", deskSlots)
 	dir := t.TempDir()
 	for n := 1; n <= entries+homes; n++ {
 		role, id := "entry", fmt.Sprintf("e%d", n)
@@ -108,6 +101,24 @@
 	return s
 }
 
+func engineID(n int) string { return fmt.Sprintf("i-%d", n) }
+
+// addEngine starts an engine behind a proxy.
+func (s *site) addEngine(n int, service, version string, slots int) *fake.Engine {
+	addr, announced := s.ip(2, n)+":7200", s.ip(3, n)+":7200"
+	e := fake.NewEngine(s.network, fake.EngineOptions{ID: engineID(n), Service: service, Address: addr, Announced: announced, Zone: "z1", Slots: slots,
+		Born: 1, Version: version, Events: eventsPerStream, Pace: pace, Objects: s.objects})
+	p, err := newProxy(announced, addr)
+	require.NoError(s.t, err)
+	s.engineProxies = append(s.engineProxies, p)
+	return e
+}
+
+// awaitReady waits until all entries are ready.
+func (s *site) awaitReady() {
+	require.Eventually(s.t, func() bool { return s.ready(1) && s.ready(2) && s.ready(3) }, 20*time.Second, 100*time.Millisecond, "the site starts")
+}
+
 func (s *site) writeSettings(pr *process, ip, store string) {
 	callers, ready := "", ""
 	if pr.role == "entry" {
@@ -124,14 +135,15 @@
 // configure publishes the next version of the configuration.
 func (s *site) configure() {
 	s.configVersion++
-	const timeout, objective = 4 * time.Second, 300 * time.Millisecond
-	s.objects.Configure(s.configVersion, []fake.Route{
-		{Name: "ask", Kind: fake.Streaming, Service: "scribe", Attempts: 2, Resumable: true, Timeout: timeout, Objective: objective},
-		{Name: "once", Kind: fake.Streaming, Service: "scribe", Attempts: 1, Timeout: timeout, Objective: objective},
-		{Name: "fetch", Kind: fake.Idempotent, Service: "desk", Attempts: 2, Timeout: timeout, Objective: objective},
-		{Name: "swap", Kind: fake.NonIdempotent, Service: "desk", Attempts: 1, Timeout: timeout, Objective: objective},
-		{Name: "lot", Kind: fake.Batch, Service: "scribe", Attempts: 3, Timeout: timeout, Objective: objective, TokenCap: 100000},
-	})
+	const objective = 300 * time.Millisecond
+	routes := []fake.Route{
+		{Name: "ask", Kind: fake.Streaming, Service: "scribe", Attempts: 2, Resumable: true, Timeout: routeTimeout, Objective: objective},
+		{Name: "once", Kind: fake.Streaming, Service: "scribe", Attempts: 1, Timeout: routeTimeout, Objective: objective},
+		{Name: "fetch", Kind: fake.Idempotent, Service: "desk", Attempts: 2, Timeout: routeTimeout, Objective: objective},
+		{Name: "swap", Kind: fake.NonIdempotent, Service: "desk", Attempts: 1, Timeout: routeTimeout, Objective: objective},
+		{Name: "lot", Kind: fake.Batch, Service: "scribe", Attempts: 3, Timeout: routeTimeout, Objective: objective, TokenCap: 100000},
+	}
+	s.objects.Configure(s.configVersion, routes)
 }
 
 func (s *site) start(pr *process) {
@@ -199,7 +211,7 @@
 // runCount returns how often the engines ran a request.
 func (s *site) runCount(id string) int {
 	n := 0
-	for _, e := range append(s.engines, s.desk) {
+	for _, e := range slices.Concat(s.engines, []*fake.Engine{s.desk}) {
 		n += e.Runs(id)
 	}
 	return n
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,10 +8,8 @@
 package soak
 
 import (
-	"bytes"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -25,7 +23,6 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"mothcart/platform"
 	"mothcart/platform/fake"
 )
 
@@ -48,26 +45,37 @@
 // TestSoak runs each seed on a new site. It guards against answers that belong to another request, requests
 // that run more often than they may, lost jobs, and entries that don't serve again after random faults.
 func TestSoak(t *testing.T) {
+	program := build(t)
+	for _, seed := range seedsOr(regressionSeeds...) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { run(t, program, seed) })
+	}
+}
+
+// build builds mothcart and returns the path of the program.
+func build(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "mothcart")
 	out, err := exec.Command("go", "build", "-o", program, "mothcart/cmd/mothcart").CombinedOutput()
 	require.NoError(t, err, string(out))
-	seeds := regressionSeeds
-	if *seedCount > 0 {
-		seeds = nil
-		for i := range *seedCount {
-			seeds = append(seeds, *firstSeed+uint64(i))
-		}
+	return program
+}
+
+// seedsOr returns the new seeds of the flags, or the given ones.
+func seedsOr(seeds ...uint64) []uint64 {
+	if *seedCount == 0 {
+		return seeds
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { run(t, program, seed) })
+	seeds = nil
+	for i := range *seedCount {
+		seeds = append(seeds, *firstSeed+uint64(i))
 	}
+	return seeds
 }
 
 func run(t *testing.T, program string, seed uint64) {
 	s := newSite(t, program, seed)
 	defer s.close()
 	defer s.saveLogs(seed)
-	require.Eventually(t, func() bool { return s.ready(1) && s.ready(2) && s.ready(3) }, 20*time.Second, 100*time.Millisecond, "the site starts")
+	s.awaitReady()
 	c := &checker{s: s}
 	stop := make(chan struct{})
 	var traffic sync.WaitGroup
@@ -211,26 +219,6 @@
 	answered            int
 }
 
-var client = &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 8}}
-
-// call sends one request; an error means that no complete answer arrived.
-func (c *checker) call(method string, entry int, path, id string, body []byte) (*http.Response, string, error) {
-	r, err := http.NewRequest(method, "http://"+c.s.caller(entry)+path, struct{ io.Reader }{bytes.NewReader(body)})
-	if err != nil {
-		return nil, "", err
-	}
-	r.ContentLength = int64(len(body))
-	r.Host = fake.Host
-	r.Header.Set(platform.RequestIDHeader, id)
-	resp, err := client.Do(r)
-	if err != nil {
-		return nil, "", err
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	return resp, string(b), err
-}
-
 // online sends requests of all online kinds, one after the other, and checks each answer.
 func (c *checker) online(rng *rand.Rand, stop <-chan struct{}, name string) {
 	t := c.s.t
@@ -244,17 +232,7 @@
 		kind := rng.IntN(len(paths))
 		id := fmt.Sprintf("%s.%d", name, i)
 		resp, body, err := c.call(http.MethodPost, 1+rng.IntN(entries), paths[kind], id, []byte("hello"))
-		c.mu.Lock()
-		if kind == 1 || kind == 3 {
-			c.atMostOnce = append(c.atMostOnce, id)
-			if err == nil && (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests) {
-				c.refused = append(c.refused, id)
-			}
-		}
-		if err == nil && resp.StatusCode == http.StatusOK {
-			c.answered++
-		}
-		c.mu.Unlock()
+		c.record(id, kind == 1 || kind == 3, resp, err)
 		if err != nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
@@ -269,6 +247,25 @@
 	}
 }
 
+// record records how a request ended, for checkRuns.
+func (c *checker) record(id string, once bool, resp *http.Response, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if once {
+		c.atMostOnce = append(c.atMostOnce, id)
+	}
+	if once && err == nil && isRefusal(resp.StatusCode) {
+		c.refused = append(c.refused, id)
+	}
+	if err == nil && resp.StatusCode == http.StatusOK {
+		c.answered++
+	}
+}
+
+func isRefusal(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // itemsPerJob is the number of items of each job.
 const itemsPerJob = 4
 
@@ -353,14 +350,19 @@
 		}
 	}
 	c.checkLeavingEngine()
+	c.checkRuns()
+	assert.Positive(t, c.answered)
+	t.Logf("%d answered, %d that run at most once, %d of them refused, %d jobs", c.answered, len(c.atMostOnce), len(c.refused), len(c.accepted))
+}
+
+// checkRuns checks that no request ran more often than it may, and that no refused request ran.
+func (c *checker) checkRuns() {
 	for _, id := range c.atMostOnce {
-		assert.LessOrEqual(t, c.s.runCount(id), 1, "%s ran twice", id)
+		assert.LessOrEqual(c.s.t, c.s.runCount(id), 1, "%s ran twice", id)
 	}
 	for _, id := range c.refused {
-		assert.Zero(t, c.s.runCount(id), "%s was refused and ran", id)
+		assert.Zero(c.s.t, c.s.runCount(id), "%s was refused and ran", id)
 	}
-	assert.Positive(t, c.answered)
-	t.Logf("%d answered, %d that run at most once, %d of them refused, %d jobs", c.answered, len(c.atMostOnce), len(c.refused), len(c.accepted))
 }
 
 func (c *checker) checkResults(id, body string) {
