Answers of upstreams share a bound of memory and fail at once beyond their limit

Cause: an attempt reads an answer of up to 16 MB with io.ReadAll, whatever other attempts hold, so that a few bodies without end take more memory than a process has. A declared length beyond the limit is read all the same.

Ruled out: the deadline doesn't bound the bytes of a fast sender. A bound for each answer alone multiplies with the attempts in progress. A bound that counts every byte would let one large answer make all others fail.

The room is given back when the context of the attempt's request ends, which is when its answer has been passed on or dropped.

An answer of 4 to 16 MB was passed on and now is a failed attempt.

Conclusion: bodies are bounded for each answer and for all together.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -14,7 +14,7 @@
 )
 
 // maxAnswerBytes bounds the body of an answer that is not streamed.
-const maxAnswerBytes = 16 << 20
+const maxAnswerBytes = 4 << 20
 
 // maxStatus is the first status after those of HTTP.
 const maxStatus = 600
@@ -94,8 +94,9 @@
 
 // Do makes one attempt. For a successful answer, if stream is set, it calls stream.Start with the headers
 // and then stream.Event with each event; an error of either ends the attempt. Other answers are read
-// completely.
+// completely; their bodies count as held by the client until ctx ends.
 func Do(ctx context.Context, client *service.Client, codec HeaderCodec, call Call, stream *Sink) Answer {
+	held := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	onSilence := call.OnSilence
@@ -128,7 +129,7 @@
 		a.Err = cause(ctx, stream.copy(resp, idle))
 		return a
 	}
-	a.Body, err = service.ReadAnswer(resp.Body, maxAnswerBytes)
+	a.Body, err = client.ReadAnswer(held, resp, maxAnswerBytes)
 	if err != nil {
 		return Answer{Sent: true, Err: cause(ctx, err)}
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -143,7 +143,7 @@
 		siteStateChanged: func() {},
 		startWait:        newStartWait(),
 		upstream: service.New(service.NewOptions().WithRequestIDHeader(platform.RequestIDHeader).
-			WithOneCallPerConnection().WithDial(opts.Connect(connectTimeout))),
+			WithOneCallPerConnection().WithDial(opts.Connect(connectTimeout)).WithAnswerBytes(answerBytes(s.MemoryBytes))),
 	}
 	b.mirrors = map[string]*object.Mirror{platform.KindConfig: object.NewMirror(), platform.KindUpstreams: object.NewMirror()}
 	b.counts = time.AfterFunc(countsInterval, func() {
@@ -176,6 +176,18 @@
 	return b
 }
 
+// answerShare is the fraction of a process's memory for the answers of upstreams that it holds.
+const answerShare = 0.125
+
+// answerBytes returns the bound of the answers in memory of a process with this much memory in bytes; 0 means not
+// known.
+func answerBytes(memory int64) int64 {
+	if memory <= 0 {
+		return service.DefaultAnswerBytes
+	}
+	return int64(float64(memory) * answerShare)
+}
+
 // countsInterval is the interval at which a node logs its counters.
 const countsInterval = 10 * time.Second
 
--- a/io/service/options.go
+++ b/io/service/options.go
@@ -19,18 +19,30 @@
 	// OneCallPerConnection opens a connection for each call, so that no answer of one call can be
 	// taken for that of another and no call uses a connection that the upstream is about to close.
 	OneCallPerConnection bool
+	// AnswerBytes bounds the memory in bytes of all answers that ReadAnswer holds.
+	AnswerBytes int64
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// dialTimeout bounds the opening of a connection.
-const dialTimeout = 2 * time.Second
+const (
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 2 * time.Second
+	// DefaultAnswerBytes is the default of Options.AnswerBytes.
+	DefaultAnswerBytes = 16 << 20
+)
 
 // NewOptions returns the default settings, which are sized for a few dozen upstreams.
 func NewOptions() Options {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return Options{IdleConnections: 64, IdleTimeout: 30 * time.Second, HeaderTimeout: 60 * time.Second,
-		RequestIDHeader: "X-Request-Id", Dial: dialer.DialContext}
+		RequestIDHeader: "X-Request-Id", AnswerBytes: DefaultAnswerBytes, Dial: dialer.DialContext}
+}
+
+// WithAnswerBytes returns a copy whose answers in memory are bounded by n bytes.
+func (o Options) WithAnswerBytes(n int64) Options {
+	o.AnswerBytes = n
+	return o
 }
 
 // WithHeaderTimeout returns a copy with the wait for headers bounded by d.
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -2,7 +2,8 @@
 //
 // Do makes one attempt. The transport never repeats a request by itself, so that a call that may
 // not be repeated is sent at most once; the caller decides by the Failure whether to try again. A body
-// that ends early gives an error when Body is read, never a short answer.
+// that ends early gives an error when Body is read, never a short answer. Answers that are read into memory share
+// Options.AnswerBytes.
 //
 // Usage:
 //
@@ -29,11 +30,13 @@
 	transport       *http.Transport
 	requestIDHeader string
 	mismatched      atomic.Int64
+	// answers is the room for answers that are held in memory.
+	answers room
 }
 
 // New returns a client without connections.
 func New(opts Options) *Client {
-	return &Client{requestIDHeader: opts.RequestIDHeader, transport: &http.Transport{
+	return &Client{requestIDHeader: opts.RequestIDHeader, answers: room{free: opts.AnswerBytes}, transport: &http.Transport{
 		DialContext:           opts.Dial,
 		MaxIdleConnsPerHost:   opts.IdleConnections,
 		IdleConnTimeout:       opts.IdleTimeout,
@@ -85,22 +88,6 @@
 // Unwrap returns the cause.
 func (f *Failure) Unwrap() error { return f.err }
 
-// ErrTooLarge means that an answer exceeds the limit of its reader.
-var ErrTooLarge = merry.Sentinel("answer is too large")
-
-// ReadAnswer reads a body of at most limit bytes. A longer one fails with ErrTooLarge: cut off, it would look whole.
-// Errors are of type *Failure.
-func ReadAnswer(body io.Reader, limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
-		return nil, &Failure{Sent: true, err: merry.Errorf("read answer: %w", err)}
-	}
-	if int64(len(b)) > limit {
-		return nil, &Failure{Sent: true, err: merry.Errorf("more than %d bytes: %w", limit, ErrTooLarge)}
-	}
-	return b, nil
-}
-
 // Do makes one attempt. Errors are of type *Failure.
 func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
 	r, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.Path, onceReader(call.Body))
