The head of an upstream's answer is bounded to 64 KiB

Cause: the HTTP client takes 10 MB of head by default, in one line or many, which each attempt holds in memory.

Ruled out: a limit of our own around the connection; the client's limit also counts interim answers, since nothing looks at them.

Conclusion: heads are bounded. Events and streams without end still fail.

--- a/io/service/service.go
+++ b/io/service/service.go
@@ -34,15 +34,19 @@
 	answers room
 }
 
+// maxHeadBytes bounds the head of an answer in bytes, together with all interim answers before it.
+const maxHeadBytes = 64 << 10
+
 // New returns a client without connections.
 func New(opts Options) *Client {
 	return &Client{requestIDHeader: opts.RequestIDHeader, answers: room{free: opts.AnswerBytes}, transport: &http.Transport{
-		DialContext:           opts.Dial,
-		MaxIdleConnsPerHost:   opts.IdleConnections,
-		IdleConnTimeout:       opts.IdleTimeout,
-		DisableCompression:    true,
-		DisableKeepAlives:     opts.OneCallPerConnection,
-		ResponseHeaderTimeout: opts.HeaderTimeout,
+		DialContext:            opts.Dial,
+		MaxIdleConnsPerHost:    opts.IdleConnections,
+		IdleConnTimeout:        opts.IdleTimeout,
+		DisableCompression:     true,
+		DisableKeepAlives:      opts.OneCallPerConnection,
+		ResponseHeaderTimeout:  opts.HeaderTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
