Events and streams of upstreams are bounded in bytes

Cause: one event may have 1 MiB, and nothing bounds the events of a stream together.

Ruled out: the idle timeout, since it starts anew with each event.

Change: an event has at most 256 KiB with the empty lines before it, which belong to it; a stream has at most 16 MiB. Both fail with service.ErrTooLarge.

An item of a job may still gather 16 MiB of text at its runner.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -13,11 +13,14 @@
 	"mothcart/io/service"
 )
 
-// maxAnswerBytes bounds the body of an answer that is not streamed.
-const maxAnswerBytes = 4 << 20
-
-// maxStatus is the first status after those of HTTP.
-const maxStatus = 600
+const (
+	// maxAnswerBytes bounds the body of an answer that is not streamed.
+	maxAnswerBytes = 4 << 20
+	// maxStreamBytes bounds the events of a stream together.
+	maxStreamBytes = 16 << 20
+	// maxStatus is the first status after those of HTTP.
+	maxStatus = 600
+)
 
 var (
 	// ErrSilent means that an upstream sent nothing within the idle timeout of a call.
@@ -170,6 +173,7 @@
 
 func (s *Sink) copy(resp service.Answer, idle *idleTimer) error {
 	events := newEventReader(resp.Body)
+	received := 0
 	for {
 		e, err := events.next()
 		if err != nil && err != io.EOF {
@@ -182,6 +186,9 @@
 		if err == io.EOF {
 			return nil
 		}
+		if received += len(e.Raw); received > maxStreamBytes {
+			return merry.Errorf("stream over %d bytes: %w", maxStreamBytes, service.ErrTooLarge)
+		}
 		if err := s.Event(e, events.buffered()); err != nil {
 			return merry.Errorf("forward event: %w", err)
 		}
--- a/io/forward/event.go
+++ b/io/forward/event.go
@@ -6,10 +6,12 @@
 	"io"
 
 	"github.com/ansel1/merry/v2"
+
+	"mothcart/io/service"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a stream, with the empty lines before it.
+const maxEventBytes = 256 << 10
 
 // eventBuffer is the size of the read buffer of a stream, in bytes.
 const eventBuffer = 2 << 10
@@ -63,26 +65,32 @@
 	return &eventReader{r: bufio.NewReaderSize(r, eventBuffer)}
 }
 
-// next returns the next complete event. It returns io.EOF at the end of the stream and errPartialEvent
-// if the end is inside an event.
+// next returns the next complete event, with the empty lines before it. It returns io.EOF at the end of the stream and
+// errPartialEvent if the end is inside an event. Empty lines at the end of the stream are returned like an event.
 func (er *eventReader) next() (Event, error) {
 	er.buf = er.buf[:0]
 	id := ""
+	began := false
 	for {
 		start := len(er.buf)
-		if err := er.line(); err != nil {
-			if err == io.EOF && len(er.buf) > 0 {
+		err := er.line()
+		line := bytes.TrimRight(er.buf[start:], "\r\n")
+		if err == io.EOF && len(er.buf) > 0 {
+			if began || len(line) > 0 {
 				return Event{}, errPartialEvent
 			}
+			return Event{Raw: er.buf}, nil
+		}
+		if err != nil {
 			return Event{}, err
 		}
-		line := bytes.TrimRight(er.buf[start:], "\r\n")
 		if len(line) == 0 {
-			if start == 0 {
-				continue // an empty line between events belongs to the next event
+			if !began {
+				continue
 			}
 			return Event{Raw: er.buf, ID: id}, nil
 		}
+		began = true
 		if value, ok := field(line, "id"); ok {
 			id = string(value)
 		}
@@ -95,7 +103,7 @@
 		part, err := er.r.ReadSlice('\n')
 		er.buf = append(er.buf, part...)
 		if len(er.buf) > maxEventBytes {
-			return merry.Errorf("stream event exceeds %d bytes", maxEventBytes)
+			return merry.Errorf("event over %d bytes: %w", maxEventBytes, service.ErrTooLarge)
 		}
 		if err == nil {
 			return nil
--- a/io/forward/event_test.go
+++ b/io/forward/event_test.go
@@ -7,6 +7,8 @@
 	"testing/iotest"
 
 	"github.com/stretchr/testify/require"
+
+	"mothcart/io/service"
 )
 
 func TestEventReader(t *testing.T) {
@@ -26,7 +28,11 @@
 		{"ends before the closing line", "id: 1\ndata: a\n", nil, nil, "", errPartialEvent},
 		{"empty", "", nil, nil, "", io.EOF},
 		{"longer than the buffer", "id: 1\ndata: " + long + "\n\n", []string{"id: 1\ndata: " + long + "\n\n"}, []string{long}, "1", io.EOF},
+		{"empty lines before an event", "\n\r\n\nid: 1\ndata: a\n\n", []string{"\n\r\n\nid: 1\ndata: a\n\n"}, []string{"a"}, "1", io.EOF},
+		{"empty lines at the end", "id: 1\ndata: a\n\n\n\n", []string{"id: 1\ndata: a\n\n", "\n\n"}, []string{"a", ""}, "", io.EOF},
+		{"ends inside an event after empty lines", "\n\nda", nil, nil, "", errPartialEvent},
 		{"too long", "data: " + strings.Repeat("x", maxEventBytes) + "\n\n", nil, nil, "", nil},
+		{"too many empty lines", strings.Repeat("\n", maxEventBytes+1) + "data: a\n\n", nil, nil, "", nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			for _, r := range []io.Reader{strings.NewReader(tc.in), iotest.OneByteReader(strings.NewReader(tc.in))} {
@@ -46,7 +52,9 @@
 				require.Equal(t, tc.events, events)
 				require.Equal(t, tc.data, data)
 				require.Equal(t, tc.last, last)
-				if tc.err != nil {
+				if tc.err == nil {
+					require.ErrorIs(t, err, service.ErrTooLarge)
+				} else {
 					require.Equal(t, tc.err, err)
 				}
 			}
