--- a/io/object/follow.go
+++ b/io/object/follow.go
@@ -113,6 +113,9 @@
 			f.at = 0
 			continue
 		}
+		if errors.Is(err, ErrTooLarge) {
+			f.at, backoff = 0, maxBackoff // a listing comes in pages
+		}
 		_ = clock.Sleep(ctx, backoff/2+rand.N(backoff/2)) // ends early only with the context
 		backoff = min(2*backoff, maxBackoff)
 	}
--- a/io/object/follow_test.go
+++ b/io/object/follow_test.go
@@ -80,3 +80,43 @@
 		assert.Equal(t, []bool{true, false}, down)
 	})
 }
+
+// Guards against a follower that repeats for ever a watch whose answer is too large.
+func TestWatchWithTooLargeAnswerIsFollowedByListing(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// tooLarge is the number of watches whose answer is too large.
+		tooLarge int
+		// least and most bound the number of listings in 10 s.
+		least, most int
+	}{
+		{"once", 1, 2, 2},
+		{"always", 1 << 30, 10, 30},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lists, watches := 0, 0
+				var since Revision
+				c := unresponsiveClient(true)
+				waits := c.Watch
+				c.List = func(context.Context, string, string) ([]Object, Revision, bool, error) {
+					lists++
+					return nil, Revision(lists), false, nil
+				}
+				c.Watch = func(ctx context.Context, kind string, at Revision, wait time.Duration) ([]Event, Revision, error) {
+					since = at
+					if watches++; watches <= tc.tooLarge {
+						return nil, 0, merry.Errorf("watch: %w: %w", store.ErrUnavailable, ErrTooLarge)
+					}
+					return waits(ctx, kind, at, wait)
+				}
+				f := NewFollower(FollowerOptions{Kind: "servers", Log: zerolog.Nop(), Apply: func(Change) {}, Client: c})
+				time.Sleep(10 * time.Second)
+				f.Close()
+				assert.GreaterOrEqual(t, lists, tc.least)
+				assert.LessOrEqual(t, lists, tc.most)
+				assert.Equal(t, lists, int(since), "each watch starts at the last listing")
+			})
+		})
+	}
+}
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -25,9 +25,14 @@
 	"mothcart/io/store"
 )
 
-// ErrCompacted means that the service no longer has the history since the watched revision; the kind must be
-// listed again.
-var ErrCompacted = merry.Sentinel("history of the object service is compacted")
+var (
+	// ErrCompacted means that the service no longer has the history since the watched revision; the kind must be
+	// listed again.
+	ErrCompacted = merry.Sentinel("history of the object service is compacted")
+	// ErrTooLarge means that an answer of the service exceeds the limit of the client. It comes together with
+	// store.ErrUnavailable for reads and store.ErrUnknown for writes.
+	ErrTooLarge = merry.Sentinel("answer of the object service is too large")
+)
 
 // Revision counts the changes of all objects of the service.
 type Revision int64
