A frame's buffer grows as its bytes arrive

Cause: the read of a frame allocates its declared length, up to 4 MiB on a connection between own processes, before any of its bytes is there.

Ruled out: time and total bytes, which the read deadline of 650 ms and the limit of the connection bound already.

Change: the buffer begins with 64 KiB at most and doubles as the bytes arrive, up to the declared length. A frame of up to 64 KiB is read as before.

Conclusion: a declared length alone costs 64 KiB at most.

--- a/io/msgframe/msgframe.go
+++ b/io/msgframe/msgframe.go
@@ -22,6 +22,10 @@
 // LengthBytes is the size of the length before each frame.
 const LengthBytes = 4
 
+// firstBuffer is the size in bytes of the buffer in which the read of a frame begins; the buffer of a larger frame
+// doubles as the bytes arrive.
+const firstBuffer = 64 << 10
+
 var (
 	// ErrTooLarge means that a frame exceeds the limit of its connection; nothing was sent.
 	ErrTooLarge = merry.Sentinel("frame over the limit of its class")
@@ -78,9 +82,18 @@
 	if n == 0 || n > uint32(limit) {
 		return nil, merry.Errorf("frame of %d bytes, limit %d: %w", n, limit, ErrProtocol)
 	}
-	b := make([]byte, n)
-	if _, err := io.ReadFull(r, b); err != nil {
-		return nil, merry.Errorf("read frame: %w", err)
+	var b []byte
+	for read := 0; read < int(n); read = len(b) {
+		bigger := make([]byte, min(max(2*read, firstBuffer), int(n)))
+		copy(bigger, b)
+		b = bigger
+		_, err := io.ReadFull(r, b[read:])
+		if err == io.EOF && read > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, merry.Errorf("read frame: %w", err)
+		}
 	}
 	return b, nil
 }
