A status that is none is a failed attempt

Cause: an answer with a status below 100 passes the HTTP client and makes the handler panic when it is passed on, so that the caller's connection ends without an answer. Status 101, which nobody asked for, is passed on as the answer.

Ruled out: other interim statuses, which the client skips, and statuses of other than three digits, which it refuses.

Change: the client for upstreams fails an attempt whose status is below 200.

Conclusion: mended.

--- a/io/node/endless_test.go
+++ b/io/node/endless_test.go
@@ -184,3 +184,31 @@
 		})
 	}
 }
+
+// Guards against answers whose status is none and that leave the caller without an answer.
+func TestStatusThatIsNoneIsAFailedAttempt(t *testing.T) {
+	for _, tc := range []struct{ name, status string }{
+		{"below all statuses", "042 Odd"},
+		{"zero", "000 Odd"},
+		{"switch of protocols", "101 Switching Protocols"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				u := s.startRaw("/swap/1", func(w io.Writer, id string) {
+					_, _ = io.WriteString(w, strings.Replace(fake.RawHead(id), "200 OK", tc.status, 1)+"Content-Length: 0\r\n\r\n")
+				})
+				defer s.network.CloseHost(engineIP(8))
+				s.desk.SetState("draining")
+				time.Sleep(time.Second)
+				r := s.call(t.Context(), 1, http.MethodPost, "/swap/1", "r1", "")
+				require.Equal(t, http.StatusBadGateway, r.status)
+				require.Equal(t, 1, u.Attempts("r1"))
+				s.desk.SetState("ready")
+				time.Sleep(time.Second)
+				for i := range 4 {
+					require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodPost, "/fetch/1", fmt.Sprintf("f%d", i), "").status)
+				}
+			})
+		})
+	}
+}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -109,6 +109,10 @@
 		c.transport.CloseIdleConnections()
 		return Answer{}, &Failure{Sent: connected.Load(), err: merry.Errorf("round trip: %w", err)}
 	}
+	if resp.StatusCode < http.StatusOK {
+		resp.Body.Close()
+		return Answer{}, &Failure{Sent: true, err: merry.Errorf("status %d is not that of a final answer", resp.StatusCode)}
+	}
 	if got := resp.Header.Get(c.requestIDHeader); got != "" && got != call.RequestID {
 		resp.Body.Close()
 		c.mismatched.Add(1)
