A listing whose page comes again fails

Cause: a listing goes on as long as the service says that there is more. A service that sends the same page again makes a node gather it until the listing times out after 3 s, or, beside a watch, after 27 s.

Ruled out: a bound of the number of pages, since kinds may be large.

Change: a page that ends with the name after which it was asked fails the listing with ErrUnavailable.

Before and after: the new test's row of a repeated page was a success, and now fails as it should. Other listings stay.

Conclusion: mended for repeated pages. New names without end are still bounded by time alone.

--- a/io/object/object.go
+++ b/io/object/object.go
@@ -133,7 +133,7 @@
 }
 
 // ListAll returns all objects of a kind, page by page, and the revision of the first page, from
-// which a watch misses nothing.
+// which a watch misses nothing. It returns ErrUnavailable if the service sends a page again.
 func ListAll(ctx context.Context, c Client, kind string) ([]Object, Revision, error) {
 	var all []Object
 	var first Revision
@@ -150,6 +150,10 @@
 		if !more || len(page) == 0 {
 			return all, first, nil
 		}
-		after = page[len(page)-1].Name
+		last := page[len(page)-1].Name
+		if last == after {
+			return nil, 0, merry.Errorf("list %s: page after %q ends with it: %w", kind, after, store.ErrUnavailable)
+		}
+		after = last
 	}
 }
--- a/io/object/object_test.go
+++ b/io/object/object_test.go
@@ -75,3 +75,27 @@
 		})
 	}
 }
+
+// Guards against a listing that never ends because the service sends the same page again.
+func TestListingThatRepeatsItsPageFails(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		pages [][]Object
+		err   error
+		want  int
+	}{
+		{"pages that go on", [][]Object{{{Name: "a"}, {Name: "b"}}, {{Name: "c"}}}, nil, 3},
+		{"the same page again", [][]Object{{{Name: "a"}, {Name: "b"}}, {{Name: "a"}, {Name: "b"}}, {{Name: "c"}}}, store.ErrUnavailable, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			calls := 0
+			c := Client{List: func(context.Context, string, string) ([]Object, Revision, bool, error) {
+				calls++
+				return tc.pages[calls-1], 1, calls < len(tc.pages), nil
+			}}
+			all, _, err := ListAll(t.Context(), c, "jobs")
+			require.ErrorIs(t, err, tc.err)
+			require.Len(t, all, tc.want)
+		})
+	}
+}
