Empty lines and comments of a stream are no events of an item

Cause: since the reader of events hands on the empty lines at the end of a stream, they would add a line to an item's text; a comment did so before. Change: without ID and data there is no event. Measured: TestEmptyLinesAndCommentsAreNoEvents fails without the change.

--- a/io/home/run_test.go
+++ b/io/home/run_test.go
@@ -12,6 +12,7 @@
 	"mothcart/core/batch"
 	"mothcart/core/site"
 	"mothcart/core/slot"
+	"mothcart/io/forward"
 )
 
 // An item's slot may go to an online request after it was granted to the item and before the attempt starts.
@@ -32,3 +33,18 @@
 	h.startRun(r, slot.Grant{Request: slot.Request{Key: r.key, Batch: true}})
 	require.Equal(t, int64(1), h.metrics.runs.Count(), "a later grant starts an attempt")
 }
+
+// Guards against texts of items that hold lines of which the upstream sent no event.
+func TestEmptyLinesAndCommentsAreNoEvents(t *testing.T) {
+	s := new(stream)
+	for _, e := range []forward.Event{
+		{Raw: []byte("\n\nid: 1\ndata: a\n\n"), ID: "1"},
+		{Raw: []byte(": still here\n\n")},
+		{Raw: []byte("id: 2\ndata: b\n\n"), ID: "2"},
+		{Raw: []byte("\n\n")},
+	} {
+		s.add(e)
+	}
+	require.Equal(t, "a\nb", s.text.String())
+	require.Equal(t, 2, s.events)
+}
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -100,11 +100,15 @@
 func (s *stream) add(e forward.Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	data := e.Data()
+	if e.ID == "" && len(data) == 0 {
+		return // empty lines or a comment
+	}
 	if s.events > 0 {
 		s.text.WriteByte('\n')
 	}
 	s.events++
-	s.text.Write(e.Data())
+	s.text.Write(data)
 	if e.ID != "" {
 		s.lastEventID = e.ID
 	}
