The status of an answer is checked in one place

The client does, for all its callers, with the bound of the forwarder's check. Measured: go test ./io/node ./io/service.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -18,15 +18,11 @@
 	maxAnswerBytes = 4 << 20
 	// maxStreamBytes bounds the events of a stream together.
 	maxStreamBytes = 16 << 20
-	// maxStatus is the first status after those of HTTP.
-	maxStatus = 600
 )
 
 var (
 	// ErrSilent means that an upstream sent nothing within the idle timeout of a call.
 	ErrSilent = merry.Sentinel("upstream sent nothing within the time limit")
-	// errOddStatus means that the status of an answer can't be passed on.
-	errOddStatus = merry.Sentinel("answer has no status of a final answer")
 	// errReplaced means that an attempt was ended because another one has taken its place.
 	errReplaced = merry.Sentinel("another attempt took its place")
 	// errUnsigned means that an answer with a status of success lacks the upstream's signature.
@@ -121,9 +117,6 @@
 	idle.heard()
 	idle.await()
 	a := Answer{Status: resp.Status, Header: resp.Header, Info: codec.Read(resp.Header), Sent: true}
-	if a.Status < http.StatusOK || a.Status >= maxStatus {
-		return Answer{Sent: true, Err: merry.Errorf("status %d: %w", a.Status, errOddStatus)}
-	}
 	call.observe(a)
 	if a.Success() && !a.Info.Signed {
 		return Answer{Sent: true, Err: merry.Errorf("status %d: %w", a.Status, errUnsigned)}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -37,6 +37,9 @@
 // maxHeadBytes bounds the head of an answer in bytes, together with all interim answers before it.
 const maxHeadBytes = 64 << 10
 
+// maxStatus is the highest status of an answer.
+const maxStatus = 599
+
 // New returns a client without connections.
 func New(opts Options) *Client {
 	return &Client{requestIDHeader: opts.RequestIDHeader, answers: room{free: opts.AnswerBytes}, transport: &http.Transport{
@@ -109,7 +112,7 @@
 		c.transport.CloseIdleConnections()
 		return Answer{}, &Failure{Sent: connected.Load(), err: merry.Errorf("round trip: %w", err)}
 	}
-	if resp.StatusCode < http.StatusOK {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
 		resp.Body.Close()
 		return Answer{}, &Failure{Sent: true, err: merry.Errorf("status %d is not that of a final answer", resp.StatusCode)}
 	}
