Explain follows a stream from request to request

Cause: a stream that its caller took up has several requests, at several nodes, and explain showed one. Measured: TestTimelineFollowsAStreamThatWasTakenUp failed before.

--- a/io/explain/explain.go
+++ b/io/explain/explain.go
@@ -3,7 +3,8 @@
 //
 // It reads lines of JSON objects as the nodes write them, with or without text before the object, and
 // skips all others. An ID selects the events that have it as request, job or item, and the refusals of
-// slots that the home logged for the request. It also selects, from shortly before the first to the last of
+// slots that the home logged for the request. For a stream that its caller took up, the requests that brought its
+// earlier and later parts belong to it. It also selects, from shortly before the first to the last of
 // these events, what changed the nodes' view of the home, the object service or the configuration.
 //
 // Usage:
@@ -90,11 +91,21 @@
 	return e, true
 }
 
-// idFields are the fields that identify the request, job or item of an event.
-var idFields = []string{"request", "job", "item"}
+// idFields are the fields that identify the request, job or item of an event, or the request whose stream it continues.
+var idFields = []string{"request", "job", "item", "resumes"}
 
-func (e Event) refersTo(id string) bool {
-	return slices.ContainsFunc(idFields, func(f string) bool { return e.Fields[f] == id })
+func (e Event) refersTo(ids []string) bool {
+	return slices.ContainsFunc(idFields, func(f string) bool { return slices.Contains(ids, e.text(f)) })
+}
+
+// sameStream returns an ID and, if it is that of a request that takes a stream up, the one of the request that began it.
+func sameStream(events []Event, id string) []string {
+	for _, e := range events {
+		if first := e.text("resumes"); e.text("request") == id && first != "" {
+			return []string{id, first}
+		}
+	}
+	return []string{id}
 }
 
 func (e Event) text(field string) string {
@@ -118,8 +129,9 @@
 	var selected []Event
 	nodes := map[string]bool{}
 	asks := map[[2]string]bool{}
+	ids := sameStream(events, id)
 	for _, e := range events {
-		if !e.refersTo(id) {
+		if !e.refersTo(ids) {
 			continue
 		}
 		selected = append(selected, e)
@@ -137,7 +149,7 @@
 		vm, _, _ := strings.Cut(e.text("peer"), "/")
 		upstream := e.Name == "upstreamGone" || e.Name == "upstreamChanged"
 		switch {
-		case e.refersTo(id):
+		case e.refersTo(ids):
 		case e.Name == "slotRefused" && asks[[2]string{vm, e.text("ask")}]:
 			selected = append(selected, e)
 		case e.Time.Before(first.Add(-causeWindow)) || e.Time.After(last):
--- a/io/explain/explain_test.go
+++ b/io/explain/explain_test.go
@@ -33,3 +33,21 @@
 	require.Empty(t, Timeline(events, "r9"))
 	require.Equal(t, "00:36:08.206 front-a          requestDone ask=42 outcome=answered request=r2 status=200", Timeline(events, "r2")[1].String())
 }
+
+// Guards against a timeline that ends where the caller took its stream up at another node.
+func TestTimelineFollowsAStreamThatWasTakenUp(t *testing.T) {
+	const log = `
+{"level":"info","node":"front-a","time":"2026-07-13T00:36:08.100Z","request":"r1","outcome":"streamBroken:attemptsFailed","version":"v1","message":"requestDone"}
+{"level":"info","node":"home","time":"2026-07-13T00:36:08.300Z","peer":"front-b/17/3","ask":7,"resumes":"r1","reason":"noUpstreamOfVersion","message":"slotRefused"}
+{"level":"info","node":"front-b","time":"2026-07-13T00:36:08.310Z","request":"r2","ask":7,"resumes":"r1","outcome":"refused:noUpstreamOfVersion","message":"requestDone"}
+{"level":"info","node":"front-b","time":"2026-07-13T00:36:08.320Z","request":"r3","outcome":"answered","message":"requestDone"}`
+	events, _, err := Read(strings.NewReader(log))
+	require.NoError(t, err)
+	for _, id := range []string{"r1", "r2"} {
+		var got []string
+		for _, e := range Timeline(events, id) {
+			got = append(got, e.Node+" "+e.Name)
+		}
+		require.Equal(t, []string{"front-a requestDone", "home slotRefused", "front-b requestDone"}, got, id)
+	}
+}
