A stream that is taken up is not late

Cause: a returning caller counts as late by the time since its first try, so that it came after all new callers and was refused first in a wave, although its first event had been delivered. Change: the time counts from its return.

--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -70,6 +70,9 @@
 // Serve answers one request. It ends the connection by panic(http.ErrAbortHandler) if a stream that
 // has started can't be completed, or if the caller has cancelled a request that is not yet answered.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, req Request, random uint64) {
+	if req.LastEventID != "" {
+		req.Waited = 0 // the objective is about the first event, which an earlier request brought
+	}
 	x := &exchange{f: f, w: w, req: req, service: req.Route.Service(random), lastID: req.LastEventID}
 	x.log = f.opts.Log.With().Str("request", req.ID).Str("route", req.Route.Name).Str("service", x.service).Logger()
 	f.countRequest(x.service)
