--- a/io/node/endless_test.go
+++ b/io/node/endless_test.go
@@ -102,6 +102,11 @@
 	}
 }
 
+// endlessEvents returns an answer that is a stream of complete events without end.
+func endlessEvents() func(w io.Writer, id string) {
+	return endless(headWith("\r\n"), "data: "+strings.Repeat("x", 1000)+"\n\n")
+}
+
 // startRaw starts a raw upstream of the service that serves a path.
 func (s *testSite) startRaw(path string, answer func(w io.Writer, id string)) *fake.Raw {
 	service := "desk"
@@ -156,8 +161,7 @@
 
 // Guards against requests without an answer when the only upstream sends bytes that never end.
 func TestEndlessAnswerOfTheOnlyUpstream(t *testing.T) {
-	events := endlessAnswer{"events", "/ask/stream/1", endless(headWith("\r\n"), "data: "+strings.Repeat("x", 1000)+"\n\n"), endlessStream, false}
-	for _, tc := range append(endlessAnswers(), events) {
+	for _, tc := range append(endlessAnswers(), endlessAnswer{"events", "/ask/stream/1", endlessEvents(), endlessStream, false}) {
 		t.Run(tc.name, func(t *testing.T) {
 			runSite(t, func(t *testing.T, s *testSite) {
 				u := s.startRaw(tc.path, tc.answer)
@@ -218,3 +222,25 @@
 		})
 	}
 }
+
+// Guards against an item's stream without end that closes the connections between nodes and holds up its job.
+func TestEndlessStreamOfAnItemHoldsUpNoJob(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		ownRuns int
+	}{
+		{"at the home", 64},
+		{"at another node", 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSiteOf(t, tc.ownRuns, func(t *testing.T, s *testSite) {
+				u := s.startRaw("/ask/stream/1", endlessEvents())
+				defer s.network.CloseHost(engineIP(8))
+				s.submitJob(1, "j1", 12)
+				s.awaitJob(1, "j1", 18*time.Second)
+				require.True(t, s.homes["s1"].IsHome())
+				requireBounded(t, u, endlessStream)
+			})
+		})
+	}
+}
