An item's stream without end holds up no job

Cause: a runner gathered up to 16 MiB, and its outcome exceeded a frame between nodes, so that the connection to the home closed with all items on it. Change: the text of an item is bounded to 512 KiB, which a chunk of results and a frame can hold; an attempt over it counts as broken and none of its text is kept, at the standbys neither.

--- a/io/home/run.go
+++ b/io/home/run.go
@@ -222,6 +222,9 @@
 	if !cancelled && out.Status == http.StatusInternalServerError && !out.NotRun {
 		r.failures++
 	}
+	if out.TooLong {
+		r.sentBytes = 0 // the standbys may have a part of what was dropped
+	}
 	switch {
 	case out.Events > 0:
 		r.silences = 0
--- a/io/home/run_test.go
+++ b/io/home/run_test.go
@@ -43,7 +43,7 @@
 		{Raw: []byte("id: 2\ndata: b\n\n"), ID: "2"},
 		{Raw: []byte("\n\n")},
 	} {
-		s.add(e)
+		require.NoError(t, s.add(e))
 	}
 	require.Equal(t, "a\nb", s.text.String())
 	require.Equal(t, 2, s.events)
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"mothcart/core/site"
 	"mothcart/core/slot"
 	"mothcart/io/forward"
@@ -21,6 +23,8 @@
 	// with each attempt in a row that ended so without an event, up to maxItemIdleTimeout.
 	itemIdleTimeout    = 1500 * time.Millisecond
 	maxItemIdleTimeout = 24 * time.Second
+	// maxItemText bounds the text of an item in bytes; it must fit into a chunk of results and into a frame between nodes.
+	maxItemText = 512 << 10
 	// DefaultOwnRuns is the number of items that a home runs itself before it dispatches further ones to
 	// other nodes; each costs a wake-up for every event of its stream.
 	DefaultOwnRuns = 64
@@ -56,8 +60,10 @@
 	Events      int    `msgpack:"n,omitempty"`
 	LastEventID string `msgpack:"last,omitempty"`
 	Err         string `msgpack:"err,omitempty"`
-	// Silent reports that the stream was idle for too long.
-	Silent bool `msgpack:"mute,omitempty"`
+	// Silent reports that the stream was idle for too long, TooLong that it held more than an item's text may; none of
+	// it counts then.
+	Silent  bool `msgpack:"mute,omitempty"`
+	TooLong bool `msgpack:"long,omitempty"`
 }
 
 // cancelRunNotice cancels an attempt at a runner.
@@ -97,12 +103,26 @@
 	lastEventID string
 }
 
-func (s *stream) add(e forward.Event) {
+// errItemTooLong means that a stream is no item's: its text exceeds maxItemText.
+var errItemTooLong = merry.Sentinel("text of the item is too long")
+
+// reset drops what was received.
+func (s *stream) reset(lastEventID string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.text, s.events, s.lastEventID = bytes.Buffer{}, 0, lastEventID
+}
+
+// add adds an event. It returns errItemTooLong if the text would exceed maxItemText.
+func (s *stream) add(e forward.Event) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	data := e.Data()
 	if e.ID == "" && len(data) == 0 {
-		return // empty lines or a comment
+		return nil // empty lines or a comment
+	}
+	if s.text.Len()+len(data) >= maxItemText {
+		return merry.Errorf("event after %d bytes: %w", s.text.Len(), errItemTooLong)
 	}
 	if s.events > 0 {
 		s.text.WriteByte('\n')
@@ -112,6 +132,7 @@
 	if e.ID != "" {
 		s.lastEventID = e.ID
 	}
+	return nil
 }
 
 // do makes one attempt and adds its events to got. It calls report with the upstream's load.
@@ -131,14 +152,15 @@
 		OnLeaving: func() { rn.opts.Leaving(c.Upstream, c.ID) },
 	}, &forward.Sink{
 		Start: func(int, http.Header) error { return nil },
-		Event: func(e forward.Event, _ bool) error {
-			got.add(e)
-			return nil
-		},
+		Event: func(e forward.Event, _ bool) error { return got.add(e) },
 	})
+	tooLong := errors.Is(a.Err, errItemTooLong)
+	if tooLong {
+		got.reset(c.LastEventID)
+	}
 	out := itemOutcome{
 		Result: a.Result(ctx), Status: a.Status, NotRun: a.Info.NotRun, Complete: a.Success(),
-		Text: got.text.String(), Events: got.events, LastEventID: got.lastEventID,
+		Text: got.text.String(), Events: got.events, LastEventID: got.lastEventID, TooLong: tooLong,
 	}
 	if a.Err != nil {
 		out.Err, out.Silent = a.Err.Error(), errors.Is(a.Err, forward.ErrSilent)
--- a/io/node/endless_test.go
+++ b/io/node/endless_test.go
@@ -176,7 +176,7 @@
 				case tc.served:
 					require.Equal(t, http.StatusOK, r.status)
 					require.Equal(t, "ok", r.body)
-				case tc.name == events.name:
+				case tc.name == "events":
 					require.Equal(t, http.StatusOK, r.status)
 					require.False(t, r.complete, "a broken stream must not look complete")
 				default:
