--- a/core/slot/grants.go
+++ b/core/slot/grants.go
@@ -24,9 +24,7 @@
 		p.byOwner[r.Key.Owner] = owned
 	}
 	owned[r.Key.ID] = g
-	if r.Stream != "" {
-		p.opts.Began(r.Stream, u.Version)
-	}
+	p.recordOrigin(r, u)
 	s := p.service(r.Service)
 	if r.Batch {
 		i, _ := slices.BinarySearchFunc(s.batchGrants, g, compareGrants)
@@ -43,8 +41,16 @@
 	}
 }
 
+// recordOrigin records the software version at which the stream of a request begins.
+func (p *Pool) recordOrigin(r *Request, u *upstream) {
+	if r.Stream != "" {
+		p.opts.Began(r.Stream, u.Version)
+	}
+}
+
 func (p *Pool) removeGrant(now time.Time, g *grant) {
 	p.update(now, g.upstream, func() { g.upstream.used-- })
+	p.recordOrigin(&g.request, g.upstream) // it is remembered from the end of the attempt on
 	key := g.request.Key
 	delete(p.grants, key)
 	delete(p.byOwner[key.Owner], key.ID)
