Patterns of bound and new requests beside batch items

Cause: the patterns had no batch items, which fill all free slots, so that new requests get theirs by preemption, at any version. Ruled out by the patterns: that new requests take the slots of a scarce version in this way from those bound to it; they have precedence for each slot that ends, and preempt items at their version. Change: two patterns with 100 waiting items.

--- a/core/slot/version_load_test.go
+++ b/core/slot/version_load_test.go
@@ -18,62 +18,94 @@
 	newer int
 	// bound and unbound are requests per second.
 	bound, unbound int
+	// items is the number of batch items that wait for free slots all the time.
+	items int
 	// least is the least share of each kind that is served within its objective.
 	least float64
 }
 
-// shares plays the pattern for 20 s and returns the shares of bound and unbound requests that are served in time.
+const (
+	loadLength = 20 * time.Second
+	loadHold   = 700 * time.Millisecond
+	loadWait   = 400 * time.Millisecond
+	loadSlots  = 7
+)
+
+// versionRun is a run of a versionLoad. Of each pair, the first is for bound requests, the second for new ones.
+type versionRun struct {
+	versionLoad
+	p             *Pool
+	ends          map[Key]time.Time
+	asked, inTime [2]float64
+	next          [2]time.Time
+	nextItem      uint64
+}
+
+// shares plays the pattern and returns the shares of bound and new requests that are served in time.
 func (l versionLoad) shares(t *testing.T) [2]float64 {
-	const length, hold, wait, slots = 20 * time.Second, 700 * time.Millisecond, 400 * time.Millisecond, 7
 	var list []site.Upstream
 	for i := range l.newer + 2 {
-		u := site.Upstream{ID: string(rune('a' + i)), Service: "scribe", Zone: "z0", Slots: slots, Version: "v1.1"}
+		u := site.Upstream{ID: string(rune('a' + i)), Service: "scribe", Zone: "z0", Slots: loadSlots, Version: "v1.1"}
 		if i < 2 {
 			u.Version = "v1"
 		}
 		list = append(list, u)
 	}
-	p := NewPool(NewOptions())
-	p.SetUpstreams(start, list)
-	for id := range uint64(2 * slots) {
-		require.NotEmpty(t, p.Ask(start, bound(1_000_000+id, "v1")).Granted, "the version's own upstreams are full")
+	r := &versionRun{versionLoad: l, p: NewPool(NewOptions()), ends: map[Key]time.Time{}, next: [2]time.Time{start, start}}
+	r.p.SetUpstreams(start, list)
+	for id := range uint64(2 * loadSlots) {
+		held := bound(1_000_000+id, "v1")
+		require.NotEmpty(t, r.p.Ask(start, held).Granted, "the version's own upstreams are full")
+		r.ends[held.Key] = start.Add(time.Duration(id) * loadHold / (2 * loadSlots))
 	}
-	ends := map[Key]time.Time{}
-	for id := range uint64(2 * slots) {
-		ends[bound(1_000_000+id, "").Key] = start.Add(time.Duration(id) * hold / (2 * slots))
+	for now := start; now.Before(start.Add(loadLength)); now = now.Add(time.Millisecond) {
+		r.step(now)
+	}
+	return [2]float64{r.inTime[0] / r.asked[0], r.inTime[1] / r.asked[1]}
+}
+
+// step ends the requests that are done and asks for those that arrive.
+func (r *versionRun) step(now time.Time) {
+	for _, k := range due(r.ends, now) {
+		delete(r.ends, k)
+		r.record(now, r.p.Release(now, k, Served))
 	}
-	var asked, inTime [2]float64
-	record := func(now time.Time, out Outcome) {
-		for _, g := range out.Granted {
-			ends[g.Request.Key] = now.Add(hold - 100*time.Millisecond + time.Duration(g.Request.Key.ID*37%200)*time.Millisecond)
-			if r := g.Request; !r.missesObjective(now) {
-				inTime[r.Key.ID%2]++
-			}
+	r.record(now, r.p.Tick(now))
+	for r.items > r.p.Load(now, "scribe").WaitingBatch {
+		r.nextItem++
+		r.record(now, r.p.Ask(now, item(r.nextItem, time.Minute+time.Duration(r.nextItem)*time.Millisecond)))
+	}
+	for kind, rate := range []int{r.bound, r.unbound} {
+		for !now.Before(r.next[kind]) {
+			r.next[kind] = r.next[kind].Add(time.Second / time.Duration(rate))
+			r.ask(now, kind)
 		}
 	}
-	next := [2]time.Time{start, start}
-	id := [2]uint64{0, 1}
-	for now := start; now.Before(start.Add(length)); now = now.Add(time.Millisecond) {
-		for _, k := range due(ends, now) {
-			delete(ends, k)
-			record(now, p.Release(now, k, Served))
+}
+
+func (r *versionRun) ask(now time.Time, kind int) {
+	q := online(uint64(2*int(r.asked[kind]) + kind))
+	q.Version = []string{"v1", ""}[kind]
+	q.Objective, q.Order, q.Deadline = now.Add(loadWait), now.Add(5*time.Second), now.Add(loadWait)
+	r.asked[kind]++
+	r.record(now, r.p.Ask(now, q))
+}
+
+func (r *versionRun) record(now time.Time, out Outcome) {
+	for _, g := range out.Preempted {
+		delete(r.ends, g.Request.Key)
+	}
+	for _, g := range out.Granted {
+		if g.Request.Batch {
+			r.ends[g.Request.Key] = now.Add(4 * loadHold)
+			continue
 		}
-		record(now, p.Tick(now))
-		for kind, rate := range []int{l.bound, l.unbound} {
-			for !now.Before(next[kind]) {
-				next[kind] = next[kind].Add(time.Second / time.Duration(rate))
-				r := online(id[kind])
-				id[kind] += 2
-				if kind == 0 {
-					r.Version = "v1"
-				}
-				r.Objective, r.Order, r.Deadline = now.Add(wait), now.Add(5*time.Second), now.Add(wait)
-				asked[kind]++
-				record(now, p.Ask(now, r))
-			}
+		varied := time.Duration(g.Request.Key.ID*37%200)*time.Millisecond - 100*time.Millisecond
+		r.ends[g.Request.Key] = now.Add(loadHold + varied)
+		if !g.Request.missesObjective(now) {
+			r.inTime[g.Request.Key.ID%2]++
 		}
 	}
-	return [2]float64{inTime[0] / asked[0], inTime[1] / asked[1]}
 }
 
 // due returns the keys of the requests that have ended, in a fixed order.
@@ -97,6 +129,8 @@
 	for _, l := range []versionLoad{
 		{name: "the newer version is idle", newer: 10, bound: 18, unbound: 5, least: 0.95},
 		{name: "the newer version is half full", newer: 10, bound: 18, unbound: 50, least: 0.95},
+		{name: "batch items fill both versions", newer: 10, bound: 18, unbound: 50, items: 100, least: 0.95},
+		{name: "batch items fill both versions, which are nearly full", newer: 10, bound: 18, unbound: 85, items: 100, least: 0.9},
 		{name: "more new requests than slots", newer: 10, bound: 10, unbound: 150, least: 0.7},
 		{name: "far more new requests than slots", newer: 4, bound: 10, unbound: 100, least: 0.4},
 		{name: "as many upstreams of each", newer: 2, bound: 10, unbound: 25, least: 0.9},
