--- a/io/home/origins.go
+++ b/io/home/origins.go
@@ -30,7 +30,7 @@
 
 	mu      sync.Mutex
 	records *origin.Origins
-	// fresh holds what was recorded since the last call of takeFresh; nil at entry nodes.
+	// fresh holds what was recorded since the last call of sendFresh; nil at entry nodes.
 	fresh *origin.Origins
 }
 
