--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -12,8 +12,9 @@
 // with the time after which to retry.
 //
 // Upstreams of several software versions may serve side by side. A stream goes on only at an upstream of the version
-// that began it: its request is bound to that version, which the Pool remembers from the grant, and goes before other requests that are as urgent, which may
-// use any upstream. A request that is bound to a version without upstreams is refused at once.
+// that began it: its request is bound to that version, which the Pool remembers from the grant, and goes before other
+// requests that are as urgent, which may use any upstream. A request that is bound to a version without upstreams is
+// refused at once.
 //
 // One Pool at the home of the slots decides for all VMs. A VM that can't reach the home decides for
 // itself with its own Pool, which then also counts the requests of others that upstreams report.
--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -13,12 +13,11 @@
 
 // complete ends a request with an upstream's success.
 func (x *exchange) complete(now time.Time, lease Lease, a Answer) {
+	x.f.metrics.answered.Inc(1)
 	if x.isStream() {
-		x.f.metrics.answered.Inc(1)
 		x.done(now, lease.Upstream.ID, "answered", a.Status)
 		return
 	}
-	x.f.metrics.answered.Inc(1)
 	x.sendAnswer(now, lease, a, "answered")
 }
 
--- a/io/node/silence_test.go
+++ b/io/node/silence_test.go
@@ -165,10 +165,7 @@
 				s.desk.Silence(silence)
 				done := s.stream(1, "/fetch/1", "r1")
 				time.Sleep(100 * time.Millisecond)
-				second := fake.NewEngine(s.network, fake.EngineOptions{
-					ID: "i-10", Service: "desk", Address: engineIP(10) + ":80", Zone: "z1", Slots: 4, Born: 1, Pace: pace, Objects: s.objects,
-				})
-				s.engines = append(s.engines, second)
+				second := s.addDesk(10, 4)
 				second.SetFaults(tc.second)
 				second.Silence(tc.silent)
 				r := <-done
@@ -185,10 +182,7 @@
 // Guards against attempts that go on after the caller has gone while two upstreams are silent.
 func TestCallerGoneEndsBothAttempts(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
-		second := fake.NewEngine(s.network, fake.EngineOptions{
-			ID: "i-10", Service: "desk", Address: engineIP(10) + ":80", Zone: "z1", Slots: 4, Born: 1, Pace: pace, Objects: s.objects,
-		})
-		s.engines = append(s.engines, second)
+		second := s.addDesk(10, 4)
 		time.Sleep(time.Second)
 		s.silenceAll(10 * time.Second)
 		ctx, cancel := context.WithCancel(t.Context())
