--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -26,6 +26,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"mothcart/core/poison"
 	"mothcart/core/retry"
 	"mothcart/core/site"
 	"mothcart/core/slot"
@@ -60,6 +61,8 @@
 	Outgoing func(h http.Header, a Attempt) http.Header
 	// Read reads the headers of an answer.
 	Read func(h http.Header) AnswerInfo
+	// SharedParts returns the parts of a request's prompt that other requests may share, in order.
+	SharedParts func(h http.Header) []poison.Part
 }
 
 // Lease is the right to use one slot of an upstream.
--- a/io/forward/race_test.go
+++ b/io/forward/race_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
 )
@@ -32,6 +34,7 @@
 				asked = r
 				return Lease{}, &slot.Refusal{Request: r, Reason: slot.ReasonFull}, nil
 			},
+			Wire:   HeaderCodec{SharedParts: func(http.Header) []poison.Part { return nil }},
 			NextID: func() uint64 { return 1 }, Now: func() time.Time { return now }, Log: zerolog.Nop(), Registry: metrics.NewRegistry(),
 		})
 		f.Serve(t.Context(), httptest.NewRecorder(), Request{
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mothcart/core/poison"
 	"mothcart/core/retry"
 	"mothcart/core/site"
 	"mothcart/core/slot"
@@ -40,6 +41,8 @@
 	req     Request
 	service string
 	log     zerolog.Logger
+	// parts are the parts of the prompt that other requests may share.
+	parts []poison.Part
 
 	// exclude are the upstreams at which an attempt failed; silent are those that were left because they were silent,
 	// and that are asked again if no other upstream is to be had.
@@ -73,7 +76,7 @@
 	if req.LastEventID != "" {
 		req.Waited = 0 // the objective is about the first event, which an earlier request brought
 	}
-	x := &exchange{f: f, w: w, req: req, service: req.Route.Service(random), lastID: req.LastEventID}
+	x := &exchange{f: f, w: w, req: req, service: req.Route.Service(random), lastID: req.LastEventID, parts: f.opts.Wire.SharedParts(req.Header)}
 	x.log = f.opts.Log.With().Str("request", req.ID).Str("route", req.Route.Name).Str("service", x.service).Logger()
 	f.countRequest(x.service)
 	ctx, cancel := context.WithTimeout(ctx, req.Deadline.Sub(f.opts.Now()))
@@ -314,7 +317,7 @@
 func (x *exchange) logFailure(lease Lease, a Answer, again bool) {
 	x.log.Info().Str("upstream", lease.Upstream.ID).Int64("incarnation", lease.Upstream.Incarnation).Str("version", lease.Upstream.Version).Str("basis", lease.Basis).
 		Uint64("ask", x.ask).Int("attempt", x.attempts).Int("runs", x.runs).Int("status", a.Status).Bool("notRun", a.refused()).Bool("sent", a.Sent).
-		Int32("delivered", x.delivered.Load()).AnErr("error", a.Err).Bool("again", again).Msg("attemptFailed")
+		Int32("delivered", x.delivered.Load()).AnErr("error", a.Err).Strs("parts", poison.Names(x.parts)).Bool("again", again).Msg("attemptFailed")
 }
 
 // failure describes a failed or silent attempt beside a number of open ones.
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mothcart/core/batch"
+	"mothcart/core/poison"
 	"mothcart/core/slot"
 )
 
@@ -190,7 +191,8 @@
 	h.pool.Release(g.Request.Key, out.Result)
 	h.opts.Log.Info().Str("job", r.job).Str("item", r.item.ID).Str("upstream", g.Upstream.ID).Int64("incarnation", g.Upstream.Incarnation).
 		Str("version", g.Upstream.Version).Str("runner", runner).Str("from", call.LastEventID).Str("to", out.LastEventID).Int("status", out.Status).Bool("cut", cancelled).
-		Int("failures", r.failures).Dur("tookMillis", took).Str("error", out.Err).Msg("itemAttempt")
+		Int("failures", r.failures).Dur("tookMillis", took).Str("error", out.Err).
+		Strs("parts", poison.Names(h.opts.Runner.sharedParts(r.item.Header))).Msg("itemAttempt")
 	h.completeAttempt(r, out, took, cancelled)
 }
 
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -11,6 +11,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
 	"mothcart/io/forward"
@@ -135,15 +136,26 @@
 	return nil
 }
 
+// itemHeader returns the headers of an item's request.
+func itemHeader(h map[string]string) http.Header {
+	out := make(http.Header, len(h))
+	for name, value := range h {
+		out.Set(name, value)
+	}
+	return out
+}
+
+// sharedParts returns the parts of an item's prompt that other requests may share.
+func (rn *Runner) sharedParts(h map[string]string) []poison.Part {
+	return rn.opts.Codec.SharedParts(itemHeader(h))
+}
+
 // do makes one attempt and adds its events to got. It calls report with the upstream's load.
 func (rn *Runner) do(ctx context.Context, c itemCall, got *stream, report func(running, waiting int)) itemOutcome {
 	if rn.opts.Refuses(c.Upstream) {
 		return itemOutcome{Result: slot.Moved, LastEventID: c.LastEventID, Err: "upstream is leaving or gone"}
 	}
-	header := make(http.Header, len(c.Header))
-	for name, value := range c.Header {
-		header.Set(name, value)
-	}
+	header := itemHeader(c.Header)
 	got.lastEventID = c.LastEventID
 	a := forward.Do(ctx, rn.opts.Client, rn.opts.Codec, forward.Call{
 		ID: c.ID, Method: http.MethodPost, Host: c.Host, Path: c.Path, Header: header, Body: c.Body,
