--- /dev/null
+++ b/io/node/poison_test.go
@@ -0,0 +1,201 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothcart/platform/fake"
+)
+
+const (
+	// contact is the time within which all nodes must know of a change, mayReach how many requests may reach upstreams
+	// later than that after the fifth crash.
+	contact  = 3 * time.Second
+	mayReach = 3
+	// poisonTime is how long requests with a part that crashes upstreams come, one each poisonPause.
+	poisonTime  = 20 * time.Second
+	poisonPause = 100 * time.Millisecond
+	// engineDown is the time from the crash of an upstream to its next start.
+	engineDown = 1500 * time.Millisecond
+)
+
+// poisonSite is a site whose upstreams crash on a part of prompts.
+type poisonSite struct {
+	*testSite
+	poison *fake.Poison
+
+	mu sync.Mutex
+	// sound holds, for each sound request, when it was sent and whether it was answered at its first attempt.
+	sound []soundRequest
+}
+
+type soundRequest struct {
+	at       time.Time
+	answered bool
+}
+
+// runPoisonSite runs a test with nine more upstreams of two slots, all of which crash on a part.
+func runPoisonSite(t *testing.T, test func(s *poisonSite)) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		ps := &poisonSite{testSite: s}
+		ps.poison = &fake.Poison{Part: "bad", Down: engineDown, Started: func(e *fake.Engine) {
+			ps.mu.Lock()
+			defer ps.mu.Unlock()
+			s.engines = append(s.engines, e)
+		}}
+		for n, e := range s.engines {
+			e.Crash()
+			s.objects.RemoveUpstream(fmt.Sprintf("i-%d", n+1))
+		}
+		for n := 11; n < 20; n++ {
+			s.engines = append(s.engines, fake.NewEngine(s.network, fake.EngineOptions{
+				ID: fmt.Sprintf("i-%d", n), Service: "scribe", Address: engineIP(n) + ":80", Zone: "z1", Slots: 4, Born: 1,
+				Events: eventsOfStream, Pace: pace, Objects: s.objects, Poison: ps.poison,
+			}))
+		}
+		time.Sleep(2 * time.Second)
+		defer ps.poison.Stop()
+		test(ps)
+	})
+}
+
+// send sends a request with a prompt of the given parts.
+func (s *poisonSite) send(n int, path, id string, parts ...string) reply {
+	h := http.Header{}
+	fake.SetParts(h, parts...)
+	return s.callWith(s.t.Context(), n, http.MethodPost, path, id, "", h)
+}
+
+// traffic sends sound requests and, meanwhile, requests with the part that crashes upstreams: no two alike, at any entry.
+func (s *poisonSite) traffic(entry func(i int) int, during func()) {
+	var all sync.WaitGroup
+	sendSound := func(phase string, d time.Duration) {
+		for i := range int(d / poisonPause) {
+			all.Go(func() {
+				at := time.Now()
+				r := s.send(entry(i), "/ask/stream/1", fmt.Sprintf("%s.%d", phase, i), "first", fmt.Sprintf("subject%d", i%50), fmt.Sprintf("own%d", i))
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.sound = append(s.sound, soundRequest{at, r.complete && r.status == http.StatusOK})
+			})
+			time.Sleep(poisonPause)
+		}
+	}
+	sendSound("before", 5*time.Second)
+	all.Go(during)
+	all.Go(func() {
+		for i := range int(poisonTime / poisonPause) {
+			all.Go(func() {
+				s.send(entry(i/2), "/ask/stream/1", fmt.Sprintf("bad.%d", i), "first", "bad", fmt.Sprintf("own%d", i))
+			})
+			time.Sleep(poisonPause)
+		}
+	})
+	sendSound("beside", poisonTime)
+	all.Wait()
+}
+
+// requireStopped requires that requests with the part have ceased to reach upstreams in time, and that sound ones are
+// answered at least half as often as before.
+func (s *poisonSite) requireStopped() {
+	ended := s.poison.Ended()
+	require.NotEmpty(s.t, ended)
+	if len(ended) >= 5 {
+		require.LessOrEqual(s.t, s.poison.ReachedAfter(ended[4].Add(contact)), mayReach, "%d upstreams ended", len(ended))
+	}
+	stopped := ended[min(len(ended), 5)-1].Add(2 * contact)
+	var sent, answered [2]int
+	for _, r := range s.sound {
+		phase := -1
+		switch {
+		case r.at.Before(ended[0].Add(-time.Second)):
+			phase = 0
+		case r.at.After(stopped):
+			phase = 1
+		}
+		if phase >= 0 {
+			sent[phase]++
+			if r.answered {
+				answered[phase]++
+			}
+		}
+	}
+	require.Greater(s.t, sent[0], 20)
+	require.Greater(s.t, sent[1], 20)
+	share := func(phase int) float64 { return float64(answered[phase]) / float64(sent[phase]) }
+	require.GreaterOrEqual(s.t, share(1), share(0)/2)
+}
+
+// Guards against upstreams that are ended one after the other by requests that share a part of their prompts.
+func TestPartThatCrashesUpstreamsIsNotSentOn(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// before happens before the traffic, during at the same time as the requests with the part.
+		before, during func(s *poisonSite)
+		// entry chooses the entry of a request; by default they alternate.
+		entry func(i int) int
+	}{
+		{name: "at two entries"},
+		{name: "at one entry", entry: func(int) int { return 1 }},
+		{name: "items beside requests", during: func(s *poisonSite) {
+			s.call(s.t.Context(), 1, http.MethodPost, "/lot/1", "j1", string(fake.JobBody("j1", 8, nil, "lots", "bad", "own")))
+		}},
+		{name: "without a home", before: func(s *poisonSite) {
+			s.killHome(1)
+			s.killHome(2)
+			time.Sleep(time.Second)
+		}},
+		{name: "the home is killed", during: func(s *poisonSite) {
+			time.Sleep(300 * time.Millisecond)
+			s.killHome(1)
+		}},
+		{name: "the home is killed late", during: func(s *poisonSite) {
+			time.Sleep(8 * time.Second)
+			s.killHome(1)
+		}},
+		{name: "an entry starts again", during: func(s *poisonSite) {
+			time.Sleep(8 * time.Second)
+			s.restartEntry(1)
+		}},
+		{name: "all processes start again", during: func(s *poisonSite) {
+			time.Sleep(8 * time.Second)
+			s.killHome(1)
+			s.killHome(2)
+			s.startHome(1)
+			s.startHome(2)
+			s.restartEntry(1)
+			s.restartEntry(2)
+		}},
+		{name: "an entry is cut off", during: func(s *poisonSite) {
+			time.Sleep(8 * time.Second)
+			s.cutOff(2)
+		}},
+		{name: "the object service is down", during: func(s *poisonSite) {
+			s.objects.SetFault(fake.Fault{Down: map[string]bool{"": true}})
+			time.Sleep(6 * time.Second)
+			s.objects.SetFault(fake.Fault{})
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runPoisonSite(t, func(s *poisonSite) {
+				if tc.before != nil {
+					tc.before(s)
+				}
+				entry, during := tc.entry, func() {}
+				if entry == nil {
+					entry = func(i int) int { return 1 + i%2 }
+				}
+				if tc.during != nil {
+					during = func() { tc.during(s) }
+				}
+				s.traffic(entry, during)
+				s.requireStopped()
+			})
+		})
+	}
+}
