A part of a prompt that crashes upstreams is quarantined

Callers saw: over a tenth of all requests refused or broken off for half a minute, while requests that share one part of their prompts ended each upstream that began to write on it, two to three a second. Cause: each request was judged alone. Nobody who sends requests knew what an end of an upstream says about the next one. Ruled out: crashes for other reasons (the first four upstreams had one request each) and many retries of one request (two at most). Change: core/poison judges what ends of upstreams prove, with now as argument; each pool that grants slots asks it, so that first attempts, retries, moves, races, items and nodes without a home do. An attempt without a second event whose upstream refuses connections afterwards reports the end. Suspected parts run one request at a time; three ends one after another quarantine, an answer clears. The home tells all nodes, each node tells a new home, home nodes keep it on disk. Refusals are 503, not run. Weighed: counting broken answers without a look whether the upstream still listens (lost answers would condemn); counting ends at the same time (upstreams that crash together would condemn what they ran); no retry after a crash (sound requests need it).

--- a/core/slot/grants.go
+++ b/core/slot/grants.go
@@ -10,6 +10,8 @@
 	request  Request
 	upstream *upstream
 	since    time.Time
+	// trial reports that the grant decides about a suspected part of the prompt.
+	trial bool
 }
 
 // addGrant records that the request of g holds a slot of an upstream.
@@ -25,6 +27,7 @@
 	}
 	owned[r.Key.ID] = g
 	p.recordOrigin(r, u)
+	g.trial = p.judge.Granted(now, trialID(r.Key), r.Service, r.Parts)
 	s := p.service(r.Service)
 	if r.Batch {
 		i, _ := slices.BinarySearchFunc(s.batchGrants, g, compareGrants)
@@ -52,6 +55,7 @@
 	p.update(now, g.upstream, func() { g.upstream.used-- })
 	p.recordOrigin(&g.request, g.upstream) // it is remembered from the end of the attempt on
 	key := g.request.Key
+	p.judge.Done(trialID(key))
 	delete(p.grants, key)
 	delete(p.byOwner[key.Owner], key.ID)
 	if len(p.byOwner[key.Owner]) == 0 {
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"mothcart/core/poison"
 	"mothcart/core/site"
 )
 
@@ -17,6 +18,7 @@
 	grants    map[Key]*grant
 	// byOwner holds the grants of each owner, by the ID of the request.
 	byOwner map[string]map[uint64]*grant
+	judge   *poison.Judge
 }
 
 // NewPool returns a pool without upstreams.
@@ -27,6 +29,7 @@
 		services:  make(map[string]*service),
 		grants:    make(map[Key]*grant),
 		byOwner:   make(map[string]map[uint64]*grant),
+		judge:     poison.NewJudge(),
 	}
 }
 
@@ -94,11 +97,20 @@
 	if p.has(r.Key) {
 		return Outcome{}
 	}
+	out := p.settle(now)
+	out.add(p.ask(now, r))
+	return out
+}
+
+func (p *Pool) ask(now time.Time, r Request) Outcome {
 	s := p.service(r.Service)
 	if !p.bind(now, &r) {
 		refusal := Refusal{Request: r, Reason: ReasonUnknownVersion, RetryAfter: p.retryAfter(now, s, r, 0)}
 		return Outcome{Refused: []Refusal{refusal}}
 	}
+	if refusal, ok := p.RefuseQuarantined(now, &r); ok {
+		return Outcome{Refused: []Refusal{refusal}}
+	}
 	if r.Batch {
 		if refusal, ok := p.refuseVersion(now, s, &r); ok {
 			return Outcome{Refused: []Refusal{refusal}}
@@ -172,10 +184,13 @@
 	p.removeGrant(now, g)
 	p.update(now, g.upstream, func() { g.upstream.recordResult(now, result, p.opts) })
 	s := p.service(g.request.Service)
-	if result == Served {
+	if result == Served || result == Failed {
 		s.updateMeanHold(g.request, now.Sub(g.since))
 	}
-	return p.serve(now, s)
+	out := p.settle(now)
+	out.add(p.judgeResult(now, g, result))
+	out.add(p.serve(now, s))
+	return out
 }
 
 // Silence records that the upstream at which a request holds a slot sends nothing, or that it goes on. A silent
@@ -246,7 +261,8 @@
 
 // Tick refuses requests whose wait has expired and grants slots of upstreams whose pause has ended.
 func (p *Pool) Tick(now time.Time) Outcome {
-	out := p.serveAll(now)
+	out := p.settle(now)
+	out.add(p.serveAll(now))
 	for _, s := range p.services {
 		s.online.demote(func(r Request) bool { return r.missesObjective(now) })
 		for _, r := range s.online.expired(now) {
@@ -322,6 +338,9 @@
 		free = s.index.freeSlots(now, p.opts)
 	}
 	s.online.serveEach(func(g *grant) verdict {
+		if p.isHeld(now, &g.request) {
+			return isHeld
+		}
 		var u *upstream
 		if free > 0 {
 			u = s.index.best(now, &g.request, p.opts)
@@ -338,7 +357,7 @@
 			u = victim.upstream
 		}
 		p.addGrant(now, g, u)
-		out.Granted = append(out.Granted, Grant{Request: g.request, Upstream: u.Upstream})
+		out.Granted = append(out.Granted, Grant{Request: g.request, Upstream: u.Upstream, Trial: g.trial})
 		return gotSlot
 	})
 	if len(s.batch.items) == 0 {
@@ -349,13 +368,16 @@
 		if spare <= 0 {
 			return endPass
 		}
+		if p.isHeld(now, &g.request) {
+			return isHeld
+		}
 		u := s.index.best(now, &g.request, p.opts)
 		if u == nil {
 			return gotNone
 		}
 		spare--
 		p.addGrant(now, g, u)
-		out.Granted = append(out.Granted, Grant{Request: g.request, Upstream: u.Upstream})
+		out.Granted = append(out.Granted, Grant{Request: g.request, Upstream: u.Upstream, Trial: g.trial})
 		return gotSlot
 	})
 	return out
--- a/core/slot/refuse.go
+++ b/core/slot/refuse.go
@@ -14,6 +14,9 @@
 	if p.remainingSlots(s, r) == 0 {
 		return Refusal{Request: *r, Reason: ReasonNoUpstream, RetryAfter: p.retryAfter(now, s, *r, 0)}, true
 	}
+	if p.isHeld(now, r) {
+		return Refusal{}, false
+	}
 	expected := p.expectedWait(now, s, g)
 	if now.Add(expected).After(r.Deadline) || (r.late && now.Before(s.refuseLateUntil)) {
 		return Refusal{Request: *r, Reason: ReasonFull, RetryAfter: p.retryAfter(now, s, *r, expected-r.Deadline.Sub(now))}, true
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -16,6 +16,9 @@
 // requests that are as urgent, which may use any upstream. A request that is bound to a version without upstreams is
 // refused at once.
 //
+// A request whose prompt shares a part with others that crashed upstreams waits until core/poison has decided about the
+// part, or is refused.
+//
 // One Pool at the home of the slots decides for all VMs. A VM that can't reach the home decides for
 // itself with its own Pool, which then also counts the requests of others that upstreams report.
 //
@@ -33,6 +36,7 @@
 import (
 	"time"
 
+	"mothcart/core/poison"
 	"mothcart/core/site"
 )
 
@@ -81,6 +85,8 @@
 	// event. Without Version the pool finds out at which version that stream began.
 	Continues bool
 	Resumes   string
+	// Parts are the parts of the prompt that other requests may share, in order.
+	Parts []poison.Part
 	// AvailabilityZone is that of the VM that asked.
 	AvailabilityZone string
 }
@@ -119,6 +125,8 @@
 type Grant struct {
 	Request  Request
 	Upstream site.Upstream
+	// Trial reports that Wrote is to be called once the upstream writes, since a part of the prompt is suspected.
+	Trial bool
 }
 
 // Reason says why a request was refused.
@@ -133,6 +141,8 @@
 	ReasonUnknownVersion Reason = "unknownVersion"
 	// ReasonFull means that no slot will be free before the wait ends.
 	ReasonFull Reason = "full"
+	// ReasonQuarantined means that a part of the prompt crashes upstreams.
+	ReasonQuarantined Reason = "quarantinedPart"
 	// ReasonWaited means that no slot became free before the wait ended.
 	ReasonWaited Reason = "waited"
 )
@@ -151,19 +161,22 @@
 	Preempted []Grant
 	Granted   []Grant
 	Refused   []Refusal
+	// Findings are the changes of what is known of parts of prompts.
+	Findings []poison.Finding
 }
 
 func (o *Outcome) add(other Outcome) {
 	o.Preempted = append(o.Preempted, other.Preempted...)
 	o.Granted = append(o.Granted, other.Granted...)
 	o.Refused = append(o.Refused, other.Refused...)
+	o.Findings = append(o.Findings, other.Findings...)
 }
 
 // Result says how the use of a slot ended.
 type Result int
 
 const (
-	// Served means that the upstream answered.
+	// Served means that the upstream answered with success.
 	Served Result = iota
 	// Full means that the upstream refused the request because it had no free capacity.
 	Full
@@ -176,6 +189,10 @@
 	Abandoned
 	// Moved means that another process answers at the address.
 	Moved
+	// Failed means that the upstream answered with a failure of its own.
+	Failed
+	// Ended means that the upstream ended before it had written on the request.
+	Ended
 )
 
 // Options are the parameters of a Pool.
--- a/core/slot/upstream.go
+++ b/core/slot/upstream.go
@@ -113,16 +113,16 @@
 // recordResult updates failures and pause after a request has ended.
 func (u *upstream) recordResult(now time.Time, result Result, opts Options) {
 	switch result {
-	case Served:
+	case Served, Failed:
 		u.failures = 0
 		u.pausedUntil = time.Time{}
 	case Full:
 		u.pausedUntil = now.Add(opts.FullPause)
 	case Moved:
 		u.pausedUntil = now.Add(opts.MaxFailPause)
-	case Unreachable, Broken:
+	case Unreachable, Broken, Ended:
 		u.failures++
-		if result == Unreachable || u.onTrial() {
+		if result != Broken || u.onTrial() {
 			pause := opts.FailPause << min(max(u.failures-trialFailures, 0), 8)
 			u.pausedUntil = now.Add(min(pause, opts.MaxFailPause))
 		}
--- a/core/slot/wait.go
+++ b/core/slot/wait.go
@@ -98,6 +98,8 @@
 	gotSlot verdict = iota
 	// gotNone requests found no slot that they may use.
 	gotNone
+	// isHeld requests wait for another reason than slots.
+	isHeld
 	// endPass means that no request of the list can be served now.
 	endPass
 )
@@ -120,6 +122,8 @@
 		case gotNone:
 			m.add(&g.request)
 			i++
+		case isHeld:
+			i++
 		case endPass:
 			return
 		}
--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -76,6 +76,8 @@
 		return "not run; no upstream is left at the software version that began this stream"
 	case slot.ReasonUnknownVersion:
 		return "not run; the software version that began this stream is not known here"
+	case slot.ReasonQuarantined:
+		return "not run; a part of the prompt crashes upstreams"
 	default:
 		return "not run; come back later"
 	}
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -48,6 +48,8 @@
 	// that the upstream is leaving, both before the answer is used.
 	OnLoad    func(m AnswerInfo)
 	OnLeaving func()
+	// OnWrote is called once the upstream has sent writtenEvents events of a stream.
+	OnWrote func()
 }
 
 // Answer is the outcome of an attempt. Status is 0 if there was no answer; Err is then set.
@@ -59,6 +61,10 @@
 	Info AnswerInfo
 	// Sent reports that a part of the request may have reached the upstream.
 	Sent bool
+	// Events is the number of events of a stream that have arrived.
+	Events int
+	// Ended reports that the upstream ended before it had written on the request.
+	Ended bool
 	// Err is why there is no answer, or why a stream was interrupted.
 	Err error
 }
@@ -80,12 +86,16 @@
 		return slot.Abandoned
 	case a.Err != nil && !a.Sent:
 		return slot.Unreachable
+	case a.Ended:
+		return slot.Ended
 	case a.Err != nil:
 		return slot.Broken
 	case a.Status == http.StatusMisdirectedRequest:
 		return slot.Moved
 	case a.Info.NotRun:
 		return slot.Full
+	case !a.Success():
+		return slot.Failed
 	default:
 		return slot.Served
 	}
@@ -95,6 +105,18 @@
 // and then stream.Event with each event; an error of either ends the attempt. Other answers are read
 // completely; their bodies count as held by the client until ctx ends.
 func Do(ctx context.Context, client *service.Client, codec HeaderCodec, call Call, stream *Sink) Answer {
+	a := do(ctx, client, codec, call, stream)
+	if a.Err != nil && a.Sent && a.Events < writtenEvents && ctx.Err() == nil && !errors.Is(a.Err, ErrSilent) {
+		a.Ended = client.Refuses(ctx, call.Upstream.Address)
+	}
+	return a
+}
+
+// writtenEvents is the number of events after which an upstream has written on a request; the first one may arrive as
+// the upstream ends.
+const writtenEvents = 2
+
+func do(ctx context.Context, client *service.Client, codec HeaderCodec, call Call, stream *Sink) Answer {
 	held := ctx
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -122,7 +144,8 @@
 		return Answer{Sent: true, Err: merry.Errorf("status %d: %w", a.Status, errUnsigned)}
 	}
 	if a.Success() && stream != nil {
-		a.Err = cause(ctx, stream.copy(resp, idle))
+		a.Events, err = stream.copy(resp, idle, call.OnWrote)
+		a.Err = cause(ctx, err)
 		return a
 	}
 	a.Body, err = client.ReadAnswer(held, resp, maxAnswerBytes)
@@ -164,26 +187,30 @@
 	Event func(e Event, more bool) error
 }
 
-func (s *Sink) copy(resp service.Answer, idle *idleTimer) error {
+// copy passes on the events of a stream and returns their number. It calls onWrote after writtenEvents of them.
+func (s *Sink) copy(resp service.Answer, idle *idleTimer, onWrote func()) (n int, err error) {
 	events := newEventReader(resp.Body)
 	received := 0
 	for {
 		e, err := events.next()
 		if err != nil && err != io.EOF {
-			return merry.Errorf("read stream: %w", err)
+			return n, merry.Errorf("read stream: %w", err)
 		}
 		idle.heard()
 		if err := s.Start(resp.Status, resp.Header); err != nil {
-			return merry.Errorf("start stream: %w", err)
+			return n, merry.Errorf("start stream: %w", err)
 		}
 		if err == io.EOF {
-			return nil
+			return n, nil
 		}
 		if received += len(e.Raw); received > maxStreamBytes {
-			return merry.Errorf("stream over %d bytes: %w", maxStreamBytes, service.ErrTooLarge)
+			return n, merry.Errorf("stream over %d bytes: %w", maxStreamBytes, service.ErrTooLarge)
 		}
 		if err := s.Event(e, events.buffered()); err != nil {
-			return merry.Errorf("forward event: %w", err)
+			return n, merry.Errorf("forward event: %w", err)
+		}
+		if n++; n == writtenEvents {
+			onWrote()
 		}
 		idle.await()
 	}
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -78,6 +78,8 @@
 	Report func(now time.Time, running, waiting int)
 	// Began records that the request's stream begins with this slot, where the request for the slot didn't name it.
 	Began func(stream string)
+	// Wrote records that the upstream writes its answer, which clears suspected parts of the prompt.
+	Wrote func()
 	// Silence records that the upstream is silent, or that it goes on.
 	Silence func(silent bool)
 	// Leaving records that the upstream's answer to a request said that it is leaving.
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -135,6 +135,7 @@
 		Exclude:          slices.Concat(x.exclude, x.silent),
 		AvailabilityZone: x.f.opts.AvailabilityZone,
 		Objective:        x.objective(ran),
+		Parts:            x.parts,
 	}
 	if !x.isStream() {
 		return r
@@ -235,6 +236,7 @@
 		Attempt:   Attempt{Upstream: lease.Upstream, Remaining: x.req.Deadline.Sub(x.f.opts.Now()), LastEventID: lastID},
 		OnLoad:    func(m AnswerInfo) { lease.Report(x.f.opts.Now(), m.Running, m.Waiting) },
 		OnLeaving: func() { lease.Leaving(x.req.ID) },
+		OnWrote:   lease.Wrote,
 	}
 }
 
@@ -317,7 +319,7 @@
 func (x *exchange) logFailure(lease Lease, a Answer, again bool) {
 	x.log.Info().Str("upstream", lease.Upstream.ID).Int64("incarnation", lease.Upstream.Incarnation).Str("version", lease.Upstream.Version).Str("basis", lease.Basis).
 		Uint64("ask", x.ask).Int("attempt", x.attempts).Int("runs", x.runs).Int("status", a.Status).Bool("notRun", a.refused()).Bool("sent", a.Sent).
-		Int32("delivered", x.delivered.Load()).AnErr("error", a.Err).Strs("parts", poison.Names(x.parts)).Bool("again", again).Msg("attemptFailed")
+		Int32("delivered", x.delivered.Load()).AnErr("error", a.Err).Bool("ended", a.Ended).Strs("parts", poison.Names(x.parts)).Bool("again", again).Msg("attemptFailed")
 }
 
 // failure describes a failed or silent attempt beside a number of open ones.
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 
+	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
 	"mothcart/io/forward"
@@ -71,6 +72,10 @@
 	// had for long enough, if this node can tell.
 	Origins     *Origins
 	SoleVersion func(now time.Time, service string) (string, bool)
+	// Parts is what the node's last process knew against parts of prompts. PartsChanged is called when a part was
+	// quarantined or cleared.
+	Parts        []poison.Record
+	PartsChanged func()
 	// Down is called with true when the home reports that it can't reach the object service, and with
 	// false when it can.
 	Down func(down bool)
@@ -112,12 +117,27 @@
 	c := &Client{
 		opts: opts, cancel: cancel, wake: make(chan struct{}, 1), gone: make(map[site.Key]bool),
 		inventory: newInventory(), cancelAttempt: func() {},
-		localPool: NewSlotPool(opts.Origins.poolOptions(slot.NewOptions().WithReports(true), opts.SoleVersion), opts.Now),
 	}
+	c.localPool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions().WithReports(true), opts.SoleVersion), opts.Now, c.foundParts)
+	c.localPool.ImportParts(opts.Parts)
 	c.done.Go(func() { c.run(ctx) })
 	return c
 }
 
+// foundParts handles changes of what this node knows of parts of prompts.
+func (c *Client) foundParts(findings []poison.Finding) {
+	logFindings(c.opts.Log, "node", findings)
+	if len(decided(findings)) > 0 {
+		c.opts.PartsChanged()
+	}
+}
+
+// Parts returns what this node knows against parts of prompts.
+func (c *Client) Parts() []poison.Record { return c.localPool.ExportParts() }
+
+// QuarantinedParts returns the number of parts of prompts that are known to crash upstreams.
+func (c *Client) QuarantinedParts() int { return c.localPool.QuarantinedParts() }
+
 // Close ends the client.
 func (c *Client) Close() {
 	c.cancel()
@@ -216,6 +236,9 @@
 	if version, ok := c.opts.Origins.Version(r.Resumes); ok && r.Continues && r.Version == "" {
 		r.Version, r.BoundBy = version, slot.BoundByNode
 	}
+	if refusal, ok := c.localPool.RefuseQuarantined(r); ok {
+		return forward.Lease{}, &refusal, nil
+	}
 	for conn := c.connection(); conn != nil; {
 		lease, refusal, err := c.askHome(ctx, conn, r)
 		if err == nil || ctx.Err() != nil {
@@ -246,12 +269,12 @@
 	wait := max(r.Deadline.Sub(now), 0)
 	askCtx, cancel := context.WithTimeout(ctx, wait+askSlack)
 	defer cancel()
-	c.inventory.ask(r.Key.ID, r.Service)
+	c.inventory.ask(r)
 	var answer askAnswer
 	err := conn.Call(askCtx, methodAsk, askRequest{
 		ID: r.Key.ID, Service: r.Service, Priority: r.Priority, Remaining: r.Order.Sub(now), Wait: wait,
 		Exclude: r.Exclude, Zone: r.AvailabilityZone, Objective: remainingObjective(now, r),
-		Version: r.Version, Stream: r.Stream, Continues: r.Continues, Resumes: r.Resumes,
+		Version: r.Version, Stream: r.Stream, Continues: r.Continues, Resumes: r.Resumes, Parts: r.Parts,
 	}, &answer)
 	if err != nil {
 		c.inventory.end(conn, releaseNotice{ID: r.Key.ID, Result: slot.Abandoned})
@@ -268,11 +291,12 @@
 	}
 	c.inventory.hold(r.Key.ID, u.ID, conn)
 	c.localPool.Adopt(r, u.ID)
-	return c.lease(r, u, "home"), nil, nil
+	return c.lease(slot.Grant{Request: r, Upstream: u, Trial: answer.Trial}, "home"), nil, nil
 }
 
 // lease returns the lease of a granted slot.
-func (c *Client) lease(r slot.Request, u site.Upstream, basis string) forward.Lease {
+func (c *Client) lease(g slot.Grant, basis string) forward.Lease {
+	r, u := g.Request, g.Upstream
 	return forward.Lease{
 		Upstream: u, Basis: basis, BoundBy: r.BoundBy,
 		Release: func(_ time.Time, result slot.Result) {
@@ -285,6 +309,12 @@
 			c.opts.Origins.Record(stream, u.Version)
 			c.notify(methodBegan, beganNotice{Stream: stream, Version: u.Version})
 		},
+		Wrote: func() {
+			if g.Trial {
+				c.localPool.Wrote(r.Key)
+				c.notify(methodWrote, wroteNotice{ID: r.Key.ID})
+			}
+		},
 		Silence: func(silent bool) {
 			c.localPool.Silence(r.Key, silent)
 			c.notify(methodSilence, silenceNotice{ID: r.Key.ID, Silent: silent})
@@ -334,9 +364,9 @@
 		if d.refusal != nil {
 			return forward.Lease{}, d.refusal, nil
 		}
-		c.inventory.ask(r.Key.ID, r.Service)
+		c.inventory.ask(r)
 		c.inventory.hold(r.Key.ID, d.grant.Upstream.ID, nil)
-		return c.lease(d.grant.Request, d.grant.Upstream, "alone"), nil, nil
+		return c.lease(d.grant, "alone"), nil, nil
 	case <-ctx.Done():
 		c.localPool.Release(r.Key, slot.Abandoned)
 		return forward.Lease{}, nil, merry.Errorf("wait for a slot: %w", ctx.Err())
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -194,6 +194,11 @@
 		if err = in.Decode(&m); err == nil {
 			c.opts.Origins.merge(m)
 		}
+	case methodParts:
+		var m partsNotice
+		if err = in.Decode(&m); err == nil {
+			c.localPool.ImportParts(m.Records)
+		}
 	case methodLeaving:
 		var m leavingNotice
 		if err = in.Decode(&m); err == nil {
@@ -221,7 +226,7 @@
 		err = c.fetchProgress(in)
 	case methodRun:
 		if c.opts.Runner != nil {
-			err = c.opts.Runner.serve(in, c.report)
+			err = c.opts.Runner.serve(in, c.report, func(id uint64) { c.notify(methodWrote, wroteNotice{ID: id, Batch: true}) })
 			break
 		}
 		in.Fail(merry.New("this node runs no items"))
@@ -241,7 +246,7 @@
 func (c *Client) hello() helloRequest {
 	return helloRequest{
 		VM: c.opts.VMID, Incarnation: c.opts.Incarnation, Relay: c.opts.Relay, Runs: c.opts.Runner != nil,
-		Open: c.inventory.open(), Leaving: upstreamKeys(c.opts.LeavingUpstreams()),
+		Open: c.inventory.open(), Leaving: upstreamKeys(c.opts.LeavingUpstreams()), Parts: c.Parts(),
 	}
 }
 
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -31,6 +31,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
 	"mothcart/io/link"
@@ -72,6 +73,10 @@
 	// had for long enough, if this node can tell.
 	Origins     *Origins
 	SoleVersion func(now time.Time, service string) (string, bool)
+	// Parts is what this node knows against parts of prompts; PushParts notifies all nodes of such that were quarantined
+	// or cleared.
+	Parts     []poison.Record
+	PushParts func(records []poison.Record)
 	// Checkpoints holds this node's checkpoints: of the previous home's items, then of its own.
 	Checkpoints *Checkpoints
 	// Retirements describes the objects that ask for a VM to be drained. StepDown is called when this VM is
@@ -134,6 +139,8 @@
 	restarts metrics.Counter
 	// corrected counts the requests of nodes that had ended without the home's knowledge.
 	corrected metrics.Counter
+	// partSuspicions counts ends of upstreams by suspected part of a prompt, partQuarantines and partsCleared what followed.
+	partSuspicions, partQuarantines, partsCleared metrics.Counter
 	// bodyBytes is the size of the bodies of open items.
 	bodyBytes metrics.Gauge
 }
@@ -143,10 +150,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("home."+name, opts.Registry) }
 	h := &Home{
-		opts: opts, pool: NewSlotPool(opts.Origins.poolOptions(slot.NewOptions(), opts.SoleVersion), opts.Now), ctx: ctx, cancel: cancel,
+		opts: opts, ctx: ctx, cancel: cancel,
 		metrics: homeMetrics{
 			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"), restarts: counter("restarts"),
 			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"), corrected: counter("slotsCorrected"),
+			partSuspicions: counter("partSuspicions"), partQuarantines: counter("partQuarantines"), partsCleared: counter("partsCleared"),
 			bodyBytes: metrics.GetOrRegisterGauge("home.bodyBytes", opts.Registry),
 		},
 		progressLoaded: make(chan struct{}), handoverDone: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
@@ -154,6 +162,8 @@
 		undelivered: make(map[string]time.Time), runners: make(map[string]*runnerNode),
 		nodes: make(map[string]*link.Conn), listed: newListedJobs(),
 	}
+	h.pool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions(), opts.SoleVersion), opts.Now, h.foundParts)
+	h.pool.ImportParts(opts.Parts)
 	if opts.SlotsOnly {
 		return h
 	}
@@ -171,6 +181,24 @@
 	return h
 }
 
+// foundParts tells all nodes of parts of prompts that were quarantined or cleared.
+func (h *Home) foundParts(findings []poison.Finding) {
+	logFindings(h.opts.Log, "home", findings)
+	for _, f := range findings {
+		switch f.Kind {
+		case poison.Suspected:
+			h.metrics.partSuspicions.Inc(1)
+		case poison.QuarantineBegun:
+			h.metrics.partQuarantines.Inc(1)
+		case poison.Cleared:
+			h.metrics.partsCleared.Inc(1)
+		}
+	}
+	if records := decided(findings); len(records) > 0 {
+		h.opts.PushParts(records)
+	}
+}
+
 // Close ends the home and cancels the runs of its items. Requests that wait for a slot get no answer.
 func (h *Home) Close() {
 	h.cancel()
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mothcart/core/batch"
+	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
 	"mothcart/io/object"
@@ -23,6 +24,10 @@
 	methodOrigins = "origins"
 	// methodSilence reports that the upstream of a slot in use is silent, or that it goes on.
 	methodSilence = "silence"
+	// methodWrote reports that the upstream of a slot in use writes its answer, where a part of the prompt is suspected.
+	methodWrote = "wrote"
+	// methodParts names parts of prompts that are suspected or known to crash upstreams, in both directions.
+	methodParts   = "parts"
 	methodReserve = "reserve"
 	methodRead    = "read"
 	methodItem    = "item"
@@ -67,12 +72,16 @@
 	Open []openedSlot `msgpack:"open"`
 	// Leaving lists the upstreams of which the node knows that they are leaving.
 	Leaving []upstreamKey `msgpack:"leaving,omitempty"`
+	// Parts is what the node knows against parts of prompts.
+	Parts []poison.Record `msgpack:"parts,omitempty"`
 }
 
 type openedSlot struct {
 	ID       uint64 `msgpack:"id"`
 	Service  string `msgpack:"svc"`
 	Upstream string `msgpack:"up"`
+	// Parts are those of slot.Request.
+	Parts []poison.Part `msgpack:"parts,omitempty"`
 }
 
 type helloAnswer struct {
@@ -95,13 +104,15 @@
 	Stream    string `msgpack:"stream,omitempty"`
 	Continues bool   `msgpack:"cont,omitempty"`
 	Resumes   string `msgpack:"from,omitempty"`
+	// Parts are those of slot.Request.
+	Parts []poison.Part `msgpack:"parts,omitempty"`
 }
 
 func (a askRequest) request(now time.Time, owner string) slot.Request {
 	r := slot.Request{
 		Key: slot.Key{Owner: owner, ID: a.ID}, Service: a.Service, Priority: a.Priority,
 		Order: now.Add(a.Remaining), Deadline: now.Add(a.Wait), Exclude: a.Exclude, AvailabilityZone: a.Zone,
-		Version: a.Version, Stream: a.Stream, Continues: a.Continues, Resumes: a.Resumes,
+		Version: a.Version, Stream: a.Stream, Continues: a.Continues, Resumes: a.Resumes, Parts: a.Parts,
 	}
 	if a.Objective != nil {
 		r.Objective = now.Add(*a.Objective)
@@ -112,6 +123,8 @@
 type askAnswer struct {
 	// Upstream is set if a slot was granted.
 	Upstream *site.Upstream `msgpack:"up,omitempty"`
+	// Trial is that of slot.Grant.
+	Trial bool `msgpack:"trial,omitempty"`
 	// BoundBy is that of slot.Request.
 	BoundBy    slot.BoundBy  `msgpack:"by,omitempty"`
 	Reason     slot.Reason   `msgpack:"why,omitempty"`
--- /dev/null
+++ b/io/home/parts.go
@@ -0,0 +1,52 @@
+package home
+
+import (
+	"github.com/rs/zerolog"
+
+	"mothcart/core/poison"
+	"mothcart/core/slot"
+)
+
+// partsNotice sends what is known against parts of prompts: from the home to all nodes when a quarantine begins or a
+// part is cleared, and all that a node knows to a home when it connects.
+type partsNotice struct {
+	Records []poison.Record `msgpack:"recs"`
+}
+
+// wroteNotice reports that the upstream of a slot in use writes its answer. Batch reports that an item uses the slot, for
+// which the home itself has asked.
+type wroteNotice struct {
+	ID    uint64 `msgpack:"id"`
+	Batch bool   `msgpack:"batch,omitempty"`
+}
+
+func (m wroteNotice) key(owner string) slot.Key {
+	if m.Batch {
+		owner = batchOwner
+	}
+	return slot.Key{Owner: owner, ID: m.ID}
+}
+
+// decided returns the records of the parts that were quarantined or cleared.
+func decided(findings []poison.Finding) []poison.Record {
+	var out []poison.Record
+	for _, f := range findings {
+		if f.Kind != poison.Suspected {
+			out = append(out, f.Record)
+		}
+	}
+	return out
+}
+
+// logFindings logs what was found about parts of prompts, and by whom.
+func logFindings(log zerolog.Logger, by string, findings []poison.Finding) {
+	for _, f := range findings {
+		ends := zerolog.Arr()
+		for _, e := range f.Ends {
+			ends = ends.Dict(zerolog.Dict().Str("upstream", e.Upstream).Int64("incarnation", e.Incarnation).
+				Dur("attemptAgeMillis", e.BeganAgo).Dur("ageMillis", e.EndedAgo))
+		}
+		log.Warn().Str("by", by).Str("service", f.Service).Str("part", f.Part.String()).Int("endsInARow", f.InARow).Array("ends", ends).
+			Int("quarantines", f.Quarantines).Dur("leftMillis", f.Left).Msg(string(f.Kind))
+	}
+}
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -88,7 +88,7 @@
 	}
 	host, path, acceptedAt := j.log.Job().Host, j.log.Job().Path, j.acceptedAt
 	r.key = slot.Key{Owner: batchOwner, ID: h.nextID.Add(1)}
-	key, ran, version := r.key, r.ranFor, r.version
+	key, ran, version, header := r.key, r.ranFor, r.version, r.item.Header
 	h.mu.Unlock()
 	route, service, ok := h.pickService(host, path)
 	if !ok {
@@ -98,13 +98,14 @@
 	h.pool.Ask(slot.Request{
 		Key: key, Service: service, Batch: true, Priority: route.Priority, Order: acceptedAt.Add(route.Completion),
 		Ran: ran, AvailabilityZone: h.opts.AvailabilityZone, Version: version,
+		Parts: h.opts.Runner.sharedParts(header),
 	}, asker{
 		granted: func(g slot.Grant) { h.startRun(r, g) },
 		refused: func(refusal slot.Refusal) {
 			if refusal.Reason == slot.ReasonNoVersion {
 				h.restart(r)
 			}
-			time.AfterFunc(retryPause, func() { h.askSlot(r) })
+			time.AfterFunc(min(max(refusal.RetryAfter, retryPause), sweepInterval), func() { h.askSlot(r) })
 		},
 		preempted: func() { h.preempt(r) },
 	})
@@ -181,6 +182,9 @@
 		ID: r.item.ID, Host: j.log.Job().Host, Path: r.item.Path, Header: r.item.Header, Body: r.item.Body,
 		Upstream: g.Upstream, LastEventID: r.lastID, IdleTimeout: min(itemIdleTimeout<<min(r.silences, 8), maxItemIdleTimeout),
 	}
+	if g.Trial {
+		call.Slot = g.Request.Key.ID
+	}
 	got := new(stream)
 	r.received, r.receivedVersion = got, g.Upstream.Version
 	h.mu.Unlock()
@@ -192,7 +196,7 @@
 	h.opts.Log.Info().Str("job", r.job).Str("item", r.item.ID).Str("upstream", g.Upstream.ID).Int64("incarnation", g.Upstream.Incarnation).
 		Str("version", g.Upstream.Version).Str("runner", runner).Str("from", call.LastEventID).Str("to", out.LastEventID).Int("status", out.Status).Bool("cut", cancelled).
 		Int("failures", r.failures).Dur("tookMillis", took).Str("error", out.Err).
-		Strs("parts", poison.Names(h.opts.Runner.sharedParts(r.item.Header))).Msg("itemAttempt")
+		Strs("parts", poison.Names(g.Request.Parts)).Msg("itemAttempt")
 	h.completeAttempt(r, out, took, cancelled)
 }
 
--- a/io/home/run_test.go
+++ b/io/home/run_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mothcart/core/batch"
+	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
 	"mothcart/io/forward"
@@ -23,7 +24,7 @@
 		opts: Options{Config: func() site.Config { return site.Config{} }, Now: time.Now, Log: zerolog.Nop()},
 	}
 	h.metrics.runs, h.metrics.preemptions = metrics.NewCounter(), metrics.NewCounter()
-	h.pool = NewSlotPool(slot.NewOptions(), time.Now)
+	h.pool = NewSlotPool(slot.NewOptions(), time.Now, func([]poison.Finding) {})
 	r := &run{job: "j", item: batch.Item{ID: "i"}, key: slot.Key{Owner: batchOwner, ID: 1}}
 	h.preempt(r)
 	h.startRun(r, slot.Grant{Request: slot.Request{Key: r.key, Batch: true}})
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -45,6 +45,8 @@
 	Upstream    site.Upstream     `msgpack:"up"`
 	LastEventID string            `msgpack:"last,omitempty"`
 	IdleTimeout time.Duration     `msgpack:"idle,omitempty"`
+	// Slot is the ID of the item's slot, set if the home is to be told that the upstream writes.
+	Slot uint64 `msgpack:"slot,omitempty"`
 }
 
 // itemOutcome is the outcome of an attempt at an item.
@@ -150,8 +152,9 @@
 	return rn.opts.Codec.SharedParts(itemHeader(h))
 }
 
-// do makes one attempt and adds its events to got. It calls report with the upstream's load.
-func (rn *Runner) do(ctx context.Context, c itemCall, got *stream, report func(running, waiting int)) itemOutcome {
+// do makes one attempt and adds its events to got. It calls report with the upstream's load, and wrote with c.Slot, if
+// that is set, once the upstream writes.
+func (rn *Runner) do(ctx context.Context, c itemCall, got *stream, report func(running, waiting int), wrote func(id uint64)) itemOutcome {
 	if rn.opts.Refuses(c.Upstream) {
 		return itemOutcome{Result: slot.Moved, LastEventID: c.LastEventID, Err: "upstream is leaving or gone"}
 	}
@@ -162,6 +165,11 @@
 		Attempt: forward.Attempt{Upstream: c.Upstream, LastEventID: c.LastEventID}, IdleTimeout: cmp.Or(c.IdleTimeout, itemIdleTimeout),
 		OnLoad:    func(m forward.AnswerInfo) { report(m.Running, m.Waiting) },
 		OnLeaving: func() { rn.opts.Leaving(c.Upstream, c.ID) },
+		OnWrote: func() {
+			if c.Slot != 0 {
+				wrote(c.Slot)
+			}
+		},
 	}, &forward.Sink{
 		Start: func(int, http.Header) error { return nil },
 		Event: func(e forward.Event, _ bool) error { return got.add(e) },
@@ -181,7 +189,7 @@
 }
 
 // serve makes an attempt for a home on another node and answers with its outcome.
-func (rn *Runner) serve(in link.Incoming, report func(upstream string, running, waiting int)) error {
+func (rn *Runner) serve(in link.Incoming, report func(upstream string, running, waiting int), wrote func(id uint64)) error {
 	var c itemCall
 	if err := in.Decode(&c); err != nil {
 		return err
@@ -199,7 +207,7 @@
 			case <-ctx.Done():
 			}
 		}()
-		out := rn.do(ctx, c, new(stream), func(running, waiting int) { report(c.Upstream.ID, running, waiting) })
+		out := rn.do(ctx, c, new(stream), func(running, waiting int) { report(c.Upstream.ID, running, waiting) }, wrote)
 		rn.mu.Lock()
 		delete(rn.runs, c.Run)
 		rn.mu.Unlock()
@@ -235,7 +243,9 @@
 	node := h.pickRunner()
 	if node == nil {
 		defer h.endRun(nil)
-		out := h.opts.Runner.do(ctx, c, got, func(running, waiting int) { h.pool.Report(c.Upstream.ID, running, waiting) })
+		out := h.opts.Runner.do(ctx, c, got, func(running, waiting int) { h.pool.Report(c.Upstream.ID, running, waiting) }, func(id uint64) {
+			h.pool.Wrote(wroteNotice{ID: id, Batch: true}.key(""))
+		})
 		return out, h.opts.VMID
 	}
 	defer h.endRun(node)
--- a/io/home/server.go
+++ b/io/home/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mothcart/core/poison"
 	"mothcart/io/link"
 	"mothcart/io/object"
 )
@@ -62,6 +63,11 @@
 // PushAnnouncement notifies all connected nodes of the home that has taken over.
 func (s *Server) PushAnnouncement(a Announcement) { s.notifyAll(methodAnnounce, a) }
 
+// PushParts notifies all connected nodes of parts of prompts that were quarantined or cleared.
+func (s *Server) PushParts(records []poison.Record) {
+	s.notifyAll(methodParts, partsNotice{Records: records})
+}
+
 // PushDown notifies all connected nodes whether the home can reach the object service, if a home runs here.
 func (s *Server) PushDown(down bool) {
 	if s.hasHome() {
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -62,6 +62,8 @@
 		return handleMessage(in, func(m beganNotice) { h.opts.Origins.Record(m.Stream, m.Version) })
 	case methodOrigins:
 		return handleMessage(in, h.opts.Origins.merge)
+	case methodWrote:
+		return handleMessage(in, func(m wroteNotice) { h.pool.Wrote(m.key(s.owner)) })
 	case methodSilence:
 		return handleMessage(in, func(m silenceNotice) { h.pool.Silence(slot.Key{Owner: s.owner, ID: m.ID}, m.Silent) })
 	case methodLeaving:
@@ -142,6 +144,7 @@
 		h.mu.Unlock()
 	}
 	h.opts.MarkLeaving(s.owner, siteKeys(m.Leaving))
+	h.pool.ImportParts(m.Parts)
 	for _, o := range m.Open {
 		h.adopt(s, o)
 	}
@@ -151,6 +154,9 @@
 	if keys := h.opts.Leaving(); len(keys) > 0 {
 		in.Conn().Notify(methodLeaving, leavingNotice{Upstreams: upstreamKeys(keys)})
 	}
+	if records := h.pool.ExportParts(); len(records) > 0 {
+		in.Conn().Notify(methodParts, partsNotice{Records: records})
+	}
 	h.opts.Views.sendTo(in.Conn())
 	return s
 }
@@ -162,7 +168,9 @@
 	}
 	h.metrics.asks.Inc(1)
 	h.pool.Ask(m.request(h.opts.Now(), s.owner), asker{
-		granted: func(g slot.Grant) { in.Answer(askAnswer{Upstream: &g.Upstream, BoundBy: g.Request.BoundBy}) },
+		granted: func(g slot.Grant) {
+			in.Answer(askAnswer{Upstream: &g.Upstream, Trial: g.Trial, BoundBy: g.Request.BoundBy})
+		},
 		refused: func(r slot.Refusal) {
 			h.metrics.refused.Inc(1)
 			l := h.pool.Load(r.Request.Service)
--- a/io/home/slotpool.go
+++ b/io/home/slotpool.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
 )
@@ -24,6 +25,8 @@
 // concurrent use.
 type SlotPool struct {
 	now func() time.Time
+	// found is called with each change of what is known of parts of prompts.
+	found func(findings []poison.Finding)
 
 	mu      sync.Mutex
 	pool    *slot.Pool
@@ -32,9 +35,10 @@
 	closed  bool
 }
 
-// NewSlotPool returns a pool without upstreams.
-func NewSlotPool(opts slot.Options, now func() time.Time) *SlotPool {
-	return &SlotPool{now: now, pool: slot.NewPool(opts), askers: make(map[slot.Key]asker)}
+// NewSlotPool returns a pool without upstreams. It calls found, which must not block, with each change of what is known
+// of parts of prompts.
+func NewSlotPool(opts slot.Options, now func() time.Time, found func(findings []poison.Finding)) *SlotPool {
+	return &SlotPool{now: now, found: found, pool: slot.NewPool(opts), askers: make(map[slot.Key]asker)}
 }
 
 // Close ends the pool; askers get no more callbacks.
@@ -78,6 +82,37 @@
 	p.change(func(now time.Time) slot.Outcome { return p.pool.Silence(now, k, silent) })
 }
 
+// Wrote records that the upstream of a slot in use writes its answer.
+func (p *SlotPool) Wrote(k slot.Key) {
+	p.change(func(now time.Time) slot.Outcome { return p.pool.Wrote(now, k) })
+}
+
+// ImportParts adds what another node knows of parts of prompts.
+func (p *SlotPool) ImportParts(records []poison.Record) {
+	p.change(func(now time.Time) slot.Outcome { return p.pool.ImportParts(now, records) })
+}
+
+// ExportParts returns what is known against parts of prompts.
+func (p *SlotPool) ExportParts() []poison.Record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool.ExportParts(p.now())
+}
+
+// QuarantinedParts returns the number of parts that are quarantined.
+func (p *SlotPool) QuarantinedParts() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool.QuarantinedParts(p.now())
+}
+
+// RefuseQuarantined returns the refusal of a request with a part that crashes upstreams, and false for others.
+func (p *SlotPool) RefuseQuarantined(r slot.Request) (slot.Refusal, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool.RefuseQuarantined(p.now(), &r)
+}
+
 // DropOwner releases the grants and drops the waiting requests of an owner.
 func (p *SlotPool) DropOwner(owner string) {
 	p.change(func(now time.Time) slot.Outcome {
@@ -149,6 +184,9 @@
 	}
 	p.schedule()
 	p.mu.Unlock()
+	if len(out.Findings) > 0 {
+		p.found(out.Findings)
+	}
 	for _, call := range calls {
 		call()
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/io/clock"
 	"mothcart/io/dial"
@@ -94,6 +95,7 @@
 	// savers persist on disk what home nodes need after a restart; siteStateChanged is called on each
 	// change of the node's view of the site.
 	savers           []*saver
+	partsSaver       *saver
 	siteStateChanged func()
 	startWait        *startWait
 	// cancelStart cancels the fetch of the site state at the node's start, and startFetch waits for its end.
@@ -164,15 +166,19 @@
 		stateSaver := newSaver(s.DataDir, siteStateFile, func() any { return b.siteState() }, opts.Log)
 		b.siteStateChanged = stateSaver.changed
 		b.loadHistory()
-		b.savers = []*saver{progressSaver, stateSaver}
+		b.partsSaver = newSaver(s.DataDir, partsFile, func() any { return b.client.Parts() }, opts.Log)
+		b.savers = []*saver{progressSaver, stateSaver, b.partsSaver}
 	}
 	b.client = home.NewClient(home.ClientOptions{
 		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, HomeNodes: opts.homeNodes, Connect: opts.Connect(connectTimeout), Now: opts.Now,
 		Checkpoints: b.checkpoints, Unreached: b.startWait.end, Announced: b.siteStateChanged, OnReceivesChanges: b.updateDown,
-		Origins: b.origins, SoleVersion: b.soleVersion,
+		Origins: b.origins, SoleVersion: b.soleVersion, Parts: load[[]poison.Record](s.DataDir, partsFile, opts.Log), PartsChanged: func() { b.partsSaver.changed() },
 		View: func(kind string, c object.Change) { b.receive(kind, c) }, Down: b.setHomeDown, Runner: b.runner, Log: opts.Log,
 		Leaving: b.answeredLeaving, MarkLeaving: b.markLeaving, LeavingUpstreams: b.leavingUpstreams,
 	})
+	opts.Registry.GetOrRegister("parts.quarantined", func() metrics.Gauge {
+		return metrics.NewFunctionalGauge(func() int64 { return int64(b.client.QuarantinedParts()) })
+	})
 	return b
 }
 
--- a/io/node/poison_test.go
+++ b/io/node/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -127,6 +128,8 @@
 	}
 	require.Greater(s.t, sent[0], 20)
 	require.Greater(s.t, sent[1], 20)
+	s.t.Logf("%d upstreams ended; %d requests with the part reached upstreams in all; sound ones: %d of %d answered before, %d of %d beside",
+		len(ended), s.poison.ReachedAfter(time.Time{}), answered[0], sent[0], answered[1], sent[1])
 	share := func(phase int) float64 { return float64(answered[phase]) / float64(sent[phase]) }
 	require.GreaterOrEqual(s.t, share(1), share(0)/2)
 }
@@ -199,3 +202,75 @@
 		})
 	}
 }
+
+// Guards against quarantines for failures that are not the end of an upstream.
+func TestFailuresThatEndNoUpstreamCondemnNoPart(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault func(s *testSite)
+		mend  func(s *testSite)
+	}{
+		{name: "answers break off before the first event", fault: allEngines(fake.EngineFaults{BreakAtHead: true}), mend: allEngines(fake.EngineFaults{})},
+		{name: "answers break off later", fault: allEngines(fake.EngineFaults{BreakAfter: 1}), mend: allEngines(fake.EngineFaults{})},
+		{name: "no answers", fault: allEngines(fake.EngineFaults{Unresponsive: true}), mend: allEngines(fake.EngineFaults{})},
+		{name: "failures", fault: allEngines(fake.EngineFaults{Status: 500}), mend: allEngines(fake.EngineFaults{})},
+		{name: "refusals", fault: allEngines(fake.EngineFaults{Refusing: true}), mend: allEngines(fake.EngineFaults{})},
+		{name: "upstreams out of reach", fault: func(s *testSite) {
+			for n := range s.engines {
+				s.network.Partition(entryIP(1), engineIP(n+1))
+			}
+		}, mend: func(s *testSite) {
+			for n := range s.engines {
+				s.network.Heal(entryIP(1), engineIP(n+1))
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				ps := &poisonSite{testSite: s}
+				tc.fault(s)
+				for i := range 20 {
+					ps.send(1, "/ask/stream/1", fmt.Sprint("r", i), "first", "rare", fmt.Sprint("own", i))
+				}
+				tc.mend(s)
+				time.Sleep(4 * time.Second)
+				require.Zero(t, s.entries["e1"].base.client.QuarantinedParts())
+				r := ps.send(2, "/ask/stream/1", "last", "first", "rare", "own")
+				require.Equal(t, http.StatusOK, r.status)
+				require.Less(t, r.took, time.Second)
+			})
+		})
+	}
+}
+
+// allEngines returns a function that sets the faults of all engines of a site.
+func allEngines(f fake.EngineFaults) func(s *testSite) {
+	return func(s *testSite) {
+		for _, e := range s.engines {
+			e.SetFaults(f)
+		}
+	}
+}
+
+// Guards against refusals that don't say that the request has not run, or not when it may.
+func TestRefusalOfAQuarantinedPart(t *testing.T) {
+	runPoisonSite(t, func(s *poisonSite) {
+		for i := range 10 {
+			s.send(1, "/ask/stream/1", fmt.Sprint("bad", i), "first", "bad", fmt.Sprint("own", i))
+			time.Sleep(100 * time.Millisecond)
+		}
+		for n := 1; n <= 2; n++ {
+			id := fmt.Sprint("late", n)
+			r := s.send(n, "/ask/stream/1", id, "first", "bad", "own")
+			require.Equal(t, http.StatusServiceUnavailable, r.status)
+			require.Contains(t, r.body, "not run")
+			require.Less(t, r.took, 20*time.Millisecond, "at once")
+			require.Zero(t, s.runsOf(id))
+			after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+			require.NoError(t, err)
+			require.Greater(t, after, 60.0, "a return within the next minute is in vain")
+			require.Equal(t, 1, s.entries[fmt.Sprint("e", n)].base.client.QuarantinedParts())
+		}
+		require.LessOrEqual(t, len(s.poison.Ended()), 4)
+	})
+}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -15,12 +15,15 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"strings"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -124,6 +127,21 @@
 	return Answer{Status: resp.StatusCode, Header: EndToEnd(resp.Header), Body: resp.Body, Length: resp.ContentLength}, nil
 }
 
+// refuseTimeout bounds the check whether an address refuses connections.
+const refuseTimeout = 150 * time.Millisecond
+
+// Refuses reports that nothing listens at an address. It is false if that can't be told in time.
+func (c *Client) Refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, refuseTimeout)
+	defer cancel()
+	conn, err := c.transport.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close() // it was opened only to see whether it can be
+	return false
+}
+
 // onceReader hides the type of the reader, so that the transport has no way to read a body twice
 // and thus never repeats the request.
 func onceReader(body []byte) io.Reader { return struct{ io.Reader }{bytes.NewReader(body)} }
