An answer without length and chunks that ends early is a failed attempt

Callers could see a cut answer as whole: a stream whose connection ended before its first event was an empty success, and an answer of an upstream that ended looked like one that ends with its connection. Cause: the end of such a body was taken for its end whatever came before, and whether the upstream was still there. Change: service.Answer says that a body has neither a length nor chunks. A stream without an event is complete only if it continues one; an answer whose upstream refuses connections right afterwards was cut, unless the upstream had said that it leaves. Empty lines and comments don't count as events. An end inside an event, inside a line and a reset were failures before, and stay so. All attempts, items too, go through forward.Do.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -25,6 +25,10 @@
 	ErrSilent = merry.Sentinel("upstream sent nothing within the time limit")
 	// errReplaced means that an attempt was ended because another one has taken its place.
 	errReplaced = merry.Sentinel("another attempt took its place")
+	// errNoEvent means that the connection ended before the first event of a stream without a length.
+	errNoEvent = merry.Sentinel("connection ended before the first event")
+	// errCut means that an answer without a length ended with its upstream.
+	errCut = merry.Sentinel("upstream ended with an answer that has no length")
 	// errUnsigned means that an answer with a status of success lacks the upstream's signature.
 	errUnsigned = merry.Sentinel("answer lacks the upstream's signature")
 )
@@ -38,6 +42,8 @@
 	Header http.Header
 	Body   []byte
 	Attempt
+	// Continues reports that the attempt continues a stream, of which nothing may be left.
+	Continues bool
 	// IdleTimeout is the longest time to the headers of the answer, from there to the complete body or the first
 	// event, and between events, before the upstream counts as silent; 0 means no limit.
 	IdleTimeout time.Duration
@@ -67,6 +73,8 @@
 	Ended bool
 	// Err is why there is no answer, or why a stream was interrupted.
 	Err error
+	// unframed is service.Answer.Unframed.
+	unframed bool
 }
 
 // Success reports a complete answer with a status of success.
@@ -106,8 +114,14 @@
 // completely; their bodies count as held by the client until ctx ends.
 func Do(ctx context.Context, client *service.Client, codec HeaderCodec, call Call, stream *Sink) Answer {
 	a := do(ctx, client, codec, call, stream)
-	if a.Err != nil && a.Sent && a.Events < writtenEvents && ctx.Err() == nil && !errors.Is(a.Err, ErrSilent) {
-		a.Ended = client.Refuses(ctx, call.Upstream.Address)
+	failed := a.Err != nil && a.Sent && a.Events < writtenEvents && ctx.Err() == nil && !errors.Is(a.Err, ErrSilent)
+	unconfirmed := a.Success() && a.unframed && !a.Info.Leaving
+	if !(failed || unconfirmed) || !client.Refuses(ctx, call.Upstream.Address) {
+		return a
+	}
+	a.Ended = a.Events < writtenEvents
+	if unconfirmed {
+		a.Body, a.Err = nil, errCut
 	}
 	return a
 }
@@ -138,13 +152,13 @@
 	defer resp.Body.Close()
 	idle.heard()
 	idle.await()
-	a := Answer{Status: resp.Status, Header: resp.Header, Info: codec.Read(resp.Header), Sent: true}
+	a := Answer{Status: resp.Status, Header: resp.Header, Info: codec.Read(resp.Header), Sent: true, unframed: resp.Unframed}
 	call.observe(a)
 	if a.Success() && !a.Info.Signed {
 		return Answer{Sent: true, Err: merry.Errorf("status %d: %w", a.Status, errUnsigned)}
 	}
 	if a.Success() && stream != nil {
-		a.Events, err = stream.copy(resp, idle, call.OnWrote)
+		a.Events, err = stream.copy(resp, idle, call.Continues || !resp.Unframed, call.OnWrote)
 		a.Err = cause(ctx, err)
 		return a
 	}
@@ -187,8 +201,9 @@
 	Event func(e Event, more bool) error
 }
 
-// copy passes on the events of a stream and returns their number. It calls onWrote after writtenEvents of them.
-func (s *Sink) copy(resp service.Answer, idle *idleTimer, onWrote func()) (n int, err error) {
+// copy passes on the events of a stream and returns their number. It calls onWrote after writtenEvents of them. Without
+// any it returns errNoEvent, unless the stream may be empty.
+func (s *Sink) copy(resp service.Answer, idle *idleTimer, mayBeEmpty bool, onWrote func()) (n int, err error) {
 	events := newEventReader(resp.Body)
 	received := 0
 	for {
@@ -197,6 +212,9 @@
 			return n, merry.Errorf("read stream: %w", err)
 		}
 		idle.heard()
+		if err == io.EOF && n == 0 && !mayBeEmpty {
+			return n, errNoEvent
+		}
 		if err := s.Start(resp.Status, resp.Header); err != nil {
 			return n, merry.Errorf("start stream: %w", err)
 		}
@@ -209,6 +227,10 @@
 		if err := s.Event(e, events.buffered()); err != nil {
 			return n, merry.Errorf("forward event: %w", err)
 		}
+		if e.Blank {
+			idle.await()
+			continue
+		}
 		if n++; n == writtenEvents {
 			onWrote()
 		}
--- a/io/forward/event.go
+++ b/io/forward/event.go
@@ -25,6 +25,8 @@
 	Raw []byte
 	// ID is the event's ID; empty means none.
 	ID string
+	// Blank reports that there is neither an ID nor data, but a comment or empty lines.
+	Blank bool
 }
 
 // Data returns the data of the event, its lines joined by line feeds.
@@ -70,7 +72,7 @@
 func (er *eventReader) next() (Event, error) {
 	er.buf = er.buf[:0]
 	id := ""
-	began := false
+	began, blank := false, true
 	for {
 		start := len(er.buf)
 		err := er.line()
@@ -79,7 +81,7 @@
 			if began || len(line) > 0 {
 				return Event{}, errPartialEvent
 			}
-			return Event{Raw: er.buf}, nil
+			return Event{Raw: er.buf, Blank: true}, nil
 		}
 		if err != nil {
 			return Event{}, err
@@ -88,11 +90,14 @@
 			if !began {
 				continue
 			}
-			return Event{Raw: er.buf, ID: id}, nil
+			return Event{Raw: er.buf, ID: id, Blank: blank}, nil
 		}
 		began = true
 		if value, ok := field(line, "id"); ok {
-			id = string(value)
+			id, blank = string(value), false
+		}
+		if _, ok := field(line, "data"); ok {
+			blank = false
 		}
 	}
 }
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -237,6 +237,7 @@
 		OnLoad:    func(m AnswerInfo) { lease.Report(x.f.opts.Now(), m.Running, m.Waiting) },
 		OnLeaving: func() { lease.Leaving(x.req.ID) },
 		OnWrote:   lease.Wrote,
+		Continues: lastID != "" || x.req.LastEventID != "",
 	}
 }
 
--- /dev/null
+++ b/io/forward/unframed_test.go
@@ -0,0 +1,121 @@
+package forward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"mothcart/core/site"
+	"mothcart/core/slot"
+	"mothcart/io/service"
+)
+
+// unframedHead is the head of an answer with neither a length nor chunks.
+const unframedHead = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n"
+
+// ending is how an upstream ends an answer without a length.
+type ending int
+
+const (
+	closes ending = iota
+	resets
+	// crashes means that the upstream ends and the system closes its connections.
+	crashes
+)
+
+// unframedUpstream answers each request with some bytes and then ends the connection. It returns its address.
+func unframedUpstream(t *testing.T, answer string, how ending) string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return // the test has ended, or the upstream
+			}
+			r, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				_ = conn.Close()
+				continue // a connection without a request
+			}
+			_, _ = io.Copy(io.Discard, r.Body) // bytes that are not read would reset the connection
+			_, _ = io.WriteString(conn, answer)
+			switch how {
+			case resets:
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			case crashes:
+				_ = l.Close()
+			case closes:
+			}
+			_ = conn.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against cut answers without a length that look whole, and against whole ones that count as cut.
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	const event1, event2 = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for _, tc := range []struct {
+		name   string
+		stream bool
+		answer string
+		how    ending
+		// continues is set for an attempt that continues a stream.
+		continues bool
+		success   bool
+		events    int
+		body      string
+		result    slot.Result
+	}{
+		{name: "stream, after an event", stream: true, answer: unframedHead + event1 + event2, success: true, events: 2, result: slot.Served},
+		{name: "stream, inside an event", stream: true, answer: unframedHead + event1 + "id: 2\n", events: 1, result: slot.Broken},
+		{name: "stream, inside a line", stream: true, answer: unframedHead + event1 + "id: 2\nda", events: 1, result: slot.Broken},
+		{name: "stream, inside the first line", stream: true, answer: unframedHead + "i", result: slot.Broken},
+		{name: "stream, before the first event", stream: true, answer: unframedHead, result: slot.Broken},
+		{name: "stream, empty lines before the first event", stream: true, answer: unframedHead + "\n\n", events: -1, result: slot.Broken},
+		{name: "stream, a comment before the first event", stream: true, answer: unframedHead + ": wait\n\n", events: -1, result: slot.Broken},
+		{name: "continued stream, nothing left", stream: true, answer: unframedHead, continues: true, success: true, result: slot.Served},
+		{name: "stream, inside the head", stream: true, answer: unframedHead[:30], result: slot.Broken},
+		{name: "stream, reset after an event", stream: true, answer: unframedHead + event1, how: resets, events: -1, result: slot.Broken},
+		{name: "stream, the upstream ends after an event", stream: true, answer: unframedHead + event1, how: crashes, events: 1, result: slot.Ended},
+		{name: "stream, the upstream ends before the first event", stream: true, answer: unframedHead, how: crashes, result: slot.Ended},
+		{name: "stream, the upstream ends after two events", stream: true, answer: unframedHead + event1 + event2, how: crashes, events: 2, result: slot.Broken},
+		{name: "plain answer", answer: unframedHead + "whole", success: true, body: "whole", result: slot.Served},
+		{name: "plain answer, reset", answer: unframedHead + "whole", how: resets, result: slot.Broken},
+		{name: "plain answer, the upstream ends", answer: unframedHead + "whole", how: crashes, result: slot.Ended},
+		{name: "plain answer, inside the head", answer: unframedHead[:30], result: slot.Broken},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			client := service.New(service.NewOptions().WithOneCallPerConnection())
+			defer client.Close()
+			codec := HeaderCodec{
+				Outgoing: func(h http.Header, _ Attempt) http.Header { return h },
+				Read:     func(h http.Header) AnswerInfo { return AnswerInfo{Signed: h.Get("X-Signature") != ""} },
+			}
+			call := Call{
+				ID: "r1", Method: http.MethodPost, Path: "/", OnWrote: func() {},
+				Attempt:   Attempt{Upstream: site.Upstream{ID: "u", Address: unframedUpstream(t, tc.answer, tc.how)}},
+				Continues: tc.continues,
+			}
+			var sink *Sink
+			started := false
+			if tc.stream {
+				sink = &Sink{Start: func(int, http.Header) error { started = true; return nil }, Event: func(Event, bool) error { return nil }}
+			}
+			a := Do(t.Context(), client, codec, call, sink)
+			require.Equal(t, tc.success, a.Success(), "%v", a.Err)
+			require.Equal(t, tc.result, a.Result(t.Context()))
+			require.Equal(t, tc.body, string(a.Body))
+			if tc.events >= 0 {
+				require.Equal(t, tc.events, a.Events)
+				require.Equal(t, tc.success || tc.events > 0, started || !tc.stream && tc.success, "the caller gets another answer if nothing was sent")
+			}
+		})
+	}
+}
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -165,6 +165,7 @@
 		Attempt: forward.Attempt{Upstream: c.Upstream, LastEventID: c.LastEventID}, IdleTimeout: cmp.Or(c.IdleTimeout, itemIdleTimeout),
 		OnLoad:    func(m forward.AnswerInfo) { report(m.Running, m.Waiting) },
 		OnLeaving: func() { rn.opts.Leaving(c.Upstream, c.ID) },
+		Continues: c.LastEventID != "",
 		OnWrote: func() {
 			if c.Slot != 0 {
 				wrote(c.Slot)
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -83,6 +83,9 @@
 	Body   io.ReadCloser
 	// Length is the body's length in bytes, or -1 if it is not known.
 	Length int64
+	// Unframed reports that the body has neither a length nor chunks and ends with its connection, so that its end
+	// looks the same if the upstream ends.
+	Unframed bool
 }
 
 // Failure is the error of an attempt without an answer.
@@ -124,7 +127,12 @@
 		c.mismatched.Add(1)
 		return Answer{}, &Failure{Sent: true, err: merry.Errorf("answer to request %s, want %s", got, call.RequestID)}
 	}
-	return Answer{Status: resp.StatusCode, Header: EndToEnd(resp.Header), Body: resp.Body, Length: resp.ContentLength}, nil
+	return Answer{Status: resp.StatusCode, Header: EndToEnd(resp.Header), Body: resp.Body, Length: resp.ContentLength, Unframed: isUnframed(resp)}, nil
+}
+
+// isUnframed reports that a body ends with its connection.
+func isUnframed(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
 }
 
 // refuseTimeout bounds the check whether an address refuses connections.
