Upstreams get no more than the rate that they name

Cause: nobody read the rate that upstreams name in their answers. Pools count slots only, so that a limited upstream with free slots drew requests as before. Ruled out: two homes granting at a time (the first cases come before any change of nodes). Change: core/throttle keeps to a rate, as a value with now as argument; the pool that grants slots spends an allowance with each grant, whatever it is for. The header is decoded once in platform/, from every answer; a rate that can't be read changes nothing. An answer that names none ends a limit only if its request was sent after the rate was last named; a limit ends with the incarnation. A new home learns the limits from the nodes' hello and begins without an allowance; nodes that decide alone share the rate, each from a random moment on. Limited upstreams draw requests only while they may get them; estimates of waits and the times of return count rates. Batch items get only what can't be kept for online requests.

--- a/core/slot/grants.go
+++ b/core/slot/grants.go
@@ -16,7 +16,10 @@
 
 // addGrant records that the request of g holds a slot of an upstream.
 func (p *Pool) addGrant(now time.Time, g *grant, u *upstream) {
-	p.update(now, u, func() { u.used++ })
+	p.update(now, u, func() {
+		u.used++
+		u.limit = u.limit.Taken(now)
+	})
 	r := &g.request
 	g.upstream, g.since = u, now
 	p.grants[r.Key] = g
@@ -92,7 +95,7 @@
 		return nil
 	}
 	for _, g := range slices.Backward(s.batchGrants) {
-		if g.upstream.eligible(now, r) && p.upstreams[g.upstream.ID] == g.upstream {
+		if g.upstream.eligible(now, r) && g.upstream.allows(now, r) && p.upstreams[g.upstream.ID] == g.upstream {
 			return g
 		}
 	}
--- a/core/slot/index.go
+++ b/core/slot/index.go
@@ -10,7 +10,7 @@
 //
 // Upstreams in the usual state lie in buckets by software version, zone, number of slots and slots in use, so that
 // a look-up takes as many steps as there are versions, zones and slots of an upstream. The few that are paused, on
-// trial, doubtful or loaded by others, whose state changes with time, are kept in a list and looked at each time.
+// trial, limited, doubtful or loaded by others, whose state changes with time, are kept in a list and looked at each time.
 type index struct {
 	// versions holds a part for each software version of the service's upstreams that are not draining.
 	versions []*versionIndex
@@ -50,7 +50,7 @@
 
 // isUsual reports that the free slots of an upstream depend on the pool's own grants only.
 func (u *upstream) isUsual(now time.Time, opts Options) bool {
-	return !u.Doubtful && !u.onTrial() && !u.paused(now) && (u.otherRequests == 0 || now.Sub(u.reportedAt) >= opts.ReportAge)
+	return !u.Doubtful && !u.limit.Active() && !u.onTrial() && !u.paused(now) && (u.otherRequests == 0 || now.Sub(u.reportedAt) >= opts.ReportAge)
 }
 
 // insert adds an upstream that is not draining.
--- a/core/slot/index_test.go
+++ b/core/slot/index_test.go
@@ -33,7 +33,7 @@
 		p.SetUpstreams(now, drawUpstreams(rt))
 		for id := range uint64(rapid.IntRange(1, 40).Draw(rt, "events")) {
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(rt, "pause")) * time.Millisecond)
-			switch rapid.IntRange(0, 4).Draw(rt, "event") {
+			switch rapid.IntRange(0, 5).Draw(rt, "event") {
 			case 0:
 				r := online(id)
 				r.Deadline = now.Add(200 * time.Millisecond)
@@ -43,6 +43,9 @@
 			case 2:
 				k := Key{Owner: rapid.SampledFrom([]string{"e1", "batch"}).Draw(rt, "owner"), ID: rapid.Uint64Range(0, id).Draw(rt, "released")}
 				p.Release(now, k, Result(rapid.IntRange(int(Served), int(Moved)).Draw(rt, "result")))
+			case 4:
+				k := Key{Owner: rapid.SampledFrom([]string{"e1", "batch"}).Draw(rt, "answered owner"), ID: rapid.Uint64Range(0, id).Draw(rt, "answered")}
+				p.Limit(now, k, rapid.Float64Range(0, 20).Draw(rt, "rate"), rapid.Bool().Draw(rt, "named"))
 			case 3:
 				upstream := fmt.Sprintf("u%02d", rapid.IntRange(0, 12).Draw(rt, "reported"))
 				p.Report(now, upstream, rapid.IntRange(0, 4).Draw(rt, "running"), rapid.IntRange(0, 1).Draw(rt, "waiting"))
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -19,6 +19,10 @@
 	// byOwner holds the grants of each owner, by the ID of the request.
 	byOwner map[string]map[uint64]*grant
 	judge   *poison.Judge
+	// aloneNodes is the number of nodes that share the rates of upstreams with this one; 0 means that none does.
+	// aloneLevel spreads their requests.
+	aloneNodes int
+	aloneLevel func() float64
 }
 
 // NewPool returns a pool without upstreams.
@@ -71,6 +75,7 @@
 			}
 		}
 		s.index.sort()
+		s.countLimited()
 		s.online.markScarce(s.isScarce)
 	}
 	out := p.refuseAbandoned(now)
@@ -296,6 +301,8 @@
 	Upstreams, PausedUpstreams  int
 	// Reserve is the number of free slots that batch leaves for online requests.
 	Reserve int
+	// Limited is the number of upstreams that name a rate.
+	Limited int
 }
 
 // Load returns the usage of a service's slots.
@@ -303,7 +310,7 @@
 	s := p.service(name)
 	l := Load{
 		Online: len(s.onlineGrants), Batch: len(s.batchGrants),
-		WaitingOnline: len(s.online.items), WaitingBatch: len(s.batch.items), Upstreams: len(s.upstreams), Reserve: p.reserve(now, s),
+		WaitingOnline: len(s.online.items), WaitingBatch: len(s.batch.items), Upstreams: len(s.upstreams), Reserve: p.reserve(now, s), Limited: s.limited,
 	}
 	for _, u := range s.upstreams {
 		l.Slots += u.Slots
--- a/core/slot/refuse.go
+++ b/core/slot/refuse.go
@@ -74,6 +74,9 @@
 // are bound compete for the slots of their version only.
 func (p *Pool) expectedWait(now time.Time, s *service, g *grant) time.Duration {
 	position := s.online.before(g)
+	if s.limited > 0 {
+		return p.limitedWait(now, s, &g.request, position)
+	}
 	if len(s.index.versions) > 1 {
 		if g.request.Version != "" {
 			return p.expectedWaitAt(now, s, g)
@@ -149,7 +152,7 @@
 
 // retryInterval returns the time between the retry times of two refused callers.
 func (s *service) retryInterval(now time.Time) time.Duration {
-	capacity := float64(max(s.slots, 1)) / max(s.meanHold, time.Millisecond).Seconds()
+	capacity := s.capacity()
 	spare := max(capacity-s.rateNow(now), minSpareShare*capacity)
 	return time.Duration(float64(time.Second) / spare)
 }
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -16,6 +16,8 @@
 // requests that are as urgent, which may use any upstream. A request that is bound to a version without upstreams is
 // refused at once.
 //
+// An upstream that names the rate that it takes gets requests at that rate (core/throttle), whatever slots it has free.
+//
 // A request whose prompt shares a part with others that crashed upstreams waits until core/poison has decided about the
 // part, or is refused.
 //
@@ -163,6 +165,8 @@
 	Refused   []Refusal
 	// Findings are the changes of what is known of parts of prompts.
 	Findings []poison.Finding
+	// Limits are the changes of the rates that upstreams name.
+	Limits []LimitChange
 }
 
 func (o *Outcome) add(other Outcome) {
@@ -170,6 +174,7 @@
 	o.Granted = append(o.Granted, other.Granted...)
 	o.Refused = append(o.Refused, other.Refused...)
 	o.Findings = append(o.Findings, other.Findings...)
+	o.Limits = append(o.Limits, other.Limits...)
 }
 
 // Result says how the use of a slot ended.
--- a/core/slot/upstream.go
+++ b/core/slot/upstream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mothcart/core/site"
+	"mothcart/core/throttle"
 )
 
 // upstream is the mutable state of one incarnation of an upstream.
@@ -19,6 +20,8 @@
 	failures int
 	// pausedUntil is when the upstream may get requests again.
 	pausedUntil time.Time
+	// limit is the rate that the upstream names.
+	limit throttle.Limit
 	// place is the position in the index of the service, unless the upstream is draining.
 	place place
 }
@@ -38,7 +41,16 @@
 // hasFreeSlot reports whether the upstream has a free slot for the request. An upstream that has failed
 // several times in a row gets one request at a time until a request is served.
 func (u *upstream) hasFreeSlot(now time.Time, r *Request, opts Options) bool {
-	return u.eligible(now, r) && u.free(now, opts) > 0
+	return u.eligible(now, r) && u.free(now, opts) > 0 && u.allows(now, r)
+}
+
+// allows reports whether the rate that the upstream names allows the request now. Batch items get what online requests
+// can't use later.
+func (u *upstream) allows(now time.Time, r *Request) bool {
+	if r.Batch {
+		return u.limit.IsSpare(now)
+	}
+	return u.limit.Allows(now)
 }
 
 // free returns the number of slots that requests can get now.
@@ -48,6 +60,8 @@
 		return 0
 	case u.onTrial():
 		return max(1-u.used, 0)
+	case u.limit.Active():
+		return max(min(u.Slots-u.load(now, opts), int(u.limit.Level(now))), 0)
 	default:
 		return max(u.Slots-u.load(now, opts), 0)
 	}
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -54,6 +54,9 @@
 	// that the upstream is leaving, both before the answer is used.
 	OnLoad    func(m AnswerInfo)
 	OnLeaving func()
+	// OnLimit is called with the rate that the headers of an answer name, or with the lack of one, before the answer is
+	// used.
+	OnLimit func(rate float64, named bool)
 	// OnWrote is called once the upstream has sent writtenEvents events of a stream.
 	OnWrote func()
 }
@@ -177,6 +180,9 @@
 	if a.Info.HasLoad {
 		c.OnLoad(a.Info)
 	}
+	if !a.Info.RateUnreadable {
+		c.OnLimit(a.Info.Rate, a.Info.HasRate)
+	}
 	if a.Info.Leaving {
 		c.OnLeaving()
 	}
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -44,6 +44,10 @@
 	// HasLoad reports that Running and Waiting are valid.
 	HasLoad          bool
 	Running, Waiting int
+	// Rate is how many requests a second the upstream takes from all nodes together, valid if HasRate is set.
+	// RateUnreadable reports that it names a rate which can't be read, so that nothing is known.
+	Rate                    float64
+	HasRate, RateUnreadable bool
 }
 
 // Attempt holds the values from which the headers of one attempt are built.
@@ -76,6 +80,8 @@
 	Release func(now time.Time, result slot.Result)
 	// Report records the load that the upstream reported.
 	Report func(now time.Time, running, waiting int)
+	// Limit records the rate that the upstream's answer names, in requests a second, or that it names none.
+	Limit func(rate float64, named bool)
 	// Began records that the request's stream begins with this slot, where the request for the slot didn't name it.
 	Began func(stream string)
 	// Wrote records that the upstream writes its answer, which clears suspected parts of the prompt.
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -236,6 +236,7 @@
 		Attempt:   Attempt{Upstream: lease.Upstream, Remaining: x.req.Deadline.Sub(x.f.opts.Now()), LastEventID: lastID},
 		OnLoad:    func(m AnswerInfo) { lease.Report(x.f.opts.Now(), m.Running, m.Waiting) },
 		OnLeaving: func() { lease.Leaving(x.req.ID) },
+		OnLimit:   lease.Limit,
 		OnWrote:   lease.Wrote,
 		Continues: lastID != "" || x.req.LastEventID != "",
 	}
--- a/io/forward/unframed_test.go
+++ b/io/forward/unframed_test.go
@@ -99,7 +99,7 @@
 				Read:     func(h http.Header) AnswerInfo { return AnswerInfo{Signed: h.Get("X-Signature") != ""} },
 			}
 			call := Call{
-				ID: "r1", Method: http.MethodPost, Path: "/", OnWrote: func() {},
+				ID: "r1", Method: http.MethodPost, Path: "/", OnWrote: func() {}, OnLimit: func(float64, bool) {},
 				Attempt:   Attempt{Upstream: site.Upstream{ID: "u", Address: unframedUpstream(t, tc.answer, tc.how)}},
 				Continues: tc.continues,
 			}
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -88,10 +89,12 @@
 	opts ClientOptions
 	// localPool grants slots while there is no home; it counts all slots in use by this node.
 	localPool *SlotPool
-	inventory *inventory
-	cancel    context.CancelFunc
-	done      sync.WaitGroup
-	wake      chan struct{}
+	// homeAnswered reports that a home has answered since this node last decided alone.
+	homeAnswered atomic.Bool
+	inventory    *inventory
+	cancel       context.CancelFunc
+	done         sync.WaitGroup
+	wake         chan struct{}
 
 	mu   sync.Mutex
 	home Announcement
@@ -105,7 +108,9 @@
 	// unconfirmedSince is when it first said so.
 	unconfirmedSince time.Time
 	// relays lists the addresses of relays.
-	relays    []string
+	relays []string
+	// nodes is the number of nodes that the home has last told.
+	nodes     int
 	upstreams map[string]site.Upstream
 	// gone holds the upstreams, by ID and incarnation, that are no longer in this node's list.
 	gone map[site.Key]bool
@@ -118,8 +123,9 @@
 		opts: opts, cancel: cancel, wake: make(chan struct{}, 1), gone: make(map[site.Key]bool),
 		inventory: newInventory(), cancelAttempt: func() {},
 	}
-	c.localPool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions().WithReports(true), opts.SoleVersion), opts.Now, c.foundParts)
+	c.localPool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions().WithReports(true), opts.SoleVersion), opts.Now, c.foundParts, func(changes []slot.LimitChange) { logLimits(opts.Log, "node", changes) })
 	c.localPool.ImportParts(opts.Parts)
+	c.homeAnswered.Store(true) // the first decision without a home begins a share of rates
 	c.done.Go(func() { c.run(ctx) })
 	return c
 }
@@ -280,6 +286,7 @@
 		c.inventory.end(conn, releaseNotice{ID: r.Key.ID, Result: slot.Abandoned})
 		return forward.Lease{}, nil, err
 	}
+	c.homeAnswered.Store(true)
 	if answer.Upstream == nil {
 		c.inventory.end(nil, releaseNotice{ID: r.Key.ID})
 		return forward.Lease{}, &slot.Refusal{Request: r, Reason: answer.Reason, RetryAfter: answer.RetryAfter}, nil
@@ -309,6 +316,13 @@
 			c.opts.Origins.Record(stream, u.Version)
 			c.notify(methodBegan, beganNotice{Stream: stream, Version: u.Version})
 		},
+		Limit: func(rate float64, named bool) {
+			if !named && !c.localPool.IsLimited(u.ID) {
+				return
+			}
+			c.localPool.Limit(r.Key, rate, named)
+			c.notify(methodLimit, limitNotice{ID: r.Key.ID, Rate: rate, Named: named})
+		},
 		Wrote: func() {
 			if g.Trial {
 				c.localPool.Wrote(r.Key)
@@ -348,12 +362,24 @@
 	return &remaining
 }
 
+// assumedNodes is the number of nodes that a node assumes until a home has told it.
+const assumedNodes = 32
+
+func (c *Client) nodeCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return cmp.Or(c.nodes, assumedNodes)
+}
+
 type decision struct {
 	grant   slot.Grant
 	refusal *slot.Refusal
 }
 
 func (c *Client) decideLocally(ctx context.Context, r slot.Request) (forward.Lease, *slot.Refusal, error) {
+	if c.homeAnswered.Swap(false) {
+		c.localPool.DecideAlone(c.nodeCount())
+	}
 	decided := make(chan decision, 1)
 	c.localPool.Ask(r, asker{
 		granted: func(g slot.Grant) { decided <- decision{grant: g} },
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -181,8 +181,9 @@
 		var m relaysNotice
 		if err = in.Decode(&m); err == nil {
 			c.mu.Lock()
-			c.relays = m.Relays
+			c.relays, c.nodes = m.Relays, m.Nodes
 			c.mu.Unlock()
+			c.localPool.ImportLimits(decodeLimits(m.Limits), true)
 		}
 	case methodAnnounce:
 		var a Announcement
@@ -226,7 +227,7 @@
 		err = c.fetchProgress(in)
 	case methodRun:
 		if c.opts.Runner != nil {
-			err = c.opts.Runner.serve(in, c.report, func(id uint64) { c.notify(methodWrote, wroteNotice{ID: id, Batch: true}) })
+			err = c.opts.Runner.serve(in, c.itemReports)
 			break
 		}
 		in.Fail(merry.New("this node runs no items"))
@@ -243,10 +244,21 @@
 	}
 }
 
+// itemReports passes on to the home what the answer to one of its items shows.
+func (c *Client) itemReports(call itemCall) itemReports {
+	return itemReports{
+		load:  func(running, waiting int) { c.report(call.Upstream.ID, running, waiting) },
+		wrote: func() { c.notify(methodWrote, wroteNotice{ID: call.Slot, Batch: true}) },
+		limit: func(rate float64, named bool) {
+			c.notify(methodLimit, limitNotice{ID: call.Slot, Batch: true, Rate: rate, Named: named})
+		},
+	}
+}
+
 func (c *Client) hello() helloRequest {
 	return helloRequest{
 		VM: c.opts.VMID, Incarnation: c.opts.Incarnation, Relay: c.opts.Relay, Runs: c.opts.Runner != nil,
-		Open: c.inventory.open(), Leaving: upstreamKeys(c.opts.LeavingUpstreams()), Parts: c.Parts(),
+		Open: c.inventory.open(), Leaving: upstreamKeys(c.opts.LeavingUpstreams()), Parts: c.Parts(), Limits: encodeLimits(c.localPool.ExportLimits()),
 	}
 }
 
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -141,6 +141,8 @@
 	corrected metrics.Counter
 	// partSuspicions counts ends of upstreams by suspected part of a prompt, partQuarantines and partsCleared what followed.
 	partSuspicions, partQuarantines, partsCleared metrics.Counter
+	// limitedUpstreams is the number of upstreams that name a rate.
+	limitedUpstreams metrics.Gauge
 	// bodyBytes is the size of the bodies of open items.
 	bodyBytes metrics.Gauge
 }
@@ -155,14 +157,15 @@
 			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"), restarts: counter("restarts"),
 			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"), corrected: counter("slotsCorrected"),
 			partSuspicions: counter("partSuspicions"), partQuarantines: counter("partQuarantines"), partsCleared: counter("partsCleared"),
-			bodyBytes: metrics.GetOrRegisterGauge("home.bodyBytes", opts.Registry),
+			limitedUpstreams: metrics.GetOrRegisterGauge("home.limitedUpstreams", opts.Registry),
+			bodyBytes:        metrics.GetOrRegisterGauge("home.bodyBytes", opts.Registry),
 		},
 		progressLoaded: make(chan struct{}), handoverDone: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
 		jobs: make(map[string]*job), reserved: make(map[string]reservation),
 		undelivered: make(map[string]time.Time), runners: make(map[string]*runnerNode),
 		nodes: make(map[string]*link.Conn), listed: newListedJobs(),
 	}
-	h.pool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions(), opts.SoleVersion), opts.Now, h.foundParts)
+	h.pool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions(), opts.SoleVersion), opts.Now, h.foundParts, h.limitsChanged)
 	h.pool.ImportParts(opts.Parts)
 	if opts.SlotsOnly {
 		return h
@@ -181,6 +184,12 @@
 	return h
 }
 
+// limitsChanged records changes of the rates that upstreams name.
+func (h *Home) limitsChanged(changes []slot.LimitChange) {
+	logLimits(h.opts.Log, "home", changes)
+	h.metrics.limitedUpstreams.Update(int64(len(h.pool.ExportLimits())))
+}
+
 // foundParts tells all nodes of parts of prompts that were quarantined or cleared.
 func (h *Home) foundParts(findings []poison.Finding) {
 	logFindings(h.opts.Log, "home", findings)
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -26,6 +26,8 @@
 	methodSilence = "silence"
 	// methodWrote reports that the upstream of a slot in use writes its answer, where a part of the prompt is suspected.
 	methodWrote = "wrote"
+	// methodLimit reports the rate that an upstream's answer names, or that it names none.
+	methodLimit = "limit"
 	// methodParts names parts of prompts that are suspected or known to crash upstreams, in both directions.
 	methodParts   = "parts"
 	methodReserve = "reserve"
@@ -74,6 +76,8 @@
 	Leaving []upstreamKey `msgpack:"leaving,omitempty"`
 	// Parts is what the node knows against parts of prompts.
 	Parts []poison.Record `msgpack:"parts,omitempty"`
+	// Limits are the rates of upstreams that the node knows.
+	Limits []limitRecord `msgpack:"limits,omitempty"`
 }
 
 type openedSlot struct {
@@ -215,6 +219,9 @@
 // connect to it directly.
 type relaysNotice struct {
 	Relays []string `msgpack:"relays"`
+	// Nodes is the number of connected nodes, and Limits are all rates of upstreams that the home knows.
+	Nodes  int           `msgpack:"nodes,omitempty"`
+	Limits []limitRecord `msgpack:"limits,omitempty"`
 }
 
 // submitRequest asks the home to write a job, for a node that can't reach the object service.
--- a/io/home/parts.go
+++ b/io/home/parts.go
@@ -22,7 +22,7 @@
 
 func (m wroteNotice) key(owner string) slot.Key {
 	if m.Batch {
-		owner = batchOwner
+		return itemKey(m.ID)
 	}
 	return slot.Key{Owner: owner, ID: m.ID}
 }
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -51,6 +51,9 @@
 	resultSent bool
 }
 
+// itemKey returns the key of a slot that the home asks for an item.
+func itemKey(id uint64) slot.Key { return slot.Key{Owner: batchOwner, ID: id} }
+
 // startItems asks for a slot for each open item that has no run.
 func (h *Home) startItems(id string) {
 	select {
@@ -87,7 +90,7 @@
 		return
 	}
 	host, path, acceptedAt := j.log.Job().Host, j.log.Job().Path, j.acceptedAt
-	r.key = slot.Key{Owner: batchOwner, ID: h.nextID.Add(1)}
+	r.key = itemKey(h.nextID.Add(1))
 	key, ran, version, header := r.key, r.ranFor, r.version, r.item.Header
 	h.mu.Unlock()
 	route, service, ok := h.pickService(host, path)
@@ -180,11 +183,9 @@
 	}
 	call := itemCall{
 		ID: r.item.ID, Host: j.log.Job().Host, Path: r.item.Path, Header: r.item.Header, Body: r.item.Body,
+		Slot: g.Request.Key.ID, Trial: g.Trial, Limited: h.pool.IsLimited(g.Upstream.ID),
 		Upstream: g.Upstream, LastEventID: r.lastID, IdleTimeout: min(itemIdleTimeout<<min(r.silences, 8), maxItemIdleTimeout),
 	}
-	if g.Trial {
-		call.Slot = g.Request.Key.ID
-	}
 	got := new(stream)
 	r.received, r.receivedVersion = got, g.Upstream.Version
 	h.mu.Unlock()
--- a/io/home/run_test.go
+++ b/io/home/run_test.go
@@ -24,7 +24,7 @@
 		opts: Options{Config: func() site.Config { return site.Config{} }, Now: time.Now, Log: zerolog.Nop()},
 	}
 	h.metrics.runs, h.metrics.preemptions = metrics.NewCounter(), metrics.NewCounter()
-	h.pool = NewSlotPool(slot.NewOptions(), time.Now, func([]poison.Finding) {})
+	h.pool = NewSlotPool(slot.NewOptions(), time.Now, func([]poison.Finding) {}, func([]slot.LimitChange) {})
 	r := &run{job: "j", item: batch.Item{ID: "i"}, key: slot.Key{Owner: batchOwner, ID: 1}}
 	h.preempt(r)
 	h.startRun(r, slot.Grant{Request: slot.Request{Key: r.key, Batch: true}})
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -45,8 +45,11 @@
 	Upstream    site.Upstream     `msgpack:"up"`
 	LastEventID string            `msgpack:"last,omitempty"`
 	IdleTimeout time.Duration     `msgpack:"idle,omitempty"`
-	// Slot is the ID of the item's slot, set if the home is to be told that the upstream writes.
-	Slot uint64 `msgpack:"slot,omitempty"`
+	// Slot is the ID of the item's slot. Trial reports that the home is to be told once the upstream writes, Limited that
+	// it is to be told if an answer names no rate.
+	Slot    uint64 `msgpack:"slot,omitempty"`
+	Trial   bool   `msgpack:"trial,omitempty"`
+	Limited bool   `msgpack:"limited,omitempty"`
 }
 
 // itemOutcome is the outcome of an attempt at an item.
@@ -152,9 +155,15 @@
 	return rn.opts.Codec.SharedParts(itemHeader(h))
 }
 
-// do makes one attempt and adds its events to got. It calls report with the upstream's load, and wrote with c.Slot, if
-// that is set, once the upstream writes.
-func (rn *Runner) do(ctx context.Context, c itemCall, got *stream, report func(running, waiting int), wrote func(id uint64)) itemOutcome {
+// itemReports receives what the answer to an item shows about its upstream. The functions must not block.
+type itemReports struct {
+	load  func(running, waiting int)
+	wrote func()
+	limit func(rate float64, named bool)
+}
+
+// do makes one attempt and adds its events to got.
+func (rn *Runner) do(ctx context.Context, c itemCall, got *stream, reports itemReports) itemOutcome {
 	if rn.opts.Refuses(c.Upstream) {
 		return itemOutcome{Result: slot.Moved, LastEventID: c.LastEventID, Err: "upstream is leaving or gone"}
 	}
@@ -163,12 +172,17 @@
 	a := forward.Do(ctx, rn.opts.Client, rn.opts.Codec, forward.Call{
 		ID: c.ID, Method: http.MethodPost, Host: c.Host, Path: c.Path, Header: header, Body: c.Body,
 		Attempt: forward.Attempt{Upstream: c.Upstream, LastEventID: c.LastEventID}, IdleTimeout: cmp.Or(c.IdleTimeout, itemIdleTimeout),
-		OnLoad:    func(m forward.AnswerInfo) { report(m.Running, m.Waiting) },
+		OnLoad:    func(m forward.AnswerInfo) { reports.load(m.Running, m.Waiting) },
 		OnLeaving: func() { rn.opts.Leaving(c.Upstream, c.ID) },
 		Continues: c.LastEventID != "",
+		OnLimit: func(rate float64, named bool) {
+			if named || c.Limited {
+				reports.limit(rate, named)
+			}
+		},
 		OnWrote: func() {
-			if c.Slot != 0 {
-				wrote(c.Slot)
+			if c.Trial {
+				reports.wrote()
 			}
 		},
 	}, &forward.Sink{
@@ -190,7 +204,7 @@
 }
 
 // serve makes an attempt for a home on another node and answers with its outcome.
-func (rn *Runner) serve(in link.Incoming, report func(upstream string, running, waiting int), wrote func(id uint64)) error {
+func (rn *Runner) serve(in link.Incoming, reports func(c itemCall) itemReports) error {
 	var c itemCall
 	if err := in.Decode(&c); err != nil {
 		return err
@@ -208,7 +222,7 @@
 			case <-ctx.Done():
 			}
 		}()
-		out := rn.do(ctx, c, new(stream), func(running, waiting int) { report(c.Upstream.ID, running, waiting) }, wrote)
+		out := rn.do(ctx, c, new(stream), reports(c))
 		rn.mu.Lock()
 		delete(rn.runs, c.Run)
 		rn.mu.Unlock()
@@ -244,8 +258,10 @@
 	node := h.pickRunner()
 	if node == nil {
 		defer h.endRun(nil)
-		out := h.opts.Runner.do(ctx, c, got, func(running, waiting int) { h.pool.Report(c.Upstream.ID, running, waiting) }, func(id uint64) {
-			h.pool.Wrote(wroteNotice{ID: id, Batch: true}.key(""))
+		out := h.opts.Runner.do(ctx, c, got, itemReports{
+			load:  func(running, waiting int) { h.pool.Report(c.Upstream.ID, running, waiting) },
+			wrote: func() { h.pool.Wrote(itemKey(c.Slot)) },
+			limit: func(rate float64, named bool) { h.pool.Limit(itemKey(c.Slot), rate, named) },
 		})
 		return out, h.opts.VMID
 	}
--- a/io/home/server.go
+++ b/io/home/server.go
@@ -100,19 +100,24 @@
 // maxRelays bounds the number of relays that are sent to a node.
 const maxRelays = 6
 
-// SendRelays sends each connected node the addresses of some relays.
+// SendRelays sends each connected node the addresses of some relays, the number of nodes, and the rates of upstreams.
 func (s *Server) SendRelays() {
 	s.mu.Lock()
 	var relays []string
+	nodes, h := len(s.sessions), s.home
 	for _, session := range s.sessions {
 		if session != nil && session.relay != "" {
 			relays = append(relays, session.relay)
 		}
 	}
 	s.mu.Unlock()
+	var limits []limitRecord
+	if h != nil {
+		limits = encodeLimits(h.pool.ExportLimits())
+	}
 	s.server.Each(func(c *link.Conn) {
 		rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
-		c.Notify(methodRelays, relaysNotice{Relays: relays[:min(len(relays), maxRelays)]})
+		c.Notify(methodRelays, relaysNotice{Relays: relays[:min(len(relays), maxRelays)], Nodes: nodes, Limits: limits})
 	})
 }
 
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -62,6 +62,8 @@
 		return handleMessage(in, func(m beganNotice) { h.opts.Origins.Record(m.Stream, m.Version) })
 	case methodOrigins:
 		return handleMessage(in, h.opts.Origins.merge)
+	case methodLimit:
+		return handleMessage(in, func(m limitNotice) { h.pool.Limit(m.key(s.owner), m.Rate, m.Named) })
 	case methodWrote:
 		return handleMessage(in, func(m wroteNotice) { h.pool.Wrote(m.key(s.owner)) })
 	case methodSilence:
@@ -145,6 +147,7 @@
 	}
 	h.opts.MarkLeaving(s.owner, siteKeys(m.Leaving))
 	h.pool.ImportParts(m.Parts)
+	h.pool.ImportLimits(decodeLimits(m.Limits), false)
 	for _, o := range m.Open {
 		h.adopt(s, o)
 	}
@@ -176,7 +179,7 @@
 			l := h.pool.Load(r.Request.Service)
 			h.opts.Log.Info().Str("peer", s.owner).Uint64("ask", r.Request.Key.ID).Str("service", r.Request.Service).
 				Str("version", r.Request.Version).Str("resumes", r.Request.Resumes).Str("reason", string(r.Reason)).Dur("retryAfterMillis", r.RetryAfter).Int("slots", l.Slots).Int("online", l.Online).
-				Int("batch", l.Batch).Int("waiting", l.WaitingOnline).Int("paused", l.PausedUpstreams).Msg("slotRefused")
+				Int("batch", l.Batch).Int("waiting", l.WaitingOnline).Int("paused", l.PausedUpstreams).Int("limited", l.Limited).Msg("slotRefused")
 			in.Answer(askAnswer{Reason: r.Reason, RetryAfter: r.RetryAfter})
 		},
 	})
--- a/io/home/slotpool.go
+++ b/io/home/slotpool.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 	now func() time.Time
 	// found is called with each change of what is known of parts of prompts.
 	found func(findings []poison.Finding)
+	// limited is called with each change of the rate that an upstream names.
+	limited func(changes []slot.LimitChange)
 
 	mu      sync.Mutex
 	pool    *slot.Pool
@@ -35,10 +38,10 @@
 	closed  bool
 }
 
-// NewSlotPool returns a pool without upstreams. It calls found, which must not block, with each change of what is known
-// of parts of prompts.
-func NewSlotPool(opts slot.Options, now func() time.Time, found func(findings []poison.Finding)) *SlotPool {
-	return &SlotPool{now: now, found: found, pool: slot.NewPool(opts), askers: make(map[slot.Key]asker)}
+// NewSlotPool returns a pool without upstreams. It calls found with each change of what is known of parts of prompts,
+// and limited with each change of the rate that an upstream names. Both must not block.
+func NewSlotPool(opts slot.Options, now func() time.Time, found func(findings []poison.Finding), limited func(changes []slot.LimitChange)) *SlotPool {
+	return &SlotPool{now: now, found: found, limited: limited, pool: slot.NewPool(opts), askers: make(map[slot.Key]asker)}
 }
 
 // Close ends the pool; askers get no more callbacks.
@@ -106,6 +109,37 @@
 	return p.pool.QuarantinedParts(p.now())
 }
 
+// Limit records what an answer says of the rate that the upstream of a slot in use takes.
+func (p *SlotPool) Limit(k slot.Key, rate float64, named bool) {
+	p.change(func(now time.Time) slot.Outcome { return p.pool.Limit(now, k, rate, named) })
+}
+
+// IsLimited reports that an upstream names a rate.
+func (p *SlotPool) IsLimited(upstreamID string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool.IsLimited(upstreamID)
+}
+
+// ImportLimits adds what another node knows of the rates of upstreams; complete reports that it knows all of them.
+func (p *SlotPool) ImportLimits(records []slot.LimitRecord, complete bool) {
+	p.change(func(now time.Time) slot.Outcome { return p.pool.ImportLimits(now, records, complete) })
+}
+
+// ExportLimits returns the rates that upstreams name.
+func (p *SlotPool) ExportLimits() []slot.LimitRecord {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool.ExportLimits(p.now())
+}
+
+// DecideAlone shares the rates of upstreams among a number of nodes from now on.
+func (p *SlotPool) DecideAlone(nodes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pool.DecideAlone(p.now(), nodes, rand.Float64)
+}
+
 // RefuseQuarantined returns the refusal of a request with a part that crashes upstreams, and false for others.
 func (p *SlotPool) RefuseQuarantined(r slot.Request) (slot.Refusal, bool) {
 	p.mu.Lock()
@@ -187,6 +221,9 @@
 	if len(out.Findings) > 0 {
 		p.found(out.Findings)
 	}
+	if len(out.Limits) > 0 {
+		p.limited(out.Limits)
+	}
 	for _, call := range calls {
 		call()
 	}
