--- /dev/null
+++ b/core/poison/evidence.go
@@ -0,0 +1,194 @@
+package poison
+
+import (
+	"slices"
+	"time"
+
+	"mothcart/core/site"
+)
+
+// Ended records that an upstream ended under an attempt that had not begun to write, and returns what that shows.
+func (j *Judge) Ended(now time.Time, run Run) []Finding {
+	j.forget(now)
+	for _, p := range run.Parts {
+		k := key{run.Service, p}
+		if s := j.suspects[k]; s != nil && s.quarantines > 0 {
+			j.explain(run.Upstream)
+			if s.quarantined(now) {
+				return nil // it was sent before the quarantine
+			}
+			return []Finding{j.quarantine(now, k, s)}
+		}
+	}
+	if slices.Contains(j.explained, run.Upstream) {
+		return nil
+	}
+	j.noteRecent(now, run)
+	var findings []Finding
+	for _, p := range run.Parts {
+		k := key{run.Service, p}
+		s := j.suspect(k)
+		s.add(end{upstream: run.Upstream, began: run.Began, at: now})
+		findings = append(findings, j.finding(now, Suspected, k, s))
+	}
+	j.unsettled = append(j.unsettled, unsettledRun{run, now})
+	return findings
+}
+
+// isUnsettled reports that attempts at the last upstream that ended under a part may still be heard of.
+func (j *Judge) isUnsettled(s *suspect) bool {
+	if len(s.ends) == 0 {
+		return false
+	}
+	last := s.ends[len(s.ends)-1].upstream
+	return slices.ContainsFunc(j.unsettled, func(u unsettledRun) bool { return u.run.Upstream == last })
+}
+
+// Settle decides about the parts of attempts whose upstreams ended togetherTime ago, and returns those that it
+// quarantines.
+func (j *Judge) Settle(now time.Time) []Finding {
+	var findings []Finding
+	for len(j.unsettled) > 0 && now.Sub(j.unsettled[0].at) >= togetherTime {
+		run := j.unsettled[0].run
+		j.unsettled = j.unsettled[1:]
+		if k, ok := j.culprit(now, run); ok {
+			findings = append(findings, j.quarantine(now, k, j.suspects[k]))
+		}
+	}
+	return findings
+}
+
+// culprit returns the part of an attempt that is to be quarantined, and false if there is none, or none yet.
+func (j *Judge) culprit(now time.Time, run Run) (key, bool) {
+	for i, p := range slices.Backward(run.Parts) {
+		k := key{run.Service, p}
+		if j.isProven(now, run, k) && !j.hasLikelier(run, i) {
+			return k, true
+		}
+	}
+	return key{}, false
+}
+
+// isProven reports that enough upstreams have ended under a part of an attempt that is not yet quarantined.
+func (j *Judge) isProven(now time.Time, run Run, k key) bool {
+	s := j.suspects[k]
+	if s == nil || s.quarantines > 0 {
+		return false
+	}
+	n := j.endsInARow(now, k, s)
+	return n >= quarantineEnds && n >= j.endsNeeded(now, run, k, s)
+}
+
+// hasLikelier reports that another part of an attempt explains as many ends as the one at position i, and was sound less
+// recently or comes later in the prompt.
+func (j *Judge) hasLikelier(run Run, i int) bool {
+	k := key{run.Service, run.Parts[i]}
+	for at, p := range run.Parts {
+		other := key{run.Service, p}
+		o := j.suspects[other]
+		if o == nil || other == k || len(o.ends) < len(j.suspects[k].ends) {
+			continue
+		}
+		if c := j.sound.at(other).Compare(j.sound.at(k)); c < 0 || (c == 0 && at > i) {
+			return true
+		}
+	}
+	return false
+}
+
+// add adds an end, unless the same upstream's is known.
+func (s *suspect) add(e end) {
+	if s.hasEnd(e.upstream) {
+		return
+	}
+	s.ends = append(s.ends, e)
+	slices.SortStableFunc(s.ends, func(a, b end) int { return a.at.Compare(b.at) })
+	if len(s.ends) > maxEnds {
+		s.ends = slices.Delete(s.ends, 0, len(s.ends)-maxEnds)
+	}
+}
+
+// endsNeeded returns the number of ends in a row after which a part of an attempt is quarantined.
+func (j *Judge) endsNeeded(now time.Time, run Run, k key, s *suspect) int {
+	needed := quarantineEnds
+	if j.otherEnds(now, k, s) > len(s.ends) {
+		needed++
+	}
+	for other, o := range j.suspects {
+		if other == k || other.service != k.service {
+			continue
+		}
+		shared := s.sharedEnds(o)
+		if shared < 2 || (shared == len(s.ends) && slices.Contains(run.Parts, other.part)) {
+			continue // parts of the same prompts are told apart by hasLikelier
+		}
+		needed = max(needed, min(shared+quarantineEnds-1, maxEndsNeeded))
+	}
+	return needed
+}
+
+// otherEnds returns the number of upstreams that have ended lately without a part.
+func (j *Judge) otherEnds(now time.Time, k key, s *suspect) int {
+	n := 0
+	for _, e := range j.recent {
+		if e.service == k.service && now.Sub(e.at) < otherEndsTime && !s.hasEnd(e.upstream) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *suspect) hasEnd(upstream site.Key) bool {
+	return slices.ContainsFunc(s.ends, func(e end) bool { return e.upstream == upstream })
+}
+
+// sharedEnds returns the number of ends that count against both parts.
+func (s *suspect) sharedEnds(other *suspect) int {
+	n := 0
+	for _, e := range s.ends {
+		if other.hasEnd(e.upstream) {
+			n++
+		}
+	}
+	return n
+}
+
+// quarantine begins a quarantine, and clears others of the ends that it explains.
+func (j *Judge) quarantine(now time.Time, k key, s *suspect) Finding {
+	s.until = now.Add(min(quarantineTime<<min(s.quarantines, 8), maxQuarantineTime))
+	s.quarantines++
+	f := j.finding(now, QuarantineBegun, k, s)
+	for _, e := range s.ends {
+		j.explain(e.upstream)
+	}
+	s.ends = nil
+	return f
+}
+
+// explain records that a quarantined part has ended an upstream.
+func (j *Judge) explain(upstream site.Key) {
+	j.explained = append(j.explained, upstream)
+	if len(j.explained) > maxRecent {
+		j.explained = slices.Delete(j.explained, 0, len(j.explained)-maxRecent)
+	}
+	j.recent = slices.DeleteFunc(j.recent, func(e recentEnd) bool { return e.upstream == upstream })
+	for k, s := range j.suspects {
+		if s.quarantines > 0 {
+			continue
+		}
+		s.ends = slices.DeleteFunc(s.ends, func(e end) bool { return e.upstream == upstream })
+		if len(s.ends) == 0 {
+			delete(j.suspects, k)
+		}
+	}
+}
+
+func (j *Judge) noteRecent(now time.Time, run Run) {
+	if slices.ContainsFunc(j.recent, func(e recentEnd) bool { return e.upstream == run.Upstream }) {
+		return
+	}
+	j.recent = append(j.recent, recentEnd{service: run.Service, upstream: run.Upstream, at: now})
+	if len(j.recent) > maxRecent {
+		j.recent = slices.Delete(j.recent, 0, len(j.recent)-maxRecent)
+	}
+}
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -395,38 +395,3 @@
 func (p *Pool) reserve(now time.Time, s *service) int {
 	return int(s.rateNow(now) * p.opts.ArrivalReserve.Seconds())
 }
-
-// compare orders requests by when they are served, the first one first.
-func compare(a, b *Request) int {
-	switch {
-	case a.Priority != b.Priority:
-		return cmp.Compare(a.Priority, b.Priority)
-	case a.late != b.late:
-		return falseFirst(a.late, b.late)
-	case a.scarce != b.scarce:
-		return falseFirst(b.scarce, a.scarce)
-	default:
-		return compareOnTime(a, b)
-	}
-}
-
-// compareOnTime orders requests that are all late or all on time.
-func compareOnTime(a, b *Request) int {
-	return cmp.Or(
-		cmp.Compare(a.Priority, b.Priority),
-		a.urgency().Compare(b.urgency()),
-		cmp.Compare(a.Key.ID, b.Key.ID),
-		cmp.Compare(a.Key.Owner, b.Key.Owner),
-	)
-}
-
-func falseFirst(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
--- a/core/throttle/throttle_test.go
+++ b/core/throttle/throttle_test.go
@@ -32,40 +32,42 @@
 	return most
 }
 
+// grantPhase is how long a home or the nodes alone grant in turn.
+const grantPhase = time.Minute
+
+// grants returns the times at which requests are sent to an upstream that names a rate, if there are always more: twice
+// by a new home, and then by all nodes alone.
+func grants(rate float64, nodes int) []time.Time {
+	var sent []time.Time
+	rng := rand.New(rand.NewPCG(1, uint64(nodes)))
+	var granting []Limit
+	for now := start; now.Before(start.Add(4 * grantPhase)); now = now.Add(step) {
+		switch now.Sub(start) % (2 * grantPhase) {
+		case 0:
+			granting = []Limit{Limit{}.Learned(now, now, rate)}
+		case grantPhase:
+			granting = make([]Limit, nodes)
+			for i := range granting {
+				granting[i] = Limit{}.Named(now, now, rate).Alone(now, nodes, rng.Float64())
+			}
+		}
+		for i := range granting {
+			for granting[i].Allows(now) {
+				granting[i], sent = granting[i].Taken(now), append(sent, now)
+			}
+		}
+	}
+	return sent
+}
+
 // Guards against more requests than the rate allows, and against a rate that stays unused, whoever grants.
 func TestRateHoldsInEachWindow(t *testing.T) {
 	for _, rate := range []float64{0.3, 1, 2.7, 10, 100} {
 		for _, nodes := range []int{1, 9, 300} {
 			t.Run(fmt.Sprintf("%g a second, %d nodes", rate, nodes), func(t *testing.T) {
-				var sent []time.Time
-				rng := rand.New(rand.NewPCG(1, uint64(nodes)))
-				home := Limit{}.Named(start, start, rate)
-				alone := make([]Limit, nodes)
-				const phase = 60 * time.Second
-				for now := start; now.Before(start.Add(4 * phase)); now = now.Add(step) {
-					since := now.Sub(start) % (2 * phase)
-					switch {
-					case since == 0: // a new home
-						home = Limit{}.Learned(now, now, rate)
-					case since == phase: // all nodes alone
-						for i := range alone {
-							alone[i] = Limit{}.Named(now, now, rate).Alone(now, nodes, rng.Float64())
-						}
-					}
-					if since < phase {
-						for home.Allows(now) {
-							home, sent = home.Taken(now), append(sent, now)
-						}
-						continue
-					}
-					for i := range alone {
-						if alone[i].Allows(now) {
-							alone[i], sent = alone[i].Taken(now), append(sent, now)
-						}
-					}
-				}
+				sent := grants(rate, nodes)
 				require.LessOrEqual(t, mostIn(sent), allowed(rate))
-				require.GreaterOrEqual(t, float64(len(sent)), 0.9*(1+aloneShare)*max(rate, minRate)*2*phase.Seconds()-4)
+				require.GreaterOrEqual(t, float64(len(sent)), 0.9*(1+aloneShare)*max(rate, minRate)*2*grantPhase.Seconds()-4)
 			})
 		}
 	}
--- a/io/explain/explain.go
+++ b/io/explain/explain.go
@@ -120,11 +120,12 @@
 var contextEvents = map[string]bool{
 	"homeLost": true, "homeRegained": true, "homeAnnounced": true, "leaseTaken": true, "leaseLost": true, "leaseGivenBack": true,
 	"objectServiceLost": true, "objectServiceRegained": true, "watchHistoryGone": true, "configurationInForce": true,
-	"homeReachedByRelay": true, "drainStarted": true, "stopAsked": true, "entryStarted": true, "homeNodeStarted": true,
+	"homeReachedByRelay": true, "upstreamLimited": true, "drainStarted": true, "stopAsked": true, "entryStarted": true, "homeNodeStarted": true,
 }
 
 // Timeline returns the events of a request, job or item in causal order, together with the context events
-// and changes of upstreams on the same nodes in that period.
+// and changes of upstreams on the same nodes in that period, and with what was found about the parts of its prompt, at
+// any time before.
 func Timeline(events []Event, id string) []Event {
 	var selected []Event
 	nodes := map[string]bool{}
@@ -150,6 +151,8 @@
 		upstream := e.Name == "upstreamGone" || e.Name == "upstreamChanged"
 		switch {
 		case e.refersTo(ids):
+		case !e.Time.After(last) && e.Fields["part"] != nil && mentionsPart(selected, e.text("part")):
+			selected = append(selected, e)
 		case e.Name == "slotRefused" && asks[[2]string{vm, e.text("ask")}]:
 			selected = append(selected, e)
 		case e.Time.Before(first.Add(-causeWindow)) || e.Time.After(last):
@@ -169,6 +172,14 @@
 	return slices.ContainsFunc(events, func(e Event) bool { return upstream != "" && e.text("upstream") == upstream })
 }
 
+// mentionsPart reports that events of a request name a part of its prompt.
+func mentionsPart(events []Event, part string) bool {
+	return slices.ContainsFunc(events, func(e Event) bool {
+		parts, _ := e.Fields["parts"].([]any)
+		return slices.Contains(parts, any(part))
+	})
+}
+
 func byTime(a, b Event) int { return a.Time.Compare(b.Time) }
 
 // causal compares events by time. Events of different nodes within clockSlack are ordered by rank, so that
--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"mothcart/core/poison"
 	"mothcart/core/slot"
 )
 
@@ -48,6 +49,9 @@
 		x.sendAnswer(now, Lease{}, *x.fallback, "failedAtUpstream")
 	case x.runs == 0:
 		x.f.metrics.refused.Inc(1)
+		if refusal.Reason == slot.ReasonQuarantined {
+			x.log = x.log.With().Strs("parts", poison.Names(x.parts)).Logger()
+		}
 		refuse(x.w, refusal.RetryAfter, refusalText(refusal.Reason))
 		x.done(now, "", "refused:"+reason, http.StatusServiceUnavailable)
 	case ctx.Err() != nil || !now.Before(x.req.Deadline):
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -130,20 +130,6 @@
 	return c
 }
 
-// foundParts handles changes of what this node knows of parts of prompts.
-func (c *Client) foundParts(findings []poison.Finding) {
-	logFindings(c.opts.Log, "node", findings)
-	if len(decided(findings)) > 0 {
-		c.opts.PartsChanged()
-	}
-}
-
-// Parts returns what this node knows against parts of prompts.
-func (c *Client) Parts() []poison.Record { return c.localPool.ExportParts() }
-
-// QuarantinedParts returns the number of parts of prompts that are known to crash upstreams.
-func (c *Client) QuarantinedParts() int { return c.localPool.QuarantinedParts() }
-
 // Close ends the client.
 func (c *Client) Close() {
 	c.cancel()
--- a/io/node/poison_test.go
+++ b/io/node/poison_test.go
@@ -73,7 +73,7 @@
 }
 
 // traffic sends sound requests and, meanwhile, requests with the part that crashes upstreams: no two alike, at any entry.
-func (s *poisonSite) traffic(entry func(i int) int, during func()) {
+func (s *poisonSite) traffic(entry func(i int) int, during func(s *poisonSite)) {
 	var all sync.WaitGroup
 	sendSound := func(phase string, d time.Duration) {
 		for i := range int(d / poisonPause) {
@@ -88,7 +88,9 @@
 		}
 	}
 	sendSound("before", 5*time.Second)
-	all.Go(during)
+	if during != nil {
+		all.Go(func() { during(s) })
+	}
 	all.Go(func() {
 		for i := range int(poisonTime / poisonPause) {
 			all.Go(func() {
@@ -185,18 +187,15 @@
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
+			entry := tc.entry
+			if entry == nil {
+				entry = func(i int) int { return 1 + i%2 }
+			}
 			runPoisonSite(t, func(s *poisonSite) {
 				if tc.before != nil {
 					tc.before(s)
 				}
-				entry, during := tc.entry, func() {}
-				if entry == nil {
-					entry = func(i int) int { return 1 + i%2 }
-				}
-				if tc.during != nil {
-					during = func() { tc.during(s) }
-				}
-				s.traffic(entry, during)
+				s.traffic(entry, tc.during)
 				s.requireStopped()
 			})
 		})
