A panic in an attempt at an item ends only the attempt

Attempts of online requests were guarded, those of items not. forward.Do, through which all attempts go, now recovers.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -114,9 +115,15 @@
 
 // Do makes one attempt. For a successful answer, if stream is set, it calls stream.Start with the headers
 // and then stream.Event with each event; an error of either ends the attempt. Other answers are read
-// completely; their bodies count as held by the client until ctx ends.
-func Do(ctx context.Context, client *service.Client, codec HeaderCodec, call Call, stream *Sink) Answer {
-	a := do(ctx, client, codec, call, stream)
+// completely; their bodies count as held by the client until ctx ends. A panic, which would end the process with all its
+// requests and then the next process that runs the same item, ends only the attempt.
+func Do(ctx context.Context, client *service.Client, codec HeaderCodec, call Call, stream *Sink) (a Answer) {
+	defer func() {
+		if v := recover(); v != nil {
+			a = Answer{Sent: true, Err: merry.Errorf("attempt panicked: %v\n%s", v, debug.Stack())}
+		}
+	}()
+	a = do(ctx, client, codec, call, stream)
 	failed := a.Err != nil && a.Sent && a.Events < writtenEvents && ctx.Err() == nil && !errors.Is(a.Err, ErrSilent)
 	unconfirmed := a.Success() && a.unframed && !a.Info.Leaving
 	if !(failed || unconfirmed) || !client.Refuses(ctx, call.Upstream.Address) {
--- a/io/forward/race.go
+++ b/io/forward/race.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"mothcart/core/retry"
 	"mothcart/core/slot"
-	"mothcart/io/service"
 )
 
 // attempt is one attempt at an upstream in progress.
@@ -99,7 +95,7 @@
 	r.open = append(r.open, at)
 	go func() {
 		defer cancel(nil)
-		at.answer = doRecovered(ctx, r.x.f.opts.Client, r.x.f.opts.Wire, call, sink)
+		at.answer = Do(ctx, r.x.f.opts.Client, r.x.f.opts.Wire, call, sink)
 		select {
 		case r.ended <- at:
 		case <-r.closed:
@@ -107,17 +103,6 @@
 	}()
 }
 
-// doRecovered makes an attempt like Do. A panic, which would end the process with all its requests, ends only the
-// attempt, as it does in a handler of net/http.
-func doRecovered(ctx context.Context, client *service.Client, codec HeaderCodec, call Call, sink *Sink) (a Answer) {
-	defer func() {
-		if v := recover(); v != nil {
-			a = Answer{Sent: true, Err: merry.Errorf("attempt panicked: %v\n%s", v, debug.Stack())}
-		}
-	}()
-	return Do(ctx, client, codec, call, sink)
-}
-
 // settle handles the end of an attempt and reports whether it decides about the request.
 func (r *race) settle(at *attempt) bool {
 	r.open = slices.DeleteFunc(r.open, func(other *attempt) bool { return other == at })
