Trials of two suspected parts never share an upstream; more ends are asked for while many crash

Cause, traced: the end of one upstream counted against two parts whose trials ran there, and a few chance crashes in a row. Change: the pool sends a trial where no other trial is in progress; one more end each is asked for a part that was sound before, and while eight or more upstreams have ended without the part within 30 s, at most five in all. Not taken: ends of attempts younger than some time as no evidence, since an upstream that is fast enough would never be found.

--- a/core/poison/evidence.go
+++ b/core/poison/evidence.go
@@ -111,7 +111,14 @@
 // endsNeeded returns the number of ends in a row after which a part of an attempt is quarantined.
 func (j *Judge) endsNeeded(now time.Time, run Run, k key, s *suspect) int {
 	needed := quarantineEnds
-	if j.otherEnds(now, k, s) > len(s.ends) {
+	if !j.sound.at(k).IsZero() {
+		needed++
+	}
+	others := j.otherEnds(now, k, s)
+	if others > len(s.ends) {
+		needed++
+	}
+	if others >= manyOtherEnds {
 		needed++
 	}
 	for other, o := range j.suspects {
@@ -122,9 +129,9 @@
 		if shared < 2 || (shared == len(s.ends) && slices.Contains(run.Parts, other.part)) {
 			continue // parts of the same prompts are told apart by hasLikelier
 		}
-		needed = max(needed, min(shared+quarantineEnds-1, maxEndsNeeded))
+		needed = max(needed, shared+quarantineEnds-1)
 	}
-	return needed
+	return min(needed, maxEndsNeeded)
 }
 
 // otherEnds returns the number of upstreams that have ended lately without a part.
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -9,8 +9,9 @@
 //     write on is no longer suspected.
 //   - Ends count as evidence one after another: an attempt that was begun before the last end was known adds nothing,
 //     since upstreams that crash together say little about what they ran. A part with quarantineEnds such ends in a
-//     row is quarantined once all attempts at the last upstream have been heard of. One more end is needed while more
-//     upstreams end without the part than with it, and ends that another suspected part shares count for little.
+//     row is quarantined once all attempts at the last upstream have been heard of. One more end is needed for a part
+//     that was sound before, one while more upstreams end without the part than with it, one while many do, and ends
+//     that another suspected part shares count for little.
 //   - If several parts of an attempt qualify, the one that was sound least recently is quarantined, and of equals the
 //     one that comes last in the prompt. The ends that it explains no longer count against others.
 //   - A quarantine ends after some minutes. The next request is a trial again, and one more end doubles the time.
@@ -37,7 +38,7 @@
 const (
 	// quarantineEnds is the number of ends in a row after which a part is quarantined.
 	quarantineEnds = 3
-	// maxEndsNeeded bounds the ends that are needed where others could explain some of them.
+	// maxEndsNeeded bounds the ends that are needed where something else could explain some of them.
 	maxEndsNeeded = 5
 	// quarantineTime is how long a part is quarantined first; each further quarantine lasts twice as long as the one
 	// before, up to maxQuarantineTime.
@@ -47,13 +48,15 @@
 	soundTime = 10 * time.Second
 	// suspicionTime is how long an end counts against a part.
 	suspicionTime = 10 * time.Minute
-	// trialTime is how long a trial may hold up other requests with the part, since a silent upstream decides nothing.
-	trialTime = 2 * time.Second
+	// TrialTime is how long a trial may hold up other requests with the part, since a silent upstream decides nothing.
+	TrialTime = 2 * time.Second
 	// togetherTime is the time within which upstreams that end count as ending together, and within which all attempts
 	// at one are heard of.
 	togetherTime = 50 * time.Millisecond
 	// otherEndsTime is how long an end counts among those without a part.
 	otherEndsTime = 30 * time.Second
+	// manyOtherEnds is the number of ends without a part from which upstreams crash so often that one more is needed.
+	manyOtherEnds = 8
 	// maxSuspects bounds the suspected and quarantined parts, maxEnds the ends that are kept of each, and maxRecent the
 	// ends of all services that are kept.
 	maxSuspects = 1024
@@ -176,7 +179,7 @@
 		if s.quarantined(now) {
 			return Decision{Verdict: Quarantined, Part: p, Left: s.until.Sub(now)}
 		}
-		onTrial := s.trial != (TrialID{}) && now.Sub(s.trialAt) < trialTime
+		onTrial := s.trial != (TrialID{}) && now.Sub(s.trialAt) < TrialTime
 		if (onTrial || j.isUnsettled(s)) && j.isSuspected(now, k, s) {
 			d = Decision{Verdict: Held, Part: p}
 		}
@@ -208,6 +211,17 @@
 	return n
 }
 
+// IsTrial reports whether a request that is sent now decides about a suspected part.
+func (j *Judge) IsTrial(now time.Time, service string, parts []Part) bool {
+	for _, p := range parts {
+		k := key{service, p}
+		if s := j.suspects[k]; s != nil && j.isSuspected(now, k, s) {
+			return true
+		}
+	}
+	return false
+}
+
 // Granted records that a request is sent to an upstream, and reports whether it is a trial of a suspected part. Done
 // must be called at its end.
 func (j *Judge) Granted(now time.Time, id TrialID, service string, parts []Part) bool {
--- a/core/slot/grants.go
+++ b/core/slot/grants.go
@@ -30,7 +30,9 @@
 	}
 	owned[r.Key.ID] = g
 	p.recordOrigin(r, u)
-	g.trial = p.judge.Granted(now, trialID(r.Key), r.Service, r.Parts)
+	if g.trial = p.judge.Granted(now, trialID(r.Key), r.Service, r.Parts); g.trial {
+		p.trials[g] = struct{}{}
+	}
 	s := p.service(r.Service)
 	if r.Batch {
 		i, _ := slices.BinarySearchFunc(s.batchGrants, g, compareGrants)
@@ -59,6 +61,7 @@
 	p.recordOrigin(&g.request, g.upstream) // it is remembered from the end of the attempt on
 	key := g.request.Key
 	p.judge.Done(trialID(key))
+	delete(p.trials, g)
 	delete(p.grants, key)
 	delete(p.byOwner[key.Owner], key.ID)
 	if len(p.byOwner[key.Owner]) == 0 {
--- a/core/slot/poison.go
+++ b/core/slot/poison.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"slices"
 	"time"
 
 	"mothcart/core/poison"
@@ -14,6 +15,22 @@
 	return len(r.Parts) > 0 && p.judge.Decide(now, r.Service, r.Parts).Verdict == poison.Held
 }
 
+// candidate returns the request as it is compared with upstreams. One that decides about a suspected part doesn't go where
+// another such request is in progress, since the end of that upstream would count against both.
+func (p *Pool) candidate(now time.Time, r *Request) *Request {
+	if len(p.trials) == 0 || !p.judge.IsTrial(now, r.Service, r.Parts) {
+		return r
+	}
+	alone := *r
+	alone.Exclude = slices.Clone(r.Exclude)
+	for g := range p.trials {
+		if now.Sub(g.since) < poison.TrialTime {
+			alone.Exclude = append(alone.Exclude, g.upstream.ID)
+		}
+	}
+	return &alone
+}
+
 // RefuseQuarantined returns a refusal, and true, for a request with a part that crashes upstreams.
 func (p *Pool) RefuseQuarantined(now time.Time, r *Request) (Refusal, bool) {
 	if len(r.Parts) == 0 {
@@ -66,6 +83,7 @@
 	if !ok {
 		return Outcome{}
 	}
+	delete(p.trials, g)
 	out := Outcome{Findings: p.judge.Wrote(now, g.request.Service, g.request.Parts)}
 	out.add(p.serve(now, p.service(g.request.Service)))
 	return out
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -19,6 +19,8 @@
 	// byOwner holds the grants of each owner, by the ID of the request.
 	byOwner map[string]map[uint64]*grant
 	judge   *poison.Judge
+	// trials are the grants that decide about suspected parts.
+	trials map[*grant]struct{}
 	// aloneNodes is the number of nodes that share the rates of upstreams with this one; 0 means that none does.
 	// aloneLevel spreads their requests.
 	aloneNodes int
@@ -34,6 +36,7 @@
 		grants:    make(map[Key]*grant),
 		byOwner:   make(map[string]map[uint64]*grant),
 		judge:     poison.NewJudge(),
+		trials:    make(map[*grant]struct{}),
 	}
 }
 
@@ -348,14 +351,18 @@
 		if p.isHeld(now, &g.request) {
 			return isHeld
 		}
+		r := p.candidate(now, &g.request)
 		var u *upstream
 		if free > 0 {
-			u = s.index.best(now, &g.request, p.opts)
+			u = s.index.best(now, r, p.opts)
 		}
 		if u != nil {
 			free--
 		} else {
-			victim := p.victim(now, s, &g.request)
+			victim := p.victim(now, s, r)
+			if victim == nil && r != &g.request {
+				return isHeld
+			}
 			if victim == nil {
 				return gotNone
 			}
@@ -378,7 +385,11 @@
 		if p.isHeld(now, &g.request) {
 			return isHeld
 		}
-		u := s.index.best(now, &g.request, p.opts)
+		r := p.candidate(now, &g.request)
+		u := s.index.best(now, r, p.opts)
+		if u == nil && r != &g.request {
+			return isHeld
+		}
 		if u == nil {
 			return gotNone
 		}
--- a/core/slot/refuse.go
+++ b/core/slot/refuse.go
@@ -14,7 +14,7 @@
 	if p.remainingSlots(s, r) == 0 {
 		return Refusal{Request: *r, Reason: ReasonNoUpstream, RetryAfter: p.retryAfter(now, s, *r, 0)}, true
 	}
-	if p.isHeld(now, r) {
+	if p.isHeld(now, r) || p.candidate(now, r) != r {
 		return Refusal{}, false
 	}
 	expected := p.expectedWait(now, s, g)
