Last reading: names of records of parts, and the look whether an upstream has ended

Found in the reading of the whole change: Parts named hashes of a request as well as records; the conditions in forward.Do needed a name; a comment said what hello does now. No behaviour changed.

--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -110,6 +110,7 @@
 	return out
 }
 
+// ask is Ask without a look at what is due.
 func (p *Pool) ask(now time.Time, r Request) Outcome {
 	s := p.service(r.Service)
 	if !p.bind(now, &r) {
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -124,18 +124,25 @@
 		}
 	}()
 	a = do(ctx, client, codec, call, stream)
-	failed := a.Err != nil && a.Sent && a.Events < writtenEvents && ctx.Err() == nil && !errors.Is(a.Err, ErrSilent)
-	unconfirmed := a.Success() && a.unframed && !a.Info.Leaving
-	if !(failed || unconfirmed) || !client.Refuses(ctx, call.Upstream.Address) {
+	if !a.mayHaveEnded(ctx) || !client.Refuses(ctx, call.Upstream.Address) {
 		return a
 	}
 	a.Ended = a.Events < writtenEvents
-	if unconfirmed {
+	if a.Success() {
 		a.Body, a.Err = nil, errCut
 	}
 	return a
 }
 
+// mayHaveEnded reports that the upstream's end may be why the attempt failed before the upstream had written, or why an
+// answer without a length looks complete.
+func (a Answer) mayHaveEnded(ctx context.Context) bool {
+	if a.Success() {
+		return a.unframed && !a.Info.Leaving
+	}
+	return a.Err != nil && a.Sent && a.Events < writtenEvents && ctx.Err() == nil && !errors.Is(a.Err, ErrSilent)
+}
+
 // writtenEvents is the number of events after which an upstream has written on a request; the first one may arrive as
 // the upstream ends.
 const writtenEvents = 2
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -73,9 +73,9 @@
 	// had for long enough, if this node can tell.
 	Origins     *Origins
 	SoleVersion func(now time.Time, service string) (string, bool)
-	// Parts is what the node's last process knew against parts of prompts. PartsChanged is called when a part was
+	// PartRecords is what the node's last process knew against parts of prompts. PartsChanged is called when a part was
 	// quarantined or cleared.
-	Parts        []poison.Record
+	PartRecords  []poison.Record
 	PartsChanged func()
 	// Down is called with true when the home reports that it can't reach the object service, and with
 	// false when it can.
@@ -109,7 +109,7 @@
 	unconfirmedSince time.Time
 	// relays lists the addresses of relays.
 	relays []string
-	// nodes is the number of nodes that the home has last told.
+	// nodes is the number of nodes, as a home has last told it.
 	nodes     int
 	upstreams map[string]site.Upstream
 	// gone holds the upstreams, by ID and incarnation, that are no longer in this node's list.
@@ -123,8 +123,9 @@
 		opts: opts, cancel: cancel, wake: make(chan struct{}, 1), gone: make(map[site.Key]bool),
 		inventory: newInventory(), cancelAttempt: func() {},
 	}
-	c.localPool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions().WithReports(true), opts.SoleVersion), opts.Now, c.foundParts, func(changes []slot.LimitChange) { logLimits(opts.Log, "node", changes) })
-	c.localPool.ImportParts(opts.Parts)
+	c.localPool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions().WithReports(true), opts.SoleVersion), opts.Now, c.foundParts,
+		func(changes []slot.LimitChange) { logLimits(opts.Log, "node", changes) })
+	c.localPool.ImportParts(opts.PartRecords)
 	c.homeAnswered.Store(true) // the first decision without a home begins a share of rates
 	c.done.Go(func() { c.run(ctx) })
 	return c
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -73,10 +73,10 @@
 	// had for long enough, if this node can tell.
 	Origins     *Origins
 	SoleVersion func(now time.Time, service string) (string, bool)
-	// Parts is what this node knows against parts of prompts; PushParts notifies all nodes of such that were quarantined
+	// PartRecords is what this node knows against parts of prompts; PushParts notifies all nodes of such that were quarantined
 	// or cleared.
-	Parts     []poison.Record
-	PushParts func(records []poison.Record)
+	PartRecords []poison.Record
+	PushParts   func(records []poison.Record)
 	// Checkpoints holds this node's checkpoints: of the previous home's items, then of its own.
 	Checkpoints *Checkpoints
 	// Retirements describes the objects that ask for a VM to be drained. StepDown is called when this VM is
@@ -166,7 +166,7 @@
 		nodes: make(map[string]*link.Conn), listed: newListedJobs(),
 	}
 	h.pool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions(), opts.SoleVersion), opts.Now, h.foundParts, h.limitsChanged)
-	h.pool.ImportParts(opts.Parts)
+	h.pool.ImportParts(opts.PartRecords)
 	if opts.SlotsOnly {
 		return h
 	}
--- a/io/home/limit.go
+++ b/io/home/limit.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"mothcart/core/site"
 	"mothcart/core/slot"
 )
 
@@ -39,7 +40,7 @@
 func decodeLimits(list []limitRecord) []slot.LimitRecord {
 	out := make([]slot.LimitRecord, 0, len(list))
 	for _, l := range list {
-		out = append(out, slot.LimitRecord{Upstream: siteKeys([]upstreamKey{l.Upstream})[0], Rate: l.Rate, Age: l.Age})
+		out = append(out, slot.LimitRecord{Upstream: site.Key{ID: l.Upstream.ID, Incarnation: l.Upstream.Incarnation}, Rate: l.Rate, Age: l.Age})
 	}
 	return out
 }
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -74,8 +74,8 @@
 	Open []openedSlot `msgpack:"open"`
 	// Leaving lists the upstreams of which the node knows that they are leaving.
 	Leaving []upstreamKey `msgpack:"leaving,omitempty"`
-	// Parts is what the node knows against parts of prompts.
-	Parts []poison.Record `msgpack:"parts,omitempty"`
+	// PartRecords is what the node knows against parts of prompts.
+	PartRecords []poison.Record `msgpack:"parts,omitempty"`
 	// Limits are the rates of upstreams that the node knows.
 	Limits []limitRecord `msgpack:"limits,omitempty"`
 }
--- a/io/home/parts.go
+++ b/io/home/parts.go
@@ -8,7 +8,7 @@
 )
 
 // partsNotice sends what is known against parts of prompts: from the home to all nodes when a quarantine begins or a
-// part is cleared, and all that a node knows to a home when it connects.
+// part is cleared, and to a node that connects.
 type partsNotice struct {
 	Records []poison.Record `msgpack:"recs"`
 }
@@ -59,8 +59,8 @@
 	}
 }
 
-// Parts returns what this node knows against parts of prompts.
-func (c *Client) Parts() []poison.Record { return c.localPool.ExportParts() }
+// PartRecords returns what this node knows against parts of prompts.
+func (c *Client) PartRecords() []poison.Record { return c.localPool.ExportParts() }
 
 // QuarantinedParts returns the number of parts of prompts that are known to crash upstreams.
 func (c *Client) QuarantinedParts() int { return c.localPool.QuarantinedParts() }
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -146,7 +146,7 @@
 		h.mu.Unlock()
 	}
 	h.opts.MarkLeaving(s.owner, siteKeys(m.Leaving))
-	h.pool.ImportParts(m.Parts)
+	h.pool.ImportParts(m.PartRecords)
 	h.pool.ImportLimits(decodeLimits(m.Limits), false)
 	for _, o := range m.Open {
 		h.adopt(s, o)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -166,13 +166,13 @@
 		stateSaver := newSaver(s.DataDir, siteStateFile, func() any { return b.siteState() }, opts.Log)
 		b.siteStateChanged = stateSaver.changed
 		b.loadHistory()
-		b.partsSaver = newSaver(s.DataDir, partsFile, func() any { return b.client.Parts() }, opts.Log)
+		b.partsSaver = newSaver(s.DataDir, partsFile, func() any { return b.client.PartRecords() }, opts.Log)
 		b.savers = []*saver{progressSaver, stateSaver, b.partsSaver}
 	}
 	b.client = home.NewClient(home.ClientOptions{
 		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, HomeNodes: opts.homeNodes, Connect: opts.Connect(connectTimeout), Now: opts.Now,
 		Checkpoints: b.checkpoints, Unreached: b.startWait.end, Announced: b.siteStateChanged, OnReceivesChanges: b.updateDown,
-		Origins: b.origins, SoleVersion: b.soleVersion, Parts: load[[]poison.Record](s.DataDir, partsFile, opts.Log), PartsChanged: func() { b.partsSaver.changed() },
+		Origins: b.origins, SoleVersion: b.soleVersion, PartRecords: load[[]poison.Record](s.DataDir, partsFile, opts.Log), PartsChanged: func() { b.partsSaver.changed() },
 		View: func(kind string, c object.Change) { b.receive(kind, c) }, Down: b.setHomeDown, Runner: b.runner, Log: opts.Log,
 		Leaving: b.answeredLeaving, MarkLeaving: b.markLeaving, LeavingUpstreams: b.leavingUpstreams,
 	})
