--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -79,8 +79,7 @@
 // Decision is a verdict on a request.
 type Decision struct {
 	Verdict Verdict
-	// Part is the part that decided, Left the rest of its quarantine.
-	Part Part
+	// Left is the rest of the quarantine.
 	Left time.Duration
 }
 
@@ -177,11 +176,11 @@
 			continue
 		}
 		if s.quarantined(now) {
-			return Decision{Verdict: Quarantined, Part: p, Left: s.until.Sub(now)}
+			return Decision{Verdict: Quarantined, Left: s.until.Sub(now)}
 		}
 		onTrial := s.trial != (TrialID{}) && now.Sub(s.trialAt) < TrialTime
 		if (onTrial || j.isUnsettled(s)) && j.isSuspected(now, k, s) {
-			d = Decision{Verdict: Held, Part: p}
+			d = Decision{Verdict: Held}
 		}
 	}
 	return d
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -57,9 +57,6 @@
 
 func (s *suspect) record(now time.Time, k key) Record {
 	r := Record{Service: k.service, Part: k.part, Left: max(s.until.Sub(now), 0), Quarantines: s.quarantines}
-	if s.until.IsZero() {
-		r.Left = 0
-	}
 	for _, e := range s.ends {
 		r.Ends = append(r.Ends, EndRecord{
 			Upstream: e.upstream.ID, Incarnation: e.upstream.Incarnation, BeganAgo: now.Sub(e.began), EndedAgo: now.Sub(e.at),
--- a/core/slot/poison_load_test.go
+++ b/core/slot/poison_load_test.go
@@ -38,7 +38,6 @@
 
 // crashAttempt is a request at an upstream.
 type crashAttempt struct {
-	key         Key
 	parts       []string
 	upstream    int
 	trial, bad  bool
@@ -197,7 +196,7 @@
 		}
 		first := firstEvent + time.Duration(r.rng.Int64N(int64(firstEvent)))
 		parts := r.asked[k]
-		a := &crashAttempt{key: k, parts: parts, upstream: at, trial: g.Trial, bad: parts[1] == badPart, writes: now.Add(first), end: now.Add(first + loadHold)}
+		a := &crashAttempt{parts: parts, upstream: at, trial: g.Trial, bad: parts[1] == badPart, writes: now.Add(first), end: now.Add(first + loadHold)}
 		r.open[k] = a
 		if a.bad {
 			r.reached = append(r.reached, now)
--- a/io/node/limit_test.go
+++ b/io/node/limit_test.go
@@ -56,26 +56,32 @@
 	return answered / float64(n), refused / float64(n)
 }
 
-// limitSite is a site with six upstreams of four slots, of which some name a limit.
-func runLimitSite(t *testing.T, limited int, rate float64, test func(s *testSite, since time.Time)) {
+// replaceEngines replaces the engines of the service scribe by others of four slots, which crash on a part of prompts
+// if there is one.
+func (s *testSite) replaceEngines(count int, poison *fake.Poison) {
+	for n, e := range s.engines {
+		e.Crash()
+		s.objects.RemoveUpstream(fmt.Sprintf("i-%d", n+1))
+	}
+	s.engines = nil
+	for n := 11; n < 11+count; n++ {
+		s.engines = append(s.engines, fake.NewEngine(s.network, fake.EngineOptions{
+			ID: fmt.Sprintf("i-%d", n), Service: "scribe", Address: engineIP(n) + ":80", Zone: "z1", Slots: 4, Born: 1,
+			Events: eventsOfStream, Pace: pace, Objects: s.objects, Poison: poison,
+		}))
+	}
+	time.Sleep(2 * time.Second)
+}
+
+// runLimitSite runs a test with a site of six upstreams of the service scribe, of which some name a limit.
+func runLimitSite(t *testing.T, limited int, rate float64, test func(s *testSite)) {
 	runSite(t, func(t *testing.T, s *testSite) {
-		for n, e := range s.engines {
-			e.Crash()
-			s.objects.RemoveUpstream(fmt.Sprintf("i-%d", n+1))
-		}
-		s.engines = nil
-		for n := 21; n <= 26; n++ {
-			s.engines = append(s.engines, fake.NewEngine(s.network, fake.EngineOptions{
-				ID: fmt.Sprintf("i-%d", n), Service: "scribe", Address: engineIP(n) + ":80", Zone: "z1", Slots: 4, Born: 1,
-				Events: eventsOfStream, Pace: pace, Objects: s.objects,
-			}))
-		}
-		time.Sleep(2 * time.Second)
+		s.replaceEngines(6, nil)
 		for _, e := range s.engines[:limited] {
 			e.SetFaults(fake.EngineFaults{Limit: strconv.FormatFloat(rate, 'f', -1, 64)})
 		}
 		since := time.Now()
-		test(s, since)
+		test(s)
 		requireLimit(t, s.engines[:limited], rate, since)
 	})
 }
@@ -162,7 +168,7 @@
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			runLimitSite(t, tc.limited, tc.rate, func(s *testSite, _ time.Time) {
+			runLimitSite(t, tc.limited, tc.rate, func(s *testSite) {
 				if tc.before != nil {
 					tc.before(s)
 				}
--- a/io/node/poison_test.go
+++ b/io/node/poison_test.go
@@ -40,7 +40,7 @@
 	answered bool
 }
 
-// runPoisonSite runs a test with nine more upstreams of two slots, all of which crash on a part.
+// runPoisonSite runs a test with nine upstreams of the service scribe, all of which crash on a part.
 func runPoisonSite(t *testing.T, test func(s *poisonSite)) {
 	runSite(t, func(t *testing.T, s *testSite) {
 		ps := &poisonSite{testSite: s}
@@ -49,17 +49,7 @@
 			defer ps.mu.Unlock()
 			s.engines = append(s.engines, e)
 		}}
-		for n, e := range s.engines {
-			e.Crash()
-			s.objects.RemoveUpstream(fmt.Sprintf("i-%d", n+1))
-		}
-		for n := 11; n < 20; n++ {
-			s.engines = append(s.engines, fake.NewEngine(s.network, fake.EngineOptions{
-				ID: fmt.Sprintf("i-%d", n), Service: "scribe", Address: engineIP(n) + ":80", Zone: "z1", Slots: 4, Born: 1,
-				Events: eventsOfStream, Pace: pace, Objects: s.objects, Poison: ps.poison,
-			}))
-		}
-		time.Sleep(2 * time.Second)
+		s.replaceEngines(9, ps.poison)
 		defer ps.poison.Stop()
 		test(ps)
 	})
@@ -169,12 +159,7 @@
 		}},
 		{name: "all processes start again", during: func(s *poisonSite) {
 			time.Sleep(8 * time.Second)
-			s.killHome(1)
-			s.killHome(2)
-			s.startHome(1)
-			s.startHome(2)
-			s.restartEntry(1)
-			s.restartEntry(2)
+			s.restartAll()
 		}},
 		{name: "an entry is cut off", during: func(s *poisonSite) {
 			time.Sleep(8 * time.Second)
--- a/io/node/start_test.go
+++ b/io/node/start_test.go
@@ -19,6 +19,16 @@
 	s.startEntry(n)
 }
 
+// restartAll ends all processes abruptly and starts them again.
+func (s *testSite) restartAll() {
+	s.killHome(1)
+	s.killHome(2)
+	s.startHome(1)
+	s.startHome(2)
+	s.restartEntry(1)
+	s.restartEntry(2)
+}
+
 // requireServed requires that an entry node serves a complete stream.
 func (s *testSite) requireServed(n int, id string) {
 	r := s.call(s.t.Context(), n, http.MethodPost, "/ask/stream/1", id, "")
@@ -55,12 +65,7 @@
 		s.writeConfig(7, newRoute)
 		time.Sleep(2 * time.Second)
 		s.objects.SetFault(fake.Fault{Down: map[string]bool{"": true}})
-		s.killHome(1)
-		s.killHome(2)
-		s.startHome(1)
-		s.startHome(2)
-		s.restartEntry(1)
-		s.restartEntry(2)
+		s.restartAll()
 		time.Sleep(1500 * time.Millisecond)
 		for n := 1; n <= 2; n++ {
 			require.True(t, s.entries[fmt.Sprintf("e%d", n)].Ready())
--- a/io/node/version_test.go
+++ b/io/node/version_test.go
@@ -341,12 +341,7 @@
 		}},
 		{"all processes end", func(s *testSite) {
 			time.Sleep(time.Second)
-			s.killHome(1)
-			s.killHome(2)
-			s.startHome(1)
-			s.startHome(2)
-			s.restartEntry(1)
-			s.restartEntry(2)
+			s.restartAll()
 		}},
 		{"the old version leaves", func(s *testSite) {
 			for _, e := range s.engines[:3] {
