--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -67,6 +67,8 @@
 	Read func(h http.Header) AnswerInfo
 	// SharedParts returns the parts of a request's prompt that other requests may share, in order.
 	SharedParts func(h http.Header) []poison.Part
+	// Caller returns what names the caller of a request, the same in all its tries; empty if nothing does.
+	Caller func(h http.Header) string
 }
 
 // Lease is the right to use one slot of an upstream.
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -43,6 +43,8 @@
 	log     zerolog.Logger
 	// parts are the parts of the prompt that other requests may share.
 	parts []poison.Part
+	// identity is what other tries of the same request have in common with this one.
+	identity poison.Identity
 
 	// exclude are the upstreams at which an attempt failed; silent are those that were left because they were silent,
 	// and that are asked again if no other upstream is to be had.
@@ -77,6 +79,7 @@
 		req.Waited = 0 // the objective is about the first event, which an earlier request brought
 	}
 	x := &exchange{f: f, w: w, req: req, service: req.Route.Service(random), lastID: req.LastEventID, parts: f.opts.Wire.SharedParts(req.Header)}
+	x.identity = poison.NewIdentity(f.opts.Wire.Caller(req.Header), req.Method, req.Host, req.Path, req.Body)
 	x.log = f.opts.Log.With().Str("request", req.ID).Str("route", req.Route.Name).Str("service", x.service).Logger()
 	f.countRequest(x.service)
 	ctx, cancel := context.WithTimeout(ctx, req.Deadline.Sub(f.opts.Now()))
@@ -321,7 +324,8 @@
 func (x *exchange) logFailure(lease Lease, a Answer, again bool) {
 	x.log.Info().Str("upstream", lease.Upstream.ID).Int64("incarnation", lease.Upstream.Incarnation).Str("version", lease.Upstream.Version).Str("basis", lease.Basis).
 		Uint64("ask", x.ask).Int("attempt", x.attempts).Int("runs", x.runs).Int("status", a.Status).Bool("notRun", a.refused()).Bool("sent", a.Sent).
-		Int32("delivered", x.delivered.Load()).AnErr("error", a.Err).Bool("ended", a.Ended).Strs("parts", poison.Names(x.parts)).Bool("again", again).Msg("attemptFailed")
+		Int32("delivered", x.delivered.Load()).AnErr("error", a.Err).Bool("ended", a.Ended).Strs("parts", poison.Names(x.parts)).
+		Stringer("identity", x.identity).Bool("again", again).Msg("attemptFailed")
 }
 
 // failure describes a failed or silent attempt beside a number of open ones.
