--- a/io/node/limit_test.go
+++ b/io/node/limit_test.go
@@ -64,9 +64,15 @@
 		s.objects.RemoveUpstream(fmt.Sprintf("i-%d", n+1))
 	}
 	s.engines = nil
-	for n := 11; n < 11+count; n++ {
+	s.addEngines("scribe", 11, count, poison)
+}
+
+// addEngines starts upstreams of a service and waits until all nodes know of them; the numbers of the new ones begin at
+// first.
+func (s *testSite) addEngines(service string, first, count int, poison *fake.Poison) {
+	for n := first; n < first+count; n++ {
 		s.engines = append(s.engines, fake.NewEngine(s.network, fake.EngineOptions{
-			ID: fmt.Sprintf("i-%d", n), Service: "scribe", Address: engineIP(n) + ":80", Zone: "z1", Slots: 4, Born: 1,
+			ID: fmt.Sprintf("i-%d", n), Service: service, Address: engineIP(n) + ":80", Zone: "z1", Slots: 4, Born: 1,
 			Events: eventsOfStream, Pace: pace, Objects: s.objects, Poison: poison,
 		}))
 	}
--- a/io/node/poison_test.go
+++ b/io/node/poison_test.go
@@ -15,7 +15,7 @@
 
 const (
 	// contact is the time within which all nodes must know of a change, mayReach how many requests may reach upstreams
-	// later than that after the fifth crash.
+	// later than that after the fifth crash under a part, or the third under a request.
 	contact  = 3 * time.Second
 	mayReach = 3
 	// poisonTime is how long requests with a part that crashes upstreams come, one each poisonPause.
@@ -25,10 +25,15 @@
 	engineDown = 1500 * time.Millisecond
 )
 
-// poisonSite is a site whose upstreams crash on a part of prompts.
+// poisonSite is a site whose upstreams crash on a part of prompts, or on the body of a request.
 type poisonSite struct {
 	*testSite
 	poison *fake.Poison
+	// sendSound sends a sound request and sendBad one on which upstreams crash, each to an entry.
+	sendSound func(entry, i int, id string) reply
+	sendBad   func(entry, i int)
+	// ends is the number of crashes from which contact and mayReach count.
+	ends int
 
 	mu sync.Mutex
 	// sound holds, for each sound request, when it was sent and whether it was answered at its first attempt.
@@ -44,17 +49,27 @@
 func runPoisonSite(t *testing.T, test func(s *poisonSite)) {
 	runSite(t, func(t *testing.T, s *testSite) {
 		ps := &poisonSite{testSite: s}
-		ps.poison = &fake.Poison{Part: "bad", Down: engineDown, Started: func(e *fake.Engine) {
-			ps.mu.Lock()
-			defer ps.mu.Unlock()
-			s.engines = append(s.engines, e)
-		}}
+		ps.poison = &fake.Poison{Part: "bad", Down: engineDown, Started: ps.started}
+		ps.ends = 5
+		ps.sendSound = func(entry, i int, id string) reply {
+			return ps.send(entry, "/ask/stream/1", id, "first", fmt.Sprintf("subject%d", i%50), fmt.Sprintf("own%d", i))
+		}
+		ps.sendBad = func(entry, i int) {
+			ps.send(entry, "/ask/stream/1", fmt.Sprintf("bad.%d", i), "first", "bad", fmt.Sprintf("own%d", i))
+		}
 		s.replaceEngines(9, ps.poison)
 		defer ps.poison.Stop()
 		test(ps)
 	})
 }
 
+// started records an upstream that has started again.
+func (s *poisonSite) started(e *fake.Engine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engines = append(s.engines, e)
+}
+
 // send sends a request with a prompt of the given parts.
 func (s *poisonSite) send(n int, path, id string, parts ...string) reply {
 	h := http.Header{}
@@ -62,14 +77,14 @@
 	return s.callWith(s.t.Context(), n, http.MethodPost, path, id, "", h)
 }
 
-// traffic sends sound requests and, meanwhile, requests with the part that crashes upstreams: no two alike, at any entry.
+// traffic sends sound requests and, meanwhile, requests on which upstreams crash.
 func (s *poisonSite) traffic(entry func(i int) int, during func(s *poisonSite)) {
 	var all sync.WaitGroup
-	sendSound := func(phase string, d time.Duration) {
+	sendPhase := func(phase string, d time.Duration) {
 		for i := range int(d / poisonPause) {
 			all.Go(func() {
 				at := time.Now()
-				r := s.send(entry(i), "/ask/stream/1", fmt.Sprintf("%s.%d", phase, i), "first", fmt.Sprintf("subject%d", i%50), fmt.Sprintf("own%d", i))
+				r := s.sendSound(entry(i), i, fmt.Sprintf("%s.%d", phase, i))
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				s.sound = append(s.sound, soundRequest{at, r.complete && r.status == http.StatusOK})
@@ -77,31 +92,29 @@
 			time.Sleep(poisonPause)
 		}
 	}
-	sendSound("before", 5*time.Second)
+	sendPhase("before", 5*time.Second)
 	if during != nil {
 		all.Go(func() { during(s) })
 	}
 	all.Go(func() {
 		for i := range int(poisonTime / poisonPause) {
-			all.Go(func() {
-				s.send(entry(i/2), "/ask/stream/1", fmt.Sprintf("bad.%d", i), "first", "bad", fmt.Sprintf("own%d", i))
-			})
+			all.Go(func() { s.sendBad(entry(i/2), i) })
 			time.Sleep(poisonPause)
 		}
 	})
-	sendSound("beside", poisonTime)
+	sendPhase("beside", poisonTime)
 	all.Wait()
 }
 
-// requireStopped requires that requests with the part have ceased to reach upstreams in time, and that sound ones are
+// requireStopped requires that requests on which upstreams crash have ceased to reach upstreams in time, and that sound ones are
 // answered at least half as often as before.
 func (s *poisonSite) requireStopped() {
 	ended := s.poison.Ended()
 	require.NotEmpty(s.t, ended)
-	if len(ended) >= 5 {
-		require.LessOrEqual(s.t, s.poison.ReachedAfter(ended[4].Add(contact)), mayReach, "%d upstreams ended", len(ended))
+	if len(ended) >= s.ends {
+		require.LessOrEqual(s.t, s.poison.ReachedAfter(ended[s.ends-1].Add(contact)), mayReach, "%d upstreams ended", len(ended))
 	}
-	stopped := ended[min(len(ended), 5)-1].Add(2 * contact)
+	stopped := ended[min(len(ended), s.ends)-1].Add(2 * contact)
 	var sent, answered [2]int
 	for _, r := range s.sound {
 		phase := -1
@@ -120,7 +133,7 @@
 	}
 	require.Greater(s.t, sent[0], 20)
 	require.Greater(s.t, sent[1], 20)
-	s.t.Logf("%d upstreams ended; %d requests with the part reached upstreams in all; sound ones: %d of %d answered before, %d of %d beside",
+	s.t.Logf("%d upstreams ended; %d requests on which they crash reached upstreams in all; sound ones: %d of %d answered before, %d of %d beside",
 		len(ended), s.poison.ReachedAfter(time.Time{}), answered[0], sent[0], answered[1], sent[1])
 	share := func(phase int) float64 { return float64(answered[phase]) / float64(sent[phase]) }
 	require.GreaterOrEqual(s.t, share(1), share(0)/2)
