--- a/core/poison/evidence.go
+++ b/core/poison/evidence.go
@@ -10,8 +10,7 @@
 // Ended records that an upstream ended under an attempt that had not begun to write, and returns what that shows.
 func (j *Judge) Ended(now time.Time, run Run) []Finding {
 	j.forget(now)
-	for _, p := range run.Parts {
-		k := key{run.Service, p}
+	for k := range run.keys() {
 		if s := j.suspects[k]; s != nil && s.quarantines > 0 {
 			j.explain(run.Upstream)
 			if s.quarantined(now) {
@@ -25,8 +24,7 @@
 	}
 	j.noteRecent(now, run)
 	var findings []Finding
-	for _, p := range run.Parts {
-		k := key{run.Service, p}
+	for k := range run.keys() {
 		s := j.suspect(k)
 		s.add(end{upstream: run.Upstream, began: run.Began, at: now})
 		findings = append(findings, j.finding(now, Suspected, k, s))
@@ -35,7 +33,7 @@
 	return findings
 }
 
-// isUnsettled reports that attempts at the last upstream that ended under a part may still be heard of.
+// isUnsettled reports that attempts at the last upstream that ended under a suspect may still be heard of.
 func (j *Judge) isUnsettled(s *suspect) bool {
 	if len(s.ends) == 0 {
 		return false
@@ -44,8 +42,8 @@
 	return slices.ContainsFunc(j.unsettled, func(u unsettledRun) bool { return u.run.Upstream == last })
 }
 
-// Settle decides about the parts of attempts whose upstreams ended togetherTime ago, and returns those that it
-// quarantines.
+// Settle decides about the parts and requests of attempts whose upstreams ended togetherTime ago, and returns those that
+// it quarantines.
 func (j *Judge) Settle(now time.Time) []Finding {
 	var findings []Finding
 	for len(j.unsettled) > 0 && now.Sub(j.unsettled[0].at) >= togetherTime {
@@ -58,38 +56,53 @@
 	return findings
 }
 
-// culprit returns the part of an attempt that is to be quarantined, and false if there is none, or none yet.
+// culprit returns what is to be quarantined of an attempt, and false if nothing is, or not yet.
 func (j *Judge) culprit(now time.Time, run Run) (key, bool) {
-	for i, p := range slices.Backward(run.Parts) {
-		k := key{run.Service, p}
-		if j.isProven(now, run, k) && !j.hasLikelier(run, i) {
+	keys := slices.Collect(run.keys())
+	for i, k := range slices.Backward(keys) {
+		if j.isProven(now, run, k) && !j.hasLikelier(keys, i) {
 			return k, true
 		}
 	}
 	return key{}, false
 }
 
-// isProven reports that enough upstreams have ended under a part of an attempt that is not yet quarantined.
+// isProven reports that enough upstreams have ended under a part of an attempt, or under its request, that is not yet
+// quarantined.
 func (j *Judge) isProven(now time.Time, run Run, k key) bool {
 	s := j.suspects[k]
 	if s == nil || s.quarantines > 0 {
 		return false
 	}
 	n := j.endsInARow(now, k, s)
-	return n >= quarantineEnds && n >= j.endsNeeded(now, run, k, s)
+	if n < quarantineEnds {
+		return false
+	}
+	return n >= j.endsNeeded(now, run, k, s) || (k.isRequest() && j.endsCounted(now, k, s) >= maxEndsNeeded)
+}
+
+// endsCounted returns the number of ends under a part or a request since an upstream has last written on it, also of
+// attempts at the same time.
+func (j *Judge) endsCounted(now time.Time, k key, s *suspect) int {
+	n := 0
+	for _, e := range s.ends {
+		if j.counts(now, k, e) {
+			n++
+		}
+	}
+	return n
 }
 
-// hasLikelier reports that another part of an attempt explains as many ends as the one at position i, and was sound less
-// recently or comes later in the prompt.
-func (j *Judge) hasLikelier(run Run, i int) bool {
-	k := key{run.Service, run.Parts[i]}
-	for at, p := range run.Parts {
-		other := key{run.Service, p}
+// hasLikelier reports that another key of an attempt explains as many ends as the one at position i, and was sound less
+// recently or is narrower.
+func (j *Judge) hasLikelier(keys []key, i int) bool {
+	k := keys[i]
+	for at, other := range keys {
 		o := j.suspects[other]
 		if o == nil || other == k || len(o.ends) < len(j.suspects[k].ends) {
 			continue
 		}
-		if c := j.sound.at(other).Compare(j.sound.at(k)); c < 0 || (c == 0 && at > i) {
+		if c := j.soundAt(other).Compare(j.soundAt(k)); c < 0 || (c == 0 && at > i) {
 			return true
 		}
 	}
@@ -108,10 +121,10 @@
 	}
 }
 
-// endsNeeded returns the number of ends in a row after which a part of an attempt is quarantined.
+// endsNeeded returns the number of ends in a row after which a part of an attempt, or its request, is quarantined.
 func (j *Judge) endsNeeded(now time.Time, run Run, k key, s *suspect) int {
 	needed := quarantineEnds
-	if !j.sound.at(k).IsZero() {
+	if !j.soundAt(k).IsZero() {
 		needed++
 	}
 	others := j.otherEnds(now, k, s)
@@ -122,23 +135,33 @@
 		needed++
 	}
 	for other, o := range j.suspects {
-		if other == k || other.service != k.service {
+		if other == k {
 			continue
 		}
 		shared := s.sharedEnds(o)
-		if shared < 2 || (shared == len(s.ends) && slices.Contains(run.Parts, other.part)) {
-			continue // parts of the same prompts are told apart by hasLikelier
+		if shared < 2 || (shared == len(s.ends) && run.has(other)) {
+			continue // what the same attempts have in common is told apart by hasLikelier
 		}
 		needed = max(needed, shared+quarantineEnds-1)
 	}
 	return min(needed, maxEndsNeeded)
 }
 
-// otherEnds returns the number of upstreams that have ended lately without a part.
+// has reports that a key is one of the work's.
+func (w Work) has(k key) bool {
+	for own := range w.keys() {
+		if own == k {
+			return true
+		}
+	}
+	return false
+}
+
+// otherEnds returns the number of upstreams that have ended lately without a part of their service, or without a request.
 func (j *Judge) otherEnds(now time.Time, k key, s *suspect) int {
 	n := 0
 	for _, e := range j.recent {
-		if e.service == k.service && now.Sub(e.at) < otherEndsTime && !s.hasEnd(e.upstream) {
+		if (k.isRequest() || e.service == k.service) && now.Sub(e.at) < otherEndsTime && !s.hasEnd(e.upstream) {
 			n++
 		}
 	}
@@ -149,7 +172,7 @@
 	return slices.ContainsFunc(s.ends, func(e end) bool { return e.upstream == upstream })
 }
 
-// sharedEnds returns the number of ends that count against both parts.
+// sharedEnds returns the number of ends that count against both.
 func (s *suspect) sharedEnds(other *suspect) int {
 	n := 0
 	for _, e := range s.ends {
@@ -172,7 +195,7 @@
 	return f
 }
 
-// explain records that a quarantined part has ended an upstream.
+// explain records that a quarantined part or request has ended an upstream.
 func (j *Judge) explain(upstream site.Key) {
 	j.explained = append(j.explained, upstream)
 	if len(j.explained) > maxRecent {
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -22,6 +22,9 @@
 	return out
 }
 
+// work is what a request with some parts asks of an upstream.
+func work(service string, ids ...string) Work { return Work{Service: service, Parts: parts(ids...)} }
+
 // script plays events of one service, each at its time after start.
 type script struct {
 	j *Judge
@@ -50,17 +53,17 @@
 	now := start.Add(at)
 	s.last = at
 	s.note(s.j.Settle(now))
-	s.note(s.j.Ended(now, Run{Service: service, Parts: parts(ids...), Upstream: site.Key{ID: upstream}, Began: start.Add(began)}))
+	s.note(s.j.Ended(now, Run{Work: work(service, ids...), Upstream: site.Key{ID: upstream}, Began: start.Add(began)}))
 }
 
 func (s *script) wrote(at time.Duration, ids ...string) {
 	s.note(s.j.Settle(start.Add(at)))
-	s.j.Wrote(start.Add(at), service, parts(ids...))
+	s.j.Wrote(start.Add(at), work(service, ids...))
 }
 
 func (s *script) decide(at time.Duration, ids ...string) Verdict {
 	s.note(s.j.Settle(start.Add(at)))
-	return s.j.Decide(start.Add(at), service, parts(ids...)).Verdict
+	return s.j.Decide(start.Add(at), work(service, ids...)).Verdict
 }
 
 func TestWhatEndsProve(t *testing.T) {
@@ -163,19 +166,19 @@
 	require.Equal(t, Held, s.decide(10*ms, "bad"), "other attempts at the upstream may still be heard of")
 	require.Equal(t, Free, s.decide(60*ms, "bad"))
 	trial := TrialID{Owner: "e1", ID: 1}
-	require.True(t, s.j.Granted(start.Add(60*ms), trial, service, parts("first", "bad")))
+	require.True(t, s.j.Granted(start.Add(60*ms), trial, work(service, "first", "bad")))
 	require.Equal(t, Held, s.decide(70*ms, "bad", "more"))
 	require.Equal(t, Held, s.decide(70*ms, "first"))
 	require.Equal(t, Free, s.decide(70*ms, "another"))
-	require.Equal(t, Free, s.j.Decide(start.Add(70*ms), "desk", parts("bad")).Verdict, "another service")
+	require.Equal(t, Free, s.j.Decide(start.Add(70*ms), work("desk", "bad")).Verdict, "another service")
 	s.j.Done(trial)
 	require.Equal(t, Free, s.decide(80*ms, "bad"))
-	s.j.Granted(start.Add(80*ms), trial, service, parts("bad"))
+	s.j.Granted(start.Add(80*ms), trial, work(service, "bad"))
 	require.Equal(t, Free, s.decide(80*ms+TrialTime, "bad"), "a silent upstream decides nothing")
 	s.wrote(80*ms+TrialTime, "bad")
-	require.False(t, s.j.Granted(start.Add(3*time.Second), TrialID{Owner: "e1", ID: 2}, service, parts("bad")))
+	require.False(t, s.j.Granted(start.Add(3*time.Second), TrialID{Owner: "e1", ID: 2}, work(service, "bad")))
 	s.ended(4*time.Second, "u2", "bad")
-	require.False(t, s.j.Granted(start.Add(5*time.Second), TrialID{Owner: "e1", ID: 3}, service, parts("bad")), "one end of a part that was sound lately")
+	require.False(t, s.j.Granted(start.Add(5*time.Second), TrialID{Owner: "e1", ID: 3}, work(service, "bad")), "one end of a part that was sound lately")
 }
 
 // Guards against parts that stay refused for good, and against more than one trial after each quarantine.
@@ -187,20 +190,20 @@
 	at := 600 * time.Millisecond
 	require.Equal(t, Quarantined, s.decide(at, "other", "bad"))
 	for _, want := range []time.Duration{quarantineTime, 2 * quarantineTime, 4 * quarantineTime} {
-		d := s.j.Decide(start.Add(at), service, parts("bad"))
+		d := s.j.Decide(start.Add(at), work(service, "bad"))
 		require.Equal(t, Quarantined, d.Verdict)
 		require.InDelta(t, want.Seconds(), d.Left.Seconds(), 1)
 		at += d.Left
 		require.Equal(t, Free, s.decide(at, "bad"))
 		trial := TrialID{Owner: "e1", ID: uint64(want)}
-		require.True(t, s.j.Granted(start.Add(at), trial, service, parts("bad")))
+		require.True(t, s.j.Granted(start.Add(at), trial, work(service, "bad")))
 		require.Equal(t, Held, s.decide(at, "bad"))
 		s.ended(at+100*time.Millisecond, fmt.Sprint("t", want), "neighbour", "bad")
 		s.j.Done(trial)
-		require.Empty(t, s.j.suspects[key{service, NewPart("neighbour")}])
+		require.Empty(t, s.j.suspects[key{service: service, part: NewPart("neighbour")}])
 		at += 200 * time.Millisecond
 	}
-	at += s.j.Decide(start.Add(at), service, parts("bad")).Left
+	at += s.j.Decide(start.Add(at), work(service, "bad")).Left
 	s.wrote(at, "bad")
 	require.Equal(t, Free, s.decide(at, "bad"))
 	require.Empty(t, s.j.suspects)
@@ -216,13 +219,13 @@
 		at := time.Second + time.Duration(i)*time.Millisecond
 		s.ended(at, fmt.Sprint("n", i), fmt.Sprint("evil", i))
 		s.wrote(at, fmt.Sprint("sound", i))
-		s.j.Granted(start.Add(at), TrialID{Owner: "e1", ID: uint64(i)}, service, parts(fmt.Sprint("evil", i)))
+		s.j.Granted(start.Add(at), TrialID{Owner: "e1", ID: uint64(i)}, work(service, fmt.Sprint("evil", i)))
 		s.j.Done(TrialID{Owner: "e1", ID: uint64(i)})
 	}
 	require.LessOrEqual(t, len(s.j.suspects), maxSuspects)
 	require.LessOrEqual(t, len(s.j.recent), maxRecent)
 	require.LessOrEqual(t, len(s.j.explained), maxRecent)
-	require.LessOrEqual(t, len(s.j.sound.newer)+len(s.j.sound.older), 2*maxSound)
+	require.LessOrEqual(t, len(s.j.soundParts.newer)+len(s.j.soundParts.older), 2*maxSound)
 	require.Empty(t, s.j.trials)
 	require.Less(t, len(s.j.unsettled), 200)
 	require.Equal(t, Quarantined, s.decide(time.Minute, "bad"), "a quarantine falls out last")
@@ -255,7 +258,7 @@
 	require.Len(t, found, 1)
 	require.Equal(t, QuarantineBegun, found[0].Kind)
 	require.Equal(t, Quarantined, a.decide(600*ms, "bad"))
-	cleared := b.j.Wrote(now, service, parts("bad"))
+	cleared := b.j.Wrote(now, work(service, "bad"))
 	require.Len(t, cleared, 1)
 	found = a.j.Import(now, []Record{cleared[0].Record})
 	require.Equal(t, Cleared, found[0].Kind)
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -10,36 +10,51 @@
 type Kind string
 
 const (
-	// Suspected means that an upstream ended under the part.
-	Suspected Kind = "partSuspected"
-	// QuarantineBegun means that requests with the part are refused from now on.
-	QuarantineBegun Kind = "partQuarantined"
-	// Cleared means that an upstream has written an answer on the part.
-	Cleared Kind = "partCleared"
+	// Suspected means that an upstream ended under the part or the request.
+	Suspected Kind = "Suspected"
+	// QuarantineBegun means that requests with the part, or tries of the request, are refused from now on.
+	QuarantineBegun Kind = "Quarantined"
+	// Cleared means that an upstream has written an answer on it.
+	Cleared Kind = "Cleared"
 )
 
-// Finding is a change of what is known of a part.
+// Finding is a change of what is known of a part or a request.
 type Finding struct {
 	Kind Kind
 	Record
-	// InARow is the number of ends in a row that count against the part.
+	// InARow is the number of ends in a row that count against it.
 	InARow int
 }
 
-// Record is what is known against a part, in the form in which nodes send it to each other. Times are ages, since the
+// Event returns the name of the log event of the finding, such as partSuspected or requestQuarantined.
+func (f Finding) Event() string {
+	if f.IsRequest() {
+		return "request" + string(f.Kind)
+	}
+	return "part" + string(f.Kind)
+}
+
+// Record is what is known against a part or a request, in the form in which nodes send it to each other. Times are ages, since the
 // clocks of VMs differ.
 type Record struct {
-	Service string `msgpack:"svc"`
-	Part    Part   `msgpack:"part"`
-	// Ends are the ends of upstreams under the part that led to the record.
+	// Service and Part identify a part, Identity a request; Service is then empty.
+	Service  string   `msgpack:"svc"`
+	Part     Part     `msgpack:"part"`
+	Identity Identity `msgpack:"identity,omitempty"`
+	// Ends are the ends of upstreams under it that led to the record.
 	Ends []EndRecord `msgpack:"ends,omitempty"`
 	// Left is the rest of the quarantine; 0 if there is none. Quarantines is their number.
 	Left        time.Duration `msgpack:"left,omitempty"`
 	Quarantines int           `msgpack:"n,omitempty"`
-	// Cleared reports that an upstream has written on the part, so that nothing is held against it.
+	// Cleared reports that an upstream has written on it, so that nothing is held against it.
 	Cleared bool `msgpack:"ok,omitempty"`
 }
 
+// IsRequest reports that the record is about a request.
+func (r Record) IsRequest() bool { return r.Identity != 0 }
+
+func (r Record) key() key { return key{service: r.Service, part: r.Part, identity: r.Identity} }
+
 // EndRecord is the end of an upstream under an attempt.
 type EndRecord struct {
 	Upstream    string `msgpack:"up"`
@@ -56,7 +71,7 @@
 }
 
 func (s *suspect) record(now time.Time, k key) Record {
-	r := Record{Service: k.service, Part: k.part, Left: max(s.until.Sub(now), 0), Quarantines: s.quarantines}
+	r := Record{Service: k.service, Part: k.part, Identity: k.identity, Left: max(s.until.Sub(now), 0), Quarantines: s.quarantines}
 	for _, e := range s.ends {
 		r.Ends = append(r.Ends, EndRecord{
 			Upstream: e.upstream.ID, Incarnation: e.upstream.Incarnation, BeganAgo: now.Sub(e.began), EndedAgo: now.Sub(e.at),
@@ -65,23 +80,34 @@
 	return r
 }
 
-// Export returns the records of all parts that are suspected or quarantined.
+// maxExportedVictims bounds the requests that are exported though a single upstream ended under them, as under all that
+// it ran.
+const maxExportedVictims = 128
+
+// Export returns the records of all parts and requests that are suspected or quarantined, but for some requests with a
+// single end.
 func (j *Judge) Export(now time.Time) []Record {
 	j.forget(now)
 	out := make([]Record, 0, len(j.suspects))
+	victims := 0
 	for k, s := range j.suspects {
+		if k.isRequest() && s.quarantines == 0 && len(s.ends) == 1 {
+			if victims++; victims > maxExportedVictims {
+				continue
+			}
+		}
 		out = append(out, s.record(now, k))
 	}
 	return out
 }
 
-// Import adds records of another node, and returns the parts that are quarantined or cleared by them.
+// Import adds records of another node, and returns what is quarantined or cleared by them.
 func (j *Judge) Import(now time.Time, records []Record) []Finding {
 	var findings []Finding
 	for _, r := range records {
-		k := key{r.Service, r.Part}
+		k := r.key()
 		if r.Cleared {
-			findings = append(findings, j.Wrote(now, r.Service, []Part{r.Part})...)
+			findings = append(findings, j.clear(now, k)...)
 			continue
 		}
 		s := j.suspect(k)
@@ -100,13 +126,16 @@
 	return findings
 }
 
-// Quarantined returns the number of parts that are quarantined.
-func (j *Judge) Quarantined(now time.Time) int {
-	n := 0
-	for _, s := range j.suspects {
-		if s.quarantined(now) {
-			n++
+// Quarantined returns the numbers of parts and of requests that are quarantined.
+func (j *Judge) Quarantined(now time.Time) (parts, requests int) {
+	for k, s := range j.suspects {
+		switch {
+		case !s.quarantined(now):
+		case k.isRequest():
+			requests++
+		default:
+			parts++
 		}
 	}
-	return n
+	return parts, requests
 }
--- a/core/slot/grants.go
+++ b/core/slot/grants.go
@@ -10,7 +10,7 @@
 	request  Request
 	upstream *upstream
 	since    time.Time
-	// trial reports that the grant decides about a suspected part of the prompt.
+	// trial reports that the grant decides about a suspected part of the prompt, or about the request.
 	trial bool
 }
 
@@ -30,7 +30,7 @@
 	}
 	owned[r.Key.ID] = g
 	p.recordOrigin(r, u)
-	if g.trial = p.judge.Granted(now, trialID(r.Key), r.Service, r.Parts); g.trial {
+	if g.trial = p.judge.Granted(now, trialID(r.Key), r.work()); g.trial {
 		p.trials[g] = struct{}{}
 	}
 	s := p.service(r.Service)
--- a/core/slot/poison.go
+++ b/core/slot/poison.go
@@ -10,15 +10,16 @@
 // trialID returns the ID under which the judge knows a request.
 func trialID(k Key) poison.TrialID { return poison.TrialID{Owner: k.Owner, ID: k.ID} }
 
-// isHeld reports that a request waits since another one with the same suspected part of its prompt is in progress.
+// isHeld reports that a request waits since another one with the same suspected part of its prompt, or another try of it,
+// is in progress.
 func (p *Pool) isHeld(now time.Time, r *Request) bool {
-	return len(r.Parts) > 0 && p.judge.Decide(now, r.Service, r.Parts).Verdict == poison.Held
+	return p.judge.Decide(now, r.work()).Verdict == poison.Held
 }
 
-// candidate returns the request as it is compared with upstreams. One that decides about a suspected part doesn't go where
-// another such request is in progress, since the end of that upstream would count against both.
+// candidate returns the request as it is compared with upstreams. One that decides about a suspect doesn't go where another
+// such request is in progress, since the end of that upstream would count against both.
 func (p *Pool) candidate(now time.Time, r *Request) *Request {
-	if len(p.trials) == 0 || !p.judge.IsTrial(now, r.Service, r.Parts) {
+	if len(p.trials) == 0 || !p.judge.IsTrial(now, r.work()) {
 		return r
 	}
 	alone := *r
@@ -31,27 +32,30 @@
 	return &alone
 }
 
-// RefuseQuarantined returns a refusal, and true, for a request with a part that crashes upstreams.
+// RefuseQuarantined returns a refusal, and true, for a request that crashes upstreams or has a part that does.
 func (p *Pool) RefuseQuarantined(now time.Time, r *Request) (Refusal, bool) {
-	if len(r.Parts) == 0 {
+	switch d := p.judge.Decide(now, r.work()); d.Verdict {
+	case poison.Quarantined:
+		return Refusal{Request: *r, Reason: ReasonQuarantined, RetryAfter: d.Left}, true
+	case poison.QuarantinedRequest:
+		return Refusal{Request: *r, Reason: ReasonQuarantinedRequest, RetryAfter: d.Left}, true
+	default:
 		return Refusal{}, false
 	}
-	d := p.judge.Decide(now, r.Service, r.Parts)
-	return Refusal{Request: *r, Reason: ReasonQuarantined, RetryAfter: d.Left}, d.Verdict == poison.Quarantined
 }
 
 // settle returns the quarantines that are due.
 func (p *Pool) settle(now time.Time) Outcome { return p.withFindings(now, p.judge.Settle(now)) }
 
-// judgeResult passes on what the end of an attempt shows about the parts of its prompt.
+// judgeResult passes on what the end of an attempt shows about its request.
 func (p *Pool) judgeResult(now time.Time, g *grant, result Result) Outcome {
 	r := &g.request
 	switch result {
 	case Served:
-		return Outcome{Findings: p.judge.Wrote(now, r.Service, r.Parts)}
+		return Outcome{Findings: p.judge.Wrote(now, r.work())}
 	case Ended:
 		return p.withFindings(now, p.judge.Ended(now, poison.Run{
-			Service: r.Service, Parts: r.Parts, Upstream: g.upstream.Key(), Began: g.since,
+			Work: r.work(), Upstream: g.upstream.Key(), Began: g.since,
 		}))
 	default:
 		return Outcome{}
@@ -65,14 +69,28 @@
 		if f.Kind != poison.QuarantineBegun {
 			continue
 		}
-		s := p.service(f.Service)
-		for _, l := range []*waitList{&s.online, &s.batch} {
-			refused := func(r Request) bool { _, ok := p.RefuseQuarantined(now, &r); return ok }
-			for _, r := range l.removeIf(refused) {
-				refusal, _ := p.RefuseQuarantined(now, &r)
-				out.Refused = append(out.Refused, refusal)
+		if f.IsRequest() {
+			for _, s := range p.sortedServices() {
+				out.Refused = append(out.Refused, p.refuseWaiting(now, s)...)
 			}
+			continue
 		}
+		out.Refused = append(out.Refused, p.refuseWaiting(now, p.service(f.Service))...)
+	}
+	return out
+}
+
+// refuseWaiting removes the waiting requests of a service that are quarantined, and returns their refusals.
+func (p *Pool) refuseWaiting(now time.Time, s *service) []Refusal {
+	var out []Refusal
+	for _, l := range []*waitList{&s.online, &s.batch} {
+		l.removeIf(func(r Request) bool {
+			refusal, ok := p.RefuseQuarantined(now, &r)
+			if ok {
+				out = append(out, refusal)
+			}
+			return ok
+		})
 	}
 	return out
 }
@@ -84,20 +102,20 @@
 		return Outcome{}
 	}
 	delete(p.trials, g)
-	out := Outcome{Findings: p.judge.Wrote(now, g.request.Service, g.request.Parts)}
+	out := Outcome{Findings: p.judge.Wrote(now, g.request.work())}
 	out.add(p.serve(now, p.service(g.request.Service)))
 	return out
 }
 
-// ImportParts adds what another node knows of parts of prompts.
-func (p *Pool) ImportParts(now time.Time, records []poison.Record) Outcome {
+// ImportSuspects adds what another node knows of parts of prompts and of requests.
+func (p *Pool) ImportSuspects(now time.Time, records []poison.Record) Outcome {
 	out := p.withFindings(now, p.judge.Import(now, records))
 	out.add(p.serveAll(now))
 	return out
 }
 
-// ExportParts returns what is known against parts of prompts.
-func (p *Pool) ExportParts(now time.Time) []poison.Record { return p.judge.Export(now) }
+// ExportSuspects returns what is known against parts of prompts and against requests.
+func (p *Pool) ExportSuspects(now time.Time) []poison.Record { return p.judge.Export(now) }
 
-// QuarantinedParts returns the number of parts that are quarantined.
-func (p *Pool) QuarantinedParts(now time.Time) int { return p.judge.Quarantined(now) }
+// Quarantined returns the numbers of parts and of requests that are quarantined.
+func (p *Pool) Quarantined(now time.Time) (parts, requests int) { return p.judge.Quarantined(now) }
--- a/core/slot/poison_load_test.go
+++ b/core/slot/poison_load_test.go
@@ -12,8 +12,8 @@
 	"mothcart/core/site"
 )
 
-// crashLoad is a pattern of requests whose prompts share parts, at upstreams that crash for reasons of their own or on
-// a part.
+// crashLoad is a pattern of requests whose prompts share parts, at upstreams that crash for reasons of their own, on a
+// part, or on a request that comes again.
 type crashLoad struct {
 	name      string
 	upstreams int
@@ -21,6 +21,10 @@
 	// sound prompt has one of firstParts first parts and one of subjects further ones.
 	rate, bad            int
 	firstParts, subjects int
+	// alike is the number of different sound requests, each of which comes again and again; 0 means that none does.
+	alike int
+	// repeats reports that the bad requests are tries of one request, instead of requests that share a part.
+	repeats bool
 	// crashes is the number of upstreams that crash by themselves each second on average; together is how many of them
 	// crash at a time.
 	crashes  float64
@@ -34,6 +38,8 @@
 	crashStep  = 5 * time.Millisecond
 	crashDown  = 1500 * time.Millisecond
 	badPart    = "bad"
+	// badIdentity is that of the tries of a bad request.
+	badIdentity poison.Identity = 1
 )
 
 // crashAttempt is a request at an upstream.
@@ -54,9 +60,11 @@
 	open  map[Key]*crashAttempt
 	asked map[Key][]string
 	next  uint64
-	// quarantined are the parts that were quarantined, ended the times of the ends under badPart; reached are the times
+	// identities are those of the requests by number, and badIdentity that of the tries of a bad request.
+	identities map[uint64]poison.Identity
+	// quarantined are the parts and requests that were quarantined, by their names in logs, ended the times of the ends under badPart; reached are the times
 	// at which requests with it were sent.
-	quarantined    map[poison.Part]bool
+	quarantined    map[string]bool
 	ended, reached []time.Time
 	// began counts the sound requests that got a slot, sent all of them, from late on.
 	began, sent int
@@ -73,7 +81,7 @@
 func (l crashLoad) play(seed uint64) *crashRun {
 	r := &crashRun{
 		crashLoad: l, rng: rand.New(rand.NewPCG(seed, 1)), p: NewPool(NewOptions()), since: make([]time.Time, l.upstreams),
-		open: map[Key]*crashAttempt{}, asked: map[Key][]string{}, quarantined: map[poison.Part]bool{},
+		open: map[Key]*crashAttempt{}, asked: map[Key][]string{}, identities: map[uint64]poison.Identity{}, quarantined: map[string]bool{},
 	}
 	r.list = upstreams(l.upstreams, 8)
 	r.p.SetUpstreams(start, r.list)
@@ -160,9 +168,17 @@
 
 func (r *crashRun) ask(now time.Time, parts ...string) {
 	r.next++
-	if parts[1] != badPart && now.After(start.Add(crashTime/2)) {
+	bad := parts[1] == badPart
+	if !bad && now.After(start.Add(crashTime/2)) {
 		r.sent++
 	}
+	r.identities[r.next] = poison.Identity(1000 + r.next)
+	switch {
+	case bad && r.repeats:
+		r.identities[r.next] = badIdentity
+	case !bad && r.alike > 0:
+		r.identities[r.next] = poison.Identity(100 + r.rng.IntN(r.alike))
+	}
 	r.askAs(now, Key{Owner: "first", ID: r.next}, parts)
 }
 
@@ -172,6 +188,7 @@
 	for _, p := range parts {
 		q.Parts = append(q.Parts, poison.NewPart(p))
 	}
+	q.Identity = r.identities[k.ID]
 	r.asked[k] = parts
 	r.record(now, r.p.Ask(now, q))
 }
@@ -179,7 +196,11 @@
 func (r *crashRun) record(now time.Time, out Outcome) {
 	for _, f := range out.Findings {
 		if f.Kind == poison.QuarantineBegun {
-			r.quarantined[f.Part] = true
+			name := f.Part.String()
+			if f.IsRequest() {
+				name = f.Identity.String()
+			}
+			r.quarantined[name] = true
 		}
 	}
 	for _, g := range out.Granted {
@@ -207,12 +228,15 @@
 }
 
 // Guards against quarantines on days on which upstreams crash for reasons of their own.
-func TestCrashesOfUpstreamsCondemnNoPart(t *testing.T) {
+func TestCrashesOfUpstreamsCondemnNothing(t *testing.T) {
 	for _, l := range []crashLoad{
 		{name: "9 upstreams, a crash each second", upstreams: 9, rate: 38, firstParts: 40, subjects: 595, crashes: 1},
 		{name: "9 upstreams, three crash together", upstreams: 9, rate: 38, firstParts: 40, subjects: 595, crashes: 2, together: 3},
 		{name: "9 upstreams, all crash together", upstreams: 9, rate: 38, firstParts: 1, subjects: 20, crashes: 4, together: 40},
 		{name: "9 upstreams, few parts", upstreams: 9, rate: 38, firstParts: 1, subjects: 3, crashes: 2},
+		{name: "9 upstreams, few requests that come again", upstreams: 9, rate: 38, firstParts: 40, subjects: 595, alike: 3, crashes: 1},
+		{name: "9 upstreams, many requests that come again", upstreams: 9, rate: 38, firstParts: 40, subjects: 595, alike: 300, crashes: 2},
+		{name: "3 upstreams, a crash each second", upstreams: 3, rate: 12, firstParts: 1, subjects: 1, crashes: 1},
 		{name: "300 upstreams, two crashes each second", upstreams: 300, rate: 190, firstParts: 200, subjects: 5000, crashes: 2},
 		{name: "300 upstreams, a tenth crash together", upstreams: 300, rate: 190, firstParts: 200, subjects: 5000, crashes: 15, together: 30},
 	} {
@@ -225,11 +249,16 @@
 	}
 }
 
-// Guards against parts that go on to crash upstreams, and against quarantines of parts that they share prompts with,
-// also while upstreams crash for reasons of their own.
+// Guards against parts and requests that go on to crash upstreams, and against quarantines of what they share prompts or
+// upstreams with, also while upstreams crash for reasons of their own.
 func TestBadPartIsFoundBesideCrashes(t *testing.T) {
 	const contact, mayReach = 3 * time.Second, 3
 	for _, l := range []crashLoad{
+		{name: "3 upstreams, a request that comes again", upstreams: 3, rate: 12, bad: 10, firstParts: 1, subjects: 595, repeats: true},
+		{name: "9 upstreams, a request that comes again", upstreams: 9, rate: 38, bad: 8, firstParts: 40, subjects: 595, repeats: true},
+		{name: "9 upstreams, a request that comes again rarely", upstreams: 9, rate: 38, bad: 1, firstParts: 40, subjects: 595, repeats: true},
+		{name: "9 upstreams, a request that comes again, a crash each second", upstreams: 9, rate: 38, bad: 8, firstParts: 40, subjects: 595, repeats: true, crashes: 1},
+		{name: "300 upstreams, a request that comes again, two crashes each second", upstreams: 300, rate: 190, bad: 8, firstParts: 200, subjects: 5000, repeats: true, crashes: 2},
 		{name: "9 upstreams", upstreams: 9, rate: 38, bad: 8, firstParts: 1, subjects: 595},
 		{name: "9 upstreams, mostly bad requests", upstreams: 9, rate: 8, bad: 30, firstParts: 1, subjects: 595},
 		{name: "9 upstreams, few bad requests", upstreams: 9, rate: 38, bad: 1, firstParts: 40, subjects: 595},
@@ -239,11 +268,15 @@
 		t.Run(l.name, func(t *testing.T) {
 			for seed := range l.seeds() {
 				r := l.play(seed)
-				assert.Equal(t, map[poison.Part]bool{poison.NewPart(badPart): true}, r.quarantined, "seed %d", seed)
-				if len(r.ended) >= 5 {
+				culprit, ends := poison.NewPart(badPart).String(), 5
+				if l.repeats {
+					culprit, ends = badIdentity.String(), 3
+				}
+				assert.Equal(t, map[string]bool{culprit: true}, r.quarantined, "seed %d", seed)
+				if len(r.ended) >= ends {
 					late := 0
 					for _, at := range r.reached {
-						if at.After(r.ended[4].Add(contact)) {
+						if at.After(r.ended[ends-1].Add(contact)) {
 							late++
 						}
 					}
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -19,7 +19,7 @@
 	// byOwner holds the grants of each owner, by the ID of the request.
 	byOwner map[string]map[uint64]*grant
 	judge   *poison.Judge
-	// trials are the grants that decide about suspected parts.
+	// trials are the grants that decide about suspected parts or requests.
 	trials map[*grant]struct{}
 	// aloneNodes is the number of nodes that share the rates of upstreams with this one; 0 means that none does.
 	// aloneLevel spreads their requests.
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -18,8 +18,8 @@
 //
 // An upstream that names the rate that it takes gets requests at that rate (core/throttle), whatever slots it has free.
 //
-// A request whose prompt shares a part with others that crashed upstreams waits until core/poison has decided about the
-// part, or is refused.
+// A request whose prompt shares a part with others that crashed upstreams, or that did so in an earlier try, waits until
+// core/poison has decided about it, or is refused.
 //
 // One Pool at the home of the slots decides for all VMs. A VM that can't reach the home decides for
 // itself with its own Pool, which then also counts the requests of others that upstreams report.
@@ -87,8 +87,10 @@
 	// event. Without Version the pool finds out at which version that stream began.
 	Continues bool
 	Resumes   string
-	// Parts are the parts of the prompt that other requests may share, in order.
-	Parts []poison.Part
+	// Parts are the parts of the prompt that other requests may share, in order. Identity is what other tries of an online
+	// request have in common with this one; zero for an item, which is owed whatever has ended under it.
+	Parts    []poison.Part
+	Identity poison.Identity
 	// AvailabilityZone is that of the VM that asked.
 	AvailabilityZone string
 }
@@ -115,6 +117,11 @@
 	return r.Objective
 }
 
+// work returns what the request asks of an upstream.
+func (r *Request) work() poison.Work {
+	return poison.Work{Service: r.Service, Parts: r.Parts, Identity: r.Identity}
+}
+
 // accepts reports whether an upstream of a software version may take the request.
 func (r *Request) accepts(version string) bool { return r.Version == "" || r.Version == version }
 
@@ -127,7 +134,8 @@
 type Grant struct {
 	Request  Request
 	Upstream site.Upstream
-	// Trial reports that Wrote is to be called once the upstream writes, since a part of the prompt is suspected.
+	// Trial reports that Wrote is to be called once the upstream writes, since a part of the prompt or the request is
+	// suspected.
 	Trial bool
 }
 
@@ -145,6 +153,8 @@
 	ReasonFull Reason = "full"
 	// ReasonQuarantined means that a part of the prompt crashes upstreams.
 	ReasonQuarantined Reason = "quarantinedPart"
+	// ReasonQuarantinedRequest means that the request itself crashes upstreams.
+	ReasonQuarantinedRequest Reason = "quarantinedRequest"
 	// ReasonWaited means that no slot became free before the wait ended.
 	ReasonWaited Reason = "waited"
 )
@@ -163,7 +173,7 @@
 	Preempted []Grant
 	Granted   []Grant
 	Refused   []Refusal
-	// Findings are the changes of what is known of parts of prompts.
+	// Findings are the changes of what is known of parts of prompts and of requests.
 	Findings []poison.Finding
 	// Limits are the changes of the rates that upstreams name.
 	Limits []LimitChange
--- a/io/explain/explain.go
+++ b/io/explain/explain.go
@@ -124,8 +124,8 @@
 }
 
 // Timeline returns the events of a request, job or item in causal order, together with the context events
-// and changes of upstreams on the same nodes in that period, and with what was found about the parts of its prompt, at
-// any time before.
+// and changes of upstreams on the same nodes in that period, and with what was found about the parts of its prompt
+// and about the request, at any time before.
 func Timeline(events []Event, id string) []Event {
 	var selected []Event
 	nodes := map[string]bool{}
@@ -151,7 +151,7 @@
 		upstream := e.Name == "upstreamGone" || e.Name == "upstreamChanged"
 		switch {
 		case e.refersTo(ids):
-		case !e.Time.After(last) && e.Fields["part"] != nil && mentionsPart(selected, e.text("part")):
+		case !e.Time.After(last) && (mentionsPart(selected, e.text("part")) || sharesIdentity(selected, e)):
 			selected = append(selected, e)
 		case e.Name == "slotRefused" && asks[[2]string{vm, e.text("ask")}]:
 			selected = append(selected, e)
@@ -172,9 +172,16 @@
 	return slices.ContainsFunc(events, func(e Event) bool { return upstream != "" && e.text("upstream") == upstream })
 }
 
+// sharesIdentity reports that an event is about the identity of the request that events belong to. Other failed tries of
+// the request name it as well.
+func sharesIdentity(events []Event, e Event) bool {
+	identity := e.text("identity")
+	return identity != "" && slices.ContainsFunc(events, func(own Event) bool { return own.text("identity") == identity })
+}
+
 // mentionsPart reports that events of a request name a part of its prompt.
 func mentionsPart(events []Event, part string) bool {
-	return slices.ContainsFunc(events, func(e Event) bool {
+	return part != "" && slices.ContainsFunc(events, func(e Event) bool {
 		parts, _ := e.Fields["parts"].([]any)
 		return slices.Contains(parts, any(part))
 	})
--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -49,8 +49,8 @@
 		x.sendAnswer(now, Lease{}, *x.fallback, "failedAtUpstream")
 	case x.runs == 0:
 		x.f.metrics.refused.Inc(1)
-		if refusal.Reason == slot.ReasonQuarantined {
-			x.log = x.log.With().Strs("parts", poison.Names(x.parts)).Logger()
+		if refusal.Reason == slot.ReasonQuarantined || refusal.Reason == slot.ReasonQuarantinedRequest {
+			x.log = x.log.With().Strs("parts", poison.Names(x.parts)).Stringer("identity", x.identity).Logger()
 		}
 		refuse(x.w, refusal.RetryAfter, refusalText(refusal.Reason))
 		x.done(now, "", "refused:"+reason, http.StatusServiceUnavailable)
@@ -82,6 +82,8 @@
 		return "not run; the software version that began this stream is not known here"
 	case slot.ReasonQuarantined:
 		return "not run; a part of the prompt crashes upstreams"
+	case slot.ReasonQuarantinedRequest:
+		return "not run; this request crashes upstreams"
 	default:
 		return "not run; come back later"
 	}
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -86,7 +86,7 @@
 	Limit func(rate float64, named bool)
 	// Began records that the request's stream begins with this slot, where the request for the slot didn't name it.
 	Began func(stream string)
-	// Wrote records that the upstream writes its answer, which clears suspected parts of the prompt.
+	// Wrote records that the upstream writes its answer, which clears suspected parts of the prompt and the request.
 	Wrote func()
 	// Silence records that the upstream is silent, or that it goes on.
 	Silence func(silent bool)
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -139,6 +139,7 @@
 		AvailabilityZone: x.f.opts.AvailabilityZone,
 		Objective:        x.objective(ran),
 		Parts:            x.parts,
+		Identity:         x.identity,
 	}
 	if !x.isStream() {
 		return r
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -73,10 +73,10 @@
 	// had for long enough, if this node can tell.
 	Origins     *Origins
 	SoleVersion func(now time.Time, service string) (string, bool)
-	// PartRecords is what the node's last process knew against parts of prompts. PartsChanged is called when a part was
-	// quarantined or cleared.
-	PartRecords  []poison.Record
-	PartsChanged func()
+	// Suspects is what the node's last process knew against parts of prompts and against requests. SuspectsChanged is
+	// called when one was quarantined or cleared.
+	Suspects        []poison.Record
+	SuspectsChanged func()
 	// Down is called with true when the home reports that it can't reach the object service, and with
 	// false when it can.
 	Down func(down bool)
@@ -123,9 +123,9 @@
 		opts: opts, cancel: cancel, wake: make(chan struct{}, 1), gone: make(map[site.Key]bool),
 		inventory: newInventory(), cancelAttempt: func() {},
 	}
-	c.localPool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions().WithReports(true), opts.SoleVersion), opts.Now, c.foundParts,
+	c.localPool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions().WithReports(true), opts.SoleVersion), opts.Now, c.foundSuspects,
 		func(changes []slot.LimitChange) { logLimits(opts.Log, "node", changes) })
-	c.localPool.ImportParts(opts.PartRecords)
+	c.localPool.ImportSuspects(opts.Suspects)
 	c.homeAnswered.Store(true) // the first decision without a home begins a share of rates
 	c.done.Go(func() { c.run(ctx) })
 	return c
@@ -267,7 +267,7 @@
 	err := conn.Call(askCtx, methodAsk, askRequest{
 		ID: r.Key.ID, Service: r.Service, Priority: r.Priority, Remaining: r.Order.Sub(now), Wait: wait,
 		Exclude: r.Exclude, Zone: r.AvailabilityZone, Objective: remainingObjective(now, r),
-		Version: r.Version, Stream: r.Stream, Continues: r.Continues, Resumes: r.Resumes, Parts: r.Parts,
+		Version: r.Version, Stream: r.Stream, Continues: r.Continues, Resumes: r.Resumes, Parts: r.Parts, Identity: r.Identity,
 	}, &answer)
 	if err != nil {
 		c.inventory.end(conn, releaseNotice{ID: r.Key.ID, Result: slot.Abandoned})
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -171,7 +171,7 @@
 func (c *Client) hello() helloRequest {
 	return helloRequest{
 		VM: c.opts.VMID, Incarnation: c.opts.Incarnation, Relay: c.opts.Relay, Runs: c.opts.Runner != nil,
-		Open: c.inventory.open(), Leaving: upstreamKeys(c.opts.LeavingUpstreams()), PartRecords: c.PartRecords(), Limits: encodeLimits(c.localPool.ExportLimits()),
+		Open: c.inventory.open(), Leaving: upstreamKeys(c.opts.LeavingUpstreams()), Suspects: c.Suspects(), Limits: encodeLimits(c.localPool.ExportLimits()),
 	}
 }
 
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -73,10 +73,10 @@
 	// had for long enough, if this node can tell.
 	Origins     *Origins
 	SoleVersion func(now time.Time, service string) (string, bool)
-	// PartRecords is what this node knows against parts of prompts; PushParts notifies all nodes of such that were quarantined
-	// or cleared.
-	PartRecords []poison.Record
-	PushParts   func(records []poison.Record)
+	// Suspects is what this node knows against parts of prompts and against requests; PushSuspects notifies all nodes of
+	// such that were quarantined or cleared.
+	Suspects     []poison.Record
+	PushSuspects func(records []poison.Record)
 	// Checkpoints holds this node's checkpoints: of the previous home's items, then of its own.
 	Checkpoints *Checkpoints
 	// Retirements describes the objects that ask for a VM to be drained. StepDown is called when this VM is
@@ -139,8 +139,8 @@
 	restarts metrics.Counter
 	// corrected counts the requests of nodes that had ended without the home's knowledge.
 	corrected metrics.Counter
-	// partSuspicions counts ends of upstreams by suspected part of a prompt, partQuarantines and partsCleared what followed.
-	partSuspicions, partQuarantines, partsCleared metrics.Counter
+	// parts counts what is found about parts of prompts, requests what is found about requests.
+	parts, requests findingMetrics
 	// limitedUpstreams is the number of upstreams that name a rate.
 	limitedUpstreams metrics.Gauge
 	// bodyBytes is the size of the bodies of open items.
@@ -156,7 +156,8 @@
 		metrics: homeMetrics{
 			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"), restarts: counter("restarts"),
 			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"), corrected: counter("slotsCorrected"),
-			partSuspicions: counter("partSuspicions"), partQuarantines: counter("partQuarantines"), partsCleared: counter("partsCleared"),
+			parts:            findingMetrics{counter("partSuspicions"), counter("partQuarantines"), counter("partsCleared")},
+			requests:         findingMetrics{counter("requestSuspicions"), counter("requestQuarantines"), counter("requestsCleared")},
 			limitedUpstreams: metrics.GetOrRegisterGauge("home.limitedUpstreams", opts.Registry),
 			bodyBytes:        metrics.GetOrRegisterGauge("home.bodyBytes", opts.Registry),
 		},
@@ -165,8 +166,8 @@
 		undelivered: make(map[string]time.Time), runners: make(map[string]*runnerNode),
 		nodes: make(map[string]*link.Conn), listed: newListedJobs(),
 	}
-	h.pool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions(), opts.SoleVersion), opts.Now, h.foundParts, h.limitsChanged)
-	h.pool.ImportParts(opts.PartRecords)
+	h.pool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions(), opts.SoleVersion), opts.Now, h.foundSuspects, h.limitsChanged)
+	h.pool.ImportSuspects(opts.Suspects)
 	if opts.SlotsOnly {
 		return h
 	}
@@ -190,21 +191,18 @@
 	h.metrics.limitedUpstreams.Update(int64(len(h.pool.ExportLimits())))
 }
 
-// foundParts tells all nodes of parts of prompts that were quarantined or cleared.
-func (h *Home) foundParts(findings []poison.Finding) {
+// foundSuspects tells all nodes of parts of prompts and of requests that were quarantined or cleared.
+func (h *Home) foundSuspects(findings []poison.Finding) {
 	logFindings(h.opts.Log, "home", findings)
 	for _, f := range findings {
-		switch f.Kind {
-		case poison.Suspected:
-			h.metrics.partSuspicions.Inc(1)
-		case poison.QuarantineBegun:
-			h.metrics.partQuarantines.Inc(1)
-		case poison.Cleared:
-			h.metrics.partsCleared.Inc(1)
+		if f.IsRequest() {
+			h.metrics.requests.count(f.Kind)
+		} else {
+			h.metrics.parts.count(f.Kind)
 		}
 	}
 	if records := decided(findings); len(records) > 0 {
-		h.opts.PushParts(records)
+		h.opts.PushSuspects(records)
 	}
 }
 
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -28,7 +28,7 @@
 	methodWrote = "wrote"
 	// methodLimit reports the rate that an upstream's answer names, or that it names none.
 	methodLimit = "limit"
-	// methodParts names parts of prompts that are suspected or known to crash upstreams, in both directions.
+	// methodParts names parts of prompts and requests that are suspected or known to crash upstreams, in both directions.
 	methodParts   = "parts"
 	methodReserve = "reserve"
 	methodRead    = "read"
@@ -74,8 +74,8 @@
 	Open []openedSlot `msgpack:"open"`
 	// Leaving lists the upstreams of which the node knows that they are leaving.
 	Leaving []upstreamKey `msgpack:"leaving,omitempty"`
-	// PartRecords is what the node knows against parts of prompts.
-	PartRecords []poison.Record `msgpack:"parts,omitempty"`
+	// Suspects is what the node knows against parts of prompts and against requests.
+	Suspects []poison.Record `msgpack:"parts,omitempty"`
 	// Limits are the rates of upstreams that the node knows.
 	Limits []limitRecord `msgpack:"limits,omitempty"`
 }
@@ -84,8 +84,9 @@
 	ID       uint64 `msgpack:"id"`
 	Service  string `msgpack:"svc"`
 	Upstream string `msgpack:"up"`
-	// Parts are those of slot.Request.
-	Parts []poison.Part `msgpack:"parts,omitempty"`
+	// Parts and Identity are those of slot.Request.
+	Parts    []poison.Part   `msgpack:"parts,omitempty"`
+	Identity poison.Identity `msgpack:"identity,omitempty"`
 }
 
 type helloAnswer struct {
@@ -108,15 +109,16 @@
 	Stream    string `msgpack:"stream,omitempty"`
 	Continues bool   `msgpack:"cont,omitempty"`
 	Resumes   string `msgpack:"from,omitempty"`
-	// Parts are those of slot.Request.
-	Parts []poison.Part `msgpack:"parts,omitempty"`
+	// Parts and Identity are those of slot.Request.
+	Parts    []poison.Part   `msgpack:"parts,omitempty"`
+	Identity poison.Identity `msgpack:"identity,omitempty"`
 }
 
 func (a askRequest) request(now time.Time, owner string) slot.Request {
 	r := slot.Request{
 		Key: slot.Key{Owner: owner, ID: a.ID}, Service: a.Service, Priority: a.Priority,
 		Order: now.Add(a.Remaining), Deadline: now.Add(a.Wait), Exclude: a.Exclude, AvailabilityZone: a.Zone,
-		Version: a.Version, Stream: a.Stream, Continues: a.Continues, Resumes: a.Resumes, Parts: a.Parts,
+		Version: a.Version, Stream: a.Stream, Continues: a.Continues, Resumes: a.Resumes, Parts: a.Parts, Identity: a.Identity,
 	}
 	if a.Objective != nil {
 		r.Objective = now.Add(*a.Objective)
--- a/io/home/receive.go
+++ b/io/home/receive.go
@@ -24,7 +24,7 @@
 	case methodOrigins:
 		return handleMessage(in, c.opts.Origins.merge)
 	case methodParts:
-		return handleMessage(in, func(m partsNotice) { c.localPool.ImportParts(m.Records) })
+		return handleMessage(in, func(m suspectsNotice) { c.localPool.ImportSuspects(m.Records) })
 	case methodLeaving:
 		return handleMessage(in, func(m leavingNotice) { c.opts.MarkLeaving("home", siteKeys(m.Upstreams)) })
 	case methodObjectsDown:
--- a/io/home/server.go
+++ b/io/home/server.go
@@ -63,9 +63,9 @@
 // PushAnnouncement notifies all connected nodes of the home that has taken over.
 func (s *Server) PushAnnouncement(a Announcement) { s.notifyAll(methodAnnounce, a) }
 
-// PushParts notifies all connected nodes of parts of prompts that were quarantined or cleared.
-func (s *Server) PushParts(records []poison.Record) {
-	s.notifyAll(methodParts, partsNotice{Records: records})
+// PushSuspects notifies all connected nodes of parts of prompts and of requests that were quarantined or cleared.
+func (s *Server) PushSuspects(records []poison.Record) {
+	s.notifyAll(methodParts, suspectsNotice{Records: records})
 }
 
 // PushDown notifies all connected nodes whether the home can reach the object service, if a home runs here.
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -146,7 +146,7 @@
 		h.mu.Unlock()
 	}
 	h.opts.MarkLeaving(s.owner, siteKeys(m.Leaving))
-	h.pool.ImportParts(m.PartRecords)
+	h.pool.ImportSuspects(m.Suspects)
 	h.pool.ImportLimits(decodeLimits(m.Limits), false)
 	for _, o := range m.Open {
 		h.adopt(s, o)
@@ -157,8 +157,8 @@
 	if keys := h.opts.Leaving(); len(keys) > 0 {
 		in.Conn().Notify(methodLeaving, leavingNotice{Upstreams: upstreamKeys(keys)})
 	}
-	if records := h.pool.ExportParts(); len(records) > 0 {
-		in.Conn().Notify(methodParts, partsNotice{Records: records})
+	if records := h.pool.ExportSuspects(); len(records) > 0 {
+		in.Conn().Notify(methodParts, suspectsNotice{Records: records})
 	}
 	h.opts.Views.sendTo(in.Conn())
 	return s
--- a/io/home/slotpool.go
+++ b/io/home/slotpool.go
@@ -26,7 +26,7 @@
 // concurrent use.
 type SlotPool struct {
 	now func() time.Time
-	// found is called with each change of what is known of parts of prompts.
+	// found is called with each change of what is known of parts of prompts and of requests.
 	found func(findings []poison.Finding)
 	// limited is called with each change of the rate that an upstream names.
 	limited func(changes []slot.LimitChange)
@@ -38,8 +38,8 @@
 	closed  bool
 }
 
-// NewSlotPool returns a pool without upstreams. It calls found with each change of what is known of parts of prompts,
-// and limited with each change of the rate that an upstream names. Both must not block.
+// NewSlotPool returns a pool without upstreams. It calls found with each change of what is known of parts of prompts
+// and of requests, and limited with each change of the rate that an upstream names. Both must not block.
 func NewSlotPool(opts slot.Options, now func() time.Time, found func(findings []poison.Finding), limited func(changes []slot.LimitChange)) *SlotPool {
 	return &SlotPool{now: now, found: found, limited: limited, pool: slot.NewPool(opts), askers: make(map[slot.Key]asker)}
 }
@@ -90,23 +90,23 @@
 	p.change(func(now time.Time) slot.Outcome { return p.pool.Wrote(now, k) })
 }
 
-// ImportParts adds what another node knows of parts of prompts.
-func (p *SlotPool) ImportParts(records []poison.Record) {
-	p.change(func(now time.Time) slot.Outcome { return p.pool.ImportParts(now, records) })
+// ImportSuspects adds what another node knows of parts of prompts and of requests.
+func (p *SlotPool) ImportSuspects(records []poison.Record) {
+	p.change(func(now time.Time) slot.Outcome { return p.pool.ImportSuspects(now, records) })
 }
 
-// ExportParts returns what is known against parts of prompts.
-func (p *SlotPool) ExportParts() []poison.Record {
+// ExportSuspects returns what is known against parts of prompts and against requests.
+func (p *SlotPool) ExportSuspects() []poison.Record {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pool.ExportParts(p.now())
+	return p.pool.ExportSuspects(p.now())
 }
 
-// QuarantinedParts returns the number of parts that are quarantined.
-func (p *SlotPool) QuarantinedParts() int {
+// Quarantined returns the numbers of parts and of requests that are quarantined.
+func (p *SlotPool) Quarantined() (parts, requests int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pool.QuarantinedParts(p.now())
+	return p.pool.Quarantined(p.now())
 }
 
 // Limit records what an answer says of the rate that the upstream of a slot in use takes.
@@ -140,7 +140,7 @@
 	p.pool.DecideAlone(p.now(), nodes, rand.Float64)
 }
 
-// RefuseQuarantined returns the refusal of a request with a part that crashes upstreams, and false for others.
+// RefuseQuarantined returns the refusal of a request that crashes upstreams, or has a part that does, and false for others.
 func (p *SlotPool) RefuseQuarantined(r slot.Request) (slot.Refusal, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -216,7 +216,7 @@
 		Runner: n.base.runner, OwnRuns: o.OwnRuns, Config: n.base.currentConfig, Valid: valid,
 		Views: n.views, ObjectsDown: n.base.objectsDown,
 		Before: n.base.client.Home(), Dial: o.Connect(connectTimeout), Checkpoints: n.base.checkpoints,
-		PartRecords: n.base.client.PartRecords(), PushParts: n.server.PushParts,
+		Suspects: n.base.client.Suspects(), PushSuspects: n.server.PushSuspects,
 		Origins: n.base.origins, SoleVersion: n.base.soleVersion,
 		Announce: n.server.PushAnnouncement, MarkLeaving: n.base.markLeaving, Leaving: n.base.leavingUpstreams,
 		Retirements: platform.Retirements(), StepDown: n.stepDown,
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -95,7 +95,7 @@
 	// savers persist on disk what home nodes need after a restart; siteStateChanged is called on each
 	// change of the node's view of the site.
 	savers           []*saver
-	partsSaver       *saver
+	suspectsSaver    *saver
 	siteStateChanged func()
 	startWait        *startWait
 	// cancelStart cancels the fetch of the site state at the node's start, and startFetch waits for its end.
@@ -166,18 +166,21 @@
 		stateSaver := newSaver(s.DataDir, siteStateFile, func() any { return b.siteState() }, opts.Log)
 		b.siteStateChanged = stateSaver.changed
 		b.loadHistory()
-		b.partsSaver = newSaver(s.DataDir, partsFile, func() any { return b.client.PartRecords() }, opts.Log)
-		b.savers = []*saver{progressSaver, stateSaver, b.partsSaver}
+		b.suspectsSaver = newSaver(s.DataDir, suspectsFile, func() any { return b.client.Suspects() }, opts.Log)
+		b.savers = []*saver{progressSaver, stateSaver, b.suspectsSaver}
 	}
 	b.client = home.NewClient(home.ClientOptions{
 		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, HomeNodes: opts.homeNodes, Connect: opts.Connect(connectTimeout), Now: opts.Now,
 		Checkpoints: b.checkpoints, Unreached: b.startWait.end, Announced: b.siteStateChanged, OnReceivesChanges: b.updateDown,
-		Origins: b.origins, SoleVersion: b.soleVersion, PartRecords: load[[]poison.Record](s.DataDir, partsFile, opts.Log), PartsChanged: func() { b.partsSaver.changed() },
+		Origins: b.origins, SoleVersion: b.soleVersion, Suspects: load[[]poison.Record](s.DataDir, suspectsFile, opts.Log), SuspectsChanged: func() { b.suspectsSaver.changed() },
 		View: func(kind string, c object.Change) { b.receive(kind, c) }, Down: b.setHomeDown, Runner: b.runner, Log: opts.Log,
 		Leaving: b.answeredLeaving, MarkLeaving: b.markLeaving, LeavingUpstreams: b.leavingUpstreams,
 	})
 	opts.Registry.GetOrRegister("parts.quarantined", func() metrics.Gauge {
-		return metrics.NewFunctionalGauge(func() int64 { return int64(b.client.QuarantinedParts()) })
+		return metrics.NewFunctionalGauge(func() int64 { parts, _ := b.client.Quarantined(); return int64(parts) })
+	})
+	opts.Registry.GetOrRegister("requests.quarantined", func() metrics.Gauge {
+		return metrics.NewFunctionalGauge(func() int64 { _, requests := b.client.Quarantined(); return int64(requests) })
 	})
 	return b
 }
--- a/io/node/poison_test.go
+++ b/io/node/poison_test.go
@@ -70,11 +70,11 @@
 	s.engines = append(s.engines, e)
 }
 
-// send sends a request with a prompt of the given parts.
+// send sends a request with a prompt of the given parts. Requests with different IDs have different bodies.
 func (s *poisonSite) send(n int, path, id string, parts ...string) reply {
 	h := http.Header{}
 	fake.SetParts(h, parts...)
-	return s.callWith(s.t.Context(), n, http.MethodPost, path, id, "", h)
+	return s.callWith(s.t.Context(), n, http.MethodPost, path, id, id, h)
 }
 
 // traffic sends sound requests and, meanwhile, requests on which upstreams crash.
@@ -231,7 +231,9 @@
 				}
 				tc.mend(s)
 				time.Sleep(4 * time.Second)
-				require.Zero(t, s.entries["e1"].base.client.QuarantinedParts())
+				parts, requests := s.entries["e1"].base.client.Quarantined()
+				require.Zero(t, parts)
+				require.Zero(t, requests)
 				r := ps.send(2, "/ask/stream/1", "last", "first", "rare", "own")
 				require.Equal(t, http.StatusOK, r.status)
 				require.Less(t, r.took, time.Second)
@@ -266,7 +268,9 @@
 			after, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
 			require.NoError(t, err)
 			require.Greater(t, after, 60.0, "a return within the next minute is in vain")
-			require.Equal(t, 1, s.entries[fmt.Sprint("e", n)].base.client.QuarantinedParts())
+			parts, requests := s.entries[fmt.Sprint("e", n)].base.client.Quarantined()
+			require.Equal(t, 1, parts)
+			require.Zero(t, requests)
 		}
 		require.LessOrEqual(t, len(s.poison.Ended()), 4)
 	})
--- a/io/node/saved.go
+++ b/io/node/saved.go
@@ -14,8 +14,8 @@
 	siteStateFile = "knowledge"
 	// progressFile holds the checkpoints of items that the home has sent to the node.
 	progressFile = "progress"
-	// partsFile holds what the node knows against parts of prompts.
-	partsFile = "parts"
+	// suspectsFile holds what the node knows against parts of prompts and against requests.
+	suspectsFile = "parts"
 	// saveInterval is the delay between a change and its write, so that successive changes share a write.
 	saveInterval = 200 * time.Millisecond
 )
