An entry that has lost its links to upstreams sends its requests through another one

Callers of an entry that is cut off from all upstreams were refused, and those of sound entries too: the cut entries asked the home for slots, lost each after 300 ms, and the home paused upstreams that answered everybody else.

A carrier is an upstream to io/forward: same ID, deadline, slots of its own, streams resumed by their last event, retries counted where the caller is; it makes one attempt, goes no further, and refuses at once, as not run, when its own links are lost. A retry after a connection that was never opened spends no retry budget while links are doubtful. A silent upstream is no evidence.

Ruled out: that the slots which cut entries hold are why others were refused (38 to 49 of 72 were taken). Not counted against upstreams at the home: an entry's failures before its links are doubtful are few.

--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -155,6 +155,10 @@
 	ReasonQuarantined Reason = "quarantinedPart"
 	// ReasonQuarantinedRequest means that the request itself crashes upstreams.
 	ReasonQuarantinedRequest Reason = "quarantinedRequest"
+	// ReasonLinksLost means that the node has lost its links to upstreams, and knows no entry that has any.
+	ReasonLinksLost Reason = "linksLost"
+	// ReasonByCarrier means that another entry, through which the node sends requests, got no slot.
+	ReasonByCarrier Reason = "byCarrier"
 	// ReasonWaited means that no slot became free before the wait ended.
 	ReasonWaited Reason = "waited"
 )
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -123,8 +123,19 @@
 	startRetryAfter = 300 * time.Millisecond
 )
 
-// ServeHTTP answers one request.
+// ServeHTTP answers one request of a caller.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.serve(w, r, h.opts.Codec.Resumes(r.Header), false)
+}
+
+// ServeCarried answers one request that another entry, which has lost its links to upstreams, sends through this one.
+func (h *Handler) ServeCarried(w http.ResponseWriter, r *http.Request) {
+	resumes := r.Header.Get(forward.HeaderCarriedResumes)
+	r.Header.Del(forward.HeaderCarriedResumes)
+	h.serve(w, r, resumes, true)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, resumes string, carried bool) {
 	arrived := h.opts.Now()
 	h.active.Add(1)
 	defer h.active.Add(-1)
@@ -161,7 +172,7 @@
 	h.opts.Forward.Serve(r.Context(), w, forward.Request{
 		ID: id, Method: r.Method, Host: r.Host, Path: r.URL.RequestURI(), Header: r.Header, Body: body,
 		Route: route, Arrived: arrived, Deadline: h.deadline(r, route, arrived), Waited: route.Waited(callerWait),
-		LastEventID: h.opts.Codec.LastEventID(r.Header), Resumes: h.opts.Codec.Resumes(r.Header), Generates: cfg.Generates,
+		LastEventID: h.opts.Codec.LastEventID(r.Header), Resumes: resumes, Generates: cfg.Generates, Carried: carried,
 	}, rand.Uint64())
 }
 
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -43,6 +43,8 @@
 	Header http.Header
 	Body   []byte
 	Attempt
+	// Carried is that of Lease.
+	Carried bool
 	// Continues reports that the attempt continues a stream, of which nothing may be left.
 	Continues bool
 	// IdleTimeout is the longest time to the headers of the answer, from there to the complete body or the first
@@ -170,6 +172,9 @@
 	idle.heard()
 	idle.await()
 	a := Answer{Status: resp.Status, Header: resp.Header, Info: codec.Read(resp.Header), Sent: true, unframed: resp.Unframed}
+	if call.Carried && !a.Info.Signed && (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusNotFound) {
+		a.Info.NotRun = true // the other entry's own answer
+	}
 	call.observe(a)
 	if a.Success() && !a.Info.Signed {
 		return Answer{Sent: true, Err: merry.Errorf("status %d: %w", a.Status, errUnsigned)}
--- /dev/null
+++ b/io/forward/carried.go
@@ -0,0 +1,53 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"mothcart/core/site"
+	"mothcart/core/slot"
+	"mothcart/io/carrier"
+)
+
+// HeaderCarriedResumes holds, between two entries, the ID of the request that brought the first event of a stream.
+const HeaderCarriedResumes = "Carried-Resumes"
+
+// basisCarried is the basis of leases of other entries.
+const basisCarried = "carried"
+
+// linksRetryAfter is the Retry-After while no entry is known that could send a request; links are probed more often.
+const linksRetryAfter = 500 * time.Millisecond
+
+// lease returns a slot, or another entry while this node has lost its links to upstreams.
+func (x *exchange) lease(ctx context.Context, r slot.Request) (Lease, *slot.Refusal, error) {
+	links := x.f.opts.Links
+	if x.req.Carried || !links.Lost() {
+		return x.f.opts.Acquire(ctx, r)
+	}
+	address, ok := links.Carrier(r.Exclude)
+	if !ok {
+		return Lease{}, &slot.Refusal{Request: r, Reason: slot.ReasonLinksLost, RetryAfter: linksRetryAfter}, nil
+	}
+	return Lease{
+		Upstream: site.Upstream{ID: address, Address: address, Version: x.version}, Basis: basisCarried, Carried: true,
+		Release: func(_ time.Time, result slot.Result) {
+			switch result {
+			case slot.Unreachable, slot.Ended, slot.Broken:
+				links.CarrierFailed(address)
+			}
+		},
+		Report: func(time.Time, int, int) {}, Limit: func(float64, bool) {}, Began: func(string) {}, Wrote: func() {},
+		Silence: func(bool) {}, Leaving: func(string) {},
+	}, nil, nil
+}
+
+// carrierRefusal returns the refusal of another entry that could have sent the request, and false for other outcomes.
+func carrierRefusal(lease Lease, a Answer) (slot.Refusal, bool) {
+	if !lease.Carried || a.Status != http.StatusServiceUnavailable || !a.refused() || a.Header.Get(carrier.HeaderUnable) != "" {
+		return slot.Refusal{}, false
+	}
+	seconds, _ := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+	return slot.Refusal{Reason: slot.ReasonByCarrier, RetryAfter: time.Duration(seconds * float64(time.Second))}, true
+}
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -8,6 +8,9 @@
 // has answered. An answer without the upstream's signature, or one that belongs to another
 // request, counts as a failed attempt.
 //
+// While the node has lost its links to upstreams, attempts go through other entries, which are upstreams to the rest of
+// this package: they get a slot, make one attempt, and say that a request has not run by status 503.
+//
 // A refusal with status 503 or 429 says that the request has not run; once it may have run, a
 // failure is a 502, a 504 or a broken connection.
 //
@@ -78,6 +81,8 @@
 	// was bound; empty if it was not bound.
 	Basis   string
 	BoundBy slot.BoundBy
+	// Carried reports that Upstream is another entry, which gets a slot by itself.
+	Carried bool
 	// Release ends the use of the slot; it must be called once.
 	Release func(now time.Time, result slot.Result)
 	// Report records the load that the upstream reported.
@@ -114,17 +119,32 @@
 	// Resumes is the ID of the request that brought the first event of the stream that this request takes up; empty if
 	// the caller doesn't say.
 	Resumes string
+	// Carried reports that another entry sends the request through this one. It makes one attempt, since the other entry
+	// counts how often the request runs, and goes no further.
+	Carried bool
 	// Generates reports whether a service's upstreams are model engines. Those run a request at one upstream at a
 	// time, since a generation that runs twice costs twice.
 	Generates func(service string) bool
 }
 
-// Options are the dependencies of a Forwarder; all are required.
+// Links are this node's links to upstreams, and the entries that send requests while they are lost.
+type Links struct {
+	Lost func() bool
+	// Doubtful reports that failed connections to upstreams may be due to this node's links.
+	Doubtful func() bool
+	// Carrier returns the address of an entry that may send a request, and false if none is known that is not excluded.
+	Carrier func(exclude []string) (string, bool)
+	// CarrierFailed records that an entry could not send a request.
+	CarrierFailed func(address string)
+}
+
+// Options are the dependencies of a Forwarder; all but Links are required.
 type Options struct {
 	Client *service.Client
 	Wire   HeaderCodec
 	// Acquire waits for a slot. The refusal is set if no slot was granted; the error is that of ctx.
 	Acquire func(ctx context.Context, r slot.Request) (Lease, *slot.Refusal, error)
+	Links   Links
 	// NextID returns a new ID for a request for a slot.
 	NextID func() uint64
 	// Now returns the present time.
@@ -145,9 +165,14 @@
 
 // New returns a forwarder.
 func New(opts Options) *Forwarder {
+	if opts.Links.Lost == nil {
+		opts.Links = Links{Lost: never, Doubtful: never}
+	}
 	return &Forwarder{opts: opts, metrics: newMetrics(opts.Registry), budgets: make(map[string]retry.Budget)}
 }
 
+func never() bool { return false }
+
 // retryShare bounds retries to this share of a service's requests, so that they can't multiply the
 // load of a failing service; losing one of nine upstreams breaks a ninth of the streams at once.
 const retryShare = 0.5
--- a/io/forward/metrics.go
+++ b/io/forward/metrics.go
@@ -11,6 +11,8 @@
 	attempts, repeats, resumes        metrics.Counter
 	// silences counts upstreams that became silent during an attempt, replacements the attempts that followed.
 	silences, replacements metrics.Counter
+	// carried counts attempts through another entry.
+	carried                metrics.Counter
 	firstByte, wait, total *scrape.Histogram
 }
 
@@ -20,7 +22,7 @@
 	return forwardMetrics{
 		answered: counter("answered"), refused: counter("refused"), failed: counter("failed"), broken: counter("broken"),
 		attempts: counter("attempts"), repeats: counter("repeats"), resumes: counter("resumes"),
-		silences: counter("silences"), replacements: counter("replacements"),
+		silences: counter("silences"), replacements: counter("replacements"), carried: counter("carried"),
 		firstByte: timer("firstByte"), wait: timer("wait"), total: timer("total"),
 	}
 }
--- a/io/forward/race.go
+++ b/io/forward/race.go
@@ -122,7 +122,9 @@
 		if silent != at.silentSince.IsZero() {
 			continue
 		}
-		at.lease.Silence(silent)
+		if !silent || !r.x.f.opts.Links.Doubtful() {
+			at.lease.Silence(silent)
+		}
 		r.x.logSilence(now, at, silent)
 		if silent {
 			at.silentSince = now
@@ -161,7 +163,7 @@
 	go func() {
 		defer cancel()
 		f := found{search: s}
-		if lease, refusal, err := x.f.opts.Acquire(ctx, request); err == nil && refusal == nil {
+		if lease, refusal, err := x.lease(ctx, request); err == nil && refusal == nil {
 			f.lease = &lease
 		}
 		select {
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -14,6 +14,7 @@
 	"mothcart/core/retry"
 	"mothcart/core/site"
 	"mothcart/core/slot"
+	"mothcart/io/carrier"
 )
 
 const (
@@ -78,9 +79,15 @@
 	if req.LastEventID != "" {
 		req.Waited = 0 // the objective is about the first event, which an earlier request brought
 	}
+	if req.Carried {
+		req.Route.MaxAttempts = 1
+	}
 	x := &exchange{f: f, w: w, req: req, service: req.Route.Service(random), lastID: req.LastEventID, parts: f.opts.Wire.SharedParts(req.Header)}
 	x.identity = poison.NewIdentity(f.opts.Wire.Caller(req.Header), req.Method, req.Host, req.Path, req.Body)
 	x.log = f.opts.Log.With().Str("request", req.ID).Str("route", req.Route.Name).Str("service", x.service).Logger()
+	if req.Carried {
+		x.log = x.log.With().Bool("carried", true).Logger()
+	}
 	f.countRequest(x.service)
 	ctx, cancel := context.WithTimeout(ctx, req.Deadline.Sub(f.opts.Now()))
 	defer cancel()
@@ -114,10 +121,10 @@
 // acquire waits for a slot.
 func (x *exchange) acquire(ctx context.Context) (Lease, *slot.Refusal, error) {
 	now := x.f.opts.Now()
-	lease, refusal, err := x.f.opts.Acquire(ctx, x.slotRequest(now, 0))
+	lease, refusal, err := x.lease(ctx, x.slotRequest(now, 0))
 	if refusal != nil && len(x.silent) > 0 {
 		x.silent = nil
-		lease, refusal, err = x.f.opts.Acquire(ctx, x.slotRequest(x.f.opts.Now(), 0))
+		lease, refusal, err = x.lease(ctx, x.slotRequest(x.f.opts.Now(), 0))
 	}
 	waited := x.f.opts.Now().Sub(now)
 	x.waited += waited
@@ -145,13 +152,22 @@
 		return r
 	}
 	r.Version, r.BoundBy = x.boundVersion(), x.boundBy
-	r.Continues, r.Resumes = x.req.LastEventID != "", x.req.Resumes
+	r.Continues, r.Resumes = x.req.LastEventID != "" || (x.delivered.Load() > 0 && x.version == ""), x.origin()
 	if x.req.Route.Resumable && open == 0 {
 		r.Stream = x.req.ID // beside an open attempt it is not known yet which of the two begins the stream
 	}
 	return r
 }
 
+// origin returns the ID of the request that brought the first event of the stream; empty if the caller has taken up the
+// stream and doesn't say.
+func (x *exchange) origin() string {
+	if x.req.LastEventID != "" {
+		return x.req.Resumes
+	}
+	return x.req.ID
+}
+
 // boundVersion returns the software version at which the stream must go on; empty if it may begin at any, or if this
 // node doesn't know yet where it began.
 func (x *exchange) boundVersion() string {
@@ -235,8 +251,16 @@
 		lastID = x.lastID
 	}
 	x.f.metrics.attempts.Inc(1)
+	header := x.req.Header
+	if lease.Carried {
+		x.f.metrics.carried.Inc(1)
+		if x.isStream() && (lastID != "" || x.req.LastEventID != "") {
+			header = header.Clone()
+			header.Set(HeaderCarriedResumes, x.origin())
+		}
+	}
 	return Call{
-		ID: x.req.ID, Method: x.req.Method, Host: x.req.Host, Path: x.req.Path, Header: x.req.Header, Body: x.req.Body,
+		ID: x.req.ID, Method: x.req.Method, Host: x.req.Host, Path: x.req.Path, Header: header, Body: x.req.Body, Carried: lease.Carried,
 		Attempt:   Attempt{Upstream: lease.Upstream, Remaining: x.req.Deadline.Sub(x.f.opts.Now()), LastEventID: lastID},
 		OnLoad:    func(m AnswerInfo) { lease.Report(x.f.opts.Now(), m.Running, m.Waiting) },
 		OnLeaving: func() { lease.Leaving(x.req.ID) },
@@ -272,7 +296,15 @@
 		return true
 	}
 	x.recordFailure(lease, a)
+	if refusal, ok := carrierRefusal(lease, a); ok {
+		x.logFailure(lease, a, false)
+		x.fail(ctx, string(refusal.Reason), now, refusal)
+		return true
+	}
 	action := retry.Fail
+	if !a.Sent && x.f.opts.Links.Doubtful() {
+		x.f.refund(x.service) // the retry is no load on a failing service
+	}
 	if x.refusals <= maxRefusals {
 		action = x.f.decide(now, x.req.Deadline, x.service, x.failure(a.Sent, a.refused(), 0))
 	}
@@ -291,7 +323,14 @@
 
 // release ends the use of a slot and counts the attempt if it may have run.
 func (x *exchange) release(ctx context.Context, now time.Time, lease Lease, a Answer) {
-	lease.Release(now, a.Result(ctx))
+	result := a.Result(ctx)
+	if result == slot.Unreachable && x.f.opts.Links.Doubtful() {
+		result = slot.Abandoned // the upstream may be sound
+	}
+	lease.Release(now, result)
+	if lease.Carried && a.Header.Get(carrier.HeaderUnable) != "" {
+		x.f.opts.Links.CarrierFailed(lease.Upstream.Address)
+	}
 	if a.Sent && !a.refused() {
 		x.runs++
 	}
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -211,6 +211,13 @@
 	return c.conn != nil && (!c.leaseUnconfirmed || c.opts.Now().Sub(c.unconfirmedSince) < ago)
 }
 
+// Relays returns the addresses of some entry nodes, as the home has last named them.
+func (c *Client) Relays() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relays
+}
+
 // Home returns the home that was announced last.
 func (c *Client) Home() Announcement {
 	c.mu.Lock()
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -2,14 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
-	"mothcart/core/site"
 	"mothcart/io/entry"
 	"mothcart/io/forward"
 	"mothcart/io/home"
@@ -26,9 +28,11 @@
 
 // Entry is a node that serves callers.
 type Entry struct {
-	base      *base
-	handler   *entry.Handler
-	callers   *kratoshttp.Server
+	base    *base
+	handler *entry.Handler
+	callers *kratoshttp.Server
+	// carried serves entries that have lost their links to upstreams; nil if the VM has no port for it.
+	carried   *kratoshttp.Server
 	readiness *kratoshttp.Server
 	relay     *home.Relay
 	draining  atomic.Bool
@@ -44,7 +48,9 @@
 	b := newBase(opts, true)
 	e := &Entry{base: b}
 	forwarder := forward.New(forward.Options{
-		Client: b.upstream, Wire: platform.HeaderCodec(), Acquire: b.client.Acquire,
+		Client: b.upstream, Wire: platform.HeaderCodec(), Acquire: b.client.Acquire, Links: forward.Links{
+			Lost: b.links.Lost, Doubtful: b.links.Doubtful, Carrier: b.links.Carrier, CarrierFailed: b.links.CarrierFailed,
+		},
 		NextID: func() uint64 { return e.askID.Add(1) }, Now: opts.Now,
 		AvailabilityZone: opts.Settings.AvailabilityZone, Log: opts.Log, Registry: opts.Registry,
 	})
@@ -53,13 +59,20 @@
 		Now: opts.Now, TimeOfDay: time.Now, Log: opts.Log, Registry: opts.Registry,
 	})
 	b.onConfig = e.handler.SetConfig
-	b.onUpstreams = func([]site.Upstream) {}
+	b.onUpstreams = b.links.SetUpstreams
 	b.isHome = func() bool { return false }
 	var err error
 	if e.callers, err = serveHTTP(ctx, opts, opts.Settings.CallerAddress, e.handler); err != nil {
 		b.close()
 		return nil, err
 	}
+	if port := opts.Settings.CarrierPort; port != 0 {
+		address := net.JoinHostPort(opts.Settings.IP, strconv.Itoa(port))
+		if e.carried, err = serveHTTP(ctx, opts, address, b.links.Handler(e.handler.ServeCarried)); err != nil {
+			e.Close()
+			return nil, err
+		}
+	}
 	if e.readiness, err = serveHTTP(ctx, opts, opts.Settings.ReadyAddress, http.HandlerFunc(e.serveReady)); err != nil {
 		e.Close()
 		return nil, err
@@ -94,18 +107,23 @@
 	opts := e.base.opts
 	end := opts.Now().Add(opts.Settings.Grace - exitMargin)
 	e.draining.Store(true)
+	e.base.stopping.Store(true)
 	e.handler.Drain()
 	opts.Log.Info().Int64("active", e.handler.Active()).Msg("drainStarted")
 	time.Sleep(drainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(opts.Now()))
 	defer cancel()
 	err := e.callers.Server.Shutdown(ctx)
+	if e.carried != nil {
+		err = errors.Join(err, e.carried.Server.Shutdown(ctx))
+	}
 	opts.Log.Info().Int64("active", e.handler.Active()).AnErr("error", err).Msg("drained")
 }
 
 // Close stops the node at once.
 func (e *Entry) Close() {
 	e.base.closeServer(e.callers)
+	e.base.closeServer(e.carried)
 	e.base.closeServer(e.readiness)
 	if e.relay != nil {
 		e.relay.Close()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -25,6 +25,7 @@
 
 	"mothcart/core/poison"
 	"mothcart/core/site"
+	"mothcart/io/carrier"
 	"mothcart/io/clock"
 	"mothcart/io/dial"
 	"mothcart/io/home"
@@ -85,6 +86,9 @@
 	objects     object.Client
 	upstream    *service.Client
 	client      *home.Client
+	// links are those of an entry node to upstreams; nil on home nodes. stopping is set when it drains.
+	links    *carrier.Links
+	stopping atomic.Bool
 	// runner and checkpoints are nil on entry nodes.
 	runner      *home.Runner
 	checkpoints *home.Checkpoints
@@ -144,9 +148,17 @@
 		objects:          countCalls(platform.NewObjects(s.StoreAddress, opts.Connect(storeConnectTimeout)), opts.Registry),
 		siteStateChanged: func() {},
 		startWait:        newStartWait(),
-		upstream: service.New(service.NewOptions().WithRequestIDHeader(platform.RequestIDHeader).
-			WithOneCallPerConnection().WithDial(opts.Connect(connectTimeout)).WithAnswerBytes(answerBytes(s.MemoryBytes))),
 	}
+	dialUpstream := opts.Connect(connectTimeout)
+	if isEntry {
+		b.links = carrier.NewLinks(carrier.Options{
+			Dial: dialUpstream, Port: s.CarrierPort, Own: s.IP, Entries: func() []string { return b.client.Relays() },
+			Stopping: b.stopping.Load, Now: opts.Now, Log: opts.Log, Registry: opts.Registry,
+		})
+		dialUpstream = b.links.Dial
+	}
+	b.upstream = service.New(service.NewOptions().WithRequestIDHeader(platform.RequestIDHeader).
+		WithOneCallPerConnection().WithDial(dialUpstream).WithAnswerBytes(answerBytes(s.MemoryBytes)))
 	b.mirrors = map[string]*object.Mirror{platform.KindConfig: object.NewMirror(), platform.KindUpstreams: object.NewMirror()}
 	b.counts = time.AfterFunc(countsInterval, func() {
 		b.logCounts()
@@ -226,6 +238,9 @@
 	}
 	b.client.Close()
 	b.upstream.Close()
+	if b.links != nil {
+		b.links.Close()
+	}
 }
 
 func (b *base) closeServer(s *kratoshttp.Server) {
--- a/io/node/site_test.go
+++ b/io/node/site_test.go
@@ -118,7 +118,7 @@
 		log = zerolog.New(s.t.Output()).With().Str("node", id).Logger()
 	}
 	o := NewOptions(platform.Settings{
-		VMID: id, AvailabilityZone: "z1", IP: ip, PeerPort: 7000, StoreAddress: storeIP + ":80", ValueBytes: 1 << 20,
+		VMID: id, AvailabilityZone: "z1", IP: ip, PeerPort: 7000, CarrierPort: 7001, StoreAddress: storeIP + ":80", ValueBytes: 1 << 20,
 		HomeNodes: []string{homeIP(1) + ":7000", homeIP(2) + ":7000"},
 		Heartbeat: 1200 * time.Millisecond, Grace: 8 * time.Second, Drain: 2 * time.Second, ResultRetention: 2 * time.Minute,
 	}, "", log, metrics.NewRegistry())
--- a/io/node/stranded_test.go
+++ b/io/node/stranded_test.go
@@ -40,12 +40,24 @@
 	})
 }
 
+// cut partitions an entry from all upstreams.
+func (s *strandedSite) cut(entry int) {
+	s.network.PartitionFrom(entryIP(entry), upstreamIPs())
+}
+
 // eachUpstream calls change for an entry and each upstream.
 func (s *strandedSite) eachUpstream(entry int, change func(entryIP, engineIP string)) {
-	change(entryIP(entry), engineIP(9))
+	for _, ip := range upstreamIPs() {
+		change(entryIP(entry), ip)
+	}
+}
+
+func upstreamIPs() []string {
+	ips := []string{engineIP(9)}
 	for n := firstEngine; n < firstEngine+strandedEngines; n++ {
-		change(entryIP(entry), engineIP(n))
+		ips = append(ips, engineIP(n))
 	}
+	return ips
 }
 
 // traffic sends plain requests and streams to all entries for a while, and counts the first attempts that are served.
@@ -113,11 +125,11 @@
 				}
 				all := append(append([]int{}, tc.cut...), tc.sound...)
 				for _, n := range tc.cut {
-					cut := s.network.Partition
 					if tc.refuse {
-						cut = s.network.Refuse
+						s.eachUpstream(n, s.network.Refuse)
+					} else {
+						s.cut(n)
 					}
-					s.eachUpstream(n, cut)
 				}
 				go s.traffic("early", contact, all...)
 				time.Sleep(contact + 2*time.Second)
@@ -158,7 +170,7 @@
 			})
 		}
 		time.Sleep(eventsOfStream * pace / 2)
-		s.eachUpstream(1, s.network.Partition)
+		s.cut(1)
 		all.Wait()
 	})
 }
@@ -167,7 +179,7 @@
 func TestNoEntryHasLinks(t *testing.T) {
 	runStrandedSite(t, func(s *strandedSite) {
 		for n := 1; n <= 3; n++ {
-			s.eachUpstream(n, s.network.Partition)
+			s.cut(n)
 		}
 		s.traffic("early", contact, 1, 2, 3)
 		for n := 1; n <= 3; n++ {
@@ -184,7 +196,7 @@
 // Guards against requests that run twice because they went through another entry.
 func TestRequestsThatGoThroughAnotherEntryRunOnce(t *testing.T) {
 	runStrandedSite(t, func(s *strandedSite) {
-		s.eachUpstream(1, s.network.Partition)
+		s.cut(1)
 		s.traffic("early", contact, 1)
 		for i := range 10 {
 			id := fmt.Sprint("swap", i)
