Tries of one request don't hide the part of its prompt that crashes upstreams

Cause: since requests have identities, the two ends under both tries of one request made four ends in a row needed for the part that its prompt shares with others, so that one upstream more ended, and a new home sometimes blamed the part that all prompts begin with.

--- a/core/poison/evidence.go
+++ b/core/poison/evidence.go
@@ -135,8 +135,8 @@
 		needed++
 	}
 	for other, o := range j.suspects {
-		if other == k {
-			continue
+		if other == k || (other.isRequest() && !k.isRequest()) {
+			continue // a part explains the ends of all tries of its requests
 		}
 		shared := s.sharedEnds(o)
 		if shared < 2 || (shared == len(s.ends) && run.has(other)) {
--- a/core/poison/request_test.go
+++ b/core/poison/request_test.go
@@ -110,6 +110,11 @@
 				s.ended(time.Duration(i)*200*ms, 10*ms, fmt.Sprint("u", i), Identity(100+i), "bad")
 			}
 		}, []string{NewPart("bad").String()}},
+		{"requests with one part, one of which was tried again", func(s *tries) {
+			s.ended(0, 10*ms, "u1", 101, "bad")
+			s.ended(200*ms, 10*ms, "u2", 101, "bad")
+			s.ended(400*ms, 10*ms, "u3", 102, "bad")
+		}, []string{NewPart("bad").String()}},
 		{"a request that was answered before, with a part that never was", func(s *tries) {
 			s.wrote(0, bad)
 			for i := range 4 {
