The last home node stays home when it is asked to retire

Callers saw accepted items that nobody ran any more, and results that never came (LOST): the home released its lease on being asked to retire and never took it again, whether or not another home node existed. Now the home steps down only once another home node is connected that isn't drained itself; it says so once (retirementWaits), and a request that is taken back ends the wait. A home node that has stepped down takes the lease again once nobody has held it for 3 s, for example when its successor crashes. The lease stays the only judge of who is home.

--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -23,6 +23,8 @@
 	// takeoverAfter is how long the lease must have stayed unchanged before a node that can't reach the
 	// home acquires the lease: the time of one missed renewal and of a slow one.
 	takeoverAfter = 750 * time.Millisecond
+	// retiredTakeoverAfter is how long nobody must have held the lease before a node acquires it that was asked to retire.
+	retiredTakeoverAfter = 3 * time.Second
 	// leasePollInterval is the polling interval of the lease while the connection to the home is not
 	// healthy. Nodes that are not preferred poll at lateLeasePollInterval, so that not all of dozens of home nodes
 	// compete for the lease.
@@ -98,8 +100,10 @@
 	unreachable bool
 	// yieldUntil is the time until which this node leaves the lease to other nodes.
 	yieldUntil time.Time
-	// retired reports that the node must not be the home any more.
-	retired atomic.Bool
+	// stepDown asks the node to release the lease. retiring reports that it was asked to, so that others go first from
+	// then on; run alone uses it.
+	stepDown atomic.Bool
+	retiring bool
 }
 
 // NewElector returns an elector that tries to acquire the lease.
@@ -110,8 +114,9 @@
 	return e
 }
 
-// Retire releases the lease, if this node holds it, and never tries to acquire it again.
-func (e *Elector) Retire() { e.retired.Store(true) }
+// Retire releases the lease, if this node holds it. From then on the node acquires it only once nobody has held it for
+// retiredTakeoverAfter, since without a home no item runs.
+func (e *Elector) Retire() { e.stepDown.Store(true) }
 
 // Close releases the lease, if this node holds it, and ends the elector.
 func (e *Elector) Close() {
@@ -127,7 +132,8 @@
 		_ = clock.Sleep(ctx, lateLeasePollInterval) // ends early only with the context
 	}
 	for ctx.Err() == nil {
-		if e.retired.Load() || e.opts.Healthy() || e.opts.Now().Before(e.yieldUntil) {
+		e.retiring = e.stepDown.Swap(false) || e.retiring
+		if e.opts.Healthy() || e.opts.Now().Before(e.yieldUntil) {
 			e.seenSince = time.Time{}
 			_ = clock.Sleep(ctx, healthPollInterval) // ends early only with the context
 			continue
@@ -145,7 +151,7 @@
 }
 
 func (e *Elector) pollInterval() time.Duration {
-	if e.opts.IsPreferred() {
+	if e.opts.IsPreferred() && !e.retiring {
 		return leasePollInterval
 	}
 	return lateLeasePollInterval
@@ -159,7 +165,7 @@
 	defer stop()
 	for {
 		_ = clock.Sleep(ctx, leasePollInterval) // ends early only with the context
-		if ctx.Err() != nil || e.retired.Load() || e.opts.LastTerm() != term {
+		if ctx.Err() != nil || e.stepDown.Load() || e.opts.LastTerm() != term {
 			return
 		}
 		getCtx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
@@ -199,6 +205,9 @@
 		return 0, false
 	}
 	free := l.VM == "" || own
+	if e.retiring && e.opts.Now().Sub(e.seenSince) < retiredTakeoverAfter {
+		return 0, false
+	}
 	if !free && e.opts.Now().Sub(e.seenSince) < takeoverAfter {
 		return 0, false
 	}
@@ -255,7 +264,7 @@
 		}
 		_ = clock.Sleep(ctx, renewInterval-e.opts.Now().Sub(startedAt)) // ends early only with the context
 		startedAt = e.opts.Now()
-		if ctx.Err() != nil || e.retired.Load() {
+		if ctx.Err() != nil || e.stepDown.Load() {
 			if e.release(l) {
 				awaitHandover()
 			}
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -131,6 +131,8 @@
 	// the home runs itself.
 	runners    map[string]*runnerNode
 	ownRunning int
+	// retiring reports that this VM is to be drained.
+	retiring atomic.Bool
 }
 
 type homeMetrics struct {
@@ -145,6 +147,8 @@
 	limitedUpstreams metrics.Gauge
 	// bodyBytes is the size of the bodies of open items.
 	bodyBytes metrics.Gauge
+	// retirementWaits is 1 while this VM is to be drained and no other home node can take over.
+	retirementWaits metrics.Gauge
 }
 
 // New returns a home that loads jobs from the object service and runs their items.
@@ -160,6 +164,7 @@
 			requests:         findingMetrics{counter("requestSuspicions"), counter("requestQuarantines"), counter("requestsCleared")},
 			limitedUpstreams: metrics.GetOrRegisterGauge("home.limitedUpstreams", opts.Registry),
 			bodyBytes:        metrics.GetOrRegisterGauge("home.bodyBytes", opts.Registry),
+			retirementWaits:  metrics.GetOrRegisterGauge("home.retirementWaits", opts.Registry),
 		},
 		progressLoaded: make(chan struct{}), handoverDone: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
 		jobs: make(map[string]*job), reserved: make(map[string]reservation),
--- a/io/home/retire.go
+++ b/io/home/retire.go
@@ -29,13 +29,19 @@
 // moveWait is how long a home waits for the progress of the items that it cancels on a drained VM.
 const moveWait = 2 * progressWait
 
-// applyRetirements drains VMs: it withdraws items from their runners. A home whose own VM is to be drained
-// steps down, and the next home drains that VM. Home nodes have no data on their disks to move.
+// successorInterval is the time between two looks whether another home node can take over.
+const successorInterval = 100 * time.Millisecond
+
+// applyRetirements drains VMs: it withdraws items from their runners. A home whose own VM is to be drained steps down as
+// soon as another home node can take over, and the next home drains that VM. Home nodes have no data on their disks to
+// move.
 func (h *Home) applyRetirements(c object.Change) {
+	takenBack := c.Listed
 	for _, e := range c.Events {
 		if !e.Deleted {
 			c.Objects = append(c.Objects, e.Object)
 		}
+		takenBack = takenBack || (e.Deleted && e.Object.Name == h.opts.VMID)
 	}
 	for _, o := range c.Objects {
 		r, err := h.opts.Retirements.Decode(o)
@@ -46,13 +52,51 @@
 		if r.Done {
 			continue
 		}
-		h.opts.Log.Info().Str("vm", r.VMID).Int64("revision", int64(o.Revision)).Bool("own", r.VMID == h.opts.VMID).Msg("retirementAsked")
-		if r.VMID == h.opts.VMID {
-			h.opts.StepDown()
+		own := r.VMID == h.opts.VMID
+		if own {
+			takenBack = false
+		}
+		if own && h.retiring.Swap(true) {
+			continue
+		}
+		h.opts.Log.Info().Str("vm", r.VMID).Int64("revision", int64(o.Revision)).Bool("own", own).Msg("retirementAsked")
+		if own {
+			h.done.Go(h.stepDown)
 			continue
 		}
 		h.done.Go(func() { h.drainVM(r.VMID) })
 	}
+	if takenBack && h.retiring.Swap(false) {
+		h.opts.Log.Info().Str("vm", h.opts.VMID).Msg("retirementTakenBack")
+	}
+}
+
+// stepDown gives the role of home to another home node, once one is connected that is not drained itself. Until then this
+// home goes on, since without one nobody would run the items that were accepted.
+func (h *Home) stepDown() {
+	if !h.hasSuccessor() {
+		h.opts.Log.Warn().Str("vm", h.opts.VMID).Int64("term", h.opts.Term).Msg("retirementWaits")
+		h.metrics.retirementWaits.Update(1)
+		defer h.metrics.retirementWaits.Update(0)
+	}
+	for !h.hasSuccessor() {
+		if !h.retiring.Load() {
+			return
+		}
+		select {
+		case <-time.After(successorInterval):
+		case <-h.ctx.Done():
+			return
+		}
+	}
+	h.opts.StepDown()
+}
+
+// hasSuccessor reports that another home node is connected. Those that are drained have lost their runner.
+func (h *Home) hasSuccessor() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.runners) > 0
 }
 
 // drainVM withdraws the items from a VM's runner and marks the VM as drained.
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -20,7 +20,7 @@
 	elector *home.Elector
 
 	mu sync.Mutex
-	// retired reports that the VM is being retired, so that the node must not be the home.
+	// retired reports that the VM is being retired, so that other nodes should be the home.
 	retired   bool
 	home      *home.Home
 	upstreams []site.Upstream
@@ -88,8 +88,7 @@
 	return h != nil && h.Isolated(n.base.opts.Now())
 }
 
-// stepDown releases the lease, if this node holds it, and never acquires it again, so that another node
-// becomes the home.
+// stepDown releases the lease, if this node holds it, so that another node becomes the home.
 func (n *HomeNode) stepDown() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
