A stream that began through another entry goes on at its version, also when links are back

Found while reading: the request for a slot named the request as its own origin on each ask, and an upstream without a version would have looked like a stream that began elsewhere. Only streams that began through another entry ask for their origin now. A carrier's refusal ends a request only if it hasn't run; one that has asks the next carrier while its time lasts, since it can only fail otherwise.

--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -64,6 +64,8 @@
 	// knew it.
 	version string
 	boundBy slot.BoundBy
+	// beganElsewhere reports that the stream began through another entry, so that this node doesn't know its version.
+	beganElsewhere bool
 	// fallback is the last signed failure of an upstream that the caller may get as its answer.
 	fallback *Answer
 	// ask is the ID of the last request for a slot; the home's log identifies this exchange by it.
@@ -152,7 +154,9 @@
 		return r
 	}
 	r.Version, r.BoundBy = x.boundVersion(), x.boundBy
-	r.Continues, r.Resumes = x.req.LastEventID != "" || (x.delivered.Load() > 0 && x.version == ""), x.origin()
+	if x.req.LastEventID != "" || x.beganElsewhere {
+		r.Continues, r.Resumes = true, x.origin()
+	}
 	if x.req.Route.Resumable && open == 0 {
 		r.Stream = x.req.ID // beside an open attempt it is not known yet which of the two begins the stream
 	}
@@ -277,7 +281,7 @@
 	}
 	return &Sink{Start: x.startStream, Event: func(e Event, more bool) error {
 		if x.boundVersion() == "" {
-			x.version = lease.Upstream.Version
+			x.version, x.beganElsewhere = lease.Upstream.Version, lease.Carried
 		}
 		return x.sendEvent(e, more)
 	}}
@@ -296,7 +300,7 @@
 		return true
 	}
 	x.recordFailure(lease, a)
-	if refusal, ok := carrierRefusal(lease, a); ok {
+	if refusal, ok := carrierRefusal(lease, a); ok && x.runs == 0 { // else without a slot it can only fail
 		x.logFailure(lease, a, false)
 		x.fail(ctx, string(refusal.Reason), now, refusal)
 		return true
