--- a/io/carrier/carrier.go
+++ b/io/carrier/carrier.go
@@ -227,7 +227,7 @@
 	var usable []string
 	for address, at := range l.named {
 		switch {
-		case now.Sub(at) >= carrierLifetime || len(l.named) > maxCarriers && at.Before(now):
+		case now.Sub(at) >= carrierLifetime || (len(l.named) > maxCarriers && at.Before(now)): // those just named stay
 			delete(l.named, address)
 			delete(l.pausedUntil, address)
 		case now.Before(l.pausedUntil[address]) || slices.Contains(exclude, address):
