The version of a stream that goes through another entry is set while no attempt is in progress

Found while reading: the lease of a carrier read the stream's version in the search for a slot, beside the attempt that writes it, and each event of a carried stream wrote it again. It is now set at the first event, or when a slot binds the stream and no attempt is open; a stream may move to a carrier whatever version is bound, since the carrier binds it by its origin.

--- a/core/poison/request_test.go
+++ b/core/poison/request_test.go
@@ -49,15 +49,29 @@
 	return s.j.Decide(start.Add(at), Work{Service: service, Identity: i}).Verdict
 }
 
+// triesCase is a script with the requests and parts that it quarantines.
+type triesCase struct {
+	name string
+	play func(s *tries)
+	want []string
+}
+
+func requireQuarantines(t *testing.T, cases []triesCase) {
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &tries{j: NewJudge()}
+			tc.play(s)
+			s.decide(s.last+togetherTime, service, 1)
+			require.ElementsMatch(t, tc.want, s.quarantined)
+		})
+	}
+}
+
 // Guards against requests that are blamed for the end of upstreams wrongly, or not at all.
 func TestWhatEndsProveOfRequests(t *testing.T) {
 	const ms = time.Millisecond
 	const bad, victim Identity = 7, 8
-	for _, tc := range []struct {
-		name string
-		play func(s *tries)
-		want []string
-	}{
+	requireQuarantines(t, []triesCase{
 		{"two tries", func(s *tries) {
 			s.ended(0, 10*ms, "u1", bad)
 			s.ended(200*ms, 10*ms, "u2", bad)
@@ -94,13 +108,35 @@
 			s.ended(400*ms, 10*ms, "u3", bad)
 			s.ended(600*ms, 10*ms, "u4", bad)
 		}, nil},
+		{"a victim beside it at each upstream", func(s *tries) {
+			for i := range 5 {
+				at := time.Duration(i) * 200 * ms
+				s.ended(at, 10*ms, fmt.Sprint("u", i), bad)
+				if i < 3 {
+					s.ended(at+ms, 10*ms, fmt.Sprint("u", i), victim)
+				}
+			}
+		}, []string{bad.String()}},
+		{"an item", func(s *tries) {
+			for i := range 9 {
+				s.ended(time.Duration(i)*200*ms, 10*ms, fmt.Sprint("u", i), 0)
+			}
+		}, nil},
+	})
+}
+
+// Guards against a request that is blamed for a part of its prompt, and the other way round.
+func TestWhatEndsProveOfRequestsWithParts(t *testing.T) {
+	const ms = time.Millisecond
+	const bad, other Identity = 7, 8
+	requireQuarantines(t, []triesCase{
 		{"a request with a part that nobody else has", func(s *tries) {
 			for i := range 3 {
 				s.ended(time.Duration(i)*200*ms, 10*ms, fmt.Sprint("u", i), bad, "first", "own")
 			}
 		}, []string{bad.String()}},
 		{"a request with a part on which upstreams wrote before", func(s *tries) {
-			s.wrote(0, victim, "first")
+			s.wrote(0, other, "first")
 			for i := range 3 {
 				s.ended(time.Minute+time.Duration(i)*200*ms, 10*ms, fmt.Sprint("u", i), bad, "first")
 			}
@@ -121,28 +157,7 @@
 				s.ended(time.Minute+time.Duration(i)*200*ms, 10*ms, fmt.Sprint("u", i), bad, "part")
 			}
 		}, []string{NewPart("part").String()}},
-		{"a victim beside it at each upstream", func(s *tries) {
-			for i := range 5 {
-				at := time.Duration(i) * 200 * ms
-				s.ended(at, 10*ms, fmt.Sprint("u", i), bad)
-				if i < 3 {
-					s.ended(at+ms, 10*ms, fmt.Sprint("u", i), victim)
-				}
-			}
-		}, []string{bad.String()}},
-		{"an item", func(s *tries) {
-			for i := range 9 {
-				s.ended(time.Duration(i)*200*ms, 10*ms, fmt.Sprint("u", i), 0)
-			}
-		}, nil},
-	} {
-		t.Run(tc.name, func(t *testing.T) {
-			s := &tries{j: NewJudge()}
-			tc.play(s)
-			s.decide(s.last+togetherTime, service, bad)
-			require.ElementsMatch(t, tc.want, s.quarantined)
-		})
-	}
+	})
 }
 
 // Guards against victims of a crash that wait before they are tried again, and against tries of a suspected request at the
--- a/io/forward/carried.go
+++ b/io/forward/carried.go
@@ -31,7 +31,7 @@
 		return Lease{}, &slot.Refusal{Request: r, Reason: slot.ReasonLinksLost, RetryAfter: linksRetryAfter}, nil
 	}
 	return Lease{
-		Upstream: site.Upstream{ID: address, Address: address, Version: x.version}, Basis: basisCarried, Carried: true,
+		Upstream: site.Upstream{ID: address, Address: address, Version: r.Version}, Basis: basisCarried, Carried: true,
 		Release: func(_ time.Time, result slot.Result) {
 			switch result {
 			case slot.Unreachable, slot.Ended, slot.Broken:
@@ -48,6 +48,6 @@
 	if !lease.Carried || a.Status != http.StatusServiceUnavailable || !a.refused() || a.Header.Get(carrier.HeaderUnable) != "" {
 		return slot.Refusal{}, false
 	}
-	seconds, _ := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+	seconds, _ := strconv.ParseFloat(a.Header.Get("Retry-After"), 64) // 0, which means soon, if it names none
 	return slot.Refusal{Reason: slot.ReasonByCarrier, RetryAfter: time.Duration(seconds * float64(time.Second))}, true
 }
--- a/io/forward/race.go
+++ b/io/forward/race.go
@@ -208,13 +208,14 @@
 		<-r.ended
 		r.open = nil
 		bound := r.x.boundVersion()
-		moved := bound == "" || bound == f.lease.Upstream.Version // its first event may have come just before its end
+		moved := bound == "" || f.lease.Carried || bound == f.lease.Upstream.Version // its first event may have come just before its end
 		if at.answer.Success() || r.x.isFinal(at.answer) || r.ctx.Err() != nil || !moved {
 			r.x.f.refund(r.x.service)
 			r.drop(f)
 			return at
 		}
 		r.x.book(r.ctx, at.lease, at.answer)
+		r.x.bind(*f.lease)
 	}
 	if r.x.isStream() {
 		f.lease.Began(r.x.req.ID)
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -181,8 +181,12 @@
 	return x.version
 }
 
-// bind records the software version of a stream that the caller takes up, which the granted slot shows.
+// bind records the software version of a stream that the caller takes up, or that began through another entry, which the
+// granted slot shows. No attempt may be in progress.
 func (x *exchange) bind(lease Lease) {
+	if x.beganElsewhere && !lease.Carried {
+		x.version, x.beganElsewhere = lease.Upstream.Version, false
+	}
 	if x.isStream() && x.req.LastEventID != "" && x.boundBy == "" {
 		x.version, x.boundBy = lease.Upstream.Version, lease.BoundBy
 	}
@@ -280,7 +284,7 @@
 		return nil
 	}
 	return &Sink{Start: x.startStream, Event: func(e Event, more bool) error {
-		if x.boundVersion() == "" {
+		if x.boundVersion() == "" && x.delivered.Load() == 0 {
 			x.version, x.beganElsewhere = lease.Upstream.Version, lease.Carried
 		}
 		return x.sendEvent(e, more)
--- a/io/node/stranded_test.go
+++ b/io/node/stranded_test.go
@@ -84,6 +84,14 @@
 	all.Wait()
 }
 
+// forget drops what was counted.
+func (s *strandedSite) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.sent)
+	clear(s.served)
+}
+
 func (s *strandedSite) share(entries ...int) float64 {
 	served, sent := 0, 0
 	for _, n := range entries {
@@ -133,8 +141,7 @@
 				}
 				go s.traffic("early", contact, all...)
 				time.Sleep(contact + 2*time.Second)
-				clear(s.sent)
-				clear(s.served)
+				s.forget()
 				if tc.during != nil {
 					go tc.during(s)
 				}
@@ -148,8 +155,7 @@
 				}
 				s.network.Heal(entryIP(1), storeIP)
 				time.Sleep(2 * time.Second)
-				clear(s.sent)
-				clear(s.served)
+				s.forget()
 				s.traffic("after", 2*time.Second, all...)
 				require.Greater(s.t, s.share(tc.cut...), 0.95)
 			})
