Interfaces of accounts, limits, room and shares: what a request for a slot carries

Cause: nothing between the entry and the pool of slots names the client account or the size of a request, so that no decision about either can be made where slots are granted. Nothing sets an account yet. Ruled out: limits and priority of the account in each question; the home has the configuration and pays no bytes for them.

--- a/core/site/site.go
+++ b/core/site/site.go
@@ -64,8 +64,11 @@
 	Completion time.Duration
 	// MaxWait is the time after which an unfinished item may be abandoned.
 	MaxWait time.Duration
-	// TokenCap bounds the tokens of all unfinished items of the route; 0 means no bound.
+	// TokenCap bounds the tokens of all unfinished items of the route, where there are client accounts those of each
+	// account; 0 means no bound.
 	TokenCap int64
+	// Public routes need no key.
+	Public bool
 }
 
 // Repeatable reports whether a request may run more than once.
@@ -114,6 +117,8 @@
 	MaxConns int
 	// Generates reports whether the upstreams are model engines.
 	Generates bool
+	// TokenCapacity is the number of tokens that the requests which run at one upstream may hold; 0 means not known.
+	TokenCapacity int
 }
 
 // Limits bounds what a caller may send.
@@ -129,6 +134,8 @@
 	Version  int64
 	Limits   Limits
 	Services []Service
+	// Accounts are the client accounts; nil if the deployment has none, so that requests need no key.
+	Accounts *Accounts
 	// byHost holds the routes of each host, longest prefix first.
 	byHost map[string][]Route
 }
@@ -145,6 +152,24 @@
 	return Config{Version: version, Limits: limits, Services: services, byHost: byHost}
 }
 
+// WithAccounts returns the configuration with client accounts.
+func (c Config) WithAccounts(a *Accounts) Config {
+	c.Accounts = a
+	return c
+}
+
+// Keyed reports whether requests need a key.
+func (c Config) Keyed() bool { return c.Accounts != nil }
+
+// TokenCapacity returns the number of tokens that the requests which run at one upstream of a service may hold; 0 means
+// not known.
+func (c Config) TokenCapacity(service string) int {
+	if i := slices.IndexFunc(c.Services, func(s Service) bool { return s.Name == service }); i >= 0 {
+		return c.Services[i].TokenCapacity
+	}
+	return 0
+}
+
 // Generates reports whether the upstreams of a service are model engines.
 func (c Config) Generates(service string) bool {
 	return slices.ContainsFunc(c.Services, func(s Service) bool { return s.Name == service && s.Generates })
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -93,6 +93,13 @@
 	Identity poison.Identity
 	// AvailabilityZone is that of the VM that asked.
 	AvailabilityZone string
+	// Account is the name of the client account; empty if the deployment has none or the route is public.
+	Account string
+	// Charged reports that an earlier attempt at the request counts against the limit of its account.
+	Charged bool
+	// PromptTokens and OutputTokens are the sizes of the prompt and of the longest output, ExpectedTokens is the caller's
+	// estimate of the output; 0 means not known.
+	PromptTokens, OutputTokens, ExpectedTokens int
 }
 
 // BoundBy says who knew the software version at which a stream began.
@@ -159,6 +166,8 @@
 	ReasonLinksLost Reason = "linksLost"
 	// ReasonByCarrier means that another entry, through which the node sends requests, got no slot.
 	ReasonByCarrier Reason = "byCarrier"
+	// ReasonOverLimit means that the account has used up its limit.
+	ReasonOverLimit Reason = "overLimit"
 	// ReasonWaited means that no slot became free before the wait ended.
 	ReasonWaited Reason = "waited"
 )
@@ -240,6 +249,11 @@
 	Began       func(stream, version string)
 	Origin      func(stream string) (string, bool)
 	SoleVersion func(now time.Time, service string) (string, bool)
+	// Account returns the client account with a name; false if the configuration in force has no such account.
+	Account func(name string) (site.Account, bool)
+	// TokenCapacity returns the number of tokens that the requests at one upstream of a service may hold; 0 means not
+	// known.
+	TokenCapacity func(service string) int
 }
 
 // NewOptions returns the default parameters.
@@ -256,6 +270,8 @@
 		Began:          func(string, string) {},
 		Origin:         func(string) (string, bool) { return "", false },
 		SoleVersion:    func(time.Time, string) (string, bool) { return "", false },
+		Account:        func(string) (site.Account, bool) { return site.Account{}, false },
+		TokenCapacity:  func(string) int { return 0 },
 	}
 }
 
@@ -265,6 +281,13 @@
 	return o
 }
 
+// WithConfig returns the options with the functions that look up client accounts and services in the configuration in
+// force.
+func (o Options) WithConfig(account func(name string) (site.Account, bool), tokenCapacity func(service string) int) Options {
+	o.Account, o.TokenCapacity = account, tokenCapacity
+	return o
+}
+
 // WithReports returns the options with TrustReports set to trust.
 func (o Options) WithReports(trust bool) Options {
 	o.TrustReports = trust
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -56,6 +56,8 @@
 // Attempt holds the values from which the headers of one attempt are built.
 type Attempt struct {
 	Upstream site.Upstream
+	// Account names the client account to the upstream; empty if there is none.
+	Account string
 	// Remaining is the time until the answer must be complete; 0 omits the header.
 	Remaining time.Duration
 	// LastEventID asks for the stream to start after this event; empty keeps the caller's header.
@@ -72,6 +74,15 @@
 	SharedParts func(h http.Header) []poison.Part
 	// Caller returns what names the caller of a request, the same in all its tries; empty if nothing does.
 	Caller func(h http.Header) string
+	// Size returns the size of a request in tokens.
+	Size func(h http.Header) Size
+}
+
+// Size is the size of a request in tokens; 0 means not known.
+type Size struct {
+	// Prompt and Output are the sizes of the prompt and of the longest output, Expected is the caller's estimate of the
+	// output.
+	Prompt, Output, Expected int
 }
 
 // Lease is the right to use one slot of an upstream.
@@ -109,6 +120,8 @@
 	Header http.Header
 	Body   []byte
 	Route  site.Route
+	// Account is the client account; empty if the deployment has none or the route is public.
+	Account string
 	// Arrived is when the headers of the request had arrived, Deadline when its answer must be complete.
 	Arrived  time.Time
 	Deadline time.Time
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -46,6 +47,7 @@
 	parts []poison.Part
 	// identity is what other tries of the same request have in common with this one.
 	identity poison.Identity
+	size     Size
 
 	// exclude are the upstreams at which an attempt failed; silent are those that were left because they were silent,
 	// and that are asked again if no other upstream is to be had.
@@ -85,7 +87,8 @@
 		req.Route.MaxAttempts = 1
 	}
 	x := &exchange{f: f, w: w, req: req, service: req.Route.Service(random), lastID: req.LastEventID, parts: f.opts.Wire.SharedParts(req.Header)}
-	x.identity = poison.NewIdentity(f.opts.Wire.Caller(req.Header), req.Method, req.Host, req.Path, req.Body)
+	x.size = f.opts.Wire.Size(req.Header)
+	x.identity = poison.NewIdentity(cmp.Or(req.Account, f.opts.Wire.Caller(req.Header)), req.Method, req.Host, req.Path, req.Body)
 	x.log = f.opts.Log.With().Str("request", req.ID).Str("route", req.Route.Name).Str("service", x.service).Logger()
 	if req.Carried {
 		x.log = x.log.With().Bool("carried", true).Logger()
@@ -149,6 +152,11 @@
 		Objective:        x.objective(ran),
 		Parts:            x.parts,
 		Identity:         x.identity,
+		Account:          x.req.Account,
+		Charged:          x.attempts > 0 || open > 0,
+		PromptTokens:     x.size.Prompt,
+		OutputTokens:     x.size.Output,
+		ExpectedTokens:   x.size.Expected,
 	}
 	if !x.isStream() {
 		return r
@@ -269,7 +277,7 @@
 	}
 	return Call{
 		ID: x.req.ID, Method: x.req.Method, Host: x.req.Host, Path: x.req.Path, Header: header, Body: x.req.Body, Carried: lease.Carried,
-		Attempt:   Attempt{Upstream: lease.Upstream, Remaining: x.req.Deadline.Sub(x.f.opts.Now()), LastEventID: lastID},
+		Attempt:   Attempt{Upstream: lease.Upstream, Account: x.req.Account, Remaining: x.req.Deadline.Sub(x.f.opts.Now()), LastEventID: lastID},
 		OnLoad:    func(m AnswerInfo) { lease.Report(x.f.opts.Now(), m.Running, m.Waiting) },
 		OnLeaving: func() { lease.Leaving(x.req.ID) },
 		OnLimit:   lease.Limit,
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -64,6 +64,8 @@
 	Announced, OnReceivesChanges func()
 	// View is called with each change of a kind of objects that the home sends.
 	View func(kind string, c object.Change)
+	// Config returns the configuration in force.
+	Config func() site.Config
 	// Leaving is called when an upstream's answer to a request says that the upstream is leaving, and
 	// MarkLeaving when the home says so. LeavingUpstreams returns all such upstreams.
 	Leaving          func(u site.Upstream, request string)
@@ -123,7 +125,7 @@
 		opts: opts, cancel: cancel, wake: make(chan struct{}, 1), gone: make(map[site.Key]bool),
 		inventory: newInventory(), cancelAttempt: func() {},
 	}
-	c.localPool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions().WithReports(true), opts.SoleVersion), opts.Now, c.foundSuspects,
+	c.localPool = NewSlotPool(opts.Origins.poolOptions(withConfig(slot.NewOptions().WithReports(true), opts.Config), opts.SoleVersion), opts.Now, c.foundSuspects,
 		func(changes []slot.LimitChange) { logLimits(opts.Log, "node", changes) })
 	c.localPool.ImportSuspects(opts.Suspects)
 	c.homeAnswered.Store(true) // the first decision without a home begins a share of rates
@@ -275,6 +277,7 @@
 		ID: r.Key.ID, Service: r.Service, Priority: r.Priority, Remaining: r.Order.Sub(now), Wait: wait,
 		Exclude: r.Exclude, Zone: r.AvailabilityZone, Objective: remainingObjective(now, r),
 		Version: r.Version, Stream: r.Stream, Continues: r.Continues, Resumes: r.Resumes, Parts: r.Parts, Identity: r.Identity,
+		Account: r.Account, Charged: r.Charged, Prompt: r.PromptTokens, Output: r.OutputTokens, Expected: r.ExpectedTokens,
 	}, &answer)
 	if err != nil {
 		c.inventory.end(conn, releaseNotice{ID: r.Key.ID, Result: slot.Abandoned})
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -171,7 +171,7 @@
 		undelivered: make(map[string]time.Time), runners: make(map[string]*runnerNode),
 		nodes: make(map[string]*link.Conn), listed: newListedJobs(),
 	}
-	h.pool = NewSlotPool(opts.Origins.poolOptions(slot.NewOptions(), opts.SoleVersion), opts.Now, h.foundSuspects, h.limitsChanged)
+	h.pool = NewSlotPool(opts.Origins.poolOptions(withConfig(slot.NewOptions(), opts.Config), opts.SoleVersion), opts.Now, h.foundSuspects, h.limitsChanged)
 	h.pool.ImportSuspects(opts.Suspects)
 	if opts.SlotsOnly {
 		return h
--- a/io/home/inventory.go
+++ b/io/home/inventory.go
@@ -45,7 +45,10 @@
 func (v *inventory) ask(r slot.Request) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.slots[r.Key.ID] = &inventorySlot{openedSlot: openedSlot{ID: r.Key.ID, Service: r.Service, Parts: r.Parts, Identity: r.Identity}}
+	v.slots[r.Key.ID] = &inventorySlot{openedSlot: openedSlot{
+		ID: r.Key.ID, Service: r.Service, Parts: r.Parts, Identity: r.Identity,
+		Account: r.Account, Prompt: r.PromptTokens, Output: r.OutputTokens, Expected: r.ExpectedTokens,
+	}}
 	v.changed = true
 }
 
@@ -142,5 +145,8 @@
 
 // adopt counts a slot that a node uses and that another home or the node itself granted.
 func (h *Home) adopt(s *session, o openedSlot) {
-	h.pool.Adopt(slot.Request{Key: slot.Key{Owner: s.owner, ID: o.ID}, Service: o.Service, Parts: o.Parts, Identity: o.Identity}, o.Upstream)
+	h.pool.Adopt(slot.Request{
+		Key: slot.Key{Owner: s.owner, ID: o.ID}, Service: o.Service, Parts: o.Parts, Identity: o.Identity,
+		Account: o.Account, Charged: true, PromptTokens: o.Prompt, OutputTokens: o.Output, ExpectedTokens: o.Expected,
+	}, o.Upstream)
 }
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -87,6 +87,11 @@
 	// Parts and Identity are those of slot.Request.
 	Parts    []poison.Part   `msgpack:"parts,omitempty"`
 	Identity poison.Identity `msgpack:"identity,omitempty"`
+	// Account, Prompt, Output and Expected are those of slot.Request, the latter three in tokens.
+	Account  string `msgpack:"acct,omitempty"`
+	Prompt   int    `msgpack:"in,omitempty"`
+	Output   int    `msgpack:"out,omitempty"`
+	Expected int    `msgpack:"hint,omitempty"`
 }
 
 type helloAnswer struct {
@@ -112,6 +117,12 @@
 	// Parts and Identity are those of slot.Request.
 	Parts    []poison.Part   `msgpack:"parts,omitempty"`
 	Identity poison.Identity `msgpack:"identity,omitempty"`
+	// Account, Charged, Prompt, Output and Expected are those of slot.Request, the latter three in tokens.
+	Account  string `msgpack:"acct,omitempty"`
+	Charged  bool   `msgpack:"paid,omitempty"`
+	Prompt   int    `msgpack:"in,omitempty"`
+	Output   int    `msgpack:"out,omitempty"`
+	Expected int    `msgpack:"hint,omitempty"`
 }
 
 func (a askRequest) request(now time.Time, owner string) slot.Request {
@@ -119,6 +130,7 @@
 		Key: slot.Key{Owner: owner, ID: a.ID}, Service: a.Service, Priority: a.Priority,
 		Order: now.Add(a.Remaining), Deadline: now.Add(a.Wait), Exclude: a.Exclude, AvailabilityZone: a.Zone,
 		Version: a.Version, Stream: a.Stream, Continues: a.Continues, Resumes: a.Resumes, Parts: a.Parts, Identity: a.Identity,
+		Account: a.Account, Charged: a.Charged, PromptTokens: a.Prompt, OutputTokens: a.Output, ExpectedTokens: a.Expected,
 	}
 	if a.Objective != nil {
 		r.Objective = now.Add(*a.Objective)
--- a/io/home/slotpool.go
+++ b/io/home/slotpool.go
@@ -44,6 +44,14 @@
 	return &SlotPool{now: now, found: found, limited: limited, pool: slot.NewPool(opts), askers: make(map[slot.Key]asker)}
 }
 
+// withConfig returns the options of a pool that looks up accounts and services in the configuration in force.
+func withConfig(o slot.Options, cfg func() site.Config) slot.Options {
+	return o.WithConfig(
+		func(name string) (site.Account, bool) { return cfg().Accounts.ByName(name) },
+		func(service string) int { return cfg().TokenCapacity(service) },
+	)
+}
+
 // Close ends the pool; askers get no more callbacks.
 func (p *SlotPool) Close() {
 	p.mu.Lock()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -183,7 +183,7 @@
 	}
 	b.client = home.NewClient(home.ClientOptions{
 		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, HomeNodes: opts.homeNodes, Connect: opts.Connect(connectTimeout), Now: opts.Now,
-		Checkpoints: b.checkpoints, Unreached: b.startWait.end, Announced: b.siteStateChanged, OnReceivesChanges: b.updateDown,
+		Config: b.currentConfig, Checkpoints: b.checkpoints, Unreached: b.startWait.end, Announced: b.siteStateChanged, OnReceivesChanges: b.updateDown,
 		Origins: b.origins, SoleVersion: b.soleVersion, Suspects: load[[]poison.Record](s.DataDir, suspectsFile, opts.Log), SuspectsChanged: func() { b.suspectsSaver.changed() },
 		View: func(kind string, c object.Change) { b.receive(kind, c) }, Down: b.setHomeDown, Runner: b.runner, Log: opts.Log,
 		Leaving: b.answeredLeaving, MarkLeaving: b.markLeaving, LeavingUpstreams: b.leavingUpstreams,
