--- a/io/forward/race_test.go
+++ b/io/forward/race_test.go
@@ -34,7 +34,10 @@
 				asked = r
 				return Lease{}, &slot.Refusal{Request: r, Reason: slot.ReasonFull}, nil
 			},
-			Wire:   HeaderCodec{SharedParts: func(http.Header) []poison.Part { return nil }, Caller: func(http.Header) string { return "" }},
+			Wire: HeaderCodec{
+				SharedParts: func(http.Header) []poison.Part { return nil }, Caller: func(http.Header) string { return "" },
+				Size: func(http.Header) Size { return Size{} },
+			},
 			NextID: func() uint64 { return 1 }, Now: func() time.Time { return now }, Log: zerolog.Nop(), Registry: metrics.NewRegistry(),
 		})
 		f.Serve(t.Context(), httptest.NewRecorder(), Request{
