Client accounts on the platform: keys, the account at every upstream, jobs of an account

Cause: nothing decoded accounts. The caller's key reached the upstream, nobody named the account to it, an unknown key was served, and any caller read, sent again and ended any job. A home of a release without accounts is asked neither to read nor to end jobs of accounts. Ruled out: the account as a field of an item's call (a runner of the release before would drop it).

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -34,9 +34,11 @@
 type Job struct {
 	ID string `json:"-"`
 	// Host and Path select the route of the job.
-	Host  string `json:"host"`
-	Path  string `json:"path"`
-	Items []Item `json:"items"`
+	Host string `json:"host"`
+	Path string `json:"path"`
+	// Account is the client account that submitted the job; empty if the deployment had none.
+	Account string `json:"account,omitempty"`
+	Items   []Item `json:"items"`
 	// Parts is the number of objects that hold the items of a job that is too large for one object.
 	Parts int `json:"parts,omitempty"`
 	// AcceptedAt is the wall-clock time of the acceptance. It orders jobs and determines when results may
@@ -44,6 +46,10 @@
 	AcceptedAt time.Time `json:"acceptedAt"`
 }
 
+// OwnedBy reports whether an account may read and end the job. A job without an account, which was accepted before the
+// deployment had any, belongs to all.
+func (j Job) OwnedBy(account string) bool { return j.Account == "" || j.Account == account }
+
 // WithItems returns the job with other items, all in one part.
 func (j Job) WithItems(items []Item) Job {
 	j.Items, j.Parts = items, 0
--- a/core/site/account.go
+++ b/core/site/account.go
@@ -60,8 +60,8 @@
 	n     int
 }
 
-// NewAccounts returns accounts, and the errors of those that are left out: an invalid one, and each that shares a key
-// or a name with another one, since nobody can tell whose it is.
+// NewAccounts returns accounts, and the errors of what is left out: an invalid account, accounts of one name, and a key
+// that two accounts hold, since nobody can tell whose it is.
 func NewAccounts(list []AccountKeys) (*Accounts, []error) {
 	return new(Accounts).With(list)
 }
@@ -190,12 +190,13 @@
 func usable(list []AccountKeys) ([]AccountKeys, []error) {
 	var errs []error
 	names, holders := make(map[string]int, len(list)), make(map[KeyDigest]string, len(list))
-	shared := make(map[string]bool)
+	shared := make(map[KeyDigest]bool)
 	for _, k := range list {
 		names[k.Account.Name]++
 		for _, d := range k.Keys {
 			if other, ok := holders[d]; ok && other != k.Account.Name {
-				shared[other], shared[k.Account.Name] = true, true
+				shared[d] = true
+				errs = append(errs, merry.Errorf("accounts %s and %s: a key is in both: %w", other, k.Account.Name, ErrBadAccount))
 			}
 			holders[d] = k.Account.Name
 		}
@@ -208,11 +209,12 @@
 			errs = append(errs, merry.Errorf("account %q: unusable name: %w", name, ErrBadAccount))
 		case names[name] > 1:
 			errs = append(errs, merry.Errorf("account %s: name used twice: %w", name, ErrBadAccount))
-		case shared[name]:
-			errs = append(errs, merry.Errorf("account %s: shares a key with another one: %w", name, ErrBadAccount))
 		case !validLimit(k.Account.Rate) || !validLimit(k.Account.Burst):
 			errs = append(errs, merry.Errorf("account %s: limit of %g a second, burst %g: %w", name, k.Account.Rate, k.Account.Burst, ErrBadAccount))
 		default:
+			if slices.ContainsFunc(k.Keys, func(d KeyDigest) bool { return shared[d] }) {
+				k.Keys = slices.DeleteFunc(slices.Clone(k.Keys), func(d KeyDigest) bool { return shared[d] })
+			}
 			out = append(out, k)
 		}
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -52,6 +52,8 @@
 	After int
 	Wait  time.Duration
 	Item  string
+	// Account is the client account that calls; empty if the deployment has none.
+	Account string
 }
 
 // Codec translates requests and answers of callers.
@@ -64,8 +66,13 @@
 	CallerWait func(h http.Header) (time.Duration, bool)
 	// ParseCall returns the call about a job; its Kind is NoJobCall for any other request.
 	ParseCall func(r *http.Request) Call
-	// DecodeJob decodes a submitted job.
-	DecodeJob func(id, host, path string, acceptedAt time.Time, body []byte) (batch.Job, error)
+	// TakeKey removes from the headers of a request its key and what names an account, and returns the key; false if
+	// there is not exactly one.
+	TakeKey func(h http.Header) (string, bool)
+	// CarriedAccount returns the account that another entry has found for a request; false if it names none.
+	CarriedAccount func(h http.Header) (string, bool)
+	// DecodeJob decodes a submitted job of an account.
+	DecodeJob func(id, host, path, account string, acceptedAt time.Time, body []byte) (batch.Job, error)
 	// EncodeResults encodes a page of results.
 	EncodeResults func(total, next int, results []batch.Result) ([]byte, error)
 }
@@ -93,13 +100,16 @@
 	active   atomic.Int64
 
 	mu sync.Mutex
-	// open holds the tokens of open jobs by batch route: the home's last report, plus the jobs that were
+	// open holds the tokens of open jobs by batch route and account: the home's last report, plus the jobs that were
 	// accepted since then without the home.
-	open map[string]int64
+	open map[roomKey]int64
 }
 
+// roomKey names what a token cap bounds.
+type roomKey struct{ route, account string }
+
 // New returns a handler that has no configuration.
-func New(opts Options) *Handler { return &Handler{opts: opts, open: make(map[string]int64)} }
+func New(opts Options) *Handler { return &Handler{opts: opts, open: make(map[roomKey]int64)} }
 
 // SetConfig applies a configuration.
 func (h *Handler) SetConfig(cfg site.Config) { h.config.Store(&cfg) }
@@ -125,17 +135,27 @@
 
 // ServeHTTP answers one request of a caller.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.serve(w, r, h.opts.Codec.Resumes(r.Header), false)
+	h.serve(w, r, carriage{resumes: h.opts.Codec.Resumes(r.Header)})
+}
+
+// carriage is what a request brings with it from the entry that received it.
+type carriage struct {
+	// carried reports that this is another entry, which has lost its links to upstreams.
+	carried bool
+	// resumes and charged are those of forward.Request.
+	resumes string
+	charged bool
 }
 
 // ServeCarried answers one request that another entry, which has lost its links to upstreams, sends through this one.
 func (h *Handler) ServeCarried(w http.ResponseWriter, r *http.Request) {
-	resumes := r.Header.Get(forward.HeaderCarriedResumes)
+	from := carriage{carried: true, resumes: r.Header.Get(forward.HeaderCarriedResumes), charged: r.Header.Get(forward.HeaderCarriedCharged) != ""}
 	r.Header.Del(forward.HeaderCarriedResumes)
-	h.serve(w, r, resumes, true)
+	r.Header.Del(forward.HeaderCarriedCharged)
+	h.serve(w, r, from)
 }
 
-func (h *Handler) serve(w http.ResponseWriter, r *http.Request, resumes string, carried bool) {
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, from carriage) {
 	arrived := h.opts.Now()
 	h.active.Add(1)
 	defer h.active.Add(-1)
@@ -143,14 +163,16 @@
 		w.Header().Set("Connection", "close")
 	}
 	cfg := h.config.Load()
-	id := h.opts.Codec.RequestID(r.Header)
+	id, ok := h.opts.Codec.RequestID(r.Header), false
 	if cfg == nil {
 		h.opts.Log.Info().Str("request", id).Str("outcome", "refused:noConfiguration").Msg("requestDone")
 		forward.Refuse(w, startRetryAfter)
 		return
 	}
 	if call := h.opts.Codec.ParseCall(r); call.Kind != NoJobCall {
-		h.serveJobCall(w, r, call)
+		if call.Account, ok = h.authenticate(w, r, *cfg, false, from.carried); ok {
+			h.serveJobCall(w, r, call)
+		}
 		return
 	}
 	route, ok := cfg.Match(r.Host, r.URL.Path)
@@ -160,19 +182,24 @@
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
 	}
+	account, ok := h.authenticate(w, r, *cfg, route.Public, from.carried)
+	if !ok {
+		return
+	}
 	body, ok := h.readBody(w, r, *cfg, id)
 	if !ok {
 		return
 	}
 	if route.Kind == site.Batch {
-		h.submit(w, r, route, body, arrived)
+		h.submit(w, r, route, account, body, arrived)
 		return
 	}
 	callerWait, _ := h.opts.Codec.CallerWait(r.Header)
 	h.opts.Forward.Serve(r.Context(), w, forward.Request{
 		ID: id, Method: r.Method, Host: r.Host, Path: r.URL.RequestURI(), Header: r.Header, Body: body,
 		Route: route, Arrived: arrived, Deadline: h.deadline(r, route, arrived), Waited: route.Waited(callerWait),
-		LastEventID: h.opts.Codec.LastEventID(r.Header), Resumes: resumes, Generates: cfg.Generates, Carried: carried,
+		LastEventID: h.opts.Codec.LastEventID(r.Header), Resumes: from.resumes, Generates: cfg.Generates, Account: account,
+		Carried: from.carried, Charged: from.charged,
 	}, rand.Uint64())
 }
 
--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -41,13 +41,13 @@
 )
 
 // submit stores a job and accepts it.
-func (h *Handler) submit(w http.ResponseWriter, r *http.Request, route site.Route, body []byte, arrived time.Time) {
+func (h *Handler) submit(w http.ResponseWriter, r *http.Request, route site.Route, account string, body []byte, arrived time.Time) {
 	id := h.opts.Codec.RequestID(r.Header)
 	if r.Method != http.MethodPost {
 		http.Error(w, "jobs are submitted by POST", http.StatusMethodNotAllowed)
 		return
 	}
-	job, err := h.opts.Codec.DecodeJob(id, r.Host, r.URL.Path, h.opts.TimeOfDay(), body)
+	job, err := h.opts.Codec.DecodeJob(id, r.Host, r.URL.Path, account, h.opts.TimeOfDay(), body)
 	if err != nil {
 		h.logJob(id, "badJob", http.StatusBadRequest, arrived, err)
 		http.Error(w, "job can't be read", http.StatusBadRequest)
@@ -67,6 +67,9 @@
 		h.opts.Home.NotifyStored(id)
 		h.logJob(id, "accepted", http.StatusAccepted, arrived, nil)
 		w.WriteHeader(http.StatusAccepted)
+	case errors.Is(err, store.ErrConflict):
+		h.logJob(id, "idInUse", http.StatusConflict, arrived, err)
+		http.Error(w, "another account has a job with this ID", http.StatusConflict)
 	case errors.Is(err, store.ErrUnavailable):
 		h.logJob(id, "notWritten", http.StatusServiceUnavailable, arrived, err)
 		forward.Refuse(w, downRetryAfter)
@@ -132,16 +135,17 @@
 	reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	reservation, err := h.opts.Home.Reserve(reserveCtx, job)
+	key := roomKey{route: route.Name, account: job.Account}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err == nil {
-		h.open[route.Name] = reservation.Open
+		h.open[key] = reservation.Open
 		return reservation.OK
 	}
-	open := h.open[route.Name] + job.Tokens()
+	open := h.open[key] + job.Tokens()
 	fits := route.TokenCap == 0 || float64(open) <= noHomeShare*float64(route.TokenCap)
 	if fits {
-		h.open[route.Name] = open
+		h.open[key] = open
 	}
 	h.opts.Log.Warn().Str("job", job.ID).Int64("open", open).Int64("cap", route.TokenCap).Bool("fits", fits).Err(err).Msg("roomWithoutHome")
 	return fits
@@ -194,7 +198,7 @@
 func (h *Handler) readFromHome(ctx context.Context, c Call, until time.Time) (home.Page, error) {
 	for {
 		remaining := until.Sub(h.opts.Now())
-		page, err := h.opts.Home.Read(ctx, c.Job, c.After, max(remaining, 0))
+		page, err := h.opts.Home.Read(ctx, c.Job, c.Account, c.After, max(remaining, 0))
 		remaining = until.Sub(h.opts.Now())
 		if err == nil || errors.Is(err, home.ErrUnknownJob) || remaining <= homePollInterval || clock.Sleep(ctx, homePollInterval) != nil {
 			return page, err
@@ -213,7 +217,7 @@
 // readDirect reads a job from the object service and polls it until there is a result or the wait ends.
 // It notifies the home of a job that is not done, since the home may have missed it.
 func (h *Handler) readDirect(ctx context.Context, c Call, until time.Time) (home.Page, error) {
-	log, err := h.loadJob(ctx, c.Job)
+	log, err := h.loadJob(ctx, c)
 	if err != nil {
 		return home.Page{}, err
 	}
@@ -238,15 +242,19 @@
 	}
 }
 
-// loadJob reads a job from the object service; it fails without a call while the object service is known
-// to be unreachable.
-func (h *Handler) loadJob(ctx context.Context, id string) (batch.Log, error) {
+// loadJob reads a job of the calling account from the object service; it fails without a call while the object service
+// is known to be unreachable.
+func (h *Handler) loadJob(ctx context.Context, c Call) (batch.Log, error) {
 	if h.opts.ObjectsDown() {
-		return batch.Log{}, merry.Errorf("load job %s: %w", id, store.ErrUnavailable)
+		return batch.Log{}, merry.Errorf("load job %s: %w", c.Job, store.ErrUnavailable)
 	}
 	ctx, cancel := context.WithTimeout(ctx, directTimeout)
 	defer cancel()
-	return home.LoadJob(ctx, h.opts.Objects, id)
+	log, err := home.LoadJob(ctx, h.opts.Objects, c.Job)
+	if err == nil && !log.Job().OwnedBy(c.Account) {
+		return batch.Log{}, merry.Errorf("job %s is another account's: %w", c.Job, store.ErrNotFound)
+	}
+	return log, err
 }
 
 func (h *Handler) moreResults(ctx context.Context, log batch.Log) (batch.Log, error) {
@@ -256,10 +264,10 @@
 }
 
 func (h *Handler) readItem(w http.ResponseWriter, r *http.Request, c Call) {
-	item, err := h.opts.Home.Item(r.Context(), c.Job, c.Item)
+	item, err := h.opts.Home.Item(r.Context(), c.Job, c.Account, c.Item)
 	if err != nil {
 		var log batch.Log
-		if log, err = h.loadJob(r.Context(), c.Job); err == nil {
+		if log, err = h.loadJob(r.Context(), c); err == nil {
 			stored, found := log.Job().Item(c.Item)
 			item = home.ItemBody{Found: found && !log.Ended(), Body: stored.Body}
 		}
@@ -281,9 +289,9 @@
 func (h *Handler) endJob(w http.ResponseWriter, r *http.Request, c Call) {
 	ctx, cancel := context.WithTimeout(r.Context(), directTimeout)
 	defer cancel()
-	err := home.EndJob(ctx, h.opts.Objects, c.Job)
+	err := home.EndJob(ctx, h.opts.Objects, c.Job, c.Account)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		err = h.opts.Home.EndJob(r.Context(), c.Job)
+		err = h.opts.Home.EndJob(r.Context(), c.Job, c.Account)
 	}
 	if err != nil {
 		h.failJobCall(w, c, "jobEnd", err)
--- a/io/forward/carried.go
+++ b/io/forward/carried.go
@@ -14,6 +14,10 @@
 // HeaderCarriedResumes holds, between two entries, the ID of the request that brought the first event of a stream.
 const HeaderCarriedResumes = "Carried-Resumes"
 
+// HeaderCarriedCharged is set, between two entries, on a request of which an earlier attempt counts against the limit of
+// its account.
+const HeaderCarriedCharged = "Carried-Charged"
+
 // basisCarried is the basis of leases of other entries.
 const basisCarried = "carried"
 
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -122,6 +122,8 @@
 	Route  site.Route
 	// Account is the client account; empty if the deployment has none or the route is public.
 	Account string
+	// Charged reports that an earlier attempt counts against the limit of the account.
+	Charged bool
 	// Arrived is when the headers of the request had arrived, Deadline when its answer must be complete.
 	Arrived  time.Time
 	Deadline time.Time
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -153,7 +153,7 @@
 		Parts:            x.parts,
 		Identity:         x.identity,
 		Account:          x.req.Account,
-		Charged:          x.attempts > 0 || open > 0,
+		Charged:          x.req.Charged || x.attempts > 0 || open > 0,
 		PromptTokens:     x.size.Prompt,
 		OutputTokens:     x.size.Output,
 		ExpectedTokens:   x.size.Expected,
@@ -274,6 +274,10 @@
 			header = header.Clone()
 			header.Set(HeaderCarriedResumes, x.origin())
 		}
+		if x.req.Account != "" && x.attempts > 1 {
+			header = header.Clone()
+			header.Set(HeaderCarriedCharged, "1")
+		}
 	}
 	return Call{
 		ID: x.req.ID, Method: x.req.Method, Host: x.req.Host, Path: x.req.Path, Header: header, Body: x.req.Body, Carried: lease.Carried,
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -105,6 +105,8 @@
 	cancelAttempt context.CancelFunc
 	// relayed reports that conn goes through another node.
 	relayed bool
+	// homeKnowsAccounts is helloAnswer.Accounts.
+	homeKnowsAccounts bool
 	// leaseUnconfirmed reports that the home has said that it can't renew its lease.
 	leaseUnconfirmed bool
 	// unconfirmedSince is when it first said so.
--- a/io/home/clientjobs.go
+++ b/io/home/clientjobs.go
@@ -21,7 +21,7 @@
 // decide.
 func (c *Client) Reserve(ctx context.Context, job batch.Job) (Reservation, error) {
 	var a reserveAnswer
-	err := c.call(ctx, callTimeout, methodReserve, reserveRequest{Job: job.ID, Host: job.Host, Path: job.Path, Tokens: job.Tokens()}, &a)
+	err := c.call(ctx, callTimeout, methodReserve, reserveRequest{Job: job.ID, Host: job.Host, Path: job.Path, Tokens: job.Tokens(), Account: job.Account}, &a)
 	if err != nil {
 		return Reservation{}, err
 	}
@@ -41,11 +41,11 @@
 // ErrUnknownJob means that the home has no such job that is open; a complete one may be in the object service.
 var ErrUnknownJob = merry.Sentinel("home has no such open job")
 
-// Read returns the results of a job from a position on, waiting for the first one. The error is
+// Read returns the results of a job of an account from a position on, waiting for the first one. The error is
 // ErrUnknownJob if the home does not have the job, and ErrNoHome if no home can confirm its state.
-func (c *Client) Read(ctx context.Context, job string, after int, wait time.Duration) (Page, error) {
+func (c *Client) Read(ctx context.Context, job, account string, after int, wait time.Duration) (Page, error) {
 	var a readAnswer
-	if err := c.call(ctx, wait+callTimeout, methodRead, readRequest{Job: job, After: after, Wait: wait}, &a); err != nil {
+	if err := c.callFor(ctx, account, wait+callTimeout, methodRead, readRequest{Job: job, After: after, Wait: wait, Account: account}, &a); err != nil {
 		return Page{}, err
 	}
 	if a.Unknown {
@@ -64,11 +64,11 @@
 	Body  []byte
 }
 
-// Item returns the body of an item. The error is ErrNoHome if the home does not have the job or
+// Item returns the body of an item of an account's job. The error is ErrNoHome if the home does not have the job or
 // can't confirm its lease.
-func (c *Client) Item(ctx context.Context, job, item string) (ItemBody, error) {
+func (c *Client) Item(ctx context.Context, job, account, item string) (ItemBody, error) {
 	var a itemAnswer
-	if err := c.call(ctx, callTimeout, methodItem, itemRequest{Job: job, Item: item}, &a); err != nil {
+	if err := c.callFor(ctx, account, callTimeout, methodItem, itemRequest{Job: job, Item: item, Account: account}, &a); err != nil {
 		return ItemBody{}, err
 	}
 	if !a.Valid {
@@ -89,16 +89,16 @@
 // Submit asks the home to write a job, for a node that can't reach the object service. Errors are
 // those of CreateJob; without a home it is store.ErrUnavailable.
 func (c *Client) Submit(ctx context.Context, job batch.Job) error {
-	return c.write(ctx, methodSubmit, submitRequest{ID: job.ID, Job: job})
+	return c.write(ctx, job.Account, methodSubmit, submitRequest{ID: job.ID, Job: job})
 }
 
-// EndJob asks the home to mark a job as ended. Errors are those of the function EndJob.
-func (c *Client) EndJob(ctx context.Context, job string) error {
-	return c.write(ctx, methodEnd, endRequest{Job: job})
+// EndJob asks the home to mark a job of an account as ended. Errors are those of the function EndJob.
+func (c *Client) EndJob(ctx context.Context, job, account string) error {
+	return c.write(ctx, account, methodEnd, endRequest{Job: job, Account: account})
 }
 
-func (c *Client) write(ctx context.Context, method string, req any) error {
-	if !c.Connected() {
+func (c *Client) write(ctx context.Context, account, method string, req any) error {
+	if !c.Connected() || !c.serves(account) {
 		return merry.Errorf("%s: %w: %w", method, ErrNoHome, store.ErrUnavailable)
 	}
 	var a writeAnswer
@@ -110,6 +110,8 @@
 		return nil
 	case writeNotDone:
 		return merry.Errorf("%s at the home: %w", method, store.ErrUnavailable)
+	case writeConflict:
+		return merry.Errorf("%s at the home: %w", method, store.ErrConflict)
 	case writeNotFound:
 		return merry.Errorf("%s at the home: %w", method, store.ErrNotFound)
 	default:
@@ -117,6 +119,22 @@
 	}
 }
 
+// serves reports whether the home can tell what is an account's. One of a release without accounts takes each job for
+// everybody's.
+func (c *Client) serves(account string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return account == "" || c.homeKnowsAccounts
+}
+
+// callFor is call on behalf of an account.
+func (c *Client) callFor(ctx context.Context, account string, timeout time.Duration, method string, req, resp any) error {
+	if !c.serves(account) {
+		return merry.Errorf("home knows no accounts: %w", ErrNoHome)
+	}
+	return c.call(ctx, timeout, method, req, resp)
+}
+
 func (c *Client) call(ctx context.Context, timeout time.Duration, method string, req, resp any) error {
 	conn := c.connection()
 	if conn == nil {
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -142,7 +142,7 @@
 		conn.Close()
 		return nil, err
 	}
-	if !c.adopt(conn, a, answer.Home, address) {
+	if !c.adopt(conn, a, answer, address) {
 		conn.Close()
 		return nil, merry.Errorf("node at %s has term %d, not %d: %w", address, answer.Home.Term, a.Term, ErrNoHome)
 	}
@@ -157,14 +157,15 @@
 
 // adopt starts to use a connection if it leads to the home that was announced last or to a later one,
 // which a relay may know before this node does.
-func (c *Client) adopt(conn *link.Conn, announced, found Announcement, address string) bool {
+func (c *Client) adopt(conn *link.Conn, announced Announcement, answer helloAnswer, address string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	found := answer.Home
 	if c.home.Term != announced.Term || found.Term < announced.Term {
 		return false
 	}
 	c.home = found
-	c.conn, c.relayed, c.leaseUnconfirmed = conn, address != found.Address, false
+	c.conn, c.relayed, c.leaseUnconfirmed, c.homeKnowsAccounts = conn, address != found.Address, false, answer.Accounts
 	return true
 }
 
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/batch"
+	"mothcart/core/site"
 	"mothcart/io/link"
 	"mothcart/io/object"
 	"mothcart/io/store"
@@ -64,9 +65,9 @@
 }
 
 type reservation struct {
-	host, path string
-	tokens     int64
-	until      time.Time
+	host, path, account string
+	tokens              int64
+	until               time.Time
 }
 
 // setLog replaces the log and wakes the readers; the home's mutex is held.
@@ -120,7 +121,7 @@
 		in.Answer(reserveAnswer{Undecided: true})
 		return nil
 	}
-	open := h.openTokens(now, route.Host, route.Prefix)
+	open := h.openTokens(now, route, m.Account)
 	if h.jobs[m.Job] != nil {
 		in.Answer(reserveAnswer{OK: true, Open: open})
 		return nil
@@ -130,20 +131,20 @@
 	}
 	fits := route.TokenCap == 0 || open+m.Tokens <= route.TokenCap
 	if fits {
-		h.reserved[m.Job] = reservation{host: m.Host, path: m.Path, tokens: m.Tokens, until: now.Add(reservationAge)}
+		h.reserved[m.Job] = reservation{host: m.Host, path: m.Path, account: m.Account, tokens: m.Tokens, until: now.Add(reservationAge)}
 	} else {
-		h.opts.Log.Info().Str("job", m.Job).Int64("tokens", m.Tokens).Int64("open", open).Int64("cap", route.TokenCap).Msg("jobDoesNotFit")
+		h.opts.Log.Info().Str("job", m.Job).Str("account", m.Account).Int64("tokens", m.Tokens).Int64("open", open).Int64("cap", route.TokenCap).Msg("jobDoesNotFit")
 	}
 	in.Answer(reserveAnswer{OK: fits, Open: open})
 	return nil
 }
 
-// openTokens returns the number of tokens of open items and reservations on a route; the mutex is held.
-func (h *Home) openTokens(now time.Time, host, prefix string) int64 {
+// openTokens returns the number of tokens of an account's open items and reservations on a route; the mutex is held.
+func (h *Home) openTokens(now time.Time, route site.Route, account string) int64 {
 	var n int64
 	for _, j := range h.jobs {
 		job := j.log.Job()
-		if job.Host != host || !strings.HasPrefix(job.Path, prefix) {
+		if job.Account != account || job.Host != route.Host || !strings.HasPrefix(job.Path, route.Prefix) {
 			continue
 		}
 		n += j.log.OpenTokens()
@@ -157,13 +158,21 @@
 			delete(h.reserved, id)
 			continue
 		}
-		if r.host == host && strings.HasPrefix(r.path, prefix) {
+		if r.account == account && r.host == route.Host && strings.HasPrefix(r.path, route.Prefix) {
 			n += r.tokens
 		}
 	}
 	return n
 }
 
+// ownJob returns a job that an account may read, or nil; the mutex is held.
+func (h *Home) ownJob(id, account string) *job {
+	if j := h.jobs[id]; j != nil && j.log.Job().OwnedBy(account) {
+		return j
+	}
+	return nil
+}
+
 // read answers with results; a goroutine waits for the first one.
 func (h *Home) read(in link.Incoming) error {
 	var m readRequest
@@ -178,7 +187,7 @@
 		defer deadline.Stop()
 		for {
 			h.mu.Lock()
-			j := h.jobs[m.Job]
+			j := h.ownJob(m.Job, m.Account)
 			var changed chan struct{}
 			if j != nil {
 				changed = j.changed
@@ -206,7 +215,7 @@
 func (h *Home) answerRead(in link.Incoming, m readRequest, final bool) bool {
 	now := h.opts.Now()
 	h.mu.Lock()
-	j := h.jobs[m.Job]
+	j := h.ownJob(m.Job, m.Account)
 	unconfirmed := j == nil || !h.loaded || !h.opts.Valid(now)
 	unresolved := !unconfirmed && j.unresolved(now)
 	if unresolved && !final {
@@ -236,7 +245,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	j := h.jobs[m.Job]
+	j := h.ownJob(m.Job, m.Account)
 	if j == nil || !h.opts.Valid(h.opts.Now()) {
 		in.Answer(itemAnswer{})
 		return nil
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -96,6 +96,8 @@
 
 type helloAnswer struct {
 	Home Announcement `msgpack:"home"`
+	// Accounts reports that the home knows client accounts: whose job it is that somebody asks for.
+	Accounts bool `msgpack:"accounts,omitempty"`
 }
 
 // askRequest asks for a slot. Times are sent as remaining durations, since clocks of VMs differ.
@@ -176,6 +178,8 @@
 	Host   string `msgpack:"host"`
 	Path   string `msgpack:"path"`
 	Tokens int64  `msgpack:"tok"`
+	// Account is that of batch.Job.
+	Account string `msgpack:"acct,omitempty"`
 }
 
 type reserveAnswer struct {
@@ -190,6 +194,8 @@
 	Job   string        `msgpack:"job"`
 	After int           `msgpack:"after"`
 	Wait  time.Duration `msgpack:"wait"`
+	// Account is the one that reads.
+	Account string `msgpack:"acct,omitempty"`
 }
 
 type readAnswer struct {
@@ -204,6 +210,8 @@
 type itemRequest struct {
 	Job  string `msgpack:"job"`
 	Item string `msgpack:"item"`
+	// Account is the one that reads.
+	Account string `msgpack:"acct,omitempty"`
 }
 
 type itemAnswer struct {
@@ -247,6 +255,8 @@
 // endRequest asks the home to mark a job as ended.
 type endRequest struct {
 	Job string `msgpack:"job"`
+	// Account is the one that ends the job.
+	Account string `msgpack:"acct,omitempty"`
 }
 
 // writeAnswer reports the outcome of a write.
@@ -262,6 +272,8 @@
 	writeNotDone
 	writeUnknown
 	writeNotFound
+	// writeConflict means that another account has a job with this ID.
+	writeConflict
 )
 
 type leaseUnconfirmedNotice struct {
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -70,8 +70,8 @@
 }
 
 // CreateJob writes a job. It writes the items of a large job first, so that a job never exists without all
-// its items. A job that exists already counts as written. Errors are those of object.CreateConfirmed without
-// ErrConflict.
+// its items. A job of the same account that exists already counts as written. Errors are those of
+// object.CreateConfirmed; ErrConflict means that another account has a job with this ID.
 func CreateJob(ctx context.Context, c object.Client, job batch.Job) error {
 	if groups := job.Split(jobBytes); len(groups) > 1 {
 		for i, items := range groups {
@@ -82,11 +82,33 @@
 		}
 		job.Items, job.Parts = nil, len(groups)
 	}
-	_, err := object.CreateConfirmed(ctx, c, KindJobs, job.ID, job)
-	if errors.Is(err, store.ErrConflict) {
+	o, err := object.CreateConfirmed(ctx, c, KindJobs, job.ID, job)
+	if !errors.Is(err, store.ErrConflict) {
+		return err
+	}
+	if job.Account == "" {
 		return nil
 	}
-	return err
+	if len(o.Spec) == 0 { // the object service need not return the object that exists
+		if o, err = c.Get(ctx, KindJobs, job.ID); err != nil {
+			return merry.Errorf("read job %s that exists: %w: %w", job.ID, store.ErrUnknown, err)
+		}
+	}
+	if owner, err := decodeOwner(o); err != nil || !owner.OwnedBy(job.Account) {
+		return merry.Errorf("job %s exists: %w", job.ID, store.ErrConflict)
+	}
+	return nil
+}
+
+// decodeOwner returns a job of which only the account is known.
+func decodeOwner(o object.Object) (batch.Job, error) {
+	var owner struct {
+		Account string `json:"account"`
+	}
+	if err := json.Unmarshal(o.Spec, &owner); err != nil {
+		return batch.Job{}, merry.Errorf("decode owner of job %s: %w: %w", o.Name, errUnreadable, err)
+	}
+	return batch.Job{ID: o.Name, Account: owner.Account}, nil
 }
 
 // loadParts returns a job with the items that are stored in other objects.
@@ -112,8 +134,17 @@
 	return job.WithItems(items), nil
 }
 
-// EndJob marks a job as ended. It returns store.ErrNotFound if there is no such job.
-func EndJob(ctx context.Context, c object.Client, id string) error {
+// EndJob marks a job of an account as ended. It returns store.ErrNotFound if the account has no such job.
+func EndJob(ctx context.Context, c object.Client, id, account string) error {
+	if account != "" {
+		o, err := c.Get(ctx, KindJobs, id)
+		if err != nil {
+			return merry.Errorf("read job %s to end it: %w", id, err)
+		}
+		if owner, err := decodeOwner(o); err != nil || !owner.OwnedBy(account) {
+			return merry.Errorf("job %s is not of the account that ends it: %w", id, store.ErrNotFound)
+		}
+	}
 	_, err := c.PutStatus(ctx, KindJobs, id, jobStatus{Ended: true})
 	return err
 }
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -89,11 +89,11 @@
 		h.mu.Unlock()
 		return
 	}
-	host, path, acceptedAt := j.log.Job().Host, j.log.Job().Path, j.acceptedAt
+	job, acceptedAt := j.log.Job(), j.acceptedAt
 	r.key = itemKey(h.nextID.Add(1))
 	key, ran, version, header := r.key, r.ranFor, r.version, r.item.Header
 	h.mu.Unlock()
-	route, service, ok := h.pickService(host, path)
+	route, service, ok := h.pickService(job.Host, job.Path)
 	if !ok {
 		time.AfterFunc(sweepInterval, func() { h.askSlot(r) })
 		return
@@ -101,7 +101,7 @@
 	h.pool.Ask(slot.Request{
 		Key: key, Service: service, Batch: true, Priority: route.Priority, Order: acceptedAt.Add(route.Completion),
 		Ran: ran, AvailabilityZone: h.opts.AvailabilityZone, Version: version,
-		Parts: h.opts.Runner.sharedParts(header),
+		Parts: h.opts.Runner.sharedParts(header), Account: job.Account,
 	}, asker{
 		granted: func(g slot.Grant) { h.startRun(r, g) },
 		refused: func(refusal slot.Refusal) {
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -87,7 +87,7 @@
 		})
 	case methodEnd:
 		return handleMessage(in, func(m endRequest) {
-			go h.write(in, func(ctx context.Context) error { return EndJob(ctx, h.opts.Objects, m.Job) })
+			go h.write(in, func(ctx context.Context) error { return EndJob(ctx, h.opts.Objects, m.Job, m.Account) })
 		})
 	default:
 		return merry.Errorf("unknown method %s", in.Method)
@@ -115,6 +115,8 @@
 		outcome = writeDone
 	case errors.Is(err, store.ErrNotFound):
 		outcome = writeNotFound
+	case errors.Is(err, store.ErrConflict):
+		outcome = writeConflict
 	case errors.Is(err, store.ErrUnavailable):
 		outcome = writeNotDone
 	}
@@ -152,7 +154,7 @@
 		h.adopt(s, o)
 	}
 	h.opts.Log.Info().Str("peer", s.owner).Int("open", len(m.Open)).Int64("term", h.opts.Term).Msg("nodeConnected")
-	in.Answer(helloAnswer{Home: Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}})
+	in.Answer(helloAnswer{Home: Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}, Accounts: true})
 	in.Conn().Notify(methodObjectsDown, objectsDownNotice{Down: h.opts.ObjectsDown()})
 	if keys := h.opts.Leaving(); len(keys) > 0 {
 		in.Conn().Notify(methodLeaving, leavingNotice{Upstreams: upstreamKeys(keys)})
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -101,6 +101,9 @@
 // receive applies a change of a kind, from this node's watch or from another node, and returns the number
 // of objects that were changed or deleted. Entries of upstreams that describe the same as before don't count.
 func (b *base) receive(kind string, c object.Change) int {
+	if kind == platform.KindConfig {
+		c = platform.WithoutKeys(c)
+	}
 	m := b.mirrors[kind]
 	if m == nil {
 		b.opts.Log.Warn().Str("kind", kind).Msg("unknownKind")
@@ -146,7 +149,7 @@
 		if e.Deleted || o.Name != platform.ConfigName {
 			continue
 		}
-		cfg, err := platform.DecodeConfig(o)
+		cfg, skipped, err := platform.DecodeConfig(o, b.currentConfig().Accounts)
 		if err != nil {
 			b.opts.Log.Error().Int64("revision", int64(o.Revision)).Err(err).Msg("configurationSkipped")
 			continue
@@ -160,7 +163,10 @@
 		}
 		b.mu.Unlock()
 		if newer {
-			b.opts.Log.Info().Int64("version", cfg.Version).Int64("before", before).Int64("revision", int64(o.Revision)).Msg("configurationInForce")
+			b.opts.Log.Info().Int64("version", cfg.Version).Int64("before", before).Int64("revision", int64(o.Revision)).Int("accounts", cfg.Accounts.Len()).Msg("configurationInForce")
+			for _, err := range skipped {
+				b.opts.Log.Error().Int64("version", cfg.Version).Err(err).Msg("accountSkipped")
+			}
 		}
 	}
 }
