--- a/core/site/account.go
+++ b/core/site/account.go
@@ -209,6 +209,8 @@
 			errs = append(errs, merry.Errorf("account %q: unusable name: %w", name, ErrBadAccount))
 		case names[name] > 1:
 			errs = append(errs, merry.Errorf("account %s: name used twice: %w", name, ErrBadAccount))
+		case len(k.Keys) > maxAccountKeys:
+			errs = append(errs, merry.Errorf("account %s: %d keys: %w", name, len(k.Keys), ErrBadAccount))
 		case !validLimit(k.Account.Rate) || !validLimit(k.Account.Burst):
 			errs = append(errs, merry.Errorf("account %s: limit of %g a second, burst %g: %w", name, k.Account.Rate, k.Account.Burst, ErrBadAccount))
 		default:
@@ -221,6 +223,9 @@
 	return out, errs
 }
 
+// maxAccountKeys bounds the keys of an account, which takes the memory of all nodes.
+const maxAccountKeys = 1000
+
 // maxAccountName bounds the name of an account in bytes, which is sent in a header.
 const maxAccountName = 256
 
