--- a/soak/call_test.go
+++ b/soak/call_test.go
@@ -20,6 +20,9 @@
 	r.ContentLength = int64(len(body))
 	r.Host = fake.Host
 	r.Header.Set(platform.RequestIDHeader, id)
+	if c.key != "" {
+		r.Header.Set("Authorization", "Bearer "+c.key)
+	}
 	return r
 }
 
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -64,14 +64,16 @@
 	engineProxies []*proxy
 	processes     []*process
 	configVersion int
+	// accounts are the client accounts; requests need no key if there are none.
+	accounts []fake.Account
 }
 
 // ip returns a loopback address of the site. Its second byte is 20 + seed modulo 200, so that sites of
 // nearby seeds don't share addresses.
 func (s *site) ip(group, n int) string { return fmt.Sprintf("127.%d.%d.%d", s.netByte, group, n) }
 
-func newSite(t *testing.T, program string, seed uint64) *site {
-	s := &site{t: t, program: program, netByte: byte(20 + seed%200), network: fake.NewLoopback()}
+func newSite(t *testing.T, program string, seed uint64, accounts ...fake.Account) *site {
+	s := &site{t: t, program: program, netByte: byte(20 + seed%200), network: fake.NewLoopback(), accounts: accounts}
 	storeAddr := net.JoinHostPort(s.ip(1, 1), fmt.Sprint(storePort))
 	s.objects = fake.NewObjects(s.network, storeAddr)
 	s.configure()
@@ -146,7 +148,7 @@
 	if s.configVersion%2 == 0 {
 		routes = append(routes, fake.Route{Name: "new", Kind: fake.Idempotent, Service: "desk", Attempts: 2, Timeout: routeTimeout, Objective: objective})
 	}
-	s.objects.Configure(s.configVersion, routes)
+	s.objects.Configure(s.configVersion, routes, s.accounts...)
 }
 
 func (s *site) start(pr *process) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -217,6 +217,8 @@
 // checker sends requests and jobs and records those whose guarantees finish checks.
 type checker struct {
 	s *site
+	// key is that of the account whose requests the checker sends; empty if the site has no accounts.
+	key string
 
 	mu sync.Mutex
 	// refused lists requests that must never have run, atMostOnce those that may run at most once, and
