Upstreams whose answers are errors get requests only while no other has a slot

Cause: an upstream that answers errors in 1 ms is always idle, so that the choice of the least loaded one sends it most requests of its service. Answers with a status of 5xx are a result of their own; 4xx are due to the request. Ruled out: pauses only; the service's own share as the measure; health checks.

--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -79,6 +79,7 @@
 		}
 		s.index.sort()
 		s.countLimited()
+		s.countOutliers()
 		s.online.markScarce(s.isScarce)
 	}
 	out := p.refuseAbandoned(now)
@@ -198,6 +199,7 @@
 	}
 	out := p.settle(now)
 	out.add(p.judgeResult(now, g, result))
+	out.add(p.countError(now, g, result))
 	out.add(p.serve(now, s))
 	return out
 }
--- a/core/slot/service.go
+++ b/core/slot/service.go
@@ -16,6 +16,8 @@
 	batch  waitList
 	// limited is the number of upstreams that name a rate.
 	limited int
+	// outliers is the number of upstreams that are outliers.
+	outliers int
 	// onlineGrants are the slots that online requests use, oldest first; batchGrants are those of batch
 	// items in the order of compare, so that the last one is preempted first.
 	onlineGrants, batchGrants []*grant
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -190,6 +190,8 @@
 	Findings []poison.Finding
 	// Limits are the changes of the rates that upstreams name.
 	Limits []LimitChange
+	// Outliers are the upstreams that have become outliers or are none any more.
+	Outliers []OutlierChange
 }
 
 func (o *Outcome) add(other Outcome) {
@@ -198,6 +200,7 @@
 	o.Refused = append(o.Refused, other.Refused...)
 	o.Findings = append(o.Findings, other.Findings...)
 	o.Limits = append(o.Limits, other.Limits...)
+	o.Outliers = append(o.Outliers, other.Outliers...)
 }
 
 // Result says how the use of a slot ended.
@@ -217,10 +220,12 @@
 	Abandoned
 	// Moved means that another process answers at the address.
 	Moved
-	// Failed means that the upstream answered with a failure of its own.
+	// Failed means that the upstream answered that it can't do the request.
 	Failed
 	// Ended means that the upstream ended before it had written on the request.
 	Ended
+	// Errored means that the upstream answered with an error that is not due to the request by its status.
+	Errored
 )
 
 // Options are the parameters of a Pool.
--- a/core/slot/upstream.go
+++ b/core/slot/upstream.go
@@ -21,7 +21,8 @@
 	// pausedUntil is when the upstream may get requests again.
 	pausedUntil time.Time
 	// limit is the rate that the upstream names.
-	limit throttle.Limit
+	limit  throttle.Limit
+	errors errorShare
 	// place is the position in the index of the service, unless the upstream is draining.
 	place place
 }
@@ -58,8 +59,10 @@
 	switch {
 	case u.Draining || u.paused(now):
 		return 0
-	case u.onTrial():
+	case u.failures >= trialFailures:
 		return max(1-u.used, 0)
+	case u.errors.outlier:
+		return max(u.outlierSlots()-u.load(now, opts), 0)
 	case u.limit.Active():
 		return max(min(u.Slots-u.load(now, opts), int(u.limit.Level(now))), 0)
 	default:
@@ -67,8 +70,8 @@
 	}
 }
 
-// onTrial reports whether the last requests failed.
-func (u *upstream) onTrial() bool { return u.failures >= trialFailures }
+// onTrial reports whether the last requests failed, or failed more often than at other upstreams.
+func (u *upstream) onTrial() bool { return u.failures >= trialFailures || u.errors.outlier }
 
 // trialFailures is the number of failures in a row after which an upstream is on trial; single lost
 // answers are common.
@@ -130,6 +133,8 @@
 	case Served, Failed:
 		u.failures = 0
 		u.pausedUntil = time.Time{}
+	case Errored:
+		u.recordError(now, opts)
 	case Full:
 		u.pausedUntil = now.Add(opts.FullPause)
 	case Moved:
@@ -137,9 +142,25 @@
 	case Unreachable, Broken, Ended:
 		u.failures++
 		if result != Broken || u.onTrial() {
-			pause := opts.FailPause << min(max(u.failures-trialFailures, 0), 8)
-			u.pausedUntil = now.Add(min(pause, opts.MaxFailPause))
+			u.pause(now, opts)
 		}
 	case Abandoned:
 	}
 }
+
+// pause pauses the upstream for the longer the more often it has failed in a row.
+func (u *upstream) pause(now time.Time, opts Options) {
+	pause := opts.FailPause << min(max(u.failures-trialFailures, 0), 8)
+	u.pausedUntil = now.Add(min(pause, opts.MaxFailPause))
+}
+
+// recordError updates failures and pause after the upstream has answered with an error. Only one that does nothing else
+// is paused.
+func (u *upstream) recordError(now time.Time, opts Options) {
+	if !u.errors.outlier || u.errors.share < brokenShare {
+		u.failures, u.pausedUntil = 0, time.Time{}
+		return
+	}
+	u.failures++
+	u.pause(now, opts)
+}
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -108,6 +108,8 @@
 		return slot.Moved
 	case a.Info.NotRun:
 		return slot.Full
+	case a.Status >= http.StatusInternalServerError:
+		return slot.Errored
 	case !a.Success():
 		return slot.Failed
 	default:
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -129,6 +129,7 @@
 	}
 	c.localPool = NewSlotPool(opts.Origins.poolOptions(withConfig(slot.NewOptions().WithReports(true), opts.Config), opts.SoleVersion), opts.Now, c.foundSuspects,
 		func(changes []slot.LimitChange) { logLimits(opts.Log, "node", changes) })
+	c.localPool.outliers = func(changes []slot.OutlierChange) { logOutliers(opts.Log, "node", changes) }
 	c.localPool.ImportSuspects(opts.Suspects)
 	c.homeAnswered.Store(true) // the first decision without a home begins a share of rates
 	c.done.Go(func() { c.run(ctx) })
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -172,6 +172,7 @@
 		nodes: make(map[string]*link.Conn), listed: newListedJobs(),
 	}
 	h.pool = NewSlotPool(opts.Origins.poolOptions(withConfig(slot.NewOptions(), opts.Config), opts.SoleVersion), opts.Now, h.foundSuspects, h.limitsChanged)
+	h.pool.outliers = func(changes []slot.OutlierChange) { logOutliers(opts.Log, "home", changes) }
 	h.pool.ImportSuspects(opts.Suspects)
 	if opts.SlotsOnly {
 		return h
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -34,23 +34,29 @@
 	lastID   string
 	version  string
 	failures int
+	// erredAt is the upstream that last answered with an error; another one tells whether the item is to blame.
+	erredAt string
 	// silences counts the last attempts in a row that were idle for too long without an event.
 	silences int
 	// preemptedEarly reports that the slot went to an online request before the attempt started.
 	preemptedEarly bool
 	// ranFor is the total duration of the attempts that made the progress.
 	ranFor time.Duration
-	// received is what the attempt in progress has received, from an upstream of receivedVersion; nil while the item
-	// waits.
-	received        *stream
-	receivedVersion string
-	ended           bool
+	// received is what the attempt in progress has received, from the upstream sender of receivedVersion; nil while
+	// the item waits.
+	received                *stream
+	sender, receivedVersion string
+	ended                   bool
 	// sentBytes is how much of the text was sent to the standbys, in bytes; resultSent reports that the
 	// result was.
 	sentBytes  int
 	resultSent bool
 }
 
+// excludingUpstreams is the number of upstreams from which on an item leaves out the one that answered it with an error;
+// with fewer, the others may all be away.
+const excludingUpstreams = 4
+
 // itemKey returns the key of a slot that the home asks for an item.
 func itemKey(id uint64) slot.Key { return slot.Key{Owner: batchOwner, ID: id} }
 
@@ -91,16 +97,20 @@
 	}
 	job, acceptedAt := j.log.Job(), j.acceptedAt
 	r.key = itemKey(h.nextID.Add(1))
-	key, ran, version, header := r.key, r.ranFor, r.version, r.item.Header
+	key, ran, version, header, erredAt := r.key, r.ranFor, r.version, r.item.Header, r.erredAt
 	h.mu.Unlock()
 	route, service, ok := h.pickService(job.Host, job.Path)
 	if !ok {
 		time.AfterFunc(sweepInterval, func() { h.askSlot(r) })
 		return
 	}
+	var exclude []string
+	if erredAt != "" && version == "" && h.pool.Load(service).Upstreams >= excludingUpstreams {
+		exclude = []string{erredAt}
+	}
 	h.pool.Ask(slot.Request{
 		Key: key, Service: service, Batch: true, Priority: route.Priority, Order: acceptedAt.Add(route.Completion),
-		Ran: ran, AvailabilityZone: h.opts.AvailabilityZone, Version: version,
+		Ran: ran, AvailabilityZone: h.opts.AvailabilityZone, Version: version, Exclude: exclude,
 		Parts: h.opts.Runner.sharedParts(header), Account: job.Account,
 	}, asker{
 		granted: func(g slot.Grant) { h.startRun(r, g) },
@@ -187,7 +197,7 @@
 		Upstream: g.Upstream, LastEventID: r.lastID, IdleTimeout: min(itemIdleTimeout<<min(r.silences, 8), maxItemIdleTimeout),
 	}
 	got := new(stream)
-	r.received, r.receivedVersion = got, g.Upstream.Version
+	r.received, r.sender, r.receivedVersion = got, g.Upstream.ID, g.Upstream.Version
 	h.mu.Unlock()
 	startedAt := h.opts.Now()
 	out, runner := h.execute(ctx, call, got)
@@ -228,6 +238,7 @@
 	r.addProgress(out, took)
 	if !cancelled && out.Status == http.StatusInternalServerError && !out.NotRun {
 		r.failures++
+		r.erredAt = r.sender
 	}
 	if out.TooLong {
 		r.sentBytes = 0 // the standbys may have a part of what was dropped
--- a/io/home/slotpool.go
+++ b/io/home/slotpool.go
@@ -30,6 +30,8 @@
 	found func(findings []poison.Finding)
 	// limited is called with each change of the rate that an upstream names.
 	limited func(changes []slot.LimitChange)
+	// outliers is called with each upstream that has become an outlier, or is none any more; nil if nobody wants to know.
+	outliers func(changes []slot.OutlierChange)
 
 	mu      sync.Mutex
 	pool    *slot.Pool
@@ -232,6 +234,9 @@
 	if len(out.Limits) > 0 {
 		p.limited(out.Limits)
 	}
+	if len(out.Outliers) > 0 && p.outliers != nil {
+		p.outliers(out.Outliers)
+	}
 	for _, call := range calls {
 		call()
 	}
