Writes that an object service refuses are repeated less and less often

Cause: a refused write was tried again each 50 ms. Change: the pause doubles from 50 to 400 ms, with a random half.

--- a/io/object/object.go
+++ b/io/object/object.go
@@ -17,6 +17,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -73,8 +74,13 @@
 	Delete func(ctx context.Context, kind, name string) error
 }
 
-// confirmPause is the time between two attempts at a write with an unknown outcome.
-const confirmPause = 50 * time.Millisecond
+// firstConfirmPause and lastConfirmPause bound the time between two attempts at a write that was refused or whose outcome
+// is unknown; it doubles with each, since an object service that refuses calls is seldom back within less than it has taken
+// so far.
+const (
+	firstConfirmPause = 50 * time.Millisecond
+	lastConfirmPause  = 400 * time.Millisecond
+)
 
 // createHedgeDelay is how long a creation may stay unanswered before another attempt is sent in parallel; an
 // object service without load answers in a few milliseconds.
@@ -98,7 +104,7 @@
 	if err != nil {
 		return Object{}, merry.Errorf("encode %s/%s: %w", kind, name, err)
 	}
-	unknown := false
+	unknown, pause := false, firstConfirmPause
 	for {
 		o, err := Hedged(ctx, createHedgeDelay, func(ctx context.Context) (Object, error) { return c.Create(ctx, kind, name, json.RawMessage(want)) })
 		switch {
@@ -114,7 +120,9 @@
 		case !errors.Is(err, store.ErrUnavailable):
 			return Object{}, merry.Errorf("create %s/%s: %w", kind, name, err)
 		}
-		if clock.Sleep(ctx, confirmPause) != nil || endsWithin(ctx, confirmMargin) {
+		slept := clock.Sleep(ctx, pause/2+rand.N(pause/2))
+		pause = min(2*pause, lastConfirmPause)
+		if slept != nil || endsWithin(ctx, confirmMargin) {
 			if unknown {
 				return Object{}, merry.Errorf("create %s/%s: %w: %w", kind, name, store.ErrUnknown, err)
 			}
--- a/io/object/object_test.go
+++ b/io/object/object_test.go
@@ -99,3 +99,23 @@
 		})
 	}
 }
+
+// Guards against hundreds of writers that each call an object service twenty times a second while it refuses calls.
+func TestRefusedWritesAreRepeatedLessAndLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls, backAt := 0, time.Now().Add(5*time.Second)
+		c := Client{Create: func(context.Context, string, string, any) (Object, error) {
+			calls++
+			if time.Now().Before(backAt) {
+				return Object{}, store.ErrUnavailable
+			}
+			return Object{}, nil
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
+		defer cancel()
+		_, err := CreateConfirmed(ctx, c, "jobs", "j", 1)
+		require.NoError(t, err)
+		require.LessOrEqual(t, calls, 25, "five a second")
+		require.Less(t, time.Since(backAt), lastConfirmPause)
+	})
+}
