A restarted home node knows the software versions that left before its end

Cause: the history of versions on a home node's disk was read from the events of the saved view, which holds only objects, so that it was always empty, while it counted as complete. After an end of all processes, SoleVersion named the version that was left, and streams that had begun at the other one were taken up there: text joined from two versions. It also lacked versions whose last upstream had left shortly before the end. Ruled out: the records of streams (a home that stays keeps them), entries alone (they have no history and refuse), a lost disk, an object service that answers no call. With one version a restart takes up at once, as before. A file of an earlier release has no list of departed versions and counts as no history: refusals for 15 s, not a guess. TestSoleVersion: the argument of WithHistory has another type, its cases are the same; Departed is checked in addition.

--- a/core/site/directory.go
+++ b/core/site/directory.go
@@ -116,17 +116,38 @@
 	return d
 }
 
-// WithHistory returns the directory of a node that starts, with the upstreams that its last process saw until its end.
+// Departure is a software version of a service that an upstream had until At.
+type Departure struct {
+	Service, Version string
+	At               time.Time
+}
+
+// WithHistory returns the directory of a node that starts, with the versions that its last process saw until its end.
 // Only versions that this or another process has seen can have begun streams.
-func (d Directory) WithHistory(now time.Time, upstreams []Upstream) Directory {
+func (d Directory) WithHistory(seen []Departure) Directory {
 	d = d.clone()
-	for _, u := range upstreams {
-		d.versions[serviceVersion{u.Service, u.Version}] = now
+	for _, v := range seen {
+		d.versions[serviceVersion{v.Service, v.Version}] = v.At
 	}
 	d.hasHistory = true
 	return d
 }
 
+// Departed returns the software versions that upstreams had within versionHistory, but none has now.
+func (d Directory) Departed(now time.Time) []Departure {
+	present := make(map[serviceVersion]bool, len(d.versions))
+	for _, u := range d.entries {
+		present[serviceVersion{u.Service, u.Version}] = true
+	}
+	var out []Departure
+	for v, at := range d.versions {
+		if !present[v] && now.Sub(at) < versionHistory {
+			out = append(out, Departure{Service: v.service, Version: v.version, At: at})
+		}
+	}
+	return out
+}
+
 // SoleVersion returns the only software version that a service's upstreams have had during versionHistory. It returns
 // false if they had several, or if the directory has not seen all entries during all of that time.
 func (d Directory) SoleVersion(now time.Time, service string) (string, bool) {
--- a/core/site/version_test.go
+++ b/core/site/version_test.go
@@ -34,10 +34,10 @@
 		{"while the object service is down", complete.WithDown(mixed, true), mixed.Add(time.Hour), ""},
 		{"just after it was down", complete.WithDown(mixed, true).WithDown(mixed, false), mixed, ""},
 		{"long after it was down", complete.WithDown(mixed, true).WithDown(mixed, false), mixed.Add(versionHistory), "v1"},
-		{"the same before a restart", d.WithHistory(start, []Upstream{upstream("a", "v1")}).WithComplete(start), start, "v1"},
-		{"the same before a restart, not complete yet", d.WithHistory(start, []Upstream{upstream("a", "v1")}), mixed, ""},
-		{"another before a restart", d.WithHistory(start, []Upstream{upstream("a", "v0")}).WithComplete(start), start, ""},
-		{"another long before a restart", d.WithHistory(start, []Upstream{upstream("a", "v0")}).WithComplete(start), mixed, "v1"},
+		{"the same before a restart", d.WithHistory([]Departure{{"scribe", "v1", start}}).WithComplete(start), start, "v1"},
+		{"the same before a restart, not complete yet", d.WithHistory([]Departure{{"scribe", "v1", start}}), mixed, ""},
+		{"another before a restart", d.WithHistory([]Departure{{"scribe", "v0", start}}).WithComplete(start), start, ""},
+		{"another long before a restart", d.WithHistory([]Departure{{"scribe", "v0", start}}).WithComplete(start), mixed, "v1"},
 		{"another service's", complete.With(start, written(Upstream{ID: "x", Service: "desk", Version: "v7"})), mixed, "v1"},
 	} {
 		got, ok := tc.d.SoleVersion(tc.at, "scribe")
@@ -46,6 +46,9 @@
 			require.Equal(t, tc.want, got, tc.name)
 		}
 	}
+	left := released.Departed(mixed.Add(time.Second))
+	require.Equal(t, []Departure{{"scribe", "v1", mixed.Add(time.Second)}}, left)
+	require.Empty(t, released.Departed(mixed.Add(time.Second+versionHistory)))
 	_, ok := complete.SoleVersion(mixed, "unknown")
 	require.False(t, ok)
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -175,7 +175,7 @@
 		})
 		progressSaver := newSaver(s.DataDir, progressFile, func() any { return b.checkpoints.Items() }, opts.Log)
 		b.checkpoints = home.NewCheckpoints(load[[]home.ItemProgress](s.DataDir, progressFile, opts.Log), progressSaver.changed)
-		stateSaver := newSaver(s.DataDir, siteStateFile, func() any { return b.siteState() }, opts.Log)
+		stateSaver := newSaver(s.DataDir, siteStateFile, func() any { return b.savedState() }, opts.Log)
 		b.siteStateChanged = stateSaver.changed
 		b.loadHistory()
 		b.suspectsSaver = newSaver(s.DataDir, suspectsFile, func() any { return b.client.Suspects() }, opts.Log)
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -207,22 +207,6 @@
 	return b.directory.SoleVersion(now, service)
 }
 
-// loadHistory gives the directory the software versions that this node's last process saw, from its disk.
-func (b *base) loadHistory() {
-	state := load[home.SiteState](b.opts.Settings.DataDir, siteStateFile, b.opts.Log)
-	saved, ok := state.Views[platform.KindUpstreams]
-	if !ok || !saved.Listed {
-		return
-	}
-	var upstreams []site.Upstream
-	for _, e := range saved.Events {
-		if entry := b.decodeEntry(e); !entry.Gone {
-			upstreams = append(upstreams, entry.Upstream)
-		}
-	}
-	b.directory = b.directory.WithHistory(b.opts.Now(), upstreams)
-}
-
 func (b *base) logEntry(entry site.Entry, e object.Event) {
 	if entry.Gone {
 		b.opts.Log.Info().Str("upstream", entry.ID).Bool("deleted", e.Deleted).Int64("revision", int64(e.Object.Revision)).Msg("upstreamGone")
