The end of a drain answers the requests whose answer has not begun

Cause: at the end of the grace period the remaining connections were closed, so that a request that still waited for a slot, or for its upstream's first byte, ended without an answer although its fate was known. Ruled out: requests that arrive while the load balancer has not noticed yet (2.4 s of load, three kinds): all answered, before and after. A connection that the server closes as idle while its next request is under way is left to HTTP: the node answers Connection: close during the whole drain.

--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -171,6 +171,9 @@
 type Forwarder struct {
 	opts    Options
 	metrics forwardMetrics
+	// stopped ends with Stop.
+	stopped context.Context
+	stop    context.CancelFunc
 
 	mu      sync.Mutex
 	budgets map[string]retry.Budget
@@ -181,7 +184,9 @@
 	if opts.Links.Lost == nil {
 		opts.Links = Links{Lost: never, Doubtful: never}
 	}
-	return &Forwarder{opts: opts, metrics: newMetrics(opts.Registry), budgets: make(map[string]retry.Budget)}
+	f := &Forwarder{opts: opts, metrics: newMetrics(opts.Registry), budgets: make(map[string]retry.Budget)}
+	f.stopped, f.stop = context.WithCancel(context.Background())
+	return f
 }
 
 func never() bool { return false }
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -94,7 +94,7 @@
 		x.log = x.log.With().Bool("carried", true).Logger()
 	}
 	f.countRequest(x.service)
-	ctx, cancel := context.WithTimeout(ctx, req.Deadline.Sub(f.opts.Now()))
+	ctx, cancel := f.limit(ctx, req.Deadline.Sub(f.opts.Now()))
 	defer cancel()
 	x.run(ctx)
 }
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -22,14 +22,17 @@
 	// drainDelay is how long a draining node still accepts requests, so that the load balancer stops
 	// sending them before the port closes: it checks once a second and acts on the second failure.
 	drainDelay = 2500 * time.Millisecond
-	// exitMargin is how long before the end of the grace period the remaining requests are cancelled.
+	// exitMargin is how long before the end of the grace period the remaining requests are cancelled, and exitTime how
+	// long their callers may take to read what became of them.
 	exitMargin = 500 * time.Millisecond
+	exitTime   = 200 * time.Millisecond
 )
 
 // Entry is a node that serves callers.
 type Entry struct {
 	base    *base
 	handler *entry.Handler
+	forward *forward.Forwarder
 	callers *kratoshttp.Server
 	// carried serves entries that have lost their links to upstreams; nil if the VM has no port for it.
 	carried   *kratoshttp.Server
@@ -47,7 +50,7 @@
 	}
 	b := newBase(opts, true)
 	e := &Entry{base: b}
-	forwarder := forward.New(forward.Options{
+	e.forward = forward.New(forward.Options{
 		Client: b.upstream, Wire: platform.HeaderCodec(), Acquire: b.client.Acquire, Links: forward.Links{
 			Lost: b.links.Lost, Doubtful: b.links.Doubtful, Carrier: b.links.Carrier, CarrierFailed: b.links.CarrierFailed,
 		},
@@ -55,7 +58,7 @@
 		AvailabilityZone: opts.Settings.AvailabilityZone, Log: opts.Log, Registry: opts.Registry,
 	})
 	e.handler = entry.New(entry.Options{
-		Codec: platform.Codec(), Forward: forwarder, Home: b.client, Objects: b.objects, ObjectsDown: b.objectsDown,
+		Codec: platform.Codec(), Forward: e.forward, Home: b.client, Objects: b.objects, ObjectsDown: b.objectsDown,
 		Now: opts.Now, TimeOfDay: time.Now, Log: opts.Log, Registry: opts.Registry,
 	})
 	b.onConfig = e.handler.SetConfig
@@ -111,7 +114,9 @@
 	e.handler.Drain()
 	opts.Log.Info().Int64("active", e.handler.Active()).Msg("drainStarted")
 	time.Sleep(drainDelay)
-	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(opts.Now()))
+	stop := time.AfterFunc(end.Sub(opts.Now()), e.forward.Stop)
+	defer stop.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(opts.Now())+exitTime)
 	defer cancel()
 	err := e.callers.Server.Shutdown(ctx)
 	if e.carried != nil {
