Upstreams that are leaving stay so when all processes restart; a late event brings no deleted object back

Cause: that an upstream's answers said it is leaving was kept in memory only, so that after a restart of all processes it got requests until it said so again. And a mirror took an event that is older than its listing for news if the listing no longer had the object, as one from a home that is behind. Ruled out: a restart of one home, of the entries, an entry that returns, a home cut off (existing cases of the same table); an older listing (ignored by its revision); the version of the configuration (only a higher one is applied; a node that starts asks all home nodes until it has the object service or a home). Before: the three new cases of TestLeavingUpstreamGetsNothingNew and the new step of TestMirrorAppliesEachObjectByRevision fail. After: io/object, io/home and io/node pass (1 run each).

--- a/io/node/history.go
+++ b/io/node/history.go
@@ -12,11 +12,19 @@
 // several times the history that the directory needs, since the clock of the VM may be set meanwhile.
 const departedMemory = time.Minute
 
-// savedState is what a home node saves: the site state, and the software versions that have left lately.
+// savedState is what a home node saves: the site state, the software versions that have left lately, and the upstreams
+// whose answers said that they are leaving, which their entries need not show.
 type savedState struct {
 	home.SiteState `msgpack:",inline"`
 	// Departed is nil in files that have no such list.
 	Departed []departedVersion `msgpack:"departed"`
+	Leaving  []leavingUpstream `msgpack:"leaving,omitempty"`
+}
+
+// leavingUpstream names one run of an upstream.
+type leavingUpstream struct {
+	ID          string `msgpack:"id"`
+	Incarnation int64  `msgpack:"inc"`
 }
 
 // departedVersion is a software version whose last upstream has left, at a time in milliseconds of the Unix epoch.
@@ -31,22 +39,30 @@
 	state := savedState{SiteState: b.siteState(), Departed: []departedVersion{}}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for _, k := range b.directory.Leaving() {
+		state.Leaving = append(state.Leaving, leavingUpstream{ID: k.ID, Incarnation: k.Incarnation})
+	}
 	for _, d := range b.directory.Departed(b.opts.Now()) {
 		state.Departed = append(state.Departed, departedVersion{Service: d.Service, Version: d.Version, At: d.At.UnixMilli()})
 	}
 	return state
 }
 
-// loadHistory gives the directory the software versions that this node's last process saw, from its disk: those of
-// the upstreams at its end, and those that had left shortly before. What came and left while no process of this node
-// ran is not known to it.
+// loadHistory gives the directory what this node's last process knew that the object service doesn't tell, from its disk:
+// the upstreams that are leaving, and the software versions of the upstreams at its end and of those that had left shortly
+// before. What came and left while no process of this node ran is not known to it.
 func (b *base) loadHistory() {
 	state := load[savedState](b.opts.Settings.DataDir, siteStateFile, b.opts.Log)
+	now := b.opts.Now()
+	leaving := make([]site.Key, 0, len(state.Leaving))
+	for _, k := range state.Leaving {
+		leaving = append(leaving, site.Key{ID: k.ID, Incarnation: k.Incarnation})
+	}
+	b.directory, _ = b.directory.WithLeaving(now, leaving)
 	saved, ok := state.Views[platform.KindUpstreams]
 	if !ok || !saved.Listed || state.Departed == nil {
 		return
 	}
-	now := b.opts.Now()
 	seen := make(map[site.Departure]bool)
 	for _, o := range saved.Objects {
 		if u, err := platform.DecodeUpstream(o); err == nil {
--- a/io/node/leaving.go
+++ b/io/node/leaving.go
@@ -38,6 +38,7 @@
 	b.mu.Unlock()
 	if len(fresh) > 0 {
 		b.publishUpstreams()
+		b.siteStateChanged()
 	}
 	return fresh
 }
--- a/io/node/leaving_test.go
+++ b/io/node/leaving_test.go
@@ -73,6 +73,21 @@
 			s.killHome(2)
 			time.Sleep(3 * time.Second)
 		}, 2, false},
+		{"all processes restarted", func(s *testSite) {
+			s.restartAll()
+			time.Sleep(2 * time.Second)
+		}, 2, false},
+		{"all processes restarted twice", func(s *testSite) {
+			for range 2 {
+				s.restartAll()
+				time.Sleep(2 * time.Second)
+			}
+		}, 1, false},
+		{"all processes restarted while the object service is down", func(s *testSite) {
+			s.objects.SetFault(fake.Fault{Down: map[string]bool{"": true}})
+			s.restartAll()
+			time.Sleep(2 * time.Second)
+		}, 1, true},
 		{"node cut off from the home nodes", func(s *testSite) {
 			s.network.Partition(entryIP(1), homeIP(1))
 			s.network.Partition(entryIP(1), homeIP(2))
--- a/io/object/mirror.go
+++ b/io/object/mirror.go
@@ -33,7 +33,7 @@
 		changed = m.applyListing(c)
 	}
 	for _, e := range c.Events {
-		if m.applyEvent(e) {
+		if !m.isPast(e) && m.applyEvent(e) {
 			changed = append(changed, e)
 		}
 	}
@@ -64,6 +64,12 @@
 	return changed
 }
 
+// isPast reports that an event is older than a listing that no longer has its object.
+func (m *Mirror) isPast(e Event) bool {
+	_, ok := m.objects[e.Object.Name]
+	return !ok && e.Object.Revision <= m.at
+}
+
 func (m *Mirror) applyEvent(e Event) bool {
 	name, revision := e.Object.Name, e.Object.Revision
 	current, ok := m.objects[name]
--- a/io/object/object_test.go
+++ b/io/object/object_test.go
@@ -31,6 +31,7 @@
 		{"listing without an object that is newer", Change{Listed: true, At: 6, Objects: []Object{named("b", 4)}}, nil},
 		{"listing without an object", Change{Listed: true, At: 8, Objects: []Object{named("a", 7)}}, []Event{{Object: named("b", 4), Deleted: true}}},
 		{"late event of the deleted object", Change{Events: []Event{{Object: named("b", 4)}}}, nil},
+		{"late event of an object that was deleted before the listing", Change{Events: []Event{{Object: named("c", 8)}}}, nil},
 		{"removal", Change{Events: []Event{{Object: named("a", 9), Deleted: true}}}, []Event{{Object: named("a", 9), Deleted: true}}},
 		{"removal again", Change{Events: []Event{{Object: named("a", 9), Deleted: true}}}, nil},
 		{"created again", Change{Events: []Event{{Object: named("a", 10)}}}, []Event{{Object: named("a", 10)}}},
