An upstream on trial is tried by an online request after 3 s, if that goes on elsewhere

Cause: online requests prefer upstreams that are not on trial while those have free slots, so that without load and without items a sound upstream was left out for good after two failures. Weighed: an end of the trial by time (then requests that may run once are lost at an upstream that still fails); a trial by resumable streams only (services without streams would never be tried). The flag Repeatable travels with the question for a slot of calls that may run again, 5 bytes; streams carry nothing more.

--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -87,6 +87,8 @@
 	// event. Without Version the pool finds out at which version that stream began.
 	Continues bool
 	Resumes   string
+	// Repeatable reports that a request that begins no stream may run at another upstream if this one fails.
+	Repeatable bool
 	// Parts are the parts of the prompt that other requests may share, in order. Identity is what other tries of an online
 	// request have in common with this one; zero for an item, which is owed whatever has ended under it.
 	Parts    []poison.Part
--- a/core/slot/upstream.go
+++ b/core/slot/upstream.go
@@ -84,7 +84,7 @@
 // better reports whether u is better than v, of the same software version, for the request: by its state, then in
 // the availability zone of the VM that asked, then with the lower load.
 func (u *upstream) better(v *upstream, now time.Time, r *Request, opts Options) bool {
-	if c := u.compareState(v, r); c != 0 {
+	if c := u.compareState(v, now, r); c != 0 {
 		return c < 0
 	}
 	a, b := u.load(now, opts)*v.Slots, v.load(now, opts)*u.Slots
@@ -97,7 +97,7 @@
 
 // betterOfVersions is better for upstreams of two software versions, of which uFree and vFree slots are free.
 func (u *upstream) betterOfVersions(v *upstream, uFree, vFree int, now time.Time, r *Request, opts Options) bool {
-	if c := u.compareState(v, r); c != 0 {
+	if c := u.compareState(v, now, r); c != 0 {
 		return c < 0
 	}
 	if uFree != vFree {
@@ -107,8 +107,14 @@
 }
 
 // compareState orders upstreams by their state, the better one first. Online requests prefer an upstream that is
-// not on trial, batch items one that is; then come upstreams whose entry exists.
-func (u *upstream) compareState(v *upstream, r *Request) int {
+// not on trial, unless that is due for them, batch items one that is; then come upstreams whose entry exists.
+func (u *upstream) compareState(v *upstream, now time.Time, r *Request) int {
+	if a, b := u.isDue(now, r), v.isDue(now, r); a != b {
+		if a {
+			return -1
+		}
+		return 1
+	}
 	a, b := u.onTrial(), v.onTrial()
 	switch {
 	case a != b && a == r.Batch:
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -159,6 +159,7 @@
 		ExpectedTokens:   x.size.Expected,
 	}
 	if !x.isStream() {
+		r.Repeatable = x.req.Route.Repeatable() && x.runs+open+1 < x.req.Route.MaxAttempts
 		return r
 	}
 	r.Version, r.BoundBy = x.boundVersion(), x.boundBy
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -276,7 +276,7 @@
 	err := conn.Call(askCtx, methodAsk, askRequest{
 		ID: r.Key.ID, Service: r.Service, Priority: r.Priority, Remaining: r.Order.Sub(now), Wait: wait,
 		Exclude: r.Exclude, Zone: r.AvailabilityZone, Objective: remainingObjective(now, r),
-		Version: r.Version, Stream: r.Stream, Continues: r.Continues, Resumes: r.Resumes, Parts: r.Parts, Identity: r.Identity,
+		Version: r.Version, Stream: r.Stream, Continues: r.Continues, Resumes: r.Resumes, Repeatable: r.Repeatable, Parts: r.Parts, Identity: r.Identity,
 		Account: r.Account, Charged: r.Charged, Prompt: r.PromptTokens, Output: r.OutputTokens, Expected: r.ExpectedTokens,
 	}, &answer)
 	if err != nil {
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -114,6 +114,8 @@
 	Stream    string `msgpack:"stream,omitempty"`
 	Continues bool   `msgpack:"cont,omitempty"`
 	Resumes   string `msgpack:"from,omitempty"`
+	// Repeatable is that of slot.Request.
+	Repeatable bool `msgpack:"rep,omitempty"`
 	// Parts and Identity are those of slot.Request.
 	Parts    []poison.Part   `msgpack:"parts,omitempty"`
 	Identity poison.Identity `msgpack:"identity,omitempty"`
@@ -129,7 +131,7 @@
 	r := slot.Request{
 		Key: slot.Key{Owner: owner, ID: a.ID}, Service: a.Service, Priority: a.Priority,
 		Order: now.Add(a.Remaining), Deadline: now.Add(a.Wait), Exclude: a.Exclude, AvailabilityZone: a.Zone,
-		Version: a.Version, Stream: a.Stream, Continues: a.Continues, Resumes: a.Resumes, Parts: a.Parts, Identity: a.Identity,
+		Version: a.Version, Stream: a.Stream, Continues: a.Continues, Resumes: a.Resumes, Repeatable: a.Repeatable, Parts: a.Parts, Identity: a.Identity,
 		Account: a.Account, Charged: a.Charged, PromptTokens: a.Prompt, OutputTokens: a.Output, ExpectedTokens: a.Expected,
 	}
 	if a.Objective != nil {
