A carrier is chosen by state, zone and what it has in use; a failure waits for evidence before it counts

Cause: an entry without links chose its carrier at random, each second again one that stops or is gone, and requests that such a carrier refused spent the retry budget. The first connection that an entry with cut links couldn't open was reported as the upstream's failure, and several such entries together put sound upstreams on trial for all. Now: a carrier names its zone on answers to carried requests; one that stops pauses for 6 s, one that fails for longer each time; the cheapest is taken by use, zone and whether it has served; a pausing one if there is no other, unless it has no links either. A failed or broken attempt's slot is released once the node has opened another connection (the upstream is to blame), its links are doubtful (it is not), or 700 ms have passed; the request goes on elsewhere at once. Weighed: probes for the verdict (priced, and the retry brings the same evidence); a judgement at the home by owner (it doesn't see what the node has reached). A carrier that drains tells it with its next answer, which it refuses, so that one hop is lost; a notice to all entries through the home was left out.

--- a/io/carrier/carrier.go
+++ b/io/carrier/carrier.go
@@ -15,11 +15,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -33,8 +30,6 @@
 const (
 	// probeInterval is the time between two looks whether probes are due.
 	probeInterval = 100 * time.Millisecond
-	// carrierPause is how long a carrier that failed or was unable is not asked again.
-	carrierPause = time.Second
 	// carrierLifetime is how long an entry is remembered as a carrier after it was last named, and maxCarriers their
 	// greatest number.
 	carrierLifetime = 2 * time.Minute
@@ -56,6 +51,8 @@
 	// the host.
 	Own     string
 	Entries func() []string
+	// Zone is the availability zone of this node.
+	Zone string
 	// Stopping reports that this node is about to stop.
 	Stopping func() bool
 	Now      func() time.Time
@@ -78,8 +75,10 @@
 	links reach.Links
 	// upstreams holds the addresses of all upstreams.
 	upstreams map[string]bool
-	// named holds when each carrier was last named, pausedUntil when those that failed may be asked again.
-	named, pausedUntil map[string]time.Time
+	// candidates are the entries that may carry requests, by address.
+	candidates map[string]*candidate
+	// waiting holds the failures on which there is no verdict yet.
+	waiting map[*waiting]struct{}
 }
 
 // NewLinks returns links of which nothing is known.
@@ -87,7 +86,7 @@
 	l := &Links{
 		opts: opts, wake: make(chan struct{}, 1), end: make(chan struct{}), links: reach.NewLinks(),
 		carried: make(chan struct{}, maxCarried), carriedCounter: metrics.GetOrRegisterCounter("online.carriedForOthers", opts.Registry),
-		upstreams: make(map[string]bool), named: make(map[string]time.Time), pausedUntil: make(map[string]time.Time),
+		upstreams: make(map[string]bool), candidates: make(map[string]*candidate), waiting: make(map[*waiting]struct{}),
 	}
 	opts.Registry.GetOrRegister("links.lost", func() metrics.Gauge {
 		return metrics.NewFunctionalGauge(func() int64 {
@@ -162,8 +161,8 @@
 
 func (l *Links) record(address string, err error) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	if !l.upstreams[address] {
+		l.mu.Unlock()
 		return
 	}
 	now, before := l.opts.Now(), l.links
@@ -188,6 +187,11 @@
 		default:
 		}
 	}
+	doubtful := l.links.Doubtful()
+	l.mu.Unlock()
+	if err == nil || doubtful {
+		l.settle(err == nil)
+	}
 }
 
 // probe opens connections to some upstreams if that is due, and reports whether it may be due again.
@@ -211,60 +215,25 @@
 	return doubtful
 }
 
-// Carrier returns the address of an entry that may send requests for this node, and false if none is known that is not
-// excluded.
-func (l *Links) Carrier(exclude []string) (string, bool) {
-	entries := l.opts.Entries()
-	now := l.opts.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, e := range entries {
-		host, _, err := net.SplitHostPort(e)
-		if err == nil && host != l.opts.Own && l.opts.Port != 0 {
-			l.named[net.JoinHostPort(host, strconv.Itoa(l.opts.Port))] = now
-		}
-	}
-	var usable []string
-	for address, at := range l.named {
-		switch {
-		case now.Sub(at) >= carrierLifetime || (len(l.named) > maxCarriers && at.Before(now)): // those just named stay
-			delete(l.named, address)
-			delete(l.pausedUntil, address)
-		case now.Before(l.pausedUntil[address]) || slices.Contains(exclude, address):
-		default:
-			usable = append(usable, address)
-		}
-	}
-	if len(usable) == 0 {
-		return "", false
-	}
-	slices.Sort(usable)
-	return usable[rand.IntN(len(usable))], true
-}
-
-// CarrierFailed records that an entry could not send a request for this node.
-func (l *Links) CarrierFailed(address string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.pausedUntil[address] = l.opts.Now().Add(carrierPause)
-}
-
 // Handler returns the handler of requests that this node sends for others with serve.
 func (l *Links) Handler(serve http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		reason := ""
 		switch {
 		case l.Lost():
-			reason = "linksLost"
+			reason = reasonLinksLost
 		case l.opts.Stopping():
-			reason = "stopping"
+			reason = reasonStopping
 		default:
 			select {
 			case l.carried <- struct{}{}:
 			default:
-				reason = "busy"
+				reason = reasonBusy
 			}
 		}
+		if l.opts.Zone != "" {
+			w.Header().Set(HeaderZone, l.opts.Zone)
+		}
 		if reason != "" {
 			w.Header().Set(HeaderUnable, reason)
 			http.Error(w, "not run; ask another entry", http.StatusServiceUnavailable)
--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -25,6 +25,7 @@
 func (x *exchange) sendAnswer(now time.Time, lease Lease, a Answer, outcome string) {
 	x.first = now
 	maps.Copy(x.w.Header(), a.Header)
+	dropCarrierHeaders(x.w.Header())
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
 	x.w.WriteHeader(a.Status)
 	if _, err := x.w.Write(a.Body); err != nil {
@@ -116,6 +117,7 @@
 	}
 	x.started = true
 	maps.Copy(x.w.Header(), h)
+	dropCarrierHeaders(x.w.Header())
 	x.w.Header().Del("Content-Length")
 	x.w.WriteHeader(status)
 	return nil
--- a/io/forward/carried.go
+++ b/io/forward/carried.go
@@ -32,13 +32,8 @@
 	}
 	return Lease{
 		Upstream: site.Upstream{ID: address, Address: address, Version: r.Version}, Basis: basisCarried, Carried: true,
-		Release: func(_ time.Time, result slot.Result) {
-			switch result {
-			case slot.Unreachable, slot.Ended, slot.Broken:
-				links.CarrierFailed(address)
-			}
-		},
-		Report: func(time.Time, int, int) {}, Limit: func(float64, bool) {}, Began: func(string) {}, Wrote: func() {},
+		Release: func(_ time.Time, result slot.Result) { links.CarrierEnded(address, result) },
+		Report:  func(time.Time, int, int) {}, Limit: func(float64, bool) {}, Began: func(string) {}, Wrote: func() {},
 		Silence: func(bool) {}, Leaving: func(string) {},
 	}, nil, nil
 }
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -145,10 +145,13 @@
 	Lost func() bool
 	// Doubtful reports that failed connections to upstreams may be due to this node's links.
 	Doubtful func() bool
+	// Judge calls report once, with whether an upstream at which a request has just failed is to blame, not the links.
+	Judge func(report func(failed bool))
 	// Carrier returns the address of an entry that may send a request, and false if none is known that is not excluded.
 	Carrier func(exclude []string) (string, bool)
-	// CarrierFailed records that an entry could not send a request.
-	CarrierFailed func(address string)
+	// CarrierEnded records the end of an attempt through an entry, CarrierAnswered the headers of its answer.
+	CarrierEnded    func(address string, result slot.Result)
+	CarrierAnswered func(address string, h http.Header)
 }
 
 // Options are the dependencies of a Forwarder; all but Links are required.
@@ -182,7 +185,7 @@
 // New returns a forwarder.
 func New(opts Options) *Forwarder {
 	if opts.Links.Lost == nil {
-		opts.Links = Links{Lost: never, Doubtful: never}
+		opts.Links = Links{Lost: never, Doubtful: never, Judge: func(report func(bool)) { report(true) }}
 	}
 	f := &Forwarder{opts: opts, metrics: newMetrics(opts.Registry), budgets: make(map[string]retry.Budget)}
 	f.stopped, f.stop = context.WithCancel(context.Background())
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -319,7 +319,8 @@
 		return true
 	}
 	action := retry.Fail
-	if !a.Sent && x.f.opts.Links.Doubtful() {
+	unable := lease.Carried && a.Header.Get(carrier.HeaderUnable) != ""
+	if unable || (!a.Sent && x.f.opts.Links.Doubtful()) {
 		x.f.refund(x.service) // the retry is no load on a failing service
 	}
 	if x.refusals <= maxRefusals {
@@ -341,12 +342,14 @@
 // release ends the use of a slot and counts the attempt if it may have run.
 func (x *exchange) release(ctx context.Context, now time.Time, lease Lease, a Answer) {
 	result := a.Result(ctx)
-	if result == slot.Unreachable && x.f.opts.Links.Doubtful() {
-		result = slot.Abandoned // the upstream may be sound
-	}
-	lease.Release(now, result)
-	if lease.Carried && a.Header.Get(carrier.HeaderUnable) != "" {
-		x.f.opts.Links.CarrierFailed(lease.Upstream.Address)
+	switch {
+	case lease.Carried:
+		lease.Release(now, result)
+		x.f.opts.Links.CarrierAnswered(lease.Upstream.Address, a.Header)
+	case result == slot.Unreachable || result == slot.Broken:
+		x.f.releaseJudged(lease, result)
+	default:
+		lease.Release(now, result)
 	}
 	if a.Sent && !a.refused() {
 		x.runs++
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -52,7 +52,8 @@
 	e := &Entry{base: b}
 	e.forward = forward.New(forward.Options{
 		Client: b.upstream, Wire: platform.HeaderCodec(), Acquire: b.client.Acquire, Links: forward.Links{
-			Lost: b.links.Lost, Doubtful: b.links.Doubtful, Carrier: b.links.Carrier, CarrierFailed: b.links.CarrierFailed,
+			Lost: b.links.Lost, Doubtful: b.links.Doubtful, Judge: b.links.Judge,
+			Carrier: b.links.Carrier, CarrierEnded: b.links.CarrierEnded, CarrierAnswered: b.links.CarrierAnswered,
 		},
 		NextID: func() uint64 { return e.askID.Add(1) }, Now: opts.Now,
 		AvailabilityZone: opts.Settings.AvailabilityZone, Log: opts.Log, Registry: opts.Registry,
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -152,7 +152,7 @@
 	dialUpstream := opts.Connect(connectTimeout)
 	if isEntry {
 		b.links = carrier.NewLinks(carrier.Options{
-			Dial: dialUpstream, Port: s.CarrierPort, Own: s.IP, Entries: func() []string { return b.client.Relays() },
+			Dial: dialUpstream, Port: s.CarrierPort, Own: s.IP, Zone: s.AvailabilityZone, Entries: func() []string { return b.client.Relays() },
 			Stopping: b.stopping.Load, Now: opts.Now, Log: opts.Log, Registry: opts.Registry,
 		})
 		dialUpstream = b.links.Dial
