Items of a node that was silent for a while go on

Cause: a link between nodes ends after 650 ms of silence. The home then began the items that the other node ran again, from their first event, and that node cancelled them, although it was only frozen or its link silent. Now a node goes on with them for 2 s if the link ended in silence (not if it was closed), reports them to the home of the same term when it is back, or sends the outcome; the home waits 1.5 s for that. Another home's attempts are cancelled. Ruled out: entries (their requests are theirs; the home adopts their slots again with the hello), a home node that is killed (its links are closed). Cost: items of a VM that is gone without closing its links wait 1.5 s longer, and their slots. Weighed: a longer silence before a link ends (every other decision would be late), progress from the runner while it runs (bytes for each item in calm times). An outcome is kept for 2 s after it was sent, since the link may be silent already.

--- a/io/home/client.go
+++ b/io/home/client.go
@@ -101,6 +101,8 @@
 	mu   sync.Mutex
 	home Announcement
 	conn *link.Conn
+	// connTerm is the term of the home at the other end of conn.
+	connTerm int64
 	// cancelAttempt ends the last attempt to reach a home.
 	cancelAttempt context.CancelFunc
 	// relayed reports that conn goes through another node.
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -149,6 +149,9 @@
 	c.opts.OnReceivesChanges()
 	if answer.Home.VM != c.opts.VMID {
 		c.opts.Origins.sendAll(conn)
+		if c.opts.Runner != nil {
+			c.opts.Runner.attach(conn, answer.Home.Term)
+		}
 	}
 	a = answer.Home
 	c.opts.Log.Info().Str("home", a.VM).Int64("term", a.Term).Msg("homeRegained")
@@ -164,10 +167,21 @@
 		return false
 	}
 	c.home = found
+	c.connTerm = found.Term
 	c.conn, c.relayed, c.leaseUnconfirmed = conn, address != found.Address, false
 	return true
 }
 
+// termOf returns the term of the home at the other end of the present connection, 0 for another one.
+func (c *Client) termOf(conn *link.Conn) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn != c.conn {
+		return 0
+	}
+	return c.connTerm
+}
+
 func (c *Client) hello() helloRequest {
 	return helloRequest{
 		VM: c.opts.VMID, Incarnation: c.opts.Incarnation, Relay: c.opts.Relay, Runs: c.opts.Runner != nil,
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -131,6 +131,8 @@
 	// the home runs itself.
 	runners    map[string]*runnerNode
 	ownRunning int
+	// remoteRuns holds the attempts that other nodes make, by itemCall.Run.
+	remoteRuns map[uint64]*remoteRun
 	// retiring reports that this VM is to be drained.
 	retiring atomic.Bool
 }
@@ -168,7 +170,7 @@
 		},
 		progressLoaded: make(chan struct{}), handoverDone: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
 		jobs: make(map[string]*job), reserved: make(map[string]reservation),
-		undelivered: make(map[string]time.Time), runners: make(map[string]*runnerNode),
+		undelivered: make(map[string]time.Time), runners: make(map[string]*runnerNode), remoteRuns: make(map[uint64]*remoteRun),
 		nodes: make(map[string]*link.Conn), listed: newListedJobs(),
 	}
 	h.pool = NewSlotPool(opts.Origins.poolOptions(withConfig(slot.NewOptions(), opts.Config), opts.SoleVersion), opts.Now, h.foundSuspects, h.limitsChanged)
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -61,6 +61,9 @@
 	// methodRun and methodCancelRun go from the home to the nodes that run items for it.
 	methodRun       = "run"
 	methodCancelRun = "cancelRun"
+	// methodOpenRuns and methodEndedRun go from a node to the home whose link was silent.
+	methodOpenRuns = "openRuns"
+	methodEndedRun = "endedRun"
 )
 
 // helloRequest identifies a node and lists the slots that it uses.
--- a/io/home/receive.go
+++ b/io/home/receive.go
@@ -40,11 +40,11 @@
 			in.Fail(merry.New("this node runs no items"))
 			return nil
 		}
-		return c.opts.Runner.serve(in, c.itemReports)
+		return c.opts.Runner.serve(in, c.termOf(in.Conn()), c.itemReports)
 	case methodCancelRun:
 		return handleMessage(in, func(m cancelRunNotice) {
 			if c.opts.Runner != nil {
-				c.opts.Runner.cancel(m.Run)
+				c.opts.Runner.cancel(in.Conn(), m.Run)
 			}
 		})
 	default:
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -92,12 +92,12 @@
 	opts RunnerOptions
 
 	mu   sync.Mutex
-	runs map[uint64]context.CancelFunc
+	runs map[runKey]*activeRun
 }
 
 // NewRunner returns a runner.
 func NewRunner(opts RunnerOptions) *Runner {
-	return &Runner{opts: opts, runs: make(map[uint64]context.CancelFunc)}
+	return &Runner{opts: opts, runs: make(map[runKey]*activeRun)}
 }
 
 // stream is what an attempt at an item has received so far. It is safe for concurrent use.
@@ -203,41 +203,34 @@
 	return out
 }
 
-// serve makes an attempt for a home on another node and answers with its outcome.
-func (rn *Runner) serve(in link.Incoming, reports func(c itemCall) itemReports) error {
+// serve makes an attempt for the home of a term, on another node, and answers with its outcome.
+func (rn *Runner) serve(in link.Incoming, term int64, reports func(c itemCall) itemReports) error {
 	var c itemCall
 	if err := in.Decode(&c); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	key := runKey{term: term, run: c.Run}
+	r := &activeRun{item: c.ID, cancel: cancel, conn: in.Conn(), attached: make(chan struct{}, 1)}
 	rn.mu.Lock()
-	rn.runs[c.Run] = cancel
+	rn.runs[key] = r
 	rn.mu.Unlock()
 	go func() {
 		defer cancel()
-		go func() {
-			select {
-			case <-in.Conn().Done(): // the connection to the home has ended, so that nobody waits for the outcome
-				cancel()
-			case <-ctx.Done():
-			}
-		}()
-		out := rn.do(ctx, c, new(stream), reports(c))
-		rn.mu.Lock()
-		delete(rn.runs, c.Run)
-		rn.mu.Unlock()
-		in.Answer(out)
+		go rn.watch(ctx, key, r)
+		rn.end(key, r, in, rn.do(ctx, c, new(stream), reports(c)))
 	}()
 	return nil
 }
 
 // cancel cancels an attempt; the answer to the home still holds the progress that it made.
-func (rn *Runner) cancel(run uint64) {
+func (rn *Runner) cancel(conn *link.Conn, run uint64) {
 	rn.mu.Lock()
-	cancel := rn.runs[run]
-	rn.mu.Unlock()
-	if cancel != nil {
-		cancel()
+	defer rn.mu.Unlock()
+	for key, r := range rn.runs {
+		if key.run == run && r.conn == conn {
+			r.cancel()
+		}
 	}
 }
 
@@ -267,6 +260,15 @@
 	}
 	defer h.endRun(node)
 	c.Run = h.nextID.Add(1)
+	remote := newRemoteRun(c.ID)
+	h.mu.Lock()
+	h.remoteRuns[c.Run] = remote
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		delete(h.remoteRuns, c.Run)
+		h.mu.Unlock()
+	}()
 	// The call continues for progressWait after the attempt is cancelled, so that its progress is not lost.
 	call, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -283,10 +285,16 @@
 		time.AfterFunc(progressWait, cancel)
 	}()
 	var out itemOutcome
-	if err := node.conn.Call(call, methodRun, c, &out); err != nil {
-		return itemOutcome{Result: slot.Abandoned, LastEventID: c.LastEventID, Err: err.Error()}, node.name
+	err := node.conn.Call(call, methodRun, c, &out)
+	if err == nil {
+		return out, node.name
+	}
+	if node.conn.Silent() {
+		if out, ok := h.awaitSilent(ctx, c, remote); ok {
+			return out, node.name
+		}
 	}
-	return out, node.name
+	return abandoned(c, err), node.name
 }
 
 // pickRunner returns the node that makes the next attempt, nil for the home itself.
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -70,6 +70,10 @@
 		return handleMessage(in, func(m silenceNotice) { h.pool.Silence(slot.Key{Owner: s.owner, ID: m.ID}, m.Silent) })
 	case methodLeaving:
 		return handleMessage(in, func(m leavingNotice) { h.opts.MarkLeaving(s.owner, siteKeys(m.Upstreams)) })
+	case methodOpenRuns:
+		return handleMessage(in, func(m openRunsNotice) { h.openRuns(in.Conn(), m) })
+	case methodEndedRun:
+		return handleMessage(in, h.endRemote)
 	case methodReserve:
 		return h.reserve(in)
 	case methodRead:
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -18,6 +18,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -155,6 +156,14 @@
 // Done returns a channel that is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.closed }
 
+// Silent reports that the connection has ended since nothing arrived or was accepted in time, not by a close of a side.
+func (c *Conn) Silent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var timeout net.Error
+	return errors.As(c.err, &timeout) && timeout.Timeout()
+}
+
 // Close ends the connection.
 func (c *Conn) Close() { c.fail(ErrClosed) }
 
