--- a/core/slot/outlier.go
+++ b/core/slot/outlier.go
@@ -29,6 +29,8 @@
 type errorShare struct {
 	share   float64
 	outlier bool
+	// at is when the last of these answers came.
+	at time.Time
 }
 
 // OutlierChange reports that an upstream has become an outlier, or that it no longer is one.
@@ -59,7 +61,7 @@
 	if !is && share < 1.0/(16*errorWindow) {
 		share = 0
 	}
-	p.update(now, u, func() { u.errors = errorShare{share: share, outlier: is} })
+	p.update(now, u, func() { u.errors = errorShare{share: share, outlier: is, at: now} })
 	if is == was {
 		return Outcome{}
 	}
--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"net/http"
 	"strconv"
@@ -26,6 +25,7 @@
 func (x *exchange) sendAnswer(now time.Time, lease Lease, a Answer, outcome string) {
 	x.first = now
 	maps.Copy(x.w.Header(), a.Header)
+	dropCarrierHeaders(x.w.Header())
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
 	x.w.WriteHeader(a.Status)
 	if _, err := x.w.Write(a.Body); err != nil {
@@ -37,7 +37,7 @@
 // fail ends a request that no upstream served successfully.
 func (x *exchange) fail(ctx context.Context, reason string, now time.Time, refusal slot.Refusal) {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case callerGone(ctx):
 		x.done(now, "", "callerGone", 0)
 		panic(http.ErrAbortHandler)
 	case x.started:
@@ -117,6 +117,7 @@
 	}
 	x.started = true
 	maps.Copy(x.w.Header(), h)
+	dropCarrierHeaders(x.w.Header())
 	x.w.Header().Del("Content-Length")
 	x.w.WriteHeader(status)
 	return nil
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -61,6 +61,9 @@
 	// methodRun and methodCancelRun go from the home to the nodes that run items for it.
 	methodRun       = "run"
 	methodCancelRun = "cancelRun"
+	// methodOpenRuns and methodEndedRun go from a node to the home whose link was silent.
+	methodOpenRuns = "openRuns"
+	methodEndedRun = "endedRun"
 )
 
 // helloRequest identifies a node and lists the slots that it uses.
@@ -116,6 +119,8 @@
 	Stream    string `msgpack:"stream,omitempty"`
 	Continues bool   `msgpack:"cont,omitempty"`
 	Resumes   string `msgpack:"from,omitempty"`
+	// Repeatable is that of slot.Request.
+	Repeatable bool `msgpack:"rep,omitempty"`
 	// Parts and Identity are those of slot.Request.
 	Parts    []poison.Part   `msgpack:"parts,omitempty"`
 	Identity poison.Identity `msgpack:"identity,omitempty"`
@@ -131,7 +136,7 @@
 	r := slot.Request{
 		Key: slot.Key{Owner: owner, ID: a.ID}, Service: a.Service, Priority: a.Priority,
 		Order: now.Add(a.Remaining), Deadline: now.Add(a.Wait), Exclude: a.Exclude, AvailabilityZone: a.Zone,
-		Version: a.Version, Stream: a.Stream, Continues: a.Continues, Resumes: a.Resumes, Parts: a.Parts, Identity: a.Identity,
+		Version: a.Version, Stream: a.Stream, Continues: a.Continues, Resumes: a.Resumes, Repeatable: a.Repeatable, Parts: a.Parts, Identity: a.Identity,
 		Account: a.Account, Charged: a.Charged, PromptTokens: a.Prompt, OutputTokens: a.Output, ExpectedTokens: a.Expected,
 	}
 	if a.Objective != nil {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -152,7 +152,7 @@
 	dialUpstream := opts.Connect(connectTimeout)
 	if isEntry {
 		b.links = carrier.NewLinks(carrier.Options{
-			Dial: dialUpstream, Port: s.CarrierPort, Own: s.IP, Entries: func() []string { return b.client.Relays() },
+			Dial: dialUpstream, Port: s.CarrierPort, Own: s.IP, Zone: s.AvailabilityZone, Entries: func() []string { return b.client.Relays() },
 			Stopping: b.stopping.Load, Now: opts.Now, Log: opts.Log, Registry: opts.Registry,
 		})
 		dialUpstream = b.links.Dial
@@ -175,7 +175,7 @@
 		})
 		progressSaver := newSaver(s.DataDir, progressFile, func() any { return b.checkpoints.Items() }, opts.Log)
 		b.checkpoints = home.NewCheckpoints(load[[]home.ItemProgress](s.DataDir, progressFile, opts.Log), progressSaver.changed)
-		stateSaver := newSaver(s.DataDir, siteStateFile, func() any { return b.siteState() }, opts.Log)
+		stateSaver := newSaver(s.DataDir, siteStateFile, func() any { return b.savedState() }, opts.Log)
 		b.siteStateChanged = stateSaver.changed
 		b.loadHistory()
 		b.suspectsSaver = newSaver(s.DataDir, suspectsFile, func() any { return b.client.Suspects() }, opts.Log)
