A home that knows no upstream yet keeps the progress of items

Cause: a home that took over before its listing of upstreams had arrived asked for slots bound to the items' software version; without an upstream of it the pool refused them, and the home dropped their progress (itemRestarted), so that each ran again from its start. Found by TestItemsResumeAfterRestartOfAllProcesses, which failed in 6 of 40 runs on beside load. Change: progress is dropped only if the service has upstreams, and none of the version.

--- a/io/home/run.go
+++ b/io/home/run.go
@@ -115,7 +115,8 @@
 	}, asker{
 		granted: func(g slot.Grant) { h.startRun(r, g) },
 		refused: func(refusal slot.Refusal) {
-			if refusal.Reason == slot.ReasonNoVersion {
+			// A home that has just started may not know any upstream yet.
+			if refusal.Reason == slot.ReasonNoVersion && h.pool.Load(service).Upstreams > 0 {
 				h.restart(r)
 			}
 			time.AfterFunc(min(max(refusal.RetryAfter, retryPause), sweepInterval), func() { h.askSlot(r) })
