Shares of client accounts in the slots of a service, while they are scarce

Cause: no decision on slots knows the account of a request, so that one that sends eight times its usual takes the slots of the others. Change: requests are ordered by the rank of their account, then by the route's priority, late ones behind, then by how far the account is above its share; the shares are computed from what the accounts hold and want, each 20 ms and only while requests wait. Requests above the share that can't be within it before their wait ends are refused at once (overShare), and so are waiting ones that are overtaken; their retry times hold up no others. An account, or a kind of its requests, that is served less than 0.4 as often as all goes before priority, within its share. Items of accounts: of those that can't all be on time the longest of the account with the most work is late; of items due within a second the account with more yields. TestPoolInvariants runs with and without accounts now; its checks are kept, and the counts by account are checked too.

--- a/core/slot/grants.go
+++ b/core/slot/grants.go
@@ -44,6 +44,7 @@
 		g.since = s.onlineGrants[n-1].since // keeps the order if an event was dated later than this one
 	}
 	s.onlineGrants = append(s.onlineGrants, g)
+	s.shares.countHeld(now, r, 1)
 	if r.late {
 		s.refuseLateUntil = time.Time{}
 	}
@@ -74,6 +75,7 @@
 		s.countBatch(g.upstream.Version, -1)
 		return
 	}
+	s.shares.countHeld(now, &g.request, -1)
 	i, _ := slices.BinarySearchFunc(s.onlineGrants, g, func(a, b *grant) int { return a.since.Compare(b.since) })
 	i += slices.Index(s.onlineGrants[i:], g) // the first of the grants with the same time is at i
 	s.onlineGrants = slices.Delete(s.onlineGrants, i, i+1)
--- a/core/slot/plan.go
+++ b/core/slot/plan.go
@@ -41,8 +41,16 @@
 type planItem struct {
 	request   Request
 	remaining time.Duration
-	// late is the result of the plan: the item will miss its due time.
-	late bool
+	// late is the result of the plan: the item will miss its due time. level is the excess level of its account.
+	late  bool
+	level int16
+}
+
+// apply sets the result on the item, and reports whether that changes it.
+func (i *planItem) apply(r *Request) bool {
+	changed := r.late != i.late || r.standing.level != i.level
+	r.late, r.standing.level = i.late, i.level
+	return changed
 }
 
 // plan marks the batch items that can't end by their due times with the slots that online requests
@@ -62,13 +70,13 @@
 		items = append(items, &planItem{request: g.request, remaining: s.remaining(g.request, now.Sub(g.since))})
 	}
 	planItems(now, items, s.batchSlots())
-	late := make(map[Key]bool, len(items))
+	planned := make(map[Key]*planItem, len(items))
 	for _, i := range items {
-		late[i.request.Key] = i.late
+		planned[i.request.Key] = i
 	}
-	s.batch.mark(func(r Request) bool { return late[r.Key] })
+	s.batch.mark(func(r *Request) bool { return planned[r.Key].apply(r) })
 	for _, g := range s.batchGrants {
-		g.request.late = late[g.request.Key]
+		planned[g.request.Key].apply(&g.request)
 	}
 	slices.SortFunc(s.batchGrants, compareGrants)
 }
@@ -79,6 +87,10 @@
 // planItems sets late on the items that can't be on time, by the Moore-Hodgson algorithm.
 func planItems(now time.Time, items []*planItem, slots float64) {
 	slices.SortFunc(items, func(a, b *planItem) int { return compareOnTime(&a.request, &b.request) })
+	if slices.ContainsFunc(items, func(i *planItem) bool { return i.request.Account != "" }) {
+		planShared(now, items, slots)
+		return
+	}
 	var onTime longestFirst
 	var work time.Duration
 	for _, i := range items {
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -44,6 +44,7 @@
 	s := p.services[name]
 	if s == nil {
 		s = &service{name: name, meanHold: p.opts.HoldTime, batchByVersion: make(map[string]int)}
+		s.online.shares = &s.shares
 		p.services[name] = s
 	}
 	return s
@@ -124,12 +125,14 @@
 		if refusal, ok := p.refuseVersion(now, s, &r); ok {
 			return Outcome{Refused: []Refusal{refusal}}
 		}
+		p.stand(&r)
 		r.late = s.remaining(r, 0) > r.Order.Sub(now)
 		s.batch.push(&grant{request: r})
 		return p.serve(now, s)
 	}
 	s.countArrival(now)
 	r.late, r.scarce = r.missesObjective(now), s.isScarce(r)
+	p.rank(now, s, &r)
 	g := &grant{request: r}
 	s.online.push(g)
 	out := p.serve(now, s)
@@ -177,6 +180,7 @@
 	if u == nil || p.has(r.Key) {
 		return
 	}
+	p.stand(&r)
 	p.addGrant(now, &grant{request: r}, u)
 }
 
@@ -274,8 +278,9 @@
 	out.add(p.serveAll(now))
 	for _, s := range p.services {
 		s.online.demote(func(r Request) bool { return r.missesObjective(now) })
+		out.Refused = append(out.Refused, p.refuseOvertaken(now, s)...)
 		for _, r := range s.online.expired(now) {
-			if r.late && r.Deadline.After(r.Objective) {
+			if r.late && r.standing.level == 0 && r.Deadline.After(r.Objective) {
 				s.refuseLateUntil = now.Add(refuseLateTime)
 			}
 			out.Refused = append(out.Refused, Refusal{Request: r, Reason: ReasonWaited, RetryAfter: p.retryAfter(now, s, r, 0)})
--- a/core/slot/pool_test.go
+++ b/core/slot/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -333,6 +334,12 @@
 
 // TestPoolInvariants drives a pool with random events and checks its invariants after each.
 func TestPoolInvariants(t *testing.T) {
+	for _, accounts := range [][]string{{""}, {"", "a", "b", "c"}} {
+		t.Run(fmt.Sprint(len(accounts)-1, " accounts"), func(t *testing.T) { checkPool(t, accounts) })
+	}
+}
+
+func checkPool(t *testing.T, accounts []string) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n, slots := rapid.IntRange(1, 4).Draw(rt, "upstreams"), rapid.IntRange(1, 3).Draw(rt, "slots")
 		p := newPool(n, slots)
@@ -354,10 +361,11 @@
 				next++
 				r := online(next)
 				r.Deadline = now.Add(200 * time.Millisecond)
-				apply(p.Ask(now, r))
+				apply(p.Ask(now, ofAccount(r, rapid.SampledFrom(accounts).Draw(rt, "account"), 0)))
 			case 1:
 				next++
-				apply(p.Ask(now, item(next, time.Duration(rapid.IntRange(0, 20).Draw(rt, "due"))*time.Second)))
+				due := time.Duration(rapid.IntRange(0, 20).Draw(rt, "due")) * time.Second
+				apply(p.Ask(now, ofAccount(item(next, due), rapid.SampledFrom(accounts).Draw(rt, "account"), 2)))
 			case 2:
 				for _, g := range p.Grants() {
 					delete(held, g.Request.Key)
@@ -387,11 +395,29 @@
 	if l.WaitingBatch > 0 {
 		require.GreaterOrEqual(rt, l.Online+l.Batch+l.Reserve, n*slots, "batch leaves no more slots free than the reserve")
 	}
+	s := p.service("scribe")
+	for name, u := range s.shares.accounts {
+		mine := func(g *grant) bool { return g.request.Account == name }
+		held, waiting := u.upTo(class{rank: math.MaxInt})
+		require.Equal(rt, count(s.onlineGrants, mine), held)
+		require.Equal(rt, count(s.online.items, mine), waiting)
+		require.Equal(rt, held+waiting > 0, slices.Contains(s.shares.active, u))
+	}
 	if l.WaitingOnline > 0 {
 		require.Zero(rt, l.Batch, "no batch item holds a slot while an online request waits")
 	}
 }
 
+func count(list []*grant, which func(*grant) bool) int {
+	n := 0
+	for _, g := range list {
+		if which(g) {
+			n++
+		}
+	}
+	return n
+}
+
 // Waves of callers: more callers are refused than will find slots beside the new ones. No caller may be
 // given a retry time later than it can wait, and the callers may not retry all at once.
 func TestRetryTimesOfRefusedCallers(t *testing.T) {
--- a/core/slot/refuse.go
+++ b/core/slot/refuse.go
@@ -17,6 +17,9 @@
 	if p.isHeld(now, r) || p.candidate(now, r) != r {
 		return Refusal{}, false
 	}
+	if refusal, ok := p.refuseOverShare(now, s, r); ok {
+		return refusal, true
+	}
 	expected := p.expectedWait(now, s, g)
 	if now.Add(expected).After(r.Deadline) || (r.late && now.Before(s.refuseLateUntil)) {
 		return Refusal{Request: *r, Reason: ReasonFull, RetryAfter: p.retryAfter(now, s, *r, expected-r.Deadline.Sub(now))}, true
@@ -139,14 +142,15 @@
 	if latest <= 0 {
 		return after
 	}
-	if s.lastRetryAt.Before(now) {
-		s.lastRetryAt = now
+	lastRetryAt, interval := s.retryTurn(now, &r)
+	if lastRetryAt.Before(now) {
+		*lastRetryAt = now
 	}
-	retryAt := s.lastRetryAt.Add(s.retryInterval(now))
+	retryAt := lastRetryAt.Add(interval)
 	if retryAt.Sub(now) > latest {
 		return max(after, time.Duration(float64(latest)*(1-fallbackSpread*step)))
 	}
-	s.lastRetryAt = retryAt
+	*lastRetryAt = retryAt
 	return max(after, retryAt.Sub(now))
 }
 
--- a/core/slot/service.go
+++ b/core/slot/service.go
@@ -14,6 +14,7 @@
 	slots  int
 	online waitList
 	batch  waitList
+	shares shares
 	// limited is the number of upstreams that name a rate.
 	limited int
 	// onlineGrants are the slots that online requests use, oldest first; batchGrants are those of batch
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -60,7 +60,9 @@
 	// scarce reports that the request may use the slots of one of several software versions only; such requests go
 	// before others that are as urgent, since they can't take the next slot that any upstream has free.
 	scarce bool
-	// Priority is the rank among online requests; 0 is the most urgent.
+	// standing is the place among the requests of all accounts.
+	standing standing
+	// Priority is the rank among online requests; 0 is the most urgent. That of the account goes before it.
 	Priority int
 	// Objective is the last moment at which a slot lets an online request meet its latency objective,
 	// counted from the first attempt of its caller; zero means that it has none.
@@ -168,6 +170,9 @@
 	ReasonByCarrier Reason = "byCarrier"
 	// ReasonOverLimit means that the account has used up its limit.
 	ReasonOverLimit Reason = "overLimit"
+	// ReasonOverShare means that the account uses more than its share of the slots, which others want, and that no slot of
+	// its share will be free before the wait ends.
+	ReasonOverShare Reason = "overShare"
 	// ReasonWaited means that no slot became free before the wait ended.
 	ReasonWaited Reason = "waited"
 )
@@ -178,6 +183,10 @@
 	Reason  Reason
 	// RetryAfter is the time after which the caller should retry.
 	RetryAfter time.Duration
+	// AccountLevel says by how much the account used more than its share of the slots: 0 if it didn't, 1 up to twice the
+	// share, 2 up to four times, and so on. AccountSlots is that share.
+	AccountLevel int
+	AccountSlots float64
 }
 
 // Outcome holds the decisions that one event led to.
--- a/core/slot/wait.go
+++ b/core/slot/wait.go
@@ -12,6 +12,8 @@
 	keys  map[Key]struct{}
 	// bound is the number of requests that are bound to a software version.
 	bound int
+	// shares counts the waiting requests of accounts; nil if nobody does.
+	shares *shares
 }
 
 func (l *waitList) has(k Key) bool {
@@ -25,14 +27,17 @@
 	}
 	l.keys[g.request.Key] = struct{}{}
 	l.items = slices.Insert(l.items, l.before(g), g)
-	l.countBound(&g.request, 1)
+	l.count(&g.request, 1)
 }
 
-// countBound adds to the number of bound requests if r is one.
-func (l *waitList) countBound(r *Request, n int) {
+// count adds to the number of bound requests if r is one, and to those of its account.
+func (l *waitList) count(r *Request, n int) {
 	if r.Version != "" {
 		l.bound += n
 	}
+	if r.Account != "" && l.shares != nil {
+		l.shares.countWaiting(r, n)
+	}
 }
 
 func (l *waitList) remove(k Key) {
@@ -53,19 +58,16 @@
 			return false
 		}
 		delete(l.keys, g.request.Key)
-		l.countBound(&g.request, -1)
+		l.count(&g.request, -1)
 		return true
 	})
 }
 
-// mark sets which requests are late and sorts them behind the others of their priority.
-func (l *waitList) mark(late func(Request) bool) {
+// mark applies a plan, which reports whether it changes a request, and sorts the list.
+func (l *waitList) mark(plan func(*Request) bool) {
 	changed := false
 	for _, g := range l.items {
-		if is := late(g.request); is != g.request.late {
-			g.request.late = is
-			changed = true
-		}
+		changed = plan(&g.request) || changed
 	}
 	if changed {
 		slices.SortFunc(l.items, compareGrants)
@@ -119,7 +121,7 @@
 		case gotSlot:
 			delete(l.keys, g.request.Key)
 			l.items = slices.Delete(l.items, i, i+1)
-			l.countBound(&g.request, -1)
+			l.count(&g.request, -1)
 		case gotNone:
 			m.add(&g.request)
 			i++
@@ -172,8 +174,18 @@
 // compare orders requests by when they are served, the first one first.
 func compare(a, b *Request) int {
 	switch {
+	case a.standing != b.standing:
+		return compareStanding(a, b)
 	case a.Priority != b.Priority:
 		return cmp.Compare(a.Priority, b.Priority)
+	default:
+		return compareInShare(a, b)
+	}
+}
+
+// compareInShare orders requests of the same class and of accounts with the same excess.
+func compareInShare(a, b *Request) int {
+	switch {
 	case a.late != b.late:
 		return falseFirst(a.late, b.late)
 	case a.scarce != b.scarce:
