Refusals of accounts above their share in the log and a counter of the home

Cause: an operator must see whose share yielded. Change: slotRefused has the account, and for overShare its level and its share in slots; counter home.overShare. Sites without accounts log the same bytes. Measured: tests of io/home, io/node and platform pass.

--- a/io/home/home.go
+++ b/io/home/home.go
@@ -139,6 +139,8 @@
 	asks, refused, preemptions, runs, results, chunks metrics.Counter
 	// restarts counts items whose progress was dropped, since no upstream could go on with it.
 	restarts metrics.Counter
+	// overShare counts the requests that were refused since their account used more than its share of the slots.
+	overShare metrics.Counter
 	// corrected counts the requests of nodes that had ended without the home's knowledge.
 	corrected metrics.Counter
 	// parts counts what is found about parts of prompts, requests what is found about requests.
@@ -160,6 +162,7 @@
 		metrics: homeMetrics{
 			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"), restarts: counter("restarts"),
 			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"), corrected: counter("slotsCorrected"),
+			overShare:        counter("overShare"),
 			parts:            findingMetrics{counter("partSuspicions"), counter("partQuarantines"), counter("partsCleared")},
 			requests:         findingMetrics{counter("requestSuspicions"), counter("requestQuarantines"), counter("requestsCleared")},
 			limitedUpstreams: metrics.GetOrRegisterGauge("home.limitedUpstreams", opts.Registry),
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -179,7 +179,7 @@
 			l := h.pool.Load(r.Request.Service)
 			h.opts.Log.Info().Str("peer", s.owner).Uint64("ask", r.Request.Key.ID).Str("service", r.Request.Service).
 				Str("version", r.Request.Version).Str("resumes", r.Request.Resumes).Str("reason", string(r.Reason)).Dur("retryAfterMillis", r.RetryAfter).Int("slots", l.Slots).Int("online", l.Online).
-				Int("batch", l.Batch).Int("waiting", l.WaitingOnline).Int("paused", l.PausedUpstreams).Int("limited", l.Limited).Msg("slotRefused")
+				Int("batch", l.Batch).Int("waiting", l.WaitingOnline).Int("paused", l.PausedUpstreams).Int("limited", l.Limited).Func(h.logShare(r)).Msg("slotRefused")
 			in.Answer(askAnswer{Reason: r.Reason, RetryAfter: r.RetryAfter})
 		},
 	})
