--- a/cmd/mothcart/load.go
+++ b/cmd/mothcart/load.go
@@ -82,7 +82,10 @@
 	case "filling":
 		err = f.runFilling(out, secondsGiven)
 	case "pattern":
-		err = pattern.Run(pattern.NewOptions().WithSeed(f.seed)).Write(out)
+		opts := pattern.NewOptions().WithSeed(f.seed)
+		if err = pattern.Run(opts).Write(out); err == nil {
+			err = pattern.RunAccounts(opts).Write(out)
+		}
 	default:
 		fmt.Fprintf(errOut, "mothcart load: unknown experiment %q; give one of %s\n", f.experiment, strings.Join(experiments, ", "))
 		return exitUsage
--- a/experiment/pattern/pattern.go
+++ b/experiment/pattern/pattern.go
@@ -82,6 +82,8 @@
 	outage time.Duration
 	// faults schedules the faults of the scenario before the run.
 	faults func(s *sim)
+	// accounts divides the work among client accounts; nil means that there are none.
+	accounts *accountLoad
 	// retries is how often a client sends a request again that was refused, found no entry or lost its entry.
 	retries int
 }
--- a/experiment/pattern/pattern_test.go
+++ b/experiment/pattern/pattern_test.go
@@ -61,6 +61,21 @@
 	}
 }
 
+// Under each pattern of accounts the asks of those that don't flood are in time as without the flood, and accounts that all
+// want more than there is get the same.
+func TestAccountsThatFloodYield(t *testing.T) {
+	for _, sc := range accountScenarios {
+		t.Run(sc.name, func(t *testing.T) {
+			row := runAccounts(NewOptions(), sc, (*sim).grantStrategy)
+			if row.LeastJain > 0 {
+				assert.GreaterOrEqual(t, row.Jain, row.LeastJain)
+				return
+			}
+			assert.GreaterOrEqual(t, row.Others["ask"], row.Calm["ask"]-mostLost)
+		})
+	}
+}
+
 // Runs with the same seed must give the same report, or the results of the strategies can't be compared.
 func TestRunIsRepeatable(t *testing.T) {
 	opts := small()
--- a/experiment/pattern/sim.go
+++ b/experiment/pattern/sim.go
@@ -37,6 +37,7 @@
 type request struct {
 	kind      kind
 	entry     int
+	account   int
 	arrived   time.Duration
 	retries   int
 	runs      int
@@ -151,6 +152,7 @@
 			k = checkKind
 		}
 		r := s.newRequest(k, s.pickEntry())
+		r.account = s.pickAccount()
 		s.arrive(r)
 		s.arriveOnline()
 	})
@@ -169,10 +171,14 @@
 	})
 }
 
-func (s *sim) submitJob() {
+func (s *sim) submitJob() { s.submitJobOf(s.pickAccount()) }
+
+func (s *sim) submitJobOf(account int) {
 	entry := s.pickEntry()
 	for range jobItems {
-		s.ask(s.newRequest(itemKind, entry))
+		r := s.newRequest(itemKind, entry)
+		r.account = account
+		s.ask(r)
 	}
 }
 
@@ -219,7 +225,7 @@
 		Key: r.key, Service: "s", Batch: r.kind.batch, Priority: r.kind.priority, Exclude: r.excluded,
 		Objective: objective, Ran: r.slotTime - r.remaining,
 		Order: epoch.Add(r.arrived + min(r.kind.deadline, itemKind.objective)), Deadline: s.now().Add(wait),
-		AvailabilityZone: zoneName(r.entry % s.opts.Zones),
+		AvailabilityZone: zoneName(r.entry % s.opts.Zones), Account: s.accountName(r),
 	})
 }
 
--- a/experiment/pattern/strategy.go
+++ b/experiment/pattern/strategy.go
@@ -152,7 +152,7 @@
 			home.deliver(home.pool.SetUpstreams(s.now(), upstreams))
 			for _, r := range s.openInOrder() {
 				if r.engine != nil {
-					home.pool.Adopt(s.now(), slot.Request{Key: r.key, Service: "s", Batch: r.kind.batch, Priority: r.kind.priority, Order: epoch.Add(r.arrived + r.kind.objective)}, r.engine.upstream.ID)
+					home.pool.Adopt(s.now(), slot.Request{Key: r.key, Service: "s", Batch: r.kind.batch, Priority: r.kind.priority, Order: epoch.Add(r.arrived + r.kind.objective), Account: s.accountName(r)}, r.engine.upstream.ID)
 				}
 			}
 		},
