--- a/io/node/memory_test.go
+++ b/io/node/memory_test.go
@@ -28,36 +28,8 @@
 		t.Run(tc.name, func(t *testing.T) {
 			runSite(t, func(t *testing.T, s *testSite) {
 				s.replaceEngines(4, nil)
-				random := rand.New(rand.NewPCG(1, 2))
-				var all sync.WaitGroup
-				var mu sync.Mutex
-				served := map[bool]int{}
-				const requests = 200
-				for i := range requests {
-					large := i%2 == 0
-					tokens := 450
-					if large {
-						tokens = 12_000 + random.IntN(28_001)
-					}
-					all.Go(func() {
-						h := http.Header{}
-						fake.SetSize(h, tokens*9/10, tokens-tokens*9/10)
-						r := s.callWith(t.Context(), 1+i%2, http.MethodPost, "/ask/stream/1", fmt.Sprintf("r%d", i), "", h)
-						mu.Lock()
-						defer mu.Unlock()
-						if r.complete && r.status == http.StatusOK {
-							served[large]++
-						} else {
-							require.Equal(t, http.StatusServiceUnavailable, r.status)
-						}
-					})
-					if i == requests/2 {
-						tc.fault(s)
-					}
-					time.Sleep(40 * time.Millisecond)
-				}
-				all.Wait()
-				t.Logf("of %d each, %d large and %d small ones were served", requests/2, served[true], served[false])
+				large, small := s.loadSizes(func() { tc.fault(s) })
+				t.Logf("of %d each, %d large and %d small ones were served", sizedRequests/2, large, small)
 				for _, e := range s.engines {
 					t.Logf("held at most %d of %d tokens", e.MostHeld(), fake.TokenCapacity)
 					require.LessOrEqual(t, e.MostHeld(), fake.TokenCapacity)
@@ -67,6 +39,41 @@
 	}
 }
 
+// sizedRequests is the number of requests that loadSizes sends.
+const sizedRequests = 200
+
+// loadSizes sends requests of 12,000 to 40,000 and of 450 tokens in turn, calls fault after half of them, and returns how
+// many of each were served. The others must have been refused as not run.
+func (s *testSite) loadSizes(fault func()) (large, small int) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	for i := range sizedRequests {
+		tokens, served := 450, &small
+		if i%2 == 0 {
+			tokens, served = 12_000+random.IntN(28_001), &large
+		}
+		all.Go(func() {
+			h := http.Header{}
+			fake.SetSize(h, tokens*9/10, tokens-tokens*9/10)
+			r := s.callWith(s.t.Context(), 1+i%2, http.MethodPost, "/ask/stream/1", fmt.Sprintf("r%d", i), "", h)
+			mu.Lock()
+			defer mu.Unlock()
+			if r.complete && r.status == http.StatusOK {
+				*served++
+				return
+			}
+			require.Equal(s.t, http.StatusServiceUnavailable, r.status)
+		})
+		if i == sizedRequests/2 {
+			fault()
+		}
+		time.Sleep(40 * time.Millisecond)
+	}
+	all.Wait()
+	return large, small
+}
+
 // A request that no upstream can hold is refused at once and reaches none.
 func TestTooLargeRequestIsRefusedAtOnce(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
