One budget for the bytes that a node holds; slow callers are told from stalled ones

Ruled out: a deadline for each event (a slow caller misses it); a goroutine and a buffer for each stream (paid by all); smaller buffers of the system (calls for each connection; links have small windows). Conclusion: thousands of slow callers are still to be measured.

--- /dev/null
+++ b/io/entry/body.go
@@ -0,0 +1,149 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"mothcart/core/site"
+	"mothcart/io/forward"
+	"mothcart/io/held"
+)
+
+const (
+	// bodyTimeout bounds the time without bodyStep bytes of a body, so that senders that don't send hold no memory. It
+	// is longer than any caller waits for an online answer.
+	bodyTimeout = 10 * time.Second
+	// bodyStep is the number of bytes that extend the time of a body, and the size of its first buffer.
+	bodyStep = 16 << 10
+	// requestBytes is what a request in progress takes beside its body: buffers of the connections to the caller and the
+	// upstream, and stacks.
+	requestBytes = 32 << 10
+	// jobCopies is how often the body of a job is held while it is stored: as it arrived, decoded and encoded.
+	jobCopies = 3
+	// memoryRetryAfter is the Retry-After of a request for which there is no memory: the time in which a load balancer
+	// learns that the node is full.
+	memoryRetryAfter = time.Second
+)
+
+// errNoMemory means that the process may hold no more bytes.
+var errNoMemory = errors.New("no memory for the body")
+
+// readBody reads the complete body; if that fails, it answers the request with an error. The body counts as held until
+// free is called. A body is read only if there is memory for all of it, as far as its length is declared.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, cfg site.Config, route site.Route, id string) (b []byte, free func(), ok bool) {
+	body := body{budget: h.opts.Held, copies: 1, limit: cfg.Limits.BodyBytes, conn: http.NewResponseController(w), timeouts: true}
+	if route.Kind == site.Batch {
+		body.copies = jobCopies
+	}
+	if body.limit <= 0 {
+		body.limit = defaultBodyBytes
+	}
+	if err := body.read(w, r); err != nil {
+		h.refuseBody(w, id, body.limit, err)
+		return nil, body.free, false
+	}
+	return body.b, body.free, true
+}
+
+// refuseBody answers a request whose body was not read.
+func (h *Handler) refuseBody(w http.ResponseWriter, id string, limit int64, err error) {
+	// Close the connection instead of reading the rest of the body.
+	w.Header().Set("Connection", "close")
+	var tooLarge *http.MaxBytesError
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, errNoMemory):
+		h.opts.Log.Info().Str("request", id).Int("status", http.StatusServiceUnavailable).Str("outcome", "refused:memory").Msg("requestDone")
+		forward.Refuse(w, memoryRetryAfter)
+		return
+	case errors.As(err, &tooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status = http.StatusRequestTimeout
+	}
+	h.opts.Log.Info().Str("request", id).Int64("limit", limit).Int("status", status).Err(err).Str("outcome", "badBody").Msg("requestDone")
+	http.Error(w, "body can't be read", status)
+}
+
+// body is the body of a request, for which room is taken.
+type body struct {
+	budget *held.Budget
+	// limit is the largest size in bytes, copies is how often a body is held, and taken the room that it has.
+	limit, copies, taken int64
+	conn                 *http.ResponseController
+	// timeouts reports that the connection takes deadlines.
+	timeouts bool
+	b        []byte
+}
+
+// read reads a body.
+func (b *body) read(w http.ResponseWriter, r *http.Request) error {
+	declared := min(r.ContentLength, b.limit)
+	if !b.ensure(max(declared, 0)) {
+		return errNoMemory
+	}
+	first := declared + 1 // one more shows the end
+	if declared < 0 {
+		first = bodyStep / 4
+	}
+	b.b = make([]byte, 0, min(first, bodyStep))
+	b.extend()
+	err := b.fill(http.MaxBytesReader(w, r.Body, b.limit), max(declared, 0)+1)
+	if err == nil && b.timeouts {
+		err = b.conn.SetReadDeadline(time.Time{})
+	}
+	return err
+}
+
+// fill reads to the end; the buffer grows with the bytes that have arrived, at first up to a size.
+func (b *body) fill(r io.Reader, first int64) error {
+	arrived := 0
+	for {
+		if size := int64(len(b.b)); size == int64(cap(b.b)) {
+			size *= 2
+			if int64(len(b.b)) < first {
+				size = min(size, first)
+			}
+			if !b.ensure(size - 1) {
+				return errNoMemory
+			}
+			b.b = append(make([]byte, 0, size), b.b...)
+		}
+		n, err := r.Read(b.b[len(b.b):cap(b.b)])
+		b.b = b.b[:len(b.b)+n]
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if arrived += n; arrived >= bodyStep {
+			arrived = 0
+			b.extend()
+		}
+	}
+}
+
+// ensure takes the room for a body of a size in bytes.
+func (b *body) ensure(size int64) bool {
+	more := requestBytes + size*b.copies - b.taken
+	if more <= 0 {
+		return true
+	}
+	if !b.budget.Take(more) {
+		return false
+	}
+	b.taken += more
+	return true
+}
+
+// extend gives the sender time for more.
+func (b *body) extend() {
+	b.timeouts = b.timeouts && b.conn.SetReadDeadline(time.Now().Add(bodyTimeout)) == nil
+}
+
+// free gives back the room of the body, which must not be used afterwards.
+func (b *body) free() { b.budget.Free(b.taken) }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,11 +11,8 @@
 package entry
 
 import (
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +23,7 @@
 	"mothcart/core/batch"
 	"mothcart/core/site"
 	"mothcart/io/forward"
+	"mothcart/io/held"
 	"mothcart/io/home"
 	"mothcart/io/object"
 )
@@ -70,7 +68,7 @@
 	EncodeResults func(total, next int, results []batch.Result) ([]byte, error)
 }
 
-// Options are the dependencies of a Handler; all are required.
+// Options are the dependencies of a Handler; all but Held are required.
 type Options struct {
 	Codec   Codec
 	Forward *forward.Forwarder
@@ -78,7 +76,9 @@
 	Objects object.Client
 	// ObjectsDown reports that this node doesn't reach the object service; the home still may.
 	ObjectsDown func() bool
-	Now         func() time.Time
+	// Held counts the bytes that the process holds; nil means without a limit.
+	Held *held.Budget
+	Now  func() time.Time
 	// TimeOfDay is the wall clock, on which all VMs roughly agree.
 	TimeOfDay func() time.Time
 	Log       zerolog.Logger
@@ -115,9 +115,6 @@
 	defaultBodyBytes = 4 << 20
 	// defaultTimeout bounds a request whose route and caller set no limit.
 	defaultTimeout = 30 * time.Second
-	// bodyTimeout bounds the time to receive a body after its headers, so that slow senders don't hold
-	// memory indefinitely. It is longer than any caller waits for an online answer.
-	bodyTimeout = 10 * time.Second
 	// startRetryAfter is the Retry-After of a node that has no configuration yet: the time within which
 	// a node that has just started expects one.
 	startRetryAfter = 300 * time.Millisecond
@@ -160,7 +157,8 @@
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
 	}
-	body, ok := h.readBody(w, r, *cfg, id)
+	body, free, ok := h.readBody(w, r, *cfg, route, id)
+	defer free()
 	if !ok {
 		return
 	}
@@ -188,35 +186,3 @@
 	}
 	return arrived.Add(limit)
 }
-
-// readBody reads the complete body; if that fails, it answers the request with an error.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, cfg site.Config, id string) ([]byte, bool) {
-	limit := cfg.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	conn := http.NewResponseController(w)
-	if err := conn.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		h.opts.Log.Debug().Str("request", id).Err(err).Msg("noBodyTimeout")
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		err = conn.SetReadDeadline(time.Time{})
-	}
-	if err == nil {
-		return body, true
-	}
-	// Close the connection instead of reading the rest of the body.
-	w.Header().Set("Connection", "close")
-	var tooLarge *http.MaxBytesError
-	status := http.StatusBadRequest
-	switch {
-	case errors.As(err, &tooLarge):
-		status = http.StatusRequestEntityTooLarge
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		status = http.StatusRequestTimeout
-	}
-	h.opts.Log.Info().Str("request", id).Int64("limit", limit).Int("status", status).Err(err).Str("outcome", "badBody").Msg("requestDone")
-	http.Error(w, "body can't be read", status)
-	return nil, false
-}
--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"mothcart/core/budget"
 	"mothcart/core/poison"
 	"mothcart/core/slot"
 )
@@ -28,6 +29,9 @@
 	maps.Copy(x.w.Header(), a.Header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
 	x.w.WriteHeader(a.Status)
+	small := int64(min(len(a.Body), budget.Small)) // the rest counts already
+	x.f.opts.Held.Add(small)
+	defer x.f.opts.Held.Free(small)
 	if _, err := x.w.Write(a.Body); err != nil {
 		outcome = "callerGone"
 	}
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -11,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/slot"
+	"mothcart/io/held"
 	"mothcart/io/service"
 )
 
@@ -60,6 +62,8 @@
 	// OnLimit is called with the rate that the headers of an answer name, or with the lack of one, before the answer is
 	// used.
 	OnLimit func(rate float64, named bool)
+	// Holds ends when the body of an answer is no longer held; nil means with the attempt's context.
+	Holds context.Context
 	// OnWrote is called once the upstream has sent writtenEvents events of a stream.
 	OnWrote func()
 }
@@ -150,7 +154,7 @@
 const writtenEvents = 2
 
 func do(ctx context.Context, client *service.Client, codec HeaderCodec, call Call, stream *Sink) Answer {
-	held := ctx
+	holds := cmp.Or(call.Holds, ctx)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	onSilence := call.OnSilence
@@ -184,13 +188,22 @@
 		a.Err = cause(ctx, err)
 		return a
 	}
-	a.Body, err = client.ReadAnswer(held, resp, maxAnswerBytes)
+	if resp.Body != http.NoBody {
+		resp.Body = answerBody{idle.reader(resp.Body), resp.Body}
+	}
+	a.Body, err = client.ReadAnswer(holds, resp, maxAnswerBytes)
 	if err != nil {
 		return Answer{Sent: true, Err: cause(ctx, err)}
 	}
 	return a
 }
 
+// answerBody is the body of an answer that is read by way of another reader.
+type answerBody struct {
+	io.Reader
+	io.Closer
+}
+
 // observe passes on what the headers of an answer say about the upstream.
 func (c Call) observe(a Answer) {
 	if a.Status == http.StatusMisdirectedRequest {
@@ -224,19 +237,43 @@
 	Start func(status int, h http.Header) error
 	// Event is called for each complete event; more reports that further bytes are already buffered.
 	Event func(e Event, more bool) error
+	// Caller is the connection of the caller; while the caller is behind, the stream is read ahead within Budget. Nil if
+	// there is none.
+	Caller *held.Conn
+	Budget *held.Budget
+}
+
+// readAhead returns a reader of a stream's body that reads ahead of a caller that is behind, and a function to be called
+// at its end.
+func (s *Sink) readAhead(body io.Reader) (io.Reader, func()) {
+	if s.Caller == nil {
+		return body, func() {}
+	}
+	r := newReadAhead(body, s.Budget)
+	s.Caller.OnBehind(r.start)
+	return r, func() {
+		s.Caller.OnBehind(nil)
+		r.close()
+	}
 }
 
 // copy passes on the events of a stream and returns their number. It calls onWrote after writtenEvents of them. Without
 // any it returns errNoEvent, unless the stream may be empty.
 func (s *Sink) copy(resp service.Answer, idle *idleTimer, mayBeEmpty bool, onWrote func()) (n int, err error) {
-	events := newEventReader(resp.Body)
+	body, done := s.readAhead(idle.reader(resp.Body))
+	defer done()
+	events := newEventReader(body)
 	received := 0
 	for {
 		e, err := events.next()
 		if err != nil && err != io.EOF {
 			return n, merry.Errorf("read stream: %w", err)
 		}
-		idle.heard()
+		if e.Blank {
+			idle.hold()
+		} else {
+			idle.heard()
+		}
 		if err == io.EOF && n == 0 && !mayBeEmpty {
 			return n, errNoEvent
 		}
@@ -253,7 +290,7 @@
 			return n, merry.Errorf("forward event: %w", err)
 		}
 		if e.Blank {
-			idle.await()
+			idle.resume()
 			continue
 		}
 		if n++; n == writtenEvents {
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -33,6 +33,7 @@
 	"mothcart/core/retry"
 	"mothcart/core/site"
 	"mothcart/core/slot"
+	"mothcart/io/held"
 	"mothcart/io/service"
 )
 
@@ -151,13 +152,15 @@
 	CarrierFailed func(address string)
 }
 
-// Options are the dependencies of a Forwarder; all but Links are required.
+// Options are the dependencies of a Forwarder; all but Links and Held are required.
 type Options struct {
 	Client *service.Client
 	Wire   HeaderCodec
 	// Acquire waits for a slot. The refusal is set if no slot was granted; the error is that of ctx.
 	Acquire func(ctx context.Context, r slot.Request) (Lease, *slot.Refusal, error)
 	Links   Links
+	// Held counts the bytes that the process holds; nil means without a limit.
+	Held *held.Budget
 	// NextID returns a new ID for a request for a slot.
 	NextID func() uint64
 	// Now returns the present time.
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -16,6 +16,7 @@
 	"mothcart/core/site"
 	"mothcart/core/slot"
 	"mothcart/io/carrier"
+	"mothcart/io/held"
 )
 
 const (
@@ -48,6 +49,9 @@
 	// identity is what other tries of the same request have in common with this one.
 	identity poison.Identity
 	size     Size
+	// caller is the connection of the caller, nil if it isn't known; holds ends when the answer has been sent.
+	caller *held.Conn
+	holds  context.Context
 
 	// exclude are the upstreams at which an attempt failed; silent are those that were left because they were silent,
 	// and that are asked again if no other upstream is to be had.
@@ -94,6 +98,8 @@
 		x.log = x.log.With().Bool("carried", true).Logger()
 	}
 	f.countRequest(x.service)
+	x.caller = held.FromContext(ctx)
+	x.holds = ctx // a slow caller may still read the answer when the request's time is over
 	ctx, cancel := context.WithTimeout(ctx, req.Deadline.Sub(f.opts.Now()))
 	defer cancel()
 	x.run(ctx)
@@ -282,6 +288,7 @@
 		OnLeaving: func() { lease.Leaving(x.req.ID) },
 		OnLimit:   lease.Limit,
 		OnWrote:   lease.Wrote,
+		Holds:     x.holds,
 		Continues: lastID != "" || x.req.LastEventID != "",
 	}
 }
@@ -291,7 +298,7 @@
 	if !x.isStream() {
 		return nil
 	}
-	return &Sink{Start: x.startStream, Event: func(e Event, more bool) error {
+	return &Sink{Caller: x.caller, Budget: x.f.opts.Held, Start: x.startStream, Event: func(e Event, more bool) error {
 		if x.boundVersion() == "" && x.delivered.Load() == 0 {
 			x.version, x.beganElsewhere = lease.Upstream.Version, lease.Carried
 		}
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -52,23 +52,23 @@
 			Lost: b.links.Lost, Doubtful: b.links.Doubtful, Carrier: b.links.Carrier, CarrierFailed: b.links.CarrierFailed,
 		},
 		NextID: func() uint64 { return e.askID.Add(1) }, Now: opts.Now,
-		AvailabilityZone: opts.Settings.AvailabilityZone, Log: opts.Log, Registry: opts.Registry,
+		AvailabilityZone: opts.Settings.AvailabilityZone, Held: b.held, Log: opts.Log, Registry: opts.Registry,
 	})
 	e.handler = entry.New(entry.Options{
 		Codec: platform.Codec(), Forward: forwarder, Home: b.client, Objects: b.objects, ObjectsDown: b.objectsDown,
-		Now: opts.Now, TimeOfDay: time.Now, Log: opts.Log, Registry: opts.Registry,
+		Held: b.held, Now: opts.Now, TimeOfDay: time.Now, Log: opts.Log, Registry: opts.Registry,
 	})
 	b.onConfig = e.handler.SetConfig
 	b.onUpstreams = b.links.SetUpstreams
 	b.isHome = func() bool { return false }
 	var err error
-	if e.callers, err = serveHTTP(ctx, opts, opts.Settings.CallerAddress, e.handler); err != nil {
+	if e.callers, err = serveCallers(ctx, opts, opts.Settings.CallerAddress, b.held, e.handler); err != nil {
 		b.close()
 		return nil, err
 	}
 	if port := opts.Settings.CarrierPort; port != 0 {
 		address := net.JoinHostPort(opts.Settings.IP, strconv.Itoa(port))
-		if e.carried, err = serveHTTP(ctx, opts, address, b.links.Handler(e.handler.ServeCarried)); err != nil {
+		if e.carried, err = serveCallers(ctx, opts, address, b.held, b.links.Handler(e.handler.ServeCarried)); err != nil {
 			e.Close()
 			return nil, err
 		}
@@ -92,8 +92,8 @@
 	return e, nil
 }
 
-// Ready reports that the node can serve and is not about to stop.
-func (e *Entry) Ready() bool { return !e.draining.Load() && e.base.synced() }
+// Ready reports that the node can serve, has memory for requests and is not about to stop.
+func (e *Entry) Ready() bool { return !e.draining.Load() && !e.base.held.Full() && e.base.synced() }
 
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !e.Ready() {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -28,6 +28,7 @@
 	"mothcart/io/carrier"
 	"mothcart/io/clock"
 	"mothcart/io/dial"
+	"mothcart/io/held"
 	"mothcart/io/home"
 	"mothcart/io/object"
 	"mothcart/io/scrape"
@@ -85,7 +86,9 @@
 	incarnation int64
 	objects     object.Client
 	upstream    *service.Client
-	client      *home.Client
+	// held counts the bytes that the process holds for callers and upstreams.
+	held   *held.Budget
+	client *home.Client
 	// links are those of an entry node to upstreams; nil on home nodes. stopping is set when it drains.
 	links    *carrier.Links
 	stopping atomic.Bool
@@ -157,8 +160,9 @@
 		})
 		dialUpstream = b.links.Dial
 	}
+	b.held = held.NewBudget(held.Options{Bytes: heldBytes(s.MemoryBytes), Now: opts.Now, Log: opts.Log, Registry: opts.Registry})
 	b.upstream = service.New(service.NewOptions().WithRequestIDHeader(platform.RequestIDHeader).
-		WithOneCallPerConnection().WithDial(dialUpstream).WithAnswerBytes(answerBytes(s.MemoryBytes)))
+		WithOneCallPerConnection().WithDial(dialUpstream).WithAnswerBytes(answerBytes(s.MemoryBytes)).WithRoom(b.held.Take, b.held.Free))
 	b.mirrors = map[string]*object.Mirror{platform.KindConfig: object.NewMirror(), platform.KindUpstreams: object.NewMirror()}
 	b.counts = time.AfterFunc(countsInterval, func() {
 		b.logCounts()
@@ -258,17 +262,22 @@
 	if err != nil {
 		return nil, err
 	}
+	return serveOn(l, opts, address, h), nil
+}
+
+func serveOn(l net.Listener, opts Options, address string, h http.Handler) *kratoshttp.Server {
 	srv := kratoshttp.NewServer(kratoshttp.Listener(l), kratoshttp.Timeout(0))
 	srv.Handler = h
 	srv.ReadHeaderTimeout = readHeaderTimeout
 	srv.IdleTimeout = idleTimeout
 	srv.MaxHeaderBytes = maxHeaderBytes
+	srv.ConnContext = held.ConnContext
 	go func() {
 		if err := srv.Server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			opts.Log.Error().Str("address", address).Err(err).Msg("serverEnded")
 		}
 	}()
-	return srv, nil
+	return srv
 }
 
 const (
--- a/io/service/answer.go
+++ b/io/service/answer.go
@@ -29,6 +29,9 @@
 type room struct {
 	mu   sync.Mutex
 	free int64
+	// takeShared and freeShared take and give back room that is shared with others; nil means that none is.
+	takeShared func(n int64) bool
+	freeShared func(n int64)
 }
 
 // take takes room for a buffer; it reports false if there isn't enough.
@@ -36,7 +39,7 @@
 	need := max(size-smallAnswer, 0)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if need > m.free {
+	if need > m.free || (need > 0 && m.takeShared != nil && !m.takeShared(need)) {
 		return false
 	}
 	m.free -= need
@@ -47,7 +50,11 @@
 func (m *room) release(size int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.free += max(size-smallAnswer, 0)
+	freed := max(size-smallAnswer, 0)
+	m.free += freed
+	if freed > 0 && m.freeShared != nil {
+		m.freeShared(freed)
+	}
 }
 
 // ReadAnswer reads the body of an answer of at most limit bytes. A longer one fails with ErrTooLarge, at once if its
--- a/io/service/options.go
+++ b/io/service/options.go
@@ -21,6 +21,10 @@
 	OneCallPerConnection bool
 	// AnswerBytes bounds the memory in bytes of all answers that ReadAnswer holds.
 	AnswerBytes int64
+	// Take takes room for n bytes of answers from what the process may hold and reports whether there is enough, and Free
+	// gives it back.
+	Take func(n int64) bool
+	Free func(n int64)
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -36,7 +40,7 @@
 func NewOptions() Options {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return Options{IdleConnections: 64, IdleTimeout: 30 * time.Second, HeaderTimeout: 60 * time.Second,
-		RequestIDHeader: "X-Request-Id", AnswerBytes: DefaultAnswerBytes, Dial: dialer.DialContext}
+		RequestIDHeader: "X-Request-Id", AnswerBytes: DefaultAnswerBytes, Take: func(int64) bool { return true }, Free: func(int64) {}, Dial: dialer.DialContext}
 }
 
 // WithAnswerBytes returns a copy whose answers in memory are bounded by n bytes.
@@ -45,6 +49,12 @@
 	return o
 }
 
+// WithRoom returns a copy whose answers also count by take and free.
+func (o Options) WithRoom(take func(n int64) bool, free func(n int64)) Options {
+	o.Take, o.Free = take, free
+	return o
+}
+
 // WithHeaderTimeout returns a copy with the wait for headers bounded by d.
 func (o Options) WithHeaderTimeout(d time.Duration) Options {
 	o.HeaderTimeout = d
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -45,7 +45,7 @@
 
 // New returns a client without connections.
 func New(opts Options) *Client {
-	return &Client{requestIDHeader: opts.RequestIDHeader, answers: room{free: opts.AnswerBytes}, transport: &http.Transport{
+	return &Client{requestIDHeader: opts.RequestIDHeader, answers: room{free: opts.AnswerBytes, takeShared: opts.Take, freeShared: opts.Free}, transport: &http.Transport{
 		DialContext:            opts.Dial,
 		MaxIdleConnsPerHost:    opts.IdleConnections,
 		IdleConnTimeout:        opts.IdleTimeout,
