Read-ahead leaves room for requests; thousands of slow callers measured

Cause: a test of 2,000 slow callers showed that what was read ahead of the first 120 took the whole budget, so that 1,096 of 2,000 requests were refused; that a buffer grew past its bound while its reader was about to wake (heap grown by 390 MB); and that 49 callers which read once a second lost their connections to others. Change: bytes that can wait are taken only up to a quarter of the limit; the background read goes past the budget only for an empty buffer; a caller must have read nothing for 3 s before it gives way; a request counts 48 KB beside its body. Ruled out: buffers in steps of their size (as many allocations as events).

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -20,6 +20,8 @@
 	// act on that. Below clearShare it no longer is.
 	fullShare  = 0.75
 	clearShare = 0.5
+	// spareShare is the share of the limit up to which bytes that can wait are taken.
+	spareShare = 0.25
 )
 
 // Budget is what a process holds, in bytes. Values are immutable.
@@ -43,6 +45,15 @@
 	return b.Add(n), true
 }
 
+// TakeSpare is Take for bytes that can wait where they are. They leave room for requests, so that they alone never make
+// the process full.
+func (b Budget) TakeSpare(n int64) (Budget, bool) {
+	if b.held+n > share(b.limit, spareShare) {
+		return b, false
+	}
+	return b.Add(n), true
+}
+
 // Add returns the budget with n more bytes that are held already, whether they fit or not.
 func (b Budget) Add(n int64) Budget {
 	b.held += n
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -22,6 +22,18 @@
 	require.Equal(t, 8, taken)
 }
 
+// Bytes that can wait must not make a node refuse requests.
+func TestSpareBytesLeaveRoomForRequests(t *testing.T) {
+	b, ok := New(1000), true
+	for ok {
+		b, ok = b.TakeSpare(100)
+	}
+	require.Equal(t, int64(200), b.Held())
+	require.False(t, b.Full())
+	_, ok = b.Take(800)
+	require.True(t, ok)
+}
+
 func TestFullEndsOnlyWhenMuchLessIsHeld(t *testing.T) {
 	b := New(1000)
 	for _, tc := range []struct {
--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -20,7 +20,7 @@
 	bodyStep = 16 << 10
 	// requestBytes is what a request in progress takes beside its body: buffers of the connections to the caller and the
 	// upstream, and stacks.
-	requestBytes = 32 << 10
+	requestBytes = 48 << 10
 	// jobCopies is how often the body of a job is held while it is stored: as it arrived, decoded and encoded.
 	jobCopies = 3
 	// memoryRetryAfter is the Retry-After of a request for which there is no memory: the time in which a load balancer
--- a/io/forward/readahead.go
+++ b/io/forward/readahead.go
@@ -66,7 +66,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for !r.closed {
-		if next := r.buf.Len() + readAheadStep; r.waiting || (next <= readAheadBytes && r.reserve(bufferGrowth*int64(next))) {
+		if next := r.buf.Len() + readAheadStep; (r.waiting && r.buf.Len() == 0) || (next <= readAheadBytes && r.reserve(readAheadStep+bufferGrowth*int64(next))) {
 			return true
 		}
 		r.changed.Wait()
@@ -80,7 +80,7 @@
 // reserve takes room for a buffer of a size in bytes.
 func (r *readAhead) reserve(size int64) bool {
 	for r.taken < size {
-		if !r.budget.Take(readAheadStep) {
+		if !r.budget.TakeSpare(readAheadStep) {
 			return false
 		}
 		r.taken += readAheadStep
--- a/io/held/budget.go
+++ b/io/held/budget.go
@@ -85,6 +85,18 @@
 	return ok
 }
 
+// TakeSpare is Take for bytes that can wait where they are; it makes no caller lose its connection.
+func (b *Budget) TakeSpare(n int64) bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	next, ok := b.budget.TakeSpare(n)
+	b.budget = next
+	return ok
+}
+
 // Add counts n more bytes that are held already. If they don't fit, a caller loses its connection as with Take.
 func (b *Budget) Add(n int64) {
 	if b == nil {
--- a/io/held/conn.go
+++ b/io/held/conn.go
@@ -24,7 +24,7 @@
 	minMoved = 64
 	// evictAfter is how long a caller must have read nothing before it loses its connection to others that need the
 	// memory.
-	evictAfter = time.Second
+	evictAfter = 3 * time.Second
 )
 
 var (
--- a/io/held/conn_test.go
+++ b/io/held/conn_test.go
@@ -34,6 +34,16 @@
 	return done
 }
 
+// read reads some bytes a number of times, after a pause each, or until the connection ends.
+func read(caller net.Conn, times, step int, pause time.Duration) {
+	for range times {
+		time.Sleep(pause)
+		if _, err := io.ReadFull(caller, make([]byte, step)); err != nil {
+			return
+		}
+	}
+}
+
 // Guards against connections of slow callers that end, and against those of stalled ones that don't.
 func TestSlowIsNotStalled(t *testing.T) {
 	const size = 64 << 10
@@ -62,14 +72,7 @@
 				c.OnBehind(func() { behind++ })
 				began := time.Now()
 				done := write(c, size)
-				go func() {
-					for range tc.reads {
-						time.Sleep(tc.pause)
-						if _, err := io.ReadFull(caller, make([]byte, tc.step)); err != nil {
-							return
-						}
-					}
-				}()
+				go read(caller, tc.reads, tc.step, tc.pause)
 				err := <-done
 				require.Equal(t, tc.behind, behind)
 				require.Empty(t, c.budget.behind)
@@ -99,19 +102,15 @@
 			defer c.Close()
 			ended[name] = write(c, 64<<10)
 			if name == "reading" {
-				go func() {
-					for {
-						time.Sleep(100 * time.Millisecond)
-						if _, err := io.ReadFull(caller, make([]byte, 100)); err != nil {
-							return
-						}
-					}
-				}()
+				go read(caller, 1000, 100, 100*time.Millisecond)
 			}
 			time.Sleep(500 * time.Millisecond)
 		}
 		require.True(t, b.Take(limit/2))
 		require.False(t, b.Take(limit))
+		require.Empty(t, ended["first"], "it may be slow only")
+		time.Sleep(evictAfter - time.Second)
+		require.False(t, b.Take(limit))
 		require.ErrorIs(t, <-ended["first"], ErrEvicted)
 		time.Sleep(time.Second)
 		require.Empty(t, ended["second"], "one at a time")
--- a/io/node/held_test.go
+++ b/io/node/held_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -184,7 +185,7 @@
 					served.Add(1)
 				case http.StatusServiceUnavailable:
 					refused.Add(1)
-					require.Zero(t, s.runsOf(id))
+					require.Zero(t, s.desk.Runs(id))
 				}
 			})
 		}
@@ -226,3 +227,67 @@
 func gauge(b *base, name string) int64 {
 	return b.opts.Registry.Get(name).(interface{ Value() int64 }).Value()
 }
+
+// Load: 2,000 callers of one entry read a long stream slowly, a third of them not at all.
+func TestThousandsOfSlowCallersShareTheMemory(t *testing.T) {
+	const callers, events, size = 2000, 40, 8 << 10
+	runSite(t, func(t *testing.T, s *testSite) {
+		var text []byte
+		for n := 1; n <= events; n++ {
+			text = append(text, chunk(event(n, size))...)
+		}
+		text = append(text, chunk("")...)
+		_, end := s.addRaw(1, callers, func(w io.Writer, id string) {
+			_, _ = io.WriteString(w, fake.RawHead(id)+eventStream)
+			_, _ = w.Write(text) // fails if the stream is cut, which the caller sees
+		})
+		defer end()
+		e := s.entries["e1"]
+		before := heapBytes()
+		var all sync.WaitGroup
+		var whole, cut, refused, stalled atomic.Int32
+		for i := range callers {
+			all.Go(func() {
+				conn, err := s.longCall(fmt.Sprintf("r%d", i))
+				require.NoError(t, err)
+				defer conn.Close()
+				if i%3 == 0 {
+					time.Sleep(time.Minute)
+					stalled.Add(1)
+					return
+				}
+				resp, err := http.ReadResponse(bufio.NewReader(&slowReader{conn, 4 << 10, time.Second / 4}), nil)
+				require.NoError(t, err)
+				n := 0
+				err = fake.EachEvent(resp.Body, func(id int, _ string) { n = id })
+				switch {
+				case resp.StatusCode == http.StatusServiceUnavailable:
+					refused.Add(1)
+				case err == nil && n == events:
+					whole.Add(1)
+				default:
+					cut.Add(1)
+				}
+			})
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		held, grown := gauge(e.base, "held.bytes"), heapBytes()-before
+		all.Wait()
+		limit := gauge(e.base, "held.limitBytes")
+		t.Logf("%d whole, %d cut, %d refused, %d stalled; %d MB of %d MB held, heap grown by %d MB", whole.Load(), cut.Load(), refused.Load(), stalled.Load(), held>>20, limit>>20, grown>>20)
+		require.LessOrEqual(t, held, limit)
+		require.LessOrEqual(t, grown, 2*limit, "the callers and the upstream of the test share the heap")
+		require.Zero(t, cut.Load(), "those that read keep their streams")
+		require.Zero(t, gauge(e.base, "held.bytes"))
+		require.Zero(t, gauge(e.base, "held.callersBehind"))
+	})
+}
+
+// heapBytes returns the bytes of live objects.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
