--- a/core/slot/room_test.go
+++ b/core/slot/room_test.go
@@ -302,3 +302,39 @@
 	p.Tick(start)
 	require.Equal(t, RoomLoad{Capacity: roomCapacity, Reservations: 1}, p.Load(start, "scribe").Room)
 }
+
+// Sites whose requests fit into the share of a slot must decide as without a capacity.
+func TestSmallRequestsAreDecidedAsWithoutCapacity(t *testing.T) {
+	var pools [2]*Pool
+	for i, capacity := range []int{0, roomCapacity} {
+		pools[i] = NewPool(NewOptions().WithConfig(NewOptions().Account, func(string) int { return capacity }))
+		pools[i].SetUpstreams(start, upstreams(9, roomSlots))
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	var held []Key
+	for n := range uint64(5000) {
+		now := start.Add(time.Duration(n) * 5 * time.Millisecond)
+		r := online(n)
+		if n%4 == 0 {
+			r = item(n, time.Duration(n)*5*time.Millisecond+time.Minute)
+		}
+		r = sized(r, random.IntN(roomCapacity/roomSlots))
+		r.Order, r.Deadline = now.Add(5*time.Second), now.Add(200*time.Millisecond)
+		out := pools[0].Ask(now, r)
+		require.Equal(t, out, pools[1].Ask(now, r))
+		for _, g := range out.Granted {
+			held = append(held, g.Request.Key)
+		}
+		if random.IntN(3) > 0 && len(held) > 40 {
+			i := random.IntN(len(held))
+			k := held[i]
+			held = slices.Delete(held, i, i+1)
+			next := pools[0].Release(now, k, Served)
+			require.Equal(t, next, pools[1].Release(now, k, Served))
+			for _, g := range next.Granted {
+				held = append(held, g.Request.Key)
+			}
+		}
+		require.Equal(t, pools[0].Tick(now), pools[1].Tick(now))
+	}
+}
--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -103,10 +103,11 @@
 	arrived := 0
 	for {
 		if size := int64(len(b.b)); size == int64(cap(b.b)) {
-			size *= 2
-			if int64(len(b.b)) < first {
-				size = min(size, first)
+			most := b.limit + 1 // one more shows that the body is too large
+			if size < first {
+				most = first
 			}
+			size = min(2*size, most)
 			if !b.ensure(size - 1) {
 				return errNoMemory
 			}
--- a/io/node/held_test.go
+++ b/io/node/held_test.go
@@ -169,6 +169,21 @@
 	}
 }
 
+// Guards against bodies that are cut since they take longer than a fixed time on a slow link.
+func TestSlowBodyIsRead(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		_, end := s.addRaw(1, 4, func(w io.Writer, id string) {
+			_, _ = io.WriteString(w, fake.RawHead(id)+"Content-Type: text/event-stream\r\nContent-Length: 23\r\n\r\n"+event(1, 9))
+		})
+		defer end()
+		const size = 200 << 10
+		body := &slowReader{strings.NewReader(strings.Repeat("x", size)), 4 << 10, time.Second}
+		began := time.Now()
+		require.Equal(t, http.StatusOK, s.slowBody("/long/stream/1", "r1", body, size))
+		require.Greater(t, time.Since(began), 40*time.Second)
+	})
+}
+
 // Load: 200 bodies of 4 MB arrive at once at an entry that may hold a few of them.
 func TestBodiesShareTheMemory(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
@@ -180,7 +195,7 @@
 		for i := range bodies {
 			id := fmt.Sprintf("r%d", i)
 			all.Go(func() {
-				switch s.slowBody(id, &slowReader{strings.NewReader(text), 4 << 10, 500 * time.Microsecond}, size) {
+				switch s.slowBody("/fetch/1", id, &slowReader{strings.NewReader(text), 4 << 10, 500 * time.Microsecond}, size) {
 				case http.StatusOK:
 					served.Add(1)
 				case http.StatusServiceUnavailable:
@@ -209,11 +224,11 @@
 }
 
 // slowBody sends a request with a body of a size and returns the status of its answer.
-func (s *testSite) slowBody(id string, body io.Reader, size int64) int {
+func (s *testSite) slowBody(path, id string, body io.Reader, size int64) int {
 	conn, err := s.network.Dial(s.t.Context(), "10.8.0.1", entryIP(1)+":80")
 	require.NoError(s.t, err)
 	defer conn.Close()
-	r, err := http.NewRequest(http.MethodPost, "http://"+fake.Host+"/fetch/1", io.NopCloser(body))
+	r, err := http.NewRequest(http.MethodPost, "http://"+fake.Host+path, io.NopCloser(body))
 	require.NoError(s.t, err)
 	r.ContentLength = size
 	r.Header.Set(platform.RequestIDHeader, id)
