--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -175,6 +175,10 @@
 	// ReasonOverShare means that the account uses more than its share of the slots, which others want, and that no slot of
 	// its share will be free before the wait ends.
 	ReasonOverShare Reason = "overShare"
+	// ReasonTooLarge means that the request needs more memory than an upstream of the service has.
+	ReasonTooLarge Reason = "tooLarge"
+	// ReasonNoRoom means that no upstream will have room in its memory before the wait ends.
+	ReasonNoRoom Reason = "noRoom"
 	// ReasonWaited means that no slot became free before the wait ended.
 	ReasonWaited Reason = "waited"
 )
--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"mothcart/core/budget"
 	"mothcart/core/poison"
 	"mothcart/core/slot"
 )
@@ -28,6 +29,9 @@
 	dropCarrierHeaders(x.w.Header())
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
 	x.w.WriteHeader(a.Status)
+	small := int64(min(len(a.Body), budget.Small)) // the rest counts already
+	x.f.opts.Held.Add(small)
+	defer x.f.opts.Held.Free(small)
 	if _, err := x.w.Write(a.Body); err != nil {
 		outcome = "callerGone"
 	}
@@ -82,6 +86,8 @@
 		return "not run; the software version that began this stream is not known here"
 	case slot.ReasonQuarantined:
 		return "not run; a part of the prompt crashes upstreams"
+	case slot.ReasonTooLarge:
+		return "not run; the request needs more memory than an upstream has"
 	case slot.ReasonLinksLost:
 		return "not run; no entry reaches the upstreams"
 	case slot.ReasonQuarantinedRequest:
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -108,13 +108,15 @@
 	if erredAt != "" && version == "" && h.pool.Load(service).Upstreams >= excludingUpstreams {
 		exclude = []string{erredAt}
 	}
+	parts, size := h.opts.Runner.describe(header)
 	h.pool.Ask(slot.Request{
 		Key: key, Service: service, Batch: true, Priority: route.Priority, Order: acceptedAt.Add(route.Completion),
 		Ran: ran, AvailabilityZone: h.opts.AvailabilityZone, Version: version, Exclude: exclude,
-		Parts: h.opts.Runner.sharedParts(header), Account: job.Account,
+		Account: job.Account, Parts: parts, PromptTokens: size.Prompt, OutputTokens: size.Output, ExpectedTokens: size.Expected,
 	}, asker{
 		granted: func(g slot.Grant) { h.startRun(r, g) },
 		refused: func(refusal slot.Refusal) {
+			h.refusedForRoom(refusal)
 			// A home that has just started may not know any upstream yet.
 			if refusal.Reason == slot.ReasonNoVersion && h.pool.Load(service).Upstreams > 0 {
 				h.restart(r)
