A home that has no list of upstreams yet drops no item's progress

Cause: an item that resumes is bound to the software version of its progress. A home that had just started and had no upstreams yet was told that none of the version is left, and began the item again from its first event.

--- a/core/slot/refuse.go
+++ b/core/slot/refuse.go
@@ -30,7 +30,7 @@
 	if r.Version == "" || p.remainingSlots(s, r) > 0 {
 		return Refusal{}, false
 	}
-	refusal := Refusal{Request: *r, Reason: ReasonNoVersion}
+	refusal := Refusal{Request: *r, Reason: ReasonNoVersion, Unknown: s.slots == 0}
 	if !r.Batch {
 		refusal.RetryAfter = p.retryAfter(now, s, *r, 0)
 	}
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -180,6 +180,9 @@
 	Reason  Reason
 	// RetryAfter is the time after which the caller should retry.
 	RetryAfter time.Duration
+	// Unknown reports, with ReasonNoVersion, that the pool has no upstream of the service at all, as before it gets its
+	// first list.
+	Unknown bool
 }
 
 // Outcome holds the decisions that one event led to.
--- a/core/slot/version_test.go
+++ b/core/slot/version_test.go
@@ -132,6 +132,8 @@
 	out := p.Ask(start, boundItem(1, "v1"))
 	require.Len(t, out.Refused, 1)
 	require.Equal(t, ReasonNoVersion, out.Refused[0].Reason)
+	require.False(t, out.Refused[0].Unknown)
+	require.True(t, NewPool(NewOptions()).Ask(start, boundItem(4, "v1")).Refused[0].Unknown, "the home has just started")
 	require.False(t, p.has(boundItem(1, "").Key))
 	require.Equal(t, "v1.1", p.Ask(start, boundItem(2, "v1.1")).Granted[0].Upstream.Version)
 	require.Empty(t, NewPool(NewOptions()).Ask(start, item(3, time.Minute)).Refused, "an item that is not bound waits")
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -105,7 +105,7 @@
 	}, asker{
 		granted: func(g slot.Grant) { h.startRun(r, g) },
 		refused: func(refusal slot.Refusal) {
-			if refusal.Reason == slot.ReasonNoVersion {
+			if refusal.Reason == slot.ReasonNoVersion && !refusal.Unknown {
 				h.restart(r)
 			}
 			time.AfterFunc(min(max(refusal.RetryAfter, retryPause), sweepInterval), func() { h.askSlot(r) })
