--- a/io/carrier/carrier.go
+++ b/io/carrier/carrier.go
@@ -70,6 +70,8 @@
 	// carried has a place for each request that this node carries.
 	carried        chan struct{}
 	carriedCounter metrics.Counter
+	// excused counts failures that were found to be those of this node's links, unable the refusals of carriers.
+	excused, unable metrics.Counter
 
 	mu    sync.Mutex
 	links reach.Links
@@ -86,6 +88,7 @@
 	l := &Links{
 		opts: opts, wake: make(chan struct{}, 1), end: make(chan struct{}), links: reach.NewLinks(),
 		carried: make(chan struct{}, maxCarried), carriedCounter: metrics.GetOrRegisterCounter("online.carriedForOthers", opts.Registry),
+		excused: metrics.GetOrRegisterCounter("links.failuresExcused", opts.Registry), unable: metrics.GetOrRegisterCounter("links.carriersUnable", opts.Registry),
 		upstreams: make(map[string]bool), candidates: make(map[string]*candidate), waiting: make(map[*waiting]struct{}),
 	}
 	opts.Registry.GetOrRegister("links.lost", func() metrics.Gauge {
--- a/io/carrier/choice.go
+++ b/io/carrier/choice.go
@@ -179,6 +179,7 @@
 	if reason == "" {
 		return
 	}
+	l.unable.Inc(1)
 	c.lost = reason == reasonLinksLost
 	c.pausedUntil = now.Add(carrierPause)
 	if reason == reasonStopping {
--- a/io/carrier/judge.go
+++ b/io/carrier/judge.go
@@ -13,6 +13,7 @@
 	l.mu.Lock()
 	if l.links.Doubtful() {
 		l.mu.Unlock()
+		l.excused.Inc(1)
 		report(false)
 		return
 	}
@@ -44,6 +45,9 @@
 		l.waiting = make(map[*waiting]struct{})
 	}
 	l.mu.Unlock()
+	if !failed {
+		l.excused.Inc(int64(len(settled)))
+	}
 	for w := range settled {
 		w.timer.Stop()
 		w.report(failed)
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -143,6 +143,8 @@
 	restarts metrics.Counter
 	// corrected counts the requests of nodes that had ended without the home's knowledge.
 	corrected metrics.Counter
+	// silentRuns counts attempts whose runner fell silent, keptRuns those of them with which it came back.
+	silentRuns, keptRuns metrics.Counter
 	// parts counts what is found about parts of prompts, requests what is found about requests.
 	parts, requests findingMetrics
 	// limitedUpstreams is the number of upstreams that name a rate.
@@ -162,6 +164,7 @@
 		metrics: homeMetrics{
 			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"), restarts: counter("restarts"),
 			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"), corrected: counter("slotsCorrected"),
+			silentRuns: counter("runsSilent"), keptRuns: counter("runsKept"),
 			parts:            findingMetrics{counter("partSuspicions"), counter("partQuarantines"), counter("partsCleared")},
 			requests:         findingMetrics{counter("requestSuspicions"), counter("requestQuarantines"), counter("requestsCleared")},
 			limitedUpstreams: metrics.GetOrRegisterGauge("home.limitedUpstreams", opts.Registry),
--- a/io/home/silentrun.go
+++ b/io/home/silentrun.go
@@ -184,6 +184,7 @@
 // awaitSilent waits for the outcome of an attempt at a node whose link has ended in silence. Cancelled attempts end within
 // progressWait, if the node is back.
 func (h *Home) awaitSilent(ctx context.Context, call itemCall, r *remoteRun) (itemOutcome, bool) {
+	h.metrics.silentRuns.Inc(1)
 	h.opts.Log.Info().Str("item", call.ID).Uint64("run", call.Run).Msg("runnerSilent")
 	var conn *link.Conn
 	var lost <-chan struct{}
@@ -194,6 +195,7 @@
 			return out, true
 		case conn = <-r.attached:
 			lost, end = conn.Done(), nil
+			h.metrics.keptRuns.Inc(1)
 			h.opts.Log.Info().Str("item", call.ID).Uint64("run", call.Run).Msg("runnerBack")
 		case <-lost:
 			if !conn.Silent() {
--- a/io/node/cut_test.go
+++ b/io/node/cut_test.go
@@ -90,3 +90,28 @@
 		})
 	}
 }
+
+// Guards against a request that runs twice, or whose caller is told that it has not run, because the answer was lost on its
+// way from the entry through which it went.
+func TestLostAnswerOfACarrierIsNoRefusal(t *testing.T) {
+	runStrandedSite(t, func(s *strandedSite) {
+		s.cut(1)
+		s.traffic("early", contact, 1)
+		s.desk.SetPace(400 * time.Millisecond)
+		for i := range 5 {
+			id := fmt.Sprint("swap", i)
+			answered := make(chan reply)
+			go func() { answered <- s.call(s.t.Context(), 1, http.MethodPost, "/swap/1", id, "") }()
+			time.Sleep(100 * time.Millisecond)
+			s.network.PartitionFrom(entryIP(1), []string{entryIP(2), entryIP(3)})
+			r := <-answered
+			require.Contains(s.t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, r.status)
+			require.Equal(s.t, 1, s.runsOf(id))
+			for n := 2; n <= 3; n++ {
+				s.network.Heal(entryIP(1), entryIP(n))
+			}
+			time.Sleep(time.Second)
+			require.Equal(s.t, 1, s.runsOf(id), "it doesn't run again")
+		}
+	})
+}
--- a/io/node/rejoin_test.go
+++ b/io/node/rejoin_test.go
@@ -76,6 +76,14 @@
 			s.objects.SetFault(fake.Fault{Hang: true})
 			s.startAll()
 		}},
+		{"the object service refuses all calls after the restart", func(s *testSite) {
+			s.endOldVersion()
+			time.Sleep(time.Second)
+			s.endAll()
+			s.objects.SetFault(fake.Fault{Down: map[string]bool{"": true}})
+			s.startAll()
+			time.Sleep(2 * time.Second)
+		}},
 		{"only the entries end", func(s *testSite) {
 			s.endOldVersion()
 			s.killEntry(1)
