--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -197,6 +197,9 @@
 	// share, 2 up to four times, and so on. AccountSlots is that share.
 	AccountLevel int
 	AccountSlots float64
+	// Unknown reports, with ReasonNoVersion, that the pool has no upstream of the service at all, as before it gets its
+	// first list.
+	Unknown bool
 }
 
 // Outcome holds the decisions that one event led to.
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -145,6 +145,8 @@
 	overShare metrics.Counter
 	// corrected counts the requests of nodes that had ended without the home's knowledge.
 	corrected metrics.Counter
+	// silentRuns counts attempts whose runner fell silent, keptRuns those of them with which it came back.
+	silentRuns, keptRuns metrics.Counter
 	// parts counts what is found about parts of prompts, requests what is found about requests.
 	parts, requests findingMetrics
 	// limitedUpstreams is the number of upstreams that name a rate.
@@ -164,7 +166,8 @@
 		metrics: homeMetrics{
 			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"), restarts: counter("restarts"),
 			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"), corrected: counter("slotsCorrected"),
-			overShare:        counter("overShare"),
+			overShare:  counter("overShare"),
+			silentRuns: counter("runsSilent"), keptRuns: counter("runsKept"),
 			parts:            findingMetrics{counter("partSuspicions"), counter("partQuarantines"), counter("partsCleared")},
 			requests:         findingMetrics{counter("requestSuspicions"), counter("requestQuarantines"), counter("requestsCleared")},
 			limitedUpstreams: metrics.GetOrRegisterGauge("home.limitedUpstreams", opts.Registry),
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -117,8 +117,7 @@
 		granted: func(g slot.Grant) { h.startRun(r, g) },
 		refused: func(refusal slot.Refusal) {
 			h.refusedForRoom(refusal)
-			// A home that has just started may not know any upstream yet.
-			if refusal.Reason == slot.ReasonNoVersion && h.pool.Load(service).Upstreams > 0 {
+			if refusal.Reason == slot.ReasonNoVersion && !refusal.Unknown {
 				h.restart(r)
 			}
 			time.AfterFunc(min(max(refusal.RetryAfter, retryPause), sweepInterval), func() { h.askSlot(r) })
