Pool of slots weighs the pace of upstreams and the cost of leaving a zone

Cause: the pool compares upstreams by zone and load only. Where some work at half speed, or more slowly for moments, they get as many requests as the others, and a request stays in its zone whatever the load there. Change: the pool learns the lasting pace of an upstream from how long requests hold its slots, relative to the service's usual time, and takes figures that upstreams name for the moment if they have foretold hold times. Paces fall into classes with hysteresis, a further key of the index. Online requests go where the answer is expected first, with the crossing to another zone as time (core/zone); items that can wait go to slow upstreams. Services whose upstreams name no pace other than the usual one decide as before.

--- a/core/slot/index.go
+++ b/core/slot/index.go
@@ -30,10 +30,10 @@
 	free int
 }
 
-// group holds the upstreams of a zone that have the same number of slots.
+// group holds the upstreams of a zone that have the same number of slots and class of pace.
 type group struct {
-	zone  string
-	slots int
+	zone         string
+	slots, class int
 	// buckets holds the upstreams by the number of slots in use; those at the end have none free.
 	buckets [][]*upstream
 }
@@ -95,7 +95,7 @@
 		x.special = append(x.special, u)
 		return
 	}
-	g := x.group(u.Zone, u.Slots)
+	g := x.group(u.Zone, u.Slots, u.pace.class)
 	used := min(u.used, g.slots)
 	u.place = place{version: x, group: g, used: used, at: len(g.buckets[used])}
 	g.buckets[used] = append(g.buckets[used], u)
@@ -113,13 +113,13 @@
 	*list = (*list)[:len(*list)-1]
 }
 
-func (x *versionIndex) group(zone string, slots int) *group {
+func (x *versionIndex) group(zone string, slots, class int) *group {
 	for _, g := range x.groups {
-		if g.zone == zone && g.slots == slots {
+		if g.zone == zone && g.slots == slots && g.class == class {
 			return g
 		}
 	}
-	g := &group{zone: zone, slots: slots, buckets: make([][]*upstream, slots+1)}
+	g := &group{zone: zone, slots: slots, class: class, buckets: make([][]*upstream, slots+1)}
 	x.groups = append(x.groups, g)
 	return g
 }
@@ -185,10 +185,7 @@
 
 // best returns the best upstream of the version with a free slot for the request, or nil.
 func (x *versionIndex) best(now time.Time, r *Request, turn int, opts Options) *upstream {
-	best := x.bestUsual(r, true, turn)
-	if best == nil {
-		best = x.bestUsual(r, false, turn)
-	}
+	best := x.bestInBucket(r, turn)
 	for _, u := range x.special {
 		if u.hasFreeSlot(now, r, opts) && (best == nil || u.better(best, now, r, opts)) {
 			best = u
@@ -197,6 +194,17 @@
 	return best
 }
 
+// bestInBucket returns the best upstream in a bucket, or nil.
+func (x *versionIndex) bestInBucket(r *Request, turn int) *upstream {
+	if r.weighed {
+		return x.bestWeighed(r, turn)
+	}
+	if u := x.bestUsual(r, true, turn); u != nil {
+		return u
+	}
+	return x.bestUsual(r, false, turn)
+}
+
 // bestUsual returns the upstream in a bucket with the lowest load among those inside or outside the zone of the
 // request, or nil.
 func (x *versionIndex) bestUsual(r *Request, near bool, turn int) *upstream {
@@ -230,7 +238,7 @@
 	slices.SortFunc(x.versions, func(a, b *versionIndex) int { return cmp.Compare(a.version, b.version) })
 	for _, v := range x.versions {
 		slices.SortFunc(v.groups, func(a, b *group) int {
-			return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.slots, b.slots))
+			return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.slots, b.slots), cmp.Compare(a.class, b.class))
 		})
 	}
 }
--- a/core/slot/index_test.go
+++ b/core/slot/index_test.go
@@ -33,7 +33,7 @@
 		p.SetUpstreams(now, drawUpstreams(rt))
 		for id := range uint64(rapid.IntRange(1, 40).Draw(rt, "events")) {
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(rt, "pause")) * time.Millisecond)
-			switch rapid.IntRange(0, 5).Draw(rt, "event") {
+			switch rapid.IntRange(0, 6).Draw(rt, "event") {
 			case 0:
 				r := online(id)
 				r.Deadline = now.Add(200 * time.Millisecond)
@@ -49,6 +49,9 @@
 			case 3:
 				upstream := fmt.Sprintf("u%02d", rapid.IntRange(0, 12).Draw(rt, "reported"))
 				p.Report(now, upstream, rapid.IntRange(0, 4).Draw(rt, "running"), rapid.IntRange(0, 1).Draw(rt, "waiting"))
+			case 5:
+				k := Key{Owner: rapid.SampledFrom([]string{"e1", "batch"}).Draw(rt, "paced owner"), ID: rapid.Uint64Range(0, id).Draw(rt, "paced")}
+				p.Pace(now, k, rapid.Float64Range(0.5, 4).Draw(rt, "pace"), time.Duration(rapid.IntRange(0, 500).Draw(rt, "age"))*time.Millisecond)
 			default:
 				p.SetUpstreams(now, drawUpstreams(rt))
 			}
@@ -59,6 +62,8 @@
 				r.Exclude = []string{"u00", "u01"}
 			}
 			r.Version = rapid.SampledFrom([]string{"", "v1", "v1.1", "v2"}).Draw(rt, "bound to")
+			p.endFigures(now)
+			p.weigh(now, p.service("scribe"), &r)
 			checkIndex(rt, p, now, r)
 		}
 	})
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -25,6 +25,9 @@
 	// aloneLevel spreads their requests.
 	aloneNodes int
 	aloneLevel func() float64
+	// momentary are the upstreams that have lately named their pace, by the time at which that ends.
+	momentary []momentary
+	crossings Crossings
 }
 
 // NewPool returns a pool without upstreams.
@@ -195,6 +198,7 @@
 	s := p.service(g.request.Service)
 	if result == Served || result == Failed {
 		s.updateMeanHold(g.request, now.Sub(g.since))
+		p.learnPace(now, s, g)
 	}
 	out := p.settle(now)
 	out.add(p.judgeResult(now, g, result))
@@ -344,6 +348,7 @@
 	s.updateOnlineMean(now)
 	defer s.updateOnlineMean(now)
 	p.plan(now, s)
+	p.endFigures(now)
 	free := 0
 	if len(s.online.items)+len(s.batch.items) > 0 {
 		free = s.index.freeSlots(now, p.opts)
@@ -354,6 +359,7 @@
 		}
 		r := p.candidate(now, &g.request)
 		var u *upstream
+		p.weigh(now, s, r)
 		if free > 0 {
 			u = s.index.best(now, r, p.opts)
 		}
@@ -372,7 +378,7 @@
 			u = victim.upstream
 		}
 		p.addGrant(now, g, u)
-		out.Granted = append(out.Granted, Grant{Request: g.request, Upstream: u.Upstream, Trial: g.trial})
+		out.Granted = append(out.Granted, Grant{Request: g.request, Upstream: u.Upstream, Choice: p.choice(now, g, u), Trial: g.trial})
 		return gotSlot
 	})
 	if len(s.batch.items) == 0 {
@@ -387,6 +393,7 @@
 			return isHeld
 		}
 		r := p.candidate(now, &g.request)
+		p.weigh(now, s, r)
 		u := s.index.best(now, r, p.opts)
 		if u == nil && r != &g.request {
 			return isHeld
@@ -396,7 +403,7 @@
 		}
 		spare--
 		p.addGrant(now, g, u)
-		out.Granted = append(out.Granted, Grant{Request: g.request, Upstream: u.Upstream, Trial: g.trial})
+		out.Granted = append(out.Granted, Grant{Request: g.request, Upstream: u.Upstream, Choice: p.choice(now, g, u), Trial: g.trial})
 		return gotSlot
 	})
 	return out
--- a/core/slot/refuse.go
+++ b/core/slot/refuse.go
@@ -111,6 +111,9 @@
 // waitFor returns the time until n requests that hold slots have ended as often as the position says; last is the
 // one that ends last.
 func (s *service) waitFor(now time.Time, position, n int, last *grant) time.Duration {
+	if s.paces.known {
+		return s.pacedWait(position, n)
+	}
 	rounds := time.Duration(position / n)
 	remaining := s.meanHold - now.Sub(last.since) // the oldest ends first
 	return rounds*s.meanHold + max(remaining, 0)
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -40,6 +40,7 @@
 
 	"mothcart/core/poison"
 	"mothcart/core/site"
+	"mothcart/core/zone"
 )
 
 // Key names a request; Owner is the VM that asked, with the incarnation of its process.
@@ -60,6 +61,9 @@
 	// scarce reports that the request may use the slots of one of several software versions only; such requests go
 	// before others that are as urgent, since they can't take the next slot that any upstream has free.
 	scarce bool
+	// weighed, crossing and patient are set by Pool.weigh.
+	weighed, patient bool
+	crossing         float64
 	// Priority is the rank among online requests; 0 is the most urgent.
 	Priority int
 	// Objective is the last moment at which a slot lets an online request meet its latency objective,
@@ -141,6 +145,8 @@
 type Grant struct {
 	Request  Request
 	Upstream site.Upstream
+	// Choice is what decided about the upstream beside its load.
+	Choice Choice
 	// Trial reports that Wrote is to be called once the upstream writes, since a part of the prompt or the request is
 	// suspected.
 	Trial bool
@@ -237,6 +243,9 @@
 	ReportAge time.Duration
 	// HoldTime is the initial mean of the time that an online request holds a slot.
 	HoldTime time.Duration
+	// Zones are the costs of requests that leave the zone of the VM that asked. Without them only requests of services
+	// whose upstreams name their pace do, by the default costs.
+	Zones zone.Costs
 	// ArrivalReserve is a length of time: batch leaves slots free for the online requests that are
 	// expected to arrive in it, since preempting a batch item costs a connection and a prefill.
 	ArrivalReserve time.Duration
--- a/core/slot/upstream.go
+++ b/core/slot/upstream.go
@@ -22,6 +22,8 @@
 	pausedUntil time.Time
 	// limit is the rate that the upstream names.
 	limit throttle.Limit
+	// pace is how long work takes there.
+	pace pace
 	// place is the position in the index of the service, unless the upstream is draining.
 	place place
 }
@@ -87,6 +89,9 @@
 	if c := u.compareState(v, r); c != 0 {
 		return c < 0
 	}
+	if r.weighed {
+		return u.rank(u.load(now, opts), r) < v.rank(v.load(now, opts), r)
+	}
 	a, b := u.load(now, opts)*v.Slots, v.load(now, opts)*u.Slots
 	uNear, vNear := u.Zone == r.AvailabilityZone, v.Zone == r.AvailabilityZone
 	if uNear != vNear {
--- /dev/null
+++ b/core/slot/weigh.go
@@ -0,0 +1,88 @@
+package slot
+
+import (
+	"time"
+
+	"mothcart/core/zone"
+)
+
+const (
+	// patience is how many times its remaining time a batch item must have until its due time to go to a slow upstream:
+	// the pace of the slowest usual class, and a third for the wait and for preemptions.
+	patience = 3
+	// batchCrossing is how much more of its slots an upstream of the item's zone must have in use than one of another zone
+	// for the item to leave. Items leave before online requests do, which thereby keep the slots of their zone.
+	batchCrossing = 0.2
+	// fastPenalty ranks upstreams that aren't slow behind all slow ones for an item that can wait.
+	fastPenalty = 2
+)
+
+// zoneCosts returns the costs by which requests of a service leave their zone.
+func (p *Pool) zoneCosts(s *service) zone.Costs {
+	if !p.opts.Zones.IsSet() && s.paces.known {
+		return zone.NewCosts()
+	}
+	return p.opts.Zones
+}
+
+// weigh sets by what a request compares upstreams: by pace, load and zone together, if the service's upstreams name their
+// pace or the costs of leaving a zone are set, and else by zone and then by load.
+func (p *Pool) weigh(now time.Time, s *service, r *Request) {
+	costs := p.zoneCosts(s)
+	if !costs.IsSet() {
+		r.weighed = false
+		return
+	}
+	r.weighed = true
+	hold := s.meanHold
+	if r.Batch {
+		hold = s.meanBatchHold
+		r.patient = s.paces.known && (r.late || patience*s.remaining(*r, 0) < r.Order.Sub(now))
+	}
+	r.crossing = float64(costs.Crossing(r.bytes())) / float64(max(hold, time.Millisecond))
+	if r.patient {
+		r.crossing = batchCrossing
+	}
+}
+
+// rank returns how well an upstream with a number of requests suits a request, lower is better. For an online request it is
+// the time until its answer as a multiple of the usual one, with the crossing to another zone. A batch item that can wait
+// goes to slow upstreams first.
+func (u *upstream) rank(load int, r *Request) float64 {
+	return rank(r, u.pace.class, load, u.Slots, u.Zone == r.AvailabilityZone)
+}
+
+func rank(r *Request, class, load, slots int, near bool) float64 {
+	x := float64(load) / float64(max(slots, 1))
+	if !r.patient {
+		x = paceFactors[class-minPaceClass] * (1 + loadSlowdown*x)
+	} else if class < slowClass {
+		x += fastPenalty
+	}
+	if !near {
+		x += r.crossing
+	}
+	return x
+}
+
+// bestWeighed returns the upstream in a bucket that ranks best for a request, or nil.
+func (x *versionIndex) bestWeighed(r *Request, turn int) *upstream {
+	var best *upstream
+	var least float64
+	for _, g := range x.groups {
+		u := g.lowest(r, turn)
+		if u == nil {
+			continue
+		}
+		if y := rank(r, g.class, u.place.used, g.slots, g.zone == r.AvailabilityZone); best == nil || y < least {
+			best, least = u, y
+		}
+	}
+	return best
+}
+
+// pacedWait returns the time until n requests that hold slots have ended as often as the position says. Where some hold
+// theirs far longer than others, the oldest is not the next to end, so that only the rate at which they end counts.
+func (s *service) pacedWait(position, n int) time.Duration {
+	return time.Duration(float64(s.meanHold) * float64(position+1) / float64(n))
+}
