--- a/experiment/pattern/engine.go
+++ b/experiment/pattern/engine.go
@@ -34,8 +34,9 @@
 				s.askWaits = append(s.askWaits, s.clock.Now()-r.arrived)
 			}
 		}
+		s.observePace(e, r)
 		key := r.key
-		s.clock.After(r.remaining, func() {
+		s.clock.After(e.pace.duration(s.clock.Now(), r.remaining), func() {
 			if r.running && r.key == key {
 				s.finish(e, r)
 			}
--- a/experiment/pattern/pattern.go
+++ b/experiment/pattern/pattern.go
@@ -80,6 +80,10 @@
 	hotShare float64
 	// outage is how long all entries are down from burstAt on.
 	outage time.Duration
+	// pace sets the pace of an engine by its number; nil means that all work as usual.
+	pace func(i int, e *engine)
+	// figures are the paces that engines name.
+	figures figures
 	// faults schedules the faults of the scenario before the run.
 	faults func(s *sim)
 	// retries is how often a client sends a request again that was refused, found no entry or lost its entry.
--- a/experiment/pattern/report.go
+++ b/experiment/pattern/report.go
@@ -33,6 +33,13 @@
 	// Wait50 and Wait99 are the p50 and p99 of the time from the arrival of asks to their first start, in ms.
 	Wait50 float64 `json:"wait50Millis"`
 	Wait99 float64 `json:"wait99Millis"`
+	// First50 and First99 are the p50 and p99 of the time from the arrival of asks to their first event, Pause99 is the p99
+	// of the time between their events, in ms.
+	First50 float64 `json:"first50Millis"`
+	First99 float64 `json:"first99Millis"`
+	Pause99 float64 `json:"pause99Millis"`
+	// Crossed is the number of runs outside the zone of their entry, for each request.
+	Crossed float64 `json:"crossed"`
 }
 
 // Report holds the rows of all patterns and strategies.
@@ -98,6 +105,10 @@
 	}
 	row.MessagesPerRequest = float64(row.Messages) / float64(len(s.all))
 	slices.Sort(s.askWaits)
+	slices.Sort(s.firstEvents)
+	slices.Sort(s.pauses)
+	row.First50, row.First99, row.Pause99 = percentile(s.firstEvents, 0.5), percentile(s.firstEvents, 0.99), percentile(s.pauses, 0.99)
+	row.Crossed = float64(s.crossed) / float64(len(s.all))
 	row.Wait50, row.Wait99 = percentile(s.askWaits, 0.5), percentile(s.askWaits, 0.99)
 	return row
 }
@@ -174,5 +185,9 @@
 
 // capacity returns the slot time of all engines between two times, in slot seconds.
 func (s *sim) capacity(from, to time.Duration) float64 {
-	return float64(s.opts.Engines*s.opts.Slots) * (to - from).Seconds()
+	sum := 0.0
+	for _, e := range s.engines[:s.opts.Engines] {
+		sum += float64(s.opts.Slots) * e.pace.work(from, to).Seconds()
+	}
+	return sum
 }
--- a/experiment/pattern/sim.go
+++ b/experiment/pattern/sim.go
@@ -59,6 +59,7 @@
 type engine struct {
 	upstream site.Upstream
 	up       bool
+	pace     enginePace
 	running  []*request
 	queue    []*request
 }
@@ -77,6 +78,10 @@
 	open      map[slot.Key]*request
 	result    Row
 	askWaits  []time.Duration
+	// firstEvents and pauses are the times from arrival to first event, and between events, of asks; crossed is the number
+	// of requests that ran outside the zone of their entry.
+	firstEvents, pauses []time.Duration
+	crossed             int
 }
 
 func newSim(opts Options, sc scenario) *sim {
@@ -111,6 +116,7 @@
 func (s *sim) play(chosen strategy) {
 	s.strategy = chosen
 	s.strategy.setUpstreams(s.upstreams())
+	s.setPaces()
 	if s.scenario.faults != nil {
 		s.scenario.faults(s)
 	}
@@ -291,7 +297,7 @@
 	r.engine = nil
 	if r.running {
 		r.running = false
-		r.remaining = max(0, r.remaining-(s.clock.Now()-r.startedAt)) + resumeCost
+		r.remaining = max(0, r.remaining-e.pace.work(r.startedAt, s.clock.Now())) + resumeCost
 	}
 	e.remove(r)
 	s.startQueued(e)
--- a/experiment/pattern/strategy.go
+++ b/experiment/pattern/strategy.go
@@ -14,8 +14,10 @@
 	ask          func(entry int, r slot.Request)
 	release      func(k slot.Key, result slot.Result)
 	report       func(entry int, upstreamID string, running, waiting int)
-	loseHome     func()
-	regainHome   func()
+	// pace passes on the pace that an engine names in the head of an answer; nil if the strategy doesn't use it.
+	pace       func(k slot.Key, pace float64, age time.Duration)
+	loseHome   func()
+	regainHome func()
 }
 
 // tick is the interval at which a pool checks for expired waits.
@@ -127,7 +129,10 @@
 				return
 			}
 			atHome[r.Key] = true
-			s.toHome(func() { home.deliver(home.pool.Ask(s.now(), r)) })
+			s.toHome(func() {
+				s.tellAll()
+				home.deliver(home.pool.Ask(s.now(), r))
+			})
 		},
 		release: func(k slot.Key, result slot.Result) {
 			if !atHome[k] {
@@ -137,6 +142,7 @@
 			s.toHome(func() { home.deliver(home.pool.Release(s.now(), k, result)) })
 		},
 		report: func(entry int, id string, running, waiting int) { alone.report(entry, id, running, waiting) },
+		pace:   func(k slot.Key, pace float64, age time.Duration) { home.pool.Pace(s.now(), k, pace, age) },
 		loseHome: func() {
 			lost = true
 			for _, r := range s.openInOrder() {
