The pace that answers name reaches the home with the next message about a request

Cause: readAnswerInfo drops the figure of how long work takes at an upstream. Change: AnswerInfo.Pace (0 if the figure is absent or senseless); a node adds the figures of its answers, with their ages, to its next question for a slot or release, at most 16 and 1 s old; a runner adds it to the outcome of an item. Log lines of attempts, requests and items name the pace believed, the age of the figure and whether the zone was left; gauges at the home. Ruled out: a message for each figure; the release of the request itself alone, which comes 0.7 s after the figure.

--- a/core/slot/bench_test.go
+++ b/core/slot/bench_test.go
@@ -94,3 +94,26 @@
 		})
 	}
 }
+
+// BenchmarkPaces is BenchmarkUpstreams for a service whose upstreams name their pace in each answer.
+func BenchmarkPaces(b *testing.B) {
+	for _, n := range []int{30, 300, 3100} {
+		b.Run(strconv.Itoa(n)+" upstreams", func(b *testing.B) {
+			p := newPool(n, 7)
+			now := start
+			for id := range uint64(n * 3) {
+				p.Ask(now, item(id, 18*time.Second))
+				p.Ask(now, online(id))
+			}
+			id := uint64(n * 3)
+			for b.Loop() {
+				id++
+				now = now.Add(20 * time.Microsecond)
+				r := online(id)
+				p.Ask(now, r)
+				p.Pace(now, r.Key, 0.7+float64(id%5)/2, 0)
+				p.Release(now, r.Key, Served)
+			}
+		})
+	}
+}
--- a/core/slot/grants.go
+++ b/core/slot/grants.go
@@ -11,7 +11,7 @@
 	upstream *upstream
 	since    time.Time
 	// excess and lasting are those of the upstream's pace at the time of the grant.
-	excess, lasting float64
+	excess, lasting float32
 	// trial reports that the grant decides about a suspected part of the prompt, or about the request.
 	trial bool
 }
@@ -24,7 +24,7 @@
 	})
 	r := &g.request
 	g.upstream, g.since = u, now
-	g.excess, g.lasting = u.pace.excess, u.pace.lasting
+	g.excess, g.lasting = float32(u.pace.excess), float32(u.pace.lasting)
 	p.grants[r.Key] = g
 	owned := p.byOwner[r.Key.Owner]
 	if owned == nil {
--- a/core/slot/pace.go
+++ b/core/slot/pace.go
@@ -188,15 +188,16 @@
 	}
 	ratio := clampLog(x - usual.value)
 	usual.add(x, usualWeight)
-	if surprise := ratio - g.lasting; g.excess != 0 && !g.request.Batch {
-		m.covariance += (surprise*g.excess - m.covariance) / usualWeight
-		m.variance += (g.excess*g.excess - m.variance) / usualWeight
+	excess := float64(g.excess)
+	if surprise := ratio - float64(g.lasting); excess != 0 && !g.request.Batch {
+		m.covariance += (surprise*excess - m.covariance) / usualWeight
+		m.variance += (excess*excess - m.variance) / usualWeight
 	}
 	if p.upstreams[u.ID] != u {
 		return
 	}
 	u.pace.holds = min(u.pace.holds+1, paceWeight-paceDoubt)
-	u.pace.lasting += (ratio - m.belief()*g.excess - u.pace.lasting) / float64(u.pace.holds+paceDoubt)
+	u.pace.lasting += (ratio - m.belief()*excess - u.pace.lasting) / float64(u.pace.holds+paceDoubt)
 	p.classify(now, u)
 }
 
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -61,9 +61,9 @@
 	// scarce reports that the request may use the slots of one of several software versions only; such requests go
 	// before others that are as urgent, since they can't take the next slot that any upstream has free.
 	scarce bool
-	// weighed, crossing and patient are set by Pool.weigh.
+	// weighed, patient and crossing are set by Pool.weigh.
 	weighed, patient bool
-	crossing         float64
+	crossing         float32
 	// Priority is the rank among online requests; 0 is the most urgent.
 	Priority int
 	// Objective is the last moment at which a slot lets an online request meet its latency objective,
--- a/core/slot/weigh.go
+++ b/core/slot/weigh.go
@@ -39,7 +39,7 @@
 		hold = s.meanBatchHold
 		r.patient = s.paces.known && (r.late || patience*s.remaining(*r, 0) < r.Order.Sub(now))
 	}
-	r.crossing = float64(costs.Crossing(r.bytes())) / float64(max(hold, time.Millisecond))
+	r.crossing = float32(costs.Crossing(r.bytes())) / float32(max(hold, time.Millisecond))
 	if r.patient {
 		r.crossing = batchCrossing
 	}
@@ -60,7 +60,7 @@
 		x += fastPenalty
 	}
 	if !near {
-		x += r.crossing
+		x += float64(r.crossing)
 	}
 	return x
 }
--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -93,7 +93,7 @@
 
 func (x *exchange) done(now time.Time, upstream, outcome string, status int) {
 	x.f.metrics.total.Observe(now.Sub(x.req.Arrived))
-	e := x.log.Info().Str("outcome", outcome).Int("status", status).Str("upstream", upstream).Str("basis", x.basis).
+	e := x.granted.logChoice(x.log.Info()).Str("outcome", outcome).Int("status", status).Str("upstream", upstream).Str("basis", x.basis).
 		Uint64("ask", x.ask).Int("attempts", x.attempts).Int("runs", x.runs).Int("refusals", x.refusals).
 		Dur("waitedMillis", x.waited).Dur("tookMillis", now.Sub(x.req.Arrived)).Dur("leftMillis", x.req.Deadline.Sub(now))
 	if !x.first.IsZero() {
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -47,6 +47,8 @@
 	// HasLoad reports that Running and Waiting are valid.
 	HasLoad          bool
 	Running, Waiting int
+	// Pace is how long work takes at the upstream at this moment, 1 being as usual; 0 means not known.
+	Pace float64
 	// Rate is how many requests a second the upstream takes from all nodes together, valid if HasRate is set.
 	// RateUnreadable reports that it names a rate which can't be read, so that nothing is known.
 	Rate                    float64
@@ -98,6 +100,10 @@
 	Release func(now time.Time, result slot.Result)
 	// Report records the load that the upstream reported.
 	Report func(now time.Time, running, waiting int)
+	// Pace records how long the upstream says that work takes there, 1 being as usual; nil if that is of no use.
+	Pace func(pace float64)
+	// Choice is what decided about the upstream, for the log.
+	Choice slot.Choice
 	// Limit records the rate that the upstream's answer names, in requests a second, or that it names none.
 	Limit func(rate float64, named bool)
 	// Began records that the request's stream begins with this slot, where the request for the slot didn't name it.
--- a/io/forward/race.go
+++ b/io/forward/race.go
@@ -222,7 +222,7 @@
 	}
 	r.x.f.metrics.replacements.Inc(1)
 	r.x.attempts++
-	r.x.basis = f.lease.Basis
+	r.x.basis, r.x.granted = f.lease.Basis, *f.lease
 	r.start(*f.lease)
 	return nil
 }
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -75,6 +75,8 @@
 	waited time.Duration
 	first  time.Time
 	basis  string
+	// granted is the last lease, for the log.
+	granted Lease
 }
 
 // Serve answers one request. It ends the connection by panic(http.ErrAbortHandler) if a stream that
@@ -111,7 +113,7 @@
 			return
 		}
 		x.attempts++
-		x.basis = lease.Basis
+		x.basis, x.granted = lease.Basis, lease
 		x.bind(lease)
 		lease, a := x.attempt(ctx, lease)
 		if x.finish(ctx, lease, a) {
@@ -278,7 +280,7 @@
 	return Call{
 		ID: x.req.ID, Method: x.req.Method, Host: x.req.Host, Path: x.req.Path, Header: header, Body: x.req.Body, Carried: lease.Carried,
 		Attempt:   Attempt{Upstream: lease.Upstream, Account: x.req.Account, Remaining: x.req.Deadline.Sub(x.f.opts.Now()), LastEventID: lastID},
-		OnLoad:    func(m AnswerInfo) { lease.Report(x.f.opts.Now(), m.Running, m.Waiting) },
+		OnLoad:    func(m AnswerInfo) { lease.observeLoad(x.f.opts.Now(), m) },
 		OnLeaving: func() { lease.Leaving(x.req.ID) },
 		OnLimit:   lease.Limit,
 		OnWrote:   lease.Wrote,
@@ -378,7 +380,7 @@
 }
 
 func (x *exchange) logFailure(lease Lease, a Answer, again bool) {
-	x.log.Info().Str("upstream", lease.Upstream.ID).Int64("incarnation", lease.Upstream.Incarnation).Str("version", lease.Upstream.Version).Str("basis", lease.Basis).
+	lease.logChoice(x.log.Info()).Str("upstream", lease.Upstream.ID).Int64("incarnation", lease.Upstream.Incarnation).Str("version", lease.Upstream.Version).Str("basis", lease.Basis).
 		Uint64("ask", x.ask).Int("attempt", x.attempts).Int("runs", x.runs).Int("status", a.Status).Bool("notRun", a.refused()).Bool("sent", a.Sent).
 		Int32("delivered", x.delivered.Load()).AnErr("error", a.Err).Bool("ended", a.Ended).Strs("parts", poison.Names(x.parts)).
 		Stringer("identity", x.identity).Bool("again", again).Msg("attemptFailed")
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -94,6 +94,7 @@
 	// homeAnswered reports that a home has answered since this node last decided alone.
 	homeAnswered atomic.Bool
 	inventory    *inventory
+	paces        paceOutbox
 	cancel       context.CancelFunc
 	done         sync.WaitGroup
 	wake         chan struct{}
@@ -278,6 +279,7 @@
 		Exclude: r.Exclude, Zone: r.AvailabilityZone, Objective: remainingObjective(now, r),
 		Version: r.Version, Stream: r.Stream, Continues: r.Continues, Resumes: r.Resumes, Parts: r.Parts, Identity: r.Identity,
 		Account: r.Account, Charged: r.Charged, Prompt: r.PromptTokens, Output: r.OutputTokens, Expected: r.ExpectedTokens,
+		Paces: c.paces.take(now),
 	}, &answer)
 	if err != nil {
 		c.inventory.end(conn, releaseNotice{ID: r.Key.ID, Result: slot.Abandoned})
@@ -295,20 +297,21 @@
 	}
 	c.inventory.hold(r.Key.ID, u.ID, conn)
 	c.localPool.Adopt(r, u.ID)
-	return c.lease(slot.Grant{Request: r, Upstream: u, Trial: answer.Trial}, "home"), nil, nil
+	return c.lease(slot.Grant{Request: r, Upstream: u, Choice: answer.choice(), Trial: answer.Trial}, "home"), nil, nil
 }
 
 // lease returns the lease of a granted slot.
 func (c *Client) lease(g slot.Grant, basis string) forward.Lease {
 	r, u := g.Request, g.Upstream
 	return forward.Lease{
-		Upstream: u, Basis: basis, BoundBy: r.BoundBy,
+		Upstream: u, Basis: basis, BoundBy: r.BoundBy, Choice: g.Choice,
 		Release: func(_ time.Time, result slot.Result) {
 			c.localPool.Release(r.Key, result)
 			// The home that is connected now may not be the one that granted the slot.
-			c.inventory.end(c.connection(), releaseNotice{ID: r.Key.ID, Result: result})
+			c.inventory.end(c.connection(), c.released(r.Key.ID, result))
 		},
 		Report: func(_ time.Time, running, waiting int) { c.report(u.ID, running, waiting) },
+		Pace:   func(pace float64) { c.namedPace(r.Key, pace) },
 		Began: func(stream string) {
 			c.opts.Origins.Record(stream, u.Version)
 			c.notify(methodBegan, beganNotice{Stream: stream, Version: u.Version})
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -253,6 +253,7 @@
 			h.sweepJobs(h.opts.Now())
 			h.writeListed(h.opts.Now())
 			h.metrics.bodyBytes.Update(int64(h.BodyBytes()))
+			h.updatePaceMetrics()
 		}
 	}
 }
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -123,6 +123,8 @@
 	Prompt   int    `msgpack:"in,omitempty"`
 	Output   int    `msgpack:"out,omitempty"`
 	Expected int    `msgpack:"hint,omitempty"`
+	// Paces are those that upstreams of the node's requests have named lately.
+	Paces []paceRecord `msgpack:"paces,omitempty"`
 }
 
 func (a askRequest) request(now time.Time, owner string) slot.Request {
@@ -147,11 +149,29 @@
 	BoundBy    slot.BoundBy  `msgpack:"by,omitempty"`
 	Reason     slot.Reason   `msgpack:"why,omitempty"`
 	RetryAfter time.Duration `msgpack:"retry,omitempty"`
+	// Percent, AgeMillis and LeftZone are those of slot.Choice.
+	Percent   int  `msgpack:"pct,omitempty"`
+	AgeMillis int  `msgpack:"age,omitempty"`
+	LeftZone  bool `msgpack:"far,omitempty"`
+}
+
+// grantAnswer returns the answer to a request that got a slot.
+func grantAnswer(g slot.Grant) askAnswer {
+	return askAnswer{
+		Upstream: &g.Upstream, Trial: g.Trial, BoundBy: g.Request.BoundBy,
+		Percent: g.Choice.Percent, AgeMillis: int(g.Choice.FigureAge.Milliseconds()), LeftZone: g.Choice.LeftZone,
+	}
+}
+
+func (a askAnswer) choice() slot.Choice {
+	return slot.Choice{Percent: a.Percent, FigureAge: time.Duration(a.AgeMillis) * time.Millisecond, LeftZone: a.LeftZone}
 }
 
 type releaseNotice struct {
 	ID     uint64      `msgpack:"id"`
 	Result slot.Result `msgpack:"res"`
+	// Paces are those that upstreams of the node's requests have named lately.
+	Paces []paceRecord `msgpack:"paces,omitempty"`
 }
 
 type beganNotice struct {
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -193,8 +193,9 @@
 	out, runner := h.execute(ctx, call, got)
 	took := h.opts.Now().Sub(startedAt)
 	cancelled := errors.Is(context.Cause(ctx), errCancelled)
+	h.applyItemPace(g.Request.Key.ID, out.Pace)
 	h.pool.Release(g.Request.Key, out.Result)
-	h.opts.Log.Info().Str("job", r.job).Str("item", r.item.ID).Str("upstream", g.Upstream.ID).Int64("incarnation", g.Upstream.Incarnation).
+	logChoice(h.opts.Log.Info(), g).Str("job", r.job).Str("item", r.item.ID).Str("upstream", g.Upstream.ID).Int64("incarnation", g.Upstream.Incarnation).
 		Str("version", g.Upstream.Version).Str("runner", runner).Str("from", call.LastEventID).Str("to", out.LastEventID).Int("status", out.Status).Bool("cut", cancelled).
 		Int("failures", r.failures).Dur("tookMillis", took).Str("error", out.Err).
 		Strs("parts", poison.Names(g.Request.Parts)).Msg("itemAttempt")
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -70,6 +70,8 @@
 	// it counts then.
 	Silent  bool `msgpack:"mute,omitempty"`
 	TooLong bool `msgpack:"long,omitempty"`
+	// Pace is the pace that the upstream named; nil if it named none or the home knows it.
+	Pace *paceRecord `msgpack:"pace,omitempty"`
 }
 
 // cancelRunNotice cancels an attempt at a runner.
@@ -160,6 +162,8 @@
 	load  func(running, waiting int)
 	wrote func()
 	limit func(rate float64, named bool)
+	// pace is nil if the outcome is to hold the pace.
+	pace func(pace float64)
 }
 
 // do makes one attempt and adds its events to got.
@@ -169,10 +173,14 @@
 	}
 	header := itemHeader(c.Header)
 	got.lastEventID = c.LastEventID
+	var named paceNote
 	a := forward.Do(ctx, rn.opts.Client, rn.opts.Codec, forward.Call{
 		ID: c.ID, Method: http.MethodPost, Host: c.Host, Path: c.Path, Header: header, Body: c.Body,
 		Attempt: forward.Attempt{Upstream: c.Upstream, LastEventID: c.LastEventID}, IdleTimeout: cmp.Or(c.IdleTimeout, itemIdleTimeout),
-		OnLoad:    func(m forward.AnswerInfo) { reports.load(m.Running, m.Waiting) },
+		OnLoad: func(m forward.AnswerInfo) {
+			reports.load(m.Running, m.Waiting)
+			named.observe(m.Pace, reports.pace)
+		},
 		OnLeaving: func() { rn.opts.Leaving(c.Upstream, c.ID) },
 		Continues: c.LastEventID != "",
 		OnLimit: func(rate float64, named bool) {
@@ -195,7 +203,7 @@
 	}
 	out := itemOutcome{
 		Result: a.Result(ctx), Status: a.Status, NotRun: a.Info.NotRun, Complete: a.Success(),
-		Text: got.text.String(), Events: got.events, LastEventID: got.lastEventID, TooLong: tooLong,
+		Text: got.text.String(), Events: got.events, LastEventID: got.lastEventID, TooLong: tooLong, Pace: named.record(),
 	}
 	if a.Err != nil {
 		out.Err, out.Silent = a.Err.Error(), errors.Is(a.Err, forward.ErrSilent)
@@ -262,6 +270,7 @@
 			load:  func(running, waiting int) { h.pool.Report(c.Upstream.ID, running, waiting) },
 			wrote: func() { h.pool.Wrote(itemKey(c.Slot)) },
 			limit: func(rate float64, named bool) { h.pool.Limit(itemKey(c.Slot), rate, named) },
+			pace:  func(pace float64) { h.applyItemPace(c.Slot, &paceRecord{Percent: percent(pace)}) },
 		})
 		return out, h.opts.VMID
 	}
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -53,7 +53,10 @@
 	case methodAsk:
 		return h.ask(s, in)
 	case methodRelease:
-		return handleMessage(in, func(m releaseNotice) { h.pool.Release(slot.Key{Owner: s.owner, ID: m.ID}, m.Result) })
+		return handleMessage(in, func(m releaseNotice) {
+			h.pool.Paces(s.owner, m.Paces)
+			h.pool.Release(slot.Key{Owner: s.owner, ID: m.ID}, m.Result)
+		})
 	case methodInventory:
 		return handleMessage(in, func(m inventoryNotice) { h.reconcile(s, m) })
 	case methodReport:
@@ -170,10 +173,9 @@
 		return err
 	}
 	h.metrics.asks.Inc(1)
+	h.pool.Paces(s.owner, m.Paces)
 	h.pool.Ask(m.request(h.opts.Now(), s.owner), asker{
-		granted: func(g slot.Grant) {
-			in.Answer(askAnswer{Upstream: &g.Upstream, Trial: g.Trial, BoundBy: g.Request.BoundBy})
-		},
+		granted: func(g slot.Grant) { in.Answer(grantAnswer(g)) },
 		refused: func(r slot.Refusal) {
 			h.metrics.refused.Inc(1)
 			l := h.pool.Load(r.Request.Service)
