Weight of bytes between zones as an option; nodes that decide alone don't weigh

Cause: a node without a home knows other zones' load from reports of its own answers only, so that they look idle; and what its few requests an upstream show of paces is too little. Adopted grants begin at the takeover for the pool, not when they did. Hold times of some milliseconds differ by the way of the release to the home. Change: pools that trust reports compare as before; grants of another pool teach nothing; 10 ms are added to hold times before they are compared. mothcart home -zone-megabyte sets the weight.

--- a/cmd/mothcart/node.go
+++ b/cmd/mothcart/node.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"mothcart/core/zone"
 	"mothcart/io/logs"
 	"mothcart/io/node"
 	"mothcart/platform"
@@ -45,7 +46,8 @@
 	path := fs.String("settings", os.Getenv(platform.SettingsVariable), "settings `FILE` of the platform; "+platform.SettingsVariable+" by default")
 	level := fs.String("log", "info", "lowest `LEVEL` of events that are logged")
 	checkOnly := fs.Bool("check", false, "check the settings and exit")
-	if _, code, proceed := parseArguments(fs, name+" [-settings FILE] [-log LEVEL] [-check]", 0, args, out, errOut); !proceed {
+	megabyte := fs.Duration("zone-megabyte", 0, "`TIME` of callers that one megabyte between availability zones is worth; if set, zones are weighed also for services whose upstreams name no pace")
+	if _, code, proceed := parseArguments(fs, name+" [-settings FILE] [-log LEVEL] [-zone-megabyte TIME] [-check]", 0, args, out, errOut); !proceed {
 		return code
 	}
 	settings, err := platform.ReadSettings(*path)
@@ -68,7 +70,11 @@
 		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
 	}
 	log = log.With().Str("node", settings.VMID).Logger()
-	if err := run(ctx, node.NewOptions(settings, *path, log, registry)); err != nil {
+	opts := node.NewOptions(settings, *path, log, registry)
+	if *megabyte > 0 {
+		opts.Zones = zone.NewCosts().WithPerMegabyte(*megabyte)
+	}
+	if err := run(ctx, opts); err != nil {
 		log.WithLevel(zerolog.ErrorLevel).Err(err).Msg("nodeFailed")
 		fmt.Fprintf(errOut, "mothcart %s: %v\n", name, err)
 		return exitFailure
--- a/core/slot/grants.go
+++ b/core/slot/grants.go
@@ -14,6 +14,8 @@
 	excess, lasting float32
 	// trial reports that the grant decides about a suspected part of the prompt, or about the request.
 	trial bool
+	// adopted reports that another pool made the grant, at a time that isn't known.
+	adopted bool
 }
 
 // addGrant records that the request of g holds a slot of an upstream.
--- a/core/slot/pace.go
+++ b/core/slot/pace.go
@@ -30,6 +30,9 @@
 	paceDoubt  = 8
 	// usualWeight is the number of requests over which the usual hold time and the belief in figures are averaged.
 	usualWeight = 256
+	// paceGrain keeps differences of a few milliseconds, such as the time that a release takes to the home, from being taken
+	// for those of upstreams.
+	paceGrain = 10 * time.Millisecond
 	// figureWindow is the time over which an upstream's mean figure is averaged.
 	figureWindow = 10 * time.Second
 	// maxPaceRatio bounds each hold time and figure relative to the usual one, so that no single one counts for much.
@@ -171,18 +174,18 @@
 	}
 }
 
-// learnPace learns from the hold time of a served request that ran in one attempt.
+// learnPace learns from the hold time of a served request that ran in one attempt, which this pool has granted.
 func (p *Pool) learnPace(now time.Time, s *service, g *grant) {
 	m, u := &s.paces, g.upstream
 	held := now.Sub(g.since)
-	if !m.known || held <= 0 || g.request.Ran > 0 || g.request.Continues {
+	if !m.known || g.adopted || held <= 0 || g.request.Ran > 0 || g.request.Continues {
 		return
 	}
 	usual := &m.usual
 	if g.request.Batch {
 		usual = &m.usualBatch
 	}
-	x := math.Log(held.Seconds())
+	x := math.Log((held + paceGrain).Seconds())
 	if usual.n == 0 {
 		usual.add(x, usualWeight)
 	}
@@ -209,8 +212,7 @@
 		u.pace.lastingClass = boundClass(at)
 	}
 	class := u.pace.lastingClass
-	// Nodes that decide alone would all follow the same figure.
-	if u.pace.excess > minExcess && p.aloneNodes == 0 && p.service(u.Service).paces.belief() > 0 {
+	if u.pace.excess > minExcess && p.service(u.Service).paces.belief() > 0 {
 		class = min(class+1, maxPaceClass)
 	}
 	if class != u.pace.class {
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -180,7 +180,7 @@
 	if u == nil || p.has(r.Key) {
 		return
 	}
-	p.addGrant(now, &grant{request: r}, u)
+	p.addGrant(now, &grant{request: r, adopted: true}, u)
 }
 
 // Release frees the slot that the request holds, or removes the request from the queue.
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -302,3 +302,9 @@
 	o.TrustReports = trust
 	return o
 }
+
+// WithZones returns the options with the costs of requests that leave their zone.
+func (o Options) WithZones(costs zone.Costs) Options {
+	o.Zones = costs
+	return o
+}
--- a/core/slot/weigh.go
+++ b/core/slot/weigh.go
@@ -29,7 +29,7 @@
 // pace or the costs of leaving a zone are set, and else by zone and then by load.
 func (p *Pool) weigh(now time.Time, s *service, r *Request) {
 	costs := p.zoneCosts(s)
-	if !costs.IsSet() {
+	if !costs.IsSet() || p.opts.TrustReports { // a node that decides alone doesn't know the load of other zones
 		r.weighed = false
 		return
 	}
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -311,7 +311,7 @@
 			c.inventory.end(c.connection(), c.released(r.Key.ID, result))
 		},
 		Report: func(_ time.Time, running, waiting int) { c.report(u.ID, running, waiting) },
-		Pace:   func(pace float64) { c.namedPace(r.Key, pace) },
+		Pace:   func(pace float64) { c.paces.add(c.opts.Now(), r.Key.ID, pace) },
 		Began: func(stream string) {
 			c.opts.Origins.Record(stream, u.Version)
 			c.notify(methodBegan, beganNotice{Stream: stream, Version: u.Version})
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -34,6 +34,7 @@
 	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
+	"mothcart/core/zone"
 	"mothcart/io/link"
 	"mothcart/io/object"
 )
@@ -50,6 +51,8 @@
 	// OwnRuns is the number of items that the home runs itself at the same time before it dispatches
 	// further ones to other nodes.
 	OwnRuns int
+	// Zones are the costs of requests that leave their availability zone; the zero value means those of slot.Options.
+	Zones zone.Costs
 	// Config returns the configuration in force.
 	Config func() site.Config
 	// SlotsOnly makes this a fallback home, which only grants slots. Such a home runs while the object service
@@ -171,7 +174,7 @@
 		undelivered: make(map[string]time.Time), runners: make(map[string]*runnerNode),
 		nodes: make(map[string]*link.Conn), listed: newListedJobs(),
 	}
-	h.pool = NewSlotPool(opts.Origins.poolOptions(withConfig(slot.NewOptions(), opts.Config), opts.SoleVersion), opts.Now, h.foundSuspects, h.limitsChanged)
+	h.pool = NewSlotPool(opts.Origins.poolOptions(withConfig(slot.NewOptions().WithZones(opts.Zones), opts.Config), opts.SoleVersion), opts.Now, h.foundSuspects, h.limitsChanged)
 	h.pool.ImportSuspects(opts.Suspects)
 	if opts.SlotsOnly {
 		return h
--- a/io/home/pace.go
+++ b/io/home/pace.go
@@ -74,13 +74,6 @@
 	return out
 }
 
-// namedPace records the pace that the upstream of a request named.
-func (c *Client) namedPace(k slot.Key, pace float64) {
-	now := c.opts.Now()
-	c.localPool.Paces(k.Owner, []paceRecord{newPaceRecord(k.ID, pace, 0)})
-	c.paces.add(now, k.ID, pace)
-}
-
 // released returns the notice that a request has ended, with the paces that wait.
 func (c *Client) released(id uint64, result slot.Result) releaseNotice {
 	return releaseNotice{ID: id, Result: result, Paces: c.paces.take(c.opts.Now())}
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -212,7 +212,7 @@
 	o := n.base.opts
 	return home.Options{
 		VMID: o.Settings.VMID, AvailabilityZone: o.Settings.AvailabilityZone, Address: n.base.peerAddress(), Term: term, Objects: n.base.objects,
-		Runner: n.base.runner, OwnRuns: o.OwnRuns, Config: n.base.currentConfig, Valid: valid,
+		Runner: n.base.runner, OwnRuns: o.OwnRuns, Zones: o.Zones, Config: n.base.currentConfig, Valid: valid,
 		Views: n.views, ObjectsDown: n.base.objectsDown,
 		Before: n.base.client.Home(), Dial: o.Connect(connectTimeout), Checkpoints: n.base.checkpoints,
 		Suspects: n.base.client.Suspects(), PushSuspects: n.server.PushSuspects,
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -25,6 +25,7 @@
 
 	"mothcart/core/poison"
 	"mothcart/core/site"
+	"mothcart/core/zone"
 	"mothcart/io/carrier"
 	"mothcart/io/clock"
 	"mothcart/io/dial"
@@ -55,6 +56,8 @@
 	Listen  func(ctx context.Context, address string) (net.Listener, error)
 	// OwnRuns is the number of items that a home runs itself before it assigns items to other nodes.
 	OwnRuns int
+	// Zones are the costs of requests that leave their availability zone; the zero value means those of slot.Options.
+	Zones zone.Costs
 	// Now is the clock for decisions; NewOptions sets the system's clock.
 	Now func() time.Time
 	// reloaded holds the settings of the last reload; nil before the first one.
