--- a/core/slot/weigh.go
+++ b/core/slot/weigh.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// patience is how many times its remaining time a batch item must have until its due time to go to a slow upstream:
-	// the pace of the slowest usual class, and a third for the wait and for preemptions.
-	patience = 3
+	// patience is how many times its remaining time a batch item must have until its due time to go to a slow upstream, where
+	// it takes twice as long and may be preempted.
+	patience = 4
 	// batchCrossing is how much more of its slots an upstream of the item's zone must have in use than one of another zone
 	// for the item to leave. Items leave before online requests do, which thereby keep the slots of their zone.
 	batchCrossing = 0.2
