--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -40,12 +40,17 @@
 	// An entry still considered the object service unreachable after it had recovered, because the entry
 	// received changes from the home by then; it answered reads of jobs with 503.
 	701, 709, 710, 713, 721, 725,
+	// Engines of different pace.
+	firstUnevenSeed,
 }
 
 // firstSilentSeed is the first seed whose engines also fall silent beside the other faults; the seeds before it run as
 // when they failed.
 const firstSilentSeed = 800
 
+// firstUnevenSeed is the first seed whose engines also differ in pace.
+const firstUnevenSeed = 1200
+
 // TestSoak runs each seed on a new site. It guards against answers that belong to another request, requests
 // that run more often than they may, lost jobs, and entries that don't serve again after random faults.
 func TestSoak(t *testing.T) {
@@ -90,6 +95,9 @@
 	if seed >= firstSilentSeed {
 		traffic.Go(func() { s.silences(rand.New(rand.NewPCG(seed, 8)), stop) })
 	}
+	if seed >= firstUnevenSeed {
+		traffic.Go(func() { s.paces(rand.New(rand.NewPCG(seed, 9)), stop) })
+	}
 	s.injectFaults(rand.New(rand.NewPCG(seed, 7)), time.Duration(*seconds)*time.Second)
 	close(stop)
 	traffic.Wait()
