--- a/core/slot/pace.go
+++ b/core/slot/pace.go
@@ -40,12 +40,12 @@
 	// figureLife is the age up to which a figure is used. Work beside an upstream on its VM goes on for some hundred
 	// milliseconds.
 	figureLife = 400 * time.Millisecond
-	// minBelief is the belief below which figures don't count. It is low, since a hold time outlasts the moment of a figure, while
-	// the first event comes in it.
+	// minBelief is the belief below which figures don't count. It is low, since a hold time outlasts the moment of a figure,
+	// while the first event comes within it.
 	minBelief = 0.05
 	// minExcess is the logarithm of how much longer than on average work must take at the moment to count: half as long again.
 	minExcess = 0.4
-	// beliefDoubt is the variance of figures that the belief must exceed to rise.
+	// beliefDoubt is added to the variance of figures, so that the belief in figures that hardly vary stays low.
 	beliefDoubt = 0.01
 	// minUnevenness is the logarithm of the least figure that shows that a service's upstreams are uneven: a fifth longer.
 	minUnevenness = 0.18
--- a/core/zone/zone.go
+++ b/core/zone/zone.go
@@ -1,4 +1,4 @@
-// Package zone decides when a request leaves the availability zone of the VM that asked.
+// Package zone weighs when a request leaves the availability zone of the VM that asked.
 //
 // Traffic between zones is slower and costs money, yet an upstream of another zone may answer so much sooner that it pays.
 // Both are weighed in one unit, the time of a caller: a crossing costs the time between the zones, and for each byte the
@@ -11,7 +11,7 @@
 // Usage:
 //
 //	costs := zone.NewCosts()
-//	if costs.Leave(700*time.Millisecond, 550*time.Millisecond, zone.Bytes(450, 300)) { ... }
+//	leave := there+costs.Crossing(zone.Bytes(450, 300)) < here
 package zone
 
 import "time"
@@ -45,18 +45,13 @@
 // IsSet reports that crossings are weighed.
 func (c Costs) IsSet() bool { return c != Costs{} }
 
-// Crossing returns what it costs to send a number of bytes across, in time of a caller.
+// Crossing returns what it costs to send a number of bytes across, in time of a caller. A request leaves its zone if its
+// answer is expected sooner elsewhere by more than that.
 func (c Costs) Crossing(bytes int) time.Duration {
 	const megabyte = 1 << 20
 	return c.RoundTrip + c.Margin + time.Duration(float64(c.PerMegabyte)*float64(bytes)/megabyte)
 }
 
-// Leave reports whether a request is better served in another zone: here and there are the times in which it expects its
-// answer in its own zone and in the other one, without the crossing.
-func (c Costs) Leave(here, there time.Duration, bytes int) bool {
-	return c.IsSet() && there+c.Crossing(bytes) < here
-}
-
 const (
 	// bytesPerToken is the size of a token in a request or a streamed event with its frame.
 	bytesPerToken = 6
--- a/core/zone/zone_test.go
+++ b/core/zone/zone_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-func TestLeave(t *testing.T) {
+func TestCrossing(t *testing.T) {
 	const ms = time.Millisecond
 	costs := NewCosts()
 	for _, tc := range []struct {
@@ -23,10 +23,11 @@
 		{"a large answer", costs, 1400 * ms, 700 * ms, 100 << 10, false},
 		{"bytes are free", costs.WithPerMegabyte(0), 700 * ms, 650 * ms, 100 << 10, true},
 		{"sooner by less than the crossing", costs.WithPerMegabyte(0), 700 * ms, 690 * ms, 0, false},
-		{"costs are not set", Costs{}, 1400 * ms, 700 * ms, 0, false},
 	} {
-		require.Equal(t, tc.want, tc.costs.Leave(tc.here, tc.there, tc.bytes), tc.name)
+		require.Equal(t, tc.want, tc.there+tc.costs.Crossing(tc.bytes) < tc.here, tc.name)
 	}
+	require.True(t, costs.IsSet())
+	require.False(t, Costs{}.IsSet())
 }
 
 func TestBytes(t *testing.T) {
