--- a/core/slot/grants.go
+++ b/core/slot/grants.go
@@ -10,11 +10,15 @@
 	request  Request
 	upstream *upstream
 	since    time.Time
+	// excess and lasting are those of the upstream's pace at the time of the grant.
+	excess, lasting float32
 	// trial reports that the grant decides about a suspected part of the prompt, or about the request.
 	trial bool
 	// tokens is what the request holds at the upstream, and large that it is more than the share of one slot.
 	tokens int
 	large  bool
+	// adopted reports that another pool made the grant, at a time that isn't known.
+	adopted bool
 }
 
 // addGrant records that the request of g holds a slot of an upstream.
@@ -25,6 +29,7 @@
 	})
 	r := &g.request
 	g.upstream, g.since = u, now
+	g.excess, g.lasting = float32(u.pace.excess), float32(u.pace.lasting)
 	p.grants[r.Key] = g
 	owned := p.byOwner[r.Key.Owner]
 	if owned == nil {
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -25,6 +25,9 @@
 	// aloneLevel spreads their requests.
 	aloneNodes int
 	aloneLevel func() float64
+	// momentary are the upstreams that have lately named their pace, by the time at which that ends.
+	momentary []momentary
+	crossings Crossings
 }
 
 // NewPool returns a pool without upstreams.
@@ -187,7 +190,7 @@
 		return
 	}
 	p.stand(&r)
-	p.addGrant(now, &grant{request: r}, u)
+	p.addGrant(now, &grant{request: r, adopted: true}, u)
 }
 
 // Release frees the slot that the request holds, or removes the request from the queue.
@@ -205,6 +208,7 @@
 	s := p.service(g.request.Service)
 	if result == Served || result == Failed {
 		s.updateMeanHold(g.request, now.Sub(g.since))
+		p.learnPace(now, s, g)
 	}
 	out := p.settle(now)
 	out.add(p.judgeResult(now, g, result))
@@ -358,6 +362,7 @@
 	s.updateOnlineMean(now)
 	defer s.updateOnlineMean(now)
 	p.plan(now, s)
+	p.endFigures(now)
 	free := 0
 	if len(s.online.items)+len(s.batch.items) > 0 {
 		free = s.index.freeSlots(now, p.opts)
@@ -368,6 +373,7 @@
 		}
 		r := p.candidate(now, &g.request)
 		var u *upstream
+		p.weigh(now, s, r)
 		if free > 0 {
 			u = p.place(now, s, r)
 		}
@@ -385,7 +391,7 @@
 			free += len(out.Preempted) - victims - 1
 		}
 		p.addGrant(now, g, u)
-		out.Granted = append(out.Granted, Grant{Request: g.request, Upstream: u.Upstream, Trial: g.trial})
+		out.Granted = append(out.Granted, Grant{Request: g.request, Upstream: u.Upstream, Choice: p.choice(now, g, u), Trial: g.trial})
 		return gotSlot
 	})
 	if len(s.batch.items) == 0 {
@@ -400,6 +406,7 @@
 			return isHeld
 		}
 		r := p.candidate(now, &g.request)
+		p.weigh(now, s, r)
 		u := p.place(now, s, r)
 		if u == nil && r != &g.request {
 			return isHeld
@@ -409,7 +416,7 @@
 		}
 		spare--
 		p.addGrant(now, g, u)
-		out.Granted = append(out.Granted, Grant{Request: g.request, Upstream: u.Upstream, Trial: g.trial})
+		out.Granted = append(out.Granted, Grant{Request: g.request, Upstream: u.Upstream, Choice: p.choice(now, g, u), Trial: g.trial})
 		return gotSlot
 	})
 	return out
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -44,6 +44,7 @@
 
 	"mothcart/core/poison"
 	"mothcart/core/site"
+	"mothcart/core/zone"
 )
 
 // Key names a request; Owner is the VM that asked, with the incarnation of its process.
@@ -64,6 +65,9 @@
 	// scarce reports that the request may use the slots of one of several software versions only; such requests go
 	// before others that are as urgent, since they can't take the next slot that any upstream has free.
 	scarce bool
+	// weighed, patient and crossing are set by Pool.weigh.
+	weighed, patient bool
+	crossing         float32
 	// standing is the place among the requests of all accounts.
 	standing standing
 	// Priority is the rank among online requests; 0 is the most urgent. That of the account goes before it.
@@ -149,6 +153,8 @@
 type Grant struct {
 	Request  Request
 	Upstream site.Upstream
+	// Choice is what decided about the upstream beside its load.
+	Choice Choice
 	// Trial reports that Wrote is to be called once the upstream writes, since a part of the prompt or the request is
 	// suspected.
 	Trial bool
@@ -264,6 +270,9 @@
 	ReportAge time.Duration
 	// HoldTime is the initial mean of the time that an online request holds a slot.
 	HoldTime time.Duration
+	// Zones are the costs of requests that leave the zone of the VM that asked. Without them only requests of services
+	// whose upstreams name their pace do, by the default costs.
+	Zones zone.Costs
 	// ArrivalReserve is a length of time: batch leaves slots free for the online requests that are
 	// expected to arrive in it, since preempting a batch item costs a connection and a prefill.
 	ArrivalReserve time.Duration
@@ -320,3 +329,9 @@
 	o.TrustReports = trust
 	return o
 }
+
+// WithZones returns the options with the costs of requests that leave their zone.
+func (o Options) WithZones(costs zone.Costs) Options {
+	o.Zones = costs
+	return o
+}
