Items reserve no upstream from online requests; a stopped process ends no caller

Cause: a review. An item that waits for room pushed online requests out of their zone while it couldn't be served; a process that is stopped for longer than stallTime would have ended callers that were behind before. Change: online requests pass over reservations of items; the time without bytes is counted in checks. Tests of the former, and of the metrics of a refusal.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -68,7 +68,7 @@
 	return b
 }
 
-// Held returns the bytes that are held, and Limit how many there may be.
+// Held returns how many bytes are held.
 func (b Budget) Held() int64 { return b.held }
 
 // Limit returns how many bytes may be held.
--- a/core/slot/room.go
+++ b/core/slot/room.go
@@ -151,9 +151,10 @@
 }
 
 // place returns the best upstream with a free slot and room for the request, or nil. The reserved one is left to the
-// request for which it is reserved, and to those before it that can go nowhere else.
+// request for which it is reserved, and to those before it that can go nowhere else. Online requests pass over what items
+// have reserved.
 func (p *Pool) place(now time.Time, s *service, r *Request) *upstream {
-	if s.reserved == nil || s.reserved.request.Key == r.Key {
+	if s.reserved == nil || s.reserved.request.Key == r.Key || (s.reserved.request.Batch && !r.Batch) {
 		return s.index.best(now, r, p.opts)
 	}
 	elsewhere := *r
--- a/core/slot/room_test.go
+++ b/core/slot/room_test.go
@@ -338,3 +338,22 @@
 		require.Equal(t, pools[0].Tick(now), pools[1].Tick(now))
 	}
 }
+
+// Online requests are neither held up nor pushed aside by an item that waits for room.
+func TestItemsReserveNothingFromOnlineRequests(t *testing.T) {
+	p := newRoomPool(upstreams(2, roomSlots))
+	for id := range uint64(2) {
+		require.Len(t, p.Ask(start, sized(online(id), 120_000)).Granted, 1)
+	}
+	require.Empty(t, p.Ask(start, sized(item(9, time.Minute), 100_000)))
+	require.True(t, p.service("scribe").reserved.request.Batch)
+	require.Equal(t, "u0", p.service("scribe").reserved.upstream.ID)
+	for id := range uint64(2 * (roomSlots - 1)) {
+		out := p.Ask(start, sized(online(10+id), usualTokens))
+		require.Len(t, out.Granted, 1)
+		require.Equal(t, id < roomSlots-1, out.Granted[0].Upstream.ID == "u0", "the one in their zone goes first")
+	}
+	out := p.Release(start, online(0).Key, Served)
+	require.Len(t, out.Granted, 1, "the item, as soon as it fits")
+	require.True(t, out.Granted[0].Request.Batch)
+}
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -18,6 +18,9 @@
 //
 // An upstream that names the rate that it takes gets requests at that rate (core/throttle), whatever slots it has free.
 //
+// Where the memory of an upstream is known, a request gets a slot only where its tokens fit beside those of the others; a
+// large one that waits reserves an upstream, so that smaller ones don't fill it again and again.
+//
 // A request whose prompt shares a part with others that crashed upstreams, or that did so in an earlier try, waits until
 // core/poison has decided about it, or is refused.
 //
--- a/io/held/conn.go
+++ b/io/held/conn.go
@@ -110,7 +110,7 @@
 	}
 	c.setBehind()
 	defer c.setCurrent()
-	moved := 0
+	moved, unread := 0, time.Duration(0) // counted in checks, since the process may have been stopped
 	for {
 		n, err := c.writeFor(checkInterval, p[written:])
 		written += n
@@ -118,11 +118,11 @@
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return written, err
 		}
-		if moved >= minMoved {
-			moved = 0
+		if unread += checkInterval; moved >= minMoved {
+			moved, unread = 0, 0
 			c.setMoved()
 		}
-		if err := c.ended(); err != nil {
+		if err := c.ended(unread); err != nil {
 			c.drop()
 			return written, err
 		}
@@ -159,15 +159,12 @@
 	delete(b.behind, c)
 }
 
-// ended returns why the connection is to end, or nil.
-func (c *Conn) ended() error {
+// ended returns why the connection of a caller that has not read for some time is to end, or nil.
+func (c *Conn) ended(unread time.Duration) error {
 	if c.evicted.Load() {
 		return ErrEvicted
 	}
-	b := c.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if unread := b.opts.Now().Sub(c.movedAt); unread >= stallTime {
+	if b := c.budget; unread >= stallTime {
 		b.stalled.Inc(1)
 		b.opts.Log.Info().Str("caller", c.RemoteAddr().String()).Dur("unreadMillis", unread).Msg("callerStalled")
 		return ErrStalled
--- a/io/node/memory_test.go
+++ b/io/node/memory_test.go
@@ -84,5 +84,9 @@
 		require.Less(t, r.took, 50*time.Millisecond)
 		require.NotEmpty(t, r.header.Get("Retry-After"))
 		require.Zero(t, s.runsOf("r1"))
+		time.Sleep(2 * time.Second)
+		home := s.homes["s1"].base
+		require.Equal(t, int64(1), home.opts.Registry.Get("home.refused.tooLarge").(interface{ Count() int64 }).Count())
+		require.Equal(t, int64(3*fake.TokenCapacity), gauge(home, "home.tokens.scribe.capacity"))
 	})
 }
