Verdicts on failures: no look at the waiting ones without the lock

Cause: where none waited, settle kept the map and read it after the lock was released. TestVerdictsBesideEachOther shows it with -race.

--- a/io/carrier/carrier_test.go
+++ b/io/carrier/carrier_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -235,3 +236,18 @@
 		require.False(t, <-verdicts)
 	})
 }
+
+// Guards against failures that are judged more than once, or never, while connections end beside each other.
+func TestVerdictsBesideEachOther(t *testing.T) {
+	l := newLinks(t, 1)
+	const failures = 200
+	verdicts := make(chan bool, 2*failures)
+	var all sync.WaitGroup
+	for i := range failures {
+		all.Go(func() { l.Judge(func(failed bool) { verdicts <- failed }) })
+		all.Go(func() { l.dial(t, i%9) })
+	}
+	all.Wait()
+	l.dial(t, 1)
+	require.Len(t, verdicts, failures)
+}
--- a/io/carrier/judge.go
+++ b/io/carrier/judge.go
@@ -41,9 +41,11 @@
 func (l *Links) settle(failed bool) {
 	l.mu.Lock()
 	settled := l.waiting
-	if len(settled) > 0 {
-		l.waiting = make(map[*waiting]struct{})
+	if len(settled) == 0 {
+		l.mu.Unlock()
+		return
 	}
+	l.waiting = make(map[*waiting]struct{})
 	l.mu.Unlock()
 	if !failed {
 		l.excused.Inc(int64(len(settled)))
