--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -37,7 +37,7 @@
 // fail ends a request that no upstream served successfully.
 func (x *exchange) fail(ctx context.Context, reason string, now time.Time, refusal slot.Refusal) {
 	switch {
-	case callerGone(ctx):
+	case x.f.callerGone(ctx):
 		x.done(now, "", "callerGone", 0)
 		panic(http.ErrAbortHandler)
 	case x.started:
