Limits of client accounts over all nodes: buckets, shares and the pool's hook

Cause: nothing limits the online requests of an account; slot.Request carries the account and nobody reads it. Conclusion: the home and the nodes still have to pass it on.

--- a/core/admit/limit.go
+++ b/core/admit/limit.go
@@ -19,20 +19,55 @@
 	return Bucket{rate: rate, burst: capacity, tokens: capacity, at: now}
 }
 
+// BucketOf returns a bucket that holds a number of tokens, at most its burst.
+func BucketOf(now time.Time, rate, burst, tokens float64) Bucket {
+	return Bucket{tokens: tokens, at: now}.WithLimit(now, rate, burst)
+}
+
 // WithRate returns the bucket with another rate and burst; the tokens stay, up to the new burst.
 func (b Bucket) WithRate(now time.Time, rate float64, burst int) Bucket {
+	return b.WithLimit(now, rate, float64(burst))
+}
+
+// WithLimit is WithRate with a burst that need not be a whole number.
+func (b Bucket) WithLimit(now time.Time, rate, burst float64) Bucket {
 	b = b.refilled(now)
 	b.rate = rate
-	b.burst = math.Max(1, float64(burst))
+	b.burst = math.Max(1, burst)
 	b.tokens = math.Min(b.tokens, b.burst)
 	return b
 }
 
+// Tokens returns the number of tokens; it is negative if some were taken ahead of time.
+func (b Bucket) Tokens(now time.Time) float64 { return b.refilled(now).tokens }
+
+// Add adds tokens, up to the burst, or takes them ahead of time if n is negative.
+func (b Bucket) Add(now time.Time, n float64) Bucket {
+	b = b.refilled(now)
+	b.tokens = math.Min(b.tokens+n, b.burst)
+	return b
+}
+
+// Until returns the time until the bucket holds a token.
+func (b Bucket) Until(now time.Time) time.Duration {
+	missing := 1 - b.Tokens(now)
+	switch {
+	case missing <= 0:
+		return 0
+	case b.rate <= 0:
+		return maxRetryAfter
+	}
+	return time.Duration(min(missing/b.rate, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
+// IsFull reports that the bucket holds its burst.
+func (b Bucket) IsFull(now time.Time) bool { return b.Tokens(now) >= b.burst }
+
 // TakeUpTo takes up to n tokens and returns their number. If there are none, it returns the time until the
 // next token.
 func (b Bucket) TakeUpTo(now time.Time, n int) (Bucket, int, time.Duration) {
 	b = b.refilled(now)
-	granted := min(n, int(b.tokens))
+	granted := max(min(n, int(b.tokens)), 0)
 	b.tokens -= float64(granted)
 	if granted > 0 {
 		return b, granted, 0
@@ -40,8 +75,7 @@
 	if b.rate <= 0 {
 		return b, 0, maxRetryAfter
 	}
-	wait := time.Duration((1 - b.tokens) / b.rate * float64(time.Second))
-	return b, 0, clampRetry(wait)
+	return b, 0, clampRetry(b.Until(now))
 }
 
 func (b Bucket) refilled(now time.Time) Bucket {
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -25,6 +25,7 @@
 	// aloneLevel spreads their requests.
 	aloneNodes int
 	aloneLevel func() float64
+	accounts   accountState
 }
 
 // NewPool returns a pool without upstreams.
@@ -53,6 +54,9 @@
 // grants of a removed upstream stay until they are released. Waiting requests that are bound to a software
 // version of which no upstream is left are refused.
 func (p *Pool) SetUpstreams(now time.Time, list []site.Upstream) Outcome {
+	if p.accounts.startedAt.IsZero() {
+		p.accounts.startedAt = now
+	}
 	old := p.upstreams
 	p.upstreams = make(map[string]*upstream, len(list))
 	for _, s := range p.services {
@@ -128,6 +132,9 @@
 		s.batch.push(&grant{request: r})
 		return p.serve(now, s)
 	}
+	if refusal, ok := p.charge(now, &r); ok {
+		return Outcome{Refused: []Refusal{refusal}}
+	}
 	s.countArrival(now)
 	r.late, r.scarce = r.missesObjective(now), s.isScarce(r)
 	g := &grant{request: r}
@@ -135,6 +142,7 @@
 	out := p.serve(now, s)
 	if s.online.has(r.Key) {
 		if refusal, ok := p.refuse(now, s, g); ok {
+			p.refund(now, &g.request)
 			s.online.remove(r.Key)
 			out.Refused = append(out.Refused, refusal)
 		}
@@ -184,6 +192,7 @@
 func (p *Pool) Release(now time.Time, k Key, result Result) Outcome {
 	g, ok := p.grants[k]
 	if !ok {
+		p.refundWaiting(now, func(waiting Key) bool { return waiting == k })
 		for _, s := range p.services {
 			s.online.remove(k)
 			s.batch.remove(k)
@@ -222,6 +231,8 @@
 	for _, g := range p.byOwner[owner] {
 		p.removeGrant(now, g)
 	}
+	p.refundWaiting(now, func(k Key) bool { return k.Owner == owner })
+	p.left(now, owner)
 	for _, s := range p.services {
 		s.online.removeOwner(owner)
 		s.batch.removeOwner(owner)
@@ -239,6 +250,7 @@
 			p.removeGrant(now, g)
 		}
 	}
+	p.refundWaiting(now, func(k Key) bool { return k.Owner == owner && !open(k.ID) })
 	for _, s := range p.services {
 		for _, l := range []*waitList{&s.online, &s.batch} {
 			closed := l.removeIf(func(r Request) bool { return r.Key.Owner == owner && !open(r.Key.ID) })
@@ -275,6 +287,7 @@
 	for _, s := range p.services {
 		s.online.demote(func(r Request) bool { return r.missesObjective(now) })
 		for _, r := range s.online.expired(now) {
+			p.refund(now, &r)
 			if r.late && r.Deadline.After(r.Objective) {
 				s.refuseLateUntil = now.Add(refuseLateTime)
 			}
--- a/core/slot/refuse.go
+++ b/core/slot/refuse.go
@@ -46,6 +46,7 @@
 				continue
 			}
 			for _, r := range l.removeIf(func(r Request) bool { return r.Version != "" && p.remainingSlots(s, &r) == 0 }) {
+				p.refund(now, &r)
 				refusal, _ := p.refuseVersion(now, s, &r)
 				out.Refused = append(out.Refused, refusal)
 			}
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -36,6 +36,7 @@
 package slot
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"mothcart/core/poison"
@@ -97,6 +98,8 @@
 	Account string
 	// Charged reports that an earlier attempt at the request counts against the limit of its account.
 	Charged bool
+	// holdsToken reports that the request has taken a token of its account in this pool.
+	holdsToken bool
 	// PromptTokens and OutputTokens are the sizes of the prompt and of the longest output, ExpectedTokens is the caller's
 	// estimate of the output; 0 means not known.
 	PromptTokens, OutputTokens, ExpectedTokens int
@@ -251,6 +254,8 @@
 	SoleVersion func(now time.Time, service string) (string, bool)
 	// Account returns the client account with a name; false if the configuration in force has no such account.
 	Account func(name string) (site.Account, bool)
+	// Random returns random numbers from 0 to 1.
+	Random func() float64
 	// TokenCapacity returns the number of tokens that the requests at one upstream of a service may hold; 0 means not
 	// known.
 	TokenCapacity func(service string) int
@@ -271,6 +276,7 @@
 		Origin:         func(string) (string, bool) { return "", false },
 		SoleVersion:    func(time.Time, string) (string, bool) { return "", false },
 		Account:        func(string) (site.Account, bool) { return site.Account{}, false },
+		Random:         rand.Float64,
 		TokenCapacity:  func(string) int { return 0 },
 	}
 }
