Home, nodes and entries pass limits of accounts on; a caller over its limit gets 429

Cause: the limiter of the pool was not reached: nodes didn't learn of accounts, a lost node was no matter to the home, and a refusal for a limit was told as 503. Change: the answer to a question for a slot carries what the node should know of the request's account, and the names of accounts that have just used up their tokens; hello says whether the node has had such requests; the notice of relays has the number of nodes that have. A home without that answer is of an earlier release, and the node limits the account itself. The home expects as many nodes as the last one had. 429 passes through carriers as not run. Ruled out: a field of the hello's answer (a byte for sites without accounts; the answer's standing shows it too); the list of use by account in each hello (the shares need none, and the level of a new home is safe without it). Conclusion: accounts are limited as soon as entries set slot.Request.Account.

--- a/core/quota/alone.go
+++ b/core/quota/alone.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// assumedNodes is the number of nodes that a node assumes until a home has told it; sites have some ten to hundred.
-	assumedNodes = 100
+	// assumedNodes is the number of nodes that a node assumes until a home has told it; large sites have as many.
+	assumedNodes = 200
 	// newHomePart is the part of an account's last requests below which a home that tells their number is a new one.
 	newHomePart = 0.7
 	// aloneRetry is the longest time after which a node that decides alone tells a caller to retry, and about that until
@@ -159,8 +159,6 @@
 	return admit.BucketOf(now, a.Rate*acc.share, burst, tokens)
 }
 
-const flo = 0.25
-
 // firstTokenChance returns the probability with which a node begins a phase with at least one token of an account of which
 // a number of tokens are unused. A part of a token is of no use to the callers of a small account, who come to any node;
 // so as many nodes get a whole one as the account has tokens for, if it floods all nodes until another home serves.
--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -81,9 +81,12 @@
 	var v Verdict
 	if n.home != nil {
 		v = n.home.Take(f.now, a, ask)
-		n.limiter.Learn(f.now, a.Name, n.home.Standing(f.now, a, n.owner), v.OK)
-		n.alone, n.asks = false, true
-		f.told = max(f.told, n.home.Asking())
+		n.alone = false
+		if a.Limited() {
+			n.limiter.Learn(f.now, a.Name, n.home.Standing(f.now, a, n.owner), v.OK)
+			n.asks = true
+		}
+		f.told = n.home.Asking(f.now)
 	} else {
 		if !n.alone {
 			n.limiter.Alone(f.now, f.told)
--- a/core/quota/promise.go
+++ b/core/quota/promise.go
@@ -11,6 +11,8 @@
 	// keptFor is how long a token is kept for a caller beyond the time at which it was told to return; about two round
 	// trips over a slow mobile connection.
 	keptFor = 300 * time.Millisecond
+	// maxKeptPart bounds the part of a bucket's burst that is kept for callers.
+	maxKeptPart = 0.5
 	// early is how much too early a caller may be, from rounding and from clocks that run unevenly.
 	early = 20 * time.Millisecond
 	// maxPromises bounds the callers of an account for whom tokens are kept.
@@ -76,13 +78,18 @@
 	if tokens < 1 {
 		return false
 	}
-	if len(acc.promises) > 0 && !acc.promises.claim(now, id) && tokens < 1+acc.promises.dueBy(now.Add(acc.interval())) {
+	if len(acc.promises) > 0 && !acc.promises.claim(now, id) && tokens < 1+acc.kept(now) {
 		return false
 	}
 	acc.bucket = acc.bucket.Add(now, -1)
 	return true
 }
 
+// kept returns the number of tokens that are kept for callers now; it leaves room in the bucket for those of others.
+func (acc *account) kept(now time.Time) float64 {
+	return min(acc.promises.dueBy(now.Add(acc.interval())), maxKeptPart*acc.burst)
+}
+
 // interval returns the time between two tokens.
 func (acc *account) interval() time.Duration {
 	return time.Duration(float64(time.Second) / (acc.limit.Rate * acc.share))
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -57,7 +57,7 @@
 // The parts of the spare requests. Two homes may begin within a window, so that startPart counts twice; the rest is left
 // for tokens that nodes alone can't divide evenly.
 const (
-	burstPart = 0.45
+	burstPart = 0.5
 	alonePart = 0.25
 	startPart = 0.1
 )
@@ -100,7 +100,9 @@
 // account is the state of an account.
 type account struct {
 	bucket admit.Bucket
-	limit  site.Account
+	// burst is that of the bucket.
+	burst float64
+	limit site.Account
 	// used counts the account's last requests over all nodes.
 	used count
 	// share is the part of the limit that this home uses, as of sharedAt and of a state of the members.
@@ -133,6 +135,9 @@
 		v = l.takeShared(now, a, ask)
 	}
 	if !v.OK {
+		if len(l.refused) == maxRefused {
+			clear(l.refused) // nobody reads them on nodes that aren't the home
+		}
 		l.refused[a.Name]++
 	}
 	return v
@@ -168,8 +173,8 @@
 func (l *Limiter) account(now time.Time, a site.Account) *account {
 	acc := l.accounts[a.Name]
 	if acc == nil {
-		acc = &account{limit: a, share: 1}
-		acc.bucket = admit.BucketOf(now, a.Rate, l.tolerance.burst(a), l.startLevel(now, a))
+		acc = &account{limit: a, share: 1, burst: l.tolerance.burst(a)}
+		acc.bucket = admit.BucketOf(now, a.Rate, acc.burst, l.startLevel(now, a))
 		l.accounts[a.Name] = acc
 	}
 	changed := acc.limit != a
@@ -182,8 +187,8 @@
 		}
 	}
 	if changed {
-		acc.limit = a
-		acc.bucket = acc.bucket.WithLimit(now, a.Rate*acc.share, max(l.tolerance.burst(a)*acc.share, startPart*l.tolerance.spare(a)))
+		acc.limit, acc.burst = a, max(l.tolerance.burst(a)*acc.share, startPart*l.tolerance.spare(a))
+		acc.bucket = acc.bucket.WithLimit(now, a.Rate*acc.share, acc.burst)
 	}
 	return acc
 }
@@ -205,6 +210,9 @@
 	return startPart*l.tolerance.spare(a) + a.Rate*now.Sub(l.startedAt).Seconds()
 }
 
+// maxRefused bounds the accounts whose refusals are counted between two calls of Refusals.
+const maxRefused = 4096
+
 // sweepInterval is the time between two sweeps for what is no longer needed.
 const sweepInterval = 10 * time.Second
 
--- a/core/quota/share.go
+++ b/core/quota/share.go
@@ -10,7 +10,7 @@
 	// countTime is the time constant over which an account's requests are counted. Callers move between nodes within it.
 	countTime = 10 * time.Second
 	// leastCount is the count below which a node's use of an account is forgotten.
-	leastCount = 0.05
+	leastCount = 0.3
 	// evenRequests is the number of requests a node that are assumed to be spread evenly, so that an account with few
 	// requests has even shares.
 	evenRequests = 2
@@ -91,8 +91,13 @@
 	l.members.version++
 }
 
-// Asking returns the number of nodes that ask for requests of accounts, also those that are lost.
-func (l *Limiter) Asking() int { return l.members.asking }
+// Asking returns the number of nodes that ask for requests of accounts, also those that are lost; 0 if none has asked yet.
+func (l *Limiter) Asking(now time.Time) int {
+	if l.members.asking == 0 && l.members.expected == 0 {
+		return 0
+	}
+	return l.members.number(now)
+}
 
 // Joined records that a node has connected; asks reports that it has asked for requests of accounts before.
 func (l *Limiter) Joined(owner string, asks bool) { l.members.join(owner, asks) }
--- a/core/quota/window_test.go
+++ b/core/quota/window_test.go
@@ -98,23 +98,30 @@
 		for _, nodes := range []int{9, 55, 150} {
 			t.Run(fmt.Sprintf("%s, %d nodes", tc.name, nodes), func(t *testing.T) {
 				for _, begin := range []float64{0, 19, 20.2} {
-					f := newFleet(nodes, uint64(nodes))
-					var loads []load
-					for _, rate := range []float64{1.2, 5, 20, 200} {
-						a := site.Account{Name: fmt.Sprintf("a%g", rate), Rate: rate, Burst: 2 * rate}
-						loads = append(loads, load{a, func(s float64) float64 {
-							if s >= begin {
-								return 5 * a.Rate // eight times what an account sends that needs 1/1.6 of its limit
-							}
-							return a.Rate / 1.6
-						}})
-					}
-					f.run(45, loads, tc.events())
-					for _, l := range loads {
-						assert.LessOrEqual(t, float64(f.most(l.account.Name)), DefaultTolerance().Allowed(l.account), "%s, flood from %g s", l.account.Name, begin)
-					}
+					floodStaysWithinLimit(t, newFleet(nodes, uint64(nodes)), begin, tc.events())
 				}
 			})
 		}
 	}
 }
+
+// floodStaysWithinLimit sends five times the limit of accounts of several sizes from a moment on, which is eight times what
+// an account sends that needs 1/1.6 of its limit.
+func floodStaysWithinLimit(t *testing.T, f *fleet, begin float64, events []event) {
+	var loads []load
+	for _, rate := range []float64{1.2, 5, 20, 200} {
+		for _, burst := range []float64{0, 2} {
+			a := site.Account{Name: fmt.Sprintf("%g+%g", rate, burst), Rate: rate, Burst: burst * rate}
+			loads = append(loads, load{a, func(s float64) float64 {
+				if s >= begin {
+					return 5 * a.Rate
+				}
+				return a.Rate / 1.6
+			}})
+		}
+	}
+	f.run(45, loads, events)
+	for _, l := range loads {
+		assert.LessOrEqual(t, float64(f.most(l.account.Name)), DefaultTolerance().Allowed(l.account), "%s, flood from %g s", l.account.Name, begin)
+	}
+}
--- a/core/slot/account.go
+++ b/core/slot/account.go
@@ -135,9 +135,9 @@
 }
 
 // AskingNodes returns the number of nodes with requests of accounts.
-func (p *Pool) AskingNodes() int {
+func (p *Pool) AskingNodes(now time.Time) int {
 	if l := p.accounts.limiter; l != nil {
-		return l.Asking()
+		return l.Asking(now)
 	}
 	return 0
 }
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -162,23 +162,6 @@
 	return false
 }
 
-// bind binds a request that continues a stream to the software version at which that began. It reports false if nobody
-// knows it: what two versions write doesn't fit together, so that a guess could spoil the stream.
-func (p *Pool) bind(now time.Time, r *Request) bool {
-	if !r.Continues || r.Version != "" {
-		return true
-	}
-	if version, ok := p.opts.Origin(r.Resumes); ok {
-		r.Version, r.BoundBy = version, BoundByPool
-		return true
-	}
-	version, ok := p.opts.SoleVersion(now, r.Service)
-	if ok {
-		r.Version, r.BoundBy = version, BoundBySoleVersion
-	}
-	return ok
-}
-
 // Adopt records a grant that another pool has made, such as that of the previous home.
 func (p *Pool) Adopt(now time.Time, r Request, upstreamID string) {
 	u := p.upstreams[upstreamID]
@@ -192,8 +175,10 @@
 func (p *Pool) Release(now time.Time, k Key, result Result) Outcome {
 	g, ok := p.grants[k]
 	if !ok {
-		p.refundWaiting(now, func(waiting Key) bool { return waiting == k })
 		for _, s := range p.services {
+			if s.online.has(k) {
+				p.refundWaiting(now, func(waiting Key) bool { return waiting == k })
+			}
 			s.online.remove(k)
 			s.batch.remove(k)
 		}
--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -52,8 +52,12 @@
 		if refusal.Reason == slot.ReasonQuarantined || refusal.Reason == slot.ReasonQuarantinedRequest {
 			x.log = x.log.With().Strs("parts", poison.Names(x.parts)).Stringer("identity", x.identity).Logger()
 		}
-		refuse(x.w, refusal.RetryAfter, refusalText(refusal.Reason))
-		x.done(now, "", "refused:"+reason, http.StatusServiceUnavailable)
+		status := refusalStatus(refusal.Reason)
+		if refusal.Reason == slot.ReasonOverLimit {
+			x.f.metrics.overLimit.Inc(1)
+		}
+		refuse(x.w, status, refusal.RetryAfter, refusalText(refusal.Reason))
+		x.done(now, "", "refused:"+reason, status)
 	case ctx.Err() != nil || !now.Before(x.req.Deadline):
 		x.f.metrics.failed.Inc(1)
 		http.Error(x.w, "no answer in time", http.StatusGatewayTimeout)
@@ -66,11 +70,21 @@
 }
 
 // Refuse answers that a request has not run, and when the caller should retry.
-func Refuse(w http.ResponseWriter, retryAfter time.Duration) { refuse(w, retryAfter, refusalText("")) }
+func Refuse(w http.ResponseWriter, retryAfter time.Duration) {
+	refuse(w, http.StatusServiceUnavailable, retryAfter, refusalText(""))
+}
+
+// refusalStatus returns the status of the answer to a refused caller.
+func refusalStatus(reason slot.Reason) int {
+	if reason == slot.ReasonOverLimit {
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
 
-func refuse(w http.ResponseWriter, retryAfter time.Duration, text string) {
+func refuse(w http.ResponseWriter, status int, retryAfter time.Duration, text string) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(max(retryAfter, minRetryAfter).Seconds(), 'f', 3, 64))
-	http.Error(w, text, http.StatusServiceUnavailable)
+	http.Error(w, text, status)
 }
 
 // refusalText returns what a refused caller is told.
@@ -86,6 +100,8 @@
 		return "not run; no entry reaches the upstreams"
 	case slot.ReasonQuarantinedRequest:
 		return "not run; this request crashes upstreams"
+	case slot.ReasonOverLimit:
+		return "not run; the account has used up its limit"
 	default:
 		return "not run; come back later"
 	}
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -172,7 +172,7 @@
 	idle.heard()
 	idle.await()
 	a := Answer{Status: resp.Status, Header: resp.Header, Info: codec.Read(resp.Header), Sent: true, unframed: resp.Unframed}
-	if call.Carried && !a.Info.Signed && (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusNotFound) {
+	if call.Carried && !a.Info.Signed && isOwnRefusal(a.Status) {
 		a.Info.NotRun = true // the other entry's own answer
 	}
 	call.observe(a)
@@ -191,6 +191,11 @@
 	return a
 }
 
+// isOwnRefusal reports that an entry answers with a status if it has not sent a request.
+func isOwnRefusal(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusNotFound || status == http.StatusTooManyRequests
+}
+
 // observe passes on what the headers of an answer say about the upstream.
 func (c Call) observe(a Answer) {
 	if a.Status == http.StatusMisdirectedRequest {
--- a/io/forward/carried.go
+++ b/io/forward/carried.go
@@ -45,9 +45,17 @@
 
 // carrierRefusal returns the refusal of another entry that could have sent the request, and false for other outcomes.
 func carrierRefusal(lease Lease, a Answer) (slot.Refusal, bool) {
-	if !lease.Carried || a.Status != http.StatusServiceUnavailable || !a.refused() || a.Header.Get(carrier.HeaderUnable) != "" {
+	if !lease.Carried || !a.refused() || a.Header.Get(carrier.HeaderUnable) != "" {
+		return slot.Refusal{}, false
+	}
+	reason := slot.ReasonByCarrier
+	switch a.Status {
+	case http.StatusTooManyRequests:
+		reason = slot.ReasonOverLimit
+	case http.StatusServiceUnavailable:
+	default:
 		return slot.Refusal{}, false
 	}
 	seconds, _ := strconv.ParseFloat(a.Header.Get("Retry-After"), 64) // 0, which means soon, if it names none
-	return slot.Refusal{Reason: slot.ReasonByCarrier, RetryAfter: time.Duration(seconds * float64(time.Second))}, true
+	return slot.Refusal{Reason: reason, RetryAfter: time.Duration(seconds * float64(time.Second))}, true
 }
--- a/io/forward/metrics.go
+++ b/io/forward/metrics.go
@@ -8,7 +8,9 @@
 
 type forwardMetrics struct {
 	answered, refused, failed, broken metrics.Counter
-	attempts, repeats, resumes        metrics.Counter
+	// overLimit counts the refused requests whose account had used up its limit.
+	overLimit                  metrics.Counter
+	attempts, repeats, resumes metrics.Counter
 	// silences counts upstreams that became silent during an attempt, replacements the attempts that followed.
 	silences, replacements metrics.Counter
 	// carried counts attempts through another entry.
@@ -21,7 +23,8 @@
 	timer := func(name string) *scrape.Histogram { return scrape.GetOrRegisterHistogram("online."+name, r) }
 	return forwardMetrics{
 		answered: counter("answered"), refused: counter("refused"), failed: counter("failed"), broken: counter("broken"),
-		attempts: counter("attempts"), repeats: counter("repeats"), resumes: counter("resumes"),
+		overLimit: counter("overLimit"),
+		attempts:  counter("attempts"), repeats: counter("repeats"), resumes: counter("resumes"),
 		silences: counter("silences"), replacements: counter("replacements"), carried: counter("carried"),
 		firstByte: timer("firstByte"), wait: timer("wait"), total: timer("total"),
 	}
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -93,10 +93,12 @@
 	localPool *SlotPool
 	// homeAnswered reports that a home has answered since this node last decided alone.
 	homeAnswered atomic.Bool
-	inventory    *inventory
-	cancel       context.CancelFunc
-	done         sync.WaitGroup
-	wake         chan struct{}
+	// asks reports that this node has had requests of accounts, and unlimitedHome that the home doesn't limit these.
+	asks, unlimitedHome atomic.Bool
+	inventory           *inventory
+	cancel              context.CancelFunc
+	done                sync.WaitGroup
+	wake                chan struct{}
 
 	mu   sync.Mutex
 	home Announcement
@@ -112,7 +114,9 @@
 	// relays lists the addresses of relays.
 	relays []string
 	// nodes is the number of nodes, as a home has last told it.
-	nodes     int
+	nodes int
+	// asking is the number of nodes with requests of accounts.
+	asking    int
 	upstreams map[string]site.Upstream
 	// gone holds the upstreams, by ID and incarnation, that are no longer in this node's list.
 	gone map[site.Key]bool
@@ -241,12 +245,16 @@
 	if refusal, ok := c.localPool.RefuseQuarantined(r); ok {
 		return forward.Lease{}, &refusal, nil
 	}
+	r, overLimit := c.charge(r)
+	if overLimit != nil {
+		return forward.Lease{}, overLimit, nil
+	}
 	for conn := c.connection(); conn != nil; {
 		lease, refusal, err := c.askHome(ctx, conn, r)
 		if err == nil || ctx.Err() != nil {
 			if refusal == nil && err == nil && c.DrainingOrGone(lease.Upstream) {
 				lease.Release(c.opts.Now(), slot.Moved)
-				r.Exclude = append(r.Exclude, lease.Upstream.ID)
+				r.Exclude, r.Charged = append(r.Exclude, lease.Upstream.ID), true
 				continue
 			}
 			return lease, refusal, err
@@ -284,7 +292,11 @@
 		return forward.Lease{}, nil, err
 	}
 	c.homeAnswered.Store(true)
+	c.learn(r, answer.Standing, answer.Upstream != nil)
 	if answer.Upstream == nil {
+		if r.Account != "" {
+			c.localPool.refund(r)
+		}
 		c.inventory.end(nil, releaseNotice{ID: r.Key.ID})
 		return forward.Lease{}, &slot.Refusal{Request: r, Reason: answer.Reason, RetryAfter: answer.RetryAfter}, nil
 	}
@@ -350,24 +362,6 @@
 	}
 }
 
-// remainingObjective returns the remaining time of a request's latency objective, nil if it has none.
-func remainingObjective(now time.Time, r slot.Request) *time.Duration {
-	if r.Objective.IsZero() {
-		return nil
-	}
-	remaining := r.Objective.Sub(now)
-	return &remaining
-}
-
-// assumedNodes is the number of nodes that a node assumes until a home has told it.
-const assumedNodes = 32
-
-func (c *Client) nodeCount() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return cmp.Or(c.nodes, assumedNodes)
-}
-
 type decision struct {
 	grant   slot.Grant
 	refusal *slot.Refusal
@@ -376,6 +370,7 @@
 func (c *Client) decideLocally(ctx context.Context, r slot.Request) (forward.Lease, *slot.Refusal, error) {
 	if c.homeAnswered.Swap(false) {
 		c.localPool.DecideAlone(c.nodeCount())
+		c.localPool.limitAlone(c.askingNodes())
 	}
 	decided := make(chan decision, 1)
 	c.localPool.Ask(r, asker{
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -79,6 +79,8 @@
 	PushSuspects func(records []poison.Record)
 	// Checkpoints holds this node's checkpoints: of the previous home's items, then of its own.
 	Checkpoints *Checkpoints
+	// AskingNodes is the number of nodes with requests of accounts at the previous home; 0 if this node doesn't know it.
+	AskingNodes int
 	// Retirements describes the objects that ask for a VM to be drained. StepDown is called when this VM is
 	// to be drained, and makes another node the home.
 	Retirements Retirements
@@ -145,6 +147,7 @@
 	parts, requests findingMetrics
 	// limitedUpstreams is the number of upstreams that name a rate.
 	limitedUpstreams metrics.Gauge
+	limits           *limitMetrics
 	// bodyBytes is the size of the bodies of open items.
 	bodyBytes metrics.Gauge
 	// retirementWaits is 1 while this VM is to be drained and no other home node can take over.
@@ -163,6 +166,7 @@
 			parts:            findingMetrics{counter("partSuspicions"), counter("partQuarantines"), counter("partsCleared")},
 			requests:         findingMetrics{counter("requestSuspicions"), counter("requestQuarantines"), counter("requestsCleared")},
 			limitedUpstreams: metrics.GetOrRegisterGauge("home.limitedUpstreams", opts.Registry),
+			limits:           newLimitMetrics("home", opts.Registry),
 			bodyBytes:        metrics.GetOrRegisterGauge("home.bodyBytes", opts.Registry),
 			retirementWaits:  metrics.GetOrRegisterGauge("home.retirementWaits", opts.Registry),
 		},
@@ -173,6 +177,9 @@
 	}
 	h.pool = NewSlotPool(opts.Origins.poolOptions(withConfig(slot.NewOptions(), opts.Config), opts.SoleVersion), opts.Now, h.foundSuspects, h.limitsChanged)
 	h.pool.ImportSuspects(opts.Suspects)
+	if opts.AskingNodes > 0 {
+		h.pool.ExpectNodes(opts.AskingNodes)
+	}
 	if opts.SlotsOnly {
 		return h
 	}
@@ -252,6 +259,8 @@
 		case <-t.C:
 			h.sweepJobs(h.opts.Now())
 			h.writeListed(h.opts.Now())
+			tracked, refused := h.pool.limitUse()
+			h.metrics.limits.record(h.opts.Now(), h.opts.Log, tracked, refused)
 			h.metrics.bodyBytes.Update(int64(h.BodyBytes()))
 		}
 	}
--- a/io/home/limit.go
+++ b/io/home/limit.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -58,3 +59,12 @@
 			Float64("ratePerSecond", c.After).Float64("before", c.Before).Msg("upstreamLimited")
 	}
 }
+
+// assumedNodes is the number of nodes that a node assumes until a home has told it.
+const assumedNodes = 32
+
+func (c *Client) nodeCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return cmp.Or(c.nodes, assumedNodes)
+}
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -78,6 +78,8 @@
 	Suspects []poison.Record `msgpack:"parts,omitempty"`
 	// Limits are the rates of upstreams that the node knows.
 	Limits []limitRecord `msgpack:"limits,omitempty"`
+	// Asks reports that the node has had requests of accounts.
+	Asks bool `msgpack:"asks,omitempty"`
 }
 
 type openedSlot struct {
@@ -138,14 +140,25 @@
 	return r
 }
 
+// remainingObjective returns the remaining time of a request's latency objective, nil if it has none.
+func remainingObjective(now time.Time, r slot.Request) *time.Duration {
+	if r.Objective.IsZero() {
+		return nil
+	}
+	remaining := r.Objective.Sub(now)
+	return &remaining
+}
+
 type askAnswer struct {
 	// Upstream is set if a slot was granted.
 	Upstream *site.Upstream `msgpack:"up,omitempty"`
 	// Trial is that of slot.Grant.
 	Trial bool `msgpack:"trial,omitempty"`
 	// BoundBy is that of slot.Request.
-	BoundBy    slot.BoundBy  `msgpack:"by,omitempty"`
-	Reason     slot.Reason   `msgpack:"why,omitempty"`
+	BoundBy slot.BoundBy `msgpack:"by,omitempty"`
+	Reason  slot.Reason  `msgpack:"why,omitempty"`
+	// Standing is that of the request's account; nil if that has no limit. Homes of earlier releases don't send it.
+	Standing   *standing     `msgpack:"acct,omitempty"`
 	RetryAfter time.Duration `msgpack:"retry,omitempty"`
 }
 
@@ -236,6 +249,8 @@
 	// Nodes is the number of connected nodes, and Limits are all rates of upstreams that the home knows.
 	Nodes  int           `msgpack:"nodes,omitempty"`
 	Limits []limitRecord `msgpack:"limits,omitempty"`
+	// Asking is the number of nodes with requests of accounts.
+	Asking int `msgpack:"asking,omitempty"`
 }
 
 // submitRequest asks the home to write a job, for a node that can't reach the object service.
--- a/io/home/receive.go
+++ b/io/home/receive.go
@@ -55,7 +55,7 @@
 // setRelays records what the home tells all nodes at intervals.
 func (c *Client) setRelays(m relaysNotice) {
 	c.mu.Lock()
-	c.relays, c.nodes = m.Relays, m.Nodes
+	c.relays, c.nodes, c.asking = m.Relays, m.Nodes, m.Asking
 	c.mu.Unlock()
 	c.localPool.ImportLimits(decodeLimits(m.Limits), true)
 }
--- a/io/home/server.go
+++ b/io/home/server.go
@@ -112,12 +112,13 @@
 	}
 	s.mu.Unlock()
 	var limits []limitRecord
+	asking := 0
 	if h != nil {
-		limits = encodeLimits(h.pool.ExportLimits())
+		limits, asking = encodeLimits(h.pool.ExportLimits()), h.pool.AskingNodes()
 	}
 	s.server.Each(func(c *link.Conn) {
 		rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
-		c.Notify(methodRelays, relaysNotice{Relays: relays[:min(len(relays), maxRelays)], Nodes: nodes, Limits: limits})
+		c.Notify(methodRelays, relaysNotice{Relays: relays[:min(len(relays), maxRelays)], Nodes: nodes, Limits: limits, Asking: asking})
 	})
 }
 
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -148,6 +148,7 @@
 	h.opts.MarkLeaving(s.owner, siteKeys(m.Leaving))
 	h.pool.ImportSuspects(m.Suspects)
 	h.pool.ImportLimits(decodeLimits(m.Limits), false)
+	h.pool.Joined(s.owner, m.Asks)
 	for _, o := range m.Open {
 		h.adopt(s, o)
 	}
@@ -172,15 +173,15 @@
 	h.metrics.asks.Inc(1)
 	h.pool.Ask(m.request(h.opts.Now(), s.owner), asker{
 		granted: func(g slot.Grant) {
-			in.Answer(askAnswer{Upstream: &g.Upstream, Trial: g.Trial, BoundBy: g.Request.BoundBy})
+			in.Answer(askAnswer{Upstream: &g.Upstream, Trial: g.Trial, BoundBy: g.Request.BoundBy, Standing: h.pool.standing(g.Request)})
 		},
 		refused: func(r slot.Refusal) {
 			h.metrics.refused.Inc(1)
 			l := h.pool.Load(r.Request.Service)
 			h.opts.Log.Info().Str("peer", s.owner).Uint64("ask", r.Request.Key.ID).Str("service", r.Request.Service).
-				Str("version", r.Request.Version).Str("resumes", r.Request.Resumes).Str("reason", string(r.Reason)).Dur("retryAfterMillis", r.RetryAfter).Int("slots", l.Slots).Int("online", l.Online).
+				Str("version", r.Request.Version).Str("resumes", r.Request.Resumes).Str("reason", string(r.Reason)).Str("account", r.Request.Account).Dur("retryAfterMillis", r.RetryAfter).Int("slots", l.Slots).Int("online", l.Online).
 				Int("batch", l.Batch).Int("waiting", l.WaitingOnline).Int("paused", l.PausedUpstreams).Int("limited", l.Limited).Msg("slotRefused")
-			in.Answer(askAnswer{Reason: r.Reason, RetryAfter: r.RetryAfter})
+			in.Answer(askAnswer{Reason: r.Reason, RetryAfter: r.RetryAfter, Standing: h.pool.standing(r.Request)})
 		},
 	})
 	return nil
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -217,7 +217,8 @@
 		Before: n.base.client.Home(), Dial: o.Connect(connectTimeout), Checkpoints: n.base.checkpoints,
 		Suspects: n.base.client.Suspects(), PushSuspects: n.server.PushSuspects,
 		Origins: n.base.origins, SoleVersion: n.base.soleVersion,
-		Announce: n.server.PushAnnouncement, MarkLeaving: n.base.markLeaving, Leaving: n.base.leavingUpstreams,
+		AskingNodes: n.base.client.AskingNodes(),
+		Announce:    n.server.PushAnnouncement, MarkLeaving: n.base.markLeaving, Leaving: n.base.leavingUpstreams,
 		Retirements: platform.Retirements(), StepDown: n.stepDown,
 		ResultRetention: o.Settings.ResultRetention, Now: o.Now, TimeOfDay: time.Now, Log: o.Log, Registry: o.Registry,
 	}
