--- a/io/explain/explain.go
+++ b/io/explain/explain.go
@@ -120,7 +120,7 @@
 var contextEvents = map[string]bool{
 	"homeLost": true, "homeRegained": true, "homeAnnounced": true, "leaseTaken": true, "leaseLost": true, "leaseGivenBack": true,
 	"objectServiceLost": true, "objectServiceRegained": true, "watchHistoryGone": true, "configurationInForce": true,
-	"linksLost": true, "linksRegained": true, "homeReachedByRelay": true, "upstreamLimited": true, "drainStarted": true, "stopAsked": true, "entryStarted": true, "homeNodeStarted": true,
+	"linksLost": true, "linksRegained": true, "homeReachedByRelay": true, "upstreamLimited": true, "accountsOverLimit": true, "homeWithoutLimits": true, "drainStarted": true, "stopAsked": true, "entryStarted": true, "homeNodeStarted": true,
 }
 
 // Timeline returns the events of a request, job or item in causal order, together with the context events
--- a/io/home/account.go
+++ b/io/home/account.go
@@ -114,20 +114,25 @@
 		return
 	}
 	if a, ok := c.opts.Config().Accounts.ByName(r.Account); ok && a.Limited() && !c.unlimitedHome.Swap(true) {
-		c.localPool.limitAlone(c.askingNodes())
-		c.opts.Log.Warn().Str("account", r.Account).Int("nodes", c.askingNodes()).Msg("homeWithoutLimits")
+		c.localPool.limitAlone(c.sharingNodes())
+		c.opts.Log.Warn().Str("account", r.Account).Int("nodes", c.sharingNodes()).Msg("homeWithoutLimits")
 	}
 }
 
-// askingNodes returns the number of nodes with requests of accounts, as a home has last told it; 0 if none has.
-func (c *Client) askingNodes() int {
+// AskingNodes returns the number of nodes with requests of accounts, as the home has last told it; 0 if it has not.
+func (c *Client) AskingNodes() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.asking
 }
 
-// AskingNodes returns the number of nodes with requests of accounts, for a home that starts on this node.
-func (c *Client) AskingNodes() int { return c.askingNodes() }
+// sharingNodes returns the number of nodes that share the limits of accounts if each decides alone: those with requests of
+// accounts, or all that an earlier release's home knows; 0 if no home has told either.
+func (c *Client) sharingNodes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return cmp.Or(c.asking, c.nodes)
+}
 
 const (
 	// loggedAccounts is the number of accounts over their limit that are logged, those with the most refusals first.
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -370,7 +370,7 @@
 func (c *Client) decideLocally(ctx context.Context, r slot.Request) (forward.Lease, *slot.Refusal, error) {
 	if c.homeAnswered.Swap(false) {
 		c.localPool.DecideAlone(c.nodeCount())
-		c.localPool.limitAlone(c.askingNodes())
+		c.localPool.limitAlone(c.sharingNodes())
 	}
 	decided := make(chan decision, 1)
 	c.localPool.Ask(r, asker{
