--- a/core/slot/account_test.go
+++ b/core/slot/account_test.go
@@ -120,3 +120,39 @@
 	require.Zero(t, p.AskingNodes(start))
 	require.Empty(t, p.LimitRefusals())
 }
+
+// A node that the home has lost may go on granting its share alone.
+func TestLostNodeTakesItsShareAlong(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		then func(p *Pool, now time.Time)
+		want int
+	}{
+		{"connected", func(*Pool, time.Time) {}, 6},
+		{"lost", func(p *Pool, now time.Time) { p.DropOwner(now, "e2/1/1") }, 3},
+		{"back", func(p *Pool, now time.Time) {
+			p.DropOwner(now, "e2/1/1")
+			p.Joined(now, "e2/1/2", true)
+		}, 6},
+	} {
+		p, now := accountPool(8), start.Add(time.Hour)
+		for _, owner := range []string{"e1/1/1", "e2/1/1"} {
+			q := accountRequest(1, "a", now)
+			q.Key.Owner = owner
+			require.Len(t, p.Ask(now, q).Granted, 1)
+			p.Release(now, q.Key, Served)
+		}
+		tc.then(p, now)
+		use := func(now time.Time) (granted int) {
+			for id := range uint64(50) {
+				q := accountRequest(id, "a", now)
+				q.Key.Owner = "e1/1/1"
+				granted += len(p.Ask(now, q).Granted)
+				p.Release(now, q.Key, Served)
+			}
+			return granted
+		}
+		use(now)
+		require.InDelta(t, tc.want, use(now.Add(6*time.Second)), 1, tc.name)
+	}
+}
