--- a/core/slot/overshare.go
+++ b/core/slot/overshare.go
@@ -23,6 +23,7 @@
 func (p *Pool) refuseOvertaken(now time.Time, s *service) []Refusal {
 	var out []Refusal
 	for _, o := range s.remark(now) {
+		p.refund(now, &o.request)
 		out = append(out, p.overShare(now, s, o.request, o.wait))
 	}
 	return out
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -28,6 +28,7 @@
 	// momentary are the upstreams that have lately named their pace, by the time at which that ends.
 	momentary []momentary
 	crossings Crossings
+	accounts   accountState
 }
 
 // NewPool returns a pool without upstreams.
@@ -58,6 +59,9 @@
 // grants of a removed upstream stay until they are released. Waiting requests that are bound to a software
 // version of which no upstream is left are refused.
 func (p *Pool) SetUpstreams(now time.Time, list []site.Upstream) Outcome {
+	if p.accounts.startedAt.IsZero() {
+		p.accounts.startedAt = now
+	}
 	old := p.upstreams
 	p.upstreams = make(map[string]*upstream, len(list))
 	for _, s := range p.services {
@@ -139,6 +143,9 @@
 		s.batch.push(&grant{request: r})
 		return p.serve(now, s)
 	}
+	if refusal, ok := p.charge(now, &r); ok {
+		return Outcome{Refused: []Refusal{refusal}}
+	}
 	s.countArrival(now)
 	r.late, r.scarce = r.missesObjective(now), s.isScarce(r)
 	p.rank(now, s, &r)
@@ -147,6 +154,7 @@
 	out := p.serve(now, s)
 	if s.online.has(r.Key) {
 		if refusal, ok := p.refuse(now, s, g); ok {
+			p.refund(now, &g.request)
 			s.online.remove(r.Key)
 			out.Refused = append(out.Refused, refusal)
 		}
@@ -166,23 +174,6 @@
 	return false
 }
 
-// bind binds a request that continues a stream to the software version at which that began. It reports false if nobody
-// knows it: what two versions write doesn't fit together, so that a guess could spoil the stream.
-func (p *Pool) bind(now time.Time, r *Request) bool {
-	if !r.Continues || r.Version != "" {
-		return true
-	}
-	if version, ok := p.opts.Origin(r.Resumes); ok {
-		r.Version, r.BoundBy = version, BoundByPool
-		return true
-	}
-	version, ok := p.opts.SoleVersion(now, r.Service)
-	if ok {
-		r.Version, r.BoundBy = version, BoundBySoleVersion
-	}
-	return ok
-}
-
 // Adopt records a grant that another pool has made, such as that of the previous home.
 func (p *Pool) Adopt(now time.Time, r Request, upstreamID string) {
 	u := p.upstreams[upstreamID]
@@ -198,6 +189,9 @@
 	g, ok := p.grants[k]
 	if !ok {
 		for _, s := range p.services {
+			if s.online.has(k) {
+				p.refundWaiting(now, func(waiting Key) bool { return waiting == k })
+			}
 			s.online.remove(k)
 			s.batch.remove(k)
 		}
@@ -237,6 +231,8 @@
 	for _, g := range p.byOwner[owner] {
 		p.removeGrant(now, g)
 	}
+	p.refundWaiting(now, func(k Key) bool { return k.Owner == owner })
+	p.left(now, owner)
 	for _, s := range p.services {
 		s.online.removeOwner(owner)
 		s.batch.removeOwner(owner)
@@ -254,6 +250,7 @@
 			p.removeGrant(now, g)
 		}
 	}
+	p.refundWaiting(now, func(k Key) bool { return k.Owner == owner && !open(k.ID) })
 	for _, s := range p.services {
 		for _, l := range []*waitList{&s.online, &s.batch} {
 			closed := l.removeIf(func(r Request) bool { return r.Key.Owner == owner && !open(r.Key.ID) })
@@ -291,6 +288,7 @@
 		s.online.demote(func(r Request) bool { return r.missesObjective(now) })
 		out.Refused = append(out.Refused, p.refuseOvertaken(now, s)...)
 		for _, r := range s.online.expired(now) {
+			p.refund(now, &r)
 			if r.late && r.standing.level == 0 && r.Deadline.After(r.Objective) {
 				s.refuseLateUntil = now.Add(refuseLateTime)
 			}
@@ -357,7 +355,7 @@
 
 // serve grants free slots to waiting requests, and preempts batch items for waiting online requests.
 func (p *Pool) serve(now time.Time, s *service) Outcome {
-	out := p.refuseOutgrown(s)
+	out := p.refuseOutgrown(now, s)
 	p.updateReservation(now, s)
 	s.updateOnlineMean(now)
 	defer s.updateOnlineMean(now)
--- a/core/slot/room.go
+++ b/core/slot/room.go
@@ -132,7 +132,7 @@
 }
 
 // refuseOutgrown removes and refuses the waiting requests that fit no upstream since the capacity has shrunk.
-func (p *Pool) refuseOutgrown(s *service) Outcome {
+func (p *Pool) refuseOutgrown(now time.Time, s *service) Outcome {
 	var out Outcome
 	if s.tokenCapacity == p.opts.TokenCapacity(s.name) {
 		return out
@@ -141,6 +141,7 @@
 		l.removeIf(func(r Request) bool {
 			refusal, ok := p.refuseTooLarge(s, &r)
 			if ok {
+				p.refund(now, &r)
 				out.Refused = append(out.Refused, refusal)
 			}
 			return ok
