Parts of large jobs of two accounts with one ID don't mix

Cause: the parts of a large job are written before its object, and a part that exists counted as written whoever wrote it. A job of another account with the same ID and more parts was refused with 409, but its further parts made the first job unreadable ("5 of 3 parts"), at the next load by a home for good; parts of a job whose object was never written became items of the next account that sent the ID, under that one's job. A job of no account (a public batch route) whose ID an account has counted as accepted and was never stored. Change: a part names its account, as a job does, and conflicts with another one's; parts beyond those of the job are left out, which an earlier release may have written. Without accounts the same bytes are written; no call more but on a conflict. Ruled out: the account in the name of the parts, which nodes of the earlier release would not find; a read of the job before each write.

--- a/io/home/records.go
+++ b/io/home/records.go
@@ -1,10 +1,12 @@
 package home
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/ansel1/merry/v2"
 
@@ -67,6 +69,8 @@
 // part is a group of items of a job that is too large for one object.
 type part struct {
 	Items []batch.Item `json:"items"`
+	// Account is that of the job; empty if the deployment has none.
+	Account string `json:"account,omitempty"`
 }
 
 // CreateJob writes a job. It writes the items of a large job first, so that a job never exists without all
@@ -75,27 +79,31 @@
 func CreateJob(ctx context.Context, c object.Client, job batch.Job) error {
 	if groups := job.Split(jobBytes); len(groups) > 1 {
 		for i, items := range groups {
-			_, err := object.CreateConfirmed(ctx, c, partsPrefix+job.ID, chunkName(i), part{Items: items})
-			if err != nil && !errors.Is(err, store.ErrConflict) {
+			if err := createOwn(ctx, c, partsPrefix+job.ID, chunkName(i), job.Account, part{Items: items, Account: job.Account}); err != nil {
 				return merry.Errorf("write part %d of job %s: %w", i, job.ID, err)
 			}
 		}
 		job.Items, job.Parts = nil, len(groups)
 	}
-	o, err := object.CreateConfirmed(ctx, c, KindJobs, job.ID, job)
+	return createOwn(ctx, c, KindJobs, job.ID, job.Account, job)
+}
+
+// createOwn writes an object of an account's job. One of the same account that exists counts as written.
+func createOwn(ctx context.Context, c object.Client, kind, name, account string, spec any) error {
+	o, err := object.CreateConfirmed(ctx, c, kind, name, spec)
 	if !errors.Is(err, store.ErrConflict) {
 		return err
 	}
-	if job.Account == "" {
+	if account == "" && !bytes.Contains(o.Spec, []byte(`"account"`)) {
 		return nil
 	}
 	if len(o.Spec) == 0 { // the object service need not return the object that exists
-		if o, err = c.Get(ctx, KindJobs, job.ID); err != nil {
-			return merry.Errorf("read job %s that exists: %w: %w", job.ID, store.ErrUnknown, err)
+		if o, err = c.Get(ctx, kind, name); err != nil {
+			return merry.Errorf("read %s/%s that exists: %w: %w", kind, name, store.ErrUnknown, err)
 		}
 	}
-	if owner, err := decodeOwner(o); err != nil || !owner.OwnedBy(job.Account) {
-		return merry.Errorf("job %s exists: %w", job.ID, store.ErrConflict)
+	if owner, err := decodeOwner(o); err != nil || !owner.OwnedBy(account) {
+		return merry.Errorf("%s/%s exists: %w", kind, name, store.ErrConflict)
 	}
 	return nil
 }
@@ -120,6 +128,8 @@
 	if err != nil {
 		return job, merry.Errorf("list parts of job %s: %w", job.ID, err)
 	}
+	// Another job with this ID, which was refused, may have written more.
+	objects = slices.DeleteFunc(objects, func(o object.Object) bool { return o.Name >= chunkName(job.Parts) })
 	var items []batch.Item
 	for _, o := range objects {
 		var p part
