Items go to outliers only when no sound upstream has a slot

Cause: items try upstreams on trial before online requests do, and an outlier counts as on trial. An outlier that fails half of its requests isn't paused and has free slots, so that each item of the service went to it first. The home leaves out only the upstream of an item's last error: with two outliers (seven upstreams or more) the item goes from one to the other, until it has failed as often as its route allows and is given up. Change: items still try upstreams that were silent or unreachable, and go to outliers last, as online requests do. An outlier is tried by an online request 3 s after its last answer (trial.go), or by load. Ruled out: leaving out all upstreams that failed an item: it still takes a failure from each. Measured: TestItemsGoToSoundUpstreams, 6 of 6 attempts of an item at outliers before, none now; core/slot passes.

--- a/core/slot/upstream.go
+++ b/core/slot/upstream.go
@@ -120,7 +120,8 @@
 }
 
 // compareState orders upstreams by their state, the better one first. Online requests prefer an upstream that is
-// not on trial, unless that is due for them, batch items one that is; then come upstreams whose entry exists.
+// not on trial, unless that is due for them, batch items one that is, unless for its errors: an item may fail only a few
+// times. Then come upstreams whose entry exists.
 func (u *upstream) compareState(v *upstream, now time.Time, r *Request) int {
 	if a, b := u.isDue(now, r), v.isDue(now, r); a != b {
 		if a {
@@ -128,12 +129,9 @@
 		}
 		return 1
 	}
-	a, b := u.onTrial(), v.onTrial()
-	switch {
-	case a != b && a == r.Batch:
-		return -1
+	switch a, b := u.standing(r), v.standing(r); {
 	case a != b:
-		return 1
+		return a - b
 	case u.Doubtful == v.Doubtful:
 		return 0
 	case v.Doubtful:
@@ -143,6 +141,18 @@
 	}
 }
 
+// standing is the place of an upstream among those of its service for a request, by its last answers; lower is better.
+func (u *upstream) standing(r *Request) int {
+	switch {
+	case !u.onTrial():
+		return 1
+	case r.Batch && !u.errors.outlier:
+		return 0
+	default:
+		return 2
+	}
+}
+
 // recordResult updates failures and pause after a request has ended.
 func (u *upstream) recordResult(now time.Time, result Result, opts Options) {
 	switch result {
