--- a/core/slot/poison.go
+++ b/core/slot/poison.go
@@ -87,6 +87,7 @@
 		l.removeIf(func(r Request) bool {
 			refusal, ok := p.RefuseQuarantined(now, &r)
 			if ok {
+				p.refund(now, &r)
 				out = append(out, refusal)
 			}
 			return ok
--- a/core/slot/room.go
+++ b/core/slot/room.go
@@ -132,7 +132,7 @@
 }
 
 // refuseOutgrown removes and refuses the waiting requests that fit no upstream since the capacity has shrunk.
-func (p *Pool) refuseOutgrown(s *service) Outcome {
+func (p *Pool) refuseOutgrown(now time.Time, s *service) Outcome {
 	var out Outcome
 	if s.tokenCapacity == p.opts.TokenCapacity(s.name) {
 		return out
@@ -141,6 +141,7 @@
 		l.removeIf(func(r Request) bool {
 			refusal, ok := p.refuseTooLarge(s, &r)
 			if ok {
+				p.refund(now, &r)
 				out.Refused = append(out.Refused, refusal)
 			}
 			return ok
@@ -151,9 +152,10 @@
 }
 
 // place returns the best upstream with a free slot and room for the request, or nil. The reserved one is left to the
-// request for which it is reserved, and to those before it that can go nowhere else.
+// request for which it is reserved, and to those before it that can go nowhere else. Online requests pass over what items
+// have reserved.
 func (p *Pool) place(now time.Time, s *service, r *Request) *upstream {
-	if s.reserved == nil || s.reserved.request.Key == r.Key {
+	if s.reserved == nil || s.reserved.request.Key == r.Key || (s.reserved.request.Batch && !r.Batch) {
 		return s.index.best(now, r, p.opts)
 	}
 	elsewhere := *r
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -22,6 +22,9 @@
 //
 // An upstream that names the rate that it takes gets requests at that rate (core/throttle), whatever slots it has free.
 //
+// Where the memory of an upstream is known, a request gets a slot only where its tokens fit beside those of the others; a
+// large one that waits reserves an upstream, so that smaller ones don't fill it again and again.
+//
 // A request whose prompt shares a part with others that crashed upstreams, or that did so in an earlier try, waits until
 // core/poison has decided about it, or is refused.
 //
@@ -40,6 +43,7 @@
 package slot
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"mothcart/core/poison"
@@ -109,6 +113,8 @@
 	Account string
 	// Charged reports that an earlier attempt at the request counts against the limit of its account.
 	Charged bool
+	// holdsToken reports that the request has taken a token of its account in this pool.
+	holdsToken bool
 	// PromptTokens and OutputTokens are the sizes of the prompt and of the longest output, ExpectedTokens is the caller's
 	// estimate of the output; 0 means not known.
 	PromptTokens, OutputTokens, ExpectedTokens int
@@ -287,6 +293,8 @@
 	SoleVersion func(now time.Time, service string) (string, bool)
 	// Account returns the client account with a name; false if the configuration in force has no such account.
 	Account func(name string) (site.Account, bool)
+	// Random returns random numbers from 0 to 1.
+	Random func() float64
 	// TokenCapacity returns the number of tokens that the requests at one upstream of a service may hold; 0 means not
 	// known.
 	TokenCapacity func(service string) int
@@ -307,6 +315,7 @@
 		Origin:         func(string) (string, bool) { return "", false },
 		SoleVersion:    func(time.Time, string) (string, bool) { return "", false },
 		Account:        func(string) (site.Account, bool) { return site.Account{}, false },
+		Random:         rand.Float64,
 		TokenCapacity:  func(string) int { return 0 },
 	}
 }
--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -41,7 +41,7 @@
 // fail ends a request that no upstream served successfully.
 func (x *exchange) fail(ctx context.Context, reason string, now time.Time, refusal slot.Refusal) {
 	switch {
-	case callerGone(ctx):
+	case x.f.callerGone(ctx):
 		x.done(now, "", "callerGone", 0)
 		panic(http.ErrAbortHandler)
 	case x.started:
@@ -56,8 +56,12 @@
 		if refusal.Reason == slot.ReasonQuarantined || refusal.Reason == slot.ReasonQuarantinedRequest {
 			x.log = x.log.With().Strs("parts", poison.Names(x.parts)).Stringer("identity", x.identity).Logger()
 		}
-		refuse(x.w, refusal.RetryAfter, refusalText(refusal.Reason))
-		x.done(now, "", "refused:"+reason, http.StatusServiceUnavailable)
+		status := refusalStatus(refusal.Reason)
+		if refusal.Reason == slot.ReasonOverLimit {
+			x.f.metrics.overLimit.Inc(1)
+		}
+		refuse(x.w, status, refusal.RetryAfter, refusalText(refusal.Reason))
+		x.done(now, "", "refused:"+reason, status)
 	case ctx.Err() != nil || !now.Before(x.req.Deadline):
 		x.f.metrics.failed.Inc(1)
 		http.Error(x.w, "no answer in time", http.StatusGatewayTimeout)
@@ -70,11 +74,21 @@
 }
 
 // Refuse answers that a request has not run, and when the caller should retry.
-func Refuse(w http.ResponseWriter, retryAfter time.Duration) { refuse(w, retryAfter, refusalText("")) }
+func Refuse(w http.ResponseWriter, retryAfter time.Duration) {
+	refuse(w, http.StatusServiceUnavailable, retryAfter, refusalText(""))
+}
+
+// refusalStatus returns the status of the answer to a refused caller.
+func refusalStatus(reason slot.Reason) int {
+	if reason == slot.ReasonOverLimit {
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
 
-func refuse(w http.ResponseWriter, retryAfter time.Duration, text string) {
+func refuse(w http.ResponseWriter, status int, retryAfter time.Duration, text string) {
 	w.Header().Set("Retry-After", strconv.FormatFloat(max(retryAfter, minRetryAfter).Seconds(), 'f', 3, 64))
-	http.Error(w, text, http.StatusServiceUnavailable)
+	http.Error(w, text, status)
 }
 
 // refusalText returns what a refused caller is told.
@@ -92,6 +106,8 @@
 		return "not run; no entry reaches the upstreams"
 	case slot.ReasonQuarantinedRequest:
 		return "not run; this request crashes upstreams"
+	case slot.ReasonOverLimit:
+		return "not run; the account has used up its limit"
 	default:
 		return "not run; come back later"
 	}
