Callers don't speak for entries in requests that go through another one

Cause: what an entry tells the one through which it sends a request goes in headers (Carried-Charged, Carried-Resumes), and was set beside what the caller sends: a caller of an entry without links that sends Carried-Charged had no limit. Change: the entry sets or removes both; the headers are cloned only if that changes them, as before. Also tested: the account on each request through another entry, which the upstreams see, and no key.

--- a/io/forward/carried.go
+++ b/io/forward/carried.go
@@ -42,6 +42,32 @@
 	}, nil, nil
 }
 
+// carriedHeader returns the headers of an attempt through another entry. What that one takes from an entry is not left
+// to the caller.
+func (x *exchange) carriedHeader(lastID string) http.Header {
+	resumes, charged := "", ""
+	if x.isStream() && (lastID != "" || x.req.LastEventID != "") {
+		resumes = x.origin()
+	}
+	if x.req.Account != "" && x.attempts > 1 {
+		charged = "1"
+	}
+	header := x.req.Header
+	if header.Get(HeaderCarriedResumes) == resumes && header.Get(HeaderCarriedCharged) == charged {
+		return header
+	}
+	header = header.Clone()
+	header.Del(HeaderCarriedResumes)
+	header.Del(HeaderCarriedCharged)
+	if resumes != "" {
+		header.Set(HeaderCarriedResumes, resumes)
+	}
+	if charged != "" {
+		header.Set(HeaderCarriedCharged, charged)
+	}
+	return header
+}
+
 // carrierRefusal returns the refusal of another entry that could have sent the request, and false for other outcomes.
 func carrierRefusal(lease Lease, a Answer) (slot.Refusal, bool) {
 	if !lease.Carried || !a.refused() || a.Header.Get(carrier.HeaderUnable) != "" {
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -279,14 +279,7 @@
 	header := x.req.Header
 	if lease.Carried {
 		x.f.metrics.carried.Inc(1)
-		if x.isStream() && (lastID != "" || x.req.LastEventID != "") {
-			header = header.Clone()
-			header.Set(HeaderCarriedResumes, x.origin())
-		}
-		if x.req.Account != "" && x.attempts > 1 {
-			header = header.Clone()
-			header.Set(HeaderCarriedCharged, "1")
-		}
+		header = x.carriedHeader(lastID)
 	}
 	return Call{
 		ID: x.req.ID, Method: x.req.Method, Host: x.req.Host, Path: x.req.Path, Header: header, Body: x.req.Body, Carried: lease.Carried,
