--- a/io/node/pace_test.go
+++ b/io/node/pace_test.go
@@ -62,15 +62,7 @@
 				}
 				answered, _ := s.load("/ask/stream/1", "r", paceLoad, paceTime)
 				all.Wait()
-				slow, total := 0, 0
-				for i, e := range s.engines {
-					n := fake.MostIn(e.Arrived(), time.Hour, since)
-					total += n
-					if i < 2 {
-						slow += n
-					}
-				}
-				share := float64(slow) / float64(total)
+				share := s.shareOfSlow(since)
 				t.Logf("answered %.3f, share of slow upstreams %.3f", answered, share)
 				require.GreaterOrEqual(t, answered, 0.99)
 				require.GreaterOrEqual(t, share, tc.min)
@@ -79,3 +71,16 @@
 		})
 	}
 }
+
+// shareOfSlow returns the share of the first two engines in the requests that have arrived since a time.
+func (s *testSite) shareOfSlow(since time.Time) float64 {
+	slow, total := 0, 0
+	for i, e := range s.engines {
+		n := fake.MostIn(e.Arrived(), time.Hour, since)
+		total += n
+		if i < 2 {
+			slow += n
+		}
+	}
+	return float64(slow) / float64(total)
+}
