One in 32 online requests prefers an upstream that is believed slow

Cause: an upstream that had been slow for a while got no online request where others always had free slots, so that nobody found out that it was sound again. Change: one in 32 prefers a slow upstream that is as idle as others. Ruled out: decay with time (a slow upstream would be used in waves), every 16th (twice the cost).

--- a/core/slot/pace_test.go
+++ b/core/slot/pace_test.go
@@ -184,3 +184,17 @@
 		require.Equal(t, pace{}, u.pace, id)
 	}
 }
+
+// Guards against an upstream that was slow for a while and is left out for good: requests come one after another, and the
+// others always have free slots.
+func TestUpstreamThatGotWellIsUsedAgainWithoutLoad(t *testing.T) {
+	s := newUnevenSite(4)
+	s.play(1000)
+	require.GreaterOrEqual(t, s.p.upstreams["u0"].pace.lastingClass, slowClass)
+	same := func(*upstream) float64 { return 1 }
+	s.work, s.figure = same, same
+	for range 3600 { // an hour
+		s.step(time.Second, "z0")
+	}
+	require.Less(t, s.p.upstreams["u0"].pace.class, slowClass)
+}
--- a/core/slot/service.go
+++ b/core/slot/service.go
@@ -28,8 +28,9 @@
 	meanHold time.Duration
 	// meanBatchHold is the same for batch items, over all attempts of each; 0 until one was served.
 	meanBatchHold time.Duration
-	// paces is what is known of how long work takes at the upstreams.
-	paces paceModel
+	// paces is what is known of how long work takes at the upstreams; weighed counts online requests by Pool.weigh.
+	paces   paceModel
+	weighed int
 	// refuseLateUntil is the time until which requests that missed their objective are refused at once.
 	refuseLateUntil time.Time
 	// lastRetryAt is the latest retry time that was reserved for a refused caller.
--- a/core/slot/weigh.go
+++ b/core/slot/weigh.go
@@ -13,6 +13,11 @@
 	// batchCrossing is how much more of its slots an upstream of the item's zone must have in use than one of another zone
 	// for the item to leave. Items leave before online requests do, which thereby keep the slots of their zone.
 	batchCrossing = 0.2
+	// exploring is the number of online requests of which one prefers a slow upstream that is as idle as others. An upstream that was slow for a
+	// while would otherwise never be measured again where others always have free slots.
+	exploring = 32
+	// exploreBonus is less, for all classes together, than one of a few slots in use.
+	exploreBonus = 0.01
 	// fastPenalty ranks upstreams that aren't slow behind all slow ones for an item that can wait.
 	fastPenalty = 2
 )
@@ -33,7 +38,11 @@
 		r.weighed = false
 		return
 	}
-	r.weighed = true
+	r.weighed, r.explores = true, false
+	if !r.Batch {
+		s.weighed++
+		r.explores = s.weighed%exploring == 0
+	}
 	hold := s.meanHold
 	if r.Batch {
 		hold = s.meanBatchHold
@@ -54,9 +63,12 @@
 
 func rank(r *Request, class, load, slots int, near bool) float64 {
 	x := float64(load) / float64(max(slots, 1))
-	if !r.patient {
+	switch {
+	case r.explores:
+		x -= exploreBonus * float64(class)
+	case !r.patient:
 		x = paceFactors[class-minPaceClass] * (1 + loadSlowdown*x)
-	} else if class < slowClass {
+	case class < slowClass:
 		x += fastPenalty
 	}
 	if !near {
