--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -31,6 +31,15 @@
 // One Pool at the home of the slots decides for all VMs. A VM that can't reach the home decides for
 // itself with its own Pool, which then also counts the requests of others that upstreams report.
 //
+// Where upstreams name how long work takes there, slow ones get what is least urgent, and a request leaves the zone of the
+// VM that asked if that pays (core/zone). Upstreams that answer with errors far more often than others get requests only
+// while those have no free slot.
+//
+// The decisions about a request for a slot, in order, one file each: the version that it must go to (bind), quarantine of
+// its parts or itself (poison), whether an upstream is large enough (room), the limit of its account (account), its rank
+// and share (share), its place among those that wait (wait), a free slot (serve) at the best upstream (index, upstream,
+// weigh, outlier, trial), an item that yields (grants), and otherwise the refusal (refuse).
+//
 // Each method returns an Outcome: the grants, preempted items and refusals caused by the event. Callers
 // act on preempted items before grants, so that a slot is free when its new request arrives.
 //
