--- a/io/node/store_test.go
+++ b/io/node/store_test.go
@@ -78,6 +78,38 @@
 	})
 }
 
+// Guards against a job that is refused with the promise not to run, and runs: a write that may have had effect, followed by
+// writes that were refused.
+func TestJobThatMayExistIsNotRefused(t *testing.T) {
+	refused := []fake.Fate{fake.Refused}
+	for _, tc := range []struct {
+		name        string
+		entry, home []fake.Fate
+		status      int
+	}{
+		{"all refused", refused, refused, http.StatusServiceUnavailable},
+		{"the entry's first applied", []fake.Fate{fake.AppliedAndReset, fake.Refused}, refused, http.StatusGatewayTimeout},
+		{"the entry's third applied", []fake.Fate{fake.Refused, fake.Refused, fake.AppliedAndReset, fake.Refused}, refused, http.StatusGatewayTimeout},
+		{"the entry's first applied late", []fake.Fate{fake.AppliedLate, fake.Refused}, refused, http.StatusGatewayTimeout},
+		{"the entry's first lost", []fake.Fate{fake.Lost, fake.Refused}, refused, http.StatusGatewayTimeout},
+		{"the home's first applied", refused, []fake.Fate{fake.AppliedAndReset, fake.Refused}, http.StatusGatewayTimeout},
+		{"the home's third applied late", refused, []fake.Fate{fake.Refused, fake.Refused, fake.AppliedLate, fake.Refused}, http.StatusGatewayTimeout},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				s.objects.SetFault(fake.Fault{CreationsOf: home.KindJobs, Creations: map[string][]fake.Fate{entryIP(1): tc.entry, homeIP(1): tc.home}})
+				r := s.submitJob(1, "j1", 2)
+				s.objects.SetFault(fake.Fault{})
+				time.Sleep(10 * time.Second)
+				if r.status == http.StatusServiceUnavailable {
+					require.Zero(t, s.runsOf("j1.0"), "a refused job never runs")
+				}
+				require.Equal(t, tc.status, r.status)
+			})
+		})
+	}
+}
+
 func TestJobsResumeAfterObjectServiceOutage(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
 		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 12).status)
