A write that may have had effect is never taken for one without

Cause: object.CreateConfirmed wrapped the error of its last attempt beside ErrUnknown, so that one error was both "unknown" and "not available"; submit (entry) and Home.write asked for ErrUnavailable first, and Home.write never asked for ErrUnknown. The home told the entry "not done", the entry told the caller 503. createOwn did the same with the error of a read. Change: core/outcome has done, not done and unknown; unknown is the zero value, is never outranked, and is what an error without a known outcome gets. store.OutcomeOf classifies, store.LostError builds an error that matches ErrUnknown only. writeJob merges the outcomes of both writes instead of keeping one error. Between nodes "not done" has a new code: the old one, which homes of earlier releases also send for unknown outcomes, reads as unknown, and nodes of earlier releases read the new one as unknown.

--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/batch"
+	"mothcart/core/outcome"
 	"mothcart/core/site"
 	"mothcart/io/clock"
 	"mothcart/io/forward"
@@ -61,16 +62,16 @@
 		http.Error(w, "too many tokens wait on this route", http.StatusTooManyRequests)
 		return
 	}
-	err = h.writeJob(ctx, job)
+	so, err := h.writeJob(ctx, job)
 	switch {
-	case err == nil:
+	case so == outcome.Done:
 		h.opts.Home.NotifyStored(id)
 		h.logJob(id, "accepted", http.StatusAccepted, arrived, nil)
 		w.WriteHeader(http.StatusAccepted)
-	case errors.Is(err, store.ErrConflict):
+	case so == outcome.NotDone && errors.Is(err, store.ErrConflict):
 		h.logJob(id, "idInUse", http.StatusConflict, arrived, err)
 		http.Error(w, "another account has a job with this ID", http.StatusConflict)
-	case errors.Is(err, store.ErrUnavailable):
+	case so == outcome.NotDone:
 		h.logJob(id, "notWritten", http.StatusServiceUnavailable, arrived, err)
 		forward.Refuse(w, downRetryAfter)
 	default:
@@ -85,50 +86,46 @@
 
 // writeJob writes a job directly and, if that takes long or fails, through the home, which may reach the
 // object service when this node doesn't. While the object service is known to be unreachable from here,
-// the home is tried first. Writes are idempotent: the same job written twice is one job. The error is
-// ErrUnavailable only if neither write had an effect.
-func (h *Handler) writeJob(ctx context.Context, job batch.Job) error {
+// the home is tried first. Writes are idempotent: the same job written twice is one job. The errors of both writes are
+// returned together, so that they tell no outcome.
+func (h *Handler) writeJob(ctx context.Context, job batch.Job) (outcome.Outcome, error) {
 	results := make(chan error, 2)
-	pending := 1
-	start := func(write func(context.Context, batch.Job) error) { go func() { results <- write(ctx, job) }() }
-	direct := func(ctx context.Context, job batch.Job) error {
-		return home.CreateJob(home.WithJobLog(ctx, h.opts.Log, "entry", job.ID), h.opts.Objects, job)
+	pending := 0
+	start := func(write func(context.Context, batch.Job) error) {
+		pending++
+		go func() { results <- write(ctx, job) }()
 	}
-	hedge := time.NewTimer(hedgeAfter)
-	defer hedge.Stop()
+	first, second := h.createJob, h.opts.Home.Submit
 	if h.opts.ObjectsDown() {
-		start(h.opts.Home.Submit)
-	} else {
-		start(direct)
+		first, second = second, first
 	}
+	start(first)
+	hedge := time.NewTimer(hedgeAfter)
+	defer hedge.Stop()
 	hedged := false
-	var last error
+	so := outcome.NotDone
+	var failures []error
 	for pending > 0 {
-		fire := false
 		select {
 		case err := <-results:
 			pending--
-			if err == nil {
-				return nil
+			if so = so.With(store.OutcomeOf(err)); so == outcome.Done {
+				return so, nil
 			}
-			if last == nil || !errors.Is(err, store.ErrUnavailable) {
-				last = err
-			}
-			fire = !hedged
+			failures = append(failures, err)
 		case <-hedge.C:
-			fire = !hedged
 		}
-		if fire && ctx.Err() == nil {
+		if !hedged && ctx.Err() == nil {
 			hedged = true
-			pending++
-			if h.opts.ObjectsDown() {
-				start(direct)
-			} else {
-				start(h.opts.Home.Submit)
-			}
+			start(second)
 		}
 	}
-	return last
+	return so, errors.Join(failures...)
+}
+
+// createJob writes a job from this node.
+func (h *Handler) createJob(ctx context.Context, job batch.Job) error {
+	return home.CreateJob(home.WithJobLog(ctx, h.opts.Log, "entry", job.ID), h.opts.Objects, job)
 }
 
 // hasRoom asks the home whether a job fits the route's token cap. Without an answer of the home, jobs
--- a/io/home/clientjobs.go
+++ b/io/home/clientjobs.go
@@ -103,20 +103,12 @@
 	}
 	var a writeAnswer
 	if err := c.call(ctx, writeCallTimeout, method, req, &a); err != nil {
-		return merry.Errorf("%s: %w: %w", method, store.ErrUnknown, err)
+		return merry.Errorf("%s: %w", method, store.LostError(err))
 	}
-	switch a.Outcome {
-	case writeDone:
-		return nil
-	case writeNotDone:
-		return merry.Errorf("%s at the home: %w", method, store.ErrUnavailable)
-	case writeConflict:
-		return merry.Errorf("%s at the home: %w", method, store.ErrConflict)
-	case writeNotFound:
-		return merry.Errorf("%s at the home: %w", method, store.ErrNotFound)
-	default:
-		return merry.Errorf("%s at the home: %w", method, store.ErrUnknown)
+	if err := a.Outcome.err(); err != nil {
+		return merry.Errorf("%s at the home: %w", method, err)
 	}
+	return nil
 }
 
 // serves reports whether the home can tell what is an account's. One of a release without accounts takes each job for
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -110,7 +110,7 @@
 	}
 	if len(o.Spec) == 0 { // the object service need not return the object that exists
 		if o, err = c.Get(ctx, kind, name); err != nil {
-			return merry.Errorf("read %s/%s that exists: %w: %w", kind, name, store.ErrUnknown, err)
+			return merry.Errorf("read %s/%s that exists: %w", kind, name, store.LostError(err))
 		}
 	}
 	if owner, err := decodeOwner(o); err != nil || !owner.OwnedBy(account) {
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -10,7 +9,6 @@
 
 	"mothcart/core/slot"
 	"mothcart/io/link"
-	"mothcart/io/store"
 )
 
 // owner returns a name for one connection of a node's process, so that the late end of a connection does
@@ -119,18 +117,8 @@
 	ctx, cancel := context.WithTimeout(h.ctx, writeCallTimeout)
 	defer cancel()
 	err := write(ctx)
-	outcome := writeUnknown
-	switch {
-	case err == nil:
-		outcome = writeDone
-	case errors.Is(err, store.ErrNotFound):
-		outcome = writeNotFound
-	case errors.Is(err, store.ErrConflict):
-		outcome = writeConflict
-	case errors.Is(err, store.ErrUnavailable):
-		outcome = writeNotDone
-	}
-	h.opts.Log.Info().Str("job", job).Str("peer", s.owner).Str("method", in.Method).Int("outcome", int(outcome)).
+	outcome := writeOutcomeOf(err)
+	h.opts.Log.Info().Str("job", job).Str("peer", s.owner).Str("method", in.Method).Stringer("outcome", outcome).
 		Dur("tookMillis", h.opts.Now().Sub(startedAt)).AnErr("error", err).Msg("writtenForNode")
 	in.Answer(writeAnswer{Outcome: outcome})
 }
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -22,6 +22,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"mothcart/core/outcome"
 	"mothcart/io/clock"
 	"mothcart/io/store"
 )
@@ -104,7 +105,7 @@
 	if err != nil {
 		return Object{}, merry.Errorf("encode %s/%s: %w", kind, name, err)
 	}
-	unknown, pause := false, firstConfirmPause
+	so, pause := outcome.NotDone, firstConfirmPause
 	for {
 		o, err := Hedged(ctx, createHedgeDelay, func(ctx context.Context) (Object, error) { return attempt(ctx, c, kind, name, json.RawMessage(want)) })
 		switch {
@@ -115,14 +116,11 @@
 				return o, nil
 			}
 			return o, merry.Errorf("create %s/%s: %w", kind, name, err)
-		case errors.Is(err, store.ErrUnknown):
-			unknown = true
-		case !errors.Is(err, store.ErrUnavailable):
-			return Object{}, merry.Errorf("create %s/%s: %w", kind, name, err)
 		}
+		so = so.With(store.OutcomeOf(err))
 		if endsWithin(ctx, confirmMargin+pause) || clock.Sleep(ctx, pause/2+rand.N(pause/2)) != nil {
-			if unknown {
-				return Object{}, merry.Errorf("create %s/%s: %w: %w", kind, name, store.ErrUnknown, err)
+			if so == outcome.Unknown {
+				err = store.LostError(err)
 			}
 			return Object{}, merry.Errorf("create %s/%s: %w", kind, name, err)
 		}
--- a/io/object/object_test.go
+++ b/io/object/object_test.go
@@ -72,6 +72,9 @@
 				if tc.want == nil {
 					require.NoError(t, err)
 				}
+				if tc.want != store.ErrUnavailable {
+					require.NotErrorIs(t, err, store.ErrUnavailable, "a write that may have had effect is not one without")
+				}
 			})
 		})
 	}
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -5,8 +5,8 @@
 // so that tests and the fake can replace the HTTP client.
 //
 // Errors tell what is known about a write: ErrConflict and ErrUnavailable mean that it had no
-// effect; ErrUnknown means that the answer was lost and the write may have had effect. PutConfirmed
-// resolves ErrUnknown by reading the object back.
+// effect; ErrUnknown means that the answer was lost and the write may have had effect. OutcomeOf tells these apart, also
+// for an error that was made from those of several attempts. PutConfirmed resolves ErrUnknown by reading the object back.
 //
 // Usage:
 //
@@ -21,9 +21,10 @@
 	"errors"
 	"time"
 
-	"mothcart/io/clock"
-
 	"github.com/ansel1/merry/v2"
+
+	"mothcart/core/outcome"
+	"mothcart/io/clock"
 )
 
 // MaxValueBytes is the size of the largest value that the object service stores.
@@ -44,6 +45,16 @@
 	ErrUnknown = merry.Sentinel("object write outcome unknown")
 )
 
+// writes are the errors that tell the outcome of a write.
+var writes = outcome.Sentinels{Unknown: ErrUnknown, NotDone: []error{ErrUnavailable, ErrConflict, ErrNotFound}}
+
+// OutcomeOf returns what is known about a write by its error.
+func OutcomeOf(err error) outcome.Outcome { return writes.Of(err) }
+
+// LostError returns the error of a write that may have had effect, one of whose attempts was not answered. It is ErrUnknown,
+// and none of the other sentinels whatever the last attempt was answered.
+func LostError(last error) error { return writes.Lost(last) }
+
 // Version is the version of an object; it grows with every write of the object and is never
 // reused for the same key.
 type Version uint64
