The home says done for a job that its watch has delivered

What callers saw: 504 for a job that the home was already running. Change: a write whose attempts failed counts as done if the home has a job of this ID and account.

--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -173,6 +173,13 @@
 	return nil
 }
 
+// hasJobOf reports that the home has loaded a job of an account.
+func (h *Home) hasJobOf(id, account string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ownJob(id, account) != nil
+}
+
 // read answers with results; a goroutine waits for the first one.
 func (h *Home) read(in link.Incoming) error {
 	var m readRequest
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -89,7 +89,11 @@
 		return handleMessage(in, func(m submitRequest) {
 			m.Job.ID = m.ID
 			go h.write(in, s, m.ID, func(ctx context.Context) error {
-				return CreateJob(WithJobLog(ctx, h.opts.Log, "home", m.ID), h.opts.Objects, m.Job)
+				err := CreateJob(WithJobLog(ctx, h.opts.Log, "home", m.ID), h.opts.Objects, m.Job)
+				if err != nil && h.hasJobOf(m.ID, m.Job.Account) {
+					return nil // the watch has delivered it
+				}
+				return err
 			})
 		})
 	case methodEnd:
