A job is refused only if no attempt at any node may still store it

What callers saw: a job in doubt (504 at one node) could be answered 503 or 429 by the next one, which judged by its own attempts alone; a caller who goes by the last answer submits the work again under another ID. Cause: the promise concerns the job, what a node knew concerned its own attempt. Change: core/submission keeps the attempts that may still store a job. The home learns of each with the request for room, before anything is written, so that no answer can overtake it; the entry withdraws its attempt when both writes had no effect, or there is no room, and the home then says whether the job may be refused (settled), is in doubt, or is already stored (202). Nodes repeat their open attempts in the hello to the next home, which promises nothing in its first second and before it has loaded the jobs. Without the home's word the answer is 504 with a Retry-After: weighed against a refusal by nodes that know nothing, which would be right for first attempts, more useful, and wrong exactly where a caller gets two answers. Homes of earlier releases don't know the call: no word, 504. A home that stores a job which was refused logs refusedJobStored and counts home.refusedJobsStored.

--- a/io/home/client.go
+++ b/io/home/client.go
@@ -13,6 +13,7 @@
 	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
+	"mothcart/core/submission"
 	"mothcart/io/forward"
 	"mothcart/io/link"
 	"mothcart/io/object"
@@ -125,6 +126,8 @@
 	upstreams map[string]site.Upstream
 	// gone holds the upstreams, by ID and incarnation, that are no longer in this node's list.
 	gone map[site.Key]bool
+	// submissions are this node's attempts to submit jobs.
+	submissions submissions
 }
 
 // NewClient returns a client that waits for an announcement.
@@ -132,7 +135,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Client{
 		opts: opts, cancel: cancel, wake: make(chan struct{}, 1), gone: make(map[site.Key]bool),
-		inventory: newInventory(), cancelAttempt: func() {},
+		inventory: newInventory(), cancelAttempt: func() {}, submissions: submissions{table: submission.NewTable()},
 	}
 	c.localPool = NewSlotPool(opts.Origins.poolOptions(withConfig(slot.NewOptions().WithReports(true), opts.Config), opts.SoleVersion), opts.Now, c.foundSuspects,
 		func(changes []slot.LimitChange) { logLimits(opts.Log, "node", changes) })
--- a/io/home/clientjobs.go
+++ b/io/home/clientjobs.go
@@ -7,6 +7,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/batch"
+	"mothcart/core/submission"
 	"mothcart/io/store"
 )
 
@@ -19,9 +20,9 @@
 
 // Reserve asks the home for room for a job's tokens on its route. The error is ErrNoHome if no home can
 // decide.
-func (c *Client) Reserve(ctx context.Context, job batch.Job) (Reservation, error) {
+func (c *Client) Reserve(ctx context.Context, job batch.Job, attempt submission.Attempt) (Reservation, error) {
 	var a reserveAnswer
-	err := c.call(ctx, callTimeout, methodReserve, reserveRequest{Job: job.ID, Host: job.Host, Path: job.Path, Tokens: job.Tokens(), Account: job.Account}, &a)
+	err := c.call(ctx, callTimeout, methodReserve, reserveRequest{Job: job.ID, Host: job.Host, Path: job.Path, Tokens: job.Tokens(), Account: job.Account, Attempt: attempt.ID}, &a)
 	if err != nil {
 		return Reservation{}, err
 	}
@@ -81,7 +82,10 @@
 func (c *Client) NotifyEnded(job string) { c.notify(methodEnded, endedNotice{Job: job}) }
 
 // NotifyStored notifies the home that the object service has stored a job, in case its watch missed the job.
-func (c *Client) NotifyStored(job string) { c.notify(methodStored, storedNotice{Job: job}) }
+func (c *Client) NotifyStored(job string) {
+	c.submissions.end(c.opts.Now(), job)
+	c.notify(methodStored, storedNotice{Job: job})
+}
 
 // writeCallTimeout bounds a write that the home makes for a node.
 const writeCallTimeout = 2 * time.Second
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -186,7 +186,7 @@
 	return helloRequest{
 		VM: c.opts.VMID, Incarnation: c.opts.Incarnation, Relay: c.opts.Relay, Runs: c.opts.Runner != nil,
 		Open: c.inventory.open(), Leaving: upstreamKeys(c.opts.LeavingUpstreams()), Suspects: c.Suspects(), Limits: encodeLimits(c.localPool.ExportLimits()),
-		Asks: c.asks.Load(),
+		Asks: c.asks.Load(), Submissions: c.submissions.open(c.opts.Now()),
 	}
 }
 
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -34,6 +34,7 @@
 	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
+	"mothcart/core/submission"
 	"mothcart/core/zone"
 	"mothcart/io/link"
 	"mothcart/io/object"
@@ -114,9 +115,13 @@
 	handoverDone chan struct{}
 	handoverOnce sync.Once
 
+	startedAt time.Time
+
 	mu       sync.Mutex
 	jobs     map[string]*job
 	reserved map[string]reservation
+	// submissions are the nodes' attempts to submit jobs that the home doesn't have.
+	submissions *submission.Table
 	// undelivered holds the jobs that the object service has stored and the watch has not delivered yet,
 	// with the time at which this home was notified of them.
 	undelivered map[string]time.Time
@@ -159,6 +164,8 @@
 	limits           *limitMetrics
 	// bodyBytes is the size of the bodies of open items.
 	bodyBytes metrics.Gauge
+	// refusedJobs counts jobs that were stored after a caller had been promised that they don't run.
+	refusedJobs metrics.Counter
 	// retirementWaits is 1 while this VM is to be drained and no other home node can take over.
 	retirementWaits metrics.Gauge
 }
@@ -168,11 +175,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("home."+name, opts.Registry) }
 	h := &Home{
-		opts: opts, ctx: ctx, cancel: cancel,
+		opts: opts, ctx: ctx, cancel: cancel, startedAt: opts.Now(), submissions: submission.NewTable(),
 		metrics: homeMetrics{
 			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"), restarts: counter("restarts"),
 			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"), corrected: counter("slotsCorrected"),
-			overShare:  counter("overShare"),
+			overShare: counter("overShare"), refusedJobs: counter("refusedJobsStored"),
 			silentRuns: counter("runsSilent"), keptRuns: counter("runsKept"),
 			parts:            findingMetrics{counter("partSuspicions"), counter("partQuarantines"), counter("partsCleared")},
 			requests:         findingMetrics{counter("requestSuspicions"), counter("requestQuarantines"), counter("requestsCleared")},
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -11,6 +11,7 @@
 
 	"mothcart/core/batch"
 	"mothcart/core/site"
+	"mothcart/core/submission"
 	"mothcart/io/link"
 	"mothcart/io/object"
 	"mothcart/io/store"
@@ -126,6 +127,7 @@
 		in.Answer(reserveAnswer{OK: true, Open: open})
 		return nil
 	}
+	h.submissions.Begin(now, submission.Attempt{Job: m.Job, ID: m.Attempt})
 	if r, held := h.reserved[m.Job]; held {
 		open -= r.tokens
 	}
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -9,6 +9,7 @@
 	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
+	"mothcart/core/submission"
 	"mothcart/io/object"
 	"mothcart/io/store"
 )
@@ -34,12 +35,14 @@
 	// methodParts names parts of prompts and requests that are suspected or known to crash upstreams, in both directions.
 	methodParts   = "parts"
 	methodReserve = "reserve"
-	methodRead    = "read"
-	methodItem    = "item"
-	methodEnded   = "ended"
-	methodStored  = "kept"
-	methodSubmit  = "submit"
-	methodEnd     = "end"
+	// methodWithdraw ends an attempt to submit a job whose writes had no effect, and asks whether the job may be refused.
+	methodWithdraw = "withdraw"
+	methodRead     = "read"
+	methodItem     = "item"
+	methodEnded    = "ended"
+	methodStored   = "kept"
+	methodSubmit   = "submit"
+	methodEnd      = "end"
 	// methodHandover is called by the home of a later term.
 	methodHandover = "handover"
 	// methodFetchSiteState asks a home node, whether it is the home or not, for its site state.
@@ -86,6 +89,8 @@
 	Limits []limitRecord `msgpack:"limits,omitempty"`
 	// Asks reports that the node has had requests of accounts.
 	Asks bool `msgpack:"asks,omitempty"`
+	// Submissions are the node's attempts to submit jobs that may still store them.
+	Submissions []submission.Attempt `msgpack:"subs,omitempty"`
 }
 
 type openedSlot struct {
@@ -221,6 +226,20 @@
 	Tokens int64  `msgpack:"tok"`
 	// Account is that of batch.Job.
 	Account string `msgpack:"acct,omitempty"`
+	// Attempt is that of submission.Attempt; nodes of earlier releases don't name it.
+	Attempt string `msgpack:"try,omitempty"`
+}
+
+type withdrawRequest struct {
+	Job     string `msgpack:"job"`
+	Attempt string `msgpack:"try"`
+	Account string `msgpack:"acct,omitempty"`
+}
+
+type withdrawAnswer struct {
+	// Stored reports that the home has a job of this ID and account, Settled that no attempt may still store one.
+	Stored  bool `msgpack:"stored,omitempty"`
+	Settled bool `msgpack:"settled,omitempty"`
 }
 
 type reserveAnswer struct {
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -77,6 +77,8 @@
 		return handleMessage(in, h.endRemote)
 	case methodReserve:
 		return h.reserve(in)
+	case methodWithdraw:
+		return h.withdraw(in)
 	case methodRead:
 		return h.read(in)
 	case methodItem:
@@ -157,6 +159,7 @@
 	for _, o := range m.Open {
 		h.adopt(s, o)
 	}
+	h.adoptSubmissions(m.Submissions)
 	h.opts.Log.Info().Str("peer", s.owner).Int("open", len(m.Open)).Int64("term", h.opts.Term).Msg("nodeConnected")
 	in.Answer(helloAnswer{Home: Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}, Accounts: true})
 	in.Conn().Notify(methodObjectsDown, objectsDownNotice{Down: h.opts.ObjectsDown()})
--- a/io/node/store_test.go
+++ b/io/node/store_test.go
@@ -150,3 +150,66 @@
 		}
 	})
 }
+
+// Guards against a refusal by a node that does not know, or does not ask, that an earlier attempt may still store the job.
+func TestJobInDoubtIsRefusedByNoNode(t *testing.T) {
+	refused := []fake.Fate{fake.Refused}
+	doubtful := func(s *testSite) {
+		s.objects.SetFault(fake.Fault{CreationsOf: home.KindJobs, Creations: map[string][]fake.Fate{"": refused, entryIP(1): {fake.AppliedLate, fake.Refused}}})
+	}
+	for _, tc := range []struct {
+		name string
+		// do puts job j1 in doubt at entry 1 and returns what entry 2 answers then.
+		do     func(t *testing.T, s *testSite) reply
+		status int
+		ran    bool
+	}{
+		{"refused everywhere, no doubt", func(_ *testing.T, s *testSite) reply {
+			s.objects.SetFault(fake.Fault{CreationsOf: home.KindJobs, Creations: map[string][]fake.Fate{"": refused}})
+			s.submitJob(1, "j1", 2)
+			return s.submitJob(2, "j1", 2)
+		}, http.StatusServiceUnavailable, false},
+		{"in doubt, then refused", func(t *testing.T, s *testSite) reply {
+			doubtful(s)
+			require.Equal(t, http.StatusGatewayTimeout, s.submitJob(1, "j1", 2).status)
+			s.objects.SetFault(fake.Fault{CreationsOf: home.KindJobs, Creations: map[string][]fake.Fate{"": refused}})
+			go s.submitJob(1, "j1", 2) // the same node is asked too
+			return s.submitJob(2, "j1", 2)
+		}, http.StatusAccepted, true},
+		{"in doubt, then no room", func(t *testing.T, s *testSite) reply {
+			s.objects.SetFault(fake.Fault{CreationsOf: home.KindJobs, Creations: map[string][]fake.Fate{"": refused, entryIP(1): {fake.Lost, fake.Refused}}})
+			require.Equal(t, http.StatusGatewayTimeout, s.submitJob(1, "j1", 60).status)
+			s.objects.SetFault(fake.Fault{})
+			time.Sleep(6 * time.Second) // the room reserved for it is free again
+			require.Equal(t, http.StatusAccepted, s.submitJob(2, "j2", 80).status)
+			return s.submitJob(2, "j1", 60)
+		}, http.StatusGatewayTimeout, false},
+		{"in doubt, then another home", func(t *testing.T, s *testSite) reply {
+			s.objects.SetFault(fake.Fault{CreationsOf: home.KindJobs, Creations: map[string][]fake.Fate{"": refused, entryIP(1): {fake.Lost, fake.Refused}}})
+			require.Equal(t, http.StatusGatewayTimeout, s.submitJob(1, "j1", 2).status)
+			s.killHome(1)
+			time.Sleep(5 * time.Second)
+			return s.submitJob(2, "j1", 2)
+		}, http.StatusGatewayTimeout, false},
+		{"no home", func(_ *testing.T, s *testSite) reply {
+			s.killHome(1)
+			s.killHome(2)
+			time.Sleep(time.Second)
+			s.objects.SetFault(fake.Fault{CreationsOf: home.KindJobs, Creations: map[string][]fake.Fate{"": refused}})
+			return s.submitJob(2, "j1", 2)
+		}, http.StatusGatewayTimeout, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				r := tc.do(t, s)
+				s.objects.SetFault(fake.Fault{})
+				require.Equal(t, tc.status, r.status)
+				if r.status != http.StatusAccepted {
+					require.NotEmpty(t, r.header.Get("Retry-After"))
+				}
+				time.Sleep(10 * time.Second)
+				require.Equal(t, tc.ran, s.runsOf("j1.0") > 0)
+			})
+		})
+	}
+}
