The end of a job that may have ended is not answered 503

What callers saw: 503, not done, for a job whose end had been written by a call that was not answered. Cause: endJob went by the error of the home's write alone, and answered 503 for each error but "no such job". Change: the outcomes of both writes are merged; an unknown one is answered 504 with a Retry-After. TestEndOfAJobThatMayHaveEndedIsNotRefused: before 503 (no write is answered), after 504; 503 stays where no call reaches the object service.

--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/batch"
+	"mothcart/core/outcome"
 	"mothcart/io/clock"
 	"mothcart/io/forward"
 	"mothcart/io/home"
@@ -164,16 +165,23 @@
 	ctx, cancel := context.WithTimeout(r.Context(), directTimeout)
 	defer cancel()
 	err := home.EndJob(ctx, h.opts.Objects, c.Job, c.Account)
+	so := store.OutcomeOf(err)
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		err = h.opts.Home.EndJob(r.Context(), c.Job, c.Account)
-	}
-	if err != nil {
+		so = so.With(store.OutcomeOf(err))
+	}
+	switch {
+	case so == outcome.Done:
+		h.opts.Home.NotifyEnded(c.Job)
+		h.opts.Log.Info().Str("job", c.Job).Str("outcome", "ended").Msg("jobEnd")
+		w.WriteHeader(http.StatusOK)
+	case so == outcome.NotDone:
 		h.failJobCall(w, c, "jobEnd", err)
-		return
+	default:
+		h.opts.Log.Warn().Str("job", c.Job).Int("status", http.StatusGatewayTimeout).Err(err).Msg("jobEnd")
+		setRetryAfter(w, downRetryAfter)
+		http.Error(w, "not known whether the job was ended; end it again", http.StatusGatewayTimeout)
 	}
-	h.opts.Home.NotifyEnded(c.Job)
-	h.opts.Log.Info().Str("job", c.Job).Str("outcome", "ended").Msg("jobEnd")
-	w.WriteHeader(http.StatusOK)
 }
 
 // failJobCall answers 404 only if the object service or the home has found no such job or item, and
--- a/io/node/store_test.go
+++ b/io/node/store_test.go
@@ -213,3 +213,25 @@
 		})
 	}
 }
+
+// Guards against an end of a job that is answered as not done though it may have been.
+func TestEndOfAJobThatMayHaveEndedIsNotRefused(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		fault  fake.Fault
+		status int
+	}{
+		{"no call reaches the object service", fake.Fault{Down: map[string]bool{"": true}}, http.StatusServiceUnavailable},
+		{"no write is answered", fake.Fault{LoseAnswers: 1000}, http.StatusGatewayTimeout},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 4).status)
+				s.objects.SetFault(tc.fault)
+				r := s.call(t.Context(), 1, http.MethodDelete, "/lots/j1", "r", "")
+				require.Equal(t, tc.status, r.status)
+				require.NotEmpty(t, r.header.Get("Retry-After"))
+			})
+		})
+	}
+}
