A job that exists is not refused for lack of room

What callers saw: 429, which promises that no part of the job runs, for a job that had been accepted with 202, and was even complete or ended, when it was sent again after a change of the home. Cause: the home answers the request for room from the jobs that it has loaded; the next home loads none that need no more runs. TestJobThatExistsIsAcceptedAgainWithoutRoom: before 429 in both cases (complete, ended), after 202. io/home and io/node pass.

--- a/io/home/client.go
+++ b/io/home/client.go
@@ -366,13 +366,6 @@
 	}
 }
 
-// notify sends a message to the home that is connected now.
-func (c *Client) notify(method string, msg any) {
-	if conn := c.connection(); conn != nil {
-		conn.Notify(method, msg)
-	}
-}
-
 type decision struct {
 	grant   slot.Grant
 	refusal *slot.Refusal
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -199,3 +199,10 @@
 	c.opts.OnReceivesChanges()
 	c.opts.Log.Warn().Str("home", a.VM).Int64("term", a.Term).Msg("homeLost")
 }
+
+// notify sends a message to the home that is connected now.
+func (c *Client) notify(method string, msg any) {
+	if conn := c.connection(); conn != nil {
+		conn.Notify(method, msg)
+	}
+}
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -31,6 +31,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"mothcart/core/batch"
 	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
@@ -120,6 +121,8 @@
 	mu       sync.Mutex
 	jobs     map[string]*job
 	reserved map[string]reservation
+	// unloaded holds the jobs that need no more runs and that the home has not loaded, without their items.
+	unloaded map[string]batch.Job
 	// submissions are the nodes' attempts to submit jobs that the home doesn't have.
 	submissions *submission.Table
 	// undelivered holds the jobs that the object service has stored and the watch has not delivered yet,
@@ -189,7 +192,7 @@
 			retirementWaits:  metrics.GetOrRegisterGauge("home.retirementWaits", opts.Registry),
 		},
 		progressLoaded: make(chan struct{}), handoverDone: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
-		jobs: make(map[string]*job), reserved: make(map[string]reservation),
+		jobs: make(map[string]*job), reserved: make(map[string]reservation), unloaded: make(map[string]batch.Job),
 		undelivered: make(map[string]time.Time), runners: make(map[string]*runnerNode), remoteRuns: make(map[uint64]*remoteRun),
 		nodes: make(map[string]*link.Conn), listed: newListedJobs(),
 	}
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -123,7 +123,7 @@
 		return nil
 	}
 	open := h.openTokens(now, route, m.Account)
-	if h.jobs[m.Job] != nil {
+	if h.exists(m.Job) {
 		in.Answer(reserveAnswer{OK: true, Open: open})
 		return nil
 	}
@@ -175,11 +175,16 @@
 	return nil
 }
 
-// hasJobOf reports that the home has loaded a job of an account.
-func (h *Home) hasJobOf(id, account string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.ownJob(id, account) != nil
+// existsFor reports that an account has a job, whether or not the home has loaded it; the mutex is held.
+func (h *Home) existsFor(id, account string) bool {
+	unloaded, ok := h.unloaded[id]
+	return h.ownJob(id, account) != nil || (ok && unloaded.OwnedBy(account))
+}
+
+// exists reports that there is a job with this ID, whoever's it is; the mutex is held.
+func (h *Home) exists(id string) bool {
+	_, ok := h.unloaded[id]
+	return ok || h.jobs[id] != nil
 }
 
 // read answers with results; a goroutine waits for the first one.
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -81,6 +81,7 @@
 // needs no more runs is not loaded; readers get it from the object service.
 func (h *Home) loadWithResults(o object.Object) {
 	if s := decodeStatus(o); s.Listed || s.Ended || h.listed.has(o.Name) {
+		h.skipJob(o)
 		return
 	}
 	for h.ctx.Err() == nil {
@@ -175,7 +176,9 @@
 	switch {
 	case exists && status.Ended:
 		h.endJob(o.Name)
-	case exists || status.Ended || status.Listed || h.listed.has(o.Name):
+	case exists:
+	case status.Ended || status.Listed || h.listed.has(o.Name):
+		h.skipJob(o)
 	default:
 		ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
 		defer cancel()
@@ -218,9 +221,23 @@
 	h.startItems(o.Name)
 }
 
+// skipJob records a job that needs no more runs, so that it is not refused when its caller sends it again.
+func (h *Home) skipJob(o object.Object) {
+	owner, err := decodeOwner(o)
+	if err != nil {
+		h.opts.Log.Error().Str("job", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("jobSkipped")
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unloaded[o.Name] = owner
+	h.noteSubmission(o.Name)
+}
+
 func (h *Home) dropJob(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	delete(h.unloaded, id)
 	if j := h.jobs[id]; j != nil {
 		j.cancelRuns()
 		delete(h.jobs, id)
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -92,7 +92,9 @@
 			m.Job.ID = m.ID
 			go h.write(in, s, m.ID, func(ctx context.Context) error {
 				err := CreateJob(WithJobLog(ctx, h.opts.Log, "home", m.ID), h.opts.Objects, m.Job)
-				if err != nil && h.hasJobOf(m.ID, m.Job.Account) {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				if err != nil && h.existsFor(m.ID, m.Job.Account) {
 					return nil // the watch has delivered it
 				}
 				return err
--- a/io/home/submission.go
+++ b/io/home/submission.go
@@ -33,9 +33,9 @@
 		now := h.opts.Now()
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		stored := h.ownJob(m.Job, m.Account) != nil
+		stored := h.existsFor(m.Job, m.Account)
 		settled := h.submissions.Withdraw(now, submission.Attempt{Job: m.Job, ID: m.Attempt}) &&
-			h.loaded && now.Sub(h.startedAt) >= settleGrace && h.jobs[m.Job] == nil
+			h.loaded && now.Sub(h.startedAt) >= settleGrace && !h.exists(m.Job)
 		if settled {
 			delete(h.reserved, m.Job)
 		}
@@ -49,7 +49,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, a := range attempts {
-		if h.jobs[a.Job] == nil {
+		if !h.exists(a.Job) {
 			h.submissions.Begin(h.opts.Now(), a)
 		}
 	}
--- a/io/node/store_test.go
+++ b/io/node/store_test.go
@@ -235,3 +235,28 @@
 		})
 	}
 }
+
+// Guards against a refusal of a job that exists, by a home that does not hold it since all its items have results or since
+// it was ended.
+func TestJobThatExistsIsAcceptedAgainWithoutRoom(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		end  bool
+	}{{"complete", false}, {"ended", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 4).status)
+				s.awaitJob(1, "j1", 5*time.Second)
+				if tc.end {
+					require.Equal(t, http.StatusOK, s.call(t.Context(), 1, http.MethodDelete, "/lots/j1", "r", "").status)
+				}
+				time.Sleep(3 * time.Second)
+				s.killHome(1)
+				time.Sleep(5 * time.Second)
+				require.Equal(t, http.StatusAccepted, s.submitJob(1, "j2", 98).status)
+				require.Equal(t, http.StatusTooManyRequests, s.submitJob(1, "j3", 4).status, "there is no room")
+				require.Equal(t, http.StatusAccepted, s.submitJob(2, "j1", 4).status)
+			})
+		})
+	}
+}
