--- a/io/node/store_test.go
+++ b/io/node/store_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
@@ -184,6 +185,23 @@
 			require.Equal(t, http.StatusAccepted, s.submitJob(2, "j2", 80).status)
 			return s.submitJob(2, "j1", 60)
 		}, http.StatusGatewayTimeout, false},
+		{"the caller leaves during the write", func(t *testing.T, s *testSite) reply {
+			doubtful(s)
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			require.Zero(t, s.call(ctx, 1, http.MethodPost, "/lot/1", "j1", string(fake.JobBody("j1", 2, []byte("draft")))).status)
+			return s.submitJob(2, "j1", 2)
+		}, http.StatusGatewayTimeout, true},
+		{"the home ends while it writes the job", func(t *testing.T, s *testSite) reply {
+			s.objects.SetFault(fake.Fault{CreationsOf: home.KindJobs, Creations: map[string][]fake.Fate{"": refused, homeIP(1): {fake.AppliedLate, fake.Refused}}})
+			time.AfterFunc(300*time.Millisecond, func() { s.killHome(1) })
+			return s.submitJob(1, "j1", 2)
+		}, http.StatusGatewayTimeout, true},
+		{"the link to the home ends while it writes the job", func(t *testing.T, s *testSite) reply {
+			s.objects.SetFault(fake.Fault{CreationsOf: home.KindJobs, Creations: map[string][]fake.Fate{"": refused, homeIP(1): {fake.AppliedLate, fake.Refused}}})
+			time.AfterFunc(300*time.Millisecond, func() { s.network.Partition(entryIP(1), homeIP(1)) })
+			return s.submitJob(1, "j1", 2)
+		}, http.StatusGatewayTimeout, true},
 		{"in doubt, then another home", func(t *testing.T, s *testSite) reply {
 			s.objects.SetFault(fake.Fault{CreationsOf: home.KindJobs, Creations: map[string][]fake.Fate{"": refused, entryIP(1): {fake.Lost, fake.Refused}}})
 			require.Equal(t, http.StatusGatewayTimeout, s.submitJob(1, "j1", 2).status)
