A write that was lost and then refused is not reported as without effect

What callers saw: after a write of the object service that was not answered, PutConfirmed repeats it; a refusal of the repeat (503) ended the loop, and ErrUnavailable, nothing was written, was returned though the first attempt may be applied late. A job or its cancellation was then refused and could take effect; the holder of a chunk forgot that its record may be written, and dropped the chunk with its results when it found it. Cause: the loop ran while the last error was ErrUnknown. An error without a sentinel, and a conflict that was read back, counted as known too. Change: the outcome of the attempts together decides; once one is unknown, only the object's value says done, and the error is ErrUnknown. store.Changed says that the object has to be read again, which is no statement about the effect; callers that asked for ErrConflict ask it instead.

--- a/io/job/api.go
+++ b/io/job/api.go
@@ -122,7 +122,7 @@
 			return j.status(ctx, head), nil
 		}
 		_, err = j.writeHead(ctx, next, version)
-		if errors.Is(err, store.ErrConflict) {
+		if store.Changed(err) {
 			continue
 		}
 		if err != nil {
--- a/io/job/fill.go
+++ b/io/job/fill.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/job"
+	"mothcart/core/outcome"
 	"mothcart/io/store"
 )
 
@@ -156,12 +156,12 @@
 	switch {
 	case err == nil:
 		return true, j.addClaimed(ctx, c, next, version, inputs)
-	case errors.Is(err, store.ErrUnknown):
-		j.postpone(c)
-		return true, nil
-	case errors.Is(err, store.ErrConflict):
+	case store.Changed(err):
 		_, _, err = j.readOffered(ctx, head, offer)
 		return false, err
+	case store.OutcomeOf(err) == outcome.Unknown:
+		j.postpone(c)
+		return true, nil
 	default:
 		return false, err
 	}
--- a/io/job/submit.go
+++ b/io/job/submit.go
@@ -249,7 +249,7 @@
 func (j *Jobs) tryAccept(ctx context.Context, now time.Time, head job.Head, blocks [][]byte) (job.Head, bool, error) {
 	head, version, accepted, err := j.startUpload(ctx, head)
 	if err != nil || accepted {
-		return head, errors.Is(err, store.ErrConflict), err
+		return head, store.Changed(err), err
 	}
 	if err := j.createOnce(ctx, teamKey(head.Team, head.Created, head.ID), []byte(head.ID)); err != nil {
 		return head, false, err
@@ -262,7 +262,7 @@
 		return head, false, err
 	}
 	if _, err := j.writeHead(ctx, head, version); err != nil {
-		return head, errors.Is(err, store.ErrConflict), merry.Errorf("accept: %w", err)
+		return head, store.Changed(err), merry.Errorf("accept: %w", err)
 	}
 	return head, false, nil
 }
@@ -295,7 +295,7 @@
 // createOnce creates an object unless it exists; its value must depend on its key alone.
 func (j *Jobs) createOnce(ctx context.Context, key string, value []byte) error {
 	_, err := store.PutConfirmed(ctx, j.store, key, value, store.Absent)
-	if err != nil && !errors.Is(err, store.ErrConflict) {
+	if err != nil && !store.Changed(err) {
 		return merry.Errorf("create %s: %w", key, err)
 	}
 	return nil
--- a/io/job/write.go
+++ b/io/job/write.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/job"
+	"mothcart/core/outcome"
 	"mothcart/io/store"
 )
 
@@ -103,22 +103,22 @@
 		return err
 	}
 	version, err := store.PutConfirmed(ctx, j.store, chunkKey(h.head.ID, h.index), raw, h.version)
-	switch {
-	case err == nil:
+	switch store.OutcomeOf(err) {
+	case outcome.Done:
 		j.applyWrite(h, c, version, since)
 		return nil
-	case errors.Is(err, store.ErrUnknown):
+	case outcome.Unknown:
 		j.mu.Lock()
 		if h.unresolvedSince.IsZero() {
 			h.unresolvedSince = since
 		}
 		j.mu.Unlock()
-		return err
-	case errors.Is(err, store.ErrConflict):
+	case outcome.NotDone:
+	}
+	if store.Changed(err) {
 		return j.resync(ctx, h)
-	default:
-		return err
 	}
+	return err
 }
 
 // applyWrite records that c became durable by a write that started at since.
--- a/io/order/lease.go
+++ b/io/order/lease.go
@@ -129,7 +129,7 @@
 		if err != nil || !slots.Has(engine, r.opts.Holder) {
 			return
 		}
-		if err := write(ctx, r.opts.Store, pool, slots.WithFreed(engine, r.opts.Holder), version); !errors.Is(err, store.ErrConflict) {
+		if err := write(ctx, r.opts.Store, pool, slots.WithFreed(engine, r.opts.Holder), version); !store.Changed(err) {
 			return
 		}
 	}
--- a/io/order/order.go
+++ b/io/order/order.go
@@ -206,7 +206,7 @@
 
 // storeError wraps an error of the object service; a conflict becomes errHeld.
 func storeError(what string, err error) error {
-	if errors.Is(err, store.ErrConflict) {
+	if store.Changed(err) {
 		return merry.Errorf("%s: %w", what, errHeld)
 	}
 	return merry.Errorf("%s: %w", what, err)
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -43,6 +43,8 @@
 	ErrUnavailable = merry.Sentinel("object service unavailable")
 	// ErrUnknown means that the answer to a write was lost; the write may have had effect.
 	ErrUnknown = merry.Sentinel("object write outcome unknown")
+	// errReplaced means that the object was found with another value after a write that was not answered.
+	errReplaced = merry.Sentinel("object holds another value")
 )
 
 // writes are the errors that tell the outcome of a write.
@@ -55,6 +57,10 @@
 // and none of the other sentinels whatever the last attempt was answered.
 func LostError(last error) error { return writes.Lost(last) }
 
+// Changed reports that a write failed since the object no longer has the expected version, so that the caller has to read
+// the object and decide again. It says nothing about the effect of the write, which may have come before the change.
+func Changed(err error) bool { return errors.Is(err, ErrConflict) || errors.Is(err, errReplaced) }
+
 // Version is the version of an object; it grows with every write of the object and is never
 // reused for the same key.
 type Version uint64
@@ -89,37 +95,39 @@
 // confirmPause is the time between two of these reads.
 const confirmPause = 50 * time.Millisecond
 
-// PutConfirmed is c.Put, but after a lost answer it reads the object back and compares. The value must
-// be unique to the writer and the attempt (it holds a writer ID and a sequence number), so that an
-// equal value proves that the write had effect. It returns ErrUnknown only when reading back
-// failed too. ErrConflict means that the object holds another value: after a lost answer the write
-// may have had effect and been overwritten since, so callers read the object and decide again.
+// PutConfirmed is c.Put, but after an attempt whose outcome is unknown it reads the object back, compares, and repeats the
+// write. The value must be unique to the writer and the attempt (it holds a writer ID and a sequence number), so that an
+// equal value proves that the write had effect. Once an attempt may have had effect, it returns ErrUnknown, whatever later
+// attempts are answered, unless the object holds the value. Changed reports that the object holds another value.
 func PutConfirmed(ctx context.Context, c Client, key string, value []byte, expect Version) (Version, error) {
 	version, err := c.Put(ctx, key, value, expect)
-	for i := 0; errors.Is(err, ErrUnknown) && i < confirmAttempts; i++ {
-		o, readErr := c.Get(ctx, key)
-		switch {
-		case readErr == nil && bytes.Equal(o.Value, value):
-			return o.Version, nil
-		case readErr == nil && o.Version != expect:
-			return 0, merry.Errorf("confirm write of %s: %w", key, ErrConflict)
-		case readErr == nil || errors.Is(readErr, ErrNotFound):
-			// A write in transit may still arrive, so the same conditional write is repeated:
-			// at most one of the two can take effect.
-			version, err = c.Put(ctx, key, value, expect)
-			if errors.Is(err, ErrConflict) {
-				err = ErrUnknown
-			}
+	for i := 0; OutcomeOf(err) == outcome.Unknown && i < confirmAttempts; i++ {
+		var found error
+		if version, found = confirm(ctx, c, key, value, expect); found == nil {
+			return version, nil
 		}
-		if err == nil {
+		err = LostError(found)
+		if Changed(err) || clock.Sleep(ctx, confirmPause) != nil {
 			break
 		}
-		if waitErr := clock.Sleep(ctx, confirmPause); waitErr != nil {
-			return 0, merry.Errorf("confirm write of %s: %w", key, ErrUnknown)
-		}
 	}
 	if err != nil {
 		return 0, merry.Errorf("write %s: %w", key, err)
 	}
 	return version, nil
 }
+
+// confirm reads back an object whose write was not answered, and repeats the write if that had no effect yet: a write in
+// transit may still arrive, and at most one of the two can take effect.
+func confirm(ctx context.Context, c Client, key string, value []byte, expect Version) (Version, error) {
+	o, err := c.Get(ctx, key)
+	switch {
+	case err == nil && bytes.Equal(o.Value, value):
+		return o.Version, nil
+	case err == nil && o.Version != expect:
+		return 0, errReplaced
+	case err != nil && !errors.Is(err, ErrNotFound):
+		return 0, merry.Errorf("read back: %w", err)
+	}
+	return c.Put(ctx, key, value, expect)
+}
