An answer of the object service that proves nothing is not taken for a refusal

What callers saw: a write that was answered 500, 502 or 408, by the service or by a proxy before it, counted as not done, and could still be applied; 304 of a deletion counted as done. An answer of success without a version, and a value that was never sent, had no outcome at all. Cause: one table of statuses for reads and writes, whose default was ErrUnavailable. Change: a write had no effect if the service says so (4xx but 408, 503), else its outcome is unknown; a read that fails is ErrUnavailable. The fake answers by the outcome. TestOutcomeOfAWriteByItsAnswer: before, 408, 500 and 502 are NotDone, and 304 of a deletion Done; it passes after, with fake/store.

--- a/fake/store/http.go
+++ b/fake/store/http.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"mothcart/core/outcome"
 	"mothcart/io/store"
 )
 
@@ -104,12 +105,12 @@
 func writeError(w http.ResponseWriter, err error) {
 	status := http.StatusServiceUnavailable
 	switch {
+	case store.OutcomeOf(err) == outcome.Unknown:
+		status = http.StatusGatewayTimeout
 	case errors.Is(err, store.ErrNotFound):
 		status = http.StatusNotFound
 	case errors.Is(err, store.ErrConflict):
 		status = http.StatusPreconditionFailed
-	case errors.Is(err, store.ErrUnknown):
-		status = http.StatusGatewayTimeout
 	}
 	http.Error(w, err.Error(), status)
 }
--- a/fake/store/store.go
+++ b/fake/store/store.go
@@ -133,7 +133,7 @@
 
 func (s *Store) put(ctx context.Context, key string, value []byte, expect store.Version) (store.Version, error) {
 	if len(value) > store.MaxValueBytes {
-		return 0, merry.Errorf("put %s: value of %d bytes is over %d", key, len(value), store.MaxValueBytes)
+		return 0, merry.Errorf("put %s: value of %d bytes is over %d: %w", key, len(value), store.MaxValueBytes, store.ErrUnavailable)
 	}
 	if err := s.admit(ctx, s.writes); err != nil {
 		return 0, merry.Errorf("put %s: %w", key, err)
--- a/io/store/http.go
+++ b/io/store/http.go
@@ -110,13 +110,17 @@
 
 func (h *httpClient) put(ctx context.Context, key string, value []byte, expect Version) (Version, error) {
 	if len(value) > MaxValueBytes {
-		return 0, merry.Errorf("write %s: value of %d bytes exceeds the limit of %d", key, len(value), MaxValueBytes)
+		return 0, merry.Errorf("write %s: value of %d bytes exceeds the limit of %d: %w", key, len(value), MaxValueBytes, ErrUnavailable)
 	}
 	resp, err := h.write(ctx, http.MethodPut, key, value, expect)
 	if err != nil {
 		return 0, err
 	}
-	return ParseETag(resp.Header.Get("ETag"))
+	version, err := ParseETag(resp.Header.Get("ETag"))
+	if err != nil {
+		return 0, merry.Errorf("write %s: %w", key, LostError(err))
+	}
+	return version, nil
 }
 
 func (h *httpClient) remove(ctx context.Context, key string, expect Version) error {
@@ -129,7 +133,7 @@
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, h.base+ObjectsPath+url.PathEscape(key), bytes.NewReader(value))
 	if err != nil {
-		return nil, merry.Errorf("build write of %s: %w", key, err)
+		return nil, merry.Errorf("build write of %s: %w: %w", key, ErrUnavailable, err)
 	}
 	if expect == Absent {
 		r.Header.Set("If-None-Match", "*")
@@ -138,10 +142,10 @@
 	}
 	resp, err := h.http.Do(r)
 	if err != nil {
-		return nil, merry.Errorf("write %s: %w: %w", key, writeFailure(err), err)
+		return nil, merry.Errorf("write %s: %w", key, writeFailure(err))
 	}
 	defer resp.Body.Close()
-	if err := statusError(resp.StatusCode); err != nil {
+	if err := writeStatusError(resp.StatusCode); err != nil {
 		return nil, merry.Errorf("write %s: %w", key, err)
 	}
 	return resp, nil
@@ -151,9 +155,9 @@
 // lost.
 func writeFailure(err error) error {
 	if dial.Failed(err) {
-		return ErrUnavailable
+		return merry.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	return ErrUnknown
+	return LostError(err)
 }
 
 func (h *httpClient) list(ctx context.Context, prefix, after string, limit int) ([]Object, error) {
@@ -186,17 +190,31 @@
 	return objects, nil
 }
 
+// statusError returns the error of a read.
 func statusError(status int) error {
 	switch {
-	case status < http.StatusBadRequest:
+	case status >= http.StatusOK && status < http.StatusMultipleChoices:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	default:
+		return merry.Errorf("status %d: %w", status, ErrUnavailable)
+	}
+}
+
+// writeStatusError returns the error of a write. A refusal shows that the write had no effect; what a server, or a proxy before
+// it, answers of a failure of its own doesn't.
+func writeStatusError(status int) error {
+	switch {
+	case status >= http.StatusOK && status < http.StatusMultipleChoices:
 		return nil
 	case status == http.StatusNotFound:
 		return ErrNotFound
 	case status == http.StatusPreconditionFailed:
 		return ErrConflict
-	case status == http.StatusGatewayTimeout:
-		return ErrUnknown
+	case status == http.StatusServiceUnavailable || (status/100 == 4 && status != http.StatusRequestTimeout):
+		return merry.Errorf("status %d: %w", status, ErrUnavailable)
 	default:
-		return ErrUnavailable
+		return merry.Errorf("status %d: %w", status, ErrUnknown)
 	}
 }
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"mothcart/core/outcome"
@@ -84,3 +87,41 @@
 		})
 	}
 }
+
+// Guards against answers that prove nothing and are taken for a refusal or a success.
+func TestOutcomeOfAWriteByItsAnswer(t *testing.T) {
+	for _, tc := range []struct {
+		status int
+		tag    string
+		want   outcome.Outcome
+	}{
+		{http.StatusOK, `"3"`, outcome.Done},
+		{http.StatusOK, "", outcome.Unknown},
+		{http.StatusPreconditionFailed, "", outcome.NotDone},
+		{http.StatusNotFound, "", outcome.NotDone},
+		{http.StatusServiceUnavailable, "", outcome.NotDone},
+		{http.StatusTooManyRequests, "", outcome.NotDone},
+		{http.StatusRequestEntityTooLarge, "", outcome.NotDone},
+		{http.StatusNotModified, "", outcome.Unknown},
+		{http.StatusRequestTimeout, "", outcome.Unknown},
+		{http.StatusInternalServerError, "", outcome.Unknown},
+		{http.StatusBadGateway, "", outcome.Unknown},
+		{http.StatusGatewayTimeout, "", outcome.Unknown},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("ETag", tc.tag)
+			w.WriteHeader(tc.status)
+		}))
+		c := NewHTTP(server.URL, server.Client())
+		_, err := c.Put(t.Context(), "k", []byte("v"), Absent)
+		assert.Equal(t, tc.want, OutcomeOf(err), "status %d: %v", tc.status, err)
+		if tc.status != http.StatusOK {
+			assert.Equal(t, tc.want, OutcomeOf(c.Delete(t.Context(), "k", 1)), "status %d", tc.status)
+		}
+		server.Close()
+		_, err = c.Put(t.Context(), "k", []byte("v"), Absent)
+		require.ErrorIs(t, err, ErrUnavailable, "nothing listens")
+		_, err = c.Put(t.Context(), "k", make([]byte, MaxValueBytes+1), Absent)
+		assert.Equal(t, outcome.NotDone, OutcomeOf(err), "not sent")
+	}
+}
