A job's call that may have had effect is not answered as without effect

What callers saw: 503 with ran=no for a submission or a cancellation whose write was applied, not answered and overwritten by another VM, when the next read failed; 503 with ran=no for a deletion of a file that was gone already, when a later part of it failed. Cause: the error of the last attempt, or of the last step, was the call's; and refusalOf asked its errors one after the other. Change: Submit and Cancel keep the outcome of their attempts (only the end of a job proves that it was not cancelled); a deletion that has begun is ErrOutcomeUnknown. io/job has one function for its outcomes, and the batches API asks one for its refusals. TestCallThatMayHaveHadEffect and TestDeletionThatFailsInTheMiddle fail before (ErrUnavailable) and pass after; io/job, io/caller, io/caller/batches and io/serve pass.

--- a/io/caller/batches/batches.go
+++ b/io/caller/batches/batches.go
@@ -27,6 +27,7 @@
 	"github.com/rs/zerolog"
 
 	corejob "mothcart/core/job"
+	"mothcart/core/outcome"
 	"mothcart/io/job"
 )
 
@@ -122,7 +123,27 @@
 	ran    string
 }
 
+// calls are the errors that tell the outcome of a call.
+var calls = outcome.Sentinels{
+	Unknown: job.ErrOutcomeUnknown,
+	NotDone: []error{
+		ErrUnauthenticated, errBadRequest, job.ErrNotFound, job.ErrKeyReused, job.ErrTooLarge, job.ErrInvalid, job.ErrUnavailable, corejob.ErrTerminal,
+	},
+}
+
 func refusalOf(err error) refusal {
+	switch {
+	case calls.Of(err) == outcome.NotDone:
+		return notDoneRefusal(err)
+	case errors.Is(err, job.ErrOutcomeUnknown):
+		return refusal{http.StatusServiceUnavailable, "server_error", "outcome_unknown", "maybe"}
+	default:
+		return refusal{http.StatusInternalServerError, "server_error", "internal_error", "maybe"}
+	}
+}
+
+// notDoneRefusal returns the refusal of a call that had no effect.
+func notDoneRefusal(err error) refusal {
 	switch {
 	case errors.Is(err, ErrUnauthenticated):
 		return refusal{http.StatusUnauthorized, "invalid_request_error", "invalid_api_key", "no"}
@@ -136,12 +157,8 @@
 		return refusal{http.StatusBadRequest, "invalid_request_error", "invalid_request", "no"}
 	case errors.Is(err, corejob.ErrTerminal):
 		return refusal{http.StatusConflict, "invalid_request_error", "batch_ended", "no"}
-	case errors.Is(err, job.ErrOutcomeUnknown):
-		return refusal{http.StatusServiceUnavailable, "server_error", "outcome_unknown", "maybe"}
-	case errors.Is(err, job.ErrUnavailable):
-		return refusal{http.StatusServiceUnavailable, "server_error", "unavailable", "no"}
 	default:
-		return refusal{http.StatusInternalServerError, "server_error", "internal_error", "maybe"}
+		return refusal{http.StatusServiceUnavailable, "server_error", "unavailable", "no"}
 	}
 }
 
--- a/io/job/api.go
+++ b/io/job/api.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/job"
+	"mothcart/core/outcome"
 	"mothcart/io/store"
 )
 
@@ -108,31 +109,37 @@
 // the job was not cancelled; ErrOutcomeUnknown that it may have been. job.ErrTerminal means that the job
 // has ended.
 func (j *Jobs) Cancel(ctx context.Context, team, id string) (Status, error) {
+	so := outcome.NotDone
 	for range submitAttempts {
-		head, version, err := j.teamHead(ctx, team, id)
-		if err != nil {
-			return Status{}, err
-		}
-		next, err := head.Cancel(time.Now())
-		if err != nil {
-			return Status{}, merry.Errorf("cancel: %w", err)
-		}
-		if next.State == head.State {
-			j.pushCancel(id)
-			return j.status(ctx, head), nil
+		status, err := j.tryCancel(ctx, team, id)
+		if err == nil {
+			return status, nil
 		}
-		_, err = j.writeHead(ctx, next, version)
-		if store.Changed(err) {
-			continue
+		if !store.Changed(err) {
+			return Status{}, merry.Errorf("cancel: %w", afterAttempts(so, storeError(err)))
 		}
-		if err != nil {
-			return Status{}, merry.Errorf("cancel: %w", storeError(err))
+		so = so.With(store.OutcomeOf(err))
+	}
+	return Status{}, merry.Errorf("cancel job %s: %w", id, ErrOutcomeUnknown)
+}
+
+func (j *Jobs) tryCancel(ctx context.Context, team, id string) (Status, error) {
+	head, version, err := j.teamHead(ctx, team, id)
+	if err != nil {
+		return Status{}, err
+	}
+	next, err := head.Cancel(time.Now())
+	if err != nil {
+		return Status{}, err
+	}
+	if next.State != head.State {
+		if _, err := j.writeHead(ctx, next, version); err != nil {
+			return Status{}, err
 		}
-		j.pushCancel(id)
 		j.opts.Log.Info().Str("job", id).Str("team", team).Msg("jobCancelled")
-		return j.status(ctx, next), nil
 	}
-	return Status{}, merry.Errorf("cancel job %s: %w", id, ErrOutcomeUnknown)
+	j.pushCancel(id)
+	return j.status(ctx, next), nil
 }
 
 // pushCancel notifies every VM that the job is cancelled.
--- a/io/job/files.go
+++ b/io/job/files.go
@@ -194,22 +194,23 @@
 	return files, len(objects) > limit, nil
 }
 
-// DeleteFile deletes a file. Jobs that were made from it are not changed.
+// DeleteFile deletes a file. Jobs that were made from it are not changed. Errors: ErrNotFound, ErrUnavailable,
+// ErrOutcomeUnknown, which is also that of a deletion that has begun.
 func (j *Jobs) DeleteFile(ctx context.Context, team, id string) error {
 	f, err := j.GetFile(ctx, team, id)
 	if err != nil {
 		return err
 	}
-	if err := j.deleteFile(ctx, f); err != nil {
+	if err := j.remove(ctx, fileKey(f.ID)); err != nil {
 		return merry.Errorf("delete file: %w", storeError(err))
 	}
+	if err := j.deleteFileParts(ctx, f); err != nil {
+		return merry.Errorf("delete parts of file: %w", calls.Lost(err)) // the file itself is gone
+	}
 	return nil
 }
 
-func (j *Jobs) deleteFile(ctx context.Context, f File) error {
-	if err := j.remove(ctx, fileKey(f.ID)); err != nil {
-		return err
-	}
+func (j *Jobs) deleteFileParts(ctx context.Context, f File) error {
 	if err := j.deletePrefix(ctx, blockPrefix(f.ID)); err != nil {
 		return err
 	}
@@ -235,5 +236,8 @@
 	if err := decode(o.Value, &f); err != nil {
 		return err
 	}
-	return j.deleteFile(ctx, f)
+	if err := j.remove(ctx, fileKey(f.ID)); err != nil {
+		return err
+	}
+	return j.deleteFileParts(ctx, f)
 }
--- a/io/job/job.go
+++ b/io/job/job.go
@@ -31,6 +31,7 @@
 	"github.com/google/uuid"
 
 	"mothcart/core/job"
+	"mothcart/core/outcome"
 	"mothcart/io/store"
 )
 
@@ -49,6 +50,23 @@
 	ErrOutcomeUnknown = merry.Sentinel("outcome of the call is unknown, repeat it")
 )
 
+// calls are the errors that tell the outcome of a call on jobs.
+var calls = outcome.Sentinels{
+	Unknown: ErrOutcomeUnknown,
+	NotDone: []error{ErrNotFound, ErrKeyReused, ErrInvalid, ErrUnavailable, ErrTooLarge, job.ErrTerminal, job.ErrNotAccepted},
+}
+
+// OutcomeOf returns what is known about a call on jobs by its error.
+func OutcomeOf(err error) outcome.Outcome { return calls.Of(err) }
+
+// afterAttempts returns the error of a call, whose last attempt failed with err, by the outcome of the attempts before it.
+func afterAttempts(before outcome.Outcome, err error) error {
+	if err == nil || before != outcome.Unknown || errors.Is(err, job.ErrTerminal) { // a job that was cancelled doesn't end otherwise
+		return err
+	}
+	return calls.Lost(err)
+}
+
 // writerCount is the number of goroutines that write the records of held chunks.
 const writerCount = 4
 
@@ -161,17 +179,23 @@
 
 // storeError turns an error of the store into one of this package.
 func storeError(err error) error {
-	switch {
-	case err == nil:
+	switch store.OutcomeOf(err) {
+	case outcome.Done:
 		return nil
-	case errors.Is(err, store.ErrUnknown):
-		return merry.Errorf("%w: %w", ErrOutcomeUnknown, err)
-	case errors.Is(err, store.ErrUnavailable):
-		return merry.Errorf("%w: %w", ErrUnavailable, err)
-	case errors.Is(err, store.ErrNotFound):
-		return merry.Errorf("%w: %w", ErrNotFound, err)
+	case outcome.NotDone:
+		switch {
+		case errors.Is(err, store.ErrNotFound):
+			return merry.Errorf("%w: %w", ErrNotFound, err)
+		case store.Changed(err):
+			return err
+		default:
+			return merry.Errorf("%w: %w", ErrUnavailable, err)
+		}
 	default:
-		return err
+		if errors.Is(err, store.ErrUnknown) {
+			return calls.Lost(err)
+		}
+		return err // not one of the store
 	}
 }
 
--- a/io/job/submit.go
+++ b/io/job/submit.go
@@ -14,6 +14,7 @@
 
 	"mothcart/core/config"
 	"mothcart/core/job"
+	"mothcart/core/outcome"
 	"mothcart/io/store"
 )
 
@@ -80,17 +81,19 @@
 	if err != nil {
 		return Status{}, err
 	}
+	so := outcome.NotDone
 	for range submitAttempts {
-		accepted, retry, err := j.tryAccept(ctx, now, head, blocks)
+		accepted, err := j.tryAccept(ctx, now, head, blocks)
 		if err == nil {
 			if !accepted.State.Terminal() {
 				j.announce(ctx, accepted.ID)
 			}
 			return j.status(ctx, accepted), nil
 		}
-		if !retry {
-			return Status{}, merry.Errorf("submit job %s: %w", head.ID, storeError(err))
+		if !store.Changed(err) {
+			return Status{}, merry.Errorf("submit job %s: %w", head.ID, afterAttempts(so, storeError(err)))
 		}
+		so = so.With(store.OutcomeOf(err)) // another submission of the same job has written the head meanwhile
 	}
 	return Status{}, merry.Errorf("submit job %s: %w", head.ID, ErrOutcomeUnknown)
 }
@@ -244,27 +247,26 @@
 	return head, blocks, err
 }
 
-// tryAccept uploads the job and accepts it. If it fails, it reports whether to try again, because
-// another submission of the same job has written the head meanwhile.
-func (j *Jobs) tryAccept(ctx context.Context, now time.Time, head job.Head, blocks [][]byte) (job.Head, bool, error) {
+// tryAccept uploads the job and accepts it.
+func (j *Jobs) tryAccept(ctx context.Context, now time.Time, head job.Head, blocks [][]byte) (job.Head, error) {
 	head, version, accepted, err := j.startUpload(ctx, head)
 	if err != nil || accepted {
-		return head, store.Changed(err), err
+		return head, err
 	}
 	if err := j.createOnce(ctx, teamKey(head.Team, head.Created, head.ID), []byte(head.ID)); err != nil {
-		return head, false, err
+		return head, err
 	}
 	if err := j.upload(ctx, head, blocks); err != nil {
-		return head, false, err
+		return head, err
 	}
 	head, err = head.Accept(now)
 	if err != nil {
-		return head, false, err
+		return head, err
 	}
 	if _, err := j.writeHead(ctx, head, version); err != nil {
-		return head, store.Changed(err), merry.Errorf("accept: %w", err)
+		return head, merry.Errorf("accept: %w", err)
 	}
-	return head, false, nil
+	return head, nil
 }
 
 // startUpload creates the head, or continues the upload of an earlier submission. It reports whether the
