Events don't wait for the rest of the next one

What callers saw: a stream whose upstream sent the beginning of the next event and then nothing, or broke off. The events before it stayed in the buffer of the caller's connection until that event was complete; if the upstream broke off and no other went on, they were lost, and if none had been sent before, the caller got a closed connection without a head.

Cause: an event was flushed unless further bytes were in the read buffer, and a part of an event counts as such bytes.

Change: it is flushed unless a further event is complete in the buffer.

TestEventIsSentBeforeTheRestOfTheNextOne: 5 of 6 rows failed before, none after. Events that arrive together are still sent together.

--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -145,8 +145,8 @@
 	return nil
 }
 
-// sendEvent forwards one event to the caller. It flushes only when no further data of the upstream is
-// buffered, so that events that arrive together are sent together.
+// sendEvent forwards one event to the caller. It flushes only when no further event is buffered, so that events that
+// arrive together are sent together.
 func (x *exchange) sendEvent(e Event, more bool) error {
 	if _, err := x.w.Write(e.Raw); err != nil {
 		return err
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -242,7 +242,7 @@
 	// Start is called with the status and headers before each event, and before the end of a stream without events.
 	// Until then the caller can get another answer.
 	Start func(status int, h http.Header) error
-	// Event is called for each complete event; more reports that further bytes are already buffered.
+	// Event is called for each complete event; more reports that the next one is already buffered.
 	Event func(e Event, more bool) error
 	// Caller is the connection of the caller; while the caller is behind, the stream is read ahead within Budget. Nil if
 	// there is none.
--- a/io/forward/event.go
+++ b/io/forward/event.go
@@ -119,5 +119,12 @@
 	}
 }
 
-// buffered reports that further bytes of the stream are in the read buffer.
-func (er *eventReader) buffered() bool { return er.r.Buffered() > 0 }
+// buffered reports that a further event is complete in the read buffer. The rest of one that is not may never come.
+func (er *eventReader) buffered() bool {
+	b, err := er.r.Peek(er.r.Buffered())
+	if err != nil {
+		return false
+	}
+	b = bytes.TrimLeft(b, "\r\n")
+	return bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n"))
+}
