A stream goes on only with what follows its last event

But it could happen with status 200, which nothing checked: an error event, an error as an object, a head as text, a stream that starts again at its first event, one that repeats an event. The caller found all of them behind event 3, and the stream ended as if it were complete. Items of jobs went on in the same way.

Change: the first event of an attempt that continues a stream must have an ID that follows the last one (a greater number; another ID if they are no numbers); comments and empty lines may come before it. Else the attempt has failed and nothing of it is sent. Streams of a caller that can't be taken up stay as they are.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -30,6 +30,8 @@
 	errReplaced = merry.Sentinel("another attempt took its place")
 	// errNoEvent means that the connection ended before the first event of a stream without a length.
 	errNoEvent = merry.Sentinel("connection ended before the first event")
+	// errNotContinued means that an upstream has answered with something else than the rest of a stream.
+	errNotContinued = merry.Sentinel("answer doesn't go on after the last event")
 	// errCut means that an answer without a length ended with its upstream.
 	errCut = merry.Sentinel("upstream ended with an answer that has no length")
 	// errUnsigned means that an answer with a status of success lacks the upstream's signature.
@@ -49,6 +51,8 @@
 	Carried bool
 	// Continues reports that the attempt continues a stream, of which nothing may be left.
 	Continues bool
+	// After is the event after which the stream must go on; empty if it may begin with any.
+	After string
 	// IdleTimeout is the longest time to the headers of the answer, from there to the complete body or the first
 	// event, and between events, before the upstream counts as silent; 0 means no limit.
 	IdleTimeout time.Duration
@@ -186,7 +190,7 @@
 		return Answer{Sent: true, Err: merry.Errorf("status %d: %w", a.Status, errUnsigned)}
 	}
 	if a.Success() && stream != nil {
-		a.Events, err = stream.copy(resp, idle, call.Continues || !resp.Unframed, call.OnWrote)
+		a.Events, err = stream.copy(resp, idle, call)
 		a.Err = cause(ctx, err)
 		return a
 	}
@@ -264,9 +268,11 @@
 	}
 }
 
-// copy passes on the events of a stream and returns their number. It calls onWrote after writtenEvents of them. Without
-// any it returns errNoEvent, unless the stream may be empty.
-func (s *Sink) copy(resp service.Answer, idle *idleTimer, mayBeEmpty bool, onWrote func()) (n int, err error) {
+// copy passes on the events of a stream and returns their number. It calls OnWrote after writtenEvents of them. Without
+// any it returns errNoEvent, unless the stream may be empty, and errNotContinued before the first one if that doesn't go
+// on after call.After.
+func (s *Sink) copy(resp service.Answer, idle *idleTimer, call Call) (n int, err error) {
+	mayBeEmpty := call.Continues || !resp.Unframed
 	body, done := s.readAhead(idle.reader(resp.Body))
 	defer done()
 	events := newEventReader(body)
@@ -284,6 +290,9 @@
 		if err == io.EOF && n == 0 && !mayBeEmpty {
 			return n, errNoEvent
 		}
+		if call.After != "" && n == 0 && !e.isFiller() && !e.follows(call.After) {
+			return n, merry.Errorf("event %q after %q: %w", e.ID, call.After, errNotContinued)
+		}
 		if err := s.Start(resp.Status, resp.Header); err != nil {
 			return n, merry.Errorf("start stream: %w", err)
 		}
@@ -301,7 +310,7 @@
 			continue
 		}
 		if n++; n == writtenEvents {
-			onWrote()
+			call.OnWrote()
 		}
 		idle.await()
 	}
--- a/io/forward/event.go
+++ b/io/forward/event.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 
 	"github.com/ansel1/merry/v2"
 
@@ -48,6 +49,26 @@
 	return out
 }
 
+// isFiller reports that there are only comments and empty lines.
+func (e Event) isFiller() bool {
+	for line := range bytes.SplitSeq(e.Raw, []byte("\n")) {
+		if line = bytes.TrimSuffix(line, []byte("\r")); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
+// follows reports that the event may come next after the one with an ID. IDs that are numbers increase.
+func (e Event) follows(after string) bool {
+	last, err := strconv.ParseInt(after, 10, 64)
+	if err != nil {
+		return e.ID != "" && e.ID != after
+	}
+	id, err := strconv.ParseInt(e.ID, 10, 64)
+	return err == nil && id > last
+}
+
 // field returns the value of a line of an event that has the given name.
 func field(line []byte, name string) ([]byte, bool) {
 	rest, ok := bytes.CutPrefix(line, []byte(name))
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -169,6 +169,10 @@
 	if x.delivered.Load() > 0 {
 		lastID = x.lastID
 	}
+	after := lastID
+	if after == "" && x.req.Route.Resumable {
+		after = x.req.LastEventID
+	}
 	x.f.metrics.attempts.Inc(1)
 	header := x.req.Header
 	if lease.Carried {
@@ -183,7 +187,7 @@
 		OnLimit:   lease.Limit,
 		OnWrote:   lease.Wrote,
 		Holds:     x.holds,
-		Continues: lastID != "" || x.req.LastEventID != "",
+		Continues: lastID != "" || x.req.LastEventID != "", After: after,
 	}
 }
 
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -183,7 +183,7 @@
 			named.observe(m.Pace, reports.pace)
 		},
 		OnLeaving: func() { rn.opts.Leaving(c.Upstream, c.ID) },
-		Continues: c.LastEventID != "",
+		Continues: c.LastEventID != "", After: c.LastEventID,
 		OnLimit: func(rate float64, named bool) {
 			if named || c.Limited {
 				reports.limit(rate, named)
