explain ends the timeline of a job with its story

What operators saw: a timeline of a refused job without a conclusion, in which the answer to the caller could stand before the home's answer that decided it, since the clocks of VMs differ. Change: mothcart explain ID ends with one line: the verdict (accepted, in doubt, refused, stored or RAN AFTER A REFUSAL, rejected), each answer, the attempts without an answer, the writes that were done or whose outcome isn't known, the home that took the job, and the first item that ran. jobSubmitted comes after writtenForNode and submissionWithdrawn of other nodes. The order is a merge of the nodes' logs instead of a sort: "lines of one node keep their order" and "within 20 ms causes come first" together are no order that a sort can use (A before B by rank, B before C by node, C before A by rank).

--- a/cmd/mothcart/explain.go
+++ b/cmd/mothcart/explain.go
@@ -45,6 +45,9 @@
 	for _, e := range timeline {
 		fmt.Fprintln(out, e)
 	}
+	if story, ok := explain.JobStory(events, id); ok {
+		fmt.Fprintln(out, story)
+	}
 	return exitOK
 }
 
--- a/io/explain/explain.go
+++ b/io/explain/explain.go
@@ -13,12 +13,14 @@
 //	for _, e := range explain.Timeline(events, "9c41d07be2a35f68") {
 //		fmt.Println(e)
 //	}
+//	if s, ok := explain.JobStory(events, "1508f72746f05810"); ok {
+//		fmt.Println(s)
+//	}
 package explain
 
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -160,8 +162,7 @@
 			selected = append(selected, e)
 		}
 	}
-	slices.SortStableFunc(selected, causal)
-	return selected
+	return inCausalOrder(selected)
 }
 
 // causeWindow is how long before the first event of the ID context events and upstream changes are
@@ -189,39 +190,12 @@
 
 func byTime(a, b Event) int { return a.Time.Compare(b.Time) }
 
-// causal compares events by time. Events of different nodes within clockSlack are ordered by rank, so that
-// a cause comes before its result, such as a refusal before the end of the request. Lines of one node keep
-// their order.
-func causal(a, b Event) int {
-	if a.Node == b.Node {
-		return cmp.Or(a.Time.Compare(b.Time), a.index-b.index)
-	}
-	if d := a.Time.Sub(b.Time); d.Abs() > clockSlack {
-		return a.Time.Compare(b.Time)
-	}
-	return cmp.Or(rank(a)-rank(b), a.Time.Compare(b.Time))
-}
-
-// clockSlack is the time difference up to which the clocks of two nodes don't show the order of events.
-const clockSlack = 20 * time.Millisecond
-
-func rank(e Event) int {
-	switch e.Name {
-	case "requestDone", "resultsListed":
-		return 2
-	case "attemptFailed", "itemAttempt", "itemGivenUp":
-		return 1
-	default:
-		return 0
-	}
-}
-
 // String renders the event on one line, with its fields sorted by name.
 func (e Event) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %-16s %s", e.Time.Format("15:04:05.000"), e.Node, e.Name)
+	fmt.Fprintf(&b, "%s %-16s %s", e.Time.Format(timeOfDay), e.Node, e.Name)
 	for _, name := range slices.Sorted(maps.Keys(e.Fields)) {
-		fmt.Fprintf(&b, " %s=%v", name, e.Fields[name])
+		fmt.Fprintf(&b, " %s=%s", name, strings.ReplaceAll(fmt.Sprint(e.Fields[name]), "\n", " | "))
 	}
 	return b.String()
 }
