From a job's ID to each write, the answer and the first item

What operators saw: a complaint "refused, and it ran" could not be traced. A line of an attempt to write the job had no outcome, the answer's line neither the writers' outcomes nor the home's word, and nothing said when the first item began. Change, one ID for each attempt to submit a job (attempt) on all lines of it, also at the home that writes for an entry: - jobWriteAttempt: number (in the order of sending) and outcome of that attempt alone; - jobSubmitted: entryWrite, entryMillis, homeWrite, homeMillis ("open" if the caller was answered before the end), who decided about room with what it knew (roomBy, roomOpen, roomCap), and the home's word (home: settled, unsettled, stored, noWord); - submissionWithdrawn: standing, number of other open attempts, whether the home has loaded the jobs; - firstItemStarted: once a job and home, with refused if the home knows that the job had been refused. Counters: submissions.OUTCOME.STATUS, submissions.refusalsWithheld, jobWrites.WRITER.OUTCOME, home.refusedJobsRan; gauge home.openSubmissions. They are in the registry of each node, so on its metrics address, and the counters in its counters line. Standing tells "the home says that an attempt is open" from "no home answered"; both withhold a refusal, as before.

--- a/core/submission/submission.go
+++ b/core/submission/submission.go
@@ -103,6 +103,14 @@
 	return out
 }
 
+// OpenOf returns the number of open attempts at a job.
+func (t *Table) OpenOf(job string) int {
+	if s := t.jobs[job]; s != nil {
+		return len(s.open)
+	}
+	return 0
+}
+
 // sweep forgets attempts and refusals that are older than Memory.
 func (t *Table) sweep(now time.Time) {
 	t.sweptAt = now
--- a/io/entry/submit.go
+++ b/io/entry/submit.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"mothcart/core/batch"
 	"mothcart/core/outcome"
 	"mothcart/core/site"
@@ -36,24 +38,25 @@
 	}
 	job, err := h.opts.Codec.DecodeJob(id, r.Host, r.URL.Path, account, h.opts.TimeOfDay(), body)
 	if err != nil {
-		h.logJob(id, "badJob", http.StatusBadRequest, arrived, err)
+		h.logSubmitted(&submitted{job: batch.Job{ID: id}, arrived: arrived}, "badJob", http.StatusBadRequest, err)
 		http.Error(w, "job can't be read", http.StatusBadRequest)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), min(submitTimeout, h.deadline(r, route, arrived).Sub(h.opts.Now())))
 	defer cancel()
-	s := submitted{w: w, job: job, attempt: h.opts.Home.BeginSubmission(id), arrived: arrived}
-	if !h.hasRoom(ctx, route, job, s.attempt) {
+	s := &submitted{w: w, job: job, attempt: h.opts.Home.BeginSubmission(id), arrived: arrived}
+	s.room = h.askRoom(ctx, route, job, s.attempt)
+	if !s.room.fits {
 		h.refuseJob(r.Context(), s, "noRoom", http.StatusTooManyRequests, fullRetryAfter, nil)
 		return
 	}
-	so, err := h.writeJob(ctx, job)
+	so, err := h.writeJob(ctx, s)
 	switch {
 	case so == outcome.Done:
 		h.acceptJob(s)
 	case so == outcome.NotDone && errors.Is(err, store.ErrConflict):
-		h.opts.Home.Withdraw(ctx, s.attempt, job)
-		h.logJob(id, "idInUse", http.StatusConflict, arrived, err)
+		s.withdraw(ctx, h.opts.Home)
+		h.logSubmitted(s, "idInUse", http.StatusConflict, err)
 		http.Error(w, "another account has a job with this ID", http.StatusConflict)
 	case so == outcome.NotDone:
 		h.refuseJob(r.Context(), s, "notWritten", http.StatusServiceUnavailable, downRetryAfter, err)
@@ -62,40 +65,33 @@
 	}
 }
 
-// submitted is one call that submits a job.
-type submitted struct {
-	w       http.ResponseWriter
-	job     batch.Job
-	attempt submission.Attempt
-	arrived time.Time
-}
-
-func (h *Handler) acceptJob(s submitted) {
+func (h *Handler) acceptJob(s *submitted) {
 	h.opts.Home.NotifyStored(s.job.ID)
-	h.logJob(s.job.ID, "accepted", http.StatusAccepted, s.arrived, nil)
+	h.logSubmitted(s, "accepted", http.StatusAccepted, nil)
 	s.w.WriteHeader(http.StatusAccepted)
 }
 
 // refuseJob refuses a job that this attempt has not written. The refusal promises that no part of the job runs, which also
 // depends on earlier attempts, at any node: without the home's word the caller is told that the outcome isn't known.
-func (h *Handler) refuseJob(ctx context.Context, s submitted, reason string, status int, retryAfter time.Duration, err error) {
+func (h *Handler) refuseJob(ctx context.Context, s *submitted, reason string, status int, retryAfter time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
-	switch h.opts.Home.Withdraw(ctx, s.attempt, s.job) {
+	switch s.withdraw(ctx, h.opts.Home) {
 	case home.Stored:
 		h.acceptJob(s)
 	case home.Settled:
-		h.logJob(s.job.ID, reason, status, s.arrived, err)
+		h.logSubmitted(s, reason, status, err)
 		setRetryAfter(s.w, retryAfter)
 		http.Error(s.w, "the job was not accepted and does not run", status)
 	default:
+		metrics.GetOrRegisterCounter("submissions.refusalsWithheld", h.opts.Registry).Inc(1)
 		h.leaveJobInDoubt(s, reason+":earlierAttempt", err)
 	}
 }
 
 // leaveJobInDoubt answers a call whose job may exist or not.
-func (h *Handler) leaveJobInDoubt(s submitted, reason string, err error) {
-	h.logJob(s.job.ID, reason, http.StatusGatewayTimeout, s.arrived, err)
+func (h *Handler) leaveJobInDoubt(s *submitted, reason string, err error) {
+	h.logSubmitted(s, reason, http.StatusGatewayTimeout, err)
 	setRetryAfter(s.w, downRetryAfter)
 	http.Error(s.w, "not known whether the job was accepted; send it again", http.StatusGatewayTimeout)
 }
@@ -112,14 +108,15 @@
 // object service when this node doesn't. While the object service is known to be unreachable from here,
 // the home is tried first. Writes are idempotent: the same job written twice is one job. The errors of both writes are
 // returned together, so that they tell no outcome.
-func (h *Handler) writeJob(ctx context.Context, job batch.Job) (outcome.Outcome, error) {
-	results := make(chan error, 2)
+func (h *Handler) writeJob(ctx context.Context, s *submitted) (outcome.Outcome, error) {
+	results := make(chan writeResult, 2)
 	pending := 0
-	start := func(write func(context.Context, batch.Job) error) {
+	start := func(w jobWriter) {
 		pending++
-		go func() { results <- write(ctx, job) }()
+		s.writes = append(s.writes, writeResult{by: w.by, startedAt: h.opts.Now()})
+		go func() { results <- writeResult{by: w.by, err: w.write(ctx, s.job, s.attempt)} }()
 	}
-	first, second := h.createJob, h.opts.Home.Submit
+	first, second := jobWriter{"entry", h.createJob}, jobWriter{"home", h.opts.Home.Submit}
 	if h.opts.ObjectsDown() {
 		first, second = second, first
 	}
@@ -131,12 +128,13 @@
 	var failures []error
 	for pending > 0 {
 		select {
-		case err := <-results:
+		case r := <-results:
 			pending--
-			if so = so.With(store.OutcomeOf(err)); so == outcome.Done {
+			s.noteWrite(h.opts.Now(), r)
+			if so = so.With(store.OutcomeOf(r.err)); so == outcome.Done {
 				return so, nil
 			}
-			failures = append(failures, err)
+			failures = append(failures, r.err)
 		case <-hedge.C:
 		}
 		if !hedged && ctx.Err() == nil {
@@ -148,13 +146,14 @@
 }
 
 // createJob writes a job from this node.
-func (h *Handler) createJob(ctx context.Context, job batch.Job) error {
-	return home.CreateJob(home.WithJobLog(ctx, h.opts.Log, "entry", job.ID), h.opts.Objects, job)
+func (h *Handler) createJob(ctx context.Context, job batch.Job, attempt submission.Attempt) error {
+	writer := home.Writer{By: "entry", Attempt: attempt, Log: h.opts.Log, Registry: h.opts.Registry}
+	return home.CreateJob(writer.WithAttempts(ctx), h.opts.Objects, job)
 }
 
-// hasRoom asks the home whether a job fits the route's token cap. Without an answer of the home, jobs
+// askRoom asks the home whether a job fits the route's token cap. Without an answer of the home, jobs
 // are accepted until noHomeShare of the cap is reached, counted from the home's last answer.
-func (h *Handler) hasRoom(ctx context.Context, route site.Route, job batch.Job, attempt submission.Attempt) bool {
+func (h *Handler) askRoom(ctx context.Context, route site.Route, job batch.Job, attempt submission.Attempt) room {
 	reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	reservation, err := h.opts.Home.Reserve(reserveCtx, job, attempt)
@@ -163,18 +162,13 @@
 	defer h.mu.Unlock()
 	if err == nil {
 		h.open[key] = reservation.Open
-		return reservation.OK
+		return room{by: "home", open: reservation.Open, limit: route.TokenCap, fits: reservation.OK}
 	}
 	open := h.open[key] + job.Tokens()
 	fits := route.TokenCap == 0 || float64(open) <= noHomeShare*float64(route.TokenCap)
 	if fits {
 		h.open[key] = open
 	}
-	h.opts.Log.Warn().Str("job", job.ID).Int64("open", open).Int64("cap", route.TokenCap).Bool("fits", fits).Err(err).Msg("roomWithoutHome")
-	return fits
-}
-
-func (h *Handler) logJob(id, outcome string, status int, arrived time.Time, err error) {
-	h.opts.Log.Info().Str("job", id).Str("outcome", outcome).Int("status", status).
-		Dur("tookMillis", h.opts.Now().Sub(arrived)).AnErr("error", err).Msg("jobSubmitted")
+	h.opts.Log.Warn().Str("job", job.ID).Str("attempt", attempt.ID).Int64("open", open).Int64("cap", route.TokenCap).Bool("fits", fits).Err(err).Msg("roomWithoutHome")
+	return room{by: "entry", open: open, limit: route.TokenCap, fits: fits}
 }
--- a/io/home/clientjobs.go
+++ b/io/home/clientjobs.go
@@ -92,8 +92,8 @@
 
 // Submit asks the home to write a job, for a node that can't reach the object service. Errors are
 // those of CreateJob; without a home it is store.ErrUnavailable.
-func (c *Client) Submit(ctx context.Context, job batch.Job) error {
-	return c.write(ctx, job.Account, methodSubmit, submitRequest{ID: job.ID, Job: job})
+func (c *Client) Submit(ctx context.Context, job batch.Job, attempt submission.Attempt) error {
+	return c.write(ctx, job.Account, methodSubmit, submitRequest{ID: job.ID, Job: job, Attempt: attempt.ID})
 }
 
 // EndJob asks the home to mark a job of an account as ended. Errors are those of the function EndJob.
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -164,8 +164,11 @@
 	limits           *limitMetrics
 	// bodyBytes is the size of the bodies of open items.
 	bodyBytes metrics.Gauge
-	// refusedJobs counts jobs that were stored after a caller had been promised that they don't run.
-	refusedJobs metrics.Counter
+	// refusedJobs counts jobs that were stored after a caller had been promised that they don't run, refusedJobsRan those of
+	// them of which an item began to run.
+	refusedJobs, refusedJobsRan metrics.Counter
+	// openSubmissions is the number of attempts to submit jobs that may still store them.
+	openSubmissions metrics.Gauge
 	// retirementWaits is 1 while this VM is to be drained and no other home node can take over.
 	retirementWaits metrics.Gauge
 }
@@ -179,8 +182,9 @@
 		metrics: homeMetrics{
 			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"), restarts: counter("restarts"),
 			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"), corrected: counter("slotsCorrected"),
-			overShare: counter("overShare"), refusedJobs: counter("refusedJobsStored"),
-			silentRuns: counter("runsSilent"), keptRuns: counter("runsKept"),
+			overShare: counter("overShare"), refusedJobs: counter("refusedJobsStored"), refusedJobsRan: counter("refusedJobsRan"),
+			openSubmissions: metrics.GetOrRegisterGauge("home.openSubmissions", opts.Registry),
+			silentRuns:      counter("runsSilent"), keptRuns: counter("runsKept"),
 			parts:            findingMetrics{counter("partSuspicions"), counter("partQuarantines"), counter("partsCleared")},
 			requests:         findingMetrics{counter("requestSuspicions"), counter("requestQuarantines"), counter("requestsCleared")},
 			limitedUpstreams: metrics.GetOrRegisterGauge("home.limitedUpstreams", opts.Registry),
@@ -281,6 +285,7 @@
 			tracked, refused := h.pool.limitUse()
 			h.metrics.limits.record(h.opts.Now(), h.opts.Log, tracked, refused)
 			h.metrics.bodyBytes.Update(int64(h.BodyBytes()))
+			h.updateOpenSubmissions(h.opts.Now())
 			h.updateRoom()
 			h.updatePaceMetrics()
 		}
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -46,6 +46,8 @@
 	noRouteSince time.Time
 	maxRuns      int
 	runs         map[string]*run
+	// itemStarted reports that an item has begun to run at this home, refused that a caller had been promised that none does.
+	itemStarted, refused bool
 	// finished holds results that are not listed yet and therefore have no position.
 	finished []batch.Result
 	// writing reports that a write of finished results is scheduled or in progress.
@@ -135,7 +137,7 @@
 	if fits {
 		h.reserved[m.Job] = reservation{host: m.Host, path: m.Path, account: m.Account, tokens: m.Tokens, until: now.Add(reservationAge)}
 	} else {
-		h.opts.Log.Info().Str("job", m.Job).Str("account", m.Account).Int64("tokens", m.Tokens).Int64("open", open).Int64("cap", route.TokenCap).Msg("jobDoesNotFit")
+		h.opts.Log.Info().Str("job", m.Job).Str("attempt", m.Attempt).Str("account", m.Account).Int64("tokens", m.Tokens).Int64("open", open).Int64("cap", route.TokenCap).Msg("jobDoesNotFit")
 	}
 	in.Answer(reserveAnswer{OK: fits, Open: open})
 	return nil
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -211,7 +211,7 @@
 	}
 	h.jobs[o.Name] = j
 	delete(h.reserved, o.Name)
-	h.noteSubmission(o.Name)
+	j.refused = h.noteSubmission(o.Name)
 	h.mu.Unlock()
 	h.opts.Log.Info().Str("job", o.Name).Str("route", route.Name).Int("items", len(log.Job().Items)).Int("listed", log.Len()).
 		Int64("revision", int64(o.Revision)).Dur("ageMillis", age).Dur("dueInMillis", route.Completion-age).Msg("jobTaken")
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -230,18 +230,6 @@
 	Attempt string `msgpack:"try,omitempty"`
 }
 
-type withdrawRequest struct {
-	Job     string `msgpack:"job"`
-	Attempt string `msgpack:"try"`
-	Account string `msgpack:"acct,omitempty"`
-}
-
-type withdrawAnswer struct {
-	// Stored reports that the home has a job of this ID and account, Settled that no attempt may still store one.
-	Stored  bool `msgpack:"stored,omitempty"`
-	Settled bool `msgpack:"settled,omitempty"`
-}
-
 type reserveAnswer struct {
 	// Undecided means that the home can't decide now: it has not loaded the jobs or has no route.
 	Undecided bool `msgpack:"unsure,omitempty"`
@@ -312,6 +300,8 @@
 type submitRequest struct {
 	ID  string    `msgpack:"id"`
 	Job batch.Job `msgpack:"job"`
+	// Attempt is that of submission.Attempt; nodes of earlier releases don't name it.
+	Attempt string `msgpack:"try,omitempty"`
 }
 
 // endRequest asks the home to mark a job as ended.
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -7,10 +7,8 @@
 	"errors"
 	"fmt"
 	"slices"
-	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/rs/zerolog"
 
 	"mothcart/core/batch"
 	"mothcart/io/object"
@@ -90,15 +88,6 @@
 	return createOwn(ctx, c, KindJobs, job.ID, job.Account, job)
 }
 
-// WithJobLog returns a context in which each attempt to write a part of a job is logged; by is the role of the writer. The
-// volume is bounded by the pauses between attempts.
-func WithJobLog(ctx context.Context, log zerolog.Logger, by, job string) context.Context {
-	return object.WithAttempts(ctx, func(a object.Attempt) {
-		log.Info().Str("job", job).Str("by", by).Str("object", a.Kind+"/"+a.Name).Dur("tookMillis", time.Since(a.StartedAt)).
-			AnErr("error", a.Err).Msg("jobWriteAttempt")
-	})
-}
-
 // createOwn writes an object of an account's job. One of the same account that exists counts as written.
 func createOwn(ctx context.Context, c object.Client, kind, name, account string, spec any) error {
 	o, err := object.CreateConfirmed(ctx, c, kind, name, spec)
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -200,6 +200,7 @@
 	}
 	got := new(stream)
 	r.received, r.sender, r.receivedVersion = got, g.Upstream.ID, g.Upstream.Version
+	h.noteItem(j, r.item.ID, g)
 	h.mu.Unlock()
 	startedAt := h.opts.Now()
 	out, runner := h.execute(ctx, call, got)
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/slot"
+	"mothcart/core/submission"
 	"mothcart/io/link"
 )
 
@@ -90,8 +91,10 @@
 	case methodSubmit:
 		return handleMessage(in, func(m submitRequest) {
 			m.Job.ID = m.ID
-			go h.write(in, s, m.ID, func(ctx context.Context) error {
-				err := CreateJob(WithJobLog(ctx, h.opts.Log, "home", m.ID), h.opts.Objects, m.Job)
+			attempt := submission.Attempt{Job: m.ID, ID: m.Attempt}
+			go h.write(in, s, attempt, func(ctx context.Context) error {
+				writer := Writer{By: "home", Attempt: attempt, Log: h.opts.Log, Registry: h.opts.Registry}
+				err := CreateJob(writer.WithAttempts(ctx), h.opts.Objects, m.Job)
 				if err != nil && h.hasJobOf(m.ID, m.Job.Account) {
 					return nil // the watch has delivered it
 				}
@@ -100,7 +103,7 @@
 		})
 	case methodEnd:
 		return handleMessage(in, func(m endRequest) {
-			go h.write(in, s, m.Job, func(ctx context.Context) error { return EndJob(ctx, h.opts.Objects, m.Job, m.Account) })
+			go h.write(in, s, submission.Attempt{Job: m.Job}, func(ctx context.Context) error { return EndJob(ctx, h.opts.Objects, m.Job, m.Account) })
 		})
 	default:
 		return merry.Errorf("unknown method %s", in.Method)
@@ -117,14 +120,15 @@
 	return nil
 }
 
-// write runs a write of a job on behalf of a node and answers with its outcome.
-func (h *Home) write(in link.Incoming, s *session, job string, write func(ctx context.Context) error) {
+// write runs a write of a job on behalf of a node and answers with its outcome. The attempt's ID is empty unless the write
+// is one of a submission.
+func (h *Home) write(in link.Incoming, s *session, attempt submission.Attempt, write func(ctx context.Context) error) {
 	startedAt := h.opts.Now()
 	ctx, cancel := context.WithTimeout(h.ctx, writeCallTimeout)
 	defer cancel()
 	err := write(ctx)
 	outcome := writeOutcomeOf(err)
-	h.opts.Log.Info().Str("job", job).Str("peer", s.owner).Str("method", in.Method).Stringer("outcome", outcome).
+	h.opts.Log.Info().Str("job", attempt.Job).Str("attempt", attempt.ID).Str("peer", s.owner).Str("method", in.Method).Stringer("outcome", outcome).
 		Dur("tookMillis", h.opts.Now().Sub(startedAt)).AnErr("error", err).Msg("writtenForNode")
 	in.Answer(writeAnswer{Outcome: outcome})
 }
--- a/io/home/submission.go
+++ b/io/home/submission.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mothcart/core/batch"
+	"mothcart/core/slot"
 	"mothcart/core/submission"
 	"mothcart/io/link"
 )
@@ -15,14 +16,54 @@
 type Standing int
 
 const (
-	// Unsettled means that an attempt may still store the job, or that this node can't know.
-	Unsettled Standing = iota
+	// NoWord means that no home has answered, so that this node can't know.
+	NoWord Standing = iota
+	// Unsettled means that an attempt may still store the job, or that the home can't know.
+	Unsettled
 	// Settled means that no attempt may still store the job.
 	Settled
 	// Stored means that the home has the job.
 	Stored
 )
 
+// String returns the name for logs.
+func (s Standing) String() string {
+	switch s {
+	case Unsettled:
+		return "unsettled"
+	case Settled:
+		return "settled"
+	case Stored:
+		return "stored"
+	default:
+		return "noWord"
+	}
+}
+
+type withdrawRequest struct {
+	Job     string `msgpack:"job"`
+	Attempt string `msgpack:"try"`
+	Account string `msgpack:"acct,omitempty"`
+}
+
+type withdrawAnswer struct {
+	// Stored reports that the home has a job of this ID and account, Settled that no attempt may still store one.
+	Stored  bool `msgpack:"stored,omitempty"`
+	Settled bool `msgpack:"settled,omitempty"`
+}
+
+// standing returns the answer's standing.
+func (a withdrawAnswer) standing() Standing {
+	switch {
+	case a.Stored:
+		return Stored
+	case a.Settled:
+		return Settled
+	default:
+		return Unsettled
+	}
+}
+
 // settleGrace is the time after its start within which a home promises nothing: by then the nodes that are connected have
 // told it of their attempts.
 const settleGrace = time.Second
@@ -39,8 +80,10 @@
 		if settled {
 			delete(h.reserved, m.Job)
 		}
-		h.opts.Log.Info().Str("job", m.Job).Str("attempt", m.Attempt).Bool("stored", stored).Bool("settled", settled).Msg("submissionWithdrawn")
-		in.Answer(withdrawAnswer{Stored: stored, Settled: settled})
+		answer := withdrawAnswer{Stored: stored, Settled: settled}
+		h.opts.Log.Info().Str("job", m.Job).Str("attempt", m.Attempt).Stringer("standing", answer.standing()).Int("open", h.submissions.OpenOf(m.Job)).
+			Bool("loaded", h.loaded).Msg("submissionWithdrawn")
+		in.Answer(answer)
 	})
 }
 
@@ -55,12 +98,34 @@
 	}
 }
 
-// noteSubmission records that a job is stored, so that nobody may refuse it any more; the mutex is held.
-func (h *Home) noteSubmission(id string) {
-	if h.submissions.Stored(h.opts.Now(), id) {
+// noteSubmission records that a job is stored, so that nobody may refuse it any more, and reports whether it was refused; the
+// mutex is held.
+func (h *Home) noteSubmission(id string) bool {
+	refused := h.submissions.Stored(h.opts.Now(), id)
+	if refused {
 		h.metrics.refusedJobs.Inc(1)
 		h.opts.Log.Error().Str("job", id).Msg("refusedJobStored")
 	}
+	return refused
+}
+
+// noteItem logs the first item of a job that begins to run at this home; the mutex is held.
+func (h *Home) noteItem(j *job, item string, g slot.Grant) {
+	if j.itemStarted {
+		return
+	}
+	j.itemStarted = true
+	if j.refused {
+		h.metrics.refusedJobsRan.Inc(1)
+	}
+	h.opts.Log.Info().Str("job", j.log.Job().ID).Str("item", item).Str("upstream", g.Upstream.ID).Int64("incarnation", g.Upstream.Incarnation).
+		Int("listed", j.log.Len()).Bool("refused", j.refused).Dur("ageMillis", h.opts.Now().Sub(j.acceptedAt)).Msg("firstItemStarted")
+}
+
+func (h *Home) updateOpenSubmissions(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.metrics.openSubmissions.Update(int64(len(h.submissions.Open(now))))
 }
 
 // submissions are a node's attempts to submit jobs. It is safe for concurrent use.
@@ -103,18 +168,17 @@
 	return a
 }
 
-// Withdraw ends an attempt to submit a job whose writes had no effect, and returns whether the job may be refused. Without
-// a home it is Unsettled: an earlier attempt, at another node, may still store the job.
+// Withdraw ends an attempt to submit a job whose writes had no effect, and returns whether the job may be refused. Only
+// Settled allows it: otherwise an earlier attempt, at another node, may still store the job.
 func (c *Client) Withdraw(ctx context.Context, a submission.Attempt, job batch.Job) Standing {
 	settled := c.submissions.withdraw(c.opts.Now(), a)
 	var answer withdrawAnswer
 	err := c.callFor(ctx, job.Account, callTimeout, methodWithdraw, withdrawRequest{Job: a.Job, Attempt: a.ID, Account: job.Account}, &answer)
-	switch {
-	case err == nil && answer.Stored:
-		return Stored
-	case err == nil && answer.Settled && settled:
-		return Settled
-	default:
-		return Unsettled
+	if err != nil {
+		return NoWord
+	}
+	if so := answer.standing(); so != Settled || settled {
+		return so
 	}
+	return Unsettled
 }
--- a/io/node/site_test.go
+++ b/io/node/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,6 +44,27 @@
 	ownRuns int
 	// disks holds the data directory of each home node, which remains after its process ends.
 	disks map[int]string
+	// recorded receives the log lines of all nodes; nil records none.
+	recorded *lockedBuffer
+}
+
+// lockedBuffer is a buffer for several writers.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
 }
 
 // entryIP, homeIP and engineIP are the addresses of the nodes and engines.
@@ -56,8 +79,17 @@
 
 // runSiteOf runs a test with a site whose home runs a number of items itself.
 func runSiteOf(t *testing.T, ownRuns int, test func(t *testing.T, s *testSite)) {
+	(&testSite{ownRuns: ownRuns}).run(t, test)
+}
+
+// runRecordedSite is runSite with a record of all log lines, in virtual time.
+func runRecordedSite(t *testing.T, test func(t *testing.T, s *testSite)) {
+	(&testSite{ownRuns: 64, recorded: new(lockedBuffer)}).run(t, test)
+}
+
+func (s *testSite) run(t *testing.T, test func(t *testing.T, s *testSite)) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &testSite{t: t, ownRuns: ownRuns, network: fake.NewNetwork(), entries: map[string]*Entry{}, homes: map[string]*HomeNode{}, disks: map[int]string{}}
+		s.t, s.network, s.entries, s.homes, s.disks = t, fake.NewNetwork(), map[string]*Entry{}, map[string]*HomeNode{}, map[int]string{}
 		s.objects = fake.NewObjects(s.network, storeIP+":80")
 		s.writeConfig(1)
 		for n := 1; n <= 3; n++ {
@@ -117,6 +149,9 @@
 	if testing.Verbose() {
 		log = zerolog.New(s.t.Output()).With().Str("node", id).Logger()
 	}
+	if s.recorded != nil {
+		log = zerolog.New(s.recorded).With().Str("node", id).Timestamp().Logger()
+	}
 	o := NewOptions(platform.Settings{
 		VMID: id, AvailabilityZone: "z1", IP: ip, PeerPort: 7000, CarrierPort: 7001, StoreAddress: storeIP + ":80", ValueBytes: 1 << 20,
 		HomeNodes: []string{homeIP(1) + ":7000", homeIP(2) + ":7000"},
