A home counts a refusal only if it gave one

What operators saw: refusedJobStored, the error line for a broken promise, for jobs that were answered 504: the table recorded a refusal as soon as no attempt was open, also where the home promised nothing since it had just started or had not loaded the jobs.

--- a/core/submission/submission.go
+++ b/core/submission/submission.go
@@ -8,7 +8,7 @@
 //
 //	table.Begin(now, submission.Attempt{Job: "j1", ID: "entry-1/7"})
 //	if table.Withdraw(now, submission.Attempt{Job: "j1", ID: "entry-1/7"}) {
-//		// the job may be refused
+//		table.Refuse(now, "j1")
 //	}
 package submission
 
@@ -41,7 +41,7 @@
 type state struct {
 	// open holds when each open attempt began.
 	open map[string]time.Time
-	// refusedAt is when the last attempt was withdrawn, so that the job was refused; zero if one has begun since.
+	// refusedAt is when the job was refused; zero if an attempt has begun since.
 	refusedAt time.Time
 }
 
@@ -65,17 +65,23 @@
 }
 
 // Withdraw ends an attempt whose writes had no effect. It reports true if no other attempt is open, so that the job may be
-// refused, and records the refusal.
+// refused.
 func (t *Table) Withdraw(now time.Time, a Attempt) bool {
-	t.Begin(now, a) // a refusal without an attempt is recorded too
 	s := t.jobs[a.Job]
+	if s == nil {
+		return true
+	}
 	delete(s.open, a.ID)
 	s.sweep(now)
-	if len(s.open) > 0 {
-		return false
+	return len(s.open) == 0
+}
+
+// Refuse records that a job without open attempts is refused.
+func (t *Table) Refuse(now time.Time, job string) {
+	if t.jobs[job] == nil {
+		t.jobs[job] = &state{open: make(map[string]time.Time)}
 	}
-	s.refusedAt = now
-	return true
+	t.jobs[job].refusedAt = now
 }
 
 // Stored ends all attempts at a job, which is stored. It reports true if the job was refused by the last one of them.
