--- a/io/explain/jobstory.go
+++ b/io/explain/jobstory.go
@@ -46,10 +46,13 @@
 // JobStory returns the story of a job; false if the events hold no answer to a caller who submitted it.
 func JobStory(events []Event, id string) (Story, bool) {
 	s := Story{Job: id}
-	for _, e := range inCausalOrder(events) {
-		if e.text("job") != id {
-			continue
+	var own []Event
+	for _, e := range events {
+		if e.text("job") == id {
+			own = append(own, e)
 		}
+	}
+	for _, e := range inCausalOrder(own) {
 		switch e.Name {
 		case "jobSubmitted":
 			s.Answers = append(s.Answers, e)
