Nodes without a home keep the cap of a route together

Cause: without a home each entry accepted jobs up to half of the cap, counted by itself from the home's last answer to one of its own jobs. An entry that had just started counted from 0 beside a full route, and several entries each took the same room. Change: the home tells all nodes what waits, with the list of relays and in its answer to the hello.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -13,7 +13,6 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -98,18 +97,10 @@
 	config   atomic.Pointer[site.Config]
 	draining atomic.Bool
 	active   atomic.Int64
-
-	mu sync.Mutex
-	// open holds the tokens of open jobs by batch route and account: the home's last report, plus the jobs that were
-	// accepted since then without the home.
-	open map[roomKey]int64
 }
 
-// roomKey names what a token cap bounds.
-type roomKey struct{ route, account string }
-
 // New returns a handler that has no configuration.
-func New(opts Options) *Handler { return &Handler{opts: opts, open: make(map[roomKey]int64)} }
+func New(opts Options) *Handler { return &Handler{opts: opts} }
 
 // SetConfig applies a configuration.
 func (h *Handler) SetConfig(cfg site.Config) { h.config.Store(&cfg) }
--- a/io/entry/submit.go
+++ b/io/entry/submit.go
@@ -22,9 +22,6 @@
 	submitTimeout = 1800 * time.Millisecond
 	// reserveTimeout bounds a call about a submitted job that the home answers from memory.
 	reserveTimeout = 100 * time.Millisecond
-	// noHomeShare is the fraction of a route's token cap up to which jobs are accepted while no home
-	// counts them.
-	noHomeShare = 0.5
 	// fullRetryAfter is the Retry-After for a job that exceeds the route's token cap.
 	fullRetryAfter = time.Second
 )
@@ -151,24 +148,17 @@
 	return home.CreateJob(writer.WithAttempts(ctx), h.opts.Objects, job)
 }
 
-// askRoom asks the home whether a job fits the route's token cap. Without an answer of the home, jobs
-// are accepted until noHomeShare of the cap is reached, counted from the home's last answer.
+// askRoom asks the home whether a job fits the route's token cap. Without an answer of the home this node decides by its
+// share of what it knows.
 func (h *Handler) askRoom(ctx context.Context, route site.Route, job batch.Job, attempt submission.Attempt) room {
 	reserveCtx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	reservation, err := h.opts.Home.Reserve(reserveCtx, job, attempt)
-	key := roomKey{route: route.Name, account: job.Account}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	if err == nil {
-		h.open[key] = reservation.Open
+		h.opts.Home.NoteCount(route.Name, job.Account, reservation.Open+job.Tokens())
 		return room{by: "home", open: reservation.Open, limit: route.TokenCap, fits: reservation.OK}
 	}
-	open := h.open[key] + job.Tokens()
-	fits := route.TokenCap == 0 || float64(open) <= noHomeShare*float64(route.TokenCap)
-	if fits {
-		h.open[key] = open
-	}
+	open, fits := h.opts.Home.FitsAlone(route.Name, job.Account, route.TokenCap, job.Tokens())
 	h.opts.Log.Warn().Str("job", job.ID).Str("attempt", attempt.ID).Int64("open", open).Int64("cap", route.TokenCap).Bool("fits", fits).Err(err).Msg("roomWithoutHome")
 	return room{by: "entry", open: open, limit: route.TokenCap, fits: fits}
 }
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -128,6 +128,7 @@
 	gone map[site.Key]bool
 	// submissions are this node's attempts to submit jobs.
 	submissions submissions
+	rooms       rooms
 }
 
 // NewClient returns a client that waits for an announcement.
@@ -373,7 +374,7 @@
 
 func (c *Client) decideLocally(ctx context.Context, r slot.Request) (forward.Lease, *slot.Refusal, error) {
 	if c.homeAnswered.Swap(false) {
-		c.localPool.DecideAlone(c.nodeCount())
+		c.localPool.DecideAlone(c.Nodes())
 		c.localPool.limitAlone(c.sharingNodes())
 	}
 	decided := make(chan decision, 1)
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -169,6 +169,9 @@
 	}
 	c.home, c.connTerm = found, found.Term
 	c.conn, c.relayed, c.leaseUnconfirmed, c.homeKnowsAccounts = conn, address != found.Address, false, answer.Accounts
+	if answer.Counted {
+		c.rooms.setCounts(c.opts.Now(), answer.Open)
+	}
 	return true
 }
 
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -146,27 +146,32 @@
 // openTokens returns the number of tokens of an account's open items and reservations on a route; the mutex is held.
 func (h *Home) openTokens(now time.Time, route site.Route, account string) int64 {
 	var n int64
+	h.eachOpen(now, func(of, host, path string, tokens int64) {
+		if of == account && host == route.Host && strings.HasPrefix(path, route.Prefix) {
+			n += tokens
+		}
+	})
+	return n
+}
+
+// eachOpen calls f with the account, host, path and open tokens of each job and reservation; the mutex is held.
+func (h *Home) eachOpen(now time.Time, f func(account, host, path string, tokens int64)) {
 	for _, j := range h.jobs {
 		job := j.log.Job()
-		if job.Account != account || job.Host != route.Host || !strings.HasPrefix(job.Path, route.Prefix) {
-			continue
-		}
-		n += j.log.OpenTokens()
+		tokens := j.log.OpenTokens()
 		for _, r := range j.finished {
 			item, _ := job.Item(r.Item)
-			n -= item.Tokens
+			tokens -= item.Tokens
 		}
+		f(job.Account, job.Host, job.Path, tokens)
 	}
 	for id, r := range h.reserved {
 		if now.After(r.until) {
 			delete(h.reserved, id)
 			continue
 		}
-		if r.account == account && r.host == route.Host && strings.HasPrefix(r.path, route.Prefix) {
-			n += r.tokens
-		}
+		f(r.account, r.host, r.path, r.tokens)
 	}
-	return n
 }
 
 // ownJob returns a job that an account may read, or nil; the mutex is held.
--- a/io/home/limit.go
+++ b/io/home/limit.go
@@ -63,7 +63,8 @@
 // assumedNodes is the number of nodes that a node assumes until a home has told it.
 const assumedNodes = 32
 
-func (c *Client) nodeCount() int {
+// Nodes returns the number of nodes, as a home has last told it.
+func (c *Client) Nodes() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return cmp.Or(c.nodes, assumedNodes)
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -108,6 +108,9 @@
 	Home Announcement `msgpack:"home"`
 	// Accounts reports that the home knows client accounts: whose job it is that somebody asks for.
 	Accounts bool `msgpack:"accounts,omitempty"`
+	// Counted and Open are those of relaysNotice.
+	Counted bool        `msgpack:"counted,omitempty"`
+	Open    []openCount `msgpack:"open,omitempty"`
 }
 
 // askRequest asks for a slot. Times are sent as remaining durations, since clocks of VMs differ.
@@ -291,6 +294,16 @@
 	Limits []limitRecord `msgpack:"limits,omitempty"`
 	// Asking is the number of nodes with requests of accounts.
 	Asking int `msgpack:"asking,omitempty"`
+	// Counted reports that the home has loaded the jobs; Open are then all routes and accounts with open items.
+	Counted bool        `msgpack:"counted,omitempty"`
+	Open    []openCount `msgpack:"open,omitempty"`
+}
+
+// openCount is the number of tokens of an account's open items on a route.
+type openCount struct {
+	Route   string `msgpack:"route"`
+	Account string `msgpack:"acct,omitempty"`
+	Tokens  int64  `msgpack:"tok"`
 }
 
 // submitRequest asks the home to write a job, for a node that can't reach the object service.
--- a/io/home/receive.go
+++ b/io/home/receive.go
@@ -56,6 +56,9 @@
 func (c *Client) setRelays(m relaysNotice) {
 	c.mu.Lock()
 	c.relays, c.nodes, c.asking = m.Relays, m.Nodes, m.Asking
+	if m.Counted {
+		c.rooms.setCounts(c.opts.Now(), m.Open)
+	}
 	c.mu.Unlock()
 	c.localPool.ImportLimits(decodeLimits(m.Limits), true)
 }
--- a/io/home/server.go
+++ b/io/home/server.go
@@ -100,7 +100,8 @@
 // maxRelays bounds the number of relays that are sent to a node.
 const maxRelays = 6
 
-// SendRelays sends each connected node the addresses of some relays, the number of nodes, and the rates of upstreams.
+// SendRelays sends each connected node the addresses of some relays, the number of nodes, the rates of upstreams, and the
+// tokens that wait.
 func (s *Server) SendRelays() {
 	s.mu.Lock()
 	var relays []string
@@ -111,14 +112,15 @@
 		}
 	}
 	s.mu.Unlock()
-	var limits []limitRecord
-	asking := 0
+	notice := relaysNotice{Nodes: nodes}
 	if h != nil {
-		limits, asking = encodeLimits(h.pool.ExportLimits()), h.pool.AskingNodes()
+		notice.Limits, notice.Asking = encodeLimits(h.pool.ExportLimits()), h.pool.AskingNodes()
+		notice.Open, notice.Counted = h.countOpen()
 	}
 	s.server.Each(func(c *link.Conn) {
 		rand.Shuffle(len(relays), func(i, j int) { relays[i], relays[j] = relays[j], relays[i] })
-		c.Notify(methodRelays, relaysNotice{Relays: relays[:min(len(relays), maxRelays)], Nodes: nodes, Limits: limits, Asking: asking})
+		notice.Relays = relays[:min(len(relays), maxRelays)]
+		c.Notify(methodRelays, notice)
 	})
 }
 
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -167,7 +167,9 @@
 	}
 	h.adoptSubmissions(m.Submissions)
 	h.opts.Log.Info().Str("peer", s.owner).Int("open", len(m.Open)).Int64("term", h.opts.Term).Msg("nodeConnected")
-	in.Answer(helloAnswer{Home: Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}, Accounts: true})
+	answer := helloAnswer{Home: Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}, Accounts: true}
+	answer.Open, answer.Counted = h.countOpen()
+	in.Answer(answer)
 	in.Conn().Notify(methodObjectsDown, objectsDownNotice{Down: h.opts.ObjectsDown()})
 	if keys := h.opts.Leaving(); len(keys) > 0 {
 		in.Conn().Notify(methodLeaving, leavingNotice{Upstreams: upstreamKeys(keys)})
