A request that one home may run is not reported as not run by the next home

What callers saw: 503 not_durable, ran=no, for a request with a key whose first call to its home was sent and not answered, when the next home, or this VM in its place, refused it: full, or without the object service. The first home may have made it durable and run it. Cause: route() remembered that a call was sent, but used that only where no home answered at all. The ledger has one function for the outcome of a request.

--- a/io/ledger/ledger.go
+++ b/io/ledger/ledger.go
@@ -12,9 +12,9 @@
 // sent again. A request without a key is sent once by the VM that received it and is not recorded; a
 // resend of it is a new request.
 //
-// ErrDidNotRun means that this submission of the request did not run and will not. An earlier
-// submission with the same key has its own answer, so send again with the same key, not with a new
-// one. While the object service is unreachable, new requests are refused with ErrDidNotRun; results
+// ErrDidNotRun means that this submission of the request did not run and will not, at any of the homes
+// that it was sent to. An earlier submission with the same key has its own answer, so send again with
+// the same key, not with a new one. While the object service is unreachable, new requests are refused with ErrDidNotRun; results
 // that are not yet written stay in memory and are written once the service has recovered.
 //
 // Usage:
--- a/io/ledger/route.go
+++ b/io/ledger/route.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 
 	core "mothcart/core/ledger"
+	"mothcart/core/outcome"
 	"mothcart/io/clock"
 )
 
@@ -49,6 +50,8 @@
 			sent = true
 			unreachable++
 			err = clock.Sleep(ctx, unreachablePause)
+		case sent && c.Op != opLookup && OutcomeOf(err) == outcome.NotDone:
+			return r, requests.Lost(err) // this home doesn't know what the others do
 		default:
 			return r, err
 		}
@@ -69,7 +72,7 @@
 	case c.Op == opLookup:
 		return merry.Errorf("find home: %w: %w", ErrUnavailable, cause)
 	case sent:
-		return merry.Errorf("find home: %w: %w", ErrMayHaveRun, cause)
+		return merry.Errorf("find home: %w", requests.Lost(cause))
 	default:
 		return merry.Errorf("find home: %w: %w", ErrDidNotRun, cause)
 	}
@@ -96,15 +99,19 @@
 	if err == nil {
 		return r
 	}
+	return Reply{Code: codeOf(err), Reason: err.Error()}
+}
+
+func codeOf(err error) uint8 {
 	if errors.Is(err, ErrMayHaveRun) {
-		return Reply{Code: codeMayHaveRun, Reason: err.Error()}
+		return codeMayHaveRun
 	}
 	for code, sentinel := range codeErrors {
 		if sentinel != nil && errors.Is(err, sentinel) {
-			return Reply{Code: uint8(code), Reason: err.Error()}
+			return uint8(code)
 		}
 	}
-	return Reply{Code: codeMayHaveRun, Reason: err.Error()}
+	return codeMayHaveRun
 }
 
 // answer executes the call at this VM.
--- a/io/ledger/types.go
+++ b/io/ledger/types.go
@@ -6,6 +6,7 @@
 	"github.com/ansel1/merry/v2"
 
 	core "mothcart/core/ledger"
+	"mothcart/core/outcome"
 )
 
 var (
@@ -37,6 +38,12 @@
 // HashBody returns the digest of a request's body.
 func HashBody(body []byte) Digest { return core.HashBody(body) }
 
+// requests are the errors that tell whether a request runs.
+var requests = outcome.Sentinels{Unknown: ErrMayHaveRun, NotDone: []error{ErrDidNotRun, ErrBodyMismatch}}
+
+// OutcomeOf returns what is known about a request by the error of Do or Accept.
+func OutcomeOf(err error) outcome.Outcome { return requests.Of(err) }
+
 // Request is a caller's request.
 type Request struct {
 	Team string
