The head of a shard that may be written late is not taken for refused

What callers saw: 503, did not run, for a request whose intent an attempt without an answer wrote a moment later; another home, or this one after it read the head, then ran it or reported it as unknown. Cause: the write of the head was uncertain only after an error that is ErrUnknown and not ErrUnavailable. After one that is both, it was refused; after one that is neither, a read that came before the write said so. Change: the outcome of the write decides; an unknown one is resolved by reading and repeating. TestIntentThatIsWrittenLate fails before for both errors (the request is refused) and passes after.

--- a/io/ledger/write.go
+++ b/io/ledger/write.go
@@ -6,6 +6,7 @@
 	"time"
 
 	core "mothcart/core/ledger"
+	"mothcart/core/outcome"
 	"mothcart/io/clock"
 	"mothcart/io/store"
 )
@@ -46,12 +47,14 @@
 	for ctx.Err() == nil {
 		s.l.counts.writes.Inc(1)
 		version, err := s.l.opts.Store.Put(ctx, s.headKey(), value, expect)
-		switch {
-		case err == nil:
+		switch store.OutcomeOf(err) {
+		case outcome.Done:
 			return writeResult{outcome: committed, version: version}
-		case errors.Is(err, store.ErrUnavailable) && !uncertain:
-			return writeResult{outcome: refusedByStore}
-		case errors.Is(err, store.ErrUnknown):
+		case outcome.NotDone:
+			if !uncertain && !store.Changed(err) && !errors.Is(err, store.ErrNotFound) { // else read what is there
+				return writeResult{outcome: refusedByStore}
+			}
+		case outcome.Unknown:
 			s.l.counts.lostAnswers.Inc(1)
 			uncertain = true
 		}
