A result that its VM holds is not reported as not run

What callers saw: nothing yet, found by reading: a VM that hands a result to the shard's new home tells its waiting callers what that home answers, also "did not run", which concerns another attempt, or an operation that the home doesn't know. Change: "did not run" is believed only of an attempt that did not run here either; else the outcome is uncertain. TestResultThatANewHomeDeniesIsUncertain: 2 of 5 cases are NotRun before; all pass after.

--- a/io/ledger/handoff.go
+++ b/io/ledger/handoff.go
@@ -63,6 +63,9 @@
 		r.State, r.Answer = rep.Outcome.State, rep.Outcome.Answer
 		return core.Effect{Kind: core.Recorded, Record: r}, true
 	case codeDidNotRun:
+		if result.Kind != core.DidNotRun {
+			return core.Effect{Kind: core.Uncertain, Record: r}, true // the home speaks of another attempt
+		}
 		return core.Effect{Kind: core.NotRun, Record: r}, true
 	case codeMayHaveRun:
 		return core.Effect{Kind: core.Uncertain, Record: r}, true
