An execution with two outcomes is not reported as not run

What callers saw: 503, did not run, for a request whose execution ended with an error that says both that it did not run and that it may have; the answer depended on the order of the questions in dispatch, runOnce, Serve and toCallerError. Errors that say "may have run" wrapped their cause beside it, which may say "did not run".

--- a/io/ledger/ask.go
+++ b/io/ledger/ask.go
@@ -195,7 +195,7 @@
 		ws.s.l.counts.refused.Inc(1)
 		return Reply{}, merry.Errorf("shard %d: %w: %w", ws.s.number, ErrDidNotRun, cause)
 	}
-	return Reply{}, merry.Errorf("shard %d: %w: %w", ws.s.number, ErrMayHaveRun, cause)
+	return Reply{}, merry.Errorf("shard %d: %w", ws.s.number, requests.Lost(cause))
 }
 
 // withdraw removes an intent that is not durable; the other waiters of the request are notified that it
--- a/io/ledger/dispatch.go
+++ b/io/ledger/dispatch.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	core "mothcart/core/ledger"
+	"mothcart/core/outcome"
 )
 
 // dispatch executes a request whose intent is durable; the caller holds mu.
@@ -36,14 +36,14 @@
 	answer, err := s.l.opts.Execute(ctx, Request{
 		Team: r.Team, BodyHash: r.BodyHash, Idempotent: r.Idempotent, Deadline: deadline, Payload: payload, ID: r.ID.String(),
 	})
-	switch {
-	case err == nil:
+	switch OutcomeOf(err) {
+	case outcome.Done:
 		answer, err = s.moveAnswer(s.l.ctx, r, answer)
 		if err != nil {
 			return core.Result{Kind: core.MayHaveRun}
 		}
 		return core.Result{Kind: core.Completed, State: core.Done, Answer: answer}
-	case errors.Is(err, ErrDidNotRun):
+	case outcome.NotDone:
 		return core.Result{Kind: core.DidNotRun}
 	default:
 		s.l.opts.Log.Info().Str("request", r.ID.String()).Err(err).Msg("executionInDoubt")
--- a/io/ledger/ledger.go
+++ b/io/ledger/ledger.go
@@ -31,7 +31,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -43,6 +42,7 @@
 	"github.com/google/uuid"
 
 	core "mothcart/core/ledger"
+	"mothcart/core/outcome"
 	"mothcart/core/rendezvous"
 )
 
@@ -169,13 +169,13 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answer, err := l.opts.Execute(ctx, req)
-	switch {
-	case err == nil:
+	switch OutcomeOf(err) {
+	case outcome.Done:
 		return Outcome{State: core.Done, Answer: answer}, nil
-	case errors.Is(err, ErrDidNotRun):
+	case outcome.NotDone:
 		return Outcome{}, merry.Errorf("run request without key: %w", err)
 	default:
-		return Outcome{}, merry.Errorf("run request without key: %w: %w", ErrMayHaveRun, err)
+		return Outcome{}, merry.Errorf("run request without key: %w", requests.Lost(err))
 	}
 }
 
--- a/io/ledger/lookup.go
+++ b/io/ledger/lookup.go
@@ -80,7 +80,7 @@
 func (s *shard) recorded(ctx context.Context, r core.Record) (Reply, error) {
 	body, err := s.readParts(ctx, r.Answer.Body, r.Answer.Parts)
 	if err != nil {
-		return Reply{}, merry.Errorf("read answer: %w: %w", ErrMayHaveRun, err)
+		return Reply{}, merry.Errorf("read answer: %w", requests.Lost(err))
 	}
 	r.Answer.Body, r.Answer.Parts = body, nil
 	return reply(r, true), nil
--- a/io/ledger/route.go
+++ b/io/ledger/route.go
@@ -102,16 +102,24 @@
 	return Reply{Code: codeOf(err), Reason: err.Error()}
 }
 
+// codeOf returns what another VM is told of an error.
 func codeOf(err error) uint8 {
-	if errors.Is(err, ErrMayHaveRun) {
+	switch {
+	case OutcomeOf(err) == outcome.NotDone && errors.Is(err, ErrBodyMismatch):
+		return codeBodyMismatch
+	case OutcomeOf(err) == outcome.NotDone:
+		return codeDidNotRun
+	case errors.Is(err, ErrMayHaveRun):
+		return codeMayHaveRun
+	case errors.Is(err, errReroute):
+		return codeReroute
+	case errors.Is(err, ErrNotFound):
+		return codeNotFound
+	case errors.Is(err, ErrUnavailable):
+		return codeUnavailable
+	default:
 		return codeMayHaveRun
 	}
-	for code, sentinel := range codeErrors {
-		if sentinel != nil && errors.Is(err, sentinel) {
-			return uint8(code)
-		}
-	}
-	return codeMayHaveRun
 }
 
 // answer executes the call at this VM.
--- a/io/serve/durable.go
+++ b/io/serve/durable.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 
 	core "mothcart/core/ledger"
+	"mothcart/core/outcome"
 	"mothcart/core/retry"
 	"mothcart/io/caller"
 	"mothcart/io/ledger"
@@ -110,11 +111,12 @@
 
 // toCallerError adds the error of package caller that corresponds to an error of the ledger.
 func toCallerError(err error) error {
+	so := ledger.OutcomeOf(err)
 	switch {
-	case errors.Is(err, ledger.ErrDidNotRun):
-		return merry.Errorf("%w: %w", caller.ErrNotDurable, err)
-	case errors.Is(err, ledger.ErrBodyMismatch):
+	case so == outcome.NotDone && errors.Is(err, ledger.ErrBodyMismatch):
 		return merry.Errorf("%w: %w", caller.ErrKeyReused, err)
+	case so == outcome.NotDone:
+		return merry.Errorf("%w: %w", caller.ErrNotDurable, err)
 	case errors.Is(err, ledger.ErrMayHaveRun):
 		return merry.Errorf("%w: %w", caller.ErrInProgress, err)
 	case errors.Is(err, ledger.ErrUnavailable):
