A request that an earlier home may have run is not reported as not run

What callers saw: an idempotent request that its home ran before it crashed, and that the next home tried and did not run, was reported as not run (503) to a caller who waits, and recorded as expired, "did not run and never will", if it was accepted. Cause: that an execution may have run the request was remembered in the memory of one home; the tries that the record counts were not asked. Change: an idempotent request with an earlier try is reported as uncertain, and recorded as unknown when its time is over.

--- a/core/ledger/shard.go
+++ b/core/ledger/shard.go
@@ -74,6 +74,12 @@
 	mayHaveRun bool
 }
 
+// mayHaveRunBefore reports that an execution before the last one may have run the request, here or at an earlier home. Only an
+// idempotent request is tried by several homes without a word of the one before.
+func (e entry) mayHaveRunBefore() bool {
+	return e.mayHaveRun || (e.record.Idempotent && e.record.Tries > 1)
+}
+
 // detachedRequest is an execution or a result of this VM for a shard that now has another home.
 type detachedRequest struct {
 	record    Record
--- a/core/ledger/takeover.go
+++ b/core/ledger/takeover.go
@@ -64,7 +64,7 @@
 func (s Shard) due(now time.Time, e entry) (Shard, []Effect) {
 	late := !now.Before(e.since.Add(e.record.Timeout()))
 	switch {
-	case e.runsHere && late && e.mayHaveRun, !e.runsHere && e.record.State == Started:
+	case e.runsHere && late && e.mayHaveRunBefore(), !e.runsHere && e.record.State == Started:
 		return s.finish(e, Unknown)
 	case e.runsHere && late:
 		return s.finish(e, Expired)
@@ -159,7 +159,7 @@
 	e.dueAt, e.intent = time.Time{}, false
 	e.record.State = None
 	switch {
-	case kind == MayHaveRun:
+	case kind == MayHaveRun || e.mayHaveRunBefore():
 		return s.mark(e), []Effect{{Kind: Uncertain, Record: record}}
 	case record.Idempotent:
 		e.notifyNotRun = true
