An expired request is answered as not run

What callers saw: found by reading, not seen: a request that waits for one which was accepted under the same key and expired, gets its recorded outcome, which has no answer, as an answer of status 0, ran=yes. Change: expired is the outcome "did not run and never will", 503 not_durable with ran=no.

--- a/io/serve/durable.go
+++ b/io/serve/durable.go
@@ -59,11 +59,19 @@
 
 // runDurable runs a caller's request through the ledger and returns its recorded outcome.
 func (s *Server) runDurable(ctx context.Context, d caller.DurableRequest) (caller.DurableAnswer, error) {
-	outcome, err := s.ledger.Do(ctx, toLedgerRequest(d))
+	recorded, err := s.ledger.Do(ctx, toLedgerRequest(d))
 	if err != nil {
 		return caller.DurableAnswer{}, toCallerError(err)
 	}
-	return toCallerAnswer(outcome), nil
+	return recordedAnswer(recorded)
+}
+
+// recordedAnswer returns the answer to a request by its recorded outcome.
+func recordedAnswer(o ledger.Outcome) (caller.DurableAnswer, error) {
+	if o.State == core.Expired {
+		return caller.DurableAnswer{}, merry.Errorf("request %s expired: %w", o.ID, caller.ErrNotDurable)
+	}
+	return toCallerAnswer(o), nil
 }
 
 // acceptDurable records a caller's request, which runs later, and returns the ID to look it up with.
