A publication that may be applied late is not reported as not published

What operators saw: 503, not published, for a change whose update was sent and got an answer that proves nothing, and that was in force a moment later. And, while blocks are not answered, an apply that never ended and held up all others of its VM. Cause: every error but ErrUnknown and ErrConflict counted as refused; the write of a block was repeated until its context ended, which the one of an apply doesn't. Change: the outcome of the update decides, and an unknown one is looked up in the trail; a block is written for at most the time in which an update is resolved, after which nothing was published; a block that may have been written is discarded. Operators are answered by OutcomeOf.

--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -23,6 +23,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/config"
+	"mothcart/core/outcome"
 	"mothcart/core/publication"
 	"mothcart/io/published"
 )
@@ -141,13 +142,14 @@
 }
 
 func errorStatus(err error) int {
+	so := published.OutcomeOf(err)
 	switch {
+	case so == outcome.NotDone && errors.Is(err, publication.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case so == outcome.NotDone:
+		return http.StatusServiceUnavailable
 	case errors.Is(err, published.ErrOutcomeUnknown):
 		return http.StatusGatewayTimeout
-	case errors.Is(err, published.ErrUnavailable), errors.Is(err, published.ErrBusy):
-		return http.StatusServiceUnavailable
-	case errors.Is(err, publication.ErrTooLarge):
-		return http.StatusRequestEntityTooLarge
 	default:
 		return http.StatusInternalServerError
 	}
--- a/io/published/apply.go
+++ b/io/published/apply.go
@@ -10,6 +10,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/config"
+	"mothcart/core/outcome"
 	"mothcart/core/publication"
 	"mothcart/io/clock"
 	"mothcart/io/store"
@@ -36,6 +37,12 @@
 	ErrBusy = merry.Sentinel("not published: too many racing updates")
 )
 
+// applies are the errors that tell the outcome of an apply.
+var applies = outcome.Sentinels{Unknown: ErrOutcomeUnknown, NotDone: []error{ErrUnavailable, ErrBusy, publication.ErrTooLarge}}
+
+// OutcomeOf returns what is known about an apply by its error.
+func OutcomeOf(err error) outcome.Outcome { return applies.Of(err) }
+
 // Result is the answer to an apply that reached a decision.
 type Result struct {
 	// ID names the apply in the audit trail; it is zero for an unchanged set.
--- a/io/published/commit.go
+++ b/io/published/commit.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/config"
+	"mothcart/core/outcome"
 	"mothcart/core/publication"
 	"mothcart/io/clock"
 	"mothcart/io/store"
@@ -68,16 +69,16 @@
 		return false, err
 	}
 	_, err = f.opts.Store.Put(ctx, publication.RootKey, data, u.version)
-	if errors.Is(err, store.ErrUnknown) {
-		return f.resolve(ctx, u, data)
-	}
-	switch {
-	case err == nil:
+	switch store.OutcomeOf(err) {
+	case outcome.Done:
 		return true, nil
-	case errors.Is(err, store.ErrConflict):
-		return false, nil
-	default:
+	case outcome.NotDone:
+		if store.Changed(err) {
+			return false, nil
+		}
 		return false, merry.Errorf("update root: %w: %w", ErrUnavailable, err)
+	default:
+		return f.resolve(ctx, u, data)
 	}
 }
 
--- a/io/published/write.go
+++ b/io/published/write.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 
+	"mothcart/core/outcome"
 	"mothcart/core/publication"
 	"mothcart/io/clock"
 	"mothcart/io/store"
@@ -73,20 +73,22 @@
 	if w.written[ref] {
 		return nil
 	}
-	w.written[ref] = true
-	pause := minResolvePause
-	for {
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
+	defer cancel()
+	w.written[ref] = true // until it is known that it isn't, so that it is discarded
+	so := outcome.NotDone
+	for pause := minResolvePause; ; pause = min(2*pause, maxResolvePause) {
 		_, err := w.f.opts.Store.Put(ctx, ref.Key(), p.Data, store.Absent)
-		switch {
-		case err == nil || errors.Is(err, store.ErrConflict):
+		attempt := store.OutcomeOf(err)
+		if attempt == outcome.Done || store.Changed(err) {
 			return nil
-		case !errors.Is(err, store.ErrUnknown):
+		}
+		so = so.With(attempt)
+		if so == outcome.NotDone {
 			delete(w.written, ref)
-			return merry.Errorf("write block: %w: %w", ErrUnavailable, err)
 		}
-		if clock.Sleep(ctx, pause) != nil {
-			return merry.Errorf("write block: %w", ErrUnavailable)
+		if attempt == outcome.NotDone || clock.Sleep(ctx, pause) != nil {
+			return merry.Errorf("write block: %w: %w", ErrUnavailable, err) // a block alone publishes nothing
 		}
-		pause = min(2*pause, maxResolvePause)
 	}
 }
