An attempt that may have had effect outranks one that found nothing

What callers saw: nothing seen; found by reading. Hedged returned the first answer that is neither ErrUnknown nor ErrUnavailable while others were pending or had been lost: ErrNotFound, which says that a write had no effect, and errors that prove nothing, though an attempt beside it could still succeed. Change: only success and a conflict, whose object tells what the other attempts did, end the wait; else an unknown outcome is kept.

--- a/io/object/hedge.go
+++ b/io/object/hedge.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"mothcart/core/outcome"
 	"mothcart/io/store"
 )
 
@@ -12,10 +13,10 @@
 const hedgeLimit = 6
 
 // Hedged attempts a write and, while no attempt is answered, starts another one after each pause, for an
-// object service that loses answers or applies writes late. It returns the first answer that tells the
-// outcome. Without such an answer it returns ErrUnknown if an attempt may have had effect, else
-// ErrUnavailable. The write must be one of which at most one attempt can take effect, for instance because it
-// names the object to create or the expected revision.
+// object service that loses answers or applies writes late. It returns the first answer of success, and the first
+// ErrConflict, which tells with its object what the other attempts did. Without such an answer it returns the error of an
+// attempt that may have had effect, else of the last one. The write must be one of which at most one attempt can take
+// effect, for instance because it names the object to create or the expected revision.
 func Hedged[T any](ctx context.Context, pause time.Duration, attempt func(ctx context.Context) (T, error)) (T, error) {
 	type answer struct {
 		value T
@@ -40,10 +41,11 @@
 		select {
 		case a := <-answers:
 			pending--
-			if a.err == nil || !(errors.Is(a.err, store.ErrUnknown) || errors.Is(a.err, store.ErrUnavailable)) {
+			so := store.OutcomeOf(a.err)
+			if so == outcome.Done || (so == outcome.NotDone && errors.Is(a.err, store.ErrConflict)) {
 				return a.value, a.err
 			}
-			if !errors.Is(last.err, store.ErrUnknown) {
+			if so == outcome.Unknown || last.err == nil || store.OutcomeOf(last.err) == outcome.NotDone {
 				last = a
 			}
 		case <-again.C:
--- a/io/object/hedge_test.go
+++ b/io/object/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,8 @@
 	"mothcart/io/store"
 )
 
+var errProvesNothing = errors.New("malformed answer")
+
 func TestHedged(t *testing.T) {
 	type reply struct {
 		after time.Duration
@@ -31,6 +34,12 @@
 		{"one answer lost, the other still pending", []reply{{400 * time.Millisecond, store.ErrUnknown}, {200 * time.Millisecond, nil}}, nil, 500 * time.Millisecond, 2},
 		{"not available", []reply{{10 * time.Millisecond, store.ErrUnavailable}}, store.ErrUnavailable, 10 * time.Millisecond, 1},
 		{"one may have had effect", []reply{{350 * time.Millisecond, store.ErrUnknown}, {100 * time.Millisecond, store.ErrUnavailable}}, store.ErrUnknown, 400 * time.Millisecond, 2},
+		{"lost, then not found", []reply{{350 * time.Millisecond, store.ErrUnknown}, {100 * time.Millisecond, store.ErrNotFound}}, store.ErrUnknown, 400 * time.Millisecond, 2},
+		{"not found while another is pending", []reply{{time.Hour, nil}, {10 * time.Millisecond, store.ErrNotFound}}, store.ErrUnknown, 2 * time.Second, 7},
+		{"not found", []reply{{10 * time.Millisecond, store.ErrNotFound}}, store.ErrNotFound, 10 * time.Millisecond, 1},
+		{"lost and refused in one error", []reply{{350 * time.Millisecond, errors.Join(store.ErrUnavailable, store.ErrUnknown)}, {100 * time.Millisecond, store.ErrUnavailable}}, store.ErrUnknown, 400 * time.Millisecond, 2},
+		{"an answer that proves nothing, then refused", []reply{{350 * time.Millisecond, errProvesNothing}, {100 * time.Millisecond, store.ErrUnavailable}}, errProvesNothing, 400 * time.Millisecond, 2},
+		{"an answer that proves nothing, then done", []reply{{350 * time.Millisecond, errProvesNothing}, {100 * time.Millisecond, nil}}, nil, 400 * time.Millisecond, 2},
 		{"never answered", []reply{{time.Hour, nil}}, store.ErrUnknown, 2 * time.Second, 6},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
