An upstream's answer by way of another entry is not taken for the entry's refusal

What callers saw: while a node has lost its links, a request that an upstream answered 401 or 404 without its signature was answered 503, not run, or sent again though its route forbids it: the entry that carries requests passes such an answer on, and the other one took every unsigned 503, 404, 401 and 429 for a refusal by the carrier. Change: a carrier marks its own 404 and 401. 503 and 429 need no mark: a carrier passes on none of an upstream's (502 instead), which also holds for carriers of earlier releases.

--- a/io/carrier/carrier.go
+++ b/io/carrier/carrier.go
@@ -41,6 +41,9 @@
 // HeaderUnable is set on the refusal of a carrier that can't reach upstreams, so that another one should be asked.
 const HeaderUnable = "Carrier-Unable"
 
+// HeaderNotSent is set on the answer of a carrier that has not sent the request, where the status doesn't say so.
+const HeaderNotSent = "Carrier-Not-Sent"
+
 // Options are the dependencies of Links; all are required but Port.
 type Options struct {
 	// Dial opens a connection.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -22,6 +22,7 @@
 
 	"mothcart/core/batch"
 	"mothcart/core/site"
+	"mothcart/io/carrier"
 	"mothcart/io/forward"
 	"mothcart/io/held"
 	"mothcart/io/home"
@@ -144,6 +145,13 @@
 	charged bool
 }
 
+// markNotSent marks the answer to a request that another entry sent, so that it isn't taken for an upstream's.
+func (c carriage) markNotSent(w http.ResponseWriter) {
+	if c.carried {
+		w.Header().Set(carrier.HeaderNotSent, "1")
+	}
+}
+
 // ServeCarried answers one request that another entry, which has lost its links to upstreams, sends through this one.
 func (h *Handler) ServeCarried(w http.ResponseWriter, r *http.Request) {
 	from := carriage{carried: true, resumes: r.Header.Get(forward.HeaderCarriedResumes), charged: r.Header.Get(forward.HeaderCarriedCharged) != ""}
@@ -174,15 +182,18 @@
 	}
 	route, ok := cfg.Match(r.Host, r.URL.Path)
 	if !ok {
+		from.markNotSent(w)
 		h.opts.Log.Info().Str("request", id).Str("host", r.Host).Str("path", r.URL.Path).Int64("config", cfg.Version).
 			Str("outcome", "noRoute").Int("status", http.StatusNotFound).Msg("requestDone")
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
 	}
+	from.markNotSent(w) // in case the request is refused for its key
 	account, ok := h.authenticate(w, r, *cfg, route.Public, from.carried)
 	if !ok {
 		return
 	}
+	w.Header().Del(carrier.HeaderNotSent)
 	body, free, ok := h.readBody(w, r, *cfg, route, id)
 	defer free()
 	if !ok {
