A status 421 alone does not say that a request has not run

Change: only the mark counts. 421 still shows that the upstream has moved, and is still not passed on. TestAnswerThatDoesNotSayNotRun: its two cases with 421 alone are 503 before and 502 after.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -92,7 +92,7 @@
 func (a Answer) Success() bool { return a.Err == nil && a.Status >= 200 && a.Status < 300 }
 
 // refused reports that the upstream did not run the request.
-func (a Answer) refused() bool { return a.Info.NotRun || a.Status == http.StatusMisdirectedRequest }
+func (a Answer) refused() bool { return a.Info.NotRun }
 
 // Result returns what the outcome shows about the upstream.
 func (a Answer) Result(ctx context.Context) slot.Result {
--- a/io/forward/outcome_test.go
+++ b/io/forward/outcome_test.go
@@ -31,12 +31,14 @@
 		{"refused", false, "503 Full\r\nNot-Run: 1", http.StatusServiceUnavailable, 0},
 		{"another upstream", false, "421 Elsewhere\r\nNot-Run: 1", http.StatusServiceUnavailable, 0},
 		{"503 alone", false, "503 Error", http.StatusBadGateway, 1},
+		{"421 alone", false, "421 Error", http.StatusBadGateway, 1},
 		{"404 alone", false, "404 None", http.StatusNotFound, 1},
 		{"carrier without a slot", true, "503 Full", http.StatusServiceUnavailable, 0},
 		{"carrier without a route", true, "404 None\r\n" + carrier.HeaderNotSent + ": 1", http.StatusServiceUnavailable, 0},
 		{"carrier without the key", true, "401 None\r\n" + carrier.HeaderNotSent + ": 1", http.StatusServiceUnavailable, 0},
 		{"404 of an upstream by a carrier", true, "404 None", http.StatusNotFound, 1},
 		{"401 of an upstream by a carrier", true, "401 None", http.StatusUnauthorized, 1},
+		{"421 by a carrier", true, "421 Error", http.StatusBadGateway, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			address := unframedUpstream(t, "HTTP/1.1 "+tc.answer+"\r\nContent-Length: 0\r\n\r\n", closes)
