A redirect of a write is not taken for its success

What callers saw: nothing seen; found by reading. Both clients of an object service followed a 302 or 303 of a write with a read, whose answer of success then was the write's. Change: they follow none, and an answer below 400 that is no success leaves a write's outcome unknown. TestOutcomeOfAWriteOfAnObject and the new rows of TestOutcomeOfAWriteByItsAnswer: 303 is Done before, unknown after; the fake, io/object and io/home pass.

--- a/io/store/http.go
+++ b/io/store/http.go
@@ -65,9 +65,15 @@
 	http *http.Client
 }
 
-// NewHTTP returns a Client for the service at base, such as http://10.0.0.9:7000.
+// NoRedirect keeps an HTTP client from following redirects: the read to which one of a write may lead looks like the write's
+// success.
+func NoRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// NewHTTP returns a Client for the service at base, such as http://10.0.0.9:7000. It follows no redirects.
 func NewHTTP(base string, hc *http.Client) Client {
-	h := &httpClient{base: base, http: hc}
+	direct := *hc
+	direct.CheckRedirect = NoRedirect
+	h := &httpClient{base: base, http: &direct}
 	return Client{Get: h.get, Put: h.put, Delete: h.remove, List: h.list, Watch: h.watch}
 }
 
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -103,13 +103,20 @@
 		{http.StatusTooManyRequests, "", outcome.NotDone},
 		{http.StatusRequestEntityTooLarge, "", outcome.NotDone},
 		{http.StatusNotModified, "", outcome.Unknown},
+		{http.StatusSeeOther, "", outcome.Unknown},
+		{http.StatusTemporaryRedirect, "", outcome.Unknown},
 		{http.StatusRequestTimeout, "", outcome.Unknown},
 		{http.StatusInternalServerError, "", outcome.Unknown},
 		{http.StatusBadGateway, "", outcome.Unknown},
 		{http.StatusGatewayTimeout, "", outcome.Unknown},
 	} {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("ETag", tc.tag)
+			if r.Method == http.MethodGet { // where a redirect leads
+				w.Header().Set("ETag", ETag(1))
+				return
+			}
+			w.Header().Set("Location", r.URL.Path)
 			w.WriteHeader(tc.status)
 		}))
 		c := NewHTTP(server.URL, server.Client())
