A caller is told the outcome of a durable request by one function

What callers saw: nothing seen; durableProblem asked an error for ErrNotDurable first, so that one with two outcomes was told as not run. Change: Sentinels decide. TestDurableProblems: its new row, an error with both, is not_durable with ran=no before, and request_in_progress after.

--- a/io/caller/accepted.go
+++ b/io/caller/accepted.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"mothcart/core/outcome"
 	"mothcart/core/retry"
 )
 
@@ -98,18 +99,22 @@
 	return problem{status: http.StatusServiceUnavailable, code: "not_durable", ran: retry.RanNo, message: ErrNotDurable.Error(), retryAfter: time.Second}
 }
 
+// durable are the errors that tell the outcome of a request that goes through the ledger.
+var durable = outcome.Sentinels{Unknown: ErrInProgress, NotDone: []error{ErrNotDurable, ErrKeyReused, ErrNoRequest}}
+
 func durableProblem(err error) problem {
+	so := durable.Of(err)
 	switch {
-	case errors.Is(err, ErrNotDurable):
-		return notDurable()
-	case errors.Is(err, ErrKeyReused):
+	case so == outcome.NotDone && errors.Is(err, ErrKeyReused):
 		return problem{status: http.StatusUnprocessableEntity, code: "idempotency_key_reused", ran: retry.RanNo, message: ErrKeyReused.Error()}
+	case so == outcome.NotDone && errors.Is(err, ErrNoRequest):
+		return problem{status: http.StatusNotFound, code: "request_not_found", ran: retry.RanNo, message: ErrNoRequest.Error()}
+	case so == outcome.NotDone:
+		return notDurable()
 	case errors.Is(err, ErrInProgress):
 		return problem{status: http.StatusConflict, code: "request_in_progress", ran: retry.RanMaybe, message: ErrInProgress.Error(), retryAfter: pollInterval}
 	case errors.Is(err, ErrLookup):
 		return problem{status: http.StatusServiceUnavailable, code: "lookup_unavailable", ran: retry.RanMaybe, message: ErrLookup.Error(), retryAfter: pollInterval}
-	case errors.Is(err, ErrNoRequest):
-		return problem{status: http.StatusNotFound, code: "request_not_found", ran: retry.RanNo, message: ErrNoRequest.Error()}
 	default:
 		return problem{status: http.StatusBadGateway, code: "outcome_unknown", ran: retry.RanMaybe, message: err.Error()}
 	}
--- a/io/caller/accepted_test.go
+++ b/io/caller/accepted_test.go
@@ -24,6 +24,7 @@
 		{ErrNotDurable, http.StatusServiceUnavailable, "not_durable", retry.RanNo, true},
 		{ErrKeyReused, http.StatusUnprocessableEntity, "idempotency_key_reused", retry.RanNo, false},
 		{ErrInProgress, http.StatusConflict, "request_in_progress", retry.RanMaybe, true},
+		{errors.Join(ErrNotDurable, ErrInProgress), http.StatusConflict, "request_in_progress", retry.RanMaybe, true},
 		{ErrLookup, http.StatusServiceUnavailable, "lookup_unavailable", retry.RanMaybe, true},
 		{ErrNoRequest, http.StatusNotFound, "request_not_found", retry.RanNo, false},
 		{errors.New("other"), http.StatusBadGateway, "outcome_unknown", retry.RanMaybe, false},
