A job that is not removed is not forgotten

What callers saw: nothing seen; found by reading. When the retention of a job is over, its home deletes the results and then the job, and forgot the job whatever came of it. If the last deletion was refused or not answered, the next listing of the jobs, by this home after a failed watch or by the next one, brought a job without results, all of whose items run again. Change: a home keeps a job until it is deleted, tries again after 10 s, and goes on naming it among the listed jobs, whose results nobody reads. TestJobThatIsNotRemovedIsNotForgotten fails before and passes after; io/home and the tests of jobs and homes in io/node pass.

--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -299,18 +299,24 @@
 	}
 	h.mu.Unlock()
 	for _, id := range remove {
-		h.remove(id)
+		if !h.remove(id) {
+			return // the object service fails; the others would take as long
+		}
 	}
 }
 
-// remove deletes a job and its results, the results first, so that no results remain without a job.
-func (h *Home) remove(id string) {
+// removePause is the time between two attempts to remove a job.
+const removePause = 10 * time.Second
+
+// remove deletes a job and its results, the results first, so that no results remain without a job. It reports false if
+// the job may still be stored. The home then keeps it: a job that it doesn't have would be loaded with the results that are
+// left, and the items without a result would run again.
+func (h *Home) remove(id string) bool {
 	h.mu.Lock()
 	j := h.jobs[id]
-	delete(h.jobs, id)
 	h.mu.Unlock()
 	if j == nil {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
 	defer cancel()
@@ -320,9 +326,23 @@
 	}
 	if err == nil {
 		err = h.opts.Objects.Delete(ctx, KindJobs, id)
+		if errors.Is(err, store.ErrNotFound) {
+			err = nil // an attempt that was not answered
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		j.removeAt = h.opts.Now().Add(removePause)
+		h.opts.Log.Warn().Str("job", id).Err(err).Msg("jobNotRemoved")
+		return false
+	}
+	if h.jobs[id] == j { // else the watch has delivered the deletion, and maybe a new job
+		delete(h.jobs, id)
 	}
 	h.listed.remove(id)
-	h.opts.Log.Info().Str("job", id).AnErr("error", err).Msg("jobRemoved")
+	h.opts.Log.Info().Str("job", id).Msg("jobRemoved")
+	return true
 }
 
 // removeAll deletes all objects of a kind.
