--- a/io/ledger/ledger.go
+++ b/io/ledger/ledger.go
@@ -12,9 +12,9 @@
 // sent again. A request without a key is sent once by the VM that received it and is not recorded; a
 // resend of it is a new request.
 //
-// ErrDidNotRun means that this submission of the request did not run and will not. An earlier
-// submission with the same key has its own answer, so send again with the same key, not with a new
-// one. While the object service is unreachable, new requests are refused with ErrDidNotRun; results
+// ErrDidNotRun means that this submission of the request did not run and will not, at any of the homes
+// that it was sent to. An earlier submission with the same key has its own answer, so send again with
+// the same key, not with a new one. While the object service is unreachable, new requests are refused with ErrDidNotRun; results
 // that are not yet written stay in memory and are written once the service has recovered.
 //
 // Usage:
@@ -31,7 +31,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -43,6 +42,7 @@
 	"github.com/google/uuid"
 
 	core "mothcart/core/ledger"
+	"mothcart/core/outcome"
 	"mothcart/core/rendezvous"
 )
 
@@ -169,13 +169,13 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answer, err := l.opts.Execute(ctx, req)
-	switch {
-	case err == nil:
+	switch OutcomeOf(err) {
+	case outcome.Done:
 		return Outcome{State: core.Done, Answer: answer}, nil
-	case errors.Is(err, ErrDidNotRun):
+	case outcome.NotDone:
 		return Outcome{}, merry.Errorf("run request without key: %w", err)
 	default:
-		return Outcome{}, merry.Errorf("run request without key: %w: %w", ErrMayHaveRun, err)
+		return Outcome{}, merry.Errorf("run request without key: %w", requests.Lost(err))
 	}
 }
 
