--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -8,7 +8,8 @@
 )
 
 // proxy forwards TCP connections from a loopback address to target. It can delay data, block one or both
-// directions and reset the connections.
+// directions and reset the connections. It dials from the address at which it listens, so that the target can tell callers
+// with proxies of their own apart.
 type proxy struct {
 	listener net.Listener
 	target   string
@@ -42,7 +43,8 @@
 }
 
 func (p *proxy) serve(callerConn net.Conn) {
-	targetConn, err := net.DialTimeout("tcp4", p.target, time.Second)
+	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: p.listener.Addr().(*net.TCPAddr).IP}}
+	targetConn, err := dialer.Dial("tcp4", p.target)
 	if err != nil {
 		abort(callerConn)
 		return
