The soak checks refusals after an attempt in doubt, and its number of processes is a flag

Change: once an attempt at a job was answered 504 or not at all, and the job exists at the end, no later attempt may be answered 429 or 503 with the text that speaks of the job, which entries only send by the word of a home. A refusal with the text of an entry without a configuration is counted and not a failure: that entry knows no routes, and whether it had a home can't be judged from outside. A connection that was refused counts as a refusal: no entry has received the job, so that a job must not run whose other attempts were refused. -entries and -homes set the number of processes of a site.

--- a/soak/refusal_test.go
+++ b/soak/refusal_test.go
@@ -101,18 +101,24 @@
 // attempt is one attempt of a client to submit a job.
 type attempt struct {
 	entry int
-	// status is 0 without a complete answer.
-	status     int
+	// status is 0 without a complete answer, and unsent if the connection was refused.
+	status int
+	// homesWord reports that the answer speaks of the job as a whole: the entry has asked the home. Entries without a
+	// configuration refuse all requests and speak only of theirs.
+	homesWord  bool
 	begin, end time.Time
 }
 
+// unsent is the status of an attempt that no entry has received.
+const unsent = -1
+
 func (a attempt) String() string {
-	return fmt.Sprintf("%s e%d %d after %v", a.begin.UTC().Format("15:04:05.000"), a.entry, a.status, a.end.Sub(a.begin).Round(time.Millisecond))
+	return fmt.Sprintf("%s e%d %d after %v (home %t)", a.begin.UTC().Format("15:04:05.000"), a.entry, a.status, a.end.Sub(a.begin).Round(time.Millisecond), a.homesWord)
 }
 
-// refused reports whether the answer promises that no part of the job runs.
+// refused reports whether no part of the job may run because of this attempt: the answer promises it, or none was due.
 func (a attempt) refused() bool {
-	return isRefusal(a.status) || a.status == http.StatusRequestTimeout || a.status == http.StatusMisdirectedRequest
+	return a.status == unsent || isRefusal(a.status) || a.status == http.StatusRequestTimeout || a.status == http.StatusMisdirectedRequest
 }
 
 // submission is a job whose client gives up after few attempts.
@@ -125,15 +131,18 @@
 	return slices.ContainsFunc(s.attempts, func(a attempt) bool { return a.status == http.StatusAccepted })
 }
 
-// refused reports whether each answer promises that no part of the job runs.
+// refused reports whether no attempt may have stored the job.
 func (s *submission) refused() bool {
 	return !slices.ContainsFunc(s.attempts, func(a attempt) bool { return !a.refused() })
 }
 
-// refusedInDoubt reports whether an attempt was refused after one that may have stored the job.
-func (s *submission) refusedInDoubt() bool {
+// inDoubt returns the attempts after one that may have stored the job.
+func (s *submission) inDoubt() []attempt {
 	n := slices.IndexFunc(s.attempts, func(a attempt) bool { return !a.refused() })
-	return n >= 0 && slices.ContainsFunc(s.attempts[n:], attempt.refused)
+	if n < 0 {
+		return nil
+	}
+	return s.attempts[n+1:]
 }
 
 // submit submits jobs until stop is closed, each with two or three attempts at different entries.
@@ -154,9 +163,12 @@
 
 func (c *checker) attempt(id string, entry int) attempt {
 	a := attempt{entry: entry, begin: time.Now()}
-	resp, _, err := c.call(http.MethodPost, entry, "/lot/1", id, fake.JobBody(id, submittedItems, []byte("draft")))
-	if err == nil {
-		a.status = resp.StatusCode
+	resp, body, err := c.call(http.MethodPost, entry, "/lot/1", id, fake.JobBody(id, submittedItems, []byte("draft")))
+	switch {
+	case err == nil:
+		a.status, a.homesWord = resp.StatusCode, strings.Contains(body, "the job was not accepted")
+	case errors.Is(err, syscall.ECONNREFUSED):
+		a.status = unsent
 	}
 	a.end = time.Now()
 	expected := a.status == 0 || a.refused() || a.status == http.StatusAccepted || a.status == http.StatusGatewayTimeout
@@ -178,15 +190,18 @@
 func (c *checker) finishSubmissions() {
 	t := c.s.t
 	time.Sleep(settled)
-	answers := make(map[int]int)
+	answers, refusedLater := make(map[int]int), make(map[bool]int)
 	refused, inDoubt, stored := 0, 0, 0
 	for _, s := range c.submissions {
 		for _, a := range s.attempts {
 			answers[a.status]++
 		}
 		exists := c.exists(s.id)
-		if exists && s.refusedInDoubt() {
-			t.Logf("job %s was refused after it was in doubt, and exists: %v", s.id, s.attempts)
+		for _, a := range s.inDoubt() {
+			if exists && a.refused() && a.status != unsent {
+				refusedLater[a.homesWord]++
+				assert.False(t, a.homesWord, "job %s was in doubt, then refused, and exists: %v", s.id, s.attempts)
+			}
 		}
 		switch {
 		case s.refused():
@@ -203,7 +218,8 @@
 			c.accepted = append(c.accepted, job{id: s.id, items: submittedItems})
 		}
 	}
-	t.Logf("%d jobs with few attempts: %d refused, %d in doubt, %d of these stored; answers %v", len(c.submissions), refused, inDoubt, stored, answers)
+	t.Logf("%d jobs with few attempts: %d refused, %d in doubt, %d of these stored; answers %v; %d times a job in doubt, which exists, was refused without a home",
+		len(c.submissions), refused, inDoubt, stored, answers, refusedLater[false])
 }
 
 // exists reports whether an entry shows a job.
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"net"
 	"net/http"
@@ -20,9 +21,15 @@
 	"mothcart/platform/fake"
 )
 
+// entries and homes are the numbers of processes; the seeds in the code are for 3 of each.
+var entries, homes int
+
+func init() {
+	flag.IntVar(&entries, "entries", 3, "number of entries")
+	flag.IntVar(&homes, "homes", 3, "number of home nodes")
+}
+
 const (
-	entries = 3
-	homes   = 3
 	engines = 3
 	// engineSlots are the slots of an engine of the service scribe, deskSlots those of the service desk.
 	engineSlots = 3
@@ -123,7 +130,9 @@
 
 // awaitReady waits until all entries are ready.
 func (s *site) awaitReady() {
-	require.Eventually(s.t, func() bool { return s.ready(1) && s.ready(2) && s.ready(3) }, 20*time.Second, 100*time.Millisecond, "the site starts")
+	for n := 1; n <= entries; n++ {
+		require.Eventually(s.t, func() bool { return s.ready(n) }, 20*time.Second, 100*time.Millisecond, "entry %d starts", n)
+	}
 }
 
 func (s *site) writeSettings(pr *process, ip, store string) {
