--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"net"
 	"net/http"
@@ -20,9 +21,15 @@
 	"mothcart/platform/fake"
 )
 
+// entries and homes are the numbers of processes; the seeds in the code are for 3 of each.
+var entries, homes int
+
+func init() {
+	flag.IntVar(&entries, "entries", 3, "number of entries")
+	flag.IntVar(&homes, "homes", 3, "number of home nodes")
+}
+
 const (
-	entries = 3
-	homes   = 3
 	engines = 3
 	// engineSlots are the slots of an engine of the service scribe, deskSlots those of the service desk.
 	engineSlots = 3
@@ -66,6 +73,8 @@
 	configVersion int
 	// accounts are the client accounts; requests need no key if there are none.
 	accounts []fake.Account
+	// tokenCap is that of the route of jobs.
+	tokenCap int64
 }
 
 // ip returns a loopback address of the site. Its second byte is 20 + seed modulo 200, so that sites of
@@ -73,7 +82,10 @@
 func (s *site) ip(group, n int) string { return fmt.Sprintf("127.%d.%d.%d", s.netByte, group, n) }
 
 func newSite(t *testing.T, program string, seed uint64, accounts ...fake.Account) *site {
-	s := &site{t: t, program: program, netByte: byte(20 + seed%200), network: fake.NewLoopback(), accounts: accounts}
+	s := &site{t: t, program: program, netByte: byte(20 + seed%200), network: fake.NewLoopback(), accounts: accounts, tokenCap: 100000}
+	if seed >= firstRefusalSeed {
+		s.tokenCap = refusalTokenCap
+	}
 	storeAddr := net.JoinHostPort(s.ip(1, 1), fmt.Sprint(storePort))
 	s.objects = fake.NewObjects(s.network, storeAddr)
 	s.configure()
@@ -118,7 +130,9 @@
 
 // awaitReady waits until all entries are ready.
 func (s *site) awaitReady() {
-	require.Eventually(s.t, func() bool { return s.ready(1) && s.ready(2) && s.ready(3) }, 20*time.Second, 100*time.Millisecond, "the site starts")
+	for n := 1; n <= entries; n++ {
+		require.Eventually(s.t, func() bool { return s.ready(n) }, 20*time.Second, 100*time.Millisecond, "entry %d starts", n)
+	}
 }
 
 func (s *site) writeSettings(pr *process, ip, store string) {
@@ -143,7 +157,7 @@
 		{Name: "once", Kind: fake.Streaming, Service: "scribe", Attempts: 1, Timeout: routeTimeout, Objective: objective},
 		{Name: "fetch", Kind: fake.Idempotent, Service: "desk", Attempts: 2, Timeout: routeTimeout, Objective: objective},
 		{Name: "swap", Kind: fake.NonIdempotent, Service: "desk", Attempts: 1, Timeout: routeTimeout, Objective: objective},
-		{Name: "lot", Kind: fake.Batch, Service: "scribe", Attempts: 3, Timeout: routeTimeout, Objective: objective, TokenCap: 100000},
+		{Name: "lot", Kind: fake.Batch, Service: "scribe", Attempts: 3, Timeout: routeTimeout, Objective: objective, TokenCap: s.tokenCap},
 	}
 	if s.configVersion%2 == 0 {
 		routes = append(routes, fake.Route{Name: "new", Kind: fake.Idempotent, Service: "desk", Attempts: 2, Timeout: routeTimeout, Objective: objective})
