--- a/io/home/session.go
+++ b/io/home/session.go
@@ -95,7 +95,9 @@
 			go h.write(in, s, attempt, func(ctx context.Context) error {
 				writer := Writer{By: "home", Attempt: attempt, Log: h.opts.Log, Registry: h.opts.Registry}
 				err := CreateJob(writer.WithAttempts(ctx), h.opts.Objects, m.Job)
-				if err != nil && h.hasJobOf(m.ID, m.Job.Account) {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				if err != nil && h.existsFor(m.ID, m.Job.Account) {
 					return nil // the watch has delivered it
 				}
 				return err
