A refusal that the home did not allow is not counted as given

What operators would see: refusedJobStored, and home.refusedJobsStored, for a job whose caller got 504: the home recorded a refusal whenever no attempt was open, also if it then answered "unsettled" since it had just started or had not loaded the jobs. Change: such a refusal is taken back. Two more cases in TestStoredJobThatWasRefused; core/submission passes.

--- a/core/submission/submission.go
+++ b/core/submission/submission.go
@@ -78,6 +78,13 @@
 	return true
 }
 
+// TakeBack forgets the refusal that Withdraw has recorded, since nobody was promised anything.
+func (t *Table) TakeBack(job string) {
+	if s := t.jobs[job]; s != nil {
+		s.refusedAt = time.Time{}
+	}
+}
+
 // Stored ends all attempts at a job, which is stored. It reports true if the job was refused by the last one of them.
 func (t *Table) Stored(now time.Time, job string) bool {
 	s := t.jobs[job]
--- a/core/submission/submission_test.go
+++ b/core/submission/submission_test.go
@@ -54,7 +54,9 @@
 		{"refused without room", func(table *Table) { table.Withdraw(now, a) }, true},
 		{"not refused, since one is in doubt", func(table *Table) { table.Begin(now, a); table.Begin(now, b); table.Withdraw(now, b) }, false},
 		{"refused, then sent again", func(table *Table) { table.Withdraw(now, a); table.Begin(now, b) }, false},
+		{"refused, which nobody was told", func(table *Table) { table.Withdraw(now, a); table.TakeBack("j") }, false},
 		{"not known", func(*Table) {}, false},
+		{"not known, taken back", func(table *Table) { table.TakeBack("j") }, false},
 	} {
 		table := NewTable()
 		tc.do(table)
--- a/io/home/submission.go
+++ b/io/home/submission.go
@@ -79,6 +79,8 @@
 			h.loaded && now.Sub(h.startedAt) >= settleGrace && !h.exists(m.Job)
 		if settled {
 			delete(h.reserved, m.Job)
+		} else {
+			h.submissions.TakeBack(m.Job)
 		}
 		answer := withdrawAnswer{Stored: stored, Settled: settled}
 		h.opts.Log.Info().Str("job", m.Job).Str("attempt", m.Attempt).Stringer("standing", answer.standing()).Int("open", h.submissions.OpenOf(m.Job)).
