An upstream's 401 or 404 behind another entry is not taken for that entry's refusal

What callers saw: a request that is not idempotent ran twice, and could be answered 503, which promises that it has not run, at an entry without links to upstreams. Cause: an entry that sends a request for another one passes on an upstream's failure as it is. The first entry took each answer of 401 or 404 without an upstream's signature for the other entry's own, sent nothing, and went on to the next entry. Evidence: TestFailureBehindACarrierIsNoRefusal, an upstream that runs the request and answers without a signature: 2 runs of a request on a route with one attempt for 401 and 404 before, 1 run after; 408, 429 and 503 had 1 run before and after. Change: an entry marks its own 401 and 404 to a carried request (Carrier-Refused); without the mark they may have run. 429 and 503 need none, since an upstream's are never passed on. The mark is removed from answers to callers and from upstreams' answers. An entry of an earlier release sets no mark: its 401 and 404 end the request with 502 or go by the route's attempts. TestCarriedRefusalKeepsItsReason asks isOwnRefusal with and without the mark, since 404 alone no longer tells; 401 is new in it.

--- a/io/carrier/carrier.go
+++ b/io/carrier/carrier.go
@@ -41,6 +41,9 @@
 // HeaderUnable is set on the refusal of a carrier that can't reach upstreams, so that another one should be asked.
 const HeaderUnable = "Carrier-Unable"
 
+// HeaderRefused is set on the answers of a carrier that has not sent the request, where their status may also be an upstream's.
+const HeaderRefused = "Carrier-Refused"
+
 // Options are the dependencies of Links; all are required but Port.
 type Options struct {
 	// Dial opens a connection.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -22,6 +22,7 @@
 
 	"mothcart/core/batch"
 	"mothcart/core/site"
+	"mothcart/io/carrier"
 	"mothcart/io/forward"
 	"mothcart/io/held"
 	"mothcart/io/home"
@@ -144,6 +145,13 @@
 	charged bool
 }
 
+// markRefusal tells the entry from which a request comes that this one refuses it, unsent.
+func (c carriage) markRefusal(w http.ResponseWriter) {
+	if c.carried {
+		w.Header().Set(carrier.HeaderRefused, "1")
+	}
+}
+
 // ServeCarried answers one request that another entry, which has lost its links to upstreams, sends through this one.
 func (h *Handler) ServeCarried(w http.ResponseWriter, r *http.Request) {
 	from := carriage{carried: true, resumes: r.Header.Get(forward.HeaderCarriedResumes), charged: r.Header.Get(forward.HeaderCarriedCharged) != ""}
@@ -167,7 +175,7 @@
 		return
 	}
 	if call := h.opts.Codec.ParseCall(r); call.Kind != NoJobCall {
-		if call.Account, ok = h.authenticate(w, r, *cfg, false, from.carried); ok {
+		if call.Account, ok = h.authenticate(w, r, *cfg, false, from); ok {
 			h.serveJobCall(w, r, call)
 		}
 		return
@@ -176,10 +184,11 @@
 	if !ok {
 		h.opts.Log.Info().Str("request", id).Str("host", r.Host).Str("path", r.URL.Path).Int64("config", cfg.Version).
 			Str("outcome", "noRoute").Int("status", http.StatusNotFound).Msg("requestDone")
+		from.markRefusal(w)
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
 	}
-	account, ok := h.authenticate(w, r, *cfg, route.Public, from.carried)
+	account, ok := h.authenticate(w, r, *cfg, route.Public, from)
 	if !ok {
 		return
 	}
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/slot"
+	"mothcart/io/carrier"
 	"mothcart/io/held"
 	"mothcart/io/service"
 )
@@ -178,7 +179,7 @@
 	idle.heard()
 	idle.await()
 	a := Answer{Status: resp.Status, Header: resp.Header, Info: codec.Read(resp.Header), Sent: true, unframed: resp.Unframed}
-	if call.Carried && !a.Info.Signed && isOwnRefusal(a.Status) {
+	if call.Carried && !a.Info.Signed && isOwnRefusal(a.Status, a.Header) {
 		a.Info.NotRun = true // the other entry's own answer
 	}
 	call.observe(a)
@@ -206,9 +207,18 @@
 	io.Closer
 }
 
-// isOwnRefusal reports that an entry answers with a status if it has not sent a request.
-func isOwnRefusal(status int) bool {
-	return status == http.StatusServiceUnavailable || status == http.StatusNotFound || status == http.StatusUnauthorized || status == http.StatusTooManyRequests
+// isOwnRefusal reports that an answer of another entry without an upstream's signature says that the entry has not sent the
+// request. It passes on an upstream's failure of any status that promises nothing, so that others need a mark; releases that
+// don't set it leave open whether the request ran.
+func isOwnRefusal(status int, h http.Header) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return true
+	case http.StatusNotFound, http.StatusUnauthorized:
+		return h.Get(carrier.HeaderRefused) != ""
+	default:
+		return false
+	}
 }
 
 // observe passes on what the headers of an answer say about the upstream.
--- a/io/forward/judged.go
+++ b/io/forward/judged.go
@@ -22,4 +22,5 @@
 func dropCarrierHeaders(h http.Header) {
 	h.Del(carrier.HeaderZone)
 	h.Del(carrier.HeaderUnable)
+	h.Del(carrier.HeaderRefused)
 }
--- a/io/forward/limit_test.go
+++ b/io/forward/limit_test.go
@@ -77,7 +77,11 @@
 			require.Equal(t, 700*time.Millisecond, refusal.RetryAfter, tc.name)
 		}
 	}
-	for status, want := range map[int]bool{429: true, 503: true, 404: true, 400: false, 500: false} {
-		require.Equal(t, want, isOwnRefusal(status), status)
+	marked := http.Header{carrier.HeaderRefused: {"1"}}
+	for status, want := range map[int]bool{429: true, 503: true, 404: true, 401: true, 400: false, 500: false} {
+		require.Equal(t, want, isOwnRefusal(status, marked), status)
+	}
+	for status, want := range map[int]bool{429: true, 503: true, 404: false, 401: false, 400: false, 500: false} {
+		require.Equal(t, want, isOwnRefusal(status, http.Header{}), status)
 	}
 }
--- a/io/node/stranded_test.go
+++ b/io/node/stranded_test.go
@@ -199,6 +199,23 @@
 	})
 }
 
+// Guards against an upstream's failure that is taken for another entry's own refusal, so that a request that ran is refused or
+// runs again.
+func TestFailureBehindACarrierIsNoRefusal(t *testing.T) {
+	for _, status := range []int{http.StatusUnauthorized, http.StatusNotFound, http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			runStrandedSite(t, func(s *strandedSite) {
+				s.cut(1)
+				s.traffic("early", contact, 1)
+				s.desk.SetFaults(fake.EngineFaults{Status: status, Unsigned: true})
+				r := s.call(s.t.Context(), 1, http.MethodPost, "/swap/1", "swap", "")
+				require.Equal(s.t, 1, s.runsOf("swap"))
+				require.NotContains(s.t, []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}, r.status)
+			})
+		})
+	}
+}
+
 // Guards against requests that run twice because they went through another entry.
 func TestRequestsThatGoThroughAnotherEntryRunOnce(t *testing.T) {
 	runStrandedSite(t, func(s *strandedSite) {
