A job in doubt is not refused by a node that has not read it

What callers saw: 503 (no memory for the body) or 408 (the body did not arrive in time) for a job that an earlier attempt, at any node, may have stored or has stored. Both statuses promise that no part of the job runs. Cause: the body is read before the attempt to submit the job begins, and its refusals did not ask the home. Change: a POST to a batch route whose body was not read for these reasons is an attempt to submit a job that ends without effect, as any other: 503 or 408 only if the home says that no attempt may store it, 202 if the home has it, else 504. The line is jobSubmitted with noMemory or badBody. The request's context can't be used: net/http ends it when the body's deadline passes. After: 504, 504 and 202; 503 and 408 as before if no attempt is open. 400 and 413 promise nothing and stay. readBody returns its error instead of answering; TestBodyIsReadOnlyIfItFits calls refuseBody itself, with the same expectations.

--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -31,43 +32,74 @@
 // errNoMemory means that the process may hold no more bytes.
 var errNoMemory = errors.New("no memory for the body")
 
-// readBody reads the complete body; if that fails, it answers the request with an error. The body counts as held until
-// free is called. A body is read only if there is memory for all of it, as far as its length is declared.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, cfg site.Config, route site.Route, id string) (b []byte, free func(), ok bool) {
-	body := body{budget: h.opts.Held, copies: 1, limit: cfg.Limits.BodyBytes, conn: http.NewResponseController(w), timeouts: true}
+// bodyLimit returns the largest size of a body in bytes.
+func bodyLimit(cfg site.Config) int64 {
+	if cfg.Limits.BodyBytes <= 0 {
+		return defaultBodyBytes
+	}
+	return cfg.Limits.BodyBytes
+}
+
+// readBody reads the complete body. The body counts as held until free is called. A body is read only if there is memory for
+// all of it, as far as its length is declared.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, cfg site.Config, route site.Route) (b []byte, free func(), err error) {
+	body := body{budget: h.opts.Held, copies: 1, limit: bodyLimit(cfg), conn: http.NewResponseController(w), timeouts: true}
 	if route.Kind == site.Batch {
 		body.copies = jobCopies
 	}
-	if body.limit <= 0 {
-		body.limit = defaultBodyBytes
-	}
 	if err := body.read(w, r); err != nil {
-		h.refuseBody(w, id, body.limit, err)
-		return nil, body.free, false
+		return nil, body.free, err
+	}
+	return body.b, body.free, nil
+}
+
+// bodyStatus returns the status of the answer to a request whose body was not read.
+func bodyStatus(err error) int {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(err, errNoMemory):
+		return http.StatusServiceUnavailable
+	case errors.As(err, &tooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
+	default:
+		return http.StatusBadRequest
 	}
-	return body.b, body.free, true
 }
 
 // refuseBody answers a request whose body was not read.
 func (h *Handler) refuseBody(w http.ResponseWriter, id string, limit int64, err error) {
 	// Close the connection instead of reading the rest of the body.
 	w.Header().Set("Connection", "close")
-	var tooLarge *http.MaxBytesError
-	status := http.StatusBadRequest
-	switch {
-	case errors.Is(err, errNoMemory):
-		h.opts.Log.Info().Str("request", id).Int("status", http.StatusServiceUnavailable).Str("outcome", "refused:memory").Msg("requestDone")
+	status := bodyStatus(err)
+	if status == http.StatusServiceUnavailable {
+		h.opts.Log.Info().Str("request", id).Int("status", status).Str("outcome", "refused:memory").Msg("requestDone")
 		forward.Refuse(w, memoryRetryAfter)
 		return
-	case errors.As(err, &tooLarge):
-		status = http.StatusRequestEntityTooLarge
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		status = http.StatusRequestTimeout
 	}
 	h.opts.Log.Info().Str("request", id).Int64("limit", limit).Int("status", status).Err(err).Str("outcome", "badBody").Msg("requestDone")
 	http.Error(w, "body can't be read", status)
 }
 
+// refuseUnread answers a request to a batch route whose body was not read. An earlier attempt may still store its job: a status
+// that promises that no part of the job runs needs the home's word.
+func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, cfg site.Config, s *submitted, err error) {
+	status, reason := bodyStatus(err), "badBody"
+	switch status {
+	case http.StatusServiceUnavailable:
+		reason = "noMemory"
+	case http.StatusRequestTimeout:
+	default:
+		h.refuseBody(w, s.job.ID, bodyLimit(cfg), err)
+		return
+	}
+	w.Header().Set("Connection", "close")
+	s.attempt = h.opts.Home.BeginSubmission(s.job.ID)
+	ctx := context.WithoutCancel(r.Context()) // a body that doesn't arrive in time ends the request's context
+	h.refuseJob(ctx, s, reason, status, memoryRetryAfter, err)
+}
+
 // body is the body of a request, for which room is taken.
 type body struct {
 	budget *held.Budget
--- a/io/entry/body_test.go
+++ b/io/entry/body_test.go
@@ -51,13 +51,14 @@
 			r := httptest.NewRequest(http.MethodPost, "/", read)
 			r.ContentLength = tc.declared
 			w := httptest.NewRecorder()
-			got, free, ok := h.readBody(w, r, site.Config{Limits: site.Limits{BodyBytes: bodyLimit}}, site.Route{Kind: tc.kind}, "r1")
-			require.Equal(t, tc.status == 0, ok)
+			got, free, err := h.readBody(w, r, site.Config{Limits: site.Limits{BodyBytes: bodyLimit}}, site.Route{Kind: tc.kind})
+			require.Equal(t, tc.status == 0, err == nil)
 			require.LessOrEqual(t, read.n, tc.most)
-			if ok {
+			if err == nil {
 				require.Equal(t, text, string(got))
 				require.LessOrEqual(t, int64(cap(got))-1, max(2*tc.size, bodyStep))
 			} else {
+				h.refuseBody(w, "r1", bodyLimit, err)
 				require.Equal(t, tc.status, w.Code)
 			}
 			free()
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -192,9 +192,15 @@
 	if !ok {
 		return
 	}
-	body, free, ok := h.readBody(w, r, *cfg, route, id)
+	body, free, err := h.readBody(w, r, *cfg, route)
 	defer free()
-	if !ok {
+	switch {
+	case err == nil:
+	case route.Kind == site.Batch && r.Method == http.MethodPost:
+		h.refuseUnread(w, r, *cfg, &submitted{w: w, job: batch.Job{ID: id, Account: account}, arrived: arrived}, err)
+		return
+	default:
+		h.refuseBody(w, id, bodyLimit(*cfg), err)
 		return
 	}
 	if route.Kind == site.Batch {
--- a/io/node/jobstory_test.go
+++ b/io/node/jobstory_test.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"context"
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -126,3 +129,54 @@
 		require.Zero(t, open.Value(), "an attempt is forgotten after a minute")
 	})
 }
+
+// Guards against a promise about a job in doubt by a node that refuses the call before it has read the job.
+func TestJobInDoubtIsNotRefusedUnread(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// lost makes an earlier attempt, at entry 1, one that was not answered.
+		lost   bool
+		stored bool
+		submit func(s *testSite) int
+		status int
+	}{
+		{"no memory, no doubt", false, false, func(s *testSite) int { return s.submitWithoutMemory(1) }, http.StatusServiceUnavailable},
+		{"no memory, in doubt", true, false, func(s *testSite) int { return s.submitWithoutMemory(1) }, http.StatusGatewayTimeout},
+		{"no memory, stored", false, true, func(s *testSite) int { return s.submitWithoutMemory(1) }, http.StatusAccepted},
+		{"body doesn't arrive, no doubt", false, false, func(s *testSite) int { return s.slowBody("/lot/1", "j1", stuckReader{s.t.Context()}, 100) }, http.StatusRequestTimeout},
+		{"body doesn't arrive, in doubt", true, false, func(s *testSite) int { return s.slowBody("/lot/1", "j1", stuckReader{s.t.Context()}, 100) }, http.StatusGatewayTimeout},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				if tc.lost {
+					s.objects.SetFault(fake.Fault{CreationsOf: home.KindJobs, Creations: map[string][]fake.Fate{"": {fake.Refused}, entryIP(2): {fake.Lost, fake.Refused}}})
+					require.Equal(t, http.StatusGatewayTimeout, s.submitJob(2, "j1", 2).status)
+					s.objects.SetFault(fake.Fault{})
+				}
+				if tc.stored {
+					require.Equal(t, http.StatusAccepted, s.submitJob(2, "j1", 2).status)
+					time.Sleep(100 * time.Millisecond) // until the home knows, the job is in doubt
+				}
+				require.Equal(t, tc.status, tc.submit(s))
+			})
+		})
+	}
+}
+
+// submitWithoutMemory submits job j1 at an entry that may hold no more bytes, and returns the status.
+func (s *testSite) submitWithoutMemory(n int) int {
+	b := s.entries[fmt.Sprintf("e%d", n)].base
+	taken := gauge(b, "held.limitBytes")
+	b.held.Add(taken)
+	defer b.held.Free(taken)
+	return s.submitJob(n, "j1", 2).status
+}
+
+// stuckReader is a body of which nothing arrives until the end of a context.
+type stuckReader struct{ ctx context.Context }
+
+// Read implements io.Reader.
+func (r stuckReader) Read([]byte) (int, error) {
+	<-r.ctx.Done()
+	return 0, io.EOF
+}
