Test: an upstream's bare 408, 429 and 503 are not passed on

400, 408, 429 and 503 without the mark "not run", signed and not, of an upstream that has run the request: 1 run of a request on a route with one attempt, and no answer that promises that it has not run. 421 is not among them: by the platform's rules an upstream that answers it has not run the request, marked or not.

--- a/io/node/race_test.go
+++ b/io/node/race_test.go
@@ -38,6 +38,23 @@
 	}
 }
 
+// Guards against an upstream's status that is taken for a promise: only its mark says that it has not run a request, and 421,
+// which it sends to requests for another upstream.
+func TestStatusAloneIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusBadRequest, http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, unsigned := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d unsigned=%t", status, unsigned), func(t *testing.T) {
+				runSite(t, func(t *testing.T, s *testSite) {
+					s.desk.SetFaults(fake.EngineFaults{Status: status, Unsigned: unsigned})
+					r := s.call(t.Context(), 1, http.MethodPost, "/swap/1", "r1", "")
+					require.Equal(t, 1, s.runsOf("r1"))
+					require.NotContains(t, []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}, r.status)
+				})
+			})
+		}
+	}
+}
+
 // Guards against a request that waits for a silent upstream until its deadline, since its second attempt failed late.
 func TestSearchGoesOnAfterTheSecondAttemptFailed(t *testing.T) {
 	runSite(t, func(t *testing.T, s *testSite) {
