--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -170,7 +170,7 @@
 	cfg := h.config.Load()
 	id, ok := h.opts.Codec.RequestID(r.Header), false
 	if cfg == nil {
-		h.opts.Log.Info().Str("request", id).Str("outcome", "refused:noConfiguration").Msg("requestDone")
+		h.opts.Log.Info().Str("request", id).Str("outcome", "refused:noConfiguration").Int("status", http.StatusServiceUnavailable).Msg("requestDone")
 		forward.Refuse(w, startRetryAfter)
 		return
 	}
