A home remembers attempts to submit jobs also while it can't decide about room

What callers could see: 503 for a job in doubt. A home that has not loaded the jobs, or has no route for the job yet, answered the request for room with "undecided" and did not record the attempt, which the entry then wrote by its own judgement. Once the jobs were loaded it called the job settled. Evidence: TestAttemptIsKnownToAHomeThatDecidesNothing: settled before, unsettled after.

--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -120,16 +120,19 @@
 	route, ok := h.opts.Config().Match(m.Host, m.Path)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	exists := h.exists(m.Job)
+	if !exists {
+		h.submissions.Begin(now, submission.Attempt{Job: m.Job, ID: m.Attempt}) // whatever is decided, the node may write the job
+	}
 	if !ok || !h.loaded {
 		in.Answer(reserveAnswer{Undecided: true})
 		return nil
 	}
 	open := h.openTokens(now, route, m.Account)
-	if h.exists(m.Job) {
+	if exists {
 		in.Answer(reserveAnswer{OK: true, Open: open})
 		return nil
 	}
-	h.submissions.Begin(now, submission.Attempt{Job: m.Job, ID: m.Attempt})
 	if r, held := h.reserved[m.Job]; held {
 		open -= r.tokens
 	}
--- a/io/home/reconnect_test.go
+++ b/io/home/reconnect_test.go
@@ -87,6 +87,7 @@
 		VMID: fmt.Sprintf("s%d", term), Address: ip + ":7660", Term: term, SlotsOnly: true,
 		Valid: func(time.Time) bool { return true }, Views: views,
 		Origins: NewOrigins(time.Now, false, metrics.NewRegistry()), SoleVersion: noSoleVersion,
+		Config:      func() site.Config { return site.Config{} },
 		MarkLeaving: func(string, []site.Key) {}, Leaving: func() []site.Key { return nil },
 		ObjectsDown: func() bool { return false }, Now: time.Now, Log: zerolog.Nop(), Registry: metrics.NewRegistry(),
 	})
--- /dev/null
+++ b/io/home/submission_test.go
@@ -0,0 +1,34 @@
+package home
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothcart/core/batch"
+)
+
+// Guards against a refusal of a job by a home that was told of another attempt before it could decide about room.
+func TestAttemptIsKnownToAHomeThatDecidesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newReconnectSite(t)
+		h, server := s.startHome(1)
+		time.Sleep(time.Second)
+		job := batch.Job{ID: "j1"}
+		first, second := s.clients[0], s.clients[1]
+		a := first.BeginSubmission(job.ID)
+		_, err := first.Reserve(t.Context(), job, a)
+		require.ErrorIs(t, err, ErrNoHome, "it has not loaded the jobs and has no route")
+		h.mu.Lock()
+		h.loaded = true
+		h.mu.Unlock()
+		time.Sleep(settleGrace)
+		require.Equal(t, Unsettled, second.Withdraw(t.Context(), second.BeginSubmission(job.ID), job))
+		require.Equal(t, Settled, first.Withdraw(t.Context(), a, job))
+		require.Equal(t, Settled, second.Withdraw(t.Context(), second.BeginSubmission(job.ID), job))
+		s.close(server)
+		h.Close()
+	})
+}
