A home knows attempts to submit jobs that began between a node's hello and the use of its connection

What callers could see: 503 for a job in doubt. An attempt that began while the node's hello was on its way is not in the hello, and its request for room found no connection: the home did not know of it as long as the connection lasted. Evidence: TestAttemptDuringAHelloIsKnownToTheHome: settled before, unsettled after. Change: the first inventory of a connection, which is sent once the connection is in use, names the open attempts too. One that is withdrawn at that moment may stay open for a minute, which withholds refusals and breaks no promise.

--- a/io/home/inventory.go
+++ b/io/home/inventory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mothcart/core/slot"
+	"mothcart/core/submission"
 	"mothcart/io/link"
 )
 
@@ -37,6 +38,9 @@
 	IDs []uint64 `msgpack:"ids"`
 	// Slots are the slots in use that another home or the node itself granted.
 	Slots []openedSlot `msgpack:"slots,omitempty"`
+	// Submissions are those of helloRequest, in the first inventory of a connection: attempts may begin between the hello and
+	// the use of the connection.
+	Submissions []submission.Attempt `msgpack:"subs,omitempty"`
 }
 
 func newInventory() *inventory { return &inventory{slots: make(map[uint64]*inventorySlot)} }
@@ -86,15 +90,15 @@
 }
 
 // send sends the inventory to the home at conn. It sends nothing if no request was opened since the last
-// inventory and none is open, unless first is set.
-func (v *inventory) send(conn *link.Conn, first bool) {
+// inventory and none is open, unless first is set. Attempts to submit jobs are sent with the first one.
+func (v *inventory) send(conn *link.Conn, first bool, submissions []submission.Attempt) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !first && !v.changed && len(v.slots) == 0 {
 		return
 	}
 	v.changed = false
-	var m inventoryNotice
+	m := inventoryNotice{Submissions: submissions}
 	for id, s := range v.slots {
 		if s.Upstream == "" || s.reportedTo == conn {
 			m.IDs = append(m.IDs, id)
@@ -108,7 +112,7 @@
 
 // sendInventories sends the inventory at intervals until the connection or ctx ends.
 func (c *Client) sendInventories(ctx context.Context, conn *link.Conn) {
-	c.inventory.send(conn, true)
+	c.inventory.send(conn, true, c.submissions.open(c.opts.Now()))
 	t := time.NewTicker(inventoryInterval)
 	defer t.Stop()
 	for {
@@ -118,7 +122,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			c.inventory.send(conn, false)
+			c.inventory.send(conn, false, nil)
 		}
 	}
 }
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -57,7 +57,10 @@
 			h.pool.Release(slot.Key{Owner: s.owner, ID: m.ID}, m.Result)
 		})
 	case methodInventory:
-		return handleMessage(in, func(m inventoryNotice) { h.reconcile(s, m) })
+		return handleMessage(in, func(m inventoryNotice) {
+			h.reconcile(s, m)
+			h.adoptSubmissions(m.Submissions)
+		})
 	case methodReport:
 		return handleMessage(in, func(m reportNotice) { h.pool.Report(m.Upstream, m.Running, m.Waiting) })
 	case methodBegan:
--- a/io/home/submission_test.go
+++ b/io/home/submission_test.go
@@ -32,3 +32,25 @@
 		h.Close()
 	})
 }
+
+// Guards against an attempt that no home knows, since it began between a node's hello and the use of the connection.
+func TestAttemptDuringAHelloIsKnownToTheHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newReconnectSite(t)
+		job := batch.Job{ID: "j1"}
+		first, second := s.clients[0], s.clients[1]
+		h, server := s.startHome(1)
+		time.Sleep(reconnectDelay / 2)
+		a := first.BeginSubmission(job.ID)
+		_, err := first.Reserve(t.Context(), job, a)
+		require.ErrorIs(t, err, ErrNoHome, "the connection isn't used yet")
+		h.mu.Lock()
+		h.loaded = true
+		h.mu.Unlock()
+		time.Sleep(settleGrace)
+		require.Equal(t, Unsettled, second.Withdraw(t.Context(), second.BeginSubmission(job.ID), job))
+		require.Equal(t, Settled, first.Withdraw(t.Context(), a, job))
+		s.close(server)
+		h.Close()
+	})
+}
--- a/io/node/account_test.go
+++ b/io/node/account_test.go
@@ -307,5 +307,6 @@
 		defer cancel()
 		require.Equal(t, http.StatusServiceUnavailable, s.callWith(ctx, 3, http.MethodPost, "/fetch/1", "q", "", keyOf("key-a1")).status)
 		require.Equal(t, http.StatusServiceUnavailable, s.callWith(ctx, 3, http.MethodPost, "/fetch/1", "q", "", keyOf("odd")).status)
+		require.Zero(t, s.runsOf("q"))
 	})
 }
