--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -161,33 +161,37 @@
 	cfg := h.config.Load()
 	id, ok := h.opts.Codec.RequestID(r.Header), false
 	if cfg == nil {
-		h.opts.Log.Info().Str("request", id).Str("outcome", "refused:noConfiguration").Msg("requestDone")
+		h.opts.Log.Info().Str("request", id).Str("outcome", "refused:noConfiguration").Int("status", http.StatusServiceUnavailable).Msg("requestDone")
 		forward.Refuse(w, startRetryAfter)
 		return
 	}
 	if call := h.opts.Codec.ParseCall(r); call.Kind != NoJobCall {
-		if call.Account, ok = h.authenticate(w, r, *cfg, false, from.carried); ok {
+		if call.Account, ok = h.authenticate(w, r, *cfg, false, from); ok {
 			h.serveJobCall(w, r, call)
 		}
 		return
 	}
 	route, ok := cfg.Match(r.Host, r.URL.Path)
 	if !ok {
-		from.markNotSent(w)
 		h.opts.Log.Info().Str("request", id).Str("host", r.Host).Str("path", r.URL.Path).Int64("config", cfg.Version).
 			Str("outcome", "noRoute").Int("status", http.StatusNotFound).Msg("requestDone")
+		from.markNotSent(w)
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
 	}
-	from.markNotSent(w) // in case the request is refused for its key
-	account, ok := h.authenticate(w, r, *cfg, route.Public, from.carried)
+	account, ok := h.authenticate(w, r, *cfg, route.Public, from)
 	if !ok {
 		return
 	}
-	w.Header().Del(carrier.HeaderNotSent)
-	body, free, ok := h.readBody(w, r, *cfg, route, id)
+	body, free, err := h.readBody(w, r, *cfg, route)
 	defer free()
-	if !ok {
+	switch {
+	case err == nil:
+	case route.Kind == site.Batch && r.Method == http.MethodPost:
+		h.refuseUnread(w, r, *cfg, &submitted{w: w, job: batch.Job{ID: id, Account: account}, arrived: arrived}, err)
+		return
+	default:
+		h.refuseBody(w, id, bodyLimit(*cfg), err)
 		return
 	}
 	if route.Kind == site.Batch {
