An answer that is a success doesn't say that the request has not run

On the path to upstreams each call has a connection of its own, so that an earlier refusal is never where the answer is due; one that names another request is dropped, and the request counts as one that may have run. But a stream with status 200 whose head carried the header of a refusal and that ended without an event counted as not run: a request that may run once was sent to a second upstream, or its caller was told 503.

Cause: Answer.refused looked at the header only, whatever the status, and after an error as well.

Change: an answer with a status of success, or one that was not read to its end, is no refusal.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -94,8 +94,13 @@
 // Success reports a complete answer with a status of success.
 func (a Answer) Success() bool { return a.Err == nil && a.Status >= 200 && a.Status < 300 }
 
-// refused reports that the upstream did not run the request.
-func (a Answer) refused() bool { return a.Info.NotRun || a.Status == http.StatusMisdirectedRequest }
+// refused reports that the upstream did not run the request. A success that says so contradicts itself.
+func (a Answer) refused() bool {
+	if a.Err != nil || a.Status < http.StatusMultipleChoices {
+		return false
+	}
+	return a.Info.NotRun || a.Status == http.StatusMisdirectedRequest
+}
 
 // Result returns what the outcome shows about the upstream.
 func (a Answer) Result(ctx context.Context) slot.Result {
@@ -114,7 +119,7 @@
 		return slot.Broken
 	case a.Status == http.StatusMisdirectedRequest:
 		return slot.Moved
-	case a.Info.NotRun:
+	case a.refused():
 		return slot.Full
 	case a.Status >= http.StatusInternalServerError:
 		return slot.Errored
