An answer with the IDs of two requests belongs to none

An upstream that writes the ID of an earlier request beside that of this one, as one does that repeats a refusal with the headers of both, was taken by the first of the two lines: a request that may run once was sent to a second upstream although the first might run it.

Change: each line with an ID must name this request.

TestOnlyTheAnswerOfTheRequestSaysThatItHasNotRun, "refusal with two IDs": 2 rows failed before, none after.

--- a/io/forward/refused_test.go
+++ b/io/forward/refused_test.go
@@ -20,6 +20,7 @@
 func TestOnlyTheAnswerOfTheRequestSaysThatItHasNotRun(t *testing.T) {
 	refusal := answered(http.StatusServiceUnavailable, idLine+notRun, "full")
 	earlier := answered(http.StatusServiceUnavailable, "X-Id: r0\r\n"+notRun, "full")
+	twoIDs := answered(http.StatusServiceUnavailable, idLine+"X-Id: r0\r\n"+notRun, "full")
 	ok := "HTTP/1.1 200 OK\r\n" + idLine + signed + notRun
 	both := func(a, b scripted) scripted { return scripted{text: a.text + b.text} }
 	for _, tc := range []struct {
@@ -35,6 +36,7 @@
 		{"refusal of an earlier request", earlier, 502, 502, 1},
 		{"refusal of an earlier request, then the answer", both(earlier, sound("swap")), 502, 502, 1},
 		{"refusal of an earlier request after the answer", both(sound("swap"), earlier), 200, 0, 1},
+		{"refusal with two IDs", twoIDs, 502, 502, 1},
 		{"refusal twice", both(refusal, refusal), 200, 200, 2},
 		{"421 of an earlier request", answered(421, "X-Id: r0\r\n"+notRun, ""), 502, 502, 1},
 		{"429 of an earlier request", answered(429, "X-Id: r0\r\n"+notRun, ""), 502, 502, 1},
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -122,7 +122,7 @@
 		resp.Body.Close()
 		return Answer{}, &Failure{Sent: true, err: merry.Errorf("status %d is not that of a final answer", resp.StatusCode)}
 	}
-	if got := resp.Header.Get(c.requestIDHeader); got != "" && got != call.RequestID {
+	if got, ok := otherID(resp.Header.Values(c.requestIDHeader), call.RequestID); ok {
 		resp.Body.Close()
 		c.mismatched.Add(1)
 		return Answer{}, &Failure{Sent: true, err: merry.Errorf("answer to request %s, want %s", got, call.RequestID)}
@@ -130,6 +130,16 @@
 	return Answer{Status: resp.StatusCode, Header: EndToEnd(resp.Header), Body: resp.Body, Length: resp.ContentLength, Unframed: isUnframed(resp)}, nil
 }
 
+// otherID returns the first of the IDs in an answer that is not the request's, and false if there is none.
+func otherID(ids []string, requestID string) (string, bool) {
+	for _, id := range ids {
+		if id != "" && id != requestID {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 // isUnframed reports that a body ends with its connection.
 func isUnframed(r *http.Response) bool {
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
