An upstream's 404 or 401 through another entry is no refusal of that entry

It could happen with carriers: an entry that has lost its links takes an unsigned 404, 401, 429 or 503 of the entry that sends for it as that entry's own answer, which says that the request has not run. The carrier passes on an upstream's 404 or 401 unchanged, signed or not. A request that may run once was then sent to the upstream a second time, or its caller was answered 503. An upstream whose 404 carried the header with which a carrier says that it can't send had the same effect.

Change: a carrier marks the answers of upstreams that it passes on, and passes on none of the headers by which entries speak about themselves. An entry of an earlier release sets no mark and is understood as before.

--- a/io/carrier/choice.go
+++ b/io/carrier/choice.go
@@ -28,6 +28,9 @@
 // HeaderZone names, on the answers of a carrier, its availability zone.
 const HeaderZone = "Carrier-Zone"
 
+// HeaderPassed is set on the answer of an upstream that a carrier passes on, so that it isn't taken for the carrier's own.
+const HeaderPassed = "Carrier-Passed"
+
 // reasons are why a carrier refuses, in HeaderUnable.
 const (
 	reasonLinksLost = "linksLost"
--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -25,8 +24,7 @@
 // sendAnswer sends an upstream's complete answer to the caller.
 func (x *exchange) sendAnswer(now time.Time, lease Lease, a Answer, outcome string) {
 	x.first = now
-	maps.Copy(x.w.Header(), a.Header)
-	dropCarrierHeaders(x.w.Header())
+	x.copyHeader(a.Header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
 	x.w.WriteHeader(a.Status)
 	small := int64(min(len(a.Body), budget.Small)) // the rest counts already
@@ -138,8 +136,7 @@
 		return nil
 	}
 	x.started = true
-	maps.Copy(x.w.Header(), h)
-	dropCarrierHeaders(x.w.Header())
+	x.copyHeader(h)
 	x.w.Header().Del("Content-Length")
 	x.w.WriteHeader(status)
 	return nil
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/slot"
+	"mothcart/io/carrier"
 	"mothcart/io/held"
 	"mothcart/io/service"
 )
@@ -187,7 +188,7 @@
 	idle.heard()
 	idle.await()
 	a := Answer{Status: resp.Status, Header: resp.Header, Info: codec.Read(resp.Header), Sent: true, unframed: resp.Unframed}
-	if call.Carried && !a.Info.Signed && isOwnRefusal(a.Status) {
+	if call.Carried && a.Header.Get(carrier.HeaderPassed) == "" && !a.Info.Signed && isOwnRefusal(a.Status) {
 		a.Info.NotRun = true // the other entry's own answer
 	}
 	call.observe(a)
--- a/io/forward/judged.go
+++ b/io/forward/judged.go
@@ -18,8 +18,19 @@
 	})
 }
 
-// dropCarrierHeaders removes what an entry says about itself from an answer to a caller.
-func dropCarrierHeaders(h http.Header) {
-	h.Del(carrier.HeaderZone)
-	h.Del(carrier.HeaderUnable)
+// copyHeader sets the headers of an upstream's answer on the answer to the caller, without what an entry says about
+// itself. Another entry is told that they are an upstream's.
+func (x *exchange) copyHeader(h http.Header) {
+	out := x.w.Header()
+	out.Del(carrier.HeaderZone)
+	for name, values := range h {
+		switch name {
+		case carrier.HeaderZone, carrier.HeaderUnable, carrier.HeaderPassed:
+		default:
+			out[name] = values
+		}
+	}
+	if x.req.Carried {
+		out.Set(carrier.HeaderPassed, "1")
+	}
 }
--- a/io/node/faulty_test.go
+++ b/io/node/faulty_test.go
@@ -97,3 +97,49 @@
 		}
 	}
 }
+
+// Guards against a request that runs twice, or whose caller is told that it has not run, because of what an upstream answers
+// to the entry that sends it for another one.
+func TestAnswersThroughACarrierSayNoMoreThanTheUpstream(t *testing.T) {
+	status := func(line, lines string) func(string) string {
+		return func(id string) string {
+			return "HTTP/1.1 " + line + "\r\nMothcart-Request-Id: " + id + "\r\n" + lines + "Content-Length: 0\r\n\r\n"
+		}
+	}
+	for _, tc := range []struct {
+		name   string
+		answer func(id string) string
+		want   int
+	}{
+		{"404, unsigned", status("404 Odd", ""), 404},
+		{"401, unsigned", status("401 Odd", ""), 401},
+		{"404, signed", status("404 Odd", "Mothcart-Response-Stamp: s\r\n"), 404},
+		{"500, unsigned", status("500 Odd", ""), 500},
+		{"503 that doesn't say that it has not run", status("503 Odd", ""), 502},
+		{"429 that doesn't say that it has not run", status("429 Odd", ""), 502},
+		{"404 in the name of an entry", status("404 Odd", "Carrier-Unable: linksLost\r\n"), 404},
+		{"refusal of another request", func(string) string { return status("503 Odd", "Mothcart-Not-Run: 1\r\n")("another") }, 502},
+		{"success that says that it has not run", func(id string) string { return fake.RawHead(id) + "Mothcart-Not-Run: 1\r\nContent-Length: 9\r\n\r\n" }, 502},
+		{"head that is cut", fake.RawHead, 502},
+		{"body that is cut", func(id string) string { return fake.RawHead(id) + "Content-Length: 9\r\n\r\nab" }, 502},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			runStrandedSite(t, func(s *strandedSite) {
+				u := s.startRaw("/swap/1", func(w io.Writer, id string) {
+					_, _ = io.WriteString(w, tc.answer(id))
+					w.(*fake.RawConn).Close()
+				})
+				defer s.network.CloseHost(engineIP(8))
+				s.cut(1)
+				s.network.PartitionFrom(entryIP(1), []string{engineIP(8)})
+				s.traffic("early", contact, 1)
+				s.desk.SetState("draining")
+				time.Sleep(time.Second)
+				r := s.call(s.t.Context(), 1, http.MethodPost, "/swap/1", "r1", "")
+				require.Equal(s.t, 1, u.Attempts("r1"))
+				require.Equal(s.t, tc.want, r.status)
+				require.Empty(s.t, r.header.Get("Carrier-Unable"))
+			})
+		})
+	}
+}
