A carrier names its zone with the answers that it passes on

An entry without links prefers carriers of its own zone, which they name in a header of their answers. The header was dropped again from each answer of an upstream, together with those that an upstream may have sent, so that a zone was known only of entries that had refused.

TestCarrierNamesItsZoneWithEachAnswer failed before, passes after.

--- a/io/forward/judged.go
+++ b/io/forward/judged.go
@@ -22,7 +22,6 @@
 // itself. Another entry is told that they are an upstream's.
 func (x *exchange) copyHeader(h http.Header) {
 	out := x.w.Header()
-	out.Del(carrier.HeaderZone)
 	for name, values := range h {
 		switch name {
 		case carrier.HeaderZone, carrier.HeaderUnable, carrier.HeaderPassed:
--- a/io/node/faulty_test.go
+++ b/io/node/faulty_test.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -11,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mothcart/platform"
 	"mothcart/platform/fake"
 )
 
@@ -139,7 +142,30 @@
 				require.Equal(s.t, 1, u.Attempts("r1"))
 				require.Equal(s.t, tc.want, r.status)
 				require.Empty(s.t, r.header.Get("Carrier-Unable"))
+				require.Empty(s.t, r.header.Get("Carrier-Passed"))
 			})
 		})
 	}
 }
+
+// Guards against an entry whose zone is not known to those for which it sends, so that they don't prefer near ones.
+func TestCarrierNamesItsZoneWithEachAnswer(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		for path, want := range map[string]int{"/fetch/1": http.StatusOK, "/ask/stream/1": http.StatusOK, "/none/1": http.StatusNotFound} {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+				return s.network.Dial(ctx, entryIP(2), address)
+			}}}
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+entryIP(1)+":7001"+path, strings.NewReader("b"))
+			require.NoError(t, err)
+			r.Host = fake.Host
+			r.Header.Set(platform.RequestIDHeader, path)
+			resp, err := client.Do(r)
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			require.Equal(t, want, resp.StatusCode)
+			require.Equal(t, "z1", resp.Header.Get("Carrier-Zone"), path)
+		}
+	})
+}
