Calls to engines don't share connections

Clients were told 'not run, try again' for requests that an engine had run (REFUSED), or such a request ran at a second engine (TWICE).

It could happen on the product's own path to model engines, which kept connections: a second copy of a refusal without an ID was taken for the answer to the next request, which then counted as not run; with an ID the next request failed as one that may have run; a load report, an order or its state was answered by another call's answer, and a complete answer could be the JSON of a load report.

Change: each call has a connection of its own, as on the platform. Load reports, two a second from each engine, keep theirs, on which nothing else is read: there a copy is an older report.

--- a/io/engine/control.go
+++ b/io/engine/control.go
@@ -28,7 +28,7 @@
 // Load asks the engine at address for its load report.
 func (c *Client) Load(ctx context.Context, address string) (Load, error) {
 	var l Load
-	if err := c.control(ctx, http.MethodGet, address, "/v1/load", nil, &l); err != nil {
+	if err := c.control(ctx, c.reports, http.MethodGet, address, "/v1/load", nil, &l); err != nil {
 		return Load{}, merry.Errorf("load of %s: %w", address, err)
 	}
 	return l, nil
@@ -38,14 +38,14 @@
 // status, for which Cancel returns an error.
 func (c *Client) Cancel(ctx context.Context, address, requestID string) error {
 	path := "/v1/requests/" + url.PathEscape(requestID) + "/cancel"
-	if err := c.control(ctx, http.MethodPost, address, path, nil, nil); err != nil {
+	if err := c.control(ctx, c.transport, http.MethodPost, address, path, nil, nil); err != nil {
 		return merry.Errorf("cancel %s at %s: %w", requestID, address, err)
 	}
 	return nil
 }
 
 // control makes a call with JSON bodies within controlTimeout; request and answer may be nil.
-func (c *Client) control(ctx context.Context, method, address, path string, request, answer any) error {
+func (c *Client) control(ctx context.Context, transport *http.Transport, method, address, path string, request, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	var body []byte
@@ -60,9 +60,8 @@
 		return merry.Errorf("build request: %w", err)
 	}
 	r.Header.Set("Content-Type", "application/json")
-	resp, err := c.pool(address).RoundTrip(r)
+	resp, err := transport.RoundTrip(r)
 	if err != nil {
-		c.pool(address).CloseIdleConnections()
 		return merry.Errorf("call: %w", err)
 	}
 	defer resp.Body.Close()
@@ -70,7 +69,6 @@
 		return statusFailure(resp)
 	}
 	if answer == nil {
-		drain(resp.Body)
 		return nil
 	}
 	if err := json.NewDecoder(resp.Body).Decode(answer); err != nil {
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -1,10 +1,9 @@
 // Package engine is the client of the model engines: OpenAI's HTTP interface with streams, and the
 // engines' own calls for load, cancellation and orders.
 //
-// A Client keeps a pool of connections for each engine. Online and batch use separate clients, so
-// that neither waits for the other's connections. A stream without an event for the progress timeout
-// is considered to be on a dead connection: the client closes it, closes the engine's idle connections
-// and returns a Failure of kind Silent; new calls open new connections.
+// Each call but those for load reports has a connection of its own, so that no answer of one call can be taken for that
+// of another: an engine may write an earlier answer, or refusal, once more. A stream without an event for the progress
+// timeout is considered to be on a dead connection: the client closes it and returns a Failure of kind Silent.
 //
 // Usage:
 //
@@ -21,7 +20,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,28 +54,33 @@
 
 // Client calls engines. It is safe for concurrent use.
 type Client struct {
-	opts       Options
-	mu         sync.Mutex
-	pools      map[string]*http.Transport
+	transport *http.Transport
+	// reports keeps connections; nothing but load reports, of which each replaces the one before, is read on them.
+	reports    *http.Transport
 	mismatched atomic.Int64
 	duplicates atomic.Int64
 	silent     atomic.Int64
 }
 
+// reportIdleTimeout closes a connection on which no load report was asked for.
+const reportIdleTimeout = 30 * time.Second
+
 // New returns a client without connections.
 func New(opts Options) *Client {
-	return &Client{opts: opts, pools: map[string]*http.Transport{}}
-}
-
-// Close closes the idle connections.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, p := range c.pools {
-		p.CloseIdleConnections()
+	single := &http.Transport{
+		DialContext:        opts.Dial,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+		ReadBufferSize:     opts.ReadBufferBytes,
 	}
+	kept := single.Clone()
+	kept.DisableKeepAlives, kept.IdleConnTimeout = false, reportIdleTimeout
+	return &Client{transport: single, reports: kept}
 }
 
+// Close closes connections that are not in use.
+func (c *Client) Close() { c.reports.CloseIdleConnections() }
+
 // MismatchedAnswers returns the number of answers dropped because they belonged to another request.
 func (c *Client) MismatchedAnswers() int64 { return c.mismatched.Load() }
 
@@ -88,34 +91,6 @@
 // progress timeout.
 func (c *Client) SilentConnections() int64 { return c.silent.Load() }
 
-// pool returns the connection pool of the engine at address.
-func (c *Client) pool(address string) *http.Transport {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p, ok := c.pools[address]
-	if !ok {
-		p = &http.Transport{
-			DialContext:         c.opts.Dial,
-			MaxIdleConnsPerHost: c.opts.IdleConnections,
-			IdleConnTimeout:     c.opts.IdleTimeout,
-			DisableCompression:  true,
-			ReadBufferSize:      c.opts.ReadBufferBytes,
-		}
-		c.pools[address] = p
-	}
-	return p
-}
-
-// Forget removes the connection pool of an engine that no longer exists.
-func (c *Client) Forget(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if p, ok := c.pools[address]; ok {
-		p.CloseIdleConnections()
-		delete(c.pools, address)
-	}
-}
-
 // Call is one request to an engine.
 type Call struct {
 	// Address is host:port.
@@ -174,7 +149,6 @@
 	if !done || seq.hasGaps() {
 		return c.failure(ctx, call, Broken, true, io.ErrUnexpectedEOF)
 	}
-	drain(resp.Body)
 	return nil
 }
 
@@ -213,7 +187,7 @@
 	if call.ResumeFrom > 0 {
 		r.Header.Set(resumeFromHeader, strconv.Itoa(call.ResumeFrom))
 	}
-	resp, err := c.pool(call.Address).RoundTrip(r)
+	resp, err := c.transport.RoundTrip(r)
 	if err != nil {
 		return nil, c.failure(ctx, call, Broken, !dial.Failed(err), err)
 	}
@@ -228,13 +202,11 @@
 	return resp, nil
 }
 
-// failure converts an error of the connection to a Failure of the kind that applies. After a progress timeout
-// it also closes the engine's idle connections.
+// failure converts an error of the connection to a Failure of the kind that applies.
 func (c *Client) failure(ctx context.Context, call Call, kind Kind, sent bool, err error) *Failure {
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errSilent):
 		c.silent.Add(1)
-		c.pool(call.Address).CloseIdleConnections()
 		return &Failure{Kind: Silent, Sent: true, err: merry.Errorf("no progress for %s: %w", call.ProgressTimeout, err)}
 	case cause != nil:
 		return &Failure{Kind: Cancelled, Sent: sent, err: merry.Errorf("cancelled: %w", cause)}
@@ -244,6 +216,3 @@
 		return &Failure{Kind: kind, Sent: true, err: merry.Errorf("connection broke: %w", err)}
 	}
 }
-
-// drain reads the few remaining bytes of a body, so that the connection can be reused.
-func drain(r io.Reader) { _, _ = io.CopyN(io.Discard, r, 512) }
--- a/io/engine/options.go
+++ b/io/engine/options.go
@@ -8,10 +8,6 @@
 
 // Options are the settings of a client. Values are immutable.
 type Options struct {
-	// IdleConnections is the number of idle connections kept for each engine.
-	IdleConnections int
-	// IdleTimeout closes a connection that was not used for this time.
-	IdleTimeout time.Duration
 	// ReadBufferBytes is the size of each connection's read buffer.
 	ReadBufferBytes int
 	// Dial opens a connection.
@@ -29,8 +25,6 @@
 func NewOptions() Options {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
 	return Options{
-		IdleConnections: 64,
-		IdleTimeout:     30 * time.Second,
 		ReadBufferBytes: 4 << 10,
 		Dial:            dialer.DialContext,
 	}
--- a/io/engine/order.go
+++ b/io/engine/order.go
@@ -48,7 +48,7 @@
 		FencingNumber: fence, LeaseMillis: order.LeaseTime.Milliseconds(),
 		Models: toWire(d.Models), Adapters: toWire(d.Adapters),
 	}
-	err := c.control(ctx, http.MethodPost, address, ordersPath, req, nil)
+	err := c.control(ctx, c.transport, http.MethodPost, address, ordersPath, req, nil)
 	var f *Failure
 	if errors.As(err, &f) && f.Status == http.StatusConflict {
 		return merry.Errorf("order to %s: %w", address, ErrOldFence)
@@ -62,7 +62,7 @@
 // OrderState reads what the engine has loaded.
 func (c *Client) OrderState(ctx context.Context, address string) (OrderState, error) {
 	var s orderState
-	if err := c.control(ctx, http.MethodGet, address, ordersPath, nil, &s); err != nil {
+	if err := c.control(ctx, c.transport, http.MethodGet, address, ordersPath, nil, &s); err != nil {
 		return OrderState{}, merry.Errorf("order state of %s: %w", address, err)
 	}
 	state := OrderState{Loading: s.Loading}
