Calls to plain services don't share connections

Change: io/service always makes one call a connection, as it did on the platform; the option and the settings of kept connections are gone.

TestTransportNeverRepeats asserts what it did; the connection is a new one now, so that the transport could not repeat in any case. The tests of io/forward lost the option only.

--- a/io/forward/faulty_test.go
+++ b/io/forward/faulty_test.go
@@ -154,7 +154,7 @@
 // serve1 sends one request of a kind through a forwarder and returns what its caller hears.
 func (u *faulty) serve1(t *testing.T, kind, lastEventID string) heard {
 	t.Helper()
-	client := service.New(service.NewOptions().WithOneCallPerConnection().WithRequestIDHeader("X-Id").WithDial(u.dial))
+	client := service.New(service.NewOptions().WithRequestIDHeader("X-Id").WithDial(u.dial))
 	defer client.Close()
 	f := New(Options{
 		Client: client, Acquire: u.acquire, NextID: func() uint64 { return 1 }, Now: time.Now, Log: zerolog.Nop(), Registry: metrics.NewRegistry(),
--- a/io/forward/unframed_test.go
+++ b/io/forward/unframed_test.go
@@ -92,7 +92,7 @@
 		{name: "plain answer, inside the head", answer: unframedHead[:30], result: slot.Broken},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			client := service.New(service.NewOptions().WithOneCallPerConnection())
+			client := service.New(service.NewOptions())
 			defer client.Close()
 			codec := HeaderCodec{
 				Outgoing: func(h http.Header, _ Attempt) http.Header { return h },
--- a/io/service/options.go
+++ b/io/service/options.go
@@ -8,17 +8,10 @@
 
 // Options are the settings of a client. Values are immutable.
 type Options struct {
-	// IdleConnections is the number of idle connections kept for each upstream.
-	IdleConnections int
-	// IdleTimeout closes a connection that was not used for this time.
-	IdleTimeout time.Duration
 	// HeaderTimeout bounds the wait for the answer's headers after the request was written.
 	HeaderTimeout time.Duration
 	// RequestIDHeader carries the request's ID to the upstream, which may repeat it in the answer.
 	RequestIDHeader string
-	// OneCallPerConnection opens a connection for each call, so that no answer of one call can be
-	// taken for that of another and no call uses a connection that the upstream is about to close.
-	OneCallPerConnection bool
 	// AnswerBytes bounds the memory in bytes of all answers that ReadAnswer holds.
 	AnswerBytes int64
 	// Take takes room for n bytes of answers from what the process may hold and reports whether there is enough, and Free
@@ -39,7 +32,7 @@
 // NewOptions returns the default settings, which are sized for a few dozen upstreams.
 func NewOptions() Options {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return Options{IdleConnections: 64, IdleTimeout: 30 * time.Second, HeaderTimeout: 60 * time.Second,
+	return Options{HeaderTimeout: 60 * time.Second,
 		RequestIDHeader: "X-Request-Id", AnswerBytes: DefaultAnswerBytes, Take: func(int64) bool { return true }, Free: func(int64) {}, Dial: dialer.DialContext}
 }
 
@@ -67,12 +60,6 @@
 	return o
 }
 
-// WithOneCallPerConnection returns a copy with OneCallPerConnection set.
-func (o Options) WithOneCallPerConnection() Options {
-	o.OneCallPerConnection = true
-	return o
-}
-
 // WithDial returns a copy that opens connections by dial.
 func (o Options) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Options {
 	o.Dial = dial
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -1,8 +1,9 @@
 // Package service forwards HTTP calls to plain services with method, headers and body.
 //
-// Do makes one attempt. The transport never repeats a request by itself, so that a call that may
-// not be repeated is sent at most once; the caller decides by the Failure whether to try again. A body
-// that ends early gives an error when Body is read, never a short answer. Answers that are read into memory share
+// Do makes one attempt, on a connection of its own, so that no answer of one call can be taken for that of another and no
+// call uses a connection that the upstream is about to close. The transport never repeats a request by itself, so that a
+// call that may not be repeated is sent at most once; the caller decides by the Failure whether to try again. A body that
+// ends early gives an error when Body is read, never a short answer. Answers that are read into memory share
 // Options.AnswerBytes.
 //
 // Usage:
@@ -47,16 +48,14 @@
 func New(opts Options) *Client {
 	return &Client{requestIDHeader: opts.RequestIDHeader, answers: room{free: opts.AnswerBytes, takeShared: opts.Take, freeShared: opts.Free}, transport: &http.Transport{
 		DialContext:            opts.Dial,
-		MaxIdleConnsPerHost:    opts.IdleConnections,
-		IdleConnTimeout:        opts.IdleTimeout,
 		DisableCompression:     true,
-		DisableKeepAlives:      opts.OneCallPerConnection,
+		DisableKeepAlives:      true,
 		ResponseHeaderTimeout:  opts.HeaderTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
-// Close closes the idle connections.
+// Close closes connections that no call uses.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // MismatchedAnswers returns the number of answers dropped because they belonged to another request.
@@ -115,7 +114,6 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	resp, err := c.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		c.transport.CloseIdleConnections()
 		return Answer{}, &Failure{Sent: connected.Load(), err: merry.Errorf("round trip: %w", err)}
 	}
 	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
