Calls to the product's object service don't share connections

A second copy of an answer was taken for that of the next call: a write that was refused counted as done, a read returned a listing or another object.

Change: each call has a connection of its own, and so have reads of the VM list.

--- a/io/serve/options.go
+++ b/io/serve/options.go
@@ -34,7 +34,7 @@
 
 // NewOptions returns the options of a process with these settings that calls the platform over HTTP.
 func NewOptions(cfg settings.Settings, log zerolog.Logger) Options {
-	hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	hc := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	return Options{
 		Settings: cfg,
 		Log:      log,
--- a/io/store/http.go
+++ b/io/store/http.go
@@ -71,6 +71,13 @@
 	return Client{Get: h.get, Put: h.put, Delete: h.remove, List: h.list, Watch: h.watch}
 }
 
+// do makes a call on a connection of its own: the answers don't name their calls, so that on a connection that is used
+// again a second copy of an answer would be taken for that of the next call.
+func (h *httpClient) do(r *http.Request) (*http.Response, error) {
+	r.Close = true
+	return h.http.Do(r)
+}
+
 func (h *httpClient) get(ctx context.Context, key string) (Object, error) {
 	return h.read(ctx, key, "", callTimeout)
 }
@@ -89,7 +96,7 @@
 	if err != nil {
 		return Object{}, merry.Errorf("build read of %s: %w", key, err)
 	}
-	resp, err := h.http.Do(r)
+	resp, err := h.do(r)
 	if err != nil {
 		return Object{}, merry.Errorf("read %s: %w: %w", key, ErrUnavailable, err)
 	}
@@ -136,7 +143,7 @@
 	} else {
 		r.Header.Set("If-Match", ETag(expect))
 	}
-	resp, err := h.http.Do(r)
+	resp, err := h.do(r)
 	if err != nil {
 		return nil, merry.Errorf("write %s: %w: %w", key, writeFailure(err), err)
 	}
@@ -167,7 +174,7 @@
 	if err != nil {
 		return nil, merry.Errorf("build listing of %s: %w", prefix, err)
 	}
-	resp, err := h.http.Do(r)
+	resp, err := h.do(r)
 	if err != nil {
 		return nil, merry.Errorf("list %s: %w: %w", prefix, ErrUnavailable, err)
 	}
