--- a/io/forward/faulty_test.go
+++ b/io/forward/faulty_test.go
@@ -244,6 +244,21 @@
 // errorText is in the head and in the body of each error that no caller of a stream may see.
 const errorText = "upstream broke"
 
+// requireNotAnswered requires that an upstream whose answer is cut has not answered: a request that may run once fails as
+// one that may have run, the others get the answer of the next upstream.
+func requireNotAnswered(t *testing.T, kind string, cut scripted) {
+	t.Helper()
+	u := &faulty{script: []scripted{cut, sound(kind)}}
+	got := u.serve1(t, kind, "")
+	if kind == "swap" || kind == "once" {
+		require.Equal(t, heard{http.StatusBadGateway, "upstream failed; the request may have run\n", true}, got, "%q", cut.text)
+		require.Equal(t, 1, u.runs())
+		return
+	}
+	require.Equal(t, heard{http.StatusOK, soundBody(kind), true}, got, "%q", cut.text)
+	require.Equal(t, 2, u.runs())
+}
+
 // Guards against callers that get a success, or a promise that nothing has run, when the upstream stops inside the head of
 // its answer: after each byte, closed or reset, with each kind of framing.
 func TestHeadThatIsCutIsNoAnswer(t *testing.T) {
@@ -256,17 +271,8 @@
 			t.Run(kind+" "+framing, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					for n := range len(head) - 1 {
-						for _, how := range []ending{closes, resets} {
-							u := &faulty{script: []scripted{{text: head[:n], how: how}, sound(kind)}}
-							got := u.serve1(t, kind, "")
-							if kind == "swap" || kind == "once" {
-								require.Equal(t, heard{http.StatusBadGateway, "upstream failed; the request may have run\n", true}, got, "after %d bytes", n)
-								require.Equal(t, 1, u.runs())
-								continue
-							}
-							require.Equal(t, heard{http.StatusOK, soundBody(kind), true}, got, "after %d bytes", n)
-							require.Equal(t, 2, u.runs())
-						}
+						requireNotAnswered(t, kind, scripted{text: head[:n], how: closes})
+						requireNotAnswered(t, kind, scripted{text: head[:n], how: resets})
 					}
 				})
 			})
--- a/io/service/repeated_test.go
+++ b/io/service/repeated_test.go
@@ -44,6 +44,23 @@
 	}
 }
 
+// requireOwnAnswers makes some calls, of which the first is refused, and requires that each gets its own answer.
+func requireOwnAnswers(t *testing.T, c *Client) {
+	for i := range 8 {
+		id, want := fmt.Sprint("r", i), http.StatusOK
+		if i == 0 {
+			want = http.StatusServiceUnavailable
+		}
+		a, err := c.Do(t.Context(), Call{Address: "s:80", Method: http.MethodPost, Path: "/", RequestID: id})
+		require.NoError(t, err)
+		b, err := io.ReadAll(a.Body)
+		require.NoError(t, err)
+		require.NoError(t, a.Body.Close())
+		require.Equal(t, want, a.Status)
+		require.Equal(t, id, string(b))
+	}
+}
+
 // Guards against an earlier answer, or refusal, that is taken for the answer to the next call.
 func TestSecondCopyOfAnAnswerIsNotTheNextAnswer(t *testing.T) {
 	for _, named := range []bool{true, false} {
@@ -57,19 +74,7 @@
 					}))
 					defer time.Sleep(time.Minute) // ends what waits to be written
 					defer c.Close()
-					for i := range 8 {
-						id, want := fmt.Sprint("r", i), http.StatusOK
-						if i == 0 {
-							want = http.StatusServiceUnavailable
-						}
-						a, err := c.Do(t.Context(), Call{Address: "s:80", Method: http.MethodPost, Path: "/", RequestID: id})
-						require.NoError(t, err)
-						b, err := io.ReadAll(a.Body)
-						require.NoError(t, err)
-						require.NoError(t, a.Body.Close())
-						require.Equal(t, want, a.Status)
-						require.Equal(t, id, string(b))
-					}
+					requireOwnAnswers(t, c)
 				})
 			})
 		}
