A stream of an engine holds nothing but its tokens

On the product's own path: an event with an error, which engines send after status 200, was passed on as a token, with [DONE] behind it; so was an event without a number on a stream that was resumed; and [DONE], or the usage, was passed on while a token before it was missing.

Change: an event that begins with an error ends the attempt as failed; on a resumed stream an event without a number, and the end of a stream that lacks a token, as broken. The stream is then resumed elsewhere.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -20,6 +20,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +47,9 @@
 // DoneEvent is the last event of a complete stream.
 const DoneEvent = "[DONE]"
 
+// errorEvent begins an event with which an engine reports that it failed in the middle of a stream.
+const errorEvent = `{"error"`
+
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
@@ -137,6 +141,9 @@
 			return c.failure(ctx, call, Broken, true, err)
 		}
 		watch.reset()
+		if strings.HasPrefix(event.Data, errorEvent) {
+			return c.failure(ctx, call, Failed, true, merry.Errorf("error in the stream"))
+		}
 		if err := seq.add(event.LastEventID, event.Data); err != nil {
 			return err
 		}
--- a/io/engine/sequencer.go
+++ b/io/engine/sequencer.go
@@ -10,9 +10,11 @@
 const maxPendingEvents = 64
 
 // sequencer passes tokens to onEvent in order and once each. Engines number the tokens of a stream by
-// the event ID; tokens without a number are passed on in the order of arrival.
+// the event ID; tokens without a number are passed on in the order of arrival, but not those of a stream that is resumed:
+// whether they follow can't be told.
 type sequencer struct {
 	next       int
+	resumed    bool
 	lastID     string
 	pending    map[int]string
 	duplicates int64
@@ -20,7 +22,7 @@
 }
 
 func newSequencer(from int, onEvent func(Event) error) *sequencer {
-	return &sequencer{next: from, onEvent: onEvent}
+	return &sequencer{next: from, resumed: from > 0, onEvent: onEvent}
 }
 
 // hasGaps reports whether tokens are buffered because an earlier one has not arrived.
@@ -31,10 +33,15 @@
 func (s *sequencer) add(id, data string) error {
 	fresh := id != "" && id != s.lastID
 	s.lastID = id
-	if !fresh {
-		if id == "" && data != DoneEvent {
-			return s.emit(data)
-		}
+	switch {
+	case fresh:
+	case s.hasGaps():
+		return s.missing()
+	case id == "" && data != DoneEvent && s.resumed:
+		return &Failure{Kind: Broken, Sent: true, err: merry.Errorf("event without a number, want token %d", s.next)}
+	case id == "" && data != DoneEvent:
+		return s.emit(data)
+	default:
 		return s.onEvent(Event{Index: NoIndex, Data: data})
 	}
 	index, err := strconv.Atoi(id)
@@ -54,7 +61,7 @@
 // addPending buffers a token until the tokens before it have arrived.
 func (s *sequencer) addPending(index int, data string) error {
 	if len(s.pending) >= maxPendingEvents {
-		return &Failure{Kind: Broken, Sent: true, err: merry.Errorf("token %d is missing", s.next)}
+		return s.missing()
 	}
 	if s.pending == nil {
 		s.pending = map[int]string{}
@@ -63,6 +70,11 @@
 	return nil
 }
 
+// missing returns the failure of a stream that lacks the next token.
+func (s *sequencer) missing() error {
+	return &Failure{Kind: Broken, Sent: true, err: merry.Errorf("token %d is missing", s.next)}
+}
+
 // emit passes on the next token and the buffered tokens that follow it without a gap.
 func (s *sequencer) emit(data string) error {
 	for ok := true; ok; data, ok = s.pending[s.next] {
