A stream of the product that can't go on doesn't look complete

Report of another operator: a stream had begun and broke off, and ended as if it were complete, with the text of the next engine's error in it. On the product's own path a stream that couldn't go on ended with an event of mothcart's own, and then with the end of the answer, which a client that doesn't read the events takes for whole. If the next engine rejected the request (4xx), that event held the text of its error.

Change: the connection is broken off behind the event, and the text of a rejection reaches only callers who have received nothing yet.

--- a/io/caller/completion.go
+++ b/io/caller/completion.go
@@ -82,8 +82,8 @@
 // durable reports whether the request goes through the ledger.
 func (run completionRun) durable() bool { return run.key != "" || run.async }
 
-// serveStream forwards the upstream's events as they arrive. An error after the first event is sent as an
-// event, because the status has been sent by then.
+// serveStream forwards the upstream's events as they arrive. An error after the first event is sent as an event, because
+// the status has been sent by then, and ends the connection, so that the answer doesn't look complete.
 func (h *Handler) serveStream(ctx context.Context, w http.ResponseWriter, c call, run completionRun) {
 	control := http.NewResponseController(w)
 	started := false
@@ -107,6 +107,7 @@
 	default:
 		h.failed.Mark(1)
 		_ = h.writeEvent(w, control, string(problemOf(err).body()))
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -230,7 +230,7 @@
 func (x *exchange) final(f *engine.Failure) error {
 	e := &ExchangeError{Code: CodeUpstream, Status: f.Status, Body: f.Body, RetryAfter: f.RetryAfter, err: f}
 	e.Ran = retry.RanAfter(retry.Failure{Sent: x.maybeRan, Delivered: x.summary.Tokens})
-	if f.Kind == engine.Rejected {
+	if f.Kind == engine.Rejected && x.summary.Tokens == 0 { // else it is no answer to what the caller has sent
 		e.Code = CodeRejected
 	}
 	return e
