--- a/io/home/home.go
+++ b/io/home/home.go
@@ -31,6 +31,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"mothcart/core/batch"
 	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
@@ -120,6 +121,8 @@
 	mu       sync.Mutex
 	jobs     map[string]*job
 	reserved map[string]reservation
+	// unloaded holds the jobs that need no more runs and that the home has not loaded, without their items.
+	unloaded map[string]batch.Job
 	// submissions are the nodes' attempts to submit jobs that the home doesn't have.
 	submissions *submission.Table
 	// undelivered holds the jobs that the object service has stored and the watch has not delivered yet,
@@ -164,8 +167,11 @@
 	limits           *limitMetrics
 	// bodyBytes is the size of the bodies of open items.
 	bodyBytes metrics.Gauge
-	// refusedJobs counts jobs that were stored after a caller had been promised that they don't run.
-	refusedJobs metrics.Counter
+	// refusedJobs counts jobs that were stored after a caller had been promised that they don't run, refusedJobsRan those of
+	// them of which an item began to run.
+	refusedJobs, refusedJobsRan metrics.Counter
+	// openSubmissions is the number of attempts to submit jobs that may still store them.
+	openSubmissions metrics.Gauge
 	// retirementWaits is 1 while this VM is to be drained and no other home node can take over.
 	retirementWaits metrics.Gauge
 }
@@ -179,8 +185,9 @@
 		metrics: homeMetrics{
 			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"), restarts: counter("restarts"),
 			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"), corrected: counter("slotsCorrected"),
-			overShare: counter("overShare"), refusedJobs: counter("refusedJobsStored"),
-			silentRuns: counter("runsSilent"), keptRuns: counter("runsKept"),
+			overShare: counter("overShare"), refusedJobs: counter("refusedJobsStored"), refusedJobsRan: counter("refusedJobsRan"),
+			openSubmissions: metrics.GetOrRegisterGauge("home.openSubmissions", opts.Registry),
+			silentRuns:      counter("runsSilent"), keptRuns: counter("runsKept"),
 			parts:            findingMetrics{counter("partSuspicions"), counter("partQuarantines"), counter("partsCleared")},
 			requests:         findingMetrics{counter("requestSuspicions"), counter("requestQuarantines"), counter("requestsCleared")},
 			limitedUpstreams: metrics.GetOrRegisterGauge("home.limitedUpstreams", opts.Registry),
@@ -189,7 +196,7 @@
 			retirementWaits:  metrics.GetOrRegisterGauge("home.retirementWaits", opts.Registry),
 		},
 		progressLoaded: make(chan struct{}), handoverDone: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
-		jobs: make(map[string]*job), reserved: make(map[string]reservation),
+		jobs: make(map[string]*job), reserved: make(map[string]reservation), unloaded: make(map[string]batch.Job),
 		undelivered: make(map[string]time.Time), runners: make(map[string]*runnerNode), remoteRuns: make(map[uint64]*remoteRun),
 		nodes: make(map[string]*link.Conn), listed: newListedJobs(),
 	}
@@ -281,6 +288,7 @@
 			tracked, refused := h.pool.limitUse()
 			h.metrics.limits.record(h.opts.Now(), h.opts.Log, tracked, refused)
 			h.metrics.bodyBytes.Update(int64(h.BodyBytes()))
+			h.updateOpenSubmissions(h.opts.Now())
 			h.updateRoom()
 			h.updatePaceMetrics()
 		}
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -46,6 +46,8 @@
 	noRouteSince time.Time
 	maxRuns      int
 	runs         map[string]*run
+	// itemStarted reports that an item has begun to run at this home, refused that a caller had been promised that none does.
+	itemStarted, refused bool
 	// finished holds results that are not listed yet and therefore have no position.
 	finished []batch.Result
 	// writing reports that a write of finished results is scheduled or in progress.
@@ -123,7 +125,7 @@
 		return nil
 	}
 	open := h.openTokens(now, route, m.Account)
-	if h.jobs[m.Job] != nil {
+	if h.exists(m.Job) {
 		in.Answer(reserveAnswer{OK: true, Open: open})
 		return nil
 	}
@@ -135,7 +137,7 @@
 	if fits {
 		h.reserved[m.Job] = reservation{host: m.Host, path: m.Path, account: m.Account, tokens: m.Tokens, until: now.Add(reservationAge)}
 	} else {
-		h.opts.Log.Info().Str("job", m.Job).Str("account", m.Account).Int64("tokens", m.Tokens).Int64("open", open).Int64("cap", route.TokenCap).Msg("jobDoesNotFit")
+		h.opts.Log.Info().Str("job", m.Job).Str("attempt", m.Attempt).Str("account", m.Account).Int64("tokens", m.Tokens).Int64("open", open).Int64("cap", route.TokenCap).Msg("jobDoesNotFit")
 	}
 	in.Answer(reserveAnswer{OK: fits, Open: open})
 	return nil
@@ -175,11 +177,16 @@
 	return nil
 }
 
-// hasJobOf reports that the home has loaded a job of an account.
-func (h *Home) hasJobOf(id, account string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.ownJob(id, account) != nil
+// existsFor reports that an account has a job, whether or not the home has loaded it; the mutex is held.
+func (h *Home) existsFor(id, account string) bool {
+	unloaded, ok := h.unloaded[id]
+	return h.ownJob(id, account) != nil || (ok && unloaded.OwnedBy(account))
+}
+
+// exists reports that there is a job with this ID, whoever's it is; the mutex is held.
+func (h *Home) exists(id string) bool {
+	_, ok := h.unloaded[id]
+	return ok || h.jobs[id] != nil
 }
 
 // read answers with results; a goroutine waits for the first one.
