An undecided home remembers the attempt to submit a job

What callers saw: 429 at two nodes for a job that was in doubt at a third one (504) and exists; its items ran. Cause: a home that had not loaded the jobs answered a request for room with "undecided" before it recorded the attempt. The node then wrote the job without a word of the home, the writes were lost, and 60 ms later the home, loaded by then, settled the attempts of the next nodes. The node had connected before its attempt, so that the hello did not tell it either. Change: the attempt is recorded first, whatever the answer. Measured: TestUndecidedHomeRemembersTheAttempt fails with the former order; io/home and the tests of jobs in io/node pass. Still open: a node without a connection to the home writes an attempt that the home learns of by its next hello; until then the home may settle the attempts of others.

--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -112,24 +112,27 @@
 
 // reserve answers whether there is room for a job's tokens on its route, and reserves the room if there is.
 func (h *Home) reserve(in link.Incoming) error {
-	var m reserveRequest
-	if err := in.Decode(&m); err != nil {
-		return err
-	}
+	return handleMessage(in, func(m reserveRequest) { in.Answer(h.room(m)) })
+}
+
+// room is the answer to a request for room. The attempt is recorded whatever the answer: the node writes the job also if the
+// home is undecided.
+func (h *Home) room(m reserveRequest) reserveAnswer {
 	now := h.opts.Now()
 	route, ok := h.opts.Config().Match(m.Host, m.Path)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	exists := h.exists(m.Job)
+	if !exists {
+		h.submissions.Begin(now, submission.Attempt{Job: m.Job, ID: m.Attempt})
+	}
 	if !ok || !h.loaded {
-		in.Answer(reserveAnswer{Undecided: true})
-		return nil
+		return reserveAnswer{Undecided: true}
 	}
 	open := h.openTokens(now, route, m.Account)
-	if h.exists(m.Job) {
-		in.Answer(reserveAnswer{OK: true, Open: open})
-		return nil
+	if exists {
+		return reserveAnswer{OK: true, Open: open}
 	}
-	h.submissions.Begin(now, submission.Attempt{Job: m.Job, ID: m.Attempt})
 	if r, held := h.reserved[m.Job]; held {
 		open -= r.tokens
 	}
@@ -139,8 +142,7 @@
 	} else {
 		h.opts.Log.Info().Str("job", m.Job).Str("attempt", m.Attempt).Str("account", m.Account).Int64("tokens", m.Tokens).Int64("open", open).Int64("cap", route.TokenCap).Msg("jobDoesNotFit")
 	}
-	in.Answer(reserveAnswer{OK: fits, Open: open})
-	return nil
+	return reserveAnswer{OK: fits, Open: open}
 }
 
 // openTokens returns the number of tokens of an account's open items and reservations on a route; the mutex is held.
