An event without an ID is left out when its stream breaks off behind it

The same report: an upstream writes its error into its stream, as an event without an ID or as the head of an answer, and breaks off. The next one goes on after the last ID, so that the caller found the error between two events, and an item was completed with the error's text in it. Events of a stream without any IDs came twice, since the next upstream began again.

Change: in a stream whose events have IDs, an event without one is held until another event follows or the stream ends. A stream whose events have none is not resumed; an item begins again then.

TestEventsWithoutAnID: 4 of 8 rows failed before, none after. TestTextOfAnItemHoldsNothingElse, whose upstream now writes an error before it breaks off: 24 of 24 rows failed before, none after. TestItemWithoutIDsOfEventsBeginsAgain: 2 of 2 failed before, none after. TestBrokenStreamHoldsNothingElse runs its rows through carriers as well, which passed before.

--- a/io/forward/answer.go
+++ b/io/forward/answer.go
@@ -148,15 +148,26 @@
 	if _, err := x.w.Write(e.Raw); err != nil {
 		return err
 	}
+	if len(e.Raw) > 0 {
+		x.sent(e)
+	}
+	if more {
+		return nil
+	}
+	return http.NewResponseController(x.w).Flush()
+}
+
+// sent records an event that the caller gets.
+func (x *exchange) sent(e Event) {
 	x.delivered.Add(1)
-	if e.ID != "" {
+	switch {
+	case e.ID != "":
 		x.lastID = e.ID
+		x.unnumbered.Store(false)
+	case !e.Blank && x.lastID == "":
+		x.unnumbered.Store(true)
 	}
 	if x.first.IsZero() {
 		x.first = x.f.opts.Now()
 	}
-	if more {
-		return nil
-	}
-	return http.NewResponseController(x.w).Flush()
 }
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -252,7 +252,8 @@
 	// Start is called with the status and headers before each event, and before the end of a stream without events.
 	// Until then the caller can get another answer.
 	Start func(status int, h http.Header) error
-	// Event is called for each complete event; more reports that the next one is already buffered.
+	// Event is called for each complete event, and without bytes when there are none to send but all are to be flushed;
+	// more reports that the next one is already buffered.
 	Event func(e Event, more bool) error
 	// Caller is the connection of the caller; while the caller is behind, the stream is read ahead within Budget. Nil if
 	// there is none.
@@ -282,6 +283,7 @@
 	body, done := s.readAhead(idle.reader(resp.Body))
 	defer done()
 	events := newEventReader(body)
+	out := lastHeld{send: s.Event, numbered: call.After != ""}
 	received := 0
 	for {
 		e, err := events.next()
@@ -303,12 +305,12 @@
 			return n, merry.Errorf("start stream: %w", err)
 		}
 		if err == io.EOF {
-			return n, nil
+			return n, out.release(false)
 		}
 		if received += len(e.Raw); received > maxStreamBytes {
 			return n, merry.Errorf("stream over %d bytes: %w", maxStreamBytes, service.ErrTooLarge)
 		}
-		if err := s.Event(e, events.buffered()); err != nil {
+		if err := out.add(e, events.buffered()); err != nil {
 			return n, merry.Errorf("forward event: %w", err)
 		}
 		if e.Blank {
--- a/io/forward/broken_test.go
+++ b/io/forward/broken_test.go
@@ -59,6 +59,8 @@
 					require.Equal(t, []string{"", "3", "3"}, u.asked)
 					u = &faulty{script: []scripted{first, other, other, other}}
 					require.Equal(t, heard{http.StatusOK, events(1, 3), false}, u.serve1(t, "ask", ""), "break %d, then no sound upstream", i)
+					u = &faulty{carried: true, script: []scripted{first, other, wholeStream(4, lastEvent)}}
+					require.Equal(t, heard{http.StatusOK, events(1, lastEvent), true}, u.serve1(t, "ask", ""), "break %d, through other entries", i)
 					u = &faulty{script: []scripted{first, other}}
 					require.Equal(t, heard{http.StatusOK, events(1, 3), false}, u.serve1(t, "once", ""), "break %d, runs once", i)
 					require.Equal(t, 1, u.runs())
@@ -79,3 +81,42 @@
 		})
 	}
 }
+
+// Guards against an upstream's error, as an event without an ID, that is left in a stream that goes on elsewhere, and against
+// events that come twice since they have no IDs.
+func TestEventsWithoutAnID(t *testing.T) {
+	const failure, head = "event: error\ndata: upstream broke\n\n", "HTTP/1.1 500 upstream broke\r\nContent-Length: 0\r\n\r\n"
+	const note, wait, unnumbered = "data: note\n\n", ": wait\n\n", "data: a\n\ndata: b\n\n"
+	for _, tc := range []struct {
+		name, first string
+		// ends reports that the first stream ends, instead of breaking off.
+		ends bool
+		// ask and once are what callers of streams get that can be resumed and that can't, runs how often the former run.
+		ask, once heard
+		runs      int
+	}{
+		{"error, then a break", events(1, 3) + failure, false, heard{200, events(1, lastEvent), true}, heard{200, events(1, 3), false}, 2},
+		{"head as text, then a break", events(1, 3) + head, false, heard{200, events(1, lastEvent), true}, heard{200, events(1, 3), false}, 2},
+		{"error, a comment, then a break", events(1, 3) + failure + wait, false, heard{200, events(1, 3) + wait + events(4, lastEvent), true}, heard{200, events(1, 3) + wait, false}, 2},
+		{"error, then the end", events(1, 3) + failure, true, heard{200, events(1, 3) + failure, true}, heard{200, events(1, 3) + failure, true}, 1},
+		{"a note between events", events(1, 2) + note + events(3, 3), false, heard{200, events(1, 2) + note + events(3, lastEvent), true}, heard{200, events(1, 2) + note + events(3, 3), false}, 2},
+		{"a note first", note + events(1, 3), false, heard{200, note + events(1, lastEvent), true}, heard{200, note + events(1, 3), false}, 2},
+		{"no IDs, then a break", unnumbered, false, heard{200, unnumbered, false}, heard{200, unnumbered, false}, 1},
+		{"no IDs, then the end", unnumbered, true, heard{200, unnumbered, true}, heard{200, unnumbered, true}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first := scripted{text: "HTTP/1.1 200 OK\r\n" + idLine + signed + sse + chunks + "\r\n" + chunk(tc.first)}
+				if tc.ends {
+					first.text += "0\r\n\r\n"
+				}
+				u := &faulty{script: []scripted{first, wholeStream(4, lastEvent)}}
+				require.Equal(t, tc.ask, u.serve1(t, "ask", ""))
+				require.Equal(t, tc.runs, u.runs())
+				u = &faulty{script: []scripted{first, wholeStream(4, lastEvent)}}
+				require.Equal(t, tc.once, u.serve1(t, "once", ""))
+				require.Equal(t, 1, u.runs())
+			})
+		})
+	}
+}
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -65,6 +65,8 @@
 	started   bool
 	delivered atomic.Int32
 	lastID    string
+	// unnumbered reports that the caller got events of which none has an ID, so that the stream can't be resumed.
+	unnumbered atomic.Bool
 	// version is the software version that began the stream, valid once the request continues one; boundBy says who
 	// knew it.
 	version string
@@ -299,7 +301,7 @@
 		Idempotent: x.req.Route.Repeatable(),
 		Sent:       sent,
 		Refused:    refused,
-		Resumable:  x.req.Route.Resumable,
+		Resumable:  x.req.Route.Resumable && !x.unnumbered.Load(),
 		Delivered:  delivered,
 		Attempts:   x.attempts - x.refusals,
 		Progress:   delivered > 0,
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -243,7 +243,7 @@
 		r.failures++
 		r.erredAt = r.sender
 	}
-	if out.TooLong {
+	if out.Dropped {
 		r.sentBytes = 0 // the standbys may have a part of what was dropped
 	}
 	switch {
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -66,10 +66,10 @@
 	Events      int    `msgpack:"n,omitempty"`
 	LastEventID string `msgpack:"last,omitempty"`
 	Err         string `msgpack:"err,omitempty"`
-	// Silent reports that the stream was idle for too long, TooLong that it held more than an item's text may; none of
-	// it counts then.
+	// Silent reports that the stream was idle for too long, Dropped that it held more than an item's text may, or broke
+	// off without the ID of an event; none of it counts then.
 	Silent  bool `msgpack:"mute,omitempty"`
-	TooLong bool `msgpack:"long,omitempty"`
+	Dropped bool `msgpack:"long,omitempty"`
 	// Pace is the pace that the upstream named; nil if it named none or the home knows it.
 	Pace *paceRecord `msgpack:"pace,omitempty"`
 }
@@ -198,13 +198,14 @@
 		Start: func(int, http.Header) error { return nil },
 		Event: func(e forward.Event, _ bool) error { return got.add(e) },
 	})
-	tooLong := errors.Is(a.Err, errItemTooLong)
-	if tooLong {
+	unnumbered := !a.Success() && got.events > 0 && got.lastEventID == ""
+	dropped := unnumbered || errors.Is(a.Err, errItemTooLong)
+	if dropped {
 		got.reset(c.LastEventID)
 	}
 	out := itemOutcome{
 		Result: a.Result(ctx), Status: a.Status, NotRun: a.Info.NotRun, Complete: a.Success(),
-		Text: got.text.String(), Events: got.events, LastEventID: got.lastEventID, TooLong: tooLong, Pace: named.record(),
+		Text: got.text.String(), Events: got.events, LastEventID: got.lastEventID, Dropped: dropped, Pace: named.record(),
 	}
 	if a.Err != nil {
 		out.Err, out.Silent = a.Err.Error(), errors.Is(a.Err, forward.ErrSilent)
--- a/io/node/faulty_test.go
+++ b/io/node/faulty_test.go
@@ -77,7 +77,7 @@
 					s.startRaw("/ask/stream/1", func(w io.Writer, id string) {
 						c := w.(*fake.RawConn)
 						if c.Request.Header.Get("Last-Event-Id") == "" {
-							_, _ = io.WriteString(w, fake.RawHead(id)+eventStream+chunk(pieces(id, 1, breakAfter)))
+							_, _ = io.WriteString(w, fake.RawHead(id)+eventStream+chunk(pieces(id, 1, breakAfter)+"event: error\ndata: upstream broke\n\n"))
 							c.Reset()
 							return
 						}
@@ -101,6 +101,30 @@
 	}
 }
 
+// Guards against texts that hold events twice: an upstream breaks off an item after events without IDs.
+func TestItemWithoutIDsOfEventsBeginsAgain(t *testing.T) {
+	for name, ownRuns := range map[string]int{"at the home": 64, "at another node": 0} {
+		t.Run(name, func(t *testing.T) {
+			runSiteOf(t, ownRuns, func(t *testing.T, s *testSite) {
+				u := s.startRaw("/ask/stream/1", func(w io.Writer, id string) {
+					_, _ = io.WriteString(w, fake.RawHead(id)+eventStream+chunk("data: piece 1 of "+id+"\n\ndata: piece 2 of "+id+"\n\n"))
+					w.(*fake.RawConn).Reset()
+				})
+				for _, e := range s.engines {
+					e.SetState("draining")
+				}
+				time.Sleep(time.Second)
+				require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 4).status)
+				time.Sleep(2 * time.Second)
+				require.Positive(t, u.Attempts("j1.0"))
+				s.network.CloseHost(engineIP(8))
+				s.engines[2].SetState("ready")
+				s.awaitJob(1, "j1", 30*time.Second)
+			})
+		})
+	}
+}
+
 // Guards against a request that runs twice, or whose caller is told that it has not run, because of what an upstream answers
 // to the entry that sends it for another one.
 func TestAnswersThroughACarrierSayNoMoreThanTheUpstream(t *testing.T) {
