The version that began a stream is read only once its first event is delivered

Change: it is read after delivered, whose atomic increment follows the write, as version already was.

--- a/io/forward/request.go
+++ b/io/forward/request.go
@@ -33,7 +33,7 @@
 		return r
 	}
 	r.Version, r.BoundBy = x.boundVersion(), x.boundBy
-	if x.req.LastEventID != "" || x.beganElsewhere {
+	if x.req.LastEventID != "" || (x.delivered.Load() > 0 && x.beganElsewhere) {
 		r.Continues, r.Resumes = true, x.origin()
 	}
 	if x.req.Route.Resumable && open == 0 {
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -68,7 +68,8 @@
 	// unnumbered reports that the caller got events of which none has an ID, so that the stream can't be resumed.
 	unnumbered atomic.Bool
 	// version is the software version that began the stream, valid once the request continues one; boundBy says who
-	// knew it.
+	// knew it. The attempt in progress writes version and beganElsewhere before the first event counts as delivered, and they
+	// are read only afterwards.
 	version string
 	boundBy slot.BoundBy
 	// beganElsewhere reports that the stream began through another entry, so that this node doesn't know its version.
