Test of large jobs: objects in memory take overlapping writes, in virtual time

The fault is the test's: its objects had no lock and its time was real. Change: a lock, and a synctest bubble. The cases and checks are the same. io/home with -race passes.

--- a/io/home/records_test.go
+++ b/io/home/records_test.go
@@ -7,7 +7,9 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -17,33 +19,53 @@
 	"mothcart/io/store"
 )
 
-// memoryClient returns a client of objects in memory, of which those of a kind can't be created.
-func memoryClient(refused *string) object.Client {
-	objects := make(map[string]object.Object)
-	return object.Client{
+// memory holds objects in memory, of which those of a kind can't be created. Attempts at a write may overlap.
+type memory struct {
+	mu      sync.Mutex
+	objects map[string]object.Object
+	refused string
+}
+
+// refuse makes the creations of a kind fail.
+func (m *memory) refuse(kind string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refused = kind
+}
+
+// newMemory returns a client of objects in memory.
+func newMemory() (*memory, object.Client) {
+	m := &memory{objects: make(map[string]object.Object)}
+	return m, object.Client{
 		Create: func(_ context.Context, kind, name string, spec any) (object.Object, error) {
-			if kind == *refused {
+			b, err := json.Marshal(spec)
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if kind == m.refused {
 				return object.Object{}, store.ErrUnavailable
 			}
-			if o, ok := objects[kind+"/"+name]; ok {
+			if o, ok := m.objects[kind+"/"+name]; ok {
 				return o, store.ErrConflict
 			}
-			b, err := json.Marshal(spec)
 			o := object.Object{Name: name, Spec: b}
-			objects[kind+"/"+name] = o
+			m.objects[kind+"/"+name] = o
 			return o, err
 		},
 		Get: func(_ context.Context, kind, name string) (object.Object, error) {
-			if o, ok := objects[kind+"/"+name]; ok {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			if o, ok := m.objects[kind+"/"+name]; ok {
 				return o, nil
 			}
 			return object.Object{}, store.ErrNotFound
 		},
 		List: func(_ context.Context, kind, _ string) ([]object.Object, object.Revision, bool, error) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
 			var list []object.Object
-			for _, key := range slices.Sorted(maps.Keys(objects)) {
+			for _, key := range slices.Sorted(maps.Keys(m.objects)) {
 				if strings.HasPrefix(key, kind+"/") {
-					list = append(list, objects[key])
+					list = append(list, m.objects[key])
 				}
 			}
 			return list, 1, false, nil
@@ -75,33 +97,33 @@
 		{"parts of a job that was not written", 3, 3, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
-			defer cancel()
-			refused := ""
-			if tc.unfinished {
-				refused = KindJobs
-			}
-			c := memoryClient(&refused)
-			err := CreateJob(ctx, c, largeJob("desk", tc.before))
-			require.Equal(t, tc.unfinished, err != nil, "%v", err)
-			refused = ""
-			require.ErrorIs(t, CreateJob(t.Context(), c, largeJob("press", tc.after)), store.ErrConflict)
-			require.NoError(t, CreateJob(t.Context(), c, largeJob("desk", tc.before)), "sent again")
-			log, err := LoadJob(t.Context(), c, "j1")
-			require.NoError(t, err)
-			require.Equal(t, "desk", log.Job().Account)
-			require.Len(t, log.Job().Items, tc.before)
-			for _, i := range log.Job().Items {
-				require.Contains(t, i.ID, "desk")
-			}
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+				defer cancel()
+				m, c := newMemory()
+				if tc.unfinished {
+					m.refuse(KindJobs)
+				}
+				err := CreateJob(ctx, c, largeJob("desk", tc.before))
+				require.Equal(t, tc.unfinished, err != nil, "%v", err)
+				m.refuse("")
+				require.ErrorIs(t, CreateJob(t.Context(), c, largeJob("press", tc.after)), store.ErrConflict)
+				require.NoError(t, CreateJob(t.Context(), c, largeJob("desk", tc.before)), "sent again")
+				log, err := LoadJob(t.Context(), c, "j1")
+				require.NoError(t, err)
+				require.Equal(t, "desk", log.Job().Account)
+				require.Len(t, log.Job().Items, tc.before)
+				for _, i := range log.Job().Items {
+					require.Contains(t, i.ID, "desk")
+				}
+			})
 		})
 	}
 }
 
 // Guards against a job that can't be read since more parts of its ID exist, which an earlier release left.
 func TestJobIgnoresPartsBeyondItsOwn(t *testing.T) {
-	refused := ""
-	c := memoryClient(&refused)
+	_, c := newMemory()
 	require.NoError(t, CreateJob(t.Context(), c, largeJob("", 2)))
 	_, err := c.Create(t.Context(), partsPrefix+"j1", chunkName(2), part{Items: largeJob("other", 1).Items})
 	require.NoError(t, err)
@@ -112,8 +134,7 @@
 
 // Guards against a job of nobody that counts as written though an account has one with its ID.
 func TestJobWithoutAccountConflicts(t *testing.T) {
-	refused := ""
-	c := memoryClient(&refused)
+	_, c := newMemory()
 	job := batch.Job{ID: "j1", Account: "desk", Items: []batch.Item{{ID: "i"}}}
 	require.NoError(t, CreateJob(t.Context(), c, job))
 	job.Account = ""
