Items leave an upstream on trial that refuses them

Cause: items prefer an upstream on trial, so that online requests don't have to try it. A refusal ends neither the trial nor the preference, and its pause (40 ms) is shorter than that of the item (100 ms).

Change: an upstream on trial whose last answer was a refusal comes after those that are not on trial, as for online requests.

--- a/core/slot/trial_test.go
+++ b/core/slot/trial_test.go
@@ -61,3 +61,37 @@
 		})
 	}
 }
+
+// Guards against items that wait for good, while others have free slots, because each of their tries goes to an upstream on
+// trial that refuses it.
+func TestItemsLeaveAnUpstreamOnTrialThatRefuses(t *testing.T) {
+	list := upstreams(2, 2)
+	p := NewPool(NewOptions())
+	p.SetUpstreams(start, list)
+	ask := func(now time.Time, id uint64, exclude ...string) string {
+		r := online(id)
+		r.Batch, r.Exclude, r.Order, r.Deadline = true, exclude, start, time.Time{}
+		granted := p.Ask(now, r).Granted
+		require.Len(t, granted, 1)
+		return granted[0].Upstream.ID
+	}
+	for i := range uint64(2) {
+		require.Equal(t, "u0", ask(start, i, "u1"))
+		p.Release(start, online(i).Key, Broken)
+	}
+	refused := 0
+	for i := range uint64(100) {
+		now := start.Add(time.Second + time.Duration(i)*100*time.Millisecond)
+		if ask(now, 10+i) == "u1" {
+			p.Release(now, online(10+i).Key, Served)
+			continue
+		}
+		refused++
+		p.Release(now, online(10+i).Key, Full)
+	}
+	require.Equal(t, 1, refused)
+	now := start.Add(20 * time.Second)
+	require.Equal(t, "u0", ask(now, 200, "u1"), "it is still tried if it is the only one")
+	p.Release(now, online(200).Key, Broken)
+	require.Equal(t, "u0", ask(now.Add(5*time.Second), 201), "it is tried first again after it has done something else")
+}
--- a/core/slot/upstream.go
+++ b/core/slot/upstream.go
@@ -18,6 +18,8 @@
 	reportedAt    time.Time
 	// failures counts failures in a row.
 	failures int
+	// refuses reports that the upstream has refused the last request for lack of capacity.
+	refuses bool
 	// pausedUntil is when the upstream may get requests again.
 	pausedUntil time.Time
 	// limit is the rate that the upstream names.
@@ -120,8 +122,8 @@
 }
 
 // compareState orders upstreams by their state, the better one first. Online requests prefer an upstream that is
-// not on trial, unless that is due for them, batch items one that is, unless for its errors: an item may fail only a few
-// times. Then come upstreams whose entry exists.
+// not on trial, unless that is due for them, batch items one that is, unless for its errors, since an item may fail only a
+// few times, or while it refuses. Then come upstreams whose entry exists.
 func (u *upstream) compareState(v *upstream, now time.Time, r *Request) int {
 	if a, b := u.isDue(now, r), v.isDue(now, r); a != b {
 		if a {
@@ -146,7 +148,7 @@
 	switch {
 	case !u.onTrial():
 		return 1
-	case r.Batch && !u.errors.outlier:
+	case r.Batch && !u.errors.outlier && !u.refuses:
 		return 0
 	default:
 		return 2
@@ -155,6 +157,9 @@
 
 // recordResult updates failures and pause after a request has ended.
 func (u *upstream) recordResult(now time.Time, result Result, opts Options) {
+	if result != Abandoned {
+		u.refuses = result == Full
+	}
 	switch result {
 	case Served, Failed:
 		u.failures = 0
