--- a/io/service/repeated_test.go
+++ b/io/service/repeated_test.go
@@ -80,3 +80,27 @@
 		}
 	}
 }
+
+// Guards against answers that are cut in their head, and look like short or empty ones.
+func TestCutHeadIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nX-Last: value\r\n\r\n"
+	synctest.Test(t, func(t *testing.T) {
+		for n := range len(head) {
+			c := New(NewOptions().WithDial(func(context.Context, string, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go func() {
+					defer far.Close()
+					if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+						_, _ = io.WriteString(far, head[:n])
+					}
+				}()
+				return near, nil
+			}))
+			_, err := c.Do(t.Context(), Call{Address: "s:80", Method: http.MethodPost, Path: "/", RequestID: "r1"})
+			var failure *Failure
+			require.ErrorAs(t, err, &failure, "%q", head[:n])
+			require.True(t, failure.Sent)
+			c.Close()
+		}
+	})
+}
