--- a/io/forward/judged.go
+++ b/io/forward/judged.go
@@ -18,9 +18,15 @@
 	})
 }
 
-// dropCarrierHeaders removes what an entry says about itself from an answer to a caller.
-func dropCarrierHeaders(h http.Header) {
-	h.Del(carrier.HeaderZone)
-	h.Del(carrier.HeaderUnable)
-	h.Del(carrier.HeaderRefused)
+// copyHeader sets the headers of an upstream's answer on the answer to the caller, without what an entry says about
+// itself.
+func (x *exchange) copyHeader(h http.Header) {
+	out := x.w.Header()
+	for name, values := range h {
+		switch name {
+		case carrier.HeaderZone, carrier.HeaderUnable, carrier.HeaderRefused:
+		default:
+			out[name] = values
+		}
+	}
 }
