--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -13,7 +13,6 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +21,7 @@
 
 	"mothcart/core/batch"
 	"mothcart/core/site"
+	"mothcart/io/carrier"
 	"mothcart/io/forward"
 	"mothcart/io/held"
 	"mothcart/io/home"
@@ -98,18 +98,10 @@
 	config   atomic.Pointer[site.Config]
 	draining atomic.Bool
 	active   atomic.Int64
-
-	mu sync.Mutex
-	// open holds the tokens of open jobs by batch route and account: the home's last report, plus the jobs that were
-	// accepted since then without the home.
-	open map[roomKey]int64
 }
 
-// roomKey names what a token cap bounds.
-type roomKey struct{ route, account string }
-
 // New returns a handler that has no configuration.
-func New(opts Options) *Handler { return &Handler{opts: opts, open: make(map[roomKey]int64)} }
+func New(opts Options) *Handler { return &Handler{opts: opts} }
 
 // SetConfig applies a configuration.
 func (h *Handler) SetConfig(cfg site.Config) { h.config.Store(&cfg) }
@@ -144,6 +136,13 @@
 	charged bool
 }
 
+// markNotSent marks the answer to a request that another entry sent, so that it isn't taken for an upstream's.
+func (c carriage) markNotSent(w http.ResponseWriter) {
+	if c.carried {
+		w.Header().Set(carrier.HeaderNotSent, "1")
+	}
+}
+
 // ServeCarried answers one request that another entry, which has lost its links to upstreams, sends through this one.
 func (h *Handler) ServeCarried(w http.ResponseWriter, r *http.Request) {
 	from := carriage{carried: true, resumes: r.Header.Get(forward.HeaderCarriedResumes), charged: r.Header.Get(forward.HeaderCarriedCharged) != ""}
@@ -162,12 +161,12 @@
 	cfg := h.config.Load()
 	id, ok := h.opts.Codec.RequestID(r.Header), false
 	if cfg == nil {
-		h.opts.Log.Info().Str("request", id).Str("outcome", "refused:noConfiguration").Msg("requestDone")
+		h.opts.Log.Info().Str("request", id).Str("outcome", "refused:noConfiguration").Int("status", http.StatusServiceUnavailable).Msg("requestDone")
 		forward.Refuse(w, startRetryAfter)
 		return
 	}
 	if call := h.opts.Codec.ParseCall(r); call.Kind != NoJobCall {
-		if call.Account, ok = h.authenticate(w, r, *cfg, false, from.carried); ok {
+		if call.Account, ok = h.authenticate(w, r, *cfg, false, from); ok {
 			h.serveJobCall(w, r, call)
 		}
 		return
@@ -176,16 +175,23 @@
 	if !ok {
 		h.opts.Log.Info().Str("request", id).Str("host", r.Host).Str("path", r.URL.Path).Int64("config", cfg.Version).
 			Str("outcome", "noRoute").Int("status", http.StatusNotFound).Msg("requestDone")
+		from.markNotSent(w)
 		http.Error(w, "no route for this host and path", http.StatusNotFound)
 		return
 	}
-	account, ok := h.authenticate(w, r, *cfg, route.Public, from.carried)
+	account, ok := h.authenticate(w, r, *cfg, route.Public, from)
 	if !ok {
 		return
 	}
-	body, free, ok := h.readBody(w, r, *cfg, route, id)
+	body, free, err := h.readBody(w, r, *cfg, route)
 	defer free()
-	if !ok {
+	switch {
+	case err == nil:
+	case route.Kind == site.Batch && r.Method == http.MethodPost:
+		h.refuseUnread(w, r, *cfg, &submitted{w: w, job: batch.Job{ID: id, Account: account}, arrived: arrived}, err)
+		return
+	default:
+		h.refuseBody(w, id, bodyLimit(*cfg), err)
 		return
 	}
 	if route.Kind == site.Batch {
--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/slot"
+	"mothcart/io/carrier"
 	"mothcart/io/held"
 	"mothcart/io/service"
 )
@@ -94,8 +95,13 @@
 // Success reports a complete answer with a status of success.
 func (a Answer) Success() bool { return a.Err == nil && a.Status >= 200 && a.Status < 300 }
 
-// refused reports that the upstream did not run the request.
-func (a Answer) refused() bool { return a.Info.NotRun || a.Status == http.StatusMisdirectedRequest }
+// refused reports that the upstream did not run the request. A success that says so contradicts itself.
+func (a Answer) refused() bool {
+	if a.Err != nil || a.Status < http.StatusMultipleChoices {
+		return false
+	}
+	return a.Info.NotRun || a.Status == http.StatusMisdirectedRequest
+}
 
 // Result returns what the outcome shows about the upstream.
 func (a Answer) Result(ctx context.Context) slot.Result {
@@ -114,7 +120,7 @@
 		return slot.Broken
 	case a.Status == http.StatusMisdirectedRequest:
 		return slot.Moved
-	case a.Info.NotRun:
+	case a.refused():
 		return slot.Full
 	case a.Status >= http.StatusInternalServerError:
 		return slot.Errored
@@ -182,7 +188,7 @@
 	idle.heard()
 	idle.await()
 	a := Answer{Status: resp.Status, Header: resp.Header, Info: codec.Read(resp.Header), Sent: true, unframed: resp.Unframed}
-	if call.Carried && !a.Info.Signed && isOwnRefusal(a.Status) {
+	if call.Carried && !a.Info.Signed && isOwnRefusal(a.Status, a.Header) {
 		a.Info.NotRun = true // the other entry's own answer
 	}
 	call.observe(a)
@@ -210,9 +216,10 @@
 	io.Closer
 }
 
-// isOwnRefusal reports that an entry answers with a status if it has not sent a request.
-func isOwnRefusal(status int) bool {
-	return status == http.StatusServiceUnavailable || status == http.StatusNotFound || status == http.StatusUnauthorized || status == http.StatusTooManyRequests
+// isOwnRefusal reports that an unsigned answer of another entry shows that it has not sent the request. It passes on no
+// upstream's 503 or 429, but others; entries of earlier releases don't mark their own ones.
+func isOwnRefusal(status int, h http.Header) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || h.Get(carrier.HeaderNotSent) != ""
 }
 
 // observe passes on what the headers of an answer say about the upstream.
@@ -246,7 +253,8 @@
 	// Start is called with the status and headers before each event, and before the end of a stream without events.
 	// Until then the caller can get another answer.
 	Start func(status int, h http.Header) error
-	// Event is called for each complete event; more reports that the next one is already buffered.
+	// Event is called for each complete event, and without bytes when there are none to send but all are to be flushed;
+	// more reports that the next one is already buffered.
 	Event func(e Event, more bool) error
 	// Caller is the connection of the caller; while the caller is behind, the stream is read ahead within Budget. Nil if
 	// there is none.
@@ -276,6 +284,7 @@
 	body, done := s.readAhead(idle.reader(resp.Body))
 	defer done()
 	events := newEventReader(body)
+	out := lastHeld{send: s.Event, numbered: call.After != ""}
 	received := 0
 	for {
 		e, err := events.next()
@@ -297,12 +306,12 @@
 			return n, merry.Errorf("start stream: %w", err)
 		}
 		if err == io.EOF {
-			return n, nil
+			return n, out.release(false)
 		}
 		if received += len(e.Raw); received > maxStreamBytes {
 			return n, merry.Errorf("stream over %d bytes: %w", maxStreamBytes, service.ErrTooLarge)
 		}
-		if err := s.Event(e, events.buffered()); err != nil {
+		if err := out.add(e, events.buffered()); err != nil {
 			return n, merry.Errorf("forward event: %w", err)
 		}
 		if e.Blank {
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -57,7 +57,10 @@
 			h.pool.Release(slot.Key{Owner: s.owner, ID: m.ID}, m.Result)
 		})
 	case methodInventory:
-		return handleMessage(in, func(m inventoryNotice) { h.reconcile(s, m) })
+		return handleMessage(in, func(m inventoryNotice) {
+			h.reconcile(s, m)
+			h.adoptSubmissions(m.Submissions)
+		})
 	case methodReport:
 		return handleMessage(in, func(m reportNotice) { h.pool.Report(m.Upstream, m.Running, m.Waiting) })
 	case methodBegan:
@@ -167,7 +170,9 @@
 	}
 	h.adoptSubmissions(m.Submissions)
 	h.opts.Log.Info().Str("peer", s.owner).Int("open", len(m.Open)).Int64("term", h.opts.Term).Msg("nodeConnected")
-	in.Answer(helloAnswer{Home: Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}, Accounts: true})
+	answer := helloAnswer{Home: Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}, Accounts: true}
+	answer.Open, answer.Counted = h.countOpen()
+	in.Answer(answer)
 	in.Conn().Notify(methodObjectsDown, objectsDownNotice{Down: h.opts.ObjectsDown()})
 	if keys := h.opts.Leaving(); len(keys) > 0 {
 		in.Conn().Notify(methodLeaving, leavingNotice{Upstreams: upstreamKeys(keys)})
--- a/io/serve/durable.go
+++ b/io/serve/durable.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 
 	core "mothcart/core/ledger"
+	"mothcart/core/outcome"
 	"mothcart/core/retry"
 	"mothcart/io/caller"
 	"mothcart/io/ledger"
@@ -58,11 +59,19 @@
 
 // runDurable runs a caller's request through the ledger and returns its recorded outcome.
 func (s *Server) runDurable(ctx context.Context, d caller.DurableRequest) (caller.DurableAnswer, error) {
-	outcome, err := s.ledger.Do(ctx, toLedgerRequest(d))
+	recorded, err := s.ledger.Do(ctx, toLedgerRequest(d))
 	if err != nil {
 		return caller.DurableAnswer{}, toCallerError(err)
 	}
-	return toCallerAnswer(outcome), nil
+	return recordedAnswer(recorded)
+}
+
+// recordedAnswer returns the answer to a request by its recorded outcome.
+func recordedAnswer(o ledger.Outcome) (caller.DurableAnswer, error) {
+	if o.State == core.Expired {
+		return caller.DurableAnswer{}, merry.Errorf("request %s expired: %w", o.ID, caller.ErrNotDurable)
+	}
+	return toCallerAnswer(o), nil
 }
 
 // acceptDurable records a caller's request, which runs later, and returns the ID to look it up with.
@@ -110,11 +119,12 @@
 
 // toCallerError adds the error of package caller that corresponds to an error of the ledger.
 func toCallerError(err error) error {
+	so := ledger.OutcomeOf(err)
 	switch {
-	case errors.Is(err, ledger.ErrDidNotRun):
-		return merry.Errorf("%w: %w", caller.ErrNotDurable, err)
-	case errors.Is(err, ledger.ErrBodyMismatch):
+	case so == outcome.NotDone && errors.Is(err, ledger.ErrBodyMismatch):
 		return merry.Errorf("%w: %w", caller.ErrKeyReused, err)
+	case so == outcome.NotDone:
+		return merry.Errorf("%w: %w", caller.ErrNotDurable, err)
 	case errors.Is(err, ledger.ErrMayHaveRun):
 		return merry.Errorf("%w: %w", caller.ErrInProgress, err)
 	case errors.Is(err, ledger.ErrUnavailable):
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -1,8 +1,9 @@
 // Package service forwards HTTP calls to plain services with method, headers and body.
 //
-// Do makes one attempt. The transport never repeats a request by itself, so that a call that may
-// not be repeated is sent at most once; the caller decides by the Failure whether to try again. A body
-// that ends early gives an error when Body is read, never a short answer. Answers that are read into memory share
+// Do makes one attempt, on a connection of its own, so that no answer of one call can be taken for that of another and no
+// call uses a connection that the upstream is about to close. The transport never repeats a request by itself, so that a
+// call that may not be repeated is sent at most once; the caller decides by the Failure whether to try again. A body that
+// ends early gives an error when Body is read, never a short answer. Answers that are read into memory share
 // Options.AnswerBytes.
 //
 // Usage:
@@ -47,16 +48,14 @@
 func New(opts Options) *Client {
 	return &Client{requestIDHeader: opts.RequestIDHeader, answers: room{free: opts.AnswerBytes, takeShared: opts.Take, freeShared: opts.Free}, transport: &http.Transport{
 		DialContext:            opts.Dial,
-		MaxIdleConnsPerHost:    opts.IdleConnections,
-		IdleConnTimeout:        opts.IdleTimeout,
 		DisableCompression:     true,
-		DisableKeepAlives:      opts.OneCallPerConnection,
+		DisableKeepAlives:      true,
 		ResponseHeaderTimeout:  opts.HeaderTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
-// Close closes the idle connections.
+// Close closes connections that no call uses.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // MismatchedAnswers returns the number of answers dropped because they belonged to another request.
@@ -115,14 +114,13 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	resp, err := c.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		c.transport.CloseIdleConnections()
 		return Answer{}, &Failure{Sent: connected.Load(), err: merry.Errorf("round trip: %w", err)}
 	}
 	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
 		resp.Body.Close()
 		return Answer{}, &Failure{Sent: true, err: merry.Errorf("status %d is not that of a final answer", resp.StatusCode)}
 	}
-	if got := resp.Header.Get(c.requestIDHeader); got != "" && got != call.RequestID {
+	if got, ok := otherID(resp.Header.Values(c.requestIDHeader), call.RequestID); ok {
 		resp.Body.Close()
 		c.mismatched.Add(1)
 		return Answer{}, &Failure{Sent: true, err: merry.Errorf("answer to request %s, want %s", got, call.RequestID)}
@@ -130,6 +128,16 @@
 	return Answer{Status: resp.StatusCode, Header: EndToEnd(resp.Header), Body: resp.Body, Length: resp.ContentLength, Unframed: isUnframed(resp)}, nil
 }
 
+// otherID returns the first of the IDs in an answer that is not the request's, and false if there is none.
+func otherID(ids []string, requestID string) (string, bool) {
+	for _, id := range ids {
+		if id != "" && id != requestID {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 // isUnframed reports that a body ends with its connection.
 func isUnframed(r *http.Response) bool {
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
