Pings before the rest of a stream don't end the attempt

The check of the first event took "retry:" or "event: ping" without data for something else than the rest, and held it back behind other events. They mean nothing by themselves and pass as comments do.

--- a/io/forward/broken_test.go
+++ b/io/forward/broken_test.go
@@ -98,6 +98,7 @@
 		{"error, then a break", events(1, 3) + failure, false, heard{200, events(1, lastEvent), true}, heard{200, events(1, 3), false}, 2},
 		{"head as text, then a break", events(1, 3) + head, false, heard{200, events(1, lastEvent), true}, heard{200, events(1, 3), false}, 2},
 		{"error, a comment, then a break", events(1, 3) + failure + wait, false, heard{200, events(1, 3) + wait + events(4, lastEvent), true}, heard{200, events(1, 3) + wait, false}, 2},
+		{"a ping, then a break", events(1, 3) + "event: ping\n\n", false, heard{200, events(1, 3) + "event: ping\n\n" + events(4, lastEvent), true}, heard{200, events(1, 3) + "event: ping\n\n", false}, 2},
 		{"error, then the end", events(1, 3) + failure, true, heard{200, events(1, 3) + failure, true}, heard{200, events(1, 3) + failure, true}, 1},
 		{"a note between events", events(1, 2) + note + events(3, 3), false, heard{200, events(1, 2) + note + events(3, lastEvent), true}, heard{200, events(1, 2) + note + events(3, 3), false}, 2},
 		{"a note first", note + events(1, 3), false, heard{200, note + events(1, lastEvent), true}, heard{200, note + events(1, 3), false}, 2},
@@ -120,3 +121,16 @@
 		})
 	}
 }
+
+// Guards against the rest of a stream that is left out because of what comes before its first event.
+func TestRestOfAStreamAfterFiller(t *testing.T) {
+	for _, filler := range []string{"\n", ": wait\n\n", "retry: 100\n\n", "event: ping\n\n", ": wait\r\n\r\n"} {
+		t.Run(filler, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				head := "HTTP/1.1 200 OK\r\n" + idLine + signed + sse + chunks + "\r\n"
+				u := &faulty{script: []scripted{{text: head + chunk(events(1, 3))}, {text: head + chunk(filler+events(4, lastEvent)) + "0\r\n\r\n"}}}
+				require.Equal(t, heard{http.StatusOK, events(1, 3) + filler + events(4, lastEvent), true}, u.serve1(t, "ask", ""))
+			})
+		})
+	}
+}
--- a/io/forward/event.go
+++ b/io/forward/event.go
@@ -49,10 +49,13 @@
 	return out
 }
 
-// isFiller reports that there are only comments and empty lines.
+// isFiller reports that there are only comments, empty lines and fields that mean nothing without data.
 func (e Event) isFiller() bool {
 	for line := range bytes.SplitSeq(e.Raw, []byte("\n")) {
-		if line = bytes.TrimSuffix(line, []byte("\r")); len(line) > 0 && line[0] != ':' {
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		_, isType := field(line, "event")
+		_, isRetry := field(line, "retry")
+		if len(line) > 0 && line[0] != ':' && !isType && !isRetry {
 			return false
 		}
 	}
