A home remembers the attempts that it writes for a node

What callers saw: 429 at two nodes for a job that a third one had answered 504, and that exists. Cause: a node's hello names the attempts that it knows of. One that began between the hello and its answer found no home for its request for room, and no later message told the home of it, although the node then let the home itself write the job. Change: the request to write a job records its attempt as the request for room does, before the write. Measured: TestHomeRemembersTheAttemptsThatItWrites fails without the line; io/home and the tests of jobs in io/node pass. Still open: an attempt of a node that is not connected to the home at all until it ends; the home learns of it by the next hello and may settle the attempts of others until then.

--- a/io/home/session.go
+++ b/io/home/session.go
@@ -92,6 +92,7 @@
 		return handleMessage(in, func(m submitRequest) {
 			m.Job.ID = m.ID
 			attempt := submission.Attempt{Job: m.ID, ID: m.Attempt}
+			h.adoptSubmissions([]submission.Attempt{attempt}) // the request for room may not have reached this home
 			go h.write(in, s, attempt, func(ctx context.Context) error {
 				writer := Writer{By: "home", Attempt: attempt, Log: h.opts.Log, Registry: h.opts.Registry}
 				err := CreateJob(writer.WithAttempts(ctx), h.opts.Objects, m.Job)
