A job without room costs one call at the home; only a refusal that was sent counts

Change: the answer that there is no room ends the attempt and holds the job's standing; the entry reports a refusal that it sends, and the home counts those only. A count by the home's answer includes the job only if it fits. io/home, io/entry and the tests of jobs in io/node pass.

--- a/io/entry/submit.go
+++ b/io/entry/submit.go
@@ -77,6 +77,7 @@
 	case home.Stored:
 		h.acceptJob(s)
 	case home.Settled:
+		h.opts.Home.NotifyRefused(s.job.ID)
 		h.logSubmitted(s, reason, status, err)
 		setRetryAfter(s.w, retryAfter)
 		http.Error(s.w, "the job was not accepted and does not run", status)
@@ -155,8 +156,12 @@
 	defer cancel()
 	reservation, err := h.opts.Home.Reserve(reserveCtx, job, attempt)
 	if err == nil {
-		h.opts.Home.NoteCount(route.Name, job.Account, reservation.Open+job.Tokens())
-		return room{by: "home", open: reservation.Open, limit: route.TokenCap, fits: reservation.OK}
+		open := reservation.Open
+		if reservation.OK {
+			open += job.Tokens()
+		}
+		h.opts.Home.NoteCount(route.Name, job.Account, open)
+		return room{by: "home", open: reservation.Open, limit: route.TokenCap, fits: reservation.OK, standing: reservation.Standing}
 	}
 	open, fits := h.opts.Home.FitsAlone(route.Name, job.Account, route.TokenCap, job.Tokens())
 	h.opts.Log.Warn().Str("job", job.ID).Str("attempt", attempt.ID).Int64("open", open).Int64("cap", route.TokenCap).Bool("fits", fits).Err(err).Msg("roomWithoutHome")
--- a/io/entry/submitted.go
+++ b/io/entry/submitted.go
@@ -35,6 +35,8 @@
 	by          string
 	open, limit int64
 	fits        bool
+	// standing is that of the job if the home has ended the attempt since there is no room; else home.NoWord.
+	standing home.Standing
 }
 
 // jobWriter is one of the two nodes that may write a job.
@@ -63,7 +65,11 @@
 
 // withdraw ends the attempt, which had no effect, and returns whether the job may be refused.
 func (s *submitted) withdraw(ctx context.Context, c *home.Client) home.Standing {
-	s.standing, s.asked = c.Withdraw(ctx, s.attempt, s.job), true
+	if s.asked = true; s.room.standing != home.NoWord {
+		s.standing = s.room.standing
+	} else {
+		s.standing = c.Withdraw(ctx, s.attempt, s.job)
+	}
 	return s.standing
 }
 
--- a/io/home/clientjobs.go
+++ b/io/home/clientjobs.go
@@ -16,6 +16,8 @@
 	OK bool
 	// Open is the size of all open items of the job's route, in tokens.
 	Open int64
+	// Standing is that of the job if there is no room and the home has ended the attempt; else NoWord.
+	Standing Standing
 }
 
 // Reserve asks the home for room for a job's tokens on its route. The error is ErrNoHome if no home can
@@ -29,7 +31,11 @@
 	if a.Undecided {
 		return Reservation{}, merry.Errorf("reserve room for job %s: %w", job.ID, ErrNoHome)
 	}
-	return Reservation{OK: a.OK, Open: a.Open}, nil
+	r := Reservation{OK: a.OK, Open: a.Open}
+	if !a.OK && a.Standing != NoWord {
+		r.Standing = c.endAttempt(attempt, a.Standing)
+	}
+	return r, nil
 }
 
 // Page is a part of a job's results. Next is the position at which the next page starts.
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -139,10 +139,10 @@
 	fits := route.TokenCap == 0 || open+m.Tokens <= route.TokenCap
 	if fits {
 		h.reserved[m.Job] = reservation{host: m.Host, path: m.Path, account: m.Account, tokens: m.Tokens, until: now.Add(reservationAge)}
-	} else {
-		h.opts.Log.Info().Str("job", m.Job).Str("attempt", m.Attempt).Str("account", m.Account).Int64("tokens", m.Tokens).Int64("open", open).Int64("cap", route.TokenCap).Msg("jobDoesNotFit")
+		return reserveAnswer{OK: true, Open: open}
 	}
-	return reserveAnswer{OK: fits, Open: open}
+	h.opts.Log.Info().Str("job", m.Job).Str("attempt", m.Attempt).Str("account", m.Account).Int64("tokens", m.Tokens).Int64("open", open).Int64("cap", route.TokenCap).Msg("jobDoesNotFit")
+	return reserveAnswer{Open: open, Standing: h.endAttempt(submission.Attempt{Job: m.Job, ID: m.Attempt}, m.Account)}
 }
 
 // openTokens returns the number of tokens of an account's open items and reservations on a route; the mutex is held.
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -34,12 +34,14 @@
 	methodReserve = "reserve"
 	// methodWithdraw ends an attempt to submit a job whose writes had no effect, and asks whether the job may be refused.
 	methodWithdraw = "withdraw"
-	methodRead     = "read"
-	methodItem     = "item"
-	methodEnded    = "ended"
-	methodStored   = "kept"
-	methodSubmit   = "submit"
-	methodEnd      = "end"
+	// methodRefused reports that a caller has been promised that a job does not run.
+	methodRefused = "refused"
+	methodRead    = "read"
+	methodItem    = "item"
+	methodEnded   = "ended"
+	methodStored  = "kept"
+	methodSubmit  = "submit"
+	methodEnd     = "end"
 	// methodHandover is called by the home of a later term.
 	methodHandover = "handover"
 	// methodFetchSiteState asks a home node, whether it is the home or not, for its site state.
@@ -236,6 +238,8 @@
 	OK        bool `msgpack:"ok"`
 	// Open is the size of all open items of the route, in tokens.
 	Open int64 `msgpack:"open"`
+	// Standing is that of the job if there is no room; the attempt is withdrawn then. Homes of earlier releases don't send it.
+	Standing Standing `msgpack:"standing,omitempty"`
 }
 
 type readRequest struct {
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -83,6 +83,8 @@
 		return h.reserve(in)
 	case methodWithdraw:
 		return h.withdraw(in)
+	case methodRefused:
+		return handleMessage(in, h.noteRefused)
 	case methodRead:
 		return h.read(in)
 	case methodItem:
--- a/io/home/submission.go
+++ b/io/home/submission.go
@@ -47,21 +47,11 @@
 }
 
 type withdrawAnswer struct {
-	// Stored reports that the home has a job of this ID and account, Settled that no attempt may still store one.
-	Stored  bool `msgpack:"stored,omitempty"`
-	Settled bool `msgpack:"settled,omitempty"`
+	Standing Standing `msgpack:"standing"`
 }
 
-// standing returns the answer's standing.
-func (a withdrawAnswer) standing() Standing {
-	switch {
-	case a.Stored:
-		return Stored
-	case a.Settled:
-		return Settled
-	default:
-		return Unsettled
-	}
+type refusedNotice struct {
+	Job string `msgpack:"job"`
 }
 
 // settleGrace is the time after its start within which a home promises nothing: by then the nodes that are connected have
@@ -71,23 +61,38 @@
 // withdraw ends an attempt to submit a job and answers whether the job may be refused.
 func (h *Home) withdraw(in link.Incoming) error {
 	return handleMessage(in, func(m withdrawRequest) {
-		now := h.opts.Now()
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		stored := h.existsFor(m.Job, m.Account)
-		settled := h.submissions.Withdraw(now, submission.Attempt{Job: m.Job, ID: m.Attempt}) &&
-			h.loaded && now.Sub(h.startedAt) >= settleGrace && !h.exists(m.Job)
-		if settled {
-			delete(h.reserved, m.Job)
-			h.submissions.Refuse(now, m.Job)
-		}
-		answer := withdrawAnswer{Stored: stored, Settled: settled}
-		h.opts.Log.Info().Str("job", m.Job).Str("attempt", m.Attempt).Stringer("standing", answer.standing()).Int("open", h.submissions.OpenOf(m.Job)).
-			Bool("loaded", h.loaded).Msg("submissionWithdrawn")
-		in.Answer(answer)
+		in.Answer(withdrawAnswer{Standing: h.endAttempt(submission.Attempt{Job: m.Job, ID: m.Attempt}, m.Account)})
 	})
 }
 
+// endAttempt ends an attempt of an account that had no effect, and returns the job's standing; the mutex is held.
+func (h *Home) endAttempt(a submission.Attempt, account string) Standing {
+	now := h.opts.Now()
+	alone := h.submissions.Withdraw(now, a)
+	standing := Unsettled
+	switch {
+	case h.existsFor(a.Job, account):
+		standing = Stored
+	case alone && h.loaded && now.Sub(h.startedAt) >= settleGrace && !h.exists(a.Job):
+		standing = Settled
+		delete(h.reserved, a.Job)
+	}
+	h.opts.Log.Info().Str("job", a.Job).Str("attempt", a.ID).Stringer("standing", standing).Int("open", h.submissions.OpenOf(a.Job)).
+		Bool("loaded", h.loaded).Msg("submissionWithdrawn")
+	return standing
+}
+
+// noteRefused records that a node has refused a job, unless it exists or somebody submits it again.
+func (h *Home) noteRefused(m refusedNotice) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.submissions.OpenOf(m.Job) == 0 && !h.exists(m.Job) {
+		h.submissions.Refuse(h.opts.Now(), m.Job)
+	}
+}
+
 // adoptSubmissions records a node's attempts to submit jobs that this home doesn't have.
 func (h *Home) adoptSubmissions(attempts []submission.Attempt) {
 	h.mu.Lock()
@@ -169,17 +174,24 @@
 	return a
 }
 
-// Withdraw ends an attempt to submit a job whose writes had no effect, and returns whether the job may be refused. Only
-// Settled allows it: otherwise an earlier attempt, at another node, may still store the job.
+// Withdraw ends an attempt to submit a job whose writes had no effect, and returns whether the job may be refused. Without
+// a home it is NoWord: an earlier attempt, at another node, may still store the job.
 func (c *Client) Withdraw(ctx context.Context, a submission.Attempt, job batch.Job) Standing {
-	settled := c.submissions.withdraw(c.opts.Now(), a)
 	var answer withdrawAnswer
 	err := c.callFor(ctx, job.Account, callTimeout, methodWithdraw, withdrawRequest{Job: a.Job, Attempt: a.ID, Account: job.Account}, &answer)
 	if err != nil {
-		return NoWord
+		answer.Standing = NoWord
 	}
-	if so := answer.standing(); so != Settled || settled {
-		return so
+	return c.endAttempt(a, answer.Standing)
+}
+
+// endAttempt ends an attempt at this node and returns the job's standing by the home's word and by this node's other attempts.
+func (c *Client) endAttempt(a submission.Attempt, word Standing) Standing {
+	if alone := c.submissions.withdraw(c.opts.Now(), a); word == Settled && !alone {
+		return Unsettled
 	}
-	return Unsettled
+	return word
 }
+
+// NotifyRefused notifies the home that a caller is promised that a job does not run.
+func (c *Client) NotifyRefused(job string) { c.notify(methodRefused, refusedNotice{Job: job}) }
