A home whose lease may have expired refuses no job

What callers could see: 503, which promises that no part of the job runs, for a job that had been accepted with 202 at another node a second before, and whose items ran. Cause: a home that is cut off from the next one and from the object service stays the home of the nodes on its side. It answered a withdrawn attempt from its own jobs and attempts, without asking whether its lease holds; reads of jobs and items do ask. Change: without a valid lease a withdrawn attempt is unsettled. The line submissionWithdrawn says so (valid). Weighed: in an outage of the object service for all, 503 becomes 504 once the lease has expired (1.5 s), though no other home can have the lease then; the home can't tell the two cases apart. Callers send the job again after either.

--- a/io/home/submission.go
+++ b/io/home/submission.go
@@ -75,15 +75,16 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		stored := h.existsFor(m.Job, m.Account)
+		valid := h.opts.Valid(now) // else the next home may have the job
 		settled := h.submissions.Withdraw(now, submission.Attempt{Job: m.Job, ID: m.Attempt}) &&
-			h.loaded && now.Sub(h.startedAt) >= settleGrace && !h.exists(m.Job)
+			h.loaded && valid && now.Sub(h.startedAt) >= settleGrace && !h.exists(m.Job)
 		if settled {
 			delete(h.reserved, m.Job)
 			h.submissions.Refuse(now, m.Job)
 		}
 		answer := withdrawAnswer{Stored: stored, Settled: settled}
 		h.opts.Log.Info().Str("job", m.Job).Str("attempt", m.Attempt).Stringer("standing", answer.standing()).Int("open", h.submissions.OpenOf(m.Job)).
-			Bool("loaded", h.loaded).Msg("submissionWithdrawn")
+			Bool("loaded", h.loaded).Bool("valid", valid).Msg("submissionWithdrawn")
 		in.Answer(answer)
 	})
 }
