Requests that look for slow upstreams take turns among all groups

What callers saw: nothing; an engine that has got well, or is leaving, gets no request that would show it. The soak saw it: "the engine gets no request at all". Cause: one online request in 32 preferred the slowest class. An upstream in a class between the fastest and the slowest got none. Within a class the upstream is chosen by a turn that grows with each request: at every 32nd request it is the same modulo 2, so that of two upstreams one got all. Change: each 17th online request, a prime, goes to the next group of upstreams (class, zone, slots) in turn if that is as idle as others; since the turns are shared, a slow class gets 1 in 34 or fewer. These requests no longer leave their zone for it. Measured: TestEachSlowUpstreamIsUsedWithoutLoad fails before (2, 3 and 13 of 600 requests at the three slow upstreams of a zone) and passes; core/slot passes; TestTrafficBetweenZones, equal zones with low load: 0.000 instead of 0.005 leave the zone.

--- a/core/slot/pace_test.go
+++ b/core/slot/pace_test.go
@@ -22,6 +22,8 @@
 	// served is the number of requests that got a slot, took the sum of the times until their ends.
 	served int
 	took   time.Duration
+	// used counts the requests by upstream if it is set.
+	used map[string]int
 }
 
 type openRequest struct {
@@ -59,6 +61,9 @@
 func (s *unevenSite) start(granted []Grant) {
 	for _, g := range granted {
 		u := s.p.upstreams[g.Upstream.ID]
+		if s.used != nil {
+			s.used[g.Upstream.ID]++
+		}
 		end := s.now.Add(time.Duration(s.work(u) * float64(usualHold)))
 		s.open = append(s.open, openRequest{end, g.Request.Key})
 		s.served++
@@ -198,3 +203,18 @@
 	}
 	require.Less(t, s.p.upstreams["u0"].pace.class, slowClass)
 }
+
+// Guards against a slow upstream without online requests, since those that look for slow ones always go to the same one.
+func TestEachSlowUpstreamIsUsedWithoutLoad(t *testing.T) {
+	s := newUnevenSite(28)
+	s.play(1000)
+	s.used = make(map[string]int)
+	for range 600 {
+		s.step(time.Second, "z0")
+	}
+	for id, u := range s.p.upstreams {
+		if u.Zone == "z0" && isSlow(id) {
+			require.GreaterOrEqual(t, s.used[id], 3, "%s of %v", id, s.used)
+		}
+	}
+}
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -78,8 +78,9 @@
 	// scarce reports that the request may use the slots of one of several software versions only; such requests go
 	// before others that are as urgent, since they can't take the next slot that any upstream has free.
 	scarce bool
-	// weighed, patient, explores and crossing are set by Pool.weigh.
+	// weighed, patient, explores, firstGroup and crossing are set by Pool.weigh.
 	weighed, patient, explores bool
+	firstGroup                 int
 	crossing                   float32
 	// standing is the place among the requests of all accounts.
 	standing standing
--- a/core/slot/weigh.go
+++ b/core/slot/weigh.go
@@ -13,11 +13,10 @@
 	// batchCrossing is how much more of its slots an upstream of the item's zone must have in use than one of another zone
 	// for the item to leave. Items leave before online requests do, which thereby keep the slots of their zone.
 	batchCrossing = 0.2
-	// exploring is the number of online requests of which one prefers a slow upstream that is as idle as others. An upstream that was slow for a
-	// while would otherwise never be measured again where others always have free slots.
-	exploring = 32
-	// exploreBonus is less, for all classes together, than one of a few slots in use.
-	exploreBonus = 0.01
+	// exploring is the number of online requests of which one goes to the next group of upstreams in turn, whatever its pace, if
+	// that is as idle as others. An upstream that was slow for a while would otherwise never be measured again where others
+	// always have free slots. It is a prime, so that these requests don't keep step with the turns within a group.
+	exploring = 17
 	// fastPenalty ranks upstreams that aren't slow behind all slow ones for an item that can wait.
 	fastPenalty = 2
 )
@@ -38,10 +37,12 @@
 		r.weighed = false
 		return
 	}
-	r.weighed, r.explores = true, false
+	r.weighed, r.explores, r.firstGroup = true, false, 0
 	if !r.Batch {
 		s.weighed++
-		r.explores = s.weighed%exploring == 0
+		if r.explores = s.weighed%exploring == 0; r.explores {
+			r.firstGroup = s.weighed / exploring
+		}
 	}
 	hold := s.meanHold
 	if r.Batch {
@@ -65,7 +66,9 @@
 	x := float64(load) / float64(max(slots, 1))
 	switch {
 	case r.explores:
-		x -= exploreBonus * float64(class)
+		if !near {
+			x++ // not worth a crossing
+		}
 	case !r.patient:
 		x = paceFactors[class-minPaceClass] * (1 + loadSlowdown*x)
 	case class < slowClass:
@@ -81,7 +84,8 @@
 func (x *versionIndex) bestWeighed(r *Request, turn int) *upstream {
 	var best *upstream
 	var least float64
-	for _, g := range x.groups {
+	for i := range x.groups {
+		g := x.groups[(r.firstGroup+i)%len(x.groups)]
 		u := g.lowest(r, turn)
 		if u == nil {
 			continue
