--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -124,7 +124,7 @@
 	defer h.mu.Unlock()
 	exists := h.exists(m.Job)
 	if !exists {
-		h.submissions.Begin(now, submission.Attempt{Job: m.Job, ID: m.Attempt})
+		h.submissions.Begin(now, submission.Attempt{Job: m.Job, ID: m.Attempt}) // whatever is decided, the node may write the job
 	}
 	if !ok || !h.loaded {
 		return reserveAnswer{Undecided: true}
@@ -139,36 +139,41 @@
 	fits := route.TokenCap == 0 || open+m.Tokens <= route.TokenCap
 	if fits {
 		h.reserved[m.Job] = reservation{host: m.Host, path: m.Path, account: m.Account, tokens: m.Tokens, until: now.Add(reservationAge)}
-	} else {
-		h.opts.Log.Info().Str("job", m.Job).Str("attempt", m.Attempt).Str("account", m.Account).Int64("tokens", m.Tokens).Int64("open", open).Int64("cap", route.TokenCap).Msg("jobDoesNotFit")
+		return reserveAnswer{OK: true, Open: open}
 	}
-	return reserveAnswer{OK: fits, Open: open}
+	h.opts.Log.Info().Str("job", m.Job).Str("attempt", m.Attempt).Str("account", m.Account).Int64("tokens", m.Tokens).Int64("open", open).Int64("cap", route.TokenCap).Msg("jobDoesNotFit")
+	return reserveAnswer{Open: open, Standing: h.endAttempt(submission.Attempt{Job: m.Job, ID: m.Attempt}, m.Account)}
 }
 
 // openTokens returns the number of tokens of an account's open items and reservations on a route; the mutex is held.
 func (h *Home) openTokens(now time.Time, route site.Route, account string) int64 {
 	var n int64
+	h.eachOpen(now, func(of, host, path string, tokens int64) {
+		if of == account && host == route.Host && strings.HasPrefix(path, route.Prefix) {
+			n += tokens
+		}
+	})
+	return n
+}
+
+// eachOpen calls f with the account, host, path and open tokens of each job and reservation; the mutex is held.
+func (h *Home) eachOpen(now time.Time, f func(account, host, path string, tokens int64)) {
 	for _, j := range h.jobs {
 		job := j.log.Job()
-		if job.Account != account || job.Host != route.Host || !strings.HasPrefix(job.Path, route.Prefix) {
-			continue
-		}
-		n += j.log.OpenTokens()
+		tokens := j.log.OpenTokens()
 		for _, r := range j.finished {
 			item, _ := job.Item(r.Item)
-			n -= item.Tokens
+			tokens -= item.Tokens
 		}
+		f(job.Account, job.Host, job.Path, tokens)
 	}
 	for id, r := range h.reserved {
 		if now.After(r.until) {
 			delete(h.reserved, id)
 			continue
 		}
-		if r.account == account && r.host == route.Host && strings.HasPrefix(r.path, route.Prefix) {
-			n += r.tokens
-		}
+		f(r.account, r.host, r.path, r.tokens)
 	}
-	return n
 }
 
 // ownJob returns a job that an account may read, or nil; the mutex is held.
@@ -308,18 +313,24 @@
 	}
 	h.mu.Unlock()
 	for _, id := range remove {
-		h.remove(id)
+		if !h.remove(id) {
+			return // the object service fails; the others would take as long
+		}
 	}
 }
 
-// remove deletes a job and its results, the results first, so that no results remain without a job.
-func (h *Home) remove(id string) {
+// removePause is the time between two attempts to remove a job.
+const removePause = 10 * time.Second
+
+// remove deletes a job and its results, the results first, so that no results remain without a job. It reports false if
+// the job may still be stored. The home then keeps it: a job that it doesn't have would be loaded with the results that are
+// left, and the items without a result would run again.
+func (h *Home) remove(id string) bool {
 	h.mu.Lock()
 	j := h.jobs[id]
-	delete(h.jobs, id)
 	h.mu.Unlock()
 	if j == nil {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
 	defer cancel()
@@ -329,9 +340,23 @@
 	}
 	if err == nil {
 		err = h.opts.Objects.Delete(ctx, KindJobs, id)
+		if errors.Is(err, store.ErrNotFound) {
+			err = nil // an attempt that was not answered
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		j.removeAt = h.opts.Now().Add(removePause)
+		h.opts.Log.Warn().Str("job", id).Err(err).Msg("jobNotRemoved")
+		return false
+	}
+	if h.jobs[id] == j { // else the watch has delivered the deletion, and maybe a new job
+		delete(h.jobs, id)
 	}
 	h.listed.remove(id)
-	h.opts.Log.Info().Str("job", id).AnErr("error", err).Msg("jobRemoved")
+	h.opts.Log.Info().Str("job", id).Msg("jobRemoved")
+	return true
 }
 
 // removeAll deletes all objects of a kind.
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -34,12 +34,14 @@
 	methodReserve = "reserve"
 	// methodWithdraw ends an attempt to submit a job whose writes had no effect, and asks whether the job may be refused.
 	methodWithdraw = "withdraw"
-	methodRead     = "read"
-	methodItem     = "item"
-	methodEnded    = "ended"
-	methodStored   = "kept"
-	methodSubmit   = "submit"
-	methodEnd      = "end"
+	// methodRefused reports that a caller has been promised that a job does not run.
+	methodRefused = "refused"
+	methodRead    = "read"
+	methodItem    = "item"
+	methodEnded   = "ended"
+	methodStored  = "kept"
+	methodSubmit  = "submit"
+	methodEnd     = "end"
 	// methodHandover is called by the home of a later term.
 	methodHandover = "handover"
 	// methodFetchSiteState asks a home node, whether it is the home or not, for its site state.
@@ -108,6 +110,9 @@
 	Home Announcement `msgpack:"home"`
 	// Accounts reports that the home knows client accounts: whose job it is that somebody asks for.
 	Accounts bool `msgpack:"accounts,omitempty"`
+	// Counted and Open are those of relaysNotice.
+	Counted bool        `msgpack:"counted,omitempty"`
+	Open    []openCount `msgpack:"open,omitempty"`
 }
 
 // askRequest asks for a slot. Times are sent as remaining durations, since clocks of VMs differ.
@@ -233,6 +238,8 @@
 	OK        bool `msgpack:"ok"`
 	// Open is the size of all open items of the route, in tokens.
 	Open int64 `msgpack:"open"`
+	// Standing is that of the job if there is no room; the attempt is withdrawn then. Homes of earlier releases don't send it.
+	Standing Standing `msgpack:"standing,omitempty"`
 }
 
 type readRequest struct {
@@ -291,6 +298,16 @@
 	Limits []limitRecord `msgpack:"limits,omitempty"`
 	// Asking is the number of nodes with requests of accounts.
 	Asking int `msgpack:"asking,omitempty"`
+	// Counted reports that the home has loaded the jobs; Open are then all routes and accounts with open items.
+	Counted bool        `msgpack:"counted,omitempty"`
+	Open    []openCount `msgpack:"open,omitempty"`
+}
+
+// openCount is the number of tokens of an account's open items on a route.
+type openCount struct {
+	Route   string `msgpack:"route"`
+	Account string `msgpack:"acct,omitempty"`
+	Tokens  int64  `msgpack:"tok"`
 }
 
 // submitRequest asks the home to write a job, for a node that can't reach the object service.
