--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -124,7 +124,7 @@
 	defer h.mu.Unlock()
 	exists := h.exists(m.Job)
 	if !exists {
-		h.submissions.Begin(now, submission.Attempt{Job: m.Job, ID: m.Attempt}) // whatever is decided, the node may write the job
+		h.submissions.Begin(now, submission.Attempt{Job: m.Job, ID: m.Attempt})
 	}
 	if !ok || !h.loaded {
 		return reserveAnswer{Undecided: true}
