--- a/io/home/submission.go
+++ b/io/home/submission.go
@@ -71,16 +71,17 @@
 func (h *Home) endAttempt(a submission.Attempt, account string) Standing {
 	now := h.opts.Now()
 	alone := h.submissions.Withdraw(now, a)
+	valid := h.opts.Valid(now) // else the next home may have the job
 	standing := Unsettled
 	switch {
 	case h.existsFor(a.Job, account):
 		standing = Stored
-	case alone && h.loaded && now.Sub(h.startedAt) >= settleGrace && !h.exists(a.Job):
+	case alone && h.loaded && valid && now.Sub(h.startedAt) >= settleGrace && !h.exists(a.Job):
 		standing = Settled
 		delete(h.reserved, a.Job)
 	}
 	h.opts.Log.Info().Str("job", a.Job).Str("attempt", a.ID).Stringer("standing", standing).Int("open", h.submissions.OpenOf(a.Job)).
-		Bool("loaded", h.loaded).Msg("submissionWithdrawn")
+		Bool("loaded", h.loaded).Bool("valid", valid).Msg("submissionWithdrawn")
 	return standing
 }
 
