A job whose items could not be read is read again

What callers could see: no item of a large job that was accepted with 202 runs, until a reader's node tells the home of the job or the home changes. Cause: the watch delivers a large job without its items, which are objects of their own. If the home's listing of these was refused, the job was skipped for good; the entry's notice of the stored job had come before and was counted as delivered. Change: unless the job can't be decoded, the home reads it again until it has the items or the job is gone. A job that was ended meanwhile is not started (second case of the test, which fails without the check in startJob).

--- a/io/home/load.go
+++ b/io/home/load.go
@@ -9,7 +9,9 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/batch"
+	"mothcart/io/clock"
 	"mothcart/io/object"
+	"mothcart/io/store"
 )
 
 // applyJobs applies changes of jobs from the object service.
@@ -185,12 +187,30 @@
 		log, err := decodeJob(ctx, h.opts.Objects, o)
 		if err != nil {
 			h.opts.Log.Error().Str("job", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("jobSkipped")
+			if !errors.Is(err, errUnreadable) {
+				h.done.Go(func() { h.readAgain(o.Name) })
+			}
 			return
 		}
 		h.startJob(o, log)
 	}
 }
 
+// readAgain applies a job whose items could not be read.
+func (h *Home) readAgain(id string) {
+	for clock.Sleep(h.ctx, retryPause) == nil {
+		ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
+		o, err := h.opts.Objects.Get(ctx, KindJobs, id)
+		cancel()
+		if err == nil {
+			h.applyJob(o)
+		}
+		if err == nil || errors.Is(err, store.ErrNotFound) {
+			return
+		}
+	}
+}
+
 // startJob adds a job and starts its open items.
 func (h *Home) startJob(o object.Object, log batch.Log) {
 	now := h.opts.Now()
@@ -203,6 +223,10 @@
 		h.mu.Unlock()
 		return
 	}
+	if _, done := h.unloaded[o.Name]; done {
+		h.mu.Unlock()
+		return // it was ended while its items were read again
+	}
 	j := &job{
 		log: log.WithoutListedBodies(), parted: len(log.Job().Split(jobBytes)) > 1, changed: make(chan struct{}), runs: make(map[string]*run),
 		acceptedAt: now.Add(-age), removeAt: now.Add(h.opts.ResultRetention - age),
