--- a/io/node/doubt_test.go
+++ b/io/node/doubt_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"mothcart/io/home"
 	"mothcart/platform/fake"
 )
 
@@ -28,3 +29,18 @@
 		require.Positive(t, s.runsOf("j1.0"))
 	})
 }
+
+// Guards against a refusal by a home that a node with an open attempt has not reached yet.
+func TestHomeThatANodeHasNotReachedRefusesNoJob(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		refused := []fake.Fate{fake.Refused}
+		s.objects.SetFault(fake.Fault{CreationsOf: home.KindJobs, Creations: map[string][]fake.Fate{"": refused, entryIP(1): {fake.Lost, fake.Refused}}})
+		require.Equal(t, http.StatusGatewayTimeout, s.submitJob(1, "j1", 2).status)
+		s.network.Partition(entryIP(1), homeIP(2))
+		s.network.Partition(entryIP(1), entryIP(2))
+		s.killHome(1)
+		time.Sleep(6 * time.Second)
+		require.True(t, s.homes["s2"].IsHome())
+		require.Equal(t, http.StatusGatewayTimeout, s.submitJob(2, "j1", 2).status)
+	})
+}
