--- a/core/submission/submission.go
+++ b/core/submission/submission.go
@@ -1,8 +1,10 @@
-// Package submission knows which attempts to submit a job may still store it.
+// Package submission knows which attempts to submit a job may still store it, and whether a job fits while nodes decide
+// without a home.
 //
 // A refusal promises that no part of a job runs. An attempt whose write was not answered may still take effect, though
 // later attempts are refused; a node may refuse the job only if no attempt is open. Attempts end when they are withdrawn,
-// since their writes had no effect, when the job is stored, and after Memory.
+// since their writes had no effect, when the job is stored, and after Memory. Room is what a node knows of the tokens that
+// wait on a route; nodes that each decide alone share what is free.
 //
 // Usage:
 //
