--- a/io/node/faulty_test.go
+++ b/io/node/faulty_test.go
@@ -49,8 +49,8 @@
 		name   string
 		answer func(id string) string
 	}{
-		{"503, not run", failure("503 Full", "Mothcart-Not-Run: 1\r\n")},
-		{"429, not run", failure("429 Full", "Mothcart-Not-Run: 1\r\n")},
+		{"503, not run", failure("503 Full", fake.RawNotRun)},
+		{"429, not run", failure("429 Full", fake.RawNotRun)},
 		{"421", failure("421 Moved", "")},
 		{"503 as a stream", failure("503 Full", "Content-Type: text/event-stream\r\n")},
 		{"404", failure("404 Gone", "")},
@@ -130,7 +130,7 @@
 func TestAnswersThroughACarrierSayNoMoreThanTheUpstream(t *testing.T) {
 	status := func(line, lines string) func(string) string {
 		return func(id string) string {
-			return "HTTP/1.1 " + line + "\r\nMothcart-Request-Id: " + id + "\r\n" + lines + "Content-Length: 0\r\n\r\n"
+			return fake.RawStatus(line, id, lines)
 		}
 	}
 	for _, tc := range []struct {
@@ -140,14 +140,14 @@
 	}{
 		{"404, unsigned", status("404 Odd", ""), 404},
 		{"401, unsigned", status("401 Odd", ""), 401},
-		{"404, signed", status("404 Odd", "Mothcart-Response-Stamp: s\r\n"), 404},
+		{"404, signed", status("404 Odd", fake.RawSigned), 404},
 		{"500, unsigned", status("500 Odd", ""), 500},
 		{"503 that doesn't say that it has not run", status("503 Odd", ""), 502},
 		{"429 that doesn't say that it has not run", status("429 Odd", ""), 502},
 		{"404 in the name of an entry", status("404 Odd", "Carrier-Unable: linksLost\r\n"), 404},
 		{"404 in the name of an entry that has not sent it", status("404 Odd", "Carrier-Not-Sent: 1\r\n"), 404},
-		{"refusal of another request", func(string) string { return status("503 Odd", "Mothcart-Not-Run: 1\r\n")("another") }, 502},
-		{"success that says that it has not run", func(id string) string { return fake.RawHead(id) + "Mothcart-Not-Run: 1\r\nContent-Length: 9\r\n\r\n" }, 502},
+		{"refusal of another request", func(string) string { return status("503 Odd", fake.RawNotRun)("another") }, 502},
+		{"success that says that it has not run", func(id string) string { return fake.RawHead(id) + fake.RawNotRun + "Content-Length: 9\r\n\r\n" }, 502},
 		{"head that is cut", fake.RawHead, 502},
 		{"body that is cut", func(id string) string { return fake.RawHead(id) + "Content-Length: 9\r\n\r\nab" }, 502},
 	} {
