A stream that ends after its request's time is not taken for whole

Its upstream stops work when the time of the request is over and ends the answer in order; the entry, 91 ms late on a busy machine, took that for the end of the stream. Change: a stream that ends once the time is over fails, so that the connection to the caller ends without the mark of a whole answer. The upstream is not blamed. TestStreamThatEndsAfterItsDeadlineIsNotWhole: its late case was a success before. io/forward and the tests of streams in io/node pass.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -35,6 +35,8 @@
 	errNotContinued = merry.Sentinel("answer doesn't go on after the last event")
 	// errCut means that an answer without a length ended with its upstream.
 	errCut = merry.Sentinel("upstream ended with an answer that has no length")
+	// errOverdue means that a stream ended once the request's time was over, when upstreams stop their work, whole or not.
+	errOverdue = merry.Sentinel("stream ended after its deadline")
 	// errUnsigned means that an answer with a status of success lacks the upstream's signature.
 	errUnsigned = merry.Sentinel("answer lacks the upstream's signature")
 )
@@ -110,6 +112,8 @@
 		return slot.Broken
 	case errors.Is(a.Err, errReplaced):
 		return slot.Abandoned // its silence was reported when it began
+	case errors.Is(a.Err, errOverdue):
+		return slot.Abandoned
 	case a.Err != nil && ctx.Err() != nil:
 		return slot.Abandoned
 	case a.Err != nil && !a.Sent:
@@ -158,7 +162,7 @@
 	if a.Success() {
 		return a.unframed && !a.Info.Leaving
 	}
-	return a.Err != nil && a.Sent && a.Events < writtenEvents && ctx.Err() == nil && !errors.Is(a.Err, ErrSilent)
+	return a.Err != nil && a.Sent && a.Events < writtenEvents && ctx.Err() == nil && !errors.Is(a.Err, ErrSilent) && !errors.Is(a.Err, errOverdue)
 }
 
 // writtenEvents is the number of events after which an upstream has written on a request; the first one may arrive as
@@ -196,7 +200,9 @@
 		return Answer{Sent: true, Err: merry.Errorf("status %d: %w", a.Status, errUnsigned)}
 	}
 	if a.Success() && stream != nil {
-		a.Events, err = stream.copy(resp, idle, call)
+		if a.Events, err = stream.copy(resp, idle, call); err == nil && isOverdue(ctx) {
+			err = errOverdue
+		}
 		a.Err = cause(ctx, err)
 		return a
 	}
@@ -210,6 +216,12 @@
 	return a
 }
 
+// isOverdue reports that the time of an attempt is over, whether or not its context has ended yet.
+func isOverdue(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && !time.Now().Before(deadline)
+}
+
 // answerBody is the body of an answer that is read by way of another reader.
 type answerBody struct {
 	io.Reader
--- a/io/forward/unframed_test.go
+++ b/io/forward/unframed_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -119,3 +121,37 @@
 		})
 	}
 }
+
+// lateContext is a context whose time is over and that has not ended yet, as on a busy machine.
+type lateContext struct{ context.Context }
+
+// Deadline implements context.Context.
+func (lateContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Millisecond), true }
+
+// Guards against a stream that looks whole since its upstream stops its work, and ends the answer in order, when the time of
+// the request is over.
+func TestStreamThatEndsAfterItsDeadlineIsNotWhole(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	address := unframedUpstream(t, head+"f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n", closes)
+	client := service.New(service.NewOptions())
+	defer client.Close()
+	codec := HeaderCodec{
+		Outgoing: func(h http.Header, _ Attempt) http.Header { return h },
+		Read:     func(h http.Header) AnswerInfo { return AnswerInfo{Signed: h.Get("X-Signature") != ""} },
+	}
+	for _, tc := range []struct {
+		name   string
+		ctx    context.Context
+		whole  bool
+		result slot.Result
+	}{
+		{"in time", t.Context(), true, slot.Served},
+		{"late", lateContext{t.Context()}, false, slot.Abandoned},
+	} {
+		call := Call{ID: "r1", Method: http.MethodPost, Path: "/", OnWrote: func() {}, OnLimit: func(float64, bool) {}, Attempt: Attempt{Upstream: site.Upstream{ID: "u", Address: address}}}
+		a := Do(tc.ctx, client, codec, call, &Sink{Start: func(int, http.Header) error { return nil }, Event: func(Event, bool) error { return nil }})
+		require.Equal(t, tc.whole, a.Success(), "%s: %v", tc.name, a.Err)
+		require.Equal(t, 1, a.Events, tc.name)
+		require.Equal(t, tc.result, a.Result(tc.ctx), tc.name)
+	}
+}
