Logs and metrics tell the way of a job's end

To tell the hypotheses of the incident apart: the status of an ended job names the node that acknowledged the end and when; the line jobEnded of a home says by which way it learnt of the end (notice, watch, listing), its term, how many items began after the end was written and how long after; an end of a job that the home doesn't hold leaves endOfJobNotHeld; a load begins with jobsLoading. Metrics: home.endLearnt and home.lastItemAfterEnd (seconds), home.itemsAfterEnd. Nodes of earlier releases send ends without these, which count nowhere.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -86,6 +86,8 @@
 	// Held counts the bytes that the process holds; nil means without a limit.
 	Held *held.Budget
 	Now  func() time.Time
+	// VMID is the ID of the node's VM.
+	VMID string
 	// TimeOfDay is the wall clock, on which all VMs roughly agree.
 	TimeOfDay func() time.Time
 	Log       zerolog.Logger
--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -164,21 +164,24 @@
 func (h *Handler) endJob(w http.ResponseWriter, r *http.Request, c Call) {
 	ctx, cancel := context.WithTimeout(r.Context(), directTimeout)
 	defer cancel()
-	err := home.EndJob(ctx, h.opts.Objects, c.Job, c.Account)
-	so := store.OutcomeOf(err)
+	began := h.opts.Now()
+	end, err := home.EndJob(ctx, h.opts.Objects, c.Job, c.Account, home.End{At: h.opts.TimeOfDay(), By: h.opts.VMID})
+	own := store.OutcomeOf(err)
+	so, by := own, "entry"
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		err = h.opts.Home.EndJob(r.Context(), c.Job, c.Account)
-		so = so.With(store.OutcomeOf(err))
+		err = h.opts.Home.EndJob(r.Context(), c.Job, c.Account, end)
+		so, by = so.With(store.OutcomeOf(err)), "home"
 	}
 	switch {
 	case so == outcome.Done:
-		h.opts.Home.NotifyEnded(c.Job)
-		h.opts.Log.Info().Str("job", c.Job).Str("outcome", "ended").Msg("jobEnd")
+		h.opts.Home.NotifyEnded(c.Job, end)
+		h.opts.Log.Info().Str("job", c.Job).Str("outcome", "ended").Str("by", by).Stringer("entryWrite", own).Int64("revision", int64(end.Revision)).
+			Bool("notified", h.opts.Home.Connected()).Dur("tookMillis", h.opts.Now().Sub(began)).Msg("jobEnd")
 		w.WriteHeader(http.StatusOK)
 	case so == outcome.NotDone:
 		h.failJobCall(w, c, "jobEnd", err)
 	default:
-		h.opts.Log.Warn().Str("job", c.Job).Int("status", http.StatusGatewayTimeout).Err(err).Msg("jobEnd")
+		h.opts.Log.Warn().Str("job", c.Job).Int("status", http.StatusGatewayTimeout).Stringer("entryWrite", own).Dur("tookMillis", h.opts.Now().Sub(began)).Err(err).Msg("jobEnd")
 		setRetryAfter(w, downRetryAfter)
 		http.Error(w, "not known whether the job was ended; end it again", http.StatusGatewayTimeout)
 	}
--- a/io/home/clientjobs.go
+++ b/io/home/clientjobs.go
@@ -85,7 +85,9 @@
 }
 
 // NotifyEnded notifies the home that a job was ended, before the watch of the object service does.
-func (c *Client) NotifyEnded(job string) { c.notify(methodEnded, endedNotice{Job: job}) }
+func (c *Client) NotifyEnded(job string, end End) {
+	c.notify(methodEnded, endedNotice{Job: job, End: end})
+}
 
 // NotifyStored notifies the home that the object service has stored a job, in case its watch missed the job.
 func (c *Client) NotifyStored(job string) {
@@ -103,8 +105,8 @@
 }
 
 // EndJob asks the home to mark a job of an account as ended. Errors are those of the function EndJob.
-func (c *Client) EndJob(ctx context.Context, job, account string) error {
-	return c.write(ctx, account, methodEnd, endRequest{Job: job, Account: account})
+func (c *Client) EndJob(ctx context.Context, job, account string, end End) error {
+	return c.write(ctx, account, methodEnd, endRequest{Job: job, Account: account, End: end})
 }
 
 func (c *Client) write(ctx context.Context, account, method string, req any) error {
--- /dev/null
+++ b/io/home/end.go
@@ -0,0 +1,95 @@
+package home
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"mothcart/io/object"
+	"mothcart/io/scrape"
+)
+
+// End says which node acknowledged the end of a job, and when.
+type End struct {
+	// At is when the node began to write the end, by its wall clock; zero if a node of an earlier release wrote it.
+	At time.Time `json:"endedAt,omitzero" msgpack:"at,omitempty"`
+	// By is the ID of the node's VM.
+	By string `json:"endedBy,omitempty" msgpack:"by,omitempty"`
+	// Revision is that of the job's object with the end; 0 if the node doesn't know it.
+	Revision object.Revision `json:"-" msgpack:"rev,omitempty"`
+}
+
+// endWay is how a home learns of the end of a job.
+type endWay string
+
+const (
+	byNotice  endWay = "notice"
+	byWatch   endWay = "watch"
+	byListing endWay = "listing"
+)
+
+type endMetrics struct {
+	// learnt is the time from the write of an end until the home learns of it, lastItem that until the last item of the job
+	// begins.
+	learnt, lastItem *scrape.Histogram
+	// itemsAfter counts items that began at this home after the end of their job was written.
+	itemsAfter metrics.Counter
+}
+
+func newEndMetrics(r metrics.Registry) endMetrics {
+	return endMetrics{
+		learnt: scrape.GetOrRegisterHistogram("home.endLearnt", r), lastItem: scrape.GetOrRegisterHistogram("home.lastItemAfterEnd", r),
+		itemsAfter: metrics.GetOrRegisterCounter("home.itemsAfterEnd", r),
+	}
+}
+
+// endJob records that a job was ended and cancels its runs.
+func (h *Home) endJob(id string, end End, way endWay) {
+	h.mu.Lock()
+	j := h.jobs[id]
+	if j == nil {
+		_, unloaded := h.unloaded[id]
+		h.mu.Unlock()
+		h.opts.Log.Info().Str("job", id).Int64("term", h.opts.Term).Str("way", string(way)).Str("endedBy", end.By).Int64("revision", int64(end.Revision)).
+			Bool("unloaded", unloaded).Msg("endOfJobNotHeld")
+		return
+	}
+	if j.log.Ended() {
+		h.mu.Unlock()
+		return
+	}
+	open := len(j.log.Open())
+	after, last := j.itemsAfter(end)
+	j.setLog(j.log.WithEnded())
+	j.finished = nil
+	runs := j.cancelRuns()
+	h.mu.Unlock()
+	h.countEnd(end, after, last)
+	h.opts.Log.Info().Str("job", id).Int64("term", h.opts.Term).Str("way", string(way)).Str("endedBy", end.By).Time("endedAt", end.At).
+		Int("open", open).Int("running", runs).Int("itemsAfter", after).Dur("lastItemMillis", last).Msg("jobEnded")
+}
+
+// countEnd counts an end that the home has learnt of.
+func (h *Home) countEnd(end End, after int, last time.Duration) {
+	if end.At.IsZero() {
+		return
+	}
+	h.metrics.ends.learnt.Observe(max(h.opts.TimeOfDay().Sub(end.At), 0))
+	h.metrics.ends.lastItem.Observe(last)
+	h.metrics.ends.itemsAfter.Inc(int64(after))
+}
+
+// itemsAfter returns the number of items whose last attempt began after an end was written, and how long after it the last
+// one did; the home's mutex is held.
+func (j *job) itemsAfter(end End) (int, time.Duration) {
+	if end.At.IsZero() {
+		return 0, 0
+	}
+	n, last := 0, time.Duration(0)
+	for _, r := range j.runs {
+		if d := r.startedAt.Sub(end.At); d > 0 {
+			n, last = n+1, max(last, d)
+		}
+	}
+	return n, last
+}
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -167,6 +167,7 @@
 	limits           *limitMetrics
 	// bodyBytes is the size of the bodies of open items.
 	bodyBytes metrics.Gauge
+	ends      endMetrics
 	// refusedJobs counts jobs that were stored after a caller had been promised that they don't run, refusedJobsRan those of
 	// them of which an item began to run.
 	refusedJobs, refusedJobsRan metrics.Counter
@@ -194,6 +195,7 @@
 			limits:           newLimitMetrics("home", opts.Registry),
 			bodyBytes:        metrics.GetOrRegisterGauge("home.bodyBytes", opts.Registry),
 			retirementWaits:  metrics.GetOrRegisterGauge("home.retirementWaits", opts.Registry),
+			ends:             newEndMetrics(opts.Registry),
 		},
 		progressLoaded: make(chan struct{}), handoverDone: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
 		jobs: make(map[string]*job), reserved: make(map[string]reservation), unloaded: make(map[string]batch.Job),
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -94,22 +94,6 @@
 	return n
 }
 
-// endJob records that a job was ended and cancels its runs.
-func (h *Home) endJob(id string) {
-	h.mu.Lock()
-	j := h.jobs[id]
-	if j == nil || j.log.Ended() {
-		h.mu.Unlock()
-		return
-	}
-	open := len(j.log.Open())
-	j.setLog(j.log.WithEnded())
-	j.finished = nil
-	runs := j.cancelRuns()
-	h.mu.Unlock()
-	h.opts.Log.Info().Str("job", id).Int("open", open).Int("running", runs).Msg("jobEnded")
-}
-
 // reserve answers whether there is room for a job's tokens on its route, and reserves the room if there is.
 func (h *Home) reserve(in link.Incoming) error {
 	return handleMessage(in, func(m reserveRequest) { in.Answer(h.room(m)) })
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -38,7 +38,7 @@
 			h.dropJob(e.Object.Name)
 			continue
 		}
-		h.applyJob(e.Object)
+		h.applyJob(e.Object, byWatch)
 	}
 }
 
@@ -51,13 +51,14 @@
 	first := !h.loaded
 	h.mu.Unlock()
 	if first {
+		h.opts.Log.Info().Int("jobs", len(objects)).Int64("term", h.opts.Term).Msg("jobsLoading")
 		h.loadListed(objects)
 	}
 	var group sync.WaitGroup
 	limit := make(chan struct{}, loadConcurrency)
 	for _, o := range objects {
 		if h.hasJob(o.Name) {
-			h.applyJob(o) // the kind is listed again; the home already has the job's results
+			h.applyJob(o, byListing) // the kind is listed again; the home already has the job's results
 			continue
 		}
 		limit <- struct{}{}
@@ -172,12 +173,12 @@
 }
 
 // applyJob applies a change of a job. It starts a new job without reading results, since it has none yet.
-func (h *Home) applyJob(o object.Object) {
+func (h *Home) applyJob(o object.Object, way endWay) {
 	exists := h.hasJob(o.Name)
 	status := decodeStatus(o)
 	switch {
 	case exists && status.Ended:
-		h.endJob(o.Name)
+		h.endJob(o.Name, status.End, way)
 	case exists:
 	case status.Ended || status.Listed || h.listed.has(o.Name):
 		h.skipJob(o)
@@ -203,7 +204,7 @@
 		o, err := h.opts.Objects.Get(ctx, KindJobs, id)
 		cancel()
 		if err == nil {
-			h.applyJob(o)
+			h.applyJob(o, byListing)
 		}
 		if err == nil || errors.Is(err, store.ErrNotFound) {
 			return
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -281,6 +281,8 @@
 
 type endedNotice struct {
 	Job string `msgpack:"job"`
+	// End is empty in notices of earlier releases.
+	End End `msgpack:"end,omitempty"`
 }
 
 // viewNotice sends a node the objects of a kind, or changes of them.
@@ -323,6 +325,7 @@
 	Job string `msgpack:"job"`
 	// Account is the one that ends the job.
 	Account string `msgpack:"acct,omitempty"`
+	End     End    `msgpack:"end,omitempty"`
 }
 
 type leaseUnconfirmedNotice struct {
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -45,6 +45,7 @@
 // jobStatus is the status of a job's object.
 type jobStatus struct {
 	Ended bool `json:"ended"`
+	End
 	// Listed reports that every item has its result, so that no item has to run. Earlier versions wrote it; it is
 	// now in KindListed.
 	Listed bool `json:"listed,omitempty"`
@@ -55,6 +56,7 @@
 	if len(o.Status) > 0 && json.Unmarshal(o.Status, &s) != nil {
 		return jobStatus{} // not written by a home; the results show which items are open
 	}
+	s.Revision = o.Revision
 	return s
 }
 
@@ -144,19 +146,21 @@
 	return job.WithItems(items), nil
 }
 
-// EndJob marks a job of an account as ended. It returns store.ErrNotFound if the account has no such job.
-func EndJob(ctx context.Context, c object.Client, id, account string) error {
+// EndJob marks a job of an account as ended and returns the end with its revision. The error is store.ErrNotFound if the
+// account has no such job.
+func EndJob(ctx context.Context, c object.Client, id, account string, end End) (End, error) {
 	if account != "" {
 		o, err := c.Get(ctx, KindJobs, id)
 		if err != nil {
-			return merry.Errorf("read job %s to end it: %w", id, err)
+			return end, merry.Errorf("read job %s to end it: %w", id, err)
 		}
 		if owner, err := decodeOwner(o); err != nil || !owner.OwnedBy(account) {
-			return merry.Errorf("job %s is not of the account that ends it: %w", id, store.ErrNotFound)
+			return end, merry.Errorf("job %s is not of the account that ends it: %w", id, store.ErrNotFound)
 		}
 	}
-	_, err := c.PutStatus(ctx, KindJobs, id, jobStatus{Ended: true})
-	return err
+	o, err := c.PutStatus(ctx, KindJobs, id, jobStatus{Ended: true, End: end})
+	end.Revision = o.Revision
+	return end, err
 }
 
 // LoadJob reads one job with its results from the object service.
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -27,6 +27,8 @@
 	key  slot.Key
 	// cancel ends the attempt in progress; nil while the item waits.
 	cancel context.CancelCauseFunc
+	// startedAt is when the last attempt began, by the wall clock.
+	startedAt time.Time
 	// text, events and lastID are the progress of the stream that ended attempts made. Only upstreams of its version
 	// can go on with it.
 	text     bytes.Buffer
@@ -200,6 +202,7 @@
 	}
 	got := new(stream)
 	r.received, r.sender, r.receivedVersion = got, g.Upstream.ID, g.Upstream.Version
+	r.startedAt = h.opts.TimeOfDay()
 	h.noteItem(j, r.item.ID, g)
 	h.mu.Unlock()
 	startedAt := h.opts.Now()
@@ -209,7 +212,7 @@
 	h.applyItemPace(g.Request.Key.ID, out.Pace)
 	h.pool.Release(g.Request.Key, out.Result)
 	logChoice(h.opts.Log.Info(), g).Str("job", r.job).Str("item", r.item.ID).Str("upstream", g.Upstream.ID).Int64("incarnation", g.Upstream.Incarnation).
-		Str("version", g.Upstream.Version).Str("runner", runner).Str("from", call.LastEventID).Str("to", out.LastEventID).Int("status", out.Status).Bool("cut", cancelled).
+		Str("version", g.Upstream.Version).Str("runner", runner).Int64("term", h.opts.Term).Str("from", call.LastEventID).Str("to", out.LastEventID).Int("status", out.Status).Bool("cut", cancelled).
 		Int("failures", r.failures).Dur("tookMillis", took).Str("error", out.Err).
 		Strs("parts", poison.Names(g.Request.Parts)).Msg("itemAttempt")
 	h.completeAttempt(r, out, took, cancelled)
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -90,7 +90,7 @@
 	case methodItem:
 		return h.item(in)
 	case methodEnded:
-		return handleMessage(in, func(m endedNotice) { h.endJob(m.Job) })
+		return handleMessage(in, func(m endedNotice) { h.endJob(m.Job, m.End, byNotice) })
 	case methodStored:
 		return handleMessage(in, func(m storedNotice) { h.noteStored(m.Job) })
 	case methodSubmit:
@@ -111,7 +111,10 @@
 		})
 	case methodEnd:
 		return handleMessage(in, func(m endRequest) {
-			go h.write(in, s, submission.Attempt{Job: m.Job}, func(ctx context.Context) error { return EndJob(ctx, h.opts.Objects, m.Job, m.Account) })
+			go h.write(in, s, submission.Attempt{Job: m.Job}, func(ctx context.Context) error {
+				_, err := EndJob(ctx, h.opts.Objects, m.Job, m.Account, m.End)
+				return err
+			})
 		})
 	default:
 		return merry.Errorf("unknown method %s", in.Method)
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -60,7 +60,7 @@
 	})
 	e.handler = entry.New(entry.Options{
 		Codec: platform.Codec(), Forward: e.forward, Home: b.client, Objects: b.objects, ObjectsDown: b.objectsDown,
-		Held: b.held, Now: opts.Now, TimeOfDay: time.Now, Log: opts.Log, Registry: opts.Registry,
+		VMID: opts.Settings.VMID, Held: b.held, Now: opts.Now, TimeOfDay: time.Now, Log: opts.Log, Registry: opts.Registry,
 	})
 	b.onConfig = e.handler.SetConfig
 	b.onUpstreams = b.links.SetUpstreams
