A home keeps what it is told of jobs that it has not loaded

A job of which a part was missing kept a home from taking any later job. While a home loaded, entries accepted jobs beside a full route.

Cause: a fact that arrives before the thing it is about was dropped, and what was read before it counted as new. A home that started read the results of all jobs before its watch began, four at a time, each until it succeeded; an end for a job that was not loaded was dropped, and the load went on with the object of the listing.

Why it works: listings and events are applied at once and read nothing; each job has a load of its own, in a queue with 16 readers, which its end or removal cancels, and which starts nothing unless it is still that job's load. Ends and removals of jobs that the home doesn't have are kept for a minute as tombstones with revisions; a copy that is older is judged by them, one that may be older is read again, and so is every object after a failed load. Listings also show removals, by revision. A job that can't be read is tried again after growing pauses, named in jobNotRead and jobMissing, and counted (home.jobsLoading, home.jobsUnread). Room is decided as soon as the listing is known: all items of a job that is not loaded count as open; the head of a large job names its tokens. Which jobs have all results is read until it succeeds, before any job is loaded. Items wait for the previous home's progress without holding up the watch.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -41,6 +41,8 @@
 	Items   []Item `json:"items"`
 	// Parts is the number of objects that hold the items of a job that is too large for one object.
 	Parts int `json:"parts,omitempty"`
+	// PartTokens is the sum of the tokens of the items in these objects; 0 if a node of an earlier release wrote the job.
+	PartTokens int64 `json:"partTokens,omitempty"`
 	// AcceptedAt is the wall-clock time of the acceptance. It orders jobs and determines when results may
 	// be removed; no lease or fence depends on it.
 	AcceptedAt time.Time `json:"acceptedAt"`
@@ -52,7 +54,7 @@
 
 // WithItems returns the job with other items, all in one part.
 func (j Job) WithItems(items []Item) Job {
-	j.Items, j.Parts = items, 0
+	j.Items, j.Parts, j.PartTokens = items, 0, 0
 	return j
 }
 
--- a/io/home/count.go
+++ b/io/home/count.go
@@ -6,11 +6,11 @@
 	"mothcart/core/submission"
 )
 
-// countOpen returns the tokens that wait, by route and account; false if the home has not loaded the jobs.
+// countOpen returns the tokens that wait, by route and account; false if the home does not know the jobs.
 func (h *Home) countOpen() ([]openCount, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.loaded {
+	if !h.hintRead {
 		return nil, false
 	}
 	cfg := h.opts.Config()
--- a/io/home/end.go
+++ b/io/home/end.go
@@ -5,6 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"mothcart/core/tombstone"
 	"mothcart/io/object"
 	"mothcart/io/scrape"
 )
@@ -43,32 +44,44 @@
 	}
 }
 
-// endJob records that a job was ended and cancels its runs.
+// endJob records that a job was ended and cancels its runs. An end that comes before the job is kept for it.
 func (h *Home) endJob(id string, end End, way endWay) {
 	h.mu.Lock()
-	j := h.jobs[id]
-	if j == nil {
-		_, unloaded := h.unloaded[id]
-		h.mu.Unlock()
-		h.opts.Log.Info().Str("job", id).Int64("term", h.opts.Term).Str("way", string(way)).Str("endedBy", end.By).Int64("revision", int64(end.Revision)).
-			Bool("unloaded", unloaded).Msg("endOfJobNotHeld")
-		return
-	}
-	if j.log.Ended() {
+	j, l := h.jobs[id], h.loading[id]
+	var open, running, after int
+	var last time.Duration
+	event := "jobEnded"
+	switch {
+	case j != nil && (j.log.Ended() || end.isOf(j.revision)), l != nil && end.isOf(l.o.Revision):
 		h.mu.Unlock()
 		return
+	case j != nil:
+		open = len(j.log.Open())
+		after, last = j.itemsAfter(end)
+		j.setLog(j.log.WithEnded())
+		j.finished = nil
+		running = j.cancelRuns()
+	case l != nil:
+		h.endLoading(l)
+		h.settle(l.o, l.job)
+	default:
+		event = "endOfJobNotHeld"
+		if !h.exists(id) {
+			h.tombstones.Add(h.opts.Now(), id, tombstone.Tombstone{Kind: tombstone.Ended, Revision: int64(end.Revision)})
+		}
 	}
-	open := len(j.log.Open())
-	after, last := j.itemsAfter(end)
-	j.setLog(j.log.WithEnded())
-	j.finished = nil
-	runs := j.cancelRuns()
 	h.mu.Unlock()
-	h.countEnd(end, after, last)
-	h.opts.Log.Info().Str("job", id).Int64("term", h.opts.Term).Str("way", string(way)).Str("endedBy", end.By).Time("endedAt", end.At).
-		Int("open", open).Int("running", runs).Int("itemsAfter", after).Dur("lastItemMillis", last).Msg("jobEnded")
+	if event == "jobEnded" {
+		h.countEnd(end, after, last)
+	}
+	h.opts.Log.Info().Str("job", id).Int64("term", h.opts.Term).Str("way", string(way)).Str("endedBy", end.By).Time("endedAt", end.At).Int64("revision", int64(end.Revision)).
+		Bool("loaded", j != nil).Int("open", open).Int("running", running).Int("itemsAfter", after).Dur("lastItemMillis", last).Msg(event)
 }
 
+// isOf reports that an end is that of an earlier job with the same ID as the one whose object has a revision: no copy of a
+// job that was ended is newer than its end and open.
+func (e End) isOf(revision object.Revision) bool { return e.Revision != 0 && e.Revision < revision }
+
 // countEnd counts an end that the home has learnt of.
 func (h *Home) countEnd(end End, after int, last time.Duration) {
 	if end.At.IsZero() {
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -31,11 +31,11 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
-	"mothcart/core/batch"
 	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
 	"mothcart/core/submission"
+	"mothcart/core/tombstone"
 	"mothcart/core/zone"
 	"mothcart/io/link"
 	"mothcart/io/object"
@@ -121,15 +121,23 @@
 	mu       sync.Mutex
 	jobs     map[string]*job
 	reserved map[string]reservation
-	// unloaded holds the jobs that need no more runs and that the home has not loaded, without their items.
-	unloaded map[string]batch.Job
+	// unloaded holds the jobs that need no more runs and that the home has not loaded; loading holds the others that it
+	// has not loaded yet, and loadQueue those of them that no goroutine reads.
+	unloaded  map[string]settledJob
+	loading   map[string]*loading
+	loadQueue []*loading
+	// loaders is the number of goroutines that load jobs, initialLoads that of the jobs for which the home counts as loading.
+	loaders, initialLoads int
+	// tombstones are ends and removals of jobs that the home doesn't have.
+	tombstones *tombstone.Table
 	// submissions are the nodes' attempts to submit jobs that the home doesn't have.
 	submissions *submission.Table
 	// undelivered holds the jobs that the object service has stored and the watch has not delivered yet,
 	// with the time at which this home was notified of them.
 	undelivered map[string]time.Time
-	// loaded reports that the jobs of the object service have been loaded.
-	loaded bool
+	// listedOnce reports that the home knows all jobs that existed at its start, hintRead that it also knows which of them
+	// have all results, loaded that it has loaded the others.
+	listedOnce, hintRead, loaded bool
 	// replaced reports that a later home has taken over; no item starts any more.
 	replaced bool
 	listed   *listedJobs
@@ -168,6 +176,7 @@
 	// bodyBytes is the size of the bodies of open items.
 	bodyBytes metrics.Gauge
 	ends      endMetrics
+	loads     loadMetrics
 	// refusedJobs counts jobs that were stored after a caller had been promised that they don't run, refusedJobsRan those of
 	// them of which an item began to run.
 	refusedJobs, refusedJobsRan metrics.Counter
@@ -196,9 +205,11 @@
 			bodyBytes:        metrics.GetOrRegisterGauge("home.bodyBytes", opts.Registry),
 			retirementWaits:  metrics.GetOrRegisterGauge("home.retirementWaits", opts.Registry),
 			ends:             newEndMetrics(opts.Registry),
+			loads:            newLoadMetrics(opts.Registry),
 		},
 		progressLoaded: make(chan struct{}), handoverDone: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
-		jobs: make(map[string]*job), reserved: make(map[string]reservation), unloaded: make(map[string]batch.Job),
+		jobs: make(map[string]*job), reserved: make(map[string]reservation), unloaded: make(map[string]settledJob),
+		loading: make(map[string]*loading), tombstones: tombstone.NewTable(),
 		undelivered: make(map[string]time.Time), runners: make(map[string]*runnerNode), remoteRuns: make(map[uint64]*remoteRun),
 		nodes: make(map[string]*link.Conn), listed: newListedJobs(),
 	}
@@ -286,6 +297,7 @@
 			return
 		case <-t.C:
 			h.sweepJobs(h.opts.Now())
+			h.sweepLoads(h.opts.Now())
 			h.writeListed(h.opts.Now())
 			tracked, refused := h.pool.limitUse()
 			h.metrics.limits.record(h.opts.Now(), h.opts.Log, tracked, refused)
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -12,6 +12,7 @@
 	"mothcart/core/batch"
 	"mothcart/core/site"
 	"mothcart/core/submission"
+	"mothcart/core/tombstone"
 	"mothcart/io/link"
 	"mothcart/io/object"
 	"mothcart/io/store"
@@ -32,6 +33,8 @@
 // job is the home's state of a job that it has loaded.
 type job struct {
 	log batch.Log
+	// revision is that of the newest copy of the job's object.
+	revision object.Revision
 	// changed is closed and replaced at each change of the log.
 	changed chan struct{}
 	// acceptedAt is when the job was accepted, by the clock of this VM.
@@ -110,7 +113,7 @@
 	if !exists {
 		h.submissions.Begin(now, submission.Attempt{Job: m.Job, ID: m.Attempt})
 	}
-	if !ok || !h.loaded {
+	if !ok || !h.hintRead {
 		return reserveAnswer{Undecided: true}
 	}
 	open := h.openTokens(now, route, m.Account)
@@ -140,7 +143,8 @@
 	return n
 }
 
-// eachOpen calls f with the account, host, path and open tokens of each job and reservation; the mutex is held.
+// eachOpen calls f with the account, host, path and open tokens of each job and reservation. All items of a job that is not
+// loaded yet count as open. The mutex is held.
 func (h *Home) eachOpen(now time.Time, f func(account, host, path string, tokens int64)) {
 	for _, j := range h.jobs {
 		job := j.log.Job()
@@ -151,6 +155,9 @@
 		}
 		f(job.Account, job.Host, job.Path, tokens)
 	}
+	for _, l := range h.loading {
+		f(l.job.Account, l.job.Host, l.job.Path, l.tokens)
+	}
 	for id, r := range h.reserved {
 		if now.After(r.until) {
 			delete(h.reserved, id)
@@ -171,13 +178,14 @@
 // existsFor reports that an account has a job, whether or not the home has loaded it; the mutex is held.
 func (h *Home) existsFor(id, account string) bool {
 	unloaded, ok := h.unloaded[id]
-	return h.ownJob(id, account) != nil || (ok && unloaded.OwnedBy(account))
+	l := h.loading[id]
+	return h.ownJob(id, account) != nil || (ok && unloaded.OwnedBy(account)) || (l != nil && !l.broken && l.job.OwnedBy(account))
 }
 
 // exists reports that there is a job with this ID, whoever's it is; the mutex is held.
 func (h *Home) exists(id string) bool {
 	_, ok := h.unloaded[id]
-	return ok || h.jobs[id] != nil
+	return ok || h.jobs[id] != nil || h.loading[id] != nil
 }
 
 // read answers with results; a goroutine waits for the first one.
@@ -223,14 +231,14 @@
 	now := h.opts.Now()
 	h.mu.Lock()
 	j := h.ownJob(m.Job, m.Account)
-	unconfirmed := j == nil || !h.loaded || !h.opts.Valid(now)
+	unconfirmed := j == nil || !h.opts.Valid(now)
 	unresolved := !unconfirmed && j.unresolved(now)
 	if unresolved && !final {
 		h.mu.Unlock()
 		return false
 	}
 	if unconfirmed || unresolved {
-		unknown := j == nil && h.loaded && h.opts.Valid(now)
+		unknown := j == nil && h.listedOnce && h.loading[m.Job] == nil && h.opts.Valid(now)
 		h.mu.Unlock()
 		in.Answer(readAnswer{Unknown: unknown})
 		return true
@@ -337,6 +345,7 @@
 	}
 	if h.jobs[id] == j { // else the watch has delivered the deletion, and maybe a new job
 		delete(h.jobs, id)
+		h.tombstones.Add(h.opts.Now(), id, tombstone.Tombstone{Kind: tombstone.Removed})
 	}
 	h.listed.remove(id)
 	h.opts.Log.Info().Str("job", id).Msg("jobRemoved")
--- a/io/home/listed.go
+++ b/io/home/listed.go
@@ -23,8 +23,10 @@
 // one object: a mark on each job would cost a call and an event each. The object is a hint: a job that it lacks is
 // read, and a job that it names has all its results in the object service.
 type listedJobs struct {
-	mu  sync.Mutex
-	ids map[string]struct{}
+	mu sync.Mutex
+	// ids holds true for the jobs that the object names; inFlight are those that the last write names.
+	ids      map[string]bool
+	inFlight []string
 	// changed reports that ids has jobs that are not written; writing that a write is in progress.
 	changed, writing bool
 	writtenAt        time.Time
@@ -35,7 +37,7 @@
 	Jobs []string `json:"jobs"`
 }
 
-func newListedJobs() *listedJobs { return &listedJobs{ids: make(map[string]struct{})} }
+func newListedJobs() *listedJobs { return &listedJobs{ids: make(map[string]bool)} }
 
 func (l *listedJobs) has(id string) bool {
 	l.mu.Lock()
@@ -47,14 +49,19 @@
 func (l *listedJobs) add(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ids[id] = struct{}{}
-	l.changed = true
+	if _, ok := l.ids[id]; !ok {
+		l.ids[id], l.changed = false, true
+	}
 }
 
+// remove forgets a job; the object must not name a later one with its ID.
 func (l *listedJobs) remove(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.ids, id)
+	if _, ok := l.ids[id]; ok {
+		delete(l.ids, id)
+		l.changed = true
+	}
 }
 
 // load reads the object and keeps the jobs that exist.
@@ -68,13 +75,13 @@
 	}
 	var r listedRecord
 	if err := json.Unmarshal(o.Spec, &r); err != nil {
-		return merry.Errorf("decode listed jobs: %w", err)
+		return merry.Errorf("decode listed jobs: %w: %w", errUnreadable, err)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, id := range r.Jobs {
 		if exists(id) {
-			l.ids[id] = struct{}{}
+			l.ids[id] = true
 		}
 	}
 	return nil
@@ -88,7 +95,8 @@
 		return listedRecord{}, false
 	}
 	l.changed, l.writing, l.writtenAt = false, true, now
-	return listedRecord{Jobs: slices.Sorted(maps.Keys(l.ids))}, true
+	l.inFlight = slices.Sorted(maps.Keys(l.ids))
+	return listedRecord{Jobs: l.inFlight}, true
 }
 
 // written records the end of a write; after a failure the jobs are written again.
@@ -97,6 +105,11 @@
 	defer l.mu.Unlock()
 	l.writing = false
 	l.changed = l.changed || err != nil
+	for _, id := range l.inFlight {
+		if _, ok := l.ids[id]; ok && err == nil {
+			l.ids[id] = true
+		}
+	}
 }
 
 // writeListed writes the listed jobs if that is due.
@@ -119,15 +132,18 @@
 	})
 }
 
-// loadListed reads which of the jobs that exist have all their results.
-func (h *Home) loadListed(objects []object.Object) {
-	exists := make(map[string]bool, len(objects))
-	for _, o := range objects {
-		exists[o.Name] = true
-	}
+// loadListed reads which of the jobs that exist have all their results. An object that can't be read counts as empty.
+func (h *Home) loadListed() error {
 	ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
 	defer cancel()
-	if err := h.listed.load(ctx, h.opts.Objects, func(id string) bool { return exists[id] }); err != nil {
-		h.opts.Log.Warn().Err(err).Msg("listedJobsNotRead") // the results of these jobs are read instead
+	err := h.listed.load(ctx, h.opts.Objects, func(id string) bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.exists(id)
+	})
+	if errors.Is(err, errUnreadable) {
+		h.opts.Log.Error().Err(err).Msg("listedJobsNotRead") // the results of these jobs are read instead
+		return nil
 	}
+	return err
 }
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -2,269 +2,296 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/rcrowley/go-metrics"
 
 	"mothcart/core/batch"
+	"mothcart/core/tombstone"
 	"mothcart/io/clock"
 	"mothcart/io/object"
 	"mothcart/io/store"
 )
 
-// applyJobs applies changes of jobs from the object service.
-func (h *Home) applyJobs(c object.Change) {
-	h.mu.Lock()
-	missed := len(h.undelivered)
-	for _, o := range c.Objects {
-		delete(h.undelivered, o.Name)
-	}
-	missed -= len(h.undelivered)
-	for _, e := range c.Events {
-		delete(h.undelivered, e.Object.Name)
+const (
+	// loadConcurrency is the number of jobs that are read at the same time.
+	loadConcurrency = 16
+	// lastLoadPause bounds the time until a job that could not be read is read again, which doubles with each failure from
+	// retryPause on.
+	lastLoadPause = 3200 * time.Millisecond
+	// loadPatience is how long the home counts as loading for the sake of jobs that can't be read.
+	loadPatience = 10 * time.Second
+)
+
+// loading is a job that the home knows by its object and has not loaded yet.
+type loading struct {
+	// o is the newest copy of the object; job is the job in it without its items, whose tokens are tokens.
+	o      object.Object
+	job    batch.Job
+	tokens int64
+	// isNew reports that the watch has delivered the creation of the job, so that no earlier home has written results.
+	isNew bool
+	// stale reports that the object must be read again before the job is loaded.
+	stale bool
+	// initial reports that the home counts as loading until the job is loaded.
+	initial bool
+	since   time.Time
+	// failures counts the attempts to read the job; broken reports that another one can't help.
+	failures int
+	broken   bool
+	// cancel ends the attempt in progress.
+	cancel context.CancelFunc
+}
+
+type loadMetrics struct {
+	// loading is the number of jobs that are not loaded yet, unread that of those which could not be read so far.
+	loading, unread metrics.Gauge
+	// obsolete counts copies of jobs that were older than what the home had been told.
+	obsolete metrics.Counter
+}
+
+func newLoadMetrics(r metrics.Registry) loadMetrics {
+	return loadMetrics{
+		loading: metrics.GetOrRegisterGauge("home.jobsLoading", r), unread: metrics.GetOrRegisterGauge("home.jobsUnread", r),
+		obsolete: metrics.GetOrRegisterCounter("home.obsoleteJobs", r),
 	}
-	h.mu.Unlock()
-	if missed > 0 {
-		h.opts.Log.Warn().Int("jobs", missed).Int64("revision", int64(c.At)).Msg("watchOwesJobs")
+}
+
+// decodeHead returns the job in an object without its items, and the sum of their tokens.
+func decodeHead(o object.Object) (batch.Job, int64, error) {
+	var head struct {
+		Host       string `json:"host"`
+		Path       string `json:"path"`
+		Account    string `json:"account"`
+		Parts      int    `json:"parts"`
+		PartTokens int64  `json:"partTokens"`
+		Items      []struct {
+			Tokens int64 `json:"tokens"`
+		} `json:"items"`
 	}
-	if c.Listed {
-		h.load(c.Objects)
-		return
+	if err := json.Unmarshal(o.Spec, &head); err != nil {
+		return batch.Job{ID: o.Name}, 0, merry.Errorf("decode head of job %s: %w: %w", o.Name, errUnreadable, err)
 	}
-	for _, e := range c.Events {
-		if e.Deleted {
-			h.dropJob(e.Object.Name)
-			continue
-		}
-		h.applyJob(e.Object, byWatch)
+	tokens := head.PartTokens
+	for _, i := range head.Items {
+		tokens += i.Tokens
 	}
+	return batch.Job{ID: o.Name, Host: head.Host, Path: head.Path, Account: head.Account, Parts: head.Parts}, tokens, nil
 }
 
-// loadConcurrency is the number of jobs whose results are read at the same time.
-const loadConcurrency = 4
+// queueLoad records a job that is to be loaded; the mutex is held.
+func (h *Home) queueLoad(l *loading) {
+	name := l.o.Name
+	l.since, l.initial = h.opts.Now(), !h.listedOnce
+	if l.initial {
+		h.initialLoads++
+	}
+	h.loading[name] = l
+	delete(h.reserved, name)
+	if !l.broken {
+		h.loadQueue = append(h.loadQueue, l)
+		h.startLoaders()
+	}
+}
 
-// load loads all jobs, and the results of those that may have open items.
-func (h *Home) load(objects []object.Object) {
-	h.mu.Lock()
-	first := !h.loaded
-	h.mu.Unlock()
-	if first {
-		h.opts.Log.Info().Int("jobs", len(objects)).Int64("term", h.opts.Term).Msg("jobsLoading")
-		h.loadListed(objects)
+// startLoaders starts goroutines that load the queued jobs; the mutex is held.
+func (h *Home) startLoaders() {
+	for h.hintRead && h.loaders < min(loadConcurrency, len(h.loadQueue)) && h.ctx.Err() == nil {
+		h.loaders++
+		h.done.Go(h.runLoader)
 	}
-	var group sync.WaitGroup
-	limit := make(chan struct{}, loadConcurrency)
-	for _, o := range objects {
-		if h.hasJob(o.Name) {
-			h.applyJob(o, byListing) // the kind is listed again; the home already has the job's results
-			continue
+}
+
+// runLoader loads queued jobs until none is left.
+func (h *Home) runLoader() {
+	for {
+		h.mu.Lock()
+		l := h.nextLoad()
+		if l == nil {
+			h.loaders--
+			h.mu.Unlock()
+			return
 		}
-		limit <- struct{}{}
-		group.Go(func() {
-			defer func() { <-limit }()
-			h.loadWithResults(o)
-		})
+		ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
+		l.cancel = cancel
+		h.mu.Unlock()
+		h.tryLoad(ctx, l)
+		cancel()
 	}
-	group.Wait()
-	h.mu.Lock()
-	h.loaded = true
-	open := 0
-	for _, j := range h.jobs {
-		if !j.log.Done() {
-			open++
+}
+
+// nextLoad takes a job from the queue; nil if there is none or the home ends. The mutex is held.
+func (h *Home) nextLoad() *loading {
+	for len(h.loadQueue) > 0 && h.ctx.Err() == nil {
+		l := h.loadQueue[0]
+		h.loadQueue = slices.Delete(h.loadQueue, 0, 1)
+		if h.loading[l.o.Name] == l {
+			return l
 		}
 	}
-	h.mu.Unlock()
-	h.opts.Log.Info().Int("jobs", len(objects)).Int("open", open).Msg("jobsLoaded")
+	return nil
 }
 
-// loadWithResults loads a job that may have results of an earlier home and starts its open items. A job that
-// needs no more runs is not loaded; readers get it from the object service.
-func (h *Home) loadWithResults(o object.Object) {
-	if s := decodeStatus(o); s.Listed || s.Ended || h.listed.has(o.Name) {
-		h.skipJob(o)
+// tryLoad reads a job and its results and starts its open items.
+func (h *Home) tryLoad(ctx context.Context, l *loading) {
+	if l.stale && !h.readAgain(ctx, l) {
 		return
 	}
-	for h.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
-		log, err := decodeJob(ctx, h.opts.Objects, o)
-		if err == nil {
-			log, err = LoadChunks(ctx, h.opts.Objects, log)
-		}
+	h.mu.Lock()
+	o := l.o
+	h.mu.Unlock()
+	log, err := decodeJob(ctx, h.opts.Objects, o)
+	if err == nil && !l.isNew {
+		log, err = LoadChunks(ctx, h.opts.Objects, log)
 		if err == nil {
 			log, err = h.seal(ctx, log)
 		}
-		cancel()
-		if err == nil {
-			h.startJob(o, log)
-			return
-		}
-		h.opts.Log.Warn().Str("job", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("jobNotRead")
-		if errors.Is(err, errUnreadable) || errors.Is(err, errReplaced) {
-			return
-		}
-		time.Sleep(retryPause)
 	}
+	if err != nil {
+		h.loadFailed(l, err)
+		return
+	}
+	h.mu.Lock()
+	if h.loading[o.Name] != l {
+		h.mu.Unlock()
+		return // ended or removed while it was read
+	}
+	h.endLoading(l)
+	if len(log.Open()) == 0 {
+		h.listed.add(o.Name)
+	}
+	h.hold(o, log)
+	h.mu.Unlock()
+	h.startItems(o.Name)
 }
 
-// seal writes an empty chunk of this home's term at the position at which an earlier home would append its
-// next results, so that no results are listed that this home doesn't have.
-func (h *Home) seal(ctx context.Context, log batch.Log) (batch.Log, error) {
-	id := log.Job().ID
-	if log.Term() > h.opts.Term {
-		return log, merry.Errorf("job %s is at the home of term %d: %w", id, log.Term(), errReplaced)
+// readAgain reads the object of a job whose copy may be obsolete. It reports whether the job is still to be loaded.
+func (h *Home) readAgain(ctx context.Context, l *loading) bool {
+	name, readAt := l.o.Name, h.opts.Now()
+	o, err := h.opts.Objects.Get(ctx, KindJobs, name)
+	if errors.Is(err, store.ErrNotFound) {
+		h.dropJob(name, l.o.Revision)
+		return false
 	}
-	c := batch.Chunk{From: log.Len(), Term: h.opts.Term}
-	_, err := object.CreateConfirmed(ctx, h.opts.Objects, resultsKind(id), chunkName(log.Chunks()), c)
 	if err != nil {
-		return log, merry.Errorf("seal results of job %s: %w", id, err)
+		h.loadFailed(l, err)
+		return false
 	}
-	return log.WithChunk(c)
-}
-
-// hasJob reports that a job has been loaded.
-func (h *Home) hasJob(id string) bool {
+	l.stale = false
+	h.mu.Lock()
+	h.tombstones.Confirm(name, readAt)
+	h.mu.Unlock()
+	h.applyJob(o, byListing)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.jobs[id] != nil
+	return h.loading[name] == l
 }
 
-const (
-	// jobsWatchGap gathers the jobs of a large site, which come many a second; they are due many seconds later.
-	jobsWatchGap = 200 * time.Millisecond
-	// watchLag is how long the watch may take to deliver a stored job before the kind is listed; an object
-	// service without load reports a change within a few milliseconds.
-	watchLag = 300*time.Millisecond + jobsWatchGap
-	// undeliveredLimit is how long the kind is listed for a job that neither the watch nor the listings
-	// deliver.
-	undeliveredLimit = 5 * time.Second
-)
-
-// noteStored records that the object service has stored a job that this home may not have received yet.
-func (h *Home) noteStored(id string) {
+// loadFailed queues a job again that could not be read, after a pause.
+func (h *Home) loadFailed(l *loading, err error) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if _, noted := h.undelivered[id]; !noted && h.jobs[id] == nil {
-		h.undelivered[id] = h.opts.Now()
+	if h.loading[l.o.Name] != l || h.ctx.Err() != nil {
+		h.mu.Unlock()
+		return
+	}
+	pause := min(retryPause<<min(l.failures, 8), lastLoadPause)
+	l.failures++
+	l.stale = true
+	l.broken = errors.Is(err, errUnreadable) || errors.Is(err, errReplaced)
+	if l.broken {
+		h.awaitNoLonger(l)
+	}
+	failures := l.failures
+	h.mu.Unlock()
+	h.opts.Log.Warn().Str("job", l.o.Name).Int64("revision", int64(l.o.Revision)).Int("failures", failures).Bool("broken", l.broken).Err(err).Msg("jobNotRead")
+	if l.broken {
+		return
 	}
+	h.done.Go(func() {
+		if clock.Sleep(h.ctx, pause) != nil {
+			return
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.loadQueue = append(h.loadQueue, l)
+		h.startLoaders()
+	})
 }
 
-// verifyJobs returns watchLag as the listing interval while the watch is late with a stored job, and 0
-// otherwise.
-func (h *Home) verifyJobs() time.Duration {
-	now := h.opts.Now()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	late := false
-	for id, since := range h.undelivered {
-		age := now.Sub(since)
-		if age > undeliveredLimit || h.jobs[id] != nil {
-			delete(h.undelivered, id)
-			continue
-		}
-		late = late || age >= watchLag
+// endLoading forgets a job that is loaded, or needs to be loaded no longer; the mutex is held.
+func (h *Home) endLoading(l *loading) {
+	delete(h.loading, l.o.Name)
+	if l.cancel != nil {
+		l.cancel()
 	}
-	if !late {
-		return 0
-	}
-	return watchLag
+	h.awaitNoLonger(l)
 }
 
-// applyJob applies a change of a job. It starts a new job without reading results, since it has none yet.
-func (h *Home) applyJob(o object.Object, way endWay) {
-	exists := h.hasJob(o.Name)
-	status := decodeStatus(o)
-	switch {
-	case exists && status.Ended:
-		h.endJob(o.Name, status.End, way)
-	case exists:
-	case status.Ended || status.Listed || h.listed.has(o.Name):
-		h.skipJob(o)
-	default:
-		ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
-		defer cancel()
-		log, err := decodeJob(ctx, h.opts.Objects, o)
-		if err != nil {
-			h.opts.Log.Error().Str("job", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("jobSkipped")
-			if !errors.Is(err, errUnreadable) {
-				h.done.Go(func() { h.readAgain(o.Name) })
-			}
-			return
-		}
-		h.startJob(o, log)
+// awaitNoLonger records that the home counts as loaded without a job; the mutex is held.
+func (h *Home) awaitNoLonger(l *loading) {
+	if l.initial {
+		l.initial = false
+		h.initialLoads--
+		h.noteLoaded()
 	}
 }
 
-// readAgain applies a job whose items could not be read.
-func (h *Home) readAgain(id string) {
-	for clock.Sleep(h.ctx, retryPause) == nil {
-		ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
-		o, err := h.opts.Objects.Get(ctx, KindJobs, id)
-		cancel()
-		if err == nil {
-			h.applyJob(o, byListing)
-		}
-		if err == nil || errors.Is(err, store.ErrNotFound) {
-			return
+// noteLoaded records that the home has loaded the jobs that existed at its start; the mutex is held.
+func (h *Home) noteLoaded() {
+	if h.loaded || !h.hintRead || h.initialLoads > 0 {
+		return
+	}
+	h.loaded = true
+	open := 0
+	for _, j := range h.jobs {
+		if !j.log.Done() {
+			open++
 		}
 	}
+	h.opts.Log.Info().Int("jobs", len(h.jobs)+len(h.unloaded)).Int("open", open).Int("unread", len(h.loading)).
+		Dur("tookMillis", h.opts.Now().Sub(h.startedAt)).Msg("jobsLoaded")
 }
 
-// startJob adds a job and starts its open items.
-func (h *Home) startJob(o object.Object, log batch.Log) {
-	now := h.opts.Now()
-	age := max(h.opts.TimeOfDay().Sub(log.Job().AcceptedAt), 0)
+// sweepLoads stops waiting for jobs that can't be read, and updates the metrics.
+func (h *Home) sweepLoads(now time.Time) {
 	h.mu.Lock()
-	if current := h.jobs[o.Name]; current != nil {
-		if log.Len() > current.log.Len() {
-			current.setLog(log)
+	defer h.mu.Unlock()
+	h.tombstones.Expire(now)
+	unread := 0
+	for name, l := range h.loading {
+		if l.failures == 0 && !l.broken {
+			continue
+		}
+		unread++
+		if l.initial && now.Sub(l.since) > loadPatience {
+			h.opts.Log.Error().Str("job", name).Int("failures", l.failures).Msg("jobMissing")
+			h.awaitNoLonger(l)
 		}
-		h.mu.Unlock()
-		return
-	}
-	if _, done := h.unloaded[o.Name]; done {
-		h.mu.Unlock()
-		return // it was ended while its items were read again
-	}
-	j := &job{
-		log: log.WithoutListedBodies(), parted: len(log.Job().Split(jobBytes)) > 1, changed: make(chan struct{}), runs: make(map[string]*run),
-		acceptedAt: now.Add(-age), removeAt: now.Add(h.opts.ResultRetention - age),
-	}
-	route, ok := h.opts.Config().Match(log.Job().Host, log.Job().Path)
-	if ok {
-		j.maxRuns = route.MaxAttempts
-		j.dueAt = j.acceptedAt.Add(route.Completion)
 	}
-	h.jobs[o.Name] = j
-	delete(h.reserved, o.Name)
-	j.refused = h.noteSubmission(o.Name)
-	h.mu.Unlock()
-	h.opts.Log.Info().Str("job", o.Name).Str("route", route.Name).Int("items", len(log.Job().Items)).Int("listed", log.Len()).
-		Int64("revision", int64(o.Revision)).Dur("ageMillis", age).Dur("dueInMillis", route.Completion-age).Msg("jobTaken")
-	h.startItems(o.Name)
+	h.metrics.loads.loading.Update(int64(len(h.loading)))
+	h.metrics.loads.unread.Update(int64(unread))
 }
 
-// skipJob records a job that needs no more runs, so that it is not refused when its caller sends it again.
-func (h *Home) skipJob(o object.Object) {
-	owner, err := decodeOwner(o)
+// seal writes an empty chunk of this home's term at the position at which an earlier home would append its
+// next results, so that no results are listed that this home doesn't have.
+func (h *Home) seal(ctx context.Context, log batch.Log) (batch.Log, error) {
+	id := log.Job().ID
+	if log.Term() > h.opts.Term {
+		return log, merry.Errorf("job %s is at the home of term %d: %w", id, log.Term(), errReplaced)
+	}
+	c := batch.Chunk{From: log.Len(), Term: h.opts.Term}
+	_, err := object.CreateConfirmed(ctx, h.opts.Objects, resultsKind(id), chunkName(log.Chunks()), c)
 	if err != nil {
-		h.opts.Log.Error().Str("job", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("jobSkipped")
-		return
+		return log, merry.Errorf("seal results of job %s: %w", id, err)
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.unloaded[o.Name] = owner
-	h.noteSubmission(o.Name)
+	return log.WithChunk(c)
 }
 
-func (h *Home) dropJob(id string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.unloaded, id)
-	if j := h.jobs[id]; j != nil {
-		j.cancelRuns()
-		delete(h.jobs, id)
-	}
+// judge returns what a copy of a job is worth by what the home was told before; the mutex is held.
+func (h *Home) judge(o object.Object) tombstone.Verdict {
+	return h.tombstones.Judge(h.opts.Now(), o.Name, int64(o.Revision))
 }
--- a/io/home/load_test.go
+++ b/io/home/load_test.go
@@ -7,12 +7,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
-	"mothcart/core/batch"
-	"mothcart/core/site"
-	"mothcart/core/submission"
 	"mothcart/io/object"
 	"mothcart/io/store"
 )
@@ -39,11 +35,10 @@
 					return list(ctx, kind, after)
 				}
 				ctx, cancel := context.WithCancel(t.Context())
-				h := &Home{
-					ctx: ctx, jobs: map[string]*job{}, unloaded: map[string]batch.Job{}, listed: newListedJobs(), submissions: submission.NewTable(),
-					opts: Options{Objects: c, Config: func() site.Config { return site.Config{} }, Now: time.Now, TimeOfDay: time.Now, Log: zerolog.Nop()},
-				}
+				h := newLoadingHome(ctx, c)
+				h.hintRead = true
 				h.applyJobs(object.Change{Events: []object.Event{{Object: o}}})
+				synctest.Wait() // the items could not be read once
 				require.False(t, h.hasJob("j1"))
 				readable.Store(true)
 				if tc.ended {
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -233,7 +233,7 @@
 }
 
 type reserveAnswer struct {
-	// Undecided means that the home can't decide now: it has not loaded the jobs or has no route.
+	// Undecided means that the home can't decide now: it does not know the jobs or has no route.
 	Undecided bool `msgpack:"unsure,omitempty"`
 	OK        bool `msgpack:"ok"`
 	// Open is the size of all open items of the route, in tokens.
@@ -300,7 +300,7 @@
 	Limits []limitRecord `msgpack:"limits,omitempty"`
 	// Asking is the number of nodes with requests of accounts.
 	Asking int `msgpack:"asking,omitempty"`
-	// Counted reports that the home has loaded the jobs; Open are then all routes and accounts with open items.
+	// Counted reports that the home knows the jobs; Open are then all routes and accounts with open items.
 	Counted bool        `msgpack:"counted,omitempty"`
 	Open    []openCount `msgpack:"open,omitempty"`
 }
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -85,6 +85,7 @@
 				return merry.Errorf("write part %d of job %s: %w", i, job.ID, err)
 			}
 		}
+		job.PartTokens = job.Tokens()
 		job.Items, job.Parts = nil, len(groups)
 	}
 	return createOwn(ctx, c, KindJobs, job.ID, job.Account, job)
--- a/io/home/remove_test.go
+++ b/io/home/remove_test.go
@@ -10,6 +10,7 @@
 
 	"mothcart/core/batch"
 	"mothcart/core/site"
+	"mothcart/core/tombstone"
 	"mothcart/io/object"
 	"mothcart/io/store"
 )
@@ -23,7 +24,7 @@
 		require.NoError(t, err)
 		deletions, results := 0, []object.Object{{Name: "000000"}}
 		h := &Home{
-			ctx: context.Background(), listed: newListedJobs(), jobs: map[string]*job{"j": {log: log, removeAt: now}},
+			ctx: context.Background(), listed: newListedJobs(), jobs: map[string]*job{"j": {log: log, removeAt: now}}, tombstones: tombstone.NewTable(),
 			opts: Options{
 				Config: func() site.Config { return site.Config{} }, Now: func() time.Time { return now }, Log: zerolog.Nop(),
 				Objects: object.Client{
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -62,13 +62,23 @@
 // itemKey returns the key of a slot that the home asks for an item.
 func itemKey(id uint64) slot.Key { return slot.Key{Owner: batchOwner, ID: id} }
 
-// startItems asks for a slot for each open item that has no run.
+// startItems asks for a slot for each open item that has no run, once the progress of the previous home's items is known.
 func (h *Home) startItems(id string) {
 	select {
 	case <-h.progressLoaded:
-	case <-h.ctx.Done():
-		return
+		h.askSlots(id)
+	default:
+		h.done.Go(func() {
+			select {
+			case <-h.progressLoaded:
+				h.askSlots(id)
+			case <-h.ctx.Done():
+			}
+		})
 	}
+}
+
+func (h *Home) askSlots(id string) {
 	h.mu.Lock()
 	j := h.jobs[id]
 	var started []*run
--- a/io/home/submission.go
+++ b/io/home/submission.go
@@ -76,12 +76,12 @@
 	switch {
 	case h.existsFor(a.Job, account):
 		standing = Stored
-	case alone && h.loaded && valid && now.Sub(h.startedAt) >= settleGrace && !h.exists(a.Job):
+	case alone && h.listedOnce && valid && now.Sub(h.startedAt) >= settleGrace && !h.exists(a.Job):
 		standing = Settled
 		delete(h.reserved, a.Job)
 	}
 	h.opts.Log.Info().Str("job", a.Job).Str("attempt", a.ID).Stringer("standing", standing).Int("open", h.submissions.OpenOf(a.Job)).
-		Bool("loaded", h.loaded).Bool("valid", valid).Msg("submissionWithdrawn")
+		Bool("listed", h.listedOnce).Bool("valid", valid).Msg("submissionWithdrawn")
 	return standing
 }
 
--- a/io/home/submission_test.go
+++ b/io/home/submission_test.go
@@ -32,7 +32,7 @@
 		_, err := first.Reserve(t.Context(), job, a)
 		require.ErrorIs(t, err, ErrNoHome, "it has not loaded the jobs and has no route")
 		h.mu.Lock()
-		h.loaded = true
+		h.listedOnce = true
 		h.mu.Unlock()
 		time.Sleep(settleGrace)
 		require.Equal(t, Unsettled, second.Withdraw(t.Context(), second.BeginSubmission(job.ID), job))
@@ -55,7 +55,7 @@
 		_, err := first.Reserve(t.Context(), job, a)
 		require.ErrorIs(t, err, ErrNoHome, "the connection isn't used yet")
 		h.mu.Lock()
-		h.loaded = true
+		h.listedOnce = true
 		h.mu.Unlock()
 		time.Sleep(settleGrace)
 		require.Equal(t, Unsettled, second.Withdraw(t.Context(), second.BeginSubmission(job.ID), job))
--- a/io/node/ended_test.go
+++ b/io/node/ended_test.go
@@ -95,3 +95,27 @@
 		s.requireNoItemAfter("j2", 10, ended)
 	})
 }
+
+// Guards against items that run again after their job was done: the removal of the job was interrupted behind its results, and
+// the next home can't read at first which jobs have all results.
+func TestInterruptedRemovalRunsNoItemAgain(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 4).status)
+		s.awaitJob(1, "j1", 5*time.Second)
+		time.Sleep(5 * time.Second)
+		for i := range s.objects.Calls()["POST "+home.ResultsPrefix+"j1"] {
+			s.objects.Remove(home.ResultsPrefix+"j1", fmt.Sprintf("%06d", i))
+		}
+		s.killHome(1)
+		s.killHome(2)
+		s.objects.SetFault(fake.Fault{RefusedReads: []string{home.KindListed}})
+		s.startHome(1)
+		s.startHome(2)
+		time.Sleep(5 * time.Second)
+		s.objects.SetFault(fake.Fault{})
+		time.Sleep(10 * time.Second)
+		for i := range 4 {
+			require.Equal(t, 1, s.runsOf(fmt.Sprintf("j1.%d", i)))
+		}
+	})
+}
