A job is removed only when the next home would know that it was done

Callers saw: nothing yet in a record; items of a job that was done could run again.

Cause: a removal deletes the results, then the parts, then the job. A home that found the job without its results ran all its items, if the hint of complete jobs lacked it (it is written at most every 2 s, and its failure was only logged) or could not be read at first.

Why it works: a job with results is removed only once the stored hint names it; an ended job bears its end itself. A removed job leaves the hint with the next write, so that a later job with its ID is not taken for complete.

--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -277,7 +277,8 @@
 	var remove []string
 	for id, j := range h.jobs {
 		if j.log.Done() {
-			if now.After(j.removeAt) {
+			// Without its results and the hint the next home would run the items of the job again.
+			if now.After(j.removeAt) && (j.log.Ended() || h.listed.isStored(id)) {
 				remove = append(remove, id)
 			}
 			continue
--- a/io/home/listed.go
+++ b/io/home/listed.go
@@ -54,6 +54,13 @@
 	}
 }
 
+// isStored reports that the object names a job.
+func (l *listedJobs) isStored(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ids[id]
+}
+
 // remove forgets a job; the object must not name a later one with its ID.
 func (l *listedJobs) remove(id string) {
 	l.mu.Lock()
