Loads of jobs: one order of locks, and no field read without one

Found by reading: the hint was read with its own mutex held while it asked for the home's, against the order elsewhere; a load read the newest copy of its object without the home's mutex; a job that was removed and created again while its object was read stayed without a load; a job that can't be decoded stayed so although a newer copy came. io/home passes with the race detector.

--- a/io/home/apply.go
+++ b/io/home/apply.go
@@ -158,14 +158,18 @@
 // applyKnown applies a copy of a job that the home knows. It reports false if the home doesn't know the job.
 func (h *Home) applyKnown(o object.Object, status jobStatus, way endWay) bool {
 	h.mu.Lock()
+	l := h.loading[o.Name]
+	if l != nil && o.Revision > l.o.Revision {
+		l.o = o
+		if l.broken {
+			h.endLoading(l) // the newer copy may be readable
+		}
+	}
 	known := h.exists(o.Name)
 	if j := h.jobs[o.Name]; j != nil {
 		j.revision = max(j.revision, o.Revision)
 	}
-	if l := h.loading[o.Name]; l != nil && o.Revision > l.o.Revision {
-		l.o = o
-	}
-	if l := h.loading[o.Name]; l != nil && status.Listed {
+	if l != nil && known && status.Listed {
 		h.endLoading(l)
 		h.settle(o, l.job)
 	}
--- a/io/home/listed.go
+++ b/io/home/listed.go
@@ -143,11 +143,16 @@
 func (h *Home) loadListed() error {
 	ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
 	defer cancel()
-	err := h.listed.load(ctx, h.opts.Objects, func(id string) bool {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		return h.exists(id)
-	})
+	h.mu.Lock()
+	exists := make(map[string]bool, len(h.loading)+len(h.jobs))
+	for id := range h.loading {
+		exists[id] = true
+	}
+	for id := range h.jobs {
+		exists[id] = true
+	}
+	h.mu.Unlock()
+	err := h.listed.load(ctx, h.opts.Objects, func(id string) bool { return exists[id] })
 	if errors.Is(err, errUnreadable) {
 		h.opts.Log.Error().Err(err).Msg("listedJobsNotRead") // the results of these jobs are read instead
 		return nil
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -27,9 +26,11 @@
 	loadPatience = 10 * time.Second
 )
 
-// loading is a job that the home knows by its object and has not loaded yet.
+// loading is a job that the home knows by its object and has not loaded yet. It is used under the home's mutex, but for what
+// never changes and for stale, which only the goroutine that reads the job uses.
 type loading struct {
-	// o is the newest copy of the object; job is the job in it without its items, whose tokens are tokens.
+	// o is the newest copy of the object; job is the job in it without its items, whose tokens are tokens. The latter two
+	// never change.
 	o      object.Object
 	job    batch.Job
 	tokens int64
@@ -85,17 +86,17 @@
 
 // queueLoad records a job that is to be loaded; the mutex is held.
 func (h *Home) queueLoad(l *loading) {
-	name := l.o.Name
+	h.loading[l.job.ID] = l
+	delete(h.reserved, l.job.ID)
+	if l.broken {
+		return
+	}
 	l.since, l.initial = h.opts.Now(), !h.listedOnce
 	if l.initial {
 		h.initialLoads++
 	}
-	h.loading[name] = l
-	delete(h.reserved, name)
-	if !l.broken {
-		h.loadQueue = append(h.loadQueue, l)
-		h.startLoaders()
-	}
+	h.loadQueue = append(h.loadQueue, l)
+	h.startLoaders()
 }
 
 // startLoaders starts goroutines that load the queued jobs; the mutex is held.
@@ -128,8 +129,8 @@
 func (h *Home) nextLoad() *loading {
 	for len(h.loadQueue) > 0 && h.ctx.Err() == nil {
 		l := h.loadQueue[0]
-		h.loadQueue = slices.Delete(h.loadQueue, 0, 1)
-		if h.loading[l.o.Name] == l {
+		h.loadQueue = h.loadQueue[1:]
+		if h.loading[l.job.ID] == l {
 			return l
 		}
 	}
@@ -171,14 +172,16 @@
 
 // readAgain reads the object of a job whose copy may be obsolete. It reports whether the job is still to be loaded.
 func (h *Home) readAgain(ctx context.Context, l *loading) bool {
-	name, readAt := l.o.Name, h.opts.Now()
+	name, readAt := l.job.ID, h.opts.Now()
+	h.mu.Lock()
+	known := l.o.Revision
+	h.mu.Unlock()
 	o, err := h.opts.Objects.Get(ctx, KindJobs, name)
 	if errors.Is(err, store.ErrNotFound) {
-		h.dropJob(name, l.o.Revision)
-		return false
+		h.dropJob(name, known)
 	}
 	if err != nil {
-		h.loadFailed(l, err)
+		h.loadFailed(l, err) // without effect if the job was dropped
 		return false
 	}
 	l.stale = false
@@ -194,7 +197,7 @@
 // loadFailed queues a job again that could not be read, after a pause.
 func (h *Home) loadFailed(l *loading, err error) {
 	h.mu.Lock()
-	if h.loading[l.o.Name] != l || h.ctx.Err() != nil {
+	if h.loading[l.job.ID] != l || h.ctx.Err() != nil {
 		h.mu.Unlock()
 		return
 	}
@@ -205,10 +208,10 @@
 	if l.broken {
 		h.awaitNoLonger(l)
 	}
-	failures := l.failures
+	h.opts.Log.Warn().Str("job", l.job.ID).Int64("revision", int64(l.o.Revision)).Int("failures", l.failures).Bool("broken", l.broken).Err(err).Msg("jobNotRead")
+	broken := l.broken
 	h.mu.Unlock()
-	h.opts.Log.Warn().Str("job", l.o.Name).Int64("revision", int64(l.o.Revision)).Int("failures", failures).Bool("broken", l.broken).Err(err).Msg("jobNotRead")
-	if l.broken {
+	if broken {
 		return
 	}
 	h.done.Go(func() {
@@ -224,7 +227,7 @@
 
 // endLoading forgets a job that is loaded, or needs to be loaded no longer; the mutex is held.
 func (h *Home) endLoading(l *loading) {
-	delete(h.loading, l.o.Name)
+	delete(h.loading, l.job.ID)
 	if l.cancel != nil {
 		l.cancel()
 	}
