Two jobs with one ID, one after the other, are told apart

A job that is sent again with the ID of a removed one could be ended by the late notice of the former one's end, or never run, since a copy of it counted as a copy of the former one.

TestOlderCopyOfAJobDoesNotBringItBack has the cases.

Why it works: objects bear the revision of their creation, which the platform's service tells, and so do notices of ends. A copy with a later one replaces the job, an earlier one is ignored. An end without a revision (from an earlier release) makes the home read the object; a home that writes an end for an entry applies it at once and tells the entry its revision.

--- a/core/tombstone/tombstone.go
+++ b/core/tombstone/tombstone.go
@@ -42,7 +42,7 @@
 
 // covers reports that a copy of the object is older than the change.
 func (s Tombstone) covers(revision int64) bool {
-	return revision < s.Revision || (s.Kind == Removed && revision == s.Revision)
+	return revision < s.Revision || (s.Kind == Removed && s.Revision != 0 && revision == s.Revision)
 }
 
 // Verdict is what a copy of an object is worth.
@@ -63,23 +63,28 @@
 	tombstones map[string]entry
 }
 
+// entry holds the newest tombstone of an object. Doubtful reports that there is one of unknown revision as well.
 type entry struct {
 	Tombstone
-	at time.Time
+	doubtful bool
+	at       time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{tombstones: make(map[string]entry)} }
 
-// Add adds a tombstone. A tombstone with an older revision does not replace a newer one; a known revision replaces an unknown one.
+// Add adds a tombstone. One with an older revision does not replace a newer one.
 func (t *Table) Add(now time.Time, name string, s Tombstone) {
-	if current, ok := t.tombstones[name]; ok && current.Revision > s.Revision {
-		return
-	}
-	if len(t.tombstones) >= maxTombstones {
+	e, ok := t.tombstones[name]
+	if !ok && len(t.tombstones) >= maxTombstones {
 		t.dropOldest()
 	}
-	t.tombstones[name] = entry{s, now}
+	if s.Revision >= e.Revision {
+		e.Tombstone = s
+	}
+	e.doubtful = e.doubtful || s.Revision == 0
+	e.at = now
+	t.tombstones[name] = e
 }
 
 // Judge returns what a copy of an object with a revision is worth.
@@ -88,21 +93,22 @@
 	switch {
 	case !ok || now.Sub(e.at) > Lifetime:
 		return Current
-	case e.Revision == 0:
-		return Doubtful
-	case !e.covers(revision):
-		return Current
-	case e.Kind == Ended:
+	case e.covers(revision) && e.Kind == Ended:
 		return IsEnded
-	default:
+	case e.covers(revision):
 		return IsRemoved
+	case e.doubtful:
+		return Doubtful
+	default:
+		return Current
 	}
 }
 
-// Confirm drops a tombstone of unknown revision if it was added before an object was read, at readAt.
+// Confirm settles the doubt about an object that was read at readAt, if no tombstone was added since.
 func (t *Table) Confirm(name string, readAt time.Time) {
-	if e, ok := t.tombstones[name]; ok && e.Revision == 0 && !e.at.After(readAt) {
-		delete(t.tombstones, name)
+	if e, ok := t.tombstones[name]; ok && !e.at.After(readAt) {
+		e.doubtful = false
+		t.tombstones[name] = e
 	}
 }
 
--- a/core/tombstone/tombstone_test.go
+++ b/core/tombstone/tombstone_test.go
@@ -29,6 +29,7 @@
 		{"an end that is repeated without its revision", []Tombstone{{Ended, 7}, {Ended, 0}}, time.Second, 6, IsEnded},
 		{"an end, then the removal", []Tombstone{{Ended, 7}, {Removed, 9}}, time.Second, 8, IsRemoved},
 		{"a late event of the end after the removal", []Tombstone{{Removed, 9}, {Ended, 7}}, time.Second, 8, IsRemoved},
+		{"an end of unknown revision, then the removal of an earlier object", []Tombstone{{Ended, 0}, {Removed, 5}}, time.Second, 6, Doubtful},
 		{"long ago", []Tombstone{{Removed, 9}}, Lifetime + time.Second, 8, Current},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -169,7 +169,7 @@
 	own := store.OutcomeOf(err)
 	so, by := own, "entry"
 	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		err = h.opts.Home.EndJob(r.Context(), c.Job, c.Account, end)
+		end, err = h.opts.Home.EndJob(r.Context(), c.Job, c.Account, end)
 		so, by = so.With(store.OutcomeOf(err)), "home"
 	}
 	switch {
--- a/io/home/apply.go
+++ b/io/home/apply.go
@@ -158,6 +158,12 @@
 // applyKnown applies a copy of a job that the home knows. It reports false if the home doesn't know the job.
 func (h *Home) applyKnown(o object.Object, status jobStatus, way endWay) bool {
 	h.mu.Lock()
+	if created, ok := h.createdAt(o.Name); ok && created > 0 && o.Created > created {
+		h.forget(o.Name) // the job was removed, and another one has its ID
+	} else if ok && o.Created > 0 && o.Created < created {
+		h.mu.Unlock()
+		return true
+	}
 	l := h.loading[o.Name]
 	if l != nil && o.Revision > l.o.Revision {
 		l.o = o
@@ -183,12 +189,12 @@
 // settledJob is a job that needs no more runs and is not loaded, without its items.
 type settledJob struct {
 	batch.Job
-	revision object.Revision
+	revision, created object.Revision
 }
 
 // settle records a job that needs no more runs, so that it is not refused when its caller sends it again; the mutex is held.
 func (h *Home) settle(o object.Object, job batch.Job) {
-	h.unloaded[o.Name] = settledJob{job, o.Revision}
+	h.unloaded[o.Name] = settledJob{job, o.Revision, o.Created}
 	h.noteSubmission(o.Name)
 }
 
@@ -198,7 +204,7 @@
 	age := max(h.opts.TimeOfDay().Sub(log.Job().AcceptedAt), 0)
 	j := &job{
 		log: log.WithoutListedBodies(), parted: len(log.Job().Split(jobBytes)) > 1, changed: make(chan struct{}), runs: make(map[string]*run),
-		revision: o.Revision, acceptedAt: now.Add(-age), removeAt: now.Add(h.opts.ResultRetention - age),
+		revision: o.Revision, created: o.Created, acceptedAt: now.Add(-age), removeAt: now.Add(h.opts.ResultRetention - age),
 	}
 	route, ok := h.opts.Config().Match(log.Job().Host, log.Job().Path)
 	if ok {
@@ -221,11 +227,16 @@
 		return
 	}
 	h.tombstones.Add(h.opts.Now(), id, tombstone.Tombstone{Kind: tombstone.Removed, Revision: int64(at)})
+	h.forget(id)
+}
+
+// forget forgets a job and cancels its runs; the mutex is held.
+func (h *Home) forget(id string) {
 	delete(h.unloaded, id)
-	if l != nil {
+	if l := h.loading[id]; l != nil {
 		h.endLoading(l)
 	}
-	if j != nil {
+	if j := h.jobs[id]; j != nil {
 		j.cancelRuns()
 		delete(h.jobs, id)
 	}
--- a/io/home/apply_test.go
+++ b/io/home/apply_test.go
@@ -32,7 +32,11 @@
 // Guards against a job that comes back, since what was told of it came before it, or since an older copy of it came later.
 func TestOlderCopyOfAJobDoesNotBringItBack(t *testing.T) {
 	at := func(revision object.Revision, status string) object.Object {
-		return object.Object{Name: "j1", Revision: revision, Spec: json.RawMessage(`{"items":[{"id":"i"}]}`), Status: json.RawMessage(status)}
+		created := object.Revision(3)
+		if revision > 5 {
+			created = revision // another job with the ID
+		}
+		return object.Object{Name: "j1", Revision: revision, Created: created, Spec: json.RawMessage(`{"items":[{"id":"i"}]}`), Status: json.RawMessage(status)}
 	}
 	const open, ended = `{}`, `{"ended":true}`
 	listing := func(at object.Revision, objects ...object.Object) func(*Home) {
@@ -46,8 +50,9 @@
 			h.applyJobs(object.Change{Events: []object.Event{{Object: at(revision, open), Deleted: true}}})
 		}
 	}
+	oldNotice := func(h *Home) { h.endJob("j1", End{}, byNotice) }
 	notice := func(revision object.Revision) func(*Home) {
-		return func(h *Home) { h.endJob("j1", End{Revision: revision}, byNotice) }
+		return func(h *Home) { h.endJob("j1", End{Revision: revision, Created: at(revision, ended).Created}, byNotice) }
 	}
 	for _, tc := range []struct {
 		name  string
@@ -59,8 +64,8 @@
 		{"open", []func(*Home){listing(5, at(3, open))}, ptr(at(3, open)), true},
 		{"created later", []func(*Home){listing(5), event(at(6, open))}, ptr(at(6, open)), true},
 		{"notice before the first listing, which is older", []func(*Home){notice(4), listing(3, at(3, open))}, ptr(at(4, ended)), false},
-		{"notice of an earlier release before the first listing", []func(*Home){notice(0), listing(3, at(3, open))}, ptr(at(4, ended)), false},
-		{"notice of an earlier release of another job with the ID", []func(*Home){notice(0), listing(9, at(9, open))}, ptr(at(9, open)), true},
+		{"notice of an earlier release before the first listing", []func(*Home){oldNotice, listing(3, at(3, open))}, ptr(at(4, ended)), false},
+		{"notice of an earlier release of another job with the ID", []func(*Home){oldNotice, listing(9, at(9, open))}, ptr(at(9, open)), true},
 		{"notice while the job is read", []func(*Home){listing(3, at(3, open)), notice(4)}, ptr(at(4, ended)), false},
 		{"event while the job is read", []func(*Home){listing(3, at(3, open)), event(at(4, ended))}, ptr(at(4, ended)), false},
 		{"notice before the event of the creation", []func(*Home){listing(2), notice(4), event(at(3, open))}, ptr(at(4, ended)), false},
@@ -71,6 +76,10 @@
 		{"removal while the job is read", []func(*Home){listing(3, at(3, open)), removal(5)}, nil, false},
 		{"removal that only a listing shows", []func(*Home){listing(3, at(3, open)), listing(7)}, nil, false},
 		{"older listing without the job", []func(*Home){listing(2), event(at(6, open)), listing(4)}, ptr(at(6, open)), true},
+		{"notice of an earlier release of an earlier job with the ID, while the job is read", []func(*Home){listing(9, at(9, open)), oldNotice}, ptr(at(9, open)), true},
+		{"notice of an earlier release while the job is read", []func(*Home){listing(3, at(3, open)), oldNotice}, ptr(at(4, ended)), false},
+		{"notice for a later job with the ID", []func(*Home){listing(3, at(3, open)), notice(7), removal(5), event(at(6, open))}, nil, false},
+		{"listing with a later job of the ID before the events", []func(*Home){listing(3, at(3, ended)), listing(6, at(6, open)), removal(5), event(at(6, open))}, ptr(at(6, open)), true},
 		{"late removal of an earlier job with the ID", []func(*Home){listing(9, at(9, open)), removal(5)}, ptr(at(9, open)), true},
 		{"created again after the removal", []func(*Home){listing(2), event(at(3, open)), removal(5), event(at(6, open))}, ptr(at(6, open)), true},
 	} {
--- a/io/home/clientjobs.go
+++ b/io/home/clientjobs.go
@@ -101,26 +101,32 @@
 // Submit asks the home to write a job, for a node that can't reach the object service. Errors are
 // those of CreateJob; without a home it is store.ErrUnavailable.
 func (c *Client) Submit(ctx context.Context, job batch.Job, attempt submission.Attempt) error {
-	return c.write(ctx, job.Account, methodSubmit, submitRequest{ID: job.ID, Job: job, Attempt: attempt.ID})
+	_, err := c.write(ctx, job.Account, methodSubmit, submitRequest{ID: job.ID, Job: job, Attempt: attempt.ID})
+	return err
 }
 
-// EndJob asks the home to mark a job of an account as ended. Errors are those of the function EndJob.
-func (c *Client) EndJob(ctx context.Context, job, account string, end End) error {
-	return c.write(ctx, account, methodEnd, endRequest{Job: job, Account: account, End: end})
+// EndJob asks the home to mark a job of an account as ended, and returns the end with its revision if the home tells it.
+// Errors are those of the function EndJob.
+func (c *Client) EndJob(ctx context.Context, job, account string, end End) (End, error) {
+	a, err := c.write(ctx, account, methodEnd, endRequest{Job: job, Account: account, End: end})
+	if a.End.Revision != 0 {
+		end = a.End
+	}
+	return end, err
 }
 
-func (c *Client) write(ctx context.Context, account, method string, req any) error {
+func (c *Client) write(ctx context.Context, account, method string, req any) (writeAnswer, error) {
 	if !c.Connected() || !c.serves(account) {
-		return merry.Errorf("%s: %w: %w", method, ErrNoHome, store.ErrUnavailable)
+		return writeAnswer{}, merry.Errorf("%s: %w: %w", method, ErrNoHome, store.ErrUnavailable)
 	}
 	var a writeAnswer
 	if err := c.call(ctx, writeCallTimeout, method, req, &a); err != nil {
-		return merry.Errorf("%s: %w", method, store.LostError(err))
+		return a, merry.Errorf("%s: %w", method, store.LostError(err))
 	}
 	if err := a.Outcome.err(); err != nil {
-		return merry.Errorf("%s at the home: %w", method, err)
+		return a, merry.Errorf("%s at the home: %w", method, err)
 	}
-	return nil
+	return a, nil
 }
 
 // serves reports whether the home can tell what is an account's. One of a release without accounts takes each job for
--- a/io/home/end.go
+++ b/io/home/end.go
@@ -1,13 +1,17 @@
 package home
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"mothcart/core/tombstone"
+	"mothcart/io/clock"
 	"mothcart/io/object"
 	"mothcart/io/scrape"
+	"mothcart/io/store"
 )
 
 // End says which node acknowledged the end of a job, and when.
@@ -16,8 +20,10 @@
 	At time.Time `json:"endedAt,omitzero" msgpack:"at,omitempty"`
 	// By is the ID of the node's VM.
 	By string `json:"endedBy,omitempty" msgpack:"by,omitempty"`
-	// Revision is that of the job's object with the end; 0 if the node doesn't know it.
+	// Revision is that of the job's object with the end, Created the one at which it was created; 0 if the node doesn't know
+	// them.
 	Revision object.Revision `json:"-" msgpack:"rev,omitempty"`
+	Created  object.Revision `json:"-" msgpack:"born,omitempty"`
 }
 
 // endWay is how a home learns of the end of a job.
@@ -25,6 +31,7 @@
 
 const (
 	byNotice  endWay = "notice"
+	byWrite   endWay = "write"
 	byWatch   endWay = "watch"
 	byListing endWay = "listing"
 )
@@ -44,31 +51,36 @@
 	}
 }
 
-// endJob records that a job was ended and cancels its runs. An end that comes before the job is kept for it.
+// endJob records that a job was ended and cancels its runs. An end that comes before the job is kept for it; one that may be
+// that of another job with the same ID makes the home read the object.
 func (h *Home) endJob(id string, end End, way endWay) {
 	h.mu.Lock()
 	j, l := h.jobs[id], h.loading[id]
+	created, known := h.createdAt(id)
 	var open, running, after int
 	var last time.Duration
 	event := "jobEnded"
 	switch {
-	case j != nil && (j.log.Ended() || end.isOf(j.revision)), l != nil && end.isOf(l.o.Revision):
+	case j != nil && j.log.Ended():
 		h.mu.Unlock()
 		return
+	case !known, end.Created > created && created > 0:
+		event = "endOfJobNotHeld"
+		h.tombstones.Add(h.opts.Now(), id, tombstone.Tombstone{Kind: tombstone.Ended, Revision: int64(end.Revision)})
+	case j == nil && l == nil, end.Created < created && end.Created > 0:
+		event = "endOfJobNotHeld"
+	case end.Revision == 0 && way == byNotice:
+		event = "endToConfirm"
+		h.done.Go(func() { h.confirmEnd(id) })
 	case j != nil:
 		open = len(j.log.Open())
 		after, last = j.itemsAfter(end)
 		j.setLog(j.log.WithEnded())
 		j.finished = nil
 		running = j.cancelRuns()
-	case l != nil:
+	default:
 		h.endLoading(l)
 		h.settle(l.o, l.job)
-	default:
-		event = "endOfJobNotHeld"
-		if !h.exists(id) {
-			h.tombstones.Add(h.opts.Now(), id, tombstone.Tombstone{Kind: tombstone.Ended, Revision: int64(end.Revision)})
-		}
 	}
 	h.mu.Unlock()
 	if event == "jobEnded" {
@@ -78,9 +90,36 @@
 		Bool("loaded", j != nil).Int("open", open).Int("running", running).Int("itemsAfter", after).Dur("lastItemMillis", last).Msg(event)
 }
 
-// isOf reports that an end is that of an earlier job with the same ID as the one whose object has a revision: no copy of a
-// job that was ended is newer than its end and open.
-func (e End) isOf(revision object.Revision) bool { return e.Revision != 0 && e.Revision < revision }
+// createdAt returns the revision at which the job was created that the home knows; false if it knows none. The mutex is held.
+func (h *Home) createdAt(id string) (object.Revision, bool) {
+	if j := h.jobs[id]; j != nil {
+		return j.created, true
+	}
+	if l := h.loading[id]; l != nil {
+		return l.o.Created, true
+	}
+	u, ok := h.unloaded[id]
+	return u.created, ok
+}
+
+// confirmEnd reads a job of which a node of an earlier release says that it was ended. The watch tells of it as well, so
+// that no attempt is made after confirmTries.
+func (h *Home) confirmEnd(id string) {
+	for range confirmTries {
+		ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
+		o, err := h.opts.Objects.Get(ctx, KindJobs, id)
+		cancel()
+		if err == nil {
+			h.applyJob(o, byNotice)
+		}
+		if err == nil || errors.Is(err, store.ErrNotFound) || clock.Sleep(h.ctx, retryPause) != nil {
+			return
+		}
+	}
+}
+
+// confirmTries is the number of attempts to read a job of which a node says that it was ended.
+const confirmTries = 10
 
 // countEnd counts an end that the home has learnt of.
 func (h *Home) countEnd(end End, after int, last time.Duration) {
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -33,8 +33,8 @@
 // job is the home's state of a job that it has loaded.
 type job struct {
 	log batch.Log
-	// revision is that of the newest copy of the job's object.
-	revision object.Revision
+	// revision is that of the newest copy of the job's object, created the one at which it was created.
+	revision, created object.Revision
 	// changed is closed and replaced at each change of the log.
 	changed chan struct{}
 	// acceptedAt is when the job was accepted, by the clock of this VM.
--- a/io/home/outcome.go
+++ b/io/home/outcome.go
@@ -10,6 +10,8 @@
 // writeAnswer reports the outcome of a write.
 type writeAnswer struct {
 	Outcome writeOutcome `msgpack:"out"`
+	// End is the end that was written; empty for other writes and from homes of earlier releases.
+	End End `msgpack:"end,omitempty"`
 }
 
 type writeOutcome int
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -56,7 +56,7 @@
 	if len(o.Status) > 0 && json.Unmarshal(o.Status, &s) != nil {
 		return jobStatus{} // not written by a home; the results show which items are open
 	}
-	s.Revision = o.Revision
+	s.Revision, s.Created = o.Revision, o.Created
 	return s
 }
 
@@ -160,7 +160,7 @@
 		}
 	}
 	o, err := c.PutStatus(ctx, KindJobs, id, jobStatus{Ended: true, End: end})
-	end.Revision = o.Revision
+	end.Revision, end.Created = o.Revision, o.Created
 	return end, err
 }
 
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -98,7 +98,7 @@
 			m.Job.ID = m.ID
 			attempt := submission.Attempt{Job: m.ID, ID: m.Attempt}
 			h.adoptSubmissions([]submission.Attempt{attempt}) // the request for room may not have reached this home
-			go h.write(in, s, attempt, func(ctx context.Context) error {
+			go h.write(in, s, attempt, &End{}, func(ctx context.Context) error {
 				writer := Writer{By: "home", Attempt: attempt, Log: h.opts.Log, Registry: h.opts.Registry}
 				err := CreateJob(writer.WithAttempts(ctx), h.opts.Objects, m.Job)
 				h.mu.Lock()
@@ -111,10 +111,15 @@
 		})
 	case methodEnd:
 		return handleMessage(in, func(m endRequest) {
-			go h.write(in, s, submission.Attempt{Job: m.Job}, func(ctx context.Context) error {
-				_, err := EndJob(ctx, h.opts.Objects, m.Job, m.Account, m.End)
-				return err
-			})
+			var end End
+			go func() {
+				h.write(in, s, submission.Attempt{Job: m.Job}, &end, func(ctx context.Context) (err error) {
+					if end, err = EndJob(ctx, h.opts.Objects, m.Job, m.Account, m.End); err == nil {
+						h.endJob(m.Job, end, byWrite)
+					}
+					return err
+				})
+			}()
 		})
 	default:
 		return merry.Errorf("unknown method %s", in.Method)
@@ -131,9 +136,9 @@
 	return nil
 }
 
-// write runs a write of a job on behalf of a node and answers with its outcome. The attempt's ID is empty unless the write
-// is one of a submission.
-func (h *Home) write(in link.Incoming, s *session, attempt submission.Attempt, write func(ctx context.Context) error) {
+// write runs a write of a job on behalf of a node and answers with its outcome and with the end that it has written. The
+// attempt's ID is empty unless the write is one of a submission.
+func (h *Home) write(in link.Incoming, s *session, attempt submission.Attempt, end *End, write func(ctx context.Context) error) {
 	startedAt := h.opts.Now()
 	ctx, cancel := context.WithTimeout(h.ctx, writeCallTimeout)
 	defer cancel()
@@ -141,7 +146,7 @@
 	outcome := writeOutcomeOf(err)
 	h.opts.Log.Info().Str("job", attempt.Job).Str("attempt", attempt.ID).Str("peer", s.owner).Str("method", in.Method).Stringer("outcome", outcome).
 		Dur("tookMillis", h.opts.Now().Sub(startedAt)).AnErr("error", err).Msg("writtenForNode")
-	in.Answer(writeAnswer{Outcome: outcome})
+	in.Answer(writeAnswer{Outcome: outcome, End: *end})
 }
 
 func (h *Home) hello(in link.Incoming) *session {
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -44,8 +44,11 @@
 	Name string
 	// Revision is that of the object's last change.
 	Revision Revision
-	Spec     json.RawMessage
-	Status   json.RawMessage
+	// Created is the revision at which the object was created, which tells objects apart that had a name one after
+	// another; 0 if the service doesn't tell.
+	Created Revision
+	Spec    json.RawMessage
+	Status  json.RawMessage
 }
 
 // Event is one change of an object.
