The notice that cancels an attempt comes after the attempt

Callers saw: nothing in a record. An item of a job that was ended, or an item whose slot went to an online request, could run on at another node, to its end, with nobody waiting for it; the slot counted as free and the item ran a second time beside it.

A home sent the call that begins an attempt at another node from one goroutine, and the notice that cancels it from another one. A cancel that came between the two was sent first; the node knew no such attempt and dropped it.

Evidence: TestCancelOfAnAttemptComesAfterIt.

Why it works: link.Conn.Begin queues the call before the goroutine that cancels starts, and a connection keeps the order. An attempt that is cancelled before the call isn't sent.

--- /dev/null
+++ b/io/home/cancelrun_test.go
@@ -0,0 +1,71 @@
+package home
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mothcart/io/link"
+	"mothcart/platform/fake"
+)
+
+// runnerLink connects a home to a runner's node and returns the home's side and what the node receives.
+func runnerLink(t *testing.T) (*link.Conn, <-chan string) {
+	network, received := fake.NewNetwork(), make(chan string, 16)
+	l, err := network.Listen(t.Context(), "10.1.0.1:7660")
+	require.NoError(t, err)
+	server := link.NewServer(l, link.Options{Handle: func(_ *link.Conn, in link.Incoming) { received <- in.Method }})
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		return network.Dial(ctx, "10.2.0.1", address)
+	}
+	c, err := link.Dial(t.Context(), dial, "10.1.0.1:7660", link.Options{Handle: func(*link.Conn, link.Incoming) {}})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		c.Close()
+		server.Close()
+		time.Sleep(time.Second)
+	})
+	return c, received
+}
+
+func newRunHome(ctx context.Context) *Home {
+	h := &Home{
+		ctx: ctx, runners: map[string]*runnerNode{}, remoteRuns: map[uint64]*remoteRun{},
+		opts: Options{Now: time.Now, Log: zerolog.Nop()},
+	}
+	h.metrics.silentRuns, h.metrics.keptRuns = metrics.NewCounter(), metrics.NewCounter()
+	return h
+}
+
+// Guards against an attempt that goes on at a runner, since the notice that cancels it came before the attempt.
+func TestCancelOfAnAttemptComesAfterIt(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		for range 200 {
+			synctest.Test(t, func(t *testing.T) {
+				conn, received := runnerLink(t)
+				h := newRunHome(t.Context())
+				h.runners["e1"] = &runnerNode{conn: conn, name: "e1", stopped: make(chan struct{})}
+				ctx, cancel := context.WithCancel(t.Context())
+				if before {
+					cancel()
+				}
+				go cancel()
+				h.execute(ctx, itemCall{ID: "i"}, new(stream))
+				time.Sleep(time.Second)
+				if before {
+					require.Empty(t, received)
+				}
+				if len(received) > 0 {
+					require.Equal(t, methodRun, <-received, "the runner would know no such attempt yet")
+					require.Equal(t, methodCancelRun, <-received)
+				}
+			})
+		}
+	}
+}
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -270,16 +270,16 @@
 		return out, h.opts.VMID
 	}
 	defer h.endRun(node)
+	if ctx.Err() != nil {
+		return abandoned(c, ctx.Err()), node.name
+	}
 	c.Run = h.nextID.Add(1)
 	remote := newRemoteRun(c.ID)
 	h.mu.Lock()
 	h.remoteRuns[c.Run] = remote
 	h.mu.Unlock()
-	defer func() {
-		h.mu.Lock()
-		delete(h.remoteRuns, c.Run)
-		h.mu.Unlock()
-	}()
+	defer h.forgetRemote(c.Run, remote)
+	await := node.conn.Begin(methodRun, c) // the runner ignores a notice that cancels a later call
 	// The call continues for progressWait after the attempt is cancelled, so that its progress is not lost.
 	call, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -296,7 +296,7 @@
 		time.AfterFunc(progressWait, cancel)
 	}()
 	var out itemOutcome
-	err := node.conn.Call(call, methodRun, c, &out)
+	err := await(call, &out)
 	if err == nil {
 		return out, node.name
 	}
--- a/io/home/silentrun.go
+++ b/io/home/silentrun.go
@@ -169,6 +169,13 @@
 	}
 }
 
+// forgetRemote ends the wait for an attempt.
+func (h *Home) forgetRemote(id uint64, _ *remoteRun) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.remoteRuns, id)
+}
+
 // endRemote records the outcome of an attempt at a node that was back.
 func (h *Home) endRemote(m endedRunNotice) {
 	h.mu.Lock()
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -182,17 +182,25 @@
 
 // Call sends a request and decodes its answer into resp.
 func (c *Conn) Call(ctx context.Context, method string, req, resp any) error {
+	return c.Begin(method, req)(ctx, resp)
+}
+
+// Begin sends a request before all that is sent after it. The function that it returns waits for the answer and decodes it
+// into resp; it must be called.
+func (c *Conn) Begin(method string, req any) func(ctx context.Context, resp any) error {
 	answer := make(chan frame, 1)
 	id := c.register(answer)
-	defer c.unregister(id)
 	c.send(kindCall, id, method, req)
-	select {
-	case f := <-answer:
-		return decodeAnswer(method, f, resp)
-	case <-c.closed:
-		return merry.Errorf("call %s: %w", method, ErrClosed)
-	case <-ctx.Done():
-		return merry.Errorf("call %s: %w", method, ctx.Err())
+	return func(ctx context.Context, resp any) error {
+		defer c.unregister(id)
+		select {
+		case f := <-answer:
+			return decodeAnswer(method, f, resp)
+		case <-c.closed:
+			return merry.Errorf("call %s: %w", method, ErrClosed)
+		case <-ctx.Done():
+			return merry.Errorf("call %s: %w", method, ctx.Err())
+		}
 	}
 }
 
