An attempt at a node that is back is cancelled with its job

Callers saw: nothing in a record. An item of a job that was ended could run on, to its end, at a node whose link had been silent.

Cause: a home waits for the outcome of an attempt whose link is silent, for the node's return and for the end of the job. If the return and the end were both there, it could take the end first, as that of a node that is away, and forget the attempt; the node had been told nothing and went on, with an open link, so that no grace ended it.

Evidence: TestAttemptOfANodeThatIsBackIsCancelled fails on the commit before (the node is sent nothing, within 50 tries) and passes now.

Why it works: whoever ends the wait looks whether the node has come back with the attempt, under the mutex under which the home notes that, and cancels it. A node that comes back later is told so by openRuns, as before.

--- a/io/home/cancelrun_test.go
+++ b/io/home/cancelrun_test.go
@@ -69,3 +69,23 @@
 		}
 	}
 }
+
+// Guards against an attempt that goes on at a node that is back, since its job ended just then.
+func TestAttemptOfANodeThatIsBackIsCancelled(t *testing.T) {
+	for range 50 {
+		synctest.Test(t, func(t *testing.T) {
+			conn, received := runnerLink(t)
+			h := newRunHome(t.Context())
+			remote := newRemoteRun("i")
+			h.remoteRuns[7] = remote
+			h.openRuns(conn, openRunsNotice{Runs: []uint64{7}})
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			h.awaitSilent(ctx, itemCall{ID: "i", Run: 7}, remote)
+			h.forgetRemote(7, remote)
+			time.Sleep(time.Second)
+			require.Len(t, received, 1)
+			require.Equal(t, methodCancelRun, <-received)
+		})
+	}
+}
--- a/io/home/silentrun.go
+++ b/io/home/silentrun.go
@@ -169,11 +169,16 @@
 	}
 }
 
-// forgetRemote ends the wait for an attempt.
-func (h *Home) forgetRemote(id uint64, _ *remoteRun) {
+// forgetRemote ends the wait for an attempt. A node that has come back with it unnoticed would go on with it.
+func (h *Home) forgetRemote(id uint64, r *remoteRun) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.remoteRuns, id)
+	select {
+	case conn := <-r.attached:
+		conn.Notify(methodCancelRun, cancelRunNotice{Run: id})
+	default:
+	}
 }
 
 // endRemote records the outcome of an attempt at a node that was back.
