Progress of a job that is gone is not given to a later job with its ID

A job that is sent again with the ID of a removed one could get that one's texts as its results.

Cause: a home takes over the progress of the previous home's items and used to drop it only when it resumed the item. What belonged to jobs that had ended, were removed or had their results listed stayed for as long as the home ran, and the next job with that ID and those items took it for its own.

Why it works: what is left of a job's progress is dropped when its open items start and when the home forgets it, and all of it a minute after the home's start once no job is left to be loaded. Not covered: a removal, and a new job with the ID, both before the progress itself is known, within the first seconds of a home.

--- a/io/home/apply.go
+++ b/io/home/apply.go
@@ -233,6 +233,7 @@
 // forget forgets a job and cancels its runs; the mutex is held.
 func (h *Home) forget(id string) {
 	delete(h.unloaded, id)
+	h.dropProgress(id)
 	if l := h.loading[id]; l != nil {
 		h.endLoading(l)
 	}
--- a/io/home/handover.go
+++ b/io/home/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -292,6 +293,22 @@
 	return nil
 }
 
+// progressLifetime is how long the progress of the previous home's items is kept for jobs that this home doesn't have yet.
+const progressLifetime = time.Minute
+
+// dropProgress drops what is left of a job's progress at the previous home, since it must not become that of a later job with
+// its ID; the mutex is held.
+func (h *Home) dropProgress(job string) {
+	maps.DeleteFunc(h.progress, func(key [2]string, _ ItemProgress) bool { return key[0] == job })
+}
+
+// sweepProgress drops the progress of jobs that no longer exist; the mutex is held.
+func (h *Home) sweepProgress(now time.Time) {
+	if len(h.loading) == 0 && now.Sub(h.startedAt) > progressLifetime {
+		clear(h.progress)
+	}
+}
+
 // finishedProgress returns the progress of a finished item whose result is not listed yet.
 func finishedProgress(job string, r batch.Result) ItemProgress {
 	return ItemProgress{Job: job, Item: r.Item, Text: r.Text, State: r.State}
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -264,6 +264,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.tombstones.Expire(now)
+	h.sweepProgress(now)
 	unread := 0
 	for name, l := range h.loading {
 		if l.failures == 0 && !l.broken {
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -92,6 +92,9 @@
 				}
 			}
 		}
+		for _, item := range j.log.Job().Items {
+			delete(h.progress, [2]string{id, item.ID}) // that of listed items is of no use
+		}
 	}
 	h.mu.Unlock()
 	for _, r := range started {
