An object whose removal came before it stays removed

A node could keep an upstream, for as long as a home sent it changes, whose entry was removed; requests went there in vain.

A mirror receives changes from several sources: the watch, listings beside it, the home. The home sends on what is new to it outside its mirror's mutex, so that the listing that brings an object can be sent after the event that removes it. A removal of an object that the mirror doesn't have was forgotten, and the object that came next counted as new.

Evidence: TestRemovalBeforeItsObject fails on the commit before (the object is in the mirror, from an event and from a listing) and passes now. That the two are sent in the wrong order was found by reading, not in a run.

Why it works: the mirror keeps the revision of such a removal, as it does for objects that it has. It used to keep these for ever; a listing that covers them now drops them.

--- a/io/object/mirror.go
+++ b/io/object/mirror.go
@@ -12,7 +12,8 @@
 type Mirror struct {
 	mu      sync.Mutex
 	objects map[string]Object
-	// deletedAt holds for each deleted object the revision up to which its changes are ignored.
+	// deletedAt holds for each object that was deleted since the newest listing the revision up to which its changes are
+	// ignored.
 	deletedAt map[string]Revision
 	// at is the revision of the newest listing.
 	at     Revision
@@ -61,6 +62,7 @@
 			changed = append(changed, Event{Object: o, Deleted: true})
 		}
 	}
+	maps.DeleteFunc(m.deletedAt, func(_ string, at Revision) bool { return at <= c.At }) // isPast covers them
 	return changed
 }
 
@@ -74,7 +76,10 @@
 	name, revision := e.Object.Name, e.Object.Revision
 	current, ok := m.objects[name]
 	switch {
-	case e.Deleted && (!ok || revision < current.Revision):
+	case e.Deleted && !ok:
+		m.deletedAt[name] = max(revision, m.deletedAt[name]) // the object may follow from another source
+		return false
+	case e.Deleted && revision < current.Revision:
 		return false
 	case e.Deleted:
 		delete(m.objects, name)
--- a/io/object/object_test.go
+++ b/io/object/object_test.go
@@ -41,6 +41,28 @@
 	require.Equal(t, []Object{named("a", 10)}, m.Snapshot().Objects)
 }
 
+// Guards against an object that comes back for ever, since its removal came before it, from another source.
+func TestRemovalBeforeItsObject(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		later Change
+		want  []Object
+	}{
+		{"event", Change{Events: []Event{{Object: named("a", 6)}}}, nil},
+		{"listing", Change{Listed: true, At: 6, Objects: []Object{named("a", 6)}}, nil},
+		{"removal with the object's revision", Change{Events: []Event{{Object: named("a", 7)}}}, nil},
+		{"created again", Change{Events: []Event{{Object: named("a", 8)}}}, []Object{named("a", 8)}},
+	} {
+		m := NewMirror()
+		m.Apply(Change{Listed: true, At: 5})
+		require.Empty(t, m.Apply(Change{Events: []Event{{Object: named("a", 7), Deleted: true}}}), tc.name)
+		m.Apply(tc.later)
+		require.Equal(t, tc.want, m.Snapshot().Objects, tc.name)
+		m.Apply(Change{Listed: true, At: 9})
+		require.Empty(t, m.deletedAt, "the listing covers it")
+	}
+}
+
 func TestCreateConfirmed(t *testing.T) {
 	spec := map[string]int{"x": 1}
 	same := Object{Name: "j", Spec: json.RawMessage(`{ "x": 1 }`)}
