A VM that connects while it is drained gets no items

Items that were sent to such a VM are lost with it, and their next attempts wait for its link.

A home that drains a VM takes it off its runners; a VM that connects (again) only after that was added as if nothing had been told of it. While the mark can't be written, which may take as long as the object service is away, that is likely, and each listing began the drain once more, each with calls of its own; a retirement that was taken back meanwhile was retried for ever.

Why it works: the home remembers which VMs it drains, until the mark is written, upon which the platform removes the VM, or the retirement is gone. Nothing is kept beyond that, since a later VM may have the name.

--- a/io/home/home.go
+++ b/io/home/home.go
@@ -154,8 +154,9 @@
 	ownRunning int
 	// remoteRuns holds the attempts that other nodes make, by itemCall.Run.
 	remoteRuns map[uint64]*remoteRun
-	// retiring reports that this VM is to be drained.
+	// retiring reports that this VM is to be drained, draining that others are.
 	retiring atomic.Bool
+	draining map[string]bool
 }
 
 type homeMetrics struct {
@@ -210,7 +211,7 @@
 		progressLoaded: make(chan struct{}), handoverDone: make(chan struct{}), progress: make(map[[2]string]ItemProgress),
 		jobs: make(map[string]*job), reserved: make(map[string]reservation), unloaded: make(map[string]settledJob),
 		loading: make(map[string]*loading), tombstones: tombstone.NewTable(),
-		undelivered: make(map[string]time.Time), runners: make(map[string]*runnerNode), remoteRuns: make(map[uint64]*remoteRun),
+		undelivered: make(map[string]time.Time), runners: make(map[string]*runnerNode), draining: make(map[string]bool), remoteRuns: make(map[uint64]*remoteRun),
 		nodes: make(map[string]*link.Conn), listed: newListedJobs(),
 	}
 	h.pool = NewSlotPool(opts.Origins.poolOptions(withConfig(slot.NewOptions().WithZones(opts.Zones), opts.Config), opts.SoleVersion), opts.Now, h.foundSuspects, h.limitsChanged)
--- a/io/home/retire.go
+++ b/io/home/retire.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"mothcart/io/object"
+	"mothcart/io/store"
 )
 
 // Retirement asks that a VM be drained, so that it can be removed.
@@ -99,9 +101,15 @@
 	return len(h.runners) > 0
 }
 
-// drainVM withdraws the items from a VM's runner and marks the VM as drained.
+// drainVM withdraws the items from a VM's runner and marks the VM as drained. Until it is, or the retirement is taken back, the
+// VM gets no items though it connects again.
 func (h *Home) drainVM(vm string) {
-	if h.dropRunner(vm) > 0 {
+	running, first := h.dropRunner(vm)
+	if !first {
+		return // a listing has repeated the retirement
+	}
+	defer h.endDrain(vm)
+	if running > 0 {
 		select {
 		case <-time.After(moveWait):
 		case <-h.ctx.Done():
@@ -112,8 +120,8 @@
 		ctx, cancel := context.WithTimeout(h.ctx, writeTimeout)
 		_, err := h.opts.Objects.PutStatus(ctx, h.opts.Retirements.Kind, vm, h.opts.Retirements.Done)
 		cancel()
-		if err == nil {
-			h.opts.Log.Info().Str("vm", vm).Msg("retirementCompleted")
+		if err == nil || errors.Is(err, store.ErrNotFound) {
+			h.opts.Log.Info().Str("vm", vm).Bool("takenBack", err != nil).Msg("retirementCompleted")
 			return
 		}
 		h.opts.Log.Warn().Str("vm", vm).Err(err).Msg("retirementNotWritten")
@@ -121,12 +129,21 @@
 	}
 }
 
+func (h *Home) endDrain(vm string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.draining, vm)
+}
+
 // dropRunner dispatches no more items to a VM and cancels those that it runs; the runner returns their
-// progress. It returns the number of items cancelled.
-func (h *Home) dropRunner(vm string) int {
+// progress. It returns the number of items cancelled, and whether the VM was not being drained before.
+func (h *Home) dropRunner(vm string) (running int, first bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	running := 0
+	if h.draining[vm] {
+		return 0, false
+	}
+	h.draining[vm] = true
 	for key, n := range h.runners {
 		if n.name != vm {
 			continue
@@ -135,5 +152,5 @@
 		n.stop()
 		delete(h.runners, key)
 	}
-	return running
+	return running, true
 }
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -167,7 +167,7 @@
 		h.mu.Lock()
 		h.nodes[s.owner] = in.Conn()
 		h.noNodesSince = time.Time{}
-		if m.Runs {
+		if m.Runs && !h.draining[m.VM] {
 			h.runners[s.owner] = &runnerNode{conn: in.Conn(), name: m.VM, stopped: make(chan struct{})}
 		}
 		h.mu.Unlock()
