A quarantine from before its clearing doesn't come back

Requests with a sound part of a prompt could be refused for up to ten minutes (longer after a second quarantine) though an upstream had answered one of them.

The home tells connected nodes that a part is cleared. A node that is away then comes back with the quarantine that it knew, and the home, which had nothing against the part any more, took it over and told all nodes. Likewise a node that hears of the clearing first, since the two are sent from different goroutines.

Evidence: TestRecordFromBeforeTheClearing fails on the commit before (the part is quarantined) and passes now, with a record from after the clearing as its counterpart. core/poison and core/slot, with its simulations of bad parts, pass.

Why it works: when a quarantine began follows from its number and what is left of it, whoever sends it. One that began before an upstream last wrote on the part counts for nothing; ends were already judged so.

--- a/core/poison/evidence.go
+++ b/core/poison/evidence.go
@@ -185,8 +185,8 @@
 
 // quarantine begins a quarantine, and clears others of the ends that it explains.
 func (j *Judge) quarantine(now time.Time, k key, s *suspect) Finding {
-	s.until = now.Add(min(quarantineTime<<min(s.quarantines, 8), maxQuarantineTime))
 	s.quarantines++
+	s.until = now.Add(quarantineFor(s.quarantines))
 	f := j.finding(now, QuarantineBegun, k, s)
 	for _, e := range s.ends {
 		j.explain(e.upstream)
@@ -195,6 +195,9 @@
 	return f
 }
 
+// quarantineFor returns how long the nth quarantine of a part or a request lasts.
+func quarantineFor(n int) time.Duration { return min(quarantineTime<<min(n-1, 8), maxQuarantineTime) }
+
 // explain records that a quarantined part or request has ended an upstream.
 func (j *Judge) explain(upstream site.Key) {
 	j.explained = append(j.explained, upstream)
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -264,3 +264,30 @@
 	require.Equal(t, Cleared, found[0].Kind)
 	require.Equal(t, Free, a.decide(700*ms, "bad"))
 }
+
+// Guards against a sound part whose requests are refused, since a record from before it was cleared came after that.
+func TestRecordFromBeforeTheClearing(t *testing.T) {
+	const ms = time.Millisecond
+	a := newScript()
+	for n, upstream := range []string{"u1", "u2", "u3"} {
+		a.ended(time.Duration(n)*200*ms, upstream, "first", "bad")
+	}
+	require.Equal(t, Quarantined, a.decide(500*ms, "bad"))
+	for _, tc := range []struct {
+		name    string
+		cleared time.Duration
+		want    Verdict
+	}{
+		{"cleared since", 600 * ms, Free},
+		{"cleared before the quarantine", 300 * ms, Quarantined},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newScript()
+			b.j.Import(start.Add(tc.cleared), []Record{{Service: service, Part: NewPart("bad"), Cleared: true}})
+			now := start.Add(700 * ms)
+			b.note(b.j.Import(now, a.j.Export(now)))
+			require.Equal(t, tc.want, b.decide(800*ms, "bad"))
+			require.Equal(t, tc.want == Quarantined, len(b.quarantined) > 0)
+		})
+	}
+}
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -110,6 +110,9 @@
 			findings = append(findings, j.clear(now, k)...)
 			continue
 		}
+		if r = j.withoutObsolete(now, r); r.Quarantines == 0 && len(r.Ends) == 0 {
+			continue
+		}
 		s := j.suspect(k)
 		was := s.quarantined(now)
 		for _, e := range r.Ends {
@@ -126,6 +129,14 @@
 	return findings
 }
 
+// withoutObsolete returns a record without a quarantine that began before an upstream last wrote on the part or the request.
+func (j *Judge) withoutObsolete(now time.Time, r Record) Record {
+	if r.Quarantines > 0 && !now.Add(r.Left-quarantineFor(r.Quarantines)).After(j.soundAt(r.key())) {
+		r.Left, r.Quarantines = 0, 0
+	}
+	return r
+}
+
 // Quarantined returns the numbers of parts and of requests that are quarantined.
 func (j *Judge) Quarantined(now time.Time) (parts, requests int) {
 	for k, s := range j.suspects {
