Queued jobs are loaded by as many goroutines as may run

Found by reading: with some loads in progress and fewer jobs in the queue than these, no goroutine was started for them, so that they waited for the end of a load that may take 10 s. io/home passes.

--- a/io/home/load.go
+++ b/io/home/load.go
@@ -101,7 +101,10 @@
 
 // startLoaders starts goroutines that load the queued jobs; the mutex is held.
 func (h *Home) startLoaders() {
-	for h.hintRead && h.loaders < min(loadConcurrency, len(h.loadQueue)) && h.ctx.Err() == nil {
+	if !h.hintRead || h.ctx.Err() != nil {
+		return
+	}
+	for range min(loadConcurrency-h.loaders, len(h.loadQueue)) {
 		h.loaders++
 		h.done.Go(h.runLoader)
 	}
