explain tells how a job ended, and which items began after

Operators saw: nothing that joins the end of a job with the items that ran after it; the complaint names an item, and the lines of the end name the job.

Cause: explain told the story of a job's submission only, and a node that ran items for the home didn't log that the home cancelled one.

Evidence: TestJobEndStory (ten cases of lines), TestLateItemIsCountedOnce, and TestLogTellsHowAJobEnded on a whole site in virtual time: an end at the home that runs the items, at one whose items run on another node (itemRunCancelled for both), and at one that loads the job.

Why it works: an item's ID leads to its job by itemAttempt, which has both. The first jobEnd that says ended is the acknowledgement; an attempt began at its line's time less tookMillis. Attempts of a later job with the ID, accepted after the removal, don't count.

--- a/cmd/mothcart/explain.go
+++ b/cmd/mothcart/explain.go
@@ -48,6 +48,9 @@
 	if story, ok := explain.JobStory(events, id); ok {
 		fmt.Fprintln(out, story)
 	}
+	if story, ok := explain.JobEndStory(events, id); ok {
+		fmt.Fprintln(out, story)
+	}
 	return exitOK
 }
 
--- a/io/explain/explain.go
+++ b/io/explain/explain.go
@@ -16,6 +16,9 @@
 //	if s, ok := explain.JobStory(events, "1508f72746f05810"); ok {
 //		fmt.Println(s)
 //	}
+//	if s, ok := explain.JobEndStory(events, "1508f72746f05810"); ok {
+//		fmt.Println(s)
+//	}
 package explain
 
 import (
--- a/io/explain/jobstory.go
+++ b/io/explain/jobstory.go
@@ -84,13 +84,8 @@
 
 // noteRun records the first item that ran. Logs of earlier releases show only when an item's attempt ended.
 func (s *Story) noteRun(e Event) {
-	at := e.Time
-	if e.Name == "itemAttempt" {
-		millis, _ := strconv.ParseFloat(e.text("tookMillis"), 64)
-		at = at.Add(-time.Duration(millis * float64(time.Millisecond)))
-	}
 	if s.Ran == nil {
-		s.Ran, s.ranAt = &e, at
+		s.Ran, s.ranAt = &e, beganAt(e)
 	}
 }
 
--- a/io/home/receive.go
+++ b/io/home/receive.go
@@ -43,8 +43,11 @@
 		return c.opts.Runner.serve(in, c.termOf(in.Conn()), c.itemReports)
 	case methodCancelRun:
 		return handleMessage(in, func(m cancelRunNotice) {
-			if c.opts.Runner != nil {
-				c.opts.Runner.cancel(in.Conn(), m.Run)
+			if c.opts.Runner == nil {
+				return
+			}
+			if item, term, ok := c.opts.Runner.cancel(in.Conn(), m.Run); ok {
+				c.opts.Log.Info().Str("item", item).Int64("term", term).Uint64("run", m.Run).Msg("itemRunCancelled")
 			}
 		})
 	default:
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -233,15 +233,18 @@
 	return nil
 }
 
-// cancel cancels an attempt; the answer to the home still holds the progress that it made.
-func (rn *Runner) cancel(conn *link.Conn, run uint64) {
+// cancel cancels an attempt; the answer to the home still holds the progress that it made. It returns the item and the term of
+// the home, false if the attempt has ended.
+func (rn *Runner) cancel(conn *link.Conn, run uint64) (string, int64, bool) {
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
 	for key, r := range rn.runs {
 		if key.run == run && r.conn == conn {
 			r.cancel()
+			return r.item, key.term, true
 		}
 	}
+	return "", 0, false
 }
 
 // runnerNode is a node that runs items for the home.
