A chunk that is being claimed hears of its job's cancellation

Items of the product's own jobs could be dispatched after their cancellation was answered: for up to half a second, and for longer if the job's home doesn't reach the VM.

A VM reads a job's state once it has claimed a chunk, and then adds the chunk to those that it holds. A notice of the cancellation that came between the two found no such chunk and was dropped, and the state that was read before counted as new.

Evidence: TestCancelWhileAChunkIsClaimed cancels a job right after each of a VM's calls of the store.

Why it works: cancellations that a VM was told of are kept for a minute, longer than a claim may take, and asked for under the mutex under which the chunk is added. A cancellation is final, so that one that is remembered can't be wrong.

--- a/io/job/cancel_test.go
+++ b/io/job/cancel_test.go
@@ -123,3 +123,54 @@
 		assert.Equal(t, job.Cancelled, end.Head.State)
 	})
 }
+
+// Guards against items that are dispatched after their job was cancelled, since the notice came between the read of the job and
+// the claim's entry among the held chunks.
+func TestCancelWhileAChunkIsClaimed(t *testing.T) {
+	for n := 1; n <= 48; n++ {
+		synctest.Test(t, func(t *testing.T) {
+			s := fakestore.New(fakestore.NewOptions().WithLatency(2 * time.Millisecond))
+			f := newFleet(t, s, "e1", "e2")
+			defer f.close()
+			status, err := f.vms["e1"].Submit(t.Context(), spec(300))
+			require.NoError(t, err)
+			var mu sync.Mutex
+			cancelled := time.Now().Add(time.Hour)
+			onStoreCall := func(id string, call int, after bool) {
+				if id != "e2" || call != n || !after {
+					return
+				}
+				_, err := f.vms["e1"].Cancel(t.Context(), "team", status.Head.ID)
+				assert.NoError(t, err)
+				time.Sleep(time.Millisecond) // the notices have arrived
+				mu.Lock()
+				defer mu.Unlock()
+				cancelled = time.Now()
+			}
+			f.mu.Lock()
+			f.onStoreCall = onStoreCall
+			f.mu.Unlock()
+			last := startItems(f.vms["e2"], 3*time.Second)
+			f.mu.Lock()
+			f.onStoreCall = nil
+			f.mu.Unlock()
+			mu.Lock()
+			defer mu.Unlock()
+			assert.False(t, last.After(cancelled), "cancelled after call %d: an item is dispatched %s later", n, last.Sub(cancelled))
+		})
+	}
+}
+
+// startItems runs the items that a VM gets during d and returns when the last one was started.
+func startItems(j *Jobs, d time.Duration) time.Time {
+	var last time.Time
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for _, item := range j.Take("m", 8) {
+			if j.Start(item) {
+				last = time.Now()
+				finishItem(j, item)
+			}
+		}
+	}
+	return last
+}
--- a/io/job/fill.go
+++ b/io/job/fill.go
@@ -182,7 +182,7 @@
 }
 
 // addClaimed adds a claimed chunk to the held chunks. It reads the job's state after the claim, so that no
-// item is dispatched if the job's cancellation was accepted before that read.
+// item is dispatched if the job's cancellation was accepted before that read, or if this VM was told of it since.
 func (j *Jobs) addClaimed(ctx context.Context, c unconfirmedClaim, record job.Chunk, version store.Version, inputs []input) error {
 	head, _, err := j.readHead(ctx, c.head.ID)
 	if err != nil {
@@ -212,7 +212,7 @@
 	defer j.mu.Unlock()
 	j.heads.put(head)
 	j.heldChunks.add(h)
-	if head.State != job.Running {
+	if _, cancelled := j.cancelled[head.ID]; cancelled || head.State != job.Running {
 		j.stop(time.Now(), h)
 	}
 	return nil
--- a/io/job/job.go
+++ b/io/job/job.go
@@ -96,6 +96,8 @@
 	broker      brokerState
 	unconfirmed []unconfirmedClaim
 	blocks      blockCache
+	// cancelled holds the jobs of whose cancellation this VM was told lately, with the time.
+	cancelled map[string]time.Time
 	// unacknowledged holds the accepted jobs whose home has not answered the announcement yet.
 	unacknowledged map[string]bool
 	// pendingBytes is the size of all answers that are not yet written to the store.
@@ -126,6 +128,7 @@
 		homes:          newHomeSet(),
 		broker:         brokerState{},
 		unacknowledged: map[string]bool{},
+		cancelled:      map[string]time.Time{},
 	}
 	j.bus = newBus(opts)
 	j.registerHandlers()
--- a/io/job/write.go
+++ b/io/job/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -226,11 +227,16 @@
 	j.stopJob(h.head.ID)
 }
 
-// stopJob stops the work on all chunks of a cancelled job.
+// cancelledMemory is how long a cancelled job is remembered for chunks of it whose claims are in progress.
+const cancelledMemory = time.Minute
+
+// stopJob stops the work on all chunks of a cancelled job, also on those that are only being claimed.
 func (j *Jobs) stopJob(id string) {
 	now := time.Now()
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	maps.DeleteFunc(j.cancelled, func(_ string, at time.Time) bool { return now.Sub(at) > cancelledMemory })
+	j.cancelled[id] = now
 	for _, h := range j.heldChunks.all() {
 		if h.head.ID == id && !h.stopping {
 			j.stop(now, h)
