Requests that come late in a grace period are not passed on

What callers saw: during a planned stop of an entry, a request whose body came late, or that got its slot late, was passed on and answered 504 at the end of the grace period, also one that may not be repeated: its caller can't know whether it ran. A stream that began then was cut. The same holds for requests that another entry sends through this one.

Cause: an entry that drains looked at the time only at the end, in Stop.

Evidence: on a whole site in virtual time, with a request each 250 ms from 2.75 s of a grace period of 8 s, four kinds of routes, to the callers' and the carriers' port.

Why it works: from 2.5 s on, when the load balancer sends nothing new, a request that has not run is passed on only if there is time for it: for one that came later, all the time that its caller would wait; for one that has waited for a slot, its latency objective. Before 2.5 s nothing changes. A carrier's refusal says that it stops, so that the entry asks another one.

--- a/io/carrier/carrier.go
+++ b/io/carrier/carrier.go
@@ -229,7 +229,7 @@
 		case l.Lost():
 			reason = reasonLinksLost
 		case l.opts.Stopping():
-			reason = reasonStopping
+			reason = ReasonStopping
 		default:
 			select {
 			case l.carried <- struct{}{}:
--- a/io/carrier/carrier_test.go
+++ b/io/carrier/carrier_test.go
@@ -102,9 +102,9 @@
 			l.use(a, slot.Unreachable)
 			l.use(a, slot.Unreachable)
 		}, carrierPause, nil, []string{b}},
-		{"one stops", 2, func(l *testLinks) { l.use(a, slot.Full, HeaderUnable, reasonStopping) }, stoppingPause - 1, nil, []string{b}},
-		{"one has stopped, and starts again", 2, func(l *testLinks) { l.use(a, slot.Full, HeaderUnable, reasonStopping) }, stoppingPause, nil, []string{a, b}},
-		{"the only one stops", 1, func(l *testLinks) { l.use(a, slot.Full, HeaderUnable, reasonStopping) }, 0, nil, []string{a}},
+		{"one stops", 2, func(l *testLinks) { l.use(a, slot.Full, HeaderUnable, ReasonStopping) }, stoppingPause - 1, nil, []string{b}},
+		{"one has stopped, and starts again", 2, func(l *testLinks) { l.use(a, slot.Full, HeaderUnable, ReasonStopping) }, stoppingPause, nil, []string{a, b}},
+		{"the only one stops", 1, func(l *testLinks) { l.use(a, slot.Full, HeaderUnable, ReasonStopping) }, 0, nil, []string{a}},
 		{"no other has links", 1, func(l *testLinks) { l.use(a, slot.Full, HeaderUnable, reasonLinksLost) }, 0, nil, nil},
 		{"no other had links a while ago", 1, func(l *testLinks) { l.use(a, slot.Full, HeaderUnable, reasonLinksLost) }, carrierPause, nil, []string{a}},
 		{"own zone", 2, func(l *testLinks) {
@@ -113,7 +113,7 @@
 		}, 0, nil, []string{b}},
 		{"own zone stops", 2, func(l *testLinks) {
 			l.use(a, slot.Served, HeaderZone, "z2")
-			l.use(b, slot.Full, HeaderZone, "z1", HeaderUnable, reasonStopping)
+			l.use(b, slot.Full, HeaderZone, "z1", HeaderUnable, ReasonStopping)
 		}, 0, nil, []string{a}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -167,7 +167,7 @@
 				l.dial(t, n)
 			}
 		}},
-		{"stopping", reasonStopping, func(_ *testing.T, l *testLinks) { l.stopping = true }},
+		{"stopping", ReasonStopping, func(_ *testing.T, l *testLinks) { l.stopping = true }},
 		{"busy", reasonBusy, func(_ *testing.T, l *testLinks) {
 			for range maxCarried {
 				l.carried <- struct{}{}
--- a/io/carrier/choice.go
+++ b/io/carrier/choice.go
@@ -31,10 +31,12 @@
 // reasons are why a carrier refuses, in HeaderUnable.
 const (
 	reasonLinksLost = "linksLost"
-	reasonStopping  = "stopping"
 	reasonBusy      = "busy"
 )
 
+// ReasonStopping means, in HeaderUnable, that the carrier is about to stop.
+const ReasonStopping = "stopping"
+
 // candidate is what a node knows about an entry that may carry its requests.
 type candidate struct {
 	// namedAt is when it was last named, pausedUntil when it may be asked again.
@@ -182,7 +184,7 @@
 	l.unable.Inc(1)
 	c.lost = reason == reasonLinksLost
 	c.pausedUntil = now.Add(carrierPause)
-	if reason == reasonStopping {
+	if reason == ReasonStopping {
 		c.pausedUntil = now.Add(stoppingPause)
 	}
 	l.opts.Log.Info().Str("carrier", address).Str("reason", reason).Dur("pauseMillis", c.pausedUntil.Sub(now)).Msg("carrierUnable")
--- a/io/forward/forward.go
+++ b/io/forward/forward.go
@@ -24,6 +24,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -188,6 +189,8 @@
 	// stopped ends with Stop.
 	stopped context.Context
 	stop    context.CancelFunc
+	// drain is nil until Drain is called.
+	drain atomic.Pointer[drain]
 
 	mu      sync.Mutex
 	budgets map[string]retry.Budget
--- a/io/forward/metrics.go
+++ b/io/forward/metrics.go
@@ -9,7 +9,9 @@
 type forwardMetrics struct {
 	answered, refused, failed, broken metrics.Counter
 	// overLimit counts the refused requests whose account had used up its limit.
-	overLimit                  metrics.Counter
+	overLimit metrics.Counter
+	// late counts those that came too late before the node stops.
+	late                       metrics.Counter
 	attempts, repeats, resumes metrics.Counter
 	// silences counts upstreams that became silent during an attempt, replacements the attempts that followed.
 	silences, replacements metrics.Counter
@@ -23,8 +25,8 @@
 	timer := func(name string) *scrape.Histogram { return scrape.GetOrRegisterHistogram("online."+name, r) }
 	return forwardMetrics{
 		answered: counter("answered"), refused: counter("refused"), failed: counter("failed"), broken: counter("broken"),
-		overLimit: counter("overLimit"),
-		attempts:  counter("attempts"), repeats: counter("repeats"), resumes: counter("resumes"),
+		overLimit: counter("overLimit"), late: counter("refusedLate"),
+		attempts: counter("attempts"), repeats: counter("repeats"), resumes: counter("resumes"),
 		silences: counter("silences"), replacements: counter("replacements"), carried: counter("carried"),
 		firstByte: timer("firstByte"), wait: timer("wait"), total: timer("total"),
 	}
--- a/io/forward/serve.go
+++ b/io/forward/serve.go
@@ -58,6 +58,8 @@
 
 	attempts int
 	refusals int
+	// read is when the request was read.
+	read time.Time
 	// runs counts the attempts that may have run.
 	runs int
 	// started reports that the headers of a stream have been sent; delivered counts its sent events. The attempt in
@@ -94,7 +96,7 @@
 	if req.Carried {
 		req.Route.MaxAttempts = 1
 	}
-	x := &exchange{f: f, w: w, req: req, service: req.Route.Service(random), lastID: req.LastEventID, parts: f.opts.Wire.SharedParts(req.Header)}
+	x := &exchange{f: f, w: w, req: req, read: f.opts.Now(), service: req.Route.Service(random), lastID: req.LastEventID, parts: f.opts.Wire.SharedParts(req.Header)}
 	x.size = f.opts.Wire.Size(req.Header)
 	x.identity = poison.NewIdentity(cmp.Or(req.Account, f.opts.Wire.Caller(req.Header)), req.Method, req.Host, req.Path, req.Body)
 	x.log = f.opts.Log.With().Str("request", req.ID).Str("route", req.Route.Name).Str("service", x.service).Logger()
@@ -113,7 +115,7 @@
 }
 
 func (x *exchange) run(ctx context.Context) {
-	for {
+	for !x.refuseLate(ctx, x.f.opts.Now()) {
 		lease, refusal, err := x.acquire(ctx)
 		if err != nil {
 			x.fail(ctx, "noSlotInTime", x.f.opts.Now(), slot.Refusal{RetryAfter: minRetryAfter})
@@ -123,6 +125,10 @@
 			x.fail(ctx, string(refusal.Reason), x.f.opts.Now(), *refusal)
 			return
 		}
+		if now := x.f.opts.Now(); x.refuseLate(ctx, now) {
+			lease.Release(now, slot.Abandoned)
+			return
+		}
 		x.attempts++
 		x.basis, x.granted = lease.Basis, lease
 		x.bind(lease)
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -106,13 +106,16 @@
 }
 
 // Drain accepts requests until the load balancer has noticed that the node is draining, then waits for
-// the requests in progress until shortly before the end of the grace period.
+// the requests in progress until shortly before the end of the grace period. What comes late and can't be answered
+// by then is refused.
 func (e *Entry) Drain() {
 	opts := e.base.opts
-	end := opts.Now().Add(opts.Settings.Grace - exitMargin)
+	began := opts.Now()
+	end := began.Add(opts.Settings.Grace - exitMargin)
 	e.draining.Store(true)
 	e.base.stopping.Store(true)
 	e.handler.Drain()
+	e.forward.Drain(began.Add(drainDelay), end)
 	opts.Log.Info().Int64("active", e.handler.Active()).Msg("drainStarted")
 	time.Sleep(drainDelay)
 	stop := time.AfterFunc(end.Sub(opts.Now()), e.forward.Stop)
--- /dev/null
+++ b/io/node/late_test.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"mothcart/platform"
+	"mothcart/platform/fake"
+)
+
+// lateRoutes are routes whose requests may take longer than a grace period.
+func lateRoutes() []fake.Route {
+	const timeout, objective = 30 * time.Second, 25 * time.Second
+	return []fake.Route{
+		{Name: "longswap", Kind: fake.NonIdempotent, Service: "desk", Attempts: 1, Timeout: timeout, Objective: objective},
+		{Name: "longfetch", Kind: fake.Idempotent, Service: "desk", Attempts: 2, Timeout: timeout, Objective: objective},
+		{Name: "longonce", Kind: fake.Streaming, Service: "scribe", Attempts: 1, Timeout: timeout, Objective: objective},
+		{Name: "longask", Kind: fake.Streaming, Service: "scribe", Attempts: 2, Resumable: true, Timeout: timeout, Objective: objective},
+	}
+}
+
+// lateCall connects to an entry at once, and completes a request after some time: its head is sent only then, or its body.
+func (s *testSite) lateCall(address, method, path, id, body string, slowBody bool, after time.Duration) reply {
+	conn, err := s.network.Dial(s.t.Context(), "10.8.0.1", address)
+	require.NoError(s.t, err)
+	defer conn.Close()
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", method, path, fake.Host, platform.RequestIDHeader, id, len(body))
+	if slowBody {
+		_, err = io.WriteString(conn, head)
+		require.NoError(s.t, err)
+		head = ""
+	}
+	time.Sleep(after)
+	began := time.Now()
+	_, _ = io.WriteString(conn, head+body) // the entry may have closed it; there is no answer then
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return reply{took: time.Since(began)}
+	}
+	b, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(b), complete: err == nil, closes: resp.Close, took: time.Since(began)}
+}
+
+// Guards against requests that an entry passes on late in its grace period, and can't answer before it ends.
+func TestRequestThatComesLateInTheGraceIsNotPassedOn(t *testing.T) {
+	for _, path := range []string{"/longswap/1", "/longfetch/1", "/longonce/stream/1", "/longask/stream/1"} {
+		for _, tc := range []struct {
+			name     string
+			port     int
+			slowBody bool
+		}{
+			{"the whole request comes late", 80, false},
+			{"its body comes late", 80, true},
+			{"through a carrier", 7001, false},
+			{"through a carrier, its body comes late", 7001, true},
+		} {
+			t.Run(path+" "+tc.name, func(t *testing.T) {
+				runSite(t, func(_ *testing.T, s *testSite) { s.sendLate(path, tc.port, tc.slowBody) })
+			})
+		}
+	}
+}
+
+// sendLate lets an entry drain, sends it requests at all times of the rest of its grace period, and requires that they are
+// refused at once.
+func (s *testSite) sendLate(path string, port int, slowBody bool) {
+	const opened, step = 2300 * time.Millisecond, 250 * time.Millisecond
+	s.writeConfig(2, lateRoutes()...)
+	time.Sleep(2 * time.Second)
+	s.desk.SetFaults(fake.EngineFaults{Unresponsive: true})
+	for _, e := range s.engines {
+		e.SetPace(time.Second)
+	}
+	began := time.Now()
+	ended := s.drain(1)
+	if port == 80 {
+		time.Sleep(opened)
+	}
+	var all sync.WaitGroup
+	for at := 2750 * time.Millisecond; at < 8*time.Second; at += step {
+		all.Go(func() {
+			id := fmt.Sprintf("r%s", at)
+			r := s.lateCall(fmt.Sprintf("%s:%d", entryIP(1), port), http.MethodPost, path, id, "draft", slowBody, at-time.Since(began))
+			require.Zero(s.t, s.runsOf(id), "%s is passed on", id)
+			if r.status == 0 && (at >= 7500*time.Millisecond || !slowBody) {
+				return // the connection was closed before the request came
+			}
+			require.Equal(s.t, http.StatusServiceUnavailable, r.status, id)
+			require.True(s.t, r.complete && (r.closes || port != 80), id)
+			require.Less(s.t, r.took, 100*time.Millisecond, id)
+		})
+	}
+	all.Wait()
+	<-ended
+}
+
+// Guards against a request that gets its slot so late in the grace period that it can't be answered before the end.
+func TestRequestThatWaitedTooLongInTheGraceIsNotPassedOn(t *testing.T) {
+	runSite(t, func(t *testing.T, s *testSite) {
+		s.writeConfig(2, lateRoutes()...)
+		time.Sleep(2 * time.Second)
+		s.desk.SetFaults(fake.EngineFaults{Unresponsive: true})
+		busy, free := context.WithCancel(t.Context())
+		for i := range 4 {
+			go s.call(busy, 2, http.MethodPost, "/longswap/1", fmt.Sprint("busy", i), "")
+		}
+		time.Sleep(pace)
+		ended := s.drain(1)
+		waits := s.stream(1, "/longswap/1", "r1")
+		time.Sleep(6 * time.Second)
+		require.Zero(t, s.runsOf("r1"))
+		free()
+		r := <-waits
+		require.Equal(t, http.StatusServiceUnavailable, r.status)
+		require.True(t, r.complete)
+		require.Zero(t, s.runsOf("r1"))
+		require.Less(t, r.took, 6500*time.Millisecond, "told as soon as it is decided")
+		for i := range 4 {
+			require.Equal(t, 1, s.runsOf(fmt.Sprint("busy", i)))
+		}
+		s.desk.SetFaults(fake.EngineFaults{})
+		require.Equal(t, http.StatusOK, s.call(t.Context(), 2, http.MethodPost, "/swap/1", "n1", "").status, "its slot is free again")
+		<-ended
+	})
+}
