Calls about jobs are answered before an entry ends

What callers saw: at the end of a planned stop, reads that wait for results, ends of jobs and submissions in progress were cut without an answer: the caller of a submission doesn't know whether its job was accepted.

Cause: Stop ended only what goes to upstreams; the limits of calls about jobs (1 to 1.8 s, two of them for a read) reach beyond the end of the process.

Why it works: the contexts of these calls end 500 ms before the grace period does. A write in progress then has an unknown outcome, as after its own time limit, and gets 504; a read gets 503.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -11,6 +11,7 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -100,10 +101,17 @@
 	config   atomic.Pointer[site.Config]
 	draining atomic.Bool
 	active   atomic.Int64
+	// stopped ends with Stop.
+	stopped context.Context
+	stop    context.CancelFunc
 }
 
 // New returns a handler that has no configuration.
-func New(opts Options) *Handler { return &Handler{opts: opts} }
+func New(opts Options) *Handler {
+	h := &Handler{opts: opts}
+	h.stopped, h.stop = context.WithCancel(context.Background())
+	return h
+}
 
 // SetConfig applies a configuration.
 func (h *Handler) SetConfig(cfg site.Config) { h.config.Store(&cfg) }
@@ -111,6 +119,19 @@
 // Drain makes the handler ask callers to open new connections elsewhere.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
+// Stop ends all calls about jobs and submissions: their callers are told what is known of the outcome.
+func (h *Handler) Stop() { h.stop() }
+
+// untilStop returns a request whose context also ends with Stop.
+func (h *Handler) untilStop(r *http.Request) (*http.Request, func()) {
+	ctx, cancel := context.WithCancel(r.Context())
+	unlink := context.AfterFunc(h.stopped, cancel)
+	return r.WithContext(ctx), func() {
+		unlink()
+		cancel()
+	}
+}
+
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
@@ -169,6 +190,8 @@
 	}
 	if call := h.opts.Codec.ParseCall(r); call.Kind != NoJobCall {
 		if call.Account, ok = h.authenticate(w, r, *cfg, false, from); ok {
+			r, end := h.untilStop(r)
+			defer end()
 			h.serveJobCall(w, r, call)
 		}
 		return
@@ -197,6 +220,8 @@
 		return
 	}
 	if route.Kind == site.Batch {
+		r, end := h.untilStop(r)
+		defer end()
 		h.submit(w, r, route, account, body, arrived)
 		return
 	}
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -118,7 +118,10 @@
 	e.forward.Drain(began.Add(drainDelay), end)
 	opts.Log.Info().Int64("active", e.handler.Active()).Msg("drainStarted")
 	time.Sleep(drainDelay)
-	stop := time.AfterFunc(end.Sub(opts.Now()), e.forward.Stop)
+	stop := time.AfterFunc(end.Sub(opts.Now()), func() {
+		e.forward.Stop()
+		e.handler.Stop()
+	})
 	defer stop.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(opts.Now())+exitTime)
 	defer cancel()
