--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -33,9 +33,9 @@
 	base    *base
 	handler *entry.Handler
 	forward *forward.Forwarder
-	callers *kratoshttp.Server
+	callers *callerServer
 	// carried serves entries that have lost their links to upstreams; nil if the VM has no port for it.
-	carried   *kratoshttp.Server
+	carried   *callerServer
 	readiness *kratoshttp.Server
 	relay     *home.Relay
 	draining  atomic.Bool
@@ -106,30 +106,39 @@
 }
 
 // Drain accepts requests until the load balancer has noticed that the node is draining, then waits for
-// the requests in progress until shortly before the end of the grace period.
+// the requests in progress until shortly before the end of the grace period. What comes late and can't be answered
+// by then is refused.
 func (e *Entry) Drain() {
 	opts := e.base.opts
-	end := opts.Now().Add(opts.Settings.Grace - exitMargin)
+	began := opts.Now()
+	end := began.Add(opts.Settings.Grace - exitMargin)
 	e.draining.Store(true)
 	e.base.stopping.Store(true)
 	e.handler.Drain()
+	e.forward.Drain(began.Add(drainDelay), end)
 	opts.Log.Info().Int64("active", e.handler.Active()).Msg("drainStarted")
 	time.Sleep(drainDelay)
-	stop := time.AfterFunc(end.Sub(opts.Now()), e.forward.Stop)
+	stop := time.AfterFunc(end.Sub(opts.Now()), func() {
+		e.forward.Stop()
+		e.handler.Stop()
+	})
 	defer stop.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(opts.Now())+exitTime)
 	defer cancel()
-	err := e.callers.Server.Shutdown(ctx)
+	err := e.callers.drain(ctx)
 	if e.carried != nil {
-		err = errors.Join(err, e.carried.Server.Shutdown(ctx))
+		err = errors.Join(err, e.carried.drain(ctx))
 	}
 	opts.Log.Info().Int64("active", e.handler.Active()).AnErr("error", err).Msg("drained")
 }
 
 // Close stops the node at once.
 func (e *Entry) Close() {
-	e.base.closeServer(e.callers)
-	e.base.closeServer(e.carried)
+	for _, s := range []*callerServer{e.callers, e.carried} {
+		if s != nil {
+			e.base.closeServer(s.Server)
+		}
+	}
 	e.base.closeServer(e.readiness)
 	if e.relay != nil {
 		e.relay.Close()
