One odd entry of the object service loses no other

Nodes that read a listing with one odd entry of another writer no longer followed it: new upstreams and configurations were not seen, and a new home ran no job.

Cause: platform/objects.go decoded a page or the answer to a watch as a whole. An entry nested over 10,000 deep (encoding/json refuses the document), with a revision out of range, a name that is a number, or that is no object, lost all others, and the follower asked for the same answer again and again. 9*10^18 slots, and negative ones, and starts before 1970 were believed.

Each is counted and named in a log line (entryLeftOut, upstreamSkipped), at most once a minute for each fault.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -127,6 +127,8 @@
 	// publishedAt is when the upstreams were last passed on; publishPending reports that a timer will do so.
 	publishedAt    time.Time
 	publishPending bool
+	// leftOut names entries of the object service that can't be used.
+	leftOut *leftOutLog
 	// publishing serializes the calls that pass the upstreams on.
 	publishing sync.Mutex
 
@@ -151,10 +153,11 @@
 	b := &base{
 		opts:             opts,
 		incarnation:      time.Now().UnixNano(),
-		objects:          countCalls(platform.NewObjects(s.StoreAddress, opts.Connect(storeConnectTimeout)), opts.Registry),
 		siteStateChanged: func() {},
 		startWait:        newStartWait(),
+		leftOut:          newLeftOutLog(opts),
 	}
+	b.objects = countCalls(platform.NewObjectsNaming(s.StoreAddress, opts.Connect(storeConnectTimeout), b.leftOut.report), opts.Registry)
 	dialUpstream := opts.Connect(connectTimeout)
 	if isEntry {
 		b.links = carrier.NewLinks(carrier.Options{
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -236,7 +236,7 @@
 	}
 	u, err := platform.DecodeUpstream(e.Object)
 	if err != nil {
-		b.opts.Log.Warn().Str("upstream", e.Object.Name).Int64("revision", int64(e.Object.Revision)).Err(err).Msg("upstreamSkipped")
+		b.leftOut.skipUpstream(e.Object, err)
 		return site.Entry{ID: e.Object.Name, Gone: true}
 	}
 	return site.Entry{ID: u.ID, Upstream: u}
