--- a/core/tombstone/tombstone.go
+++ b/core/tombstone/tombstone.go
@@ -51,8 +51,9 @@
 const (
 	// Current means that nothing is known against the copy.
 	Current Verdict = iota + 1
-	// IsEnded and IsRemoved mean that the copy is older than the end or the removal of the object.
+	// IsEnded means that the copy is older than the end of the object.
 	IsEnded
+	// IsRemoved means that the copy is older than the removal of the object.
 	IsRemoved
 	// Doubtful means that the copy may be older than a change of unknown revision, so that the object must be read again.
 	Doubtful
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -94,38 +94,42 @@
 	case methodStored:
 		return handleMessage(in, func(m storedNotice) { h.noteStored(m.Job) })
 	case methodSubmit:
-		return handleMessage(in, func(m submitRequest) {
-			m.Job.ID = m.ID
-			attempt := submission.Attempt{Job: m.ID, ID: m.Attempt}
-			h.adoptSubmissions([]submission.Attempt{attempt}) // the request for room may not have reached this home
-			go h.write(in, s, attempt, &End{}, func(ctx context.Context) error {
-				writer := Writer{By: "home", Attempt: attempt, Log: h.opts.Log, Registry: h.opts.Registry}
-				err := CreateJob(writer.WithAttempts(ctx), h.opts.Objects, m.Job)
-				h.mu.Lock()
-				defer h.mu.Unlock()
-				if err != nil && h.existsFor(m.ID, m.Job.Account) {
-					return nil // the watch has delivered it
-				}
-				return err
-			})
-		})
+		return handleMessage(in, func(m submitRequest) { h.submit(in, s, m) })
 	case methodEnd:
-		return handleMessage(in, func(m endRequest) {
-			var end End
-			go func() {
-				h.write(in, s, submission.Attempt{Job: m.Job}, &end, func(ctx context.Context) (err error) {
-					if end, err = EndJob(ctx, h.opts.Objects, m.Job, m.Account, m.End); err == nil {
-						h.endJob(m.Job, end, byWrite)
-					}
-					return err
-				})
-			}()
-		})
+		return handleMessage(in, func(m endRequest) { h.writeEnd(in, s, m) })
 	default:
 		return merry.Errorf("unknown method %s", in.Method)
 	}
 }
 
+// submit writes a job on behalf of a node.
+func (h *Home) submit(in link.Incoming, s *session, m submitRequest) {
+	m.Job.ID = m.ID
+	attempt := submission.Attempt{Job: m.ID, ID: m.Attempt}
+	h.adoptSubmissions([]submission.Attempt{attempt}) // the request for room may not have reached this home
+	go h.write(in, s, attempt, func(ctx context.Context) (End, error) {
+		writer := Writer{By: "home", Attempt: attempt, Log: h.opts.Log, Registry: h.opts.Registry}
+		err := CreateJob(writer.WithAttempts(ctx), h.opts.Objects, m.Job)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if err != nil && h.existsFor(m.ID, m.Job.Account) {
+			return End{}, nil // the watch has delivered it
+		}
+		return End{}, err
+	})
+}
+
+// writeEnd writes the end of a job on behalf of a node.
+func (h *Home) writeEnd(in link.Incoming, s *session, m endRequest) {
+	go h.write(in, s, submission.Attempt{Job: m.Job}, func(ctx context.Context) (End, error) {
+		end, err := EndJob(ctx, h.opts.Objects, m.Job, m.Account, m.End)
+		if err == nil {
+			h.endJob(m.Job, end, byWrite)
+		}
+		return end, err
+	})
+}
+
 // handleMessage decodes a message and passes it to handle.
 func handleMessage[T any](in link.Incoming, handle func(m T)) error {
 	var m T
@@ -136,17 +140,17 @@
 	return nil
 }
 
-// write runs a write of a job on behalf of a node and answers with its outcome and with the end that it has written. The
+// write runs a write of a job on behalf of a node and answers with its outcome. The end is empty for other writes. The
 // attempt's ID is empty unless the write is one of a submission.
-func (h *Home) write(in link.Incoming, s *session, attempt submission.Attempt, end *End, write func(ctx context.Context) error) {
+func (h *Home) write(in link.Incoming, s *session, attempt submission.Attempt, write func(ctx context.Context) (End, error)) {
 	startedAt := h.opts.Now()
 	ctx, cancel := context.WithTimeout(h.ctx, writeCallTimeout)
 	defer cancel()
-	err := write(ctx)
+	end, err := write(ctx)
 	outcome := writeOutcomeOf(err)
 	h.opts.Log.Info().Str("job", attempt.Job).Str("attempt", attempt.ID).Str("peer", s.owner).Str("method", in.Method).Stringer("outcome", outcome).
 		Dur("tookMillis", h.opts.Now().Sub(startedAt)).AnErr("error", err).Msg("writtenForNode")
-	in.Answer(writeAnswer{Outcome: outcome, End: *end})
+	in.Answer(writeAnswer{Outcome: outcome, End: end})
 }
 
 func (h *Home) hello(in link.Incoming) *session {
