--- a/io/explain/endstory.go
+++ b/io/explain/endstory.go
@@ -179,8 +179,13 @@
 		parts = append(parts, fmt.Sprintf("%s at %s: %s, entryWrite %s", a.Node, a.Time.Format(timeOfDay), said, cmp.Or(a.text("entryWrite"), "notDone")))
 	}
 	for _, l := range s.Learnt {
-		parts = append(parts, fmt.Sprintf("%s of term %s told by %s at %s: %s, loaded %s, itemsAfter %s, lastItemMillis %s",
-			l.Node, l.text("term"), l.text("way"), l.Time.Format(timeOfDay), l.Name, l.text("loaded"), l.text("itemsAfter"), l.text("lastItemMillis")))
+		told := fmt.Sprintf("%s of term %s told by %s at %s: %s", l.Node, l.text("term"), l.text("way"), l.Time.Format(timeOfDay), l.Name)
+		for _, field := range []string{"loaded", "itemsAfter", "lastItemMillis"} {
+			if v := l.text(field); v != "" {
+				told += fmt.Sprintf(", %s %s", field, v)
+			}
+		}
+		parts = append(parts, told)
 	}
 	for _, a := range s.Late {
 		e := a.Event
--- a/io/explain/endstory_test.go
+++ b/io/explain/endstory_test.go
@@ -14,6 +14,7 @@
 	end504      = `"node":"e1","job":"j1","status":504,"entryWrite":"unknown","message":"jobEnd"`
 	endLearnt   = `"node":"s1","job":"j1","term":2,"way":"notice","loaded":true,"itemsAfter":0,"lastItemMillis":0,"message":"jobEnded"`
 	endNotHeld  = `"node":"s2","job":"j1","term":3,"way":"notice","loaded":false,"itemsAfter":0,"lastItemMillis":0,"message":"endOfJobNotHeld"`
+	endEarlier  = `"node":"s1","job":"j1","term":2,"way":"watch","message":"jobEnded"`
 	attempt900  = `"node":"s1","job":"j1","item":"j1.0","upstream":"i-2","tookMillis":900,"message":"itemAttempt"`
 	attempt1500 = `"node":"s1","job":"j1","item":"j1.0","upstream":"i-2","tookMillis":1500,"cut":true,"message":"itemAttempt"`
 	cancelled   = `"node":"e2","item":"j1.0","run":7,"message":"itemRunCancelled"`
@@ -35,6 +36,7 @@
 		want      string
 	}{
 		{"ended", at(endAcked, endLearnt), "ended; " + ack + "; " + learnt},
+		{"ended, of the earlier release", at(endAcked, endEarlier), "ended; " + ack + "; s1 of term 2 told by watch at 00:36:01.000: jobEnded"},
 		{"an item that began before is cut after", at(endAcked, attempt1500, cancelled, otherItem), "ended; " + ack + "; item j1.0 cancelled at e2 at 00:36:02.000"},
 		{"an item began after", at(endAcked, endNotHeld, attempt900), "RAN AFTER ITS END by up to 1100 ms; " + ack + "; " + notHeld + "; " + ranLater},
 		{"an attempt without an end", at(endAcked, began), "RAN AFTER ITS END by up to 1000 ms; " + ack + "; item j1.0 began 1000 ms after it, home s1, at i-2"},
