--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 //
 //	go test ./soak                                    # the regression seeds, short
 //	go test ./soak -seeds 50 -first 1000 -seconds 20  # new seeds
+//	go test ./soak -run EndedJobs -seeds 4 -first 2151 -seconds 20
 //	go test ./soak -run 'TestSoak$' -seeds 2 -first 2180 -entries 24 -homes 6 -logs DIR  # a large site
 package soak
 
