Changes of the site from two sources are applied in their order

A node could go on using an upstream whose entry was removed, for ever, or miss that one drains.

A change went into a mirror under the mirror's mutex, and from there into the list of upstreams, and to the other nodes, outside of it. Of two changes at the same time (a watch and a listing beside it, the home and the node's own watch) the older one could be applied last, and the mirror, which had both, ignored all repetitions.

How often the two steps overlap in a real site wasn't measured.

Why it works: a node applies one change at a time, with all that follows from it. A home that starts takes its first list of upstreams under the mutex under which later ones are passed on; that was found by reading and has no test.

--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -228,11 +228,13 @@
 func (n *HomeNode) run(opts home.Options) (h *home.Home, stop func()) {
 	h = home.New(opts)
 	n.base.startWait.end()
+	n.base.publishing.Lock() // a newer list must not come before this one
 	n.mu.Lock()
 	n.home = h
 	list := n.upstreams
 	n.mu.Unlock()
 	h.SetUpstreams(list)
+	n.base.publishing.Unlock()
 	n.server.SetHome(h)
 	ended := make(chan struct{})
 	go n.sendNotices(opts.Valid, ended)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -129,6 +129,8 @@
 	publishPending bool
 	// publishing serializes the calls that pass the upstreams on.
 	publishing sync.Mutex
+	// receiving serializes the changes of the mirrors and what follows from them.
+	receiving sync.Mutex
 
 	// mirrors holds the objects of the kinds that the home relays to the other nodes, by kind.
 	mirrors map[string]*object.Mirror
--- a/io/node/view.go
+++ b/io/node/view.go
@@ -109,6 +109,8 @@
 		b.opts.Log.Warn().Str("kind", kind).Msg("unknownKind")
 		return 0
 	}
+	b.receiving.Lock() // an older change must not follow a newer one
+	defer b.receiving.Unlock()
 	wasListed := m.Listed()
 	events := m.Apply(c)
 	switch kind {
