--- a/io/node/node.go
+++ b/io/node/node.go
@@ -127,6 +127,8 @@
 	// publishedAt is when the upstreams were last passed on; publishPending reports that a timer will do so.
 	publishedAt    time.Time
 	publishPending bool
+	// leftOut names entries of the object service that can't be used.
+	leftOut *leftOutLog
 	// publishing serializes the calls that pass the upstreams on.
 	publishing sync.Mutex
 	// receiving serializes the changes of the mirrors and what follows from them.
@@ -153,10 +155,11 @@
 	b := &base{
 		opts:             opts,
 		incarnation:      time.Now().UnixNano(),
-		objects:          countCalls(platform.NewObjects(s.StoreAddress, opts.Connect(storeConnectTimeout)), opts.Registry),
 		siteStateChanged: func() {},
 		startWait:        newStartWait(),
+		leftOut:          newLeftOutLog(opts),
 	}
+	b.objects = countCalls(platform.NewObjectsNaming(s.StoreAddress, opts.Connect(storeConnectTimeout), b.leftOut.report), opts.Registry)
 	dialUpstream := opts.Connect(connectTimeout)
 	if isEntry {
 		b.links = carrier.NewLinks(carrier.Options{
@@ -267,18 +270,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return serveOn(l, opts, address, h), nil
+	return serveOn(l, opts, address, h, nil), nil
 }
 
-func serveOn(l net.Listener, opts Options, address string, h http.Handler) *kratoshttp.Server {
+func serveOn(l net.Listener, opts Options, address string, h http.Handler, connState func(net.Conn, http.ConnState)) *kratoshttp.Server {
 	srv := kratoshttp.NewServer(kratoshttp.Listener(l), kratoshttp.Timeout(0))
 	srv.Handler = h
 	srv.ReadHeaderTimeout = readHeaderTimeout
 	srv.IdleTimeout = idleTimeout
 	srv.MaxHeaderBytes = maxHeaderBytes
-	srv.ConnContext = held.ConnContext
+	srv.ConnContext, srv.ConnState = held.ConnContext, connState
 	go func() {
-		if err := srv.Server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			opts.Log.Error().Str("address", address).Err(err).Msg("serverEnded")
 		}
 	}()
