The end of a later job is kept while the ended earlier one is there

Items of a job that was sent again with the ID of an ended one could begin after its own end was acknowledged.

A home that still held the earlier, ended job returned from endJob before it compared the revisions of creation, so that the notice of the later job's end was dropped. The later job then started from its copy, until the watch told of the end.

Evidence: TestJobAfterOneWithItsID, "its end comes before it, while the ended one is there", fails on the commit before (the job is held) and passes now.

Why it works: only an end that isn't a later job's is known already; the other becomes a tombstone, by which the later job's copy is judged.

--- a/io/home/end.go
+++ b/io/home/end.go
@@ -60,11 +60,12 @@
 	var open, running, after int
 	var last time.Duration
 	event := "jobEnded"
+	later := end.Created > created && created > 0
 	switch {
-	case j != nil && j.log.Ended():
+	case j != nil && j.log.Ended() && !later:
 		h.mu.Unlock()
 		return
-	case !known, end.Created > created && created > 0:
+	case !known, later:
 		event = "endOfJobNotHeld"
 		h.tombstones.Add(h.opts.Now(), id, tombstone.Tombstone{Kind: tombstone.Ended, Revision: int64(end.Revision)})
 	case j == nil && l == nil, end.Created < created && end.Created > 0:
--- /dev/null
+++ b/io/home/sameid_test.go
@@ -0,0 +1,43 @@
+package home
+
+import (
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"mothcart/io/object"
+)
+
+// Guards against the end of a job that is forgotten, since an earlier job with its ID had ended.
+func TestJobAfterOneWithItsID(t *testing.T) {
+	at := func(revision, created object.Revision) object.Object {
+		return object.Object{Name: "j1", Revision: revision, Created: created, Spec: json.RawMessage(`{"items":[{"id":"i"}]}`)}
+	}
+	event := func(h *Home, o object.Object) {
+		h.applyJobs(object.Change{Events: []object.Event{{Object: o}}})
+	}
+	for _, tc := range []struct {
+		name  string
+		steps func(h *Home)
+		held  bool
+	}{
+		{"its end comes before it, while the ended one is there", func(h *Home) {
+			event(h, at(3, 3))
+			h.endJob("j1", End{Revision: 4, Created: 3}, byNotice)
+			h.endJob("j1", End{Revision: 7, Created: 6}, byNotice)
+			event(h, at(6, 6))
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, c := newMemory()
+				h := newLoadingHome(t.Context(), c)
+				h.hintRead = true
+				tc.steps(h)
+				require.Equal(t, tc.held, h.hasJob("j1"))
+			})
+		})
+	}
+}
