A job is not taken for complete since an earlier one with its ID was

Callers saw: nothing in a record. A job that was accepted with the ID of a removed one never ran.

Cause: as above: what was known of one job counted for another with its ID. A home that learns of a removal from the watch or a listing, and not by removing the job itself, kept the ID among the jobs that have all their results, and took the next job with that ID for one.

Not covered: a removal while the stored hint is being read at a home's start.

Why it works: a job that is forgotten leaves the hint, whoever has removed it.

--- a/io/home/apply.go
+++ b/io/home/apply.go
@@ -234,6 +234,7 @@
 func (h *Home) forget(id string) {
 	delete(h.unloaded, id)
 	h.dropProgress(id)
+	h.listed.remove(id)
 	if l := h.loading[id]; l != nil {
 		h.endLoading(l)
 	}
--- a/io/home/sameid_test.go
+++ b/io/home/sameid_test.go
@@ -10,13 +10,14 @@
 	"mothcart/io/object"
 )
 
-// Guards against the end of a job that is forgotten, since an earlier job with its ID had ended.
+// Guards against the end of a job that is forgotten, or a job that never runs, since an earlier job with its ID had ended or had all
+// its results.
 func TestJobAfterOneWithItsID(t *testing.T) {
 	at := func(revision, created object.Revision) object.Object {
 		return object.Object{Name: "j1", Revision: revision, Created: created, Spec: json.RawMessage(`{"items":[{"id":"i"}]}`)}
 	}
-	event := func(h *Home, o object.Object) {
-		h.applyJobs(object.Change{Events: []object.Event{{Object: o}}})
+	event := func(h *Home, o object.Object, deleted bool) {
+		h.applyJobs(object.Change{Events: []object.Event{{Object: o, Deleted: deleted}}})
 	}
 	for _, tc := range []struct {
 		name  string
@@ -24,11 +25,17 @@
 		held  bool
 	}{
 		{"its end comes before it, while the ended one is there", func(h *Home) {
-			event(h, at(3, 3))
+			event(h, at(3, 3), false)
 			h.endJob("j1", End{Revision: 4, Created: 3}, byNotice)
 			h.endJob("j1", End{Revision: 7, Created: 6}, byNotice)
-			event(h, at(6, 6))
+			event(h, at(6, 6), false)
 		}, false},
+		{"it is new, and the earlier one had all its results", func(h *Home) {
+			h.listed.add("j1")
+			event(h, at(3, 3), false)
+			event(h, at(5, 3), true)
+			event(h, at(6, 6), false)
+		}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
