The hint of complete jobs names no job that was removed while it was read

Cause: which jobs exist was determined before the hint was read; one that was removed meanwhile was not known yet when it was forgotten.

Evidence: TestJobAfterOneThatIsRemovedWhileTheHintIsRead fails on the commit before and passes now; io/home passes.

Why it works: the hint is reduced once more to the jobs that exist, under the mutex under which it comes into use.

--- a/io/home/apply.go
+++ b/io/home/apply.go
@@ -102,6 +102,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.hintRead = true
+	h.listed.keep(h.exists) // others were removed while the hint was read
 	for id, l := range h.loading {
 		if h.listed.has(id) {
 			h.endLoading(l)
--- a/io/home/listed.go
+++ b/io/home/listed.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// keep forgets the jobs that no longer exist.
+func (l *listedJobs) keep(exists func(id string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before := len(l.ids)
+	maps.DeleteFunc(l.ids, func(id string, _ bool) bool { return !exists(id) })
+	l.changed = l.changed || len(l.ids) < before
+}
+
 // load reads the object and keeps the jobs that exist.
 func (l *listedJobs) load(ctx context.Context, c object.Client, exists func(id string) bool) error {
 	o, err := c.Get(ctx, KindListed, mainName)
--- a/io/home/sameid_test.go
+++ b/io/home/sameid_test.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 	"testing/synctest"
@@ -48,3 +49,30 @@
 		})
 	}
 }
+
+// Guards against a job that never runs, since an earlier one with its ID was removed while the home read which jobs are complete.
+func TestJobAfterOneThatIsRemovedWhileTheHintIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		at := func(revision, created object.Revision) object.Object {
+			return object.Object{Name: "j1", Revision: revision, Created: created, Spec: json.RawMessage(`{"items":[{"id":"i"}]}`)}
+		}
+		_, c := newMemory()
+		_, err := c.Create(t.Context(), KindListed, mainName, listedRecord{Jobs: []string{"j1"}})
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		h := newLoadingHome(ctx, c)
+		get := c.Get
+		h.opts.Objects.Get = func(ctx context.Context, kind, name string) (object.Object, error) {
+			if kind == KindListed {
+				h.applyJobs(object.Change{Events: []object.Event{{Object: at(5, 3), Deleted: true}}})
+			}
+			return get(ctx, kind, name)
+		}
+		h.applyJobs(object.Change{Listed: true, At: 4, Objects: []object.Object{at(3, 3)}})
+		synctest.Wait()
+		h.applyJobs(object.Change{Events: []object.Event{{Object: at(6, 6)}}})
+		require.True(t, h.hasJob("j1"))
+		cancel()
+		h.done.Wait()
+	})
+}
