--- a/io/node/receive_test.go
+++ b/io/node/receive_test.go
@@ -36,7 +36,9 @@
 	spec := json.RawMessage(`{"state":"ready","service":"desk","version":"1","address":"10.0.0.1:80","slots":1}`)
 	entry := object.Object{Name: "u1", Revision: 5, Spec: spec}
 	var sources sync.WaitGroup
-	sources.Go(func() { b.receive(platform.KindUpstreams, object.Change{Listed: true, At: 5, Objects: []object.Object{entry}}) })
+	sources.Go(func() {
+		b.receive(platform.KindUpstreams, object.Change{Listed: true, At: 5, Objects: []object.Object{entry}})
+	})
 	<-begun
 	removed := make(chan struct{})
 	sources.Go(func() {
