--- a/io/home/apply.go
+++ b/io/home/apply.go
@@ -102,6 +102,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.hintRead = true
+	h.listed.keep(h.exists) // others were removed while the hint was read
 	for id, l := range h.loading {
 		if h.listed.has(id) {
 			h.endLoading(l)
@@ -234,6 +235,7 @@
 func (h *Home) forget(id string) {
 	delete(h.unloaded, id)
 	h.dropProgress(id)
+	h.listed.remove(id)
 	if l := h.loading[id]; l != nil {
 		h.endLoading(l)
 	}
