One odd VM of the product's list loses no other

Cause: io/vmlist decoded the list as a whole, so that one VM nested over 10,000 deep, or of a wrong type, lost all others until it was gone; null, and VMs without an ID, were passed on.

Evidence: TestOddVMLosesNoOther and TestOddVMIsCounted fail without the change (the first at the first odd VM) and pass with it.

Why it works: the splitter of the object service's answers is a package of its own (io/rawjson), and each VM is decoded by itself. What is left out is counted (vmlist.leftOut) and logged (entryLeftOut with kind vms, ten of each list).

--- a/platform/split.go
+++ b/io/rawjson/rawjson.go
@@ -1,4 +1,10 @@
-package platform
+// Package rawjson splits JSON documents into their members by brackets and quotes alone, so that one member that can't be
+// decoded doesn't lose the others, which encoding/json refuses together with it.
+//
+// Usage:
+//
+//	err := rawjson.Elements(array, func(element []byte) { err := rawjson.Check(element); … })
+package rawjson
 
 import (
 	"bytes"
@@ -7,12 +13,15 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// maxNesting bounds how deep the content of an entry is nested. encoding/json refuses a whole document beyond 10,000, and
+// MaxNesting bounds how deep a member that can be read is nested. encoding/json refuses a whole document beyond 10,000, and
 // what is passed on to other nodes is wrapped once more.
-const maxNesting = 500
+const MaxNesting = 500
 
-// elements calls yield with each element of an array, whatever the elements hold. The brackets of the array must balance.
-func elements(array []byte, yield func(element []byte)) error {
+// ErrNotReadable means that a member can't be read.
+var ErrNotReadable = merry.Sentinel("entry can't be read")
+
+// Elements calls yield with each element of an array, whatever the elements hold; they are parts of array. The brackets of the array must balance.
+func Elements(array []byte, yield func(element []byte)) error {
 	return members(array, '[', ']', func(s *splitter) error {
 		value, _, err := s.value()
 		if err == nil {
@@ -22,8 +31,8 @@
 	})
 }
 
-// fields calls yield with the name and the value of each field of an object, whatever the values hold.
-func fields(object []byte, yield func(name string, value []byte)) error {
+// Fields calls yield with the name and the value of each field of an object, whatever the values hold.
+func Fields(object []byte, yield func(name string, value []byte)) error {
 	return members(object, '{', '}', func(s *splitter) error {
 		quoted, _, err := s.value()
 		if err != nil {
@@ -61,6 +70,12 @@
 	return nil
 }
 
+// Value returns the value that b begins with.
+func Value(b []byte) ([]byte, error) {
+	value, _, err := (&splitter{b: b}).value()
+	return value, err
+}
+
 // splitter finds the ends of JSON values by their brackets and quotes alone, without recursion.
 type splitter struct {
 	b  []byte
@@ -145,16 +160,16 @@
 	return false
 }
 
-// checkContent returns why the content of an entry can't be read; nil also for no content.
-func checkContent(b []byte) error {
+// Check returns why a member can't be read; nil also for no bytes.
+func Check(b []byte) error {
 	if len(b) == 0 {
 		return nil
 	}
-	if _, nesting, err := (&splitter{b: b}).value(); err != nil || nesting > maxNesting {
-		return merry.Errorf("nested %d deep: %w", nesting, errNotReadable)
+	if _, nesting, err := (&splitter{b: b}).value(); err != nil || nesting > MaxNesting {
+		return merry.Errorf("nested %d deep: %w", nesting, ErrNotReadable)
 	}
 	if !json.Valid(b) {
-		return merry.Errorf("no JSON: %w", errNotReadable)
+		return merry.Errorf("no JSON: %w", ErrNotReadable)
 	}
 	return nil
 }
--- a/io/vmlist/vmlist.go
+++ b/io/vmlist/vmlist.go
@@ -14,15 +14,18 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/vm"
+	"mothcart/io/rawjson"
 )
 
 // Path and parameters of the VM list's HTTP interface.
@@ -47,6 +50,8 @@
 type List struct {
 	Revision uint64  `json:"revision"`
 	VMs      []vm.VM `json:"vms"`
+	// LeftOut holds why VMs of the list are not in VMs: they can't be read.
+	LeftOut []error `json:"-"`
 }
 
 // Client holds the call of the VM list. Every call counts against the platform's rates.
@@ -76,10 +81,48 @@
 		if resp.StatusCode != http.StatusOK {
 			return List{}, merry.Errorf("read VM list: status %d: %w", resp.StatusCode, ErrUnavailable)
 		}
-		var l List
-		if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&l); err != nil {
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+		if err != nil {
+			return List{}, merry.Errorf("read VM list: %w: %w", ErrUnavailable, err)
+		}
+		l, err := decode(body)
+		if err != nil {
 			return List{}, merry.Errorf("decode VM list: %w: %w", ErrUnavailable, err)
 		}
 		return l, nil
 	}}
 }
+
+// decode decodes a list VM by VM, so that one that can't be read doesn't lose the others.
+func decode(body []byte) (List, error) {
+	var l List
+	var vms []byte
+	var wrong error
+	err := rawjson.Fields(body, func(name string, value []byte) {
+		switch name {
+		case "revision":
+			wrong = json.Unmarshal(value, &l.Revision)
+		case "vms":
+			vms = value
+		}
+	})
+	if err = errors.Join(err, wrong); err != nil || len(vms) == 0 || string(vms) == "null" {
+		return l, err
+	}
+	err = rawjson.Elements(vms, func(raw []byte) {
+		var v vm.VM
+		err := rawjson.Check(raw)
+		if err == nil {
+			err = json.Unmarshal(raw, &v)
+		}
+		if err == nil && (v.ID == "" || !utf8.Valid(raw)) {
+			err = merry.Errorf("no ID or no UTF-8: %w", rawjson.ErrNotReadable)
+		}
+		if err != nil {
+			l.LeftOut = append(l.LeftOut, merry.Errorf("VM %.100q: %w", v.ID, err))
+			return
+		}
+		l.VMs = append(l.VMs, v)
+	})
+	return l, err
+}
--- a/io/vmlist/watcher.go
+++ b/io/vmlist/watcher.go
@@ -10,6 +10,9 @@
 	gometrics "github.com/rcrowley/go-metrics"
 )
 
+// maxNamed bounds the VMs of one list that are logged since they can't be read.
+const maxNamed = 10
+
 // Watcher follows the VM list. Its methods are safe for concurrent use.
 type Watcher struct {
 	opts    Options
@@ -18,14 +21,16 @@
 	current atomic.Pointer[List]
 	polls   gometrics.Counter
 	errors  gometrics.Counter
+	leftOut gometrics.Counter
 }
 
 // New returns a Watcher that polls the list until Close.
 func New(opts Options) *Watcher {
 	w := &Watcher{
-		opts:   opts,
-		polls:  gometrics.GetOrRegisterCounter("vmlist.polls", opts.Registry),
-		errors: gometrics.GetOrRegisterCounter("vmlist.errors", opts.Registry),
+		opts:    opts,
+		polls:   gometrics.GetOrRegisterCounter("vmlist.polls", opts.Registry),
+		errors:  gometrics.GetOrRegisterCounter("vmlist.errors", opts.Registry),
+		leftOut: gometrics.GetOrRegisterCounter("vmlist.leftOut", opts.Registry),
 	}
 	w.current.Store(&List{})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -74,6 +79,10 @@
 		return err
 	}
 	if l.Revision > after {
+		w.leftOut.Inc(int64(len(l.LeftOut)))
+		for _, err := range l.LeftOut[:min(len(l.LeftOut), maxNamed)] {
+			w.opts.Logger.Warn().Str("kind", "vms").Uint64("revision", l.Revision).Err(err).Msg("entryLeftOut")
+		}
 		w.current.Store(&l)
 		w.opts.OnList(l.VMs)
 		return nil
