Entries of others among the results or parts of a job are passed over

An accepted job whose home was lost didn't run on.

Cause: a home that loads a job took each entry of its kinds for a chunk or a part. One that can't be read made the job unreadable for good, one more part than the job has was an error that was repeated without end.

Why it works: only names that mothcart gives are read. A chunk or part of such a name that can't be read still makes its job unreadable: its content is needed.

--- a/io/home/records.go
+++ b/io/home/records.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strconv"
 
 	"github.com/ansel1/merry/v2"
 
@@ -65,6 +66,14 @@
 // chunkName is the name of the chunk with a number; names sort by number.
 func chunkName(number int) string { return fmt.Sprintf("%06d", number) }
 
+// chunksOf returns the objects whose names are those of chunks; others are not written by mothcart.
+func chunksOf(objects []object.Object) []object.Object {
+	return slices.DeleteFunc(objects, func(o object.Object) bool {
+		number, err := strconv.Atoi(o.Name)
+		return err != nil || number < 0 || o.Name != chunkName(number)
+	})
+}
+
 // jobBytes bounds the items in one object; an object holds 1 MB.
 const jobBytes = 700 << 10
 
@@ -132,7 +141,7 @@
 		return job, merry.Errorf("list parts of job %s: %w", job.ID, err)
 	}
 	// Another job with this ID, which was refused, may have written more.
-	objects = slices.DeleteFunc(objects, func(o object.Object) bool { return o.Name >= chunkName(job.Parts) })
+	objects = slices.DeleteFunc(chunksOf(objects), func(o object.Object) bool { return o.Name >= chunkName(job.Parts) })
 	var items []batch.Item
 	for _, o := range objects {
 		var p part
@@ -184,7 +193,7 @@
 	if err != nil {
 		return log, merry.Errorf("list results of job %s: %w", id, err)
 	}
-	for _, o := range chunks {
+	for _, o := range chunksOf(chunks) {
 		if log, err = withObject(log, o); err != nil {
 			return log, err
 		}
--- a/io/node/odd_test.go
+++ b/io/node/odd_test.go
@@ -144,3 +144,28 @@
 		}
 	})
 }
+
+// Guards against a job whose items don't run any more since another writer left an entry among its results or parts.
+func TestOddEntryAmongResultsOrPartsLosesNoJob(t *testing.T) {
+	for _, items := range []int{20, 60} { // the items of the larger job are in parts
+		for i, odd := range fake.OddEntries() {
+			if i%5 != 0 && odd.Named {
+				continue
+			}
+			t.Run(fmt.Sprintf("%d items, %s", items, odd.What), func(t *testing.T) {
+				runSite(t, func(t *testing.T, s *testSite) {
+					body := make([]byte, 20)
+					if items == 60 {
+						body = make([]byte, 16<<10)
+					}
+					require.Equal(t, http.StatusAccepted, s.submitBodies(1, "j", items, body).status)
+					s.objects.WriteOdd("mothcart-results-j", "odd", odd)
+					s.objects.WriteOdd("mothcart-parts-j", "00000", odd)
+					s.killHome(1)
+					time.Sleep(5 * time.Second)
+					s.awaitJob(2, "j", 30*time.Second)
+				})
+			})
+		}
+	}
+}
