--- a/io/home/end.go
+++ b/io/home/end.go
@@ -68,6 +68,9 @@
 	case !known, later:
 		event = "endOfJobNotHeld"
 		h.tombstones.Add(h.opts.Now(), id, tombstone.Tombstone{Kind: tombstone.Ended, Revision: int64(end.Revision)})
+	case j == nil && l == nil && way != byNotice:
+		h.mu.Unlock()
+		return // each listing shows the end again
 	case j == nil && l == nil, end.Created < created && end.Created > 0:
 		event = "endOfJobNotHeld"
 	case end.Revision == 0 && way == byNotice:
