A node whose connection has ended gets no items

Cause: the home gives an item to the node with the fewest running ones. One whose connection has ended, and that is not dropped yet, fails each attempt at once, so that it always has the fewest: 3,347 attempts in one second, 4,023 of 5,023 at one node, until the home had no processor time left to renew its lease. Old, found by the logs.

Evidence: TestNodeWithoutAConnectionGetsNoItems fails before (the closed node is picked) and passes now.

Why it works: nodes whose connection is closed are left out; without any other, the home runs the item itself.

--- a/io/home/cancelrun_test.go
+++ b/io/home/cancelrun_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -15,16 +16,17 @@
 	"mothcart/platform/fake"
 )
 
-// runnerLink connects a home to a runner's node and returns the home's side and what the node receives.
-func runnerLink(t *testing.T) (*link.Conn, <-chan string) {
+// runnerLink connects a home to the node of runner n and returns the home's side and what the node receives.
+func runnerLink(t *testing.T, n int) (*link.Conn, <-chan string) {
 	network, received := fake.NewNetwork(), make(chan string, 16)
-	l, err := network.Listen(t.Context(), "10.1.0.1:7660")
+	address := fmt.Sprintf("10.1.0.%d:7660", n)
+	l, err := network.Listen(t.Context(), address)
 	require.NoError(t, err)
 	server := link.NewServer(l, link.Options{Handle: func(_ *link.Conn, in link.Incoming) { received <- in.Method }})
 	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
 		return network.Dial(ctx, "10.2.0.1", address)
 	}
-	c, err := link.Dial(t.Context(), dial, "10.1.0.1:7660", link.Options{Handle: func(*link.Conn, link.Incoming) {}})
+	c, err := link.Dial(t.Context(), dial, address, link.Options{Handle: func(*link.Conn, link.Incoming) {}})
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		c.Close()
@@ -48,7 +50,7 @@
 	for _, before := range []bool{true, false} {
 		for range 200 {
 			synctest.Test(t, func(t *testing.T) {
-				conn, received := runnerLink(t)
+				conn, received := runnerLink(t, 1)
 				h := newRunHome(t.Context())
 				h.runners["e1"] = &runnerNode{conn: conn, name: "e1", stopped: make(chan struct{})}
 				ctx, cancel := context.WithCancel(t.Context())
@@ -74,7 +76,7 @@
 func TestAttemptOfANodeThatIsBackIsCancelled(t *testing.T) {
 	for range 50 {
 		synctest.Test(t, func(t *testing.T) {
-			conn, received := runnerLink(t)
+			conn, received := runnerLink(t, 1)
 			h := newRunHome(t.Context())
 			remote := newRemoteRun("i")
 			h.remoteRuns[7] = remote
@@ -89,3 +91,20 @@
 		})
 	}
 }
+
+// Guards against a home that gives all its items, again and again, to the node with the fewest ones: one whose connection has ended.
+func TestNodeWithoutAConnectionGetsNoItems(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gone, _ := runnerLink(t, 1)
+		conn, _ := runnerLink(t, 2)
+		h := newRunHome(t.Context())
+		h.runners["e1"] = &runnerNode{conn: gone, name: "e1", stopped: make(chan struct{})}
+		h.runners["e2"] = &runnerNode{conn: conn, name: "e2", stopped: make(chan struct{}), running: 7}
+		gone.Close()
+		time.Sleep(time.Second)
+		require.Equal(t, "e2", h.pickRunner().name)
+		conn.Close()
+		time.Sleep(time.Second)
+		require.Nil(t, h.pickRunner())
+	})
+}
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -258,6 +258,16 @@
 
 func (n *runnerNode) stop() { close(n.stopped) }
 
+// isConnected reports that the connection has not ended; the node is dropped some time after its end.
+func (n *runnerNode) isConnected() bool {
+	select {
+	case <-n.conn.Done():
+		return false
+	default:
+		return true
+	}
+}
+
 // execute makes an attempt on this node or, if this node already runs OwnRuns items and there is a runner, on
 // the runner with the fewest items. It returns the outcome and the name of the node that made the attempt.
 func (h *Home) execute(ctx context.Context, c itemCall, got *stream) (itemOutcome, string) {
@@ -317,7 +327,7 @@
 	defer h.mu.Unlock()
 	var best *runnerNode
 	for _, n := range h.runners {
-		if best == nil || n.running < best.running {
+		if n.isConnected() && (best == nil || n.running < best.running) {
 			best = n
 		}
 	}
