Test of late requests: no data race between its checks

What was seen: with -race the checks of TestRequestThatComesLateInTheGraceIsNotPassedOn, which ran beside each other, wrote to the spare place of one slice (runsOf). They run after all answers now; what is checked is the same. With -race it passes.

--- a/io/node/late_test.go
+++ b/io/node/late_test.go
@@ -87,20 +87,25 @@
 	}
 	time.Sleep(opens)
 	var all sync.WaitGroup
+	answers := make(map[time.Duration]<-chan reply)
 	for at := 2750 * time.Millisecond; at < 8*time.Second; at += step {
+		answer := make(chan reply, 1)
+		answers[at] = answer
 		all.Go(func() {
-			id := fmt.Sprintf("r%s", at)
-			r := s.lateCall(fmt.Sprintf("%s:%d", entryIP(1), port), http.MethodPost, path, id, "draft", slowBody, at-time.Since(began))
-			require.Zero(s.t, s.runsOf(id), "%s is passed on", id)
-			if r.status == 0 && (at >= 7700*time.Millisecond || (!slowBody && at-opens >= readHeaderTimeout)) {
-				return // the connection was closed before the request came, since nothing had come on it or the process had ended
-			}
-			require.Equal(s.t, http.StatusServiceUnavailable, r.status, id)
-			require.True(s.t, r.complete && (r.closes || port != 80), id)
-			require.Less(s.t, r.took, 100*time.Millisecond, id)
+			answer <- s.lateCall(fmt.Sprintf("%s:%d", entryIP(1), port), http.MethodPost, path, fmt.Sprintf("r%s", at), "draft", slowBody, at-time.Since(began))
 		})
 	}
 	all.Wait()
+	for at, answer := range answers {
+		r, id := <-answer, fmt.Sprintf("r%s", at)
+		require.Zero(s.t, s.runsOf(id), "%s is passed on", id)
+		if r.status == 0 && (at >= 7700*time.Millisecond || (!slowBody && at-opens >= readHeaderTimeout)) {
+			continue // the connection was closed before the request came, since nothing had come on it or the process had ended
+		}
+		require.Equal(s.t, http.StatusServiceUnavailable, r.status, id)
+		require.True(s.t, r.complete && (r.closes || port != 80), id)
+		require.Less(s.t, r.took, 100*time.Millisecond, id)
+	}
 	<-ended
 }
 
