A node that is out of step joins no two software versions

What callers saw: a stream that began at a new software version, and was taken up at an entry that had been cut off or stood still when the version joined, went on at the version before.

Cause: a stream without a record goes on if its service has had one version for 15 s. A node that gets no news notices it only after a while; until then the one version that it knows counted as the only one. That was so at an entry that decides without a home, and at a home on the same side.

Why it works: the only version counts only after a listing of the upstreams that began after the request came and was applied; a version that has begun a stream is in it. Requests share listings; streams with a record need none. A slot that the home grants to a node that has gone meanwhile is released.

--- a/core/slot/bind.go
+++ b/core/slot/bind.go
@@ -12,6 +12,9 @@
 		r.Version, r.BoundBy = version, BoundByPool
 		return true
 	}
+	if r.Unconfirmed {
+		return false
+	}
 	version, ok := p.opts.SoleVersion(now, r.Service)
 	if ok {
 		r.Version, r.BoundBy = version, BoundBySoleVersion
--- a/core/slot/slot.go
+++ b/core/slot/slot.go
@@ -110,7 +110,9 @@
 	// Continues reports that the request continues a stream, and Resumes is the ID of the request that brought its first
 	// event. Without Version the pool finds out at which version that stream began.
 	Continues bool
-	Resumes   string
+	// Unconfirmed reports that SoleVersion may not know of the newest versions.
+	Unconfirmed bool
+	Resumes     string
 	// Repeatable reports that a request that begins no stream may run at another upstream if this one fails.
 	Repeatable bool
 	// Parts are the parts of the prompt that other requests may share, in order. Identity is what other tries of an online
--- a/io/home/client.go
+++ b/io/home/client.go
@@ -76,6 +76,8 @@
 	// had for long enough, if this node can tell.
 	Origins     *Origins
 	SoleVersion func(now time.Time, service string) (string, bool)
+	// Confirm reports that this node has just got the list of all upstreams from the object service.
+	Confirm func(ctx context.Context) bool
 	// Suspects is what the node's last process knew against parts of prompts and against requests. SuspectsChanged is
 	// called when one was quarantined or cleared.
 	Suspects        []poison.Record
@@ -377,6 +379,7 @@
 		c.localPool.DecideAlone(c.Nodes())
 		c.localPool.limitAlone(c.sharingNodes())
 	}
+	r.Unconfirmed = c.opts.Origins.mustConfirm(r, c.opts.SoleVersion) && !c.opts.Confirm(ctx)
 	decided := make(chan decision, 1)
 	c.localPool.Ask(r, asker{
 		granted: func(g slot.Grant) { decided <- decision{grant: g} },
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -78,6 +78,8 @@
 	// had for long enough, if this node can tell.
 	Origins     *Origins
 	SoleVersion func(now time.Time, service string) (string, bool)
+	// Confirm reports that this node has just got the list of all upstreams from the object service.
+	Confirm func(ctx context.Context) bool
 	// Suspects is what this node knows against parts of prompts and against requests; PushSuspects notifies all nodes of
 	// such that were quarantined or cleared.
 	Suspects     []poison.Record
--- a/io/home/origins.go
+++ b/io/home/origins.go
@@ -68,6 +68,19 @@
 	return o.records.Version(o.now(), stream)
 }
 
+// mustConfirm reports that only the versions of the upstreams can tell at which one the stream began that a request
+// continues.
+func (o *Origins) mustConfirm(r slot.Request, soleVersion func(now time.Time, service string) (string, bool)) bool {
+	if !r.Continues || r.Version != "" {
+		return false
+	}
+	if _, ok := o.Version(r.Resumes); ok {
+		return false
+	}
+	_, ok := soleVersion(o.now(), r.Service)
+	return ok
+}
+
 // poolOptions returns the options of a pool that binds streams by these records.
 func (o *Origins) poolOptions(opts slot.Options, soleVersion func(now time.Time, service string) (string, bool)) slot.Options {
 	return opts.WithOrigins(o.Record, o.Version, soleVersion)
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -202,7 +202,28 @@
 	}
 	h.metrics.asks.Inc(1)
 	h.pool.Paces(s.owner, m.Paces)
-	h.pool.Ask(m.request(h.opts.Now(), s.owner), asker{
+	r := m.request(h.opts.Now(), s.owner)
+	if !h.opts.Origins.mustConfirm(r, h.opts.SoleVersion) {
+		h.askPool(s, in, r)
+		return nil
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), m.Wait)
+		defer cancel()
+		r.Unconfirmed = !h.opts.Confirm(ctx)
+		h.askPool(s, in, r)
+		select {
+		case <-in.Conn().Done(): // dropNode may have come first
+			h.pool.Release(r.Key, slot.Abandoned)
+		default:
+		}
+	}()
+	return nil
+}
+
+// askPool asks for a slot.
+func (h *Home) askPool(s *session, in link.Incoming, r slot.Request) {
+	h.pool.Ask(r, asker{
 		granted: func(g slot.Grant) {
 			answer := grantAnswer(g)
 			answer.Standing = h.pool.standing(g.Request)
@@ -218,7 +239,6 @@
 			in.Answer(askAnswer{Reason: r.Reason, RetryAfter: r.RetryAfter, Standing: h.pool.standing(r.Request)})
 		},
 	})
-	return nil
 }
 
 // dropNode removes a node whose connection has ended and releases its slots.
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -216,7 +216,7 @@
 		Views: n.views, ObjectsDown: n.base.objectsDown,
 		Before: n.base.client.Home(), Dial: o.Connect(connectTimeout), Checkpoints: n.base.checkpoints,
 		Suspects: n.base.client.Suspects(), PushSuspects: n.server.PushSuspects,
-		Origins: n.base.origins, SoleVersion: n.base.soleVersion,
+		Origins: n.base.origins, SoleVersion: n.base.soleVersion, Confirm: n.base.confirmations.confirm,
 		AskingNodes: n.base.client.AskingNodes(),
 		Announce:    n.server.PushAnnouncement, MarkLeaving: n.base.markLeaving, Leaving: n.base.leavingUpstreams,
 		Retirements: platform.Retirements(), StepDown: n.stepDown,
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -95,6 +95,10 @@
 	// links are those of an entry node to upstreams; nil on home nodes. stopping is set when it drains.
 	links    *carrier.Links
 	stopping atomic.Bool
+	// confirmations list the upstreams for requests whose software version depends on their being known.
+	confirmations confirmations
+	// confirms counts these listings, unconfirmed those that failed.
+	confirms, unconfirmed metrics.Counter
 	// runner and checkpoints are nil on entry nodes.
 	runner      *home.Runner
 	checkpoints *home.Checkpoints
@@ -188,10 +192,12 @@
 		b.suspectsSaver = newSaver(s.DataDir, suspectsFile, func() any { return b.client.Suspects() }, opts.Log)
 		b.savers = []*saver{progressSaver, stateSaver, b.suspectsSaver}
 	}
+	b.confirmations.list = b.listUpstreams
+	b.confirms, b.unconfirmed = metrics.GetOrRegisterCounter("streams.versionsListed", opts.Registry), metrics.GetOrRegisterCounter("streams.versionsNotConfirmed", opts.Registry)
 	b.client = home.NewClient(home.ClientOptions{
 		VMID: s.VMID, Incarnation: b.incarnation, Relay: relay, HomeNodes: opts.homeNodes, Connect: opts.Connect(connectTimeout), Now: opts.Now,
 		Config: b.currentConfig, Checkpoints: b.checkpoints, Unreached: b.startWait.end, Announced: b.siteStateChanged, OnReceivesChanges: b.updateDown,
-		Origins: b.origins, SoleVersion: b.soleVersion, Suspects: load[[]poison.Record](s.DataDir, suspectsFile, opts.Log), SuspectsChanged: func() { b.suspectsSaver.changed() },
+		Origins: b.origins, SoleVersion: b.soleVersion, Confirm: b.confirmations.confirm, Suspects: load[[]poison.Record](s.DataDir, suspectsFile, opts.Log), SuspectsChanged: func() { b.suspectsSaver.changed() },
 		View: func(kind string, c object.Change) { b.receive(kind, c) }, Down: b.setHomeDown, Runner: b.runner, Log: opts.Log,
 		Leaving: b.answeredLeaving, MarkLeaving: b.markLeaving, LeavingUpstreams: b.leavingUpstreams,
 	})
@@ -231,6 +237,7 @@
 }
 
 func (b *base) close() {
+	b.confirmations.close()
 	b.counts.Stop()
 	b.closeServer(b.metrics)
 	if b.cancelStart != nil {
