--- a/io/home/client.go
+++ b/io/home/client.go
@@ -72,12 +72,10 @@
 	Leaving          func(u site.Upstream, request string)
 	MarkLeaving      func(from string, keys []site.Key)
 	LeavingUpstreams func() []site.Key
-	// Origins remembers at which software versions streams began. SoleVersion returns the only one that a service has
-	// had for long enough, if this node can tell.
+	// Origins, SoleVersion and Confirm are those of Options.
 	Origins     *Origins
 	SoleVersion func(now time.Time, service string) (string, bool)
-	// Confirm reports that this node has just got the list of all upstreams from the object service.
-	Confirm func(ctx context.Context) bool
+	Confirm     func(ctx context.Context) bool
 	// Suspects is what the node's last process knew against parts of prompts and against requests. SuspectsChanged is
 	// called when one was quarantined or cleared.
 	Suspects        []poison.Record
