--- a/io/rawjson/rawjson.go
+++ b/io/rawjson/rawjson.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"unicode/utf8"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -42,14 +43,23 @@
 			return merry.Errorf("no colon at byte %d", s.at)
 		}
 		value, _, err := s.value()
-		var name string
-		if err == nil && json.Unmarshal(quoted, &name) == nil {
+		if name, ok := unquoted(quoted); ok && err == nil {
 			yield(name, value)
 		}
 		return err
 	})
 }
 
+// unquoted returns a text without its quotes; false if it is none.
+func unquoted(quoted []byte) (string, bool) {
+	if n := len(quoted); n >= 2 && quoted[0] == '"' && !bytes.ContainsFunc(quoted, func(r rune) bool { return r == '\\' || r < ' ' || r >= utf8.RuneSelf }) {
+		return string(quoted[1 : n-1]), true
+	}
+	var name string
+	err := json.Unmarshal(quoted, &name)
+	return name, err == nil
+}
+
 // members calls member at the start of each member of an array or object that takes up all bytes.
 func members(b []byte, first, last byte, member func(s *splitter) error) error {
 	s := &splitter{b: b}
