The test of the time from an end to the last item asks that items run

TestLastItemAfterAnEndIsBounded passed with a home that runs no item at all (askSlots emptied: 6 of 6 cases, 0 ms). It now also asks that items of jobs that were not ended arrive at an upstream; with that it fails in 6 of 6 on the same change and passes without it.

--- a/io/node/ended_bound_test.go
+++ b/io/node/ended_bound_test.go
@@ -50,6 +50,19 @@
 	return last
 }
 
+// itemsOfOthers returns how many items of jobs that were not ended arrived at an upstream.
+func (s *testSite) itemsOfOthers(ended map[string]time.Time) int {
+	n := 0
+	for _, e := range s.engines {
+		for _, a := range e.Arrived() {
+			if _, ok := ended[jobOfItem(a.ID)]; !ok {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // jobOfItem returns the job of an item whose number has one digit.
 func jobOfItem(id string) string { return id[:max(len(id)-len(".0"), 0)] }
 
@@ -126,6 +139,7 @@
 				if tc.jobs > 10 && tc.times > 1 {
 					require.Positive(t, before, "the jobs were ended too late to show anything")
 				}
+				require.Positive(t, s.itemsOfOthers(ended), "a home that runs no items shows nothing")
 				require.Less(t, last, cancelBound)
 			})
 		})
