The hint of complete jobs tells jobs with one ID apart

An accepted job could stay without items for ever (LOST): the hint named an earlier job with its ID, and the home had ended before it wrote the hint without that one.

Why it works: the hint names the revision at which each job was created; another one's, or none (of an earlier release), doesn't count, and the job's results are read.

--- a/io/home/listed.go
+++ b/io/home/listed.go
@@ -23,21 +23,30 @@
 // one object: a mark on each job would cost a call and an event each. The object is a hint: a job that it lacks is
 // read, and a job that it names has all its results in the object service.
 type listedJobs struct {
-	mu sync.Mutex
-	// ids holds true for the jobs that the object names; inFlight are those that the last write names.
-	ids      map[string]bool
+	mu  sync.Mutex
+	ids map[string]listedJob
+	// inFlight are the jobs that the last write names.
 	inFlight []string
 	// changed reports that ids has jobs that are not written; writing that a write is in progress.
 	changed, writing bool
 	writtenAt        time.Time
 }
 
+// listedJob is a job all of whose items have results.
+type listedJob struct {
+	// created is the revision at which the job was created, stored reports that the object names the job.
+	created object.Revision
+	stored  bool
+}
+
 // listedRecord is the content of the object.
 type listedRecord struct {
 	Jobs []string `json:"jobs"`
+	// Created holds the revisions at which the jobs were created, in their order; empty if a home of an earlier release wrote it.
+	Created []object.Revision `json:"created,omitempty"`
 }
 
-func newListedJobs() *listedJobs { return &listedJobs{ids: make(map[string]bool)} }
+func newListedJobs() *listedJobs { return &listedJobs{ids: make(map[string]listedJob)} }
 
 func (l *listedJobs) has(id string) bool {
 	l.mu.Lock()
@@ -46,11 +55,11 @@
 	return ok
 }
 
-func (l *listedJobs) add(id string) {
+func (l *listedJobs) add(id string, created object.Revision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, ok := l.ids[id]; !ok {
-		l.ids[id], l.changed = false, true
+	if current, ok := l.ids[id]; !ok || current.created != created {
+		l.ids[id], l.changed = listedJob{created: created}, true
 	}
 }
 
@@ -58,7 +67,7 @@
 func (l *listedJobs) isStored(id string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.ids[id]
+	return l.ids[id].stored
 }
 
 // remove forgets a job; the object must not name a later one with its ID.
@@ -76,12 +85,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before := len(l.ids)
-	maps.DeleteFunc(l.ids, func(id string, _ bool) bool { return !exists(id) })
+	maps.DeleteFunc(l.ids, func(id string, _ listedJob) bool { return !exists(id) })
 	l.changed = l.changed || len(l.ids) < before
 }
 
-// load reads the object and keeps the jobs that exist.
-func (l *listedJobs) load(ctx context.Context, c object.Client, exists func(id string) bool) error {
+// load reads the object and keeps the jobs that exist, whose creations are created.
+func (l *listedJobs) load(ctx context.Context, c object.Client, created map[string]object.Revision) error {
 	o, err := c.Get(ctx, KindListed, mainName)
 	if errors.Is(err, store.ErrNotFound) {
 		return nil
@@ -95,9 +104,13 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, id := range r.Jobs {
-		if exists(id) {
-			l.ids[id] = true
+	for i, id := range r.Jobs {
+		job := listedJob{stored: true}
+		if i < len(r.Created) {
+			job.created = r.Created[i]
+		}
+		if of, exists := created[id]; exists && of == job.created {
+			l.ids[id] = job
 		}
 	}
 	return nil
@@ -112,7 +125,11 @@
 	}
 	l.changed, l.writing, l.writtenAt = false, true, now
 	l.inFlight = slices.Sorted(maps.Keys(l.ids))
-	return listedRecord{Jobs: l.inFlight}, true
+	r := listedRecord{Jobs: l.inFlight}
+	for _, id := range l.inFlight {
+		r.Created = append(r.Created, l.ids[id].created)
+	}
+	return r, true
 }
 
 // written records the end of a write; after a failure the jobs are written again.
@@ -122,8 +139,9 @@
 	l.writing = false
 	l.changed = l.changed || err != nil
 	for _, id := range l.inFlight {
-		if _, ok := l.ids[id]; ok && err == nil {
-			l.ids[id] = true
+		if job, ok := l.ids[id]; ok && err == nil {
+			job.stored = true
+			l.ids[id] = job
 		}
 	}
 }
@@ -153,15 +171,15 @@
 	ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
 	defer cancel()
 	h.mu.Lock()
-	exists := make(map[string]bool, len(h.loading)+len(h.jobs))
-	for id := range h.loading {
-		exists[id] = true
+	created := make(map[string]object.Revision, len(h.loading)+len(h.jobs))
+	for id, l := range h.loading {
+		created[id] = l.o.Created
 	}
-	for id := range h.jobs {
-		exists[id] = true
+	for id, j := range h.jobs {
+		created[id] = j.created
 	}
 	h.mu.Unlock()
-	err := h.listed.load(ctx, h.opts.Objects, func(id string) bool { return exists[id] })
+	err := h.listed.load(ctx, h.opts.Objects, created)
 	if errors.Is(err, errUnreadable) {
 		h.opts.Log.Error().Err(err).Msg("listedJobsNotRead") // the results of these jobs are read instead
 		return nil
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -166,7 +166,7 @@
 	}
 	h.endLoading(l)
 	if len(log.Open()) == 0 {
-		h.listed.add(o.Name)
+		h.listed.add(o.Name, o.Created)
 	}
 	h.hold(o, log)
 	h.mu.Unlock()
--- a/io/home/remove_test.go
+++ b/io/home/remove_test.go
@@ -44,7 +44,7 @@
 				},
 			},
 		}
-		h.listed.add("j")
+		h.listed.add("j", 0)
 		now = now.Add(time.Second)
 		h.sweepJobs(now)
 		require.Zero(t, deletions, "the next home would not know that the job has all its results")
--- a/io/home/result.go
+++ b/io/home/result.go
@@ -88,10 +88,10 @@
 		}
 		if len(chunk.Results) == 0 || j.log.Ended() {
 			j.writing = false
-			listed := j.log.Len() == len(j.log.Job().Items)
+			listed, created := j.log.Len() == len(j.log.Job().Items), j.created
 			h.mu.Unlock()
 			if listed {
-				h.listed.add(id)
+				h.listed.add(id, created)
 			}
 			return
 		}
--- a/io/home/sameid_test.go
+++ b/io/home/sameid_test.go
@@ -32,7 +32,7 @@
 			event(h, at(6, 6), false)
 		}, false},
 		{"it is new, and the earlier one had all its results", func(h *Home) {
-			h.listed.add("j1")
+			h.listed.add("j1", 3)
 			event(h, at(3, 3), false)
 			event(h, at(5, 3), true)
 			event(h, at(6, 6), false)
