A node repeats the ends of jobs to the home that it reaches next

Cause: an entry that was connected to no home dropped its notice of an end. Beside it, since, an end that a node of an earlier release told of waited for a read of the object, up to 10 s.

Why it works: a node keeps the ends that it has acknowledged for as long as a home keeps tombstones, and names them with its hello. An end without a revision counts at once for a job that was accepted longer ago than a notice may be late; the object is read for others.

--- a/io/home/client.go
+++ b/io/home/client.go
@@ -128,6 +128,7 @@
 	gone map[site.Key]bool
 	// submissions are this node's attempts to submit jobs.
 	submissions submissions
+	ends        recentEnds
 	rooms       rooms
 }
 
--- a/io/home/clientjobs.go
+++ b/io/home/clientjobs.go
@@ -84,9 +84,12 @@
 	return ItemBody{Found: a.Found && !a.Ended, Body: a.Body}, nil
 }
 
-// NotifyEnded notifies the home that a job was ended, before the watch of the object service does.
+// NotifyEnded notifies the home that a job was ended, before the watch of the object service does. A home that this node
+// connects to later is notified as well.
 func (c *Client) NotifyEnded(job string, end End) {
-	c.notify(methodEnded, endedNotice{Job: job, End: end})
+	m := endedNotice{Job: job, End: end}
+	c.ends.add(c.opts.Now(), m)
+	c.notify(methodEnded, m)
 }
 
 // NotifyStored notifies the home that the object service has stored a job, in case its watch missed the job.
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -189,7 +189,7 @@
 	return helloRequest{
 		VM: c.opts.VMID, Incarnation: c.opts.Incarnation, Relay: c.opts.Relay, Runs: c.opts.Runner != nil,
 		Open: c.inventory.open(), Leaving: upstreamKeys(c.opts.LeavingUpstreams()), Suspects: c.Suspects(), Limits: encodeLimits(c.localPool.ExportLimits()),
-		Asks: c.asks.Load(), Submissions: c.submissions.open(c.opts.Now()),
+		Asks: c.asks.Load(), Submissions: c.submissions.open(c.opts.Now()), Ended: c.ends.recent(c.opts.Now()),
 	}
 }
 
--- a/io/home/end.go
+++ b/io/home/end.go
@@ -73,7 +73,7 @@
 		return // each listing shows the end again
 	case j == nil && l == nil, end.Created < created && end.Created > 0:
 		event = "endOfJobNotHeld"
-	case end.Revision == 0 && way == byNotice:
+	case end.Revision == 0 && way == byNotice && (j == nil || h.opts.Now().Sub(j.acceptedAt) < lateNotice):
 		event = "endToConfirm"
 		h.done.Go(func() { h.confirmEnd(id) })
 	case j != nil:
@@ -122,6 +122,9 @@
 	}
 }
 
+// lateNotice is how long after a job was accepted a notice may be that of an earlier job with its ID.
+const lateNotice = 5 * time.Second
+
 // confirmTries is the number of attempts to read a job of which a node says that it was ended.
 const confirmTries = 10
 
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -90,6 +90,8 @@
 	Asks bool `msgpack:"asks,omitempty"`
 	// Submissions are the node's attempts to submit jobs that may still store them.
 	Submissions []submission.Attempt `msgpack:"subs,omitempty"`
+	// Ended are the ends that the node has acknowledged lately.
+	Ended []endedNotice `msgpack:"ends,omitempty"`
 }
 
 type openedSlot struct {
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -184,6 +184,9 @@
 		h.adopt(s, o)
 	}
 	h.adoptSubmissions(m.Submissions)
+	for _, e := range m.Ended {
+		h.endJob(e.Job, e.End, byNotice)
+	}
 	h.opts.Log.Info().Str("peer", s.owner).Int("open", len(m.Open)).Int64("term", h.opts.Term).Msg("nodeConnected")
 	answer := helloAnswer{Home: Announcement{Term: h.opts.Term, VM: h.opts.VMID, Address: h.opts.Address}, Accounts: true}
 	answer.Open, answer.Counted = h.countOpen()
