--- a/io/home/home.go
+++ b/io/home/home.go
@@ -128,6 +128,8 @@
 	unloaded  map[string]settledJob
 	loading   map[string]*loading
 	loadQueue []*loading
+	// nextLoadAt is the earliest start of the next load.
+	nextLoadAt time.Time
 	// loaders is the number of goroutines that load jobs, initialLoads that of the jobs for which the home counts as loading.
 	loaders, initialLoads int
 	// tombstones are ends and removals of jobs that the home doesn't have.
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -19,6 +19,9 @@
 const (
 	// loadConcurrency is the number of jobs that are read at the same time.
 	loadConcurrency = 16
+	// loadInterval is the least time between the starts of two loads, each of which writes once, so that leases, jobs and ends
+	// get through beside them.
+	loadInterval = 5 * time.Millisecond
 	// lastLoadPause bounds the time until a job that could not be read is read again, which doubles with each failure from
 	// retryPause on.
 	lastLoadPause = 3200 * time.Millisecond
@@ -120,10 +123,18 @@
 			h.mu.Unlock()
 			return
 		}
-		ctx, cancel := context.WithTimeout(h.ctx, loadTimeout)
+		now := h.opts.Now()
+		startAt := h.nextLoadAt
+		if startAt.Before(now) {
+			startAt = now
+		}
+		h.nextLoadAt = startAt.Add(loadInterval)
+		ctx, cancel := context.WithTimeout(h.ctx, startAt.Sub(now)+loadTimeout)
 		l.cancel = cancel
 		h.mu.Unlock()
-		h.tryLoad(ctx, l)
+		if !startAt.After(now) || clock.Sleep(ctx, startAt.Sub(now)) == nil { // else it needs to be loaded no longer
+			h.tryLoad(ctx, l)
+		}
 		cancel()
 	}
 }
