A job that the watch delivers is decoded once

Found by reading the change: each new job was decoded for its head and again for its items, on the watch's path; decodeJob has the same decoding. One function serves both now, and ending the load of a job that needs no more runs is one call in two places.

--- a/io/home/apply.go
+++ b/io/home/apply.go
@@ -105,8 +105,7 @@
 	h.listed.keep(h.exists) // others were removed while the hint was read
 	for id, l := range h.loading {
 		if h.listed.has(id) {
-			h.endLoading(l)
-			h.settle(l.o, l.job)
+			h.settleLoading(l)
 		}
 	}
 	h.startLoaders()
@@ -119,15 +118,17 @@
 	if h.applyKnown(o, status, way) {
 		return
 	}
-	job, tokens, err := decodeHead(o)
+	isNew := way == byWatch
+	decode := decodeHead
+	if isNew {
+		decode = decodeWhole
+	}
+	job, tokens, err := decode(o)
 	if err != nil {
 		h.opts.Log.Error().Str("job", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("jobSkipped")
 	}
-	var log batch.Log
-	isNew := way == byWatch
-	if isNew && err == nil && job.Parts == 0 {
-		log, err = decodeJob(h.ctx, h.opts.Objects, o)
-	}
+	items := job.Items
+	job.Items = nil
 	h.mu.Lock()
 	if h.exists(o.Name) {
 		h.mu.Unlock()
@@ -141,7 +142,7 @@
 	case verdict == tombstone.IsEnded, status.Ended, status.Listed, err == nil && h.listed.has(o.Name):
 		h.settle(o, job)
 	case isNew && err == nil && job.Parts == 0 && verdict == tombstone.Current:
-		h.hold(o, log)
+		h.hold(o, batch.NewLog(job.WithItems(items)))
 		held = true
 	default:
 		h.queueLoad(&loading{o: o, job: job, tokens: tokens, isNew: isNew, stale: verdict == tombstone.Doubtful, broken: err != nil})
@@ -199,6 +200,12 @@
 	h.noteSubmission(o.Name)
 }
 
+// settleLoading records that a job needs no more runs, whose load is not over; the mutex is held.
+func (h *Home) settleLoading(l *loading) {
+	h.endLoading(l)
+	h.settle(l.o, l.job)
+}
+
 // hold adds a job; the mutex is held.
 func (h *Home) hold(o object.Object, log batch.Log) {
 	now := h.opts.Now()
--- a/io/home/end.go
+++ b/io/home/end.go
@@ -83,8 +83,7 @@
 		j.finished = nil
 		running = j.cancelRuns()
 	default:
-		h.endLoading(l)
-		h.settle(l.o, l.job)
+		h.settleLoading(l)
 	}
 	h.mu.Unlock()
 	if event == "jobEnded" {
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -87,6 +87,16 @@
 	return batch.Job{ID: o.Name, Host: head.Host, Path: head.Path, Account: head.Account, Parts: head.Parts}, tokens, nil
 }
 
+// decodeWhole returns the job in an object with the items that the object holds, and the sum of all items' tokens.
+func decodeWhole(o object.Object) (batch.Job, int64, error) {
+	var job batch.Job
+	if err := json.Unmarshal(o.Spec, &job); err != nil {
+		return batch.Job{ID: o.Name}, 0, merry.Errorf("decode job %s: %w: %w", o.Name, errUnreadable, err)
+	}
+	job.ID = o.Name
+	return job, job.Tokens() + job.PartTokens, nil
+}
+
 // queueLoad records a job that is to be loaded; the mutex is held.
 func (h *Home) queueLoad(l *loading) {
 	h.loading[l.job.ID] = l
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -202,12 +202,11 @@
 }
 
 func decodeJob(ctx context.Context, c object.Client, o object.Object) (batch.Log, error) {
-	var job batch.Job
-	if err := json.Unmarshal(o.Spec, &job); err != nil {
-		return batch.Log{}, merry.Errorf("decode job %s: %w: %w", o.Name, errUnreadable, err)
+	job, _, err := decodeWhole(o)
+	if err != nil {
+		return batch.Log{}, err
 	}
-	job.ID = o.Name
-	job, err := loadParts(ctx, c, job)
+	job, err = loadParts(ctx, c, job)
 	if err != nil {
 		return batch.Log{}, err
 	}
