--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -32,6 +33,8 @@
 	pace time.Duration
 	// fails returns how a request fails; its status is 0 if it doesn't.
 	fails func(id string) outcome
+	// bodyBytes is the size of an answer that is no stream; 0 means that all answers are streams.
+	bodyBytes int
 }
 
 // engine is a stand-in of a model engine. It is safe for concurrent use.
@@ -128,6 +131,10 @@
 		e.fail(w, r, id, f)
 		return
 	}
+	if e.opts.bodyBytes > 0 {
+		e.page(w, id)
+		return
+	}
 	e.stream(w, r, id)
 }
 
@@ -143,6 +150,14 @@
 	e.record.printf("engine %s: request %s answered with %d", e.opts.id, id, f.status)
 }
 
+// page answers with a body of the usual size.
+func (e *engine) page(w http.ResponseWriter, id string) {
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(e.opts.bodyBytes))
+	n, err := w.Write(bytes.Repeat([]byte("p"), e.opts.bodyBytes))
+	e.record.printf("engine %s: request %s answered with 200 and %d bytes, error %v", e.opts.id, id, n, err)
+}
+
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, id string) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -27,7 +27,7 @@
 // reviewCase runs a case and returns whether the rule was broken; an error means that it could not run.
 type reviewCase func(rec *record, trouble bool) (broken bool, err error)
 
-var cases = map[int]reviewCase{1: oversizeChunk, 2: plainConflict, 3: failingItem}
+var cases = map[int]reviewCase{1: burstOfReads, 2: oversizeChunk, 3: plainConflict, 4: slowReader, 6: failingItem}
 
 func main() {
 	number := flag.Int("case", 0, "`NUMBER` of the case")
--- a/review/harness/results.go
+++ b/review/harness/results.go
@@ -10,6 +10,9 @@
 // finish is the time that batch jobs have after the traffic has ended.
 const finish = 18 * time.Second
 
+// calmTime is how long the engines must have had nothing to do.
+const calmTime = 5 * time.Second
+
 // row returns an event's data: a row of a table in HTML, as a model writes it that was asked for a roster page.
 func row(id string, n int) string {
 	return fmt.Sprintf("<tr><td>%s</td><td>altar lilies</td><td>%02d:30</td><td>B.T.</td></tr>", id[len(id)-4:], n%24)
@@ -29,7 +32,7 @@
 func lostItems(s *site, job string, items []item) (bool, error) {
 	listed := s.readUntil(job, len(items), time.Now().Add(finish))
 	if len(listed) < len(items) {
-		listed = s.readUntil(job, len(items), time.Now().Add(5*time.Second)) // the calm time
+		listed = s.readUntil(job, len(items), time.Now().Add(calmTime))
 	}
 	for _, r := range listed {
 		if want := s.opts.output(r.ID); r.State != "completed" || r.Text != want {
@@ -39,7 +42,17 @@
 	if len(listed) == len(items) {
 		return false, nil
 	}
-	running, last := 0, time.Time{}
+	running, idle := s.idleTime()
+	s.record.printf("check: %d of %d items are listed, engines run %d requests, the last one ended %.1f s ago", len(listed), len(items), running, idle.Seconds())
+	if running > 0 || idle < calmTime {
+		return false, errors.New("the engines are not idle")
+	}
+	return true, nil
+}
+
+// idleTime returns how many requests the engines run, and how long ago the last complete run ended.
+func (s *site) idleTime() (running int, idle time.Duration) {
+	last := time.Time{}
 	for _, e := range s.engines {
 		n, ended := e.state()
 		running += n
@@ -47,11 +60,7 @@
 			last = ended
 		}
 	}
-	s.record.printf("check: %d of %d items are listed, engines run %d requests, the last one ended %.1f s ago", len(listed), len(items), running, time.Since(last).Seconds())
-	if running > 0 || time.Since(last) < 5*time.Second {
-		return false, errors.New("the engines are not idle")
-	}
-	return true, nil
+	return running, time.Since(last)
 }
 
 // oversizeChunk: the store is down for 4.5 s while the items of a batch job finish.
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -104,6 +104,9 @@
 		o.id, o.service, o.zone, o.address = fmt.Sprintf("i-%08x", n), "scribe", zones[n%len(zones)], l.Addr().String()
 		s.engines = append(s.engines, newEngine(l, s.store, rec, o))
 	}
+	if err := s.addDesk(engines + 1); err != nil {
+		return s, err
+	}
 	for n := range entries + homes {
 		p := &process{role: "entry", name: fmt.Sprintf("front-%s-1", zones[n%3])}
 		if n >= entries {
@@ -121,6 +124,22 @@
 	return s, s.awaitReady(20 * time.Second)
 }
 
+// deskBytes is the size of a page of the service desk.
+const deskBytes = 512 << 10
+
+// addDesk starts the engine of the service desk, which serves saved pages.
+func (s *site) addDesk(n int) error {
+	l, err := s.listen(2, n, enginePort)
+	if err != nil {
+		return err
+	}
+	newEngine(l, s.store, s.record, engineOptions{
+		id: fmt.Sprintf("i-%08x", n), service: "desk", zone: zones[n%len(zones)], address: l.Addr().String(), slots: 12, bodyBytes: deskBytes,
+		fails: func(string) outcome { return outcome{} },
+	})
+	return nil
+}
+
 // configure writes the configuration.
 func (s *site) configure() {
 	s.store.put("config", "main", map[string]any{
@@ -130,8 +149,10 @@
 				"service": "scribe", "max_attempts": 2, "sticky": true, "resumable": true, "gap_aim_ms": 600},
 			{"name": "r-draft", "host": "desk.example", "path_prefix": "/draft/", "kind": "batch", "timeout_ms": 15000, "target_latency_ms": 400, "priority": 2,
 				"service": "scribe", "max_attempts": 3, "sticky": true, "resumable": true, "gap_aim_ms": 600, "completion_target_ms": 18000, "max_wait_s": 60, "cap": s.tokenCap},
+			{"name": "r-fetch", "host": "desk.example", "path_prefix": "/fetch/", "kind": "idempotent", "timeout_ms": 8000, "target_latency_ms": 300, "priority": 2,
+				"service": "desk", "max_attempts": 2},
 		},
-		"services": []map[string]any{{"name": "scribe", "health_path": "/health", "max_conns": 310, "protocol": "h1", "tls": false,
+		"services": []map[string]any{{"name": "desk", "health_path": "/health", "max_conns": 110, "protocol": "h1", "tls": false}, {"name": "scribe", "health_path": "/health", "max_conns": 310, "protocol": "h1", "tls": false,
 			"engine": map[string]any{"slots": s.opts.slots, "kv_capacity_tokens": 147261, "kv_token_bytes": 163840, "link_mbps": 550000.0, "models": []map[string]any{{"name": "m"}}}}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
