The stand-in of the object service is no kinder than its page

platform/fake took an object of any size, answered the creation of an object that exists with that object, and listed a kind in one page. The page promises an object of value_bytes at most, the object in a 409 only to calls that carry a revision, and pages of about 500 objects or 1 MB.

--- a/io/home/records_test.go
+++ b/io/home/records_test.go
@@ -44,8 +44,8 @@
 			if kind == m.refused {
 				return object.Object{}, store.ErrUnavailable
 			}
-			if o, ok := m.objects[kind+"/"+name]; ok {
-				return o, store.ErrConflict
+			if _, ok := m.objects[kind+"/"+name]; ok {
+				return object.Object{}, store.ErrConflict // only calls with a revision are promised the object
 			}
 			o := object.Object{Name: name, Spec: b}
 			m.objects[kind+"/"+name] = o
