Chunks of results are bounded by their size as objects

Cause: a chunk was bounded by the length of its texts (600 KiB), an object by its size as JSON. HTML took six bytes for each of <, > and &: in the case 1,262,436 bytes for a limit of 1,048,576. The refusal (413) counted as an unknown outcome, so that the same chunk was written again for ever, and all results of the job waited behind it.

Change: the client of the object service knows value_bytes and how large a spec may be (SpecBytes), and encodes without the escapes for HTML. A chunk that is rejected all the same is halved; a single result that no object holds is set aside, so that those behind it are listed, and given up when the maximum wait is over. Logs chunkRejected and resultTooLarge, metrics home.chunksRejected, home.resultsTooLarge, home.chunkBytes.

TestResultsThatPileUpFitIntoObjects failed before (HTML, 10 items) and holds for ten kinds of characters with 10, 100 and 200 items.

--- a/io/home/home.go
+++ b/io/home/home.go
@@ -164,7 +164,8 @@
 }
 
 type homeMetrics struct {
-	asks, refused, preemptions, runs, results, chunks metrics.Counter
+	asks, refused, preemptions, runs, results metrics.Counter
+	chunks                                    chunkMetrics
 	// restarts counts items whose progress was dropped, since no upstream could go on with it.
 	restarts metrics.Counter
 	// overShare counts the requests that were refused since their account used more than its share of the slots.
@@ -199,7 +200,7 @@
 		opts: opts, ctx: ctx, cancel: cancel, startedAt: opts.Now(), submissions: submission.NewTable(),
 		metrics: homeMetrics{
 			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"), restarts: counter("restarts"),
-			runs: counter("runs"), results: counter("results"), chunks: counter("chunks"), corrected: counter("slotsCorrected"),
+			runs: counter("runs"), results: counter("results"), chunks: newChunkMetrics(opts.Registry), corrected: counter("slotsCorrected"),
 			overShare: counter("overShare"), refusedJobs: counter("refusedJobsStored"), refusedJobsRan: counter("refusedJobsRan"),
 			openSubmissions: metrics.GetOrRegisterGauge("home.openSubmissions", opts.Registry),
 			silentRuns:      counter("runsSilent"), keptRuns: counter("runsKept"),
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -51,8 +51,10 @@
 	runs         map[string]*run
 	// itemStarted reports that an item has begun to run at this home, refused that a caller had been promised that none does.
 	itemStarted, refused bool
-	// finished holds results that are not listed yet and therefore have no position.
-	finished []batch.Result
+	// finished holds results that are not listed yet and therefore have no position; unstorable are the items of those that no
+	// object of the object service holds.
+	finished   []batch.Result
+	unstorable map[string]bool
 	// writing reports that a write of finished results is scheduled or in progress.
 	writing bool
 	// gathering starts the scheduled write.
--- a/io/home/progress_test.go
+++ b/io/home/progress_test.go
@@ -48,7 +48,7 @@
 				_, c := newMemory()
 				ctx, cancel := context.WithCancel(t.Context())
 				h := newLoadingHome(ctx, c)
-				h.metrics.results, h.metrics.chunks = metrics.NewCounter(), metrics.NewCounter()
+				h.metrics.results, h.metrics.chunks = metrics.NewCounter(), newChunkMetrics(metrics.NewRegistry())
 				h.pool = NewSlotPool(slot.NewOptions(), time.Now, func([]poison.Finding) {}, func([]slot.LimitChange) {})
 				h.progress, h.startedAt = make(map[[2]string]ItemProgress), time.Now()
 				h.mergeProgress("standby", []ItemProgress{{Job: "j1", Item: "i", State: batch.Completed, Text: "a"}})
--- a/io/home/records_test.go
+++ b/io/home/records_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -12,9 +11,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/stretchr/testify/require"
 
 	"mothcart/core/batch"
+	"mothcart/core/plainjson"
 	"mothcart/io/object"
 	"mothcart/io/store"
 )
@@ -24,6 +25,8 @@
 	mu      sync.Mutex
 	objects map[string]object.Object
 	refused string
+	// maxBytes is the size of the largest spec, 0 means no limit; tooLarge counts the writes of larger ones.
+	maxBytes, tooLarge int
 }
 
 // refuse makes the creations of a kind fail.
@@ -38,12 +41,16 @@
 	m := &memory{objects: make(map[string]object.Object)}
 	return m, object.Client{
 		Create: func(_ context.Context, kind, name string, spec any) (object.Object, error) {
-			b, err := json.Marshal(spec)
+			b, err := plainjson.Marshal(spec)
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			if kind == m.refused {
 				return object.Object{}, store.ErrUnavailable
 			}
+			if m.maxBytes > 0 && len(b) > m.maxBytes {
+				m.tooLarge++
+				return object.Object{}, merry.Errorf("%w: %w", store.ErrUnavailable, object.ErrRejected)
+			}
 			if _, ok := m.objects[kind+"/"+name]; ok {
 				return object.Object{}, store.ErrConflict // only calls with a revision are promised the object
 			}
--- a/io/home/result.go
+++ b/io/home/result.go
@@ -5,9 +5,14 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
+	"slices"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"mothcart/core/batch"
+	"mothcart/core/plainjson"
 	"mothcart/core/slot"
 	"mothcart/io/object"
 	"mothcart/io/store"
@@ -21,13 +26,24 @@
 	minGather   = 100 * time.Millisecond
 	maxGather   = 500 * time.Millisecond
 	lateGather  = 500 * time.Millisecond
-	// chunkBytes bounds the texts of one chunk, in bytes; an object of the object service holds 1 MB.
-	chunkBytes = 600 << 10
+	// chunkOverhead is the size of a chunk without its results, in bytes of JSON.
+	chunkOverhead = 128
 	// writeTimeout bounds the attempts at one write before the failure is logged; the writes of chunks and
 	// retirements are then repeated.
 	writeTimeout = 4 * time.Second
 )
 
+type chunkMetrics struct {
+	// written counts the chunks, bytes is their size. rejected counts those that the object service doesn't store, unstorable
+	// the results that no object holds.
+	written, bytes, rejected, unstorable metrics.Counter
+}
+
+func newChunkMetrics(r metrics.Registry) chunkMetrics {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("home."+name, r) }
+	return chunkMetrics{written: counter("chunks"), bytes: counter("chunkBytes"), rejected: counter("chunksRejected"), unstorable: counter("resultsTooLarge")}
+}
+
 // failItem finishes an item as failed; the mutex is held.
 func (h *Home) failItem(id string, j *job, item, reason string) {
 	h.opts.Log.Warn().Str("job", id).Str("item", item).Str("reason", reason).Msg("itemGivenUp")
@@ -37,7 +53,7 @@
 // finish ends the run of an item and schedules the write of its result; the mutex is held.
 func (h *Home) finish(id string, j *job, result batch.Result) {
 	if r := j.runs[result.Item]; r != nil {
-		if r.ended {
+		if r.ended && !j.replaceUnstorable(result) {
 			return
 		}
 		r.ended = true
@@ -71,8 +87,12 @@
 	return min(max(time.Duration(float64(remaining)*gatherShare), minGather), maxGather)
 }
 
-// writeResults writes the finished items of a job in chunks until none is left.
+// allResults as the bound of a chunk's results means that only their size bounds them.
+const allResults = math.MaxInt
+
+// writeResults writes the finished items of a job in chunks until none is left that an object can hold.
 func (h *Home) writeResults(id string) {
+	most := allResults
 	for {
 		h.mu.Lock()
 		j := h.jobs[id]
@@ -80,8 +100,7 @@
 			h.mu.Unlock()
 			return
 		}
-		chunk := j.nextChunk()
-		chunk.Term = h.opts.Term
+		chunk, size := h.nextChunk(id, j, most)
 		number := j.log.Chunks()
 		if len(chunk.Results) > 0 {
 			j.chunkStartedAt = h.opts.Now()
@@ -96,49 +115,113 @@
 			return
 		}
 		h.mu.Unlock()
-		if !h.writeChunk(id, number, chunk) {
+		switch h.writeChunk(id, number, chunk, size) {
+		case chunkStored:
+			most = allResults
+		case chunkRejected:
+			most = max(len(chunk.Results)/2, 1)
+		default:
 			return
 		}
 	}
 }
 
-// nextChunk returns the chunk of finished items that is written next; it has no results if there are none.
-func (j *job) nextChunk() batch.Chunk {
-	c := batch.Chunk{From: j.log.Len()}
-	size := 0
+// nextChunk returns the chunk of finished items that is written next, with at most a number of results, and its size in bytes
+// of JSON. It has no results if there are none that an object can hold; the mutex is held.
+func (h *Home) nextChunk(id string, j *job, most int) (batch.Chunk, int) {
+	c, size := batch.Chunk{From: j.log.Len(), Term: h.opts.Term}, chunkOverhead
+	limit := h.opts.Objects.SpecBytes()
 	for _, r := range j.finished {
-		size += len(r.Text)
-		if len(c.Results) > 0 && size > chunkBytes {
+		if j.unstorable[r.Item] {
+			continue
+		}
+		n := plainjson.Size(r) + 1 // and a comma
+		if chunkOverhead+n > limit {
+			h.setAside(id, j, r.Item, n)
+			continue
+		}
+		if len(c.Results) == most || size+n > limit {
 			break
 		}
+		size += n
 		c.Results = append(c.Results, r)
 	}
-	return c
+	return c, size
+}
+
+// setAside records that no object holds the result of an item, so that the results behind it don't wait for it. The item needs
+// no further run and is given up when the maximum wait is over; the mutex is held.
+func (h *Home) setAside(id string, j *job, item string, size int) {
+	if j.unstorable == nil {
+		j.unstorable = make(map[string]bool)
+	}
+	j.unstorable[item] = true
+	h.metrics.chunks.unstorable.Inc(1)
+	h.opts.Log.Error().Str("job", id).Str("item", item).Int("bytes", size).Int("limit", h.opts.Objects.SpecBytes()).Msg("resultTooLarge")
+}
+
+// replaceUnstorable removes the result of an item that no object holds, if the item is given up now. It reports whether it did.
+func (j *job) replaceUnstorable(result batch.Result) bool {
+	if result.State != batch.Failed || !j.unstorable[result.Item] {
+		return false
+	}
+	delete(j.unstorable, result.Item)
+	j.finished = slices.DeleteFunc(j.finished, func(r batch.Result) bool { return r.Item == result.Item })
+	return true
 }
 
-// writeChunk writes one chunk and repeats the write until a chunk with its number is stored, this one or one
-// of another home. It reports false if the home has ended or was replaced, or the stored chunk is invalid.
-func (h *Home) writeChunk(id string, number int, chunk batch.Chunk) bool {
+// chunkFate is what became of a chunk.
+type chunkFate int
+
+const (
+	// chunkLost means that the home has ended or was replaced, or that the stored chunk is invalid.
+	chunkLost chunkFate = iota
+	// chunkStored means that a chunk with its number is stored, this one or one of another home.
+	chunkStored
+	// chunkRejected means that the object service doesn't store a chunk with these results.
+	chunkRejected
+)
+
+// writeChunk writes one chunk and repeats the write until its fate is known. size is that of the chunk in bytes of JSON.
+func (h *Home) writeChunk(id string, number int, chunk batch.Chunk, size int) chunkFate {
 	for h.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(h.ctx, writeTimeout)
 		o, err := object.CreateConfirmed(ctx, h.opts.Objects, resultsKind(id), chunkName(number), chunk)
 		cancel()
 		switch {
 		case err == nil:
-			h.metrics.chunks.Inc(1)
-			h.append(id, chunk)
-			return true
+			h.metrics.chunks.written.Inc(1)
+			h.metrics.chunks.bytes.Inc(int64(size))
+			h.append(id, chunk, size)
+			return chunkStored
 		case errors.Is(err, store.ErrConflict):
 			h.opts.Log.Warn().Str("job", id).Int("from", chunk.From).Int64("revision", int64(o.Revision)).Msg("chunkOfAnotherHome")
-			return h.appendObject(id, o)
+			if !h.appendObject(id, o) {
+				return chunkLost
+			}
+			return chunkStored
+		case errors.Is(err, object.ErrRejected):
+			h.noteRejected(id, chunk, size, err)
+			return chunkRejected
 		}
-		h.opts.Log.Warn().Str("job", id).Int("from", chunk.From).Int("results", len(chunk.Results)).Err(err).Msg("chunkNotWritten")
+		h.opts.Log.Warn().Str("job", id).Int("from", chunk.From).Int("results", len(chunk.Results)).Int("bytes", size).Err(err).Msg("chunkNotWritten")
 		time.Sleep(retryPause)
 	}
-	return false
+	return chunkLost
+}
+
+// noteRejected records that the object service doesn't store a chunk, though it is small enough by the settings.
+func (h *Home) noteRejected(id string, chunk batch.Chunk, size int, err error) {
+	h.metrics.chunks.rejected.Inc(1)
+	h.opts.Log.Error().Str("job", id).Int("from", chunk.From).Int("results", len(chunk.Results)).Int("bytes", size).Err(err).Msg("chunkRejected")
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if j := h.jobs[id]; j != nil && len(chunk.Results) == 1 {
+		h.setAside(id, j, chunk.Results[0].Item, size)
+	}
 }
 
-func (h *Home) append(id string, chunk batch.Chunk) {
+func (h *Home) append(id string, chunk batch.Chunk, size int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	j := h.jobs[id]
@@ -152,7 +235,7 @@
 	}
 	j.chunkStartedAt = time.Time{}
 	j.setLog(log)
-	h.opts.Log.Info().Str("job", id).Int("from", chunk.From).Int("results", len(chunk.Results)).Int("of", len(log.Job().Items)).
+	h.opts.Log.Info().Str("job", id).Int("from", chunk.From).Int("results", len(chunk.Results)).Int("of", len(log.Job().Items)).Int("bytes", size).
 		Dur("ageMillis", h.opts.Now().Sub(j.acceptedAt)).Msg("resultsListed")
 }
 
--- /dev/null
+++ b/io/home/result_test.go
@@ -0,0 +1,141 @@
+package home
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"mothcart/core/batch"
+	"mothcart/core/site"
+	"mothcart/core/slot"
+	"mothcart/io/object"
+)
+
+// newListingHome returns a home with a job j1 of a number of items, all of which run.
+func newListingHome(ctx context.Context, t *testing.T, c object.Client, items int) (*Home, *job) {
+	now := time.Now
+	j := &job{changed: make(chan struct{}), runs: map[string]*run{}, dueAt: time.Now().Add(time.Minute)}
+	of := batch.Job{ID: "j1", Host: "h.example", Path: "/lot/1"}
+	for i := range items {
+		item := batch.Item{ID: fmt.Sprint("i", i)}
+		of.Items = append(of.Items, item)
+		j.runs[item.ID] = &run{job: "j1", item: item}
+	}
+	j.log = batch.NewLog(of)
+	registry := metrics.NewRegistry()
+	h := &Home{
+		ctx: ctx, listed: newListedJobs(), jobs: map[string]*job{"j1": j}, loading: map[string]*loading{},
+		opts: Options{Objects: c, Now: now, Log: zerolog.Nop(), Registry: registry, Term: 2, Config: func() site.Config { return site.Config{} }},
+	}
+	h.metrics.results, h.metrics.chunks = metrics.NewCounter(), newChunkMetrics(registry)
+	h.pool = NewSlotPool(slot.NewOptions(), now, nil, nil)
+	t.Cleanup(h.pool.Close)
+	return h, j
+}
+
+// finishAll finishes the items of a job with the same text.
+func (h *Home) finishAll(j *job, text string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, i := range j.log.Job().Items {
+		h.finish("j1", j, batch.Result{Item: i.ID, State: batch.Completed, Text: text})
+	}
+}
+
+// listedOf returns the results of a job that are listed.
+func (h *Home) listedOf(j *job) []batch.Result {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	results, _ := j.log.Page(0, 1<<30)
+	return results
+}
+
+// Guards against results that pile up while the object service is down and are never listed, since together they are larger
+// than an object may be.
+func TestResultsThatPileUpFitIntoObjects(t *testing.T) {
+	for _, text := range []struct{ name, unit string }{
+		{"letters", "a"}, {"HTML", "<p>&"}, {"quotes", `"`}, {"backslashes", `\`}, {"line feeds", "\n"}, {"control characters", "\x01"},
+		{"two bytes", "é"}, {"three bytes", "木"}, {"line separators", "\u2028"}, {"four bytes", "🌸"},
+	} {
+		for _, items := range []int{10, 100, 200} {
+			t.Run(fmt.Sprintf("%s, %d items", text.name, items), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					m, c := newMemory()
+					m.maxBytes = 1 << 20
+					m.refuse(resultsKind("j1"))
+					ctx, cancel := context.WithCancel(t.Context())
+					defer func() { cancel(); time.Sleep(time.Second) }()
+					h, j := newListingHome(ctx, t, c, items)
+					want := strings.Repeat(text.unit, (24<<10)/len(text.unit))
+					h.finishAll(j, want)
+					time.Sleep(4500 * time.Millisecond)
+					require.Empty(t, h.listedOf(j))
+					m.refuse("")
+					time.Sleep(2 * time.Second)
+					listed := h.listedOf(j)
+					require.Len(t, listed, items)
+					for _, r := range listed {
+						require.Equal(t, want, r.Text)
+					}
+					require.Zero(t, m.tooLarge)
+					t.Logf("%d writes, %d bytes", h.metrics.chunks.written.Count(), h.metrics.chunks.bytes.Count())
+				})
+			})
+		}
+	}
+}
+
+// Guards against a result that no object holds and that holds up the results behind it, or its job after the maximum wait.
+func TestResultThatNoObjectHoldsHoldsUpNothing(t *testing.T) {
+	const limit = 64 << 10
+	for _, tc := range []struct {
+		name string
+		// told is the size of the largest object that the client is told of.
+		told int
+		want int64
+	}{
+		{"known before the write", limit, 0},
+		{"refused by the object service", 2 * limit, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m, c := newMemory()
+				m.maxBytes, c.ValueBytes = limit, tc.told
+				ctx, cancel := context.WithCancel(t.Context())
+				defer func() { cancel(); time.Sleep(time.Second) }()
+				h, j := newListingHome(ctx, t, c, 20)
+				h.mu.Lock()
+				for i, item := range j.log.Job().Items {
+					text := strings.Repeat("x", 1+i*100)
+					if i == 3 {
+						text = strings.Repeat("x", limit)
+					}
+					h.finish("j1", j, batch.Result{Item: item.ID, State: batch.Completed, Text: text})
+				}
+				h.mu.Unlock()
+				time.Sleep(3 * time.Second)
+				require.Len(t, h.listedOf(j), 19)
+				require.EqualValues(t, 1, h.metrics.chunks.unstorable.Count())
+				require.GreaterOrEqual(t, h.metrics.chunks.rejected.Count(), tc.want)
+				refused := m.tooLarge
+				time.Sleep(time.Minute)
+				require.Equal(t, refused, m.tooLarge, "it is not written again")
+				h.mu.Lock()
+				h.failItem("j1", j, "i3", "maxWait")
+				h.failItem("j1", j, "i3", "maxWait")
+				h.mu.Unlock()
+				time.Sleep(time.Second)
+				listed := h.listedOf(j)
+				require.Len(t, listed, 20)
+				require.Equal(t, batch.Result{Item: "i3", State: batch.Failed}, listed[19])
+			})
+		})
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -163,7 +163,7 @@
 		startWait:        newStartWait(),
 		leftOut:          newLeftOutLog(opts),
 	}
-	b.objects = countCalls(platform.NewObjectsNaming(s.StoreAddress, opts.Connect(storeConnectTimeout), b.leftOut.report), opts.Registry)
+	b.objects = countCalls(platform.NewObjectsNaming(s.StoreAddress, s.ValueBytes, opts.Connect(storeConnectTimeout), b.leftOut.report), opts.Registry)
 	dialUpstream := opts.Connect(connectTimeout)
 	if isEntry {
 		b.links = carrier.NewLinks(carrier.Options{
@@ -323,6 +323,7 @@
 func countCalls(c object.Client, r metrics.Registry) object.Client {
 	count := func(call string) { metrics.GetOrRegisterCounter("store."+call, r).Inc(1) }
 	return object.Client{
+		ValueBytes: c.ValueBytes,
 		List: func(ctx context.Context, kind, after string) ([]object.Object, object.Revision, bool, error) {
 			count("list." + shortKind(kind))
 			return c.List(ctx, kind, after)
--- a/io/node/site_test.go
+++ b/io/node/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -46,6 +47,8 @@
 	disks map[int]string
 	// recorded receives the log lines of all nodes; nil records none.
 	recorded *lockedBuffer
+	// valueBytes is the size of the largest object of the object service; 0 means the default.
+	valueBytes int
 }
 
 // lockedBuffer is a buffer for several writers.
@@ -91,6 +94,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		s.t, s.network, s.entries, s.homes, s.disks = t, fake.NewNetwork(), map[string]*Entry{}, map[string]*HomeNode{}, map[int]string{}
 		s.objects = fake.NewObjects(s.network, storeIP+":80")
+		if s.valueBytes = cmp.Or(s.valueBytes, fake.ValueBytes); s.valueBytes != fake.ValueBytes {
+			s.objects.SetValueBytes(s.valueBytes)
+		}
 		s.writeConfig(1)
 		for n := 1; n <= 3; n++ {
 			s.engines = append(s.engines, fake.NewEngine(s.network, fake.EngineOptions{
@@ -153,7 +159,7 @@
 		log = zerolog.New(s.recorded).With().Str("node", id).Timestamp().Logger()
 	}
 	o := NewOptions(platform.Settings{
-		VMID: id, AvailabilityZone: "z1", IP: ip, PeerPort: 7000, CarrierPort: 7001, StoreAddress: storeIP + ":80", ValueBytes: 1 << 20,
+		VMID: id, AvailabilityZone: "z1", IP: ip, PeerPort: 7000, CarrierPort: 7001, StoreAddress: storeIP + ":80", ValueBytes: s.valueBytes,
 		HomeNodes: []string{homeIP(1) + ":7000", homeIP(2) + ":7000"},
 		Heartbeat: 1200 * time.Millisecond, Grace: 8 * time.Second, Drain: 2 * time.Second, ResultRetention: 2 * time.Minute,
 	}, "", log, metrics.NewRegistry())
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -23,6 +23,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/outcome"
+	"mothcart/core/plainjson"
 	"mothcart/io/clock"
 	"mothcart/io/store"
 )
@@ -34,6 +35,9 @@
 	// ErrTooLarge means that an answer of the service exceeds the limit of the client. It comes together with
 	// store.ErrUnavailable for reads and store.ErrUnknown for writes.
 	ErrTooLarge = merry.Sentinel("answer of the object service is too large")
+	// ErrRejected means that the service can't store what a write holds, for instance since that is too large, so that a
+	// repetition can't help. It comes together with store.ErrUnavailable, since the write had no effect.
+	ErrRejected = merry.Sentinel("object service rejects the object")
 )
 
 // Revision counts the changes of all objects of the service.
@@ -59,6 +63,9 @@
 
 // Client holds the calls of the object service. Every call counts against the service's rates.
 type Client struct {
+	// ValueBytes is the size of the largest object that the service stores, in bytes of JSON, with its metadata, spec and
+	// status; 0 means defaultValueBytes.
+	ValueBytes int
 	// List returns one page of a kind's objects with names greater than after, in order of name, the
 	// revision of the page, and whether there are more.
 	List func(ctx context.Context, kind, after string) (objects []Object, at Revision, more bool, err error)
@@ -78,6 +85,24 @@
 	Delete func(ctx context.Context, kind, name string) error
 }
 
+const (
+	// defaultValueBytes is the size of the largest object if the service names none. Larger ones are not written either, since
+	// a page of a listing holds about as much.
+	defaultValueBytes = 1 << 20
+	// metadataBytes is left in each object for its metadata and status, besides a part of metadataShare of the object.
+	metadataBytes = 512
+	metadataShare = 16
+)
+
+// SpecBytes returns the size of the largest spec that a client writes, in bytes as plainjson.Marshal returns them.
+func (c Client) SpecBytes() int {
+	n := c.ValueBytes
+	if n <= 0 || n > defaultValueBytes {
+		n = defaultValueBytes
+	}
+	return n - n/metadataShare - metadataBytes
+}
+
 // firstConfirmPause and lastConfirmPause bound the time between two attempts at a write that was refused or whose outcome
 // is unknown; it doubles with each, since an object service that refuses calls is seldom back within less than it has taken
 // so far.
@@ -102,15 +127,16 @@
 
 // CreateConfirmed repeats c.Create until its outcome is known or the context is about to end. An existing
 // object with an equal spec counts as created. It returns ErrConflict with the object that
-// exists, ErrUnavailable if no attempt had effect, or ErrUnknown if one may have.
+// exists, ErrUnavailable if no attempt had effect, or ErrUnknown if one may have; ErrRejected besides if the service can't
+// store the object.
 func CreateConfirmed(ctx context.Context, c Client, kind, name string, spec any) (Object, error) {
-	want, err := json.Marshal(spec)
+	want, err := plainjson.Marshal(spec)
 	if err != nil {
 		return Object{}, merry.Errorf("encode %s/%s: %w", kind, name, err)
 	}
 	so, pause := outcome.NotDone, firstConfirmPause
 	for {
-		o, err := Hedged(ctx, createHedgeDelay, func(ctx context.Context) (Object, error) { return attempt(ctx, c, kind, name, json.RawMessage(want)) })
+		o, err := Hedged(ctx, createHedgeDelay, func(ctx context.Context) (Object, error) { return attempt(ctx, c, kind, name, want) })
 		switch {
 		case err == nil:
 			return o, nil
@@ -121,7 +147,7 @@
 			return o, merry.Errorf("create %s/%s: %w", kind, name, err)
 		}
 		so = so.With(store.OutcomeOf(err))
-		if endsWithin(ctx, confirmMargin+pause) || clock.Sleep(ctx, pause/2+rand.N(pause/2)) != nil {
+		if errors.Is(err, ErrRejected) || endsWithin(ctx, confirmMargin+pause) || clock.Sleep(ctx, pause/2+rand.N(pause/2)) != nil {
 			if so == outcome.Unknown {
 				err = store.LostError(err)
 			}
