Jobs are divided by their size as objects, and refused at once if that can't be done

What callers would see: 504 to each attempt at a job whose items don't fit into the objects of a platform with a smaller value_bytes, or whose headers need escapes in JSON; the write was repeated until the attempt's time was over.

Cause: items were grouped by an estimate of 700 KiB, whatever an object may hold, and one item larger than an object was written again and again as an unknown outcome.

Change: the groups are those of the estimate, so that nodes of both releases agree, unless one is larger as JSON than an object may be; then the bound is halved until all fit. A job that can't be divided is rejected before anything is written: 413, outcome tooLarge, and the home isn't asked to try. Whether a job has parts is taken from its object, not from the bound.

TestJobsAreDividedByTheirSizeAsObjects covers the division.

--- a/io/entry/submit.go
+++ b/io/entry/submit.go
@@ -14,6 +14,7 @@
 	"mothcart/core/site"
 	"mothcart/core/submission"
 	"mothcart/io/home"
+	"mothcart/io/object"
 	"mothcart/io/store"
 )
 
@@ -55,6 +56,8 @@
 		s.withdraw(ctx, h.opts.Home)
 		h.logSubmitted(s, "idInUse", http.StatusConflict, err)
 		http.Error(w, "another account has a job with this ID", http.StatusConflict)
+	case so == outcome.NotDone && errors.Is(err, object.ErrRejected):
+		h.rejectJob(ctx, s, err)
 	case so == outcome.NotDone:
 		h.refuseJob(r.Context(), s, "notWritten", http.StatusServiceUnavailable, downRetryAfter, err)
 	default:
@@ -87,6 +90,16 @@
 	}
 }
 
+// rejectJob answers a call whose job the object service can't store, now or later.
+func (h *Handler) rejectJob(ctx context.Context, s *submitted, err error) {
+	if s.withdraw(ctx, h.opts.Home) == home.Stored {
+		h.acceptJob(s)
+		return
+	}
+	h.logSubmitted(s, "tooLarge", http.StatusRequestEntityTooLarge, err)
+	http.Error(s.w, "an item of the job is larger than the platform can store", http.StatusRequestEntityTooLarge)
+}
+
 // leaveJobInDoubt answers a call whose job may exist or not.
 func (h *Handler) leaveJobInDoubt(s *submitted, reason string, err error) {
 	h.logSubmitted(s, reason, http.StatusGatewayTimeout, err)
@@ -135,7 +148,7 @@
 			failures = append(failures, r.err)
 		case <-hedge.C:
 		}
-		if !hedged && ctx.Err() == nil {
+		if !hedged && ctx.Err() == nil && !errors.Is(errors.Join(failures...), object.ErrRejected) {
 			hedged = true
 			start(second)
 		}
--- a/io/home/apply.go
+++ b/io/home/apply.go
@@ -142,7 +142,7 @@
 	case verdict == tombstone.IsEnded, status.Ended, status.Listed, err == nil && h.listed.has(o.Name):
 		h.settle(o, job)
 	case isNew && err == nil && job.Parts == 0 && verdict == tombstone.Current:
-		h.hold(o, batch.NewLog(job.WithItems(items)))
+		h.hold(o, batch.NewLog(job.WithItems(items)), false)
 		held = true
 	default:
 		h.queueLoad(&loading{o: o, job: job, tokens: tokens, isNew: isNew, stale: verdict == tombstone.Doubtful, broken: err != nil})
@@ -206,12 +206,12 @@
 	h.settle(l.o, l.job)
 }
 
-// hold adds a job; the mutex is held.
-func (h *Home) hold(o object.Object, log batch.Log) {
+// hold adds a job, whose items are stored in objects of their own if it is parted; the mutex is held.
+func (h *Home) hold(o object.Object, log batch.Log, parted bool) {
 	now := h.opts.Now()
 	age := max(h.opts.TimeOfDay().Sub(log.Job().AcceptedAt), 0)
 	j := &job{
-		log: log.WithoutListedBodies(), parted: len(log.Job().Split(jobBytes)) > 1, changed: make(chan struct{}), runs: make(map[string]*run),
+		log: log.WithoutListedBodies(), parted: parted, changed: make(chan struct{}), runs: make(map[string]*run),
 		revision: o.Revision, created: o.Created, acceptedAt: now.Add(-age), removeAt: now.Add(h.opts.ResultRetention - age),
 	}
 	route, ok := h.opts.Config().Match(log.Job().Host, log.Job().Path)
--- a/io/home/apply_test.go
+++ b/io/home/apply_test.go
@@ -126,7 +126,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		h := newLoadingHome(ctx, c)
 		h.hintRead = true
-		h.hold(object.Object{Name: "j2", Revision: 1}, batch.NewLog(batch.Job{ID: "j2", Items: []batch.Item{{ID: "i"}}}))
+		h.hold(object.Object{Name: "j2", Revision: 1}, batch.NewLog(batch.Job{ID: "j2", Items: []batch.Item{{ID: "i"}}}), false)
 		begun := time.Now()
 		h.applyJobs(object.Change{Events: []object.Event{
 			{Object: large}, {Object: object.Object{Name: "j2", Revision: 2, Status: json.RawMessage(`{"ended":true}`)}},
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -39,7 +39,7 @@
 	changed chan struct{}
 	// acceptedAt is when the job was accepted, by the clock of this VM.
 	acceptedAt time.Time
-	// parted reports that the items are stored in more than one object.
+	// parted reports that the items are stored in objects of their own.
 	parted bool
 	// dueAt is when all results are due; zero if no route matched when the job was loaded.
 	dueAt time.Time
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -189,7 +189,7 @@
 	if len(log.Open()) == 0 {
 		h.listed.add(o.Name, o.Created)
 	}
-	h.hold(o, log)
+	h.hold(o, log, l.job.Parts > 0)
 	h.mu.Unlock()
 	h.startItems(o.Name)
 }
--- a/io/home/loadwrong_test.go
+++ b/io/home/loadwrong_test.go
@@ -45,7 +45,7 @@
 			return object.Object{}, ctx.Err()
 		}
 		h := newLoadingHome(ctx, c)
-		h.hold(object.Object{Name: "j1", Revision: 3, Created: 3}, batch.NewLog(batch.Job{ID: "j1", Items: []batch.Item{{ID: "i"}}}))
+		h.hold(object.Object{Name: "j1", Revision: 3, Created: 3}, batch.NewLog(batch.Job{ID: "j1", Items: []batch.Item{{ID: "i"}}}), false)
 		h.endJob("j1", End{}, byNotice)
 		time.Sleep(3 * time.Second)
 		h.mu.Lock()
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/batch"
+	"mothcart/core/plainjson"
 	"mothcart/io/object"
 	"mothcart/io/store"
 )
@@ -74,7 +75,7 @@
 	})
 }
 
-// jobBytes bounds the items in one object; an object holds 1 MB.
+// jobBytes bounds the items in one object by their estimated size, if an object may be that large.
 const jobBytes = 700 << 10
 
 // part is a group of items of a job that is too large for one object.
@@ -86,20 +87,47 @@
 
 // CreateJob writes a job. It writes the items of a large job first, so that a job never exists without all
 // its items. A job of the same account that exists already counts as written. Errors are those of
-// object.CreateConfirmed; ErrConflict means that another account has a job with this ID.
+// object.CreateConfirmed; ErrConflict means that another account has a job with this ID. A job that the object service can't
+// store is not written in part.
 func CreateJob(ctx context.Context, c object.Client, job batch.Job) error {
-	if groups := job.Split(jobBytes); len(groups) > 1 {
-		for i, items := range groups {
-			if err := createOwn(ctx, c, partsPrefix+job.ID, chunkName(i), job.Account, part{Items: items, Account: job.Account}); err != nil {
-				return merry.Errorf("write part %d of job %s: %w", i, job.ID, err)
-			}
+	job, parts, err := divide(job, c.SpecBytes())
+	if err != nil {
+		return err
+	}
+	for i, p := range parts {
+		if err := createOwn(ctx, c, partsPrefix+job.ID, chunkName(i), job.Account, p); err != nil {
+			return merry.Errorf("write part %d of job %s: %w", i, job.ID, err)
 		}
-		job.PartTokens = job.Tokens()
-		job.Items, job.Parts = nil, len(groups)
 	}
 	return createOwn(ctx, c, KindJobs, job.ID, job.Account, job)
 }
 
+// divide returns a job and the parts that hold its items; there are none if the job holds them. All nodes divide a job in the same
+// way, since parts that an earlier attempt has written count as written. Each object has at most limit bytes of JSON; the error is
+// object.ErrRejected if that is impossible.
+func divide(job batch.Job, limit int) (batch.Job, []part, error) {
+	if len(job.Split(min(jobBytes, limit))) == 1 && plainjson.Size(job) <= limit {
+		return job, nil, nil
+	}
+	head := job
+	head.PartTokens = job.Tokens()
+	head.Items = nil
+	for bound := min(jobBytes, limit); bound > 0; bound /= 2 {
+		groups, fits := job.Split(bound), true
+		parts := make([]part, 0, len(groups))
+		for _, items := range groups {
+			p := part{Items: items, Account: job.Account}
+			fits = fits && plainjson.Size(p) <= limit
+			parts = append(parts, p)
+		}
+		head.Parts = len(parts)
+		if fits && plainjson.Size(head) <= limit {
+			return head, parts, nil
+		}
+	}
+	return job, nil, merry.Errorf("divide job %s into objects of %d bytes: %w: %w", job.ID, limit, store.ErrUnavailable, object.ErrRejected)
+}
+
 // createOwn writes an object of an account's job. One of the same account that exists counts as written.
 func createOwn(ctx context.Context, c object.Client, kind, name, account string, spec any) error {
 	o, err := object.CreateConfirmed(ctx, c, kind, name, spec)
--- a/io/home/records_test.go
+++ b/io/home/records_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"mothcart/core/batch"
+	"mothcart/core/outcome"
 	"mothcart/core/plainjson"
 	"mothcart/io/object"
 	"mothcart/io/store"
@@ -147,3 +148,48 @@
 	job.Account = ""
 	require.ErrorIs(t, CreateJob(t.Context(), c, job), store.ErrConflict)
 }
+
+// Guards against jobs that are never stored, since an object with some of their items is larger than the object service allows.
+func TestJobsAreDividedByTheirSizeAsObjects(t *testing.T) {
+	const limit = 64 << 10
+	for _, tc := range []struct {
+		name   string
+		items  int
+		body   int
+		header string
+		path   string
+		parts  int
+		want   error
+	}{
+		{"small", 3, 100, "x", "/lot/1", 0, nil},
+		{"large bodies", 40, 6 << 10, "x", "/lot/1", 6, nil},
+		{"headers of quotes", 40, 10, strings.Repeat("\"", 2<<10), "/lot/1", 3, nil},
+		{"headers of control characters", 40, 10, strings.Repeat("\x01", 2<<10), "/lot/1", 9, nil},
+		{"one item that leaves no room for the path", 1, 35 << 10, "x", "/" + strings.Repeat("p", 15<<10), 1, nil},
+		{"an item that no object holds", 3, limit, "x", "/lot/1", 0, object.ErrRejected},
+		{"a path that no object holds", 3, 10, "x", "/" + strings.Repeat("p", limit), 0, object.ErrRejected},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m, c := newMemory()
+			m.maxBytes, c.ValueBytes = limit, limit
+			job := batch.Job{ID: "j1", Host: "h.example", Path: tc.path}
+			for i := range tc.items {
+				job.Items = append(job.Items, batch.Item{ID: fmt.Sprint("i", i), Path: "/lot/1", Header: map[string]string{"H": tc.header}, Body: make([]byte, tc.body), Tokens: 5})
+			}
+			err := CreateJob(t.Context(), c, job)
+			require.Zero(t, m.tooLarge)
+			if tc.want != nil {
+				require.ErrorIs(t, err, tc.want)
+				require.Equal(t, outcome.NotDone, store.OutcomeOf(err))
+				require.Empty(t, m.objects, "nothing is written in part")
+				return
+			}
+			require.NoError(t, err)
+			require.GreaterOrEqual(t, len(m.objects), 1+tc.parts)
+			require.NoError(t, CreateJob(t.Context(), c, job), "again")
+			log, err := LoadJob(t.Context(), c, "j1")
+			require.NoError(t, err)
+			require.Equal(t, job.Items, log.Job().Items)
+		})
+	}
+}
