A creation that meets an object reads which one that is

CreateConfirmed compared what it wrote with an empty object and returned a conflict with nothing; writeChunk couldn't decode that and left.

Change: object.Create reads the object that exists if the answer lacks it. If the read fails, the outcome is unknown, since the object may be one's own; if the object is gone, this attempt had no effect and is repeated. CreateConfirmed also reads back after an attempt without an answer, and compares content instead of bytes, since the service may encode objects in its own way. Chunks, seals, jobs, parts, leases and announcements go through it.

--- a/io/home/announce.go
+++ b/io/home/announce.go
@@ -27,7 +27,7 @@
 }
 
 func (e *Elector) writeAnnouncement(ctx context.Context, a Announcement) error {
-	o, err := e.opts.Objects.Create(ctx, KindHomes, mainName, a)
+	o, err := object.Create(ctx, e.opts.Objects, KindHomes, mainName, a)
 	if err == nil {
 		return nil
 	}
--- a/io/home/elector.go
+++ b/io/home/elector.go
@@ -224,7 +224,7 @@
 	next := lease{Term: old.Term + 1, VM: e.opts.VMID, Incarnation: e.opts.Incarnation}
 	o, err := object.Hedged(ctx, leaseHedge, func(ctx context.Context) (object.Object, error) {
 		if revision == 0 {
-			return e.opts.Objects.Create(ctx, KindLease, mainName, next)
+			return object.Create(ctx, e.opts.Objects, KindLease, mainName, next)
 		}
 		return e.opts.Objects.Put(ctx, KindLease, mainName, next, revision)
 	})
--- a/io/home/elector_test.go
+++ b/io/home/elector_test.go
@@ -34,7 +34,11 @@
 			return o, nil
 		},
 		Create: func(_ context.Context, kind, _ string, spec any) (object.Object, error) {
-			return c.write(kind, spec, 0)
+			o, err := c.write(kind, spec, 0)
+			if err != nil {
+				o = object.Object{} // only calls with a revision are promised the object
+			}
+			return o, err
 		},
 		Put: func(_ context.Context, kind, _ string, spec any, expect object.Revision) (object.Object, error) {
 			return c.write(kind, spec, expect)
@@ -105,3 +109,39 @@
 	})
 	return took
 }
+
+// Guards against the announcement of a later home that an earlier one writes over without a condition, since the answer to the
+// creation doesn't hold the object that exists.
+func TestAnnouncementOfALaterHomeStays(t *testing.T) {
+	c := &leaseClient{objects: map[string]object.Object{}}
+	e := &Elector{opts: ElectorOptions{VMID: "s1", Address: "10.2.0.1:7000", Objects: c.client(), Log: zerolog.Nop()}}
+	for _, step := range []struct{ term, want int64 }{{4, 4}, {7, 7}, {5, 7}, {7, 7}, {8, 8}} {
+		require.True(t, e.announce(t.Context(), step.term))
+		a, err := decodeAnnouncement(c.objects[KindHomes])
+		require.NoError(t, err)
+		require.Equal(t, step.want, a.Term, "after the home of term %d", step.term)
+	}
+}
+
+// Guards against a lease that nobody uses: its creation was executed without an answer, and the repetition is told that the object
+// exists, without the object.
+func TestLeaseWhoseCreationWasNotAnsweredIsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &leaseClient{objects: map[string]object.Object{}}
+		client := c.client()
+		create, attempts := client.Create, 0
+		client.Create = func(ctx context.Context, kind, name string, spec any) (object.Object, error) {
+			o, err := create(ctx, kind, name, spec)
+			if attempts++; attempts == 1 {
+				<-ctx.Done() // its connection is silent from now on
+				return object.Object{}, store.ErrUnknown
+			}
+			return o, err
+		}
+		e := &Elector{opts: ElectorOptions{VMID: "s1", Incarnation: 5, Objects: client, Now: time.Now, Log: zerolog.Nop()}}
+		term, ok := e.tryAcquire(t.Context(), false)
+		require.True(t, ok)
+		require.EqualValues(t, 1, term)
+		require.Equal(t, c.objects[KindLease].Revision, e.seen.Revision)
+	})
+}
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -1,7 +1,6 @@
 package home
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -134,14 +133,6 @@
 	if !errors.Is(err, store.ErrConflict) {
 		return err
 	}
-	if account == "" && !bytes.Contains(o.Spec, []byte(`"account"`)) {
-		return nil
-	}
-	if len(o.Spec) == 0 { // the object service need not return the object that exists
-		if o, err = c.Get(ctx, kind, name); err != nil {
-			return merry.Errorf("read %s/%s that exists: %w", kind, name, store.LostError(err))
-		}
-	}
 	if owner, err := decodeOwner(o); err != nil || !owner.OwnedBy(account) {
 		return merry.Errorf("%s/%s exists: %w", kind, name, store.ErrConflict)
 	}
--- a/io/home/records_test.go
+++ b/io/home/records_test.go
@@ -28,6 +28,11 @@
 	refused string
 	// maxBytes is the size of the largest spec, 0 means no limit; tooLarge counts the writes of larger ones.
 	maxBytes, tooLarge int
+	// unanswered is asked of each creation whether it is executed without an answer; nil means that none is.
+	unanswered func(kind, name string) bool
+	// reads is the number of reads of one object, readFaults what becomes of the next ones.
+	reads      int
+	readFaults []error
 }
 
 // refuse makes the creations of a kind fail.
@@ -57,11 +62,21 @@
 			}
 			o := object.Object{Name: name, Spec: b}
 			m.objects[kind+"/"+name] = o
+			if m.unanswered != nil && m.unanswered(kind, name) {
+				return object.Object{}, store.ErrUnknown
+			}
 			return o, err
 		},
 		Get: func(_ context.Context, kind, name string) (object.Object, error) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
+			if m.reads++; len(m.readFaults) > 0 {
+				err := m.readFaults[0]
+				m.readFaults = m.readFaults[1:]
+				if err != nil {
+					return object.Object{}, err
+				}
+			}
 			if o, ok := m.objects[kind+"/"+name]; ok {
 				return o, nil
 			}
--- a/io/home/result_test.go
+++ b/io/home/result_test.go
@@ -13,9 +13,11 @@
 	"github.com/stretchr/testify/require"
 
 	"mothcart/core/batch"
+	"mothcart/core/plainjson"
 	"mothcart/core/site"
 	"mothcart/core/slot"
 	"mothcart/io/object"
+	"mothcart/io/store"
 )
 
 // newListingHome returns a home with a job j1 of a number of items, all of which run.
@@ -139,3 +141,49 @@
 		})
 	}
 }
+
+// Guards against results that are never listed after a write that was executed and not answered: the repetition is told that the
+// object exists, without the object.
+func TestResultsAfterAnUnansweredWriteAreListed(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		reads []error
+		// stored is the chunk that is there already; nil means none.
+		stored *batch.Chunk
+		// within is the time until all are listed.
+		within time.Duration
+	}{
+		{"read back", nil, nil, time.Second},
+		{"read back late", []error{store.ErrUnavailable, store.ErrUnavailable, store.ErrUnavailable}, nil, 3 * time.Second},
+		{"read that finds nothing", []error{store.ErrNotFound, store.ErrNotFound}, nil, 3 * time.Second},
+		{"chunk of an earlier home", nil, &batch.Chunk{Term: 1, Results: []batch.Result{{Item: "i0", State: batch.Completed, Text: "x"}}}, time.Second},
+		{"seal of an earlier home", nil, &batch.Chunk{Term: 1}, time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m, c := newMemory()
+				lost := map[string]bool{}
+				m.unanswered = func(kind, name string) bool {
+					first := !lost[kind+name]
+					lost[kind+name] = true
+					return first
+				}
+				m.readFaults = tc.reads
+				if tc.stored != nil {
+					b, err := plainjson.Marshal(tc.stored)
+					require.NoError(t, err)
+					m.objects[resultsKind("j1")+"/"+chunkName(0)] = object.Object{Name: chunkName(0), Spec: b}
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer func() { cancel(); time.Sleep(5 * time.Second) }()
+				h, j := newListingHome(ctx, t, c, 10)
+				h.finishAll(j, "x")
+				time.Sleep(maxGather + tc.within)
+				require.Len(t, h.listedOf(j), 10)
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				require.False(t, j.writing)
+			})
+		})
+	}
+}
--- a/io/home/submission_test.go
+++ b/io/home/submission_test.go
@@ -85,6 +85,8 @@
 			Registry: metrics.NewRegistry(),
 			Objects: object.Client{Create: func(context.Context, string, string, any) (object.Object, error) {
 				return object.Object{}, store.ErrUnknown
+			}, Get: func(context.Context, string, string) (object.Object, error) {
+				return object.Object{}, store.ErrUnavailable
 			}}}}
 		network := fake.NewNetwork()
 		l, err := network.Listen(t.Context(), "10.2.0.1:7660")
--- a/io/object/attempt.go
+++ b/io/object/attempt.go
@@ -35,10 +35,10 @@
 func attempt(ctx context.Context, c Client, kind, name string, spec any) (Object, error) {
 	of, observed := ctx.Value(attemptKey{}).(*observer)
 	if !observed {
-		return c.Create(ctx, kind, name, spec)
+		return Create(ctx, c, kind, name, spec)
 	}
 	a := Attempt{Kind: kind, Name: name, Number: of.begun.Add(1), StartedAt: time.Now()}
-	o, err := c.Create(ctx, kind, name, spec)
+	o, err := Create(ctx, c, kind, name, spec)
 	a.Err = err
 	of.observe(a)
 	return o, err
--- a/io/object/object.go
+++ b/io/object/object.go
@@ -18,6 +18,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"reflect"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -74,7 +75,8 @@
 	Watch func(ctx context.Context, kind string, since Revision, wait time.Duration) ([]Event, Revision, error)
 	// Get returns one object, or ErrNotFound.
 	Get func(ctx context.Context, kind, name string) (Object, error)
-	// Create writes a new object. With ErrConflict the returned object is the one that exists.
+	// Create writes a new object. With ErrConflict the returned object is the one that exists, or empty if the service's answer
+	// doesn't hold it; see the function Create.
 	Create func(ctx context.Context, kind, name string, spec any) (Object, error)
 	// Put replaces the spec if the object has the given revision. With ErrConflict the returned
 	// object is the one that exists.
@@ -140,7 +142,12 @@
 		switch {
 		case err == nil:
 			return o, nil
-		case errors.Is(err, store.ErrConflict):
+		case store.OutcomeOf(err) == outcome.Unknown:
+			if found, readErr := c.Get(ctx, kind, name); readErr == nil {
+				o, err = found, store.ErrConflict
+			}
+		}
+		if errors.Is(err, store.ErrConflict) {
 			if sameJSON(o.Spec, want) {
 				return o, nil
 			}
@@ -157,13 +164,44 @@
 	}
 }
 
-// sameJSON reports whether two documents are equal except for white space.
+// Create is c.Create that keeps the promise to return the object that exists with ErrConflict: it is read if the service's answer
+// doesn't hold it. If that fails, the error is ErrUnknown, since the object may be the caller's own, from an earlier attempt; if the
+// object is gone by then, it is ErrUnavailable.
+func Create(ctx context.Context, c Client, kind, name string, spec any) (Object, error) {
+	o, err := c.Create(ctx, kind, name, spec)
+	if !errors.Is(err, store.ErrConflict) || len(o.Spec) > 0 {
+		return o, err
+	}
+	o, readErr := c.Get(ctx, kind, name)
+	switch {
+	case readErr == nil:
+		return o, err
+	case errors.Is(readErr, store.ErrNotFound):
+		return Object{}, merry.Errorf("%s/%s existed and is gone: %w", kind, name, store.ErrUnavailable)
+	default:
+		return Object{}, merry.Errorf("read %s/%s that exists: %w", kind, name, store.LostError(readErr))
+	}
+}
+
+// sameJSON reports whether two documents say the same, whatever their white space, escapes and order of fields: the service may
+// encode an object in its own way.
 func sameJSON(a, b []byte) bool {
-	var x, y bytes.Buffer
-	if json.Compact(&x, a) != nil || json.Compact(&y, b) != nil {
+	if bytes.Equal(a, b) {
+		return true
+	}
+	x, err := decodeAny(a)
+	if err != nil {
 		return false
 	}
-	return bytes.Equal(x.Bytes(), y.Bytes())
+	y, err := decodeAny(b)
+	return err == nil && reflect.DeepEqual(x, y)
+}
+
+func decodeAny(b []byte) (v any, err error) {
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.UseNumber() // a revision does not fit into a floating point number
+	err = d.Decode(&v)
+	return v, err
 }
 
 // ListAll returns all objects of a kind, page by page, and the revision of the first page, from
--- a/io/object/object_test.go
+++ b/io/object/object_test.go
@@ -82,11 +82,14 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				calls := 0
-				c := Client{Create: func(context.Context, string, string, any) (Object, error) {
-					err := tc.answers[min(calls, len(tc.answers)-1)]
-					calls++
-					return tc.exists, err
-				}}
+				c := Client{
+					Create: func(context.Context, string, string, any) (Object, error) {
+						err := tc.answers[min(calls, len(tc.answers)-1)]
+						calls++
+						return tc.exists, err
+					},
+					Get: func(context.Context, string, string) (Object, error) { return Object{}, store.ErrUnavailable },
+				}
 				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 				defer cancel()
 				_, err := CreateConfirmed(ctx, c, "jobs", "j", spec)
@@ -102,6 +105,66 @@
 	}
 }
 
+// Guards against a creation whose outcome stays unknown, or counts as a conflict with another content, since the answer that the
+// object exists doesn't hold it. Each line is one outcome of the read.
+func TestCreateConfirmedReadsWhatExists(t *testing.T) {
+	object := func(spec string) Object { return Object{Name: "j", Revision: 3, Spec: json.RawMessage(spec)} }
+	type read struct {
+		o   Object
+		err error
+	}
+	for _, tc := range []struct {
+		name    string
+		answers []error
+		reads   []read
+		want    error
+		found   string
+	}{
+		{"own content", []error{store.ErrUnknown, store.ErrConflict}, []read{{object(`{"x":1,"y":"<"}`), nil}}, nil, `{"x":1,"y":"<"}`},
+		{"own content, encoded in another way", []error{store.ErrConflict}, []read{{object(`{ "y":"\u003c", "x":1 }`), nil}}, nil, `{ "y":"\u003c", "x":1 }`},
+		{"another content", []error{store.ErrConflict}, []read{{object(`{"x":2}`), nil}}, store.ErrConflict, `{"x":2}`},
+		{"read that fails, then own content", []error{store.ErrConflict}, []read{{Object{}, store.ErrUnavailable}, {object(`{"x":1,"y":"<"}`), nil}}, nil, `{"x":1,"y":"<"}`},
+		{"reads that fail", []error{store.ErrConflict}, []read{{Object{}, store.ErrUnavailable}}, store.ErrUnknown, ""},
+		{"gone, then created", []error{store.ErrConflict, nil}, []read{{Object{}, store.ErrNotFound}}, nil, ""},
+		{"gone again and again", []error{store.ErrConflict}, []read{{Object{}, store.ErrNotFound}}, store.ErrUnavailable, ""},
+		{"no answer, written", []error{store.ErrUnknown}, []read{{object(`{"x":1,"y":"<"}`), nil}}, nil, `{"x":1,"y":"<"}`},
+		{"no answer, another content", []error{store.ErrUnknown}, []read{{object(`{"x":2}`), nil}}, store.ErrConflict, `{"x":2}`},
+		{"no answer, read that fails", []error{store.ErrUnknown}, []read{{Object{}, store.ErrUnavailable}}, store.ErrUnknown, ""},
+		{"no answer, not there", []error{store.ErrUnknown, nil}, []read{{Object{}, store.ErrNotFound}}, nil, ""},
+		{"no answer, never there", []error{store.ErrUnknown}, []read{{Object{}, store.ErrNotFound}}, store.ErrUnknown, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				creates, reads := 0, 0
+				c := Client{
+					Create: func(context.Context, string, string, any) (Object, error) {
+						creates++
+						return Object{}, tc.answers[min(creates, len(tc.answers))-1]
+					},
+					Get: func(context.Context, string, string) (Object, error) {
+						reads++
+						r := tc.reads[min(reads, len(tc.reads))-1]
+						return r.o, r.err
+					},
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				o, err := CreateConfirmed(ctx, c, "jobs", "j", map[string]any{"x": 1, "y": "<"})
+				require.ErrorIs(t, err, tc.want)
+				if tc.want == nil {
+					require.NoError(t, err)
+				}
+				require.Equal(t, tc.found, string(o.Spec))
+				if tc.want == store.ErrUnknown {
+					require.NotErrorIs(t, err, store.ErrConflict)
+					require.NotErrorIs(t, err, store.ErrUnavailable)
+				}
+				require.LessOrEqual(t, creates, 10)
+			})
+		})
+	}
+}
+
 // Guards against a listing that never ends because the service sends the same page again.
 func TestListingThatRepeatsItsPageFails(t *testing.T) {
 	for _, tc := range []struct {
