A job whose stored chunk can't be read goes on once it can

What callers would see: no further result of a job, also after the object in its way has been mended or removed, until the home changes.

Cause: writeResults left with job.writing set when the stored chunk was invalid, so that no later result started a write. The flag is set by whoever schedules the write and was cleared on one of four ways out.

Change: the home looks again at a chunk that can't be read, after 100 ms to 3.2 s, and each way out of writeResults clears the flag. Log chunkUnreadable, metric home.chunksUnreadable. The same shape was looked for by reading: listedJobs.writing and the ledger's isWriting are cleared on each way.

TestResultsBehindAnUnreadableChunkAreListedOnceItIsGone failed before: none of 10 listed after the chunk was gone, 10 now.

--- a/io/home/result.go
+++ b/io/home/result.go
@@ -14,6 +14,7 @@
 	"mothcart/core/batch"
 	"mothcart/core/plainjson"
 	"mothcart/core/slot"
+	"mothcart/io/clock"
 	"mothcart/io/object"
 	"mothcart/io/store"
 )
@@ -28,6 +29,8 @@
 	lateGather  = 500 * time.Millisecond
 	// chunkOverhead is the size of a chunk without its results, in bytes of JSON.
 	chunkOverhead = 128
+	// lastUnreadablePause bounds the time between two looks at a chunk that can't be read, which doubles from retryPause on.
+	lastUnreadablePause = 3200 * time.Millisecond
 	// writeTimeout bounds the attempts at one write before the failure is logged; the writes of chunks and
 	// retirements are then repeated.
 	writeTimeout = 4 * time.Second
@@ -35,13 +38,16 @@
 
 type chunkMetrics struct {
 	// written counts the chunks, bytes is their size. rejected counts those that the object service doesn't store, unstorable
-	// the results that no object holds.
-	written, bytes, rejected, unstorable metrics.Counter
+	// the results that no object holds, unreadable the looks at stored chunks that can't be read.
+	written, bytes, rejected, unstorable, unreadable metrics.Counter
 }
 
 func newChunkMetrics(r metrics.Registry) chunkMetrics {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("home."+name, r) }
-	return chunkMetrics{written: counter("chunks"), bytes: counter("chunkBytes"), rejected: counter("chunksRejected"), unstorable: counter("resultsTooLarge")}
+	return chunkMetrics{
+		written: counter("chunks"), bytes: counter("chunkBytes"), rejected: counter("chunksRejected"), unstorable: counter("resultsTooLarge"),
+		unreadable: counter("chunksUnreadable"),
+	}
 }
 
 // failItem finishes an item as failed; the mutex is held.
@@ -92,8 +98,7 @@
 
 // writeResults writes the finished items of a job in chunks until none is left that an object can hold.
 func (h *Home) writeResults(id string) {
-	most := allResults
-	for {
+	for most := allResults; ; {
 		h.mu.Lock()
 		j := h.jobs[id]
 		if j == nil {
@@ -121,6 +126,9 @@
 		case chunkRejected:
 			most = max(len(chunk.Results)/2, 1)
 		default:
+			h.mu.Lock()
+			j.writing = false // results that come later start a write of their own
+			h.mu.Unlock()
 			return
 		}
 	}
@@ -174,17 +182,19 @@
 type chunkFate int
 
 const (
-	// chunkLost means that the home has ended or was replaced, or that the stored chunk is invalid.
+	// chunkLost means that the home has ended or was replaced.
 	chunkLost chunkFate = iota
 	// chunkStored means that a chunk with its number is stored, this one or one of another home.
 	chunkStored
 	// chunkRejected means that the object service doesn't store a chunk with these results.
 	chunkRejected
+	// chunkUnreadable means that the chunk that is stored with its number can't be read.
+	chunkUnreadable
 )
 
 // writeChunk writes one chunk and repeats the write until its fate is known. size is that of the chunk in bytes of JSON.
 func (h *Home) writeChunk(id string, number int, chunk batch.Chunk, size int) chunkFate {
-	for h.ctx.Err() == nil {
+	for pause := retryPause; h.ctx.Err() == nil; {
 		ctx, cancel := context.WithTimeout(h.ctx, writeTimeout)
 		o, err := object.CreateConfirmed(ctx, h.opts.Objects, resultsKind(id), chunkName(number), chunk)
 		cancel()
@@ -196,16 +206,18 @@
 			return chunkStored
 		case errors.Is(err, store.ErrConflict):
 			h.opts.Log.Warn().Str("job", id).Int("from", chunk.From).Int64("revision", int64(o.Revision)).Msg("chunkOfAnotherHome")
-			if !h.appendObject(id, o) {
-				return chunkLost
+			if fate := h.appendObject(id, o); fate != chunkUnreadable {
+				return fate
 			}
-			return chunkStored
+			_ = clock.Sleep(h.ctx, pause) // ends early only with the home
+			pause = min(2*pause, lastUnreadablePause)
+			continue
 		case errors.Is(err, object.ErrRejected):
 			h.noteRejected(id, chunk, size, err)
 			return chunkRejected
 		}
 		h.opts.Log.Warn().Str("job", id).Int("from", chunk.From).Int("results", len(chunk.Results)).Int("bytes", size).Err(err).Msg("chunkNotWritten")
-		time.Sleep(retryPause)
+		_ = clock.Sleep(h.ctx, retryPause) // ends early only with the home
 	}
 	return chunkLost
 }
@@ -239,26 +251,27 @@
 		Dur("ageMillis", h.opts.Now().Sub(j.acceptedAt)).Msg("resultsListed")
 }
 
-// appendObject appends a chunk that another home wrote. It reports false if that home has a later term, since
-// this home's results are then no longer listed, or if the chunk is invalid.
-func (h *Home) appendObject(id string, o object.Object) bool {
+// appendObject appends a chunk that another home wrote. If that home has a later term, the fate is chunkLost, since this home's
+// results are then no longer listed.
+func (h *Home) appendObject(id string, o object.Object) chunkFate {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	j := h.jobs[id]
 	if j == nil {
-		return true
+		return chunkStored
 	}
 	var chunk batch.Chunk
 	if err := json.Unmarshal(o.Spec, &chunk); err == nil && chunk.Term > h.opts.Term {
 		h.opts.Log.Warn().Str("job", id).Int64("term", h.opts.Term).Int64("sealedBy", chunk.Term).Msg("homeReplaced")
 		j.finished = nil
 		j.cancelRuns()
-		return false
+		return chunkLost
 	}
 	log, err := withObject(j.log, o)
 	if err != nil {
-		h.opts.Log.Error().Str("job", id).Str("chunk", o.Name).Err(err).Msg("chunkSkipped")
-		return false
+		h.metrics.chunks.unreadable.Inc(1)
+		h.opts.Log.Error().Str("job", id).Str("chunk", o.Name).Int64("revision", int64(o.Revision)).Err(err).Msg("chunkUnreadable")
+		return chunkUnreadable
 	}
 	j.chunkStartedAt = time.Time{}
 	j.setLog(log)
@@ -271,5 +284,5 @@
 			delete(j.runs, item)
 		}
 	}
-	return true
+	return chunkStored
 }
--- a/io/home/result_test.go
+++ b/io/home/result_test.go
@@ -187,3 +187,24 @@
 		})
 	}
 }
+
+// Guards against a job that counts as being written for ever, since the chunk that is stored at its position can't be read.
+func TestResultsBehindAnUnreadableChunkAreListedOnceItIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, c := newMemory()
+		key := resultsKind("j1") + "/" + chunkName(0)
+		m.objects[key] = object.Object{Name: chunkName(0), Spec: []byte(`{"from":7}`)}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); time.Sleep(5 * time.Second) }()
+		h, j := newListingHome(ctx, t, c, 10)
+		h.finishAll(j, "x")
+		time.Sleep(time.Minute)
+		require.Empty(t, h.listedOf(j))
+		require.Less(t, m.reads, 60, "it is read less and less often")
+		m.mu.Lock()
+		delete(m.objects, key)
+		m.mu.Unlock()
+		time.Sleep(2 * lastLoadPause)
+		require.Len(t, h.listedOf(j), 10)
+	})
+}
