A seal that meets a chunk goes on behind it

What callers would see: reads of a job answered 503 for longer after a change of the home, while the load of the job failed and was repeated after 0.1 to 3.2 s.

Cause: a home that wrote its seal at a position that was taken meanwhile, by its own earlier attempt or by the previous home, took that for a failed load.

Change: the chunk that was found is appended to the log, and the seal goes behind it. A later term ends the load as before.

TestSealGoesOnAfterAConflict failed before (3 of 4 cases: results of an earlier home, a seal of a later home, a chunk that can't be read).

--- a/io/home/load.go
+++ b/io/home/load.go
@@ -305,18 +305,31 @@
 }
 
 // seal writes an empty chunk of this home's term at the position at which an earlier home would append its
-// next results, so that no results are listed that this home doesn't have.
+// next results, so that no results are listed that this home doesn't have. What an earlier home has appended meanwhile is appended
+// to the log before.
 func (h *Home) seal(ctx context.Context, log batch.Log) (batch.Log, error) {
 	id := log.Job().ID
-	if log.Term() > h.opts.Term {
-		return log, merry.Errorf("job %s is at the home of term %d: %w", id, log.Term(), errReplaced)
-	}
-	c := batch.Chunk{From: log.Len(), Term: h.opts.Term}
-	_, err := object.CreateConfirmed(ctx, h.opts.Objects, resultsKind(id), chunkName(log.Chunks()), c)
-	if err != nil {
-		return log, merry.Errorf("seal results of job %s: %w", id, err)
+	for {
+		if log.Term() > h.opts.Term {
+			return log, merry.Errorf("job %s is at the home of term %d: %w", id, log.Term(), errReplaced)
+		}
+		c := batch.Chunk{From: log.Len(), Term: h.opts.Term}
+		o, err := object.CreateConfirmed(ctx, h.opts.Objects, resultsKind(id), chunkName(log.Chunks()), c)
+		switch {
+		case err == nil:
+			return log.WithChunk(c)
+		case !errors.Is(err, store.ErrConflict):
+			return log, merry.Errorf("seal results of job %s: %w", id, err)
+		}
+		next, err := withObject(log, o)
+		if err == nil && next.Chunks() == log.Chunks() {
+			err = merry.Errorf("object %q stands for chunk %d: %w", o.Name, log.Chunks(), errUnreadable)
+		}
+		if err != nil {
+			return log, merry.Errorf("seal results of job %s: %w", id, err)
+		}
+		log = next
 	}
-	return log.WithChunk(c)
 }
 
 // judge returns what a copy of a job is worth by what the home was told before; the mutex is held.
--- a/io/home/result_test.go
+++ b/io/home/result_test.go
@@ -208,3 +208,34 @@
 		require.Len(t, h.listedOf(j), 10)
 	})
 }
+
+// Guards against a job that a home doesn't load in one go, since its seal was executed without an answer or an earlier home has
+// appended meanwhile.
+func TestSealGoesOnAfterAConflict(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		found  batch.Chunk
+		want   error
+		listed int
+	}{
+		{"own seal", batch.Chunk{Term: 2}, nil, 0},
+		{"results of an earlier home", batch.Chunk{Term: 1, Results: []batch.Result{{Item: "i0", State: batch.Completed}}}, nil, 1},
+		{"seal of a later home", batch.Chunk{Term: 3}, errReplaced, 0},
+		{"chunk that can't be read", batch.Chunk{From: 7, Term: 1}, errUnreadable, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m, c := newMemory()
+			b, err := plainjson.Marshal(tc.found)
+			require.NoError(t, err)
+			m.objects[resultsKind("j1")+"/"+chunkName(0)] = object.Object{Name: chunkName(0), Spec: b}
+			h := &Home{opts: Options{Objects: c, Term: 2, Log: zerolog.Nop()}}
+			log, err := h.seal(t.Context(), batch.NewLog(batch.Job{ID: "j1", Items: []batch.Item{{ID: "i0"}, {ID: "i1"}}}))
+			require.ErrorIs(t, err, tc.want)
+			if tc.want == nil {
+				require.NoError(t, err)
+				require.EqualValues(t, 2, log.Term())
+			}
+			require.Equal(t, tc.listed, log.Len())
+		})
+	}
+}
