Texts of unfinished items are bounded for the process, not each alone

What operators reported: a faulty upstream sent bytes without end, and the machine that had called it kept them all and ran out of memory.

Cause: an attempt at an item may receive 512 KiB, and nothing bounded their sum, nor the item's text over its attempts, nor the checkpoints of all items that each home node keeps: bound times concurrency.

Change: what a runner has received, the home's progress and the checkpoints of a node each have 1/16 of the memory of the settings. When one is full, whoever holds more than an equal share of it loses its text, so that short sound items are never dropped for long ones; an item's text over its attempts is bounded by 512 KiB.

--- a/io/home/checkpoint.go
+++ b/io/home/checkpoint.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"mothcart/core/budget"
 	"mothcart/io/clock"
 	"mothcart/io/link"
 )
@@ -230,12 +231,16 @@
 // Checkpoints holds the progress of the home's items on a home node, in case this node becomes the next
 // home. It is safe for concurrent use.
 type Checkpoints struct {
+	// limit bounds the texts together, in bytes; 0 means no bound.
+	limit int64
 	// onChange is called after each notice.
 	onChange func()
 
 	mu    sync.Mutex
 	term  int64
 	items map[[2]string]*itemCheckpoint
+	// bytes is the size of the texts.
+	bytes int64
 }
 
 type itemCheckpoint struct {
@@ -243,18 +248,27 @@
 	text strings.Builder
 }
 
-// NewCheckpoints returns checkpoints with the items that an earlier process of this node saved. onChange
-// is called after each notice.
-func NewCheckpoints(items []ItemProgress, onChange func()) *Checkpoints {
-	c := &Checkpoints{onChange: onChange, items: make(map[[2]string]*itemCheckpoint, len(items))}
+// NewCheckpoints returns checkpoints with the items that an earlier process of this node saved. Their texts have at most
+// limit bytes together; 0 means no bound. onChange is called after each notice.
+func NewCheckpoints(items []ItemProgress, limit int64, onChange func()) *Checkpoints {
+	c := &Checkpoints{limit: limit, onChange: onChange, items: make(map[[2]string]*itemCheckpoint, len(items))}
 	for _, p := range items {
 		cp := &itemCheckpoint{ItemProgress: p}
 		cp.text.WriteString(p.Text)
 		c.items[[2]string{p.Job, p.Item}] = cp
+		c.bytes += int64(len(p.Text))
 	}
 	return c
 }
 
+// remove drops the checkpoint of an item; the mutex is held.
+func (c *Checkpoints) remove(key [2]string) {
+	if cp := c.items[key]; cp != nil {
+		c.bytes -= int64(cp.text.Len())
+		delete(c.items, key)
+	}
+}
+
 // apply adds a notice of the home. The checkpoint of an item is dropped if the notice's text does not
 // follow the text held so far, since a notice was lost.
 func (c *Checkpoints) apply(n checkpointNotice) {
@@ -265,24 +279,31 @@
 		return
 	}
 	if n.Full || n.Term > c.term {
-		c.term, c.items = n.Term, make(map[[2]string]*itemCheckpoint, len(n.Items))
+		c.term, c.items, c.bytes = n.Term, make(map[[2]string]*itemCheckpoint, len(n.Items)), 0
 	}
 	for _, key := range n.Ended {
-		delete(c.items, key)
+		c.remove(key)
 	}
 	for _, d := range n.Items {
 		key := [2]string{d.Job, d.Item}
+		if d.From == 0 {
+			c.remove(key)
+		}
 		cp := c.items[key]
-		if cp == nil || d.From == 0 {
+		if cp == nil {
 			cp = &itemCheckpoint{}
 		}
 		if cp.text.Len() != d.From {
-			delete(c.items, key)
+			c.remove(key)
 			continue
 		}
 		cp.ItemProgress = d.ItemProgress
 		cp.text.WriteString(d.Text)
 		c.items[key] = cp
+		c.bytes += int64(len(d.Text))
+		if budget.OverShare(c.limit, c.bytes, int64(cp.text.Len()), len(c.items)) {
+			c.remove(key) // the next home begins the item again
+		}
 	}
 }
 
--- a/io/home/connect.go
+++ b/io/home/connect.go
@@ -200,7 +200,7 @@
 	}
 	c.mu.Unlock()
 	c.opts.OnReceivesChanges()
-	c.opts.Log.Warn().Str("home", a.VM).Int64("term", a.Term).Msg("homeLost")
+	c.opts.Log.Warn().Str("home", a.VM).Int64("term", a.Term).Err(conn.Err()).Msg("homeLost")
 }
 
 // notify sends a message to the home that is connected now.
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -92,6 +92,8 @@
 	// to be drained, and makes another node the home.
 	Retirements Retirements
 	StepDown    func()
+	// TextBytes bounds the progress of all unfinished items together, in bytes; 0 means no bound.
+	TextBytes int64
 	// ResultRetention is the retention of results, counted from the acceptance of a job.
 	ResultRetention time.Duration
 	Now             func() time.Time
@@ -166,6 +168,8 @@
 type homeMetrics struct {
 	asks, refused, preemptions, runs, results metrics.Counter
 	chunks                                    chunkMetrics
+	// textsDropped counts the items that begin again since there was no room for their text.
+	textsDropped metrics.Counter
 	// restarts counts items whose progress was dropped, since no upstream could go on with it.
 	restarts metrics.Counter
 	// overShare counts the requests that were refused since their account used more than its share of the slots.
@@ -199,7 +203,7 @@
 	h := &Home{
 		opts: opts, ctx: ctx, cancel: cancel, startedAt: opts.Now(), submissions: submission.NewTable(),
 		metrics: homeMetrics{
-			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"), restarts: counter("restarts"),
+			asks: counter("asks"), refused: counter("refused"), preemptions: counter("cuts"), restarts: counter("restarts"), textsDropped: counter("textsDropped"),
 			runs: counter("runs"), results: counter("results"), chunks: newChunkMetrics(opts.Registry), corrected: counter("slotsCorrected"),
 			overShare: counter("overShare"), refusedJobs: counter("refusedJobsStored"), refusedJobsRan: counter("refusedJobsRan"),
 			openSubmissions: metrics.GetOrRegisterGauge("home.openSubmissions", opts.Registry),
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"mothcart/core/batch"
+	"mothcart/core/budget"
 	"mothcart/core/poison"
 	"mothcart/core/slot"
 )
@@ -147,8 +148,7 @@
 	defer h.mu.Unlock()
 	h.opts.Log.Info().Str("job", r.job).Str("item", r.item.ID).Str("version", r.version).Int("events", r.events).Msg("itemRestarted")
 	h.metrics.restarts.Inc(1)
-	r.text.Reset()
-	r.events, r.lastID, r.version, r.ranFor, r.sentBytes = 0, "", "", 0, 0
+	r.dropProgress()
 }
 
 // startRun starts an attempt with a granted slot.
@@ -231,6 +231,43 @@
 	h.completeAttempt(r, out, took, cancelled)
 }
 
+// addProgress adds the progress of the attempt that has ended. The item begins again if its text is longer than an item's may be, or
+// if there is no room for it; the mutex is held.
+func (h *Home) addProgress(r *run, out itemOutcome, took time.Duration) {
+	r.addProgress(out, took)
+	if out.Events == 0 || out.Complete { // a complete item is listed and no longer counts
+		return
+	}
+	held, holders := h.progressBytes()
+	tooLong := r.text.Len() > maxItemText
+	if !tooLong && !budget.OverShare(h.opts.TextBytes, held, int64(r.text.Len()), holders) {
+		return
+	}
+	h.metrics.textsDropped.Inc(1)
+	h.opts.Log.Warn().Str("job", r.job).Str("item", r.item.ID).Int("bytes", r.text.Len()).Int64("heldBytes", held).Int64("limitBytes", h.opts.TextBytes).
+		Bool("tooLong", tooLong).Msg("itemTextDropped")
+	r.dropProgress()
+}
+
+// progressBytes returns the size of the progress of all unfinished items, in bytes, and how many have any; the mutex is held.
+func (h *Home) progressBytes() (held int64, holders int) {
+	for _, j := range h.jobs {
+		for _, r := range j.runs {
+			if n := r.text.Len(); n > 0 {
+				held += int64(n)
+				holders++
+			}
+		}
+	}
+	return held, holders
+}
+
+// dropProgress makes an item begin again.
+func (r *run) dropProgress() {
+	r.text = bytes.Buffer{}
+	r.events, r.lastID, r.version, r.ranFor, r.sentBytes = 0, "", "", 0, 0
+}
+
 // addProgress adds the progress of the attempt that has ended.
 func (r *run) addProgress(out itemOutcome, took time.Duration) {
 	if out.Events == 0 {
@@ -255,7 +292,7 @@
 		return
 	}
 	r.cancel, r.received = nil, nil
-	r.addProgress(out, took)
+	h.addProgress(r, out, took)
 	if !cancelled && out.Status == http.StatusInternalServerError && !out.NotRun {
 		r.failures++
 		r.erredAt = r.sender
--- a/io/home/runner.go
+++ b/io/home/runner.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/rcrowley/go-metrics"
 
 	"mothcart/core/poison"
 	"mothcart/core/site"
@@ -87,11 +88,15 @@
 	Leaving func(u site.Upstream, item string)
 	// Refuses reports that this node knows that the upstream accepts no new requests.
 	Refuses func(u site.Upstream) bool
+	// TextBytes bounds the texts of all attempts together, in bytes; 0 means no bound.
+	TextBytes int64
+	Registry  metrics.Registry
 }
 
 // Runner makes attempts at items, for the home on this node or on another one. It is safe for concurrent use.
 type Runner struct {
-	opts RunnerOptions
+	opts  RunnerOptions
+	texts *texts
 
 	mu   sync.Mutex
 	runs map[runKey]*activeRun
@@ -99,18 +104,26 @@
 
 // NewRunner returns a runner.
 func NewRunner(opts RunnerOptions) *Runner {
-	return &Runner{opts: opts, runs: make(map[runKey]*activeRun)}
+	return &Runner{opts: opts, texts: newTexts(opts.TextBytes, opts.Registry), runs: make(map[runKey]*activeRun)}
 }
 
 // stream is what an attempt at an item has received so far. It is safe for concurrent use.
 type stream struct {
+	// texts counts the bytes of the text; nil counts none.
+	texts *texts
+
 	mu sync.Mutex
 	// text is the data of the events, joined by line feeds.
 	text        bytes.Buffer
 	events      int
 	lastEventID string
+	// taken is what texts has counted, in bytes.
+	taken int64
 }
 
+// errNoTextRoom means that the texts of all attempts leave no room for one that is so long.
+var errNoTextRoom = merry.Sentinel("no room for the text of the item")
+
 // errItemTooLong means that a stream is no item's: its text exceeds maxItemText.
 var errItemTooLong = merry.Sentinel("text of the item is too long")
 
@@ -121,7 +134,7 @@
 	s.text, s.events, s.lastEventID = bytes.Buffer{}, 0, lastEventID
 }
 
-// add adds an event. It returns errItemTooLong if the text would exceed maxItemText.
+// add adds an event. It returns errItemTooLong if the text would exceed maxItemText, and errNoTextRoom if there is no room for it.
 func (s *stream) add(e forward.Event) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -132,6 +145,12 @@
 	if s.text.Len()+len(data) >= maxItemText {
 		return merry.Errorf("event after %d bytes: %w", s.text.Len(), errItemTooLong)
 	}
+	if n := int64(len(data) + 1); s.texts != nil {
+		if !s.texts.take(s.taken, n) {
+			return merry.Errorf("event after %d bytes: %w", s.text.Len(), errNoTextRoom)
+		}
+		s.taken += n
+	}
 	if s.events > 0 {
 		s.text.WriteByte('\n')
 	}
@@ -172,6 +191,9 @@
 	if rn.opts.Refuses(c.Upstream) {
 		return itemOutcome{Result: slot.Moved, LastEventID: c.LastEventID, Err: "upstream is leaving or gone"}
 	}
+	rn.texts.begin()
+	got.texts = rn.texts
+	defer func() { rn.texts.end(got.taken) }()
 	header := itemHeader(c.Header)
 	got.lastEventID = c.LastEventID
 	var named paceNote
@@ -199,7 +221,7 @@
 		Event: func(e forward.Event, _ bool) error { return got.add(e) },
 	})
 	unnumbered := !a.Success() && got.events > 0 && got.lastEventID == ""
-	dropped := unnumbered || errors.Is(a.Err, errItemTooLong)
+	dropped := unnumbered || errors.Is(a.Err, errItemTooLong) || errors.Is(a.Err, errNoTextRoom)
 	if dropped {
 		got.reset(c.LastEventID)
 	}
--- a/io/home/server.go
+++ b/io/home/server.go
@@ -124,13 +124,13 @@
 	})
 }
 
-func (s *Server) closed(c *link.Conn, _ error) {
+func (s *Server) closed(c *link.Conn, err error) {
 	s.mu.Lock()
 	h, session := s.home, s.sessions[c]
 	delete(s.sessions, c)
 	s.mu.Unlock()
 	if h != nil {
-		h.dropNode(session)
+		h.dropNode(session, err)
 	}
 }
 
--- a/io/home/session.go
+++ b/io/home/session.go
@@ -249,11 +249,11 @@
 }
 
 // dropNode removes a node whose connection has ended and releases its slots.
-func (h *Home) dropNode(s *session) {
+func (h *Home) dropNode(s *session, err error) {
 	if s == nil {
 		return
 	}
-	h.opts.Log.Info().Str("peer", s.owner).Msg("nodeDisconnected")
+	h.opts.Log.Info().Str("peer", s.owner).Err(err).Msg("nodeDisconnected")
 	h.mu.Lock()
 	delete(h.runners, s.owner)
 	if _, ok := h.nodes[s.owner]; ok && len(h.nodes) == 1 {
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -156,6 +156,13 @@
 // Done returns a channel that is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.closed }
 
+// Err returns why the connection has ended; nil while it has not.
+func (c *Conn) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
 // Silent reports that the connection has ended since nothing arrived or was accepted in time, not by a close of a side.
 func (c *Conn) Silent() bool {
 	c.mu.Lock()
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -220,7 +220,7 @@
 		AskingNodes: n.base.client.AskingNodes(),
 		Announce:    n.server.PushAnnouncement, MarkLeaving: n.base.markLeaving, Leaving: n.base.leavingUpstreams,
 		Retirements: platform.Retirements(), StepDown: n.stepDown,
-		ResultRetention: o.Settings.ResultRetention, Now: o.Now, TimeOfDay: time.Now, Log: o.Log, Registry: o.Registry,
+		TextBytes: textBytes(o.Settings.MemoryBytes), ResultRetention: o.Settings.ResultRetention, Now: o.Now, TimeOfDay: time.Now, Log: o.Log, Registry: o.Registry,
 	}
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -187,10 +187,11 @@
 	} else {
 		b.runner = home.NewRunner(home.RunnerOptions{
 			Client: b.upstream, Codec: platform.HeaderCodec(), Leaving: b.answeredLeaving,
-			Refuses: func(u site.Upstream) bool { return b.client.DrainingOrGone(u) },
+			Refuses:   func(u site.Upstream) bool { return b.client.DrainingOrGone(u) },
+			TextBytes: textBytes(s.MemoryBytes), Registry: opts.Registry,
 		})
 		progressSaver := newSaver(s.DataDir, progressFile, func() any { return b.checkpoints.Items() }, opts.Log)
-		b.checkpoints = home.NewCheckpoints(load[[]home.ItemProgress](s.DataDir, progressFile, opts.Log), progressSaver.changed)
+		b.checkpoints = home.NewCheckpoints(load[[]home.ItemProgress](s.DataDir, progressFile, opts.Log), textBytes(s.MemoryBytes), progressSaver.changed)
 		stateSaver := newSaver(s.DataDir, siteStateFile, func() any { return b.savedState() }, opts.Log)
 		b.siteStateChanged = stateSaver.changed
 		b.loadHistory()
@@ -227,6 +228,13 @@
 	return int64(float64(memory) * answerShare)
 }
 
+// textShare is the fraction of a process's memory for the texts of unfinished items, in each of three places: what its runner has
+// received, the progress at the home, and checkpoints.
+const textShare = 0.0625
+
+// textBytes returns the bound of these texts of a process with this much memory in bytes; 0 means not known.
+func textBytes(memory int64) int64 { return int64(float64(memory) * textShare) }
+
 // countsInterval is the interval at which a node logs its counters.
 const countsInterval = 10 * time.Second
 
