Pages of results are bounded by their size as JSON

What callers would see: a page of results of up to 4.3 MB for HTML, 5.5 MB for control characters and 1.8 MB for quotes or line feeds, where the page of the platform says 1 MB at most.

Change: a log keeps the size of each result as it is encoded, and Page adds those up. One result alone is returned whatever its size, since the platform wants at least one.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -17,6 +17,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"mothcart/core/plainjson"
 )
 
 // Item is one request of a job.
@@ -143,8 +145,10 @@
 type Log struct {
 	job     Job
 	results []Result
-	listed  map[string]struct{}
-	chunks  int
+	// sizes are those of the results, see Result.size.
+	sizes  []int
+	listed map[string]struct{}
+	chunks int
 	// term is the greatest term of the chunks.
 	term  int64
 	ended bool
@@ -190,7 +194,10 @@
 		}
 		listed[r.Item] = struct{}{}
 	}
-	l.results = append(slices.Clip(l.results), c.Results...)
+	l.results, l.sizes = append(slices.Clip(l.results), c.Results...), slices.Clip(l.sizes)
+	for _, r := range c.Results {
+		l.sizes = append(l.sizes, r.size())
+	}
 	l.listed = listed
 	l.chunks++
 	l.term = max(l.term, c.Term)
@@ -239,16 +246,19 @@
 	return n
 }
 
-// resultOverhead is the size of a result on the wire without its text, in bytes.
+// resultOverhead is the size of a result in an answer without its text, in bytes.
 const resultOverhead = 100
 
-// Page returns the results from position after on, up to maxBytes but at least one if there are any, and
+// size returns the size of a result in an answer in JSON, in bytes.
+func (r Result) size() int { return plainjson.Size(r.Text) + resultOverhead }
+
+// Page returns the results from position after on, up to maxBytes of JSON but at least one if there are any, and
 // the position that follows them.
 func (l Log) Page(after, maxBytes int) ([]Result, int) {
 	after = min(max(after, 0), len(l.results))
 	next, size := after, 0
 	for next < len(l.results) {
-		size += len(l.results[next].Text) + resultOverhead
+		size += l.sizes[next]
 		if next > after && size > maxBytes {
 			break
 		}
--- a/io/entry/job.go
+++ b/io/entry/job.go
@@ -24,7 +24,7 @@
 	directPollInterval = 800 * time.Millisecond
 	// maxPoll bounds a long poll.
 	maxPoll = time.Second
-	// pageBytes bounds the total size of the texts in one page of results.
+	// pageBytes bounds one page of results in bytes of JSON.
 	pageBytes = 900 << 10
 	// downRetryAfter is the Retry-After for a call that failed because the object service and the home
 	// could not serve it.
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// pageBytes bounds the texts of one page of results, in bytes; an answer to a caller holds at most 1 MB.
+	// pageBytes bounds one page of results in bytes of JSON; an answer to a caller holds at most 1 MB.
 	pageBytes = 900 << 10
 	// reservationAge is how long room is reserved for a job that is being written.
 	reservationAge = 5 * time.Second
