Soak: jobs whose results fill several objects, beside lost answers, outages and kills of homes

A site whose object service takes objects of 4 KiB at most, with jobs of 40 items. Answers to writes are lost and calls refused in turn, homes are killed and stopped meanwhile; each accepted item must be listed once, the same at all entries, and no object that is too large may be written.

--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -75,6 +75,8 @@
 	accounts []fake.Account
 	// tokenCap is that of the route of jobs.
 	tokenCap int64
+	// valueBytes is the size of the largest object; 0 means the default.
+	valueBytes int
 }
 
 // ip returns a loopback address of the site. Its second byte is 20 + seed modulo 200, so that sites of
@@ -88,6 +90,10 @@
 	}
 	storeAddr := net.JoinHostPort(s.ip(1, 1), fmt.Sprint(storePort))
 	s.objects = fake.NewObjects(s.network, storeAddr)
+	if seed >= firstResultSeed {
+		s.tokenCap, s.valueBytes = 100000, resultValue
+		s.objects.SetValueBytes(resultValue)
+	}
 	s.configure()
 	for n := 1; n <= engines; n++ {
 		s.engines = append(s.engines, s.addEngine(n, "scribe", "v1", engineSlots))
@@ -140,7 +146,7 @@
 	if pr.role == "entry" {
 		callers, ready = ip+":7400", ip+":7401"
 	}
-	vm := fake.VM{ID: pr.id, IP: ip, PeerPort: 7300, Store: store, Callers: callers, Ready: ready, DataDir: pr.dataDir, MemoryMB: smallHomeMB}
+	vm := fake.VM{ID: pr.id, IP: ip, PeerPort: 7300, Store: store, Callers: callers, Ready: ready, DataDir: pr.dataDir, ValueBytes: s.valueBytes, MemoryMB: smallHomeMB}
 	if pr.role == "entry" {
 		vm.MemoryMB = smallEntryMB
 	}
