Checkpoints and handovers fit into frames

What callers would see: items that home nodes run for the home are lost twice a second and begin again, after an outage of the object service in which more than 4 MB of results piled up (200 of 24 KiB), as soon as a home node connects.

Cause: a notice with the progress of all items was one frame. One over the limit of 4 MiB ends the connection, which is also the runner's; the next connection gets the same whole notice again. A handover answer that is too large ended the call, and the progress was lost.

Change: a notice is sent in several, each of about 2 MiB with whole items; the first one replaces what the standby has. An answer holds what fits, results of finished items first; leftOut in handedOver and checkpointsSent counts the others.

TestCheckpointNoticesFitIntoFrames: the notice of 200 results of 24 KiB has 4.9 MB, in one frame before (sizes by the test's own encoding; the test needs the new function, so that it could not run on the old code).

--- a/io/home/checkpoint.go
+++ b/io/home/checkpoint.go
@@ -21,6 +21,10 @@
 	// maxStandbys is the number of home nodes that hold checkpoints of the home's items: with two, one
 	// may be lost together with the home.
 	maxStandbys = 2
+	// maxProgressBytes bounds the progress in one message between nodes, so that it stays far below the largest frame.
+	maxProgressBytes = 2 << 20
+	// progressOverhead is the size of an item's progress in a message without its texts, in bytes.
+	progressOverhead = 128
 )
 
 // checkpointNotice sends a standby the progress of items since the last notice.
@@ -40,6 +44,31 @@
 	From int `msgpack:"from"`
 }
 
+// size estimates the size of the progress in a message without the text, in bytes.
+func (p ItemProgress) size() int {
+	return progressOverhead + len(p.Job) + len(p.Item) + len(p.LastEventID) + len(p.Version)
+}
+
+// withinMessage returns the items whose progress fits into one message, those that have finished before the others, and how many
+// are left out.
+func withinMessage(items []ItemProgress) ([]ItemProgress, int) {
+	ordered := make([]ItemProgress, 0, len(items))
+	for _, finished := range []bool{true, false} {
+		for _, p := range items {
+			if (p.State != "") == finished {
+				ordered = append(ordered, p)
+			}
+		}
+	}
+	size := 0
+	for i, p := range ordered {
+		if size += p.size() + len(p.Text); size > maxProgressBytes {
+			return ordered[:i], len(ordered) - i
+		}
+	}
+	return ordered, 0
+}
+
 // checkpointer sends the progress of a home's items to its standbys.
 type checkpointer struct {
 	home *Home
@@ -97,9 +126,27 @@
 		return
 	}
 	c.home.opts.Checkpoints.apply(notice) // this node's copy, in case all processes end at the same time
-	for _, conn := range conns {
-		conn.Notify(methodCheckpoint, notice)
+	for _, part := range notice.split(maxProgressBytes) {
+		for _, conn := range conns {
+			conn.Notify(methodCheckpoint, part)
+		}
+	}
+}
+
+// split returns the notice in notices of about maxBytes at most, with at least one item each, that have the same effect one after
+// the other. An item is never split: half of a text must not count as its progress.
+func (n checkpointNotice) split(maxBytes int) []checkpointNotice {
+	parts, size := []checkpointNotice{{Term: n.Term, Full: n.Full, Ended: n.Ended}}, 0
+	for _, d := range n.Items {
+		more := d.size() + len(d.Text)
+		if size > 0 && size+more > maxBytes {
+			parts, size = append(parts, checkpointNotice{Term: n.Term}), 0
+		}
+		last := &parts[len(parts)-1]
+		last.Items = append(last.Items, d)
+		size += more
 	}
+	return parts
 }
 
 // updateStandbys replaces the set of standbys and reports whether one of them is new.
@@ -326,7 +373,9 @@
 	case c.opts.Checkpoints == nil:
 		in.Fail(merry.New("this node keeps no progress"))
 	case in.Method == methodFetchCheckpoints:
-		in.Answer(handoverAnswer{Items: c.opts.Checkpoints.Items()})
+		items, left := withinMessage(c.opts.Checkpoints.Items())
+		c.opts.Log.Info().Int("items", len(items)).Int("leftOut", left).Msg("checkpointsSent")
+		in.Answer(handoverAnswer{Items: items})
 	default:
 		var m checkpointNotice
 		if err := in.Decode(&m); err != nil {
--- a/io/home/checkpoint_test.go
+++ b/io/home/checkpoint_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"mothcart/core/batch"
+	"mothcart/io/msgframe"
 )
 
 // checkpointModel drives a run and its standby.
@@ -102,3 +103,62 @@
 	c.apply(checkpointNotice{Term: 2, Ended: [][2]string{{"j", "i"}}})
 	require.Empty(t, c.Items())
 }
+
+// Guards against standbys whose connections end, together with the items that they run, since the progress of all items is larger
+// than a frame may be: results that pile up in an outage are enough.
+func TestCheckpointNoticesFitIntoFrames(t *testing.T) {
+	const maxFrame = 4 << 20
+	for _, tc := range []struct {
+		name        string
+		items, text int
+	}{
+		{"none", 0, 0}, {"small ones", 300, 10}, {"results of an outage", 200, 24 << 10}, {"long ones", 30, 500 << 10}, {"one", 1, 1 << 20}, {"many without text", 20000, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			n := checkpointNotice{Term: 3, Full: true, Ended: [][2]string{{"j", "old"}}}
+			for i := range tc.items {
+				p := ItemProgress{Job: "7c41e09b52d6a3f8", Item: fmt.Sprint("item", i), Text: strings.Repeat("x", tc.text), Events: 7, LastEventID: "7", Version: "v1"}
+				n.Items = append(n.Items, itemDelta{ItemProgress: p})
+			}
+			whole, parts := NewCheckpoints(nil, 0, func() {}), NewCheckpoints(nil, 0, func() {})
+			whole.apply(n)
+			for _, part := range n.split(maxProgressBytes) {
+				b, err := msgframe.EncodeBody(part)
+				require.NoError(t, err)
+				require.Less(t, len(b), maxFrame)
+				parts.apply(part)
+			}
+			require.Equal(t, byItem(whole.Items()), byItem(parts.Items()))
+			fits, left := withinMessage(whole.Items())
+			require.Equal(t, tc.items, len(fits)+left)
+			b, err := msgframe.EncodeBody(handoverAnswer{Items: fits})
+			require.NoError(t, err)
+			require.Less(t, len(b), maxFrame)
+		})
+	}
+}
+
+func byItem(items []ItemProgress) map[string]ItemProgress {
+	out := make(map[string]ItemProgress, len(items))
+	for _, p := range items {
+		out[p.Item] = p
+	}
+	return out
+}
+
+// Guards against a finished item that runs again though there was room for its result.
+func TestFinishedItemsGoFirstIntoAMessage(t *testing.T) {
+	var items []ItemProgress
+	for i := range 100 {
+		p := ItemProgress{Item: fmt.Sprint(i), Text: strings.Repeat("x", 50<<10)}
+		if i%10 == 9 {
+			p.State = batch.Completed
+		}
+		items = append(items, p)
+	}
+	fits, left := withinMessage(items)
+	require.Positive(t, left)
+	for i := range 10 {
+		require.Equal(t, batch.Completed, fits[i].State)
+	}
+}
--- a/io/home/handover.go
+++ b/io/home/handover.go
@@ -76,8 +76,8 @@
 		return merry.Errorf("handover to term %d: %w", m.By.Term, ErrNoHome)
 	}
 	h.done.Go(func() {
-		items := h.stopItems()
-		h.opts.Log.Info().Str("to", m.By.VM).Int64("term", h.opts.Term).Int64("later", m.By.Term).Int("items", len(items)).Msg("handedOver")
+		items, left := withinMessage(h.stopItems())
+		h.opts.Log.Info().Str("to", m.By.VM).Int64("term", h.opts.Term).Int64("later", m.By.Term).Int("items", len(items)).Int("leftOut", left).Msg("handedOver")
 		in.Answer(handoverAnswer{Items: items})
 		h.opts.Announce(m.By)
 		h.markHandedOver()
