The hint of complete jobs fits into an object

What callers would see: nothing at first; but on a platform with a small value_bytes, or with some 30,000 jobs within their retention, the hint is never written, so that no job is removed and the next home reads the results of all.

Cause: the hint named all complete jobs, whatever an object may hold.

Change: it names the oldest ones that fit. These are removed first, which makes room for the others. Log listedJobsLeftOut.

--- a/io/home/listed.go
+++ b/io/home/listed.go
@@ -1,16 +1,19 @@
 package home
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"maps"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
+	"mothcart/core/plainjson"
 	"mothcart/io/object"
 	"mothcart/io/store"
 )
@@ -25,8 +28,9 @@
 type listedJobs struct {
 	mu  sync.Mutex
 	ids map[string]listedJob
-	// inFlight are the jobs that the last write names.
+	// inFlight are the jobs that the last write names, leftOut is the number of those for which it has no room.
 	inFlight []string
+	leftOut  int
 	// changed reports that ids has jobs that are not written; writing that a write is in progress.
 	changed, writing bool
 	writtenAt        time.Time
@@ -63,6 +67,13 @@
 	}
 }
 
+// left returns the number of jobs for which the last write has no room.
+func (l *listedJobs) left() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leftOut
+}
+
 // isStored reports that the object names a job.
 func (l *listedJobs) isStored(id string) bool {
 	l.mu.Lock()
@@ -116,22 +127,36 @@
 	return nil
 }
 
-// due returns the content to write, and true, if there is news and the last write is long enough ago.
-func (l *listedJobs) due(now time.Time) (listedRecord, bool) {
+// due returns the content to write, of at most limit bytes of JSON, and true, if there is news and the last write is long enough ago.
+// The oldest jobs go first: these are removed next, which makes room for the others.
+func (l *listedJobs) due(now time.Time, limit int) (listedRecord, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.changed || l.writing || now.Sub(l.writtenAt) < listedInterval {
 		return listedRecord{}, false
 	}
 	l.changed, l.writing, l.writtenAt = false, true, now
-	l.inFlight = slices.Sorted(maps.Keys(l.ids))
-	r := listedRecord{Jobs: l.inFlight}
-	for _, id := range l.inFlight {
-		r.Created = append(r.Created, l.ids[id].created)
+	all := listedRecord{Jobs: slices.SortedFunc(maps.Keys(l.ids), func(a, b string) int {
+		return cmp.Or(cmp.Compare(l.ids[a].created, l.ids[b].created), cmp.Compare(a, b))
+	})}
+	for _, id := range all.Jobs {
+		all.Created = append(all.Created, l.ids[id].created)
 	}
+	r := all.within(limit)
+	l.inFlight, l.leftOut = r.Jobs, len(all.Jobs)-len(r.Jobs)
 	return r, true
 }
 
+// within returns the record with as many of its first jobs as fit into limit bytes of JSON.
+func (r listedRecord) within(limit int) listedRecord {
+	first := func(n int) listedRecord { return listedRecord{Jobs: r.Jobs[:n], Created: r.Created[:n]} }
+	if plainjson.Size(r) <= limit {
+		return r
+	}
+	n := sort.Search(len(r.Jobs), func(n int) bool { return plainjson.Size(first(n+1)) > limit })
+	return first(n)
+}
+
 // written records the end of a write; after a failure the jobs are written again.
 func (l *listedJobs) written(err error) {
 	l.mu.Lock()
@@ -148,10 +173,13 @@
 
 // writeListed writes the listed jobs if that is due.
 func (h *Home) writeListed(now time.Time) {
-	r, ok := h.listed.due(now)
+	r, ok := h.listed.due(now, h.opts.Objects.SpecBytes())
 	if !ok {
 		return
 	}
+	if left := h.listed.left(); left > 0 {
+		h.opts.Log.Warn().Int("jobs", len(r.Jobs)).Int("leftOut", left).Int("limit", h.opts.Objects.SpecBytes()).Msg("listedJobsLeftOut")
+	}
 	h.done.Go(func() {
 		ctx, cancel := context.WithTimeout(h.ctx, writeTimeout)
 		defer cancel()
