A chunk that is rejected leaves nothing unresolved

What callers would see: reads of a job undecided (503, or read from the object service) after its last chunk was refused for its content.

Cause: the time at which the write began stays set until a chunk is stored; a rejected one stores nothing. A rejection beside an attempt without an answer is repeated until it stands alone.

TestRejectedChunkLeavesNothingUnresolved failed before.

--- a/io/home/checkpoint.go
+++ b/io/home/checkpoint.go
@@ -22,7 +22,7 @@
 	// may be lost together with the home.
 	maxStandbys = 2
 	// maxProgressBytes bounds the progress in one message between nodes, so that it stays far below the largest frame.
-	maxProgressBytes = 2 << 20
+	maxProgressBytes = 3 << 20
 	// progressOverhead is the size of an item's progress in a message without its texts, in bytes.
 	progressOverhead = 128
 )
--- a/io/home/records.go
+++ b/io/home/records.go
@@ -123,6 +123,9 @@
 		if fits && plainjson.Size(head) <= limit {
 			return head, parts, nil
 		}
+		if fits || len(groups) == len(job.Items) {
+			break // smaller groups are no help
+		}
 	}
 	return job, nil, merry.Errorf("divide job %s into objects of %d bytes: %w: %w", job.ID, limit, store.ErrUnavailable, object.ErrRejected)
 }
--- a/io/home/result.go
+++ b/io/home/result.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"mothcart/core/batch"
+	"mothcart/core/outcome"
 	"mothcart/core/plainjson"
 	"mothcart/core/slot"
 	"mothcart/io/clock"
@@ -212,7 +213,7 @@
 			_ = clock.Sleep(h.ctx, pause) // ends early only with the home
 			pause = min(2*pause, lastUnreadablePause)
 			continue
-		case errors.Is(err, object.ErrRejected):
+		case errors.Is(err, object.ErrRejected) && store.OutcomeOf(err) == outcome.NotDone:
 			h.noteRejected(id, chunk, size, err)
 			return chunkRejected
 		}
@@ -228,7 +229,12 @@
 	h.opts.Log.Error().Str("job", id).Int("from", chunk.From).Int("results", len(chunk.Results)).Int("bytes", size).Err(err).Msg("chunkRejected")
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if j := h.jobs[id]; j != nil && len(chunk.Results) == 1 {
+	j := h.jobs[id]
+	if j == nil {
+		return
+	}
+	j.chunkStartedAt = time.Time{} // the object service has stored nothing
+	if len(chunk.Results) == 1 {
 		h.setAside(id, j, chunk.Results[0].Item, size)
 	}
 }
--- a/io/home/result_test.go
+++ b/io/home/result_test.go
@@ -142,6 +142,25 @@
 	}
 }
 
+// Guards against a job whose reads stay undecided, since the object service has refused the last chunk for its content.
+func TestRejectedChunkLeavesNothingUnresolved(t *testing.T) {
+	const limit = 64 << 10
+	synctest.Test(t, func(t *testing.T) {
+		m, c := newMemory()
+		m.maxBytes, c.ValueBytes = limit, 2*limit
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); time.Sleep(time.Second) }()
+		h, j := newListingHome(ctx, t, c, 1)
+		h.finishAll(j, strings.Repeat("x", limit))
+		time.Sleep(3 * time.Second)
+		require.Empty(t, h.listedOf(j))
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		require.False(t, j.unresolved(time.Now()))
+		require.False(t, j.writing)
+	})
+}
+
 // Guards against results that are never listed after a write that was executed and not answered: the repetition is told that the
 // object exists, without the object.
 func TestResultsAfterAnUnansweredWriteAreListed(t *testing.T) {
