Events without IDs are no progress for the next home

What callers saw: an item completed with a text that begins with events which the upstream had sent without IDs, followed by the whole output (MIXED).

Cause: an attempt that breaks off before the ID of an event drops what it received. A home that changes meanwhile hands the text over, or its checkpoint is used, with no ID; the next home asks for the stream from its start and appends it.

Change: progress without the ID of an event isn't resumed.

TestEventsWithoutIDsAreNoProgressForTheNextHome failed before, for a home that is stopped and one that is killed; it passes now.

--- a/io/home/handover.go
+++ b/io/home/handover.go
@@ -327,8 +327,8 @@
 		return true
 	}
 	r.failures = p.Failures
-	if p.Version == "" {
-		return false // saved by an earlier release, so that nobody knows which upstreams can go on with it
+	if p.Version == "" || p.LastEventID == "" {
+		return false // saved by an earlier release, or events without IDs: no upstream can go on with it
 	}
 	r.text.WriteString(p.Text)
 	r.events, r.lastID, r.version, r.ranFor = p.Events, p.LastEventID, p.Version, p.Ran
--- a/io/node/faulty_test.go
+++ b/io/node/faulty_test.go
@@ -125,6 +125,41 @@
 	}
 }
 
+// Guards against texts that hold events twice, or what is none of the item's: the home changes while an upstream writes events without
+// IDs, and the next home takes them for the progress of the item.
+func TestEventsWithoutIDsAreNoProgressForTheNextHome(t *testing.T) {
+	for name, end := range map[string]func(s *testSite){
+		"stopped": func(s *testSite) {
+			s.homes["s1"].Close()
+			delete(s.homes, "s1")
+		},
+		"killed": func(s *testSite) { s.killHome(1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				u := s.startRaw("/ask/stream/1", func(w io.Writer, id string) {
+					_, err := io.WriteString(w, fake.RawHead(id)+eventStream)
+					for ; err == nil; _, err = io.WriteString(w, chunk("data: none of "+id+"\n\n")) {
+						time.Sleep(100 * time.Millisecond)
+					}
+				})
+				for _, e := range s.engines {
+					e.SetState("draining")
+				}
+				time.Sleep(time.Second)
+				require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 4).status)
+				time.Sleep(2 * time.Second)
+				require.Positive(t, u.Attempts("j1.0"))
+				end(s)
+				time.Sleep(3 * time.Second)
+				s.network.CloseHost(engineIP(8))
+				s.engines[2].SetState("ready")
+				s.awaitJob(1, "j1", 30*time.Second)
+			})
+		})
+	}
+}
+
 // Guards against a request that runs twice, or whose caller is told that it has not run, because of what an upstream answers
 // to the entry that sends it for another one.
 func TestAnswersThroughACarrierSayNoMoreThanTheUpstream(t *testing.T) {
