--- a/io/home/elector_test.go
+++ b/io/home/elector_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,10 +130,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &leaseClient{objects: map[string]object.Object{}}
 		client := c.client()
-		create, attempts := client.Create, 0
+		create := client.Create
+		var attempts atomic.Int64
 		client.Create = func(ctx context.Context, kind, name string, spec any) (object.Object, error) {
 			o, err := create(ctx, kind, name, spec)
-			if attempts++; attempts == 1 {
+			if attempts.Add(1) == 1 {
 				<-ctx.Done() // its connection is silent from now on
 				return object.Object{}, store.ErrUnknown
 			}
