One bound for looks at what can't be read, and no kept count of jobs left out

Change: the chunk's pause uses lastLoadPause; due returns the number that it leaves out. Behaviour and assertions are the same.

--- a/io/home/listed.go
+++ b/io/home/listed.go
@@ -28,9 +28,8 @@
 type listedJobs struct {
 	mu  sync.Mutex
 	ids map[string]listedJob
-	// inFlight are the jobs that the last write names, leftOut is the number of those for which it has no room.
+	// inFlight are the jobs that the last write names.
 	inFlight []string
-	leftOut  int
 	// changed reports that ids has jobs that are not written; writing that a write is in progress.
 	changed, writing bool
 	writtenAt        time.Time
@@ -67,13 +66,6 @@
 	}
 }
 
-// left returns the number of jobs for which the last write has no room.
-func (l *listedJobs) left() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.leftOut
-}
-
 // isStored reports that the object names a job.
 func (l *listedJobs) isStored(id string) bool {
 	l.mu.Lock()
@@ -127,13 +119,13 @@
 	return nil
 }
 
-// due returns the content to write, of at most limit bytes of JSON, and true, if there is news and the last write is long enough ago.
-// The oldest jobs go first: these are removed next, which makes room for the others.
-func (l *listedJobs) due(now time.Time, limit int) (listedRecord, bool) {
+// due returns the content to write, of at most limit bytes of JSON, how many jobs it has no room for, and true, if there is news and
+// the last write is long enough ago. The oldest jobs go first: these are removed next, which makes room for the others.
+func (l *listedJobs) due(now time.Time, limit int) (r listedRecord, leftOut int, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.changed || l.writing || now.Sub(l.writtenAt) < listedInterval {
-		return listedRecord{}, false
+		return listedRecord{}, 0, false
 	}
 	l.changed, l.writing, l.writtenAt = false, true, now
 	all := listedRecord{Jobs: slices.SortedFunc(maps.Keys(l.ids), func(a, b string) int {
@@ -142,9 +134,9 @@
 	for _, id := range all.Jobs {
 		all.Created = append(all.Created, l.ids[id].created)
 	}
-	r := all.within(limit)
-	l.inFlight, l.leftOut = r.Jobs, len(all.Jobs)-len(r.Jobs)
-	return r, true
+	r = all.within(limit)
+	l.inFlight = r.Jobs
+	return r, len(all.Jobs) - len(r.Jobs), true
 }
 
 // within returns the record with as many of its first jobs as fit into limit bytes of JSON.
@@ -173,12 +165,13 @@
 
 // writeListed writes the listed jobs if that is due.
 func (h *Home) writeListed(now time.Time) {
-	r, ok := h.listed.due(now, h.opts.Objects.SpecBytes())
+	limit := h.opts.Objects.SpecBytes()
+	r, leftOut, ok := h.listed.due(now, limit)
 	if !ok {
 		return
 	}
-	if left := h.listed.left(); left > 0 {
-		h.opts.Log.Warn().Int("jobs", len(r.Jobs)).Int("leftOut", left).Int("limit", h.opts.Objects.SpecBytes()).Msg("listedJobsLeftOut")
+	if leftOut > 0 {
+		h.opts.Log.Warn().Int("jobs", len(r.Jobs)).Int("leftOut", leftOut).Int("limit", limit).Msg("listedJobsLeftOut")
 	}
 	h.done.Go(func() {
 		ctx, cancel := context.WithTimeout(h.ctx, writeTimeout)
--- a/io/home/listed_test.go
+++ b/io/home/listed_test.go
@@ -22,11 +22,11 @@
 	for round := 0; removed < jobs; round++ {
 		require.Less(t, round, jobs)
 		now = now.Add(listedInterval)
-		r, due := l.due(now, limit)
+		r, leftOut, due := l.due(now, limit)
 		require.True(t, due)
 		require.LessOrEqual(t, plainjson.Size(r), limit)
 		require.NotEmpty(t, r.Jobs)
-		require.Equal(t, jobs-removed-len(r.Jobs), l.left())
+		require.Equal(t, jobs-removed-len(r.Jobs), leftOut)
 		require.EqualValues(t, 1000+removed, r.Created[0], "the oldest go first")
 		l.written(nil)
 		for _, id := range r.Jobs {
--- a/io/home/load.go
+++ b/io/home/load.go
@@ -22,8 +22,8 @@
 	// loadInterval is the least time between the starts of two loads, each of which writes once, so that leases, jobs and ends
 	// get through beside them.
 	loadInterval = 5 * time.Millisecond
-	// lastLoadPause bounds the time until a job that could not be read is read again, which doubles with each failure from
-	// retryPause on.
+	// lastLoadPause bounds the time until a job, or a chunk of its results, that could not be read is read again, which doubles
+	// with each failure from retryPause on.
 	lastLoadPause = 3200 * time.Millisecond
 	// loadPatience is how long the home counts as loading for the sake of jobs that can't be read.
 	loadPatience = 10 * time.Second
--- a/io/home/result.go
+++ b/io/home/result.go
@@ -30,8 +30,6 @@
 	lateGather  = 500 * time.Millisecond
 	// chunkOverhead is the size of a chunk without its results, in bytes of JSON.
 	chunkOverhead = 128
-	// lastUnreadablePause bounds the time between two looks at a chunk that can't be read, which doubles from retryPause on.
-	lastUnreadablePause = 3200 * time.Millisecond
 	// writeTimeout bounds the attempts at one write before the failure is logged; the writes of chunks and
 	// retirements are then repeated.
 	writeTimeout = 4 * time.Second
@@ -211,7 +209,7 @@
 				return fate
 			}
 			_ = clock.Sleep(h.ctx, pause) // ends early only with the home
-			pause = min(2*pause, lastUnreadablePause)
+			pause = min(2*pause, lastLoadPause)
 			continue
 		case errors.Is(err, object.ErrRejected) && store.OutcomeOf(err) == outcome.NotDone:
 			h.noteRejected(id, chunk, size, err)
