Soak tests share how a test gets a site for each seed

Cause: TestResultsSurviveLostAnswers and TestEndlessAnswersEndNoProcess wrote again what TestSoak and TestSoakOfRefusedJobs had: build the program, go through the seeds, start a site, save its logs, wait until it is ready. Change: eachSeed and onSite serve all five; the tests' steps, seeds, bounds and assertions are the same.

--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -77,18 +77,13 @@
 	program := build(t)
 	for i, f := range endlessFaults() {
 		t.Run(f.name, func(t *testing.T) {
-			seed := uint64(150 + i)
-			s := newSite(t, program, seed)
-			defer s.close()
-			defer s.saveLogs(seed)
-			s.awaitReady()
-			s.endless(f)
+			onSite(t, program, uint64(150+i), func(c *checker, _ uint64) { c.endless(f) })
 		})
 	}
 }
 
-func (s *site) endless(f endlessFault) {
-	t := s.t
+func (c *checker) endless(f endlessFault) {
+	s, t := c.s, c.s.t
 	for n := range faultyEngines {
 		for g, service := range []string{"scribe", "desk"} {
 			fake.NewRaw(s.network, fake.EngineOptions{
@@ -96,7 +91,6 @@
 			}, f.write)
 		}
 	}
-	c := &checker{s: s}
 	for j := range endlessJobs {
 		id := fmt.Sprintf("endless%d", j)
 		resp, _, err := c.call(http.MethodPost, 1, "/lot/1", id, fake.JobBody(id, itemsOfEndless, []byte("draft")))
--- a/soak/refusal_test.go
+++ b/soak/refusal_test.go
@@ -272,24 +272,16 @@
 
 // Guards against a job that is refused with the promise not to run, and runs.
 func TestSoakOfRefusedJobs(t *testing.T) {
-	program := build(t)
-	for _, seed := range seedsOr(refusedJobsSeed) {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			s := newSite(t, program, seed)
-			defer s.close()
-			defer s.saveLogs(seed)
-			s.awaitReady()
-			c := &checker{s: s}
-			stop := make(chan struct{})
-			var traffic sync.WaitGroup
-			traffic.Go(func() { c.online(rand.New(rand.NewPCG(seed, 1)), stop, fmt.Sprintf("%d.1", seed)) })
-			c.submitAll(&traffic, stop, seed)
-			s.disturbStores(rand.New(rand.NewPCG(seed, 7)), time.Duration(*seconds)*time.Second)
-			close(stop)
-			traffic.Wait()
-			c.finish()
-		})
-	}
+	eachSeed(t, func(c *checker, seed uint64) {
+		stop := make(chan struct{})
+		var traffic sync.WaitGroup
+		traffic.Go(func() { c.online(rand.New(rand.NewPCG(seed, 1)), stop, fmt.Sprintf("%d.1", seed)) })
+		c.submitAll(&traffic, stop, seed)
+		c.s.disturbStores(rand.New(rand.NewPCG(seed, 7)), time.Duration(*seconds)*time.Second)
+		close(stop)
+		traffic.Wait()
+		c.finish()
+	}, refusedJobsSeed)
 }
 
 // Guards against a stand-in that doesn't reset connections, or can't tell callers with proxies apart.
--- a/soak/result_test.go
+++ b/soak/result_test.go
@@ -25,30 +25,23 @@
 // TestResultsSurviveLostAnswers submits jobs whose results need several objects, while the object service loses answers and is down,
 // and homes are killed. It guards against accepted items that are never listed, or listed twice.
 func TestResultsSurviveLostAnswers(t *testing.T) {
-	program := build(t)
-	for _, seed := range seedsOr(firstResultSeed) {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			s := newSite(t, program, seed)
-			defer s.close()
-			defer s.saveLogs(seed)
-			s.awaitReady()
-			c := &checker{s: s}
-			stop := make(chan struct{})
-			var traffic sync.WaitGroup
-			for n := range 2 {
-				traffic.Go(func() { c.longJobs(rand.New(rand.NewPCG(seed, uint64(n))), stop, fmt.Sprintf("%dz%d", seed, n)) })
-			}
-			s.loseResults(rand.New(rand.NewPCG(seed, 11)), time.Duration(*seconds)*time.Second)
-			close(stop)
-			traffic.Wait()
-			assert.NotEmpty(t, c.accepted)
-			for _, j := range c.accepted {
-				c.awaitJob(j)
-			}
-			assert.Zero(t, s.objects.TooLarge(), "objects that are too large are not written")
-			t.Logf("%d jobs of %d items", len(c.accepted), resultItems)
-		})
-	}
+	eachSeed(t, func(c *checker, seed uint64) {
+		s, t := c.s, c.s.t
+		stop := make(chan struct{})
+		var traffic sync.WaitGroup
+		for n := range 2 {
+			traffic.Go(func() { c.longJobs(rand.New(rand.NewPCG(seed, uint64(n))), stop, fmt.Sprintf("%dz%d", seed, n)) })
+		}
+		s.loseResults(rand.New(rand.NewPCG(seed, 11)), time.Duration(*seconds)*time.Second)
+		close(stop)
+		traffic.Wait()
+		assert.NotEmpty(t, c.accepted)
+		for _, j := range c.accepted {
+			c.awaitJob(j)
+		}
+		assert.Zero(t, s.objects.TooLarge(), "objects that are too large are not written")
+		t.Logf("%d jobs of %d items", len(c.accepted), resultItems)
+	}, firstResultSeed)
 }
 
 // longJobs submits one job after the other, each until an entry accepts it.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -54,15 +54,12 @@
 // TestSoak runs each seed on a new site. It guards against answers that belong to another request, requests
 // that run more often than they may, lost jobs, and entries that don't serve again after random faults.
 func TestSoak(t *testing.T) {
-	program := build(t)
-	for _, seed := range seedsOr(regressionSeeds...) {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { run(t, program, seed) })
-	}
+	eachSeed(t, run, regressionSeeds...)
 }
 
 // TestSoakOfUnevenEngines is TestSoak with engines of different pace. It guards against one that gets no request any more.
 func TestSoakOfUnevenEngines(t *testing.T) {
-	run(t, build(t), firstUnevenSeed)
+	onSite(t, build(t), firstUnevenSeed, run)
 }
 
 // build builds mothcart and returns the path of the program.
@@ -85,12 +82,25 @@
 	return seeds
 }
 
-func run(t *testing.T, program string, seed uint64) {
+// eachSeed runs a test on a new site for each of the new seeds of the flags, or the given ones.
+func eachSeed(t *testing.T, test func(c *checker, seed uint64), seeds ...uint64) {
+	program := build(t)
+	for _, seed := range seedsOr(seeds...) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { onSite(t, program, seed, test) })
+	}
+}
+
+// onSite runs a test on a new site that is ready.
+func onSite(t *testing.T, program string, seed uint64, test func(c *checker, seed uint64)) {
 	s := newSite(t, program, seed)
 	defer s.close()
 	defer s.saveLogs(seed)
 	s.awaitReady()
-	c := &checker{s: s}
+	test(&checker{s: s}, seed)
+}
+
+func run(c *checker, seed uint64) {
+	s := c.s
 	stop := make(chan struct{})
 	var traffic sync.WaitGroup
 	for n := range 4 {
