--- a/io/held/conn.go
+++ b/io/held/conn.go
@@ -66,12 +66,19 @@
 
 type connKey struct{}
 
-// ConnContext adds a connection to the context of its requests; it is meant for http.Server.ConnContext.
+// ConnContext adds a connection, or the one that it wraps, to the context of its requests; it is meant for
+// http.Server.ConnContext.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	if c, ok := c.(*Conn); ok {
-		return context.WithValue(ctx, connKey{}, c)
+	for {
+		if held, ok := c.(*Conn); ok {
+			return context.WithValue(ctx, connKey{}, held)
+		}
+		outer, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return ctx
+		}
+		c = outer.NetConn()
 	}
-	return ctx
 }
 
 // FromContext returns the connection of a request's caller; nil if there is none.
--- /dev/null
+++ b/io/inbound/inbound.go
@@ -0,0 +1,90 @@
+// Package inbound accepts the connections of an HTTP/1 server's callers, and knows what the process has read from them.
+//
+// net/http calls a connection idle until it has parsed the next head. A Conn knows sooner: as soon as a byte of the next
+// request has been read, its caller is owed an answer.
+//
+// Usage:
+//
+//	l := inbound.NewListener(listener, inbound.Options{Log: log, Registry: registry})
+//	srv := &http.Server{Handler: l.Handler(h), ConnState: l.ConnState}
+//	srv.Serve(l)
+package inbound
+
+import (
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+)
+
+// Options are the dependencies of a Listener; all are required.
+type Options struct {
+	Log      zerolog.Logger
+	Registry metrics.Registry
+}
+
+// Listener wraps the connections of a listener. It is safe for concurrent use.
+type Listener struct {
+	net.Listener
+	opts Options
+	// unanswered counts connections that ended with bytes of a request read and no answer.
+	unanswered metrics.Counter
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// NewListener returns a listener whose connections are of type *Conn.
+func NewListener(l net.Listener, opts Options) *Listener {
+	counter := func(name string) metrics.Counter {
+		return metrics.GetOrRegisterCounter("inbound."+name, opts.Registry)
+	}
+	return &Listener{Listener: l, opts: opts, conns: make(map[*Conn]struct{}), unanswered: counter("unanswered")}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{Conn: nc, listener: l}
+	l.mu.Lock()
+	l.conns[c] = struct{}{}
+	l.mu.Unlock()
+	return c, nil
+}
+
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// ConnState follows the connections of a server; it is meant for http.Server.ConnState.
+func (l *Listener) ConnState(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.setPhase(serving)
+	case http.StateIdle:
+		c.setPhase(idle)
+	}
+}
+
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+func (l *Listener) countUnanswered(c *Conn) {
+	l.unanswered.Inc(1)
+	l.opts.Log.Warn().Str("caller", c.RemoteAddr().String()).Msg("requestUnanswered")
+}
