A part of a request is refused, not cut off

What callers saw: the end of a drain, and the time for heads, closed a connection from which a part of a request had been read, without an answer.

Cause: net/http answers nothing to a head that ends with a time-out, and the process closed what was left of a drain.

TestSlowHeadIsAnswered is new: 408.

The goroutine that reads the head writes the refusal: no handler has seen the request and nothing else writes then. 503 at the end of a drain and 408 after the time for a head both say that the request has not run (inbound.refusedParts, partRefused).

--- a/io/inbound/conn.go
+++ b/io/inbound/conn.go
@@ -1,8 +1,10 @@
 package inbound
 
 import (
-	"io"
+	"fmt"
 	"net"
+	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -10,6 +12,9 @@
 // lastLook is how long a connection that drains looks whether bytes have arrived.
 const lastLook = 10 * time.Millisecond
 
+// errEnded is an error on which net/http closes a connection without an answer.
+var errEnded = os.ErrDeadlineExceeded
+
 // past is a deadline that ends a read at once.
 var past = time.Unix(1, 0)
 
@@ -83,20 +88,37 @@
 			return 0, err
 		}
 		n, err := c.Conn.Read(p)
-		again, err := c.endRead(head, n, err)
-		if !again {
+		switch next, err := c.endRead(head, n, err); next {
+		case readAgain:
+		case refuseLate:
+			return 0, c.end(http.StatusRequestTimeout)
+		case endOver:
+			return 0, c.end(http.StatusServiceUnavailable)
+		default:
 			return n, err
 		}
 	}
 }
 
+// afterRead is what follows a read.
+type afterRead int
+
+const (
+	returnRead afterRead = iota
+	readAgain
+	// refuseLate: a head has begun and not come in time.
+	refuseLate
+	// endOver: the connection drains and nothing more has come.
+	endOver
+)
+
 // beginRead reports whether a read is for the head of a request. With less room than an empty buffer has, net/http holds
 // bytes that it has read before. It reads a single byte while a request is served, to notice that its caller is gone.
 func (c *Conn) beginRead(room int) (head bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
-		return false, io.EOF
+		return false, errEnded
 	}
 	if head = c.phase != serving && room > 1; head {
 		c.room = max(c.room, room)
@@ -109,11 +131,15 @@
 	return head, err
 }
 
-// isOver reports that no request is to follow; the mutex is held.
-func (c *Conn) isOver() bool { return c.listener.draining.Load() && c.phase == idle && !c.part }
+// isOver reports that no request is to follow, or that one that has begun is to be refused; the mutex is held.
+func (c *Conn) isOver() bool {
+	if c.phase == serving {
+		return false
+	}
+	return c.listener.stopped.Load() || c.listener.draining.Load() && c.phase == idle && !c.part
+}
 
-// endRead reports whether to read again.
-func (c *Conn) endRead(head bool, n int, err error) (again bool, _ error) {
+func (c *Conn) endRead(head bool, n int, err error) (afterRead, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.wakes = false
@@ -126,19 +152,24 @@
 	if err != nil && !isTimeout(err) {
 		c.gone = true
 	}
+	timeout := n == 0 && isTimeout(err)
 	if !c.woken && !c.last {
-		return false, err
+		if timeout && head && c.part {
+			return refuseLate, nil
+		}
+		return returnRead, err
 	}
-	timeout := n == 0 && isTimeout(err)
 	if timeout && c.last && c.isOver() {
-		c.end()
-		return false, io.EOF
+		return endOver, nil
 	}
 	c.woken = false
 	if restoreErr := c.Conn.SetReadDeadline(c.deadline); restoreErr != nil && err == nil {
 		err = restoreErr
 	}
-	return timeout, err
+	if timeout {
+		return readAgain, nil
+	}
+	return returnRead, err
 }
 
 // wake ends a read for a head that is to look for a last time; it does nothing to others.
@@ -151,11 +182,27 @@
 	}
 }
 
-// end closes the sending side of a connection of which nothing is owed; the mutex is held.
-func (c *Conn) end() {
-	c.ended = true
-	c.listener.endedIdle.Inc(1)
+// end closes the sending side, and returns the error for the server, which answers nothing to it. If a part of a request
+// has been read, its caller is refused with a status before.
+func (c *Conn) end(status int) error {
+	c.mu.Lock()
+	part := c.part
+	c.ended, c.part = true, false
+	c.mu.Unlock()
+	if part {
+		c.refuse(status)
+	} else {
+		c.listener.endedIdle.Inc(1)
+	}
 	_ = c.CloseWrite() // Close follows
+	return errEnded
+}
+
+// refuse answers a request that has been read in part. No handler has seen it and nothing else writes.
+func (c *Conn) refuse(status int) {
+	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
+	c.listener.refusedParts.Inc(1)
+	c.listener.log.Info().Str("caller", c.RemoteAddr().String()).Int("status", status).AnErr("error", err).Msg("partRefused")
 }
 
 func isTimeout(err error) bool {
@@ -165,6 +212,9 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
+	if c.hasEnded() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -177,6 +227,12 @@
 	return n, err
 }
 
+func (c *Conn) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
 // CloseWrite closes the sending side, if the connection can do that.
 func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/io/inbound/drain.go
+++ b/io/inbound/drain.go
@@ -13,20 +13,38 @@
 	"mothcart/io/clock"
 )
 
-// drainInterval is the time between two looks whether connections are left.
-const drainInterval = 50 * time.Millisecond
+const (
+	// EndTime is how long callers may take at the end of a drain to read what became of their requests.
+	EndTime = 200 * time.Millisecond
+	// drainInterval is the time between two looks whether connections are left.
+	drainInterval = 50 * time.Millisecond
+)
 
 // Leave makes answers tell from now on that their connection ends.
 func (l *Listener) Leave() { l.leaving.Store(true) }
 
 // Drain accepts no more connections, ends those without a request in progress, and waits until all have ended or ctx ends.
-// What has been read by then, wholly or in part, is a request in progress.
+// What has been read by then, wholly or in part, is a request in progress; a part is refused when ctx ends. Callers have
+// EndTime then to read what became of their requests.
 func (l *Listener) Drain(ctx context.Context) error {
 	l.Leave()
 	l.draining.Store(true)
 	if err := l.Close(); err != nil {
 		return merry.Errorf("close listener: %w", err)
 	}
+	err := l.await(ctx)
+	if err == nil {
+		return nil
+	}
+	l.stopped.Store(true)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), EndTime)
+	defer cancel()
+	_ = l.await(ctx)
+	return err
+}
+
+// await ends the connections that are over, and waits until all have ended or ctx ends.
+func (l *Listener) await(ctx context.Context) error {
 	for _, c := range l.open() {
 		c.wake()
 	}
--- a/io/inbound/inbound.go
+++ b/io/inbound/inbound.go
@@ -17,11 +17,15 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 )
 
+// logBurst bounds the log lines about single connections in a second.
+const logBurst = 10
+
 // Options are the dependencies of a Listener; all are required.
 type Options struct {
 	Log      zerolog.Logger
@@ -31,13 +35,16 @@
 // Listener wraps the connections of a listener. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
-	opts Options
 	// unanswered counts connections that ended with bytes of a request read and no answer.
 	unanswered metrics.Counter
 	// endedIdle counts connections that a drain has ended without a request in progress.
 	endedIdle metrics.Counter
-	// leaving and draining report how far the server has come on its way to its end.
-	leaving, draining atomic.Bool
+	// refusedParts counts requests of which only a part had been read when their time, or that of the server, was over.
+	refusedParts metrics.Counter
+	// log is sampled: callers that misbehave don't fill it.
+	log zerolog.Logger
+	// leaving, draining and stopped report how far the server has come on its way to its end.
+	leaving, draining, stopped atomic.Bool
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -48,7 +55,11 @@
 	counter := func(name string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("inbound."+name, opts.Registry)
 	}
-	return &Listener{Listener: l, opts: opts, conns: make(map[*Conn]struct{}), unanswered: counter("unanswered"), endedIdle: counter("endedIdle")}
+	return &Listener{
+		Listener: l, conns: make(map[*Conn]struct{}),
+		unanswered: counter("unanswered"), endedIdle: counter("endedIdle"), refusedParts: counter("refusedParts"),
+		log: opts.Log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: time.Second}),
+	}
 }
 
 // Accept implements net.Listener.
@@ -93,5 +104,5 @@
 
 func (l *Listener) countUnanswered(c *Conn) {
 	l.unanswered.Inc(1)
-	l.opts.Log.Warn().Str("caller", c.RemoteAddr().String()).Msg("requestUnanswered")
+	l.log.Warn().Str("caller", c.RemoteAddr().String()).Msg("requestUnanswered")
 }
--- a/io/inbound/inbound_test.go
+++ b/io/inbound/inbound_test.go
@@ -166,3 +166,33 @@
 		require.NoError(t, <-drained)
 	})
 }
+
+// Guards against a head that comes too slowly and whose connection is closed without an answer.
+func TestSlowHeadIsAnswered(t *testing.T) {
+	for _, first := range []string{"", request} {
+		for _, part := range []string{"", request[:1], request[:9], request[:len(request)-1]} {
+			t.Run(first+part, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSite(readAll, nil)
+					defer s.close()
+					if first != "" {
+						_, _ = io.WriteString(s.caller, first)
+						_, err := s.answer()
+						require.NoError(t, err)
+					}
+					_, _ = io.WriteString(s.caller, part)
+					r, err := s.answer()
+					if part == "" {
+						require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+						return
+					}
+					require.NoError(t, err)
+					require.Equal(t, http.StatusRequestTimeout, r.StatusCode)
+					require.True(t, r.Close)
+					_, err = s.reader.ReadByte()
+					require.ErrorIs(t, err, io.EOF, "one answer only")
+				})
+			})
+		}
+	}
+}
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -23,10 +23,9 @@
 	// drainDelay is how long a draining node still accepts requests, so that the load balancer stops
 	// sending them before the port closes: it checks once a second and acts on the second failure.
 	drainDelay = 2500 * time.Millisecond
-	// exitMargin is how long before the end of the grace period the remaining requests are cancelled, and exitTime how
-	// long their callers may take to read what became of them.
+	// exitMargin is how long before the end of the grace period the remaining requests are cancelled; their callers have
+	// inbound.EndTime to read what became of them.
 	exitMargin = 500 * time.Millisecond
-	exitTime   = 200 * time.Millisecond
 )
 
 // Entry is a node that serves callers.
@@ -130,7 +129,7 @@
 		e.handler.Stop()
 	})
 	defer stop.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(opts.Now())+exitTime)
+	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(opts.Now()))
 	defer cancel()
 	errs := make([]error, len(servers))
 	var draining sync.WaitGroup
