A close destroys no answer on its way

What callers saw: an answer could be lost, wholly or its end, when the connection was closed while more arrived from the caller: after an answer that told so, after a bad head, and in a drain whose end crossed the next request.

Cause: a connection that is closed with unread bytes is reset, and the system discards what the caller has not taken.

Close now closes the sending side first, and the connection once the caller has done so too, or after 500 ms, without reading what crosses: nothing could answer it (inbound.crossed). Connections that have failed or that the caller has closed end at once.

--- a/io/held/conn.go
+++ b/io/held/conn.go
@@ -100,7 +100,7 @@
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
-	return nil
+	return errors.ErrUnsupported
 }
 
 // Write implements net.Conn. It waits for the caller as long as that takes bytes.
--- a/io/inbound/conn.go
+++ b/io/inbound/conn.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,6 +13,9 @@
 // lastLook is how long a connection that drains looks whether bytes have arrived.
 const lastLook = 10 * time.Millisecond
 
+// lingerTime is how long a caller may take to notice that its connection ends.
+const lingerTime = 500 * time.Millisecond
+
 // errEnded is an error on which net/http closes a connection without an answer.
 var errEnded = os.ErrDeadlineExceeded
 
@@ -45,6 +49,8 @@
 	deadline time.Time
 	// wakes reports that a read for a head is in progress, which Listener may end; woken that it has done so.
 	wakes, woken bool
+	// reading reports that a read is in progress.
+	reading bool
 	// last reports that a read looks for a last time for bytes that have arrived.
 	last bool
 	// ended reports that the sending side is closed: the caller may expect no answer to what comes now.
@@ -124,7 +130,7 @@
 		c.room = max(c.room, room)
 		c.part = c.part || room < c.room
 	}
-	c.wakes = head
+	c.wakes, c.reading = head, true
 	if c.last = head && c.isOver(); c.last {
 		err = c.Conn.SetReadDeadline(time.Now().Add(lastLook))
 	}
@@ -142,7 +148,7 @@
 func (c *Conn) endRead(head bool, n int, err error) (afterRead, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.wakes = false
+	c.wakes, c.reading = false, false
 	if head && n > 0 {
 		c.part = true
 		if c.closed {
@@ -238,18 +244,39 @@
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
-	return nil
+	return errors.ErrUnsupported
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It closes the sending side, and the connection once the caller has closed it too, or after
+// lingerTime: a connection that is closed with unread bytes is reset, which may destroy an answer on its way.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	unanswered := c.part && !c.gone && !c.closed
-	c.closed = true
+	first, lingers := !c.closed, !c.gone && !c.reading
+	c.closed, c.ended = true, true
 	c.mu.Unlock()
-	c.listener.remove(c)
 	if unanswered {
 		c.listener.countUnanswered(c)
 	}
+	if first && lingers && c.CloseWrite() == nil {
+		go c.linger()
+		return nil
+	}
+	c.listener.remove(c)
 	return c.Conn.Close()
 }
+
+// linger closes the connection once its caller has done so or lingerTime is over.
+func (c *Conn) linger() {
+	defer c.listener.remove(c)
+	defer c.Conn.Close()
+	end := time.Now().Add(lingerTime)
+	if c.Conn.SetReadDeadline(end) != nil {
+		return
+	}
+	if n, _ := c.Conn.Read(make([]byte, 1)); n > 0 {
+		// A caller that had not seen the end has sent more. It isn't read: nothing can answer it.
+		c.listener.crossed.Inc(1)
+		time.Sleep(time.Until(end))
+	}
+}
--- a/io/inbound/inbound.go
+++ b/io/inbound/inbound.go
@@ -41,6 +41,8 @@
 	endedIdle metrics.Counter
 	// refusedParts counts requests of which only a part had been read when their time, or that of the server, was over.
 	refusedParts metrics.Counter
+	// crossed counts connections on which bytes came after the sending side was closed.
+	crossed metrics.Counter
 	// log is sampled: callers that misbehave don't fill it.
 	log zerolog.Logger
 	// leaving, draining and stopped report how far the server has come on its way to its end.
@@ -57,7 +59,7 @@
 	}
 	return &Listener{
 		Listener: l, conns: make(map[*Conn]struct{}),
-		unanswered: counter("unanswered"), endedIdle: counter("endedIdle"), refusedParts: counter("refusedParts"),
+		unanswered: counter("unanswered"), endedIdle: counter("endedIdle"), refusedParts: counter("refusedParts"), crossed: counter("crossed"),
 		log: opts.Log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: time.Second}),
 	}
 }
--- a/io/inbound/inbound_test.go
+++ b/io/inbound/inbound_test.go
@@ -44,15 +44,23 @@
 	close    func()
 }
 
-func newSite(h http.HandlerFunc, wrap func(net.Conn) net.Conn) *site {
+// newSite returns a site whose connection has no buffers.
+func newSite(h http.HandlerFunc) *site {
+	caller, near := net.Pipe()
+	return serve(h, caller, near)
+}
+
+// newTCPSite returns a site whose connection has buffers.
+func newTCPSite(h http.HandlerFunc) *site {
+	caller, near := tcpPipe()
+	return serve(h, caller, near)
+}
+
+func serve(h http.HandlerFunc, caller, near net.Conn) *site {
 	below := &chanListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
 	l := NewListener(below, Options{Log: zerolog.Nop(), Registry: metrics.NewRegistry()})
 	srv := &http.Server{Handler: l.Handler(h), ConnContext: ConnContext, ConnState: l.ConnState, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 75 * time.Second}
 	go func() { _ = srv.Serve(l) }()
-	caller, near := net.Pipe()
-	if wrap != nil {
-		near = wrap(near)
-	}
 	below.conns <- near
 	return &site{listener: l, caller: caller, reader: bufio.NewReader(caller), close: func() {
 		_ = caller.Close()
@@ -98,7 +106,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newSite(readAll, nil)
+				s := newSite(readAll)
 				defer s.close()
 				go func() {
 					for _, piece := range tc.sends {
@@ -129,7 +137,7 @@
 		s := newSite(func(w http.ResponseWriter, r *http.Request) {
 			time.Sleep(time.Second)
 			readAll(w, r)
-		}, nil)
+		})
 		defer s.close()
 		go func() { _, _ = io.WriteString(s.caller, request+request) }()
 		time.Sleep(1500 * time.Millisecond)
@@ -147,7 +155,7 @@
 // Guards against deadlines of net/http that a drain changes for a head that has begun.
 func TestDrainKeepsTimeForHeads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSite(readAll, nil)
+		s := newSite(readAll)
 		defer s.close()
 		_, _ = io.WriteString(s.caller, request)
 		_, err := s.answer()
@@ -173,7 +181,7 @@
 		for _, part := range []string{"", request[:1], request[:9], request[:len(request)-1]} {
 			t.Run(first+part, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					s := newSite(readAll, nil)
+					s := newSite(readAll)
 					defer s.close()
 					if first != "" {
 						_, _ = io.WriteString(s.caller, first)
