A body that has come in part at the end of the grace period is refused

What callers saw: a request whose head had been read, and whose body came slowly, was cut off at the end of a drain without an answer.

Cause: the read of a body wasn't ended with the process; its time limit of 10 s is longer than the grace period.

Evidence: TestBodyThatIsNotCompleteInTheGraceIsAnswered failed in 3 of 3 cases and passes. Stop now ends reads of bodies, and the caller is told 503 (refused:stopping); a body that is complete by then isn't touched.

--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"mothcart/core/site"
@@ -29,6 +30,9 @@
 	memoryRetryAfter = time.Second
 )
 
+// errStopping means that the process ends before the body has come.
+var errStopping = errors.New("the node is stopping")
+
 // errNoMemory means that the process may hold no more bytes.
 var errNoMemory = errors.New("no memory for the body")
 
@@ -43,11 +47,15 @@
 // readBody reads the complete body. The body counts as held until free is called. A body is read only if there is memory for
 // all of it, as far as its length is declared.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, cfg site.Config, route site.Route) (b []byte, free func(), err error) {
-	body := body{budget: h.opts.Held, copies: 1, limit: bodyLimit(cfg), conn: http.NewResponseController(w), timeouts: true}
+	body := &body{budget: h.opts.Held, copies: 1, limit: bodyLimit(cfg), conn: http.NewResponseController(w), timeouts: true, stopped: h.stopped}
 	if route.Kind == site.Batch {
 		body.copies = jobCopies
 	}
+	defer context.AfterFunc(h.stopped, body.stop)()
 	if err := body.read(w, r); err != nil {
+		if h.stopped.Err() != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+			err = errStopping
+		}
 		return nil, body.free, err
 	}
 	return body.b, body.free, nil
@@ -57,7 +65,7 @@
 func bodyStatus(err error) int {
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, errNoMemory), errors.Is(err, errStopping):
 		return http.StatusServiceUnavailable
 	case errors.As(err, &tooLarge):
 		return http.StatusRequestEntityTooLarge
@@ -74,7 +82,11 @@
 	w.Header().Set("Connection", "close")
 	status := bodyStatus(err)
 	if status == http.StatusServiceUnavailable {
-		h.opts.Log.Info().Str("request", id).Int("status", status).Str("outcome", "refused:memory").Msg("requestDone")
+		outcome := "refused:memory"
+		if errors.Is(err, errStopping) {
+			outcome = "refused:stopping"
+		}
+		h.opts.Log.Info().Str("request", id).Int("status", status).Str("outcome", outcome).Msg("requestDone")
 		forward.Refuse(w, memoryRetryAfter)
 		return
 	}
@@ -89,6 +101,9 @@
 	switch status {
 	case http.StatusServiceUnavailable:
 		reason = "noMemory"
+		if errors.Is(err, errStopping) {
+			reason = "stopping"
+		}
 	case http.StatusRequestTimeout:
 	default:
 		h.refuseBody(w, s.job.ID, bodyLimit(cfg), err)
@@ -106,9 +121,13 @@
 	// limit is the largest size in bytes, copies is how often a body is held, and taken the room that it has.
 	limit, copies, taken int64
 	conn                 *http.ResponseController
-	// timeouts reports that the connection takes deadlines.
+	// stopped ends when the process does; the body is not awaited then.
+	stopped context.Context
+	b       []byte
+
+	mu sync.Mutex
+	// timeouts reports that the connection takes deadlines, and that the body has not been read to its end.
 	timeouts bool
-	b        []byte
 }
 
 // read reads a body.
@@ -124,8 +143,8 @@
 	b.b = make([]byte, 0, min(first, bodyStep))
 	b.extend()
 	err := b.fill(http.MaxBytesReader(w, r.Body, b.limit), max(declared, 0)+1)
-	if err == nil && b.timeouts {
-		err = b.conn.SetReadDeadline(time.Time{})
+	if err == nil {
+		err = b.finish()
 	}
 	return err
 }
@@ -173,9 +192,35 @@
 	return true
 }
 
-// extend gives the sender time for more.
+// extend gives the sender time for more, unless the process stops.
 func (b *body) extend() {
-	b.timeouts = b.timeouts && b.conn.SetReadDeadline(time.Now().Add(bodyTimeout)) == nil
+	deadline := time.Now().Add(bodyTimeout)
+	if b.stopped.Err() != nil {
+		deadline = time.Unix(1, 0)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.timeouts = b.timeouts && b.conn.SetReadDeadline(deadline) == nil
+}
+
+// stop ends a read in progress, and those that follow.
+func (b *body) stop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.timeouts {
+		_ = b.conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection has ended
+	}
+}
+
+// finish ends the time limit: what is read from now on is not the body.
+func (b *body) finish() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.timeouts {
+		return nil
+	}
+	b.timeouts = false
+	return b.conn.SetReadDeadline(time.Time{})
 }
 
 // free gives back the room of the body, which must not be used afterwards.
--- a/io/node/late_test.go
+++ b/io/node/late_test.go
@@ -40,7 +40,15 @@
 	}
 	time.Sleep(after)
 	began := time.Now()
-	_, _ = io.WriteString(conn, head+body) // the entry may have closed it; there is no answer then
+	sent := make(chan struct{})
+	go func() { // the network has no buffers, and the entry may answer before it has read all
+		defer close(sent)
+		_, _ = io.WriteString(conn, head+body) // the entry may have closed it; there is no answer then
+	}()
+	defer func() {
+		_ = conn.Close()
+		<-sent
+	}()
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return reply{took: time.Since(began)}
@@ -178,3 +186,35 @@
 		})
 	}
 }
+
+// Guards against a request whose body has come in part at the end of the grace period, and that ends without an answer.
+func TestBodyThatIsNotCompleteInTheGraceIsAnswered(t *testing.T) {
+	for _, tc := range []struct {
+		path, body string
+		status     int
+	}{
+		{"/swap/1", "draft", http.StatusServiceUnavailable},
+		{"/ask/stream/1", "draft", http.StatusServiceUnavailable},
+		{"/lot/1", string(fake.JobBody("late", 1, []byte("draft"))), http.StatusServiceUnavailable},
+	} {
+		t.Run(tc.path, func(t *testing.T) {
+			runSite(t, func(t *testing.T, s *testSite) {
+				ended := s.drain(1)
+				conn, err := s.network.Dial(t.Context(), "10.8.0.1", entryIP(1)+":80")
+				require.NoError(t, err)
+				defer conn.Close()
+				time.Sleep(2 * time.Second)
+				_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: late\r\nContent-Length: %d\r\n\r\n%s", tc.path, fake.Host, platform.RequestIDHeader, len(tc.body), tc.body[:4])
+				require.NoError(t, err)
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				require.NoError(t, err)
+				_, err = io.ReadAll(resp.Body)
+				require.NoError(t, err)
+				require.Equal(t, tc.status, resp.StatusCode)
+				require.True(t, resp.Close)
+				require.Zero(t, s.runsOf("late"))
+				<-ended
+			})
+		})
+	}
+}
