mothcart serve drains callers' connections like the entries do

What callers saw: at the end of the drain of mothcart serve, a request that had been read was dropped: connections that net/http calls idle were closed, and a head that was parsed after the server had begun to shut down got no answer.

Cause: the same as at entries: the drain counted the requests that had reached the handler, and the rest was http.Server.Shutdown's.

Callers' port without TLS now uses io/inbound: answers tell from the start of the drain that their connection ends, and the drain waits for what has been read. With TLS, where HTTP/2 is offered, Shutdown still ends connections (open).

--- a/fake/fleet/fleet.go
+++ b/fake/fleet/fleet.go
@@ -137,6 +137,9 @@
 	if err != nil {
 		return merry.Errorf("listen: %w", err)
 	}
+	if f.opts.WrapCallers != nil {
+		callers = f.opts.WrapCallers(callers)
+	}
 	operators, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		callers.Close()
--- a/fake/fleet/options.go
+++ b/fake/fleet/options.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"net"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,6 +23,8 @@
 	// ProgressTimeout is the progress timeout of the engine service.
 	ProgressTimeout time.Duration
 	Log             zerolog.Logger
+	// WrapCallers wraps the listeners of the callers' ports; nil leaves them as they are.
+	WrapCallers func(net.Listener) net.Listener
 }
 
 // NewOptions returns the options of a site with three entry VMs, four engines and two plain upstreams.
--- a/io/inbound/inbound.go
+++ b/io/inbound/inbound.go
@@ -64,10 +64,13 @@
 	}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Its error is http.ErrServerClosed after Drain has begun.
 func (l *Listener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
+		if l.draining.Load() {
+			return nil, http.ErrServerClosed
+		}
 		return nil, err
 	}
 	c := &Conn{Conn: nc, listener: l}
--- a/io/serve/drain.go
+++ b/io/serve/drain.go
@@ -87,7 +87,7 @@
 }
 
 // runDrain hands over the VM's roles, waits DrainLag for the load balancer to notice that the VM is not
-// ready, closes the homes of upstreams, and then waits for the requests in progress and for the ledger. A
+// ready, closes the homes of upstreams, and then waits for the requests in progress, the connections of callers and the ledger. A
 // second signal ends it early, except during the wait for the ledger; DrainLimit ends it early, except during
 // DrainLag.
 func (s *Server) runDrain(signals <-chan os.Signal) {
@@ -97,6 +97,9 @@
 	limit := time.NewTimer(cfg.DrainLimit)
 	defer limit.Stop()
 	s.peers.Leave()
+	if s.inbound != nil {
+		s.inbound.Leave()
+	}
 	lag := time.NewTimer(cfg.DrainLag)
 	defer lag.Stop()
 	select {
@@ -110,9 +113,12 @@
 	if home := s.home.Swap(nil); home != nil {
 		home.Close()
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Until(startedAt.Add(cfg.DrainLimit)))
+	defer cancel()
+	connections := s.drainConnections(ctx)
 	poll := time.NewTicker(drainPollInterval)
 	defer poll.Stop()
-	for s.handler.InFlight() > 0 {
+	for s.handler.InFlight() > 0 || !isClosed(connections) {
 		select {
 		case <-poll.C:
 		case <-s.drain.abortCh:
@@ -125,8 +131,6 @@
 			return
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Until(startedAt.Add(cfg.DrainLimit)))
-	defer cancel()
 	if err := s.ledger.Drain(ctx); err != nil {
 		s.logDrainAborted("drainLimit")
 		return
@@ -134,6 +138,32 @@
 	s.opts.Log.Info().Dur("took", time.Since(startedAt)).Msg("drainDone")
 }
 
+// drainConnections ends the connections of callers; the channel is closed when all have ended or ctx ends. net/http ends those
+// over TLS when the server stops.
+func (s *Server) drainConnections(ctx context.Context) <-chan struct{} {
+	ended := make(chan struct{})
+	if s.inbound == nil {
+		close(ended)
+		return ended
+	}
+	s.wg.Go(func() {
+		defer close(ended)
+		if err := s.inbound.Drain(ctx); err != nil {
+			s.opts.Log.Warn().Err(err).Msg("connectionsNotDrained")
+		}
+	})
+	return ended
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *Server) logDrainAborted(reason string) {
 	s.opts.Log.Warn().Str("reason", reason).Int("requestsCut", s.handler.InFlight()).Msg("drainCut")
 }
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -28,6 +28,7 @@
 	"mothcart/io/caller"
 	"mothcart/io/caller/batches"
 	"mothcart/io/engine"
+	"mothcart/io/inbound"
 	"mothcart/io/job"
 	"mothcart/io/ledger"
 	"mothcart/io/order"
@@ -45,10 +46,12 @@
 	servers          []*kratoshttp.Server
 	callerListener   net.Listener
 	operatorListener net.Listener
-	peers            *peer.Node
-	vmWatcher        *vmlist.Watcher
-	follower         *published.Follower
-	limiter          *account.Limiter
+	// inbound accepts callers' connections without TLS; nil with it.
+	inbound   *inbound.Listener
+	peers     *peer.Node
+	vmWatcher *vmlist.Watcher
+	follower  *published.Follower
+	limiter   *account.Limiter
 	// onlineClient, batchClient and controlClient call the engines, each over its own connections.
 	onlineClient  *engine.Client
 	batchClient   *engine.Client
@@ -185,7 +188,7 @@
 	if err != nil {
 		return err
 	}
-	callers := newHTTPServer(s.callerListener, callerTLS, s.handler, cfg.ReadHeaderTimeout)
+	callers := s.newCallerServer(callerTLS)
 	operators := newHTTPServer(s.operatorListener, operatorTLS, s.operatorHandler(), cfg.ReadHeaderTimeout)
 	kratosLogOnce.Do(func() { kratoslog.SetLogger(kratosLog{log: s.opts.Log}) })
 	s.servers = []*kratoshttp.Server{callers, operators}
@@ -198,6 +201,17 @@
 	return nil
 }
 
+func (s *Server) newCallerServer(tlsConfig *tls.Config) *kratoshttp.Server {
+	cfg := s.opts.Settings
+	if tlsConfig != nil {
+		return newHTTPServer(s.callerListener, tlsConfig, s.handler, cfg.ReadHeaderTimeout)
+	}
+	s.inbound = inbound.NewListener(s.callerListener, inbound.Options{Log: s.opts.Log, Registry: s.opts.Registry})
+	srv := newHTTPServer(s.inbound, nil, s.inbound.Handler(s.handler), cfg.ReadHeaderTimeout)
+	srv.ConnContext, srv.ConnState = inbound.ConnContext, s.inbound.ConnState
+	return srv
+}
+
 // newHTTPServer returns kratos' HTTP server for one port.
 func newHTTPServer(l net.Listener, tlsConfig *tls.Config, h http.Handler, headerTimeout time.Duration) *kratoshttp.Server {
 	opts := []kratoshttp.ServerOption{kratoshttp.Listener(l), kratoshttp.Timeout(0)}
