The time limit of a body can't undo the stop of its read

What callers saw: nothing yet; found in the review of the fix, by reading. A read that was given more time at the moment of the stop could keep it, and the request be cut off. The time is now chosen under the lock that the stop takes.

--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -194,12 +194,12 @@
 
 // extend gives the sender time for more, unless the process stops.
 func (b *body) extend() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	deadline := time.Now().Add(bodyTimeout)
 	if b.stopped.Err() != nil {
 		deadline = time.Unix(1, 0)
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.timeouts = b.timeouts && b.conn.SetReadDeadline(deadline) == nil
 }
 
