mothcart serve refuses parts of requests before its drain's limit

What callers saw: a part of a request that had been read at drainLimit was cut off, as the server's Shutdown began together with the refusals. Found in the review, with a model of the two: no answer to 10 bytes of a head.

The drain of connections now ends inbound.EndTime before the limit.

--- a/io/serve/drain.go
+++ b/io/serve/drain.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"mothcart/io/inbound"
 )
 
 // unusedSignal is the only signal registered with kratos, which would handle every signal if none were
@@ -115,7 +117,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Until(startedAt.Add(cfg.DrainLimit)))
 	defer cancel()
-	connections := s.drainConnections(ctx)
+	connections := s.drainConnections(startedAt.Add(cfg.DrainLimit - inbound.EndTime - drainPollInterval))
 	poll := time.NewTicker(drainPollInterval)
 	defer poll.Stop()
 	for s.handler.InFlight() > 0 || !isClosed(connections) {
@@ -138,9 +140,9 @@
 	s.opts.Log.Info().Dur("took", time.Since(startedAt)).Msg("drainDone")
 }
 
-// drainConnections ends the connections of callers; the channel is closed when all have ended or ctx ends. net/http ends those
-// over TLS when the server stops.
-func (s *Server) drainConnections(ctx context.Context) <-chan struct{} {
+// drainConnections ends the connections of callers; the channel is closed when all have ended, or inbound.EndTime after a
+// time at which what has come in part is refused. net/http ends those over TLS when the server stops.
+func (s *Server) drainConnections(end time.Time) <-chan struct{} {
 	ended := make(chan struct{})
 	if s.inbound == nil {
 		close(ended)
@@ -148,6 +150,8 @@
 	}
 	s.wg.Go(func() {
 		defer close(ended)
+		ctx, cancel := context.WithDeadline(context.Background(), end)
+		defer cancel()
 		if err := s.inbound.Drain(ctx); err != nil {
 			s.opts.Log.Warn().Err(err).Msg("connectionsNotDrained")
 		}
