An answer doesn't wait for a body that it doesn't need

What callers saw: an answer given without reading the body (404, 401, 413) came only once the caller had sent all of it, since net/http reads the rest before it writes the head and sets no time limit.

In a drain, and for 408 and 413, the answer tells that the connection ends and goes out at once; otherwise the rest of the body is awaited for a second.

--- a/io/inbound/drain.go
+++ b/io/inbound/drain.go
@@ -8,14 +8,14 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"mothcart/io/clock"
 )
 
 const (
 	// EndTime is how long callers may take at the end of a drain to read what became of their requests.
 	EndTime = 200 * time.Millisecond
+	// unreadTime is how long the rest of a body is awaited that the answer doesn't need.
+	unreadTime = time.Second
 	// drainInterval is the time between two looks whether connections are left.
 	drainInterval = 50 * time.Millisecond
 )
@@ -30,7 +30,7 @@
 	l.Leave()
 	l.draining.Store(true)
 	if err := l.Close(); err != nil {
-		return merry.Errorf("close listener: %w", err)
+		l.log.Warn().Err(err).Msg("listenerNotClosed")
 	}
 	err := l.await(ctx)
 	if err == nil {
@@ -79,7 +79,7 @@
 			r.Body = a.body
 		}
 		h.ServeHTTP(a, r)
-		a.begin() // net/http writes the head of an empty answer
+		a.begin(http.StatusOK) // net/http writes the head of an empty answer
 	})
 }
 
@@ -118,14 +118,18 @@
 // Unwrap is for http.ResponseController.
 func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
 
-// begin is called before the head is written. An answer that tells that its connection ends would go out while the caller
-// still sends its body.
-func (a *answer) begin() {
+// begin is called before the head is written. A body that has not been read is awaited for unreadTime at most: by net/http
+// before it writes the head, or after the answer if that tells that the connection ends.
+func (a *answer) begin(status int) {
 	if a.begun {
 		return
 	}
 	a.begun = true
-	if a.listener.leaving.Load() && (a.body == nil || a.body.read.Load()) {
+	unread := a.body != nil && !a.body.read.Load()
+	if unread {
+		_ = http.NewResponseController(a.ResponseWriter).SetReadDeadline(time.Now().Add(unreadTime)) // fails only if the connection has ended
+	}
+	if a.listener.leaving.Load() || unread && (status == http.StatusRequestTimeout || status == http.StatusRequestEntityTooLarge) {
 		a.Header().Set("Connection", "close")
 	}
 }
@@ -133,14 +137,14 @@
 // WriteHeader implements http.ResponseWriter.
 func (a *answer) WriteHeader(status int) {
 	if status >= http.StatusOK {
-		a.begin()
+		a.begin(status)
 	}
 	a.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
 func (a *answer) Write(p []byte) (int, error) {
-	a.begin()
+	a.begin(http.StatusOK)
 	return a.ResponseWriter.Write(p)
 }
 
@@ -149,6 +153,6 @@
 
 // FlushError sends what is buffered; it is for http.ResponseController.
 func (a *answer) FlushError() error {
-	a.begin()
+	a.begin(http.StatusOK)
 	return http.NewResponseController(a.ResponseWriter).Flush()
 }
