A drain waits for connections that are being accepted

What callers saw: a connection that had been accepted from the system, but wasn't known to the server yet when the drain looked, was closed with its request. TestDrainWaitsForConnectionsThatAreAccepted fails before and passes.

Calls of Accept are counted; after the listener is closed each ends, with a connection that is known by then or an error.

--- a/io/inbound/drain.go
+++ b/io/inbound/drain.go
@@ -48,7 +48,7 @@
 	for _, c := range l.open() {
 		c.wake()
 	}
-	for l.Open() > 0 {
+	for l.accepting.Load() > 0 || l.Open() > 0 {
 		if err := clock.Sleep(ctx, drainInterval); err != nil {
 			return err
 		}
--- a/io/inbound/inbound.go
+++ b/io/inbound/inbound.go
@@ -47,6 +47,8 @@
 	log zerolog.Logger
 	// leaving, draining and stopped report how far the server has come on its way to its end.
 	leaving, draining, stopped atomic.Bool
+	// accepting counts calls of Accept: one that has returned from the system may have a connection that isn't known yet.
+	accepting atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -66,6 +68,8 @@
 
 // Accept implements net.Listener. Its error is http.ErrServerClosed after Drain has begun.
 func (l *Listener) Accept() (net.Conn, error) {
+	l.accepting.Add(1)
+	defer l.accepting.Add(-1)
 	nc, err := l.Listener.Accept()
 	if err != nil {
 		if l.draining.Load() {
