What counts as a part of a request is exact

Found in the review, each with a test that failed before: - Empty lines behind a body, which net/http skips, counted as the next request: a drain waited for it, and refused it in the end (TestEmptyLinesAreNoRequest, 2 of 2). - A part that fills net/http's buffer but for one byte wasn't refused: its read looks like the one that watches for the caller's end (TestPartOfAnyLengthIsRefused). - inbound.unanswered missed a connection that is closed under its request's handler (TestRequestClosedUnderItsHandlerIsCounted).

--- a/io/inbound/conn.go
+++ b/io/inbound/conn.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -43,8 +44,11 @@
 	phase phase
 	// room is the length of the longest buffer that a read was given: that of net/http's empty read buffer.
 	room int
-	// part reports that bytes of the next request have been read and that nothing has been written since.
+	// part reports that bytes of a request have been read and that nothing has been written since.
 	part bool
+	// headRead is the number of bytes that have been read for a head, and blank those of empty lines between two requests,
+	// which are no part of one.
+	headRead, blank int
 	// deadline is that of reads, as net/http has set it.
 	deadline time.Time
 	// wakes reports that a read for a head is in progress, which Listener may end; woken that it has done so.
@@ -66,7 +70,10 @@
 func (c *Conn) setPhase(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.part = p, false
+	c.phase, c.headRead, c.blank = p, 0, 0
+	if p == idle {
+		c.part = false
+	}
 }
 
 // SetReadDeadline implements net.Conn.
@@ -94,7 +101,7 @@
 			return 0, err
 		}
 		n, err := c.Conn.Read(p)
-		switch next, err := c.endRead(head, n, err); next {
+		switch next, err := c.endRead(head, p[:n], err); next {
 		case readAgain:
 		case refuseLate:
 			return 0, c.end(http.StatusRequestTimeout)
@@ -126,9 +133,9 @@
 	if c.ended {
 		return false, errEnded
 	}
-	if head = c.phase != serving && room > 1; head {
+	if head = c.phase != serving && (room > 1 || c.headRead > 0); head {
 		c.room = max(c.room, room)
-		c.part = c.part || room < c.room
+		c.part = c.part || room < c.room-c.blank
 	}
 	c.wakes, c.reading = head, true
 	if c.last = head && c.isOver(); c.last {
@@ -145,12 +152,18 @@
 	return c.listener.stopped.Load() || c.listener.draining.Load() && c.phase == idle && !c.part
 }
 
-func (c *Conn) endRead(head bool, n int, err error) (afterRead, error) {
+func (c *Conn) endRead(head bool, p []byte, err error) (afterRead, error) {
+	n := len(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.wakes, c.reading = false, false
 	if head && n > 0 {
-		c.part = true
+		c.headRead += n
+		if !c.part && c.phase == idle && isBlank(p) {
+			c.blank += n
+		} else {
+			c.part = true
+		}
 		if c.closed {
 			c.listener.countUnanswered(c)
 		}
@@ -211,6 +224,9 @@
 	c.listener.log.Info().Str("caller", c.RemoteAddr().String()).Int("status", status).AnErr("error", err).Msg("partRefused")
 }
 
+// isBlank reports that there is nothing but empty lines.
+func isBlank(p []byte) bool { return len(bytes.Trim(p, "\r\n")) == 0 }
+
 func isTimeout(err error) bool {
 	e, ok := err.(net.Error)
 	return ok && e.Timeout()
