--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"errors"
 	"flag"
 	"fmt"
@@ -38,7 +39,7 @@
 	eventsPerStream = 15
 	pace            = 20 * time.Millisecond
 	storePort       = 7100
-	// routeTimeout is the time limit of all routes.
+	// routeTimeout is the usual time limit of all routes.
 	routeTimeout = 4 * time.Second
 )
 
@@ -75,6 +76,8 @@
 	accounts []fake.Account
 	// tokenCap is that of the route of jobs.
 	tokenCap int64
+	// timeout is the time limit of all routes; 0 means routeTimeout.
+	timeout time.Duration
 	// valueBytes is the size of the largest object; 0 means the default.
 	valueBytes int
 }
@@ -161,15 +164,16 @@
 func (s *site) configure() {
 	s.configVersion++
 	const objective = 300 * time.Millisecond
+	timeout := cmp.Or(s.timeout, routeTimeout)
 	routes := []fake.Route{
-		{Name: "ask", Kind: fake.Streaming, Service: "scribe", Attempts: 2, Resumable: true, Timeout: routeTimeout, Objective: objective},
-		{Name: "once", Kind: fake.Streaming, Service: "scribe", Attempts: 1, Timeout: routeTimeout, Objective: objective},
-		{Name: "fetch", Kind: fake.Idempotent, Service: "desk", Attempts: 2, Timeout: routeTimeout, Objective: objective},
-		{Name: "swap", Kind: fake.NonIdempotent, Service: "desk", Attempts: 1, Timeout: routeTimeout, Objective: objective},
-		{Name: "lot", Kind: fake.Batch, Service: "scribe", Attempts: 3, Timeout: routeTimeout, Objective: objective, TokenCap: s.tokenCap},
+		{Name: "ask", Kind: fake.Streaming, Service: "scribe", Attempts: 2, Resumable: true, Timeout: timeout, Objective: objective},
+		{Name: "once", Kind: fake.Streaming, Service: "scribe", Attempts: 1, Timeout: timeout, Objective: objective},
+		{Name: "fetch", Kind: fake.Idempotent, Service: "desk", Attempts: 2, Timeout: timeout, Objective: objective},
+		{Name: "swap", Kind: fake.NonIdempotent, Service: "desk", Attempts: 1, Timeout: timeout, Objective: objective},
+		{Name: "lot", Kind: fake.Batch, Service: "scribe", Attempts: 3, Timeout: timeout, Objective: objective, TokenCap: s.tokenCap},
 	}
 	if s.configVersion%2 == 0 {
-		routes = append(routes, fake.Route{Name: "new", Kind: fake.Idempotent, Service: "desk", Attempts: 2, Timeout: routeTimeout, Objective: objective})
+		routes = append(routes, fake.Route{Name: "new", Kind: fake.Idempotent, Service: "desk", Attempts: 2, Timeout: timeout, Objective: objective})
 	}
 	s.objects.Configure(s.configVersion, routes, s.accounts...)
 }
