Each HTTP port has a bound of connections and of memory for heads

Connections without a bound use up the descriptors.

io/inbound counts connections, and what heads cost once they are parsed (lines and bytes), from their first byte until the answer. What is full sheds, of the address that holds the most, the connection that has been longest on its way to a request, and never one whose request is complete. Limits of heads in bytes and time and of idle connections are those of the configuration in force, also after a change; a shorter idle time counts from the next request on, since callers may rely on the longer one.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -115,6 +115,14 @@
 // SetConfig applies a configuration.
 func (h *Handler) SetConfig(cfg site.Config) { h.config.Store(&cfg) }
 
+// Limits returns the limits of the configuration in force.
+func (h *Handler) Limits() site.Limits {
+	if cfg := h.config.Load(); cfg != nil {
+		return cfg.Limits
+	}
+	return site.Limits{}
+}
+
 // Stop ends all calls about jobs and submissions: their callers are told what is known of the outcome.
 func (h *Handler) Stop() { h.stop() }
 
--- a/io/inbound/conn.go
+++ b/io/inbound/conn.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,9 +47,6 @@
 	room int
 	// part reports that bytes of a request have been read and that nothing has been written since.
 	part bool
-	// headRead is the number of bytes that have been read for a head, and blank those of empty lines between two requests,
-	// which are no part of one.
-	headRead, blank int
 	// deadline is that of reads, as net/http has set it.
 	deadline time.Time
 	// wakes reports that a read for a head is in progress, which Listener may end; woken that it has done so.
@@ -62,17 +60,47 @@
 	// gone reports that the caller has closed the connection, or that it has failed.
 	gone   bool
 	closed bool
+	// headBegan is when the head was begun, idleLimit how long the connection may be idle, and headRead the number of bytes
+	// that have been read since.
+	headBegan time.Time
+	idleLimit time.Duration
+	headRead  int
+	// blank is the number of bytes of empty lines between two requests, which are no part of one.
+	blank int
+
+	// address is that of the caller without its port.
+	address string
+	// heads is what the head costs in bytes of memory; the listener's mutex guards it.
+	heads int64
+	// since is when the connection was accepted or became idle, in nanoseconds of the Unix epoch.
+	since atomic.Int64
+	// inProgress reports that a request is complete and has no answer yet, isShed that the connection is to end for others.
+	inProgress, isShed atomic.Bool
+	// hasTurn reports that the caller of a shed connection is told so.
+	hasTurn atomic.Bool
+}
+
+func newConn(nc net.Conn, l *Listener) *Conn {
+	c := &Conn{Conn: nc, listener: l, address: addressOf(nc)}
+	c.since.Store(time.Now().UnixNano())
+	return c
 }
 
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
 func (c *Conn) setPhase(p phase) {
+	if p == idle {
+		c.inProgress.Store(false)
+		c.since.Store(time.Now().UnixNano())
+		c.listener.release(c)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.headRead, c.blank = p, 0, 0
 	if p == idle {
 		c.part = false
+		c.idleLimit = c.listener.limits().IdleTime
 	}
 }
 
@@ -96,52 +124,113 @@
 // nothing has been read.
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
-		head, err := c.beginRead(len(p))
-		if err != nil {
-			return 0, err
+		head, next := c.beginRead(len(p))
+		n := 0
+		var err error
+		if next == returnRead {
+			n, err = c.Conn.Read(p)
+			next, err = c.endRead(head, p[:n], err)
 		}
-		n, err := c.Conn.Read(p)
-		switch next, err := c.endRead(head, p[:n], err); next {
+		switch next {
 		case readAgain:
+		case endBody:
+			return 0, os.ErrDeadlineExceeded
+		case refuseLarge:
+			return 0, c.end(http.StatusRequestHeaderFieldsTooLarge)
 		case refuseLate:
 			return 0, c.end(http.StatusRequestTimeout)
 		case endOver:
 			return 0, c.end(http.StatusServiceUnavailable)
+		case hasEnded:
+			return 0, errEnded
 		default:
+			if head && n > 0 {
+				c.listener.charge(c, headCost(p[:n]))
+			}
 			return n, err
 		}
 	}
 }
 
-// afterRead is what follows a read.
-type afterRead int
+// verdict is what becomes of a read.
+type verdict int
 
 const (
-	returnRead afterRead = iota
+	returnRead verdict = iota
 	readAgain
+	// endBody: the room for a request whose body has not come is needed for others.
+	endBody
+	// refuseLarge: a head is too large.
+	refuseLarge
 	// refuseLate: a head has begun and not come in time.
 	refuseLate
-	// endOver: the connection drains and nothing more has come.
+	// endOver: the connection drains or is shed, and nothing more has come.
 	endOver
+	// hasEnded: the sending side is closed.
+	hasEnded
 )
 
 // beginRead reports whether a read is for the head of a request. With less room than an empty buffer has, net/http holds
 // bytes that it has read before. It reads a single byte while a request is served, to notice that its caller is gone.
-func (c *Conn) beginRead(room int) (head bool, err error) {
+func (c *Conn) beginRead(room int) (head bool, _ verdict) {
+	limits := c.listener.limits()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
-		return false, errEnded
+		return false, hasEnded
+	}
+	if c.phase == serving || c.listener.opts.Opaque {
+		if c.isShed.Load() && !c.inProgress.Load() {
+			return false, endBody
+		}
+		c.reading = true
+		return false, returnRead
 	}
-	if head = c.phase != serving && (room > 1 || c.headRead > 0); head {
+	if head = room > 1 || c.headRead > 0; head {
 		c.room = max(c.room, room)
-		c.part = c.part || room < c.room-c.blank
+		c.setPart(c.part || room < c.room-c.blank)
+		switch {
+		case c.isShed.Load():
+			return true, endOver
+		case c.headRead >= limits.HeadBytes+readAhead:
+			return true, refuseLarge
+		}
 	}
 	c.wakes, c.reading = head, true
 	if c.last = head && c.isOver(); c.last {
-		err = c.Conn.SetReadDeadline(time.Now().Add(lastLook))
+		c.setReadDeadline(time.Now().Add(lastLook))
+	} else if head {
+		c.setReadDeadline(c.headDeadline(limits))
+	}
+	return head, returnRead
+}
+
+// setPart notes that bytes of the next request have been read; the mutex is held.
+func (c *Conn) setPart(part bool) {
+	if part && !c.part {
+		c.headBegan = time.Now()
 	}
-	return head, err
+	c.part = part
+}
+
+// headDeadline is that of net/http, or an earlier one of the limits; the mutex is held.
+func (c *Conn) headDeadline(limits Limits) time.Time {
+	deadline := c.headBegan.Add(limits.HeadTime)
+	if since := time.Unix(0, c.since.Load()); !c.part && c.phase == fresh {
+		deadline = since.Add(max(limits.HeadTime, freshTime))
+	} else if !c.part {
+		// Callers may still rely on the longer time that was in force.
+		deadline = since.Add(max(limits.IdleTime, c.idleLimit))
+	}
+	if !c.deadline.IsZero() && c.deadline.Before(deadline) {
+		return c.deadline
+	}
+	return deadline
+}
+
+// setReadDeadline sets the deadline below; the mutex is held.
+func (c *Conn) setReadDeadline(t time.Time) {
+	_ = c.Conn.SetReadDeadline(t) // fails only if the connection has ended, which the read reports
 }
 
 // isOver reports that no request is to follow, or that one that has begun is to be refused; the mutex is held.
@@ -149,10 +238,10 @@
 	if c.phase == serving {
 		return false
 	}
-	return c.listener.stopped.Load() || c.listener.draining.Load() && c.phase == idle && !c.part
+	return c.isShed.Load() || c.listener.stopped.Load() || c.listener.draining.Load() && c.phase == idle && !c.part
 }
 
-func (c *Conn) endRead(head bool, p []byte, err error) (afterRead, error) {
+func (c *Conn) endRead(head bool, p []byte, err error) (verdict, error) {
 	n := len(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -162,7 +251,7 @@
 		if !c.part && c.phase == idle && isBlank(p) {
 			c.blank += n
 		} else {
-			c.part = true
+			c.setPart(true)
 		}
 		if c.closed {
 			c.listener.countUnanswered(c)
@@ -172,32 +261,34 @@
 		c.gone = true
 	}
 	timeout := n == 0 && isTimeout(err)
-	if !c.woken && !c.last {
-		if timeout && head && c.part {
-			return refuseLate, nil
-		}
-		return returnRead, err
-	}
-	if timeout && c.last && c.isOver() {
-		return endOver, nil
-	}
+	woken := c.woken
 	c.woken = false
-	if restoreErr := c.Conn.SetReadDeadline(c.deadline); restoreErr != nil && err == nil {
-		err = restoreErr
-	}
-	if timeout {
+	switch {
+	case timeout && woken && !head:
+		return endBody, nil
+	case timeout && head && c.isOver() && (c.last || c.isShed.Load()):
+		return endOver, nil
+	case timeout && (woken || c.last):
+		c.setReadDeadline(c.deadline)
 		return readAgain, nil
+	case timeout && head && c.part:
+		return refuseLate, nil
+	}
+	if head || woken {
+		c.setReadDeadline(c.deadline)
 	}
 	return returnRead, err
 }
 
-// wake ends a read for a head that is to look for a last time; it does nothing to others.
+// wake ends a read for a head that is to look for a last time, and one for a body whose room is needed; it does nothing to
+// others.
 func (c *Conn) wake() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.wakes && !c.last && c.isOver() {
+	body := (c.phase == serving || c.listener.opts.Opaque) && c.reading && c.isShed.Load() && !c.inProgress.Load()
+	if c.wakes && !c.last && c.isOver() || body {
 		c.woken = true
-		_ = c.Conn.SetReadDeadline(past) // fails only if the connection has ended
+		c.setReadDeadline(past)
 	}
 }
 
@@ -208,6 +299,9 @@
 	part := c.part
 	c.ended, c.part = true, false
 	c.mu.Unlock()
+	if part && c.isShed.Load() && !c.takeTurn() {
+		return errEnded // Close follows
+	}
 	if part {
 		c.refuse(status)
 	} else {
@@ -234,7 +328,7 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	if c.hasEnded() {
+	if c.isEnded() {
 		return 0, net.ErrClosed
 	}
 	n, err := c.Conn.Write(p)
@@ -249,7 +343,7 @@
 	return n, err
 }
 
-func (c *Conn) hasEnded() bool {
+func (c *Conn) isEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.ended
@@ -268,7 +362,7 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	unanswered := c.part && !c.gone && !c.closed
-	first, lingers := !c.closed, !c.gone && !c.reading
+	first, lingers := !c.closed, !c.gone && !c.reading && (!c.isShed.Load() || c.hasTurn.Load())
 	c.closed, c.ended = true, true
 	c.mu.Unlock()
 	if unanswered {
--- a/io/inbound/drain.go
+++ b/io/inbound/drain.go
@@ -30,7 +30,7 @@
 	l.Leave()
 	l.draining.Store(true)
 	if err := l.Close(); err != nil {
-		l.log.Warn().Err(err).Msg("listenerNotClosed")
+		l.log.Warn().Str("listener", l.opts.Name).Err(err).Msg("listenerNotClosed")
 	}
 	err := l.await(ctx)
 	if err == nil {
@@ -69,12 +69,14 @@
 // Handler returns a handler whose answers tell when their connection ends.
 func (l *Listener) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		c, _ := r.Context().Value(connKey{}).(*Conn)
+		if c != nil && !l.opts.Opaque {
 			c.setPhase(serving) // net/http doesn't report a request that it had read with the one before
+			c.inProgress.Store(r.ContentLength == 0)
 		}
 		a := &answer{ResponseWriter: w, listener: l}
 		if r.ContentLength != 0 {
-			a.body = &body{ReadCloser: r.Body}
+			a.body = &body{ReadCloser: r.Body, conn: c}
 			r = r.WithContext(r.Context())
 			r.Body = a.body
 		}
@@ -87,7 +89,7 @@
 
 // ConnContext adds a connection to the context of its requests; it is meant for http.Server.ConnContext.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+	return context.WithValue(ctx, connKey{}, connOf(c))
 }
 
 // answer is the answer to a request.
@@ -102,6 +104,7 @@
 // body is the body of a request.
 type body struct {
 	io.ReadCloser
+	conn *Conn // nil if it isn't known
 	// read reports that all of it has been read.
 	read atomic.Bool
 }
@@ -111,6 +114,9 @@
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
 		b.read.Store(true)
+		if b.conn != nil && !b.conn.listener.opts.Opaque {
+			b.conn.inProgress.Store(true)
+		}
 	}
 	return n, err
 }
@@ -127,7 +133,8 @@
 	a.begun = true
 	unread := a.body != nil && !a.body.read.Load()
 	if unread {
-		_ = http.NewResponseController(a.ResponseWriter).SetReadDeadline(time.Now().Add(unreadTime)) // fails only if the connection has ended
+		// It fails only if the connection has ended.
+		_ = http.NewResponseController(a.ResponseWriter).SetReadDeadline(time.Now().Add(unreadTime))
 	}
 	if a.listener.leaving.Load() || unread && (status == http.StatusRequestTimeout || status == http.StatusRequestEntityTooLarge) {
 		a.Header().Set("Connection", "close")
--- a/io/inbound/inbound.go
+++ b/io/inbound/inbound.go
@@ -26,8 +26,19 @@
 // logBurst bounds the log lines about single connections in a second.
 const logBurst = 10
 
-// Options are the dependencies of a Listener; all are required.
+// Options are the dependencies of a Listener; Log and Registry are required.
 type Options struct {
+	// Name is that of the listener in logs and metrics.
+	Name string
+	// Connections is the most that are open at a time, and HeadBytes the most memory, in bytes, for heads of requests that
+	// have no answer yet; 0 sets no limit.
+	Connections int
+	HeadBytes   int64
+	// Opaque reports that the bytes of connections aren't HTTP/1, but TLS: heads are neither counted nor refused, and Drain
+	// can't tell what has been read.
+	Opaque bool
+	// Limits returns the limits in force; nil stands for DefaultLimits.
+	Limits   func() Limits
 	Log      zerolog.Logger
 	Registry metrics.Registry
 }
@@ -35,6 +46,7 @@
 // Listener wraps the connections of a listener. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
+	opts Options
 	// unanswered counts connections that ended with bytes of a request read and no answer.
 	unanswered metrics.Counter
 	// endedIdle counts connections that a drain has ended without a request in progress.
@@ -43,15 +55,20 @@
 	refusedParts metrics.Counter
 	// crossed counts connections on which bytes came after the sending side was closed.
 	crossed metrics.Counter
+	// sheds counts connections that ended in favour of others, refused those that weren't taken.
+	sheds, refused metrics.Counter
 	// log is sampled: callers that misbehave don't fill it.
 	log zerolog.Logger
 	// leaving, draining and stopped report how far the server has come on its way to its end.
 	leaving, draining, stopped atomic.Bool
 	// accepting counts calls of Accept: one that has returned from the system may have a connection that isn't known yet.
 	accepting atomic.Int64
+	// turnedAway counts connections that are being told that there is no room.
+	turnedAway atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
+	room  room
 }
 
 // NewListener returns a listener whose connections are of type *Conn.
@@ -59,29 +76,36 @@
 	counter := func(name string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("inbound."+name, opts.Registry)
 	}
-	return &Listener{
-		Listener: l, conns: make(map[*Conn]struct{}),
+	if opts.Name == "" {
+		opts.Name = "callers"
+	}
+	in := &Listener{
+		Listener: l, opts: opts, conns: make(map[*Conn]struct{}), room: room{addresses: make(map[string]*holding)},
 		unanswered: counter("unanswered"), endedIdle: counter("endedIdle"), refusedParts: counter("refusedParts"), crossed: counter("crossed"),
+		sheds: counter("shed"), refused: counter("refusedConnections"),
 		log: opts.Log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: time.Second}),
 	}
+	in.registerGauges()
+	return in
 }
 
 // Accept implements net.Listener. Its error is http.ErrServerClosed after Drain has begun.
 func (l *Listener) Accept() (net.Conn, error) {
 	l.accepting.Add(1)
 	defer l.accepting.Add(-1)
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		if l.draining.Load() {
-			return nil, http.ErrServerClosed
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			if l.draining.Load() {
+				return nil, http.ErrServerClosed
+			}
+			return nil, err
+		}
+		c := newConn(nc, l)
+		if l.admit(c) {
+			return c, nil
 		}
-		return nil, err
 	}
-	c := &Conn{Conn: nc, listener: l}
-	l.mu.Lock()
-	l.conns[c] = struct{}{}
-	l.mu.Unlock()
-	return c, nil
 }
 
 // Open returns the number of open connections.
@@ -93,22 +117,31 @@
 
 // ConnState follows the connections of a server; it is meant for http.Server.ConnState.
 func (l *Listener) ConnState(nc net.Conn, state http.ConnState) {
-	c, ok := nc.(*Conn)
-	if !ok {
+	c := connOf(nc)
+	if c == nil {
 		return
 	}
 	switch state {
 	case http.StateActive:
 		c.setPhase(serving)
+		if l.opts.Opaque {
+			c.inProgress.Store(true)
+		}
 	case http.StateIdle:
 		c.setPhase(idle)
 	}
 }
 
-func (l *Listener) remove(c *Conn) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.conns, c)
+// connOf returns the Conn that a connection is or wraps, or nil.
+func connOf(nc net.Conn) *Conn {
+	switch c := nc.(type) {
+	case *Conn:
+		return c
+	case interface{ NetConn() net.Conn }:
+		return connOf(c.NetConn())
+	default:
+		return nil
+	}
 }
 
 func (l *Listener) countUnanswered(c *Conn) {
--- a/io/inbound/part_test.go
+++ b/io/inbound/part_test.go
@@ -23,6 +23,8 @@
 	}{
 		{"after the body", []string{post, "\r\n"}, drainInterval + lastLook},
 		{"after the body, one at a time", []string{post, "\r", "\n"}, drainInterval + lastLook},
+		// net/http has them in its buffer, where they may be anything.
+		{"with the body", []string{post + "\r\n"}, DefaultLimits().HeadTime},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -11,11 +11,11 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"mothcart/io/entry"
 	"mothcart/io/forward"
 	"mothcart/io/home"
+	"mothcart/io/inbound"
 	"mothcart/platform"
 )
 
@@ -33,10 +33,10 @@
 	base    *base
 	handler *entry.Handler
 	forward *forward.Forwarder
-	callers *callerServer
+	callers *port
 	// carried serves entries that have lost their links to upstreams; nil if the VM has no port for it.
-	carried   *callerServer
-	readiness *kratoshttp.Server
+	carried   *port
+	readiness *port
 	relay     *home.Relay
 	draining  atomic.Bool
 	askID     atomic.Uint64
@@ -66,18 +66,22 @@
 	b.onUpstreams = b.links.SetUpstreams
 	b.isHome = func() bool { return false }
 	var err error
-	if e.callers, err = serveCallers(ctx, opts, opts.Settings.CallerAddress, b.held, e.handler); err != nil {
+	limits := func() inbound.Limits { return callerLimits(e.handler.Limits()) }
+	if e.callers, err = servePort(ctx, opts, opts.Settings.CallerAddress, opts.inbound("callers", callersShare, limits), b.held, e.handler); err != nil {
 		b.close()
 		return nil, err
 	}
 	if port := opts.Settings.CarrierPort; port != 0 {
 		address := net.JoinHostPort(opts.Settings.IP, strconv.Itoa(port))
-		if e.carried, err = serveCallers(ctx, opts, address, b.held, b.links.Handler(e.handler.ServeCarried)); err != nil {
+		limits := func() inbound.Limits { return carriedLimits(e.handler.Limits()) }
+		in := opts.inbound("carried", carriedShare, limits)
+		if e.carried, err = servePort(ctx, opts, address, in, b.held, b.links.Handler(e.handler.ServeCarried)); err != nil {
 			e.Close()
 			return nil, err
 		}
 	}
-	if e.readiness, err = serveHTTP(ctx, opts, opts.Settings.ReadyAddress, http.HandlerFunc(e.serveReady)); err != nil {
+	ready := opts.inbound("readiness", readinessShare, nil)
+	if e.readiness, err = servePort(ctx, opts, opts.Settings.ReadyAddress, ready, nil, http.HandlerFunc(e.serveReady)); err != nil {
 		e.Close()
 		return nil, err
 	}
@@ -114,12 +118,12 @@
 	end := began.Add(opts.Settings.Grace - exitMargin)
 	e.draining.Store(true)
 	e.base.stopping.Store(true)
-	servers := []*callerServer{e.callers}
+	ports := []*port{e.callers}
 	if e.carried != nil {
-		servers = append(servers, e.carried)
+		ports = append(ports, e.carried)
 	}
-	for _, s := range servers {
-		s.listener.Leave()
+	for _, p := range ports {
+		p.listener.Leave()
 	}
 	e.forward.Drain(began.Add(drainDelay), end)
 	opts.Log.Info().Int64("active", e.handler.Active()).Msg("drainStarted")
@@ -131,10 +135,10 @@
 	defer stop.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(opts.Now()))
 	defer cancel()
-	errs := make([]error, len(servers))
+	errs := make([]error, len(ports))
 	var draining sync.WaitGroup
-	for i, s := range servers {
-		draining.Go(func() { errs[i] = s.drain(ctx) })
+	for i, p := range ports {
+		draining.Go(func() { errs[i] = p.drain(ctx) })
 	}
 	draining.Wait()
 	err := errors.Join(errs...)
@@ -143,12 +147,9 @@
 
 // Close stops the node at once.
 func (e *Entry) Close() {
-	for _, s := range []*callerServer{e.callers, e.carried} {
-		if s != nil {
-			e.base.closeServer(s.Server)
-		}
+	for _, p := range []*port{e.callers, e.carried, e.readiness} {
+		e.base.closePort(p)
 	}
-	e.base.closeServer(e.readiness)
 	if e.relay != nil {
 		e.relay.Close()
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -105,7 +105,7 @@
 	checkpoints *home.Checkpoints
 	origins     *home.Origins
 	followers   []*object.Follower
-	metrics     *kratoshttp.Server
+	metrics     *port
 	counts      *time.Timer
 	// savers persist on disk what home nodes need after a restart; siteStateChanged is called on each
 	// change of the node's view of the site.
@@ -253,7 +253,7 @@
 func (b *base) close() {
 	b.confirmations.close()
 	b.counts.Stop()
-	b.closeServer(b.metrics)
+	b.closePort(b.metrics)
 	if b.cancelStart != nil {
 		b.cancelStart()
 		b.startFetch.Wait()
@@ -271,31 +271,22 @@
 	}
 }
 
-func (b *base) closeServer(s *kratoshttp.Server) {
-	if s == nil {
+func (b *base) closePort(p *port) {
+	if p == nil {
 		return
 	}
-	if err := s.Server.Close(); err != nil {
+	if err := p.Server.Close(); err != nil {
 		b.opts.Log.Warn().Err(err).Msg("serverNotClosed")
 	}
 }
 
-// serveHTTP serves one address with kratos' server until it is closed.
-func serveHTTP(ctx context.Context, opts Options, address string, h http.Handler) (*kratoshttp.Server, error) {
-	l, err := opts.Listen(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	return serveOn(l, opts, address, h, nil), nil
-}
-
-func serveOn(l net.Listener, opts Options, address string, h http.Handler, connState func(net.Conn, http.ConnState)) *kratoshttp.Server {
+func serveOn(l *inbound.Listener, opts Options, address string, h http.Handler) *kratoshttp.Server {
 	srv := kratoshttp.NewServer(kratoshttp.Listener(l), kratoshttp.Timeout(0))
-	srv.Handler = h
+	srv.Handler = l.Handler(h)
 	srv.ReadHeaderTimeout = readHeaderTimeout
 	srv.IdleTimeout = idleTimeout
 	srv.MaxHeaderBytes = maxHeaderBytes
-	srv.ConnContext, srv.ConnState = connContext, connState
+	srv.ConnContext, srv.ConnState = connContext, l.ConnState
 	go func() {
 		if err := srv.Server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			opts.Log.Error().Str("address", address).Err(err).Msg("serverEnded")
@@ -304,18 +295,12 @@
 	return srv
 }
 
-func connContext(ctx context.Context, c net.Conn) context.Context {
-	return held.ConnContext(inbound.ConnContext(ctx, c), c)
-}
-
 const (
-	// readHeaderTimeout bounds the time for the headers of a request.
-	readHeaderTimeout = 5 * time.Second
-	// idleTimeout is how long a caller's connection without requests stays open; callers close idle
-	// connections sooner.
-	idleTimeout = 75 * time.Second
-	// maxHeaderBytes bounds the headers of a request.
-	maxHeaderBytes = 64 << 10
+	// readHeaderTimeout, idleTimeout and maxHeaderBytes bound what the limits of a configuration may allow, which
+	// io/inbound applies.
+	readHeaderTimeout = time.Minute
+	idleTimeout       = 10 * time.Minute
+	maxHeaderBytes    = 1 << 20
 )
 
 // listenPeers opens the port for connections from other nodes.
@@ -372,10 +357,11 @@
 const metricsPort = 9091
 
 // serveMetrics serves the metrics on the VM's address until the server is closed.
-func serveMetrics(ctx context.Context, opts Options) (*kratoshttp.Server, error) {
+func serveMetrics(ctx context.Context, opts Options) (*port, error) {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", scrape.Handler(opts.Registry))
-	return serveHTTP(ctx, opts, net.JoinHostPort(opts.Settings.IP, strconv.Itoa(metricsPort)), mux)
+	address := net.JoinHostPort(opts.Settings.IP, strconv.Itoa(metricsPort))
+	return servePort(ctx, opts, address, opts.inbound("metrics", metricsShare, nil), nil, mux)
 }
 
 // shortKind returns the name of a kind in metrics; each job has its own kind of results, and all of
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -189,7 +189,7 @@
 		return err
 	}
 	callers := s.newCallerServer(callerTLS)
-	operators := newHTTPServer(s.operatorListener, operatorTLS, s.operatorHandler(), cfg.ReadHeaderTimeout)
+	operators := s.newOperatorServer(operatorTLS)
 	kratosLogOnce.Do(func() { kratoslog.SetLogger(kratosLog{log: s.opts.Log}) })
 	s.servers = []*kratoshttp.Server{callers, operators}
 	s.app = kratos.New(
@@ -203,29 +203,53 @@
 
 func (s *Server) newCallerServer(tlsConfig *tls.Config) *kratoshttp.Server {
 	cfg := s.opts.Settings
-	if tlsConfig != nil {
-		return newHTTPServer(s.callerListener, tlsConfig, s.handler, cfg.ReadHeaderTimeout)
+	l := inbound.NewListener(s.callerListener, inbound.Options{
+		Name: "callers", Connections: cfg.MaxConnections, HeadBytes: cfg.HeadMemory, Opaque: tlsConfig != nil,
+		Limits: s.headLimits, Log: s.opts.Log, Registry: s.opts.Registry,
+	})
+	if tlsConfig == nil {
+		s.inbound = l
 	}
-	s.inbound = inbound.NewListener(s.callerListener, inbound.Options{Log: s.opts.Log, Registry: s.opts.Registry})
-	srv := newHTTPServer(s.inbound, nil, s.inbound.Handler(s.handler), cfg.ReadHeaderTimeout)
-	srv.ConnContext, srv.ConnState = inbound.ConnContext, s.inbound.ConnState
-	return srv
+	return newHTTPServer(l, tlsConfig, s.handler, cfg.ReadHeaderTimeout)
+}
+
+// headLimits are the limits of requests' headers on all ports.
+func (s *Server) headLimits() inbound.Limits {
+	return inbound.Limits{HeadBytes: maxHeaderBytes, HeadTime: s.opts.Settings.ReadHeaderTimeout, IdleTime: idleTime}
+}
+
+// newOperatorServer returns the server of the operators' port.
+func (s *Server) newOperatorServer(tlsConfig *tls.Config) *kratoshttp.Server {
+	l := inbound.NewListener(s.operatorListener, inbound.Options{
+		Name: "operators", Connections: operatorConnections, HeadBytes: operatorHeadMemory, Opaque: tlsConfig != nil,
+		Limits: s.headLimits, Log: s.opts.Log, Registry: s.opts.Registry,
+	})
+	return newHTTPServer(l, tlsConfig, s.operatorHandler(), s.opts.Settings.ReadHeaderTimeout)
 }
 
 // newHTTPServer returns kratos' HTTP server for one port.
-func newHTTPServer(l net.Listener, tlsConfig *tls.Config, h http.Handler, headerTimeout time.Duration) *kratoshttp.Server {
+func newHTTPServer(l *inbound.Listener, tlsConfig *tls.Config, h http.Handler, headerTimeout time.Duration) *kratoshttp.Server {
 	opts := []kratoshttp.ServerOption{kratoshttp.Listener(l), kratoshttp.Timeout(0)}
 	if tlsConfig != nil {
 		opts = append(opts, kratoshttp.TLSConfig(tlsConfig))
 	}
 	srv := kratoshttp.NewServer(opts...)
 	// The handler replaces kratos' router, which would rewrite paths that callers of plain services rely on.
-	srv.Handler = h
+	srv.Handler = l.Handler(h)
 	srv.ReadHeaderTimeout = headerTimeout
 	srv.MaxHeaderBytes = maxHeaderBytes
+	srv.ConnContext, srv.ConnState = inbound.ConnContext, l.ConnState
 	return srv
 }
 
+const (
+	// idleTime is how long a connection of a caller may be idle.
+	idleTime = 10 * time.Minute
+	// operatorConnections and operatorHeadMemory bound the operators' port, the latter in bytes.
+	operatorConnections = 256
+	operatorHeadMemory  = 4 << 20
+)
+
 // maxHeaderBytes is the limit for the headers of a request, in bytes.
 const maxHeaderBytes = 64 << 10
 
--- a/io/settings/fields.go
+++ b/io/settings/fields.go
@@ -56,6 +56,8 @@
 
 	{"limits", "maxBodyBytes", "4194304", false, "a whole number above 0", "Largest body of an online request, in bytes.", positiveInteger(func(s *Settings, n int64) { s.MaxBodyBytes = n })},
 	{"limits", "maxInFlight", "20000", false, "a whole number above 0", "Requests that the VM holds at once.", positiveInteger(func(s *Settings, n int64) { s.MaxInFlight = int(n) })},
+	{"limits", "maxConnections", "24000", false, "a whole number above 0", "Connections of callers that the VM holds at once.", positiveInteger(func(s *Settings, n int64) { s.MaxConnections = int(n) })},
+	{"limits", "headMemory", "67108864", false, "a whole number above 0", "Memory for the headers of callers' requests, in bytes, at what they cost once they are parsed.", positiveInteger(func(s *Settings, n int64) { s.HeadMemory = n })},
 	{"limits", "readHeaderTimeout", "5s", false, "a duration such as 5s", "Time that a caller has for the headers.", duration(func(s *Settings) *time.Duration { return &s.ReadHeaderTimeout })},
 	{"limits", "bodyTimeout", "30s", false, "a duration such as 30s", "Time that a caller has for the body.", duration(func(s *Settings) *time.Duration { return &s.BodyTimeout })},
 	{"limits", "drainLag", "3s", false, "a duration such as 3s", "Time that the balancer takes to see a VM that is not ready.", duration(func(s *Settings) *time.Duration { return &s.DrainLag })},
--- a/io/settings/settings.go
+++ b/io/settings/settings.go
@@ -46,7 +46,11 @@
 
 	MaxBodyBytes int64
 	// MaxInFlight bounds the requests in progress on the VM at once.
-	MaxInFlight       int
+	MaxInFlight int
+	// MaxConnections bounds the connections of callers that the VM holds at once.
+	MaxConnections int
+	// HeadMemory bounds the memory for the headers of callers' requests, in bytes, at what they cost once they are parsed.
+	HeadMemory        int64
 	ReadHeaderTimeout time.Duration
 	// BodyTimeout bounds the time to read the body of one request.
 	BodyTimeout time.Duration
