The sum of items' progress is kept, not counted at each attempt

Cause: since each attempt that ended unfinished summed up the texts of all runs of all jobs, under the home's mutex, to see whether there is room: attempts times open items.

Change: core/budget.Texts sums up texts as they grow and are dropped. A run's text is a budget.Text, whose fields no other package reaches, so that no change goes past the sum; run.end is the one place at which a run ends (results, those of another home, ends, removals), and drops it. A job that is removed after its retention ends its runs too.

--- a/io/home/checkpoint_test.go
+++ b/io/home/checkpoint_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"mothcart/core/batch"
+	"mothcart/core/budget"
 	"mothcart/io/msgframe"
 )
 
@@ -64,7 +65,7 @@
 // with a text that lacks a part.
 func TestCheckpointsMatchRun(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := &checkpointModel{run: &run{job: "j", item: batch.Item{ID: "i"}}, standby: NewCheckpoints(nil, 0, func() {})}
+		p := &checkpointModel{run: newRun(new(budget.Texts), "j", batch.Item{ID: "i"}), standby: NewCheckpoints(nil, 0, func() {})}
 		steps := []func(){
 			p.startAttempt, p.endAttempt, p.sendNotice,
 			func() { p.receiveEvent(strings.Repeat("x", rapid.IntRange(0, 3).Draw(t, "length"))) },
--- a/io/home/handover.go
+++ b/io/home/handover.go
@@ -330,7 +330,7 @@
 	if p.Version == "" || p.LastEventID == "" {
 		return false // saved by an earlier release, or events without IDs: no upstream can go on with it
 	}
-	r.text.WriteString(p.Text)
+	r.text.Append(p.Text)
 	r.events, r.lastID, r.version, r.ranFor = p.Events, p.LastEventID, p.Version, p.Ran
 	return false
 }
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -31,6 +31,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"mothcart/core/budget"
 	"mothcart/core/poison"
 	"mothcart/core/site"
 	"mothcart/core/slot"
@@ -125,6 +126,8 @@
 	mu       sync.Mutex
 	jobs     map[string]*job
 	reserved map[string]reservation
+	// texts sums up the progress of the jobs' runs.
+	texts budget.Texts
 	// unloaded holds the jobs that need no more runs and that the home has not loaded; loading holds the others that it
 	// has not loaded yet, and loadQueue those of them that no goroutine reads.
 	unloaded  map[string]settledJob
--- a/io/home/jobs.go
+++ b/io/home/jobs.go
@@ -347,6 +347,7 @@
 		return false
 	}
 	if h.jobs[id] == j { // else the watch has delivered the deletion, and maybe a new job
+		j.cancelRuns()
 		delete(h.jobs, id)
 		h.tombstones.Add(h.opts.Now(), id, tombstone.Tombstone{Kind: tombstone.Removed})
 	}
--- a/io/home/result.go
+++ b/io/home/result.go
@@ -1,7 +1,6 @@
 package home
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -61,11 +60,8 @@
 		if r.ended && !j.replaceUnstorable(result) {
 			return
 		}
-		r.ended = true
-		if r.cancel != nil {
-			r.cancel(errCancelled)
-		}
-		r.text, r.item.Body, r.item.Header = bytes.Buffer{}, nil, nil
+		r.end()
+		r.item.Body, r.item.Header = nil, nil
 		key := r.key
 		time.AfterFunc(0, func() { h.pool.Release(key, slot.Abandoned) })
 	}
@@ -281,10 +277,7 @@
 	j.setLog(log)
 	for item, r := range j.runs {
 		if log.Listed(item) {
-			r.ended = true
-			if r.cancel != nil {
-				r.cancel(errCancelled)
-			}
+			r.end()
 			delete(j.runs, item)
 		}
 	}
--- a/io/home/result_test.go
+++ b/io/home/result_test.go
@@ -26,9 +26,7 @@
 	j := &job{changed: make(chan struct{}), runs: map[string]*run{}, dueAt: time.Now().Add(time.Minute)}
 	of := batch.Job{ID: "j1", Host: "h.example", Path: "/lot/1"}
 	for i := range items {
-		item := batch.Item{ID: fmt.Sprint("i", i)}
-		of.Items = append(of.Items, item)
-		j.runs[item.ID] = &run{job: "j1", item: item}
+		of.Items = append(of.Items, batch.Item{ID: fmt.Sprint("i", i)})
 	}
 	j.log = batch.NewLog(of)
 	registry := metrics.NewRegistry()
@@ -36,6 +34,9 @@
 		ctx: ctx, listed: newListedJobs(), jobs: map[string]*job{"j1": j}, loading: map[string]*loading{},
 		opts: Options{Objects: c, Now: now, Log: zerolog.Nop(), Registry: registry, Term: 2, Config: func() site.Config { return site.Config{} }},
 	}
+	for _, item := range of.Items {
+		j.runs[item.ID] = newRun(&h.texts, "j1", item)
+	}
 	h.metrics.results, h.metrics.chunks = metrics.NewCounter(), newChunkMetrics(registry)
 	h.pool = NewSlotPool(slot.NewOptions(), now, nil, nil)
 	t.Cleanup(h.pool.Close)
--- a/io/home/run.go
+++ b/io/home/run.go
@@ -1,7 +1,6 @@
 package home
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -32,7 +31,7 @@
 	startedAt time.Time
 	// text, events and lastID are the progress of the stream that ended attempts made. Only upstreams of its version
 	// can go on with it.
-	text     bytes.Buffer
+	text     *budget.Text
 	events   int
 	lastID   string
 	version  string
@@ -56,6 +55,22 @@
 	resultSent bool
 }
 
+// newRun returns the run of an item of a job, whose text counts in texts.
+func newRun(texts *budget.Texts, job string, item batch.Item) *run {
+	return &run{job: job, item: item, text: texts.NewText()}
+}
+
+// end ends the run: its progress is no longer kept, and the attempt in progress is cancelled. It reports whether there was one.
+// Each run that its job drops has ended, so that what the home keeps in texts is that of its jobs' runs; the mutex is held.
+func (r *run) end() bool {
+	r.ended = true
+	r.text.Drop()
+	if r.cancel != nil {
+		r.cancel(errCancelled)
+	}
+	return r.cancel != nil
+}
+
 // excludingUpstreams is the number of upstreams from which on an item leaves out the one that answered it with an error;
 // with fewer, the others may all be away.
 const excludingUpstreams = 4
@@ -86,7 +101,7 @@
 	if j != nil {
 		for _, item := range j.log.Open() {
 			if j.runs[item.ID] == nil {
-				r := &run{job: id, item: item}
+				r := newRun(&h.texts, id, item)
 				j.runs[item.ID] = r
 				if !h.resume(j, r) {
 					started = append(started, r)
@@ -189,9 +204,7 @@
 func (j *job) cancelRuns() int {
 	running := 0
 	for id, r := range j.runs {
-		r.ended = true
-		if r.cancel != nil {
-			r.cancel(errCancelled)
+		if r.end() {
 			running++
 		}
 		delete(j.runs, id)
@@ -238,33 +251,19 @@
 	if out.Events == 0 || out.Complete { // a complete item is listed and no longer counts
 		return
 	}
-	held, holders := h.progressBytes()
 	tooLong := r.text.Len() > maxItemText
-	if !tooLong && !budget.OverShare(h.opts.TextBytes, held, int64(r.text.Len()), holders) {
+	if !tooLong && !budget.OverShare(h.opts.TextBytes, h.texts.Held(), int64(r.text.Len()), h.texts.Holders()) {
 		return
 	}
 	h.metrics.textsDropped.Inc(1)
-	h.opts.Log.Warn().Str("job", r.job).Str("item", r.item.ID).Int("bytes", r.text.Len()).Int64("heldBytes", held).Int64("limitBytes", h.opts.TextBytes).
+	h.opts.Log.Warn().Str("job", r.job).Str("item", r.item.ID).Int("bytes", r.text.Len()).Int64("heldBytes", h.texts.Held()).Int64("limitBytes", h.opts.TextBytes).
 		Bool("tooLong", tooLong).Msg("itemTextDropped")
 	r.dropProgress()
 }
 
-// progressBytes returns the size of the progress of all unfinished items, in bytes, and how many have any; the mutex is held.
-func (h *Home) progressBytes() (held int64, holders int) {
-	for _, j := range h.jobs {
-		for _, r := range j.runs {
-			if n := r.text.Len(); n > 0 {
-				held += int64(n)
-				holders++
-			}
-		}
-	}
-	return held, holders
-}
-
 // dropProgress makes an item begin again.
 func (r *run) dropProgress() {
-	r.text = bytes.Buffer{}
+	r.text.Drop()
 	r.events, r.lastID, r.version, r.ranFor, r.sentBytes = 0, "", "", 0, 0
 }
 
@@ -276,9 +275,9 @@
 	r.version = r.receivedVersion
 	r.ranFor += took
 	if r.events > 0 {
-		r.text.WriteByte('\n')
+		r.text.Append("\n")
 	}
-	r.text.WriteString(out.Text)
+	r.text.Append(out.Text)
 	r.events += out.Events
 	r.lastID = out.LastEventID
 }
--- a/io/home/run_test.go
+++ b/io/home/run_test.go
@@ -25,7 +25,8 @@
 	}
 	h.metrics.runs, h.metrics.preemptions = metrics.NewCounter(), metrics.NewCounter()
 	h.pool = NewSlotPool(slot.NewOptions(), time.Now, func([]poison.Finding) {}, func([]slot.LimitChange) {})
-	r := &run{job: "j", item: batch.Item{ID: "i"}, key: slot.Key{Owner: batchOwner, ID: 1}}
+	r := newRun(&h.texts, "j", batch.Item{ID: "i"})
+	r.key = slot.Key{Owner: batchOwner, ID: 1}
 	h.preempt(r)
 	h.startRun(r, slot.Grant{Request: slot.Request{Key: r.key, Batch: true}})
 	require.Zero(t, h.metrics.runs.Count())
--- a/io/home/texts_test.go
+++ b/io/home/texts_test.go
@@ -35,7 +35,7 @@
 	for range 10 {
 		for i := 1; i < 50; i++ {
 			h.addProgress(j.runs[fmt.Sprint("i", i)], itemOutcome{Events: 10, LastEventID: "10", Text: strings.Repeat("x", 40<<10)}, time.Second)
-			held, _ := h.progressBytes()
+			held, _ := countTexts(h)
 			require.LessOrEqual(t, held, int64(2*limit))
 		}
 	}
@@ -45,10 +45,10 @@
 // newProgressHome returns a home whose job j1 has a number of items that run.
 func newProgressHome(items int, limit int64) (*Home, *job) {
 	j := &job{runs: map[string]*run{}}
+	h := &Home{jobs: map[string]*job{"j1": j}, opts: Options{TextBytes: limit, Log: zerolog.Nop()}}
 	for i := range items {
-		j.runs[fmt.Sprint("i", i)] = &run{job: "j1", item: batch.Item{ID: fmt.Sprint("i", i)}}
+		j.runs[fmt.Sprint("i", i)] = newRun(&h.texts, "j1", batch.Item{ID: fmt.Sprint("i", i)})
 	}
-	h := &Home{jobs: map[string]*job{"j1": j}, opts: Options{TextBytes: limit, Log: zerolog.Nop()}}
 	h.metrics.textsDropped = metrics.NewCounter()
 	return h, j
 }
