Ports between nodes go on after errors of Accept

What callers saw: after a home node once had too many open files, no node could connect to it any more, and it stayed up; the same for the relay of an entry.

Cause: link.Server and home.Relay took any error of Accept for the close of their listener, and ended their loops.

Both now accept through io/admit, which ends only once its listener is closed; after other errors it pauses, 5 ms to a second, and logs acceptFailed (sampled; inbound.acceptFailures). A close doesn't wait for the pause.

--- a/io/home/account_test.go
+++ b/io/home/account_test.go
@@ -14,6 +14,7 @@
 
 	"mothcart/core/site"
 	"mothcart/core/slot"
+	"mothcart/io/admit"
 	"mothcart/io/object"
 	"mothcart/platform/fake"
 )
@@ -46,7 +47,7 @@
 	l, err := network.Listen(t.Context(), "10.2.0.1:7660")
 	require.NoError(t, err)
 	views := NewViews(func() map[string]object.Change { return nil }, zerolog.Nop())
-	server := NewServer(l, func() SiteState { return SiteState{} }, views, zerolog.Nop())
+	server := NewServer(l, admit.Options{Log: zerolog.Nop()}, func() SiteState { return SiteState{} }, views)
 	if earlier {
 		cfg = func() site.Config { return site.Config{} }
 	}
--- a/io/home/reconnect_test.go
+++ b/io/home/reconnect_test.go
@@ -16,6 +16,7 @@
 
 	"mothcart/core/site"
 	"mothcart/core/slot"
+	"mothcart/io/admit"
 	"mothcart/io/object"
 	"mothcart/platform/fake"
 )
@@ -82,7 +83,7 @@
 	l, err := s.network.Listen(context.Background(), ip+":7660")
 	require.NoError(s.t, err)
 	views := NewViews(func() map[string]object.Change { return nil }, zerolog.Nop())
-	server := NewServer(l, func() SiteState { return SiteState{} }, views, zerolog.Nop())
+	server := NewServer(l, admit.Options{Log: zerolog.Nop()}, func() SiteState { return SiteState{} }, views)
 	h := New(Options{
 		VMID: fmt.Sprintf("s%d", term), Address: ip + ":7660", Term: term, SlotsOnly: true,
 		Valid: func(time.Time) bool { return true }, Views: views,
--- a/io/home/relay.go
+++ b/io/home/relay.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"mothcart/io/admit"
 )
 
 // relayBuffer is the size of the buffer of each direction of a relayed connection, in bytes.
@@ -14,7 +16,7 @@
 // own client reaches the home directly, so that relays never form a chain.
 type Relay struct {
 	client   *Client
-	listener net.Listener
+	listener *admit.Listener
 	done     sync.WaitGroup
 
 	mu    sync.Mutex
@@ -22,8 +24,8 @@
 }
 
 // NewRelay returns a relay that serves connections of the listener; Close closes the listener.
-func NewRelay(l net.Listener, c *Client) *Relay {
-	r := &Relay{client: c, listener: l, conns: make(map[net.Conn]struct{})}
+func NewRelay(l net.Listener, opts admit.Options, c *Client) *Relay {
+	r := &Relay{client: c, listener: admit.NewListener(l, opts), conns: make(map[net.Conn]struct{})}
 	r.done.Go(r.accept)
 	return r
 }
--- a/io/home/server.go
+++ b/io/home/server.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"mothcart/core/poison"
+	"mothcart/io/admit"
 	"mothcart/io/link"
 	"mothcart/io/object"
 )
@@ -26,9 +27,9 @@
 }
 
 // NewServer returns a server without a home; Close closes the listener.
-func NewServer(l net.Listener, siteState func() SiteState, views *Views, log zerolog.Logger) *Server {
-	s := &Server{siteState: siteState, views: views, log: log, sessions: make(map[*link.Conn]*session)}
-	s.server = link.NewServer(l, link.Options{Handle: s.handle, Closed: s.closed})
+func NewServer(l net.Listener, opts admit.Options, siteState func() SiteState, views *Views) *Server {
+	s := &Server{siteState: siteState, views: views, log: opts.Log, sessions: make(map[*link.Conn]*session)}
+	s.server = link.NewServer(l, link.Options{Handle: s.handle, Closed: s.closed, Admit: opts})
 	return s
 }
 
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -27,6 +27,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"mothcart/io/admit"
 	"mothcart/io/msgframe"
 )
 
@@ -109,6 +110,8 @@
 	Handle func(c *Conn, in Incoming)
 	// Closed is called once when a connection has ended; nil is allowed.
 	Closed func(c *Conn, err error)
+	// Admit are the options of a server's listener.
+	Admit admit.Options
 }
 
 // Conn is one connection. Its methods are safe for concurrent use.
--- a/io/link/server.go
+++ b/io/link/server.go
@@ -3,11 +3,13 @@
 import (
 	"net"
 	"sync"
+
+	"mothcart/io/admit"
 )
 
 // Server accepts connections of other processes.
 type Server struct {
-	listener net.Listener
+	listener *admit.Listener
 	opts     Options
 	done     sync.WaitGroup
 
@@ -17,7 +19,7 @@
 
 // NewServer returns a server that accepts connections of the listener; Close closes the listener.
 func NewServer(l net.Listener, opts Options) *Server {
-	s := &Server{listener: l, opts: opts, conns: make(map[*Conn]struct{})}
+	s := &Server{listener: admit.NewListener(l, opts.Admit), opts: opts, conns: make(map[*Conn]struct{})}
 	s.done.Go(s.accept)
 	return s
 }
