Ports between nodes take a bounded number of connections

What could happen: whoever can reach the port of a home node, or the relay of an entry, could open connections until the process had no descriptors or memory left.

Cause: no listener between nodes counted its connections.

When a port is full, the address with most connections without proof loses its oldest one; connections of nodes are never closed, and a new one is refused if there are only these.

--- a/io/admit/admit.go
+++ b/io/admit/admit.go
@@ -1,8 +1,9 @@
-// Package admit accepts the connections of other nodes, and bounds what those that have not proved to be nodes hold.
+// Package admit accepts the connections of other nodes, and bounds their number and what those that have not proved to be
+// nodes hold.
 //
 // Usage:
 //
-//	l := admit.NewListener(listener, admit.Options{Name: "nodes", Bytes: 8 << 20, Log: log, Registry: registry})
+//	l := admit.NewListener(listener, admit.Options{Name: "nodes", Connections: 400, Bytes: 8 << 20, Log: log, Registry: registry})
 //	c, err := l.Accept()
 //	err = c.Hold(n) // n bytes of a frame are in progress
 //	c.Prove()       // a node is at the other side
@@ -34,9 +35,11 @@
 type Options struct {
 	// Name is that of the listener in logs and metrics.
 	Name string
-	// Bytes is the most that connections without proof hold together; 0 sets no limit.
-	Bytes int64
-	Log   zerolog.Logger
+	// Connections is the most that are open at a time, and Bytes the most that those without proof hold together; 0 sets no
+	// limit.
+	Connections int
+	Bytes       int64
+	Log         zerolog.Logger
 	// Registry is nil if nobody reads the metrics.
 	Registry metrics.Registry
 }
@@ -45,8 +48,9 @@
 type Listener struct {
 	below net.Listener
 	opts  Options
-	// failures counts the errors of the listener below, sheds the connections that ended in favour of others.
-	failures, sheds metrics.Counter
+	// failures counts the errors of the listener below, sheds the connections that ended in favour of others, and refused
+	// those that weren't taken.
+	failures, sheds, refused metrics.Counter
 	// log is sampled: callers that misbehave don't fill it.
 	log    zerolog.Logger
 	closed chan struct{}
@@ -64,20 +68,33 @@
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("inbound."+name, opts.Registry) }
 	in := &Listener{
 		below: l, opts: opts, closed: make(chan struct{}), room: newRoom(),
-		failures: counter("acceptFailures"), sheds: counter("shed"),
+		failures: counter("acceptFailures"), sheds: counter("shed"), refused: counter("refusedConnections"),
 		log: opts.Log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: time.Second}),
 	}
 	in.registerGauges()
 	return in
 }
 
-// Accept returns the next connection. It fails only if the listener is closed; after other errors, such as too many open files,
-// it tries again.
+// Accept returns the next connection that there is room for. It fails only if the listener is closed; after other errors, such
+// as too many open files, it tries again.
 func (l *Listener) Accept() (*Conn, error) {
+	for {
+		nc, err := l.accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(nc); c != nil {
+			return c, nil
+		}
+		_ = nc.Close() // nothing has been read from it
+	}
+}
+
+func (l *Listener) accept() (net.Conn, error) {
 	for pause := firstPause; ; pause = min(2*pause, lastPause) {
 		nc, err := l.below.Accept()
 		if err == nil {
-			return l.admit(nc), nil
+			return nc, nil
 		}
 		if errors.Is(err, net.ErrClosed) {
 			return nil, merry.Errorf("accept: %w", err)
--- a/io/admit/room.go
+++ b/io/admit/room.go
@@ -117,10 +117,20 @@
 	return address
 }
 
+// admit takes a new connection, in the place of another if there is no room; it returns nil if none can be closed.
 func (l *Listener) admit(nc net.Conn) *Conn {
 	c := &Conn{Conn: nc, listener: l, address: addressOf(nc)}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for l.opts.Connections > 0 && len(l.room.conns) >= l.opts.Connections {
+		worst := l.room.worst(func(h *holding) int64 { return h.conns }, func(*Conn) bool { return true })
+		if worst == nil {
+			l.refused.Inc(1)
+			l.log.Info().Str("listener", l.opts.Name).Str("caller", nc.RemoteAddr().String()).Int("connections", len(l.room.conns)).Msg("connectionRefused")
+			return nil
+		}
+		l.shed(worst, "connections")
+	}
 	l.room.accepted++
 	c.order = l.room.accepted
 	l.room.conns[c] = struct{}{}
--- a/io/home/relay.go
+++ b/io/home/relay.go
@@ -51,7 +51,7 @@
 	}
 }
 
-func (r *Relay) serve(near net.Conn) {
+func (r *Relay) serve(near *admit.Conn) {
 	defer near.Close()
 	if !r.client.Connected() || r.client.isRelayed() {
 		return
@@ -69,6 +69,9 @@
 	r.mu.Lock()
 	r.conns[near], r.conns[far] = struct{}{}, struct{}{}
 	r.mu.Unlock()
+	// A home closes a connection on which no frame comes earlier than that.
+	proof := time.AfterFunc(relayIdleTimeout, near.Prove)
+	defer proof.Stop()
 	var both sync.WaitGroup
 	both.Go(func() { copyConn(far, near) })
 	both.Go(func() { copyConn(near, far) })
--- a/io/home/relay_test.go
+++ b/io/home/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -9,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -76,3 +78,38 @@
 		})
 	}
 }
+
+// Guards against nodes that find no room at a relay, or lose it, since others hold connections.
+func TestRelayLeavesRoomForNodes(t *testing.T) {
+	for _, addresses := range []int{1, 20} {
+		synctest.Test(t, func(t *testing.T) {
+			const most, nodes = 10, 8
+			registry := metrics.NewRegistry()
+			network, stop := startRelay(t, admit.Options{Name: "relay", Connections: most, Registry: registry}, 0)
+			defer stop()
+			count := func(name string) int64 { return metrics.GetOrRegisterCounter("inbound."+name, registry).Count() }
+			var relayed []*link.Conn
+			for range nodes {
+				conn, err := helloAt(t, network, "10.1.0.7")
+				require.NoError(t, err)
+				defer conn.Close()
+				relayed = append(relayed, conn)
+			}
+			time.Sleep(5 * time.Second)
+			for i := range 50 {
+				conn, err := network.Dial(t.Context(), fmt.Sprintf("10.1.1.%d", i%addresses), relayAt)
+				require.NoError(t, err)
+				defer conn.Close()
+				synctest.Wait()
+			}
+			conn, err := helloAt(t, network, "10.1.0.8")
+			require.NoError(t, err)
+			defer conn.Close()
+			require.EqualValues(t, 50-1, count("shed"))
+			require.Zero(t, count("refusedConnections"))
+			for _, conn := range relayed {
+				require.NoError(t, conn.Err())
+			}
+		})
+	}
+}
--- a/io/link/crowd_test.go
+++ b/io/link/crowd_test.go
@@ -231,3 +231,43 @@
 	require.NoError(t, err)
 	return b
 }
+
+// Guards against nodes that find no room, or lose it, since others hold connections.
+func TestConnectionsLeaveRoomForNodes(t *testing.T) {
+	const most, nodes, crowdSize = 60, 50, 300
+	test := func(t *testing.T, addresses int, sends []byte) {
+		p := newPort(t, admit.Options{Connections: most})
+		defer p.close()
+		var proved []*Conn
+		join := func(n int, ip byte) {
+			for range n {
+				c, err := p.node(ip, "")
+				require.NoError(t, err)
+				proved = append(proved, c)
+			}
+		}
+		join(nodes, 200)
+		for i := range crowdSize {
+			p.send(byte(i%addresses), sends)
+			synctest.Wait()
+			n := 0
+			p.server.Each(func(*Conn) { n++ })
+			require.LessOrEqual(t, n, most)
+		}
+		join(most-nodes, 201)
+		require.EqualValues(t, crowdSize, p.count("shed"))
+		_, err := p.node(1, "")
+		require.ErrorIs(t, err, ErrClosed)
+		require.EqualValues(t, 1, p.count("refusedConnections"))
+		for _, c := range proved {
+			require.NoError(t, c.Err())
+		}
+	}
+	for _, sends := range [][]byte{nil, {0, 0}, encoded(t, kindHeartbeat, "", nil)} {
+		for _, addresses := range []int{1, 100} {
+			t.Run(fmt.Sprintf("%d bytes from %d addresses", len(sends), addresses), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { test(t, addresses, sends) })
+			})
+		}
+	}
+}
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -90,7 +90,7 @@
 		e.Close()
 		return nil, err
 	}
-	e.relay = home.NewRelay(l, opts.admit("relay"), b.client)
+	e.relay = home.NewRelay(l, opts.admit("relay", maxConnections(opts.Settings, relayShare)), b.client)
 	if b.metrics, err = serveMetrics(ctx, opts); err != nil {
 		e.Close()
 		return nil, err
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -38,7 +38,7 @@
 	n := &HomeNode{base: b}
 	b.isHome = n.IsHome
 	n.views = home.NewViews(b.snapshots, opts.Log)
-	n.server = home.NewServer(l, opts.admit("nodes"), b.siteState, n.views)
+	n.server = home.NewServer(l, opts.admit("nodes", maxLinks(opts.Settings)), b.siteState, n.views)
 	if b.metrics, err = serveMetrics(ctx, opts); err != nil {
 		n.server.Close()
 		b.close()
