Connections closed in favour of others count until they have ended

What was seen: an entry with 1,000 descriptors and 1,200 clients that send nothing at its port between nodes (the crowd test TestCrowdOfSilentConnectionsAtNodePort, a trial on a scratch copy) had 893 descriptors where 800 are allowed.

Cause: a relayed connection that is shed had a dial to the home in progress, and newcomers were taken as fast as others were shed.

Evidence: TestConnectionsOnTheirWayToTheirEndAreFew fails without the change (100 accepted where 25 are allowed) and passes.

The dial of a relay ends with its connection, and a listener takes no newcomer while a quarter as many as it takes are on their way to their end: newcomers wait in the system's queue, where they have no descriptor.

--- a/io/admit/admit.go
+++ b/io/admit/admit.go
@@ -27,6 +27,8 @@
 	// firstPause and lastPause bound the time between attempts to accept a connection while these fail.
 	firstPause = 5 * time.Millisecond
 	lastPause  = time.Second
+	// endingShare is the share of connections, beyond those that a listener takes, that may be on their way to their end.
+	endingShare = 0.25
 	// logBurst bounds the log lines in a second.
 	logBurst = 10
 )
@@ -58,6 +60,10 @@
 
 	mu   sync.Mutex
 	room room
+	// ending is the number of connections that were closed in favour of others and that their owners have not closed yet.
+	ending int
+	// ended is notified when ending falls, and when the listener is closed.
+	ended *sync.Cond
 }
 
 // NewListener returns a listener for connections of other nodes.
@@ -71,6 +77,7 @@
 		failures: counter("acceptFailures"), sheds: counter("shed"), refused: counter("refusedConnections"),
 		log: opts.Log.Sample(&zerolog.BurstSampler{Burst: logBurst, Period: time.Second}),
 	}
+	in.ended = sync.NewCond(&in.mu)
 	in.registerGauges()
 	return in
 }
@@ -79,6 +86,7 @@
 // as too many open files, it tries again.
 func (l *Listener) Accept() (*Conn, error) {
 	for {
+		l.awaitEnds()
 		nc, err := l.accept()
 		if err != nil {
 			return nil, err
@@ -90,6 +98,24 @@
 	}
 }
 
+// awaitEnds waits while many connections are ending, which still have descriptors; newcomers wait in the system's queue.
+func (l *Listener) awaitEnds() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.opts.Connections > 0 && l.ending >= max(1, int(endingShare*float64(l.opts.Connections))) && !l.isClosed() {
+		l.ended.Wait()
+	}
+}
+
+func (l *Listener) isClosed() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 func (l *Listener) accept() (net.Conn, error) {
 	for pause := firstPause; ; pause = min(2*pause, lastPause) {
 		nc, err := l.below.Accept()
@@ -111,6 +137,11 @@
 
 // Close closes the listener. Connections remain open.
 func (l *Listener) Close() error {
-	l.once.Do(func() { close(l.closed) })
+	l.once.Do(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		close(l.closed)
+		l.ended.Broadcast()
+	})
 	return l.below.Close()
 }
--- a/io/admit/room.go
+++ b/io/admit/room.go
@@ -13,12 +13,16 @@
 	listener *Listener
 	// address is that of the other side without its port.
 	address string
+	// done is closed when the connection is closed, by its owner or in favour of others.
+	done chan struct{}
 
 	// The listener's mutex guards these. order is that of acceptance, and bytes what the connection holds.
 	order       uint64
 	bytes       int64
 	proved      bool
 	ended, shed bool
+	// ending reports that the owner has not closed the connection since it was shed.
+	ending bool
 }
 
 // Opened returns a connection that this process has opened.
@@ -40,6 +44,9 @@
 	}
 }
 
+// Done returns a channel that is closed when an accepted connection has been closed, by its owner or in favour of others.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	if c.listener != nil {
@@ -86,6 +93,7 @@
 		return
 	}
 	c.ended = true
+	close(c.done)
 	delete(r.conns, c)
 	if !c.proved {
 		r.add(c, -1, -c.bytes)
@@ -119,7 +127,7 @@
 
 // admit takes a new connection, in the place of another if there is no room; it returns nil if none can be closed.
 func (l *Listener) admit(nc net.Conn) *Conn {
-	c := &Conn{Conn: nc, listener: l, address: addressOf(nc)}
+	c := &Conn{Conn: nc, listener: l, address: addressOf(nc), done: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for l.opts.Connections > 0 && len(l.room.conns) >= l.opts.Connections {
@@ -168,7 +176,8 @@
 // shed closes a connection; the mutex is held.
 func (l *Listener) shed(c *Conn, reason string) {
 	l.room.remove(c)
-	c.shed = true
+	c.shed, c.ending = true, true
+	l.ending++
 	l.sheds.Inc(1)
 	l.log.Info().Str("listener", l.opts.Name).Str("caller", c.RemoteAddr().String()).Str("reason", reason).
 		Int("connections", len(l.room.conns)).Int64("bytes", l.room.bytes).Msg("connectionShed")
@@ -179,6 +188,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.room.remove(c)
+	if c.ending {
+		c.ending = false
+		l.ending--
+		l.ended.Signal()
+	}
 }
 
 func (l *Listener) registerGauges() {
--- a/io/home/relay.go
+++ b/io/home/relay.go
@@ -59,6 +59,13 @@
 	home := r.client.Home()
 	ctx, cancel := context.WithTimeout(context.Background(), helloTimeout)
 	defer cancel()
+	go func() {
+		select {
+		case <-near.Done():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	far, err := r.client.opts.Connect(ctx, "tcp", home.Address)
 	if err != nil {
 		r.client.opts.Log.Warn().Str("home", home.VM).Err(err).Msg("relayFailed")
