--- a/io/inbound/conn.go
+++ b/io/inbound/conn.go
@@ -51,8 +51,8 @@
 	deadline time.Time
 	// wakes reports that a read for a head is in progress, which Listener may end; woken that it has done so.
 	wakes, woken bool
-	// reading reports that a read is in progress.
-	reading bool
+	// reading reports that a read is in progress, forBody that the last one outside a head was for a body.
+	reading, forBody bool
 	// last reports that a read looks for a last time for bytes that have arrived.
 	last bool
 	// ended reports that the sending side is closed: the caller may expect no answer to what comes now.
@@ -72,7 +72,7 @@
 	address string
 	// heads is what the head costs in bytes of memory; the listener's mutex guards it.
 	heads int64
-	// since is when the connection was accepted or became idle, in nanoseconds of the Unix epoch.
+	// since is when the connection was accepted, became idle or had a head begun, in nanoseconds of the Unix epoch.
 	since atomic.Int64
 	// inProgress reports that a request is complete and has no answer yet, isShed that the connection is to end for others.
 	inProgress, isShed atomic.Bool
@@ -180,7 +180,9 @@
 		return false, hasEnded
 	}
 	if c.phase == serving || c.listener.opts.Opaque {
-		if c.isShed.Load() && !c.inProgress.Load() {
+		// A read of one byte watches for the caller's end: the request is complete.
+		c.forBody = room > 1
+		if c.forBody && c.isShed.Load() && !c.inProgress.Load() {
 			return false, endBody
 		}
 		c.reading = true
@@ -209,6 +211,7 @@
 func (c *Conn) setPart(part bool) {
 	if part && !c.part {
 		c.headBegan = time.Now()
+		c.since.Store(c.headBegan.UnixNano())
 	}
 	c.part = part
 }
@@ -285,7 +288,7 @@
 func (c *Conn) wake() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	body := (c.phase == serving || c.listener.opts.Opaque) && c.reading && c.isShed.Load() && !c.inProgress.Load()
+	body := (c.phase == serving || c.listener.opts.Opaque) && c.reading && c.forBody && c.isShed.Load() && !c.inProgress.Load()
 	if c.wakes && !c.last && c.isOver() || body {
 		c.woken = true
 		c.setReadDeadline(past)
@@ -313,6 +316,7 @@
 
 // refuse answers a request that has been read in part. No handler has seen it and nothing else writes.
 func (c *Conn) refuse(status int) {
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTime)) // fails only if the connection has ended
 	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
 	c.listener.refusedParts.Inc(1)
 	c.listener.log.Info().Str("caller", c.RemoteAddr().String()).Int("status", status).AnErr("error", err).Msg("partRefused")
@@ -362,7 +366,7 @@
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	unanswered := c.part && !c.gone && !c.closed
-	first, lingers := !c.closed, !c.gone && !c.reading && (!c.isShed.Load() || c.hasTurn.Load())
+	first, lingers := !c.closed, !c.gone && !c.reading && (!c.isShed.Load() || c.hasTurn.Load() || c.takeTurn())
 	c.closed, c.ended = true, true
 	c.mu.Unlock()
 	if unanswered {
--- a/io/inbound/drain.go
+++ b/io/inbound/drain.go
@@ -73,6 +73,7 @@
 		if c != nil && !l.opts.Opaque {
 			c.setPhase(serving) // net/http doesn't report a request that it had read with the one before
 			c.inProgress.Store(r.ContentLength == 0)
+			l.chargeParsed(c, r)
 		}
 		a := &answer{ResponseWriter: w, listener: l}
 		if r.ContentLength != 0 {
--- a/io/inbound/room.go
+++ b/io/inbound/room.go
@@ -159,7 +159,7 @@
 func (l *Listener) charge(c *Conn, cost int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.isShed.Load() {
+	if _, open := l.conns[c]; !open || c.isShed.Load() {
 		return
 	}
 	c.heads += cost
@@ -173,6 +173,22 @@
 	}
 }
 
+// chargeParsed counts the cost of a head as far as it isn't counted: net/http may have read it with the request before.
+func (l *Listener) chargeParsed(c *Conn, r *http.Request) {
+	cost := int64(byteCost * len(r.RequestURI))
+	for name, values := range r.Header {
+		for _, value := range values {
+			cost += lineCost + byteCost*int64(len(name)+len(value))
+		}
+	}
+	l.mu.Lock()
+	missing := cost - c.heads
+	l.mu.Unlock()
+	if missing > 0 {
+		l.charge(c, missing)
+	}
+}
+
 // release ends the count of a head.
 func (l *Listener) release(c *Conn) {
 	l.mu.Lock()
--- a/io/inbound/room_test.go
+++ b/io/inbound/room_test.go
@@ -72,6 +72,7 @@
 		{"heads that never end", request[:10], Options{Connections: 20}},
 		{"bodies that never come", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n", Options{Connections: 20}},
 		{"heads of many fields", "GET / HTTP/1.1\r\n" + fields, Options{HeadBytes: 1 << 20}},
+		{"heads of many fields behind a request, with bodies that never come", request + "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n" + fields[:3000] + "\r\n", Options{HeadBytes: 1 << 20}},
 		{"heads of many fields, with bodies that never come", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n" + fields + "\r\n", Options{HeadBytes: 1 << 20}},
 	} {
 		for _, addresses := range []int{1, 30} {
@@ -94,7 +95,17 @@
 						}
 					}
 					require.Equal(t, http.StatusOK, status(c.connect(201, request)))
+					require.Equal(t, http.StatusOK, status(c.connect(0, request)), "also from an address of the crowd")
 					require.Positive(t, c.listener.sheds.Count())
+					for _, caller := range c.callers {
+						_ = caller.Close()
+					}
+					time.Sleep(time.Minute)
+					require.Zero(t, c.listener.Open())
+					require.Zero(t, c.listener.room.live)
+					require.Zero(t, c.listener.room.heads)
+					require.Empty(t, c.listener.room.addresses)
+					require.Zero(t, c.listener.turnedAway.Load())
 				})
 			})
 		}
@@ -176,3 +187,25 @@
 		})
 	}
 }
+
+// Guards against a request that is read whole, and cut off since its connection is shed at that moment.
+func TestShedRequestThatIsCompleteIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd(Options{}, func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(time.Second)
+			if r.Context().Err() != nil {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			readAll(w, r)
+		})
+		defer c.close()
+		caller := c.connect(1, request)
+		for _, conn := range c.listener.open() {
+			conn.inProgress.Store(false) // as before the handler is called
+			conn.isShed.Store(true)
+			conn.wake()
+		}
+		require.Equal(t, http.StatusOK, status(caller))
+	})
+}
--- a/io/node/entry.go
+++ b/io/node/entry.go
@@ -81,7 +81,7 @@
 		}
 	}
 	ready := opts.inbound("readiness", readinessShare, nil)
-	if e.readiness, err = servePort(ctx, opts, opts.Settings.ReadyAddress, ready, nil, http.HandlerFunc(e.serveReady)); err != nil {
+	if e.readiness, err = servePort(ctx, opts, opts.Settings.ReadyAddress, ready, b.held, http.HandlerFunc(e.serveReady)); err != nil {
 		e.Close()
 		return nil, err
 	}
@@ -91,7 +91,7 @@
 		return nil, err
 	}
 	e.relay = home.NewRelay(l, opts.admit("relay", maxConnections(opts.Settings, relayShare)), b.client)
-	if b.metrics, err = serveMetrics(ctx, opts); err != nil {
+	if b.metrics, err = serveMetrics(ctx, opts, b.held); err != nil {
 		e.Close()
 		return nil, err
 	}
--- a/io/node/homenode.go
+++ b/io/node/homenode.go
@@ -39,7 +39,7 @@
 	b.isHome = n.IsHome
 	n.views = home.NewViews(b.snapshots, opts.Log)
 	n.server = home.NewServer(l, opts.admit("nodes", maxLinks(opts.Settings)), b.siteState, n.views)
-	if b.metrics, err = serveMetrics(ctx, opts); err != nil {
+	if b.metrics, err = serveMetrics(ctx, opts, b.held); err != nil {
 		n.server.Close()
 		b.close()
 		return nil, err
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -357,11 +357,11 @@
 const metricsPort = 9091
 
 // serveMetrics serves the metrics on the VM's address until the server is closed.
-func serveMetrics(ctx context.Context, opts Options) (*port, error) {
+func serveMetrics(ctx context.Context, opts Options, b *held.Budget) (*port, error) {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", scrape.Handler(opts.Registry))
 	address := net.JoinHostPort(opts.Settings.IP, strconv.Itoa(metricsPort))
-	return servePort(ctx, opts, address, opts.inbound("metrics", metricsShare, nil), nil, mux)
+	return servePort(ctx, opts, address, opts.inbound("metrics", metricsShare, nil), b, mux)
 }
 
 // shortKind returns the name of a kind in metrics; each job has its own kind of results, and all of
--- a/io/node/ports.go
+++ b/io/node/ports.go
@@ -94,10 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if b != nil {
-		l = held.NewListener(l, b)
-	}
-	p := &port{listener: inbound.NewListener(l, in)}
+	p := &port{listener: inbound.NewListener(held.NewListener(l, b), in)}
 	p.Server = serveOn(p.listener, opts, address, h)
 	return p, nil
 }
