Crowd tests check that ports between nodes take connections afterwards, one of them without descriptors left

What callers would see: an entry or home node that once had no descriptor left for a connection between nodes never takes one there again. Cause, by reading: the loops of home.Relay and link.Server end at any error of Accept. Change: each crowd test also reads a heartbeat of the home at both ports between nodes afterwards, with a bounded number of attempts. TestCrowdOfConnectionsBeyondTheDescriptors has the system enforce max_fds on the processes, so that Accept fails.

--- a/crowd/answer_test.go
+++ b/crowd/answer_test.go
@@ -20,6 +20,8 @@
 	attemptPause = 250 * time.Millisecond
 	// attemptTimeout ends an attempt, so that a process that hangs is noticed.
 	attemptTimeout = 6 * time.Second
+	// heartbeatTimeout ends an attempt to read a heartbeat of the home, which sends some a second.
+	heartbeatTimeout = 500 * time.Millisecond
 )
 
 // requireAnswers checks that each process answers: an online request, which an engine runs, a job, which the home accepts, and
@@ -45,6 +47,23 @@
 	}
 }
 
+// requireNodePorts checks that the ports for connections between nodes take new connections: the home sends heartbeats on each, also
+// where an entry relays it.
+func (s *site) requireNodePorts() {
+	for _, address := range []string{s.entryNodes(), s.homeNodes()} {
+		s.eventually("a connection between nodes to "+address, "after", func(string) bool {
+			conn, err := s.dialer().Dial("tcp", address)
+			if err != nil {
+				return false
+			}
+			defer conn.Close()
+			_ = conn.SetReadDeadline(time.Now().Add(heartbeatTimeout)) // fails only if the connection has ended
+			_, err = conn.Read(make([]byte, 1))
+			return err == nil
+		})
+	}
+}
+
 func (s *site) eventually(what, when string, answered func(id string) bool) {
 	for range maxAttempts {
 		s.requests++
@@ -62,7 +81,12 @@
 	require.Fail(s.t, what+" is answered", "%s the crowd, %d attempts", when, maxAttempts)
 }
 
-// call sends a request on a new connection from an address that no crowd uses, and reads the answer to its end.
+// dialer opens connections from an address that no crowd uses.
+func (s *site) dialer() *net.Dialer {
+	return &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(s.ip(8, 1))}, Timeout: attemptTimeout}
+}
+
+// call sends a request on a new connection, and reads the answer to its end.
 func (s *site) call(method, address, path, id string, body []byte) (*http.Response, error) {
 	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
@@ -70,8 +94,7 @@
 	}
 	r.Host = fake.Host
 	r.Header.Set(platform.RequestIDHeader, id)
-	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(s.ip(8, 1))}}
-	client := http.Client{Timeout: attemptTimeout, Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true}}
+	client := http.Client{Timeout: attemptTimeout, Transport: &http.Transport{DialContext: s.dialer().DialContext, DisableKeepAlives: true}}
 	resp, err := client.Do(r)
 	if err != nil {
 		return nil, err
--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -67,6 +67,8 @@
 	at func(s *site) string
 	// send is what a client does on each of its connections.
 	send func(c *client)
+	// enforced reports that the system refuses processes more descriptors than their settings name.
+	enforced bool
 	// refused reports that the clients may get no answer but a refusal.
 	refused bool
 }
@@ -79,9 +81,13 @@
 	s := newSite(t, cr.maxFDs)
 	defer s.close()
 	s.requireAnswers("before")
+	if cr.enforced {
+		s.enforceDescriptors()
+	}
 	defer s.checkBounds()
 	s.watchDescriptors(func() { cr.press(s) })
 	s.requireAnswers("after")
+	s.requireNodePorts()
 }
 
 // press lets all clients do their part, which ends after crowdTime.
@@ -191,6 +197,11 @@
 	crowd{seed: 15, clients: 1200, maxFDs: fewFDs, at: (*site).entryNodes, send: nothing}.run(t)
 }
 
+// Guards against ports for connections between nodes that take no connection any more after the process had no descriptors left.
+func TestCrowdOfConnectionsBeyondTheDescriptors(t *testing.T) {
+	crowd{seed: 21, clients: 1200, maxFDs: fewFDs, enforced: true, at: (*site).entryNodes, send: nothing}.run(t)
+}
+
 // Guards against descriptors for heads that arrive a byte at a time.
 func TestCrowdOfSlowHeads(t *testing.T) {
 	crowd{seed: 16, clients: 1200, maxFDs: fewFDs, at: (*site).callers, send: slowHead}.run(t)
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -86,6 +87,14 @@
 	p.descriptors = descriptors{all: max(p.descriptors.all, now.all), shared: max(p.descriptors.shared, now.shared)}
 }
 
+// enforceDescriptors makes the system refuse the processes more descriptors than their settings name.
+func (s *site) enforceDescriptors() {
+	n := uint64(s.maxFDs)
+	for _, p := range s.processes {
+		require.NoError(s.t, unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: n, Max: n}, nil))
+	}
+}
+
 // watchDescriptors counts the descriptors of all processes while f runs.
 func (s *site) watchDescriptors(f func()) {
 	done := make(chan struct{})
