A node's inventory no longer goes through the items of the home

Cause: each node sends an inventory of its open requests each second, and the home looked for requests of that node in the lists of all that waits, which hold the open items too: nodes times open items a second, under the pool's mutex, with a copy of each request. The same when a connection ends.

Change: a list counts its requests by owner and is passed over if the owner has none. Nodes own no items.

--- a/core/slot/account.go
+++ b/core/slot/account.go
@@ -79,14 +79,17 @@
 	}
 }
 
-// refundWaiting gives back the tokens of the waiting requests for which leaves is true.
-func (p *Pool) refundWaiting(now time.Time, leaves func(k Key) bool) {
+// refundWaiting gives back the tokens of the waiting requests of an owner for which leaves is true.
+func (p *Pool) refundWaiting(now time.Time, owner string, leaves func(id uint64) bool) {
 	if p.accounts.limiter == nil {
 		return
 	}
 	for _, s := range p.services {
+		if !s.online.hasOwner(owner) {
+			continue
+		}
 		for _, g := range s.online.items {
-			if leaves(g.request.Key) {
+			if g.request.Key.Owner == owner && leaves(g.request.Key.ID) {
 				p.refund(now, &g.request)
 			}
 		}
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -190,7 +190,7 @@
 	if !ok {
 		for _, s := range p.services {
 			if s.online.has(k) {
-				p.refundWaiting(now, func(waiting Key) bool { return waiting == k })
+				p.refundWaiting(now, k.Owner, func(id uint64) bool { return id == k.ID })
 			}
 			s.online.remove(k)
 			s.batch.remove(k)
@@ -231,7 +231,7 @@
 	for _, g := range p.byOwner[owner] {
 		p.removeGrant(now, g)
 	}
-	p.refundWaiting(now, func(k Key) bool { return k.Owner == owner })
+	p.refundWaiting(now, owner, func(uint64) bool { return true })
 	p.left(now, owner)
 	for _, s := range p.services {
 		s.online.removeOwner(owner)
@@ -250,9 +250,12 @@
 			p.removeGrant(now, g)
 		}
 	}
-	p.refundWaiting(now, func(k Key) bool { return k.Owner == owner && !open(k.ID) })
+	p.refundWaiting(now, owner, func(id uint64) bool { return !open(id) })
 	for _, s := range p.services {
 		for _, l := range []*waitList{&s.online, &s.batch} {
+			if !l.hasOwner(owner) {
+				continue
+			}
 			closed := l.removeIf(func(r Request) bool { return r.Key.Owner == owner && !open(r.Key.ID) })
 			for _, r := range closed {
 				dropped = append(dropped, r.Key)
--- a/core/slot/wait.go
+++ b/core/slot/wait.go
@@ -10,6 +10,8 @@
 type waitList struct {
 	items []*grant
 	keys  map[Key]struct{}
+	// owners is the number of requests of each owner.
+	owners map[string]int
 	// need returns the number of tokens that a request may hold at an upstream.
 	need func(r *Request) int
 	// bound is the number of requests that are bound to a software version.
@@ -32,8 +34,15 @@
 	l.count(&g.request, 1)
 }
 
-// count adds to the number of bound requests if r is one, and to those of its account.
+// count adds to the number of requests of the owner of r and of its account, and to that of bound ones if it is one.
 func (l *waitList) count(r *Request, n int) {
+	if l.owners == nil {
+		l.owners = make(map[string]int)
+	}
+	l.owners[r.Key.Owner] += n
+	if l.owners[r.Key.Owner] == 0 {
+		delete(l.owners, r.Key.Owner)
+	}
 	if r.Version != "" {
 		l.bound += n
 	}
@@ -49,8 +58,14 @@
 	l.filter(func(r *Request) bool { return r.Key != k })
 }
 
+// hasOwner reports whether a request of an owner waits. Those of nodes are few beside the items of the home, which are not
+// looked at for each message of each node.
+func (l *waitList) hasOwner(owner string) bool { return l.owners[owner] > 0 }
+
 func (l *waitList) removeOwner(owner string) {
-	l.filter(func(r *Request) bool { return r.Key.Owner != owner })
+	if l.hasOwner(owner) {
+		l.filter(func(r *Request) bool { return r.Key.Owner != owner })
+	}
 }
 
 // filter keeps the requests for which keep is true.
--- a/io/home/steps_test.go
+++ b/io/home/steps_test.go
@@ -81,6 +81,7 @@
 		},
 	}
 	h.metrics.runs, h.metrics.preemptions, h.metrics.textsDropped = metrics.NewCounter(), metrics.NewCounter(), metrics.NewCounter()
+	h.metrics.corrected = metrics.NewCounter()
 	h.pool = NewSlotPool(slot.NewOptions(), now, func([]poison.Finding) {}, func([]slot.LimitChange) {})
 	var upstreams []site.Upstream
 	for i := range rigSlots / 4 {
@@ -130,6 +131,9 @@
 		rig.endAttempt(t, false)
 		time.Sleep(retryPause + time.Millisecond) // the item asks for a slot again
 	}},
+	{"inventory", func(_ *testing.T, rig *attemptRig) {
+		rig.home.reconcile(&session{owner: "e1/1/1"}, inventoryNotice{IDs: []uint64{1, 2, 3}})
+	}},
 }
 
 // Guards against events of which each costs the more the more items are open. The script .ci/steps runs this test with numbers of
