The load of a service is kept, not counted at each refusal

Cause: each refused request is logged with the load of its service (slot.Pool.Load), which went through all upstreams and, where the service has a token capacity, through all waiting requests and open items, under the pool's mutex. Items that failed once ask for it at each attempt.

Change: slots, tokens held and tokens that wait are kept as they change; paused upstreams are found among those that are in no bucket of the index.

--- a/core/slot/counts_test.go
+++ b/core/slot/counts_test.go
@@ -69,6 +69,26 @@
 			require.Equal(t, n, l.owners[owner])
 		}
 	}
+	want, got := Load{}, p.Load(now, s.name)
+	for _, u := range s.upstreams {
+		want.Slots += u.Slots
+		if u.paused(now) {
+			want.PausedUpstreams++
+		}
+		want.Room.Held += u.held
+		want.Room.Capacity += u.capacity
+	}
+	for _, l := range []*waitList{&s.online, &s.batch} {
+		for _, g := range l.items {
+			want.Room.Waiting += s.need(&g.request)
+		}
+	}
+	require.Equal(t, want.Slots, got.Slots)
+	require.Equal(t, want.PausedUpstreams, got.PausedUpstreams)
+	if s.tokenCapacity > 0 {
+		want.Room.Reservations = s.reservations
+		require.Equal(t, want.Room, got.Room)
+	}
 }
 
 // Guards against sums that drift from what they are kept for: loads and limits that are not there, and requests of a node that
--- a/core/slot/index.go
+++ b/core/slot/index.go
@@ -155,6 +155,25 @@
 	return n
 }
 
+// paused returns the number of upstreams that are paused; none of them is in a bucket.
+func (x *index) paused(now time.Time) int {
+	n := 0
+	for _, v := range x.versions {
+		n += countPaused(now, v.special)
+	}
+	return n
+}
+
+func countPaused(now time.Time, list []*upstream) int {
+	n := 0
+	for _, u := range list {
+		if u.paused(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // best returns the best upstream with a free slot for the request, or nil. A request that is not bound to a version
 // prefers the one with the most free slots, which leaves those of a scarce one to the requests that are bound to it.
 func (x *index) best(now time.Time, r *Request, opts Options) *upstream {
--- a/core/slot/pool.go
+++ b/core/slot/pool.go
@@ -65,26 +65,32 @@
 	old := p.upstreams
 	p.upstreams = make(map[string]*upstream, len(list))
 	for _, s := range p.services {
-		s.upstreams, s.index, s.slots = nil, index{turn: s.index.turn}, 0
+		s.upstreams, s.draining, s.index, s.slots, s.allSlots = nil, nil, index{turn: s.index.turn}, 0, 0
+	}
+	for _, u := range old {
+		u.listed = false
 	}
 	for _, u := range list {
 		state := old[u.ID]
 		if state == nil || !state.sameRun(u) {
 			state = &upstream{}
 		}
-		state.Upstream = u
+		state.Upstream, state.listed = u, true
 		p.upstreams[u.ID] = state
 		s := p.service(u.Service)
 		s.upstreams = append(s.upstreams, state)
+		s.allSlots += u.Slots
 	}
 	for _, s := range p.services {
 		slices.SortFunc(s.upstreams, func(a, b *upstream) int { return cmp.Compare(a.ID, b.ID) })
 		for _, u := range s.upstreams {
-			if !u.Draining {
-				s.index.insert(now, u, p.opts)
-				s.index.version(u.Version).slots += u.Slots
-				s.slots += u.Slots
+			if u.Draining {
+				s.draining = append(s.draining, u)
+				continue
 			}
+			s.index.insert(now, u, p.opts)
+			s.index.version(u.Version).slots += u.Slots
+			s.slots += u.Slots
 		}
 		s.index.sort()
 		s.countLimited()
@@ -327,19 +333,14 @@
 	Room    RoomLoad
 }
 
-// Load returns the usage of a service's slots.
+// Load returns the usage of a service's slots. It looks at few of the upstreams, since each refusal is logged with it.
 func (p *Pool) Load(now time.Time, name string) Load {
 	s := p.service(name)
 	l := Load{
-		Online: len(s.onlineGrants), Batch: len(s.batchGrants),
+		Slots: s.allSlots, Online: len(s.onlineGrants), Batch: len(s.batchGrants),
 		WaitingOnline: len(s.online.items), WaitingBatch: len(s.batch.items), Upstreams: len(s.upstreams), Reserve: p.reserve(now, s), Limited: s.limited, Room: s.room(),
 	}
-	for _, u := range s.upstreams {
-		l.Slots += u.Slots
-		if u.paused(now) {
-			l.PausedUpstreams++
-		}
-	}
+	l.PausedUpstreams = s.index.paused(now) + countPaused(now, s.draining)
 	return l
 }
 
--- a/core/slot/room.go
+++ b/core/slot/room.go
@@ -89,11 +89,13 @@
 // countRoom sets the capacity of a service's upstreams and counts what is held there.
 func (p *Pool) countRoom(s *service) {
 	s.tokenCapacity = max(p.opts.TokenCapacity(s.name), 0)
-	s.share, s.large = s.tokenCapacity, 0
+	s.share, s.large, s.held, s.allTokens = s.tokenCapacity, 0, 0, len(s.upstreams)*s.tokenCapacity
 	for _, u := range s.upstreams {
 		u.capacity, u.held, u.othersLarge = s.tokenCapacity, 0, p.aloneNodes > 1
 		s.share = min(s.share, u.share())
 	}
+	s.online.countTokens()
+	s.batch.countTokens()
 	for _, list := range [][]*grant{s.onlineGrants, s.batchGrants} {
 		for _, g := range list {
 			s.takeRoom(g)
@@ -105,7 +107,7 @@
 func (s *service) takeRoom(g *grant) {
 	u := g.upstream
 	g.tokens, g.large = u.need(&g.request), s.isLarge(&g.request)
-	u.held += g.tokens
+	s.hold(u, g.tokens)
 	if g.large {
 		s.large++
 	}
@@ -116,12 +118,20 @@
 
 // freeRoom ends what a grant holds.
 func (s *service) freeRoom(g *grant) {
-	g.upstream.held -= g.tokens
+	s.hold(g.upstream, -g.tokens)
 	if g.large {
 		s.large--
 	}
 }
 
+// hold adds to what requests hold at an upstream.
+func (s *service) hold(u *upstream, tokens int) {
+	u.held += tokens
+	if u.listed {
+		s.held += tokens
+	}
+}
+
 // refuseTooLarge returns a refusal, and true, for a request that fits no upstream of its service.
 func (p *Pool) refuseTooLarge(s *service, r *Request) (Refusal, bool) {
 	p.updateCapacity(s)
@@ -340,14 +350,6 @@
 	if s.tokenCapacity == 0 {
 		return l
 	}
-	for _, u := range s.upstreams {
-		l.Held += u.held
-		l.Capacity += u.capacity
-	}
-	for _, list := range []*waitList{&s.online, &s.batch} {
-		for _, g := range list.items {
-			l.Waiting += s.need(&g.request)
-		}
-	}
+	l.Held, l.Capacity, l.Waiting = s.held, s.allTokens, s.online.tokens+s.batch.tokens
 	return l
 }
--- a/core/slot/service.go
+++ b/core/slot/service.go
@@ -7,8 +7,10 @@
 
 // service holds the upstreams, grants and waiting requests of a service.
 type service struct {
-	name      string
-	upstreams []*upstream
+	name string
+	// upstreams are all upstreams, with allSlots slots; draining are those of them that drain.
+	upstreams, draining []*upstream
+	allSlots            int
 	// index holds the upstreams that are not draining; slots is the number of their slots.
 	index  index
 	slots  int
@@ -47,6 +49,8 @@
 	// large counts the grants that hold more, and reserved is the upstream that one that waits will get.
 	tokenCapacity, share, large int
 	reserved                    *reservation
+	// held is the number of tokens that requests hold at all upstreams, and allTokens that of those that they may.
+	held, allTokens int
 	// reservations counts them.
 	reservations int
 	// plannedAt is when the last plan of the batch items was made.
--- a/core/slot/upstream.go
+++ b/core/slot/upstream.go
@@ -11,6 +11,8 @@
 // upstream is the mutable state of one incarnation of an upstream.
 type upstream struct {
 	site.Upstream
+	// listed reports that the upstream is one of its service; others have grants that have not ended.
+	listed bool
 	// used counts the pool's own grants.
 	used int
 	// otherRequests is the number of requests that are not the pool's own, by the upstream's report.
--- a/core/slot/wait.go
+++ b/core/slot/wait.go
@@ -14,6 +14,8 @@
 	owners map[string]int
 	// need returns the number of tokens that a request may hold at an upstream.
 	need func(r *Request) int
+	// tokens is the number that all requests need.
+	tokens int
 	// bound is the number of requests that are bound to a software version.
 	bound int
 	// shares counts the waiting requests of accounts; nil if nobody does.
@@ -34,7 +36,15 @@
 	l.count(&g.request, 1)
 }
 
-// count adds to the number of requests of the owner of r and of its account, and to that of bound ones if it is one.
+// countTokens counts anew what the requests need, since the capacity has changed.
+func (l *waitList) countTokens() {
+	l.tokens = 0
+	for _, g := range l.items {
+		l.tokens += l.need(&g.request)
+	}
+}
+
+// count adds to the number of requests of the owner of r and of its account, to that of bound ones if it is one, and to the tokens.
 func (l *waitList) count(r *Request, n int) {
 	if l.owners == nil {
 		l.owners = make(map[string]int)
@@ -43,6 +53,7 @@
 	if l.owners[r.Key.Owner] == 0 {
 		delete(l.owners, r.Key.Owner)
 	}
+	l.tokens += n * l.need(r)
 	if r.Version != "" {
 		l.bound += n
 	}
--- a/io/home/steps_test.go
+++ b/io/home/steps_test.go
@@ -82,7 +82,8 @@
 	}
 	h.metrics.runs, h.metrics.preemptions, h.metrics.textsDropped = metrics.NewCounter(), metrics.NewCounter(), metrics.NewCounter()
 	h.metrics.corrected = metrics.NewCounter()
-	h.pool = NewSlotPool(slot.NewOptions(), now, func([]poison.Finding) {}, func([]slot.LimitChange) {})
+	options := slot.NewOptions().WithConfig(func(string) (site.Account, bool) { return site.Account{}, false }, func(string) int { return 4000 })
+	h.pool = NewSlotPool(options, now, func([]poison.Finding) {}, func([]slot.LimitChange) {})
 	var upstreams []site.Upstream
 	for i := range rigSlots / 4 {
 		upstreams = append(upstreams, site.Upstream{ID: fmt.Sprint("u", i), Incarnation: 1, Service: "s", Slots: 4, Version: "v1", Address: fmt.Sprintf("10.3.0.%d:80", i)})
@@ -134,6 +135,7 @@
 	{"inventory", func(_ *testing.T, rig *attemptRig) {
 		rig.home.reconcile(&session{owner: "e1/1/1"}, inventoryNotice{IDs: []uint64{1, 2, 3}})
 	}},
+	{"load", func(_ *testing.T, rig *attemptRig) { rig.home.pool.Load("s") }},
 }
 
 // Guards against events of which each costs the more the more items are open. The script .ci/steps runs this test with numbers of
