Deadlines of connections stay on the steady clock

What callers would see: idle and new connections that end early, or late, when the time of day jumps. Cause: the time from which they count was kept as a number of nanoseconds, which loses the reading of the steady clock.

--- a/io/inbound/conn.go
+++ b/io/inbound/conn.go
@@ -60,11 +60,11 @@
 	// gone reports that the caller has closed the connection, or that it has failed.
 	gone   bool
 	closed bool
-	// headBegan is when the head was begun, idleLimit how long the connection may be idle, and headRead the number of bytes
-	// that have been read since.
-	headBegan time.Time
-	idleLimit time.Duration
-	headRead  int
+	// idleBegan is when the connection was accepted or became idle, idleLimit how long it may be idle, headBegan when the head
+	// was begun, and headRead the number of bytes that have been read since.
+	idleBegan, headBegan time.Time
+	idleLimit            time.Duration
+	headRead             int
 	// blank is the number of bytes of empty lines between two requests, which are no part of one.
 	blank int
 
@@ -72,7 +72,8 @@
 	address string
 	// heads is what the head costs in bytes of memory; the listener's mutex guards it.
 	heads int64
-	// since is when the connection was accepted, became idle or had a head begun, in nanoseconds of the Unix epoch.
+	// since is when the connection was accepted, became idle or had a head begun, in nanoseconds of the Unix epoch. It only
+	// orders connections, since the time of day may jump.
 	since atomic.Int64
 	// inProgress reports that a request is complete and has no answer yet, isShed that the connection is to end for others.
 	inProgress, isShed atomic.Bool
@@ -81,8 +82,8 @@
 }
 
 func newConn(nc net.Conn, l *Listener) *Conn {
-	c := &Conn{Conn: nc, listener: l, address: addressOf(nc)}
-	c.since.Store(time.Now().UnixNano())
+	c := &Conn{Conn: nc, listener: l, address: addressOf(nc), idleBegan: time.Now()}
+	c.since.Store(c.idleBegan.UnixNano())
 	return c
 }
 
@@ -90,16 +91,17 @@
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
 func (c *Conn) setPhase(p phase) {
+	now := time.Now()
 	if p == idle {
 		c.inProgress.Store(false)
-		c.since.Store(time.Now().UnixNano())
+		c.since.Store(now.UnixNano())
 		c.listener.release(c)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.headRead, c.blank = p, 0, 0
 	if p == idle {
-		c.part = false
+		c.part, c.idleBegan = false, now
 		c.idleLimit = c.listener.limits().IdleTime
 	}
 }
@@ -219,11 +221,13 @@
 // headDeadline is that of net/http, or an earlier one of the limits; the mutex is held.
 func (c *Conn) headDeadline(limits Limits) time.Time {
 	deadline := c.headBegan.Add(limits.HeadTime)
-	if since := time.Unix(0, c.since.Load()); !c.part && c.phase == fresh {
-		deadline = since.Add(max(limits.HeadTime, freshTime))
-	} else if !c.part {
+	switch {
+	case c.part:
+	case c.phase == fresh:
+		deadline = c.idleBegan.Add(max(limits.HeadTime, freshTime))
+	default:
 		// Callers may still rely on the longer time that was in force.
-		deadline = since.Add(max(limits.IdleTime, c.idleLimit))
+		deadline = c.idleBegan.Add(max(limits.IdleTime, c.idleLimit))
 	}
 	if !c.deadline.IsZero() && c.deadline.Before(deadline) {
 		return c.deadline
--- a/io/inbound/room_test.go
+++ b/io/inbound/room_test.go
@@ -50,6 +50,31 @@
 	time.Sleep(time.Minute)
 }
 
+// requireBounds checks what the listener holds.
+func (c *crowd) requireBounds(t *testing.T) {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if most := c.listener.opts.Connections; most > 0 {
+		require.LessOrEqual(t, c.listener.room.live, most)
+	}
+	if most := c.listener.opts.HeadBytes; most > 0 {
+		require.LessOrEqual(t, c.listener.room.heads, most)
+	}
+}
+
+// requireNothingHeld ends all callers and checks that no count is left.
+func (c *crowd) requireNothingHeld(t *testing.T) {
+	for _, caller := range c.callers {
+		_ = caller.Close()
+	}
+	time.Sleep(time.Minute)
+	require.Zero(t, c.listener.Open())
+	require.Zero(t, c.listener.room.live)
+	require.Zero(t, c.listener.room.heads)
+	require.Empty(t, c.listener.room.addresses)
+	require.Zero(t, c.listener.turnedAway.Load())
+}
+
 // connect opens a connection from an address and sends bytes on it.
 func (c *crowd) connect(ip byte, sends string) *tcpConn {
 	caller, near := tcpPipe()
@@ -84,28 +109,12 @@
 					require.Equal(t, http.StatusOK, status(busy))
 					for i := range 100 {
 						c.connect(byte(i%addresses), tc.crowd)
-						c.listener.mu.Lock()
-						live, heads := c.listener.room.live, c.listener.room.heads
-						c.listener.mu.Unlock()
-						if tc.opts.Connections > 0 {
-							require.LessOrEqual(t, live, tc.opts.Connections)
-						}
-						if tc.opts.HeadBytes > 0 {
-							require.LessOrEqual(t, heads, tc.opts.HeadBytes)
-						}
+						c.requireBounds(t)
 					}
 					require.Equal(t, http.StatusOK, status(c.connect(201, request)))
 					require.Equal(t, http.StatusOK, status(c.connect(0, request)), "also from an address of the crowd")
 					require.Positive(t, c.listener.sheds.Count())
-					for _, caller := range c.callers {
-						_ = caller.Close()
-					}
-					time.Sleep(time.Minute)
-					require.Zero(t, c.listener.Open())
-					require.Zero(t, c.listener.room.live)
-					require.Zero(t, c.listener.room.heads)
-					require.Empty(t, c.listener.room.addresses)
-					require.Zero(t, c.listener.turnedAway.Load())
+					c.requireNothingHeld(t)
 				})
 			})
 		}
@@ -209,3 +218,24 @@
 		require.Equal(t, http.StatusOK, status(caller))
 	})
 }
+
+// Guards against connections that end early, or never, when the time of day jumps: deadlines count on the steady clock, which
+// times have only while they aren't converted.
+func TestDeadlinesAreOnTheSteadyClock(t *testing.T) {
+	l := NewListener(&chanListener{}, Options{Log: zerolog.Nop(), Registry: metrics.NewRegistry()})
+	for _, tc := range []struct {
+		name string
+		set  func(c *Conn)
+	}{
+		{"new", func(*Conn) {}},
+		{"idle", func(c *Conn) { c.setPhase(idle) }},
+		{"head", func(c *Conn) { c.setPart(true) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			near, _ := tcpPipe()
+			c := newConn(near, l)
+			tc.set(c)
+			require.Contains(t, c.headDeadline(DefaultLimits()).String(), " m=", "has a reading of the steady clock")
+		})
+	}
+}
