The number of upstreams that name a rate is kept, not counted at each answer

Each answer that names a rate counted the limited upstreams of its service, and each change of a rate listed those of all services for a gauge. Both are kept now.

--- a/core/slot/bench_test.go
+++ b/core/slot/bench_test.go
@@ -127,3 +127,21 @@
 		})
 	}
 }
+
+// BenchmarkLimits is BenchmarkUpstreams for a service whose upstreams name the rate that they take in each answer.
+func BenchmarkLimits(b *testing.B) {
+	for _, n := range []int{30, 300, 3100} {
+		b.Run(strconv.Itoa(n)+" upstreams", func(b *testing.B) {
+			p := newPool(n, 7)
+			now, id := start, uint64(0)
+			for b.Loop() {
+				id++
+				now = now.Add(20 * time.Microsecond)
+				r := online(id)
+				p.Ask(now, r)
+				p.Limit(now, r.Key, 1000, id%2 == 0)
+				p.Release(now, r.Key, Served)
+			}
+		})
+	}
+}
--- a/core/slot/counts_test.go
+++ b/core/slot/counts_test.go
@@ -71,6 +71,9 @@
 	}
 	want, got := Load{}, p.Load(now, s.name)
 	for _, u := range s.upstreams {
+		if u.limit.Active() {
+			want.Limited++
+		}
 		want.Slots += u.Slots
 		if u.paused(now) {
 			want.PausedUpstreams++
@@ -84,6 +87,8 @@
 		}
 	}
 	require.Equal(t, want.Slots, got.Slots)
+	require.Equal(t, want.Limited, got.Limited)
+	require.Len(t, p.ExportLimits(now), p.LimitedUpstreams())
 	require.Equal(t, want.PausedUpstreams, got.PausedUpstreams)
 	if s.tokenCapacity > 0 {
 		want.Room.Reservations = s.reservations
--- a/core/slot/limit.go
+++ b/core/slot/limit.go
@@ -38,7 +38,7 @@
 }
 
 func (p *Pool) changeLimit(now time.Time, u *upstream, change func(l throttle.Limit) throttle.Limit) Outcome {
-	before := u.limit.Rate()
+	before, wasActive := u.limit.Rate(), u.limit.Active()
 	p.update(now, u, func() {
 		u.limit = change(u.limit)
 		if before == 0 && p.aloneNodes > 0 && u.limit.Active() {
@@ -46,7 +46,9 @@
 		}
 	})
 	s := p.service(u.Service)
-	s.countLimited()
+	if p.upstreams[u.ID] == u {
+		s.noteLimited(wasActive, u.limit.Active())
+	}
 	var out Outcome
 	if after := u.limit.Rate(); after != before {
 		out.Limits = []LimitChange{{Upstream: u.Upstream, Before: before, After: after}}
@@ -90,6 +92,15 @@
 	return u != nil && u.limit.Active()
 }
 
+// LimitedUpstreams returns the number of upstreams that name a rate.
+func (p *Pool) LimitedUpstreams() int {
+	n := 0
+	for _, s := range p.services {
+		n += s.limited
+	}
+	return n
+}
+
 // ExportLimits returns the limits of all upstreams.
 func (p *Pool) ExportLimits(now time.Time) []LimitRecord {
 	var out []LimitRecord
@@ -123,6 +134,16 @@
 	}
 }
 
+// noteLimited updates the number of upstreams that name a rate after one of them has changed.
+func (s *service) noteLimited(was, is bool) {
+	switch {
+	case is && !was:
+		s.limited++
+	case was && !is:
+		s.limited--
+	}
+}
+
 // countLimited counts the upstreams that name a rate.
 func (s *service) countLimited() {
 	s.limited = 0
--- a/io/home/home.go
+++ b/io/home/home.go
@@ -252,7 +252,7 @@
 // limitsChanged records changes of the rates that upstreams name.
 func (h *Home) limitsChanged(changes []slot.LimitChange) {
 	logLimits(h.opts.Log, "home", changes)
-	h.metrics.limitedUpstreams.Update(int64(len(h.pool.ExportLimits())))
+	h.metrics.limitedUpstreams.Update(int64(h.pool.limitedUpstreams()))
 }
 
 // foundSuspects tells all nodes of parts of prompts and of requests that were quarantined or cleared.
--- a/io/home/slotpool.go
+++ b/io/home/slotpool.go
@@ -140,6 +140,13 @@
 	p.change(func(now time.Time) slot.Outcome { return p.pool.ImportLimits(now, records, complete) })
 }
 
+// limitedUpstreams returns the number of upstreams that name a rate.
+func (p *SlotPool) limitedUpstreams() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pool.LimitedUpstreams()
+}
+
 // ExportLimits returns the rates that upstreams name.
 func (p *SlotPool) ExportLimits() []slot.LimitRecord {
 	p.mu.Lock()
