A request that the last look of a drain finds doesn't hang the process

The read that watches for the caller's end, which net/http ends by a deadline in the past, was taken for that look and repeated for ever.

Evidence: the log of an entry that hangs ends 2.5 s after drainStarted. TestRequestOfTheLastLookIsServed never ended without the change.

--- a/io/inbound/conn.go
+++ b/io/inbound/conn.go
@@ -187,7 +187,7 @@
 		if c.forBody && c.isShed.Load() && !c.inProgress.Load() {
 			return false, endBody
 		}
-		c.reading = true
+		c.reading, c.last = true, false
 		return false, returnRead
 	}
 	if head = room > 1 || c.headRead > 0; head {
--- a/io/inbound/inbound_test.go
+++ b/io/inbound/inbound_test.go
@@ -204,3 +204,27 @@
 		}
 	}
 }
+
+// Guards against a process that hangs after the last look of a drain has found a request: net/http ends the read that watches
+// for the caller's end by a deadline in the past.
+func TestRequestOfTheLastLookIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTCPSite(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(time.Second)
+			readAll(w, r)
+		})
+		defer s.close()
+		_, _ = io.WriteString(s.caller, request)
+		_, err := s.answer()
+		require.NoError(t, err)
+		drained := make(chan error, 1)
+		go func() { drained <- s.listener.Drain(context.Background()) }()
+		time.Sleep(lastLook / 2)
+		_, _ = io.WriteString(s.caller, request)
+		r, err := s.answer()
+		require.NoError(t, err)
+		require.True(t, r.Close)
+		_ = s.caller.Close()
+		require.NoError(t, <-drained)
+	})
+}
