--- a/review/stands/main.go
+++ b/review/stands/main.go
@@ -14,7 +14,8 @@
 
 // cases are the cases by name. Each reports whether the rule was kept.
 var cases = map[string]func(program string, rec *record, trouble bool) (kept bool, err error){
-	"memory": playMemory,
+	"memory":   playMemory,
+	"takeover": playTakeover,
 }
 
 func main() {
--- a/review/stands/memory.go
+++ b/review/stands/memory.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -17,8 +18,8 @@
 )
 
 const (
-	// lots is the number of batch jobs that come at once, and usualLots the number that usually comes in that time.
-	lots, usualLots = 104, 17
+	// lots is the number of batch jobs that come at once, and fewLots the number that usually comes in that time.
+	lots, fewLots = 104, 17
 	// itemsOfLot is the number of items of a batch job, lotBody the size of the body of each in bytes, and itemTokens its size
 	// in tokens.
 	itemsOfLot, lotBody, itemTokens = 7, 415_000, 940
@@ -26,6 +27,8 @@
 	lotCap = 8_500_000
 	// lotTime is the time in which they are sent, and lotWatch how long the processes are watched.
 	lotTime, lotWatch = 3 * time.Second, 45 * time.Second
+	// readTime bounds the time in which results are read at the end.
+	readTime = 3 * time.Second
 	// lotEngines and lotSlots are the number of servers and their slots, lotEvents the events of an item, one each lotPace.
 	lotEngines, lotSlots, lotEvents, lotPace = 30, 7, 129, 24 * time.Millisecond
 )
@@ -87,7 +90,7 @@
 }
 
 // lotOf returns the body that submits a batch job.
-func lotOf(id string, items int) ([]byte, error) {
+func lotOf(id string, items, size int) ([]byte, error) {
 	type item struct {
 		ID      string            `json:"id"`
 		Path    string            `json:"path"`
@@ -99,7 +102,7 @@
 	for i := range items {
 		list = append(list, item{
 			ID: fmt.Sprintf("%s.%d", id, i), Path: "/lot/stream/1", Headers: map[string]string{"Mothcart-Model": "m", "Mothcart-Token-Usage": "540,400"},
-			Body: bytes.Repeat([]byte{byte(i), byte(7 * i)}, lotBody/2), Tokens: itemTokens,
+			Body: bytes.Repeat([]byte{byte(i), byte(7 * i)}, size/2), Tokens: itemTokens,
 		})
 	}
 	return json.Marshal(map[string]any{"items": list})
@@ -124,9 +127,9 @@
 }
 
 // submit sends a batch job until it is accepted, as clients do.
-func (d *deployment) submit(n, items int) bool {
+func (d *deployment) submit(n, items, size int) bool {
 	id := fmt.Sprintf("lot%d", n)
-	body, err := lotOf(id, items)
+	body, err := lotOf(id, items, size)
 	if err != nil {
 		return false
 	}
@@ -148,22 +151,16 @@
 		return false, err
 	}
 	defer d.close()
-	d.objects.Configure(1, []fake.Route{{
-		Name: "lot", Kind: fake.Batch, Service: "scribe", Attempts: 3, Timeout: 15 * time.Second, Objective: 600 * time.Millisecond, TokenCap: lotCap,
-	}})
-	var engines []*fake.Engine
-	for n := 1; n <= lotEngines; n++ {
-		e := fake.NewEngine(d.network, fake.EngineOptions{
-			ID: fmt.Sprintf("i-%d", n), Service: "scribe", Address: net.JoinHostPort(d.ip(2, n), enginePort), Zone: "z1", Slots: lotSlots, Born: 1,
-			Events: lotEvents, Pace: lotPace, Objects: d.objects,
-		})
-		defer e.Crash()
-		engines = append(engines, e)
-	}
+	engines := d.addLotServers(lotEngines)
+	defer func() {
+		for _, e := range engines {
+			e.Crash()
+		}
+	}()
 	if err := d.startAll(); err != nil {
 		return false, err
 	}
-	n := usualLots
+	n := fewLots
 	if trouble {
 		n = lots
 	}
@@ -180,7 +177,7 @@
 	for i := range n {
 		all.Go(func() {
 			time.Sleep(time.Duration(i) * lotTime / time.Duration(n))
-			if d.submit(i, itemsOfLot) {
+			if d.submit(i, itemsOfLot, lotBody) {
 				mu.Lock()
 				defer mu.Unlock()
 				accepted = append(accepted, fmt.Sprintf("lot%d", i))
@@ -189,30 +186,49 @@
 	}
 	all.Wait()
 	time.Sleep(time.Until(began.Add(lotWatch)))
-	listed := 0
-	for n, id := range accepted {
-		status, b, err := d.call(http.MethodGet, "/lots/"+id+"?after=0", "read-"+id, n, nil)
-		page, _ := fake.DecodeResults(string(b))
-		rec.note("%s: %d %v, %d of %d items listed in the first page", id, status, err, page.Next, page.Total)
-		listed += page.Next
-	}
 	close(stop)
 	<-watched
-	runs := 0
+	return guard.verdict(engines, accepted, itemsOfLot)
+}
+
+// verdict reads the accepted batch jobs, each with a number of items, and reports whether the rule was kept: fewer than two
+// machines have processes that ended three times by themselves.
+func (g *memoryGuard) verdict(engines []*fake.Engine, accepted []string, items int) (bool, error) {
+	d, rec := g.d, g.d.rec
+	listed, runs := 0, 0
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	places, until := make(chan struct{}, 4), time.Now().Add(readTime)
+	for n, id := range accepted {
+		all.Go(func() {
+			places <- struct{}{}
+			defer func() { <-places }()
+			if time.Now().After(until) {
+				return
+			}
+			status, b, err := d.call(http.MethodGet, "/lots/"+id+"?after=0", "read-"+id, n, nil)
+			page, _ := fake.DecodeResults(string(b))
+			rec.note("%s: %d %v, %d of %d items listed in the first page", id, status, err, page.Next, page.Total)
+			mu.Lock()
+			defer mu.Unlock()
+			listed += page.Next
+		})
+	}
+	all.Wait()
 	for n, e := range engines {
 		rec.note("server i-%d began %d runs of items", n+1, e.Total())
 		runs += e.Total()
 	}
 	machines := 0
 	for _, p := range d.all() {
-		rec.note("%s: at most %d MB of %d, ended %d times", p.id, guard.peak[p.id], p.memoryMB, guard.ends[p.id])
-		if guard.ends[p.id] >= 3 {
+		rec.note("%s: at most %d MB of %d, ended %d times", p.id, g.peak[p.id], p.memoryMB, g.ends[p.id])
+		if g.ends[p.id] >= 3 {
 			machines++
 		}
 	}
-	rec.note("%d batch jobs with %d items were accepted, servers began %d runs, %d items are listed", len(accepted), len(accepted)*itemsOfLot, runs, listed)
+	rec.note("%d batch jobs with %d items were accepted, servers began %d runs, %d items were read as listed", len(accepted), len(accepted)*items, runs, listed)
 	if len(accepted) == 0 {
-		return false, fmt.Errorf("no batch job was accepted")
+		return false, errors.New("no batch job was accepted")
 	}
 	return machines < 2, nil
 }
