--- a/review/stands/main.go
+++ b/review/stands/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(program string, rec *record, trouble bool) (kept bool, err error){
 	"memory":   playMemory,
 	"takeover": playTakeover,
+	"budget":   playBudget,
 }
 
 func main() {
