--- a/review/stands/budget.go
+++ b/review/stands/budget.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -33,7 +32,7 @@
 
 // stream sends one request for a stream and reads it to its end.
 func (d *deployment) stream(entry int, id string) (streamed, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+net.JoinHostPort(d.entries[entry%len(d.entries)].ip, callerPort)+"/once/stream/1", nil)
+	req, err := http.NewRequest(http.MethodPost, "http://"+at(d.entries[entry%len(d.entries)].ip, d.ports.caller)+"/once/stream/1", nil)
 	if err != nil {
 		return streamed{}, err
 	}
@@ -69,7 +68,7 @@
 			pace *= slowFactor
 		}
 		e := fake.NewEngine(d.network, fake.EngineOptions{
-			ID: fmt.Sprintf("i-%d", i), Service: "scribe", Address: net.JoinHostPort(d.ip(2, i), enginePort), Zone: "z1", Slots: 8, Born: 1,
+			ID: fmt.Sprintf("i-%d", i), Service: "scribe", Address: at(d.ip(2, i), d.ports.engine), Zone: "z1", Slots: 8, Born: 1,
 			Events: budgetEvents, Pace: pace, Objects: d.objects,
 		})
 		defer e.Crash()
--- a/review/stands/memory.go
+++ b/review/stands/memory.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -110,7 +109,7 @@
 
 // call makes one call of a client.
 func (d *deployment) call(method, path, id string, entry int, body []byte) (int, []byte, error) {
-	req, err := http.NewRequest(method, "http://"+net.JoinHostPort(d.entries[entry%len(d.entries)].ip, callerPort)+path, bytes.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+at(d.entries[entry%len(d.entries)].ip, d.ports.caller)+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
--- a/review/stands/site.go
+++ b/review/stands/site.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -16,15 +17,11 @@
 	"mothcart/platform/fake"
 )
 
-const (
-	storePort  = "7100"
-	enginePort = "7200"
-	peerPort   = 7300
-	callerPort = "7400"
-	readyPort  = "7401"
-	// restartDelay is the platform's delay before it starts a process again that has ended.
-	restartDelay = time.Second
-)
+// restartDelay is the platform's delay before it starts a process again that has ended.
+const restartDelay = time.Second
+
+// ports are those that the processes of a deployment use on their addresses.
+type ports struct{ store, engine, caller, ready, peer int }
 
 // process is one process of the project, as the platform runs it.
 type process struct {
@@ -40,6 +37,7 @@
 type deployment struct {
 	program string
 	octet   int
+	ports   ports
 	dir     string
 	rec     *record
 	network *fake.Network
@@ -57,11 +55,31 @@
 // ip returns an address of the deployment.
 func (d *deployment) ip(group, n int) string { return fmt.Sprintf("127.%d.%d.%d", d.octet, group, n) }
 
+// at returns the address of a port.
+func at(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
+
+// freePorts returns ports that nobody uses.
+func freePorts() (ports, error) {
+	var p ports
+	for _, port := range []*int{&p.store, &p.engine, &p.caller, &p.ready, &p.peer} {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return p, err
+		}
+		defer l.Close()
+		*port = l.Addr().(*net.TCPAddr).Port
+	}
+	return p, nil
+}
+
+// metricsPort is where each process serves its metrics.
+const metricsPort = 9091
+
 // freeOctet returns a second byte of loopback addresses that nobody uses.
 func freeOctet() (int, error) {
 	for i := range 200 {
 		octet := 20 + (os.Getpid()+i)%200
-		l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.1.1:%s", octet, storePort))
+		l, err := net.Listen("tcp4", at(fmt.Sprintf("127.%d.6.1", octet), metricsPort))
 		if err == nil {
 			return octet, l.Close()
 		}
@@ -75,12 +93,16 @@
 	if err != nil {
 		return nil, err
 	}
+	free, err := freePorts()
+	if err != nil {
+		return nil, err
+	}
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{program: program, octet: octet, dir: dir, rec: rec, network: fake.NewLoopback()}
-	d.objects = fake.NewObjects(d.network, net.JoinHostPort(d.ip(1, 1), storePort))
+	d := &deployment{program: program, octet: octet, ports: free, dir: dir, rec: rec, network: fake.NewLoopback()}
+	d.objects = fake.NewObjects(d.network, at(d.ip(1, 1), free.store))
 	for n := 1; n <= s.homes; n++ {
 		d.homes = append(d.homes, &process{role: "home", id: fmt.Sprintf("store-%d", n), ip: d.ip(6, n), memoryMB: s.homeMemory})
 	}
@@ -98,12 +120,12 @@
 func (d *deployment) all() []*process { return append(append([]*process{}, d.homes...), d.entries...) }
 
 func (d *deployment) writeSettings(p *process) error {
-	vm := fake.VM{ID: p.id, IP: p.ip, PeerPort: peerPort, Store: net.JoinHostPort(d.ip(1, 1), storePort), MemoryMB: p.memoryMB}
+	vm := fake.VM{ID: p.id, IP: p.ip, PeerPort: d.ports.peer, Store: at(d.ip(1, 1), d.ports.store), MemoryMB: p.memoryMB}
 	for n := range min(len(d.homes), 3) {
 		vm.HomeNodes = append(vm.HomeNodes, d.ip(6, n+1))
 	}
 	if p.role == "entry" {
-		vm.Callers, vm.Ready = net.JoinHostPort(p.ip, callerPort), net.JoinHostPort(p.ip, readyPort)
+		vm.Callers, vm.Ready = at(p.ip, d.ports.caller), at(p.ip, d.ports.ready)
 	} else {
 		vm.DataDir = filepath.Join(d.dir, p.id)
 		if err := os.MkdirAll(vm.DataDir, 0o700); err != nil {
@@ -156,7 +178,7 @@
 func (d *deployment) ready() bool {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, p := range d.entries {
-		resp, err := client.Get("http://" + net.JoinHostPort(p.ip, readyPort) + "/ready")
+		resp, err := client.Get("http://" + at(p.ip, d.ports.ready) + "/ready")
 		if err != nil {
 			return false
 		}
--- a/review/stands/takeover.go
+++ b/review/stands/takeover.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -39,7 +38,7 @@
 
 // home returns the process whose machine has the lease.
 func (d *deployment) home() (*process, error) {
-	resp, err := http.Get("http://" + net.JoinHostPort(d.ip(1, 1), storePort) + "/objects/mothcart-lease/main")
+	resp, err := http.Get("http://" + at(d.ip(1, 1), d.ports.store) + "/objects/mothcart-lease/main")
 	if err != nil {
 		return nil, err
 	}
@@ -124,7 +123,7 @@
 	var engines []*fake.Engine
 	for i := 1; i <= n; i++ {
 		engines = append(engines, fake.NewEngine(d.network, fake.EngineOptions{
-			ID: fmt.Sprintf("i-%d", i), Service: "scribe", Address: net.JoinHostPort(d.ip(2, i), enginePort), Zone: "z1", Slots: lotSlots, Born: 1,
+			ID: fmt.Sprintf("i-%d", i), Service: "scribe", Address: at(d.ip(2, i), d.ports.engine), Zone: "z1", Slots: lotSlots, Born: 1,
 			Events: lotEvents, Pace: lotPace, Objects: d.objects,
 		}))
 	}
