http1: an answer that is reset during the upload is not whole

Callers got a cut answer as a complete one: an upstream answered a long upload early, with a 200 (or a 500) that had neither a length nor chunks, sent a part of the body and reset the connection while the upload was still being written. The same with HTTP/1.0, with a close that left unread bytes, and for streams that are cut between two events.

Cause: Linux reports a reset to one call. If the goroutine that writes the request gets it, the one that reads the answer finds an end, as after a close in order, and the end of the connection is the end of such an answer.

With a length or in chunks the case was handled; the tests stay.

Fix: io/http1 checks the connections of all HTTP clients of the product (upstreams and carriers, engines, both object services, VM list, command line). A read that finds an end asks whether the socket is closed on both sides; if so it waits for the writes in progress, which return at once. If a write has failed, the end is a read error. An attempt that was reset may have run, counts against its upstream, and its log line names the reset; upstreams.resetAnswers counts it.

On arm64 the code builds and was not run.

--- a/cmd/mothcart/configuration.go
+++ b/cmd/mothcart/configuration.go
@@ -19,6 +19,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"mothcart/core/config"
+	"mothcart/io/http1"
 	"mothcart/io/operator"
 )
 
@@ -69,7 +70,7 @@
 			return operator.Client{}, merry.Errorf("%s has no PEM certificate", o.ca)
 		}
 	}
-	hc := &http.Client{Transport: &http.Transport{TLSClientConfig: cfg}, Timeout: operatorTimeout}
+	hc := &http.Client{Transport: http1.Transport(&http.Transport{TLSClientConfig: cfg, DisableKeepAlives: true}), Timeout: operatorTimeout}
 	return operator.NewClient(strings.TrimSuffix(o.server, "/"), hc).WithOperator(o.operator), nil
 }
 
--- a/cmd/mothcart/job.go
+++ b/cmd/mothcart/job.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"mothcart/io/caller/batches"
+	"mothcart/io/http1"
 )
 
 const (
@@ -42,7 +43,7 @@
 }
 
 func (f *jobFlags) client() batches.Client {
-	return batches.NewClient(f.server, f.key, &http.Client{})
+	return batches.NewClient(f.server, f.key, &http.Client{Transport: http1.Transport(&http.Transport{Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true})})
 }
 
 func runJob(ctx context.Context, args []string, out, errOut io.Writer) int {
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -28,6 +28,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"mothcart/io/dial"
+	"mothcart/io/http1"
 	"mothcart/io/service"
 )
 
@@ -79,7 +80,7 @@
 	}
 	kept := single.Clone()
 	kept.DisableKeepAlives, kept.IdleConnTimeout = false, reportIdleTimeout
-	return &Client{transport: single, reports: kept}
+	return &Client{transport: http1.Transport(single), reports: http1.Transport(kept)}
 }
 
 // Close closes connections that are not in use.
--- /dev/null
+++ b/io/http1/http1.go
@@ -0,0 +1,81 @@
+// Package http1 checks the connections on which clients read answers of HTTP/1.
+//
+// The end of a connection ends an answer that has neither a length nor chunks. net/http also finds an end where the
+// connection was reset and the system has reported that to the goroutine that writes the request. Transport returns a
+// transport on whose connections such an end is a read error, so that no client takes a cut answer for a whole one.
+//
+// Usage:
+//
+//	client := &http.Client{Transport: http1.Transport(&http.Transport{DisableKeepAlives: true})}
+package http1
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// ErrReset means that a connection was reset, although its reader found an end.
+var ErrReset = merry.Sentinel("connection was reset during the request")
+
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Transport returns a copy of a transport that checks its connections.
+func Transport(t *http.Transport) *http.Transport {
+	return Counting(t, func(error) {})
+}
+
+// Counting is Transport that calls onFault with the ErrReset of each connection. It must not block.
+func Counting(t *http.Transport, onFault func(error)) *http.Transport {
+	t = t.Clone()
+	dial := dialFunc(t.DialContext)
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err // as it is, for those who tell errors of dialing apart
+		}
+		return newConn(conn, onFault), nil
+	}
+	cfg := t.TLSClientConfig
+	t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialTLS(ctx, dial, cfg, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(conn, onFault), nil
+	}
+	return t
+}
+
+// dialTLS opens a connection with TLS; the name of the server is the host of the address if cfg has none.
+func dialTLS(ctx context.Context, dial dialFunc, cfg *tls.Config, network, address string) (net.Conn, error) {
+	conn, err := dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if cfg == nil {
+		cfg = &tls.Config{MinVersion: tls.VersionTLS12}
+	}
+	if cfg.ServerName == "" {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			_ = conn.Close() // the address is wrong in any case
+			return nil, merry.Errorf("split %s: %w", address, err)
+		}
+		cfg = cfg.Clone()
+		cfg.ServerName = host
+	}
+	secure := tls.Client(conn, cfg)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close() // the handshake has failed in any case
+		return nil, merry.Errorf("TLS handshake with %s: %w", address, err)
+	}
+	return secure, nil
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -175,7 +175,7 @@
 	}
 	b.held = held.NewBudget(held.Options{Bytes: heldBytes(s.MemoryBytes), Now: opts.Now, Log: opts.Log, Registry: opts.Registry})
 	b.upstream = service.New(service.NewOptions().WithRequestIDHeader(platform.RequestIDHeader).
-		WithDial(dialUpstream).WithAnswerBytes(answerBytes(s.MemoryBytes)).WithRoom(b.held.Take, b.held.Free))
+		WithDial(dialUpstream).WithOnFault(countFaults(opts.Registry)).WithAnswerBytes(answerBytes(s.MemoryBytes)).WithRoom(b.held.Take, b.held.Free))
 	b.mirrors = map[string]*object.Mirror{platform.KindConfig: object.NewMirror(), platform.KindUpstreams: object.NewMirror()}
 	b.counts = time.AfterFunc(countsInterval, func() {
 		b.logCounts()
--- a/io/serve/options.go
+++ b/io/serve/options.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"mothcart/core/vm"
+	"mothcart/io/http1"
 	"mothcart/io/settings"
 	"mothcart/io/store"
 	"mothcart/io/vmlist"
@@ -34,7 +35,7 @@
 
 // NewOptions returns the options of a process with these settings that calls the platform over HTTP.
 func NewOptions(cfg settings.Settings, log zerolog.Logger) Options {
-	hc := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	hc := &http.Client{Transport: http1.Transport(&http.Transport{DisableKeepAlives: true})}
 	return Options{
 		Settings: cfg,
 		Log:      log,
--- a/io/service/options.go
+++ b/io/service/options.go
@@ -18,6 +18,9 @@
 	// gives it back.
 	Take func(n int64) bool
 	Free func(n int64)
+	// OnFault is called with http1.ErrReset, once for each connection on which an answer is reset without the reader's
+	// knowledge. It must not block.
+	OnFault func(err error)
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -33,7 +36,7 @@
 func NewOptions() Options {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return Options{HeaderTimeout: 60 * time.Second,
-		RequestIDHeader: "X-Request-Id", AnswerBytes: DefaultAnswerBytes, Take: func(int64) bool { return true }, Free: func(int64) {}, Dial: dialer.DialContext}
+		RequestIDHeader: "X-Request-Id", AnswerBytes: DefaultAnswerBytes, Take: func(int64) bool { return true }, Free: func(int64) {}, OnFault: func(error) {}, Dial: dialer.DialContext}
 }
 
 // WithAnswerBytes returns a copy whose answers in memory are bounded by n bytes.
@@ -60,6 +63,12 @@
 	return o
 }
 
+// WithOnFault returns a copy that calls onFault.
+func (o Options) WithOnFault(onFault func(err error)) Options {
+	o.OnFault = onFault
+	return o
+}
+
 // WithDial returns a copy that opens connections by dial.
 func (o Options) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Options {
 	o.Dial = dial
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -3,7 +3,7 @@
 // Do makes one attempt, on a connection of its own, so that no answer of one call can be taken for that of another and no
 // call uses a connection that the upstream is about to close. The transport never repeats a request by itself, so that a
 // call that may not be repeated is sent at most once; the caller decides by the Failure whether to try again. A body that
-// ends early gives an error when Body is read, never a short answer. Answers that are read into memory share
+// ends early gives an error when Body is read, never a short answer (io/http1). Answers that are read into memory share
 // Options.AnswerBytes.
 //
 // Usage:
@@ -27,6 +27,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"mothcart/io/http1"
 )
 
 // Client calls plain services. It is safe for concurrent use.
@@ -46,13 +48,13 @@
 
 // New returns a client without connections.
 func New(opts Options) *Client {
-	return &Client{requestIDHeader: opts.RequestIDHeader, answers: room{free: opts.AnswerBytes, takeShared: opts.Take, freeShared: opts.Free}, transport: &http.Transport{
+	return &Client{requestIDHeader: opts.RequestIDHeader, answers: room{free: opts.AnswerBytes, takeShared: opts.Take, freeShared: opts.Free}, transport: http1.Counting(&http.Transport{
 		DialContext:            opts.Dial,
 		DisableCompression:     true,
 		DisableKeepAlives:      true,
 		ResponseHeaderTimeout:  opts.HeaderTimeout,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	}, opts.OnFault)}
 }
 
 // Close closes connections that no call uses.
