http1: an answer with a broken head is no answer

Callers got answers whose head HTTP forbids: with a blank in the name of a field, or at its end, and then with a body that is not the upstream's where the name was that of Content-Length or Transfer-Encoding; of versions that don't exist; with control characters in the reason; and of HTTP/1.0 with the bytes of its chunks. A 503 or 421 with such a line promised that the request had not run. Items of jobs were completed with the body of such an answer.

Cause: net/http accepts these lines, and doesn't know a name that ends in a blank. Two clients took a status for what it isn't: at the object service, one below 300 (000, 099, 101) was a write that is done; at the product's engines, one below 500 meant that the request has not run.

Handled before at upstreams, the tests stay: every status that isn't one (000, 099, 101, 600 and the like), control characters, bytes over 127 and brackets in a name, an empty name, no colon, control characters in a value, two lengths, a length that is no number.

Fix: the connections of io/http1, which all HTTP clients have, check each line of the heads of an answer, interim ones too, with the grammar of golang.org/x/net/http/httpguts, before net/http uses it. The check of the status in io/service is part of this one now. A line that goes on with the value of the one before is refused as well, as RFC 9112 allows.

--- a/io/engine/stream_test.go
+++ b/io/engine/stream_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
+
+	"mothcart/io/http1"
 )
 
 // answering returns a client whose engine writes an answer to each request and closes the connection.
@@ -59,6 +61,13 @@
 		{"status that is cut", "HTTP/1.1 200", 0, nil, Broken},
 		{"failure", "HTTP/1.1 500 Odd\r\nContent-Type: text/event-stream\r\n\r\n" + "id: 3\ndata: upstream broke\n\n" + done, 3, nil, Failed},
 		{"refusal", "HTTP/1.1 503 Odd\r\nContent-Type: text/event-stream\r\n\r\n" + "id: 3\ndata: upstream broke\n\n" + done, 3, nil, Refused},
+		{"status 000", "HTTP/1.1 000 Odd\r\n\r\n", 3, nil, Broken},
+		{"status 099", "HTTP/1.1 099 Odd\r\n\r\n", 3, nil, Broken},
+		{"status 101", "HTTP/1.1 101 Odd\r\n\r\n", 3, nil, Broken},
+		{"status 600", "HTTP/1.1 600 Odd\r\n\r\n", 3, nil, Broken},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n" + "id: 0\ndata: a\n\n" + done, 0, nil, Broken},
+		{"blank in the name of a refusal", "HTTP/1.1 503 Odd\r\nX Odd: 1\r\n\r\n", 3, nil, Broken},
+		{"blank in the name of a rejection", "HTTP/1.1 400 Odd\r\nX Odd: 1\r\n\r\n", 3, nil, Broken},
 		{"refusal of another request", "HTTP/1.1 503 Odd\r\nX-Request-Id: r0\r\n\r\n", 3, nil, Mismatched},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -83,3 +92,18 @@
 		})
 	}
 }
+
+// Guards against load reports, and answers that aren't streamed, with a broken head.
+func TestBrokenHeadIsNoAnswer(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX Odd: 1\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			c := answering(head + "\r\n{}")
+			defer c.Close()
+			_, err := c.Complete(t.Context(), Call{Address: "e:80", Path: ChatPath, RequestID: "r1"})
+			require.ErrorIs(t, err, http1.ErrHead, "%q", head)
+			_, err = c.Load(t.Context(), "e:80")
+			require.ErrorIs(t, err, http1.ErrHead, "%q", head)
+			require.ErrorIs(t, c.Cancel(t.Context(), "e:80", "r1"), http1.ErrHead, "%q", head)
+		})
+	}
+}
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -10,13 +10,17 @@
 	"golang.org/x/sys/unix"
 )
 
-// conn is a connection whose reads fail with ErrReset at an end that is none. One goroutine reads.
+// conn is a connection whose reads fail with ErrHead at a broken head, and with ErrReset at an end that is none. One
+// goroutine reads.
 type conn struct {
 	net.Conn
+	// kept reports that the connection may carry several requests, one after the other.
+	kept bool
 	// onFault is that of Counting.
 	onFault func(error)
 
-	mu sync.Mutex
+	mu   sync.Mutex
+	head head
 	// fault is the first error that a read has found; later reads fail with it.
 	fault error
 	// writes is the number of writes in progress; idle is signalled when it becomes 0.
@@ -26,8 +30,8 @@
 	writeErr error
 }
 
-func newConn(c net.Conn, onFault func(error)) *conn {
-	out := &conn{Conn: c, onFault: onFault}
+func newConn(c net.Conn, kept bool, onFault func(error)) *conn {
+	out := &conn{Conn: c, kept: kept, onFault: onFault}
 	out.idle.L = &out.mu
 	return out
 }
@@ -36,6 +40,9 @@
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.writes++
+	if c.kept && c.head.done {
+		c.head = head{} // the next answer follows
+	}
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
@@ -58,10 +65,14 @@
 	if c.fault != nil {
 		return 0, c.fault
 	}
-	if reset {
-		c.fault = ErrReset
-		c.onFault(ErrReset)
-		return 0, ErrReset
+	fault := c.head.add(p[:n])
+	if fault == nil && reset {
+		fault = ErrReset
+	}
+	if fault != nil {
+		c.fault = fault
+		c.onFault(fault)
+		return 0, fault
 	}
 	return n, err
 }
--- a/io/http1/http1_test.go
+++ b/io/http1/http1_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -58,9 +59,33 @@
 	return string(body), err
 }
 
-const soundAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+const (
+	soundAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+	blankInName = "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 5\r\n\r\nwhole"
+	// headInBody is a sound answer whose body looks like a broken head.
+	headInBody = "HTTP/1.1 200 OK\r\nContent-Length: 34\r\n\r\n\r\n\r\nHTTP/9.9 000 Odd\r\nX Odd: 1\r\n\r\n"
+)
 
-// Guards against certificates that are not checked.
+// Guards against a later answer on a connection that is not checked, and against bodies that are taken for heads.
+func TestEachAnswerOfAKeptConnectionIsChecked(t *testing.T) {
+	address := answering(t, nil, headInBody, "HTTP/1.1 103 Early\r\n\r\n"+headInBody, blankInName)
+	var faults []error
+	c := &http.Client{Transport: Counting(&http.Transport{}, func(err error) { faults = append(faults, err) })}
+	defer c.CloseIdleConnections()
+	for range 2 {
+		body, err := get(c, "http://"+address)
+		require.NoError(t, err)
+		require.Len(t, body, 34)
+	}
+	require.Empty(t, faults)
+	_, err := get(c, "http://"+address)
+	require.NoError(t, err, "net/http sends a GET once more, on another connection")
+	require.Len(t, faults, 1)
+	require.ErrorIs(t, faults[0], ErrHead)
+	require.ErrorContains(t, faults[0], `"X Odd"`)
+}
+
+// Guards against answers over TLS that are not checked, and against certificates that are not.
 func TestTLS(t *testing.T) {
 	server := httptest.NewTLSServer(nil)
 	defer server.Close()
@@ -71,6 +96,8 @@
 	body, err := get(trusting, "https://"+answering(t, cfg, soundAnswer))
 	require.NoError(t, err)
 	require.Equal(t, "whole", body)
+	_, err = get(trusting, "https://"+answering(t, cfg, blankInName))
+	require.ErrorIs(t, err, ErrHead)
 	_, err = get(trusting, strings.Replace("https://"+answering(t, cfg, soundAnswer), "127.0.0.1", "localhost", 1))
 	require.Error(t, err, "the certificate is that of another name")
 	strict := &http.Client{Transport: Transport(&http.Transport{DisableKeepAlives: true})}
@@ -78,6 +105,47 @@
 	require.Error(t, err, "the certificate is nobody's")
 }
 
+// Guards against lines that are checked in parts, wherever the reads split a head.
+func TestHeadInPieces(t *testing.T) {
+	for _, tc := range []struct {
+		answer string
+		broken bool
+	}{
+		{headInBody, false},
+		{"HTTP/1.0 100 Continue\n\nHTTP/1.1 200 OK\nA: b\n\nX Odd: 1\n", false},
+		{blankInName, true},
+		{"HTTP/1.1 100 Continue\r\nX Odd: 1\r\n\r\n" + soundAnswer, true},
+	} {
+		for size := 1; size <= len(tc.answer); size++ {
+			var h head
+			var err error
+			for rest := tc.answer; rest != "" && err == nil; {
+				n := min(size, len(rest))
+				err = h.add([]byte(rest[:n]))
+				rest = rest[n:]
+			}
+			require.Equal(t, tc.broken, errors.Is(err, ErrHead), "%q in pieces of %d: %v", tc.answer, size, err)
+		}
+	}
+}
+
+// Guards against bytes of a broken head that are read after the error.
+func TestBrokenHeadStaysBroken(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	go func() {
+		_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nX Odd: 1\r\n")
+		_, _ = io.WriteString(far, "\r\nbody")
+		_ = far.Close()
+	}()
+	c := newConn(near, false, func(error) {})
+	for range 2 {
+		n, err := c.Read(make([]byte, 100))
+		require.Zero(t, n)
+		require.ErrorIs(t, err, ErrHead)
+	}
+}
+
 // failing is a connection whose writes fail and whose reads find an end.
 type failing struct {
 	net.Conn
@@ -104,7 +172,7 @@
 		{"none", nil, io.EOF},
 	} {
 		faults := 0
-		c := newConn(failing{err: tc.write}, func(error) { faults++ })
+		c := newConn(failing{err: tc.write}, false, func(error) { faults++ })
 		_, err := c.Write([]byte("upload"))
 		require.Equal(t, tc.write, err, tc.name)
 		_, err = c.Read(make([]byte, 1))
@@ -126,7 +194,7 @@
 	defer near.Close()
 	far, err := l.Accept()
 	require.NoError(t, err)
-	c := newConn(near, func(error) {})
+	c := newConn(near, false, func(error) {})
 	_, err = io.WriteString(c, "request")
 	require.NoError(t, err)
 	_, err = io.ReadFull(far, make([]byte, len("request")))
--- a/io/node/faulty_test.go
+++ b/io/node/faulty_test.go
@@ -184,6 +184,8 @@
 		{"refusal of another request", func(string) string { return status("503 Odd", fake.RawNotRun)("another") }, 502},
 		{"success that says that it has not run", func(id string) string { return fake.RawHead(id) + fake.RawNotRun + "Content-Length: 9\r\n\r\n" }, 502},
 		{"head that is cut", fake.RawHead, 502},
+		{"blank in a name", func(id string) string { return fake.RawHead(id) + "X Odd: 1\r\nContent-Length: 2\r\n\r\nab" }, 502},
+		{"blank in the name of a refusal", status("503 Odd", fake.RawNotRun+"X Odd: 1\r\n"), 502},
 		{"body that is cut", func(id string) string { return fake.RawHead(id) + "Content-Length: 9\r\n\r\nab" }, 502},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/io/service/options.go
+++ b/io/service/options.go
@@ -18,8 +18,8 @@
 	// gives it back.
 	Take func(n int64) bool
 	Free func(n int64)
-	// OnFault is called with http1.ErrReset, once for each connection on which an answer is reset without the reader's
-	// knowledge. It must not block.
+	// OnFault is called once for each connection on which an answer breaks the rules of HTTP or is reset without the
+	// reader's knowledge, with http1.ErrHead or http1.ErrReset in the error's chain. It must not block.
 	OnFault func(err error)
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -3,8 +3,8 @@
 // Do makes one attempt, on a connection of its own, so that no answer of one call can be taken for that of another and no
 // call uses a connection that the upstream is about to close. The transport never repeats a request by itself, so that a
 // call that may not be repeated is sent at most once; the caller decides by the Failure whether to try again. A body that
-// ends early gives an error when Body is read, never a short answer (io/http1). Answers that are read into memory share
-// Options.AnswerBytes.
+// ends early gives an error when Body is read, never a short answer. An answer whose head breaks the rules of HTTP is an
+// error (io/http1). Answers that are read into memory share Options.AnswerBytes.
 //
 // Usage:
 //
@@ -43,9 +43,6 @@
 // maxHeadBytes bounds the head of an answer in bytes, together with all interim answers before it.
 const maxHeadBytes = 64 << 10
 
-// maxStatus is the highest status of an answer.
-const maxStatus = 599
-
 // New returns a client without connections.
 func New(opts Options) *Client {
 	return &Client{requestIDHeader: opts.RequestIDHeader, answers: room{free: opts.AnswerBytes, takeShared: opts.Take, freeShared: opts.Free}, transport: http1.Counting(&http.Transport{
@@ -118,10 +115,6 @@
 	if err != nil {
 		return Answer{}, &Failure{Sent: connected.Load(), err: merry.Errorf("round trip: %w", err)}
 	}
-	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
-		resp.Body.Close()
-		return Answer{}, &Failure{Sent: true, err: merry.Errorf("status %d is not that of a final answer", resp.StatusCode)}
-	}
 	if got, ok := otherID(resp.Header.Values(c.requestIDHeader), call.RequestID); ok {
 		resp.Body.Close()
 		c.mismatched.Add(1)
