forward: a failure without a length is not whole if its upstream ended

Callers of requests that may run once got an upstream's 500 or 422, with its signature, and a part of its body as the whole: the answer had neither a length nor chunks, and its upstream ended in the middle. A success was checked for that; a failure was not.

Cause: the look whether the upstream still listens when such an answer ends was made for a success alone.

Evidence: two new cases of TestAnswerWithoutLengthEndsWithItsConnection failed before ("failure, the upstream ends" was Errored, "rejection, the upstream ends" was Failed, both with the part of the body), and pass now. A refusal keeps its word, since its head is whole and its body isn't passed on; the case for it passed before.

Fix: each answer without a length is looked at, but for refusals. The status of an item's answer still counts, so that an item that fails, or can never be done, runs no more often than before.

--- a/io/forward/attempt.go
+++ b/io/forward/attempt.go
@@ -150,19 +150,19 @@
 		return a
 	}
 	a.Ended = a.Events < writtenEvents
-	if a.Success() {
+	if a.Err == nil {
 		a.Body, a.Err = nil, errCut
 	}
 	return a
 }
 
 // mayHaveEnded reports that the upstream's end may be why the attempt failed before the upstream had written, or why an
-// answer without a length looks complete.
+// answer without a length looks complete. The body of a refusal isn't passed on.
 func (a Answer) mayHaveEnded(ctx context.Context) bool {
-	if a.Success() {
-		return a.unframed && !a.Info.Leaving
+	if a.Err == nil {
+		return a.unframed && !a.Info.Leaving && !a.refused()
 	}
-	return a.Err != nil && a.Sent && a.Events < writtenEvents && ctx.Err() == nil && !errors.Is(a.Err, ErrSilent) && !errors.Is(a.Err, errOverdue)
+	return a.Sent && a.Events < writtenEvents && ctx.Err() == nil && !errors.Is(a.Err, ErrSilent) && !errors.Is(a.Err, errOverdue)
 }
 
 // writtenEvents is the number of events after which an upstream has written on a request; the first one may arrive as
--- a/io/forward/unframed_test.go
+++ b/io/forward/unframed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,6 +20,9 @@
 // unframedHead is the head of an answer with neither a length nor chunks.
 const unframedHead = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n"
 
+// failureHead is the same with a status of failure.
+const failureHead = "HTTP/1.1 500 Broken\r\nX-Signature: s\r\n\r\n"
+
 // ending is how an upstream ends an answer without a length.
 type ending int
 
@@ -91,6 +95,10 @@
 		{name: "plain answer", answer: unframedHead + "whole", success: true, body: "whole", result: slot.Served},
 		{name: "plain answer, reset", answer: unframedHead + "whole", how: resets, result: slot.Broken},
 		{name: "plain answer, the upstream ends", answer: unframedHead + "whole", how: crashes, result: slot.Ended},
+		{name: "failure", answer: failureHead + "whole", body: "whole", result: slot.Errored},
+		{name: "failure, the upstream ends", answer: failureHead + "who", how: crashes, result: slot.Ended},
+		{name: "rejection, the upstream ends", answer: strings.Replace(failureHead, "500", "422", 1) + "who", how: crashes, result: slot.Ended},
+		{name: "refusal, the upstream ends", answer: strings.Replace(failureHead, "X-Signature", "X-Not-Run", 1) + "who", how: crashes, body: "who", result: slot.Full},
 		{name: "plain answer, inside the head", answer: unframedHead[:30], result: slot.Broken},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -98,7 +106,9 @@
 			defer client.Close()
 			codec := HeaderCodec{
 				Outgoing: func(h http.Header, _ Attempt) http.Header { return h },
-				Read:     func(h http.Header) AnswerInfo { return AnswerInfo{Signed: h.Get("X-Signature") != ""} },
+				Read: func(h http.Header) AnswerInfo {
+					return AnswerInfo{Signed: h.Get("X-Signature") != "", NotRun: h.Get("X-Not-Run") != ""}
+				},
 			}
 			call := Call{
 				ID: "r1", Method: http.MethodPost, Path: "/", OnWrote: func() {}, OnLimit: func(float64, bool) {},
