--- a/io/forward/crossing_test.go
+++ b/io/forward/crossing_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -42,29 +41,6 @@
 	}, sink)
 }
 
-// upstream serves each connection with serve, once the head of a request has been read.
-func upstream(t *testing.T, serve func(conn *net.TCPConn, r *bufio.Reader)) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return // the test has ended
-			}
-			go func() {
-				defer conn.Close()
-				r := bufio.NewReader(conn)
-				if _, err := http.ReadRequest(r); err == nil {
-					serve(conn.(*net.TCPConn), r)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // crossed is a connection whose write meets the reset of the other side before a read does. The write returns before or
 // after the read has found the end of the connection.
 type crossed struct {
@@ -131,7 +107,7 @@
 	} {
 		for _, returnsFirst := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, write returns first=%v", tc.name, returnsFirst), func(t *testing.T) {
-				address := upstream(t, func(conn *net.TCPConn, _ *bufio.Reader) {
+				address := upstream(t, func(_ net.Listener, conn *net.TCPConn, _ *http.Request) {
 					_, _ = io.WriteString(conn, tc.answer)
 					time.Sleep(5 * time.Millisecond)
 					_ = conn.SetLinger(0)
@@ -155,7 +131,7 @@
 	for _, after := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond, 30 * time.Millisecond} {
 		for _, unread := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%v, unread bytes=%v", after, unread), func(t *testing.T) {
-				address := upstream(t, func(conn *net.TCPConn, _ *bufio.Reader) {
+				address := upstream(t, func(_ net.Listener, conn *net.TCPConn, _ *http.Request) {
 					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\nhalf")
 					time.Sleep(after)
 					if unread {
@@ -184,10 +160,10 @@
 		"in chunks":     "HTTP/1.1 200 OK\r\nX-Signature: s\r\n" + chunks + "\r\n" + chunk(string(body)) + "0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := upstream(t, func(conn *net.TCPConn, r *bufio.Reader) {
+			address := upstream(t, func(_ net.Listener, conn *net.TCPConn, r *http.Request) {
 				_, _ = io.WriteString(conn, answer)
 				_ = conn.CloseWrite()
-				_, _ = io.Copy(io.Discard, r) // ends when the other side closes the connection
+				_, _ = io.Copy(io.Discard, r.Body) // ends when the other side closes the connection
 			})
 			for range plays {
 				a := upload(t, address, false, new(net.Dialer).DialContext)
@@ -201,7 +177,7 @@
 // Guards against cut answers that look whole: the upstream closes the connection in order in the middle of its body, and the
 // system resets it since more of the upload comes.
 func TestEndThatAResetFollowsDuringTheUploadIsNone(t *testing.T) {
-	address := upstream(t, func(conn *net.TCPConn, _ *bufio.Reader) {
+	address := upstream(t, func(_ net.Listener, conn *net.TCPConn, _ *http.Request) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\nhalf")
 		_ = conn.CloseWrite()
 		time.Sleep(5 * time.Millisecond)
--- a/io/forward/unframed_test.go
+++ b/io/forward/unframed_test.go
@@ -33,8 +33,9 @@
 	crashes
 )
 
-// unframedUpstream answers each request with some bytes and then ends the connection. It returns its address.
-func unframedUpstream(t *testing.T, answer string, how ending) string {
+// upstream serves each connection with serve, once the head of a request has been read, and then closes it. It returns its
+// address.
+func upstream(t *testing.T, serve func(l net.Listener, conn *net.TCPConn, r *http.Request)) string {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -44,26 +45,34 @@
 			if err != nil {
 				return // the test has ended, or the upstream
 			}
-			r, err := http.ReadRequest(bufio.NewReader(conn))
-			if err != nil {
-				_ = conn.Close()
-				continue // a connection without a request
-			}
-			_, _ = io.Copy(io.Discard, r.Body) // bytes that are not read would reset the connection
-			_, _ = io.WriteString(conn, answer)
-			switch how {
-			case resets:
-				_ = conn.(*net.TCPConn).SetLinger(0)
-			case crashes:
-				_ = l.Close()
-			case closes:
-			}
-			_ = conn.Close()
+			go func() {
+				defer conn.Close()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return // a connection without a request
+				}
+				serve(l, conn.(*net.TCPConn), r)
+			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// unframedUpstream answers each request with some bytes and then ends the connection. It returns its address.
+func unframedUpstream(t *testing.T, answer string, how ending) string {
+	return upstream(t, func(l net.Listener, conn *net.TCPConn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // bytes that are not read would reset the connection
+		_, _ = io.WriteString(conn, answer)
+		switch how {
+		case resets:
+			_ = conn.SetLinger(0)
+		case crashes:
+			_ = l.Close()
+		case closes:
+		}
+	})
+}
+
 // Guards against cut answers without a length that look whole, and against whole ones that count as cut.
 func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
 	const event1, event2 = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
--- a/io/node/faulty_test.go
+++ b/io/node/faulty_test.go
@@ -66,6 +66,21 @@
 	}
 }
 
+// runJobPast runs a job whose items go to the raw upstream alone at first, which must have answered some, and then to a sound
+// one in its place.
+func (s *testSite) runJobPast(answered func() int) {
+	for _, e := range s.engines {
+		e.SetState("draining")
+	}
+	time.Sleep(time.Second)
+	require.Equal(s.t, http.StatusAccepted, s.submitJob(1, "j1", 4).status)
+	time.Sleep(2 * time.Second)
+	require.Positive(s.t, answered())
+	s.network.CloseHost(engineIP(8))
+	s.engines[2].SetState("ready")
+	s.awaitJob(1, "j1", 30*time.Second)
+}
+
 // Guards against items that are completed with another text than their whole output: an upstream breaks off, and others
 // answer with something else than the rest.
 func TestTextOfAnItemHoldsNothingElse(t *testing.T) {
@@ -85,16 +100,7 @@
 						_, _ = io.WriteString(w, tc.answer(id))
 						c.Close()
 					})
-					for _, e := range s.engines {
-						e.SetState("draining")
-					}
-					time.Sleep(time.Second)
-					require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 4).status)
-					time.Sleep(2 * time.Second)
-					require.Positive(t, wrong.Load())
-					s.network.CloseHost(engineIP(8))
-					s.engines[2].SetState("ready")
-					s.awaitJob(1, "j1", 30*time.Second)
+					s.runJobPast(func() int { return int(wrong.Load()) })
 				})
 			})
 		}
@@ -110,16 +116,7 @@
 					_, _ = io.WriteString(w, fake.RawHead(id)+eventStream+chunk("data: piece 1 of "+id+"\n\ndata: piece 2 of "+id+"\n\n"))
 					w.(*fake.RawConn).Reset()
 				})
-				for _, e := range s.engines {
-					e.SetState("draining")
-				}
-				time.Sleep(time.Second)
-				require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 4).status)
-				time.Sleep(2 * time.Second)
-				require.Positive(t, u.Attempts("j1.0"))
-				s.network.CloseHost(engineIP(8))
-				s.engines[2].SetState("ready")
-				s.awaitJob(1, "j1", 30*time.Second)
+				s.runJobPast(func() int { return u.Attempts("j1.0") })
 			})
 		})
 	}
--- a/io/node/head_test.go
+++ b/io/node/head_test.go
@@ -50,16 +50,7 @@
 						_, _ = io.WriteString(w, tc.answer(id))
 						w.(*fake.RawConn).Close()
 					})
-					for _, e := range s.engines {
-						e.SetState("draining")
-					}
-					time.Sleep(time.Second)
-					require.Equal(t, http.StatusAccepted, s.submitJob(1, "j1", 4).status)
-					time.Sleep(2 * time.Second)
-					require.Positive(t, wrong.Load())
-					s.network.CloseHost(engineIP(8))
-					s.engines[2].SetState("ready")
-					s.awaitJob(1, "j1", 30*time.Second)
+					s.runJobPast(func() int { return int(wrong.Load()) })
 					require.Contains(t, s.timeline("j1.0"), "broken head")
 				})
 			})
--- a/io/serve/options_test.go
+++ b/io/serve/options_test.go
@@ -1,13 +1,13 @@
 package serve_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"mothcart/io/serve"
@@ -18,24 +18,16 @@
 
 // answering returns the URL of a server that sends the same bytes on each connection, once it has read a request.
 func answering(t *testing.T, answer string) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return // the test has ended
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, answer)
-				}
-			}()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if !assert.NoError(t, err) {
+			return
 		}
-	}()
-	return "http://" + l.Addr().String()
+		defer conn.Close()
+		_, _ = io.WriteString(conn, answer) // the client may have closed the connection
+	}))
+	t.Cleanup(server.Close)
+	return server.URL
 }
 
 // Guards against writes that count as done, or as refused, and against objects and VMs that are read, by an answer of the
