Review: items that were given up at a change of the home run, and their jobs can't be read

A script shows it: engines are lost for a minute, the home freezes while jobs reach the time at which they are given up, and answers of the object service are lost. After a restart of all processes these jobs can't be read any more.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,6 +29,7 @@
 // cases holds the cases by name; each returns the exit status.
 var cases = map[string]func(ctx context.Context, r *record, trouble bool) (int, error){
 	"manyBytes": manyBytes,
+	"expired":   expired,
 }
 
 func main() { os.Exit(run()) }
