--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -3,7 +3,7 @@
 //
 // Usage:
 //
-//	rig -case 11 -record review/11/record.txt -trouble=true
+//	rig -case manyBytes -record review/11/record.txt -trouble=true
 //
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 package main
--- a/review/rig/manybytes.go
+++ b/review/rig/manybytes.go
@@ -14,13 +14,13 @@
 func manyBytes(ctx context.Context, r *record, trouble bool) (int, error) {
 	const (
 		items    = 10
-		itemSize = 50_000
+		itemSize = 46_500
 		many     = 215
-		gap      = 325 * time.Millisecond
+		gap      = 256 * time.Millisecond
 		late     = 3
 		finish   = 18 * time.Second
 	)
-	s, err := newSite(siteOptions{entries: 3, homes: 3, engines: 9, slots: 8, events: 10, pace: 10 * time.Millisecond, entryMB: 284, homeMB: 314, tokenCap: 1_900_000}, r)
+	s, err := newSite(siteOptions{entries: 3, homes: 3, engines: 9, slots: 8, events: 10, pace: 10 * time.Millisecond, entryMB: 284, homeMB: 304, tokenCap: 1_900_000}, r)
 	if err != nil {
 		return failed, err
 	}
