--- a/review/rig/manybytes.go
+++ b/review/rig/manybytes.go
@@ -15,7 +15,7 @@
 	const (
 		items    = 10
 		itemSize = 46_500
-		many     = 215
+		many     = 250
 		gap      = 256 * time.Millisecond
 		late     = 3
 		finish   = 18 * time.Second
